--- /dev/null
+++ b/crates/chart/src/state_chart.rs
@@ -0,0 +1,182 @@
+//! One chart: its text, its verifier and its table.
+//!
+//! ```toml
+//! initial = "joining"
+//! final = ["gone"]
+//!
+//! [[transition]]
+//! from = "joining"
+//! event = "confirmed"
+//! to = "live"
+//! ```
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::Range;
+
+use mulberrywell_settings::{Finding, FindingList, TableReader};
+
+use crate::ChartSymbol;
+
+/// A verified chart over states `S` and events `E`.
+#[derive(Debug, Clone)]
+pub struct StateChart<S, E> {
+    initial: S,
+    /// Indexed by state; no transition leaves a final state.
+    finals: Vec<bool>,
+    /// Indexed by state, then event.
+    table: Vec<Vec<Option<S>>>,
+    events: std::marker::PhantomData<E>,
+}
+
+/// A transition with its place in the text.
+struct Transition<S, E> {
+    from: S,
+    event: E,
+    to: S,
+    span: Range<usize>,
+}
+
+impl<S: ChartSymbol, E: ChartSymbol> StateChart<S, E> {
+    /// Reads and verifies a chart.
+    ///
+    /// # Errors
+    /// Fails with everything that is wrong in the text.
+    pub fn parse(file: &str, source: &str) -> Result<Self, Vec<Finding>> {
+        let findings = RefCell::new(FindingList::new(file, source));
+        let chart = read_chart(source, &findings);
+        match chart {
+            Some(chart) => findings.into_inner().finish(chart),
+            None => Err(findings.into_inner().finish(()).err().unwrap_or_default()),
+        }
+    }
+
+    /// Returns the state of something new.
+    pub fn initial(&self) -> S {
+        self.initial
+    }
+
+    /// Tells whether nothing can follow a state.
+    pub fn is_final(&self, state: S) -> bool {
+        self.finals[state.index()]
+    }
+
+    /// Returns the state after an event; none where the chart has no such
+    /// transition, and the event is then to be ignored.
+    pub fn next(&self, state: S, event: E) -> Option<S> {
+        self.table[state.index()][event.index()]
+    }
+}
+
+fn read_chart<S: ChartSymbol, E: ChartSymbol>(
+    source: &str,
+    findings: &RefCell<FindingList>,
+) -> Option<StateChart<S, E>> {
+    let mut root = TableReader::parse(source, findings);
+    let initial = read_symbol::<S>(&mut root, "initial", "state");
+    let mut finals = vec![false; S::ALL.len()];
+    for (name, span) in root.texts("final") {
+        match S::from_name(&name) {
+            Some(state) => finals[state.index()] = true,
+            None => root.report_at(&span, format!("state `{name}` is not known to the code")),
+        }
+    }
+    let transitions = read_transitions::<S, E>(&mut root);
+    let initial = initial?;
+    verify(&root, initial, &finals, &transitions);
+    root.end();
+    let mut table = vec![vec![None; E::ALL.len()]; S::ALL.len()];
+    for transition in transitions {
+        table[transition.from.index()][transition.event.index()] = Some(transition.to);
+    }
+    Some(StateChart {
+        initial,
+        finals,
+        table,
+        events: std::marker::PhantomData,
+    })
+}
+
+fn read_symbol<T: ChartSymbol>(table: &mut TableReader<'_>, field: &str, kind: &str) -> Option<T> {
+    let Some((name, span)) = table.text(field) else {
+        table.report(format!("field `{field}` is missing"));
+        return None;
+    };
+    let symbol = T::from_name(&name);
+    if symbol.is_none() {
+        table.report_at(&span, format!("{kind} `{name}` is not known to the code"));
+    }
+    symbol
+}
+
+fn read_transitions<S: ChartSymbol, E: ChartSymbol>(
+    root: &mut TableReader<'_>,
+) -> Vec<Transition<S, E>> {
+    let mut transitions = Vec::new();
+    for mut table in root.tables("transition") {
+        let from = read_symbol::<S>(&mut table, "from", "state");
+        let event = read_symbol::<E>(&mut table, "event", "event");
+        let to = read_symbol::<S>(&mut table, "to", "state");
+        let span = table.span();
+        table.end();
+        if let (Some(from), Some(event), Some(to)) = (from, event, to) {
+            transitions.push(Transition {
+                from,
+                event,
+                to,
+                span,
+            });
+        }
+    }
+    transitions
+}
+
+fn verify<S: ChartSymbol, E: ChartSymbol>(
+    root: &TableReader<'_>,
+    initial: S,
+    finals: &[bool],
+    transitions: &[Transition<S, E>],
+) {
+    let mut pairs = BTreeSet::new();
+    for transition in transitions {
+        let (from, event) = (transition.from, transition.event);
+        if !pairs.insert((from.index(), event.index())) {
+            let text = format!("`{}` leaves `{}` twice", event.name(), from.name());
+            root.report_at(&transition.span, text);
+        }
+        if finals[from.index()] {
+            let text = format!("final state `{}` has an exit", from.name());
+            root.report_at(&transition.span, text);
+        }
+    }
+    let reached = reachable(initial, transitions);
+    for (state, name) in S::ALL {
+        if !reached.contains(&state.index()) {
+            root.report(format!("state `{name}` is never reached"));
+        }
+        let leaves = transitions.iter().any(|item| item.from == *state);
+        if !finals[state.index()] && !leaves {
+            root.report(format!("state `{name}` is not final and has no exit"));
+        }
+    }
+    for (event, name) in E::ALL {
+        if !transitions.iter().any(|item| item.event == *event) {
+            root.report(format!("event `{name}` has no transition"));
+        }
+    }
+}
+
+fn reachable<S: ChartSymbol, E>(initial: S, transitions: &[Transition<S, E>]) -> BTreeSet<usize> {
+    let mut reached = BTreeSet::from([initial.index()]);
+    loop {
+        let before = reached.len();
+        for transition in transitions {
+            if reached.contains(&transition.from.index()) {
+                reached.insert(transition.to.index());
+            }
+        }
+        if reached.len() == before {
+            return reached;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/audit_trail.rs
@@ -0,0 +1,53 @@
+//! The audit trail: who changed what, when, and what came of it.
+
+use std::collections::VecDeque;
+
+use serde::Serialize;
+
+/// Entries that are kept in memory and in snapshots.
+const ENTRIES_MAX: usize = 20_000;
+
+/// One change or refused change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct AuditEntry {
+    /// Place in the log.
+    pub index: u64,
+    /// Milliseconds since the Unix epoch, by the proposer's clock.
+    pub at_ms: u64,
+    /// Operator or instance.
+    pub actor: String,
+    /// What was asked.
+    pub action: String,
+    /// Summary of the state before; empty where there was none.
+    pub before: String,
+    /// Summary of the state after; empty where nothing changed.
+    pub after: String,
+    /// `accepted`, or why it was refused.
+    pub outcome: String,
+}
+
+/// The latest entries, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AuditTrail {
+    /// Indexes rise; at most [`ENTRIES_MAX`].
+    entries: VecDeque<AuditEntry>,
+}
+
+impl AuditTrail {
+    /// Adds an entry.
+    pub fn push(&mut self, entry: AuditEntry) {
+        self.entries.push_back(entry);
+        if self.entries.len() > ENTRIES_MAX {
+            self.entries.pop_front();
+        }
+    }
+
+    /// Returns up to `limit` entries after an index.
+    pub fn after(&self, index: u64, limit: usize) -> Vec<&AuditEntry> {
+        self.entries
+            .iter()
+            .filter(|entry| entry.index > index)
+            .take(limit)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/agent_links.rs
@@ -0,0 +1,104 @@
+//! Links from the entry to the agents that it uses.
+//!
+//! A link is dialed when the first attempt needs it. Frames that come before
+//! it is open wait; when the dial fails they never left, so their attempts
+//! were not run.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use mulberrywell_directory::EndpointName;
+use mulberrywell_role::{LinkCommand, LinkId};
+use mulberrywell_wire::config::EndpointItem;
+use mulberrywell_wire::FrameBody;
+
+/// State of the link to one agent.
+#[derive(Debug)]
+struct AgentLink {
+    endpoint: EndpointName,
+    address: SocketAddr,
+    open: bool,
+    /// Empty once the link is open.
+    waiting: Vec<FrameBody>,
+}
+
+/// The links by id, with one current link for each endpoint.
+#[derive(Debug, Default)]
+pub struct AgentLinks {
+    links: BTreeMap<LinkId, AgentLink>,
+    /// Each value is a key of `links`.
+    current: BTreeMap<EndpointName, LinkId>,
+}
+
+impl AgentLinks {
+    /// Sends a frame to an endpoint's agent, dialing if need be.
+    ///
+    /// Returns none when the endpoint's address can't be read.
+    pub fn send(
+        &mut self,
+        endpoint: &EndpointItem,
+        body: FrameBody,
+        next_link: &mut LinkId,
+        commands: &mut Vec<LinkCommand>,
+    ) -> Option<LinkId> {
+        let address = parse_address(endpoint)?;
+        if let Some(link) = self.usable(&endpoint.name, address) {
+            self.send_on(link, body, commands);
+            return Some(link);
+        }
+        let link = *next_link;
+        *next_link += 2;
+        commands.push(LinkCommand::Dial { link, address });
+        self.current.insert(endpoint.name.clone(), link);
+        self.links.insert(
+            link,
+            AgentLink {
+                endpoint: endpoint.name.clone(),
+                address,
+                open: false,
+                waiting: vec![body],
+            },
+        );
+        Some(link)
+    }
+
+    /// Sends a frame on a link, or lets it wait until the link is open.
+    pub fn send_on(&mut self, link: LinkId, body: FrameBody, commands: &mut Vec<LinkCommand>) {
+        match self.links.get_mut(&link) {
+            Some(agent) if agent.open => commands.push(LinkCommand::Send { link, body }),
+            Some(agent) => agent.waiting.push(body),
+            None => {}
+        }
+    }
+
+    /// Notes an opened link and sends what waits for it.
+    pub fn opened(&mut self, link: LinkId, commands: &mut Vec<LinkCommand>) {
+        if let Some(agent) = self.links.get_mut(&link) {
+            agent.open = true;
+            let waiting = std::mem::take(&mut agent.waiting);
+            commands.extend(
+                waiting
+                    .into_iter()
+                    .map(|body| LinkCommand::Send { link, body }),
+            );
+        }
+    }
+
+    /// Notes a closed link; tells whether frames may have left on it.
+    pub fn closed(&mut self, link: LinkId) -> Option<bool> {
+        let agent = self.links.remove(&link)?;
+        if self.current.get(&agent.endpoint) == Some(&link) {
+            self.current.remove(&agent.endpoint);
+        }
+        Some(agent.open)
+    }
+
+    fn usable(&self, endpoint: &EndpointName, address: SocketAddr) -> Option<LinkId> {
+        let link = *self.current.get(endpoint)?;
+        (self.links.get(&link)?.address == address).then_some(link)
+    }
+}
+
+fn parse_address(endpoint: &EndpointItem) -> Option<SocketAddr> {
+    std::str::from_utf8(&endpoint.address).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/entry/src/config_link.rs
@@ -0,0 +1,189 @@
+//! The entry's link to a control instance: configuration and its freshness.
+//!
+//! Algorithm: a query is sent at an interval; its answer tells that a quorum
+//! confirmed a version after the query was sent. The directory is fresh as of
+//! the send time once it holds that version. Nothing but such an answer moves
+//! the time forward, so a cut-off control instance can't keep an entry fresh.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use mulberrywell_directory::{ApplyOutcome, ConfigDirectory, ConfigVersion};
+use mulberrywell_role::{LinkCommand, LinkId, SeedDialer};
+use mulberrywell_wire::config::{ConfirmAnswer, ConfirmQuery, Subscribe, Update};
+use mulberrywell_wire::FrameBody;
+
+/// Queries that can be unanswered at the same time.
+const QUERIES_MAX: usize = 16;
+
+/// Queries sent within one freshness bound.
+const QUERIES_PER_BOUND: u32 = 5;
+
+/// A query that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+struct OpenQuery {
+    sequence: u64,
+    sent: Instant,
+}
+
+/// A confirmed version that the directory does not hold yet.
+#[derive(Debug, Clone, Copy)]
+struct AwaitedVersion {
+    version: ConfigVersion,
+    sent: Instant,
+}
+
+/// Subscription and freshness.
+#[derive(Debug)]
+pub struct ConfigLink {
+    dialer: SeedDialer,
+    directory: ConfigDirectory,
+    /// Oldest first; at most [`QUERIES_MAX`].
+    queries: VecDeque<OpenQuery>,
+    next_sequence: u64,
+    next_query: Instant,
+    interval: Duration,
+    bound: Duration,
+    /// Send time of the newest query whose answer the directory satisfies.
+    confirmed: Option<Instant>,
+    awaited: Option<AwaitedVersion>,
+}
+
+impl ConfigLink {
+    /// Creates a link that is yet to be dialed.
+    pub fn new(seeds: Vec<SocketAddr>, start: u64, bound: Duration, now: Instant) -> Self {
+        ConfigLink {
+            dialer: SeedDialer::new(seeds, start, now),
+            directory: ConfigDirectory::default(),
+            queries: VecDeque::new(),
+            next_sequence: 1,
+            next_query: now,
+            interval: bound / QUERIES_PER_BOUND,
+            bound,
+            confirmed: None,
+            awaited: None,
+        }
+    }
+
+    /// Returns the configuration.
+    pub fn directory(&self) -> &ConfigDirectory {
+        &self.directory
+    }
+
+    /// Tells whether the configuration was confirmed within the bound.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        self.confirmed
+            .is_some_and(|sent| now.saturating_duration_since(sent) < self.bound)
+    }
+
+    /// Returns when freshness ends, if it has begun.
+    pub fn fresh_until(&self) -> Option<Instant> {
+        self.confirmed.map(|sent| sent + self.bound)
+    }
+
+    /// Returns when [`ConfigLink::tick`] has something to do.
+    pub fn deadline(&self) -> Option<Instant> {
+        match self.dialer.open_link() {
+            Some(_) => Some(self.next_query),
+            None => self.dialer.deadline(),
+        }
+    }
+
+    /// Dials or queries when it is time; `next_link` gives out link ids.
+    pub fn tick(&mut self, now: Instant, next_link: &mut LinkId) -> Option<LinkCommand> {
+        if let Some(link) = self.dialer.open_link() {
+            return self.query(now, link);
+        }
+        let address = self.dialer.dial(now, *next_link)?;
+        let link = *next_link;
+        *next_link += 2;
+        Some(LinkCommand::Dial { link, address })
+    }
+
+    /// Notes an opened link; returns the subscription to send on it.
+    pub fn opened(&mut self, now: Instant, link: LinkId) -> Option<LinkCommand> {
+        if !self.dialer.opened(link) {
+            return None;
+        }
+        self.queries.clear();
+        self.next_query = now;
+        Some(self.subscribe(link))
+    }
+
+    /// Notes a closed link; tells whether it was this one.
+    pub fn closed(&mut self, now: Instant, link: LinkId) -> bool {
+        self.dialer.closed(now, link)
+    }
+
+    /// Takes in an update; returns its outcome and an answer to send.
+    pub fn update(&mut self, link: LinkId, update: &Update) -> (ApplyOutcome, Option<LinkCommand>) {
+        let outcome = self.directory.apply(update);
+        let reply = (outcome == ApplyOutcome::Gap).then(|| self.subscribe(link));
+        self.settle();
+        (outcome, reply)
+    }
+
+    /// Takes in the answer to a query.
+    pub fn answer(&mut self, answer: &ConfirmAnswer) {
+        let place = self
+            .queries
+            .iter()
+            .position(|query| query.sequence == answer.sequence);
+        let Some(query) = place.and_then(|place| self.queries.remove(place)) else {
+            return;
+        };
+        if !answer.confirmed {
+            return;
+        }
+        let age = Duration::from_millis(answer.age_ms);
+        let Some(sent) = query.sent.checked_sub(age) else {
+            return;
+        };
+        self.awaited = Some(AwaitedVersion {
+            version: answer.version,
+            sent,
+        });
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        let Some(awaited) = self.awaited else {
+            return;
+        };
+        if self.directory.version() >= awaited.version && self.directory.version() > 0 {
+            self.confirmed = self.confirmed.max(Some(awaited.sent));
+            self.awaited = None;
+        }
+    }
+
+    fn query(&mut self, now: Instant, link: LinkId) -> Option<LinkCommand> {
+        if now < self.next_query {
+            return None;
+        }
+        if self.queries.len() == QUERIES_MAX {
+            self.queries.pop_front();
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.next_query = now + self.interval;
+        self.queries.push_back(OpenQuery {
+            sequence,
+            sent: now,
+        });
+        Some(LinkCommand::Send {
+            link,
+            body: FrameBody::ConfirmQuery(ConfirmQuery { sequence }),
+        })
+    }
+
+    fn subscribe(&self, link: LinkId) -> LinkCommand {
+        LinkCommand::Send {
+            link,
+            body: FrameBody::Subscribe(Subscribe {
+                version: self.directory.version(),
+                cluster: self.directory.cluster(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limit/src/token_bucket.rs
@@ -0,0 +1,95 @@
+//! Token bucket (RFC 2697 without its second bucket).
+//!
+//! The level is kept in thousandths of a token, so that short intervals at low
+//! rates lose nothing by rounding.
+
+use std::time::{Duration, Instant};
+
+/// Parts that a token is counted in.
+const MILLI: u64 = 1_000;
+
+/// What became of a request for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeOutcome {
+    /// The tokens were taken.
+    Taken,
+    /// They are there after this time, if nobody takes others before.
+    Wait(Duration),
+    /// They are more than the bucket ever holds.
+    Never,
+}
+
+/// A bucket of tokens.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    /// Tokens a second.
+    rate: u64,
+    /// Tokens that the bucket holds at the most.
+    burst: u64,
+    /// Thousandths of a token; at most `burst` tokens.
+    level: u64,
+    /// When `level` was last brought forward.
+    updated: Instant,
+}
+
+impl TokenBucket {
+    /// Creates a full bucket; `rate` in tokens a second, `burst` in tokens.
+    pub fn new(rate: u64, burst: u64, now: Instant) -> Self {
+        TokenBucket {
+            rate,
+            burst,
+            level: burst.saturating_mul(MILLI),
+            updated: now,
+        }
+    }
+
+    /// Changes rate and burst; tokens above the new burst are lost.
+    pub fn resize(&mut self, rate: u64, burst: u64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst.saturating_mul(MILLI));
+    }
+
+    /// Takes `tokens` if they are there.
+    pub fn take(&mut self, tokens: u64, now: Instant) -> TakeOutcome {
+        self.refill(now);
+        let wanted = tokens.saturating_mul(MILLI);
+        if wanted <= self.level {
+            self.level -= wanted;
+            return TakeOutcome::Taken;
+        }
+        if tokens > self.burst || self.rate == 0 {
+            return TakeOutcome::Never;
+        }
+        let missing = wanted - self.level;
+        // Thousandths of a token over tokens a second give milliseconds.
+        TakeOutcome::Wait(Duration::from_millis(missing.div_ceil(self.rate)))
+    }
+
+    /// Puts tokens back that were taken and not used.
+    pub fn put_back(&mut self, tokens: u64, now: Instant) {
+        self.refill(now);
+        let limit = self.burst.saturating_mul(MILLI);
+        self.level = limit.min(self.level.saturating_add(tokens.saturating_mul(MILLI)));
+    }
+
+    /// Returns the whole tokens in the bucket.
+    pub fn level(&mut self, now: Instant) -> u64 {
+        self.refill(now);
+        self.level / MILLI
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let Some(elapsed) = now.checked_duration_since(self.updated) else {
+            return;
+        };
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let gained = self.rate.saturating_mul(micros) / 1_000;
+        if gained == 0 {
+            return;
+        }
+        self.level = (self.level.saturating_add(gained)).min(self.burst.saturating_mul(MILLI));
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/crates/mulberrywell/src/file_check.rs
@@ -0,0 +1,101 @@
+//! `serve` and `check`: files are read whole before anything happens.
+
+use std::fs;
+
+use anyhow::{Context, Result};
+use clap::ArgMatches;
+use mulberrywell_settings::{AgentSettings, Finding, GrantList, PlanList, ServeSettings};
+
+use crate::output::ExitStatus;
+
+/// What a file holds, by the tables that stand in it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FileKind {
+    Agent,
+    Serve,
+    Plans,
+    Grants,
+}
+
+const KIND_TABLES: [(&str, FileKind); 7] = [
+    ("[endpoint]", FileKind::Agent),
+    ("[instance]", FileKind::Serve),
+    ("[[plan]]", FileKind::Plans),
+    ("[[account]]", FileKind::Plans),
+    ("[[model]]", FileKind::Grants),
+    ("[[service]]", FileKind::Grants),
+    ("[[grant]]", FileKind::Grants),
+];
+
+/// Runs `mulberrywell serve`.
+pub fn run_serve(args: &ArgMatches) -> Result<ExitStatus> {
+    let path = text_arg(args, "settings");
+    let source = read_file(path)?;
+    match ServeSettings::parse(path, &source) {
+        Ok(settings) => {
+            mulberrywell_runtime::open_log(&settings.log)?;
+            mulberrywell_runtime::serve(&settings)?;
+            Ok(ExitStatus::Done)
+        }
+        Err(findings) => Ok(report(&findings)),
+    }
+}
+
+/// Runs `mulberrywell check`.
+pub fn run_check(args: &ArgMatches) -> Result<ExitStatus> {
+    let paths = args.get_many::<String>("files").unwrap_or_default();
+    let mut files = Vec::new();
+    for path in paths {
+        files.push((path.as_str(), read_file(path)?));
+    }
+    let plans = files
+        .iter()
+        .filter(|(_, source)| kind_of(source) == FileKind::Plans)
+        .find_map(|(path, source)| PlanList::parse(path, source).ok());
+    let mut findings = Vec::new();
+    for (path, source) in &files {
+        findings.extend(findings_of(path, source, plans.as_ref()));
+    }
+    if findings.is_empty() {
+        println!("no findings");
+        return Ok(ExitStatus::Done);
+    }
+    Ok(report(&findings))
+}
+
+/// Prints findings.
+pub fn report(findings: &[Finding]) -> ExitStatus {
+    for finding in findings {
+        eprintln!("{finding}");
+    }
+    ExitStatus::Findings
+}
+
+/// Reads a file as text.
+pub fn read_file(path: &str) -> Result<String> {
+    fs::read_to_string(path).with_context(|| format!("can't read {path}"))
+}
+
+/// Returns a required text argument.
+pub fn text_arg<'a>(args: &'a ArgMatches, name: &str) -> &'a str {
+    args.get_one::<String>(name).map_or("", String::as_str)
+}
+
+fn kind_of(source: &str) -> FileKind {
+    let has = |table: &str| source.lines().any(|line| line.trim().starts_with(table));
+    KIND_TABLES
+        .iter()
+        .find(|(table, _)| has(table))
+        .map_or(FileKind::Serve, |(_, kind)| *kind)
+}
+
+fn findings_of(path: &str, source: &str, plans: Option<&PlanList>) -> Vec<Finding> {
+    let outcome = match (kind_of(source), plans) {
+        (FileKind::Agent, _) => AgentSettings::parse(path, source).err(),
+        (FileKind::Serve, _) => ServeSettings::parse(path, source).err(),
+        (FileKind::Plans, _) => PlanList::parse(path, source).err(),
+        (FileKind::Grants, Some(plans)) => GrantList::parse_with(path, source, plans).err(),
+        (FileKind::Grants, None) => GrantList::parse(path, source).err(),
+    };
+    outcome.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/mulberrywell/src/operator_command.rs
@@ -0,0 +1,267 @@
+//! The operators' commands.
+
+use anyhow::{bail, Result};
+use bytes::Bytes;
+use clap::ArgMatches;
+use mulberrywell_directory::digest_key;
+use serde_json::{json, Value};
+
+use crate::file_check::{read_file, text_arg};
+use crate::operator_client::{ApiAnswer, OperatorClient};
+use crate::output::{cell_text, print_table, ExitStatus};
+
+/// Random bytes of a new key.
+const KEY_LEN: usize = 32;
+
+/// Columns of a listing, by the API's field names.
+struct ListView {
+    path: &'static str,
+    field: &'static str,
+    columns: &'static [&'static str],
+}
+
+const LIST_VIEWS: [(&str, ListView); 6] = [
+    (
+        "endpoints",
+        ListView {
+            path: "/v1/endpoints",
+            field: "endpoints",
+            columns: &["name", "state", "zone", "pool", "address", "resident"],
+        },
+    ),
+    (
+        "models",
+        ListView {
+            path: "/v1/models",
+            field: "models",
+            columns: &["name", "pool", "base", "memory_mib", "replicas"],
+        },
+    ),
+    (
+        "accounts",
+        ListView {
+            path: "/v1/accounts",
+            field: "accounts",
+            columns: &["name", "plan", "rate", "burst", "keys"],
+        },
+    ),
+    (
+        "members",
+        ListView {
+            path: "/v1/members",
+            field: "members",
+            columns: &["name", "id", "role", "address", "zone", "applied"],
+        },
+    ),
+    (
+        "keys",
+        ListView {
+            path: "/v1/keys",
+            field: "keys",
+            columns: &["label", "account"],
+        },
+    ),
+    (
+        "audit",
+        ListView {
+            path: "/v1/audit",
+            field: "entries",
+            columns: &[
+                "index", "at_ms", "actor", "action", "before", "after", "outcome",
+            ],
+        },
+    ),
+];
+
+/// Runs one operators' command.
+pub fn run(name: &str, args: &ArgMatches) -> Result<ExitStatus> {
+    let (verb, args) = match args.subcommand() {
+        Some((verb, args)) => (verb, args),
+        None => ("", args),
+    };
+    let client = OperatorClient::open(args)?;
+    match (name, verb) {
+        ("apply", _) => apply(&client, args),
+        ("show", _) => show(&client, args),
+        ("audit", _) => audit(&client, args),
+        ("key", "list") => list(&client, args, "keys", ""),
+        ("key", "give") => give_key(&client, args),
+        ("key", "withdraw") => withdraw(&client, args, "/v1/keys/withdraw", "label"),
+        ("operator", "give") => give_operator(&client, args),
+        ("operator", "withdraw") => withdraw(&client, args, "/v1/operators/withdraw", "name"),
+        ("endpoint", "drain") => withdraw(&client, args, "/v1/endpoints/drain", "name"),
+        _ => bail!("no such command"),
+    }
+}
+
+fn apply(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    let body = json!({
+        "plans": read_file(text_arg(args, "plans"))?,
+        "grants": read_file(text_arg(args, "grants"))?,
+        "base": args.get_one::<u64>("base"),
+        "request_id": request_id(args),
+    });
+    change(client, args, "/v1/lists", &body)
+}
+
+fn show(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    match text_arg(args, "what") {
+        "config" => show_config(client, args),
+        what => list(client, args, what, ""),
+    }
+}
+
+fn show_config(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    let answer = client.get("/v1/config")?;
+    if answer.status != 200 || args.get_flag("json") {
+        return Ok(print_answer(&answer, args));
+    }
+    let body = &answer.body;
+    println!(
+        "cluster {} version {} lists {} by {}",
+        cell_text(&body["cluster"]),
+        body["version"],
+        body["list_version"],
+        cell_text(&body["author"])
+    );
+    println!("\n# plans\n{}", cell_text(&body["plans"]));
+    println!("# grants\n{}", cell_text(&body["grants"]));
+    Ok(ExitStatus::Done)
+}
+
+fn audit(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    let after = args.get_one::<u64>("after").copied().unwrap_or(0);
+    list(client, args, "audit", &format!("?after={after}"))
+}
+
+fn list(client: &OperatorClient, args: &ArgMatches, what: &str, query: &str) -> Result<ExitStatus> {
+    let Some((_, view)) = LIST_VIEWS.iter().find(|(name, _)| *name == what) else {
+        bail!("nothing is known of `{what}`");
+    };
+    let answer = client.get(&format!("{}{query}", view.path))?;
+    if answer.status != 200 || args.get_flag("json") {
+        return Ok(print_answer(&answer, args));
+    }
+    let rows: Vec<Vec<String>> = answer.body[view.field]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .map(|item| {
+            view.columns
+                .iter()
+                .map(|name| cell_text(&item[*name]))
+                .collect()
+        })
+        .collect();
+    print_table(view.columns, &rows);
+    Ok(ExitStatus::Done)
+}
+
+fn give_key(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    let key = new_key("mw");
+    let body = json!({
+        "account": text_arg(args, "account"),
+        "label": text_arg(args, "label"),
+        "digest": hex(&digest_key(key.as_bytes())),
+        "request_id": request_id(args),
+    });
+    give(client, args, "/v1/keys/give", &body, &key)
+}
+
+fn give_operator(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    let key = new_key("mwop");
+    let body = json!({
+        "name": text_arg(args, "name"),
+        "digest": hex(&digest_key(key.as_bytes())),
+        "request_id": request_id(args),
+    });
+    give(client, args, "/v1/operators/give", &body, &key)
+}
+
+/// Registers the digest of a key, then prints the key.
+fn give(
+    client: &OperatorClient,
+    args: &ArgMatches,
+    path: &str,
+    body: &Value,
+    key: &str,
+) -> Result<ExitStatus> {
+    let answer = client.post(path, body)?;
+    if answer.status != 200 {
+        return Ok(print_answer(&answer, args));
+    }
+    if args.get_flag("json") {
+        println!(
+            "{}",
+            json!({ "key": key, "version": answer.body["version"] })
+        );
+    } else {
+        println!("{key}");
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn withdraw(
+    client: &OperatorClient,
+    args: &ArgMatches,
+    path: &str,
+    argument: &str,
+) -> Result<ExitStatus> {
+    let body = json!({
+        "name": text_arg(args, argument),
+        "request_id": request_id(args),
+    });
+    change(client, args, path, &body)
+}
+
+fn change(
+    client: &OperatorClient,
+    args: &ArgMatches,
+    path: &str,
+    body: &Value,
+) -> Result<ExitStatus> {
+    let answer = client.post(path, body)?;
+    Ok(print_answer(&answer, args))
+}
+
+fn print_answer(answer: &ApiAnswer, args: &ArgMatches) -> ExitStatus {
+    let error = &answer.body["error"];
+    if args.get_flag("json") {
+        println!("{}", answer.body);
+    } else if answer.status == 200 {
+        println!("in force as version {}", answer.body["version"]);
+    } else {
+        eprintln!("refused: {}", cell_text(&error["message"]));
+        for finding in error["findings"].as_array().into_iter().flatten() {
+            eprintln!("{}", cell_text(finding));
+        }
+        if let Some(version) = error["version"].as_u64() {
+            eprintln!(
+                "version {version} by {} is in force",
+                cell_text(&error["winner"])
+            );
+        }
+    }
+    match (answer.status, error["code"].as_str()) {
+        (200, _) => ExitStatus::Done,
+        (_, Some("findings")) => ExitStatus::Findings,
+        (409, _) => ExitStatus::Conflict,
+        _ => ExitStatus::Failed,
+    }
+}
+
+fn request_id(args: &ArgMatches) -> String {
+    let given = args.get_one::<String>("request-id").cloned();
+    given.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()))
+}
+
+fn new_key(prefix: &str) -> String {
+    format!(
+        "{prefix}-{}",
+        hex(&Bytes::copy_from_slice(&rand::random::<[u8; KEY_LEN]>()))
+    )
+}
+
+fn hex(bytes: &Bytes) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/mulberrywell/tests/common/mod.rs
@@ -0,0 +1,126 @@
+//! What the tests of real processes share.
+
+#![expect(dead_code, reason = "each test file uses a part")]
+
+use std::path::PathBuf;
+
+use mulberrywell_testkit::{
+    AgentPlan, BinaryPaths, ClusterPlan, EngineConfig, FakeEngine, FakeModel, FakeService,
+    ProcessCluster,
+};
+
+pub const PLANS: &str = r#"
+[[plan]]
+name = "gold"
+rate = 100000
+burst = 200000
+weight = 4
+
+[[plan]]
+name = "small"
+rate = 10
+burst = 100
+
+[[account]]
+name = "medellin"
+plan = "gold"
+
+[[account]]
+name = "cali"
+plan = "small"
+"#;
+
+pub const GRANTS: &str = r#"
+[[model]]
+name = "payroll"
+pool = "asistente"
+memory_mib = 4000
+
+[[model]]
+name = "summary"
+pool = "asistente"
+memory_mib = 4000
+
+[[service]]
+name = "payments"
+[[service.route]]
+method = "POST"
+path = "/orders"
+[[service.route]]
+method = "GET"
+path = "/orders"
+idempotent = true
+[[service.route]]
+method = "GET"
+path = "/open"
+idempotent = true
+open = true
+
+[[grant]]
+plan = "gold"
+models = ["payroll", "summary"]
+services = ["payments"]
+
+[[grant]]
+plan = "small"
+models = ["payroll"]
+"#;
+
+/// A cluster with one engine and one service behind it.
+pub struct SmallCluster {
+    pub cluster: ProcessCluster,
+    pub engine: FakeEngine,
+    pub service: FakeService,
+    /// Key of `medellin`.
+    pub gold: String,
+    /// Key of `cali`.
+    pub small: String,
+}
+
+/// Returns the built binaries.
+pub fn binaries() -> BinaryPaths {
+    BinaryPaths {
+        serve: PathBuf::from(env!("CARGO_BIN_EXE_mulberrywell")),
+        agent: PathBuf::from(env!("CARGO_BIN_EXE_mulberrywell-agent")),
+    }
+}
+
+/// Returns an engine that has both models resident.
+pub fn engine_config() -> EngineConfig {
+    let model = |name: &str| FakeModel {
+        model: name.to_owned(),
+        memory_mib: 4_000,
+        ready: true,
+    };
+    EngineConfig {
+        models: vec![model("payroll"), model("summary")],
+        ..EngineConfig::default()
+    }
+}
+
+/// Starts a small cluster and waits until it serves.
+pub fn small_cluster(controls: usize, entries: usize) -> SmallCluster {
+    let engine = FakeEngine::spawn(engine_config()).expect("a fake engine starts");
+    let service = FakeService::spawn().expect("a fake service starts");
+    let plan = ClusterPlan {
+        controls,
+        entries,
+        agents: vec![
+            AgentPlan::engine("engine-0", "asistente", engine.address()),
+            AgentPlan::service("payments", service.address()),
+        ],
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).expect("the processes start");
+    cluster.apply(PLANS, GRANTS).expect("the lists are taken");
+    cluster.wait_ready(2).expect("the cluster gets ready");
+    let gold = cluster.give_key("medellin", "m1").expect("a key is given");
+    let small = cluster.give_key("cali", "c1").expect("a key is given");
+    SmallCluster {
+        cluster,
+        engine,
+        service,
+        gold,
+        small,
+    }
+}
--- /dev/null
+++ b/crates/mulberrywell/tests/whole_path.rs
@@ -0,0 +1,60 @@
+//! The whole path in real processes.
+
+mod common;
+
+use common::small_cluster;
+use mulberrywell_testkit::HttpCaller;
+
+#[test]
+fn chat_plain() {
+    let small = small_cluster(1, 0);
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let answer = caller.chat("payroll", "hello", 4, false).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.header("Mulberrywell-Ran"), "yes");
+    assert!(answer.whole);
+    assert!(answer.body.contains(".3 "), "{}", answer.body);
+}
+
+#[test]
+fn chat_streamed() {
+    let small = small_cluster(1, 1);
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let answer = caller.chat("payroll", "hello", 20, true).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert!(answer.whole);
+    assert_eq!(answer.body.matches("data: ").count(), 21);
+    assert!(answer.body.ends_with("data: [DONE]\n\n"));
+}
+
+#[test]
+fn service_call() {
+    let small = small_cluster(1, 1);
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let answer = caller
+        .call("POST", "/services/payments/orders", &[], "order 1")
+        .unwrap();
+    assert_eq!(answer.status, 201, "{}", answer.body);
+    assert_eq!(small.service.records().count_with("order 1"), 1);
+    let open = HttpCaller::new(small.cluster.callers[0], None);
+    let answer = open
+        .call("GET", "/services/payments/open", &[], "")
+        .unwrap();
+    assert_eq!(answer.status, 201, "{}", answer.body);
+    for record in small.service.records().all() {
+        assert!(!format!("{record:?}").contains(&small.gold));
+    }
+}
+
+#[test]
+fn shutdown_graceful() {
+    let mut small = small_cluster(1, 1);
+    let names = ["entry-0", "agent-engine-0", "agent-payments-0", "control-0"];
+    for name in names {
+        small
+            .cluster
+            .signal(name, nix::sys::signal::Signal::SIGTERM)
+            .unwrap();
+        assert!(small.cluster.wait(name).unwrap(), "{name}");
+    }
+}
--- /dev/null
+++ b/crates/role/src/lib.rs
@@ -0,0 +1,20 @@
+//! The interface between a role's state machine and its host.
+//!
+//! Purpose: entry, agent and control are [`RoleMachine`]s: they take an event
+//! and an instant and append actions. They own no socket, file, thread, clock
+//! or unseeded randomness, so any host can drive them.
+//!
+//! Guarantees asked of a host: events of one link come in order; after
+//! [`LinkEvent::Closed`] no event of that link follows; actions are carried
+//! out in order; `handle` is called with [`RoleEvent::Timer`] no later than
+//! [`RoleMachine::deadline`] plus the host's delay.
+
+mod http_exchange;
+mod link_exchange;
+mod role_machine;
+mod seed_dialer;
+
+pub use http_exchange::{header_value, AnswerPart, HttpEvent, HttpRequest, RequestId};
+pub use link_exchange::{LinkCommand, LinkEvent, LinkId};
+pub use role_machine::{LogLevel, MetricKind, RoleAction, RoleEvent, RoleMachine};
+pub use seed_dialer::{SeedDialer, SeedState};
--- /dev/null
+++ b/crates/runtime/src/engine_client.rs
@@ -0,0 +1,361 @@
+//! Speaks HTTP to the endpoint beside an agent.
+//!
+//! Each hand-over has a thread, as the HTTP client blocks; the agent's slots
+//! bound their number. The engine's own interface is:
+//!
+//! * inference: the caller's method, path and body, with `X-Request-Id`,
+//!   `X-Priority`, `X-Deadline-Ms` and `X-Resume-Events`;
+//! * `POST /engine/cancel` with `{"request": ID}`;
+//! * `GET /engine/state`;
+//! * `POST /engine/load`, `/engine/unload` and `/engine/role`, each with
+//!   `fencing`. Status 409 refuses an order with an old fencing token.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mulberrywell_agent::{
+    AgentEvent, EngineOrder, EngineRequest, EngineState, OrderKind, OrderOutcome, ResidentModel,
+    RunId,
+};
+use mulberrywell_wire::request::HeaderField;
+use serde_json::{json, Value};
+use ureq::http::{Request, Response};
+use ureq::{Agent, Body};
+
+use crate::event_sender::EventSender;
+
+/// Time for state, cancel and connect calls.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time for one order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Bytes of one read of an answer.
+const READ_LEN: usize = 16 * 1024;
+
+/// What an agent needs of its endpoint.
+pub trait EndpointClient {
+    /// Hands a request over; its events follow.
+    fn run(&self, run: RunId, request: EngineRequest);
+    /// Cancels a hand-over.
+    fn cancel(&self, run: RunId);
+    /// Asks for the state.
+    fn read_state(&self);
+    /// Gives an order.
+    fn order(&self, order: EngineOrder);
+}
+
+type CancelFlags = Arc<Mutex<BTreeMap<RunId, Arc<AtomicBool>>>>;
+
+/// An endpoint behind HTTP on this machine.
+pub struct HttpEndpoint {
+    base: String,
+    /// Makes request ids differ between runs of the agent.
+    incarnation: u64,
+    engine: bool,
+    agent: Agent,
+    events: EventSender<AgentEvent>,
+    /// One for each hand-over in work.
+    flags: CancelFlags,
+}
+
+impl HttpEndpoint {
+    /// Opens a client; it connects with the first call.
+    pub fn open(
+        address: SocketAddr,
+        engine: bool,
+        incarnation: u64,
+        slots: usize,
+        events: EventSender<AgentEvent>,
+    ) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(SHORT_TIMEOUT))
+            .max_idle_connections(slots)
+            .max_idle_connections_per_host(slots)
+            .max_redirects(0)
+            .build();
+        HttpEndpoint {
+            base: format!("http://{address}"),
+            incarnation,
+            engine,
+            agent: config.into(),
+            events,
+            flags: CancelFlags::default(),
+        }
+    }
+
+    fn spawn(&self, name: &str, work: impl FnOnce() + Send + 'static) -> bool {
+        let spawned = thread::Builder::new().name(name.to_owned()).spawn(work);
+        if let Err(err) = &spawned {
+            spdlog::error!("endpoint: can't start a thread: {}", err);
+        }
+        spawned.is_ok()
+    }
+
+    fn request_id(&self, run: RunId) -> String {
+        format!("{:x}-{run:x}", self.incarnation)
+    }
+}
+
+impl EndpointClient for HttpEndpoint {
+    fn run(&self, run: RunId, request: EngineRequest) {
+        let flag = Arc::new(AtomicBool::new(false));
+        lock(&self.flags).insert(run, flag.clone());
+        let call = RunCall {
+            run,
+            id: self.request_id(run),
+            base: self.base.clone(),
+            agent: self.agent.clone(),
+            events: self.events.clone(),
+            flag,
+        };
+        let flags = self.flags.clone();
+        let started = self.spawn("hand-over", move || {
+            let last = call.perform(&request);
+            lock(&flags).remove(&run);
+            call.events.send(last);
+        });
+        if !started {
+            lock(&self.flags).remove(&run);
+            // The queue has room for this event: the agent bounds its runs.
+            let _ = self
+                .events
+                .try_send(AgentEvent::Failed { run, sent: false });
+        }
+    }
+
+    fn cancel(&self, run: RunId) {
+        let Some(flag) = lock(&self.flags).get(&run).cloned() else {
+            return;
+        };
+        flag.store(true, Ordering::Relaxed);
+        if !self.engine {
+            return;
+        }
+        let url = format!("{}/engine/cancel", self.base);
+        let body = json!({ "request": self.request_id(run) });
+        let agent = self.agent.clone();
+        self.spawn("cancel", move || {
+            let _ = post(&agent, &url, &body, SHORT_TIMEOUT);
+        });
+    }
+
+    fn read_state(&self) {
+        let path = if self.engine {
+            "/engine/state"
+        } else {
+            "/healthz"
+        };
+        let url = format!("{}{path}", self.base);
+        let (agent, events, engine) = (self.agent.clone(), self.events.clone(), self.engine);
+        self.spawn("state", move || {
+            let state = read_state(&agent, &url, engine);
+            events.send(AgentEvent::State(state));
+        });
+    }
+
+    fn order(&self, order: EngineOrder) {
+        let (path, body) = order_body(&order);
+        let url = format!("{}{path}", self.base);
+        let (agent, events) = (self.agent.clone(), self.events.clone());
+        self.spawn("order", move || {
+            let outcome = match post(&agent, &url, &body, ORDER_TIMEOUT) {
+                Some(status) if (200..300).contains(&status) => OrderOutcome::Done,
+                Some(status) if (400..500).contains(&status) => OrderOutcome::Refused,
+                _ => OrderOutcome::Unknown,
+            };
+            events.send(AgentEvent::OrderEnded {
+                order: order.order,
+                outcome,
+            });
+        });
+    }
+}
+
+/// One hand-over on its thread.
+struct RunCall {
+    run: RunId,
+    id: String,
+    base: String,
+    agent: Agent,
+    events: EventSender<AgentEvent>,
+    flag: Arc<AtomicBool>,
+}
+
+impl RunCall {
+    /// Runs the request and returns its last event.
+    fn perform(&self, request: &EngineRequest) -> AgentEvent {
+        let run = self.run;
+        if self.flag.load(Ordering::Relaxed) {
+            return AgentEvent::Failed { run, sent: false };
+        }
+        let response = match self.send(request) {
+            Ok(response) => response,
+            Err(sent) => return AgentEvent::Failed { run, sent },
+        };
+        let status = response.status().as_u16();
+        let headers = response.headers().iter().map(|(name, value)| HeaderField {
+            name: Bytes::copy_from_slice(name.as_str().as_bytes()),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        });
+        let headers = headers.collect();
+        self.events.send(AgentEvent::Head {
+            run,
+            status,
+            headers,
+        });
+        self.copy_body(response)
+    }
+
+    /// Sends the request; an error tells whether a byte of it may have left.
+    fn send(&self, request: &EngineRequest) -> Result<Response<Body>, bool> {
+        let uri = format!("{}{}", self.base, String::from_utf8_lossy(&request.path));
+        let mut builder = Request::builder().method(request.method.as_ref()).uri(uri);
+        for field in &request.headers {
+            builder = builder.header(field.name.as_ref(), field.value.as_ref());
+        }
+        let built = builder
+            .header("X-Request-Id", &self.id)
+            .header("X-Priority", request.priority)
+            .header("X-Deadline-Ms", request.deadline_ms)
+            .header("X-Resume-Events", request.resume_events)
+            .body(request.body.to_vec())
+            .map_err(|_| false)?;
+        let limit = Duration::from_millis(request.deadline_ms.max(1));
+        let configured = self
+            .agent
+            .configure_request(built)
+            .timeout_global(Some(limit))
+            .allow_non_standard_methods(true)
+            .build();
+        self.agent.run(configured).map_err(|err| !is_unsent(&err))
+    }
+
+    fn copy_body(&self, response: Response<Body>) -> AgentEvent {
+        let run = self.run;
+        let mut reader = response.into_body().into_reader();
+        let mut buf = vec![0; READ_LEN];
+        loop {
+            if self.flag.load(Ordering::Relaxed) {
+                return AgentEvent::Failed { run, sent: true };
+            }
+            match reader.read(&mut buf) {
+                Ok(0) => return AgentEvent::End { run },
+                Ok(len) => {
+                    let data = Bytes::copy_from_slice(&buf[..len]);
+                    self.events.send(AgentEvent::Part { run, data });
+                }
+                Err(_) => return AgentEvent::Failed { run, sent: true },
+            }
+        }
+    }
+}
+
+/// Tells whether an error is certain to have come before the first byte.
+fn is_unsent(err: &ureq::Error) -> bool {
+    match err {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::BadUri(_)
+        | ureq::Error::Http(_) => true,
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => true,
+        ureq::Error::Io(err) => err.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+fn post(agent: &Agent, url: &str, body: &Value, limit: Duration) -> Option<u16> {
+    let response = agent
+        .post(url)
+        .config()
+        .timeout_global(Some(limit))
+        .build()
+        .header("Content-Type", "application/json")
+        .send(body.to_string());
+    response.ok().map(|response| response.status().as_u16())
+}
+
+fn read_state(agent: &Agent, url: &str, engine: bool) -> Option<EngineState> {
+    let mut response = agent
+        .get(url)
+        .config()
+        .timeout_global(Some(SHORT_TIMEOUT))
+        .build()
+        .call()
+        .ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    if !engine {
+        return Some(EngineState::default());
+    }
+    let text = response.body_mut().read_to_string().ok()?;
+    parse_state(&serde_json::from_str(&text).ok()?)
+}
+
+fn parse_state(value: &Value) -> Option<EngineState> {
+    let models = value["models"].as_array()?;
+    Some(EngineState {
+        models: models.iter().filter_map(parse_model).collect(),
+        fencing: value["fencing"].as_u64().unwrap_or(0),
+        role: text(&value["role"]),
+        prefixes: value["prefixes"]
+            .as_array()
+            .map(|list| list.iter().filter_map(Value::as_u64).collect())
+            .unwrap_or_default(),
+    })
+}
+
+fn parse_model(value: &Value) -> Option<ResidentModel> {
+    Some(ResidentModel {
+        model: Bytes::from(value["model"].as_str()?.to_owned()),
+        version: text(&value["version"]),
+        memory_mib: value["memory_mib"].as_u64()?,
+        ready: value["ready"].as_bool()?,
+    })
+}
+
+fn text(value: &Value) -> Bytes {
+    Bytes::from(value.as_str().unwrap_or_default().to_owned())
+}
+
+fn order_body(order: &EngineOrder) -> (&'static str, Value) {
+    let name = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
+    let fencing = order.fencing;
+    match &order.kind {
+        OrderKind::Load {
+            model,
+            version,
+            base,
+            memory_mib,
+        } => (
+            "/engine/load",
+            json!({
+                "model": name(model),
+                "version": name(version),
+                "base": name(base),
+                "memory_mib": memory_mib,
+                "fencing": fencing,
+            }),
+        ),
+        OrderKind::Unload { model } => (
+            "/engine/unload",
+            json!({ "model": name(model), "fencing": fencing }),
+        ),
+        OrderKind::ChangeRole { role } => (
+            "/engine/role",
+            json!({ "role": name(role), "fencing": fencing }),
+        ),
+    }
+}
+
+fn lock(flags: &CancelFlags) -> std::sync::MutexGuard<'_, BTreeMap<RunId, Arc<AtomicBool>>> {
+    flags.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/runtime/src/http_writer.rs
@@ -0,0 +1,175 @@
+//! Writes one HTTP answer to a caller as its parts come.
+//!
+//! Works on the raw writer of the request, because the library's own response
+//! type holds back up to 8 KiB of a chunked body.
+
+use std::io::{Error, ErrorKind, Result, Write};
+
+use chunked_transfer::Encoder;
+use mulberrywell_role::AnswerPart;
+use mulberrywell_wire::request::HeaderField;
+
+/// Headers that the writer itself decides.
+const OWN_HEADERS: [&[u8]; 4] = [
+    b"content-length",
+    b"transfer-encoding",
+    b"connection",
+    b"keep-alive",
+];
+
+/// Flushes when it is dropped: the encoder writes its last chunk on drop and
+/// does not flush it.
+struct FlushedWriter<W: Write>(W);
+
+impl<W: Write> Write for FlushedWriter<W> {
+    fn write(&mut self, buf: &[u8]) -> Result<usize> {
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> Result<()> {
+        self.0.flush()
+    }
+}
+
+impl<W: Write> Drop for FlushedWriter<W> {
+    fn drop(&mut self) {
+        // The caller may be gone; the answer has ended either way.
+        let _ = self.0.flush();
+    }
+}
+
+/// State of an answer.
+enum WriterState<W: Write> {
+    /// Nothing was written.
+    Idle(W),
+    /// The body has a known length.
+    Plain(W),
+    /// The body ends with its last chunk.
+    Chunked(Encoder<FlushedWriter<W>>),
+    /// Whole or given up.
+    Ended,
+}
+
+/// Writes one answer.
+pub struct HttpWriter<W: Write> {
+    state: WriterState<W>,
+    /// HTTP/1.0 callers get no chunks; the closed connection ends the body.
+    chunks: bool,
+    /// An answer to HEAD has no body.
+    bodyless: bool,
+}
+
+impl<W: Write> HttpWriter<W> {
+    /// Creates a writer for one request.
+    pub fn new(writer: W, chunks: bool, bodyless: bool) -> Self {
+        HttpWriter {
+            state: WriterState::Idle(writer),
+            chunks,
+            bodyless,
+        }
+    }
+
+    /// Writes one part; true when the answer is whole.
+    ///
+    /// # Errors
+    /// Fails when the caller is gone, and on `Abort`: the connection must then
+    /// be cut so that the caller sees that the answer is short.
+    pub fn write(&mut self, part: AnswerPart) -> Result<bool> {
+        match part {
+            AnswerPart::Head {
+                status,
+                headers,
+                length,
+            } => self.write_head(status, &headers, length).map(|()| false),
+            AnswerPart::Data(data) => self.write_data(&data).map(|()| false),
+            AnswerPart::End => self.finish().map(|()| true),
+            AnswerPart::Abort => self.abort(),
+        }
+    }
+
+    fn write_head(
+        &mut self,
+        status: u16,
+        headers: &[HeaderField],
+        length: Option<u64>,
+    ) -> Result<()> {
+        let state = std::mem::replace(&mut self.state, WriterState::Ended);
+        let WriterState::Idle(mut writer) = state else {
+            return Err(Error::other("second head"));
+        };
+        let reason = tiny_http::StatusCode(status).default_reason_phrase();
+        let mut head = format!("HTTP/1.1 {status} {reason}\r\n").into_bytes();
+        for field in headers.iter().filter(|field| is_passed(field)) {
+            head.extend_from_slice(&field.name);
+            head.extend_from_slice(b": ");
+            head.extend_from_slice(&field.value);
+            head.extend_from_slice(b"\r\n");
+        }
+        let bodyless = self.bodyless || status == 204 || status == 304;
+        let plain = bodyless || length.is_some() || !self.chunks;
+        match length {
+            Some(length) => write!(head, "Content-Length: {length}\r\n")?,
+            None if bodyless => {}
+            None if self.chunks => head.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+            None => head.extend_from_slice(b"Connection: close\r\n"),
+        }
+        head.extend_from_slice(b"\r\n");
+        writer.write_all(&head)?;
+        writer.flush()?;
+        self.bodyless = bodyless;
+        self.state = if plain {
+            WriterState::Plain(writer)
+        } else {
+            WriterState::Chunked(Encoder::with_flush_after_write(FlushedWriter(writer)))
+        };
+        Ok(())
+    }
+
+    fn write_data(&mut self, data: &[u8]) -> Result<()> {
+        if self.bodyless || data.is_empty() {
+            return Ok(());
+        }
+        match &mut self.state {
+            WriterState::Plain(writer) => {
+                writer.write_all(data)?;
+                writer.flush()
+            }
+            WriterState::Chunked(encoder) => {
+                encoder.write_all(data)?;
+                encoder.flush()
+            }
+            WriterState::Idle(_) | WriterState::Ended => Err(Error::other("data outside a body")),
+        }
+    }
+
+    /// Breaks the framing, so that the caller can't take the answer for whole:
+    /// the encoder would end it with a valid last chunk.
+    fn abort(&mut self) -> Result<bool> {
+        if let WriterState::Chunked(encoder) = &mut self.state {
+            let writer = encoder.get_mut();
+            writer.write_all(b"aborted\r\n")?;
+            writer.flush()?;
+        }
+        Err(Error::new(ErrorKind::ConnectionAborted, "answer cut short"))
+    }
+
+    fn finish(&mut self) -> Result<()> {
+        match std::mem::replace(&mut self.state, WriterState::Ended) {
+            WriterState::Plain(mut writer) => writer.flush(),
+            // Dropping the encoder writes the last chunk.
+            WriterState::Chunked(encoder) => {
+                drop(encoder);
+                Ok(())
+            }
+            WriterState::Idle(_) | WriterState::Ended => Err(Error::other("end without a head")),
+        }
+    }
+}
+
+fn is_passed(field: &HeaderField) -> bool {
+    let fits = |b: &u8| *b != b'\r' && *b != b'\n';
+    !OWN_HEADERS
+        .iter()
+        .any(|name| field.name.eq_ignore_ascii_case(name))
+        && field.name.iter().chain(field.value.iter()).all(fits)
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,24 @@
+//! Hosts the roles: actors, links, HTTP, files, logs and metrics.
+//!
+//! Purpose: runs each role's state machine as one actor on the process's
+//! stakker thread; everything that blocks lives on threads that talk with it
+//! through bounded channels.
+//!
+//! Guarantees: no queue is without a bound: a full one refuses or closes; a
+//! link that stays silent is closed within [`link_table::SILENCE_MAX`]; a
+//! fault of one caller, link or endpoint ends only that one.
+
+mod engine_client;
+mod event_sender;
+mod http_gate;
+mod http_writer;
+mod journal_file;
+mod link_socket;
+pub mod link_table;
+mod log_output;
+mod metric_output;
+mod process;
+mod role_host;
+
+pub use log_output::open_log;
+pub use process::{serve, serve_agent};
--- /dev/null
+++ b/crates/runtime/src/link_socket.rs
@@ -0,0 +1,172 @@
+//! One TCP connection of a link: buffers, framing and handshake.
+
+use std::time::Instant;
+
+use mulberrywell_wire::link::{Ping, Pong};
+use mulberrywell_wire::{
+    encode_frame, FrameBody, FrameCodec, HandshakeStep, LinkHandshake, PeerFrame, PeerIdentity,
+    FRAME_LIMIT,
+};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioSource, ReadStatus, TcpStreamBuf};
+
+/// Longest frame before the handshake ended, in bytes.
+const HANDSHAKE_LIMIT: usize = 4 * 1024;
+
+/// Bytes that may wait for a slow peer before the link is closed.
+const OUT_LIMIT: usize = 2 * FRAME_LIMIT;
+
+/// Bytes of one read.
+const READ_LEN: usize = 64 * 1024;
+
+/// What came on a socket.
+#[derive(Debug)]
+pub enum SocketInput {
+    /// The handshake ended well.
+    Opened(PeerIdentity),
+    /// A frame for the role.
+    Frame(FrameBody),
+}
+
+/// Why a socket is to be closed.
+#[derive(Debug)]
+pub struct SocketFault(pub String);
+
+/// One connection.
+pub struct LinkSocket {
+    buf: TcpStreamBuf,
+    codec: FrameCodec,
+    /// None once the link is open.
+    handshake: Option<LinkHandshake>,
+    /// When the last bytes came.
+    pub heard: Instant,
+    /// When the connection was made.
+    pub since: Instant,
+    ping_sequence: u64,
+}
+
+impl LinkSocket {
+    /// Takes over a connection and queues the first frame of the handshake.
+    pub fn new(
+        source: MioSource<TcpStream>,
+        handshake: LinkHandshake,
+        hello: &PeerFrame,
+        now: Instant,
+    ) -> Self {
+        let mut buf = TcpStreamBuf::new();
+        buf.set_nodelay(true);
+        buf.init(source);
+        encode_frame(hello, &mut buf.out);
+        LinkSocket {
+            buf,
+            codec: FrameCodec::with_limit(HANDSHAKE_LIMIT),
+            handshake: Some(handshake),
+            heard: now,
+            since: now,
+            ping_sequence: 0,
+        }
+    }
+
+    /// Tells whether the handshake has ended.
+    pub fn is_open(&self) -> bool {
+        self.handshake.is_none()
+    }
+
+    /// Queues a frame.
+    ///
+    /// # Errors
+    /// Fails when too much waits for the peer already.
+    pub fn send(&mut self, body: FrameBody) -> Result<(), SocketFault> {
+        if self.buf.out.len() > OUT_LIMIT {
+            return Err(SocketFault("peer takes no more data".to_owned()));
+        }
+        encode_frame(&body.into(), &mut self.buf.out);
+        Ok(())
+    }
+
+    /// Queues a ping.
+    ///
+    /// # Errors
+    /// Fails when too much waits for the peer already.
+    pub fn ping(&mut self) -> Result<(), SocketFault> {
+        self.ping_sequence += 1;
+        self.send(FrameBody::Ping(Ping {
+            sequence: self.ping_sequence,
+        }))
+    }
+
+    /// Writes what the peer takes now.
+    ///
+    /// # Errors
+    /// Fails when the connection failed.
+    pub fn flush(&mut self) -> Result<(), SocketFault> {
+        self.buf
+            .flush()
+            .map_err(|err| SocketFault(format!("write failed: {err}")))
+    }
+
+    /// Reads what has come and appends it to `inputs`.
+    ///
+    /// # Errors
+    /// Fails when the connection ended, failed or carried no valid frames.
+    pub fn read(&mut self, now: Instant, inputs: &mut Vec<SocketInput>) -> Result<(), SocketFault> {
+        loop {
+            match self.buf.read(READ_LEN) {
+                ReadStatus::NewData => {
+                    self.heard = now;
+                    self.codec.feed(&self.buf.inp[self.buf.rd..self.buf.wr]);
+                    self.buf.rd = self.buf.wr;
+                    self.take_frames(inputs)?;
+                }
+                ReadStatus::WouldBlock => return Ok(()),
+                ReadStatus::EndOfStream => {
+                    return Err(SocketFault("peer closed the connection".to_owned()))
+                }
+                ReadStatus::Error(err) => return Err(SocketFault(format!("read failed: {err}"))),
+            }
+        }
+    }
+
+    fn take_frames(&mut self, inputs: &mut Vec<SocketInput>) -> Result<(), SocketFault> {
+        loop {
+            let next = self.codec.next_frame();
+            let Some(frame) = next.map_err(|err| SocketFault(err.to_string()))? else {
+                return Ok(());
+            };
+            match &mut self.handshake {
+                Some(handshake) => {
+                    let step = handshake.advance(frame);
+                    match step.map_err(|err| SocketFault(err.to_string()))? {
+                        HandshakeStep::Reply(frame) => encode_frame(&frame, &mut self.buf.out),
+                        HandshakeStep::Open(peer) => {
+                            self.handshake = None;
+                            self.codec.set_limit(FRAME_LIMIT);
+                            inputs.push(SocketInput::Opened(peer));
+                        }
+                    }
+                }
+                None => self.take_body(frame, inputs)?,
+            }
+        }
+    }
+
+    fn take_body(
+        &mut self,
+        frame: PeerFrame,
+        inputs: &mut Vec<SocketInput>,
+    ) -> Result<(), SocketFault> {
+        match frame.body {
+            Some(FrameBody::Ping(ping)) => self.send(FrameBody::Pong(Pong {
+                sequence: ping.sequence,
+            })),
+            Some(FrameBody::Pong(_)) | None => Ok(()),
+            Some(FrameBody::Hello(_) | FrameBody::Proof(_)) => {
+                Err(SocketFault("handshake frame on an open link".to_owned()))
+            }
+            Some(body) => {
+                inputs.push(SocketInput::Frame(body));
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/link_table.rs
@@ -0,0 +1,225 @@
+//! The links of one role: listening, dialing, heartbeats and silence.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_role::{LinkEvent, LinkId};
+use mulberrywell_wire::{FrameBody, LinkHandshake, LinkSide, PeerIdentity};
+use stakker::Fwd;
+use stakker_mio::mio::net::{TcpListener, TcpStream};
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, MioSource, Ready};
+
+use crate::link_socket::{LinkSocket, SocketFault, SocketInput};
+
+/// Interval of pings on an open link.
+pub const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Silence after which a link is closed.
+pub const SILENCE_MAX: Duration = Duration::from_secs(2);
+
+/// Links that a role accepts at the same time.
+const ACCEPTED_MAX: usize = 8_192;
+
+const POLL_PRIORITY: u32 = 10;
+
+/// Identity and secret of the process.
+#[derive(Clone)]
+pub struct LinkCredentials {
+    /// Who this process is.
+    pub identity: PeerIdentity,
+    /// Cluster secret.
+    pub secret: Bytes,
+}
+
+/// All links of one role.
+pub struct LinkTable {
+    credentials: LinkCredentials,
+    listener: Option<MioSource<TcpListener>>,
+    sockets: BTreeMap<LinkId, LinkSocket>,
+    /// Odd; grows with each accepted link.
+    next_accepted: LinkId,
+    /// Links with frames that were queued and not yet written.
+    dirty: Vec<LinkId>,
+    next_ping: Instant,
+    /// Reused between reads.
+    inputs: Vec<SocketInput>,
+}
+
+impl LinkTable {
+    /// Creates a table without links.
+    pub fn new(credentials: LinkCredentials, now: Instant) -> Self {
+        LinkTable {
+            credentials,
+            listener: None,
+            sockets: BTreeMap::new(),
+            next_accepted: 1,
+            dirty: Vec::new(),
+            next_ping: now + PING_INTERVAL,
+            inputs: Vec::new(),
+        }
+    }
+
+    /// Accepts links from now on; `ready` must lead to [`LinkTable::accept`].
+    ///
+    /// # Errors
+    /// Fails when the listener can't be polled.
+    pub fn listen(
+        &mut self,
+        poll: &MioPoll,
+        listener: TcpListener,
+        ready: Fwd<Ready>,
+    ) -> std::io::Result<()> {
+        let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, ready)?;
+        self.listener = Some(source);
+        Ok(())
+    }
+
+    /// Takes the next waiting connection in.
+    pub fn accept(&mut self) -> Option<(LinkId, TcpStream)> {
+        loop {
+            let (stream, _) = self.listener.as_ref()?.accept().ok()?;
+            if self.sockets.len() >= ACCEPTED_MAX {
+                drop(stream);
+                continue;
+            }
+            let link = self.next_accepted;
+            self.next_accepted += 2;
+            return Some((link, stream));
+        }
+    }
+
+    /// Starts the handshake on a connection.
+    ///
+    /// # Errors
+    /// Fails when the connection can't be polled.
+    pub fn attach(
+        &mut self,
+        poll: &MioPoll,
+        link: LinkId,
+        stream: TcpStream,
+        side: LinkSide,
+        now: Instant,
+        ready: Fwd<Ready>,
+    ) -> std::io::Result<()> {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let source = poll.add(stream, interest, POLL_PRIORITY, ready)?;
+        let (handshake, hello) = LinkHandshake::start(
+            side,
+            self.credentials.secret.clone(),
+            &self.credentials.identity,
+            rand::random(),
+        );
+        let socket = LinkSocket::new(source, handshake, &hello, now);
+        self.sockets.insert(link, socket);
+        Ok(())
+    }
+
+    /// Opens a connection without waiting for it.
+    ///
+    /// # Errors
+    /// Fails when the system refuses at once.
+    pub fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+        TcpStream::connect(address)
+    }
+
+    /// Queues a frame; it is dropped when the link is not open.
+    pub fn send(&mut self, link: LinkId, body: FrameBody, events: &mut Vec<LinkEvent>) {
+        let Some(socket) = self.sockets.get_mut(&link).filter(|s| s.is_open()) else {
+            return;
+        };
+        match socket.send(body) {
+            Ok(()) => self.dirty.push(link),
+            Err(fault) => self.fail(link, &fault, events),
+        }
+    }
+
+    /// Closes a link.
+    pub fn close(&mut self, link: LinkId, events: &mut Vec<LinkEvent>) {
+        if self.sockets.remove(&link).is_some() {
+            events.push(LinkEvent::Closed { link });
+        }
+    }
+
+    /// Handles a connection that can be read or written.
+    pub fn ready(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        ready: &Ready,
+        events: &mut Vec<LinkEvent>,
+    ) {
+        let Some(socket) = self.sockets.get_mut(&link) else {
+            return;
+        };
+        let mut outcome = Ok(());
+        if ready.is_readable() || ready.is_error() {
+            outcome = socket.read(now, &mut self.inputs);
+        }
+        if outcome.is_ok() {
+            outcome = socket.flush();
+        }
+        for input in self.inputs.drain(..) {
+            events.push(match input {
+                SocketInput::Opened(peer) => LinkEvent::Opened { link, peer },
+                SocketInput::Frame(body) => LinkEvent::Frame { link, body },
+            });
+        }
+        if let Err(fault) = outcome {
+            self.fail(link, &fault, events);
+        }
+    }
+
+    /// Writes the queued frames.
+    pub fn flush(&mut self, events: &mut Vec<LinkEvent>) {
+        let mut dirty = std::mem::take(&mut self.dirty);
+        dirty.sort_unstable();
+        dirty.dedup();
+        for link in dirty.drain(..) {
+            let outcome = self.sockets.get_mut(&link).map(LinkSocket::flush);
+            if let Some(Err(fault)) = outcome {
+                self.fail(link, &fault, events);
+            }
+        }
+        self.dirty = dirty;
+    }
+
+    /// Returns when [`LinkTable::tick`] has something to do.
+    pub fn deadline(&self) -> Instant {
+        self.next_ping
+    }
+
+    /// Pings open links and closes silent ones.
+    pub fn tick(&mut self, now: Instant, events: &mut Vec<LinkEvent>) {
+        if now < self.next_ping {
+            return;
+        }
+        self.next_ping = now + PING_INTERVAL;
+        let mut faults = Vec::new();
+        for (link, socket) in &mut self.sockets {
+            let reference = if socket.is_open() {
+                socket.heard
+            } else {
+                socket.since
+            };
+            if now.saturating_duration_since(reference) >= SILENCE_MAX {
+                faults.push((*link, SocketFault("peer is silent".to_owned())));
+            } else if socket.is_open() {
+                match socket.ping().and_then(|()| socket.flush()) {
+                    Ok(()) => {}
+                    Err(fault) => faults.push((*link, fault)),
+                }
+            }
+        }
+        for (link, fault) in faults {
+            self.fail(link, &fault, events);
+        }
+    }
+
+    fn fail(&mut self, link: LinkId, fault: &SocketFault, events: &mut Vec<LinkEvent>) {
+        spdlog::debug!("link: {} of link {}", fault.0, link);
+        self.close(link, events);
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/process/agent_process.rs
@@ -0,0 +1,70 @@
+//! The agent role in its process.
+
+use std::time::Instant;
+
+use anyhow::Result;
+use mulberrywell_agent::{AgentAction, AgentConfig, AgentRole};
+use mulberrywell_settings::{AgentSettings, EndpointKind};
+
+use super::{bind_links, ProcessLoop, RunningRole};
+use crate::engine_client::{EndpointClient, HttpEndpoint};
+use crate::link_table::LinkCredentials;
+use crate::metric_output::MetricOutput;
+use crate::role_host::{HostParts, RolePort};
+
+/// Port of the agent role.
+pub struct AgentPort<C: EndpointClient> {
+    /// The endpoint.
+    pub client: C,
+}
+
+impl<C: EndpointClient> RolePort<AgentRole> for AgentPort<C> {
+    fn perform(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Run { run, request } => self.client.run(run, request),
+            AgentAction::Cancel { run } => self.client.cancel(run),
+            AgentAction::ReadState => self.client.read_state(),
+            AgentAction::Order(order) => self.client.order(order),
+        }
+    }
+}
+
+impl ProcessLoop {
+    /// Starts the agent role.
+    pub fn spawn_agent(
+        &mut self,
+        settings: &AgentSettings,
+        credentials: LinkCredentials,
+        metrics: MetricOutput,
+    ) -> Result<RunningRole> {
+        let links = bind_links(&settings.instance)?;
+        let incarnation = credentials.identity.incarnation;
+        let endpoint = settings.endpoint.clone();
+        let config = AgentConfig {
+            settings: endpoint.clone(),
+            seeds: settings.instance.seeds.clone(),
+            advertise: settings.instance.advertise,
+            incarnation,
+            zone: settings.instance.zone.clone(),
+            region: settings.instance.region.clone(),
+        };
+        let parts = HostParts {
+            prefix: "agent",
+            machine: AgentRole::new(config, Instant::now()),
+            credentials,
+            listener: Some(links),
+            metrics,
+            port: Box::new(move |events| AgentPort {
+                client: HttpEndpoint::open(
+                    endpoint.address,
+                    endpoint.kind == EndpointKind::Engine,
+                    incarnation,
+                    endpoint.slots as usize,
+                    events,
+                ),
+            }),
+            finished: self.finished_fwd(),
+        };
+        Ok(self.spawn(parts))
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/process/control_process.rs
@@ -0,0 +1,126 @@
+//! The control role in its process.
+
+use std::fs;
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use mulberrywell_control::{ControlAction, ControlConfig, ControlEvent, ControlRole};
+use mulberrywell_settings::{ControlSettings, InstanceSettings};
+
+use super::{bind_links, ProcessLoop, RunningRole};
+use crate::event_sender::EventSender;
+use crate::http_gate::{bind_http, GateLimits, HttpGate};
+use crate::journal_file::JournalFile;
+use crate::link_table::LinkCredentials;
+use crate::metric_output::MetricOutput;
+use crate::role_host::{HostParts, RolePort};
+
+/// Requests of operators at the same time.
+const OPERATOR_REQUESTS: usize = 64;
+
+/// Longest body of an operator's request in bytes.
+const OPERATOR_BODY: usize = 8 * 1024 * 1024;
+
+/// Port of the control role.
+pub struct ControlPort {
+    /// The operators' listener.
+    pub gate: HttpGate,
+    /// The log.
+    pub journal: JournalFile,
+}
+
+impl RolePort<ControlRole> for ControlPort {
+    fn perform(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::Answer(request, part) => self.gate.answer(request, part),
+            ControlAction::Append { index, data } => {
+                if let Err(err) = self.journal.append(index, data) {
+                    spdlog::critical!("control: {}", err);
+                    std::process::abort();
+                }
+            }
+        }
+    }
+
+    fn prelude(&mut self) -> Option<ControlEvent> {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+        let clock_ms = u64::try_from(elapsed.as_millis()).ok()?;
+        Some(ControlEvent::Clock(clock_ms))
+    }
+}
+
+impl ProcessLoop {
+    /// Starts the control role.
+    pub fn spawn_control(
+        &mut self,
+        instance: &InstanceSettings,
+        settings: &ControlSettings,
+        credentials: LinkCredentials,
+        metrics: MetricOutput,
+    ) -> Result<RunningRole> {
+        let operators = bind_http(settings.operator_listen)?;
+        let links = bind_links(instance)?;
+        let operator_key = fs::read(&settings.operator_key_file).with_context(|| {
+            let file = settings.operator_key_file.display();
+            format!("can't read the operator key {file}")
+        })?;
+        let config = ControlConfig {
+            settings: settings.clone(),
+            instance: instance.name.clone(),
+            new_cluster: rand::random::<u64>().max(1),
+            operator_key: Bytes::copy_from_slice(operator_key.trim_ascii()),
+        };
+        let folder = settings.data_folder.clone();
+        fs::create_dir_all(&folder)
+            .with_context(|| format!("can't create {}", folder.display()))?;
+        spdlog::info!(
+            "control: listens for operators on {}",
+            settings.operator_listen
+        );
+        let parts = HostParts {
+            prefix: "control",
+            machine: ControlRole::new(config, Instant::now()),
+            credentials,
+            listener: Some(links),
+            metrics,
+            port: Box::new(move |events| {
+                open_control_port(&folder, operators, &events).unwrap_or_else(|err| {
+                    spdlog::critical!("control: {:#}", err);
+                    std::process::abort();
+                })
+            }),
+            finished: self.finished_fwd(),
+        };
+        Ok(self.spawn(parts))
+    }
+}
+
+fn open_control_port(
+    folder: &Path,
+    operators: TcpListener,
+    events: &EventSender<ControlEvent>,
+) -> Result<ControlPort> {
+    let limits = GateLimits {
+        max_requests: OPERATOR_REQUESTS,
+        max_body: OPERATOR_BODY,
+    };
+    let synced = events.clone();
+    let (journal, entries) = JournalFile::open(folder, move |index| {
+        synced.send(ControlEvent::Synced { index });
+    })?;
+    let recovered = events.clone();
+    std::thread::Builder::new()
+        .name("recovery".to_owned())
+        .spawn(move || {
+            for (place, data) in entries.into_iter().enumerate() {
+                let index = place as u64 + 1;
+                recovered.send(ControlEvent::Recovered { index, data });
+            }
+            recovered.send(ControlEvent::Ready);
+        })?;
+    let gate = HttpGate::spawn(operators, limits, events.clone(), ControlEvent::Http)?;
+    Ok(ControlPort { gate, journal })
+}
--- /dev/null
+++ b/crates/settings/src/grant_list.rs
@@ -0,0 +1,193 @@
+//! The grant list: models, services, and which of them each plan may use.
+//!
+//! ```toml
+//! [[model]]
+//! name = "payroll-assistant"
+//! pool = "asistente"       # endpoints that may hold it
+//! memory_mib = 16000
+//! kv_mib = 64              # KV cache kept free for a running request
+//! version = "3"            # optional
+//! # base = "payroll-base"  # makes it an adapter
+//!
+//! [[service]]
+//! name = "payments"
+//! [[service.route]]
+//! method = "POST"
+//! path = "/orders"
+//! idempotent = false
+//! tokens = 50              # taken from the client account for each call
+//! # open = true            # needs no key
+//!
+//! [[grant]]
+//! plan = "gold"
+//! models = ["payroll-assistant"]
+//! services = ["payments"]
+//! ```
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::Range;
+
+use bytes::Bytes;
+use mulberrywell_wire::config::{GrantItem, ModelItem, RouteItem, ServiceItem};
+
+use crate::plan_list::report_twice;
+use crate::{Finding, FindingList, PlanList, TableReader};
+
+/// Most mebibytes of one model.
+const MEMORY_MAX_MIB: u64 = 16 * 1024 * 1024;
+const ROUTE_TOKENS_MAX: u64 = 1_000_000;
+const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+
+/// The operators' second list.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct GrantList {
+    /// Names are unique; the base of an adapter is in the list.
+    pub models: Vec<ModelItem>,
+    /// Names are unique.
+    pub services: Vec<ServiceItem>,
+    /// One for each plan; models and services are in the list.
+    pub grants: Vec<GrantItem>,
+}
+
+impl GrantList {
+    /// Reads and checks a grant list.
+    ///
+    /// # Errors
+    /// Fails with everything that is wrong in the text.
+    pub fn parse(file: &str, source: &str) -> Result<Self, Vec<Finding>> {
+        Self::read(file, source, None)
+    }
+
+    /// Reads a grant list and checks its plans against a plan list.
+    ///
+    /// # Errors
+    /// Fails with everything that is wrong in the text.
+    pub fn parse_with(file: &str, source: &str, plans: &PlanList) -> Result<Self, Vec<Finding>> {
+        Self::read(file, source, Some(plans))
+    }
+
+    fn read(file: &str, source: &str, plans: Option<&PlanList>) -> Result<Self, Vec<Finding>> {
+        let findings = RefCell::new(FindingList::new(file, source));
+        let list = {
+            let mut root = TableReader::parse(source, &findings);
+            let models = read_models(&mut root);
+            let services = read_services(&mut root);
+            let mut list = GrantList {
+                models,
+                services,
+                grants: Vec::new(),
+            };
+            list.grants = list.read_grants(&mut root, plans);
+            root.end();
+            list
+        };
+        findings.into_inner().finish(list)
+    }
+
+    fn read_grants(&self, root: &mut TableReader<'_>, plans: Option<&PlanList>) -> Vec<GrantItem> {
+        let mut seen = BTreeSet::new();
+        let mut grants = Vec::new();
+        for mut table in root.tables("grant") {
+            let plan = table.required_name("plan");
+            report_twice(&table, &mut seen, "grant of plan", &plan);
+            let known = |list: &PlanList| list.plans.iter().any(|item| item.name == plan);
+            if !plan.is_empty() && !plans.is_none_or(known) {
+                let plan = String::from_utf8_lossy(&plan);
+                table.report(format!("plan `{plan}` is not in the plan list"));
+            }
+            let models = table.names("models");
+            let services = table.names("services");
+            report_unknown(&table, &models, "model", |name| {
+                self.models.iter().any(|model| model.name == name)
+            });
+            report_unknown(&table, &services, "service", |name| {
+                self.services.iter().any(|service| service.name == name)
+            });
+            grants.push(GrantItem {
+                plan,
+                models: names_only(models),
+                services: names_only(services),
+            });
+            table.end();
+        }
+        grants
+    }
+}
+
+fn read_models(root: &mut TableReader<'_>) -> Vec<ModelItem> {
+    let mut seen = BTreeSet::new();
+    let mut models: Vec<ModelItem> = Vec::new();
+    for mut table in root.tables("model") {
+        let model = ModelItem {
+            name: table.required_name("name"),
+            memory_mib: table.required_number("memory_mib", 1..=MEMORY_MAX_MIB),
+            kv_mib: table.number("kv_mib", 0..=MEMORY_MAX_MIB).unwrap_or(0),
+            base: table.name("base").unwrap_or_default(),
+            pool: table.required_name("pool"),
+            version: table.name("version").unwrap_or_default(),
+        };
+        report_twice(&table, &mut seen, "model", &model.name);
+        let based = |other: &ModelItem| other.name == model.base && other.base.is_empty();
+        if !model.base.is_empty() && !models.iter().any(based) {
+            let base = String::from_utf8_lossy(&model.base);
+            table.report(format!(
+                "base model `{base}` does not stand before its adapter"
+            ));
+        }
+        models.push(model);
+        table.end();
+    }
+    models
+}
+
+fn read_services(root: &mut TableReader<'_>) -> Vec<ServiceItem> {
+    let mut seen = BTreeSet::new();
+    let mut services = Vec::new();
+    for mut table in root.tables("service") {
+        let name = table.required_name("name");
+        report_twice(&table, &mut seen, "service", &name);
+        let routes = table.tables("route").into_iter().map(read_route).collect();
+        services.push(ServiceItem { name, routes });
+        table.end();
+    }
+    services
+}
+
+fn read_route(mut table: TableReader<'_>) -> RouteItem {
+    let method = table.required_text("method");
+    if !method.is_empty() && !METHODS.contains(&method.as_str()) {
+        table.report(format!("method `{method}` is not one of {METHODS:?}"));
+    }
+    let path = table.required_text("path");
+    if !path.starts_with('/') {
+        table.report("`path` must begin with `/`");
+    }
+    let route = RouteItem {
+        idempotent: table.flag("idempotent").unwrap_or(false),
+        open: table.flag("open").unwrap_or(false),
+        tokens: table.number("tokens", 0..=ROUTE_TOKENS_MAX).unwrap_or(1),
+        method: Bytes::from(method),
+        path: Bytes::from(path),
+    };
+    table.end();
+    route
+}
+
+fn report_unknown(
+    table: &TableReader<'_>,
+    names: &[(Bytes, Range<usize>)],
+    kind: &str,
+    known: impl Fn(&Bytes) -> bool,
+) {
+    for (name, span) in names {
+        if !known(name) {
+            let name = String::from_utf8_lossy(name);
+            table.report_at(span, format!("{kind} `{name}` is not in the list"));
+        }
+    }
+}
+
+fn names_only(names: Vec<(Bytes, Range<usize>)>) -> Vec<Bytes> {
+    names.into_iter().map(|(name, _)| name).collect()
+}
--- /dev/null
+++ b/crates/settings/src/table_reader.rs
@@ -0,0 +1,287 @@
+//! Reads the fields of one TOML table and reports what does not fit.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::ops::{Range, RangeInclusive};
+use std::time::Duration;
+
+use bytes::Bytes;
+use toml::de::{DeTable, DeValue};
+use toml::Spanned;
+
+use crate::FindingList;
+
+/// Findings that several readers of one text share.
+pub type SharedFindings = RefCell<FindingList>;
+
+/// Takes known fields out of a table; what is left over is a finding.
+#[derive(Debug)]
+pub struct TableReader<'a> {
+    /// The fields that were not yet taken.
+    table: DeTable<'a>,
+    span: Range<usize>,
+    findings: &'a SharedFindings,
+}
+
+impl<'a> TableReader<'a> {
+    /// Parses a text. Syntax errors become findings; the tables around them
+    /// are still read.
+    pub fn parse(source: &'a str, findings: &'a SharedFindings) -> Self {
+        let (table, errors) = DeTable::parse_recoverable(source);
+        for error in errors {
+            let span = error.span().unwrap_or(0..0);
+            findings.borrow_mut().add(&span, error.message());
+        }
+        let span = table.span();
+        TableReader {
+            table: table.into_inner(),
+            span,
+            findings,
+        }
+    }
+
+    /// Returns the place of the table in the text.
+    pub fn span(&self) -> Range<usize> {
+        self.span.clone()
+    }
+
+    /// Adds a finding at the table itself.
+    pub fn report(&self, text: impl Into<String>) {
+        self.findings.borrow_mut().add(&self.span, text);
+    }
+
+    /// Adds a finding at a span.
+    pub fn report_at(&self, span: &Range<usize>, text: impl Into<String>) {
+        self.findings.borrow_mut().add(span, text);
+    }
+
+    /// Takes a table that may be missing.
+    pub fn table(&mut self, name: &str) -> Option<TableReader<'a>> {
+        let value = self.take(name)?;
+        let span = value.span();
+        match value.into_inner() {
+            DeValue::Table(table) => Some(TableReader {
+                table,
+                span,
+                findings: self.findings,
+            }),
+            _ => self.wrong(&span, name, "a table"),
+        }
+    }
+
+    /// Takes a table that must be there; a missing one is read as empty, so
+    /// that its required fields are reported too.
+    pub fn required_table(&mut self, name: &str) -> TableReader<'a> {
+        self.table(name).unwrap_or_else(|| {
+            self.report(format!("table `{name}` is missing"));
+            TableReader {
+                table: DeTable::new(),
+                span: self.span.clone(),
+                findings: self.findings,
+            }
+        })
+    }
+
+    /// Takes an array of tables; a missing one is empty.
+    pub fn tables(&mut self, name: &str) -> Vec<TableReader<'a>> {
+        let Some(value) = self.take(name) else {
+            return Vec::new();
+        };
+        let span = value.span();
+        let DeValue::Array(array) = value.into_inner() else {
+            let _: Option<()> = self.wrong(&span, name, "an array of tables");
+            return Vec::new();
+        };
+        let mut readers = Vec::new();
+        for item in array {
+            let span = item.span();
+            match item.into_inner() {
+                DeValue::Table(table) => readers.push(TableReader {
+                    table,
+                    span,
+                    findings: self.findings,
+                }),
+                _ => {
+                    let _: Option<()> = self.wrong(&span, name, "an array of tables");
+                }
+            }
+        }
+        readers
+    }
+
+    /// Takes a text that may be missing.
+    pub fn text(&mut self, name: &str) -> Option<(String, Range<usize>)> {
+        let value = self.take(name)?;
+        let span = value.span();
+        match value.into_inner() {
+            DeValue::String(text) => Some((text.into_owned(), span)),
+            _ => self.wrong(&span, name, "a text"),
+        }
+    }
+
+    /// Takes a text that must be there.
+    pub fn required_text(&mut self, name: &str) -> String {
+        match self.text(name) {
+            Some((text, span)) if text.is_empty() => {
+                self.report_at(&span, format!("`{name}` is empty"));
+                text
+            }
+            Some((text, _)) => text,
+            None => self.missing(name),
+        }
+    }
+
+    /// Takes a name: letters, digits, `-`, `_` and `.`, at most 128 bytes.
+    pub fn name(&mut self, name: &str) -> Option<Bytes> {
+        let (text, span) = self.text(name)?;
+        self.check_name(&text, &span);
+        Some(Bytes::from(text))
+    }
+
+    /// Takes a name that must be there.
+    pub fn required_name(&mut self, name: &str) -> Bytes {
+        match self.name(name) {
+            Some(name) => name,
+            None => self.missing(name),
+        }
+    }
+
+    /// Takes an array of names with their places; a missing one is empty.
+    pub fn names(&mut self, name: &str) -> Vec<(Bytes, Range<usize>)> {
+        let texts = self.texts(name);
+        for (text, span) in &texts {
+            self.check_name(text, span);
+        }
+        texts
+            .into_iter()
+            .map(|(text, span)| (Bytes::from(text), span))
+            .collect()
+    }
+
+    /// Takes an array of texts with their places; a missing one is empty.
+    pub fn texts(&mut self, name: &str) -> Vec<(String, Range<usize>)> {
+        let Some(value) = self.take(name) else {
+            return Vec::new();
+        };
+        let span = value.span();
+        let DeValue::Array(array) = value.into_inner() else {
+            let _: Option<()> = self.wrong(&span, name, "an array of texts");
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for item in array {
+            let span = item.span();
+            match item.into_inner() {
+                DeValue::String(text) => texts.push((text.into_owned(), span)),
+                _ => {
+                    let _: Option<()> = self.wrong(&span, name, "an array of texts");
+                }
+            }
+        }
+        texts
+    }
+
+    /// Takes a whole number inside a range.
+    pub fn number(&mut self, name: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let value = self.take(name)?;
+        let span = value.span();
+        let DeValue::Integer(integer) = value.into_inner() else {
+            return self.wrong(&span, name, "a whole number");
+        };
+        let number = u64::from_str_radix(integer.as_str(), integer.radix()).ok();
+        match number.filter(|number| range.contains(number)) {
+            Some(number) => Some(number),
+            None => {
+                let text = format!("`{name}` must be {} to {}", range.start(), range.end());
+                self.report_at(&span, text);
+                None
+            }
+        }
+    }
+
+    /// Takes a whole number that must be there.
+    pub fn required_number(&mut self, name: &str, range: RangeInclusive<u64>) -> u64 {
+        let present = self.table.contains_key(name);
+        match self.number(name, range) {
+            Some(number) => number,
+            None if present => 0,
+            None => self.missing(name),
+        }
+    }
+
+    /// Takes a duration in milliseconds.
+    pub fn millis(&mut self, name: &str, range: RangeInclusive<u64>, default: u64) -> Duration {
+        Duration::from_millis(self.number(name, range).unwrap_or(default))
+    }
+
+    /// Takes a truth value.
+    pub fn flag(&mut self, name: &str) -> Option<bool> {
+        let value = self.take(name)?;
+        let span = value.span();
+        match value.into_inner() {
+            DeValue::Boolean(flag) => Some(flag),
+            _ => self.wrong(&span, name, "true or false"),
+        }
+    }
+
+    /// Takes an IP address with a port.
+    pub fn address(&mut self, name: &str) -> Option<SocketAddr> {
+        let (text, span) = self.text(name)?;
+        self.parse_address(name, &text, &span)
+    }
+
+    /// Takes an IP address with a port that must be there.
+    pub fn required_address(&mut self, name: &str) -> SocketAddr {
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        if !self.table.contains_key(name) {
+            let _: String = self.missing(name);
+            return unset;
+        }
+        self.address(name).unwrap_or(unset)
+    }
+
+    /// Takes an array of IP addresses with ports.
+    pub fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
+        self.texts(name)
+            .into_iter()
+            .filter_map(|(text, span)| self.parse_address(name, &text, &span))
+            .collect()
+    }
+
+    /// Reports the fields that nobody took.
+    pub fn end(self) {
+        for key in self.table.keys() {
+            let text = format!("unknown field `{}`", key.get_ref());
+            self.findings.borrow_mut().add(&key.span(), text);
+        }
+    }
+
+    fn take(&mut self, name: &str) -> Option<Spanned<DeValue<'a>>> {
+        self.table.remove(name)
+    }
+
+    fn missing<T: Default>(&self, name: &str) -> T {
+        self.report(format!("field `{name}` is missing"));
+        T::default()
+    }
+
+    fn wrong<T>(&self, span: &Range<usize>, name: &str, wanted: &str) -> Option<T> {
+        self.report_at(span, format!("`{name}` must be {wanted}"));
+        None
+    }
+
+    fn check_name(&self, text: &str, span: &Range<usize>) {
+        let fits = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
+        if text.is_empty() || text.len() > 128 || !text.chars().all(fits) {
+            let text = "a name has 1 to 128 letters, digits, `-`, `_`, `.` or `/`";
+            self.report_at(span, text);
+        }
+    }
+
+    fn parse_address(&self, name: &str, text: &str, span: &Range<usize>) -> Option<SocketAddr> {
+        match text.parse() {
+            Ok(address) => Some(address),
+            Err(_) => self.wrong(span, name, "an IP address and a port"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/fake_engine.rs
@@ -0,0 +1,419 @@
+//! A stand-in for a model engine, by the interface that the agent speaks.
+//!
+//! Answers are a function of the request's body, so that a test can tell
+//! whose answer it got and a resumed stream continues the same text.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{anyhow, Result};
+use serde_json::{json, Value};
+use tiny_http::{Method, Request, Response, Server};
+
+use crate::fake_records::{FakeRecords, RunRecord, RunState};
+
+/// Tokens of an answer whose request bounds none.
+const DEFAULT_TOKENS: u64 = 8;
+
+/// A model in the engine's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FakeModel {
+    /// Name.
+    pub model: String,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Whether it answers.
+    pub ready: bool,
+}
+
+/// How an engine behaves.
+#[derive(Debug, Clone)]
+pub struct EngineConfig {
+    /// Accelerator memory in MiB; an order past it is refused and noted.
+    pub memory_mib: u64,
+    /// Models that are resident from the start.
+    pub models: Vec<FakeModel>,
+    /// Time before the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub between_tokens: Duration,
+    /// Time that a load takes.
+    pub load_time: Duration,
+    /// Whether old fencing tokens are refused.
+    pub checks_fencing: bool,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        EngineConfig {
+            memory_mib: 48_000,
+            models: Vec::new(),
+            first_token: Duration::from_millis(5),
+            between_tokens: Duration::from_millis(2),
+            load_time: Duration::from_millis(100),
+            checks_fencing: true,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct EngineMemory {
+    models: BTreeMap<String, FakeModel>,
+    fencing: u64,
+    role: String,
+    /// Highest sum of memory that was ever held at the same time.
+    peak_mib: u64,
+    cancelled: BTreeSet<String>,
+    /// Orders as they were taken, for checks.
+    orders: Vec<String>,
+}
+
+/// A running engine.
+#[derive(Clone)]
+pub struct FakeEngine {
+    address: SocketAddr,
+    records: FakeRecords,
+    memory: Arc<Mutex<EngineMemory>>,
+    config: Arc<Mutex<EngineConfig>>,
+}
+
+impl FakeEngine {
+    /// Starts an engine on a free port of this machine.
+    ///
+    /// # Errors
+    /// Fails when no port can be had.
+    pub fn spawn(config: EngineConfig) -> Result<Self> {
+        Self::spawn_at(SocketAddr::from(([127, 0, 0, 1], 0)), config)
+    }
+
+    /// Starts an engine on an address.
+    ///
+    /// # Errors
+    /// Fails when the address can't be had.
+    pub fn spawn_at(address: SocketAddr, config: EngineConfig) -> Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(|err| anyhow!("{err}"))?;
+        let models = config.models.iter();
+        let memory = EngineMemory {
+            models: models
+                .map(|model| (model.model.clone(), model.clone()))
+                .collect(),
+            ..EngineMemory::default()
+        };
+        let engine = FakeEngine {
+            address,
+            records: FakeRecords::default(),
+            memory: Arc::new(Mutex::new(memory)),
+            config: Arc::new(Mutex::new(config)),
+        };
+        engine.note_peak();
+        let worker = engine.clone();
+        thread::spawn(move || {
+            for request in server.incoming_requests() {
+                let worker = worker.clone();
+                thread::spawn(move || worker.serve(request));
+            }
+        });
+        Ok(engine)
+    }
+
+    /// Returns the address of the engine.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the engine ran.
+    pub fn records(&self) -> &FakeRecords {
+        &self.records
+    }
+
+    /// Returns the highest sum of memory that was ever held, in MiB.
+    pub fn peak_mib(&self) -> u64 {
+        self.lock().peak_mib
+    }
+
+    /// Returns the models in memory.
+    pub fn models(&self) -> Vec<FakeModel> {
+        self.lock().models.values().cloned().collect()
+    }
+
+    /// Returns the orders that were taken, oldest first.
+    pub fn orders(&self) -> Vec<String> {
+        self.lock().orders.clone()
+    }
+
+    /// Changes the behaviour of requests from now on.
+    pub fn configure(&self, change: impl FnOnce(&mut EngineConfig)) {
+        change(&mut self.config.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    fn config(&self) -> EngineConfig {
+        self.config
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineMemory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_peak(&self) {
+        let mut memory = self.lock();
+        let sum = memory.models.values().map(|model| model.memory_mib).sum();
+        memory.peak_mib = memory.peak_mib.max(sum);
+    }
+
+    fn serve(&self, mut request: Request) {
+        let mut body = String::new();
+        if request.as_reader().read_to_string(&mut body).is_err() {
+            return;
+        }
+        let path = request.url().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::Get, "/engine/state") => {
+                let state = self.state();
+                respond(request, 200, &state);
+            }
+            (Method::Post, "/engine/cancel") => {
+                let value: Value = serde_json::from_str(&body).unwrap_or_default();
+                let id = value["request"].as_str().unwrap_or_default().to_owned();
+                self.lock().cancelled.insert(id);
+                respond(request, 200, &json!({}));
+            }
+            (Method::Post, "/engine/load" | "/engine/unload" | "/engine/role") => {
+                let value: Value = serde_json::from_str(&body).unwrap_or_default();
+                let status = self.take_order(&path, &value);
+                respond(request, status, &json!({ "status": status }));
+            }
+            (Method::Post, "/v1/chat/completions" | "/v1/completions") => {
+                self.complete(request, &body);
+            }
+            _ => respond(request, 404, &json!({ "error": "no such path" })),
+        }
+    }
+
+    fn state(&self) -> Value {
+        let memory = self.lock();
+        let models: Vec<Value> = memory
+            .models
+            .values()
+            .map(|model| {
+                json!({
+                    "model": model.model,
+                    "version": "",
+                    "memory_mib": model.memory_mib,
+                    "ready": model.ready,
+                })
+            })
+            .collect();
+        json!({
+            "models": models,
+            "fencing": memory.fencing,
+            "role": memory.role,
+            "prefixes": [],
+        })
+    }
+
+    fn take_order(&self, path: &str, order: &Value) -> u16 {
+        let config = self.config();
+        let fencing = order["fencing"].as_u64().unwrap_or(0);
+        {
+            let mut memory = self.lock();
+            if config.checks_fencing && fencing < memory.fencing {
+                return 409;
+            }
+            memory.fencing = memory.fencing.max(fencing);
+            memory.orders.push(format!("{path} {order}"));
+        }
+        let name = order["model"].as_str().unwrap_or_default().to_owned();
+        match path {
+            "/engine/load" => self.load(&name, order["memory_mib"].as_u64().unwrap_or(0), &config),
+            "/engine/unload" => {
+                self.lock().models.remove(&name);
+                200
+            }
+            _ => {
+                self.lock().role = order["role"].as_str().unwrap_or_default().to_owned();
+                200
+            }
+        }
+    }
+
+    fn load(&self, name: &str, memory_mib: u64, config: &EngineConfig) -> u16 {
+        {
+            let mut memory = self.lock();
+            if memory.models.contains_key(name) {
+                return 200;
+            }
+            let held: u64 = memory.models.values().map(|model| model.memory_mib).sum();
+            if held + memory_mib > config.memory_mib {
+                memory.peak_mib = memory.peak_mib.max(held + memory_mib);
+                return 507;
+            }
+            let model = FakeModel {
+                model: name.to_owned(),
+                memory_mib,
+                ready: false,
+            };
+            memory.models.insert(name.to_owned(), model);
+        }
+        self.note_peak();
+        thread::sleep(config.load_time);
+        if let Some(model) = self.lock().models.get_mut(name) {
+            model.ready = true;
+        }
+        200
+    }
+
+    fn complete(&self, request: Request, body: &str) {
+        let value: Value = serde_json::from_str(body).unwrap_or_default();
+        let model = value["model"].as_str().unwrap_or_default().to_owned();
+        let ready = self.lock().models.get(&model).is_some_and(|m| m.ready);
+        if !ready {
+            return respond(request, 404, &json!({ "error": "model is not resident" }));
+        }
+        let config = self.config();
+        let number = self.records.start(run_record(&request, body));
+        let id = header(&request, "X-Request-Id");
+        let skip: u64 = header(&request, "X-Resume-Events").parse().unwrap_or(0);
+        let tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
+        let stream = value["stream"].as_bool().unwrap_or(false);
+        thread::sleep(config.first_token);
+        let finished = if stream {
+            self.stream(request, number, &id, body, skip, tokens, &config)
+        } else {
+            self.answer(request, number, &id, body, tokens, &config)
+        };
+        let state = if finished {
+            RunState::Finished
+        } else {
+            RunState::Cancelled
+        };
+        self.records.update(number, |record| record.state = state);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one request")]
+    fn stream(
+        &self,
+        request: Request,
+        number: u64,
+        id: &str,
+        body: &str,
+        skip: u64,
+        tokens: u64,
+        config: &EngineConfig,
+    ) -> bool {
+        let mut writer = request.into_writer();
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+            Transfer-Encoding: chunked\r\n\r\n";
+        if writer.write_all(head.as_bytes()).is_err() || writer.flush().is_err() {
+            return false;
+        }
+        for idx in skip..tokens {
+            if idx > skip {
+                thread::sleep(config.between_tokens);
+            }
+            if self.is_cancelled(id) {
+                return false;
+            }
+            let event = json!({
+                "object": "chat.completion.chunk",
+                "choices": [{ "index": 0, "delta": { "content": token_text(body, idx) } }],
+            });
+            if write_chunk(&mut writer, &format!("data: {event}\n\n")).is_err() {
+                return false;
+            }
+            self.records.update(number, |record| record.tokens += 1);
+        }
+        let end = write_chunk(&mut writer, "data: [DONE]\n\n");
+        end.and_then(|()| write_chunk(&mut writer, "")).is_ok()
+    }
+
+    fn answer(
+        &self,
+        request: Request,
+        number: u64,
+        id: &str,
+        body: &str,
+        tokens: u64,
+        config: &EngineConfig,
+    ) -> bool {
+        let mut text = String::new();
+        for idx in 0..tokens {
+            thread::sleep(config.between_tokens);
+            if self.is_cancelled(id) {
+                return false;
+            }
+            text.push_str(&token_text(body, idx));
+            self.records.update(number, |record| record.tokens += 1);
+        }
+        let value = json!({
+            "object": "chat.completion",
+            "choices": [{ "index": 0, "message": { "role": "assistant", "content": text } }],
+            "usage": { "completion_tokens": tokens },
+        });
+        respond(request, 200, &value);
+        true
+    }
+
+    fn is_cancelled(&self, id: &str) -> bool {
+        self.lock().cancelled.contains(id)
+    }
+}
+
+/// Writes one chunk at once; an empty one ends the body.
+fn write_chunk(writer: &mut impl Write, text: &str) -> std::io::Result<()> {
+    write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
+    writer.flush()
+}
+
+/// Returns the text of one token of the answer to a body.
+pub(crate) fn token_text(body: &str, idx: u64) -> String {
+    let sum = body.bytes().fold(0_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u32::from(byte))
+    });
+    format!("{sum:08x}.{idx} ")
+}
+
+/// Builds the record of a request that starts.
+pub(crate) fn run_record(request: &Request, body: &str) -> RunRecord {
+    let headers = request.headers().iter();
+    RunRecord {
+        request_id: header(request, "X-Request-Id"),
+        target: format!("{} {}", request.method(), request.url()),
+        headers: headers
+            .map(|item| format!("{}: {}", item.field, item.value))
+            .collect(),
+        body: body.to_owned(),
+        started: Instant::now(),
+        state: RunState::Running,
+        tokens: 0,
+    }
+}
+
+/// Returns a header's value, or nothing.
+pub(crate) fn header(request: &Request, name: &str) -> String {
+    request
+        .headers()
+        .iter()
+        .find(|item| item.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|item| item.value.as_str().to_owned())
+        .unwrap_or_default()
+}
+
+/// Answers with JSON.
+pub(crate) fn respond(request: Request, status: u16, body: &Value) {
+    let kind = tiny_http::Header::from_bytes("Content-Type", "application/json");
+    let mut response = Response::from_string(body.to_string()).with_status_code(status);
+    if let Ok(kind) = kind {
+        response = response.with_header(kind);
+    }
+    // The peer may be gone; the records tell what ran.
+    let _ = request.respond(response);
+}
--- /dev/null
+++ b/crates/testkit/src/fake_service.rs
@@ -0,0 +1,92 @@
+//! A stand-in for a plain service: runs each call once and numbers it.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{anyhow, Result};
+use serde_json::json;
+use tiny_http::{Request, Server};
+
+use crate::fake_engine::{respond, run_record};
+use crate::fake_records::{FakeRecords, RunState};
+
+/// A running service.
+#[derive(Clone)]
+pub struct FakeService {
+    address: SocketAddr,
+    records: FakeRecords,
+    /// Milliseconds that a call takes.
+    delay_ms: Arc<AtomicU64>,
+}
+
+impl FakeService {
+    /// Starts a service on a free port of this machine.
+    ///
+    /// # Errors
+    /// Fails when no port can be had.
+    pub fn spawn() -> Result<Self> {
+        Self::spawn_at(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts a service on an address.
+    ///
+    /// # Errors
+    /// Fails when the address can't be had.
+    pub fn spawn_at(address: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(|err| anyhow!("{err}"))?;
+        let service = FakeService {
+            address,
+            records: FakeRecords::default(),
+            delay_ms: Arc::new(AtomicU64::new(0)),
+        };
+        let worker = service.clone();
+        thread::spawn(move || {
+            for request in server.incoming_requests() {
+                let worker = worker.clone();
+                thread::spawn(move || worker.serve(request));
+            }
+        });
+        Ok(service)
+    }
+
+    /// Returns the address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the service ran.
+    pub fn records(&self) -> &FakeRecords {
+        &self.records
+    }
+
+    /// Makes calls from now on take this long.
+    pub fn set_delay(&self, delay: Duration) {
+        let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.delay_ms.store(millis, Ordering::Relaxed);
+    }
+
+    fn serve(&self, mut request: Request) {
+        let mut body = String::new();
+        if request.as_reader().read_to_string(&mut body).is_err() {
+            return;
+        }
+        if request.url() == "/healthz" {
+            return respond(request, 200, &json!({ "status": "running" }));
+        }
+        let number = self.records.start(run_record(&request, &body));
+        thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
+        let target = format!("{} {}", request.method(), request.url());
+        respond(
+            request,
+            201,
+            &json!({ "number": number, "target": target, "echo": body }),
+        );
+        self.records
+            .update(number, |record| record.state = RunState::Finished);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/http_client.rs
@@ -0,0 +1,136 @@
+//! A caller for tests: whole answers with their status and headers.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use ureq::http::Request;
+
+/// Time that a test's call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(60);
+
+/// One answer.
+#[derive(Debug, Clone, Default)]
+pub struct HttpAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers with lower-case names.
+    pub headers: Vec<(String, String)>,
+    /// Body as far as it came.
+    pub body: String,
+    /// False when the body ended early.
+    pub whole: bool,
+    /// Time until the first byte of the body.
+    pub first_byte: Duration,
+    /// Time until the end.
+    pub total: Duration,
+}
+
+impl HttpAnswer {
+    /// Returns a header's value, or nothing.
+    pub fn header(&self, name: &str) -> &str {
+        let name = name.to_ascii_lowercase();
+        self.headers
+            .iter()
+            .find(|(known, _)| *known == name)
+            .map_or("", |(_, value)| value.as_str())
+    }
+}
+
+/// Calls one address with one key.
+#[derive(Debug, Clone)]
+pub struct HttpCaller {
+    base: String,
+    key: Option<String>,
+    agent: ureq::Agent,
+}
+
+impl HttpCaller {
+    /// Creates a caller.
+    pub fn new(address: SocketAddr, key: Option<&str>) -> Self {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(CALL_LIMIT))
+            .max_redirects(0)
+            .build();
+        HttpCaller {
+            base: format!("http://{address}"),
+            key: key.map(ToOwned::to_owned),
+            agent: config.into(),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// Fails when no status came.
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<HttpAnswer> {
+        let started = Instant::now();
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base));
+        if let Some(key) = &self.key {
+            builder = builder.header("Authorization", format!("Bearer {key}"));
+        }
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let configured = self
+            .agent
+            .configure_request(builder.body(body.to_owned())?)
+            .allow_non_standard_methods(true)
+            .build();
+        let response = self.agent.run(configured)?;
+        let mut answer = HttpAnswer {
+            status: response.status().as_u16(),
+            ..HttpAnswer::default()
+        };
+        for (name, value) in response.headers() {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            answer.headers.push((name.as_str().to_owned(), value));
+        }
+        let mut reader = response.into_body().into_reader();
+        let mut content = Vec::new();
+        let mut buf = [0; 4096];
+        loop {
+            match reader.read(&mut buf) {
+                Ok(0) => {
+                    answer.whole = true;
+                    break;
+                }
+                Ok(len) => {
+                    if content.is_empty() {
+                        answer.first_byte = started.elapsed();
+                    }
+                    content.extend_from_slice(&buf[..len]);
+                }
+                Err(_) => break,
+            }
+        }
+        answer.total = started.elapsed();
+        answer.body = String::from_utf8_lossy(&content).into_owned();
+        Ok(answer)
+    }
+
+    /// Asks for a chat completion.
+    ///
+    /// # Errors
+    /// Fails when no status came.
+    pub fn chat(&self, model: &str, prompt: &str, tokens: u64, stream: bool) -> Result<HttpAnswer> {
+        let body = serde_json::json!({
+            "model": model,
+            "messages": [{ "role": "user", "content": prompt }],
+            "max_tokens": tokens,
+            "stream": stream,
+        });
+        let headers = [("Content-Type", "application/json")];
+        self.call("POST", "/v1/chat/completions", &headers, &body.to_string())
+    }
+}
