--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -249,6 +249,7 @@
             incarnation: record.item.incarnation,
             fencing: record.item.fencing,
             accepted: matches!(outcome, CommandOutcome::Accepted { .. }),
+            draining: record.item.state() == EndpointState::Leaving,
         });
         actions.push(RoleAction::Link(LinkCommand::Send { link, body }));
     }
