--- /dev/null
+++ b/crates/consensus/src/membership.rs
@@ -0,0 +1,197 @@
+//! The members of a cluster and the changes to them.
+//!
+//! Guarantees: two memberships that follow each other differ by at most one
+//! voter, so that any two of their quorums share a member (Ongaro, section
+//! 4.1). A learner counts in no quorum.
+
+use std::fmt;
+
+use bytes::Bytes;
+
+/// Identifies a member for ever; drawn at random in its data folder.
+///
+/// 0 names no member. A member that lost its disk draws a new id.
+pub type MemberId = u64;
+
+/// One member.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct MemberRecord {
+    /// The member.
+    #[prost(uint64, tag = "1")]
+    pub id: MemberId,
+    /// Where the host reaches it, as text.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub address: Bytes,
+    /// Whether it counts in quorums; a learner does not.
+    #[prost(bool, tag = "3")]
+    pub voter: bool,
+}
+
+/// All members, in the order of their ids.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Membership {
+    /// Ids are unique and rise.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<MemberRecord>,
+}
+
+/// One change of the membership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MembershipChange {
+    /// Adds a member that receives the log and counts in no quorum.
+    AddLearner {
+        /// The new member.
+        id: MemberId,
+        /// Where the host reaches it.
+        address: Bytes,
+    },
+    /// Makes a learner that has caught up a voter.
+    Promote {
+        /// The learner.
+        id: MemberId,
+    },
+    /// Removes a learner or a voter; the leader can't remove itself.
+    Remove {
+        /// The member.
+        id: MemberId,
+    },
+    /// Changes where the host reaches a member.
+    SetAddress {
+        /// The member.
+        id: MemberId,
+        /// The new address.
+        address: Bytes,
+    },
+}
+
+/// Why a membership change was refused; nothing was changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeRefusal {
+    /// An earlier change, or the leader's first entry, is not yet committed.
+    InProgress,
+    /// No such member.
+    Unknown,
+    /// The member is already what the change would make it.
+    Already,
+    /// The learner still lacks entries or was not heard of lately.
+    NotCaughtUp,
+    /// The member leads; it must transfer its leadership first.
+    Leading,
+    /// The last voter can't be removed.
+    LastVoter,
+}
+
+impl fmt::Display for ChangeRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ChangeRefusal::InProgress => "an earlier change is not yet committed",
+            ChangeRefusal::Unknown => "no such member",
+            ChangeRefusal::Already => "the member is already so",
+            ChangeRefusal::NotCaughtUp => "the learner has not caught up",
+            ChangeRefusal::Leading => "the member leads; transfer its leadership first",
+            ChangeRefusal::LastVoter => "the last voter can't be removed",
+        })
+    }
+}
+
+impl Membership {
+    /// Creates the membership of a new cluster.
+    pub fn founded_by(id: MemberId, address: Bytes) -> Self {
+        let founder = MemberRecord {
+            id,
+            address,
+            voter: true,
+        };
+        Membership {
+            members: vec![founder],
+        }
+    }
+
+    /// Returns a member.
+    pub fn member(&self, id: MemberId) -> Option<&MemberRecord> {
+        self.members.iter().find(|member| member.id == id)
+    }
+
+    /// Tells whether the member counts in quorums.
+    pub fn is_voter(&self, id: MemberId) -> bool {
+        self.member(id).is_some_and(|member| member.voter)
+    }
+
+    /// Iterates over the ids of all voters.
+    pub fn voters(&self) -> impl Iterator<Item = MemberId> + '_ {
+        let voters = self.members.iter().filter(|member| member.voter);
+        voters.map(|member| member.id)
+    }
+
+    /// Returns how many voters make a quorum.
+    pub fn quorum_len(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Returns the greatest value that a quorum of voters has reached.
+    ///
+    /// `None` when there is no voter.
+    pub fn quorum_value<T: Ord>(&self, value: impl FnMut(MemberId) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.voters().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.into_iter().nth(self.quorum_len() - 1)
+    }
+
+    /// Returns the membership after a change.
+    ///
+    /// # Errors
+    /// Fails when the change does not fit the members. Whether a learner has
+    /// caught up and who leads is for the caller to check.
+    pub fn changed_by(&self, change: &MembershipChange) -> Result<Membership, ChangeRefusal> {
+        let mut next = self.clone();
+        match change {
+            MembershipChange::AddLearner { id, address } => next.add(*id, address)?,
+            MembershipChange::Promote { id } => {
+                let member = next.member_mut(*id)?;
+                if member.voter {
+                    return Err(ChangeRefusal::Already);
+                }
+                member.voter = true;
+            }
+            MembershipChange::Remove { id } => next.remove(*id)?,
+            MembershipChange::SetAddress { id, address } => {
+                let member = next.member_mut(*id)?;
+                if member.address == *address {
+                    return Err(ChangeRefusal::Already);
+                }
+                member.address = address.clone();
+            }
+        }
+        Ok(next)
+    }
+
+    fn member_mut(&mut self, id: MemberId) -> Result<&mut MemberRecord, ChangeRefusal> {
+        let mut members = self.members.iter_mut();
+        members
+            .find(|member| member.id == id)
+            .ok_or(ChangeRefusal::Unknown)
+    }
+
+    fn add(&mut self, id: MemberId, address: &Bytes) -> Result<(), ChangeRefusal> {
+        let place = self.members.binary_search_by_key(&id, |member| member.id);
+        let Err(place) = place else {
+            return Err(ChangeRefusal::Already);
+        };
+        let member = MemberRecord {
+            id,
+            address: address.clone(),
+            voter: false,
+        };
+        self.members.insert(place, member);
+        Ok(())
+    }
+
+    fn remove(&mut self, id: MemberId) -> Result<(), ChangeRefusal> {
+        self.member_mut(id)?;
+        if self.is_voter(id) && self.voters().count() == 1 {
+            return Err(ChangeRefusal::LastVoter);
+        }
+        self.members.retain(|member| member.id != id);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node.rs
@@ -0,0 +1,344 @@
+//! The state machine of one member.
+//!
+//! [`ConsensusNode::handle`] takes one input: it lets a leader that has lost
+//! its quorum step down, dispatches the input to the part that knows it, and
+//! ends by applying what was committed and by handing out what must be
+//! persisted and sent. A message that promises something, such as a vote or
+//! the receipt of entries, is held back until all writes before it are synced.
+
+mod append_entries;
+mod commands;
+mod election;
+mod leader_state;
+mod outbox;
+mod read_index;
+mod replication;
+mod snapshots;
+mod transfer;
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::node::leader_state::LeaderState;
+use crate::node::outbox::OutputBox;
+use crate::node::snapshots::SnapshotWork;
+use crate::replicated_log::ReplicatedLog;
+use crate::{
+    HardState, LogIndex, MemberId, Membership, MessageBody, NodeConfig, NodeInput, NodeOutput,
+    NodeRole, PeerMessage, PersistTicket, ProposalRejection, RecoveredState, SnapshotImage,
+    SnapshotMeta, Term,
+};
+
+/// One member of the cluster.
+#[derive(Debug)]
+pub struct ConsensusNode {
+    config: NodeConfig,
+    id: MemberId,
+    rng: Pcg32,
+    /// Instant of the input; it never falls.
+    now: Instant,
+    role: NodeRole,
+    /// Leader of the term, once it was heard of.
+    leader: Option<MemberId>,
+    hard_state: HardState,
+    log: ReplicatedLog,
+    /// Last entry known to be committed; it never falls.
+    commit: LogIndex,
+    /// Last entry given to the host; equals `commit` between inputs.
+    applied: LogIndex,
+    /// Latest snapshot that is saved.
+    snapshot: Option<SnapshotImage>,
+    snapshots: SnapshotWork,
+    /// When a member without a leader campaigns.
+    election_at: Instant,
+    /// Until then no vote is granted, as a leader may count on its lease.
+    votes_barred_until: Instant,
+    /// Answers in the running pre-vote or election.
+    votes: BTreeMap<MemberId, bool>,
+    /// Set exactly while the member leads.
+    lead: Option<LeaderState>,
+    /// The last batch found the disk full.
+    disk_full: bool,
+    outbox: OutputBox,
+    /// Members that the host was last told.
+    announced: Membership,
+}
+
+impl ConsensusNode {
+    /// Creates the member from what its folder holds.
+    ///
+    /// The host's state machine stands at the recovered snapshot, or empty;
+    /// entries are applied from there once they are known to be committed.
+    pub fn open(config: NodeConfig, recovered: RecoveredState, now: Instant) -> Self {
+        let empty = SnapshotMeta::default();
+        let meta = recovered.snapshot.as_ref().map_or(&empty, |it| &it.meta);
+        let mut log = ReplicatedLog::starting_after(meta);
+        for entry in recovered.entries {
+            log.append(entry);
+        }
+        let start = meta.index;
+        let mut node = ConsensusNode {
+            rng: Pcg32::seed_from_u64(config.seed ^ recovered.member),
+            id: recovered.member,
+            now,
+            role: NodeRole::Follower,
+            leader: None,
+            hard_state: recovered.hard_state,
+            commit: start,
+            applied: start,
+            snapshots: SnapshotWork::new(start),
+            election_at: now,
+            votes_barred_until: now,
+            votes: BTreeMap::new(),
+            lead: None,
+            disk_full: false,
+            outbox: OutputBox::new(recovered.member, log.last_index()),
+            announced: Membership::default(),
+            snapshot: recovered.snapshot,
+            log,
+            config,
+        };
+        node.bar_votes_after_start();
+        node.reset_election_timer();
+        node
+    }
+
+    /// Takes one input at `now` and appends the outputs that follow.
+    ///
+    /// `now` never falls from call to call.
+    pub fn handle(&mut self, now: Instant, input: NodeInput, outputs: &mut Vec<NodeOutput>) {
+        self.now = self.now.max(now);
+        if self.role == NodeRole::Failed {
+            refuse_input(&input, outputs);
+            return;
+        }
+        self.check_quorum(outputs);
+        self.take_input(input, outputs);
+        self.finish(outputs);
+    }
+
+    /// Returns when the member wants a [`NodeInput::Timer`], if at all.
+    pub fn deadline(&self) -> Option<Instant> {
+        match (&self.lead, self.role) {
+            (_, NodeRole::Failed) => None,
+            (Some(lead), _) => Some(self.leader_deadline(lead)),
+            (None, _) if self.may_campaign() => Some(self.election_at),
+            (None, _) => None,
+        }
+    }
+
+    /// Returns the member's id.
+    pub fn member(&self) -> MemberId {
+        self.id
+    }
+
+    /// Returns the member's role.
+    pub fn role(&self) -> NodeRole {
+        self.role
+    }
+
+    /// Returns the member's term.
+    pub fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// Returns the leader as far as this member knows.
+    pub fn leader(&self) -> Option<MemberId> {
+        self.leader
+    }
+
+    /// Returns the members in force.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    /// Returns the last entry known to be committed, which is also applied.
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Returns the last entry of the log.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// Returns the last entry that the saved snapshot covers; 0 for none.
+    pub fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(0, |image| image.meta.index)
+    }
+
+    fn take_input(&mut self, input: NodeInput, outputs: &mut Vec<NodeOutput>) {
+        match input {
+            NodeInput::Timer => self.take_timer(outputs),
+            NodeInput::Found { address } => self.found_cluster(address, outputs),
+            NodeInput::Message(message) => self.take_message(message, outputs),
+            NodeInput::Persisted { ticket } => self.take_persisted(ticket),
+            NodeInput::DiskFull => self.take_disk_full(outputs),
+            NodeInput::StorageFailed => self.fail(outputs),
+            NodeInput::Propose { proposal, data } => self.propose(proposal, data, outputs),
+            NodeInput::ChangeMembership { proposal, change } => {
+                self.change_membership(proposal, &change, outputs);
+            }
+            NodeInput::ReadIndex { read } => self.read_index(read, outputs),
+            NodeInput::Transfer { to } => self.start_transfer(to, outputs),
+            NodeInput::SnapshotMade { index, data } => self.snapshot_made(index, data, outputs),
+            NodeInput::SnapshotSaved { index } => self.snapshot_saved(index, outputs),
+            NodeInput::SnapshotUnsaved { index } => self.snapshot_unsaved(index),
+        }
+    }
+
+    fn take_timer(&mut self, outputs: &mut Vec<NodeOutput>) {
+        if self.lead.is_some() {
+            self.take_leader_timer(outputs);
+        } else if self.now >= self.election_at {
+            self.take_election_timer(outputs);
+        }
+    }
+
+    fn take_message(&mut self, message: PeerMessage, outputs: &mut Vec<NodeOutput>) {
+        if message.to != self.id || message.from == self.id {
+            return;
+        }
+        self.dispatch_message(message, outputs);
+    }
+
+    fn dispatch_message(&mut self, message: PeerMessage, outputs: &mut Vec<NodeOutput>) {
+        let PeerMessage {
+            from, term, body, ..
+        } = message;
+        let Some(body) = body else {
+            return;
+        };
+        if !self.admit_term(from, term, &body, outputs) {
+            return;
+        }
+        match body {
+            MessageBody::VoteRequest(request) => self.take_vote_request(from, term, request),
+            MessageBody::VoteResponse(response) => {
+                self.take_vote_response(from, term, response, outputs);
+            }
+            MessageBody::AppendRequest(request) => self.take_append_request(from, request),
+            MessageBody::AppendResponse(response) => self.take_append_response(from, response),
+            MessageBody::HeartbeatRequest(request) => self.take_heartbeat(from, request),
+            MessageBody::HeartbeatResponse(response) => {
+                self.take_heartbeat_response(from, response, outputs);
+            }
+            MessageBody::SnapshotChunk(chunk) => self.take_chunk(from, &chunk, outputs),
+            MessageBody::SnapshotResponse(response) => self.take_snapshot_response(from, response),
+            MessageBody::TimeoutNow(_) => self.take_timeout_now(from, outputs),
+        }
+    }
+
+    fn take_disk_full(&mut self, outputs: &mut Vec<NodeOutput>) {
+        self.disk_full = true;
+        if self.lead.is_some() {
+            self.start_transfer(None, outputs);
+        }
+    }
+
+    fn fail(&mut self, outputs: &mut Vec<NodeOutput>) {
+        self.leave_lead(outputs);
+        self.outbox.drop_all();
+        self.leader = None;
+        self.set_role(NodeRole::Failed, outputs);
+    }
+
+    /// Applies what is committed and hands out batches and messages.
+    fn finish(&mut self, outputs: &mut Vec<NodeOutput>) {
+        if self.role == NodeRole::Failed {
+            return;
+        }
+        if self.announced != *self.log.membership() {
+            self.announced = self.log.membership().clone();
+            outputs.push(NodeOutput::MembershipChanged(self.announced.clone()));
+        }
+        loop {
+            self.outbox.flush(outputs);
+            self.apply_committed(outputs);
+            let released = self.outbox.take_released();
+            if released.is_empty() {
+                break;
+            }
+            self.release(released, outputs);
+        }
+    }
+
+    fn take_persisted(&mut self, ticket: PersistTicket) {
+        self.disk_full = false;
+        self.outbox.take_persisted(ticket);
+        self.advance_commit();
+    }
+
+    /// Sends messages that waited for a sync; the member's own vote comes back
+    /// to it in this way.
+    fn release(&mut self, released: Vec<PeerMessage>, outputs: &mut Vec<NodeOutput>) {
+        for message in released {
+            if message.to == self.id {
+                self.dispatch_message(message, outputs);
+            } else {
+                outputs.push(NodeOutput::Send(message));
+            }
+        }
+    }
+
+    fn apply_committed(&mut self, outputs: &mut Vec<NodeOutput>) {
+        while self.applied < self.commit {
+            let index = self.applied + 1;
+            let entry = self.log.entry(index).expect("a committed entry is held");
+            let entry = entry.clone();
+            self.snapshots.count_applied(&entry);
+            let proposal = self.lead.as_mut().and_then(|lead| lead.committed(&entry));
+            outputs.push(NodeOutput::Apply { entry, proposal });
+            self.applied = index;
+        }
+        self.ask_for_snapshot(outputs);
+    }
+
+    fn set_role(&mut self, role: NodeRole, outputs: &mut Vec<NodeOutput>) {
+        self.role = role;
+        outputs.push(NodeOutput::RoleChanged {
+            role,
+            term: self.hard_state.term,
+            leader: self.leader,
+        });
+    }
+
+    fn is_voter(&self) -> bool {
+        self.log.membership().is_voter(self.id)
+    }
+
+    /// Iterates over the other members.
+    fn peers(&self) -> Vec<MemberId> {
+        let members = self.log.membership().members.iter();
+        let ids = members.map(|member| member.id);
+        ids.filter(|id| *id != self.id).collect()
+    }
+
+    fn reset_election_timer(&mut self) {
+        let min = self.config.election_timeout_min;
+        let max = self.config.election_timeout_max;
+        self.election_at = self.now + self.rng.random_range(min..=max);
+    }
+}
+
+/// Answers an input of a member whose storage failed.
+fn refuse_input(input: &NodeInput, outputs: &mut Vec<NodeOutput>) {
+    match input {
+        NodeInput::Propose { proposal, .. } | NodeInput::ChangeMembership { proposal, .. } => {
+            outputs.push(NodeOutput::Rejected {
+                proposal: *proposal,
+                reason: ProposalRejection::NotLeader { leader: None },
+            });
+        }
+        NodeInput::ReadIndex { read } => {
+            outputs.push(NodeOutput::ReadFailed {
+                read: *read,
+                leader: None,
+            });
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/append_entries.rs
@@ -0,0 +1,103 @@
+//! A follower's side of replication.
+//!
+//! Algorithm: Ongaro's section 3.5. Entries are acknowledged once they are
+//! synced. A mismatch is answered with the last position that could match, so
+//! that the leader skips a whole term at a time.
+
+use crate::node::ConsensusNode;
+use crate::{
+    AppendRequest, AppendResponse, HeartbeatRequest, HeartbeatResponse, LogEntry, LogIndex,
+    MemberId, MessageBody,
+};
+
+impl ConsensusNode {
+    pub(super) fn take_heartbeat(&mut self, from: MemberId, request: HeartbeatRequest) {
+        self.commit_to(request.commit.min(self.log.last_index()));
+        let response = HeartbeatResponse {
+            round: request.round,
+        };
+        let body = MessageBody::HeartbeatResponse(response);
+        self.outbox.send(self.hard_state.term, from, body);
+    }
+
+    pub(super) fn take_append_request(&mut self, from: MemberId, request: AppendRequest) {
+        if request.prev_index < self.commit {
+            self.take_from_commit(from, request);
+            return;
+        }
+        if self.log.term_at(request.prev_index) != Some(request.prev_term) {
+            self.reject_append(from, &request);
+            return;
+        }
+        self.take_matching(from, request);
+    }
+
+    /// Takes a request that starts before the commit index: what is committed
+    /// matches, so only the rest is looked at.
+    fn take_from_commit(&mut self, from: MemberId, mut request: AppendRequest) {
+        let commit = self.commit;
+        request.entries.retain(|entry| entry.index > commit);
+        request.prev_index = commit;
+        self.take_matching(from, request);
+    }
+
+    fn take_matching(&mut self, from: MemberId, request: AppendRequest) {
+        let matched = request.prev_index + request.entries.len() as u64;
+        self.take_entries(request.entries);
+        self.commit_to(request.commit.min(matched));
+        self.acknowledge_append(from, matched);
+    }
+
+    /// Appends what is new; drops what conflicts.
+    fn take_entries(&mut self, entries: Vec<LogEntry>) {
+        for entry in entries {
+            match self.log.term_at(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.drop_entries_from(entry.index),
+                None => {}
+            }
+            self.append_entry(entry);
+        }
+    }
+
+    fn drop_entries_from(&mut self, index: LogIndex) {
+        assert!(index > self.commit, "a committed entry never conflicts");
+        self.log.truncate_from(index);
+        self.outbox.write_truncation(index);
+    }
+
+    /// Appends to the log in memory and to the running batch.
+    pub(super) fn append_entry(&mut self, entry: LogEntry) {
+        self.outbox.write_entry(entry.clone());
+        self.log.append(entry);
+    }
+
+    pub(super) fn acknowledge_append(&mut self, to: MemberId, index: LogIndex) {
+        let response = AppendResponse {
+            index,
+            ..AppendResponse::default()
+        };
+        let body = MessageBody::AppendResponse(response);
+        self.outbox.send_synced(self.hard_state.term, to, body);
+    }
+
+    fn reject_append(&mut self, to: MemberId, request: &AppendRequest) {
+        let hint = self
+            .log
+            .matching_hint(request.prev_index, request.prev_term);
+        let response = AppendResponse {
+            rejected: true,
+            index: request.prev_index,
+            hint_index: hint.index,
+            hint_term: hint.term,
+        };
+        let body = MessageBody::AppendResponse(response);
+        self.outbox.send(self.hard_state.term, to, body);
+    }
+
+    /// Raises the commit index; it never falls.
+    pub(super) fn commit_to(&mut self, index: LogIndex) {
+        debug_assert!(index <= self.log.last_index(), "only held entries commit");
+        self.commit = self.commit.max(index);
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/election.rs
@@ -0,0 +1,284 @@
+//! Elections: pre-vote, votes and the terms of messages.
+//!
+//! Algorithm: Raft's election with the pre-vote of Ongaro's section 9.6. A
+//! member that heard a leader within the shortest election timeout grants
+//! neither vote nor pre-vote (section 4.2.3), unless the leader itself asked
+//! for the election. A restarted member that has been in a term waits as long,
+//! since it does not know what it heard.
+//!
+//! A vote request is answered by any member, whatever it takes itself for: a
+//! promoted learner may not have the entry that made it a voter yet. The
+//! candidate's log has it, and counts only those that the log makes voters. A
+//! learner never campaigns.
+
+use bytes::Bytes;
+
+use crate::node::leader_state::LeaderState;
+use crate::node::ConsensusNode;
+use crate::replicated_log::LogPosition;
+use crate::{
+    AppendResponse, EntryPayload, HardState, LogEntry, MemberId, Membership, MessageBody,
+    NodeOutput, NodeRole, Term, VoteRequest, VoteResponse,
+};
+
+impl ConsensusNode {
+    /// Founds a cluster of this member alone.
+    pub(super) fn found_cluster(&mut self, address: Bytes, outputs: &mut Vec<NodeOutput>) {
+        let untouched = self.log.last_index() == 0 && self.hard_state.term == 0;
+        if !untouched || self.leader.is_some() {
+            return;
+        }
+        let membership = Membership::founded_by(self.id, address);
+        self.set_hard_state(HardState { term: 1, vote: 0 });
+        self.append_entry(LogEntry {
+            index: 1,
+            term: 1,
+            payload: Some(EntryPayload::Membership(membership)),
+        });
+        self.campaign(false, outputs);
+    }
+
+    pub(super) fn bar_votes_after_start(&mut self) {
+        if self.hard_state.term > 0 {
+            self.votes_barred_until = self.now + self.config.election_timeout_min;
+        }
+    }
+
+    /// Tells whether this member campaigns when it hears no leader.
+    pub(super) fn may_campaign(&self) -> bool {
+        self.is_voter() && !self.disk_full
+    }
+
+    pub(super) fn take_election_timer(&mut self, outputs: &mut Vec<NodeOutput>) {
+        self.reset_election_timer();
+        if !self.may_campaign() {
+            return;
+        }
+        self.votes.clear();
+        self.votes.insert(self.id, true);
+        self.leader = None;
+        self.set_role(NodeRole::PreCandidate, outputs);
+        if self.has_won() {
+            self.campaign(false, outputs);
+            return;
+        }
+        let request = self.vote_request(true, false);
+        for peer in self.peers() {
+            let body = MessageBody::VoteRequest(request);
+            self.outbox.send(self.hard_state.term + 1, peer, body);
+        }
+    }
+
+    /// Starts an election in the next term.
+    ///
+    /// The vote for itself and the requests wait for the sync of the term.
+    pub(super) fn campaign(&mut self, transfer: bool, outputs: &mut Vec<NodeOutput>) {
+        self.set_hard_state(HardState {
+            term: self.hard_state.term + 1,
+            vote: self.id,
+        });
+        self.votes.clear();
+        self.leader = None;
+        self.reset_election_timer();
+        self.set_role(NodeRole::Candidate, outputs);
+        let term = self.hard_state.term;
+        let own_vote = MessageBody::VoteResponse(VoteResponse {
+            pre_vote: false,
+            granted: true,
+        });
+        self.outbox.send_synced(term, self.id, own_vote);
+        let request = self.vote_request(false, transfer);
+        for peer in self.peers() {
+            let body = MessageBody::VoteRequest(request);
+            self.outbox.send_synced(term, peer, body);
+        }
+    }
+
+    fn vote_request(&self, pre_vote: bool, transfer: bool) -> VoteRequest {
+        let last = self.log.last_position();
+        VoteRequest {
+            pre_vote,
+            transfer,
+            last_index: last.index,
+            last_term: last.term,
+        }
+    }
+
+    /// Compares a message's term with the member's; tells whether the message
+    /// is to be taken.
+    pub(super) fn admit_term(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        body: &MessageBody,
+        outputs: &mut Vec<NodeOutput>,
+    ) -> bool {
+        match body {
+            MessageBody::VoteRequest(request) if request.pre_vote => return true,
+            MessageBody::VoteResponse(response) if response.pre_vote && response.granted => {
+                return true;
+            }
+            MessageBody::VoteRequest(request) if !request.transfer && self.bars_votes() => {
+                return false;
+            }
+            _ => {}
+        }
+        if term < self.hard_state.term {
+            self.answer_old_term(from, body);
+            return false;
+        }
+        let leader = is_from_leader(body).then_some(from);
+        if term > self.hard_state.term {
+            self.follow(term, leader, outputs);
+        } else if leader.is_some() && self.leader != leader {
+            debug_assert!(self.lead.is_none(), "a term has one leader");
+            self.follow(term, leader, outputs);
+        }
+        if leader.is_some() {
+            self.leader_heard();
+        }
+        true
+    }
+
+    /// Lets the leader of an earlier term know that its term has ended.
+    fn answer_old_term(&mut self, from: MemberId, body: &MessageBody) {
+        let term = self.hard_state.term;
+        if is_from_leader(body) {
+            let response = AppendResponse {
+                rejected: true,
+                ..AppendResponse::default()
+            };
+            let body = MessageBody::AppendResponse(response);
+            self.outbox.send(term, from, body);
+        } else if matches!(body, MessageBody::VoteRequest(_)) {
+            self.answer_vote(from, term, false, false);
+        }
+    }
+
+    fn bars_votes(&self) -> bool {
+        self.lead.is_some() || self.now < self.votes_barred_until
+    }
+
+    fn leader_heard(&mut self) {
+        self.votes_barred_until = self.now + self.config.election_timeout_min;
+        self.reset_election_timer();
+    }
+
+    /// Becomes a follower in a term that is not before the member's.
+    pub(super) fn follow(
+        &mut self,
+        term: Term,
+        leader: Option<MemberId>,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        if term > self.hard_state.term {
+            self.set_hard_state(HardState { term, vote: 0 });
+        }
+        if self.leave_lead(outputs) {
+            self.reset_election_timer();
+        }
+        self.votes.clear();
+        self.leader = leader;
+        self.set_role(NodeRole::Follower, outputs);
+    }
+
+    pub(super) fn take_vote_request(&mut self, from: MemberId, term: Term, request: VoteRequest) {
+        let candidate = LogPosition {
+            term: request.last_term,
+            index: request.last_index,
+        };
+        let is_current = candidate >= self.log.last_position();
+        if request.pre_vote {
+            let granted = is_current && term > self.hard_state.term && !self.bars_votes();
+            let answer_term = if granted { term } else { self.hard_state.term };
+            self.answer_vote(from, answer_term, true, granted);
+            return;
+        }
+        let vote = self.hard_state.vote;
+        let granted = is_current && self.leader.is_none() && (vote == 0 || vote == from);
+        if granted && vote == 0 {
+            self.set_hard_state(HardState { term, vote: from });
+        }
+        if granted {
+            self.reset_election_timer();
+        }
+        self.answer_vote(from, term, false, granted);
+    }
+
+    /// Answers a request; a vote waits for its sync.
+    fn answer_vote(&mut self, to: MemberId, term: Term, pre_vote: bool, granted: bool) {
+        let body = MessageBody::VoteResponse(VoteResponse { pre_vote, granted });
+        if granted && !pre_vote {
+            self.outbox.send_synced(term, to, body);
+        } else {
+            self.outbox.send(term, to, body);
+        }
+    }
+
+    pub(super) fn take_vote_response(
+        &mut self,
+        from: MemberId,
+        term: Term,
+        response: VoteResponse,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let awaited = if response.pre_vote {
+            let is_current = !response.granted || term == self.hard_state.term + 1;
+            self.role == NodeRole::PreCandidate && is_current
+        } else {
+            self.role == NodeRole::Candidate
+        };
+        if !awaited {
+            return;
+        }
+        self.votes.insert(from, response.granted);
+        if !self.has_won() {
+            return;
+        }
+        match self.role {
+            NodeRole::PreCandidate => self.campaign(false, outputs),
+            _ => self.lead_term(outputs),
+        }
+    }
+
+    /// Tells whether a quorum of voters granted what was asked.
+    fn has_won(&self) -> bool {
+        let voters = self.log.membership().voters();
+        let granted = voters.filter(|voter| self.votes.get(voter) == Some(&true));
+        granted.count() >= self.log.membership().quorum_len()
+    }
+
+    /// Begins to lead: opens the term with an empty entry.
+    fn lead_term(&mut self, outputs: &mut Vec<NodeOutput>) {
+        let term_start = self.log.last_index() + 1;
+        self.lead = Some(LeaderState::new(self.now, term_start));
+        self.leader = Some(self.id);
+        self.votes.clear();
+        self.set_role(NodeRole::Leader, outputs);
+        self.append_entry(LogEntry {
+            index: term_start,
+            term: self.hard_state.term,
+            payload: None,
+        });
+        self.sync_progress();
+        self.start_heartbeat_round();
+        self.replicate_all();
+    }
+
+    pub(super) fn set_hard_state(&mut self, hard_state: HardState) {
+        debug_assert!(hard_state.term >= self.hard_state.term, "terms never fall");
+        self.hard_state = hard_state;
+        self.outbox.write_hard_state(hard_state);
+    }
+}
+
+/// Tells whether only the leader of its term sends such a message.
+fn is_from_leader(body: &MessageBody) -> bool {
+    matches!(
+        body,
+        MessageBody::AppendRequest(_)
+            | MessageBody::HeartbeatRequest(_)
+            | MessageBody::SnapshotChunk(_)
+            | MessageBody::TimeoutNow(_)
+    )
+}
--- /dev/null
+++ b/crates/consensus/src/node/outbox.rs
@@ -0,0 +1,184 @@
+//! What a member hands out at the end of an input: one batch to persist, and
+//! messages at once or after a sync.
+//!
+//! Guarantees: a held message is released only when every batch up to the one
+//! that it waits for is synced, in the order in which it was held.
+
+use std::collections::VecDeque;
+
+use crate::{
+    HardState, LogEntry, LogIndex, MemberId, MessageBody, NodeOutput, PeerMessage, PersistBatch,
+    PersistTicket, Term,
+};
+
+#[derive(Debug)]
+struct PendingBatch {
+    ticket: PersistTicket,
+    /// Last entry of the log that is synced once the batch is.
+    last_index: LogIndex,
+}
+
+#[derive(Debug)]
+struct HeldMessage {
+    ticket: PersistTicket,
+    message: PeerMessage,
+}
+
+/// Collects batches and messages.
+#[derive(Debug)]
+pub(super) struct OutputBox {
+    id: MemberId,
+    /// The batch of the running input.
+    batch: PersistBatch,
+    /// The batch says something.
+    dirty: bool,
+    last_ticket: PersistTicket,
+    persisted_ticket: PersistTicket,
+    /// Last entry of the log that is synced.
+    persisted_index: LogIndex,
+    /// In rising ticket.
+    pending: VecDeque<PendingBatch>,
+    /// Messages of the running input that are sent at once.
+    ready: Vec<PeerMessage>,
+    /// Messages of the running input that wait for its batch.
+    waiting: Vec<PeerMessage>,
+    /// In rising ticket.
+    held: VecDeque<HeldMessage>,
+    /// Last entry of the log.
+    last_index: LogIndex,
+}
+
+impl OutputBox {
+    pub(super) fn new(id: MemberId, last_index: LogIndex) -> Self {
+        OutputBox {
+            id,
+            batch: PersistBatch::default(),
+            dirty: false,
+            last_ticket: 0,
+            persisted_ticket: 0,
+            persisted_index: last_index,
+            pending: VecDeque::new(),
+            ready: Vec::new(),
+            waiting: Vec::new(),
+            held: VecDeque::new(),
+            last_index,
+        }
+    }
+
+    pub(super) fn persisted_index(&self) -> LogIndex {
+        self.persisted_index
+    }
+
+    pub(super) fn write_hard_state(&mut self, hard_state: HardState) {
+        self.batch.hard_state = Some(hard_state);
+        self.dirty = true;
+    }
+
+    pub(super) fn write_entry(&mut self, entry: LogEntry) {
+        self.last_index = entry.index;
+        self.batch.entries.push(entry);
+        self.dirty = true;
+    }
+
+    /// Drops the entries from `from` on.
+    pub(super) fn write_truncation(&mut self, from: LogIndex) {
+        self.batch.entries.retain(|entry| entry.index < from);
+        let earlier = self.batch.truncate_from.unwrap_or(from);
+        self.batch.truncate_from = Some(earlier.min(from));
+        self.dirty = true;
+        self.last_index = from - 1;
+        self.persisted_index = self.persisted_index.min(from - 1);
+        for pending in &mut self.pending {
+            pending.last_index = pending.last_index.min(from - 1);
+        }
+    }
+
+    /// Replaces the whole log by a saved snapshot up to `index`.
+    pub(super) fn write_reset(&mut self, index: LogIndex) {
+        self.write_truncation(1);
+        self.last_index = index;
+        self.persisted_index = index;
+    }
+
+    pub(super) fn write_compaction(&mut self, index: LogIndex) {
+        self.batch.compact_to = Some(index);
+        self.persisted_index = self.persisted_index.max(index);
+        self.dirty = true;
+    }
+
+    /// Sends a message at the end of the input.
+    pub(super) fn send(&mut self, term: Term, to: MemberId, body: MessageBody) {
+        let message = self.message(term, to, body);
+        self.ready.push(message);
+    }
+
+    /// Sends a message once everything written so far is synced.
+    pub(super) fn send_synced(&mut self, term: Term, to: MemberId, body: MessageBody) {
+        let message = self.message(term, to, body);
+        self.waiting.push(message);
+    }
+
+    fn message(&self, term: Term, to: MemberId, body: MessageBody) -> PeerMessage {
+        PeerMessage {
+            from: self.id,
+            to,
+            term,
+            body: Some(body),
+        }
+    }
+
+    /// Takes the sync of all batches up to `ticket`.
+    pub(super) fn take_persisted(&mut self, ticket: PersistTicket) {
+        self.persisted_ticket = self.persisted_ticket.max(ticket.min(self.last_ticket));
+        let done = self.persisted_ticket;
+        while self.pending.front().is_some_and(|it| it.ticket <= done) {
+            let batch = self.pending.pop_front().expect("a front was seen");
+            self.persisted_index = self.persisted_index.max(batch.last_index);
+        }
+    }
+
+    /// Returns the held messages that wait for nothing unsynced.
+    pub(super) fn take_released(&mut self) -> Vec<PeerMessage> {
+        let done = self.persisted_ticket;
+        let mut released = Vec::new();
+        while self.held.front().is_some_and(|it| it.ticket <= done) {
+            released.extend(self.held.pop_front().map(|it| it.message));
+        }
+        released
+    }
+
+    /// Hands out the batch and the messages of the running input.
+    pub(super) fn flush(&mut self, outputs: &mut Vec<NodeOutput>) {
+        if self.dirty {
+            self.flush_batch(outputs);
+        }
+        outputs.extend(self.ready.drain(..).map(NodeOutput::Send));
+        for message in self.waiting.drain(..) {
+            self.held.push_back(HeldMessage {
+                ticket: self.last_ticket,
+                message,
+            });
+        }
+    }
+
+    /// Forgets everything, as the storage takes nothing more.
+    pub(super) fn drop_all(&mut self) {
+        self.batch = PersistBatch::default();
+        self.dirty = false;
+        self.ready.clear();
+        self.waiting.clear();
+        self.held.clear();
+    }
+
+    fn flush_batch(&mut self, outputs: &mut Vec<NodeOutput>) {
+        self.last_ticket += 1;
+        let mut batch = std::mem::take(&mut self.batch);
+        batch.ticket = self.last_ticket;
+        self.dirty = false;
+        self.pending.push_back(PendingBatch {
+            ticket: self.last_ticket,
+            last_index: self.last_index,
+        });
+        outputs.push(NodeOutput::Persist(batch));
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/read_index.rs
@@ -0,0 +1,96 @@
+//! Reads that a quorum confirms, and the leader lease.
+//!
+//! Algorithm: Ongaro's section 6.4. The index of a read is the commit index
+//! when it is asked, and no less than the entry that opens the leader's term.
+//! It is confirmed once a quorum has answered a heartbeat round sent after the
+//! read was asked; this relies on no clock. Reads that come while such a round
+//! is unanswered share the next one.
+//!
+//! The lease counts from the sending of the latest round that a quorum
+//! answered. It relies on clocks that differ in rate by a tenth at most.
+
+use std::time::Instant;
+
+use crate::node::leader_state::PendingRead;
+use crate::node::ConsensusNode;
+use crate::{NodeOutput, ReadId};
+
+impl ConsensusNode {
+    /// Returns until when no other member can lead, if this one leads.
+    ///
+    /// The instant may have passed.
+    pub fn lease_until(&self) -> Option<Instant> {
+        let lead = self.lead.as_ref()?;
+        if lead.lease_barred || self.commit < lead.term_start {
+            return None;
+        }
+        let membership = self.log.membership();
+        let acked_at = membership.quorum_value(|id| {
+            let progress = lead.progress.get(&id);
+            let acked_at = progress.and_then(|progress| progress.acked_at);
+            if id == self.id {
+                Some(self.now)
+            } else {
+                acked_at
+            }
+        });
+        Some(acked_at?? + self.config.lease_duration())
+    }
+
+    pub(super) fn read_index(&mut self, read: ReadId, outputs: &mut Vec<NodeOutput>) {
+        let Some(lead) = &mut self.lead else {
+            let leader = self.leader;
+            outputs.push(NodeOutput::ReadFailed { read, leader });
+            return;
+        };
+        lead.reads.push_back(PendingRead {
+            read,
+            index: self.commit.max(lead.term_start),
+            round: lead.round + 1,
+        });
+        if lead.read_round.is_none() {
+            self.start_read_round();
+        }
+        self.confirm_reads(outputs);
+    }
+
+    fn start_read_round(&mut self) {
+        self.start_heartbeat_round();
+        if let Some(lead) = &mut self.lead {
+            lead.read_round = Some(lead.round);
+        }
+    }
+
+    /// Confirms the reads whose round a quorum has answered.
+    pub(super) fn confirm_reads(&mut self, outputs: &mut Vec<NodeOutput>) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if self.commit < lead.term_start {
+            return;
+        }
+        let answered = self.log.membership().quorum_value(|id| {
+            let progress = lead.progress.get(&id);
+            let others = progress.map_or(0, |progress| progress.acked_round);
+            if id == self.id {
+                lead.round
+            } else {
+                others
+            }
+        });
+        let answered = answered.unwrap_or(0);
+        while lead.reads.front().is_some_and(|it| it.round <= answered) {
+            let pending = lead.reads.pop_front().expect("a front was seen");
+            outputs.push(NodeOutput::ReadConfirmed {
+                read: pending.read,
+                index: pending.index,
+            });
+        }
+        if lead.read_round.is_some_and(|round| round <= answered) {
+            lead.read_round = None;
+            if !lead.reads.is_empty() {
+                self.start_read_round();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/replication.rs
@@ -0,0 +1,273 @@
+//! A leader's side of replication: heartbeats, entries and the commit index.
+//!
+//! Algorithm: Ongaro's sections 3.5, 3.6 and 10.2.1. Each member is sent
+//! entries ahead of its answers, up to a bound; entries that come meanwhile go
+//! together. An entry is committed once a quorum has synced it, the leader's
+//! own sync counted like any other, and only an entry of the leader's own term
+//! is counted. A leader that heard no quorum for the longest election timeout
+//! steps down (section 6.2).
+
+use std::time::Instant;
+
+use crate::node::leader_state::LeaderState;
+use crate::node::ConsensusNode;
+use crate::peer_progress::{PeerProgress, SendState};
+use crate::{
+    AppendRequest, AppendResponse, HeartbeatRequest, HeartbeatResponse, LogIndex, MemberId,
+    MessageBody, NodeOutput,
+};
+
+impl ConsensusNode {
+    pub(super) fn leader_deadline(&self, lead: &LeaderState) -> Instant {
+        let deadline = lead.heartbeat_at.min(self.quorum_deadline(lead));
+        match &lead.transfer {
+            Some(transfer) => deadline.min(transfer.until),
+            None => deadline,
+        }
+    }
+
+    pub(super) fn take_leader_timer(&mut self, outputs: &mut Vec<NodeOutput>) {
+        self.end_transfer(outputs);
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        if self.now >= lead.heartbeat_at {
+            self.start_heartbeat_round();
+        }
+    }
+
+    /// Returns when the leader steps down unless a quorum answers.
+    fn quorum_deadline(&self, lead: &LeaderState) -> Instant {
+        let heard = self.quorum_heard(|id| {
+            let progress = lead.progress.get(&id);
+            let acked_at = progress.and_then(|progress| progress.acked_at);
+            acked_at.unwrap_or(lead.since).max(lead.since)
+        });
+        heard + self.config.election_timeout_max
+    }
+
+    /// Returns the latest instant at or after which a quorum was reached.
+    fn quorum_heard(&self, heard: impl Fn(MemberId) -> Instant) -> Instant {
+        let membership = self.log.membership();
+        let own = self.now;
+        let value = membership.quorum_value(|id| if id == self.id { own } else { heard(id) });
+        value.unwrap_or(own)
+    }
+
+    /// Lets a leader that heard no quorum for too long step down.
+    pub(super) fn check_quorum(&mut self, outputs: &mut Vec<NodeOutput>) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        if self.now >= self.quorum_deadline(lead) {
+            self.follow(self.hard_state.term, None, outputs);
+        }
+    }
+
+    /// Ends a leadership; tells whether there was one.
+    pub(super) fn leave_lead(&mut self, outputs: &mut Vec<NodeOutput>) -> bool {
+        let Some(lead) = self.lead.take() else {
+            return false;
+        };
+        for proposal in lead.proposals.into_values() {
+            outputs.push(NodeOutput::OutcomeUnknown { proposal });
+        }
+        for pending in lead.reads {
+            let read = pending.read;
+            outputs.push(NodeOutput::ReadFailed { read, leader: None });
+        }
+        true
+    }
+
+    /// Keeps the progress of exactly the other members.
+    pub(super) fn sync_progress(&mut self) {
+        let peers = self.peers();
+        let next = self.log.last_index() + 1;
+        if let Some(lead) = &mut self.lead {
+            lead.progress.retain(|id, _| peers.contains(id));
+            for peer in peers {
+                let progress = lead.progress.entry(peer);
+                progress.or_insert_with(|| PeerProgress::new(next));
+            }
+        }
+    }
+
+    /// Sends a heartbeat to all members.
+    pub(super) fn start_heartbeat_round(&mut self) {
+        let kept = self.config.election_timeout_max;
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let round = lead.start_round(self.now, kept);
+        lead.heartbeat_at = self.now + self.config.heartbeat_interval;
+        for (peer, progress) in &lead.progress {
+            let request = HeartbeatRequest {
+                round,
+                commit: self.commit.min(progress.match_index),
+            };
+            let body = MessageBody::HeartbeatRequest(request);
+            self.outbox.send(self.hard_state.term, *peer, body);
+        }
+    }
+
+    pub(super) fn take_heartbeat_response(
+        &mut self,
+        from: MemberId,
+        response: HeartbeatResponse,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let last_index = self.log.last_index();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.round_answered(from, response.round);
+        if let Some(progress) = lead.progress.get_mut(&from) {
+            progress.allow_another(self.config.inflight_max);
+            if progress.match_index < last_index {
+                self.resend(from);
+            }
+        }
+        self.confirm_reads(outputs);
+    }
+
+    /// Sends to a member that may have lost what it was sent.
+    fn resend(&mut self, to: MemberId) {
+        if self.resend_chunk(to) {
+            return;
+        }
+        self.replicate_to(to);
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let progress = lead.progress.get(&to);
+        let is_sent = progress.is_some_and(|it| it.next_index > self.log.last_index());
+        if is_sent {
+            // A member that lost the last message answers this one with a
+            // mismatch.
+            self.send_commit_to(to);
+        }
+    }
+
+    pub(super) fn replicate_all(&mut self) {
+        for peer in self.peers() {
+            self.replicate_to(peer);
+        }
+    }
+
+    /// Sends as many entries as the member's bound allows.
+    pub(super) fn replicate_to(&mut self, to: MemberId) {
+        while let Some(next) = self.next_to_send(to) {
+            if self.log.term_at(next - 1).is_none() {
+                self.start_snapshot_transfer(to);
+                return;
+            }
+            let bytes_max = self.config.message_bytes_max;
+            let entries = self.log.copy_from(next, bytes_max);
+            let last = next + entries.len() as u64 - 1;
+            self.send_append(to, next, entries);
+            if let Some(lead) = &mut self.lead {
+                lead.progress.get_mut(&to).expect("seen above").sent(last);
+            }
+        }
+    }
+
+    /// Returns the next entry that a member may be sent and lacks.
+    fn next_to_send(&self, to: MemberId) -> Option<LogIndex> {
+        let progress = self.lead.as_ref()?.progress.get(&to)?;
+        if !progress.may_send(self.config.inflight_max) {
+            return None;
+        }
+        let is_probe = matches!(progress.state, SendState::Probe { .. });
+        let lacks = progress.next_index <= self.log.last_index();
+        (lacks || is_probe).then_some(progress.next_index)
+    }
+
+    fn send_append(&mut self, to: MemberId, next: LogIndex, entries: Vec<crate::LogEntry>) {
+        let prev_term = self.log.term_at(next - 1).expect("checked by the caller");
+        let request = AppendRequest {
+            prev_index: next - 1,
+            prev_term,
+            commit: self.commit,
+            entries,
+        };
+        let body = MessageBody::AppendRequest(request);
+        self.outbox.send(self.hard_state.term, to, body);
+    }
+
+    /// Tells a member that has been sent everything what is committed.
+    fn send_commit_to(&mut self, to: MemberId) {
+        let last_index = self.log.last_index();
+        let progress = self.lead.as_ref().and_then(|it| it.progress.get(&to));
+        let is_replicating =
+            progress.is_some_and(|it| matches!(it.state, SendState::Replicate { .. }));
+        if is_replicating && progress.is_some_and(|it| it.next_index > last_index) {
+            self.send_append(to, last_index + 1, Vec::new());
+        }
+    }
+
+    pub(super) fn take_append_response(&mut self, from: MemberId, response: AppendResponse) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        if response.rejected {
+            self.take_rejection(from, response);
+            return;
+        }
+        progress.matched(response.index);
+        self.advance_commit();
+        self.replicate_to(from);
+        self.ask_to_campaign(from);
+    }
+
+    /// Continues at the last place that may match.
+    fn take_rejection(&mut self, from: MemberId, response: AppendResponse) {
+        let hint = self
+            .log
+            .matching_hint(response.hint_index, response.hint_term);
+        let progress = self.lead.as_mut().and_then(|it| it.progress.get_mut(&from));
+        let Some(progress) = progress else {
+            return;
+        };
+        let is_stale = match progress.state {
+            SendState::Probe { .. } => response.index + 1 != progress.next_index,
+            SendState::Replicate { .. } => response.index <= progress.match_index,
+            SendState::Snapshot(_) => true,
+        };
+        if is_stale {
+            return;
+        }
+        progress.probe_from(hint.index + 1);
+        self.replicate_to(from);
+    }
+
+    /// Commits what a quorum has synced, and tells the other members.
+    pub(super) fn advance_commit(&mut self) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let own = self.outbox.persisted_index();
+        let synced = self.log.membership().quorum_value(|id| {
+            let progress = lead.progress.get(&id);
+            let others = progress.map_or(0, |progress| progress.match_index);
+            if id == self.id {
+                own
+            } else {
+                others
+            }
+        });
+        let index = synced.unwrap_or(0);
+        // Ongaro, section 3.6.2: an entry of an earlier term is committed only
+        // together with one of this term.
+        let is_own_term = self.log.term_at(index) == Some(self.hard_state.term);
+        if index <= self.commit || !is_own_term {
+            return;
+        }
+        self.commit_to(index);
+        for peer in self.peers() {
+            self.send_commit_to(peer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/snapshots.rs
@@ -0,0 +1,313 @@
+//! Snapshots: asked of the host, saved apart from the log, and sent in chunks.
+//!
+//! Algorithm: Ongaro's chapter 5. The host encodes its state on a thread of
+//! its own while entries go on being committed. Once the snapshot is saved the
+//! log before it is dropped, but for some entries that are kept for members a
+//! little behind. A member that needs more gets the snapshot, one chunk at a
+//! time from the first byte that it lacks, and then the entries after it.
+
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+
+use crate::node::ConsensusNode;
+use crate::peer_progress::{SendState, SnapshotTransfer};
+use crate::replicated_log::ReplicatedLog;
+use crate::{
+    LogEntry, LogIndex, MemberId, MessageBody, NodeOutput, SnapshotChunk, SnapshotImage,
+    SnapshotMeta, SnapshotResponse,
+};
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+struct IncomingSnapshot {
+    meta: SnapshotMeta,
+    len: u64,
+    crc: u32,
+    buf: BytesMut,
+}
+
+impl IncomingSnapshot {
+    fn starting_with(chunk: &SnapshotChunk) -> Self {
+        IncomingSnapshot {
+            meta: chunk.meta.clone(),
+            len: chunk.len,
+            crc: chunk.crc,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Tells whether a chunk is of this snapshot.
+    fn has_chunk(&self, chunk: &SnapshotChunk) -> bool {
+        self.meta == chunk.meta && self.len == chunk.len && self.crc == chunk.crc
+    }
+
+    fn is_whole(&self) -> bool {
+        self.buf.len() as u64 == self.len
+    }
+}
+
+/// Snapshots in the making.
+#[derive(Debug)]
+pub(super) struct SnapshotWork {
+    /// The host encodes its state as of this entry.
+    making: Option<SnapshotMeta>,
+    /// The host saves this one.
+    saving: Option<SnapshotImage>,
+    incoming: Option<IncomingSnapshot>,
+    /// Last entry that the last snapshot asked for covers.
+    asked_index: LogIndex,
+    /// Bytes of the entries applied since.
+    applied_bytes: usize,
+}
+
+impl SnapshotWork {
+    pub(super) fn new(index: LogIndex) -> Self {
+        SnapshotWork {
+            making: None,
+            saving: None,
+            incoming: None,
+            asked_index: index,
+            applied_bytes: 0,
+        }
+    }
+
+    pub(super) fn count_applied(&mut self, entry: &LogEntry) {
+        self.applied_bytes += entry.encoded_len();
+    }
+}
+
+impl ConsensusNode {
+    /// Asks the host for a snapshot when the log has grown enough.
+    pub(super) fn ask_for_snapshot(&mut self, outputs: &mut Vec<NodeOutput>) {
+        let work = &mut self.snapshots;
+        let entries = self.applied.saturating_sub(work.asked_index);
+        let is_due = entries >= self.config.snapshot_entries
+            || work.applied_bytes >= self.config.snapshot_bytes;
+        if !is_due || work.making.is_some() || work.saving.is_some() {
+            return;
+        }
+        let index = self.applied;
+        work.asked_index = index;
+        work.applied_bytes = 0;
+        work.making = Some(SnapshotMeta {
+            index,
+            term: self.log.term_at(index).expect("an applied entry is held"),
+            membership: self.log.membership_at(index).clone(),
+        });
+        outputs.push(NodeOutput::MakeSnapshot { index });
+    }
+
+    pub(super) fn snapshot_made(
+        &mut self,
+        index: LogIndex,
+        data: Bytes,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let making = self.snapshots.making.take_if(|meta| meta.index == index);
+        let Some(meta) = making else {
+            return;
+        };
+        if index > self.snapshot_index() {
+            self.save_snapshot(SnapshotImage { meta, data }, outputs);
+        }
+    }
+
+    fn save_snapshot(&mut self, image: SnapshotImage, outputs: &mut Vec<NodeOutput>) {
+        self.snapshots.saving = Some(image.clone());
+        outputs.push(NodeOutput::SaveSnapshot(image));
+    }
+
+    pub(super) fn snapshot_unsaved(&mut self, index: LogIndex) {
+        self.snapshots
+            .saving
+            .take_if(|image| image.meta.index == index);
+    }
+
+    pub(super) fn snapshot_saved(&mut self, index: LogIndex, outputs: &mut Vec<NodeOutput>) {
+        let saving = self.snapshots.saving.take_if(|it| it.meta.index == index);
+        let Some(image) = saving else {
+            return;
+        };
+        if index > self.commit {
+            self.install_snapshot(&image, outputs);
+        }
+        self.snapshot = Some(image);
+        self.outbox.write_compaction(index);
+        let kept_from = index.saturating_sub(self.config.kept_entries);
+        self.log.compact_to(kept_from);
+        self.acknowledge_saved();
+        self.save_incoming(outputs);
+    }
+
+    /// Replaces the state, and the log unless it goes on from the snapshot.
+    fn install_snapshot(&mut self, image: &SnapshotImage, outputs: &mut Vec<NodeOutput>) {
+        let index = image.meta.index;
+        if self.log.term_at(index) != Some(image.meta.term) {
+            self.log = ReplicatedLog::starting_after(&image.meta);
+            self.outbox.write_reset(index);
+        }
+        self.commit = index;
+        self.applied = index;
+        self.snapshots.making = None;
+        self.snapshots.asked_index = index;
+        self.snapshots.applied_bytes = 0;
+        outputs.push(NodeOutput::Restore(image.clone()));
+    }
+
+    /// Tells the leader that a snapshot which it sent is in use.
+    fn acknowledge_saved(&mut self) {
+        let commit = self.commit;
+        let done = |it: &mut IncomingSnapshot| it.meta.index <= commit;
+        let Some(incoming) = self.snapshots.incoming.take_if(done) else {
+            return;
+        };
+        if let Some(leader) = self.leader.filter(|leader| *leader != self.id) {
+            self.answer_chunk(leader, incoming.meta.index, incoming.len, true);
+        }
+    }
+
+    pub(super) fn take_chunk(
+        &mut self,
+        from: MemberId,
+        chunk: &SnapshotChunk,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let index = chunk.meta.index;
+        if index <= self.commit {
+            self.answer_chunk(from, index, chunk.len, true);
+            return;
+        }
+        let incoming = self.snapshots.incoming.take();
+        let known = incoming.filter(|incoming| incoming.has_chunk(chunk));
+        let mut incoming = known.unwrap_or_else(|| IncomingSnapshot::starting_with(chunk));
+        if chunk.offset == incoming.buf.len() as u64 {
+            incoming.buf.extend_from_slice(&chunk.data);
+        }
+        if incoming.is_whole() && crc32fast::hash(&incoming.buf) != incoming.crc {
+            incoming.buf.clear();
+        }
+        let offset = incoming.buf.len() as u64;
+        self.snapshots.incoming = Some(incoming);
+        self.answer_chunk(from, index, offset, false);
+        self.save_incoming(outputs);
+    }
+
+    /// Saves a received snapshot once it is whole and no other is being saved.
+    fn save_incoming(&mut self, outputs: &mut Vec<NodeOutput>) {
+        if self.snapshots.saving.is_some() {
+            return;
+        }
+        let Some(incoming) = &self.snapshots.incoming else {
+            return;
+        };
+        if !incoming.is_whole() || incoming.meta.index <= self.commit {
+            return;
+        }
+        let image = SnapshotImage {
+            meta: incoming.meta.clone(),
+            data: Bytes::copy_from_slice(&incoming.buf),
+        };
+        self.save_snapshot(image, outputs);
+    }
+
+    /// Answers a chunk; that a snapshot is in use is said after a sync.
+    fn answer_chunk(&mut self, to: MemberId, index: LogIndex, offset: u64, done: bool) {
+        let response = SnapshotResponse {
+            index,
+            offset,
+            done,
+        };
+        let body = MessageBody::SnapshotResponse(response);
+        let term = self.hard_state.term;
+        if done {
+            self.outbox.send_synced(term, to, body);
+        } else {
+            self.outbox.send(term, to, body);
+        }
+    }
+
+    /// Begins to send the latest snapshot to a member.
+    pub(super) fn start_snapshot_transfer(&mut self, to: MemberId) {
+        let Some(image) = self.snapshot.clone() else {
+            return;
+        };
+        let progress = self.lead.as_mut().and_then(|it| it.progress.get_mut(&to));
+        let Some(progress) = progress else {
+            return;
+        };
+        progress.state = SendState::Snapshot(SnapshotTransfer {
+            crc: crc32fast::hash(&image.data),
+            image,
+            offset: 0,
+            sent_at: self.now,
+        });
+        self.send_chunk(to);
+    }
+
+    fn transfer_to(&mut self, to: MemberId) -> Option<&mut SnapshotTransfer> {
+        match &mut self.lead.as_mut()?.progress.get_mut(&to)?.state {
+            SendState::Snapshot(transfer) => Some(transfer),
+            _ => None,
+        }
+    }
+
+    fn send_chunk(&mut self, to: MemberId) {
+        let now: Instant = self.now;
+        let chunk_bytes = self.config.chunk_bytes;
+        let Some(transfer) = self.transfer_to(to) else {
+            return;
+        };
+        transfer.sent_at = now;
+        let len = transfer.image.data.len();
+        let end = len.min(transfer.offset + chunk_bytes);
+        let chunk = SnapshotChunk {
+            meta: transfer.image.meta.clone(),
+            len: len as u64,
+            crc: transfer.crc,
+            offset: transfer.offset as u64,
+            data: transfer.image.data.slice(transfer.offset..end),
+        };
+        let body = MessageBody::SnapshotChunk(chunk);
+        self.outbox.send(self.hard_state.term, to, body);
+    }
+
+    /// Sends a chunk again that was not answered for a heartbeat interval;
+    /// tells whether a snapshot is on its way to the member.
+    pub(super) fn resend_chunk(&mut self, to: MemberId) -> bool {
+        let now = self.now;
+        let interval = self.config.heartbeat_interval;
+        let Some(transfer) = self.transfer_to(to) else {
+            return false;
+        };
+        if now >= transfer.sent_at + interval {
+            self.send_chunk(to);
+        }
+        true
+    }
+
+    pub(super) fn take_snapshot_response(&mut self, from: MemberId, response: SnapshotResponse) {
+        if response.done {
+            let progress = self.lead.as_mut().and_then(|it| it.progress.get_mut(&from));
+            if let Some(progress) = progress {
+                progress.matched(response.index);
+                self.advance_commit();
+                self.replicate_to(from);
+            }
+            return;
+        }
+        let Some(transfer) = self.transfer_to(from) else {
+            return;
+        };
+        let len = transfer.image.data.len();
+        let offset = usize::try_from(response.offset).unwrap_or(len).min(len);
+        if transfer.image.meta.index != response.index || offset == transfer.offset {
+            return;
+        }
+        transfer.offset = offset;
+        if offset < len {
+            self.send_chunk(from);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/peer_progress.rs
@@ -0,0 +1,127 @@
+//! What a leader knows of another member.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use crate::{LogIndex, SnapshotImage};
+
+/// How entries are sent to a member.
+#[derive(Debug)]
+pub(crate) enum SendState {
+    /// The place where the logs match is looked for, one message at a time.
+    Probe {
+        /// A message is unanswered; a heartbeat's answer allows another.
+        waiting: bool,
+    },
+    /// Entries are sent ahead of the answers.
+    Replicate {
+        /// Last index of each unanswered message, rising.
+        inflight: VecDeque<LogIndex>,
+    },
+    /// The member needs entries that are no longer held.
+    Snapshot(SnapshotTransfer),
+}
+
+/// A snapshot on its way to a member, one chunk at a time.
+#[derive(Debug)]
+pub(crate) struct SnapshotTransfer {
+    pub(crate) image: SnapshotImage,
+    /// CRC-32 of the state.
+    pub(crate) crc: u32,
+    /// First byte that the member lacks.
+    pub(crate) offset: usize,
+    /// When the last chunk was sent.
+    pub(crate) sent_at: Instant,
+}
+
+/// What a leader knows of another member.
+#[derive(Debug)]
+pub(crate) struct PeerProgress {
+    /// Last entry known to be synced there and equal to the leader's; it never
+    /// falls within a term.
+    pub(crate) match_index: LogIndex,
+    /// Next entry to send; greater than `match_index`.
+    pub(crate) next_index: LogIndex,
+    pub(crate) state: SendState,
+    /// Latest heartbeat round that was answered.
+    pub(crate) acked_round: u64,
+    /// When that round was sent.
+    pub(crate) acked_at: Option<Instant>,
+}
+
+impl PeerProgress {
+    /// Creates the progress of a member of which nothing is known.
+    pub(crate) fn new(next_index: LogIndex) -> Self {
+        PeerProgress {
+            match_index: 0,
+            next_index,
+            state: SendState::Probe { waiting: false },
+            acked_round: 0,
+            acked_at: None,
+        }
+    }
+
+    /// Tells whether a message with entries may be sent.
+    pub(crate) fn may_send(&self, inflight_max: usize) -> bool {
+        match &self.state {
+            SendState::Probe { waiting } => !waiting,
+            SendState::Replicate { inflight } => inflight.len() < inflight_max,
+            SendState::Snapshot(_) => false,
+        }
+    }
+
+    /// Notes that entries up to `last` were sent.
+    pub(crate) fn sent(&mut self, last: LogIndex) {
+        match &mut self.state {
+            SendState::Probe { waiting } => *waiting = true,
+            SendState::Replicate { inflight } => {
+                inflight.push_back(last);
+                self.next_index = last + 1;
+            }
+            SendState::Snapshot(_) => {}
+        }
+    }
+
+    /// Notes that entries up to `index` match and are synced there.
+    pub(crate) fn matched(&mut self, index: LogIndex) {
+        self.match_index = self.match_index.max(index);
+        self.next_index = self.next_index.max(self.match_index + 1);
+        match &mut self.state {
+            SendState::Probe { .. } => {
+                self.next_index = self.match_index + 1;
+                self.state = SendState::Replicate {
+                    inflight: VecDeque::new(),
+                };
+            }
+            SendState::Replicate { inflight } => {
+                while inflight.front().is_some_and(|last| *last <= index) {
+                    inflight.pop_front();
+                }
+            }
+            SendState::Snapshot(transfer) => {
+                if self.match_index >= transfer.image.meta.index {
+                    self.probe_from(self.match_index + 1);
+                }
+            }
+        }
+    }
+
+    /// Looks for the place where the logs match, from `next` on.
+    pub(crate) fn probe_from(&mut self, next: LogIndex) {
+        self.next_index = next.max(self.match_index + 1);
+        self.state = SendState::Probe { waiting: false };
+    }
+
+    /// Takes an unanswered message for lost, so that another may be sent.
+    pub(crate) fn allow_another(&mut self, inflight_max: usize) {
+        match &mut self.state {
+            SendState::Probe { waiting } => *waiting = false,
+            SendState::Replicate { inflight } => {
+                if inflight.len() >= inflight_max {
+                    inflight.pop_front();
+                }
+            }
+            SendState::Snapshot(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replicated_log.rs
@@ -0,0 +1,174 @@
+//! A member's log in memory, with the memberships that it holds.
+//!
+//! Entries before a snapshot are kept for a while after it, for members that
+//! are a little behind.
+
+use std::collections::VecDeque;
+
+use prost::Message;
+
+use crate::{LogEntry, LogIndex, Membership, SnapshotMeta, Term};
+
+/// A place in the log and the term of its entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LogPosition {
+    /// Compared first, as elections do.
+    pub(crate) term: Term,
+    pub(crate) index: LogIndex,
+}
+
+#[derive(Debug)]
+struct MembershipRecord {
+    index: LogIndex,
+    membership: Membership,
+}
+
+/// The log.
+#[derive(Debug)]
+pub(crate) struct ReplicatedLog {
+    /// Entry before the first one held.
+    base: LogPosition,
+    /// Consecutive, from `base.index + 1` on; terms never fall.
+    entries: VecDeque<LogEntry>,
+    /// Never empty, in rising index; the first one is in force at `base`.
+    memberships: Vec<MembershipRecord>,
+}
+
+impl ReplicatedLog {
+    /// Creates a log that starts after a snapshot.
+    pub(crate) fn starting_after(meta: &SnapshotMeta) -> Self {
+        let first = MembershipRecord {
+            index: meta.index,
+            membership: meta.membership.clone(),
+        };
+        ReplicatedLog {
+            base: LogPosition {
+                term: meta.term,
+                index: meta.index,
+            },
+            entries: VecDeque::new(),
+            memberships: vec![first],
+        }
+    }
+
+    pub(crate) fn last_position(&self) -> LogPosition {
+        self.entries.back().map_or(self.base, |entry| LogPosition {
+            term: entry.term,
+            index: entry.index,
+        })
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        self.base.index + self.entries.len() as u64
+    }
+
+    /// Returns the entry at an index, if it is held.
+    pub(crate) fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
+        let offset = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// Returns the term at an index from `base` to the last one.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// Copies entries from `from` on, one at least and up to `bytes_max`.
+    pub(crate) fn copy_from(&self, from: LogIndex, bytes_max: usize) -> Vec<LogEntry> {
+        let mut copied = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while let Some(entry) = self.entry(index) {
+            bytes += entry.encoded_len();
+            if bytes > bytes_max && !copied.is_empty() {
+                break;
+            }
+            copied.push(entry.clone());
+            index += 1;
+        }
+        copied
+    }
+
+    /// Appends the next entry.
+    pub(crate) fn append(&mut self, entry: LogEntry) {
+        debug_assert_eq!(
+            entry.index,
+            self.last_index() + 1,
+            "entries are consecutive"
+        );
+        debug_assert!(entry.term >= self.last_position().term, "terms never fall");
+        if let Some(membership) = entry.membership() {
+            self.memberships.push(MembershipRecord {
+                index: entry.index,
+                membership: membership.clone(),
+            });
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from `from` on; `from` is after `base`.
+    pub(crate) fn truncate_from(&mut self, from: LogIndex) {
+        debug_assert!(from > self.base.index, "a snapshot is never cut");
+        let kept = from.saturating_sub(self.base.index + 1);
+        self.entries
+            .truncate(usize::try_from(kept).unwrap_or(usize::MAX));
+        self.memberships.retain(|record| record.index < from);
+    }
+
+    /// Drops the entries up to `index`, which is committed.
+    pub(crate) fn compact_to(&mut self, index: LogIndex) {
+        while self.base.index < index {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.base = LogPosition {
+                term: entry.term,
+                index: entry.index,
+            };
+        }
+        let base = self.base.index;
+        let in_force = self.memberships.iter().rposition(|it| it.index <= base);
+        self.memberships.drain(..in_force.unwrap_or(0));
+    }
+
+    /// Returns the members in force: those of the last entry that has any.
+    pub(crate) fn membership(&self) -> &Membership {
+        &self.last_membership().membership
+    }
+
+    /// Returns the index of the entry that set the members in force.
+    pub(crate) fn membership_index(&self) -> LogIndex {
+        self.last_membership().index
+    }
+
+    /// Returns the members in force at an index that is held.
+    pub(crate) fn membership_at(&self, index: LogIndex) -> &Membership {
+        let records = self.memberships.iter().rev();
+        let mut earlier = records.filter(|record| record.index <= index);
+        earlier
+            .next()
+            .map_or(&self.memberships[0].membership, |it| &it.membership)
+    }
+
+    fn last_membership(&self) -> &MembershipRecord {
+        self.memberships.last().expect("a log has a membership")
+    }
+
+    /// Returns the last position not after `index` whose term is not after
+    /// `term`; no later one can match a log that has `term` at `index`.
+    pub(crate) fn matching_hint(&self, index: LogIndex, term: Term) -> LogPosition {
+        let mut index = index.min(self.last_index());
+        loop {
+            match self.term_at(index) {
+                Some(own) if own > term && index > self.base.index => index -= 1,
+                own => {
+                    let term = own.unwrap_or(0);
+                    return LogPosition { term, index };
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/storage.rs
@@ -0,0 +1,122 @@
+//! A member's state on disk.
+//!
+//! Purpose: [`LogStorage`] keeps the hard state and the log in segment files,
+//! [`SnapshotStore`] keeps the latest snapshot, and the folder keeps the id of
+//! its member. Both work on a [`FileStore`], so that a fake can fill the disk,
+//! fail a sync, tear a write or lose what was not synced.
+//!
+//! Guarantees: what was persisted is found again after a crash, or recovery
+//! fails with its place; a torn tail is cut; a full disk changes nothing and
+//! the same batches may be persisted again; after any other failed write or
+//! sync nothing more is written in this run.
+
+mod file_store;
+mod log_record;
+mod log_recovery;
+mod log_storage;
+mod member_file;
+mod snapshot_store;
+
+use std::fmt;
+use std::io;
+
+pub use file_store::{FileStore, FolderStore, StoreFile};
+pub use log_storage::LogStorage;
+pub use snapshot_store::SnapshotStore;
+
+use crate::{HardState, LogEntry, MemberId, SnapshotImage};
+
+/// What a member's folder holds at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RecoveredState {
+    /// The member that owns the folder.
+    pub member: MemberId,
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// The latest snapshot.
+    pub snapshot: Option<SnapshotImage>,
+    /// All entries after the snapshot, consecutive.
+    pub entries: Vec<LogEntry>,
+    /// Bytes of a torn write that were cut off.
+    pub torn_bytes: u64,
+}
+
+/// Why the storage did not do what it was asked.
+#[derive(Debug)]
+pub enum StorageError {
+    /// The disk is full; nothing was changed and the call may be repeated.
+    DiskFull,
+    /// A write or sync failed; what is on the disk is not known, and the
+    /// storage takes nothing more in this run.
+    Failed {
+        /// File or step that failed.
+        place: String,
+        /// Cause; `None` when an earlier call failed.
+        source: Option<io::Error>,
+    },
+    /// Synced content is damaged or missing.
+    Corrupt {
+        /// File name.
+        file: String,
+        /// Byte at which the damage starts.
+        offset: u64,
+        /// What is wrong.
+        reason: &'static str,
+    },
+}
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StorageError::DiskFull => f.write_str("the disk is full"),
+            StorageError::Failed { place, source } => match source {
+                Some(err) => write!(f, "{place}: {err}"),
+                None => write!(f, "{place}: an earlier write failed"),
+            },
+            StorageError::Corrupt {
+                file,
+                offset,
+                reason,
+            } => write!(f, "{file}, byte {offset}: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for StorageError {}
+
+impl StorageError {
+    fn failed(place: &str, source: io::Error) -> Self {
+        StorageError::Failed {
+            place: place.to_owned(),
+            source: Some(source),
+        }
+    }
+
+    /// Sorts the error of a write, after which the disk may have been full.
+    fn of_write(place: &str, source: io::Error) -> Self {
+        match source.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => StorageError::DiskFull,
+            _ => StorageError::failed(place, source),
+        }
+    }
+}
+
+/// Writes a file aside, syncs it, gives it its name and syncs the folder.
+fn write_whole<S: FileStore>(store: &S, name: &str, content: &[u8]) -> Result<(), StorageError> {
+    let part = format!("{name}.part");
+    let written = store
+        .create(&part)
+        .and_then(|mut file| file.append(content).map(|()| file));
+    let mut file = match written {
+        Ok(file) => file,
+        Err(err) => {
+            // The part is removed at the next start if this fails too.
+            let _ = store.remove(&part);
+            return Err(StorageError::of_write(&part, err));
+        }
+    };
+    file.sync()
+        .and_then(|()| store.rename(&part, name))
+        .and_then(|()| store.sync_folder())
+        .map_err(|err| StorageError::failed(name, err))
+}
--- /dev/null
+++ b/crates/consensus/src/storage/log_storage.rs
@@ -0,0 +1,291 @@
+//! The hard state and the log of a member, in segment files.
+//!
+//! All batches of a call are one write and one sync (group commit). A segment
+//! that has grown to [`SEGMENT_BYTES`] is followed by a new one; a segment
+//! goes when a snapshot covers all that it holds.
+
+use std::io;
+
+use super::log_record::{encode_record, RecordBody};
+use super::log_recovery::{RecoveredLog, SegmentInfo, SEGMENT_PREFIX};
+use super::member_file::{read_member, write_member};
+use super::snapshot_store::read_latest;
+use super::{FileStore, RecoveredState, SnapshotStore, StorageError, StoreFile};
+use crate::{HardState, LogIndex, MemberId, PersistBatch, PersistTicket};
+
+/// Length in bytes from which a segment is followed by a new one.
+pub const SEGMENT_BYTES: u64 = 8 << 20;
+
+/// A running log of one folder.
+#[derive(Debug)]
+pub struct LogStorage<S: FileStore> {
+    store: S,
+    /// The last segment's file.
+    file: S::File,
+    /// Never empty; the last one grows.
+    segments: Vec<SegmentInfo>,
+    /// As last written; opens the next segment.
+    hard_state: HardState,
+    /// Set once a write or sync failed; nothing is written any more.
+    failed: bool,
+    buf: Vec<u8>,
+}
+
+impl<S: FileStore + Clone> LogStorage<S> {
+    /// Opens a folder and reads what it holds.
+    ///
+    /// `new_member` becomes the folder's member when the folder is empty; it
+    /// is drawn at random and is not 0.
+    ///
+    /// # Errors
+    /// Fails when the folder can't be used, or when synced content is damaged
+    /// or missing; such a folder must be given up and its member replaced.
+    pub fn open(store: S, new_member: MemberId) -> Result<(Self, RecoveredState), StorageError> {
+        let names = store
+            .list()
+            .map_err(|err| StorageError::failed("folder", err))?;
+        remove_parts(&store, &names)?;
+        let member = read_member(&store, &names)?;
+        let snapshot = read_latest(&store, &names)?;
+        let mut log = match member {
+            Some(_) => RecoveredLog::read(&store, &names)?,
+            None => new_log(&store, &names)?,
+        };
+        if log.segments.is_empty() {
+            return Err(damaged("the folder has a member and no log"));
+        }
+        let was_reset = log.cut_to_snapshot(snapshot.as_ref()).map_err(damaged)?;
+        if member.is_none() {
+            write_member(&store, new_member)?;
+        }
+        let recovered = RecoveredState {
+            member: member.unwrap_or(new_member),
+            hard_state: log.hard_state,
+            snapshot,
+            torn_bytes: log.torn_bytes,
+            entries: log.entries,
+        };
+        let mut storage = LogStorage::resume(store, log.segments, log.hard_state)?;
+        if was_reset {
+            storage.write_reset()?;
+        }
+        Ok((storage, recovered))
+    }
+
+    /// Returns the store of this folder's snapshots, for another thread.
+    pub fn snapshot_store(&self) -> SnapshotStore<S> {
+        SnapshotStore::new(self.store.clone())
+    }
+
+    /// Continues the last segment, and cuts a torn tail off it.
+    fn resume(
+        store: S,
+        segments: Vec<SegmentInfo>,
+        hard_state: HardState,
+    ) -> Result<Self, StorageError> {
+        let last = segments.last().expect("a log has a segment");
+        let name = last.file_name();
+        let file = store
+            .open(&name)
+            .and_then(|mut file| {
+                file.set_len(last.len)?;
+                file.sync()?;
+                Ok(file)
+            })
+            .map_err(|err| StorageError::failed(&name, err))?;
+        Ok(LogStorage {
+            store,
+            file,
+            segments,
+            hard_state,
+            failed: false,
+            buf: Vec::new(),
+        })
+    }
+
+    /// Drops all entries from the log on disk.
+    fn write_reset(&mut self) -> Result<(), StorageError> {
+        let batch = PersistBatch {
+            truncate_from: Some(1),
+            ..PersistBatch::default()
+        };
+        self.persist(&[batch]).map(|_| ())
+    }
+}
+
+impl<S: FileStore> LogStorage<S> {
+    /// Writes all batches and syncs them together; returns the last ticket.
+    ///
+    /// # Errors
+    /// After [`StorageError::DiskFull`] none of the batches was written; they
+    /// are to be given again. Any other error is final for this run of the
+    /// member.
+    pub fn persist(&mut self, batches: &[PersistBatch]) -> Result<PersistTicket, StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed {
+                place: "log".to_owned(),
+                source: None,
+            });
+        }
+        let persisted = self.persist_all(batches);
+        self.failed = matches!(persisted, Err(StorageError::Failed { .. }));
+        persisted
+    }
+
+    /// Returns the bytes of all segments.
+    pub fn byte_len(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.len).sum()
+    }
+
+    fn persist_all(&mut self, batches: &[PersistBatch]) -> Result<PersistTicket, StorageError> {
+        if self.current().len >= SEGMENT_BYTES {
+            self.start_segment()?;
+        }
+        let last_index = self.encode(batches);
+        self.write_buf()?;
+        let mut hard_states = batches.iter().filter_map(|batch| batch.hard_state);
+        self.hard_state = hard_states.next_back().unwrap_or(self.hard_state);
+        let current = self.current_mut();
+        current.last_index = current.last_index.max(last_index);
+        if let Some(index) = batches.iter().filter_map(|batch| batch.compact_to).max() {
+            self.remove_segments(index)?;
+        }
+        Ok(batches.last().map_or(0, |batch| batch.ticket))
+    }
+
+    /// Encodes the batches; returns the greatest index among them.
+    fn encode(&mut self, batches: &[PersistBatch]) -> LogIndex {
+        let synced = self.current().len;
+        self.buf.clear();
+        encode_record(RecordBody::Synced(synced), &mut self.buf);
+        let mut last_index = 0;
+        for batch in batches {
+            if let Some(hard_state) = batch.hard_state {
+                encode_record(RecordBody::HardState(hard_state), &mut self.buf);
+            }
+            if let Some(from) = batch.truncate_from {
+                encode_record(RecordBody::Truncate(from), &mut self.buf);
+            }
+            for entry in &batch.entries {
+                last_index = last_index.max(entry.index);
+                encode_record(RecordBody::Entry(entry.clone()), &mut self.buf);
+            }
+        }
+        last_index
+    }
+
+    fn write_buf(&mut self) -> Result<(), StorageError> {
+        let name = self.current().file_name();
+        let len = self.current().len;
+        if let Err(err) = self.file.append(&self.buf) {
+            let cause = StorageError::of_write(&name, err);
+            self.file
+                .set_len(len)
+                .map_err(|err| StorageError::failed(&name, err))?;
+            return Err(cause);
+        }
+        // A full disk that shows only here may have lost any part of the write.
+        self.file
+            .sync()
+            .map_err(|err| StorageError::failed(&name, err))?;
+        self.current_mut().len += self.buf.len() as u64;
+        Ok(())
+    }
+
+    fn start_segment(&mut self) -> Result<(), StorageError> {
+        let sequence = self.current().sequence + 1;
+        let (file, segment) = create_segment(&self.store, sequence, self.hard_state)?;
+        self.file = file;
+        self.segments.push(segment);
+        Ok(())
+    }
+
+    /// Removes the segments that hold no entry after `index`.
+    fn remove_segments(&mut self, index: LogIndex) -> Result<(), StorageError> {
+        while self.segments.len() > 1 && self.segments[0].last_index <= index {
+            let name = self.segments[0].file_name();
+            // The order of removals must last, so that no gap can appear.
+            self.store
+                .remove(&name)
+                .and_then(|()| self.store.sync_folder())
+                .map_err(|err| StorageError::failed(&name, err))?;
+            self.segments.remove(0);
+        }
+        Ok(())
+    }
+
+    fn current(&self) -> &SegmentInfo {
+        self.segments.last().expect("a log has a segment")
+    }
+
+    fn current_mut(&mut self) -> &mut SegmentInfo {
+        self.segments.last_mut().expect("a log has a segment")
+    }
+}
+
+/// Creates the first segment of a new folder.
+fn new_log<S: FileStore>(store: &S, names: &[String]) -> Result<RecoveredLog, StorageError> {
+    let mut segments = names.iter().filter(|name| name.starts_with(SEGMENT_PREFIX));
+    // A crash before the member file was written leaves one segment at most.
+    if segments.nth(1).is_some() {
+        return Err(damaged("the folder has a log and no member"));
+    }
+    let (_, segment) = create_segment(store, 1, HardState::default())?;
+    Ok(RecoveredLog {
+        segments: vec![segment],
+        ..RecoveredLog::default()
+    })
+}
+
+fn create_segment<S: FileStore>(
+    store: &S,
+    sequence: u64,
+    hard_state: HardState,
+) -> Result<(S::File, SegmentInfo), StorageError> {
+    let mut buf = Vec::new();
+    encode_record(RecordBody::HardState(hard_state), &mut buf);
+    let segment = SegmentInfo {
+        sequence,
+        last_index: 0,
+        len: buf.len() as u64,
+    };
+    let name = segment.file_name();
+    let written = store
+        .create(&name)
+        .and_then(|mut file| file.append(&buf).map(|()| file));
+    let mut file = match written {
+        Ok(file) => file,
+        Err(err) => {
+            let cause = StorageError::of_write(&name, err);
+            remove_if_present(store, &name)?;
+            return Err(cause);
+        }
+    };
+    file.sync()
+        .and_then(|()| store.sync_folder())
+        .map_err(|err| StorageError::failed(&name, err))?;
+    Ok((file, segment))
+}
+
+fn remove_if_present<S: FileStore>(store: &S, name: &str) -> Result<(), StorageError> {
+    match store.remove(name) {
+        Err(err) if err.kind() != io::ErrorKind::NotFound => Err(StorageError::failed(name, err)),
+        _ => Ok(()),
+    }
+}
+
+/// Removes files that a crash left half written.
+fn remove_parts<S: FileStore>(store: &S, names: &[String]) -> Result<(), StorageError> {
+    for name in names.iter().filter(|name| name.ends_with(".part")) {
+        remove_if_present(store, name)?;
+    }
+    Ok(())
+}
+
+fn damaged(reason: &'static str) -> StorageError {
+    StorageError::Corrupt {
+        file: SEGMENT_PREFIX.to_owned(),
+        offset: 0,
+        reason,
+    }
+}
