--- /dev/null
+++ b/crates/consensus/tests/suite/random_schedule.rs
@@ -0,0 +1,101 @@
+//! The core and its storage under random schedules of faults.
+//!
+//! `CONSENSUS_SEEDS` sets how many seeds each case runs, and
+//! `CONSENSUS_SEED` replays one seed.
+
+use mulberrywell_consensus::NodeConfig;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use rstest::rstest;
+
+use crate::support::cluster_oracle::ScheduleTally;
+use crate::support::virtual_cluster::{NetworkFaults, VirtualCluster, SECONDS};
+
+/// Seeds of each case in CI.
+const SEEDS_DEFAULT: u64 = 40;
+
+/// Distance between the first seeds of two cases.
+const CASE_STRIDE: u64 = 1_000_000;
+
+/// Prints the seed when a check fails.
+struct SeedReport(u64);
+
+impl Drop for SeedReport {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("replay with CONSENSUS_SEED={}", self.0);
+        }
+    }
+}
+
+fn number_of(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+fn random_config(rng: &mut Pcg32) -> NodeConfig {
+    NodeConfig {
+        message_bytes_max: rng.random_range(50..2_000),
+        inflight_max: rng.random_range(1..8),
+        snapshot_entries: rng.random_range(10..150),
+        kept_entries: rng.random_range(0..30),
+        chunk_bytes: rng.random_range(50..500),
+        promotion_lag_max: rng.random_range(0..20),
+        ..NodeConfig::default()
+    }
+}
+
+fn run_seed(seed: u64) -> ScheduleTally {
+    let _report = SeedReport(seed);
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let config = random_config(&mut rng);
+    let slots = rng.random_range(2..=5);
+    let mut cluster = VirtualCluster::new(seed, slots, &config);
+    cluster.network = NetworkFaults {
+        loss: rng.random_range(0.0..0.15),
+        repeats: rng.random_range(0.0..0.1),
+        late: rng.random_range(0.0..0.05),
+    };
+    cluster.found();
+    cluster.start_traffic();
+    cluster.run_for(15 * SECONDS);
+    cluster.heal();
+    cluster.check_healed();
+    cluster.oracle.tally
+}
+
+/// Checks that a set of schedules exercised every mechanism.
+fn check_tally(tally: &ScheduleTally) {
+    println!("{tally:?}");
+    let counts = [
+        tally.leaders,
+        tally.accepted,
+        tally.confirmed_reads,
+        tally.restored,
+        tally.membership_changes,
+        tally.truncations,
+        tally.transfers,
+        tally.lost_disks,
+        tally.full_disks,
+        tally.failed_disks,
+    ];
+    assert!(counts.iter().all(|count| *count > 0), "{tally:?}");
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn schedule_random_faults(#[case] case: u64) {
+    if let Some(seed) = number_of("CONSENSUS_SEED") {
+        run_seed(seed);
+        return;
+    }
+    let first = case * CASE_STRIDE;
+    let seeds = number_of("CONSENSUS_SEEDS").unwrap_or(SEEDS_DEFAULT);
+    let mut tally = ScheduleTally::default();
+    for seed in first..first + seeds {
+        tally.add(&run_seed(seed));
+    }
+    check_tally(&tally);
+}
--- /dev/null
+++ b/crates/consensus/tests/suite/read_index.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/consensus/tests/suite/support/cluster_oracle.rs
@@ -0,0 +1,173 @@
+//! What must hold of all members together, checked at each step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mulberrywell_consensus::{
+    LogEntry, LogIndex, MemberId, MessageBody, PeerMessage, ProposalId, ReadId, Term,
+};
+use prost::Message;
+
+/// What the first member to apply an entry applied.
+#[derive(Debug, Clone, PartialEq)]
+struct AppliedRecord {
+    term: Term,
+    /// Digest of the state after the entry.
+    digest: u64,
+}
+
+/// An entry as some log holds it.
+#[derive(Debug, PartialEq)]
+struct LoggedRecord {
+    hash: u32,
+    prev_term: Term,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LogKey {
+    index: LogIndex,
+    term: Term,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct VoteKey {
+    term: Term,
+    voter: MemberId,
+}
+
+/// Observes all members.
+#[derive(Debug, Default)]
+pub struct ClusterOracle {
+    leaders: BTreeMap<Term, MemberId>,
+    votes: BTreeMap<VoteKey, MemberId>,
+    logged: BTreeMap<LogKey, LoggedRecord>,
+    applied: BTreeMap<LogIndex, AppliedRecord>,
+    /// Index that each read must reach.
+    reads: BTreeMap<ReadId, LogIndex>,
+    rejected: BTreeSet<ProposalId>,
+    /// Accepted proposals.
+    pub accepted: BTreeSet<ProposalId>,
+    /// What was exercised.
+    pub tally: ScheduleTally,
+}
+
+/// Counts what a schedule exercised, so that an idle one can't pass for a good
+/// one.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct ScheduleTally {
+    pub leaders: u64,
+    pub accepted: u64,
+    pub confirmed_reads: u64,
+    pub restored: u64,
+    pub membership_changes: u64,
+    pub truncations: u64,
+    pub transfers: u64,
+    pub lost_disks: u64,
+    pub full_disks: u64,
+    pub failed_disks: u64,
+}
+
+impl ScheduleTally {
+    pub fn add(&mut self, other: &ScheduleTally) {
+        self.leaders += other.leaders;
+        self.accepted += other.accepted;
+        self.confirmed_reads += other.confirmed_reads;
+        self.restored += other.restored;
+        self.membership_changes += other.membership_changes;
+        self.truncations += other.truncations;
+        self.transfers += other.transfers;
+        self.lost_disks += other.lost_disks;
+        self.full_disks += other.full_disks;
+        self.failed_disks += other.failed_disks;
+    }
+}
+
+impl ClusterOracle {
+    /// Greatest index that any member has applied.
+    pub fn last_applied(&self) -> LogIndex {
+        self.applied.last_key_value().map_or(0, |(index, _)| *index)
+    }
+
+    pub fn saw_leader(&mut self, term: Term, leader: MemberId) {
+        self.tally.leaders += 1;
+        let known = *self.leaders.entry(term).or_insert(leader);
+        assert_eq!(known, leader, "term {term} has two leaders");
+    }
+
+    pub fn saw_message(&mut self, message: &PeerMessage) {
+        let Some(MessageBody::VoteResponse(response)) = &message.body else {
+            return;
+        };
+        if !response.granted || response.pre_vote {
+            return;
+        }
+        let key = VoteKey {
+            term: message.term,
+            voter: message.from,
+        };
+        let known = *self.votes.entry(key).or_insert(message.to);
+        assert_eq!(known, message.to, "{:x} voted twice", message.from);
+    }
+
+    /// Notes an entry that a log holds after one of `prev_term`.
+    pub fn saw_logged(&mut self, entry: &LogEntry, prev_term: Term) {
+        let key = LogKey {
+            index: entry.index,
+            term: entry.term,
+        };
+        let record = LoggedRecord {
+            hash: crc32fast::hash(&entry.encode_to_vec()),
+            prev_term,
+        };
+        match self.logged.get(&key) {
+            Some(known) => assert_eq!(*known, record, "logs differ at {key:?}"),
+            None => {
+                self.logged.insert(key, record);
+            }
+        }
+    }
+
+    /// Notes a state after the entry at `index`.
+    pub fn saw_applied(&mut self, index: LogIndex, term: Term, digest: u64) {
+        let record = AppliedRecord { term, digest };
+        match self.applied.get(&index) {
+            Some(known) => assert_eq!(*known, record, "committed entry {index} changed"),
+            None => {
+                assert_eq!(
+                    index,
+                    self.last_applied() + 1,
+                    "a committed entry is missing"
+                );
+                self.applied.insert(index, record);
+            }
+        }
+    }
+
+    pub fn saw_command(&mut self, command: ProposalId, proposal: Option<ProposalId>) {
+        assert!(
+            !self.rejected.contains(&command),
+            "rejected proposal {command} was applied"
+        );
+        if let Some(proposal) = proposal {
+            assert_eq!(proposal, command, "an answer is of another proposal");
+            self.accepted.insert(proposal);
+            self.tally.accepted += 1;
+        }
+    }
+
+    pub fn saw_rejected(&mut self, proposal: ProposalId) {
+        self.rejected.insert(proposal);
+    }
+
+    pub fn saw_read_asked(&mut self, read: ReadId) {
+        self.reads.insert(read, self.last_applied());
+    }
+
+    pub fn saw_read_confirmed(&mut self, read: ReadId, index: LogIndex) {
+        let wanted = self.reads[&read];
+        assert!(
+            index >= wanted,
+            "read {read} got {index}, older than {wanted}"
+        );
+        self.tally.confirmed_reads += 1;
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/suite/support/fault_plan.rs
@@ -0,0 +1,187 @@
+//! What clients, the administrator and faults do in a random schedule.
+
+use bytes::Bytes;
+use mulberrywell_consensus::{MemberId, MembershipChange, NodeInput};
+use rand::Rng;
+
+use super::fake_disk::FakeDisk;
+use super::virtual_cluster::{SlotId, SlotLink, VirtualCluster, MILLIS, SECONDS};
+
+impl VirtualCluster {
+    fn any_slot(&mut self) -> SlotId {
+        self.rng.random_range(0..self.members.len())
+    }
+
+    /// Proposes or reads, mostly at a leader.
+    pub fn act_as_client(&mut self) {
+        if !self.traffic {
+            return;
+        }
+        let any = self.any_slot();
+        let slot = match self.leader() {
+            Some(leader) if self.rng.random_bool(0.8) => leader,
+            _ => any,
+        };
+        if self.rng.random_bool(0.6) {
+            self.propose(slot);
+        } else {
+            self.read(slot);
+        }
+        let delay = self.rng.random_range(MILLIS..40 * MILLIS);
+        self.schedule_client(delay);
+    }
+
+    /// Brings the members in line with the slots, or changes something.
+    pub fn act_as_admin(&mut self) {
+        if let Some(leader) = self.leader() {
+            let input = self.admin_input(leader);
+            self.input(leader, input);
+        }
+        let delay = self.rng.random_range(50 * MILLIS..400 * MILLIS);
+        self.schedule_admin(delay);
+    }
+
+    fn admin_input(&mut self, leader: SlotId) -> NodeInput {
+        let any = self.any_slot();
+        let id = self.members[any].id;
+        if self.traffic && self.rng.random_bool(0.1) {
+            self.oracle.tally.transfers += 1;
+            return NodeInput::Transfer { to: None };
+        }
+        let change = if self.traffic && self.rng.random_bool(0.2) {
+            let address = Bytes::from(self.rng.random::<u32>().to_string());
+            match self.rng.random_bool(0.5) {
+                true => MembershipChange::Remove { id },
+                false => MembershipChange::SetAddress { id, address },
+            }
+        } else {
+            self.repairing_change(leader)
+        };
+        let proposal = self.next_number();
+        NodeInput::ChangeMembership { proposal, change }
+    }
+
+    /// Returns the next change that makes exactly the slots' members voters.
+    fn repairing_change(&mut self, leader: SlotId) -> MembershipChange {
+        let run = self.members[leader].run.as_ref().expect("it leads");
+        let membership = run.node.membership().clone();
+        let ids: Vec<MemberId> = self.members.iter().map(|member| member.id).collect();
+        let gone = membership.members.iter().find(|it| !ids.contains(&it.id));
+        if let Some(gone) = gone {
+            return MembershipChange::Remove { id: gone.id };
+        }
+        let slot = self.any_slot();
+        let id = ids[slot];
+        match membership.member(id) {
+            None => {
+                let address = Bytes::from(slot.to_string());
+                MembershipChange::AddLearner { id, address }
+            }
+            Some(_) => MembershipChange::Promote { id },
+        }
+    }
+
+    pub fn cause_fault(&mut self) {
+        if !self.traffic {
+            return;
+        }
+        let slot = self.any_slot();
+        let now = self.now;
+        let lasting = self.rng.random_range(50 * MILLIS..3 * SECONDS);
+        match self.rng.random_range(0..10) {
+            0 | 1 => {
+                self.crash(slot);
+                self.restart_at(slot, now + lasting);
+            }
+            2 => self.members[slot].frozen_until = now + lasting,
+            3 | 4 => {
+                let to = self.any_slot();
+                let link = SlotLink { from: slot, to };
+                self.cuts.insert(link, now + lasting);
+            }
+            5 => self.isolate(slot, now + lasting),
+            6 => self.lose_disk(slot),
+            7 => {
+                let free = self.rng.random_range(0..200);
+                self.members[slot].disk.set_free(Some(free));
+            }
+            8 => {
+                self.members[slot].disk.set_sync_fails(true);
+                self.restart_at(slot, now + lasting);
+            }
+            _ => self.sync_max = self.rng.random_range(MILLIS..300 * MILLIS),
+        }
+        self.mend_disks();
+        let delay = self.rng.random_range(50 * MILLIS..900 * MILLIS);
+        self.schedule_fault(delay);
+    }
+
+    /// Frees some full disks; ends processes whose storage failed.
+    fn mend_disks(&mut self) {
+        for slot in 0..self.members.len() {
+            if self.rng.random_bool(0.3) {
+                self.members[slot].disk.set_free(None);
+            }
+            if self.members[slot].is_failed() {
+                self.crash(slot);
+                let at = self.now + self.rng.random_range(0..SECONDS);
+                self.restart_at(slot, at);
+            }
+        }
+    }
+
+    /// Replaces a disk by an empty one, if a quorum keeps its disks.
+    fn lose_disk(&mut self, slot: SlotId) {
+        if !self.may_lose(slot) {
+            return;
+        }
+        self.oracle.tally.lost_disks += 1;
+        self.crash(slot);
+        self.members[slot].disk = FakeDisk::new();
+        self.start_member(slot);
+    }
+
+    fn may_lose(&self, slot: SlotId) -> bool {
+        let ids: Vec<MemberId> = self.members.iter().map(|member| member.id).collect();
+        let runs = self.members.iter().filter_map(|member| member.run.as_ref());
+        let mut memberships = runs.map(|run| run.node.membership());
+        // Any member's membership may be the one in force.
+        memberships.all(|membership| {
+            let kept = membership.voters().filter(|id| ids.contains(id));
+            let kept = kept.filter(|id| *id != ids[slot]).count();
+            kept >= membership.quorum_len()
+        }) && self.members.iter().all(|member| member.run.is_some())
+    }
+
+    /// Ends all faults and lets the administrator make every slot a voter.
+    pub fn heal(&mut self) {
+        self.traffic = false;
+        self.network = Default::default();
+        self.cuts.clear();
+        self.sync_max = 4 * MILLIS;
+        for slot in 0..self.members.len() {
+            self.members[slot].frozen_until = 0;
+            self.members[slot].disk.set_free(None);
+            self.crash(slot);
+            self.start_member(slot);
+        }
+    }
+
+    /// Checks that all members serve and agree after [`Self::heal`].
+    pub fn check_healed(&mut self) {
+        self.run_for(20 * SECONDS);
+        let leader = self.leader().expect("a healed cluster has a leader");
+        let proposal = self.propose(leader);
+        let read = self.read(leader);
+        self.run_for(2 * SECONDS);
+        assert!(self.was_accepted(proposal), "a healed cluster accepts");
+        assert!(self.was_confirmed(read), "a healed cluster reads");
+        let accepted = self.oracle.accepted.clone();
+        for member in &self.members {
+            let run = member.run.as_ref().expect("all were started");
+            assert_eq!(run.state.index, self.oracle.last_applied(), "all caught up");
+            let lost = accepted.iter().find(|it| !run.state.commands.contains(it));
+            assert_eq!(lost, None, "{:x} lost an accepted proposal", member.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/suite/support/virtual_cluster.rs
@@ -0,0 +1,530 @@
+//! A cluster in virtual time: members, their network, disks and clients.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_consensus::{
+    MemberId, MembershipChange, NodeConfig, NodeInput, NodeOutput, NodeRole, PeerMessage,
+    ProposalId, ReadId, SnapshotImage, StorageError,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::cluster_oracle::ClusterOracle;
+use super::virtual_member::{write_command, VirtualMember, VirtualMicros};
+
+/// Place of a member in the cluster.
+pub type SlotId = usize;
+
+pub const MILLIS: VirtualMicros = 1_000;
+pub const SECONDS: VirtualMicros = 1_000 * MILLIS;
+
+/// What happens at an instant.
+#[derive(Debug)]
+enum VirtualEvent {
+    Input { slot: SlotId, input: NodeInput },
+    Timer { slot: SlotId },
+    Sync { slot: SlotId },
+    Save { slot: SlotId, image: SnapshotImage },
+    Restart { slot: SlotId },
+    Client,
+    Admin,
+    Fault,
+}
+
+#[derive(Debug)]
+struct ScheduledEvent {
+    /// Run of the slot's member that the event is for; others drop it.
+    run_number: Option<u32>,
+    event: VirtualEvent,
+}
+
+/// A directed pair of slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SlotLink {
+    pub from: SlotId,
+    pub to: SlotId,
+}
+
+/// What the network does to messages.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NetworkFaults {
+    /// Part of the messages that is lost, of 1.
+    pub loss: f64,
+    /// Part that comes twice, of 1.
+    pub repeats: f64,
+    /// Part that is late by up to two seconds, of 1.
+    pub late: f64,
+}
+
+/// The cluster.
+pub struct VirtualCluster {
+    pub rng: Pcg32,
+    pub now: VirtualMicros,
+    pub members: Vec<VirtualMember>,
+    pub oracle: ClusterOracle,
+    pub network: NetworkFaults,
+    /// Links that are cut, and until when.
+    pub cuts: BTreeMap<SlotLink, VirtualMicros>,
+    /// Longest time that a sync takes.
+    pub sync_max: VirtualMicros,
+    /// Clients and the administrator act by themselves.
+    pub traffic: bool,
+    events: BTreeMap<VirtualMicros, Vec<ScheduledEvent>>,
+    /// Slot of every member that ever was.
+    homes: BTreeMap<MemberId, SlotId>,
+    next_number: u64,
+    /// Outcomes of proposals, reads and transfers, for focused tests.
+    pub seen: Vec<NodeOutput>,
+}
+
+impl VirtualCluster {
+    /// Creates and starts members that have not founded a cluster.
+    pub fn new(seed: u64, slots: usize, config: &NodeConfig) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let start = Instant::now() + Duration::from_secs(1);
+        let members = (0..slots).map(|_| {
+            let clock_rate = rng.random_range(0.97..1.03);
+            let config = NodeConfig {
+                seed: rng.random(),
+                ..config.clone()
+            };
+            VirtualMember::new(0, config, clock_rate, start)
+        });
+        let members = members.collect();
+        let mut cluster = VirtualCluster {
+            rng,
+            now: 0,
+            members,
+            oracle: ClusterOracle::default(),
+            network: NetworkFaults::default(),
+            cuts: BTreeMap::new(),
+            sync_max: 4 * MILLIS,
+            traffic: false,
+            events: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            next_number: 1,
+            seen: Vec::new(),
+        };
+        for slot in 0..slots {
+            cluster.start_member(slot);
+        }
+        cluster
+    }
+
+    /// Founds a cluster at the first slot and makes all others voters.
+    pub fn founded(seed: u64, slots: usize, config: &NodeConfig) -> Self {
+        let mut cluster = VirtualCluster::new(seed, slots, config);
+        cluster.found();
+        cluster.run_for(2 * SECONDS);
+        for slot in 1..slots {
+            let id = cluster.members[slot].id;
+            let address = Bytes::from(slot.to_string());
+            cluster.change_members(MembershipChange::AddLearner { id, address });
+            cluster.change_members(MembershipChange::Promote { id });
+        }
+        cluster.seen.clear();
+        cluster
+    }
+
+    pub fn found(&mut self) {
+        let address = Bytes::from_static(b"0");
+        self.input(0, NodeInput::Found { address });
+    }
+
+    /// Has the leader make a change and waits for its commit.
+    pub fn change_members(&mut self, change: MembershipChange) {
+        let leader = self.leader().expect("a leader");
+        let proposal = self.next_number();
+        let input = NodeInput::ChangeMembership { proposal, change };
+        self.input(leader, input);
+        self.run_for(SECONDS);
+    }
+
+    pub fn start_member(&mut self, slot: SlotId) {
+        let new_id: MemberId = self.rng.random_range(1..MemberId::MAX);
+        let member = &mut self.members[slot];
+        member.disk.set_free(None);
+        member.disk.set_sync_fails(false);
+        member.start(new_id, self.now, &mut self.oracle);
+        self.homes.insert(member.id, slot);
+        self.schedule_timer(slot);
+    }
+
+    pub fn next_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// Returns the slot of the leader with the greatest term.
+    pub fn leader(&self) -> Option<SlotId> {
+        let slots = 0..self.members.len();
+        let leaders = slots.filter(|slot| self.members[*slot].is_leader());
+        leaders.max_by_key(|slot| self.members[*slot].run.as_ref().map(|run| run.node.term()))
+    }
+
+    /// Proposes a command at a slot; returns its number.
+    pub fn propose(&mut self, slot: SlotId) -> ProposalId {
+        let proposal = self.next_number();
+        let padding = self.rng.random_range(0..100);
+        let data = write_command(proposal, padding);
+        self.input(slot, NodeInput::Propose { proposal, data });
+        proposal
+    }
+
+    /// Asks a slot for a read index; returns the read's number.
+    pub fn read(&mut self, slot: SlotId) -> ReadId {
+        let read = self.next_number();
+        self.oracle.saw_read_asked(read);
+        self.input(slot, NodeInput::ReadIndex { read });
+        read
+    }
+
+    pub fn was_confirmed(&self, read: ReadId) -> bool {
+        let is_it = |output: &NodeOutput| matches!(output, NodeOutput::ReadConfirmed { read: it, .. } if *it == read);
+        self.seen.iter().any(is_it)
+    }
+
+    pub fn was_accepted(&self, proposal: ProposalId) -> bool {
+        self.oracle.accepted.contains(&proposal)
+    }
+
+    /// Stops a process; the disk loses a part of what is unsynced.
+    pub fn crash(&mut self, slot: SlotId) {
+        let Some(mut run) = self.members[slot].run.take() else {
+            return;
+        };
+        if self.rng.random_bool(0.5) {
+            // The write had begun.
+            self.members[slot].disk.set_sync_fails(true);
+            let _ = run.storage.persist(&run.queue);
+        }
+        self.members[slot].disk.crash(&mut self.rng);
+        self.members[slot].frozen_until = 0;
+    }
+
+    pub fn restart_at(&mut self, slot: SlotId, at: VirtualMicros) {
+        self.schedule(at, VirtualEvent::Restart { slot });
+    }
+
+    /// Cuts a member off in both directions.
+    pub fn isolate(&mut self, slot: SlotId, until: VirtualMicros) {
+        for other in 0..self.members.len() {
+            for (from, to) in [(slot, other), (other, slot)] {
+                self.cuts.insert(SlotLink { from, to }, until);
+            }
+        }
+    }
+
+    /// Lets clients, the administrator and faults act by themselves.
+    pub fn start_traffic(&mut self) {
+        self.traffic = true;
+        let now = self.now;
+        self.schedule(now, VirtualEvent::Client);
+        self.schedule(now + 100 * MILLIS, VirtualEvent::Admin);
+        self.schedule(now + 100 * MILLIS, VirtualEvent::Fault);
+    }
+
+    pub fn run_for(&mut self, duration: VirtualMicros) {
+        let end = self.now + duration;
+        while let Some(mut entry) = self.events.first_entry() {
+            let at = *entry.key();
+            if at > end {
+                break;
+            }
+            if entry.get().is_empty() {
+                entry.remove();
+                continue;
+            }
+            let next = entry.get_mut().remove(0);
+            self.now = at;
+            self.take_event(next);
+            self.check_leases();
+        }
+        self.now = end;
+    }
+
+    /// Runs until a condition holds; returns the time that it took.
+    pub fn run_until(
+        &mut self,
+        limit: VirtualMicros,
+        holds: impl Fn(&Self) -> bool,
+    ) -> VirtualMicros {
+        let start = self.now;
+        while !holds(self) {
+            assert!(self.now < start + limit, "the condition never held");
+            self.run_for(MILLIS);
+        }
+        self.now - start
+    }
+
+    fn take_event(&mut self, scheduled: ScheduledEvent) {
+        if let Some(slot) = event_slot(&scheduled.event) {
+            let member = &self.members[slot];
+            let is_current = scheduled
+                .run_number
+                .is_none_or(|run| run == member.run_number);
+            if !is_current || (scheduled.run_number.is_some() && member.run.is_none()) {
+                return;
+            }
+            if member.frozen_until > self.now {
+                let at = member.frozen_until;
+                self.events.entry(at).or_default().push(scheduled);
+                return;
+            }
+        }
+        match scheduled.event {
+            VirtualEvent::Input { slot, input } => self.input(slot, input),
+            VirtualEvent::Timer { slot } => self.take_timer(slot),
+            VirtualEvent::Sync { slot } => self.take_sync(slot),
+            VirtualEvent::Save { slot, image } => self.take_save(slot, &image),
+            VirtualEvent::Restart { slot } => {
+                if self.members[slot].run.is_none() {
+                    self.start_member(slot);
+                }
+            }
+            VirtualEvent::Client => self.act_as_client(),
+            VirtualEvent::Admin => self.act_as_admin(),
+            VirtualEvent::Fault => self.cause_fault(),
+        }
+    }
+
+    fn schedule(&mut self, at: VirtualMicros, event: VirtualEvent) {
+        let number = event_slot(&event).map(|slot| self.members[slot].run_number);
+        let is_restart = matches!(event, VirtualEvent::Restart { .. });
+        let scheduled = ScheduledEvent {
+            run_number: number.filter(|_| !is_restart),
+            event,
+        };
+        self.events
+            .entry(at.max(self.now))
+            .or_default()
+            .push(scheduled);
+    }
+
+    pub fn schedule_client(&mut self, delay: VirtualMicros) {
+        self.schedule(self.now + delay, VirtualEvent::Client);
+    }
+
+    pub fn schedule_admin(&mut self, delay: VirtualMicros) {
+        self.schedule(self.now + delay, VirtualEvent::Admin);
+    }
+
+    pub fn schedule_fault(&mut self, delay: VirtualMicros) {
+        self.schedule(self.now + delay, VirtualEvent::Fault);
+    }
+
+    /// Gives an input to a member now, unless it is down or frozen.
+    pub fn input(&mut self, slot: SlotId, input: NodeInput) {
+        let member = &mut self.members[slot];
+        if member.frozen_until > self.now {
+            return;
+        }
+        let clock = member.clock(self.now);
+        let Some(run) = &mut member.run else {
+            return;
+        };
+        let commit = run.node.commit_index();
+        let mut outputs = Vec::new();
+        run.node.handle(clock, input, &mut outputs);
+        assert!(run.node.commit_index() >= commit, "the commit index fell");
+        for output in outputs {
+            self.take_output(slot, output);
+        }
+        self.schedule_timer(slot);
+    }
+
+    fn take_output(&mut self, slot: SlotId, output: NodeOutput) {
+        let member = &mut self.members[slot];
+        let run = member.run.as_mut().expect("it gave an output");
+        match &output {
+            NodeOutput::Send(message) => self.send(slot, message),
+            NodeOutput::Persist(batch) => {
+                run.log_batch(batch, &mut self.oracle);
+                run.queue.push(batch.clone());
+                self.schedule_sync(slot);
+            }
+            NodeOutput::Apply { entry, proposal } => {
+                let known = run.state.commands.len();
+                run.state.apply(entry);
+                let command = run.state.commands.get(known).copied();
+                self.oracle
+                    .saw_applied(entry.index, entry.term, run.state.digest);
+                match command {
+                    Some(command) => self.oracle.saw_command(command, *proposal),
+                    None if proposal.is_some() => self.oracle.tally.membership_changes += 1,
+                    None => {}
+                }
+            }
+            NodeOutput::Restore(image) => run.restore(image, &mut self.oracle),
+            NodeOutput::MakeSnapshot { index } => {
+                let data = run.state.to_bytes();
+                assert_eq!(
+                    run.state.index, *index,
+                    "a snapshot is of the state applied"
+                );
+                let input = NodeInput::SnapshotMade {
+                    index: *index,
+                    data,
+                };
+                let delay = self.rng.random_range(0..100 * MILLIS);
+                self.schedule(self.now + delay, VirtualEvent::Input { slot, input });
+            }
+            NodeOutput::SaveSnapshot(image) => {
+                let image = image.clone();
+                let delay = self.rng.random_range(0..100 * MILLIS);
+                self.schedule(self.now + delay, VirtualEvent::Save { slot, image });
+            }
+            NodeOutput::Rejected { proposal, .. } => self.oracle.saw_rejected(*proposal),
+            NodeOutput::ReadConfirmed { read, index } => {
+                self.oracle.saw_read_confirmed(*read, *index);
+            }
+            NodeOutput::RoleChanged { role, term, .. } if *role == NodeRole::Leader => {
+                self.oracle.saw_leader(*term, member.id);
+            }
+            _ => {}
+        }
+        if !self.traffic && !matches!(output, NodeOutput::Send(_) | NodeOutput::Persist(_)) {
+            self.seen.push(output);
+        }
+    }
+
+    fn send(&mut self, from: SlotId, message: &PeerMessage) {
+        self.oracle.saw_message(message);
+        let Some(to) = self.homes.get(&message.to).copied() else {
+            return;
+        };
+        let is_cut = self.cuts.get(&SlotLink { from, to });
+        let is_cut = is_cut.is_some_and(|until| *until > self.now);
+        if is_cut || self.rng.random_bool(self.network.loss) {
+            return;
+        }
+        let decoded = PeerMessage::from_bytes(message.to_bytes()).expect("its own encoding");
+        assert_eq!(decoded, *message, "the encoding lost something");
+        let copies = 1 + usize::from(self.rng.random_bool(self.network.repeats));
+        for _ in 0..copies {
+            let is_late = self.rng.random_bool(self.network.late);
+            let delay_max = if is_late { 2 * SECONDS } else { 6 * MILLIS };
+            let delay = self.rng.random_range(200..delay_max);
+            let input = NodeInput::Message(decoded.clone());
+            // A message outlives the run that it was sent to.
+            let event = VirtualEvent::Input { slot: to, input };
+            let scheduled = ScheduledEvent {
+                run_number: None,
+                event,
+            };
+            self.events
+                .entry(self.now + delay)
+                .or_default()
+                .push(scheduled);
+        }
+    }
+
+    fn schedule_timer(&mut self, slot: SlotId) {
+        let member = &mut self.members[slot];
+        let Some(run) = &mut member.run else {
+            return;
+        };
+        let Some(deadline) = run.node.deadline() else {
+            return;
+        };
+        let at = member.virtual_time(deadline).max(self.now + 1);
+        let run = member.run.as_mut().expect("seen above");
+        if run
+            .timer_at
+            .is_some_and(|known| known <= at && known > self.now)
+        {
+            return;
+        }
+        run.timer_at = Some(at);
+        self.schedule(at, VirtualEvent::Timer { slot });
+    }
+
+    fn take_timer(&mut self, slot: SlotId) {
+        let clock = self.members[slot].clock(self.now);
+        let Some(run) = &mut self.members[slot].run else {
+            return;
+        };
+        run.timer_at = None;
+        if run
+            .node
+            .deadline()
+            .is_some_and(|deadline| deadline <= clock)
+        {
+            self.input(slot, NodeInput::Timer);
+        } else {
+            self.schedule_timer(slot);
+        }
+    }
+
+    fn schedule_sync(&mut self, slot: SlotId) {
+        let delay = self.rng.random_range(100..=self.sync_max);
+        let run = self.members[slot].run.as_mut().expect("it gave a batch");
+        if !run.syncing {
+            run.syncing = true;
+            self.schedule(self.now + delay, VirtualEvent::Sync { slot });
+        }
+    }
+
+    fn take_sync(&mut self, slot: SlotId) {
+        let Some(run) = &mut self.members[slot].run else {
+            return;
+        };
+        run.syncing = false;
+        match run.storage.persist(&run.queue) {
+            Ok(ticket) => {
+                run.queue.clear();
+                self.input(slot, NodeInput::Persisted { ticket });
+            }
+            Err(StorageError::DiskFull) => {
+                self.oracle.tally.full_disks += 1;
+                self.schedule_sync(slot);
+                self.input(slot, NodeInput::DiskFull);
+            }
+            Err(_) => {
+                self.oracle.tally.failed_disks += 1;
+                self.input(slot, NodeInput::StorageFailed);
+            }
+        }
+    }
+
+    fn take_save(&mut self, slot: SlotId, image: &SnapshotImage) {
+        let Some(run) = &mut self.members[slot].run else {
+            return;
+        };
+        let index = image.meta.index;
+        let input = match run.snapshots.save(image) {
+            Ok(()) => NodeInput::SnapshotSaved { index },
+            Err(StorageError::DiskFull) => NodeInput::SnapshotUnsaved { index },
+            Err(_) => NodeInput::StorageFailed,
+        };
+        self.input(slot, input);
+    }
+
+    /// A lease that holds is of the member that has committed everything.
+    fn check_leases(&self) {
+        for member in &self.members {
+            let Some(run) = &member.run else {
+                continue;
+            };
+            let holds = run.node.lease_until();
+            if holds.is_some_and(|until| until > member.clock(self.now)) {
+                let commit = run.node.commit_index();
+                let last = self.oracle.last_applied();
+                assert!(commit >= last, "a lease of {:x} is stale", member.id);
+            }
+        }
+    }
+}
+
+fn event_slot(event: &VirtualEvent) -> Option<SlotId> {
+    match event {
+        VirtualEvent::Input { slot, .. }
+        | VirtualEvent::Timer { slot }
+        | VirtualEvent::Sync { slot }
+        | VirtualEvent::Save { slot, .. }
+        | VirtualEvent::Restart { slot } => Some(*slot),
+        VirtualEvent::Client | VirtualEvent::Admin | VirtualEvent::Fault => None,
+    }
+}
