Refuse a membership change that could not reach its quorum

The change can neither be committed nor taken back. Ruled out: a fault of the election (the pre-votes were granted by every member that lives). A leader now refuses a change unless a quorum of the voters it leaves was heard of lately (ChangeRefusal::QuorumAtRisk, new in the interface).

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -79,6 +79,8 @@
     Leading,
     /// The last voter can't be removed.
     LastVoter,
+    /// Too few of the voters that would be left were heard of lately.
+    QuorumAtRisk,
 }
 
 impl fmt::Display for ChangeRefusal {
@@ -90,6 +92,7 @@
             ChangeRefusal::NotCaughtUp => "the learner has not caught up",
             ChangeRefusal::Leading => "the member leads; transfer its leadership first",
             ChangeRefusal::LastVoter => "the last voter can't be removed",
+            ChangeRefusal::QuorumAtRisk => "too few of the voters left were heard of lately",
         })
     }
 }
--- a/crates/consensus/src/node/commands.rs
+++ b/crates/consensus/src/node/commands.rs
@@ -91,19 +91,32 @@
                 Err(ChangeRefusal::NotCaughtUp)
             }
             MembershipChange::Remove { id } if *id == self.id => Err(ChangeRefusal::Leading),
+            _ if !self.hears_quorum(lead, &next) => Err(ChangeRefusal::QuorumAtRisk),
             _ => Ok(next),
         }
     }
 
+    /// Tells whether a quorum of the voters of `next` was heard of lately.
+    ///
+    /// Without it the change could neither be committed nor taken back.
+    fn hears_quorum(&self, lead: &LeaderState, next: &Membership) -> bool {
+        let is_heard = |id: &MemberId| *id == self.id || self.is_heard(lead, *id);
+        next.voters().filter(is_heard).count() >= next.quorum_len()
+    }
+
+    fn is_heard(&self, lead: &LeaderState, id: MemberId) -> bool {
+        let acked_at = lead.progress.get(&id).and_then(|it| it.acked_at);
+        let recent = self.config.election_timeout_max;
+        acked_at.is_some_and(|at| at + recent >= self.now)
+    }
+
     /// Tells whether a learner was heard of lately and has synced nearly all
     /// entries.
     fn has_caught_up(&self, lead: &LeaderState, id: MemberId) -> bool {
         let Some(progress) = lead.progress.get(&id) else {
             return false;
         };
-        let recent = self.config.election_timeout_max;
-        let is_heard = progress.acked_at.is_some_and(|at| at + recent >= self.now);
         let lag = self.log.last_index() - progress.match_index;
-        is_heard && lag <= self.config.promotion_lag_max
+        self.is_heard(lead, id) && lag <= self.config.promotion_lag_max
     }
 }
--- a/crates/consensus/tests/suite/election.rs
+++ b/crates/consensus/tests/suite/election.rs
@@ -1,1 +1,212 @@
-//! Placeholder.
+//! Elections: pre-vote, persistence of votes, time without a leader.
+
+use std::time::{Duration, Instant};
+
+use mulberrywell_consensus::{
+    ConsensusNode, HardState, MessageBody, NodeConfig, NodeInput, NodeOutput, NodeRole,
+    PeerMessage, RecoveredState, VoteRequest,
+};
+use rstest::rstest;
+
+use crate::support::virtual_cluster::{VirtualCluster, MILLIS, SECONDS};
+
+const MEMBER: u64 = 7;
+const CANDIDATE: u64 = 8;
+
+fn recovered(hard_state: HardState) -> RecoveredState {
+    RecoveredState {
+        member: MEMBER,
+        hard_state,
+        snapshot: None,
+        entries: Vec::new(),
+        torn_bytes: 0,
+    }
+}
+
+fn vote_request(from: u64, term: u64, request: VoteRequest) -> NodeInput {
+    NodeInput::Message(PeerMessage {
+        from,
+        to: MEMBER,
+        term,
+        body: Some(MessageBody::VoteRequest(request)),
+    })
+}
+
+/// Returns whether the outputs grant a vote, if they answer one.
+fn granted(outputs: &[NodeOutput]) -> Option<bool> {
+    outputs.iter().find_map(|output| match output {
+        NodeOutput::Send(message) => match &message.body {
+            Some(MessageBody::VoteResponse(response)) => Some(response.granted),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+fn ticket_of(outputs: &[NodeOutput]) -> Option<u64> {
+    outputs.iter().find_map(|output| match output {
+        NodeOutput::Persist(batch) => Some(batch.ticket),
+        _ => None,
+    })
+}
+
+#[test]
+fn vote_waits_for_sync() {
+    let now = Instant::now();
+    let mut node = ConsensusNode::open(NodeConfig::default(), recovered(HardState::default()), now);
+    let mut outputs = Vec::new();
+    let request = vote_request(CANDIDATE, 3, VoteRequest::default());
+    node.handle(now, request, &mut outputs);
+    assert_eq!(granted(&outputs), None);
+    let ticket = ticket_of(&outputs).expect("the vote is written");
+    outputs.clear();
+    node.handle(now, NodeInput::Persisted { ticket }, &mut outputs);
+    assert_eq!(granted(&outputs), Some(true));
+}
+
+#[rstest]
+#[case::same_candidate(CANDIDATE, true)]
+#[case::other_candidate(CANDIDATE + 1, false)]
+fn vote_after_restart(#[case] from: u64, #[case] expected: bool) {
+    let start = Instant::now();
+    let hard_state = HardState {
+        term: 3,
+        vote: CANDIDATE,
+    };
+    let mut node = ConsensusNode::open(NodeConfig::default(), recovered(hard_state), start);
+    let mut outputs = Vec::new();
+    let now = start + Duration::from_secs(2);
+    node.handle(
+        now,
+        vote_request(from, 3, VoteRequest::default()),
+        &mut outputs,
+    );
+    assert_eq!(granted(&outputs), Some(expected));
+}
+
+#[rstest]
+#[case::plain(false, None)]
+#[case::transfer(true, Some(true))]
+fn vote_soon_after_restart(#[case] transfer: bool, #[case] expected: Option<bool>) {
+    let now = Instant::now();
+    let hard_state = HardState { term: 3, vote: 0 };
+    let mut node = ConsensusNode::open(NodeConfig::default(), recovered(hard_state), now);
+    let mut outputs = Vec::new();
+    let request = VoteRequest {
+        transfer,
+        ..VoteRequest::default()
+    };
+    node.handle(now, vote_request(CANDIDATE, 4, request), &mut outputs);
+    let ticket = ticket_of(&outputs);
+    if let Some(ticket) = ticket {
+        node.handle(now, NodeInput::Persisted { ticket }, &mut outputs);
+    }
+    assert_eq!(granted(&outputs), expected);
+}
+
+#[test]
+fn pre_vote_keeps_term() {
+    let mut cluster = VirtualCluster::founded(1, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let other = (leader + 1) % 3;
+    let term = cluster.members[leader].run.as_ref().unwrap().node.term();
+    cluster.isolate(other, cluster.now + 5 * SECONDS);
+    cluster.run_for(8 * SECONDS);
+    assert_eq!(cluster.leader(), Some(leader));
+    for member in &cluster.members {
+        assert_eq!(member.run.as_ref().unwrap().node.term(), term);
+    }
+}
+
+#[test]
+fn message_for_lost_member_dropped() {
+    let now = Instant::now();
+    let mut node = ConsensusNode::open(NodeConfig::default(), recovered(HardState::default()), now);
+    let mut outputs = Vec::new();
+    let message = PeerMessage {
+        from: CANDIDATE,
+        to: MEMBER + 1,
+        term: 3,
+        body: Some(MessageBody::VoteRequest(VoteRequest::default())),
+    };
+    node.handle(now, NodeInput::Message(message), &mut outputs);
+    assert_eq!(ticket_of(&outputs), None);
+    assert_eq!(node.term(), 0);
+}
+
+#[test]
+fn storage_failure_ends_member() {
+    let mut cluster = VirtualCluster::founded(5, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    cluster.members[leader].disk.set_sync_fails(true);
+    let proposal = cluster.propose(leader);
+    cluster.run_for(SECONDS);
+    assert!(cluster.members[leader].is_failed());
+    let is_unknown = |it: &NodeOutput| matches!(it, NodeOutput::OutcomeUnknown { proposal: it } if *it == proposal);
+    assert!(cluster.was_accepted(proposal) || cluster.seen.iter().any(is_unknown));
+    let next = cluster.leader().expect("the others elect a leader");
+    assert_ne!(next, leader);
+    assert_eq!(
+        cluster.members[leader]
+            .run
+            .as_ref()
+            .unwrap()
+            .node
+            .deadline(),
+        None
+    );
+}
+
+#[test]
+fn full_disk_moves_leadership() {
+    let mut cluster = VirtualCluster::founded(6, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    cluster.members[leader].disk.set_free(Some(10));
+    cluster.propose(leader);
+    cluster.run_for(SECONDS);
+    let next = cluster.leader().expect("a leader");
+    assert_ne!(next, leader);
+    let accepted = cluster.propose(next);
+    cluster.run_for(SECONDS);
+    assert!(cluster.was_accepted(accepted));
+    cluster.members[leader].disk.set_free(None);
+    cluster.run_for(SECONDS);
+    let role = cluster.members[leader].run.as_ref().unwrap().node.role();
+    assert_eq!(role, NodeRole::Follower);
+    assert_eq!(
+        cluster.members[leader].run.as_ref().unwrap().state,
+        cluster.members[next].run.as_ref().unwrap().state,
+    );
+}
+
+/// Returns the times without a leader of many runs, rising.
+fn leaderless_times(end_leader: impl Fn(&mut VirtualCluster, usize)) -> Vec<u64> {
+    let mut times: Vec<u64> = (0..40)
+        .map(|seed| {
+            let mut cluster = VirtualCluster::founded(seed, 3, &NodeConfig::default());
+            let leader = cluster.leader().expect("a leader");
+            end_leader(&mut cluster, leader);
+            cluster.run_until(10 * SECONDS, |cluster| {
+                cluster.leader().is_some_and(|slot| slot != leader)
+            })
+        })
+        .collect();
+    times.sort_unstable();
+    times
+}
+
+#[rstest]
+#[case::killed(|cluster: &mut VirtualCluster, slot| cluster.crash(slot))]
+#[case::frozen(|cluster: &mut VirtualCluster, slot: usize| {
+    cluster.members[slot].frozen_until = cluster.now + 30 * SECONDS;
+})]
+#[case::cut_off(|cluster: &mut VirtualCluster, slot| {
+    cluster.isolate(slot, cluster.now + 30 * SECONDS);
+})]
+fn election_in_time(#[case] end_leader: fn(&mut VirtualCluster, usize)) {
+    let times = leaderless_times(end_leader);
+    let p95 = times[times.len() * 95 / 100];
+    let p50 = times[times.len() / 2];
+    println!("p50 {} ms, p95 {} ms", p50 / MILLIS, p95 / MILLIS);
+    assert!(p95 < 2 * SECONDS, "p95 is {} ms", p95 / MILLIS);
+}
--- a/crates/consensus/tests/suite/membership.rs
+++ b/crates/consensus/tests/suite/membership.rs
@@ -1,1 +1,247 @@
-//! Placeholder.
+//! Membership changes, learners, lost disks and transfers.
+
+use bytes::Bytes;
+use mulberrywell_consensus::{
+    ChangeRefusal, MemberId, Membership, MembershipChange, NodeConfig, NodeInput, NodeOutput,
+    ProposalRejection,
+};
+use rstest::rstest;
+
+use crate::support::fake_disk::FakeDisk;
+use crate::support::virtual_cluster::{SlotId, VirtualCluster, MILLIS, SECONDS};
+
+fn refusal(cluster: &mut VirtualCluster, change: MembershipChange) -> Option<ChangeRefusal> {
+    cluster.seen.clear();
+    cluster.change_members(change);
+    cluster.seen.iter().find_map(|output| match output {
+        NodeOutput::Rejected {
+            reason: ProposalRejection::Change(refusal),
+            ..
+        } => Some(*refusal),
+        _ => None,
+    })
+}
+
+fn membership(cluster: &VirtualCluster, slot: SlotId) -> Membership {
+    let run = cluster.members[slot].run.as_ref().expect("it runs");
+    run.node.membership().clone()
+}
+
+fn add_learner(cluster: &mut VirtualCluster, id: MemberId) {
+    let address = Bytes::from_static(b"new");
+    cluster.change_members(MembershipChange::AddLearner { id, address });
+}
+
+#[test]
+fn learner_counts_in_no_quorum() {
+    let mut cluster = VirtualCluster::founded(1, 2, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let voter = 1 - leader;
+    // Three learners live in slots that no voter has.
+    let mut wide = VirtualCluster::new(1, 4, &NodeConfig::default());
+    wide.found();
+    wide.run_for(SECONDS);
+    for slot in 1..4 {
+        let id = wide.members[slot].id;
+        add_learner(&mut wide, id);
+    }
+    let first = wide.members[1].id;
+    wide.change_members(MembershipChange::Promote { id: first });
+    let proposal = wide.propose(0);
+    wide.run_for(SECONDS);
+    assert!(wide.was_accepted(proposal));
+    // One of two voters is gone; two learners don't make up for it.
+    wide.crash(1);
+    let lost = wide.propose(0);
+    wide.run_for(300 * MILLIS);
+    assert!(!wide.was_accepted(lost));
+    wide.run_for(5 * SECONDS);
+    assert_eq!(wide.leader(), None, "learners keep no leader in office");
+    // The same holds for an election.
+    cluster.crash(voter);
+    cluster.run_for(5 * SECONDS);
+    assert_eq!(cluster.leader(), None);
+}
+
+#[test]
+fn promoted_learner_votes_unaware() {
+    // A voter that lacks the entry which made it one still elects.
+    let mut cluster = VirtualCluster::new(2, 3, &NodeConfig::default());
+    cluster.found();
+    cluster.run_for(SECONDS);
+    for slot in 1..3 {
+        let id = cluster.members[slot].id;
+        add_learner(&mut cluster, id);
+    }
+    let id = cluster.members[1].id;
+    cluster.change_members(MembershipChange::Promote { id });
+    let id = cluster.members[2].id;
+    cluster.isolate(2, cluster.now + 2 * SECONDS);
+    let leader = cluster.leader().expect("a leader");
+    let proposal = cluster.next_number();
+    let change = MembershipChange::Promote { id };
+    cluster.input(leader, NodeInput::ChangeMembership { proposal, change });
+    cluster.run_for(300 * MILLIS);
+    assert!(!membership(&cluster, 2).is_voter(id));
+    cluster.crash(leader);
+    cluster.run_for(5 * SECONDS);
+    assert!(cluster.leader().is_some_and(|slot| slot != leader));
+}
+
+#[rstest]
+#[case::unknown(|_: &VirtualCluster, _| MembershipChange::Promote { id: 5 }, ChangeRefusal::Unknown)]
+#[case::voter(
+    |cluster: &VirtualCluster, leader: SlotId| MembershipChange::Promote { id: cluster.members[leader].id },
+    ChangeRefusal::Already
+)]
+#[case::leader(
+    |cluster: &VirtualCluster, leader: SlotId| MembershipChange::Remove { id: cluster.members[leader].id },
+    ChangeRefusal::Leading
+)]
+#[case::member(
+    |cluster: &VirtualCluster, leader: SlotId| MembershipChange::AddLearner {
+        id: cluster.members[leader].id,
+        address: Bytes::new(),
+    },
+    ChangeRefusal::Already
+)]
+fn change_refused(
+    #[case] change: fn(&VirtualCluster, SlotId) -> MembershipChange,
+    #[case] expected: ChangeRefusal,
+) {
+    let mut cluster = VirtualCluster::founded(3, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let change = change(&cluster, leader);
+    assert_eq!(refusal(&mut cluster, change), Some(expected));
+}
+
+#[test]
+fn promote_unheard_learner_refused() {
+    let mut cluster = VirtualCluster::founded(4, 3, &NodeConfig::default());
+    add_learner(&mut cluster, 99);
+    let change = MembershipChange::Promote { id: 99 };
+    let expected = Some(ChangeRefusal::NotCaughtUp);
+    assert_eq!(refusal(&mut cluster, change), expected);
+}
+
+#[test]
+fn remove_live_voter_refused_while_one_is_dead() {
+    let mut cluster = VirtualCluster::founded(11, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let dead = (leader + 1) % 3;
+    let live = cluster.members[(leader + 2) % 3].id;
+    cluster.crash(dead);
+    cluster.run_for(2 * SECONDS);
+    let change = MembershipChange::Remove { id: live };
+    let expected = Some(ChangeRefusal::QuorumAtRisk);
+    assert_eq!(refusal(&mut cluster, change), expected);
+    let change = MembershipChange::Remove {
+        id: cluster.members[dead].id,
+    };
+    assert_eq!(refusal(&mut cluster, change), None);
+}
+
+#[test]
+fn change_waits_for_earlier() {
+    let mut cluster = VirtualCluster::founded(5, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    for id in [98, 99] {
+        let proposal = cluster.next_number();
+        let address = Bytes::from_static(b"new");
+        let change = MembershipChange::AddLearner { id, address };
+        cluster.input(leader, NodeInput::ChangeMembership { proposal, change });
+    }
+    cluster.run_for(SECONDS);
+    assert!(membership(&cluster, leader).member(98).is_some());
+    assert!(membership(&cluster, leader).member(99).is_none());
+}
+
+#[test]
+fn address_changes_everywhere() {
+    let mut cluster = VirtualCluster::founded(6, 3, &NodeConfig::default());
+    let id = cluster.members[2].id;
+    let address = Bytes::from_static(b"moved");
+    cluster.change_members(MembershipChange::SetAddress {
+        id,
+        address: address.clone(),
+    });
+    for slot in 0..3 {
+        let membership = membership(&cluster, slot);
+        assert_eq!(membership.member(id).map(|it| &it.address), Some(&address));
+    }
+}
+
+#[test]
+fn lost_disk_joins_anew() {
+    let mut cluster = VirtualCluster::founded(7, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let accepted: Vec<u64> = (0..20).map(|_| cluster.propose(leader)).collect();
+    cluster.run_for(SECONDS);
+    let lost = (leader + 1) % 3;
+    let old = cluster.members[lost].id;
+    cluster.crash(lost);
+    cluster.members[lost].disk = FakeDisk::new();
+    cluster.start_member(lost);
+    let new = cluster.members[lost].id;
+    assert_ne!(new, old);
+    cluster.run_for(SECONDS);
+    assert_eq!(
+        cluster.members[lost]
+            .run
+            .as_ref()
+            .unwrap()
+            .node
+            .last_index(),
+        0
+    );
+    cluster.change_members(MembershipChange::Remove { id: old });
+    add_learner(&mut cluster, new);
+    cluster.change_members(MembershipChange::Promote { id: new });
+    // A second instance is lost right after the repair.
+    cluster.crash(leader);
+    cluster.run_for(3 * SECONDS);
+    let next = cluster.leader().expect("the repaired member counts");
+    let state = &cluster.members[next].run.as_ref().unwrap().state;
+    assert!(accepted.iter().all(|it| state.commands.contains(it)));
+}
+
+#[test]
+fn transfer_moves_leadership() {
+    let mut cluster = VirtualCluster::founded(8, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let to = Some(cluster.members[(leader + 1) % 3].id);
+    cluster.input(leader, NodeInput::Transfer { to });
+    let took = cluster.run_until(SECONDS, |cluster| {
+        cluster.leader() == Some((leader + 1) % 3)
+    });
+    assert!(took < 100 * MILLIS, "{took} µs");
+}
+
+#[rstest]
+#[case::learner(Some(99))]
+#[case::unknown(Some(98))]
+fn transfer_refused(#[case] to: Option<MemberId>) {
+    let mut cluster = VirtualCluster::founded(9, 3, &NodeConfig::default());
+    add_learner(&mut cluster, 99);
+    let leader = cluster.leader().expect("a leader");
+    cluster.seen.clear();
+    cluster.input(leader, NodeInput::Transfer { to });
+    let is_failure = |it: &NodeOutput| matches!(it, NodeOutput::TransferFailed);
+    assert!(cluster.seen.iter().any(is_failure));
+    assert_eq!(cluster.leader(), Some(leader));
+}
+
+#[test]
+fn transfer_to_dead_voter_given_up() {
+    let mut cluster = VirtualCluster::founded(10, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let dead = (leader + 1) % 3;
+    cluster.crash(dead);
+    let to = Some(cluster.members[dead].id);
+    cluster.input(leader, NodeInput::Transfer { to });
+    cluster.run_for(2 * SECONDS);
+    assert_eq!(cluster.leader(), Some(leader));
+    let proposal = cluster.propose(leader);
+    cluster.run_for(SECONDS);
+    assert!(cluster.was_accepted(proposal));
+}
--- a/crates/consensus/tests/suite/replication.rs
+++ b/crates/consensus/tests/suite/replication.rs
@@ -1,1 +1,188 @@
-//! Placeholder.
+//! Replication: acknowledgement after sync, batching, back-off.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_consensus::{
+    AppendRequest, ConsensusNode, EntryPayload, HardState, LogEntry, MessageBody, NodeConfig,
+    NodeInput, NodeOutput, PeerMessage, ProposalRejection, RecoveredState,
+};
+
+use crate::support::virtual_cluster::{VirtualCluster, MILLIS, SECONDS};
+
+const MEMBER: u64 = 7;
+const LEADER: u64 = 8;
+
+fn entry(index: u64, term: u64) -> LogEntry {
+    LogEntry {
+        index,
+        term,
+        payload: Some(EntryPayload::Command(Bytes::from_static(b"command"))),
+    }
+}
+
+fn follower(entries: Vec<LogEntry>) -> ConsensusNode {
+    let recovered = RecoveredState {
+        member: MEMBER,
+        hard_state: HardState { term: 5, vote: 0 },
+        snapshot: None,
+        entries,
+        torn_bytes: 0,
+    };
+    ConsensusNode::open(NodeConfig::default(), recovered, Instant::now())
+}
+
+fn append(term: u64, request: AppendRequest) -> NodeInput {
+    NodeInput::Message(PeerMessage {
+        from: LEADER,
+        to: MEMBER,
+        term,
+        body: Some(MessageBody::AppendRequest(request)),
+    })
+}
+
+fn response(outputs: &[NodeOutput]) -> Option<mulberrywell_consensus::AppendResponse> {
+    outputs.iter().find_map(|output| match output {
+        NodeOutput::Send(message) => match &message.body {
+            Some(MessageBody::AppendResponse(response)) => Some(*response),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+#[test]
+fn append_acknowledged_after_sync() {
+    let mut node = follower(Vec::new());
+    let mut outputs = Vec::new();
+    let request = AppendRequest {
+        entries: vec![entry(1, 5)],
+        ..AppendRequest::default()
+    };
+    node.handle(Instant::now(), append(5, request), &mut outputs);
+    assert_eq!(response(&outputs), None);
+    outputs.clear();
+    node.handle(
+        Instant::now(),
+        NodeInput::Persisted { ticket: 1 },
+        &mut outputs,
+    );
+    let response = response(&outputs).expect("an answer");
+    assert_eq!(response.index, 1);
+    assert!(!response.rejected);
+}
+
+#[test]
+fn append_mismatch_skips_term() {
+    let entries = (1..=10).map(|index| entry(index, if index < 4 { 1 } else { 3 }));
+    let mut node = follower(entries.collect());
+    let mut outputs = Vec::new();
+    let request = AppendRequest {
+        prev_index: 9,
+        prev_term: 2,
+        ..AppendRequest::default()
+    };
+    node.handle(Instant::now(), append(5, request), &mut outputs);
+    let response = response(&outputs).expect("an answer");
+    assert!(response.rejected);
+    assert_eq!(response.hint_index, 3);
+    assert_eq!(response.hint_term, 1);
+}
+
+#[test]
+fn append_conflict_truncates() {
+    let mut node = follower(vec![entry(1, 1), entry(2, 2), entry(3, 2)]);
+    let mut outputs = Vec::new();
+    let request = AppendRequest {
+        prev_index: 1,
+        prev_term: 1,
+        commit: 1,
+        entries: vec![entry(2, 4)],
+    };
+    node.handle(Instant::now(), append(5, request), &mut outputs);
+    let batch = outputs.iter().find_map(|output| match output {
+        NodeOutput::Persist(batch) => Some(batch),
+        _ => None,
+    });
+    let batch = batch.expect("a batch");
+    assert_eq!(batch.truncate_from, Some(2));
+    assert_eq!(batch.entries, vec![entry(2, 4)]);
+    assert_eq!(node.last_index(), 2);
+}
+
+#[test]
+fn append_of_old_term_answered() {
+    let mut node = follower(Vec::new());
+    let mut outputs = Vec::new();
+    let request = AppendRequest::default();
+    node.handle(Instant::now(), append(4, request), &mut outputs);
+    let sent = outputs.iter().find_map(|output| match output {
+        NodeOutput::Send(message) => Some(message.term),
+        _ => None,
+    });
+    assert_eq!(sent, Some(5));
+}
+
+#[test]
+fn propose_minority_not_accepted() {
+    let mut cluster = VirtualCluster::founded(1, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    cluster.isolate(leader, cluster.now + 5 * SECONDS);
+    let proposal = cluster.propose(leader);
+    cluster.run_for(3 * SECONDS);
+    assert!(!cluster.was_accepted(proposal));
+    let is_unknown = |it: &NodeOutput| matches!(it, NodeOutput::OutcomeUnknown { proposal: it } if *it == proposal);
+    assert!(cluster.seen.iter().any(is_unknown));
+}
+
+#[test]
+fn propose_commits_over_slow_disk() {
+    let mut cluster = VirtualCluster::founded(2, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let proposals: Vec<u64> = (0..2_000).map(|_| cluster.propose(leader)).collect();
+    cluster.run_for(SECONDS);
+    assert!(proposals.iter().all(|it| cluster.was_accepted(*it)));
+}
+
+#[test]
+fn propose_overload_refused() {
+    let config = NodeConfig {
+        uncommitted_bytes_max: 1_000,
+        ..NodeConfig::default()
+    };
+    let mut cluster = VirtualCluster::founded(3, 3, &config);
+    let leader = cluster.leader().expect("a leader");
+    let proposals: Vec<u64> = (0..500).map(|_| cluster.propose(leader)).collect();
+    let is_overload = |it: &&NodeOutput| {
+        let reason = ProposalRejection::Overloaded;
+        matches!(it, NodeOutput::Rejected { reason: it, .. } if *it == reason)
+    };
+    let refused = cluster.seen.iter().filter(is_overload).count();
+    cluster.run_for(SECONDS);
+    let accepted = proposals.iter().filter(|it| cluster.was_accepted(**it));
+    assert_eq!(accepted.count() + refused, proposals.len());
+    assert!(refused > 0);
+    let again = cluster.propose(leader);
+    cluster.run_for(50 * MILLIS);
+    assert!(cluster.was_accepted(again), "room returns with the commits");
+}
+
+#[test]
+fn commit_reaches_followers_at_once() {
+    let mut cluster = VirtualCluster::founded(4, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    cluster.propose(leader);
+    let took = cluster.run_until(SECONDS, |cluster| {
+        let last = cluster.members[leader]
+            .run
+            .as_ref()
+            .unwrap()
+            .node
+            .last_index();
+        let applied = |it: &crate::support::virtual_member::VirtualMember| {
+            it.run.as_ref().unwrap().state.index == last
+        };
+        cluster.members.iter().all(applied)
+    });
+    assert!(took < 60 * MILLIS, "{took} µs");
+}
--- a/crates/consensus/tests/suite/snapshot.rs
+++ b/crates/consensus/tests/suite/snapshot.rs
@@ -1,1 +1,120 @@
-//! Placeholder.
+//! Snapshots: made while commits go on, sent in chunks, resumed.
+
+use mulberrywell_consensus::{NodeConfig, NodeInput, NodeOutput};
+
+use crate::support::virtual_cluster::{VirtualCluster, MILLIS, SECONDS};
+
+fn small_config() -> NodeConfig {
+    NodeConfig {
+        snapshot_entries: 50,
+        kept_entries: 5,
+        chunk_bytes: 100,
+        ..NodeConfig::default()
+    }
+}
+
+/// Leaves one slot behind by more entries than the log keeps.
+fn cluster_with_laggard(seed: u64) -> VirtualCluster {
+    let mut cluster = VirtualCluster::founded(seed, 3, &small_config());
+    let leader = cluster.leader().expect("a leader");
+    cluster.crash((leader + 1) % 3);
+    for _ in 0..300 {
+        cluster.propose(leader);
+        cluster.run_for(2 * MILLIS);
+    }
+    cluster.run_for(SECONDS);
+    cluster
+}
+
+fn snapshot_index(cluster: &VirtualCluster, slot: usize) -> u64 {
+    let run = cluster.members[slot].run.as_ref().expect("it runs");
+    run.node.snapshot_index()
+}
+
+#[test]
+fn snapshot_brings_laggard_up() {
+    let mut cluster = cluster_with_laggard(1);
+    let leader = cluster.leader().expect("a leader");
+    let laggard = (leader + 1) % 3;
+    cluster.seen.clear();
+    cluster.start_member(laggard);
+    cluster.run_for(3 * SECONDS);
+    let is_restore = |it: &NodeOutput| matches!(it, NodeOutput::Restore(_));
+    assert!(cluster.seen.iter().any(is_restore));
+    assert_eq!(
+        cluster.members[laggard].run.as_ref().unwrap().state,
+        cluster.members[leader].run.as_ref().unwrap().state,
+    );
+}
+
+#[test]
+fn snapshot_resumes_after_cut() {
+    let mut cluster = cluster_with_laggard(2);
+    let leader = cluster.leader().expect("a leader");
+    let laggard = (leader + 1) % 3;
+    cluster.start_member(laggard);
+    // Each gap loses the chunk in flight; what came before is kept.
+    for _ in 0..20 {
+        cluster.run_for(40 * MILLIS);
+        cluster.isolate(laggard, cluster.now + 100 * MILLIS);
+        cluster.run_for(100 * MILLIS);
+    }
+    cluster.run_for(2 * SECONDS);
+    assert_eq!(
+        cluster.members[laggard].run.as_ref().unwrap().state,
+        cluster.members[leader].run.as_ref().unwrap().state,
+    );
+}
+
+#[test]
+fn snapshot_made_while_committing() {
+    let mut cluster = VirtualCluster::founded(3, 1, &small_config());
+    let mut made = None;
+    for _ in 0..60 {
+        cluster.propose(0);
+        cluster.run_for(10 * MILLIS);
+        let asked = cluster.seen.iter().find_map(|output| match output {
+            NodeOutput::MakeSnapshot { index } => Some(*index),
+            _ => None,
+        });
+        made = made.or(asked);
+    }
+    cluster.run_for(SECONDS);
+    let asked = made.expect("a snapshot is asked for");
+    let commit = cluster.members[0].run.as_ref().unwrap().node.commit_index();
+    assert_eq!(snapshot_index(&cluster, 0), asked);
+    assert!(commit > asked, "commits went on");
+}
+
+#[test]
+fn snapshot_survives_restart() {
+    let mut cluster = cluster_with_laggard(4);
+    let leader = cluster.leader().expect("a leader");
+    let before = cluster.members[leader].run.as_ref().unwrap().state.clone();
+    let index = snapshot_index(&cluster, leader);
+    assert!(index > 0);
+    cluster.crash(leader);
+    cluster.start_member(leader);
+    assert_eq!(snapshot_index(&cluster, leader), index);
+    cluster.start_member((leader + 1) % 3);
+    cluster.run_for(3 * SECONDS);
+    let after = &cluster.members[leader].run.as_ref().unwrap().state;
+    assert!(after.commands.starts_with(&before.commands));
+}
+
+#[test]
+fn snapshot_unsaved_keeps_log() {
+    let mut cluster = VirtualCluster::founded(5, 1, &small_config());
+    for _ in 0..40 {
+        cluster.propose(0);
+        cluster.run_for(10 * MILLIS);
+    }
+    let index = snapshot_index(&cluster, 0);
+    cluster.input(0, NodeInput::SnapshotUnsaved { index: 1 });
+    cluster.input(0, NodeInput::SnapshotSaved { index: 1 });
+    assert_eq!(
+        snapshot_index(&cluster, 0),
+        index,
+        "stray answers do nothing"
+    );
+}
--- a/crates/consensus/tests/suite/support/virtual_cluster.rs
+++ b/crates/consensus/tests/suite/support/virtual_cluster.rs
@@ -71,6 +71,7 @@
     pub sync_max: VirtualMicros,
     /// Clients and the administrator act by themselves.
     pub traffic: bool,
+    pub disk_lost_at: VirtualMicros,
     events: BTreeMap<VirtualMicros, Vec<ScheduledEvent>>,
     /// Slot of every member that ever was.
     homes: BTreeMap<MemberId, SlotId>,
@@ -102,6 +103,7 @@
             cuts: BTreeMap::new(),
             sync_max: 4 * MILLIS,
             traffic: false,
+            disk_lost_at: 0,
             events: BTreeMap::new(),
             homes: BTreeMap::new(),
             next_number: 1,
