--- a/crates/consensus/src/node/append_entries.rs
+++ b/crates/consensus/src/node/append_entries.rs
@@ -88,8 +88,8 @@
         let response = AppendResponse {
             rejected: true,
             index: request.prev_index,
-            hint_index: hint.index,
-            hint_term: hint.term,
+            hint_index: hint,
+            hint_term: self.log.term_at(hint).unwrap_or(0),
         };
         let body = MessageBody::AppendResponse(response);
         self.outbox.send(self.hard_state.term, to, body);
--- a/crates/consensus/src/node/replication.rs
+++ b/crates/consensus/src/node/replication.rs
@@ -239,7 +239,7 @@
         if is_stale {
             return;
         }
-        progress.probe_from(hint.index + 1);
+        progress.probe_from(hint + 1);
         self.replicate_to(from);
     }
 
--- a/crates/consensus/src/replicated_log.rs
+++ b/crates/consensus/src/replicated_log.rs
@@ -157,18 +157,15 @@
         self.memberships.last().expect("a log has a membership")
     }
 
-    /// Returns the last position not after `index` whose term is not after
-    /// `term`; no later one can match a log that has `term` at `index`.
-    pub(crate) fn matching_hint(&self, index: LogIndex, term: Term) -> LogPosition {
+    /// Returns the last index not after `index` whose term is not after `term`;
+    /// no later one can match a log that has `term` at `index`.
+    ///
+    /// The result is before `base` when nothing that is held can match.
+    pub(crate) fn matching_hint(&self, index: LogIndex, term: Term) -> LogIndex {
         let mut index = index.min(self.last_index());
-        loop {
-            match self.term_at(index) {
-                Some(own) if own > term && index > self.base.index => index -= 1,
-                own => {
-                    let term = own.unwrap_or(0);
-                    return LogPosition { term, index };
-                }
-            }
+        while self.term_at(index).is_some_and(|own| own > term) {
+            index -= 1;
         }
+        index
     }
 }
--- a/crates/consensus/tests/suite/snapshot.rs
+++ b/crates/consensus/tests/suite/snapshot.rs
@@ -118,3 +118,33 @@
         "stray answers do nothing"
     );
 }
+
+#[test]
+fn snapshot_replaces_conflicting_tail() {
+    // A deposed leader holds entries of its own up to and past the snapshot.
+    let config = NodeConfig {
+        kept_entries: 0,
+        ..small_config()
+    };
+    let mut cluster = VirtualCluster::founded(6, 3, &config);
+    let deposed = cluster.leader().expect("a leader");
+    cluster.isolate(deposed, cluster.now + 10 * SECONDS);
+    for _ in 0..200 {
+        cluster.propose(deposed);
+    }
+    cluster.run_for(3 * SECONDS);
+    let leader = cluster.leader().expect("another leader");
+    for _ in 0..120 {
+        cluster.propose(leader);
+        cluster.run_for(10 * MILLIS);
+    }
+    // The next leader begins its search after its snapshot.
+    cluster.input(leader, NodeInput::Transfer { to: None });
+    cluster.run_for(SECONDS);
+    let leader = cluster.leader().expect("another leader");
+    cluster.run_for(10 * SECONDS);
+    assert_eq!(
+        cluster.members[deposed].run.as_ref().unwrap().state,
+        cluster.members[leader].run.as_ref().unwrap().state,
+    );
+}
