Let a learner with the latest entries lead for a moment

A learner held entries of a leader that then lost its disk; it refused the voters, whose logs were older, and did not campaign itself, while a change that made it a voter was still uncommitted elsewhere. Ruled out: a lost vote (every request was answered) and a quorum that was truly gone (three of four voters lived).

A learner now campaigns after four times a voter's timeout, without a vote of its own, and transfers its leadership to a voter as soon as it leads. Its vote and its log still count in no quorum.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -19,7 +19,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
 use crate::node::leader_state::LeaderState;
@@ -316,12 +316,6 @@
         let ids = members.map(|member| member.id);
         ids.filter(|id| *id != self.id).collect()
     }
-
-    fn reset_election_timer(&mut self) {
-        let min = self.config.election_timeout_min;
-        let max = self.config.election_timeout_max;
-        self.election_at = self.now + self.rng.random_range(min..=max);
-    }
 }
 
 /// Answers an input of a member whose storage failed.
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -8,10 +8,16 @@
 //!
 //! A vote request is answered by any member, whatever it takes itself for: a
 //! promoted learner may not have the entry that made it a voter yet. The
-//! candidate's log has it, and counts only those that the log makes voters. A
-//! learner never campaigns.
+//! candidate's log has it, and counts only those that the log makes voters.
+//!
+//! A learner campaigns too, but only after [`LEARNER_PATIENCE`] times the
+//! timeout of a voter, and its own vote does not count. It may hold the latest
+//! entries after the leader that sent them lost its disk, so that no voter can
+//! win (section 4.2.2 has a leader outside the membership likewise). A learner
+//! that leads transfers its leadership to a voter at once.
 
 use bytes::Bytes;
+use rand::Rng;
 
 use crate::node::leader_state::LeaderState;
 use crate::node::ConsensusNode;
@@ -21,6 +27,9 @@
     NodeOutput, NodeRole, Term, VoteRequest, VoteResponse,
 };
 
+/// Election timeouts that a learner waits before it campaigns.
+const LEARNER_PATIENCE: u32 = 4;
+
 impl ConsensusNode {
     /// Founds a cluster of this member alone.
     pub(super) fn found_cluster(&mut self, address: Bytes, outputs: &mut Vec<NodeOutput>) {
@@ -46,7 +55,15 @@
 
     /// Tells whether this member campaigns when it hears no leader.
     pub(super) fn may_campaign(&self) -> bool {
-        self.is_voter() && !self.disk_full
+        self.log.membership().member(self.id).is_some() && !self.disk_full
+    }
+
+    pub(super) fn reset_election_timer(&mut self) {
+        let min = self.config.election_timeout_min;
+        let max = self.config.election_timeout_max;
+        let timeout = self.rng.random_range(min..=max);
+        let patience = if self.is_voter() { 1 } else { LEARNER_PATIENCE };
+        self.election_at = self.now + timeout * patience;
     }
 
     pub(super) fn take_election_timer(&mut self, outputs: &mut Vec<NodeOutput>) {
--- a/crates/consensus/src/node/replication.rs
+++ b/crates/consensus/src/node/replication.rs
@@ -28,6 +28,7 @@
 
     pub(super) fn take_leader_timer(&mut self, outputs: &mut Vec<NodeOutput>) {
         self.end_transfer(outputs);
+        self.transfer_from_learner(outputs);
         let Some(lead) = &self.lead else {
             return;
         };
--- a/crates/consensus/src/node/transfer.rs
+++ b/crates/consensus/src/node/transfer.rs
@@ -68,6 +68,18 @@
         self.outbox.send(self.hard_state.term, id, body);
     }
 
+    /// Lets a learner that leads transfer its leadership, now and until a voter
+    /// has taken it over.
+    pub(super) fn transfer_from_learner(&mut self, outputs: &mut Vec<NodeOutput>) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let is_due = self.commit >= lead.term_start && lead.transfer.is_none();
+        if is_due && !self.is_voter() {
+            self.start_transfer(None, outputs);
+        }
+    }
+
     /// Gives a transfer up when its time is over.
     pub(super) fn end_transfer(&mut self, outputs: &mut Vec<NodeOutput>) {
         let Some(lead) = &mut self.lead else {
@@ -84,7 +96,7 @@
     }
 
     pub(super) fn take_timeout_now(&mut self, from: MemberId, outputs: &mut Vec<NodeOutput>) {
-        if self.leader == Some(from) && self.may_campaign() {
+        if self.leader == Some(from) && self.is_voter() && self.may_campaign() {
             self.campaign(true, outputs);
         }
     }
