Choose endpoints by expected time to first token

Cause: the entry takes the endpoint with the fewest of its own attempts and knows nothing of queues, cached prefixes, zones or other entries' work.

Before: no test.

--- /dev/null
+++ b/crates/policy/tests/endpoint_choice.rs
@@ -0,0 +1,184 @@
+//! Choice of an endpoint from late hints and own work.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_policy::{
+    ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
+};
+use rstest::rstest;
+
+static MODEL: Bytes = Bytes::from_static(b"payroll");
+static ZONE: Bytes = Bytes::from_static(b"zone-a");
+
+fn names(count: usize) -> Vec<Bytes> {
+    (0..count)
+        .map(|n| Bytes::from(format!("engine-{n}")))
+        .collect()
+}
+
+fn chooser(entry: &'static str) -> EndpointChooser {
+    EndpointChooser::new(Bytes::from(entry), ZONE.clone(), ChoiceSettings::default())
+}
+
+fn pick(
+    chooser: &mut EndpointChooser,
+    now: Instant,
+    names: &[Bytes],
+    seed: u64,
+    prefix: u64,
+) -> ChosenEndpoint {
+    let candidates: Vec<_> = names
+        .iter()
+        .map(|name| EndpointCandidate {
+            name,
+            zone: &ZONE,
+            incarnation: 1,
+            ready_delay: Duration::ZERO,
+        })
+        .collect();
+    let request = ChoiceRequest {
+        model: &MODEL,
+        prompt_tokens: 400,
+        total_tokens: 600,
+        prefix,
+        time_left: Duration::from_secs(10),
+        seed,
+    };
+    chooser.choose(now, &request, &candidates).unwrap()
+}
+
+fn hint(running: u32, queued: u32, wait_ms: u64) -> LoadHint {
+    LoadHint {
+        incarnation: 1,
+        sequence: 1,
+        running,
+        queued,
+        slots: 4,
+        queue_limit: 4,
+        tokens_per_second: 1_000,
+        waits: [(MODEL.clone(), Duration::from_millis(wait_ms))].into(),
+        ..LoadHint::default()
+    }
+}
+
+#[test]
+fn choose_no_candidate() {
+    let request = ChoiceRequest {
+        model: &MODEL,
+        prompt_tokens: 1,
+        total_tokens: 1,
+        prefix: 0,
+        time_left: Duration::from_secs(1),
+        seed: 1,
+    };
+    assert!(chooser("entry-0")
+        .choose(Instant::now(), &request, &[])
+        .is_none());
+}
+
+#[test]
+fn choose_stable_subset() {
+    let (now, names) = (Instant::now(), names(100));
+    let mut used = std::collections::BTreeSet::new();
+    let mut chooser = chooser("entry-0");
+    for seed in 0..1_000 {
+        used.insert(pick(&mut chooser, now, &names, seed, 0).index);
+    }
+    assert_eq!(used.len(), ChoiceSettings::default().subset_len);
+    // Removing an endpoint outside the subset changes nothing.
+    let outside = (0..100).find(|idx| !used.contains(idx)).unwrap();
+    let gone = names[outside].clone();
+    let rest: Vec<Bytes> = names
+        .iter()
+        .filter(|name| **name != gone)
+        .cloned()
+        .collect();
+    for seed in 0..1_000 {
+        let chosen = pick(&mut chooser, now, &rest, seed, 0);
+        let place = names.iter().position(|name| *name == rest[chosen.index]);
+        assert!(used.contains(&place.unwrap()));
+    }
+}
+
+#[rstest]
+#[case::shorter_wait(hint(4, 1, 900), hint(4, 1, 50))]
+#[case::not_full(hint(4, 4, 0), hint(4, 3, 2_000))]
+#[case::not_leaving(LoadHint { leaving: true, ..hint(0, 0, 0) }, hint(4, 1, 500))]
+fn choose_by_hint(#[case] worse: LoadHint, #[case] better: LoadHint) {
+    let (now, names) = (Instant::now(), names(2));
+    let mut chooser = chooser("entry-0");
+    chooser.take_hint(now, &names[0], worse);
+    chooser.take_hint(now, &names[1], better);
+    for seed in 0..100 {
+        assert_eq!(pick(&mut chooser, now, &names, seed, 0).index, 1);
+    }
+}
+
+#[test]
+fn choose_own_work_since_hint() {
+    let (now, names) = (Instant::now(), names(2));
+    let mut chooser = chooser("entry-0");
+    chooser.take_hint(now, &names[0], hint(3, 0, 0));
+    chooser.take_hint(now, &names[1], hint(4, 0, 100));
+    assert_eq!(pick(&mut chooser, now, &names, 1, 0).index, 0);
+    chooser.attempt_started(&names[0], 600, 0);
+    assert_eq!(pick(&mut chooser, now, &names, 1, 0).index, 1);
+    chooser.attempt_ended(&names[0], 600);
+    assert_eq!(pick(&mut chooser, now, &names, 1, 0).index, 0);
+}
+
+#[test]
+fn choose_hint_aged_out() {
+    let (now, names) = (Instant::now(), names(2));
+    let mut chooser = chooser("entry-0");
+    chooser.take_hint(now, &names[0], hint(4, 4, 9_000));
+    assert_eq!(pick(&mut chooser, now, &names, 1, 0).index, 1);
+    chooser.attempt_started(&names[1], 600, 0);
+    let later = now + ChoiceSettings::default().hint_lifetime;
+    assert_eq!(pick(&mut chooser, later, &names, 1, 0).index, 0);
+}
+
+#[rstest]
+#[case::repeated(1, 1)]
+#[case::older(1, 0)]
+#[case::old_incarnation(0, 9)]
+fn take_hint_stale(#[case] incarnation: u64, #[case] sequence: u64) {
+    let (now, names) = (Instant::now(), names(2));
+    let mut chooser = chooser("entry-0");
+    chooser.take_hint(now, &names[0], hint(0, 0, 0));
+    chooser.take_hint(now, &names[1], hint(4, 0, 50));
+    let stale = LoadHint {
+        incarnation,
+        sequence,
+        ..hint(4, 4, 9_000)
+    };
+    chooser.take_hint(now, &names[0], stale);
+    assert_eq!(pick(&mut chooser, now, &names, 1, 0).index, 0);
+}
+
+#[test]
+fn choose_prefix_holder() {
+    let (now, names) = (Instant::now(), names(8));
+    let mut chooser = chooser("entry-0");
+    chooser.attempt_started(&names[5], 600, 77);
+    chooser.attempt_ended(&names[5], 600);
+    for seed in 0..100 {
+        assert_eq!(pick(&mut chooser, now, &names, seed, 77).index, 5);
+    }
+}
+
+#[test]
+fn choose_spill_when_subset_full() {
+    let (now, names) = (Instant::now(), names(20));
+    let mut chooser = chooser("entry-0");
+    let mut used = std::collections::BTreeSet::new();
+    for seed in 0..500 {
+        used.insert(pick(&mut chooser, now, &names, seed, 0).index);
+    }
+    for index in &used {
+        chooser.take_hint(now, &names[*index], hint(4, 4, 500));
+    }
+    let chosen = pick(&mut chooser, now, &names, 3, 0);
+    assert!(chosen.spilled && !chosen.full && !used.contains(&chosen.index));
+}
