Plan placements under terms and revisions

Cause: no planner exists; endpoints hold what they were started with.

Ruled out: deltas as orders (a lost or repeated one would leave another set than planned); removing replicas as soon as demand falls (each return of the demand would be a move; replicas now go only to make room); planning right after a leader change (sets would be ordered before the endpoints reported).

Before: no planner.

Conclusion: API ready for the control leader, which calls plan() about once a second and sends the orders. Role changes of engines are not planned yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,10 +3,24 @@
 //! Guarantees: no clock, no randomness and no input or output of their own;
 //! instants and seeds are arguments, so that equal calls give equal results.
 
+mod demand_estimate;
 mod endpoint_choice;
+mod load_pacer;
+mod placement_moves;
+mod placement_planner;
+mod placement_types;
+mod placement_view;
 mod stable_hash;
 
+pub use demand_estimate::{DemandEstimator, DemandSettings};
 pub use endpoint_choice::{
     ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
 };
+pub use load_pacer::{LoadPacer, PacerSettings};
+pub use placement_planner::{PlacementPlanner, PlacementSettings};
+pub use placement_types::{
+    DecisionKind, DecisionReason, DemandEstimate, EndpointName, EndpointReport, EndpointTarget,
+    ModelName, ModelPlacement, ModelResidence, PlacementDecision, PlacementEndpoint,
+    PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, TargetEntry,
+};
 pub use stable_hash::{mix_bits, stable_hash};
