Queue attempts fairly across client accounts

Cause: the agent's queue is first come, first served: one account that sends several times its rate fills it and the others wait behind it.

Ruled out: deficit round robin (needs a quantum as large as the largest request, which is the burst that the others then wait for); refusing the newcomer when the queue is full (the heavy account would hold the queue).

Broken in turn: cost by request instead of tokens fails pop_shares (2 cases) and settle_returns_unused; an idle account that keeps its old virtual start fails pop_idle_saves_nothing; no replacement fails push_full_replaces_heaviest; no correction fails settle_returns_unused; one class fails pop_priority_inside_account.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod demand_estimate;
 mod endpoint_choice;
+mod fair_queue;
 mod load_pacer;
 mod placement_moves;
 mod placement_planner;
@@ -16,6 +17,7 @@
 pub use endpoint_choice::{
     ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
 };
+pub use fair_queue::{AccountName, FairQueue, PushOutcome, QueuedItem};
 pub use load_pacer::{LoadPacer, PacerSettings};
 pub use placement_planner::{PlacementPlanner, PlacementSettings};
 pub use placement_types::{
