Keep a memory ledger and reconcile target sets in the agent

Cause: the agent passes no orders and knows nothing of the engine's memory.

Ruled out: freeing memory on a timeout or on the engine's answer alone (a late or repeated load would be on top of what was given out since); deltas as orders; a KV reserve that moves with demand (a restarted agent could not know what its predecessor gave out), so the reserve is a fixed part of the memory.

Before: no orders. After: schedule_within_capacity runs 14 cells of 12 seeds and 240 s with lost, late and repeated orders, restarts of agent and engine, with and without fencing: the engine's own memory stays within capacity and ends at the last target set.

Conclusion: ready for the planner's orders.

--- /dev/null
+++ b/crates/agent/src/agent_frames.rs
@@ -0,0 +1,131 @@
+//! Builds the frames that the agent sends.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_chart::ChartSymbol;
+use mulberrywell_role::{LinkCommand, LinkId, RoleAction};
+use mulberrywell_settings::EndpointKind;
+use mulberrywell_wire::config::{EndpointItem, EndpointState};
+use mulberrywell_wire::endpoint::{Announce, ModelResidency, StateReport};
+use mulberrywell_wire::request::{AttemptId, AttemptRefused, Ran, RefusalReason};
+use mulberrywell_wire::FrameBody;
+
+use crate::attempt_gate::WaitingAttempt;
+use crate::memory_ledger::MemoryLedger;
+use crate::residency::ResidencyState;
+use crate::{AgentAction, AgentConfig, EngineRequest, OrderReconciler};
+
+/// A refusal of an attempt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptRefusal {
+    pub reason: RefusalReason,
+    pub ran: Ran,
+    pub retry_after: Duration,
+}
+
+impl AttemptRefusal {
+    /// Creates the refusal of an attempt that was not run.
+    pub fn not_run(reason: RefusalReason) -> Self {
+        AttemptRefusal {
+            reason,
+            ran: Ran::No,
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    /// Builds the action that tells the entry.
+    pub fn send(self, link: LinkId, id: Option<AttemptId>) -> RoleAction<AgentAction> {
+        let body = FrameBody::AttemptRefused(AttemptRefused {
+            id,
+            reason: self.reason.into(),
+            ran: self.ran.into(),
+            retry_after_ms: u64::try_from(self.retry_after.as_millis()).unwrap_or(u64::MAX),
+        });
+        RoleAction::Link(LinkCommand::Send { link, body })
+    }
+}
+
+/// Returns the models that answer, by name.
+pub(crate) fn resident_models(ledger: &MemoryLedger) -> Vec<Bytes> {
+    let entries = ledger.entries();
+    entries
+        .filter(|(_, entry)| entry.state == ResidencyState::Resident)
+        .map(|(model, _)| model.clone())
+        .collect()
+}
+
+/// Builds the announcement.
+pub(crate) fn announcement(config: &AgentConfig, resident: &[Bytes], leaving: bool) -> FrameBody {
+    let settings = &config.settings;
+    let state = if leaving {
+        EndpointState::Leaving
+    } else {
+        EndpointState::Live
+    };
+    let endpoint = EndpointItem {
+        name: settings.name.clone(),
+        address: Bytes::from(config.advertise.to_string()),
+        zone: config.zone.clone(),
+        region: config.region.clone(),
+        pool: settings.pool.clone(),
+        engine: settings.kind == EndpointKind::Engine,
+        incarnation: config.incarnation,
+        fencing: 0,
+        state: state.into(),
+        resident: resident.to_vec(),
+    };
+    FrameBody::Announce(Announce {
+        endpoint: Some(endpoint),
+        memory_mib: settings.memory_mib,
+        fenced: settings.checks_fencing,
+        slots: settings.slots,
+        accelerators: settings.accelerators,
+    })
+}
+
+/// Builds a state report.
+pub(crate) fn state_report(
+    config: &AgentConfig,
+    orders: &OrderReconciler,
+    engine_role: Bytes,
+    leaving: bool,
+    sequence: u64,
+) -> FrameBody {
+    let ledger = orders.ledger();
+    let models = ledger.entries().map(|(model, entry)| ModelResidency {
+        model: model.clone(),
+        version: entry.version.clone(),
+        state: Bytes::from_static(entry.state.name().as_bytes()),
+        memory_mib: entry.memory_mib,
+    });
+    let (order_term, order_revision) = orders.confirmed();
+    FrameBody::StateReport(StateReport {
+        endpoint: config.settings.name.clone(),
+        incarnation: config.incarnation,
+        models: models.collect(),
+        committed_mib: ledger.committed_mib(),
+        capacity_mib: ledger.capacity_mib(),
+        order_term,
+        order_revision,
+        leaving,
+        sequence,
+        kv_reserve_mib: config.settings.kv_reserve_mib,
+        engine_role,
+    })
+}
+
+/// Builds the request that the endpoint gets.
+pub(crate) fn engine_request(now: Instant, waiting: WaitingAttempt) -> EngineRequest {
+    let left = waiting.deadline.saturating_duration_since(now);
+    let start = waiting.start;
+    EngineRequest {
+        method: start.method,
+        path: start.path,
+        headers: start.headers,
+        body: start.body,
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        priority: start.priority,
+        resume_events: start.resume_events,
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/memory_ledger.rs
@@ -0,0 +1,335 @@
+//! Memory under random schedules of lost, late and repeated orders, restarts
+//! of agent and engine, and engines that ignore fencing tokens.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_agent::{
+    EngineOrder, EngineState, FenceRule, MemoryLedger, OrderId, OrderKind, OrderOutcome,
+    OrderReconciler, ResidentModel,
+};
+use mulberrywell_policy::mix_bits;
+use mulberrywell_wire::endpoint::{TargetModel, TargetOrder};
+use rstest::rstest;
+
+const STEP: Duration = Duration::from_millis(50);
+const LIFETIME: Duration = Duration::from_secs(4);
+const LOAD_TIME: Duration = Duration::from_millis(400);
+const CAPACITY_MIB: u64 = 100;
+
+/// An engine that takes whatever it is ordered, without looking at memory.
+#[derive(Default)]
+struct BlindEngine {
+    /// Memory and the moment from which the model answers.
+    models: BTreeMap<Bytes, (u64, Instant)>,
+    fencing: u64,
+    checks_fencing: bool,
+}
+
+impl BlindEngine {
+    fn take(&mut self, now: Instant, order: &EngineOrder) -> OrderOutcome {
+        if self.checks_fencing && order.fencing < self.fencing {
+            return OrderOutcome::Refused;
+        }
+        self.fencing = self.fencing.max(order.fencing);
+        match &order.kind {
+            OrderKind::Load {
+                model, memory_mib, ..
+            } => {
+                let ready = now + LOAD_TIME;
+                self.models
+                    .entry(model.clone())
+                    .or_insert((*memory_mib, ready));
+            }
+            OrderKind::Unload { model } => {
+                self.models.remove(model);
+            }
+            OrderKind::ChangeRole { .. } => {}
+        }
+        OrderOutcome::Done
+    }
+
+    fn state(&self, now: Instant) -> EngineState {
+        let models = self.models.iter().map(|(model, item)| ResidentModel {
+            model: model.clone(),
+            version: Bytes::new(),
+            memory_mib: item.0,
+            ready: item.1 <= now,
+        });
+        EngineState {
+            models: models.collect(),
+            fencing: self.fencing,
+            ..EngineState::default()
+        }
+    }
+}
+
+/// What the schedule may do, each out of 100.
+#[derive(Clone, Copy, Default)]
+struct FaultRates {
+    lost: u64,
+    late: u64,
+    repeated: u64,
+    /// Out of 10,000 steps.
+    agent_restart: u64,
+    engine_restart: u64,
+}
+
+struct Schedule {
+    now: Instant,
+    seed: u64,
+    faults: FaultRates,
+    rule: FenceRule,
+    engine: BlindEngine,
+    agent: OrderReconciler,
+    registration: u64,
+    /// Copies of orders on their way to the engine.
+    deliveries: Vec<(Instant, EngineOrder, bool)>,
+    /// Answers on their way to the agent.
+    answers: Vec<(Instant, OrderId, OrderOutcome)>,
+    /// When a state is taken, when it arrives, and the state.
+    read: Option<(Instant, Instant, Option<EngineState>)>,
+    next_read: Instant,
+    last_state: EngineState,
+    target: TargetOrder,
+    peak_mib: u64,
+}
+
+impl Schedule {
+    fn new(seed: u64, checks_fencing: bool, faults: FaultRates) -> Self {
+        let now = Instant::now();
+        let rule = if checks_fencing {
+            FenceRule::Token
+        } else {
+            FenceRule::Lifetime(LIFETIME)
+        };
+        let mut schedule = Schedule {
+            now,
+            seed,
+            faults,
+            rule,
+            engine: BlindEngine {
+                checks_fencing,
+                ..BlindEngine::default()
+            },
+            agent: OrderReconciler::new(MemoryLedger::new(CAPACITY_MIB, rule, now)),
+            registration: 1,
+            deliveries: Vec::new(),
+            answers: Vec::new(),
+            read: None,
+            next_read: now,
+            last_state: EngineState::default(),
+            target: TargetOrder::default(),
+            peak_mib: 0,
+        };
+        schedule.agent.take_registration(1);
+        schedule
+    }
+
+    fn draw(&mut self, limit: u64) -> u64 {
+        self.seed = mix_bits(self.seed);
+        self.seed % limit
+    }
+
+    fn delay(&mut self, limit: Duration) -> Duration {
+        Duration::from_millis(self.draw(limit.as_millis() as u64))
+    }
+
+    /// Orders another set of models that fits.
+    fn change_target(&mut self) {
+        self.target.term = 1;
+        self.target.revision += 1;
+        self.target.load_permits = 3;
+        self.target.models.clear();
+        let mut left = CAPACITY_MIB;
+        for idx in 0..10 {
+            let memory_mib = 10 + idx * 5;
+            if memory_mib <= left && self.draw(2) == 0 {
+                left -= memory_mib;
+                self.target.models.push(TargetModel {
+                    model: Bytes::from(format!("model-{idx}")),
+                    memory_mib,
+                    rank: idx as u32,
+                    ..TargetModel::default()
+                });
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if self.draw(10_000) < self.faults.agent_restart {
+            self.restart_agent();
+        }
+        if self.draw(10_000) < self.faults.engine_restart {
+            self.engine.models.clear();
+            self.engine.fencing = 0;
+        }
+        self.deliver();
+        self.answer();
+        self.read_state();
+        if self.draw(100) >= self.faults.lost {
+            self.agent.take_target(self.target.clone());
+        }
+        let busy = self.draw(3) as usize;
+        let orders = self.agent.step(self.now, &self.last_state, |model| {
+            busy * usize::from(model.len() % 2 == 1)
+        });
+        for order in orders {
+            self.send(order);
+        }
+        let held: u64 = self.engine.models.values().map(|item| item.0).sum();
+        self.peak_mib = self.peak_mib.max(held);
+        assert!(held <= CAPACITY_MIB, "engine holds {held} MiB");
+    }
+
+    fn restart_agent(&mut self) {
+        self.registration += 1;
+        let ledger = MemoryLedger::new(CAPACITY_MIB, self.rule, self.now);
+        self.agent = OrderReconciler::new(ledger);
+        self.agent.take_registration(self.registration);
+        self.answers.clear();
+        for delivery in &mut self.deliveries {
+            delivery.2 = false;
+        }
+        self.read = None;
+        self.last_state = EngineState::default();
+    }
+
+    fn send(&mut self, order: EngineOrder) {
+        let timeout = self.now + Duration::from_millis(600);
+        if self.draw(100) < self.faults.lost {
+            self.answers
+                .push((timeout, order.order, OrderOutcome::Unknown));
+        } else if self.draw(100) < self.faults.late {
+            let at = self.now + self.delay(LIFETIME);
+            self.answers
+                .push((timeout, order.order, OrderOutcome::Unknown));
+            self.deliveries.push((at, order, false));
+        } else {
+            if self.draw(100) < self.faults.repeated {
+                let at = self.now + self.delay(LIFETIME);
+                self.deliveries.push((at, order.clone(), false));
+            }
+            let at = self.now + self.delay(Duration::from_millis(100));
+            self.deliveries.push((at, order, true));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            self.deliveries.drain(..).partition(|item| item.0 <= now);
+        self.deliveries = later;
+        for (_, order, answered) in due {
+            let outcome = self.engine.take(now, &order);
+            let load = matches!(order.kind, OrderKind::Load { .. });
+            if answered && load && outcome == OrderOutcome::Done {
+                self.answers.push((now + LOAD_TIME, order.order, outcome));
+            } else if answered {
+                self.answers.push((now, order.order, outcome));
+            }
+        }
+    }
+
+    fn answer(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.answers.drain(..).partition(|item| item.0 <= now);
+        self.answers = later;
+        for (_, order, outcome) in due {
+            self.agent.end_order(now, order, outcome);
+        }
+    }
+
+    fn read_state(&mut self) {
+        let now = self.now;
+        if self.read.is_none() && self.next_read <= now {
+            let taken = now + self.delay(Duration::from_millis(300));
+            let arrives = taken + self.delay(Duration::from_millis(300));
+            self.read = Some((taken, arrives, None));
+            self.next_read = now + Duration::from_millis(500);
+            self.agent.ledger_mut().begin_read(now);
+        }
+        let Some((taken, arrives, state)) = &mut self.read else {
+            return;
+        };
+        if *taken <= now && state.is_none() {
+            *state = Some(self.engine.state(now));
+        }
+        if *arrives <= now {
+            if let Some(state) = state.take() {
+                self.agent.ledger_mut().take_state(&state);
+                self.last_state = state;
+            }
+            self.read = None;
+        }
+    }
+
+    fn run(&mut self, seconds: u64, change_every: Option<u64>) {
+        let steps = seconds * 20;
+        for idx in 0..steps {
+            if change_every.is_some_and(|every| idx % (every * 20) == 0) {
+                self.change_target();
+            }
+            self.step();
+        }
+    }
+
+    fn assert_target_met(&self) {
+        let wanted: BTreeSet<&Bytes> = self.target.models.iter().map(|item| &item.model).collect();
+        let held: BTreeSet<&Bytes> = self.engine.models.keys().collect();
+        assert_eq!(held, wanted);
+    }
+}
+
+const ALL_FAULTS: FaultRates = FaultRates {
+    lost: 15,
+    late: 15,
+    repeated: 15,
+    agent_restart: 30,
+    engine_restart: 10,
+};
+
+#[rstest]
+#[case::no_faults(FaultRates::default())]
+#[case::lost(FaultRates { lost: 30, ..FaultRates::default() })]
+#[case::late(FaultRates { late: 50, ..FaultRates::default() })]
+#[case::repeated(FaultRates { repeated: 50, ..FaultRates::default() })]
+#[case::agent_restarts(FaultRates { late: 30, agent_restart: 100, ..FaultRates::default() })]
+#[case::engine_restarts(FaultRates { late: 30, engine_restart: 100, ..FaultRates::default() })]
+#[case::all(ALL_FAULTS)]
+fn schedule_within_capacity(
+    #[case] faults: FaultRates,
+    #[values(true, false)] checks_fencing: bool,
+) {
+    let mut peak_mib = 0;
+    for seed in 1..=12 {
+        let mut schedule = Schedule::new(seed, checks_fencing, faults);
+        schedule.run(240, Some(6));
+        // Without further faults the engine gets to the last set.
+        schedule.faults = FaultRates::default();
+        schedule.run(40, None);
+        schedule.assert_target_met();
+        peak_mib = peak_mib.max(schedule.peak_mib);
+    }
+    assert!(peak_mib > CAPACITY_MIB / 2, "the schedules load the engine");
+}
+
+#[rstest]
+#[case::lower_term(0, 9, false)]
+#[case::lower_revision(1, 1, false)]
+#[case::same(1, 2, false)]
+#[case::higher_revision(1, 3, true)]
+#[case::higher_term(2, 1, true)]
+fn take_target_order(#[case] term: u64, #[case] revision: u64, #[case] taken: bool) {
+    let ledger = MemoryLedger::new(CAPACITY_MIB, FenceRule::Token, Instant::now());
+    let mut agent = OrderReconciler::new(ledger);
+    let target = |term, revision| TargetOrder {
+        term,
+        revision,
+        ..TargetOrder::default()
+    };
+    assert!(agent.take_target(target(1, 2)));
+    assert_eq!(agent.take_target(target(term, revision)), taken);
+}
--- a/crates/policy/src/endpoint_choice.rs
+++ b/crates/policy/src/endpoint_choice.rs
@@ -74,7 +74,8 @@
     pub queue_limit: u32,
     /// Tokens that the endpoint served in the last second; 0 where unknown.
     pub tokens_per_second: u64,
-    /// Expected wait of a new request by model.
+    /// Expected wait of a new request by model; a model without an entry has
+    /// the longest of them.
     pub waits: BTreeMap<Bytes, Duration>,
     /// Digests of cached prompt prefixes.
     pub prefixes: Vec<u64>,
@@ -349,7 +350,9 @@
         let present = (hint.running + hint.queued + added).saturating_sub(ended);
         let limit = hint.slots.saturating_add(hint.queue_limit);
         let full = hint.leaving || (hint.queue_limit > 0 && present >= limit);
-        let reported = hint.waits.get(request.model).copied().unwrap_or_default();
+        let any = || hint.waits.values().max();
+        let reported = hint.waits.get(request.model).or_else(any).copied();
+        let reported = reported.unwrap_or_default();
         let over = present.saturating_add(1).saturating_sub(hint.slots);
         let behind_own = if over == 0 {
             Duration::ZERO
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod placement_planner;
 mod placement_types;
 mod placement_view;
+mod service_meter;
 mod stable_hash;
 
 pub use demand_estimate::{DemandEstimator, DemandSettings};
@@ -25,4 +26,5 @@
     ModelName, ModelPlacement, ModelResidence, PlacementDecision, PlacementEndpoint,
     PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, TargetEntry,
 };
+pub use service_meter::ServiceMeter;
 pub use stable_hash::{mix_bits, stable_hash};
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -126,6 +126,9 @@
     pub address: SocketAddr,
     /// Accelerator memory in MiB; 0 for a plain service.
     pub memory_mib: u64,
+    /// Part of the memory that is kept for the KV cache of running requests;
+    /// at most `memory_mib`.
+    pub kv_reserve_mib: u64,
     /// Requests that the endpoint runs at the same time.
     pub slots: u32,
     /// Requests that may wait before the endpoint.
@@ -136,6 +139,8 @@
     pub checks_fencing: bool,
     /// Longest time after which an order can still take effect.
     pub order_lifetime: Duration,
+    /// Interval of load reports to entry instances.
+    pub load_interval: Duration,
     /// Time that requests in work get when the agent shuts down.
     pub shutdown_grace: Duration,
 }
@@ -257,6 +262,9 @@
     settings
 }
 
+/// Part of the memory that is the KV reserve where settings name none.
+const KV_RESERVE_SHARE: u64 = 8;
+
 fn read_endpoint(mut table: TableReader<'_>) -> EndpointSettings {
     let kind = match table.required_text("kind").as_str() {
         "engine" => EndpointKind::Engine,
@@ -266,22 +274,29 @@
             EndpointKind::Service
         }
     };
+    let memory_mib = table.number("memory_mib", 0..=1 << 32).unwrap_or(0);
+    let kv_reserve_mib = table.number("kv_reserve_mib", 0..=1 << 32);
     let settings = EndpointSettings {
         name: table.required_name("name"),
         pool: table.required_name("pool"),
         kind,
         address: table.required_address("address"),
-        memory_mib: table.number("memory_mib", 0..=1 << 32).unwrap_or(0),
+        memory_mib,
+        kv_reserve_mib: kv_reserve_mib.unwrap_or(memory_mib / KV_RESERVE_SHARE),
         slots: narrow(table.number("slots", 1..=65_536), 32),
         queue: narrow(table.number("queue", 0..=65_536), 256),
         accelerators: narrow(table.number("accelerators", 0..=1_024), 0),
         checks_fencing: table.flag("checks_fencing").unwrap_or(false),
         order_lifetime: table.millis("order_lifetime_ms", 100..=10 * MINUTE_MS, 10_000),
+        load_interval: table.millis("load_interval_ms", 20..=MINUTE_MS, 150),
         shutdown_grace: table.millis("shutdown_grace_ms", 0..=60 * MINUTE_MS, 60_000),
     };
     if kind == EndpointKind::Engine && settings.memory_mib == 0 {
         table.report("an engine needs `memory_mib`");
     }
+    if settings.kv_reserve_mib > settings.memory_mib {
+        table.report("`kv_reserve_mib` is more than `memory_mib`");
+    }
     table.end();
     settings
 }
