Test the agent role event by event

Cause: the agent's new duties (repeat of the announcement, drain, cancel that races the hand-over, duplicates, vanished entries, shutdown, load reports, target sets, KV reserve, deadlines) had no test.

Found by the tests: an announcement counted as acknowledged never, once one acknowledgement was lost; after a pause of the repeat interval the earlier ones now count as lost.

--- a/crates/agent/src/announcer.rs
+++ b/crates/agent/src/announcer.rs
@@ -1,10 +1,10 @@
 //! Repeats the endpoint's announcement until control has acknowledged it.
 //!
-//! An acknowledgement counts only while one announcement is unanswered: with
-//! more on their way it may belong to an older one, and the announcement is
-//! sent once more. An acknowledged announcement is refreshed at an interval,
-//! so that an agent learns of a drain, and a control instance of the agent,
-//! whatever was lost.
+//! Acknowledgements come in the order of the announcements, so the current one
+//! is acknowledged when none is left without. After a pause of the repeat
+//! interval the earlier ones count as lost. An acknowledged announcement is
+//! refreshed at an interval, so that an agent learns of a drain, and a control
+//! instance of the agent, whatever was lost.
 
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,8 @@
     acknowledged: bool,
     /// Announcements on the open link without an acknowledgement.
     unanswered: u32,
+    /// When the last one was sent.
+    last: Instant,
     next: Instant,
 }
 
@@ -30,6 +32,7 @@
         Announcer {
             acknowledged: false,
             unanswered: 0,
+            last: now,
             next: now,
         }
     }
@@ -53,17 +56,21 @@
 
     /// Notes that the announcement was sent.
     pub fn sent(&mut self, now: Instant) {
+        if now >= self.last + REPEAT_INTERVAL {
+            self.unanswered = 0;
+        }
         self.unanswered += 1;
+        self.last = now;
         self.next = now + REPEAT_INTERVAL;
     }
 
     /// Takes an acknowledgement of this incarnation.
     pub fn take_ack(&mut self, now: Instant) {
-        if self.unanswered <= 1 {
+        self.unanswered = self.unanswered.saturating_sub(1);
+        if self.unanswered == 0 {
             self.acknowledged = true;
             self.next = now + REFRESH_INTERVAL;
         }
-        self.unanswered = 0;
     }
 
     /// Tells whether control knows the current announcement.
--- a/crates/agent/tests/memory_ledger.rs
+++ b/crates/agent/tests/memory_ledger.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use mulberrywell_agent::{
     EngineOrder, EngineState, FenceRule, MemoryLedger, OrderId, OrderKind, OrderOutcome,
-    OrderReconciler, ResidentModel,
+    OrderReconciler, ResidencyState, ResidentModel,
 };
 use mulberrywell_policy::mix_bits;
 use mulberrywell_wire::endpoint::{TargetModel, TargetOrder};
@@ -333,3 +333,23 @@
     assert!(agent.take_target(target(1, 2)));
     assert_eq!(agent.take_target(target(term, revision)), taken);
 }
+
+#[test]
+fn take_state_older_than_load() {
+    let now = Instant::now();
+    let rule = FenceRule::Lifetime(Duration::ZERO);
+    let mut ledger = MemoryLedger::new(CAPACITY_MIB, rule, now);
+    ledger.begin_read(now);
+    ledger.take_state(&EngineState::default());
+    ledger.begin_read(now);
+    let load = TargetModel {
+        model: Bytes::from_static(b"payroll"),
+        memory_mib: 10,
+        ..TargetModel::default()
+    };
+    let token = ledger.next_token(1);
+    assert!(ledger.begin_load(now, &load, token));
+    ledger.end_order(&load.model, token, OrderOutcome::Done);
+    ledger.take_state(&EngineState::default());
+    assert_eq!(ledger.state(&load.model), ResidencyState::Resident);
+}
