Test the agent as a real process

Cause: shutdown, drain, restart and fairness of the agent had no test with real processes.

Before: no test. With one queue for all accounts queue_light_account fails; with an agent that ends before its requests shutdown_in_flight fails.

--- /dev/null
+++ b/crates/mulberrywell/tests/agent_process.rs
@@ -0,0 +1,99 @@
+//! The agent as a real process: shutdown, drain, restart and fairness.
+
+mod common;
+
+use std::thread;
+use std::time::Duration;
+
+use common::{binaries, engine_config, small_cluster, GRANTS, PLANS};
+use mulberrywell_testkit::{
+    wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, HttpCaller, ProcessCluster,
+};
+use nix::sys::signal::Signal;
+
+const AGENT: &str = "agent-engine-0";
+
+#[test]
+fn shutdown_in_flight() {
+    let mut small = small_cluster(1, 1);
+    small
+        .engine
+        .configure(|config| config.between_tokens = Duration::from_millis(20));
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let call = thread::spawn(move || caller.chat("payroll", "hello", 60, true).unwrap());
+    let records = small.engine.records();
+    wait_until("the request runs", || records.running() == 1).unwrap();
+    small.cluster.signal(AGENT, Signal::SIGTERM).unwrap();
+    let answer = call.join().unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert!(answer.whole && answer.body.ends_with("data: [DONE]\n\n"));
+    assert!(small.cluster.wait(AGENT).unwrap());
+}
+
+#[test]
+fn drain_refuses_new() {
+    let small = small_cluster(1, 1);
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    assert_eq!(caller.chat("payroll", "one", 4, false).unwrap().status, 200);
+    let drain = ["endpoint", "drain", "engine-0"];
+    small.cluster.operate_well(&drain).unwrap();
+    wait_until("the endpoint takes nothing", || {
+        let answer = caller.chat("payroll", "two", 4, false).unwrap();
+        answer.status == 503 && answer.header("Mulberrywell-Ran") == "no"
+    })
+    .unwrap();
+    let runs = small.engine.records().all().len();
+    caller.chat("payroll", "three", 4, false).unwrap();
+    assert_eq!(small.engine.records().all().len(), runs);
+}
+
+#[test]
+fn restart_after_kill() {
+    let mut small = small_cluster(1, 1);
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    small.cluster.kill(AGENT).unwrap();
+    small.cluster.restart(AGENT).unwrap();
+    wait_until("the endpoint serves again", || {
+        let answer = caller.chat("payroll", "hello", 4, false).unwrap();
+        answer.status == 200 && answer.whole
+    })
+    .unwrap();
+}
+
+#[test]
+fn queue_light_account() {
+    let engine = FakeEngine::spawn(EngineConfig {
+        first_token: Duration::from_millis(100),
+        ..engine_config()
+    })
+    .unwrap();
+    let mut agent = AgentPlan::engine("engine-0", "asistente", engine.address());
+    agent.extra.push_str("\nslots = 2\n");
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        agents: vec![agent],
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.apply(PLANS, GRANTS).unwrap();
+    cluster.wait_ready(1).unwrap();
+    let heavy = cluster.give_key("medellin", "m1").unwrap();
+    let light = cluster.give_key("cali", "c1").unwrap();
+    let entry = cluster.callers[0];
+    let crowd: Vec<_> = (0..40)
+        .map(|idx| {
+            let caller = HttpCaller::new(entry, Some(&heavy));
+            thread::spawn(move || caller.chat("payroll", &format!("{idx}"), 4, false).unwrap())
+        })
+        .collect();
+    let records = engine.records();
+    wait_until("the crowd queues", || records.all().len() >= 4).unwrap();
+    let caller = HttpCaller::new(entry, Some(&light));
+    let own = caller.chat("payroll", "light", 4, false).unwrap();
+    let answers: Vec<_> = crowd.into_iter().map(|call| call.join().unwrap()).collect();
+    assert_eq!(own.status, 200, "{}", own.body);
+    assert!(answers.iter().all(|answer| answer.status == 200));
+    let slowest = answers.iter().map(|answer| answer.total).max().unwrap();
+    assert!(own.total < slowest / 3, "{:?} of {slowest:?}", own.total);
+}
