Add a fault-injecting proxy to the testkit and put it on every link

Cause: no test could delay, stall, reset, throttle, chop or refuse a link between real processes, nor freeze a process or lose its data folder; and `free_port` let go of an ephemeral port before the process took it.

Ruled out: a proxy by netfilter (needs rights on the machine), closing the listener to refuse (the port could be taken before it is bound again).

Conclusion: control links pass a proxy for each peer, links to agents one for each agent.

--- a/crates/mulberrywell/tests/common/mod.rs
+++ b/crates/mulberrywell/tests/common/mod.rs
@@ -100,17 +100,21 @@
 
 /// Starts a small cluster and waits until it serves.
 pub fn small_cluster(controls: usize, entries: usize) -> SmallCluster {
-    let engine = FakeEngine::spawn(engine_config()).expect("a fake engine starts");
-    let service = FakeService::spawn().expect("a fake service starts");
-    let plan = ClusterPlan {
+    planned_cluster(ClusterPlan {
         controls,
         entries,
-        agents: vec![
-            AgentPlan::engine("engine-0", "asistente", engine.address()),
-            AgentPlan::service("payments", service.address()),
-        ],
         ..ClusterPlan::default()
-    };
+    })
+}
+
+/// Starts a plan's cluster with one engine and one service.
+pub fn planned_cluster(mut plan: ClusterPlan) -> SmallCluster {
+    let engine = FakeEngine::spawn(engine_config()).expect("a fake engine starts");
+    let service = FakeService::spawn().expect("a fake service starts");
+    plan.agents = vec![
+        AgentPlan::engine("engine-0", "asistente", engine.address()),
+        AgentPlan::service("payments", service.address()),
+    ];
     let cluster = ProcessCluster::spawn(&binaries(), &plan).expect("the processes start");
     cluster.apply(PLANS, GRANTS).expect("the lists are taken");
     cluster.wait_ready(2).expect("the cluster gets ready");
@@ -124,3 +128,14 @@
         small,
     }
 }
+
+/// Starts a small cluster with a proxy on each link.
+pub fn proxied_cluster() -> SmallCluster {
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    planned_cluster(plan)
+}
--- /dev/null
+++ b/crates/mulberrywell/tests/fault_links.rs
@@ -0,0 +1,42 @@
+//! Faults on the links between real processes.
+
+mod common;
+
+use common::proxied_cluster;
+use mulberrywell_testkit::{wait_until, HttpCaller, ANY_PROCESS};
+
+#[test]
+fn agent_link_resets() {
+    let small = proxied_cluster();
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let proxy = small.cluster.proxy(ANY_PROCESS, "agent-engine-0").unwrap();
+    assert_eq!(caller.chat("payroll", "a", 4, false).unwrap().status, 200);
+    assert!(proxy.accepted() > 0, "the link passes the proxy");
+    proxy.reset();
+    wait_until("the entry serves again", || {
+        caller
+            .chat("payroll", "b", 4, false)
+            .is_ok_and(|answer| answer.status == 200)
+    })
+    .unwrap();
+}
+
+#[test]
+fn agent_frozen_and_thawed() {
+    let small = proxied_cluster();
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let frozen = [("Mulberrywell-Deadline-Ms", "1000")];
+    small.cluster.freeze("agent-engine-0").unwrap();
+    let body = r#"{"model":"payroll","messages":[{"role":"user","content":"frozen"}]}"#;
+    let answer = caller
+        .call("POST", "/v1/chat/completions", &frozen, body)
+        .unwrap();
+    assert!(answer.status >= 500, "{}", answer.status);
+    small.cluster.thaw("agent-engine-0").unwrap();
+    wait_until("the entry serves again", || {
+        caller
+            .chat("payroll", "thawed", 4, false)
+            .is_ok_and(|answer| answer.status == 200)
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/testkit/src/fault_proxy.rs
@@ -0,0 +1,358 @@
+//! A TCP proxy that injects faults between two processes.
+//!
+//! Purpose: tests put it before a listener and change what its connections
+//! suffer while they run: delay, silent stall, reset, throttling, chopping
+//! and refusal.
+//!
+//! Guarantees: bytes keep their order and none is invented; without a fault
+//! none is lost; jitter follows from the seed and the connection's number.
+//!
+//! Algorithm: each connection has a thread for each of its two flows, which
+//! reads a piece, waits as the flow's fault asks, and writes it. A stalled flow
+//! neither reads nor writes, so the sender sees an open connection on which
+//! nothing moves, as behind a cut network.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use socket2::SockRef;
+
+/// Bytes of one read.
+const READ_LEN: usize = 16 * 1024;
+
+/// Time to connect to the target.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time until a blocked write notices that its connection is cut.
+const WRITE_POLL: Duration = Duration::from_millis(100);
+
+/// A direction through the proxy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProxyFlow {
+    /// From the side that connected to the target.
+    ToTarget,
+    /// From the target to the side that connected.
+    ToCaller,
+}
+
+/// What a flow suffers; the default is nothing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FlowFault {
+    /// Wait before each piece.
+    pub delay: Duration,
+    /// Longest random addition to `delay`.
+    pub jitter: Duration,
+    /// Rate bound in bytes a second; none when 0.
+    pub bytes_per_second: u64,
+    /// Longest write in bytes; unbounded when 0.
+    pub chop_len: usize,
+    /// Whether nothing moves, without any sign to either side.
+    pub stalled: bool,
+}
+
+#[derive(Debug, Default)]
+struct ProxyState {
+    /// Faults by flow, in the order of [`ProxyFlow`].
+    faults: [FlowFault; 2],
+    /// Whether new connections are reset at once.
+    refusing: bool,
+    connections: Vec<Weak<ProxyConnection>>,
+}
+
+#[derive(Debug)]
+struct ProxyShared {
+    target: SocketAddr,
+    seed: u64,
+    state: Mutex<ProxyState>,
+    /// Notified when `state` changes.
+    changed: Condvar,
+    accepted: AtomicU64,
+    moved: [AtomicU64; 2],
+    ended: AtomicBool,
+}
+
+/// Both sockets of one connection.
+#[derive(Debug)]
+struct ProxyConnection {
+    caller: TcpStream,
+    target: TcpStream,
+    /// Set once the connection is reset.
+    cut: AtomicBool,
+}
+
+/// A running proxy; it ends its connections when it is dropped.
+#[derive(Debug)]
+pub struct FaultProxy {
+    address: SocketAddr,
+    shared: Arc<ProxyShared>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy before `target` on a free port of this machine.
+    ///
+    /// # Errors
+    /// Fails when no port can be had.
+    pub fn spawn(target: SocketAddr) -> Result<Self> {
+        Self::spawn_seeded(target, 0)
+    }
+
+    /// Starts a proxy whose jitter follows from `seed`.
+    ///
+    /// # Errors
+    /// Fails when no port can be had.
+    pub fn spawn_seeded(target: SocketAddr, seed: u64) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(ProxyShared {
+            target,
+            seed,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            accepted: AtomicU64::new(0),
+            moved: [AtomicU64::new(0), AtomicU64::new(0)],
+            ended: AtomicBool::new(false),
+        });
+        let worker = shared.clone();
+        thread::Builder::new()
+            .name("fault proxy".to_owned())
+            .spawn(move || accept_connections(&listener, &worker))?;
+        Ok(FaultProxy { address, shared })
+    }
+
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what one flow suffers from now on, also on open connections.
+    pub fn set_flow(&self, flow: ProxyFlow, fault: FlowFault) {
+        self.shared.lock().faults[flow as usize] = fault;
+        self.shared.changed.notify_all();
+    }
+
+    /// Sets what both flows suffer from now on.
+    pub fn set_both(&self, fault: FlowFault) {
+        self.set_flow(ProxyFlow::ToTarget, fault);
+        self.set_flow(ProxyFlow::ToCaller, fault);
+    }
+
+    /// Stops both flows without a sign, as a cut network does.
+    pub fn stall(&self) {
+        self.set_both(FlowFault {
+            stalled: true,
+            ..FlowFault::default()
+        });
+    }
+
+    /// Resets all open connections.
+    pub fn reset(&self) {
+        let connections = std::mem::take(&mut self.shared.lock().connections);
+        for connection in connections.iter().filter_map(Weak::upgrade) {
+            connection.cut();
+        }
+        self.shared.changed.notify_all();
+    }
+
+    /// Resets new connections at once while `refusing` is set.
+    pub fn refuse(&self, refusing: bool) {
+        self.shared.lock().refusing = refusing;
+    }
+
+    /// Ends all faults; what stalled goes on.
+    pub fn heal(&self) {
+        self.refuse(false);
+        self.set_both(FlowFault::default());
+    }
+
+    /// Returns the number of connections that were accepted.
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes that one flow has passed on.
+    pub fn moved(&self, flow: ProxyFlow) -> u64 {
+        self.shared.moved[flow as usize].load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+        self.reset();
+        // Wakes the accepting thread, which then ends.
+        let _ = TcpStream::connect_timeout(&self.address, WRITE_POLL);
+    }
+}
+
+impl ProxyShared {
+    fn lock(&self) -> MutexGuard<'_, ProxyState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits while a flow is stalled; none when the connection was cut.
+    fn wait_flow(&self, flow: ProxyFlow, connection: &ProxyConnection) -> Option<FlowFault> {
+        let mut state = self.lock();
+        loop {
+            if connection.cut.load(Ordering::Relaxed) {
+                return None;
+            }
+            let fault = state.faults[flow as usize];
+            if !fault.stalled {
+                return Some(fault);
+            }
+            state = self
+                .changed
+                .wait(state)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
+impl ProxyConnection {
+    /// Lets both flows end; the last of them resets both sockets.
+    fn cut(&self) {
+        self.cut.store(true, Ordering::Relaxed);
+        for socket in [&self.caller, &self.target] {
+            reset_on_close(socket);
+            // A shutdown of the read half wakes the flow and sends nothing.
+            let _ = socket.shutdown(Shutdown::Read);
+        }
+    }
+
+    fn ends(&self, flow: ProxyFlow) -> (&TcpStream, &TcpStream) {
+        match flow {
+            ProxyFlow::ToTarget => (&self.caller, &self.target),
+            ProxyFlow::ToCaller => (&self.target, &self.caller),
+        }
+    }
+}
+
+fn reset_on_close(socket: &TcpStream) {
+    // A socket that has failed already needs no reset.
+    let _ = SockRef::from(socket).set_linger(Some(Duration::ZERO));
+}
+
+fn accept_connections(listener: &TcpListener, shared: &Arc<ProxyShared>) {
+    for caller in listener.incoming() {
+        if shared.ended.load(Ordering::Relaxed) {
+            return;
+        }
+        let Ok(caller) = caller else { continue };
+        let number = shared.accepted.fetch_add(1, Ordering::Relaxed);
+        if shared.lock().refusing {
+            reset_on_close(&caller);
+            continue;
+        }
+        let shared = shared.clone();
+        thread::spawn(move || open_connection(caller, number, &shared));
+    }
+}
+
+fn open_connection(caller: TcpStream, number: u64, shared: &Arc<ProxyShared>) {
+    let Ok(target) = TcpStream::connect_timeout(&shared.target, CONNECT_TIMEOUT) else {
+        return reset_on_close(&caller);
+    };
+    for socket in [&caller, &target] {
+        // Without these the connection is slower to end, and no less right.
+        let _ = socket.set_nodelay(true);
+        let _ = socket.set_write_timeout(Some(WRITE_POLL));
+    }
+    let connection = Arc::new(ProxyConnection {
+        caller,
+        target,
+        cut: AtomicBool::new(false),
+    });
+    {
+        let mut state = shared.lock();
+        state.connections.retain(|known| known.strong_count() > 0);
+        state.connections.push(Arc::downgrade(&connection));
+    }
+    let (other, other_shared) = (connection.clone(), shared.clone());
+    thread::spawn(move || pump(&other, ProxyFlow::ToCaller, number, &other_shared));
+    pump(&connection, ProxyFlow::ToTarget, number, shared);
+}
+
+/// Moves one flow of a connection until it ends.
+fn pump(connection: &ProxyConnection, flow: ProxyFlow, number: u64, shared: &ProxyShared) {
+    let (mut from, to) = connection.ends(flow);
+    let mut rng = Pcg64Mcg::seed_from_u64(shared.seed ^ (number << 1) ^ flow as u64);
+    let mut buf = vec![0; READ_LEN];
+    while shared.wait_flow(flow, connection).is_some() {
+        let len = match from.read(&mut buf) {
+            Ok(0) => break,
+            Ok(len) => len,
+            Err(_) => {
+                connection.cut();
+                break;
+            }
+        };
+        // The fault may have come while the read waited.
+        let Some(fault) = shared.wait_flow(flow, connection) else {
+            break;
+        };
+        thread::sleep(fault.delay + fault.jitter.mul_f64(rng.random()));
+        if shared.wait_flow(flow, connection).is_none()
+            || !write_piece(connection, to, &buf[..len], fault)
+        {
+            connection.cut();
+            break;
+        }
+        shared.moved[flow as usize].fetch_add(len as u64, Ordering::Relaxed);
+    }
+    if !connection.cut.load(Ordering::Relaxed) {
+        // The peer may have closed its side already.
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
+
+/// Writes a piece as the fault asks; false when the connection is over.
+fn write_piece(
+    connection: &ProxyConnection,
+    to: &TcpStream,
+    data: &[u8],
+    fault: FlowFault,
+) -> bool {
+    let chop_len = if fault.chop_len == 0 {
+        data.len()
+    } else {
+        fault.chop_len
+    };
+    for piece in data.chunks(chop_len) {
+        let started = Instant::now();
+        if !write_all(connection, to, piece) {
+            return false;
+        }
+        if fault.bytes_per_second > 0 {
+            let due = Duration::from_secs(piece.len() as u64)
+                / u32::try_from(fault.bytes_per_second).unwrap_or(u32::MAX);
+            thread::sleep(due.saturating_sub(started.elapsed()));
+        } else if fault.chop_len > 0 {
+            thread::yield_now();
+        }
+    }
+    true
+}
+
+/// Writes all bytes, looking for a cut while the peer takes none.
+fn write_all(connection: &ProxyConnection, mut to: &TcpStream, mut data: &[u8]) -> bool {
+    use std::io::ErrorKind::{Interrupted, TimedOut, WouldBlock};
+
+    while !data.is_empty() {
+        if connection.cut.load(Ordering::Relaxed) {
+            return false;
+        }
+        match to.write(data) {
+            Ok(len) => data = &data[len..],
+            Err(err) if matches!(err.kind(), WouldBlock | TimedOut | Interrupted) => {}
+            Err(_) => return false,
+        }
+    }
+    true
+}
--- a/crates/testkit/src/process_cluster.rs
+++ b/crates/testkit/src/process_cluster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -13,81 +13,19 @@
 use serde_json::Value;
 use tempfile::TempDir;
 
+use crate::cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
+use crate::fault_proxy::FaultProxy;
+use crate::free_address::free_port;
 use crate::http_client::HttpCaller;
 
 /// Longest wait for a condition.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 const SECRET: &str = "a secret of the test cluster only";
-const OPERATOR_KEY: &str = "mwop-operator-key-of-the-test-cluster";
-
-/// Where the binaries are.
-#[derive(Debug, Clone)]
-pub struct BinaryPaths {
-    /// `mulberrywell`.
-    pub serve: PathBuf,
-    /// `mulberrywell-agent`.
-    pub agent: PathBuf,
-}
+/// Stands for every process that connects to an advertised address.
+pub const ANY_PROCESS: &str = "any";
 
-/// One agent and its endpoint.
-#[derive(Debug, Clone)]
-pub struct AgentPlan {
-    /// Name of the endpoint.
-    pub name: String,
-    /// Pool or service.
-    pub pool: String,
-    /// Whether the endpoint is a model engine.
-    pub engine: bool,
-    /// Address of the endpoint.
-    pub endpoint: SocketAddr,
-    /// Availability zone.
-    pub zone: String,
-    /// Further lines of the `[endpoint]` table.
-    pub extra: String,
-}
-
-impl AgentPlan {
-    /// Plans an agent beside a model engine of 48,000 MiB.
-    pub fn engine(name: &str, pool: &str, endpoint: SocketAddr) -> Self {
-        AgentPlan {
-            name: name.to_owned(),
-            pool: pool.to_owned(),
-            engine: true,
-            endpoint,
-            zone: "zone-a".to_owned(),
-            extra: "memory_mib = 48000\naccelerators = 8\nchecks_fencing = true".to_owned(),
-        }
-    }
-
-    /// Plans an agent beside a plain service.
-    pub fn service(name: &str, endpoint: SocketAddr) -> Self {
-        AgentPlan {
-            name: format!("{name}-0"),
-            pool: name.to_owned(),
-            engine: false,
-            endpoint,
-            zone: "zone-a".to_owned(),
-            extra: String::new(),
-        }
-    }
-}
-
-/// What a cluster consists of.
-#[derive(Debug, Clone, Default)]
-pub struct ClusterPlan {
-    /// Number of control instances; the first also has the entry role when
-    /// there is no entry instance.
-    pub controls: usize,
-    /// Number of instances with the entry role only.
-    pub entries: usize,
-    /// Agents.
-    pub agents: Vec<AgentPlan>,
-    /// Further lines of each `[entry]` table.
-    pub entry_extra: String,
-    /// Further lines of each `[control]` table.
-    pub control_extra: String,
-}
+const OPERATOR_KEY: &str = "mwop-operator-key-of-the-test-cluster";
 
 #[derive(Debug)]
 struct ProcessSlot {
@@ -102,6 +40,10 @@
     folder: TempDir,
     binaries: BinaryPaths,
     processes: BTreeMap<String, ProcessSlot>,
+    /// Proxies by the names of the process that connects and its target.
+    proxies: BTreeMap<(String, String), FaultProxy>,
+    proxied: bool,
+    log_level: String,
     /// Callers' addresses, in the order of the instances.
     pub callers: Vec<SocketAddr>,
     /// Operators' addresses, in the order of the control instances.
@@ -123,6 +65,12 @@
             folder,
             binaries: binaries.clone(),
             processes: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            proxied: plan.proxied,
+            log_level: match plan.log_level.as_str() {
+                "" => "debug".to_owned(),
+                level => level.to_owned(),
+            },
             callers: Vec::new(),
             operators: Vec::new(),
             links: Vec::new(),
@@ -151,7 +99,7 @@
         let name = format!("control-{idx}");
         let operators = free_port()?;
         self.operators.push(operators);
-        let mut text = self.instance_text(&name, self.links[idx], &format!("zone-{idx}"));
+        let mut text = self.instance_text(&name, self.links[idx], &format!("zone-{idx}"))?;
         if plan.entries == 0 && idx == 0 {
             text.push_str(&self.entry_text(plan)?);
         }
@@ -168,7 +116,7 @@
 
     fn spawn_entry(&mut self, idx: usize, plan: &ClusterPlan) -> Result<()> {
         let name = format!("entry-{idx}");
-        let mut text = self.instance_text(&name, free_port()?, &format!("zone-{idx}"));
+        let mut text = self.instance_text(&name, free_port()?, &format!("zone-{idx}"))?;
         text.push_str(&self.entry_text(plan)?);
         self.start(&name, &text, true)
     }
@@ -179,7 +127,7 @@
     /// Fails when the process can't be started.
     pub fn spawn_agent(&mut self, plan: &AgentPlan) -> Result<()> {
         let name = format!("agent-{}", plan.name);
-        let mut text = self.instance_text(&name, free_port()?, &plan.zone);
+        let mut text = self.instance_text(&name, free_port()?, &plan.zone)?;
         let kind = if plan.engine { "engine" } else { "service" };
         text.push_str(&format!(
             "[endpoint]\nname = \"{}\"\npool = \"{}\"\nkind = \"{kind}\"\naddress = \"{}\"\n{}\n",
@@ -197,19 +145,64 @@
         ))
     }
 
-    fn instance_text(&self, name: &str, listen: SocketAddr, zone: &str) -> String {
-        let seeds: Vec<String> = self
-            .links
-            .iter()
-            .map(|link| format!("\"{link}\""))
-            .collect();
-        format!(
+    fn instance_text(&mut self, name: &str, listen: SocketAddr, zone: &str) -> Result<String> {
+        let mut seeds = Vec::new();
+        for idx in 0..self.links.len() {
+            let address = self.seed_address(name, idx)?;
+            seeds.push(format!("\"{address}\""));
+        }
+        let advertise = self.proxy_address(ANY_PROCESS, name, listen)?;
+        Ok(format!(
             "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nregion = \"region-a\"\n\
-             listen = \"{listen}\"\nsecret_file = \"{}\"\nseeds = [{}]\n\
-             [log]\nlevel = \"debug\"\n",
+             listen = \"{listen}\"\nadvertise = \"{advertise}\"\nsecret_file = \"{}\"\n\
+             seeds = [{}]\n[log]\nlevel = \"{}\"\n",
             self.path("cluster.secret").display(),
             seeds.join(", "),
-        )
+            self.log_level,
+        ))
+    }
+
+    /// Returns where a process reaches a control instance; itself directly.
+    fn seed_address(&mut self, name: &str, control: usize) -> Result<SocketAddr> {
+        let target = format!("control-{control}");
+        let link = self.links[control];
+        if target == name {
+            return Ok(link);
+        }
+        self.proxy_address(name, &target, link)
+    }
+
+    /// Returns where `from` reaches `to`, through a new proxy where the plan
+    /// asks for proxies.
+    fn proxy_address(&mut self, from: &str, to: &str, link: SocketAddr) -> Result<SocketAddr> {
+        if !self.proxied {
+            return Ok(link);
+        }
+        let proxy = FaultProxy::spawn_seeded(link, self.proxies.len() as u64)?;
+        let address = proxy.address();
+        let pair = (from.to_owned(), to.to_owned());
+        self.proxies.insert(pair, proxy);
+        Ok(address)
+    }
+
+    /// Returns the proxy between a process that connects and its target.
+    ///
+    /// Agents are reached through the proxy of [`ANY_PROCESS`].
+    ///
+    /// # Errors
+    /// Fails when the plan asked for no proxies or the link does not exist.
+    pub fn proxy(&self, from: &str, to: &str) -> Result<&FaultProxy> {
+        let pair = (from.to_owned(), to.to_owned());
+        self.proxies.get(&pair).context("no such proxy")
+    }
+
+    /// Returns all proxies before or behind a process.
+    pub fn proxies_of(&self, name: &str) -> Vec<&FaultProxy> {
+        self.proxies
+            .iter()
+            .filter(|((from, to), _)| from == name || to == name)
+            .map(|(_, proxy)| proxy)
+            .collect()
     }
 
     fn path(&self, name: &str) -> PathBuf {
@@ -273,6 +266,34 @@
         Ok(())
     }
 
+    /// Stops a process without ending it, as a stalled machine does.
+    ///
+    /// # Errors
+    /// Fails when there is no such process.
+    pub fn freeze(&self, name: &str) -> Result<()> {
+        self.signal(name, Signal::SIGSTOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    /// Fails when there is no such process.
+    pub fn thaw(&self, name: &str) -> Result<()> {
+        self.signal(name, Signal::SIGCONT)
+    }
+
+    /// Deletes the data folder of a control instance, which must have ended.
+    ///
+    /// # Errors
+    /// Fails when the process still runs or the folder can't be deleted.
+    pub fn lose_data(&mut self, name: &str) -> Result<()> {
+        if self.is_running(name) {
+            bail!("{name} still runs");
+        }
+        fs::remove_dir_all(self.path(&format!("data-{name}")))?;
+        Ok(())
+    }
+
     /// Waits for a process to end; true when it ended well.
     ///
     /// # Errors
@@ -430,14 +451,6 @@
     }
 }
 
-/// Finds a port that is free now.
-///
-/// # Errors
-/// Fails when the system has none.
-pub fn free_port() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
 /// Waits until a condition holds.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/testkit/tests/fault_proxy.rs
@@ -0,0 +1,162 @@
+//! Each fault of the proxy, seen from both ends of a connection.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use mulberrywell_testkit::{free_port, FaultProxy, FlowFault, ProxyFlow};
+
+/// Time in which nothing may come through a stalled flow.
+const QUIET: Duration = Duration::from_millis(150);
+
+/// Longest wait for bytes.
+const WAIT_MAX: Duration = Duration::from_secs(10);
+
+/// A proxy with one connection through it: the caller's and the target's end.
+fn proxied() -> (FaultProxy, TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = FaultProxy::spawn_seeded(listener.local_addr().unwrap(), 7).unwrap();
+    let caller = TcpStream::connect(proxy.address()).unwrap();
+    let (target, _) = listener.accept().unwrap();
+    for socket in [&caller, &target] {
+        socket.set_nodelay(true).unwrap();
+        socket.set_read_timeout(Some(WAIT_MAX)).unwrap();
+    }
+    (proxy, caller, target)
+}
+
+fn read_len(socket: &mut TcpStream, len: usize) -> Vec<u8> {
+    let mut data = vec![0; len];
+    socket.read_exact(&mut data).unwrap();
+    data
+}
+
+fn is_quiet(socket: &mut TcpStream) -> bool {
+    socket.set_read_timeout(Some(QUIET)).unwrap();
+    let outcome = socket.read(&mut [0; 16]);
+    socket.set_read_timeout(Some(WAIT_MAX)).unwrap();
+    outcome.is_err_and(|err| matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
+}
+
+#[test]
+fn proxy_passes_both_ways() {
+    let (proxy, mut caller, mut target) = proxied();
+    caller.write_all(b"question").unwrap();
+    assert_eq!(read_len(&mut target, 8), b"question");
+    target.write_all(b"answer").unwrap();
+    assert_eq!(read_len(&mut caller, 6), b"answer");
+    drop(target);
+    assert_eq!(caller.read(&mut [0; 1]).unwrap(), 0, "the end is passed on");
+    assert_eq!(proxy.accepted(), 1);
+}
+
+#[test]
+fn proxy_stalls_and_heals() {
+    let (proxy, mut caller, mut target) = proxied();
+    proxy.stall();
+    caller.write_all(b"late").unwrap();
+    assert!(is_quiet(&mut target));
+    assert!(is_quiet(&mut caller), "neither end sees the cut");
+    proxy.heal();
+    assert_eq!(read_len(&mut target, 4), b"late");
+}
+
+#[test]
+fn proxy_stalls_one_flow() {
+    let (proxy, mut caller, mut target) = proxied();
+    let stalled = FlowFault {
+        stalled: true,
+        ..FlowFault::default()
+    };
+    proxy.set_flow(ProxyFlow::ToCaller, stalled);
+    caller.write_all(b"in").unwrap();
+    assert_eq!(read_len(&mut target, 2), b"in");
+    target.write_all(b"out").unwrap();
+    assert!(is_quiet(&mut caller));
+}
+
+#[test]
+fn proxy_resets() {
+    let (proxy, mut caller, mut target) = proxied();
+    caller.write_all(b"x").unwrap();
+    read_len(&mut target, 1);
+    proxy.reset();
+    for socket in [&mut caller, &mut target] {
+        let err = socket.read(&mut [0; 1]).unwrap_err();
+        assert_eq!(err.kind(), ErrorKind::ConnectionReset);
+    }
+}
+
+#[test]
+fn proxy_resets_stalled() {
+    let (proxy, mut caller, _target) = proxied();
+    proxy.stall();
+    caller.write_all(b"x").unwrap();
+    assert!(is_quiet(&mut caller));
+    proxy.reset();
+    assert!(caller.read(&mut [0; 1]).is_err());
+}
+
+#[test]
+fn proxy_refuses() {
+    let (proxy, _caller, _target) = proxied();
+    proxy.refuse(true);
+    // The reset may come before or after the connection counts as made.
+    if let Ok(mut refused) = TcpStream::connect(proxy.address()) {
+        refused.set_read_timeout(Some(WAIT_MAX)).unwrap();
+        let err = refused.read(&mut [0; 1]).unwrap_err();
+        assert_eq!(err.kind(), ErrorKind::ConnectionReset);
+    }
+    proxy.heal();
+    assert!(TcpStream::connect(proxy.address()).is_ok());
+}
+
+#[test]
+fn proxy_delays() {
+    let (proxy, mut caller, mut target) = proxied();
+    let delay = Duration::from_millis(80);
+    let fault = FlowFault {
+        delay,
+        jitter: delay,
+        ..FlowFault::default()
+    };
+    proxy.set_both(fault);
+    let started = Instant::now();
+    caller.write_all(b"x").unwrap();
+    read_len(&mut target, 1);
+    assert!(started.elapsed() >= delay);
+}
+
+#[test]
+fn proxy_throttles() {
+    let (proxy, mut caller, mut target) = proxied();
+    let fault = FlowFault {
+        bytes_per_second: 10_000,
+        chop_len: 100,
+        ..FlowFault::default()
+    };
+    proxy.set_flow(ProxyFlow::ToTarget, fault);
+    let started = Instant::now();
+    caller.write_all(&[1; 2_000]).unwrap();
+    read_len(&mut target, 2_000);
+    assert!(started.elapsed() >= Duration::from_millis(180));
+}
+
+#[test]
+fn proxy_chops() {
+    let (proxy, mut caller, mut target) = proxied();
+    proxy.set_both(FlowFault {
+        chop_len: 1,
+        ..FlowFault::default()
+    });
+    let sent: Vec<u8> = (0..=255).collect();
+    caller.write_all(&sent).unwrap();
+    assert_eq!(read_len(&mut target, 256), sent);
+    assert_eq!(proxy.moved(ProxyFlow::ToTarget), 256);
+}
+
+#[test]
+fn free_port_never_repeats() {
+    let ports: std::collections::BTreeSet<_> = (0..200).map(|_| free_port().unwrap()).collect();
+    assert_eq!(ports.len(), 200);
+}
