Let the proxy's tests fail for the right reason

Cause: the refusal's test passed without the refusal, because its target was closed; the chop's test read the byte count before the proxy wrote it, seen once in about ten runs. Each now waits on the condition that it means.

--- a/crates/testkit/tests/fault_proxy.rs
+++ b/crates/testkit/tests/fault_proxy.rs
@@ -4,7 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use mulberrywell_testkit::{free_port, FaultProxy, FlowFault, ProxyFlow};
+use mulberrywell_testkit::{free_port, wait_until, FaultProxy, FlowFault, ProxyFlow};
 
 /// Time in which nothing may come through a stalled flow.
 const QUIET: Duration = Duration::from_millis(150);
@@ -99,7 +99,8 @@
 
 #[test]
 fn proxy_refuses() {
-    let (proxy, _caller, _target) = proxied();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = FaultProxy::spawn(listener.local_addr().unwrap()).unwrap();
     proxy.refuse(true);
     // The reset may come before or after the connection counts as made.
     if let Ok(mut refused) = TcpStream::connect(proxy.address()) {
@@ -108,7 +109,8 @@
         assert_eq!(err.kind(), ErrorKind::ConnectionReset);
     }
     proxy.heal();
-    assert!(TcpStream::connect(proxy.address()).is_ok());
+    let mut taken = TcpStream::connect(proxy.address()).unwrap();
+    assert!(is_quiet(&mut taken));
 }
 
 #[test]
@@ -152,7 +154,10 @@
     let sent: Vec<u8> = (0..=255).collect();
     caller.write_all(&sent).unwrap();
     assert_eq!(read_len(&mut target, 256), sent);
-    assert_eq!(proxy.moved(ProxyFlow::ToTarget), 256);
+    wait_until("the bytes are counted", || {
+        proxy.moved(ProxyFlow::ToTarget) == 256
+    })
+    .unwrap();
 }
 
 #[test]
