--- a/crates/control/src/audit_trail.rs
+++ b/crates/control/src/audit_trail.rs
@@ -2,8 +2,12 @@
 
 use std::collections::VecDeque;
 
+use bytes::Bytes;
+use mulberrywell_wire::command::AuditRecord;
 use serde::Serialize;
 
+use crate::state_summary::text;
+
 /// Entries that are kept in memory and in snapshots.
 const ENTRIES_MAX: usize = 20_000;
 
@@ -50,4 +54,38 @@
             .take(limit)
             .collect()
     }
+
+    /// Encodes all entries, oldest first.
+    pub fn to_records(&self) -> Vec<AuditRecord> {
+        let records = self.entries.iter().map(|entry| AuditRecord {
+            index: entry.index,
+            at_ms: entry.at_ms,
+            actor: bytes(&entry.actor),
+            action: bytes(&entry.action),
+            before: bytes(&entry.before),
+            after: bytes(&entry.after),
+            outcome: bytes(&entry.outcome),
+        });
+        records.collect()
+    }
+
+    /// Decodes entries, oldest first.
+    pub fn from_records(records: Vec<AuditRecord>) -> Self {
+        let entries = records.into_iter().map(|record| AuditEntry {
+            index: record.index,
+            at_ms: record.at_ms,
+            actor: text(&record.actor),
+            action: text(&record.action),
+            before: text(&record.before),
+            after: text(&record.after),
+            outcome: text(&record.outcome),
+        });
+        AuditTrail {
+            entries: entries.collect(),
+        }
+    }
+}
+
+fn bytes(text: &str) -> Bytes {
+    Bytes::copy_from_slice(text.as_bytes())
 }
--- /dev/null
+++ b/crates/control/src/claim_book.rs
@@ -0,0 +1,146 @@
+//! Claims of idempotency keys and the answers of claimed requests.
+//!
+//! Guarantees: a key of a client account has at most one claim at a time, and
+//! a claim that ran keeps its outcome until it expires; nothing is evicted
+//! early, so a full book refuses new claims. Expiry follows the clock that
+//! commands carry, so all members forget a claim at the same place in the log.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use mulberrywell_wire::command::{ClaimRecord, PutClaim, PutOutcome};
+
+use crate::command_outcome::EditConflict;
+
+/// Claims that are kept.
+const CLAIMS_MAX: usize = 100_000;
+
+/// Bytes of all kept answers.
+const ANSWERS_MAX: usize = 64 * 1024 * 1024;
+
+/// Longest answer that is kept, in bytes.
+const ANSWER_MAX: usize = 256 * 1024;
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct ClaimKey {
+    account: Bytes,
+    key: Bytes,
+}
+
+/// All claims.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ClaimBook {
+    claims: BTreeMap<ClaimKey, ClaimRecord>,
+    /// Claims by the time they expire; holds each claim of `claims` once.
+    expiry: BTreeMap<(u64, u64), ClaimKey>,
+    /// Bytes of all answers in `claims`; at most [`ANSWERS_MAX`].
+    answer_len: usize,
+}
+
+impl ClaimBook {
+    /// Returns the claim of an account's key.
+    pub fn find(&self, account: &Bytes, key: &Bytes) -> Option<&ClaimRecord> {
+        let key = ClaimKey {
+            account: account.clone(),
+            key: key.clone(),
+        };
+        self.claims.get(&key)
+    }
+
+    /// Takes a claim under a new id.
+    ///
+    /// # Errors
+    /// Fails when the key is claimed or the book is full.
+    pub fn claim(&mut self, put: &PutClaim, id: u64, clock_ms: u64) -> Result<(), EditConflict> {
+        self.expire(clock_ms);
+        if self.find(&put.account, &put.key).is_some() {
+            return Err(EditConflict::Exists);
+        }
+        if self.claims.len() >= CLAIMS_MAX {
+            return Err(EditConflict::Full);
+        }
+        self.insert(ClaimRecord {
+            account: put.account.clone(),
+            key: put.key.clone(),
+            digest: put.digest.clone(),
+            claim: id,
+            expires_ms: clock_ms.saturating_add(put.lifetime_ms),
+            ..ClaimRecord::default()
+        });
+        Ok(())
+    }
+
+    /// Records the outcome of a claim, or releases a claim that was not used.
+    ///
+    /// # Errors
+    /// Fails when the claim is not held under this id.
+    pub fn settle(&mut self, put: &PutOutcome) -> Result<(), EditConflict> {
+        let key = ClaimKey {
+            account: put.account.clone(),
+            key: put.key.clone(),
+        };
+        let Some(claim) = self.claims.get_mut(&key).filter(|c| c.claim == put.claim) else {
+            return Err(EditConflict::NotFound);
+        };
+        if claim.done {
+            return Ok(());
+        }
+        if put.not_run {
+            self.remove(&key);
+            return Ok(());
+        }
+        claim.done = true;
+        claim.status = put.status;
+        let len = put.body.len();
+        if len > ANSWER_MAX || self.answer_len + len > ANSWERS_MAX {
+            claim.dropped = true;
+            return Ok(());
+        }
+        claim.content_type = put.content_type.clone();
+        claim.body = put.body.clone();
+        self.answer_len += len;
+        Ok(())
+    }
+
+    fn expire(&mut self, clock_ms: u64) {
+        while let Some(entry) = self.expiry.first_entry() {
+            if entry.key().0 > clock_ms {
+                break;
+            }
+            let key = entry.get().clone();
+            self.remove(&key);
+        }
+    }
+
+    fn insert(&mut self, record: ClaimRecord) {
+        let key = ClaimKey {
+            account: record.account.clone(),
+            key: record.key.clone(),
+        };
+        self.answer_len += record.body.len();
+        self.expiry
+            .insert((record.expires_ms, record.claim), key.clone());
+        self.claims.insert(key, record);
+    }
+
+    fn remove(&mut self, key: &ClaimKey) {
+        if let Some(claim) = self.claims.remove(key) {
+            self.expiry.remove(&(claim.expires_ms, claim.claim));
+            self.answer_len -= claim.body.len();
+        }
+    }
+
+    /// Encodes all claims.
+    pub fn to_records(&self) -> Vec<ClaimRecord> {
+        self.claims.values().cloned().collect()
+    }
+
+    /// Decodes all claims.
+    pub fn from_records(records: Vec<ClaimRecord>) -> Self {
+        let mut book = ClaimBook::default();
+        for record in records {
+            book.insert(record);
+        }
+        book
+    }
+}
--- /dev/null
+++ b/crates/control/src/client_frames.rs
@@ -0,0 +1,296 @@
+//! Frames of entries and agents: what is answered here, and what the leader
+//! must answer.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_role::{LinkCommand, LinkId, RoleAction};
+use mulberrywell_wire::claim::{
+    ClaimAnswer, ClaimRequest, ClaimState, OutcomeAck, OutcomeReport, StoredAnswer,
+};
+use mulberrywell_wire::command::log_command::Body;
+use mulberrywell_wire::command::{ClaimRecord, PutClaim, PutOutcome};
+use mulberrywell_wire::config::{ConfirmAnswer, ConfirmQuery};
+use mulberrywell_wire::operate::{Relay, RelayAnswer};
+use mulberrywell_wire::{FrameBody, PeerFrame};
+use prost::Message;
+
+use crate::command_outcome::{CommandOutcome, EditConflict};
+use crate::control_role::{send, Actions, ControlRole, ReadTask};
+use crate::proposal_table::{FrameOrigin, ProposalWaiter};
+use crate::relay_table::RelayAsker;
+
+/// A frame that the confirmed leader answers.
+#[derive(Debug)]
+pub(crate) struct ClientTask {
+    pub(crate) origin: FrameOrigin,
+    pub(crate) frame: FrameBody,
+}
+
+impl ControlRole {
+    pub(crate) fn take_client_frame(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        body: FrameBody,
+        actions: &mut Actions,
+    ) {
+        match body {
+            FrameBody::Subscribe(subscribe) => self.subscribers.insert(link, subscribe),
+            FrameBody::Announce(announce) => self.take_announce(now, link, announce, actions),
+            FrameBody::StateReport(report) => self.take_state_report(now, report),
+            FrameBody::DemandReport(report) => {
+                if let Some(instance) = self.clients.instance(link).cloned() {
+                    self.take_demand(now, instance, report);
+                }
+            }
+            FrameBody::ConfirmQuery(_)
+            | FrameBody::ClaimRequest(_)
+            | FrameBody::OutcomeReport(_)
+            | FrameBody::LeaseRequest(_)
+            | FrameBody::LeaseReturn(_) => {
+                self.route_client(now, FrameOrigin::Local(link), body, actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in a frame that another member passed on.
+    pub(crate) fn take_relay(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        relay: Relay,
+        actions: &mut Actions,
+    ) {
+        let Ok(frame) = PeerFrame::decode(relay.frame) else {
+            return;
+        };
+        match frame.body {
+            Some(FrameBody::Announce(announce)) => self.take_relayed_announce(now, announce),
+            Some(body) => {
+                let sequence = relay.sequence;
+                let origin = FrameOrigin::Relayed { link, sequence };
+                self.route_client(now, origin, body, actions);
+            }
+            None => {}
+        }
+    }
+
+    /// Brings a frame before the leader.
+    fn route_client(
+        &mut self,
+        now: Instant,
+        origin: FrameOrigin,
+        frame: FrameBody,
+        actions: &mut Actions,
+    ) {
+        if self.is_leader() {
+            self.reads
+                .push(ReadTask::Client(ClientTask { origin, frame }));
+            return;
+        }
+        let leader = self.leader_link();
+        let (FrameOrigin::Local(link), Some(leader)) = (origin, leader) else {
+            self.refuse_client(now, origin, &frame, actions);
+            return;
+        };
+        let data = Bytes::from(PeerFrame::from(frame.clone()).encode_to_vec());
+        let asker = RelayAsker::Client {
+            link,
+            frame: Box::new(frame),
+        };
+        match self.relays.open(now, leader, asker) {
+            Ok(sequence) => {
+                let relay = Relay {
+                    sequence,
+                    frame: data,
+                };
+                send(leader, FrameBody::Relay(relay), actions);
+            }
+            Err(asker) => self.refuse_asker(asker, actions),
+        }
+    }
+
+    /// Hands the leader's answer to its asker.
+    pub(crate) fn take_relay_answer(&mut self, answer: RelayAnswer, actions: &mut Actions) {
+        let asker = self.relays.finish(answer.sequence);
+        let frame = PeerFrame::decode(answer.frame);
+        if let (Some(RelayAsker::Client { link, .. }), Ok(frame)) = (asker, frame) {
+            if let Some(body) = frame.body {
+                send(link, body, actions);
+            }
+        }
+    }
+
+    /// Tells an asker that no leader has answered.
+    pub(crate) fn refuse_asker(&mut self, asker: RelayAsker, actions: &mut Actions) {
+        match asker {
+            RelayAsker::Operator(request) => self.answer_lost(request, actions),
+            RelayAsker::Client { link, frame } => {
+                if let Some(refusal) = refusal_of(&frame) {
+                    send(link, refusal, actions);
+                }
+            }
+        }
+    }
+
+    /// Tells the sender of a frame that it can't be answered now.
+    pub(crate) fn refuse_client(
+        &mut self,
+        _: Instant,
+        origin: FrameOrigin,
+        frame: &FrameBody,
+        actions: &mut Actions,
+    ) {
+        if let Some(refusal) = refusal_of(frame) {
+            reply(origin, refusal, actions);
+        }
+    }
+
+    /// Answers a frame as the leader that a quorum has confirmed.
+    pub(crate) fn serve_client(&mut self, _: Instant, task: ClientTask, actions: &mut Actions) {
+        match task.frame {
+            FrameBody::ConfirmQuery(query) => self.confirm_version(task.origin, query, actions),
+            FrameBody::ClaimRequest(request) => self.take_claim(task.origin, request, actions),
+            FrameBody::OutcomeReport(report) => self.take_outcome(task.origin, report),
+            _ => {}
+        }
+    }
+
+    fn confirm_version(&self, origin: FrameOrigin, query: ConfirmQuery, actions: &mut Actions) {
+        let answer = ConfirmAnswer {
+            sequence: query.sequence,
+            version: self.state.version,
+            confirmed: self.state.cluster != 0,
+            age_ms: 0,
+        };
+        reply(origin, FrameBody::ConfirmAnswer(answer), actions);
+    }
+
+    fn take_claim(&mut self, origin: FrameOrigin, request: ClaimRequest, actions: &mut Actions) {
+        let lifetime = self.config.settings.claim_lifetime;
+        let known = self.state.claims.find(&request.account, &request.key);
+        if known.is_some_and(|claim| claim.expires_ms > self.clock_ms) {
+            let taken = CommandOutcome::Refused(EditConflict::Exists);
+            self.answer_claim(origin, &request, Some(&taken), actions);
+            return;
+        }
+        let body = Body::PutClaim(PutClaim {
+            account: request.account.clone(),
+            key: request.key.clone(),
+            digest: request.digest.clone(),
+            lifetime_ms: u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX),
+        });
+        self.propose(body, ProposalWaiter::Claim(origin, request));
+    }
+
+    /// Answers a claim by the outcome of its command, if there is one.
+    pub(crate) fn answer_claim(
+        &self,
+        origin: FrameOrigin,
+        request: &ClaimRequest,
+        outcome: Option<&CommandOutcome>,
+        actions: &mut Actions,
+    ) {
+        let claim = self.state.claims.find(&request.account, &request.key);
+        let mut answer = ClaimAnswer {
+            sequence: request.sequence,
+            state: ClaimState::Unavailable.into(),
+            answer: None,
+            claim: claim.map_or(0, |claim| claim.claim),
+        };
+        match (outcome, claim) {
+            (Some(CommandOutcome::Accepted { .. }), Some(_)) => {
+                answer.state = ClaimState::Granted.into();
+            }
+            (Some(CommandOutcome::Refused(EditConflict::Exists)), Some(claim)) => {
+                answer.state = claim_state(claim, request).into();
+                let answers = answer.state() == ClaimState::Done && !claim.dropped;
+                answer.answer = answers.then(|| stored_answer(claim));
+            }
+            _ => {}
+        }
+        reply(origin, FrameBody::ClaimAnswer(answer), actions);
+    }
+
+    fn take_outcome(&mut self, origin: FrameOrigin, report: OutcomeReport) {
+        let answer = report.answer.unwrap_or_default();
+        let body = Body::PutOutcome(PutOutcome {
+            account: report.account,
+            key: report.key,
+            claim: report.claim,
+            not_run: report.not_run,
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+        });
+        self.propose(body, ProposalWaiter::Outcome(origin, report.sequence));
+    }
+
+    pub(crate) fn acknowledge_outcome(
+        &self,
+        origin: FrameOrigin,
+        sequence: u64,
+        actions: &mut Actions,
+    ) {
+        reply(
+            origin,
+            FrameBody::OutcomeAck(OutcomeAck { sequence }),
+            actions,
+        );
+    }
+
+    /// Closes the links of entries and agents, so that they go elsewhere.
+    pub(crate) fn close_clients(&mut self, actions: &mut Actions) {
+        for link in self.clients.links() {
+            actions.push(RoleAction::Link(LinkCommand::Close { link }));
+        }
+    }
+}
+
+fn claim_state(claim: &ClaimRecord, request: &ClaimRequest) -> ClaimState {
+    if claim.digest != request.digest {
+        ClaimState::Mismatch
+    } else if claim.done {
+        ClaimState::Done
+    } else {
+        ClaimState::Pending
+    }
+}
+
+fn stored_answer(claim: &ClaimRecord) -> StoredAnswer {
+    StoredAnswer {
+        status: claim.status,
+        content_type: claim.content_type.clone(),
+        body: claim.body.clone(),
+    }
+}
+
+/// Returns the frame that says that a frame can't be answered now.
+fn refusal_of(frame: &FrameBody) -> Option<FrameBody> {
+    match frame {
+        FrameBody::ConfirmQuery(query) => Some(FrameBody::ConfirmAnswer(ConfirmAnswer {
+            sequence: query.sequence,
+            ..ConfirmAnswer::default()
+        })),
+        FrameBody::ClaimRequest(request) => Some(FrameBody::ClaimAnswer(ClaimAnswer {
+            sequence: request.sequence,
+            state: ClaimState::Unavailable.into(),
+            ..ClaimAnswer::default()
+        })),
+        _ => None,
+    }
+}
+
+/// Answers a frame where it came from.
+pub(crate) fn reply(origin: FrameOrigin, body: FrameBody, actions: &mut Actions) {
+    match origin {
+        FrameOrigin::Local(link) => send(link, body, actions),
+        FrameOrigin::Relayed { link, sequence } => {
+            let frame = Bytes::from(PeerFrame::from(body).encode_to_vec());
+            let answer = RelayAnswer { sequence, frame };
+            send(link, FrameBody::RelayAnswer(answer), actions);
+        }
+    }
+}
--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -1,61 +1,28 @@
 //! The replicated state and the commands that change it.
+//!
+//! Guarantees: `apply` depends on nothing but the state and the command, so
+//! that all members agree; a refused command changes nothing but the audit
+//! trail and the remembered outcomes; the version rises with each change that
+//! readers see and never falls.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use mulberrywell_wire::command::log_command::Body;
-use mulberrywell_wire::command::{EditLists, LogCommand, PutEndpoint, SetEndpointState};
+use mulberrywell_wire::command::{
+    EditLists, FoundCluster, GiveOperator, LogCommand, MemberItem, WishMember, WithdrawOperator,
+};
 use mulberrywell_wire::config::{
-    AccountItem, EndpointItem, EndpointState, GrantItem, KeyItem, ModelItem, PlanItem, ServiceItem,
+    AccountItem, EndpointItem, GrantItem, ItemKind, KeyItem, ModelItem, PlanItem, ServiceItem,
 };
-use prost::Message;
 
 use crate::audit_trail::{AuditEntry, AuditTrail};
-
-/// Outcomes that are remembered for operators' resends.
-const OUTCOMES_MAX: usize = 10_000;
-
-/// Why an edit was refused.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum EditConflict {
-    /// Another edit came first; it made this version.
-    BaseMismatch {
-        /// Version in force.
-        version: u64,
-        /// Operator that made it.
-        winner: Bytes,
-    },
-    /// The request id was used for another command.
-    RequestReused,
-    /// The named thing does not exist.
-    NotFound,
-    /// The name is taken.
-    Exists,
-    /// A later incarnation is registered.
-    OldIncarnation {
-        /// The registered one.
-        incarnation: u64,
-    },
-}
-
-/// What a command did.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CommandOutcome {
-    /// The change is in force from this version on.
-    Accepted {
-        /// Version of the configuration.
-        version: u64,
-    },
-    /// Nothing changed.
-    Refused(EditConflict),
-}
-
-/// A remembered outcome of an operator's request.
-#[derive(Debug, Clone, PartialEq)]
-struct RequestOutcome {
-    body: Bytes,
-    outcome: CommandOutcome,
-}
+use crate::change_history::{replace_items, ChangeHistory, ItemRef};
+use crate::claim_book::ClaimBook;
+use crate::command_outcome::{CommandOutcome, EditConflict};
+use crate::endpoint_chart::EndpointChart;
+use crate::request_memory::RequestMemory;
+use crate::state_summary::{action_name, is_audited, text};
 
 /// An endpoint with what only control needs of it.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -71,7 +38,7 @@
 }
 
 /// The state that all control instances agree on.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct ClusterState {
     /// Identity of the cluster; 0 before its first command.
     pub cluster: u64,
@@ -97,7 +64,7 @@
     pub services: BTreeMap<Bytes, ServiceItem>,
     /// By plan.
     pub grants: BTreeMap<Bytes, GrantItem>,
-    /// By label; digests are unique.
+    /// By digest; labels are unique.
     pub keys: BTreeMap<Bytes, KeyItem>,
     /// Digests of operators' keys by name.
     pub operators: BTreeMap<Bytes, Bytes>,
@@ -105,178 +72,224 @@
     pub endpoints: BTreeMap<Bytes, EndpointRecord>,
     /// Rises with each new incarnation of an endpoint.
     pub fencing: u64,
+    /// Control instances by their identity.
+    pub members: BTreeMap<u64, MemberItem>,
+    /// Whether operators want an instance as a member, by its name.
+    pub wishes: BTreeMap<Bytes, bool>,
+    /// Claims of idempotency keys.
+    pub claims: ClaimBook,
     /// The audit trail.
     pub audit: AuditTrail,
-    outcomes: BTreeMap<(Bytes, Bytes), RequestOutcome>,
-    /// Keys of `outcomes`, oldest first.
-    outcome_order: VecDeque<(Bytes, Bytes)>,
+    /// Outcomes of operators' requests.
+    pub requests: RequestMemory,
+    /// Highest clock of any command, in milliseconds since the Unix epoch.
+    pub clock_ms: u64,
+    /// Latest changes; not a part of the agreed state.
+    pub history: ChangeHistory,
+    pub(crate) chart: EndpointChart,
+    /// Items that the command in work has changed.
+    pub(crate) changed: Vec<ItemRef>,
 }
 
 impl ClusterState {
+    /// Creates the state of an empty log.
+    pub fn new(chart: EndpointChart) -> Self {
+        ClusterState {
+            cluster: 0,
+            applied: 0,
+            version: 0,
+            list_version: 0,
+            list_author: Bytes::new(),
+            plan_text: Bytes::new(),
+            grant_text: Bytes::new(),
+            plans: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            models: BTreeMap::new(),
+            services: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            operators: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            fencing: 0,
+            members: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+            claims: ClaimBook::default(),
+            audit: AuditTrail::default(),
+            requests: RequestMemory::default(),
+            clock_ms: 0,
+            history: ChangeHistory::default(),
+            chart,
+            changed: Vec::new(),
+        }
+    }
+
+    /// Returns the key with a label.
+    pub fn key_of_label(&self, label: &Bytes) -> Option<&KeyItem> {
+        self.keys.values().find(|key| key.label == *label)
+    }
+
     /// Applies the command at a place in the log.
     pub fn apply(&mut self, index: u64, command: &LogCommand) -> CommandOutcome {
         debug_assert!(index > self.applied);
         self.applied = index;
-        let request = (command.actor.clone(), command.request_id.clone());
-        if let Some(earlier) = self.earlier_outcome(&request, command) {
+        self.clock_ms = self.clock_ms.max(command.at_ms);
+        if let Some(earlier) = self.requests.find(command) {
             return earlier;
         }
         let before = self.summary(command);
-        let outcome = self.change(command);
-        self.note_audit(index, command, before, &outcome);
-        if !command.request_id.is_empty() {
-            self.remember(request, command, &outcome);
+        let outcome = match self.change(command) {
+            Ok(version) => CommandOutcome::Accepted { version },
+            Err(conflict) => CommandOutcome::Refused(conflict),
+        };
+        self.changed.clear();
+        if is_audited(command) {
+            self.note_audit(command, before, &outcome);
         }
+        self.requests.remember(command, &outcome);
         outcome
     }
 
-    fn earlier_outcome(
-        &self,
-        request: &(Bytes, Bytes),
-        command: &LogCommand,
-    ) -> Option<CommandOutcome> {
-        if command.request_id.is_empty() {
-            return None;
-        }
-        let earlier = self.outcomes.get(request)?;
-        if earlier.body == body_bytes(command) {
-            return Some(earlier.outcome.clone());
-        }
-        Some(CommandOutcome::Refused(EditConflict::RequestReused))
-    }
-
-    fn change(&mut self, command: &LogCommand) -> CommandOutcome {
+    /// Carries a command out; returns the version from which it is in force.
+    fn change(&mut self, command: &LogCommand) -> Result<u64, EditConflict> {
         let Some(body) = &command.body else {
-            return CommandOutcome::Refused(EditConflict::NotFound);
+            return Err(EditConflict::NotFound);
         };
         match body {
-            Body::FoundCluster(found) => {
-                if self.cluster != 0 {
-                    return CommandOutcome::Refused(EditConflict::Exists);
-                }
-                self.cluster = found.cluster;
-                self.accept()
-            }
+            Body::FoundCluster(found) => self.found_cluster(found),
             Body::EditLists(edit) => self.edit_lists(command, edit),
             Body::GiveKey(give) => self.give_key(give.key.clone().unwrap_or_default()),
-            Body::WithdrawKey(withdraw) => match self.keys.remove(&withdraw.label) {
-                Some(_) => self.accept(),
-                None => CommandOutcome::Refused(EditConflict::NotFound),
-            },
-            Body::GiveOperator(give) => {
-                if self.operators.contains_key(&give.name) {
-                    return CommandOutcome::Refused(EditConflict::Exists);
-                }
-                self.operators
-                    .insert(give.name.clone(), give.digest.clone());
-                self.accept()
+            Body::WithdrawKey(withdraw) => self.withdraw_key(&withdraw.label),
+            Body::GiveOperator(give) => self.give_operator(give),
+            Body::WithdrawOperator(withdraw) => self.withdraw_operator(withdraw),
+            Body::PutEndpoint(put) => self.put_endpoint(put),
+            Body::SetEndpointState(set) => self.signal_endpoint(set),
+            // The committed place itself tells that the block was given out.
+            Body::GrantBlock(_) => Ok(self.version),
+            Body::PutClaim(put) => {
+                self.claims.claim(put, self.applied, self.clock_ms)?;
+                Ok(self.version)
             }
-            Body::WithdrawOperator(withdraw) => {
-                if self.operators.len() < 2 || self.operators.remove(&withdraw.name).is_none() {
-                    return CommandOutcome::Refused(EditConflict::NotFound);
-                }
-                self.accept()
+            Body::PutOutcome(put) => {
+                self.claims.settle(put)?;
+                Ok(self.version)
             }
-            Body::PutEndpoint(put) => self.put_endpoint(put),
-            Body::SetEndpointState(set) => self.set_endpoint_state(set),
-            Body::GrantBlock(_) | Body::PutClaim(_) | Body::PutOutcome(_) => {
-                CommandOutcome::Refused(EditConflict::NotFound)
+            Body::PutMember(put) => {
+                let member = put.member.clone().unwrap_or_default();
+                self.members.insert(member.id, member);
+                Ok(self.version)
             }
+            Body::DropMember(drop) => {
+                let known = self.members.remove(&drop.id);
+                known.map(|_| self.version).ok_or(EditConflict::NotFound)
+            }
+            Body::WishMember(wish) => self.wish_member(wish),
         }
     }
 
-    fn accept(&mut self) -> CommandOutcome {
+    /// Puts the changed items in force under a new version.
+    pub(crate) fn accept(&mut self) -> u64 {
         self.version += 1;
-        CommandOutcome::Accepted {
-            version: self.version,
+        let items = std::mem::take(&mut self.changed);
+        self.history.push(self.version, items);
+        self.version
+    }
+
+    pub(crate) fn note_change(&mut self, kind: ItemKind, name: &Bytes) {
+        self.changed.push(ItemRef {
+            kind,
+            name: name.clone(),
+        });
+    }
+
+    fn found_cluster(&mut self, found: &FoundCluster) -> Result<u64, EditConflict> {
+        if self.cluster != 0 {
+            return Err(EditConflict::Exists);
         }
+        self.cluster = found.cluster;
+        if let Some(operator) = &found.operator {
+            self.operators
+                .insert(operator.name.clone(), operator.digest.clone());
+        }
+        Ok(self.accept())
     }
 
-    fn edit_lists(&mut self, command: &LogCommand, edit: &EditLists) -> CommandOutcome {
-        if edit.base != self.list_version {
-            return CommandOutcome::Refused(EditConflict::BaseMismatch {
+    fn edit_lists(&mut self, command: &LogCommand, edit: &EditLists) -> Result<u64, EditConflict> {
+        if edit.base.is_some_and(|base| base != self.list_version) {
+            return Err(EditConflict::BaseMismatch {
                 version: self.list_version,
                 winner: self.list_author.clone(),
             });
         }
-        self.plans = by_name(&edit.plans, |item| &item.name);
-        self.accounts = by_name(&edit.accounts, |item| &item.name);
-        self.models = by_name(&edit.models, |item| &item.name);
-        self.services = by_name(&edit.services, |item| &item.name);
-        self.grants = by_name(&edit.grants, |item| &item.plan);
+        let changes = &mut self.changed;
+        let plans = by_name(&edit.plans, |item| &item.name);
+        replace_items(ItemKind::Plan, &mut self.plans, plans, changes);
+        let accounts = by_name(&edit.accounts, |item| &item.name);
+        replace_items(ItemKind::Account, &mut self.accounts, accounts, changes);
+        let models = by_name(&edit.models, |item| &item.name);
+        replace_items(ItemKind::Model, &mut self.models, models, changes);
+        let services = by_name(&edit.services, |item| &item.name);
+        replace_items(ItemKind::Service, &mut self.services, services, changes);
+        let grants = by_name(&edit.grants, |item| &item.plan);
+        replace_items(ItemKind::Grant, &mut self.grants, grants, changes);
         self.plan_text = edit.plan_text.clone();
         self.grant_text = edit.grant_text.clone();
         self.list_author = command.actor.clone();
-        let outcome = self.accept();
-        self.list_version = self.version;
-        outcome
+        self.list_version = self.accept();
+        Ok(self.list_version)
     }
 
-    fn give_key(&mut self, key: KeyItem) -> CommandOutcome {
+    fn give_key(&mut self, key: KeyItem) -> Result<u64, EditConflict> {
         if !self.accounts.contains_key(&key.account) {
-            return CommandOutcome::Refused(EditConflict::NotFound);
+            return Err(EditConflict::NotFound);
         }
-        let taken = self.keys.values().any(|item| item.digest == key.digest);
-        if taken || self.keys.contains_key(&key.label) {
-            return CommandOutcome::Refused(EditConflict::Exists);
+        if self.keys.contains_key(&key.digest) || self.key_of_label(&key.label).is_some() {
+            return Err(EditConflict::Exists);
         }
-        self.keys.insert(key.label.clone(), key);
-        self.accept()
+        self.note_change(ItemKind::Key, &key.digest);
+        self.keys.insert(key.digest.clone(), key);
+        Ok(self.accept())
     }
 
-    fn put_endpoint(&mut self, put: &PutEndpoint) -> CommandOutcome {
-        let Some(item) = &put.endpoint else {
-            return CommandOutcome::Refused(EditConflict::NotFound);
-        };
-        let known = self.endpoints.get(&item.name);
-        if let Some(known) = known.filter(|known| known.item.incarnation > item.incarnation) {
-            return CommandOutcome::Refused(EditConflict::OldIncarnation {
-                incarnation: known.item.incarnation,
-            });
+    fn withdraw_key(&mut self, label: &Bytes) -> Result<u64, EditConflict> {
+        let key = self.key_of_label(label).ok_or(EditConflict::NotFound)?;
+        let digest = key.digest.clone();
+        self.note_change(ItemKind::Key, &digest);
+        self.keys.remove(&digest);
+        Ok(self.accept())
+    }
+
+    fn give_operator(&mut self, give: &GiveOperator) -> Result<u64, EditConflict> {
+        if self.operators.contains_key(&give.name) {
+            return Err(EditConflict::Exists);
         }
-        let same = known.filter(|known| known.item.incarnation == item.incarnation);
-        let fencing = match same {
-            Some(known) => known.item.fencing,
-            None => self.fencing + 1,
-        };
-        self.fencing = self.fencing.max(fencing);
-        let record = EndpointRecord {
-            item: EndpointItem {
-                fencing,
-                ..item.clone()
-            },
-            memory_mib: put.memory_mib,
-            slots: put.slots,
-            accelerators: put.accelerators,
-        };
-        self.endpoints.insert(item.name.clone(), record);
-        self.accept()
+        self.operators
+            .insert(give.name.clone(), give.digest.clone());
+        Ok(self.accept())
     }
 
-    fn set_endpoint_state(&mut self, set: &SetEndpointState) -> CommandOutcome {
-        let Some(record) = self.endpoints.get_mut(&set.name) else {
-            return CommandOutcome::Refused(EditConflict::NotFound);
-        };
-        if record.item.incarnation != set.incarnation {
-            return CommandOutcome::Refused(EditConflict::OldIncarnation {
-                incarnation: record.item.incarnation,
-            });
+    /// Withdraws an operator's key; the last one stays.
+    fn withdraw_operator(&mut self, withdraw: &WithdrawOperator) -> Result<u64, EditConflict> {
+        if self.operators.len() < 2 || self.operators.remove(&withdraw.name).is_none() {
+            return Err(EditConflict::NotFound);
         }
-        if set.state() == EndpointState::Gone {
-            self.endpoints.remove(&set.name);
-        } else {
-            record.item.state = set.state;
+        Ok(self.accept())
+    }
+
+    fn wish_member(&mut self, wish: &WishMember) -> Result<u64, EditConflict> {
+        let known = |name: &Bytes| self.members.values().any(|member| member.name == *name);
+        if !wish.remove.is_empty() && !known(&wish.remove) {
+            return Err(EditConflict::NotFound);
         }
-        self.accept()
+        if !wish.remove.is_empty() {
+            self.wishes.insert(wish.remove.clone(), false);
+        }
+        if !wish.add.is_empty() {
+            self.wishes.insert(wish.add.clone(), true);
+        }
+        Ok(self.version)
     }
 
-    fn note_audit(
-        &mut self,
-        index: u64,
-        command: &LogCommand,
-        before: String,
-        outcome: &CommandOutcome,
-    ) {
+    fn note_audit(&mut self, command: &LogCommand, before: String, outcome: &CommandOutcome) {
         let accepted = matches!(outcome, CommandOutcome::Accepted { .. });
         let after = if accepted {
             self.summary(command)
@@ -284,85 +297,15 @@
             String::new()
         };
         self.audit.push(AuditEntry {
-            index,
+            index: self.applied,
             at_ms: command.at_ms,
             actor: text(&command.actor),
             action: action_name(command).to_owned(),
             before,
             after,
-            outcome: outcome_text(outcome),
+            outcome: outcome.describe(),
         });
     }
-
-    /// Describes what a command touches, as it stands now.
-    fn summary(&self, command: &LogCommand) -> String {
-        match &command.body {
-            Some(Body::EditLists(_)) => format!(
-                "version {}: {} plans, {} accounts, {} models, {} services",
-                self.list_version,
-                self.plans.len(),
-                self.accounts.len(),
-                self.models.len(),
-                self.services.len()
-            ),
-            Some(Body::GiveKey(give)) => {
-                let label = give.key.as_ref().map(|key| key.label.clone());
-                self.key_summary(&label.unwrap_or_default())
-            }
-            Some(Body::WithdrawKey(withdraw)) => self.key_summary(&withdraw.label),
-            Some(Body::PutEndpoint(put)) => {
-                let name = put.endpoint.as_ref().map(|item| item.name.clone());
-                self.endpoint_summary(&name.unwrap_or_default())
-            }
-            Some(Body::SetEndpointState(set)) => self.endpoint_summary(&set.name),
-            _ => String::new(),
-        }
-    }
-
-    fn key_summary(&self, label: &Bytes) -> String {
-        self.keys.get(label).map_or_else(String::new, |key| {
-            format!("key {} of {}", text(label), text(&key.account))
-        })
-    }
-
-    fn endpoint_summary(&self, name: &Bytes) -> String {
-        self.endpoints.get(name).map_or_else(String::new, |record| {
-            format!(
-                "{} {} incarnation {}",
-                text(name),
-                record.item.state().as_str_name(),
-                record.item.incarnation
-            )
-        })
-    }
-
-    fn remember(
-        &mut self,
-        request: (Bytes, Bytes),
-        command: &LogCommand,
-        outcome: &CommandOutcome,
-    ) {
-        let remembered = RequestOutcome {
-            body: body_bytes(command),
-            outcome: outcome.clone(),
-        };
-        self.outcomes.insert(request.clone(), remembered);
-        self.outcome_order.push_back(request);
-        if self.outcome_order.len() > OUTCOMES_MAX {
-            if let Some(oldest) = self.outcome_order.pop_front() {
-                self.outcomes.remove(&oldest);
-            }
-        }
-    }
-}
-
-/// Encodes what a command asks, without the proposer's clock.
-fn body_bytes(command: &LogCommand) -> Bytes {
-    let bare = LogCommand {
-        at_ms: 0,
-        ..command.clone()
-    };
-    Bytes::from(bare.encode_to_vec())
 }
 
 fn by_name<T: Clone>(items: &[T], name: impl Fn(&T) -> &Bytes) -> BTreeMap<Bytes, T> {
@@ -371,41 +314,3 @@
         .map(|item| (name(item).clone(), item.clone()))
         .collect()
 }
-
-fn text(name: &Bytes) -> String {
-    String::from_utf8_lossy(name).into_owned()
-}
-
-fn action_name(command: &LogCommand) -> &'static str {
-    match &command.body {
-        Some(Body::FoundCluster(_)) => "found cluster",
-        Some(Body::EditLists(_)) => "edit lists",
-        Some(Body::GiveKey(_)) => "give key",
-        Some(Body::WithdrawKey(_)) => "withdraw key",
-        Some(Body::GiveOperator(_)) => "give operator",
-        Some(Body::WithdrawOperator(_)) => "withdraw operator",
-        Some(Body::PutEndpoint(_)) => "put endpoint",
-        Some(Body::SetEndpointState(_)) => "set endpoint state",
-        Some(Body::GrantBlock(_)) => "grant block",
-        Some(Body::PutClaim(_)) => "put claim",
-        Some(Body::PutOutcome(_)) => "put outcome",
-        None => "nothing",
-    }
-}
-
-fn outcome_text(outcome: &CommandOutcome) -> String {
-    match outcome {
-        CommandOutcome::Accepted { version } => format!("accepted as version {version}"),
-        CommandOutcome::Refused(EditConflict::BaseMismatch { version, winner }) => {
-            format!("refused: version {version} by {} came first", text(winner))
-        }
-        CommandOutcome::Refused(EditConflict::RequestReused) => {
-            "refused: request id used before".to_owned()
-        }
-        CommandOutcome::Refused(EditConflict::NotFound) => "refused: not found".to_owned(),
-        CommandOutcome::Refused(EditConflict::Exists) => "refused: exists".to_owned(),
-        CommandOutcome::Refused(EditConflict::OldIncarnation { incarnation }) => {
-            format!("refused: incarnation {incarnation} is registered")
-        }
-    }
-}
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -1,34 +1,52 @@
 //! The state machine of the control role.
-
-use std::collections::{BTreeMap, BTreeSet};
+//!
+//! Purpose: each control instance holds a member of the replicated log and
+//! the state that the log's commands make. It serves entries, agents and
+//! operators itself, or passes what only the leader may decide on to it.
+//!
+//! Guarantees: an answer that promises something rests on a committed command
+//! or on a read that a quorum confirmed; without either the asker is refused
+//! at once. The inputs of the log's node are queued and carried out before
+//! `handle` returns, so that a call leaves nothing half done.
+
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_directory::digest_key;
+use mulberrywell_consensus::{
+    ConsensusNode, LogIndex, MemberId, Membership, NodeConfig, NodeInput, NodeOutput, NodeRole,
+    PersistBatch, PersistTicket, RecoveredState, SnapshotImage, Term,
+};
 use mulberrywell_role::{
-    header_value, AnswerPart, HttpEvent, HttpRequest, LinkCommand, LinkEvent, LinkId, LogLevel,
-    RequestId, RoleAction, RoleEvent, RoleMachine,
+    AnswerPart, HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RequestId, RoleAction,
+    RoleEvent, RoleMachine,
 };
-use mulberrywell_settings::ControlSettings;
+use mulberrywell_settings::{ControlSettings, Finding, FindingList};
 use mulberrywell_wire::command::log_command::Body;
-use mulberrywell_wire::command::{
-    FoundCluster, GiveOperator, LogCommand, PutEndpoint, SetEndpointState,
-};
-use mulberrywell_wire::config::{ConfirmAnswer, EndpointState};
-use mulberrywell_wire::endpoint::{Announce, AnnounceAck, StateReport};
-use mulberrywell_wire::request::HeaderField;
+use mulberrywell_wire::command::{LogCommand, MemberItem};
 use mulberrywell_wire::FrameBody;
 use prost::Message;
 
-use crate::cluster_state::{ClusterState, CommandOutcome, EndpointRecord};
-use crate::operator_api::{fault, outcome_answer, read_call, OperatorAnswer, OperatorCall};
-use crate::update_builder::whole_update;
-
-/// Interval at which silent endpoints are looked for.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Name of the operator whose key the settings give.
-const FIRST_OPERATOR: &[u8] = b"first";
+use crate::client_frames::ClientTask;
+use crate::client_links::ClientLinks;
+use crate::cluster_state::ClusterState;
+use crate::endpoint_chart::EndpointChart;
+use crate::endpoint_watch::EndpointWatch;
+use crate::member_driver::MemberDriver;
+use crate::member_status::StatusTable;
+use crate::observed_state::ObservedState;
+use crate::operator_calls::OperatorTask;
+use crate::peer_links::PeerLinks;
+use crate::proposal_table::{ProposalTable, ProposalWaiter};
+use crate::read_rounds::ReadRounds;
+use crate::relay_table::RelayTable;
+use crate::subscriber_table::SubscriberTable;
+
+/// Interval of the role's regular work.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time that a graceful shutdown gives the transfer of the leadership.
+const TRANSFER_TIME: Duration = Duration::from_secs(1);
 
 /// What the role needs to start.
 #[derive(Debug, Clone)]
@@ -37,6 +55,12 @@
     pub settings: ControlSettings,
     /// Name of the instance.
     pub instance: Bytes,
+    /// Availability zone.
+    pub zone: Bytes,
+    /// Address that other processes connect to.
+    pub advertise: std::net::SocketAddr,
+    /// Link addresses of control instances.
+    pub seeds: Vec<std::net::SocketAddr>,
     /// Identity of a cluster that this instance may found.
     pub new_cluster: u64,
     /// Key of the first operator.
@@ -50,19 +74,22 @@
     Http(HttpEvent),
     /// Wall clock in milliseconds since the Unix epoch, for the audit trail.
     Clock(u64),
-    /// An entry of the log from before the start.
-    Recovered {
-        /// Place in the log.
-        index: u64,
-        /// Encoded command.
-        data: Bytes,
+    /// Every batch up to this ticket is synced.
+    Persisted {
+        /// The last synced ticket.
+        ticket: PersistTicket,
     },
-    /// The whole log was recovered.
-    Ready,
-    /// An entry is durable.
-    Synced {
-        /// Place in the log.
-        index: u64,
+    /// The disk is full; the batch is tried again.
+    DiskFull,
+    /// A snapshot is synced.
+    SnapshotSaved {
+        /// Last place in the log that it covers.
+        index: LogIndex,
+    },
+    /// A snapshot could not be saved.
+    SnapshotUnsaved {
+        /// Last place in the log that it covers.
+        index: LogIndex,
     },
 }
 
@@ -71,64 +98,118 @@
 pub enum ControlAction {
     /// Sends a part of an answer to an operator.
     Answer(RequestId, AnswerPart),
-    /// Writes an entry of the log; `Synced` follows once it is durable.
-    Append {
-        /// Place in the log; one more than the last.
-        index: u64,
-        /// Encoded command.
-        data: Bytes,
-    },
+    /// Writes and syncs a batch; `Persisted` or `DiskFull` follows.
+    Persist(PersistBatch),
+    /// Saves a snapshot; `SnapshotSaved` or `SnapshotUnsaved` follows.
+    SaveSnapshot(SnapshotImage),
 }
 
-type Actions = Vec<RoleAction<ControlAction>>;
-
-/// Who waits for a command.
-#[derive(Debug)]
-enum CommandWaiter {
-    Nobody,
-    Operator(RequestId),
-    Agent(LinkId),
-}
+pub(crate) type Actions = Vec<RoleAction<ControlAction>>;
 
+/// A read that a quorum must confirm.
 #[derive(Debug)]
-struct PendingCommand {
-    command: LogCommand,
-    waiter: CommandWaiter,
+pub(crate) enum ReadTask {
+    Operator(OperatorTask),
+    Client(ClientTask),
 }
 
 /// The control role.
 #[derive(Debug)]
 pub struct ControlRole {
-    config: ControlConfig,
-    state: ClusterState,
-    /// Set once the log was recovered; nothing is served or proposed before.
-    ready: bool,
-    /// Last place given out.
-    last_index: u64,
-    /// By place; each is greater than `state.applied`.
-    pending: BTreeMap<u64, PendingCommand>,
-    subscribers: BTreeSet<LinkId>,
-    /// When each endpoint was last heard of.
-    heard: BTreeMap<Bytes, Instant>,
-    next_sweep: Instant,
+    pub(crate) config: ControlConfig,
+    pub(crate) state: ClusterState,
+    node: ConsensusNode,
+    /// Carried out before `handle` returns.
+    inputs: VecDeque<NodeInput>,
+    /// Reused between inputs.
+    outputs: Vec<NodeOutput>,
+    pub(crate) role: NodeRole,
+    pub(crate) term: Term,
+    pub(crate) leader: Option<MemberId>,
+    /// Since when no leader is known.
+    pub(crate) leaderless: Option<Instant>,
+    pub(crate) membership: Membership,
+    pub(crate) proposals: ProposalTable,
+    pub(crate) reads: ReadRounds<ReadTask>,
+    pub(crate) relays: RelayTable,
+    pub(crate) peers: PeerLinks,
+    pub(crate) clients: ClientLinks,
+    pub(crate) subscribers: SubscriberTable,
+    pub(crate) watch: EndpointWatch,
+    pub(crate) observed: ObservedState,
+    pub(crate) members: MemberDriver,
+    pub(crate) status: StatusTable,
+    /// Set while this instance may still found a cluster.
+    pub(crate) founding: Option<Instant>,
+    /// Instant of the last regular work.
+    pub(crate) last_tick: Instant,
+    next_tick: Instant,
     /// Milliseconds since the Unix epoch.
-    clock_ms: u64,
+    pub(crate) clock_ms: u64,
+    /// Set once a graceful shutdown began: its end.
+    stopping: Option<Instant>,
+    finished: bool,
+    /// Reused for commands of the link structures.
+    pub(crate) commands: Vec<LinkCommand>,
 }
 
 impl ControlRole {
-    /// Creates the role; it serves once the log was recovered.
-    pub fn new(config: ControlConfig, now: Instant) -> Self {
-        ControlRole {
+    /// Creates the role from what its folder holds.
+    ///
+    /// # Errors
+    /// Fails with the findings of the state charts, or with one that says that
+    /// the snapshot can't be read.
+    pub fn open(
+        config: ControlConfig,
+        recovered: RecoveredState,
+        now: Instant,
+    ) -> Result<Self, Vec<Finding>> {
+        let chart = EndpointChart::open()?;
+        let members = MemberDriver::open()?;
+        let state = recovered_state(&recovered, chart)?;
+        let member = MemberItem {
+            id: recovered.member,
+            name: config.instance.clone(),
+            address: Bytes::from(config.advertise.to_string()),
+            zone: config.zone.clone(),
+            operator_address: Bytes::from(config.settings.operator_listen.to_string()),
+        };
+        let node_config = NodeConfig {
+            seed: recovered.member,
+            ..NodeConfig::default()
+        };
+        let empty = recovered.is_empty();
+        let node = ConsensusNode::open(node_config, recovered, now);
+        let founding = (empty && config.settings.bootstrap).then_some(now);
+        Ok(ControlRole {
+            peers: PeerLinks::new(member, config.seeds.clone(), now),
             config,
-            state: ClusterState::default(),
-            ready: false,
-            last_index: 0,
-            pending: BTreeMap::new(),
-            subscribers: BTreeSet::new(),
-            heard: BTreeMap::new(),
-            next_sweep: now + SWEEP_INTERVAL,
+            state,
+            node,
+            inputs: VecDeque::new(),
+            outputs: Vec::new(),
+            role: NodeRole::Follower,
+            term: 0,
+            leader: None,
+            leaderless: Some(now),
+            membership: Membership::default(),
+            proposals: ProposalTable::default(),
+            reads: ReadRounds::default(),
+            relays: RelayTable::default(),
+            clients: ClientLinks::default(),
+            subscribers: SubscriberTable::default(),
+            watch: EndpointWatch::new(now),
+            observed: ObservedState::default(),
+            members,
+            status: StatusTable::new(now),
+            founding,
+            last_tick: now,
+            next_tick: now,
             clock_ms: 0,
-        }
+            stopping: None,
+            finished: false,
+            commands: Vec::new(),
+        })
     }
 
     /// Returns the replicated state.
@@ -136,52 +217,40 @@
         &self.state
     }
 
-    fn recover(&mut self, index: u64, data: Bytes, actions: &mut Actions) {
-        match LogCommand::decode(data) {
-            Ok(command) => {
-                self.state.apply(index, &command);
-            }
-            Err(err) => {
-                let text = format!("log entry {index} can't be read: {err}");
-                actions.push(RoleAction::Log(LogLevel::Error, text));
-            }
-        }
-        self.last_index = index;
+    /// Returns the latest reports of endpoints and entries.
+    pub fn observed(&self) -> &ObservedState {
+        &self.observed
     }
 
-    /// Founds a cluster when the log is empty and the settings allow it.
-    fn recovered(&mut self, now: Instant, actions: &mut Actions) {
-        self.ready = true;
-        for name in self.state.endpoints.keys() {
-            self.heard.insert(name.clone(), now);
-        }
-        if self.last_index > 0 || !self.config.settings.bootstrap {
-            return;
-        }
-        let cluster = self.config.new_cluster;
-        let text = format!("founds cluster {cluster:016x}");
-        actions.push(RoleAction::Log(LogLevel::Info, text));
-        let found = Body::FoundCluster(FoundCluster { cluster });
-        self.propose(found, self.config.instance.clone(), actions);
-        let operator = Body::GiveOperator(GiveOperator {
-            name: Bytes::from_static(FIRST_OPERATOR),
-            digest: digest_key(&self.config.operator_key),
-        });
-        self.propose(operator, self.config.instance.clone(), actions);
+    /// Tells whether this instance leads.
+    pub fn is_leader(&self) -> bool {
+        self.role == NodeRole::Leader
+    }
+
+    /// Returns the link to the leader, where another instance leads.
+    pub(crate) fn leader_link(&self) -> Option<LinkId> {
+        let leader = self.leader.filter(|_| !self.is_leader())?;
+        self.peers.link_of(leader)
+    }
+
+    /// Queues an input of the log's node.
+    pub(crate) fn input(&mut self, input: NodeInput) {
+        self.inputs.push_back(input);
     }
 
     /// Proposes a command of the system's own.
-    fn propose(&mut self, body: Body, actor: Bytes, actions: &mut Actions) {
-        self.propose_for(body, actor, Bytes::new(), CommandWaiter::Nobody, actions);
+    pub(crate) fn propose(&mut self, body: Body, waiter: ProposalWaiter) {
+        let actor = self.config.instance.clone();
+        self.propose_as(body, actor, Bytes::new(), waiter);
     }
 
-    fn propose_for(
+    /// Proposes a command.
+    pub(crate) fn propose_as(
         &mut self,
         body: Body,
         actor: Bytes,
         request_id: Bytes,
-        waiter: CommandWaiter,
-        actions: &mut Actions,
+        waiter: ProposalWaiter,
     ) {
         let command = LogCommand {
             at_ms: self.clock_ms,
@@ -189,227 +258,107 @@
             request_id,
             body: Some(body),
         };
-        self.last_index += 1;
-        let index = self.last_index;
+        let proposal = self.proposals.open(waiter);
         let data = Bytes::from(command.encode_to_vec());
-        actions.push(RoleAction::Own(ControlAction::Append { index, data }));
-        self.pending
-            .insert(index, PendingCommand { command, waiter });
+        self.input(NodeInput::Propose { proposal, data });
     }
 
-    fn synced(&mut self, now: Instant, index: u64, actions: &mut Actions) {
-        while let Some(entry) = self.pending.first_entry() {
-            if *entry.key() > index {
+    /// Carries out all queued inputs, then what they made due.
+    fn settle(&mut self, now: Instant, actions: &mut Actions) {
+        loop {
+            if let Some(read) = self.reads.start() {
+                self.input(NodeInput::ReadIndex { read });
+            }
+            let Some(input) = self.inputs.pop_front() else {
                 break;
+            };
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.node.handle(now, input, &mut outputs);
+            for output in outputs.drain(..) {
+                self.take_output(now, output, actions);
             }
-            let (index, pending) = entry.remove_entry();
-            let version = self.state.version;
-            let outcome = self.state.apply(index, &pending.command);
-            if self.state.version != version {
-                self.distribute(actions);
+            self.outputs = outputs;
+            for task in self.reads.ready(self.state.applied) {
+                self.carry_out(now, task, actions);
             }
-            self.report_outcome(now, &pending, &outcome, actions);
         }
+        self.subscribers.distribute(&self.state, &mut self.commands);
+        self.flush_commands(actions);
     }
 
-    fn report_outcome(
-        &mut self,
-        now: Instant,
-        pending: &PendingCommand,
-        outcome: &CommandOutcome,
-        actions: &mut Actions,
-    ) {
-        match pending.waiter {
-            CommandWaiter::Nobody => {}
-            CommandWaiter::Operator(request) => {
-                answer(request, &outcome_answer(outcome), actions);
-            }
-            CommandWaiter::Agent(link) => {
-                if let Some(Body::PutEndpoint(put)) = &pending.command.body {
-                    let name = put.endpoint.as_ref().map(|item| item.name.clone());
-                    self.acknowledge(now, link, &name.unwrap_or_default(), outcome, actions);
-                }
-            }
+    fn carry_out(&mut self, now: Instant, task: ReadTask, actions: &mut Actions) {
+        match task {
+            ReadTask::Operator(task) => self.judge_call(task, actions),
+            ReadTask::Client(task) => self.serve_client(now, task, actions),
         }
     }
 
-    fn acknowledge(
-        &mut self,
-        now: Instant,
-        link: LinkId,
-        name: &Bytes,
-        outcome: &CommandOutcome,
-        actions: &mut Actions,
-    ) {
-        let Some(record) = self.state.endpoints.get(name) else {
-            return;
-        };
-        self.heard.insert(name.clone(), now);
-        let body = FrameBody::AnnounceAck(AnnounceAck {
-            incarnation: record.item.incarnation,
-            fencing: record.item.fencing,
-            accepted: matches!(outcome, CommandOutcome::Accepted { .. }),
-            draining: record.item.state() == EndpointState::Leaving,
-        });
-        actions.push(RoleAction::Link(LinkCommand::Send { link, body }));
-    }
-
-    fn distribute(&self, actions: &mut Actions) {
-        for link in &self.subscribers {
-            actions.push(RoleAction::Link(LinkCommand::Send {
-                link: *link,
-                body: FrameBody::Update(whole_update(&self.state)),
-            }));
-        }
+    pub(crate) fn flush_commands(&mut self, actions: &mut Actions) {
+        actions.extend(self.commands.drain(..).map(RoleAction::Link));
     }
 
-    fn take_frame(&mut self, now: Instant, link: LinkId, body: FrameBody, actions: &mut Actions) {
-        if !self.ready {
-            // The peer dials again, here or elsewhere.
-            actions.push(RoleAction::Link(LinkCommand::Close { link }));
-            return;
-        }
-        match body {
-            FrameBody::Subscribe(_) => {
-                self.subscribers.insert(link);
-                let body = FrameBody::Update(whole_update(&self.state));
-                actions.push(RoleAction::Link(LinkCommand::Send { link, body }));
+    fn take_link(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
+        match event {
+            LinkEvent::Opened { link, peer } => self.take_opened(link, peer, actions),
+            LinkEvent::Closed { link } => {
+                for asker in self.relays.close_link(link) {
+                    self.refuse_asker(asker, actions);
+                }
+                if !self.peers.closed(now, link) {
+                    self.subscribers.remove(link);
+                    self.watch.close_link(link);
+                    self.clients.remove(link);
+                }
             }
-            FrameBody::ConfirmQuery(query) => {
-                let body = FrameBody::ConfirmAnswer(ConfirmAnswer {
-                    sequence: query.sequence,
-                    version: self.state.version,
-                    confirmed: self.state.cluster != 0,
-                    age_ms: 0,
-                });
-                actions.push(RoleAction::Link(LinkCommand::Send { link, body }));
+            LinkEvent::Frame { link, body } => {
+                if self.peers.is_peer(link) {
+                    self.take_peer_frame(now, link, body, actions);
+                } else {
+                    self.take_client_frame(now, link, body, actions);
+                }
             }
-            FrameBody::Announce(announce) => self.take_announce(now, link, announce, actions),
-            FrameBody::StateReport(report) => self.take_report(now, &report, actions),
-            _ => {}
         }
     }
 
-    fn take_announce(
-        &mut self,
-        now: Instant,
-        link: LinkId,
-        announce: Announce,
-        actions: &mut Actions,
-    ) {
-        let Some(item) = &announce.endpoint else {
-            return;
-        };
-        let name = item.name.clone();
-        if self
-            .state
-            .endpoints
-            .get(&name)
-            .is_some_and(|known| is_same(known, &announce))
-        {
-            let version = self.state.version;
-            let outcome = CommandOutcome::Accepted { version };
-            self.acknowledge(now, link, &name, &outcome, actions);
-            return;
+    fn take_timer(&mut self, now: Instant, actions: &mut Actions) {
+        if self.node.deadline().is_some_and(|at| at <= now) {
+            self.input(NodeInput::Timer);
         }
-        let body = Body::PutEndpoint(PutEndpoint {
-            endpoint: announce.endpoint,
-            memory_mib: announce.memory_mib,
-            slots: announce.slots,
-            accelerators: announce.accelerators,
-        });
-        let waiter = CommandWaiter::Agent(link);
-        self.propose_for(body, name, Bytes::new(), waiter, actions);
-    }
-
-    fn take_report(&mut self, now: Instant, report: &StateReport, actions: &mut Actions) {
-        let Some(known) = self.state.endpoints.get(&report.endpoint) else {
-            return;
-        };
-        if known.item.incarnation != report.incarnation {
-            return;
+        self.peers.dial(now, &mut self.commands);
+        for asker in self.relays.expire(now) {
+            self.refuse_asker(asker, actions);
         }
-        self.heard.insert(report.endpoint.clone(), now);
-        if known.item.state() == EndpointState::Suspect {
-            self.propose_state(&report.endpoint.clone(), EndpointState::Live, actions);
+        if self.next_tick <= now {
+            self.next_tick = now + TICK_INTERVAL;
+            self.tick(now, actions);
+            self.last_tick = now;
         }
-    }
-
-    fn propose_state(&mut self, name: &Bytes, state: EndpointState, actions: &mut Actions) {
-        let Some(known) = self.state.endpoints.get(name) else {
-            return;
-        };
-        let body = Body::SetEndpointState(SetEndpointState {
-            name: name.clone(),
-            incarnation: known.item.incarnation,
-            state: state.into(),
-        });
-        let waiting = self
-            .pending
-            .values()
-            .any(|pending| pending.command.body.as_ref() == Some(&body));
-        if !waiting {
-            self.propose(body, self.config.instance.clone(), actions);
+        if self.stopping.is_some_and(|end| end <= now) {
+            self.finish(actions);
         }
     }
 
-    /// Marks endpoints that have been silent.
-    fn sweep(&mut self, now: Instant, actions: &mut Actions) {
-        let settings = &self.config.settings;
-        let mut changes = Vec::new();
-        for (name, record) in &self.state.endpoints {
-            let heard = self.heard.get(name).copied().unwrap_or(now);
-            let silent = now.saturating_duration_since(heard);
-            let state = record.item.state();
-            if silent >= settings.gone_after {
-                changes.push((name.clone(), EndpointState::Gone));
-            } else if silent >= settings.suspect_after && state == EndpointState::Live {
-                changes.push((name.clone(), EndpointState::Suspect));
-            }
-        }
-        for (name, state) in changes {
-            self.propose_state(&name, state, actions);
+    fn shut_down(&mut self, now: Instant, actions: &mut Actions) {
+        self.stopping = Some(now + TRANSFER_TIME);
+        if self.is_leader() && self.membership.voters().count() > 1 {
+            self.input(NodeInput::Transfer { to: None });
+        } else {
+            self.finish(actions);
         }
     }
 
-    fn take_http(&mut self, request: RequestId, http: &HttpRequest, actions: &mut Actions) {
-        if http.path.as_ref() == b"/healthz" {
-            let body = serde_json::json!({ "status": "running" });
-            answer(request, &OperatorAnswer { status: 200, body }, actions);
-            return;
-        }
-        if !self.ready {
-            let refusal = fault(503, "not_ready", "the log is not recovered yet");
-            answer(request, &refusal, actions);
-            return;
-        }
-        let Some(operator) = self.operator_of(http) else {
-            let refusal = fault(
-                401,
-                "invalid_operator_key",
-                "no operator key, or a wrong one",
-            );
-            answer(request, &refusal, actions);
-            return;
-        };
-        match read_call(&self.state, &http.method, &http.path, &http.body) {
-            Ok(OperatorCall::Read(reply)) | Err(reply) => answer(request, &reply, actions),
-            Ok(OperatorCall::Change { body, request_id }) => {
-                let waiter = CommandWaiter::Operator(request);
-                self.propose_for(body, operator, request_id, waiter, actions);
-            }
+    /// Ends a shutdown once the leadership is handed over.
+    pub(crate) fn finish_if_stopping(&mut self, actions: &mut Actions) {
+        if self.stopping.is_some() {
+            self.finish(actions);
         }
     }
 
-    fn operator_of(&self, http: &HttpRequest) -> Option<Bytes> {
-        let value = header_value(&http.headers, "Authorization")?;
-        let key = value.strip_prefix(b"Bearer ")?;
-        let digest = digest_key(key.trim_ascii());
-        self.state
-            .operators
-            .iter()
-            .find(|(_, known)| **known == digest)
-            .map(|(name, _)| name.clone())
+    fn finish(&mut self, actions: &mut Actions) {
+        if !self.finished {
+            self.finished = true;
+            actions.push(RoleAction::Finished);
+        }
     }
 }
 
@@ -419,71 +368,68 @@
 
     fn handle(&mut self, now: Instant, event: RoleEvent<ControlEvent>, actions: &mut Actions) {
         match event {
-            RoleEvent::Link(LinkEvent::Opened { .. }) => {}
-            RoleEvent::Link(LinkEvent::Closed { link }) => {
-                self.subscribers.remove(&link);
-            }
-            RoleEvent::Link(LinkEvent::Frame { link, body }) => {
-                self.take_frame(now, link, body, actions);
-            }
-            RoleEvent::Timer => {
-                if self.next_sweep <= now && self.ready {
-                    self.next_sweep = now + SWEEP_INTERVAL;
-                    self.sweep(now, actions);
+            RoleEvent::Link(event) => self.take_link(now, event, actions),
+            RoleEvent::Timer => self.take_timer(now, actions),
+            RoleEvent::Shutdown => self.shut_down(now, actions),
+            RoleEvent::Own(event) => match event {
+                ControlEvent::Http(HttpEvent::Request { request, http }) => {
+                    self.take_http(now, request, http, actions);
                 }
-            }
-            RoleEvent::Shutdown => actions.push(RoleAction::Finished),
-            RoleEvent::Own(ControlEvent::Http(HttpEvent::Request { request, http })) => {
-                self.take_http(request, &http, actions);
-            }
-            RoleEvent::Own(ControlEvent::Http(HttpEvent::Gone { .. })) => {}
-            RoleEvent::Own(ControlEvent::Clock(clock_ms)) => self.clock_ms = clock_ms,
-            RoleEvent::Own(ControlEvent::Recovered { index, data }) => {
-                self.recover(index, data, actions);
-            }
-            RoleEvent::Own(ControlEvent::Ready) => self.recovered(now, actions),
-            RoleEvent::Own(ControlEvent::Synced { index }) => self.synced(now, index, actions),
+                ControlEvent::Http(HttpEvent::Gone { .. }) => {}
+                ControlEvent::Clock(clock_ms) => {
+                    self.clock_ms = clock_ms;
+                    return;
+                }
+                ControlEvent::Persisted { ticket } => self.input(NodeInput::Persisted { ticket }),
+                ControlEvent::DiskFull => {
+                    let text = "the disk is full; the log waits".to_owned();
+                    actions.push(RoleAction::Log(LogLevel::Error, text));
+                    self.input(NodeInput::DiskFull);
+                }
+                ControlEvent::SnapshotSaved { index } => {
+                    self.input(NodeInput::SnapshotSaved { index });
+                }
+                ControlEvent::SnapshotUnsaved { index } => {
+                    self.input(NodeInput::SnapshotUnsaved { index });
+                }
+            },
         }
+        self.settle(now, actions);
     }
 
     fn deadline(&self) -> Option<Instant> {
-        self.ready.then_some(self.next_sweep)
+        [
+            self.node.deadline(),
+            self.peers.deadline(),
+            self.relays.deadline(),
+            self.stopping.filter(|_| !self.finished),
+            Some(self.next_tick),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
 
-/// Tells whether an announcement changes nothing but the state and token that
-/// control itself sets.
-fn is_same(known: &EndpointRecord, announce: &Announce) -> bool {
-    let Some(item) = &announce.endpoint else {
-        return false;
+fn recovered_state(
+    recovered: &RecoveredState,
+    chart: EndpointChart,
+) -> Result<ClusterState, Vec<Finding>> {
+    let Some(image) = &recovered.snapshot else {
+        return Ok(ClusterState::new(chart));
     };
-    let mut item = item.clone();
-    item.fencing = known.item.fencing;
-    if item.state() == EndpointState::Live {
-        item.state = known.item.state;
-    }
-    known.item == item
-        && known.memory_mib == announce.memory_mib
-        && known.slots == announce.slots
-        && known.accelerators == announce.accelerators
+    let decoded = ClusterState::decode_snapshot(image.data.clone(), chart);
+    let mut state = decoded.map_err(|err| {
+        let mut findings = FindingList::new("snapshot", "");
+        findings.add(&(0..0), err.to_string());
+        findings.finish(()).err().unwrap_or_default()
+    })?;
+    // Entries without a command may follow the last command.
+    state.applied = state.applied.max(image.meta.index);
+    Ok(state)
 }
 
-fn answer(request: RequestId, reply: &OperatorAnswer, actions: &mut Actions) {
-    let body = Bytes::from(reply.body.to_string());
-    let headers = vec![HeaderField {
-        name: Bytes::from_static(b"Content-Type"),
-        value: Bytes::from_static(b"application/json"),
-    }];
-    let parts = [
-        AnswerPart::Head {
-            status: reply.status,
-            headers,
-            length: Some(body.len() as u64),
-        },
-        AnswerPart::Data(body),
-        AnswerPart::End,
-    ];
-    for part in parts {
-        actions.push(RoleAction::Own(ControlAction::Answer(request, part)));
-    }
+/// Sends a frame.
+pub(crate) fn send(link: LinkId, body: FrameBody, actions: &mut Actions) {
+    actions.push(RoleAction::Link(LinkCommand::Send { link, body }));
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,18 +1,50 @@
 //! The control role: the cluster's replicated state and its operators.
 //!
-//! Purpose: applies committed commands to the [`ClusterState`], answers
-//! operators, registers endpoints and distributes the configuration.
+//! Purpose: control instances agree on the lists, keys, operators, endpoints,
+//! members and claims by a replicated log, distribute the configuration to
+//! entries by version, and answer operators.
 //!
-//! Guarantees: the state changes only by committed commands, in the order of
-//! the log; equal logs give equal states; an operator's answer is given only
-//! after the command that it reports was committed and applied.
+//! Guarantees: an accepted change is committed by a quorum and never reverts;
+//! what only the leader may decide is decided only after a quorum confirmed
+//! that it still leads; an instance cut off from the quorum refuses at once.
 
 mod audit_trail;
+mod change_history;
+mod claim_book;
+mod client_frames;
+mod client_links;
 mod cluster_state;
+mod command_outcome;
 mod control_role;
+mod endpoint_change;
+mod endpoint_chart;
+mod endpoint_frames;
+mod endpoint_watch;
+mod log_outputs;
+mod member_driver;
+mod member_status;
+mod member_view;
+mod observed_state;
 mod operator_api;
+mod operator_calls;
+mod peer_frames;
+mod peer_links;
+mod proposal_table;
+mod read_rounds;
+mod relay_table;
+mod request_memory;
+mod state_snapshot;
+mod state_summary;
+mod subscriber_table;
 mod update_builder;
 
-pub use audit_trail::AuditEntry;
-pub use cluster_state::{ClusterState, CommandOutcome, EditConflict};
+pub use audit_trail::{AuditEntry, AuditTrail};
+pub use change_history::{ChangeHistory, ItemRef};
+pub use claim_book::ClaimBook;
+pub use cluster_state::{ClusterState, EndpointRecord};
+pub use command_outcome::{CommandOutcome, EditConflict};
 pub use control_role::{ControlAction, ControlConfig, ControlEvent, ControlRole};
+pub use endpoint_chart::{EndpointChange, EndpointChart, EndpointPhase};
+pub use observed_state::{ModelRate, ObservedDemand, ObservedEndpoint, ObservedState};
+pub use request_memory::RequestMemory;
+pub use update_builder::updates_since;
--- /dev/null
+++ b/crates/control/src/log_outputs.rs
@@ -0,0 +1,224 @@
+//! What the role does with the outputs of the log's node.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_consensus::{
+    LogEntry, LogIndex, MemberId, NodeInput, NodeOutput, NodeRole, PeerMessage, ProposalId, ReadId,
+    SnapshotImage, Term,
+};
+use mulberrywell_role::{LogLevel, RoleAction};
+use mulberrywell_wire::command::log_command::Body;
+use mulberrywell_wire::command::LogCommand;
+use mulberrywell_wire::consensus::ConsensusFrame;
+use mulberrywell_wire::FrameBody;
+use prost::Message;
+
+use crate::cluster_state::ClusterState;
+use crate::command_outcome::CommandOutcome;
+use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
+use crate::proposal_table::ProposalWaiter;
+
+impl ControlRole {
+    pub(crate) fn take_output(&mut self, now: Instant, output: NodeOutput, actions: &mut Actions) {
+        match output {
+            NodeOutput::Send(message) => self.send_message(&message, actions),
+            NodeOutput::Persist(batch) => {
+                actions.push(RoleAction::Own(ControlAction::Persist(batch)));
+            }
+            NodeOutput::Apply { entry, proposal } => {
+                self.apply_entry(now, &entry, proposal, actions);
+            }
+            NodeOutput::Restore(image) => self.restore(now, image, actions),
+            NodeOutput::MakeSnapshot { index } => self.make_snapshot(index),
+            NodeOutput::SaveSnapshot(image) => {
+                actions.push(RoleAction::Own(ControlAction::SaveSnapshot(image)));
+            }
+            NodeOutput::Rejected { proposal, .. } | NodeOutput::OutcomeUnknown { proposal } => {
+                if let Some(waiter) = self.proposals.finish(proposal) {
+                    self.refuse_waiter(waiter, actions);
+                }
+            }
+            NodeOutput::ReadConfirmed { read, index } => self.reads.confirm(read, index),
+            NodeOutput::ReadFailed { read, .. } => self.fail_read(now, read, actions),
+            NodeOutput::RoleChanged { role, term, leader } => {
+                self.take_role(now, role, term, leader, actions);
+            }
+            NodeOutput::MembershipChanged(membership) => {
+                self.membership = membership;
+                self.redial(now);
+            }
+            NodeOutput::TransferFailed => {
+                let text = "no other member took the leadership over".to_owned();
+                actions.push(RoleAction::Log(LogLevel::Warn, text));
+            }
+        }
+    }
+
+    fn send_message(&mut self, message: &PeerMessage, actions: &mut Actions) {
+        if let Some(link) = self.peers.link_of(message.to) {
+            let frame = ConsensusFrame {
+                from: message.from,
+                to: message.to,
+                message: message.to_bytes(),
+            };
+            send(link, FrameBody::Consensus(frame), actions);
+        }
+    }
+
+    fn redial(&mut self, now: Instant) {
+        let members = self.membership.members.iter();
+        let addresses: Vec<Bytes> = members.map(|member| member.address.clone()).collect();
+        self.peers.set_addresses(now, &addresses);
+    }
+
+    fn apply_entry(
+        &mut self,
+        now: Instant,
+        entry: &LogEntry,
+        proposal: Option<ProposalId>,
+        actions: &mut Actions,
+    ) {
+        let waiter = proposal.and_then(|proposal| self.proposals.finish(proposal));
+        let Some(data) = entry.command() else {
+            self.state.applied = entry.index;
+            return;
+        };
+        let command = match LogCommand::decode(data.clone()) {
+            Ok(command) => command,
+            Err(err) => {
+                self.state.applied = entry.index;
+                let text = format!("log entry {} can't be read: {err}", entry.index);
+                actions.push(RoleAction::Log(LogLevel::Error, text));
+                return;
+            }
+        };
+        let cluster = self.state.cluster;
+        let outcome = self.state.apply(entry.index, &command);
+        if self.state.cluster != cluster {
+            self.commands.extend(self.peers.hellos(self.state.cluster));
+        }
+        self.note_applied(now, &command, &outcome, actions);
+        if let Some(waiter) = waiter {
+            self.report_outcome(waiter, &outcome, actions);
+        }
+    }
+
+    /// Follows up a command that every member applies.
+    fn note_applied(
+        &mut self,
+        now: Instant,
+        command: &LogCommand,
+        outcome: &CommandOutcome,
+        actions: &mut Actions,
+    ) {
+        match &command.body {
+            Some(Body::PutEndpoint(put)) => {
+                if let Some(item) = &put.endpoint {
+                    self.note_endpoint(now, &item.name, outcome, actions);
+                }
+            }
+            Some(Body::SetEndpointState(set)) => {
+                self.note_endpoint(now, &set.name, outcome, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn report_outcome(
+        &mut self,
+        waiter: ProposalWaiter,
+        outcome: &CommandOutcome,
+        actions: &mut Actions,
+    ) {
+        match waiter {
+            ProposalWaiter::Operator(origin) => self.answer_outcome(origin, outcome, actions),
+            ProposalWaiter::Claim(origin, request) => {
+                self.answer_claim(origin, &request, Some(outcome), actions);
+            }
+            ProposalWaiter::Outcome(origin, sequence) => {
+                self.acknowledge_outcome(origin, sequence, actions);
+            }
+            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Nobody => {}
+        }
+    }
+
+    /// Tells a waiter that its command is not known to be committed.
+    fn refuse_waiter(&mut self, waiter: ProposalWaiter, actions: &mut Actions) {
+        match waiter {
+            ProposalWaiter::Operator(origin) => self.answer_unavailable(origin, actions),
+            ProposalWaiter::Claim(origin, request) => {
+                self.answer_claim(origin, &request, None, actions);
+            }
+            // The entry reports the outcome again.
+            ProposalWaiter::Outcome(..) => {}
+            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Nobody => {}
+        }
+    }
+
+    fn restore(&mut self, now: Instant, image: SnapshotImage, actions: &mut Actions) {
+        let chart = self.state.chart.clone();
+        match ClusterState::decode_snapshot(image.data, chart) {
+            Ok(state) => {
+                self.state = state;
+                // Entries without a command may follow the last command.
+                self.state.applied = self.state.applied.max(image.meta.index);
+                self.commands.extend(self.peers.hellos(self.state.cluster));
+            }
+            Err(err) => {
+                let text = format!("the snapshot can't be read: {err}");
+                actions.push(RoleAction::Log(LogLevel::Error, text));
+            }
+        }
+    }
+
+    fn make_snapshot(&mut self, index: LogIndex) {
+        debug_assert_eq!(index, self.state.applied);
+        let data = self.state.encode_snapshot();
+        self.input(NodeInput::SnapshotMade { index, data });
+    }
+
+    fn fail_read(&mut self, now: Instant, read: ReadId, actions: &mut Actions) {
+        for task in self.reads.fail(read) {
+            match task {
+                ReadTask::Operator(task) => self.answer_unavailable(task.origin, actions),
+                ReadTask::Client(task) => {
+                    self.refuse_client(now, task.origin, &task.frame, actions)
+                }
+            }
+        }
+    }
+
+    fn take_role(
+        &mut self,
+        now: Instant,
+        role: NodeRole,
+        term: Term,
+        leader: Option<MemberId>,
+        actions: &mut Actions,
+    ) {
+        let led = self.is_leader();
+        self.role = role;
+        self.term = term;
+        self.leaderless = match leader {
+            Some(_) => None,
+            None => Some(self.leaderless.unwrap_or(now)),
+        };
+        if self.leader != leader {
+            self.leader = leader;
+            for asker in self.relays.clear() {
+                self.refuse_asker(asker, actions);
+            }
+        }
+        if self.is_leader() && !led {
+            let text = format!("leads in term {term}");
+            actions.push(RoleAction::Log(LogLevel::Info, text));
+            self.watch.lead(now);
+        }
+        if led && !self.is_leader() {
+            let text = format!("leads no longer; term {term}");
+            actions.push(RoleAction::Log(LogLevel::Info, text));
+            self.finish_if_stopping(actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/member_driver.rs
@@ -0,0 +1,247 @@
+//! How the leader brings the membership to what operators wish.
+//!
+//! Algorithm: one change at a time, looked for at an interval. An instance
+//! that belongs to no other cluster and is wished for, or whose address is a
+//! seed or whose name is known, becomes a learner, gets a snapshot and the
+//! log's tail, and votes once it has caught up. An instance that lost its disk
+//! comes back under its name with a new identity: the old identity is removed
+//! once it is no longer connected. The order of copying first and counting
+//! in a quorum later follows the replication paper that the design page cites.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use mulberrywell_chart::{ChartSymbol, StateChart};
+use mulberrywell_consensus::{MemberId, Membership, MembershipChange};
+use mulberrywell_settings::Finding;
+use mulberrywell_wire::command::log_command::Body;
+use mulberrywell_wire::command::{DropMember, MemberItem, PutMember};
+
+use crate::cluster_state::ClusterState;
+use crate::peer_links::{PeerInfo, PeerLinks};
+
+const CHART_FILE: &str = "charts/member.toml";
+const CHART_TEXT: &str = include_str!("../../../charts/member.toml");
+
+/// Part that an instance plays in the membership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberPhase {
+    /// Not a member yet.
+    Outside,
+    /// Receives the log and counts in no quorum.
+    Learner,
+    /// Counts in quorums.
+    Voter,
+    /// A member no longer, and never again under this identity.
+    Removed,
+}
+
+impl ChartSymbol for MemberPhase {
+    const ALL: &'static [(Self, &'static str)] = &[
+        (MemberPhase::Outside, "outside"),
+        (MemberPhase::Learner, "learner"),
+        (MemberPhase::Voter, "voter"),
+        (MemberPhase::Removed, "removed"),
+    ];
+}
+
+/// What moves an instance through the membership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// It may become a member.
+    Admitted,
+    /// It has the log.
+    CaughtUp,
+    /// It is unwanted, or replaced.
+    Removed,
+}
+
+impl ChartSymbol for MemberEvent {
+    const ALL: &'static [(Self, &'static str)] = &[
+        (MemberEvent::Admitted, "admitted"),
+        (MemberEvent::CaughtUp, "caught_up"),
+        (MemberEvent::Removed, "removed"),
+    ];
+}
+
+/// What the leader does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum MemberStep {
+    /// Proposes a command.
+    Command(Body),
+    /// Changes the membership.
+    Change(MembershipChange),
+    /// Hands the leadership over, as this instance itself is to go.
+    Transfer,
+}
+
+/// Chooses the next step.
+#[derive(Debug)]
+pub struct MemberDriver {
+    chart: StateChart<MemberPhase, MemberEvent>,
+}
+
+/// What a choice is made from.
+#[derive(Debug, Clone, Copy)]
+pub struct MemberView<'a> {
+    /// The replicated state.
+    pub state: &'a ClusterState,
+    /// Members of the log.
+    pub membership: &'a Membership,
+    /// Links to other instances.
+    pub peers: &'a PeerLinks,
+}
+
+impl MemberDriver {
+    /// Reads and verifies the chart.
+    ///
+    /// # Errors
+    /// Fails with everything that is wrong in the chart.
+    pub fn open() -> Result<Self, Vec<Finding>> {
+        let chart = StateChart::parse(CHART_FILE, CHART_TEXT)?;
+        Ok(MemberDriver { chart })
+    }
+
+    /// Returns the steps that fit now, the most urgent first; any of them may
+    /// be refused and is then tried again later.
+    pub fn steps(&self, view: MemberView<'_>) -> Vec<MemberStep> {
+        let connected = view.peers.connected();
+        let mut steps = Vec::new();
+        for member in &view.membership.members {
+            let phase = phase_of(member.voter);
+            if let Some(event) = wanted_event(view, &connected, member.id, phase) {
+                if self.chart.next(phase, event).is_some() {
+                    steps.push(step_of(view, member.id, event));
+                }
+            }
+        }
+        steps.extend(address_steps(view, &connected));
+        steps.extend(self.admissions(view, &connected));
+        steps.extend(dropped_members(view, &connected));
+        steps
+    }
+
+    fn admissions(
+        &self,
+        view: MemberView<'_>,
+        connected: &BTreeMap<MemberId, &PeerInfo>,
+    ) -> Vec<MemberStep> {
+        let outside = connected
+            .values()
+            .filter(|info| view.membership.member(info.member.id).is_none());
+        let admitted = outside.filter(|info| is_admitted(view, info));
+        let start = self.chart.initial();
+        let steps = admitted.filter_map(|info| {
+            self.chart.next(start, MemberEvent::Admitted)?;
+            let member = &info.member;
+            Some(if view.state.members.get(&member.id) == Some(member) {
+                MemberStep::Change(MembershipChange::AddLearner {
+                    id: member.id,
+                    address: member.address.clone(),
+                })
+            } else {
+                put_member(member)
+            })
+        });
+        steps.collect()
+    }
+}
+
+fn phase_of(voter: bool) -> MemberPhase {
+    if voter {
+        MemberPhase::Voter
+    } else {
+        MemberPhase::Learner
+    }
+}
+
+fn wanted_event(
+    view: MemberView<'_>,
+    connected: &BTreeMap<MemberId, &PeerInfo>,
+    id: MemberId,
+    phase: MemberPhase,
+) -> Option<MemberEvent> {
+    let own = view.peers.own().id == id;
+    if let Some(item) = view.state.members.get(&id) {
+        let unwanted = view.state.wishes.get(&item.name) == Some(&false);
+        let replaced = !own
+            && !connected.contains_key(&id)
+            && connected
+                .values()
+                .any(|info| info.member.name == item.name && is_admitted(view, info));
+        if unwanted || replaced {
+            return Some(MemberEvent::Removed);
+        }
+    }
+    let catches_up = phase == MemberPhase::Learner && connected.contains_key(&id);
+    catches_up.then_some(MemberEvent::CaughtUp)
+}
+
+fn step_of(view: MemberView<'_>, id: MemberId, event: MemberEvent) -> MemberStep {
+    match event {
+        MemberEvent::Removed if view.peers.own().id == id => MemberStep::Transfer,
+        MemberEvent::Removed => MemberStep::Change(MembershipChange::Remove { id }),
+        MemberEvent::Admitted | MemberEvent::CaughtUp => {
+            MemberStep::Change(MembershipChange::Promote { id })
+        }
+    }
+}
+
+/// Tells whether an instance may become a member.
+fn is_admitted(view: MemberView<'_>, info: &PeerInfo) -> bool {
+    if info.cluster != 0 && info.cluster != view.state.cluster {
+        return false;
+    }
+    let name: &Bytes = &info.member.name;
+    match view.state.wishes.get(name) {
+        Some(wish) => *wish,
+        None => {
+            let known = view.state.members.values().any(|item| item.name == *name);
+            known || view.peers.is_seed(&info.member.address)
+        }
+    }
+}
+
+fn put_member(member: &MemberItem) -> MemberStep {
+    MemberStep::Command(Body::PutMember(PutMember {
+        member: Some(member.clone()),
+    }))
+}
+
+/// Notes members whose addresses changed or are not known.
+fn address_steps(
+    view: MemberView<'_>,
+    connected: &BTreeMap<MemberId, &PeerInfo>,
+) -> Vec<MemberStep> {
+    let others = connected.values().map(|info| &info.member);
+    let mut steps = Vec::new();
+    for member in others.chain([view.peers.own()]) {
+        let Some(known) = view.membership.member(member.id) else {
+            continue;
+        };
+        if view.state.members.get(&member.id) != Some(member) {
+            steps.push(put_member(member));
+        }
+        if known.address != member.address {
+            steps.push(MemberStep::Change(MembershipChange::SetAddress {
+                id: member.id,
+                address: member.address.clone(),
+            }));
+        }
+    }
+    steps
+}
+
+fn dropped_members(
+    view: MemberView<'_>,
+    connected: &BTreeMap<MemberId, &PeerInfo>,
+) -> Vec<MemberStep> {
+    let known = view.state.members.iter();
+    let dropped = known.filter(|(id, item)| {
+        let unwanted = view.state.wishes.get(&item.name) == Some(&false);
+        view.membership.member(**id).is_none() && (unwanted || !connected.contains_key(*id))
+    });
+    let steps =
+        dropped.map(|(id, _)| MemberStep::Command(Body::DropMember(DropMember { id: *id })));
+    steps.collect()
+}
--- /dev/null
+++ b/crates/control/src/member_status.rs
@@ -0,0 +1,76 @@
+//! How far each member is, as the members tell each other.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_consensus::MemberId;
+use mulberrywell_wire::operate::MemberStatus;
+
+use crate::cluster_state::ClusterState;
+
+/// Interval at which a member tells how far it is.
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The last status of each member.
+#[derive(Debug)]
+pub struct StatusTable {
+    statuses: BTreeMap<MemberId, MemberStatus>,
+    next: Instant,
+}
+
+impl StatusTable {
+    /// Creates a table that knows nothing.
+    pub fn new(now: Instant) -> Self {
+        StatusTable {
+            statuses: BTreeMap::new(),
+            next: now,
+        }
+    }
+
+    /// Keeps a status.
+    pub fn put(&mut self, status: MemberStatus) {
+        self.statuses.insert(status.member, status);
+    }
+
+    /// Returns a member's last status.
+    pub fn find(&self, member: MemberId) -> Option<&MemberStatus> {
+        self.statuses.get(&member)
+    }
+
+    /// Returns the own status when it is time to tell it.
+    pub fn due(
+        &mut self,
+        now: Instant,
+        own: MemberId,
+        state: &ClusterState,
+    ) -> Option<MemberStatus> {
+        if now < self.next {
+            return None;
+        }
+        self.next = now + STATUS_INTERVAL;
+        Some(self.refresh(own, state))
+    }
+
+    /// Brings the own status up to date; the digest is made anew only when the
+    /// state has changed.
+    pub fn refresh(&mut self, own: MemberId, state: &ClusterState) -> MemberStatus {
+        let known = self.statuses.get(&own);
+        if let Some(known) = known.filter(|known| known.applied == state.applied) {
+            return known.clone();
+        }
+        let status = MemberStatus {
+            member: own,
+            applied: state.applied,
+            digest: state.digest(),
+        };
+        self.put(status.clone());
+        status
+    }
+}
+
+/// Returns the first bytes of a digest in hex.
+pub fn short_hex(digest: &Bytes) -> String {
+    let bytes = digest.iter().take(8);
+    bytes.map(|byte| format!("{byte:02x}")).collect()
+}
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -4,13 +4,15 @@
 use mulberrywell_settings::{Finding, GrantList, PlanList};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::command::{
-    EditLists, GiveKey, GiveOperator, SetEndpointState, WithdrawKey, WithdrawOperator,
+    EditLists, EndpointSignal, GiveKey, GiveOperator, SetEndpointState, WishMember, WithdrawKey,
+    WithdrawOperator,
 };
-use mulberrywell_wire::config::{EndpointState, KeyItem};
+use mulberrywell_wire::config::KeyItem;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
-use crate::cluster_state::{ClusterState, CommandOutcome, EditConflict};
+use crate::cluster_state::{ClusterState, EndpointRecord};
+use crate::command_outcome::{CommandOutcome, EditConflict};
 
 /// Bytes of a SHA-256 digest.
 const DIGEST_LEN: usize = 32;
@@ -74,6 +76,16 @@
     request_id: String,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MemberWish {
+    #[serde(default)]
+    add: String,
+    #[serde(default)]
+    remove: String,
+    request_id: String,
+}
+
 type Handler = fn(&ClusterState, &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer>;
 
 /// The parts of a call that handlers read.
@@ -84,7 +96,7 @@
     pub body: &'a [u8],
 }
 
-const ROUTES: [(&str, &str, Handler); 12] = [
+const ROUTES: [(&str, &str, Handler); 13] = [
     ("GET", "/v1/config", show_config),
     ("GET", "/v1/endpoints", show_endpoints),
     ("GET", "/v1/models", show_models),
@@ -97,6 +109,7 @@
     ("POST", "/v1/operators/give", give_operator),
     ("POST", "/v1/operators/withdraw", withdraw_operator),
     ("POST", "/v1/endpoints/drain", drain_endpoint),
+    ("POST", "/v1/members/wish", wish_member),
 ];
 
 /// Finds out what a call asks for.
@@ -154,6 +167,7 @@
         CommandOutcome::Refused(EditConflict::OldIncarnation { .. }) => {
             fault(409, "old_incarnation", "a later incarnation is registered")
         }
+        CommandOutcome::Refused(EditConflict::Full) => fault(507, "full", "no room"),
     }
 }
 
@@ -241,9 +255,7 @@
         .models
         .values()
         .map(|model| {
-            let holds = |record: &&crate::cluster_state::EndpointRecord| {
-                record.item.resident.contains(&model.name)
-            };
+            let holds = |record: &&EndpointRecord| record.item.resident.contains(&model.name);
             let replicas = state.endpoints.values().filter(holds);
             json!({
                 "name": text(&model.name),
@@ -297,7 +309,7 @@
     read(json!({ "entries": entries }))
 }
 
-fn edit_lists(state: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
+fn edit_lists(_: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
     let edit: ListEdit = parse(input)?;
     let plans = PlanList::parse("plans", &edit.plans);
     let grants = match &plans {
@@ -313,7 +325,7 @@
         }
     };
     let body = Body::EditLists(EditLists {
-        base: edit.base.unwrap_or(state.list_version),
+        base: edit.base,
         plan_text: Bytes::from(edit.plans),
         grant_text: Bytes::from(edit.grants),
         plans: plans.plans,
@@ -375,11 +387,23 @@
     let body = Body::SetEndpointState(SetEndpointState {
         name,
         incarnation: record.item.incarnation,
-        state: EndpointState::Leaving.into(),
+        signal: EndpointSignal::Drain.into(),
     });
     change(body, named.request_id)
 }
 
+fn wish_member(_: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
+    let wish: MemberWish = parse(input)?;
+    if wish.add.is_empty() && wish.remove.is_empty() {
+        return Err(fault(400, "bad_request", "`add` or `remove` is missing"));
+    }
+    let body = Body::WishMember(WishMember {
+        add: Bytes::from(wish.add),
+        remove: Bytes::from(wish.remove),
+    });
+    change(body, wish.request_id)
+}
+
 fn parse_digest(text: &str) -> Result<Bytes, OperatorAnswer> {
     let digits = text.as_bytes().chunks(2);
     let bytes: Option<Vec<u8>> = digits
--- /dev/null
+++ b/crates/control/src/operator_calls.rs
@@ -0,0 +1,209 @@
+//! Operators' calls: answered by the confirmed leader, whichever instance was
+//! asked.
+//!
+//! Guarantees: the leader judges the operator's key and the call by a state
+//! that a quorum has confirmed after the call came; an instance that knows no
+//! leader refuses at once; a call whose outcome is not known says so, and its
+//! resend under the same request id is idempotent.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_directory::digest_key;
+use mulberrywell_role::{header_value, AnswerPart, HttpRequest, LinkId, RequestId, RoleAction};
+use mulberrywell_wire::operate::{Forward, ForwardAnswer};
+use mulberrywell_wire::request::HeaderField;
+use mulberrywell_wire::FrameBody;
+
+use crate::command_outcome::CommandOutcome;
+use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
+use crate::operator_api::{fault, outcome_answer, read_call, OperatorAnswer, OperatorCall};
+use crate::proposal_table::{CallOrigin, ProposalWaiter};
+use crate::relay_table::RelayAsker;
+
+/// Seconds after which a refused operator is to come back.
+const RETRY_AFTER: &[u8] = b"1";
+
+/// A call that the confirmed leader answers.
+#[derive(Debug)]
+pub(crate) struct OperatorTask {
+    pub(crate) origin: CallOrigin,
+    pub(crate) call: Forward,
+}
+
+impl ControlRole {
+    pub(crate) fn take_http(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        http: HttpRequest,
+        actions: &mut Actions,
+    ) {
+        let path = http.path.split(|&b| b == b'?').next().unwrap_or_default();
+        if path == b"/healthz" || path == b"/readyz" {
+            self.answer_probe(request, path == b"/readyz", actions);
+            return;
+        }
+        let Some(key_digest) = key_digest(&http) else {
+            answer(request, &wrong_key(), actions);
+            return;
+        };
+        let mut call = Forward {
+            sequence: 0,
+            method: http.method,
+            path: http.path,
+            key_digest,
+            body: http.body,
+        };
+        if self.is_leader() {
+            let origin = CallOrigin::Local(request);
+            self.reads
+                .push(ReadTask::Operator(OperatorTask { origin, call }));
+            return;
+        }
+        let Some(leader) = self.leader_link() else {
+            answer(request, &no_leader(), actions);
+            return;
+        };
+        match self.relays.open(now, leader, RelayAsker::Operator(request)) {
+            Ok(sequence) => {
+                call.sequence = sequence;
+                send(leader, FrameBody::Forward(call), actions);
+            }
+            Err(asker) => self.refuse_asker(asker, actions),
+        }
+    }
+
+    fn answer_probe(&self, request: RequestId, ready: bool, actions: &mut Actions) {
+        let led = self.is_leader() || self.leader_link().is_some();
+        let status = if ready && !led { 503 } else { 200 };
+        let body = serde_json::json!({ "status": "running", "leader": led });
+        answer(request, &OperatorAnswer { status, body }, actions);
+    }
+
+    pub(crate) fn take_forward(&mut self, link: LinkId, call: Forward, actions: &mut Actions) {
+        let origin = CallOrigin::Forwarded {
+            link,
+            sequence: call.sequence,
+        };
+        if self.is_leader() {
+            self.reads
+                .push(ReadTask::Operator(OperatorTask { origin, call }));
+        } else {
+            reply(origin, &no_leader(), actions);
+        }
+    }
+
+    pub(crate) fn take_forward_answer(&mut self, reply: ForwardAnswer, actions: &mut Actions) {
+        let asker = self.relays.finish(reply.sequence);
+        if let Some(RelayAsker::Operator(request)) = asker {
+            let status = u16::try_from(reply.status).unwrap_or(500);
+            answer_bytes(request, status, reply.body, actions);
+        }
+    }
+
+    /// Carries out a call as the leader that a quorum has confirmed.
+    pub(crate) fn judge_call(&mut self, task: OperatorTask, actions: &mut Actions) {
+        let OperatorTask { origin, call } = task;
+        let operators = self.state.operators.iter();
+        let mut known = operators.filter(|(_, digest)| **digest == call.key_digest);
+        let Some((operator, _)) = known.next() else {
+            reply(origin, &wrong_key(), actions);
+            return;
+        };
+        let operator = operator.clone();
+        if call.method == "GET" && call.path == "/v1/members" {
+            let shown = self.show_members();
+            reply(origin, &shown, actions);
+            return;
+        }
+        match read_call(&self.state, &call.method, &call.path, &call.body) {
+            Ok(OperatorCall::Read(shown)) | Err(shown) => reply(origin, &shown, actions),
+            Ok(OperatorCall::Change { body, request_id }) => {
+                let waiter = ProposalWaiter::Operator(origin);
+                self.propose_as(body, operator, request_id, waiter);
+            }
+        }
+    }
+
+    pub(crate) fn answer_outcome(
+        &self,
+        origin: CallOrigin,
+        outcome: &CommandOutcome,
+        actions: &mut Actions,
+    ) {
+        reply(origin, &outcome_answer(outcome), actions);
+    }
+
+    /// Tells an operator that no quorum has confirmed its call.
+    pub(crate) fn answer_unavailable(&self, origin: CallOrigin, actions: &mut Actions) {
+        reply(origin, &outcome_unknown(), actions);
+    }
+
+    /// Tells an operator that the leader was lost before it answered.
+    pub(crate) fn answer_lost(&self, request: RequestId, actions: &mut Actions) {
+        answer(request, &outcome_unknown(), actions);
+    }
+}
+
+fn key_digest(http: &HttpRequest) -> Option<Bytes> {
+    let value = header_value(&http.headers, "Authorization")?;
+    let key = value.strip_prefix(b"Bearer ")?;
+    Some(digest_key(key.trim_ascii()))
+}
+
+fn wrong_key() -> OperatorAnswer {
+    let text = "no operator key, or a wrong one";
+    fault(401, "invalid_operator_key", text)
+}
+
+fn no_leader() -> OperatorAnswer {
+    let text = "no leader is known here; nothing was changed";
+    fault(503, "no_leader", text)
+}
+
+fn outcome_unknown() -> OperatorAnswer {
+    let text = "no quorum confirmed the call; a change may have been made; \
+                resend it under the same request id";
+    fault(503, "outcome_unknown", text)
+}
+
+fn reply(origin: CallOrigin, shown: &OperatorAnswer, actions: &mut Actions) {
+    match origin {
+        CallOrigin::Local(request) => answer(request, shown, actions),
+        CallOrigin::Forwarded { link, sequence } => {
+            let reply = ForwardAnswer {
+                sequence,
+                status: u32::from(shown.status),
+                body: Bytes::from(shown.body.to_string()),
+            };
+            send(link, FrameBody::ForwardAnswer(reply), actions);
+        }
+    }
+}
+
+fn answer(request: RequestId, shown: &OperatorAnswer, actions: &mut Actions) {
+    let body = Bytes::from(shown.body.to_string());
+    answer_bytes(request, shown.status, body, actions);
+}
+
+fn answer_bytes(request: RequestId, status: u16, body: Bytes, actions: &mut Actions) {
+    let mut headers = vec![HeaderField {
+        name: Bytes::from_static(b"Content-Type"),
+        value: Bytes::from_static(b"application/json"),
+    }];
+    if status == 503 {
+        headers.push(HeaderField {
+            name: Bytes::from_static(b"Retry-After"),
+            value: Bytes::from_static(RETRY_AFTER),
+        });
+    }
+    let head = AnswerPart::Head {
+        status,
+        headers,
+        length: Some(body.len() as u64),
+    };
+    for part in [head, AnswerPart::Data(body), AnswerPart::End] {
+        actions.push(RoleAction::Own(ControlAction::Answer(request, part)));
+    }
+}
--- /dev/null
+++ b/crates/control/src/peer_frames.rs
@@ -0,0 +1,150 @@
+//! Frames of other control instances, and the role's regular work.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_consensus::{NodeInput, PeerMessage};
+use mulberrywell_directory::digest_key;
+use mulberrywell_role::{LinkCommand, LinkId, LogLevel, RoleAction};
+use mulberrywell_wire::command::log_command::Body;
+use mulberrywell_wire::command::{FoundCluster, GiveOperator};
+use mulberrywell_wire::operate::MemberHello;
+use mulberrywell_wire::{FrameBody, PeerIdentity, PeerRole};
+
+use crate::control_role::{send, Actions, ControlRole};
+use crate::member_driver::{MemberStep, MemberView};
+use crate::proposal_table::ProposalWaiter;
+
+/// Name of the operator whose key the settings give.
+const FIRST_OPERATOR: &[u8] = b"first";
+
+/// Time for which a founder waits for the other seeds to answer.
+const FOUND_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time without a leader after which entries and agents are sent elsewhere.
+const CLIENT_HOLD: Duration = Duration::from_millis(1_500);
+
+/// Pause of the process after which it begins to listen anew.
+const PAUSE_MAX: Duration = Duration::from_secs(1);
+
+impl ControlRole {
+    pub(crate) fn take_opened(&mut self, link: LinkId, peer: PeerIdentity, actions: &mut Actions) {
+        if peer.role == PeerRole::Control {
+            let hello = self.peers.opened(link, self.state.cluster);
+            actions.push(RoleAction::Link(hello));
+        } else {
+            self.clients.insert(link, peer);
+        }
+    }
+
+    pub(crate) fn take_peer_frame(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        body: FrameBody,
+        actions: &mut Actions,
+    ) {
+        match body {
+            FrameBody::MemberHello(hello) => self.take_hello(link, hello, actions),
+            FrameBody::Consensus(frame) => match PeerMessage::from_bytes(frame.message) {
+                Ok(message) => self.input(NodeInput::Message(message)),
+                Err(_) => actions.push(RoleAction::Link(LinkCommand::Close { link })),
+            },
+            FrameBody::Forward(forward) => self.take_forward(link, forward, actions),
+            FrameBody::ForwardAnswer(answer) => self.take_forward_answer(answer, actions),
+            FrameBody::Relay(relay) => self.take_relay(now, link, relay, actions),
+            FrameBody::RelayAnswer(answer) => self.take_relay_answer(answer, actions),
+            FrameBody::ReportBatch(batch) => self.take_batch(now, batch),
+            FrameBody::MemberStatus(status) => self.status.put(status),
+            FrameBody::OrderBatch(batch) => self.deliver_orders(batch, actions),
+            _ => {}
+        }
+    }
+
+    fn take_hello(&mut self, link: LinkId, hello: MemberHello, actions: &mut Actions) {
+        let foreign =
+            self.state.cluster != 0 && hello.cluster != 0 && hello.cluster != self.state.cluster;
+        if foreign {
+            let text = format!("an instance of cluster {:016x} was refused", hello.cluster);
+            actions.push(RoleAction::Log(LogLevel::Error, text));
+            actions.push(RoleAction::Link(LinkCommand::Close { link }));
+            return;
+        }
+        if hello.cluster != 0 {
+            self.founding = None;
+        }
+        self.peers.take_hello(link, hello);
+    }
+
+    /// Does the role's regular work.
+    pub(crate) fn tick(&mut self, now: Instant, actions: &mut Actions) {
+        if now.saturating_duration_since(self.last_tick) >= PAUSE_MAX {
+            self.watch.lead(now);
+        }
+        self.found(now, actions);
+        if self.is_leader() {
+            self.drive_members();
+        }
+        self.tick_watch(now, actions);
+        if let Some(status) = self.status.due(now, self.peers.own().id, &self.state) {
+            for link in self.peers.member_links() {
+                send(link, FrameBody::MemberStatus(status.clone()), actions);
+            }
+        }
+        let leaderless = self.leaderless;
+        if leaderless.is_some_and(|since| now.saturating_duration_since(since) >= CLIENT_HOLD) {
+            self.close_clients(actions);
+        }
+    }
+
+    /// Founds a cluster where the settings allow it and no other instance
+    /// belongs to one.
+    fn found(&mut self, now: Instant, actions: &mut Actions) {
+        if let Some(since) = self.founding {
+            let answered = self.peers.connected().len() >= self.peers.other_seeds();
+            if answered || now.saturating_duration_since(since) >= FOUND_WAIT {
+                self.founding = None;
+                let address = self.peers.own().address.clone();
+                self.input(NodeInput::Found { address });
+            }
+        }
+        let due = self.is_leader() && self.state.cluster == 0;
+        if !due || self.proposals.changes_membership() {
+            return;
+        }
+        let cluster = self.config.new_cluster;
+        let text = format!("founds cluster {cluster:016x}");
+        actions.push(RoleAction::Log(LogLevel::Info, text));
+        let operator = GiveOperator {
+            name: Bytes::from_static(FIRST_OPERATOR),
+            digest: digest_key(&self.config.operator_key),
+        };
+        let body = Body::FoundCluster(FoundCluster {
+            cluster,
+            operator: Some(operator),
+        });
+        self.propose(body, ProposalWaiter::Membership);
+    }
+
+    /// Takes the next step towards the wished membership.
+    fn drive_members(&mut self) {
+        if self.state.cluster == 0 || self.proposals.changes_membership() {
+            return;
+        }
+        let steps = self.members.steps(MemberView {
+            state: &self.state,
+            membership: &self.membership,
+            peers: &self.peers,
+        });
+        for step in steps {
+            match step {
+                MemberStep::Command(body) => self.propose(body, ProposalWaiter::Membership),
+                MemberStep::Change(change) => {
+                    let proposal = self.proposals.open(ProposalWaiter::Membership);
+                    self.input(NodeInput::ChangeMembership { proposal, change });
+                }
+                MemberStep::Transfer => self.input(NodeInput::Transfer { to: None }),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/peer_links.rs
@@ -0,0 +1,185 @@
+//! Links between control instances.
+//!
+//! Algorithm: each instance dials every seed and every member's address. The
+//! first frame of either side is a `MemberHello` with the member's identity,
+//! so that a link belongs to an identity and not to an address. Any open link
+//! to a member serves both directions.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_consensus::MemberId;
+use mulberrywell_role::{LinkCommand, LinkId, SeedDialer};
+use mulberrywell_wire::command::MemberItem;
+use mulberrywell_wire::operate::MemberHello;
+use mulberrywell_wire::FrameBody;
+
+/// What a peer said of itself on one link.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PeerInfo {
+    /// Identity and addresses.
+    pub member: MemberItem,
+    /// Cluster of the peer; 0 while it belongs to none.
+    pub cluster: u64,
+}
+
+/// All links to other control instances.
+#[derive(Debug)]
+pub struct PeerLinks {
+    own: MemberItem,
+    seeds: Vec<SocketAddr>,
+    /// One for each address other than the own one.
+    dialers: BTreeMap<SocketAddr, SeedDialer>,
+    /// Open links to control instances; the peer is known after its hello.
+    links: BTreeMap<LinkId, Option<PeerInfo>>,
+    /// Even; grows with each dialed link.
+    next_link: LinkId,
+}
+
+impl PeerLinks {
+    /// Creates links that are yet to be dialed.
+    pub fn new(own: MemberItem, seeds: Vec<SocketAddr>, now: Instant) -> Self {
+        let mut links = PeerLinks {
+            own,
+            seeds,
+            dialers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            next_link: 2,
+        };
+        links.set_addresses(now, &[]);
+        links
+    }
+
+    /// Returns this instance's own identity and addresses.
+    pub fn own(&self) -> &MemberItem {
+        &self.own
+    }
+
+    /// Dials the seeds and these addresses from now on.
+    pub fn set_addresses(&mut self, now: Instant, members: &[Bytes]) {
+        let parsed = members.iter().filter_map(|address| parse_address(address));
+        let own = parse_address(&self.own.address);
+        let wanted: BTreeSet<SocketAddr> = parsed
+            .chain(self.seeds.iter().copied())
+            .filter(|address| Some(*address) != own)
+            .collect();
+        self.dialers.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            self.dialers
+                .entry(address)
+                .or_insert_with(|| SeedDialer::new(vec![address], 0, now));
+        }
+    }
+
+    /// Tells whether an address is one of the settings' seeds.
+    pub fn is_seed(&self, address: &Bytes) -> bool {
+        parse_address(address).is_some_and(|address| self.seeds.contains(&address))
+    }
+
+    /// Returns how many seeds other instances have.
+    pub fn other_seeds(&self) -> usize {
+        let own = parse_address(&self.own.address);
+        let others = self.seeds.iter().filter(|seed| Some(**seed) != own);
+        others.count()
+    }
+
+    /// Returns when [`PeerLinks::dial`] has something to do.
+    pub fn deadline(&self) -> Option<Instant> {
+        self.dialers.values().filter_map(SeedDialer::deadline).min()
+    }
+
+    /// Appends the links that it is time to dial.
+    pub fn dial(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
+        for dialer in self.dialers.values_mut() {
+            let link = self.next_link;
+            if let Some(address) = dialer.dial(now, link) {
+                self.next_link += 2;
+                commands.push(LinkCommand::Dial { link, address });
+            }
+        }
+    }
+
+    /// Notes an open link to a control instance; returns the hello to send.
+    pub fn opened(&mut self, link: LinkId, cluster: u64) -> LinkCommand {
+        for dialer in self.dialers.values_mut() {
+            dialer.opened(link);
+        }
+        self.links.insert(link, None);
+        self.hello(link, cluster)
+    }
+
+    /// Returns a hello on each open link, for a cluster that is new to this
+    /// instance.
+    pub fn hellos(&self, cluster: u64) -> Vec<LinkCommand> {
+        let links = self.links.keys();
+        links.map(|link| self.hello(*link, cluster)).collect()
+    }
+
+    fn hello(&self, link: LinkId, cluster: u64) -> LinkCommand {
+        let hello = MemberHello {
+            member: Some(self.own.clone()),
+            cluster,
+        };
+        let body = FrameBody::MemberHello(hello);
+        LinkCommand::Send { link, body }
+    }
+
+    /// Notes a closed link; tells whether it led to a control instance.
+    pub fn closed(&mut self, now: Instant, link: LinkId) -> bool {
+        for dialer in self.dialers.values_mut() {
+            dialer.closed(now, link);
+        }
+        self.links.remove(&link).is_some()
+    }
+
+    /// Takes in a peer's hello.
+    pub fn take_hello(&mut self, link: LinkId, hello: MemberHello) {
+        let Some(info) = self.links.get_mut(&link) else {
+            return;
+        };
+        let member = hello.member.unwrap_or_default();
+        *info = Some(PeerInfo {
+            member,
+            cluster: hello.cluster,
+        });
+    }
+
+    /// Tells whether a link leads to a control instance.
+    pub fn is_peer(&self, link: LinkId) -> bool {
+        self.links.contains_key(&link)
+    }
+
+    /// Returns what the peer of a link said of itself.
+    pub fn info(&self, link: LinkId) -> Option<&PeerInfo> {
+        self.links.get(&link)?.as_ref()
+    }
+
+    /// Returns the newest open link to a member.
+    pub fn link_of(&self, id: MemberId) -> Option<LinkId> {
+        let newest = self.links.iter().rev();
+        let mut fits = newest.filter(|(_, info)| {
+            let info = info.as_ref();
+            info.is_some_and(|info| info.member.id == id)
+        });
+        fits.next().map(|(link, _)| *link)
+    }
+
+    /// Returns the connected control instances, each once.
+    pub fn connected(&self) -> BTreeMap<MemberId, &PeerInfo> {
+        let known = self.links.values().flatten();
+        let others = known.filter(|info| info.member.id != self.own.id);
+        others.map(|info| (info.member.id, info)).collect()
+    }
+
+    /// Returns one open link to each connected control instance.
+    pub fn member_links(&self) -> Vec<LinkId> {
+        let ids: Vec<MemberId> = self.connected().into_keys().collect();
+        ids.into_iter().filter_map(|id| self.link_of(id)).collect()
+    }
+}
+
+fn parse_address(address: &Bytes) -> Option<SocketAddr> {
+    std::str::from_utf8(address).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/control/src/read_rounds.rs
@@ -0,0 +1,78 @@
+//! Reads that wait for a quorum to confirm the leader.
+//!
+//! Algorithm: one round is under way at a time; what is asked meanwhile waits
+//! for the next, so that any number of readers costs one confirmation. A
+//! confirmed round is carried out once the state has applied its index
+//! (Ongaro, section 6.4).
+
+use std::collections::BTreeMap;
+
+use mulberrywell_consensus::{LogIndex, ReadId};
+
+/// Tasks `T` that each need a confirmed read.
+#[derive(Debug)]
+pub struct ReadRounds<T> {
+    waiting: Vec<T>,
+    running: Option<ReadRound<T>>,
+    /// Confirmed, by the index that must be applied first.
+    confirmed: BTreeMap<LogIndex, Vec<T>>,
+    last_read: ReadId,
+}
+
+#[derive(Debug)]
+struct ReadRound<T> {
+    read: ReadId,
+    tasks: Vec<T>,
+}
+
+impl<T> Default for ReadRounds<T> {
+    fn default() -> Self {
+        ReadRounds {
+            waiting: Vec::new(),
+            running: None,
+            confirmed: BTreeMap::new(),
+            last_read: 0,
+        }
+    }
+}
+
+impl<T> ReadRounds<T> {
+    /// Adds a task.
+    pub fn push(&mut self, task: T) {
+        self.waiting.push(task);
+    }
+
+    /// Starts a round when tasks wait and none is under way; returns the read
+    /// to ask for.
+    pub fn start(&mut self) -> Option<ReadId> {
+        if self.running.is_some() || self.waiting.is_empty() {
+            return None;
+        }
+        self.last_read += 1;
+        self.running = Some(ReadRound {
+            read: self.last_read,
+            tasks: std::mem::take(&mut self.waiting),
+        });
+        Some(self.last_read)
+    }
+
+    /// Notes a confirmation.
+    pub fn confirm(&mut self, read: ReadId, index: LogIndex) {
+        if let Some(round) = self.running.take_if(|round| round.read == read) {
+            self.confirmed.entry(index).or_default().extend(round.tasks);
+        }
+    }
+
+    /// Ends a round that can't be confirmed; returns its tasks.
+    pub fn fail(&mut self, read: ReadId) -> Vec<T> {
+        let failed = self.running.take_if(|round| round.read == read);
+        failed.map_or_else(Vec::new, |round| round.tasks)
+    }
+
+    /// Takes the confirmed tasks that an applied index suffices for.
+    pub fn ready(&mut self, applied: LogIndex) -> Vec<T> {
+        let later = self.confirmed.split_off(&(applied + 1));
+        let ready = std::mem::replace(&mut self.confirmed, later);
+        ready.into_values().flatten().collect()
+    }
+}
--- /dev/null
+++ b/crates/control/src/request_memory.rs
@@ -0,0 +1,122 @@
+//! Outcomes of operators' requests, kept for resends.
+//!
+//! Guarantees: a resend with the same content gets the first outcome; the
+//! same id with other content is told apart. The oldest outcome is forgotten
+//! once [`RESULTS_MAX`] are kept.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use mulberrywell_directory::digest_key;
+use mulberrywell_wire::command::{LogCommand, RememberedResult};
+use prost::Message;
+
+use crate::command_outcome::{CommandOutcome, EditConflict};
+
+/// Outcomes that are kept.
+const RESULTS_MAX: usize = 10_000;
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct RequestKey {
+    actor: Bytes,
+    request_id: Bytes,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+struct KeptResult {
+    /// SHA-256 of what the request asked.
+    digest: Bytes,
+    outcome: CommandOutcome,
+}
+
+/// Remembered outcomes.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RequestMemory {
+    results: BTreeMap<RequestKey, KeptResult>,
+    /// Keys of `results`, oldest first; at most [`RESULTS_MAX`].
+    order: VecDeque<RequestKey>,
+}
+
+impl RequestMemory {
+    /// Returns the outcome of an earlier request with the command's id.
+    pub fn find(&self, command: &LogCommand) -> Option<CommandOutcome> {
+        if command.request_id.is_empty() {
+            return None;
+        }
+        let kept = self.results.get(&key_of(command))?;
+        if kept.digest == content_digest(command) {
+            return Some(kept.outcome.clone());
+        }
+        Some(CommandOutcome::Refused(EditConflict::RequestReused))
+    }
+
+    /// Keeps the outcome of a command that has a request id.
+    pub fn remember(&mut self, command: &LogCommand, outcome: &CommandOutcome) {
+        if command.request_id.is_empty() {
+            return;
+        }
+        let kept = KeptResult {
+            digest: content_digest(command),
+            outcome: outcome.clone(),
+        };
+        self.insert(key_of(command), kept);
+    }
+
+    fn insert(&mut self, key: RequestKey, kept: KeptResult) {
+        if self.results.insert(key.clone(), kept).is_none() {
+            self.order.push_back(key);
+        }
+        if self.order.len() > RESULTS_MAX {
+            if let Some(oldest) = self.order.pop_front() {
+                self.results.remove(&oldest);
+            }
+        }
+    }
+
+    /// Encodes all outcomes, oldest first.
+    pub fn to_records(&self) -> Vec<RememberedResult> {
+        let kept = self.order.iter().filter_map(|key| {
+            let kept = self.results.get(key)?;
+            Some(RememberedResult {
+                actor: key.actor.clone(),
+                request_id: key.request_id.clone(),
+                digest: kept.digest.clone(),
+                result: Some(kept.outcome.to_result()),
+            })
+        });
+        kept.collect()
+    }
+
+    /// Decodes outcomes, oldest first.
+    pub fn from_records(records: Vec<RememberedResult>) -> Self {
+        let mut memory = RequestMemory::default();
+        for record in records {
+            let key = RequestKey {
+                actor: record.actor,
+                request_id: record.request_id,
+            };
+            let kept = KeptResult {
+                digest: record.digest,
+                outcome: CommandOutcome::from_result(record.result.unwrap_or_default()),
+            };
+            memory.insert(key, kept);
+        }
+        memory
+    }
+}
+
+fn key_of(command: &LogCommand) -> RequestKey {
+    RequestKey {
+        actor: command.actor.clone(),
+        request_id: command.request_id.clone(),
+    }
+}
+
+/// Digests what a command asks, without the proposer's clock.
+fn content_digest(command: &LogCommand) -> Bytes {
+    let bare = LogCommand {
+        at_ms: 0,
+        ..command.clone()
+    };
+    digest_key(&bare.encode_to_vec())
+}
--- /dev/null
+++ b/crates/control/src/state_snapshot.rs
@@ -0,0 +1,134 @@
+//! Snapshots of the replicated state and their digest.
+//!
+//! Guarantees: members that applied the same commands encode the same bytes,
+//! as every map is written in the order of its names; decoding and encoding
+//! again gives the same bytes.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use mulberrywell_directory::digest_key;
+use mulberrywell_wire::command::{self as wire, OperatorRecord, StateSnapshot, WishRecord};
+use prost::{DecodeError, Message};
+
+use crate::audit_trail::AuditTrail;
+use crate::change_history::ChangeHistory;
+use crate::claim_book::ClaimBook;
+use crate::cluster_state::{ClusterState, EndpointRecord};
+use crate::endpoint_chart::EndpointChart;
+use crate::request_memory::RequestMemory;
+
+impl ClusterState {
+    /// Encodes the whole state.
+    pub fn encode_snapshot(&self) -> Bytes {
+        let snapshot = StateSnapshot {
+            cluster: self.cluster,
+            applied: self.applied,
+            version: self.version,
+            list_version: self.list_version,
+            list_author: self.list_author.clone(),
+            plan_text: self.plan_text.clone(),
+            grant_text: self.grant_text.clone(),
+            plans: self.plans.values().cloned().collect(),
+            accounts: self.accounts.values().cloned().collect(),
+            models: self.models.values().cloned().collect(),
+            services: self.services.values().cloned().collect(),
+            grants: self.grants.values().cloned().collect(),
+            keys: self.keys.values().cloned().collect(),
+            operators: operator_records(&self.operators),
+            endpoints: self.endpoints.values().map(endpoint_record).collect(),
+            fencing: self.fencing,
+            audit: self.audit.to_records(),
+            results: self.requests.to_records(),
+            claims: self.claims.to_records(),
+            clock_ms: self.clock_ms,
+            members: self.members.values().cloned().collect(),
+            wishes: wish_records(&self.wishes),
+        };
+        Bytes::from(snapshot.encode_to_vec())
+    }
+
+    /// Decodes a whole state.
+    ///
+    /// # Errors
+    /// Fails when the bytes are no snapshot.
+    pub fn decode_snapshot(data: Bytes, chart: EndpointChart) -> Result<Self, DecodeError> {
+        let snapshot = StateSnapshot::decode(data)?;
+        let records = snapshot.endpoints.into_iter().map(|record| EndpointRecord {
+            item: record.item.unwrap_or_default(),
+            memory_mib: record.memory_mib,
+            slots: record.slots,
+            accelerators: record.accelerators,
+        });
+        Ok(ClusterState {
+            cluster: snapshot.cluster,
+            applied: snapshot.applied,
+            version: snapshot.version,
+            list_version: snapshot.list_version,
+            list_author: snapshot.list_author,
+            plan_text: snapshot.plan_text,
+            grant_text: snapshot.grant_text,
+            plans: keyed(snapshot.plans, |item| item.name.clone()),
+            accounts: keyed(snapshot.accounts, |item| item.name.clone()),
+            models: keyed(snapshot.models, |item| item.name.clone()),
+            services: keyed(snapshot.services, |item| item.name.clone()),
+            grants: keyed(snapshot.grants, |item| item.plan.clone()),
+            keys: keyed(snapshot.keys, |item| item.digest.clone()),
+            operators: snapshot
+                .operators
+                .into_iter()
+                .map(|record| (record.name, record.digest))
+                .collect(),
+            endpoints: keyed(records.collect(), |record| record.item.name.clone()),
+            fencing: snapshot.fencing,
+            members: keyed(snapshot.members, |item| item.id),
+            wishes: snapshot
+                .wishes
+                .into_iter()
+                .map(|record| (record.name, record.allowed))
+                .collect(),
+            claims: ClaimBook::from_records(snapshot.claims),
+            audit: AuditTrail::from_records(snapshot.audit),
+            requests: RequestMemory::from_records(snapshot.results),
+            clock_ms: snapshot.clock_ms,
+            history: ChangeHistory::new(snapshot.version),
+            chart,
+            changed: Vec::new(),
+        })
+    }
+
+    /// Returns the SHA-256 of the snapshot; equal at members that applied the
+    /// same commands.
+    pub fn digest(&self) -> Bytes {
+        digest_key(&self.encode_snapshot())
+    }
+}
+
+fn keyed<K: Ord, T>(items: Vec<T>, key: impl Fn(&T) -> K) -> BTreeMap<K, T> {
+    items.into_iter().map(|item| (key(&item), item)).collect()
+}
+
+fn operator_records(operators: &BTreeMap<Bytes, Bytes>) -> Vec<OperatorRecord> {
+    let records = operators.iter().map(|(name, digest)| OperatorRecord {
+        name: name.clone(),
+        digest: digest.clone(),
+    });
+    records.collect()
+}
+
+fn wish_records(wishes: &BTreeMap<Bytes, bool>) -> Vec<WishRecord> {
+    let records = wishes.iter().map(|(name, allowed)| WishRecord {
+        name: name.clone(),
+        allowed: *allowed,
+    });
+    records.collect()
+}
+
+fn endpoint_record(record: &EndpointRecord) -> wire::EndpointRecord {
+    wire::EndpointRecord {
+        item: Some(record.item.clone()),
+        memory_mib: record.memory_mib,
+        slots: record.slots,
+        accelerators: record.accelerators,
+    }
+}
--- /dev/null
+++ b/crates/control/src/subscriber_table.rs
@@ -0,0 +1,46 @@
+//! Readers of the configuration and the version that each was sent.
+
+use std::collections::BTreeMap;
+
+use mulberrywell_role::{LinkCommand, LinkId};
+use mulberrywell_wire::config::Subscribe;
+use mulberrywell_wire::FrameBody;
+
+use crate::cluster_state::ClusterState;
+use crate::update_builder::updates_since;
+
+/// All readers that are linked here.
+#[derive(Debug, Default)]
+pub struct SubscriberTable {
+    /// What each reader holds once it took in what was sent; its version only
+    /// rises within one cluster.
+    readers: BTreeMap<LinkId, Subscribe>,
+}
+
+impl SubscriberTable {
+    /// Adds a reader, or notes what a known one holds.
+    pub fn insert(&mut self, link: LinkId, holds: Subscribe) {
+        self.readers.insert(link, holds);
+    }
+
+    /// Removes a reader.
+    pub fn remove(&mut self, link: LinkId) {
+        self.readers.remove(&link);
+    }
+
+    /// Appends the updates that bring every reader to the state's version.
+    pub fn distribute(&mut self, state: &ClusterState, commands: &mut Vec<LinkCommand>) {
+        for (link, holds) in &mut self.readers {
+            let updates = updates_since(state, holds);
+            if updates.is_empty() {
+                continue;
+            }
+            *holds = Subscribe {
+                version: state.version,
+                cluster: state.cluster,
+            };
+            let frames = updates.into_iter().map(FrameBody::Update);
+            commands.extend(frames.map(|body| LinkCommand::Send { link: *link, body }));
+        }
+    }
+}
--- a/crates/control/src/update_builder.rs
+++ b/crates/control/src/update_builder.rs
@@ -1,28 +1,130 @@
 //! Builds the updates that readers of the configuration get.
+//!
+//! Algorithm: a reader whose version the change history reaches gets one
+//! delta; any other gets the whole configuration in parts of at most
+//! [`PART_ITEMS`] items, which come into force together at the reader.
 
-use mulberrywell_wire::config::Update;
+use mulberrywell_wire::config::{ItemKind, Removal, Subscribe, Update};
 
+use crate::change_history::ItemRef;
 use crate::cluster_state::ClusterState;
 
-/// Returns the whole configuration.
-pub fn whole_update(state: &ClusterState) -> Update {
+/// Items of one part of the whole configuration.
+const PART_ITEMS: usize = 2_000;
+
+/// Returns the updates that bring a reader forward; none when it is as far
+/// as the state, or further because it was served by another member before.
+pub fn updates_since(state: &ClusterState, reader: &Subscribe) -> Vec<Update> {
+    let same = reader.cluster == state.cluster;
+    if state.cluster == 0 || (same && reader.version >= state.version) {
+        return Vec::new();
+    }
+    let known = same && reader.version != 0;
+    let items = state.history.since(reader.version).filter(|_| known);
+    let Some(items) = items else {
+        return whole_updates(state);
+    };
+    let mut update = empty_update(state);
+    update.base = reader.version;
+    for item in items {
+        add_item(state, item, &mut update);
+    }
+    vec![update]
+}
+
+/// Returns the whole configuration in parts.
+fn whole_updates(state: &ClusterState) -> Vec<Update> {
+    let items = all_items(state);
+    let mut updates: Vec<Update> = Vec::new();
+    for part in items.chunks(PART_ITEMS) {
+        let mut update = empty_update(state);
+        update.whole = true;
+        update.more = true;
+        for item in part {
+            add_item(state, item, &mut update);
+        }
+        updates.push(update);
+    }
+    if updates.is_empty() {
+        let mut update = empty_update(state);
+        update.whole = true;
+        updates.push(update);
+    }
+    if let Some(last) = updates.last_mut() {
+        last.more = false;
+    }
+    updates
+}
+
+fn all_items(state: &ClusterState) -> Vec<ItemRef> {
+    let mut items = Vec::new();
+    let mut add = |kind, name: &bytes::Bytes| {
+        items.push(ItemRef {
+            kind,
+            name: name.clone(),
+        });
+    };
+    state
+        .plans
+        .keys()
+        .for_each(|name| add(ItemKind::Plan, name));
+    state
+        .accounts
+        .keys()
+        .for_each(|name| add(ItemKind::Account, name));
+    state.keys.keys().for_each(|name| add(ItemKind::Key, name));
+    state
+        .models
+        .keys()
+        .for_each(|name| add(ItemKind::Model, name));
+    state
+        .services
+        .keys()
+        .for_each(|name| add(ItemKind::Service, name));
+    state
+        .grants
+        .keys()
+        .for_each(|name| add(ItemKind::Grant, name));
+    state
+        .endpoints
+        .keys()
+        .for_each(|name| add(ItemKind::Endpoint, name));
+    items
+}
+
+fn empty_update(state: &ClusterState) -> Update {
     Update {
-        base: 0,
         version: state.version,
-        whole: true,
         cluster: state.cluster,
-        plans: state.plans.values().cloned().collect(),
-        accounts: state.accounts.values().cloned().collect(),
-        keys: state.keys.values().cloned().collect(),
-        models: state.models.values().cloned().collect(),
-        services: state.services.values().cloned().collect(),
-        grants: state.grants.values().cloned().collect(),
-        endpoints: state
-            .endpoints
-            .values()
-            .map(|record| record.item.clone())
-            .collect(),
-        removals: Vec::new(),
-        more: false,
+        ..Update::default()
+    }
+}
+
+/// Adds an item's present content, or its removal.
+fn add_item(state: &ClusterState, item: &ItemRef, update: &mut Update) {
+    let name = &item.name;
+    let found = match item.kind {
+        ItemKind::Plan => push(state.plans.get(name), &mut update.plans),
+        ItemKind::Account => push(state.accounts.get(name), &mut update.accounts),
+        ItemKind::Key => push(state.keys.get(name), &mut update.keys),
+        ItemKind::Model => push(state.models.get(name), &mut update.models),
+        ItemKind::Service => push(state.services.get(name), &mut update.services),
+        ItemKind::Grant => push(state.grants.get(name), &mut update.grants),
+        ItemKind::Endpoint => {
+            let record = state.endpoints.get(name);
+            push(record.map(|record| &record.item), &mut update.endpoints)
+        }
+        ItemKind::Unspecified => true,
+    };
+    if !found {
+        update.removals.push(Removal {
+            kind: item.kind.into(),
+            name: name.clone(),
+        });
     }
 }
+
+fn push<T: Clone>(item: Option<&T>, items: &mut Vec<T>) -> bool {
+    items.extend(item.cloned());
+    item.is_some()
+}
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -10,6 +10,7 @@
 use crate::{Finding, FindingList, TableReader};
 
 const MINUTE_MS: u64 = 60_000;
+const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 const LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
 
 /// What every process of the system has.
@@ -65,6 +66,8 @@
     pub suspect_after: Duration,
     /// How long a suspect endpoint may be silent before it is gone.
     pub gone_after: Duration,
+    /// How long the claim of an idempotency key and its answer are kept.
+    pub claim_lifetime: Duration,
     /// Loads a second that the weight store allows.
     pub store_loads_per_minute: u64,
     /// Loads at once that the weight store serves at full speed.
@@ -247,6 +250,7 @@
         bootstrap: table.flag("bootstrap").unwrap_or(false),
         suspect_after: table.millis("suspect_after_ms", 100..=MINUTE_MS, 2_000),
         gone_after: table.millis("gone_after_ms", 1_000..=60 * MINUTE_MS, 30_000),
+        claim_lifetime: table.millis("claim_lifetime_ms", 1_000..=DAY_MS, DAY_MS),
         store_loads_per_minute: table
             .number("store_loads_per_minute", 1..=100_000)
             .unwrap_or(90),
