--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -178,8 +178,9 @@
             seed: recovered.member,
             ..NodeConfig::default()
         };
-        let empty = recovered.is_empty();
+        let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
         let node = ConsensusNode::open(node_config, recovered, now);
+        let membership = node.membership().clone();
         let founding = (empty && config.settings.bootstrap).then_some(now);
         Ok(ControlRole {
             peers: PeerLinks::new(member, config.seeds.clone(), now),
@@ -192,7 +193,7 @@
             term: 0,
             leader: None,
             leaderless: Some(now),
-            membership: Membership::default(),
+            membership,
             proposals: ProposalTable::default(),
             reads: ReadRounds::default(),
             relays: RelayTable::default(),
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -29,7 +29,7 @@
             NodeOutput::Apply { entry, proposal } => {
                 self.apply_entry(now, &entry, proposal, actions);
             }
-            NodeOutput::Restore(image) => self.restore(now, image, actions),
+            NodeOutput::Restore(image) => self.restore(image, actions),
             NodeOutput::MakeSnapshot { index } => self.make_snapshot(index),
             NodeOutput::SaveSnapshot(image) => {
                 actions.push(RoleAction::Own(ControlAction::SaveSnapshot(image)));
@@ -139,7 +139,7 @@
             ProposalWaiter::Outcome(origin, sequence) => {
                 self.acknowledge_outcome(origin, sequence, actions);
             }
-            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Nobody => {}
+            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership => {}
         }
     }
 
@@ -152,11 +152,11 @@
             }
             // The entry reports the outcome again.
             ProposalWaiter::Outcome(..) => {}
-            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Nobody => {}
+            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership => {}
         }
     }
 
-    fn restore(&mut self, now: Instant, image: SnapshotImage, actions: &mut Actions) {
+    fn restore(&mut self, image: SnapshotImage, actions: &mut Actions) {
         let chart = self.state.chart.clone();
         match ClusterState::decode_snapshot(image.data, chart) {
             Ok(state) => {
--- a/crates/control/src/peer_links.rs
+++ b/crates/control/src/peer_links.rs
@@ -151,11 +151,6 @@
         self.links.contains_key(&link)
     }
 
-    /// Returns what the peer of a link said of itself.
-    pub fn info(&self, link: LinkId) -> Option<&PeerInfo> {
-        self.links.get(&link)?.as_ref()
-    }
-
     /// Returns the newest open link to a member.
     pub fn link_of(&self, id: MemberId) -> Option<LinkId> {
         let newest = self.links.iter().rev();
--- a/crates/control/src/proposal_table.rs
+++ b/crates/control/src/proposal_table.rs
@@ -48,8 +48,6 @@
     Endpoint(Bytes),
     /// The driver of the membership.
     Membership,
-    /// Nobody.
-    Nobody,
 }
 
 /// Open proposals.
--- a/crates/mulberrywell/src/command_line.rs
+++ b/crates/mulberrywell/src/command_line.rs
@@ -29,6 +29,7 @@
         .subcommand(key_command())
         .subcommand(operator_command())
         .subcommand(endpoint_command())
+        .subcommand(member_command())
         .subcommand(operator_args(audit_command()))
 }
 
@@ -84,12 +85,43 @@
 }
 
 fn show_command() -> Command {
-    Command::new("show").about("Prints what is in force").arg(
-        Arg::new("what")
-            .value_parser(SHOWN)
-            .required(true)
-            .help("What to print"),
-    )
+    Command::new("show")
+        .about("Prints what is in force")
+        .arg(
+            Arg::new("what")
+                .value_parser(SHOWN)
+                .required(true)
+                .help("What to print"),
+        )
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .action(ArgAction::SetTrue)
+                .help("Prints only the version in force, of `config`"),
+        )
+}
+
+fn member_command() -> Command {
+    let name = || Arg::new("name").required(true).help("Name of the instance");
+    let add = Command::new("add")
+        .about("Lets a control instance join; it votes once it has caught up")
+        .arg(name())
+        .arg(request_arg());
+    let remove = Command::new("remove")
+        .about("Removes a control instance")
+        .arg(name())
+        .arg(request_arg());
+    let replace = Command::new("replace")
+        .about("Lets one control instance join in place of another")
+        .arg(name())
+        .arg(Arg::new("new").required(true).help("Name of the new one"))
+        .arg(request_arg());
+    Command::new("member")
+        .about("Adds, removes and replaces control instances")
+        .subcommand_required(true)
+        .subcommand(operator_args(add))
+        .subcommand(operator_args(remove))
+        .subcommand(operator_args(replace))
 }
 
 fn key_command() -> Command {
--- a/crates/mulberrywell/src/operator_command.rs
+++ b/crates/mulberrywell/src/operator_command.rs
@@ -50,7 +50,16 @@
         ListView {
             path: "/v1/members",
             field: "members",
-            columns: &["name", "id", "role", "address", "zone", "applied"],
+            columns: &[
+                "name",
+                "id",
+                "role",
+                "address",
+                "zone",
+                "connected",
+                "applied",
+                "digest",
+            ],
         },
     ),
     (
@@ -89,6 +98,7 @@
         ("key", "withdraw") => withdraw(&client, args, "/v1/keys/withdraw", "label"),
         ("operator", "give") => give_operator(&client, args),
         ("operator", "withdraw") => withdraw(&client, args, "/v1/operators/withdraw", "name"),
+        ("member", verb) => wish_member(&client, args, verb),
         ("endpoint", "drain") => withdraw(&client, args, "/v1/endpoints/drain", "name"),
         _ => bail!("no such command"),
     }
@@ -113,6 +123,10 @@
 
 fn show_config(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
     let answer = client.get("/v1/config")?;
+    if answer.status == 200 && args.get_flag("version") {
+        println!("{}", answer.body["version"]);
+        return Ok(ExitStatus::Done);
+    }
     if answer.status != 200 || args.get_flag("json") {
         return Ok(print_answer(&answer, args));
     }
@@ -214,6 +228,18 @@
     change(client, args, path, &body)
 }
 
+/// Adds, removes or replaces a control instance.
+fn wish_member(client: &OperatorClient, args: &ArgMatches, verb: &str) -> Result<ExitStatus> {
+    let (add, remove) = match verb {
+        "add" => (text_arg(args, "name"), ""),
+        "remove" => ("", text_arg(args, "name")),
+        "replace" => (text_arg(args, "new"), text_arg(args, "name")),
+        _ => bail!("no such command"),
+    };
+    let body = json!({ "add": add, "remove": remove, "request_id": request_id(args) });
+    change(client, args, "/v1/members/wish", &body)
+}
+
 fn change(
     client: &OperatorClient,
     args: &ArgMatches,
--- /dev/null
+++ b/crates/runtime/src/log_writer.rs
@@ -0,0 +1,148 @@
+//! The threads that keep the replicated log on disk.
+//!
+//! Algorithm: one thread writes all waiting batches and syncs them once (group
+//! commit); another saves snapshots, so that commits do not wait for them.
+//!
+//! Guarantees: what is reported is synced. A write or sync that fails ends the
+//! process, as what is on the disk is then not known. A full disk is reported
+//! and the same batches are tried again.
+
+use std::path::Path;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{bail, Context, Result};
+use mulberrywell_consensus::{
+    FolderStore, LogStorage, MemberId, PersistBatch, RecoveredState, SnapshotImage, SnapshotStore,
+    StorageError,
+};
+use mulberrywell_control::ControlEvent;
+
+use crate::event_sender::EventSender;
+
+/// Batches that may wait for the disk.
+const BATCHES_MAX: usize = 65_536;
+
+/// Snapshots that may wait for the disk.
+const SNAPSHOTS_MAX: usize = 4;
+
+/// Time after which a full disk is tried again.
+const FULL_DELAY: Duration = Duration::from_millis(250);
+
+/// An opened folder whose threads do not run yet.
+pub struct LogFolder {
+    storage: LogStorage<FolderStore>,
+}
+
+impl LogFolder {
+    /// Opens a folder and reads what it holds.
+    ///
+    /// # Errors
+    /// Fails when the folder can't be used or its content is damaged.
+    pub fn open(folder: &Path) -> Result<(Self, RecoveredState)> {
+        let place = || format!("data folder {}", folder.display());
+        let store = FolderStore::open(folder).with_context(place)?;
+        let new_member = rand::random::<MemberId>().max(1);
+        let (storage, recovered) = LogStorage::open(store, new_member).with_context(place)?;
+        if recovered.torn_bytes > 0 {
+            spdlog::warn!("log: cut {} torn bytes", recovered.torn_bytes);
+        }
+        Ok((LogFolder { storage }, recovered))
+    }
+
+    /// Starts the threads.
+    ///
+    /// # Errors
+    /// Fails when the system gives no thread.
+    pub fn spawn(self, events: EventSender<ControlEvent>) -> Result<LogWriter> {
+        let (batches, batch_rx) = sync_channel(BATCHES_MAX);
+        let (snapshots, snapshot_rx) = sync_channel(SNAPSHOTS_MAX);
+        let store = self.storage.snapshot_store();
+        let snapshot_events = events.clone();
+        thread::Builder::new()
+            .name("snapshots".to_owned())
+            .spawn(move || save_snapshots(store, &snapshot_rx, &snapshot_events))?;
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_batches(self.storage, &batch_rx, &events))?;
+        Ok(LogWriter { batches, snapshots })
+    }
+}
+
+/// Running threads.
+pub struct LogWriter {
+    batches: SyncSender<PersistBatch>,
+    snapshots: SyncSender<SnapshotImage>,
+}
+
+impl LogWriter {
+    /// Queues a batch; `Persisted` follows once it is synced.
+    ///
+    /// # Errors
+    /// Fails when too many batches wait or the thread has ended.
+    pub fn persist(&self, batch: PersistBatch) -> Result<()> {
+        if self.batches.try_send(batch).is_err() {
+            bail!("the log takes no batch");
+        }
+        Ok(())
+    }
+
+    /// Queues a snapshot; `SnapshotSaved` follows once it is synced.
+    ///
+    /// # Errors
+    /// Fails when too many snapshots wait or the thread has ended.
+    pub fn save(&self, image: SnapshotImage) -> Result<()> {
+        if self.snapshots.try_send(image).is_err() {
+            bail!("the snapshot store takes no snapshot");
+        }
+        Ok(())
+    }
+}
+
+fn write_batches(
+    mut storage: LogStorage<FolderStore>,
+    rx: &Receiver<PersistBatch>,
+    events: &EventSender<ControlEvent>,
+) {
+    let mut batches = Vec::new();
+    while let Ok(first) = rx.recv() {
+        batches.push(first);
+        batches.extend(rx.try_iter());
+        loop {
+            match storage.persist(&batches) {
+                Ok(ticket) => {
+                    events.send(ControlEvent::Persisted { ticket });
+                    break;
+                }
+                Err(StorageError::DiskFull) => {
+                    events.send(ControlEvent::DiskFull);
+                    thread::sleep(FULL_DELAY);
+                }
+                Err(err) => end_process(&err),
+            }
+        }
+        batches.clear();
+    }
+}
+
+fn save_snapshots(
+    mut store: SnapshotStore<FolderStore>,
+    rx: &Receiver<SnapshotImage>,
+    events: &EventSender<ControlEvent>,
+) {
+    while let Ok(image) = rx.recv() {
+        let index = image.meta.index;
+        match store.save(&image) {
+            Ok(()) => events.send(ControlEvent::SnapshotSaved { index }),
+            Err(StorageError::DiskFull) => events.send(ControlEvent::SnapshotUnsaved { index }),
+            Err(err) => end_process(&err),
+        };
+    }
+}
+
+/// Ends the process: its member's disk can't be trusted in this run.
+fn end_process(err: &StorageError) -> ! {
+    spdlog::critical!("log: {}; the process ends", err);
+    std::process::abort();
+}
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -2,10 +2,9 @@
 
 use std::fs;
 use std::net::TcpListener;
-use std::path::Path;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use anyhow::{Context, Result};
+use anyhow::{anyhow, Context, Result};
 use bytes::Bytes;
 use mulberrywell_control::{ControlAction, ControlConfig, ControlEvent, ControlRole};
 use mulberrywell_settings::{ControlSettings, InstanceSettings};
@@ -13,8 +12,8 @@
 use super::{bind_links, ProcessLoop, RunningRole};
 use crate::event_sender::EventSender;
 use crate::http_gate::{bind_http, GateLimits, HttpGate};
-use crate::journal_file::JournalFile;
 use crate::link_table::LinkCredentials;
+use crate::log_writer::{LogFolder, LogWriter};
 use crate::metric_output::MetricOutput;
 use crate::role_host::{HostParts, RolePort};
 
@@ -29,19 +28,22 @@
     /// The operators' listener.
     pub gate: HttpGate,
     /// The log.
-    pub journal: JournalFile,
+    pub log: LogWriter,
 }
 
 impl RolePort<ControlRole> for ControlPort {
     fn perform(&mut self, action: ControlAction) {
-        match action {
-            ControlAction::Answer(request, part) => self.gate.answer(request, part),
-            ControlAction::Append { index, data } => {
-                if let Err(err) = self.journal.append(index, data) {
-                    spdlog::critical!("control: {}", err);
-                    std::process::abort();
-                }
+        let written = match action {
+            ControlAction::Answer(request, part) => {
+                self.gate.answer(request, part);
+                Ok(())
             }
+            ControlAction::Persist(batch) => self.log.persist(batch),
+            ControlAction::SaveSnapshot(image) => self.log.save(image),
+        };
+        if let Err(err) = written {
+            spdlog::critical!("control: {}", err);
+            std::process::abort();
         }
     }
 
@@ -70,24 +72,32 @@
         let config = ControlConfig {
             settings: settings.clone(),
             instance: instance.name.clone(),
+            zone: instance.zone.clone(),
+            advertise: instance.advertise,
+            seeds: instance.seeds.clone(),
             new_cluster: rand::random::<u64>().max(1),
             operator_key: Bytes::copy_from_slice(operator_key.trim_ascii()),
         };
         let folder = settings.data_folder.clone();
         fs::create_dir_all(&folder)
             .with_context(|| format!("can't create {}", folder.display()))?;
+        let (log, recovered) = LogFolder::open(&folder)?;
+        let machine = ControlRole::open(config, recovered, Instant::now()).map_err(|findings| {
+            let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            anyhow!("the control role can't start: {}", texts.join("; "))
+        })?;
         spdlog::info!(
             "control: listens for operators on {}",
             settings.operator_listen
         );
         let parts = HostParts {
             prefix: "control",
-            machine: ControlRole::new(config, Instant::now()),
+            machine,
             credentials,
             listener: Some(links),
             metrics,
             port: Box::new(move |events| {
-                open_control_port(&folder, operators, &events).unwrap_or_else(|err| {
+                open_control_port(log, operators, &events).unwrap_or_else(|err| {
                     spdlog::critical!("control: {:#}", err);
                     std::process::abort();
                 })
@@ -99,7 +109,7 @@
 }
 
 fn open_control_port(
-    folder: &Path,
+    log: LogFolder,
     operators: TcpListener,
     events: &EventSender<ControlEvent>,
 ) -> Result<ControlPort> {
@@ -107,20 +117,7 @@
         max_requests: OPERATOR_REQUESTS,
         max_body: OPERATOR_BODY,
     };
-    let synced = events.clone();
-    let (journal, entries) = JournalFile::open(folder, move |index| {
-        synced.send(ControlEvent::Synced { index });
-    })?;
-    let recovered = events.clone();
-    std::thread::Builder::new()
-        .name("recovery".to_owned())
-        .spawn(move || {
-            for (place, data) in entries.into_iter().enumerate() {
-                let index = place as u64 + 1;
-                recovered.send(ControlEvent::Recovered { index, data });
-            }
-            recovered.send(ControlEvent::Ready);
-        })?;
+    let log = log.spawn(events.clone())?;
     let gate = HttpGate::spawn(operators, limits, events.clone(), ControlEvent::Http)?;
-    Ok(ControlPort { gate, journal })
+    Ok(ControlPort { gate, log })
 }
