--- a/crates/limit/src/account_ledger.rs
+++ b/crates/limit/src/account_ledger.rs
@@ -215,8 +215,10 @@
         let covered = free.min(self.block_left);
         if covered < ask.least.max(1) {
             let wait = self.wait_for(ask.least.max(1), ahead, now);
-            if ask.least > 0 {
+            if ask.least > 0 && wait <= ask.patience {
                 self.waiting.keep(ask, now + wait + PLACE_KEPT);
+            } else {
+                self.waiting.leave(&ask.holder);
             }
             decision.retry_after = Some(wait);
             return decision;
--- a/crates/limit/src/lease_book.rs
+++ b/crates/limit/src/lease_book.rs
@@ -63,6 +63,8 @@
     pub tokens: u64,
     /// Recent demand in tokens a second.
     pub demand: u64,
+    /// Longest wait that is of use; a longer one keeps no place in the line.
+    pub patience: Duration,
 }
 
 /// The answer to a [`LeaseAsk`].
--- a/crates/limit/tests/lease_book.rs
+++ b/crates/limit/tests/lease_book.rs
@@ -54,6 +54,7 @@
             least: tokens,
             tokens,
             demand: 0,
+            patience: Duration::from_secs(60),
         };
         for block in self.book.blocks_wanted(self.now) {
             self.book
@@ -109,6 +110,24 @@
     assert_eq!(test.ask("large", 300).tokens, 300);
 }
 
+#[test]
+fn request_impatient_keeps_no_place() {
+    let mut test = TestBook::full();
+    let lease = test.ask("a", 1_000).lease;
+    test.give_back("a", lease, 0);
+    let ask = LeaseAsk {
+        holder: holder("large"),
+        least: 900,
+        tokens: 900,
+        demand: 0,
+        patience: Duration::from_secs(1),
+    };
+    let decision = test.book.request(test.now, &account(), &ask);
+    assert!(decision.retry_after.unwrap() > ask.patience);
+    test.pass(500);
+    assert_eq!(test.ask("small", 50).tokens, 50);
+}
+
 #[test]
 fn give_back_twice_counts_once() {
     let mut test = TestBook::full();
@@ -175,6 +194,7 @@
         least: 500,
         tokens: 500,
         demand: 0,
+        patience: Duration::from_secs(60),
     };
     let first = book.request(now, &account(), &ask);
     assert_eq!(first.tokens, 0);
--- a/crates/limit/tests/spend_audit/mod.rs
+++ b/crates/limit/tests/spend_audit/mod.rs
@@ -205,6 +205,7 @@
             least,
             tokens: least + self.rng.random_range(0..100),
             demand: self.rng.random_range(0..300),
+            patience: Duration::from_secs(2),
         };
         let decision = self.books[0].request(self.now, &self.account, &ask);
         if decision.tokens > 0 && !self.chance(self.case.loss) {
