--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -125,6 +125,8 @@
     outputs: Vec<NodeOutput>,
     pub(crate) role: NodeRole,
     pub(crate) term: Term,
+    /// Term of the last entry applied in this run.
+    pub(crate) applied_term: Term,
     pub(crate) leader: Option<MemberId>,
     /// Since when no leader is known.
     pub(crate) leaderless: Option<Instant>,
@@ -191,6 +193,7 @@
             outputs: Vec::new(),
             role: NodeRole::Follower,
             term: 0,
+            applied_term: 0,
             leader: None,
             leaderless: Some(now),
             membership,
@@ -267,8 +270,11 @@
     /// Carries out all queued inputs, then what they made due.
     fn settle(&mut self, now: Instant, actions: &mut Actions) {
         loop {
-            if let Some(read) = self.reads.start() {
-                self.input(NodeInput::ReadIndex { read });
+            // A new leader reads nothing before its term's first entry.
+            if !self.is_leader() || self.applied_term == self.term {
+                if let Some(read) = self.reads.start() {
+                    self.input(NodeInput::ReadIndex { read });
+                }
             }
             let Some(input) = self.inputs.pop_front() else {
                 break;
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -79,6 +79,7 @@
         proposal: Option<ProposalId>,
         actions: &mut Actions,
     ) {
+        self.applied_term = entry.term;
         let waiter = proposal.and_then(|proposal| self.proposals.finish(proposal));
         let Some(data) = entry.command() else {
             self.state.applied = entry.index;
