--- /dev/null
+++ b/crates/mulberrywell/tests/control_common/mod.rs
@@ -0,0 +1,323 @@
+//! What the tests of several control instances share.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use mulberrywell_testkit::{wait_until, ClusterPlan, HttpCaller, ProcessCluster};
+use serde_json::{json, Value};
+
+use crate::common::{binaries, GRANTS, PLANS};
+
+/// Calls that wait for a frozen instance.
+const LATE_CALLS: usize = 4;
+
+/// Pause between two tries of an operator.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// An edit that was accepted.
+#[derive(Debug, Clone, Copy)]
+pub struct AcceptedEdit {
+    pub base: u64,
+    pub version: u64,
+}
+
+/// An answer to a read.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadAnswer {
+    pub status: u16,
+    pub version: u64,
+}
+
+/// An operator that edits in a thread.
+pub struct EditRacer {
+    accepted: Arc<AtomicU64>,
+    thread: JoinHandle<Vec<AcceptedEdit>>,
+}
+
+impl EditRacer {
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    pub fn join(self) -> Vec<AcceptedEdit> {
+        self.thread.join().unwrap()
+    }
+}
+
+/// Several control instances.
+pub struct ControlGroup {
+    pub cluster: ProcessCluster,
+    key: String,
+    /// Numbers the request ids of single edits.
+    edits: AtomicU64,
+}
+
+impl ControlGroup {
+    /// Starts instances and waits until all of them vote.
+    pub fn spawn(controls: usize, entries: usize) -> Self {
+        let plan = ClusterPlan {
+            controls,
+            entries,
+            ..ClusterPlan::default()
+        };
+        Self::spawn_plan(&plan)
+    }
+
+    pub fn spawn_plan(plan: &ClusterPlan) -> Self {
+        let cluster = ProcessCluster::spawn(&binaries(), plan).unwrap();
+        let key = std::fs::read_to_string(cluster.folder().join("operator.key")).unwrap();
+        let group = ControlGroup {
+            cluster,
+            key,
+            edits: AtomicU64::new(0),
+        };
+        group.wait_voters(plan.controls);
+        group.cluster.apply(PLANS, GRANTS).unwrap();
+        group
+    }
+
+    pub fn operator(&self, idx: usize) -> HttpCaller {
+        HttpCaller::new(self.cluster.operators[idx], Some(&self.key))
+    }
+
+    /// Reads from the first instance that answers.
+    pub fn read(&self, path: &str) -> Option<Value> {
+        (0..self.cluster.operators.len()).find_map(|idx| {
+            let answer = self.operator(idx).call("GET", path, &[], "").ok()?;
+            let body = serde_json::from_str(&answer.body).ok()?;
+            (answer.status == 200).then_some(body)
+        })
+    }
+
+    pub fn members(&self) -> Vec<Value> {
+        let shown = self.read("/v1/members").unwrap_or_default();
+        shown["members"].as_array().cloned().unwrap_or_default()
+    }
+
+    pub fn wait_voters(&self, count: usize) {
+        wait_until("all instances vote", || {
+            let members = self.members();
+            let voters = members
+                .iter()
+                .filter(|member| member["role"] != "learner" && member["connected"] == true);
+            voters.count() == count && members.len() == count
+        })
+        .unwrap();
+    }
+
+    pub fn leader(&self) -> String {
+        let mut name = String::new();
+        wait_until("there is a leader", || {
+            let members = self.members();
+            let leader = members.iter().find(|member| member["role"] == "leader");
+            name = leader
+                .map_or("", |m| m["name"].as_str().unwrap_or(""))
+                .to_owned();
+            !name.is_empty()
+        })
+        .unwrap();
+        name
+    }
+
+    /// Returns the places of all instances but one.
+    pub fn others(&self, name: &str) -> Vec<usize> {
+        let count = self.cluster.operators.len();
+        let others = (0..count).filter(|idx| format!("control-{idx}") != name);
+        others.collect()
+    }
+
+    pub fn member_id(&self, name: &str) -> String {
+        let mut id = String::new();
+        wait_until("the member is listed", || {
+            let members = self.members();
+            let member = members.iter().find(|member| member["name"] == name);
+            id = member
+                .map_or("", |m| m["id"].as_str().unwrap_or(""))
+                .to_owned();
+            !id.is_empty()
+        })
+        .unwrap();
+        id
+    }
+
+    /// Waits until an instance votes under another identity.
+    pub fn wait_replaced(&self, name: &str, old: &str) {
+        wait_until("the instance is replaced", || {
+            let members = self.members();
+            let voter = members.iter().any(|member| {
+                member["name"] == name && member["id"] != old && member["role"] != "learner"
+            });
+            voter && members.iter().all(|member| member["id"] != old)
+        })
+        .unwrap();
+    }
+
+    /// Waits until instances stand at the same place in the log; returns their
+    /// digests.
+    pub fn equal_digests(&self, places: &[usize]) -> Vec<String> {
+        let mut digests = Vec::new();
+        wait_until("the members are at one place", || {
+            let members = self.members();
+            let wanted = members.iter().filter(|member| {
+                let mut names = places.iter().map(|idx| format!("control-{idx}"));
+                names.any(|name| member["name"] == name.as_str())
+            });
+            let wanted: Vec<&Value> = wanted.collect();
+            let applied: BTreeSet<String> =
+                wanted.iter().map(|m| m["applied"].to_string()).collect();
+            digests = wanted.iter().map(|m| m["digest"].to_string()).collect();
+            applied.len() == 1 && wanted.len() == places.len()
+        })
+        .unwrap();
+        digests
+    }
+
+    /// Makes an edit at whichever instance takes it.
+    pub fn edit(&self, note: &str) -> u64 {
+        let all: Vec<usize> = (0..self.cluster.operators.len()).collect();
+        self.edit_at(&all, note)
+    }
+
+    pub fn edit_at(&self, places: &[usize], note: &str) -> u64 {
+        let number = self.edits.fetch_add(1, Ordering::Relaxed);
+        let body = edit_body(note, None, &format!("single-{number}"));
+        let mut version = 0;
+        wait_until("the edit is accepted", || {
+            places.iter().any(|idx| {
+                let answer = self.operator(*idx).call("POST", "/v1/lists", &[], &body);
+                let Some(answer) = answer.ok().filter(|answer| answer.status == 200) else {
+                    return false;
+                };
+                let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+                version = body["version"].as_u64().unwrap_or(0);
+                version > 0
+            })
+        })
+        .unwrap();
+        version
+    }
+
+    /// Starts an operator that edits until it has won `count` times.
+    pub fn spawn_racer(&self, racer: u64, count: u64) -> EditRacer {
+        let accepted = Arc::new(AtomicU64::new(0));
+        let counter = accepted.clone();
+        let addresses = self.cluster.operators.clone();
+        let key = self.key.clone();
+        let thread = std::thread::spawn(move || {
+            let mut edits = Vec::new();
+            for number in 0..count {
+                edits.push(win_edit(&addresses, &key, racer, number));
+                counter.fetch_add(1, Ordering::Relaxed);
+            }
+            edits
+        });
+        EditRacer { accepted, thread }
+    }
+
+    /// Returns the versions of all accepted list edits.
+    pub fn accepted_edits(&self) -> BTreeSet<u64> {
+        let mut trail = None;
+        wait_until("the trail can be read", || {
+            trail = self.read("/v1/audit?after=0&limit=100000");
+            trail.is_some()
+        })
+        .unwrap();
+        let trail = trail.unwrap();
+        let entries = trail["entries"].as_array().cloned().unwrap_or_default();
+        let edits = entries
+            .iter()
+            .filter(|entry| entry["action"] == "edit lists");
+        let versions = edits.filter_map(|entry| {
+            let outcome = entry["outcome"].as_str()?;
+            outcome.strip_prefix("accepted as version ")?.parse().ok()
+        });
+        versions.collect()
+    }
+
+    /// Asks an instance from threads that wait for its answer.
+    pub fn ask_later(&self, name: &str) -> JoinHandle<Vec<ReadAnswer>> {
+        let place = name
+            .trim_start_matches("control-")
+            .parse::<usize>()
+            .unwrap();
+        let calls: Vec<_> = (0..LATE_CALLS)
+            .map(|_| {
+                let caller = self.operator(place);
+                std::thread::spawn(move || {
+                    let answer = caller
+                        .call("GET", "/v1/config", &[], "")
+                        .unwrap_or_default();
+                    let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+                    ReadAnswer {
+                        status: answer.status,
+                        version: body["version"].as_u64().unwrap_or(0),
+                    }
+                })
+            })
+            .collect();
+        std::thread::spawn(move || calls.into_iter().map(|call| call.join().unwrap()).collect())
+    }
+}
+
+/// Edits until one edit is accepted; resends it while its outcome is unknown.
+fn win_edit(addresses: &[SocketAddr], key: &str, racer: u64, number: u64) -> AcceptedEdit {
+    let mut place = usize::try_from(racer).unwrap_or(0);
+    let mut tries = 0;
+    let mut next: Option<(u64, String)> = None;
+    loop {
+        let address = addresses[place % addresses.len()];
+        let caller = HttpCaller::new(address, Some(key));
+        let Some((base, body)) = next.clone() else {
+            let shown = caller
+                .call("GET", "/v1/config", &[], "")
+                .unwrap_or_default();
+            let config: Value = serde_json::from_str(&shown.body).unwrap_or_default();
+            if let Some(base) = config["list_version"]
+                .as_u64()
+                .filter(|_| shown.status == 200)
+            {
+                tries += 1;
+                let id = format!("racer-{racer}-{number}-{tries}");
+                let note = format!("{racer} {number}");
+                next = Some((base, edit_body(&note, Some(base), &id)));
+            } else {
+                place += 1;
+                std::thread::sleep(RETRY_PAUSE);
+            }
+            continue;
+        };
+        let answer = caller
+            .call("POST", "/v1/lists", &[], &body)
+            .unwrap_or_default();
+        let shown: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        match answer.status {
+            200 => {
+                let version = shown["version"].as_u64().unwrap_or(0);
+                return AcceptedEdit { base, version };
+            }
+            409 => {
+                assert_eq!(shown["error"]["code"], "conflict", "{}", answer.body);
+                assert_eq!(shown["error"]["winner"], "first", "{}", answer.body);
+                next = None;
+            }
+            _ => {
+                place += 1;
+                std::thread::sleep(RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+fn edit_body(note: &str, base: Option<u64>, request_id: &str) -> String {
+    let edit = json!({
+        "plans": format!("# {note}\n{PLANS}"),
+        "grants": GRANTS,
+        "base": base,
+        "request_id": request_id,
+    });
+    edit.to_string()
+}
--- /dev/null
+++ b/crates/mulberrywell/tests/control_group.rs
@@ -0,0 +1,106 @@
+//! Three control instances in real processes: loss, repair and freezes.
+
+mod common;
+mod control_common;
+
+use std::time::{Duration, Instant};
+
+use control_common::ControlGroup;
+use mulberrywell_testkit::wait_until;
+use nix::sys::signal::Signal;
+
+/// Time for which a frozen instance stands still: longer than the election
+/// timeout (0.8 s), the silence bound of links (2 s) and the relay timeout
+/// (4 s).
+const FREEZE: Duration = Duration::from_secs(5);
+
+/// Edits that each of two racing operators makes.
+const EDITS: u64 = 60;
+
+#[test]
+fn members_form_group() {
+    let group = ControlGroup::spawn(3, 0);
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert_eq!(digests.len(), 3);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
+
+#[test]
+fn leader_killed_racing_edits() {
+    let mut group = ControlGroup::spawn(3, 0);
+    let leader = group.leader();
+    let racers = [0, 1].map(|racer| group.spawn_racer(racer, EDITS));
+    wait_until("some edits are accepted", || {
+        racers.iter().all(|racer| racer.accepted() >= EDITS / 4)
+    })
+    .unwrap();
+    group.cluster.kill(&leader).unwrap();
+    let mut accepted = Vec::new();
+    for racer in racers {
+        accepted.extend(racer.join());
+    }
+    group.cluster.restart(&leader).unwrap();
+    group.wait_voters(3);
+    let mut bases: Vec<u64> = accepted.iter().map(|edit| edit.base).collect();
+    bases.sort_unstable();
+    let count = bases.len();
+    bases.dedup();
+    assert_eq!(bases.len(), count, "two edits won over one base");
+    assert_eq!(
+        count as u64,
+        2 * EDITS,
+        "each racer wins its edits in the end"
+    );
+    let trail = group.accepted_edits();
+    for edit in &accepted {
+        assert!(trail.contains(&edit.version), "edit {edit:?} is lost");
+    }
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
+
+#[test]
+fn disk_lost_second_loss() {
+    let mut group = ControlGroup::spawn(3, 0);
+    let version = group.edit("before the loss");
+    group.cluster.kill("control-2").unwrap();
+    let old = group.member_id("control-2");
+    std::fs::remove_dir_all(group.cluster.folder().join("data-control-2")).unwrap();
+    group.cluster.restart("control-2").unwrap();
+    group.wait_replaced("control-2", &old);
+    let leader = group.leader();
+    let lost = if leader == "control-2" {
+        "control-0".to_owned()
+    } else {
+        leader
+    };
+    group.cluster.kill(&lost).unwrap();
+    let later = group.edit("after the second loss");
+    assert!(later > version);
+    assert!(group.accepted_edits().contains(&version));
+}
+
+#[test]
+fn leader_frozen_answers_nothing_stale() {
+    let group = ControlGroup::spawn(3, 0);
+    let before = group.edit("before the freeze");
+    let leader = group.leader();
+    group.cluster.signal(&leader, Signal::SIGSTOP).unwrap();
+    // Asked while it is frozen, answered after it woke up.
+    let asked = group.ask_later(&leader);
+    let frozen = Instant::now();
+    let others = group.others(&leader);
+    let after = group.edit_at(&others, "during the freeze");
+    assert!(after > before);
+    while frozen.elapsed() < FREEZE {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    group.cluster.signal(&leader, Signal::SIGCONT).unwrap();
+    for answer in asked.join().unwrap() {
+        let stale = answer.status == 200 && answer.version < after;
+        assert!(!stale, "{answer:?} after version {after}");
+    }
+    group.wait_voters(3);
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
