Grant token leases from committed blocks at the confirmed leader

Cause: rate and burst are counted across the fleet. Requests go through a read round, so that a leader that was frozen grants nothing; the book leads only after its term's first entry is applied, when it knows every committed block. The audit trail is read in pages.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -12,6 +12,7 @@
 use mulberrywell_wire::command::{ClaimRecord, PutClaim, PutOutcome};
 use mulberrywell_wire::config::{ConfirmAnswer, ConfirmQuery};
 use mulberrywell_wire::operate::{Relay, RelayAnswer};
+use mulberrywell_wire::rate::LeaseGrant;
 use mulberrywell_wire::{FrameBody, PeerFrame};
 use prost::Message;
 
@@ -24,6 +25,8 @@
 #[derive(Debug)]
 pub(crate) struct ClientTask {
     pub(crate) origin: FrameOrigin,
+    /// Name and start of the process that sent the frame.
+    pub(crate) holder: Bytes,
     pub(crate) frame: FrameBody,
 }
 
@@ -48,8 +51,14 @@
             | FrameBody::ClaimRequest(_)
             | FrameBody::OutcomeReport(_)
             | FrameBody::LeaseRequest(_)
-            | FrameBody::LeaseReturn(_) => {
-                self.route_client(now, FrameOrigin::Local(link), body, actions);
+            | FrameBody::LeaseReturn(_)
+            | FrameBody::TokenRefund(_) => {
+                let task = ClientTask {
+                    origin: FrameOrigin::Local(link),
+                    holder: self.clients.holder(link),
+                    frame: body,
+                };
+                self.route_client(now, task, actions);
             }
             _ => {}
         }
@@ -68,43 +77,41 @@
         };
         match frame.body {
             Some(FrameBody::Announce(announce)) => self.take_relayed_announce(now, announce),
-            Some(body) => {
+            Some(frame) => {
                 let sequence = relay.sequence;
-                let origin = FrameOrigin::Relayed { link, sequence };
-                self.route_client(now, origin, body, actions);
+                let task = ClientTask {
+                    origin: FrameOrigin::Relayed { link, sequence },
+                    holder: relay.holder,
+                    frame,
+                };
+                self.route_client(now, task, actions);
             }
             None => {}
         }
     }
 
     /// Brings a frame before the leader.
-    fn route_client(
-        &mut self,
-        now: Instant,
-        origin: FrameOrigin,
-        frame: FrameBody,
-        actions: &mut Actions,
-    ) {
+    fn route_client(&mut self, now: Instant, task: ClientTask, actions: &mut Actions) {
         if self.is_leader() {
-            self.reads
-                .push(ReadTask::Client(ClientTask { origin, frame }));
+            self.reads.push(ReadTask::Client(task));
             return;
         }
         let leader = self.leader_link();
-        let (FrameOrigin::Local(link), Some(leader)) = (origin, leader) else {
-            self.refuse_client(now, origin, &frame, actions);
+        let (FrameOrigin::Local(link), Some(leader)) = (task.origin, leader) else {
+            refuse_client(task.origin, &task.frame, actions);
             return;
         };
-        let data = Bytes::from(PeerFrame::from(frame.clone()).encode_to_vec());
+        let data = Bytes::from(PeerFrame::from(task.frame.clone()).encode_to_vec());
         let asker = RelayAsker::Client {
             link,
-            frame: Box::new(frame),
+            frame: Box::new(task.frame),
         };
         match self.relays.open(now, leader, asker) {
             Ok(sequence) => {
                 let relay = Relay {
                     sequence,
                     frame: data,
+                    holder: task.holder,
                 };
                 send(leader, FrameBody::Relay(relay), actions);
             }
@@ -135,25 +142,22 @@
         }
     }
 
-    /// Tells the sender of a frame that it can't be answered now.
-    pub(crate) fn refuse_client(
-        &mut self,
-        _: Instant,
-        origin: FrameOrigin,
-        frame: &FrameBody,
-        actions: &mut Actions,
-    ) {
-        if let Some(refusal) = refusal_of(frame) {
-            reply(origin, refusal, actions);
-        }
-    }
-
     /// Answers a frame as the leader that a quorum has confirmed.
-    pub(crate) fn serve_client(&mut self, _: Instant, task: ClientTask, actions: &mut Actions) {
+    pub(crate) fn serve_client(&mut self, now: Instant, task: ClientTask, actions: &mut Actions) {
         match task.frame {
             FrameBody::ConfirmQuery(query) => self.confirm_version(task.origin, query, actions),
             FrameBody::ClaimRequest(request) => self.take_claim(task.origin, request, actions),
             FrameBody::OutcomeReport(report) => self.take_outcome(task.origin, report),
+            FrameBody::LeaseRequest(request) => {
+                let grant = self.leases.grant(now, task.holder, &request);
+                reply(task.origin, FrameBody::LeaseGrant(grant), actions);
+                self.propose_blocks(now);
+            }
+            FrameBody::LeaseReturn(given) => {
+                let ack = self.leases.give_back(now, &task.holder, given);
+                reply(task.origin, FrameBody::ReturnAck(ack), actions);
+            }
+            FrameBody::TokenRefund(refund) => self.leases.refund(now, task.holder, refund),
             _ => {}
         }
     }
@@ -267,6 +271,13 @@
     }
 }
 
+/// Tells the sender of a frame that it can't be answered now.
+pub(crate) fn refuse_client(origin: FrameOrigin, frame: &FrameBody, actions: &mut Actions) {
+    if let Some(refusal) = refusal_of(frame) {
+        reply(origin, refusal, actions);
+    }
+}
+
 /// Returns the frame that says that a frame can't be answered now.
 fn refusal_of(frame: &FrameBody) -> Option<FrameBody> {
     match frame {
@@ -279,6 +290,12 @@
             state: ClaimState::Unavailable.into(),
             ..ClaimAnswer::default()
         })),
+        FrameBody::LeaseRequest(request) => Some(FrameBody::LeaseGrant(LeaseGrant {
+            sequence: request.sequence,
+            account: request.account.clone(),
+            unavailable: true,
+            ..LeaseGrant::default()
+        })),
         _ => None,
     }
 }
--- a/crates/control/src/client_links.rs
+++ b/crates/control/src/client_links.rs
@@ -28,6 +28,17 @@
         self.links.get(&link).map(|peer| &peer.instance)
     }
 
+    /// Returns the name of the process on a link; another one after each start.
+    pub fn holder(&self, link: LinkId) -> Bytes {
+        let peer = self.links.get(&link);
+        peer.map_or_else(Bytes::new, |peer| {
+            let mut holder = peer.instance.to_vec();
+            holder.push(b':');
+            holder.extend_from_slice(peer.incarnation.to_string().as_bytes());
+            Bytes::from(holder)
+        })
+    }
+
     /// Returns all links.
     pub fn links(&self) -> impl Iterator<Item = LinkId> + '_ {
         self.links.keys().copied()
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -32,6 +32,7 @@
 use crate::cluster_state::ClusterState;
 use crate::endpoint_chart::EndpointChart;
 use crate::endpoint_watch::EndpointWatch;
+use crate::lease_desk::LeaseDesk;
 use crate::member_driver::MemberDriver;
 use crate::member_status::StatusTable;
 use crate::observed_state::ObservedState;
@@ -139,6 +140,7 @@
     pub(crate) subscribers: SubscriberTable,
     pub(crate) watch: EndpointWatch,
     pub(crate) observed: ObservedState,
+    pub(crate) leases: LeaseDesk,
     pub(crate) members: MemberDriver,
     pub(crate) status: StatusTable,
     /// Set while this instance may still found a cluster.
@@ -187,7 +189,6 @@
         Ok(ControlRole {
             peers: PeerLinks::new(member, config.seeds.clone(), now),
             config,
-            state,
             node,
             inputs: VecDeque::new(),
             outputs: Vec::new(),
@@ -204,6 +205,8 @@
             subscribers: SubscriberTable::default(),
             watch: EndpointWatch::new(now),
             observed: ObservedState::default(),
+            leases: LeaseDesk::restore(now, &state),
+            state,
             members,
             status: StatusTable::new(now),
             founding,
@@ -267,6 +270,13 @@
         self.input(NodeInput::Propose { proposal, data });
     }
 
+    /// Proposes the token blocks that are due.
+    pub(crate) fn propose_blocks(&mut self, now: Instant) {
+        if let Some(blocks) = self.leases.blocks(now) {
+            self.propose(blocks, ProposalWaiter::Blocks);
+        }
+    }
+
     /// Carries out all queued inputs, then what they made due.
     fn settle(&mut self, now: Instant, actions: &mut Actions) {
         loop {
--- a/crates/control/src/endpoint_frames.rs
+++ b/crates/control/src/endpoint_frames.rs
@@ -59,6 +59,7 @@
                     let relay = Relay {
                         sequence: 0,
                         frame: Bytes::from(frame.encode_to_vec()),
+                        holder: Bytes::new(),
                     };
                     send(leader, FrameBody::Relay(relay), actions);
                 }
--- /dev/null
+++ b/crates/control/src/lease_desk.rs
@@ -0,0 +1,143 @@
+//! Token leases of client accounts, at the leader.
+//!
+//! Guarantees: nothing is granted but by a leader that a quorum confirmed
+//! after the request came, from blocks that are committed; a new leader counts
+//! every block that was committed before its term's first entry as spent.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_limit::{LeaseAsk, LeaseBook, LeaseDecision, TokenPlan, TokenRefund};
+use mulberrywell_wire::command::{AccountBlock, GrantBlock};
+use mulberrywell_wire::rate::{LeaseGrant, LeaseRequest, LeaseReturn, ReturnAck};
+use mulberrywell_wire::{command::log_command::Body, rate};
+
+use crate::cluster_state::ClusterState;
+
+/// The book of leases and its frames.
+#[derive(Debug, Default)]
+pub struct LeaseDesk {
+    book: LeaseBook,
+    /// Accounts that the book was told of.
+    accounts: Vec<Bytes>,
+}
+
+impl LeaseDesk {
+    /// Starts from a state that came as a whole, whose recent spending is not
+    /// known.
+    pub fn restore(now: Instant, state: &ClusterState) -> Self {
+        let mut desk = LeaseDesk::default();
+        for account in state.accounts.keys() {
+            let plan = plan_of(state, account);
+            desk.book.restore_plan(now, account.clone(), plan);
+            desk.accounts.push(account.clone());
+        }
+        desk
+    }
+
+    /// Takes in the accounts and their plans after an edit.
+    pub fn set_plans(&mut self, now: Instant, state: &ClusterState) {
+        let gone = self.accounts.iter();
+        for account in gone.filter(|account| !state.accounts.contains_key(*account)) {
+            self.book.end_plan(now, account);
+        }
+        self.accounts = state.accounts.keys().cloned().collect();
+        for account in &self.accounts {
+            self.book.set_plan(now, account, plan_of(state, account));
+        }
+    }
+
+    /// Notes committed blocks.
+    pub fn commit(&mut self, now: Instant, grant: &GrantBlock) {
+        for block in &grant.blocks {
+            self.book.block_committed(now, &block.account, block.tokens);
+        }
+    }
+
+    /// Begins to grant in a term, whose first entry is applied.
+    pub fn lead(&mut self, now: Instant, term: u64) {
+        self.book.new_leader(now, term);
+    }
+
+    /// Stops granting.
+    pub fn follow(&mut self) {
+        self.book.follow();
+    }
+
+    /// Returns the command that commits the blocks that are due.
+    pub fn blocks(&mut self, now: Instant) -> Option<Body> {
+        let wanted = self.book.blocks_wanted(now).into_iter();
+        let blocks: Vec<AccountBlock> = wanted
+            .map(|block| AccountBlock {
+                account: block.account,
+                tokens: block.tokens,
+            })
+            .collect();
+        (!blocks.is_empty()).then_some(Body::GrantBlock(GrantBlock { blocks }))
+    }
+
+    /// Decides on a request.
+    pub fn grant(&mut self, now: Instant, holder: Bytes, request: &LeaseRequest) -> LeaseGrant {
+        let ask = LeaseAsk {
+            holder,
+            least: request.least,
+            tokens: request.tokens.max(request.least),
+            demand: request.demand,
+            patience: Duration::from_millis(request.patience_ms),
+        };
+        let LeaseDecision {
+            lease,
+            tokens,
+            lifetime,
+            retry_after,
+            rate,
+            burst,
+        } = self.book.request(now, &request.account, &ask);
+        LeaseGrant {
+            sequence: request.sequence,
+            account: request.account.clone(),
+            lease,
+            tokens,
+            lifetime_ms: millis(lifetime),
+            // 0 would say that the request is never covered.
+            retry_after_ms: retry_after.map_or(0, |delay| millis(delay).max(1)),
+            burst,
+            rate,
+            unavailable: false,
+        }
+    }
+
+    /// Closes a lease.
+    pub fn give_back(&mut self, now: Instant, holder: &Bytes, given: LeaseReturn) -> ReturnAck {
+        self.book
+            .give_back(now, &given.account, holder, given.lease, given.tokens);
+        ReturnAck {
+            account: given.account,
+            lease: given.lease,
+        }
+    }
+
+    /// Credits tokens that a request did not use.
+    pub fn refund(&mut self, now: Instant, holder: Bytes, refund: rate::TokenRefund) {
+        let credit = TokenRefund {
+            holder,
+            number: refund.number,
+            lease: refund.lease,
+            tokens: refund.tokens,
+        };
+        self.book.refund(now, &refund.account, &credit);
+    }
+}
+
+fn plan_of(state: &ClusterState, account: &Bytes) -> TokenPlan {
+    let plan = state.accounts.get(account);
+    let plan = plan.and_then(|account| state.plans.get(&account.plan));
+    plan.map_or_else(TokenPlan::default, |plan| TokenPlan {
+        rate: plan.rate,
+        burst: plan.burst,
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod endpoint_chart;
 mod endpoint_frames;
 mod endpoint_watch;
+mod lease_desk;
 mod log_outputs;
 mod member_driver;
 mod member_status;
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -14,9 +14,11 @@
 use mulberrywell_wire::FrameBody;
 use prost::Message;
 
+use crate::client_frames::refuse_client;
 use crate::cluster_state::ClusterState;
 use crate::command_outcome::CommandOutcome;
 use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
+use crate::lease_desk::LeaseDesk;
 use crate::proposal_table::ProposalWaiter;
 
 impl ControlRole {
@@ -29,7 +31,7 @@
             NodeOutput::Apply { entry, proposal } => {
                 self.apply_entry(now, &entry, proposal, actions);
             }
-            NodeOutput::Restore(image) => self.restore(image, actions),
+            NodeOutput::Restore(image) => self.restore(now, image, actions),
             NodeOutput::MakeSnapshot { index } => self.make_snapshot(index),
             NodeOutput::SaveSnapshot(image) => {
                 actions.push(RoleAction::Own(ControlAction::SaveSnapshot(image)));
@@ -40,7 +42,7 @@
                 }
             }
             NodeOutput::ReadConfirmed { read, index } => self.reads.confirm(read, index),
-            NodeOutput::ReadFailed { read, .. } => self.fail_read(now, read, actions),
+            NodeOutput::ReadFailed { read, .. } => self.fail_read(read, actions),
             NodeOutput::RoleChanged { role, term, leader } => {
                 self.take_role(now, role, term, leader, actions);
             }
@@ -79,7 +81,7 @@
         proposal: Option<ProposalId>,
         actions: &mut Actions,
     ) {
-        self.applied_term = entry.term;
+        self.begin_term(now, entry.term);
         let waiter = proposal.and_then(|proposal| self.proposals.finish(proposal));
         let Some(data) = entry.command() else {
             self.state.applied = entry.index;
@@ -105,6 +107,15 @@
         }
     }
 
+    /// Notes the term of an applied entry; at the first one of its own term a
+    /// leader knows everything that was committed before.
+    fn begin_term(&mut self, now: Instant, term: Term) {
+        let known = std::mem::replace(&mut self.applied_term, term);
+        if self.is_leader() && term == self.term && known != term {
+            self.leases.lead(now, term);
+        }
+    }
+
     /// Follows up a command that every member applies.
     fn note_applied(
         &mut self,
@@ -122,6 +133,8 @@
             Some(Body::SetEndpointState(set)) => {
                 self.note_endpoint(now, &set.name, outcome, actions);
             }
+            Some(Body::EditLists(_)) => self.leases.set_plans(now, &self.state),
+            Some(Body::GrantBlock(grant)) => self.leases.commit(now, grant),
             _ => {}
         }
     }
@@ -140,7 +153,7 @@
             ProposalWaiter::Outcome(origin, sequence) => {
                 self.acknowledge_outcome(origin, sequence, actions);
             }
-            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership => {}
+            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
     }
 
@@ -153,11 +166,11 @@
             }
             // The entry reports the outcome again.
             ProposalWaiter::Outcome(..) => {}
-            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership => {}
+            ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
     }
 
-    fn restore(&mut self, image: SnapshotImage, actions: &mut Actions) {
+    fn restore(&mut self, now: Instant, image: SnapshotImage, actions: &mut Actions) {
         let chart = self.state.chart.clone();
         match ClusterState::decode_snapshot(image.data, chart) {
             Ok(state) => {
@@ -165,6 +178,7 @@
                 // Entries without a command may follow the last command.
                 self.state.applied = self.state.applied.max(image.meta.index);
                 self.commands.extend(self.peers.hellos(self.state.cluster));
+                self.leases = LeaseDesk::restore(now, &self.state);
             }
             Err(err) => {
                 let text = format!("the snapshot can't be read: {err}");
@@ -179,13 +193,11 @@
         self.input(NodeInput::SnapshotMade { index, data });
     }
 
-    fn fail_read(&mut self, now: Instant, read: ReadId, actions: &mut Actions) {
+    fn fail_read(&mut self, read: ReadId, actions: &mut Actions) {
         for task in self.reads.fail(read) {
             match task {
                 ReadTask::Operator(task) => self.answer_unavailable(task.origin, actions),
-                ReadTask::Client(task) => {
-                    self.refuse_client(now, task.origin, &task.frame, actions)
-                }
+                ReadTask::Client(task) => refuse_client(task.origin, &task.frame, actions),
             }
         }
     }
@@ -219,6 +231,7 @@
         if led && !self.is_leader() {
             let text = format!("leads no longer; term {term}");
             actions.push(RoleAction::Log(LogLevel::Info, text));
+            self.leases.follow();
             self.finish_if_stopping(actions);
         }
     }
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -18,7 +18,7 @@
 const DIGEST_LEN: usize = 32;
 
 /// Most audit entries of one answer.
-const AUDIT_PAGE: usize = 1_000;
+const AUDIT_PAGE: u64 = 1_000;
 
 /// An answer to an operator.
 #[derive(Debug, Clone, PartialEq)]
@@ -299,14 +299,24 @@
 }
 
 fn show_audit(state: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
-    let after = match input.query.strip_prefix("after=") {
-        Some(number) => number
-            .parse()
-            .map_err(|_| fault(400, "bad_request", "`after` is a number"))?,
-        None => 0,
+    let after = query_number(input.query, "after", 0)?;
+    let limit = query_number(input.query, "limit", AUDIT_PAGE)?.min(AUDIT_PAGE);
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let entries = state.audit.after(after, limit);
+    let more = entries.len() == limit;
+    let next = entries.last().map(|entry| entry.index);
+    read(json!({ "entries": entries, "next": next.filter(|_| more) }))
+}
+
+/// Returns a number of the query, or the default where it is not named.
+fn query_number(query: &str, name: &str, default: u64) -> Result<u64, OperatorAnswer> {
+    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    let mut named = fields.filter(|(known, _)| *known == name);
+    let Some((_, text)) = named.next() else {
+        return Ok(default);
     };
-    let entries = state.audit.after(after, AUDIT_PAGE);
-    read(json!({ "entries": entries }))
+    text.parse()
+        .map_err(|_| fault(400, "bad_request", &format!("`{name}` is a number")))
 }
 
 fn edit_lists(_: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -84,6 +84,7 @@
         self.found(now, actions);
         if self.is_leader() {
             self.drive_members();
+            self.propose_blocks(now);
         }
         self.tick_watch(now, actions);
         if let Some(status) = self.status.due(now, self.peers.own().id, &self.state) {
--- a/crates/control/src/proposal_table.rs
+++ b/crates/control/src/proposal_table.rs
@@ -48,6 +48,8 @@
     Endpoint(Bytes),
     /// The driver of the membership.
     Membership,
+    /// The book of token leases, which sees each committed block anyway.
+    Blocks,
 }
 
 /// Open proposals.
--- a/crates/mulberrywell/src/operator_command.rs
+++ b/crates/mulberrywell/src/operator_command.rs
@@ -20,7 +20,7 @@
     columns: &'static [&'static str],
 }
 
-const LIST_VIEWS: [(&str, ListView); 6] = [
+static LIST_VIEWS: [(&str, ListView); 6] = [
     (
         "endpoints",
         ListView {
@@ -93,7 +93,7 @@
         ("apply", _) => apply(&client, args),
         ("show", _) => show(&client, args),
         ("audit", _) => audit(&client, args),
-        ("key", "list") => list(&client, args, "keys", ""),
+        ("key", "list") => list(&client, args, "keys"),
         ("key", "give") => give_key(&client, args),
         ("key", "withdraw") => withdraw(&client, args, "/v1/keys/withdraw", "label"),
         ("operator", "give") => give_operator(&client, args),
@@ -117,7 +117,7 @@
 fn show(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
     match text_arg(args, "what") {
         "config" => show_config(client, args),
-        what => list(client, args, what, ""),
+        what => list(client, args, what),
     }
 }
 
@@ -143,31 +143,54 @@
     Ok(ExitStatus::Done)
 }
 
+/// Prints the audit trail, page after page.
 fn audit(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
-    let after = args.get_one::<u64>("after").copied().unwrap_or(0);
-    list(client, args, "audit", &format!("?after={after}"))
+    let mut after = args.get_one::<u64>("after").copied().unwrap_or(0);
+    let mut entries = Vec::new();
+    loop {
+        let mut answer = client.get(&format!("/v1/audit?after={after}"))?;
+        if answer.status != 200 {
+            return Ok(print_answer(&answer, args));
+        }
+        if let Value::Array(page) = answer.body["entries"].take() {
+            entries.extend(page);
+        }
+        match answer.body["next"].as_u64() {
+            Some(next) => after = next,
+            None => break,
+        }
+    }
+    if args.get_flag("json") {
+        println!("{}", json!({ "entries": entries }));
+    } else {
+        print_rows(view_of("audit")?, &entries);
+    }
+    Ok(ExitStatus::Done)
 }
 
-fn list(client: &OperatorClient, args: &ArgMatches, what: &str, query: &str) -> Result<ExitStatus> {
-    let Some((_, view)) = LIST_VIEWS.iter().find(|(name, _)| *name == what) else {
-        bail!("nothing is known of `{what}`");
-    };
-    let answer = client.get(&format!("{}{query}", view.path))?;
+fn view_of(what: &str) -> Result<&'static ListView> {
+    match LIST_VIEWS.iter().find(|(name, _)| *name == what) {
+        Some((_, view)) => Ok(view),
+        None => bail!("nothing is known of `{what}`"),
+    }
+}
+
+fn print_rows(view: &ListView, items: &[Value]) {
+    let rows = items.iter().map(|item| {
+        let cells = view.columns.iter().map(|name| cell_text(&item[*name]));
+        cells.collect()
+    });
+    print_table(view.columns, &rows.collect::<Vec<Vec<String>>>());
+}
+
+fn list(client: &OperatorClient, args: &ArgMatches, what: &str) -> Result<ExitStatus> {
+    let view = view_of(what)?;
+    let answer = client.get(view.path)?;
     if answer.status != 200 || args.get_flag("json") {
         return Ok(print_answer(&answer, args));
     }
-    let rows: Vec<Vec<String>> = answer.body[view.field]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .map(|item| {
-            view.columns
-                .iter()
-                .map(|name| cell_text(&item[*name]))
-                .collect()
-        })
-        .collect();
-    print_table(view.columns, &rows);
+    let items = answer.body[view.field].as_array();
+    print_rows(view, items.map_or(&[], Vec::as_slice));
     Ok(ExitStatus::Done)
 }
 
--- a/crates/mulberrywell/tests/control_common/mod.rs
+++ b/crates/mulberrywell/tests/control_common/mod.rs
@@ -220,14 +220,17 @@
 
     /// Returns the versions of all accepted list edits.
     pub fn accepted_edits(&self) -> BTreeSet<u64> {
-        let mut trail = None;
-        wait_until("the trail can be read", || {
-            trail = self.read("/v1/audit?after=0&limit=100000");
-            trail.is_some()
+        let mut entries = Vec::new();
+        let mut after = 0;
+        wait_until("the trail was read to its end", || {
+            let Some(page) = self.read(&format!("/v1/audit?after={after}")) else {
+                return false;
+            };
+            entries.extend(page["entries"].as_array().cloned().unwrap_or_default());
+            after = page["next"].as_u64().unwrap_or(after);
+            page["next"].is_null()
         })
         .unwrap();
-        let trail = trail.unwrap();
-        let entries = trail["entries"].as_array().cloned().unwrap_or_default();
         let edits = entries
             .iter()
             .filter(|entry| entry["action"] == "edit lists");
