--- a/crates/mulberrywell/tests/control_common/mod.rs
+++ b/crates/mulberrywell/tests/control_common/mod.rs
@@ -1,5 +1,7 @@
 //! What the tests of several control instances share.
 
+pub mod cut_proxy;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
