--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -4,19 +4,21 @@
 use mulberrywell_settings::{Finding, GrantList, PlanList};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::command::{
-    EditLists, GiveKey, GiveOperator, SetEndpointState, WithdrawKey, WithdrawOperator,
+    EditLists, EndpointSignal, GiveKey, GiveOperator, SetEndpointState, WishMember, WithdrawKey,
+    WithdrawOperator,
 };
-use mulberrywell_wire::config::{EndpointState, KeyItem};
+use mulberrywell_wire::config::KeyItem;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
-use crate::cluster_state::{ClusterState, CommandOutcome, EditConflict};
+use crate::cluster_state::{ClusterState, EndpointRecord};
+use crate::command_outcome::{CommandOutcome, EditConflict};
 
 /// Bytes of a SHA-256 digest.
 const DIGEST_LEN: usize = 32;
 
 /// Most audit entries of one answer.
-const AUDIT_PAGE: usize = 1_000;
+const AUDIT_PAGE: u64 = 1_000;
 
 /// An answer to an operator.
 #[derive(Debug, Clone, PartialEq)]
@@ -74,6 +76,16 @@
     request_id: String,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MemberWish {
+    #[serde(default)]
+    add: String,
+    #[serde(default)]
+    remove: String,
+    request_id: String,
+}
+
 type Handler = fn(&ClusterState, &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer>;
 
 /// The parts of a call that handlers read.
@@ -84,7 +96,7 @@
     pub body: &'a [u8],
 }
 
-const ROUTES: [(&str, &str, Handler); 12] = [
+const ROUTES: [(&str, &str, Handler); 13] = [
     ("GET", "/v1/config", show_config),
     ("GET", "/v1/endpoints", show_endpoints),
     ("GET", "/v1/models", show_models),
@@ -97,6 +109,7 @@
     ("POST", "/v1/operators/give", give_operator),
     ("POST", "/v1/operators/withdraw", withdraw_operator),
     ("POST", "/v1/endpoints/drain", drain_endpoint),
+    ("POST", "/v1/members/wish", wish_member),
 ];
 
 /// Finds out what a call asks for.
@@ -154,6 +167,7 @@
         CommandOutcome::Refused(EditConflict::OldIncarnation { .. }) => {
             fault(409, "old_incarnation", "a later incarnation is registered")
         }
+        CommandOutcome::Refused(EditConflict::Full) => fault(507, "full", "no room"),
     }
 }
 
@@ -241,9 +255,7 @@
         .models
         .values()
         .map(|model| {
-            let holds = |record: &&crate::cluster_state::EndpointRecord| {
-                record.item.resident.contains(&model.name)
-            };
+            let holds = |record: &&EndpointRecord| record.item.resident.contains(&model.name);
             let replicas = state.endpoints.values().filter(holds);
             json!({
                 "name": text(&model.name),
@@ -287,17 +299,27 @@
 }
 
 fn show_audit(state: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
-    let after = match input.query.strip_prefix("after=") {
-        Some(number) => number
-            .parse()
-            .map_err(|_| fault(400, "bad_request", "`after` is a number"))?,
-        None => 0,
+    let after = query_number(input.query, "after", 0)?;
+    let limit = query_number(input.query, "limit", AUDIT_PAGE)?.min(AUDIT_PAGE);
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let entries = state.audit.after(after, limit);
+    let more = entries.len() == limit;
+    let next = entries.last().map(|entry| entry.index);
+    read(json!({ "entries": entries, "next": next.filter(|_| more) }))
+}
+
+/// Returns a number of the query, or the default where it is not named.
+fn query_number(query: &str, name: &str, default: u64) -> Result<u64, OperatorAnswer> {
+    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    let mut named = fields.filter(|(known, _)| *known == name);
+    let Some((_, text)) = named.next() else {
+        return Ok(default);
     };
-    let entries = state.audit.after(after, AUDIT_PAGE);
-    read(json!({ "entries": entries }))
+    text.parse()
+        .map_err(|_| fault(400, "bad_request", &format!("`{name}` is a number")))
 }
 
-fn edit_lists(state: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
+fn edit_lists(_: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
     let edit: ListEdit = parse(input)?;
     let plans = PlanList::parse("plans", &edit.plans);
     let grants = match &plans {
@@ -313,7 +335,7 @@
         }
     };
     let body = Body::EditLists(EditLists {
-        base: edit.base.unwrap_or(state.list_version),
+        base: edit.base,
         plan_text: Bytes::from(edit.plans),
         grant_text: Bytes::from(edit.grants),
         plans: plans.plans,
@@ -375,11 +397,23 @@
     let body = Body::SetEndpointState(SetEndpointState {
         name,
         incarnation: record.item.incarnation,
-        state: EndpointState::Leaving.into(),
+        signal: EndpointSignal::Drain.into(),
     });
     change(body, named.request_id)
 }
 
+fn wish_member(_: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
+    let wish: MemberWish = parse(input)?;
+    if wish.add.is_empty() && wish.remove.is_empty() {
+        return Err(fault(400, "bad_request", "`add` or `remove` is missing"));
+    }
+    let body = Body::WishMember(WishMember {
+        add: Bytes::from(wish.add),
+        remove: Bytes::from(wish.remove),
+    });
+    change(body, wish.request_id)
+}
+
 fn parse_digest(text: &str) -> Result<Bytes, OperatorAnswer> {
     let digits = text.as_bytes().chunks(2);
     let bytes: Option<Vec<u8>> = digits
