Wire the placement planner into the control leader

Cause: the planner and the agents' reconciler stood beside each other; no order was ever given, so a model that was not resident from the start never answered. The leader now plans once a second from the agents' reports and the entries' demand, and sends target orders under its term, through the other control instances where the agent is linked to those.

Ruled out: planning at every member (orders of two terms would race; the agents ignore the older one, but the weight store would be asked twice).

Operators see replicas, pending loads, demand and the last decision with its reason in `show models`.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -38,6 +38,7 @@
 use crate::observed_state::ObservedState;
 use crate::operator_calls::OperatorTask;
 use crate::peer_links::PeerLinks;
+use crate::placement_task::PlacementTask;
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
 use crate::read_rounds::ReadRounds;
 use crate::relay_table::RelayTable;
@@ -141,6 +142,7 @@
     pub(crate) watch: EndpointWatch,
     pub(crate) observed: ObservedState,
     pub(crate) leases: LeaseDesk,
+    pub(crate) placement: PlacementTask,
     pub(crate) members: MemberDriver,
     pub(crate) status: StatusTable,
     /// Set while this instance may still found a cluster.
@@ -182,6 +184,7 @@
             seed: recovered.member,
             ..NodeConfig::default()
         };
+        let placement = PlacementTask::new(&config.settings, now);
         let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
         let node = ConsensusNode::open(node_config, recovered, now);
         let membership = node.membership().clone();
@@ -206,6 +209,7 @@
             watch: EndpointWatch::new(now),
             observed: ObservedState::default(),
             leases: LeaseDesk::restore(now, &state),
+            placement,
             state,
             members,
             status: StatusTable::new(now),
--- a/crates/control/src/endpoint_frames.rs
+++ b/crates/control/src/endpoint_frames.rs
@@ -169,6 +169,7 @@
 
     pub(crate) fn take_demand(&mut self, now: Instant, instance: Bytes, report: DemandReport) {
         if self.is_leader() {
+            self.placement.take_demand(&report);
             self.observed.put_demand(now, instance, report);
         } else {
             self.watch.pass_demand(instance, report);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,6 +30,7 @@
 mod operator_calls;
 mod peer_frames;
 mod peer_links;
+mod placement_task;
 mod proposal_table;
 mod read_rounds;
 mod relay_table;
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -24,6 +24,9 @@
 /// Seconds after which a refused operator is to come back.
 const RETRY_AFTER: &[u8] = b"1";
 
+/// Path of the models' listing, to which the last plan is added.
+const MODELS_PATH: &str = "/v1/models";
+
 /// A call that the confirmed leader answers.
 #[derive(Debug)]
 pub(crate) struct OperatorTask {
@@ -118,7 +121,13 @@
             return;
         }
         match read_call(&self.state, &call.method, &call.path, &call.body) {
-            Ok(OperatorCall::Read(shown)) | Err(shown) => reply(origin, &shown, actions),
+            Ok(OperatorCall::Read(mut shown)) => {
+                if call.path == MODELS_PATH {
+                    self.placement.describe_models(&mut shown.body);
+                }
+                reply(origin, &shown, actions);
+            }
+            Err(shown) => reply(origin, &shown, actions),
             Ok(OperatorCall::Change { body, request_id }) => {
                 let waiter = ProposalWaiter::Operator(origin);
                 self.propose_as(body, operator, request_id, waiter);
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -85,6 +85,7 @@
         if self.is_leader() {
             self.drive_members();
             self.propose_blocks(now);
+            self.place(now, actions);
         }
         self.tick_watch(now, actions);
         if let Some(status) = self.status.due(now, self.peers.own().id, &self.state) {
--- /dev/null
+++ b/crates/control/src/placement_task.rs
@@ -0,0 +1,320 @@
+//! Placement at the leader: from observed state to target orders.
+//!
+//! Purpose: about once a second the leader gives the planner of the policy
+//! package what it has observed and sends the orders that result, to its own
+//! agents and, through the other control instances, to all others.
+//!
+//! Guarantees: only a leader that has applied an entry of its own term plans;
+//! orders carry that term, so that those of an earlier leader are ignored by
+//! the agents; nothing here is replicated, as a new leader learns it from the
+//! agents' reports.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_policy::{
+    DecisionKind, DecisionReason, DemandEstimator, DemandSettings, EndpointReport, EndpointTarget,
+    ModelResidence, PacerSettings, PlacementDecision, PlacementEndpoint, PlacementInput,
+    PlacementModel, PlacementOutput, PlacementPlanner, PlacementSettings, PlacementState,
+    ResidencePhase, TargetEntry,
+};
+use mulberrywell_role::{LogLevel, MetricKind, RoleAction};
+use mulberrywell_settings::ControlSettings;
+use mulberrywell_wire::config::{EndpointState, ModelItem};
+use mulberrywell_wire::endpoint::{
+    DemandReport, ModelResidency, StateReport, TargetModel, TargetOrder,
+};
+use mulberrywell_wire::operate::OrderBatch;
+use mulberrywell_wire::FrameBody;
+use serde_json::{json, Value};
+
+use crate::cluster_state::{ClusterState, EndpointRecord};
+use crate::control_role::{send, Actions, ControlRole};
+use crate::observed_state::ObservedState;
+use crate::state_summary::text;
+
+/// Interval of plans.
+const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Endpoint states that the planner is told of.
+const PLACED_STATES: [(EndpointState, PlacementState); 3] = [
+    (EndpointState::Live, PlacementState::Live),
+    (EndpointState::Suspect, PlacementState::Suspect),
+    (EndpointState::Leaving, PlacementState::Leaving),
+];
+
+/// Residency states of reports; any other one is not resident.
+const PHASES: [(&[u8], ResidencePhase); 2] = [
+    (b"resident", ResidencePhase::Resident),
+    (b"loading", ResidencePhase::Loading),
+];
+
+/// Names of decisions for operators.
+const KIND_NAMES: [(DecisionKind, &str); 4] = [
+    (DecisionKind::Load, "load"),
+    (DecisionKind::Unload, "unload"),
+    (DecisionKind::Replace, "replace"),
+    (DecisionKind::Defer, "defer"),
+];
+
+/// Names of reasons for operators.
+const REASON_NAMES: [(DecisionReason, &str); 9] = [
+    (DecisionReason::LastReplica, "no replica is left"),
+    (DecisionReason::Spread, "too few replicas or zones"),
+    (DecisionReason::Demand, "demand"),
+    (DecisionReason::MakeRoom, "room for another model"),
+    (DecisionReason::Version, "another version"),
+    (DecisionReason::Retired, "no longer in the lists"),
+    (DecisionReason::LoadTimeout, "the load did not end in time"),
+    (DecisionReason::NoRoom, "no memory is free"),
+    (DecisionReason::Paced, "the weight store's limits"),
+];
+
+/// A decision as operators see it.
+#[derive(Debug, Clone, PartialEq)]
+struct ShownDecision {
+    decision: PlacementDecision,
+    /// Milliseconds since the Unix epoch.
+    at_ms: u64,
+}
+
+/// The leader's planner with its working memory.
+#[derive(Debug)]
+pub struct PlacementTask {
+    planner: PlacementPlanner,
+    demand: DemandEstimator,
+    /// Reused between plans.
+    input: PlacementInput,
+    /// Result of the last plan.
+    output: PlacementOutput,
+    /// Last decision of each model.
+    shown: BTreeMap<Bytes, ShownDecision>,
+    next_plan: Instant,
+}
+
+impl PlacementTask {
+    /// Creates a task that has planned nothing.
+    pub fn new(settings: &ControlSettings, now: Instant) -> Self {
+        let placement = PlacementSettings {
+            pacer: PacerSettings {
+                store_loads_per_minute: settings.store_loads_per_minute,
+                store_parallel: settings.store_parallel,
+                adapter_parallel: settings.adapter_parallel,
+            },
+            ..PlacementSettings::default()
+        };
+        PlacementTask {
+            planner: PlacementPlanner::new(placement, now),
+            demand: DemandEstimator::new(DemandSettings::default(), now),
+            input: PlacementInput::default(),
+            output: PlacementOutput::default(),
+            shown: BTreeMap::new(),
+            next_plan: now,
+        }
+    }
+
+    /// Takes in an entry's demand.
+    pub fn take_demand(&mut self, report: &DemandReport) {
+        for model in &report.models {
+            self.demand.add_tokens(&model.model, model.tokens);
+        }
+    }
+
+    /// Makes a plan when it is due; its orders are in the result.
+    fn plan(
+        &mut self,
+        now: Instant,
+        term: u64,
+        state: &ClusterState,
+        observed: &ObservedState,
+    ) -> Option<&PlacementOutput> {
+        if now < self.next_plan {
+            return None;
+        }
+        self.next_plan = now + PLAN_INTERVAL;
+        self.input.term = term;
+        self.input.models.clear();
+        let models = state.models.values();
+        self.input.models.extend(models.map(placement_model));
+        self.input.endpoints.clear();
+        for record in state.endpoints.values() {
+            let report = observed.endpoint(&record.item.name);
+            let report = report.map(|observed| &observed.report);
+            self.input
+                .endpoints
+                .extend(placement_endpoint(record, report));
+        }
+        self.demand.estimate(now, &mut self.input.demand);
+        self.planner.plan(now, &self.input, &mut self.output);
+        Some(&self.output)
+    }
+
+    /// Keeps the plan's decisions for operators; returns the new ones.
+    fn keep_decisions(&mut self, at_ms: u64) -> Vec<PlacementDecision> {
+        let mut fresh = Vec::new();
+        for decision in &self.output.decisions {
+            let known = self.shown.get(&decision.model);
+            if known.is_some_and(|shown| shown.decision == *decision) {
+                continue;
+            }
+            let decision = decision.clone();
+            fresh.push(decision.clone());
+            self.shown
+                .insert(decision.model.clone(), ShownDecision { decision, at_ms });
+        }
+        fresh
+    }
+
+    /// Adds what the last plan knows to a listing of models.
+    pub fn describe_models(&self, listing: &mut Value) {
+        let items = listing["models"].as_array_mut();
+        for item in items.into_iter().flatten() {
+            let name = item["name"].as_str().unwrap_or_default();
+            let model = Bytes::copy_from_slice(name.as_bytes());
+            self.describe_model(&model, item);
+        }
+    }
+
+    fn describe_model(&self, model: &Bytes, item: &mut Value) {
+        let mut placements = self.output.models.iter();
+        if let Some(placement) = placements.find(|placement| placement.model == *model) {
+            item["resident"] = json!(placement.resident);
+            item["pending"] = json!(placement.pending);
+            item["demand_slots"] = json!((placement.demand_slots * 100.0).round() / 100.0);
+        }
+        if let Some(shown) = self.shown.get(model) {
+            item["decision"] = json!(decision_text(&shown.decision));
+            item["decided_ms"] = json!(shown.at_ms);
+        }
+    }
+}
+
+impl ControlRole {
+    /// Plans and sends orders when it is time; for the leader only.
+    pub(crate) fn place(&mut self, now: Instant, actions: &mut Actions) {
+        if !self.is_leader() || self.applied_term != self.term {
+            return;
+        }
+        let planned = self
+            .placement
+            .plan(now, self.term, &self.state, &self.observed);
+        let Some(output) = planned else {
+            return;
+        };
+        let orders: Vec<TargetOrder> = output.orders.iter().map(target_order).collect();
+        if !orders.is_empty() {
+            let batch = OrderBatch { orders };
+            for link in self.peers.member_links() {
+                send(link, FrameBody::OrderBatch(batch.clone()), actions);
+            }
+            self.deliver_orders(batch, actions);
+        }
+        for decision in self.placement.keep_decisions(self.clock_ms) {
+            let line = format!(
+                "placement of {}: {}",
+                text(&decision.model),
+                decision_text(&decision)
+            );
+            actions.push(RoleAction::Log(LogLevel::Info, line));
+            if decision.kind != DecisionKind::Defer {
+                let metric = "control.placement_moves";
+                actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+            }
+        }
+    }
+}
+
+fn placement_model(item: &ModelItem) -> PlacementModel {
+    PlacementModel {
+        name: item.name.clone(),
+        version: item.version.clone(),
+        memory_mib: item.memory_mib,
+        kv_mib: item.kv_mib,
+        base: item.base.clone(),
+        pool: item.pool.clone(),
+    }
+}
+
+/// Describes an engine to the planner; none for anything else.
+fn placement_endpoint(
+    record: &EndpointRecord,
+    report: Option<&StateReport>,
+) -> Option<PlacementEndpoint> {
+    let item = &record.item;
+    let state = PLACED_STATES
+        .iter()
+        .find(|(known, _)| *known == item.state())
+        .map(|(_, state)| *state)?;
+    if !item.engine {
+        return None;
+    }
+    let report = report.filter(|report| report.incarnation == item.incarnation);
+    Some(PlacementEndpoint {
+        name: item.name.clone(),
+        pool: item.pool.clone(),
+        zone: item.zone.clone(),
+        incarnation: item.incarnation,
+        capacity_mib: report.map_or(record.memory_mib, |report| report.capacity_mib),
+        kv_reserve_mib: report.map_or(0, |report| report.kv_reserve_mib),
+        slots: record.slots,
+        state,
+        report: report.map(endpoint_report),
+    })
+}
+
+fn endpoint_report(report: &StateReport) -> EndpointReport {
+    EndpointReport {
+        residences: report.models.iter().map(model_residence).collect(),
+        order_term: report.order_term,
+        order_revision: report.order_revision,
+    }
+}
+
+fn model_residence(item: &ModelResidency) -> ModelResidence {
+    let phase = PHASES
+        .iter()
+        .find(|(name, _)| *name == item.state.as_ref())
+        .map_or(ResidencePhase::Unloading, |(_, phase)| *phase);
+    ModelResidence {
+        model: item.model.clone(),
+        version: item.version.clone(),
+        phase,
+    }
+}
+
+fn target_order(target: &EndpointTarget) -> TargetOrder {
+    TargetOrder {
+        term: target.term,
+        revision: target.revision,
+        endpoint: target.endpoint.clone(),
+        incarnation: target.incarnation,
+        models: target.models.iter().map(target_model).collect(),
+        load_permits: target.load_permits,
+        engine_role: Bytes::new(),
+    }
+}
+
+fn target_model(entry: &TargetEntry) -> TargetModel {
+    TargetModel {
+        model: entry.model.clone(),
+        version: entry.version.clone(),
+        memory_mib: entry.memory_mib,
+        base: entry.base.clone(),
+        rank: entry.rank,
+        kv_mib: entry.kv_mib,
+    }
+}
+
+fn decision_text(decision: &PlacementDecision) -> String {
+    let kind = KIND_NAMES.iter().find(|(kind, _)| *kind == decision.kind);
+    let reason = REASON_NAMES
+        .iter()
+        .find(|(reason, _)| *reason == decision.reason);
+    format!(
+        "{} at {}: {}",
+        kind.map_or("", |(_, name)| name),
+        text(&decision.endpoint),
+        reason.map_or("", |(_, name)| name)
+    )
+}
--- a/crates/mulberrywell/src/operator_command.rs
+++ b/crates/mulberrywell/src/operator_command.rs
@@ -34,7 +34,16 @@
         ListView {
             path: "/v1/models",
             field: "models",
-            columns: &["name", "pool", "base", "memory_mib", "replicas"],
+            columns: &[
+                "name",
+                "pool",
+                "base",
+                "memory_mib",
+                "replicas",
+                "pending",
+                "demand_slots",
+                "decision",
+            ],
         },
     ),
     (
--- /dev/null
+++ b/crates/mulberrywell/tests/placement_models.rs
@@ -0,0 +1,85 @@
+//! The planner in the running system: models reach empty engines by orders.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{binaries, GRANTS, PLANS};
+use mulberrywell_testkit::{
+    wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, HttpCaller, ProcessCluster,
+};
+
+/// Memory of an engine in MiB, as the agents' settings say.
+const ENGINE_MIB: u64 = 48_000;
+
+fn empty_engine() -> FakeEngine {
+    FakeEngine::spawn(EngineConfig {
+        memory_mib: ENGINE_MIB,
+        load_time: Duration::from_millis(50),
+        ..EngineConfig::default()
+    })
+    .unwrap()
+}
+
+fn cluster_of(engines: &[FakeEngine]) -> ProcessCluster {
+    let agents = engines.iter().enumerate().map(|(idx, engine)| {
+        let mut plan = AgentPlan::engine(&format!("engine-{idx}"), "asistente", engine.address());
+        plan.zone = format!("zone-{idx}");
+        plan
+    });
+    let plan = ClusterPlan {
+        controls: 3,
+        entries: 1,
+        agents: agents.collect(),
+        control_extra: "store_loads_per_minute = 6000\nstore_parallel = 8".to_owned(),
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.apply(PLANS, GRANTS).unwrap();
+    cluster.wait_ready(engines.len()).unwrap();
+    cluster
+}
+
+fn ready_models(engine: &FakeEngine) -> usize {
+    engine.models().iter().filter(|model| model.ready).count()
+}
+
+#[test]
+fn placement_empty_engines() {
+    let engines = [empty_engine(), empty_engine()];
+    let cluster = cluster_of(&engines);
+    wait_until("each engine holds both models", || {
+        engines.iter().all(|engine| ready_models(engine) == 2)
+    })
+    .unwrap();
+    let key = cluster.give_key("medellin", "m1").unwrap();
+    let caller = HttpCaller::new(cluster.callers[0], Some(&key));
+    wait_until("the model answers", || {
+        let answer = caller.chat("payroll", "hello", 4, true);
+        answer.is_ok_and(|answer| answer.status == 200 && answer.whole)
+    })
+    .unwrap();
+    let shown = cluster.operate_well(&["show", "models"]).unwrap();
+    assert!(shown.contains("load at engine-"), "{shown}");
+    for engine in &engines {
+        assert!(engine.peak_mib() <= ENGINE_MIB);
+    }
+}
+
+#[test]
+fn placement_lost_engine() {
+    let engines = [empty_engine(), empty_engine()];
+    let mut cluster = cluster_of(&engines[..1]);
+    wait_until("the engine holds both models", || {
+        ready_models(&engines[0]) == 2
+    })
+    .unwrap();
+    cluster.kill("agent-engine-0").unwrap();
+    let mut plan = AgentPlan::engine("engine-1", "asistente", engines[1].address());
+    plan.zone = "zone-1".to_owned();
+    cluster.spawn_agent(&plan).unwrap();
+    wait_until("the new engine holds both models", || {
+        ready_models(&engines[1]) == 2
+    })
+    .unwrap();
+}
