--- a/crates/consensus/tests/suite/replication.rs
+++ b/crates/consensus/tests/suite/replication.rs
@@ -1,11 +1,12 @@
 //! Replication: acknowledgement after sync, batching, back-off.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use mulberrywell_consensus::{
-    AppendRequest, ConsensusNode, EntryPayload, HardState, LogEntry, MessageBody, NodeConfig,
-    NodeInput, NodeOutput, PeerMessage, ProposalRejection, RecoveredState,
+    AppendRequest, AppendResponse, ConsensusNode, EntryPayload, HardState, LogEntry, MemberRecord,
+    Membership, MessageBody, NodeConfig, NodeInput, NodeOutput, NodeRole, PeerMessage,
+    ProposalRejection, RecoveredState, VoteResponse,
 };
 
 use crate::support::virtual_cluster::{VirtualCluster, MILLIS, SECONDS};
@@ -41,7 +42,7 @@
     })
 }
 
-fn response(outputs: &[NodeOutput]) -> Option<mulberrywell_consensus::AppendResponse> {
+fn response(outputs: &[NodeOutput]) -> Option<AppendResponse> {
     outputs.iter().find_map(|output| match output {
         NodeOutput::Send(message) => match &message.body {
             Some(MessageBody::AppendResponse(response)) => Some(*response),
@@ -186,3 +187,59 @@
     });
     assert!(took < 60 * MILLIS, "{took} µs");
 }
+
+#[test]
+fn commit_waits_for_own_term() {
+    // Ongaro, figure 3.7: an older entry on a quorum may still be replaced.
+    let voters = [MEMBER, LEADER, LEADER + 1];
+    let members = voters.map(|id| MemberRecord {
+        id,
+        address: Bytes::new(),
+        voter: true,
+    });
+    let membership = Membership {
+        members: members.to_vec(),
+    };
+    let first = LogEntry {
+        payload: Some(EntryPayload::Membership(membership)),
+        ..entry(1, 1)
+    };
+    let mut node = follower(vec![first, entry(2, 2)]);
+    let now = node.deadline().expect("a voter") + Duration::from_secs(1);
+    let mut outputs = Vec::new();
+    node.handle(now, NodeInput::Timer, &mut outputs);
+    for pre_vote in [true, false] {
+        let granted = true;
+        let vote = MessageBody::VoteResponse(VoteResponse { pre_vote, granted });
+        node.handle(now, answer(6, vote), &mut outputs);
+        node.handle(now, NodeInput::Persisted { ticket: 1 }, &mut outputs);
+    }
+    assert_eq!(node.role(), NodeRole::Leader);
+    for index in [2, 3] {
+        let response = AppendResponse {
+            index,
+            ..AppendResponse::default()
+        };
+        node.handle(
+            now,
+            answer(6, MessageBody::AppendResponse(response)),
+            &mut outputs,
+        );
+        node.handle(
+            now,
+            NodeInput::Persisted { ticket: index - 1 },
+            &mut outputs,
+        );
+        let expected = if index == 2 { 0 } else { 3 };
+        assert_eq!(node.commit_index(), expected);
+    }
+}
+
+fn answer(term: u64, body: MessageBody) -> NodeInput {
+    NodeInput::Message(PeerMessage {
+        from: LEADER,
+        to: MEMBER,
+        term,
+        body: Some(body),
+    })
+}
--- a/crates/consensus/tests/suite/support/fault_plan.rs
+++ b/crates/consensus/tests/suite/support/fault_plan.rs
@@ -26,11 +26,21 @@
             self.propose(slot);
         } else {
             self.read(slot);
+            self.read_at_others(slot);
         }
         let delay = self.rng.random_range(MILLIS..40 * MILLIS);
         self.schedule_client(delay);
     }
 
+    /// Reads at every other member that takes itself for a leader.
+    fn read_at_others(&mut self, slot: SlotId) {
+        for other in 0..self.members.len() {
+            if other != slot && self.members[other].is_leader() {
+                self.read(other);
+            }
+        }
+    }
+
     /// Brings the members in line with the slots, or changes something.
     pub fn act_as_admin(&mut self) {
         if let Some(leader) = self.leader() {
