Send heartbeats whatever input a leader gets

Cause: the measuring host gave a timer only when its queue was empty; under load no heartbeat was sent, the leader was replaced and its proposals stayed unanswered (3 members, 256 outstanding hung). Ruled out: a stall of the disk (syncs went on). The core now sends due heartbeats and ends due transfers on any input, and the host of the example gives its timer first.

--- a/crates/consensus/examples/log_bench/member_host.rs
+++ b/crates/consensus/examples/log_bench/member_host.rs
@@ -121,7 +121,14 @@
             let now = Instant::now();
             let deadline = self.node.deadline();
             let wait = deadline.map_or(Duration::from_secs(1), |at| at - now.min(at));
-            let input = match rx.recv_timeout(wait) {
+            let is_due = deadline.is_some_and(|at| at <= now);
+            let received = if is_due {
+                // A full queue must not hold up the timer.
+                Err(RecvTimeoutError::Timeout)
+            } else {
+                rx.recv_timeout(wait)
+            };
+            let input = match received {
                 Ok(input) => input,
                 Err(RecvTimeoutError::Timeout) => NodeInput::Timer,
                 Err(RecvTimeoutError::Disconnected) => return,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -117,6 +117,8 @@
         }
         self.check_quorum(outputs);
         self.take_input(input, outputs);
+        // A busy host may be late with its timer; heartbeats must not be.
+        self.take_leader_timer(outputs);
         self.finish(outputs);
     }
 
@@ -191,9 +193,7 @@
     }
 
     fn take_timer(&mut self, outputs: &mut Vec<NodeOutput>) {
-        if self.lead.is_some() {
-            self.take_leader_timer(outputs);
-        } else if self.now >= self.election_at {
+        if self.lead.is_none() && self.now >= self.election_at {
             self.take_election_timer(outputs);
         }
     }
--- a/crates/consensus/tests/suite/election.rs
+++ b/crates/consensus/tests/suite/election.rs
@@ -210,3 +210,23 @@
     println!("p50 {} ms, p95 {} ms", p50 / MILLIS, p95 / MILLIS);
     assert!(p95 < 2 * SECONDS, "p95 is {} ms", p95 / MILLIS);
 }
+
+#[test]
+fn heartbeat_sent_without_timer() {
+    // A host whose queue is never empty gives no timer.
+    let mut cluster = VirtualCluster::founded(12, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let member = &mut cluster.members[leader];
+    let run = member.run.as_mut().expect("it runs");
+    let now = run.node.deadline().expect("a leader has one");
+    let mut outputs = Vec::new();
+    run.node
+        .handle(now, NodeInput::SnapshotUnsaved { index: 0 }, &mut outputs);
+    let is_heartbeat = |output: &&NodeOutput| match output {
+        NodeOutput::Send(message) => {
+            matches!(message.body, Some(MessageBody::HeartbeatRequest(_)))
+        }
+        _ => false,
+    };
+    assert_eq!(outputs.iter().filter(is_heartbeat).count(), 2);
+}
