--- a/crates/mulberrywell/tests/control_entries.rs
+++ b/crates/mulberrywell/tests/control_group/entry_cases.rs
@@ -1,22 +1,20 @@
 //! What entries hold of the configuration while control instances and links
-//! fail, in real processes.
-
-mod common;
-mod control_common;
+//! fail.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::engine_config;
-use control_common::cut_proxy::CutProxy;
-use control_common::ControlGroup;
 use mulberrywell_testkit::{
     wait_until, AgentPlan, ClusterPlan, FakeEngine, HttpCaller, ProcessCluster,
 };
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
+use crate::common::engine_config;
+use crate::cut_proxy::CutProxy;
+use crate::group_helper::ControlGroup;
+
 /// Changes that an entry does not see.
 const CHANGES: u64 = 500;
 
@@ -26,6 +24,9 @@
 /// Bound from a withdrawal to the refusal at an entry without control.
 const CUT_BOUND: Duration = Duration::from_secs(8);
 
+/// Bound from a drain to the end of new work.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+
 struct ServedGroup {
     group: ControlGroup,
     _engine: FakeEngine,
@@ -34,12 +35,17 @@
 
 /// Starts three control instances and two entries before one engine.
 fn served_group(pace: Duration) -> ServedGroup {
+    served_group_with(pace, "")
+}
+
+fn served_group_with(pace: Duration, control_extra: &str) -> ServedGroup {
     let mut config = engine_config();
     config.between_tokens = pace;
     let engine = FakeEngine::spawn(config).unwrap();
     let plan = ClusterPlan {
         controls: 3,
         entries: 2,
+        control_extra: control_extra.to_owned(),
         agents: vec![AgentPlan::engine("engine-0", "asistente", engine.address())],
         ..ClusterPlan::default()
     };
@@ -206,3 +212,67 @@
         wait_refused(&group.cluster, place, &served.key, 200);
     }
 }
+
+fn endpoint_field(group: &ControlGroup, name: &str, field: &str) -> Value {
+    let shown = group.read("/v1/endpoints").unwrap_or_default();
+    let listed = shown["endpoints"].as_array().cloned().unwrap_or_default();
+    let found = listed.into_iter().find(|item| item["name"] == name);
+    found.map_or(Value::Null, |item| item[field].clone())
+}
+
+fn endpoint_state(group: &ControlGroup, name: &str) -> String {
+    let state = endpoint_field(group, name, "state");
+    state.as_str().unwrap_or("").to_owned()
+}
+
+#[test]
+fn endpoint_drained_no_new_work() {
+    let served = served_group(Duration::from_millis(1));
+    let cluster = &served.group.cluster;
+    let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
+    assert_eq!(
+        caller.chat("payroll", "hello", 2, false).unwrap().status,
+        200
+    );
+    cluster
+        .operate_well(&["endpoint", "drain", "engine-0"])
+        .unwrap();
+    let drained = Instant::now();
+    assert_eq!(
+        endpoint_state(&served.group, "engine-0"),
+        "ENDPOINT_STATE_LEAVING"
+    );
+    for place in 0..2 {
+        let caller = HttpCaller::new(cluster.callers[place], Some(&served.key));
+        wait_until("no new work is taken", || {
+            caller
+                .chat("payroll", "hello", 2, false)
+                .is_ok_and(|answer| answer.status == 503)
+        })
+        .unwrap();
+    }
+    assert!(drained.elapsed() < DRAIN_BOUND, "{:?}", drained.elapsed());
+}
+
+#[test]
+fn endpoint_kept_leader_killed() {
+    let extra = "suspect_after_ms = 700\ngone_after_ms = 1500";
+    let mut served = served_group_with(Duration::from_millis(1), extra);
+    let fencing = endpoint_field(&served.group, "engine-0", "fencing");
+    let leader = served.group.leader();
+    served.group.cluster.kill(&leader).unwrap();
+    wait_until("another instance leads", || served.group.leader() != leader).unwrap();
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    wait_until("the endpoint is live", || {
+        endpoint_state(&served.group, "engine-0") == "ENDPOINT_STATE_LIVE"
+    })
+    .unwrap();
+    // An endpoint that was gone comes back under a higher token.
+    assert_eq!(
+        endpoint_field(&served.group, "engine-0", "fencing"),
+        fencing
+    );
+}
--- a/crates/mulberrywell/tests/control_common/mod.rs
+++ b/crates/mulberrywell/tests/control_group/group_helper.rs
@@ -1,7 +1,5 @@
 //! What the tests of several control instances share.
 
-pub mod cut_proxy;
-
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,6 +32,14 @@
     pub version: u64,
 }
 
+/// An answer to an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EditAnswer {
+    pub status: u16,
+    pub version: Option<u64>,
+    pub code: String,
+}
+
 /// An operator that edits in a thread.
 pub struct EditRacer {
     accepted: Arc<AtomicU64>,
@@ -69,17 +75,41 @@
         Self::spawn_plan(&plan)
     }
 
+    /// Starts a plan; starts it anew while another process took one of its
+    /// ports between their choice and their use.
     pub fn spawn_plan(plan: &ClusterPlan) -> Self {
+        let mut group = Self::try_spawn(plan);
+        while !group.wait_started(plan.controls) {
+            group = Self::try_spawn(plan);
+        }
+        group.cluster.apply(PLANS, GRANTS).unwrap();
+        group
+    }
+
+    fn try_spawn(plan: &ClusterPlan) -> Self {
         let cluster = ProcessCluster::spawn(&binaries(), plan).unwrap();
         let key = std::fs::read_to_string(cluster.folder().join("operator.key")).unwrap();
-        let group = ControlGroup {
+        ControlGroup {
             cluster,
             key,
             edits: AtomicU64::new(0),
-        };
-        group.wait_voters(plan.controls);
-        group.cluster.apply(PLANS, GRANTS).unwrap();
-        group
+        }
+    }
+
+    /// Waits until all instances vote; false when a port was taken.
+    fn wait_started(&self, controls: usize) -> bool {
+        let names = (0..controls).map(|idx| format!("control-{idx}"));
+        let names: Vec<String> = names
+            .chain(["entry-0", "entry-1"].map(str::to_owned))
+            .collect();
+        let mut taken = false;
+        wait_until("all instances vote", || {
+            let mut logs = names.iter().map(|name| self.cluster.log(name));
+            taken = logs.any(|log| log.contains("Address already in use"));
+            taken || self.has_voters(controls)
+        })
+        .unwrap();
+        !taken
     }
 
     pub fn operator(&self, idx: usize) -> HttpCaller {
@@ -101,14 +131,15 @@
     }
 
     pub fn wait_voters(&self, count: usize) {
-        wait_until("all instances vote", || {
-            let members = self.members();
-            let voters = members
-                .iter()
-                .filter(|member| member["role"] != "learner" && member["connected"] == true);
-            voters.count() == count && members.len() == count
-        })
-        .unwrap();
+        wait_until("all instances vote", || self.has_voters(count)).unwrap();
+    }
+
+    fn has_voters(&self, count: usize) -> bool {
+        let members = self.members();
+        let voters = members
+            .iter()
+            .filter(|member| member["role"] != "learner" && member["connected"] == true);
+        voters.count() == count && members.len() == count
     }
 
     pub fn leader(&self) -> String {
@@ -203,6 +234,26 @@
         version
     }
 
+    /// Sends an edit under a given request id to each instance in turn; all
+    /// must give the same answer.
+    pub fn resend(&self, request_id: &str, note: &str) -> EditAnswer {
+        let body = edit_body(note, None, request_id);
+        let answers = (0..self.cluster.operators.len()).map(|idx| {
+            let caller = self.operator(idx);
+            let answer = caller.call("POST", "/v1/lists", &[], &body).unwrap();
+            let shown: Value = serde_json::from_str(&answer.body).unwrap();
+            EditAnswer {
+                status: answer.status,
+                version: shown["version"].as_u64(),
+                code: shown["error"]["code"].as_str().unwrap_or("").to_owned(),
+            }
+        });
+        let mut answers: Vec<EditAnswer> = answers.collect();
+        answers.dedup();
+        assert_eq!(answers.len(), 1, "{answers:?}");
+        answers.remove(0)
+    }
+
     /// Starts an operator that edits until it has won `count` times.
     pub fn spawn_racer(&self, racer: u64, count: u64) -> EditRacer {
         let accepted = Arc::new(AtomicU64::new(0));
--- /dev/null
+++ b/crates/mulberrywell/tests/control_group/main.rs
@@ -0,0 +1,9 @@
+//! Three control instances in real processes: loss, repair, freezes and cuts,
+//! and what entries hold meanwhile.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod cut_proxy;
+mod entry_cases;
+mod group_helper;
+mod member_cases;
--- a/crates/mulberrywell/tests/control_group.rs
+++ b/crates/mulberrywell/tests/control_group/member_cases.rs
@@ -1,14 +1,12 @@
-//! Three control instances in real processes: loss, repair and freezes.
-
-mod common;
-mod control_common;
+//! Loss, repair and freezes of control instances.
 
 use std::time::{Duration, Instant};
 
-use control_common::ControlGroup;
 use mulberrywell_testkit::wait_until;
 use nix::sys::signal::Signal;
 
+use crate::group_helper::ControlGroup;
+
 /// Time for which a frozen instance stands still: longer than the election
 /// timeout (0.8 s), the silence bound of links (2 s) and the relay timeout
 /// (4 s).
@@ -104,3 +102,41 @@
     let digests = group.equal_digests(&[0, 1, 2]);
     assert!(digests.iter().all(|digest| *digest == digests[0]));
 }
+
+#[test]
+fn member_removed_and_added() {
+    let mut group = ControlGroup::spawn(3, 0);
+    let leader = group.leader();
+    group
+        .cluster
+        .operate_well(&["member", "remove", &leader])
+        .unwrap();
+    group.wait_voters(2);
+    assert_ne!(group.leader(), leader);
+    let between = group.edit_at(&group.others(&leader), "between");
+    // The removed instance comes back with an empty folder and another identity.
+    group.cluster.kill(&leader).unwrap();
+    std::fs::remove_dir_all(group.cluster.folder().join(format!("data-{leader}"))).unwrap();
+    group.cluster.restart(&leader).unwrap();
+    group
+        .cluster
+        .operate_well(&["member", "add", &leader])
+        .unwrap();
+    group.wait_voters(3);
+    assert!(group.accepted_edits().contains(&between));
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
+
+#[test]
+fn request_resent_same_answer() {
+    let group = ControlGroup::spawn(3, 0);
+    let first = group.resend("resent-1", "one");
+    assert_eq!(group.resend("resent-1", "one"), first);
+    assert_eq!(first.status, 200);
+    let other = group.resend("resent-1", "other content");
+    assert_eq!(
+        (other.status, other.code.as_str()),
+        (409, "request_id_reused")
+    );
+}
