Drive the control role in virtual time; close idle paths of cut-off members

Cause: freezing a real leader did not show that reads need a quorum: with the read round taken out the process test stayed green, as its node stepped down by its timer before it saw the request. Three roles in memory show it, and also claims through any instance and token leases over leader changes. An instance without a link to the leader now turns entries and agents away, learners too, whose node never loses its leader.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -129,7 +129,7 @@
     /// Term of the last entry applied in this run.
     pub(crate) applied_term: Term,
     pub(crate) leader: Option<MemberId>,
-    /// Since when no leader is known.
+    /// Since when no leader is linked.
     pub(crate) leaderless: Option<Instant>,
     pub(crate) membership: Membership,
     pub(crate) proposals: ProposalTable,
@@ -196,7 +196,7 @@
             term: 0,
             applied_term: 0,
             leader: None,
-            leaderless: Some(now),
+            leaderless: None,
             membership,
             proposals: ProposalTable::default(),
             reads: ReadRounds::default(),
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -213,10 +213,6 @@
         let led = self.is_leader();
         self.role = role;
         self.term = term;
-        self.leaderless = match leader {
-            Some(_) => None,
-            None => Some(self.leaderless.unwrap_or(now)),
-        };
         if self.leader != leader {
             self.leader = leader;
             for asker in self.relays.clear() {
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -92,8 +92,18 @@
                 send(link, FrameBody::MemberStatus(status.clone()), actions);
             }
         }
-        let leaderless = self.leaderless;
-        if leaderless.is_some_and(|since| now.saturating_duration_since(since) >= CLIENT_HOLD) {
+        self.turn_clients_away(now, actions);
+    }
+
+    /// Sends entries and agents elsewhere after some time in which this
+    /// instance neither led nor was linked to a leader.
+    fn turn_clients_away(&mut self, now: Instant, actions: &mut Actions) {
+        if self.is_leader() || self.leader_link().is_some() {
+            self.leaderless = None;
+            return;
+        }
+        let since = *self.leaderless.get_or_insert(now);
+        if now.saturating_duration_since(since) >= CLIENT_HOLD {
             self.close_clients(actions);
         }
     }
--- /dev/null
+++ b/crates/control/tests/role_cases/main.rs
@@ -0,0 +1,158 @@
+//! The control role in virtual time: three roles that talk in memory.
+
+mod role_cluster;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use mulberrywell_wire::claim::{ClaimRequest, ClaimState, OutcomeReport, StoredAnswer};
+use mulberrywell_wire::config::ConfirmQuery;
+use mulberrywell_wire::rate::LeaseRequest;
+use mulberrywell_wire::FrameBody;
+use rstest::rstest;
+
+use role_cluster::RoleCluster;
+
+const LISTS: &str = r#"{"plans":"[[plan]]\nname=\"gold\"\nrate=100\nburst=1000\n[[account]]\nname=\"cali\"\nplan=\"gold\"\n","grants":"","request_id":"lists"}"#;
+
+fn claim_frame(sequence: u64, digest: &'static str) -> FrameBody {
+    FrameBody::ClaimRequest(ClaimRequest {
+        sequence,
+        account: Bytes::from_static(b"cali"),
+        key: Bytes::from_static(b"key"),
+        digest: Bytes::from_static(digest.as_bytes()),
+    })
+}
+
+fn lease_frame(sequence: u64) -> FrameBody {
+    FrameBody::LeaseRequest(LeaseRequest {
+        sequence,
+        account: Bytes::from_static(b"cali"),
+        tokens: 10,
+        least: 10,
+        patience_ms: 1_000,
+        ..LeaseRequest::default()
+    })
+}
+
+#[test]
+fn read_woken_leader_refused() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    assert_eq!(cluster.call(leader, "GET", "/v1/config", "").status, 200);
+    cluster.freeze(leader);
+    cluster.run(Duration::from_secs(5));
+    // The operator's request is the first thing that it sees.
+    cluster.thaw(leader);
+    let answer = cluster.call_at_once(leader, "GET", "/v1/config", "");
+    assert_eq!(answer.status, 503, "{}", answer.body);
+}
+
+#[test]
+fn confirmation_woken_leader_refused() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let entry = cluster.attach(leader, b"entry-0");
+    cluster.freeze(leader);
+    cluster.run(Duration::from_secs(5));
+    cluster.thaw(leader);
+    cluster.send(
+        &entry,
+        FrameBody::ConfirmQuery(ConfirmQuery { sequence: 1 }),
+    );
+    let frames = cluster.take_frames(&entry);
+    let [FrameBody::ConfirmAnswer(answer)] = frames.as_slice() else {
+        panic!("{frames:?}");
+    };
+    assert!(!answer.confirmed);
+}
+
+/// Places of the role that is asked, after the leader.
+#[rstest]
+#[case(0)]
+#[case(1)]
+fn claim_any_instance(#[case] offset: usize) {
+    let mut cluster = RoleCluster::formed(3);
+    let place = (cluster.leader().unwrap() + offset) % 3;
+    let entry = cluster.attach(place, b"entry-0");
+    let first = cluster.ask(&entry, claim_frame(1, "body"));
+    let Some(FrameBody::ClaimAnswer(granted)) = first else {
+        panic!("{first:?}");
+    };
+    assert_eq!(granted.state(), ClaimState::Granted);
+    let other = cluster.attach((place + 1) % 3, b"entry-1");
+    let state_of = |frame| match frame {
+        Some(FrameBody::ClaimAnswer(answer)) => answer,
+        other => panic!("{other:?}"),
+    };
+    let pending = state_of(cluster.ask(&other, claim_frame(2, "body")));
+    assert_eq!(pending.state(), ClaimState::Pending);
+    let mismatch = state_of(cluster.ask(&other, claim_frame(3, "another body")));
+    assert_eq!(mismatch.state(), ClaimState::Mismatch);
+    let report = FrameBody::OutcomeReport(OutcomeReport {
+        sequence: 4,
+        account: Bytes::from_static(b"cali"),
+        key: Bytes::from_static(b"key"),
+        claim: granted.claim,
+        answer: Some(StoredAnswer {
+            status: 201,
+            ..StoredAnswer::default()
+        }),
+        not_run: false,
+    });
+    assert!(matches!(
+        cluster.ask(&entry, report),
+        Some(FrameBody::OutcomeAck(_))
+    ));
+    let done = state_of(cluster.ask(&other, claim_frame(5, "body")));
+    assert_eq!(done.state(), ClaimState::Done);
+    assert_eq!(done.answer.unwrap().status, 201);
+}
+
+#[test]
+fn claim_without_quorum_unavailable() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let entry = cluster.attach(leader, b"entry-0");
+    cluster.freeze((leader + 1) % 3);
+    cluster.freeze((leader + 2) % 3);
+    let answer = cluster.ask(&entry, claim_frame(1, "body"));
+    let Some(FrameBody::ClaimAnswer(answer)) = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(answer.state(), ClaimState::Unavailable);
+}
+
+#[test]
+fn lease_leader_changes_bounded() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let shown = cluster.call(leader, "POST", "/v1/lists", LISTS);
+    assert_eq!(shown.status, 200, "{}", shown.body);
+    let started = cluster.now();
+    let mut granted = 0;
+    let mut sequence = 0;
+    for round in 0..3 {
+        let place = (cluster.leader().unwrap() + round) % 3;
+        let entry = cluster.attach(place, b"entry-0");
+        let until = cluster.now() + Duration::from_secs(4);
+        while cluster.now() < until {
+            sequence += 1;
+            if let Some(FrameBody::LeaseGrant(grant)) = cluster.ask(&entry, lease_frame(sequence)) {
+                granted += grant.tokens;
+            }
+            cluster.run(Duration::from_millis(20));
+        }
+        assert!(granted > 0);
+        let leader = cluster.leader().unwrap();
+        cluster.freeze(leader);
+        cluster.run(Duration::from_secs(3));
+        cluster.thaw(leader);
+        cluster.run(Duration::from_secs(1));
+    }
+    let seconds = (cluster.now() - started).as_secs();
+    assert!(
+        granted <= 1_000 + 100 * (seconds + 1),
+        "{granted} in {seconds} s"
+    );
+}
--- /dev/null
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -0,0 +1,346 @@
+//! Roles that talk in memory, each with a disk that syncs at once.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_consensus::{HardState, RecoveredState};
+use mulberrywell_control::{ControlAction, ControlConfig, ControlEvent, ControlRole};
+use mulberrywell_role::{
+    AnswerPart, HttpEvent, HttpRequest, LinkCommand, LinkEvent, LinkId, RoleAction, RoleEvent,
+    RoleMachine,
+};
+use mulberrywell_settings::{ControlSettings, ServeSettings};
+use mulberrywell_wire::request::HeaderField;
+use mulberrywell_wire::{FrameBody, PeerIdentity, PeerRole};
+
+const STEP: Duration = Duration::from_millis(10);
+const LIMIT: Duration = Duration::from_secs(20);
+const OPERATOR_KEY: &[u8] = b"mwop-key";
+
+type Event = RoleEvent<ControlEvent>;
+
+/// One end of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct LinkEnd {
+    place: usize,
+    link: LinkId,
+}
+
+/// A client's link to a role.
+#[derive(Debug, Clone)]
+pub struct ClientLink {
+    end: LinkEnd,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    ended: bool,
+}
+
+/// Roles, their links and their common clock.
+pub struct RoleCluster {
+    roles: Vec<ControlRole>,
+    now: Instant,
+    frozen: BTreeSet<usize>,
+    /// Events that wait for their role.
+    events: Vec<VecDeque<Event>>,
+    /// The other end of each link.
+    links: BTreeMap<LinkEnd, LinkEnd>,
+    /// Frames to clients, by the role's end.
+    frames: BTreeMap<LinkEnd, Vec<FrameBody>>,
+    answers: BTreeMap<u64, Answer>,
+    next_link: LinkId,
+    next_request: u64,
+}
+
+impl RoleCluster {
+    /// Creates roles and runs them until all vote.
+    pub fn formed(count: usize) -> Self {
+        let now = Instant::now();
+        let roles = (0..count).map(|place| open_role(place, count, now));
+        let mut cluster = RoleCluster {
+            roles: roles.collect(),
+            now,
+            frozen: BTreeSet::new(),
+            events: (0..count).map(|_| VecDeque::new()).collect(),
+            links: BTreeMap::new(),
+            frames: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            next_link: 1,
+            next_request: 1,
+        };
+        let voters = |shown: &Answer| shown.body.matches("\"role\":\"voter\"").count();
+        loop {
+            cluster.run(Duration::from_millis(100));
+            let Some(leader) = cluster.leader() else {
+                assert!(cluster.now - now < LIMIT, "no leader");
+                continue;
+            };
+            let shown = cluster.call(leader, "GET", "/v1/members", "");
+            if voters(&shown) == count - 1 {
+                return cluster;
+            }
+            assert!(cluster.now - now < LIMIT, "{}", shown.body);
+        }
+    }
+
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let running = (0..self.roles.len()).filter(|place| !self.frozen.contains(place));
+        let mut leaders = running.filter(|place| self.roles[*place].is_leader());
+        leaders.next()
+    }
+
+    /// Stops a role; links stay open and events wait.
+    pub fn freeze(&mut self, place: usize) {
+        self.frozen.insert(place);
+    }
+
+    pub fn thaw(&mut self, place: usize) {
+        self.frozen.remove(&place);
+    }
+
+    /// Links a client to a role.
+    pub fn attach(&mut self, place: usize, instance: &'static [u8]) -> ClientLink {
+        let end = self.new_end(place);
+        self.frames.insert(end, Vec::new());
+        let peer = PeerIdentity {
+            role: PeerRole::Entry,
+            instance: Bytes::from_static(instance),
+            incarnation: end.link,
+            zone: Bytes::new(),
+        };
+        let link = end.link;
+        self.handle(place, RoleEvent::Link(LinkEvent::Opened { link, peer }));
+        ClientLink { end }
+    }
+
+    /// Hands a frame to the role before anything else that waits.
+    pub fn send(&mut self, client: &ClientLink, body: FrameBody) {
+        let LinkEnd { place, link } = client.end;
+        self.handle(place, RoleEvent::Link(LinkEvent::Frame { link, body }));
+    }
+
+    pub fn take_frames(&mut self, client: &ClientLink) -> Vec<FrameBody> {
+        std::mem::take(self.frames.entry(client.end).or_default())
+    }
+
+    /// Sends a frame and returns the first frame that comes back.
+    pub fn ask(&mut self, client: &ClientLink, body: FrameBody) -> Option<FrameBody> {
+        self.take_frames(client);
+        self.send(client, body);
+        for _ in 0..600 {
+            if let Some(frame) = self.take_frames(client).into_iter().next() {
+                return Some(frame);
+            }
+            self.step();
+        }
+        None
+    }
+
+    /// Makes an operator's call and runs until it is answered.
+    pub fn call(&mut self, place: usize, method: &'static str, path: &str, body: &str) -> Answer {
+        let request = self.request(place, method, path, body);
+        for _ in 0..600 {
+            if let Some(answer) = self.answers.get(&request).filter(|answer| answer.ended) {
+                return answer.clone();
+            }
+            self.step();
+        }
+        Answer::default()
+    }
+
+    /// Makes an operator's call before the role sees anything else.
+    pub fn call_at_once(
+        &mut self,
+        place: usize,
+        method: &'static str,
+        path: &str,
+        body: &str,
+    ) -> Answer {
+        let request = self.request(place, method, path, body);
+        self.answers.get(&request).cloned().unwrap_or_default()
+    }
+
+    fn request(&mut self, place: usize, method: &'static str, path: &str, body: &str) -> u64 {
+        let request = self.next_request;
+        self.next_request += 1;
+        let key = [b"Bearer ", OPERATOR_KEY].concat();
+        let http = HttpRequest {
+            method: Bytes::from_static(method.as_bytes()),
+            path: Bytes::copy_from_slice(path.as_bytes()),
+            headers: vec![HeaderField {
+                name: Bytes::from_static(b"Authorization"),
+                value: Bytes::from(key),
+            }],
+            body: Bytes::copy_from_slice(body.as_bytes()),
+        };
+        let event = ControlEvent::Http(HttpEvent::Request { request, http });
+        self.handle(place, RoleEvent::Own(event));
+        request
+    }
+
+    pub fn run(&mut self, duration: Duration) {
+        let until = self.now + duration;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for place in 0..self.roles.len() {
+            if self.frozen.contains(&place) {
+                continue;
+            }
+            while let Some(event) = self.events[place].pop_front() {
+                self.handle(place, event);
+            }
+            if self.roles[place]
+                .deadline()
+                .is_some_and(|at| at <= self.now)
+            {
+                self.handle(place, RoleEvent::Timer);
+            }
+        }
+    }
+
+    fn handle(&mut self, place: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.roles[place].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                RoleAction::Link(command) => self.command(place, command),
+                RoleAction::Own(action) => self.perform(place, action),
+                _ => {}
+            }
+        }
+    }
+
+    fn perform(&mut self, place: usize, action: ControlAction) {
+        let event = match action {
+            ControlAction::Answer(request, part) => {
+                let answer = self.answers.entry(request).or_default();
+                match part {
+                    AnswerPart::Head { status, .. } => answer.status = status,
+                    AnswerPart::Data(data) => {
+                        answer.body = String::from_utf8(data.to_vec()).unwrap()
+                    }
+                    AnswerPart::End | AnswerPart::Abort => answer.ended = true,
+                }
+                return;
+            }
+            ControlAction::Persist(batch) => ControlEvent::Persisted {
+                ticket: batch.ticket,
+            },
+            ControlAction::SaveSnapshot(image) => ControlEvent::SnapshotSaved {
+                index: image.meta.index,
+            },
+        };
+        self.events[place].push_back(RoleEvent::Own(event));
+    }
+
+    fn command(&mut self, place: usize, command: LinkCommand) {
+        match command {
+            LinkCommand::Dial { link, address } => {
+                let near = LinkEnd { place, link };
+                let far = self.new_end(place_of(address));
+                self.links.insert(near, far);
+                self.links.insert(far, near);
+                self.open(near, far.place);
+                self.open(far, near.place);
+            }
+            LinkCommand::Send { link, body } => {
+                let near = LinkEnd { place, link };
+                if let Some(frames) = self.frames.get_mut(&near) {
+                    frames.push(body);
+                } else if let Some(far) = self.links.get(&near).copied() {
+                    let link = far.link;
+                    self.push(far.place, LinkEvent::Frame { link, body });
+                }
+            }
+            LinkCommand::Close { link } => {
+                let near = LinkEnd { place, link };
+                self.push(place, LinkEvent::Closed { link });
+                if let Some(far) = self.links.remove(&near) {
+                    self.links.remove(&far);
+                    self.push(far.place, LinkEvent::Closed { link: far.link });
+                }
+            }
+        }
+    }
+
+    fn open(&mut self, end: LinkEnd, peer: usize) {
+        let peer = PeerIdentity {
+            role: PeerRole::Control,
+            instance: instance_name(peer),
+            incarnation: 1,
+            zone: Bytes::new(),
+        };
+        let link = end.link;
+        self.push(end.place, LinkEvent::Opened { link, peer });
+    }
+
+    fn push(&mut self, place: usize, event: LinkEvent) {
+        self.events[place].push_back(RoleEvent::Link(event));
+    }
+
+    fn new_end(&mut self, place: usize) -> LinkEnd {
+        let link = self.next_link;
+        self.next_link += 2;
+        LinkEnd { place, link }
+    }
+}
+
+fn instance_name(place: usize) -> Bytes {
+    Bytes::from(format!("control-{place}"))
+}
+
+fn address_of(place: usize) -> SocketAddr {
+    let port = 7_000 + u16::try_from(place).unwrap();
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn place_of(address: SocketAddr) -> usize {
+    usize::from(address.port() - 7_000)
+}
+
+fn control_settings(bootstrap: bool) -> ControlSettings {
+    let text = format!(
+        "[instance]\nname = \"c\"\nzone = \"z\"\nregion = \"r\"\nlisten = \"127.0.0.1:1\"\n\
+         secret_file = \"s\"\nseeds = [\"127.0.0.1:1\"]\n[control]\n\
+         operator_listen = \"127.0.0.1:2\"\ndata_folder = \"d\"\noperator_key_file = \"k\"\n\
+         bootstrap = {bootstrap}\n"
+    );
+    ServeSettings::parse("settings", &text)
+        .unwrap()
+        .control
+        .unwrap()
+}
+
+fn open_role(place: usize, count: usize, now: Instant) -> ControlRole {
+    let config = ControlConfig {
+        settings: control_settings(place == 0),
+        instance: instance_name(place),
+        zone: Bytes::new(),
+        advertise: address_of(place),
+        seeds: (0..count).map(address_of).collect(),
+        new_cluster: 9,
+        operator_key: Bytes::from_static(OPERATOR_KEY),
+    };
+    let recovered = RecoveredState {
+        member: place as u64 + 1,
+        hard_state: HardState::default(),
+        snapshot: None,
+        entries: Vec::new(),
+        torn_bytes: 0,
+    };
+    ControlRole::open(config, recovered, now).unwrap()
+}
--- a/crates/control/tests/state_cases.rs
+++ b/crates/control/tests/state_cases.rs
@@ -286,6 +286,11 @@
     for number in 0..300 {
         driver.give_key(&format!("k{number}"));
     }
+    for update in updates_since(&driver.state, &holds(&reader)) {
+        assert!(!update.whole);
+        reader.apply(&update);
+    }
+    assert!(reader.account_of_key(&name("digest of k298")).is_some());
     for number in 0..299 {
         let label = name(&format!("k{number}"));
         driver.apply(Body::WithdrawKey(WithdrawKey { label }));
--- a/crates/mulberrywell/tests/control_group/entry_cases.rs
+++ b/crates/mulberrywell/tests/control_group/entry_cases.rs
@@ -59,7 +59,7 @@
     }
 }
 
-fn ready_version(caller: &HttpCaller) -> Option<u64> {
+pub fn ready_version(caller: &HttpCaller) -> Option<u64> {
     let answer = caller.call("GET", "/readyz", &[], "").ok()?;
     let value: Value = serde_json::from_str(&answer.body).ok()?;
     value["version"].as_u64()
--- a/crates/mulberrywell/tests/control_group/main.rs
+++ b/crates/mulberrywell/tests/control_group/main.rs
@@ -6,4 +6,5 @@
 mod cut_proxy;
 mod entry_cases;
 mod group_helper;
+mod measure;
 mod member_cases;
--- /dev/null
+++ b/crates/mulberrywell/tests/control_group/measure.rs
@@ -0,0 +1,144 @@
+//! Measurements of the replicated state; run on demand, they assert nothing
+//! but that each round ends.
+
+use std::time::{Duration, Instant};
+
+use mulberrywell_testkit::{wait_until, HttpCaller};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::entry_cases::ready_version;
+use crate::group_helper::ControlGroup;
+
+const ROUNDS: usize = 20;
+const EDITS: usize = 200;
+const KEYS: usize = 500;
+const OPERATORS: usize = 8;
+
+/// Prints the percentiles of durations.
+fn report(what: &str, mut taken: Vec<Duration>) {
+    taken.sort_unstable();
+    let at = |part: usize| taken[(taken.len() * part).div_ceil(100).max(1) - 1];
+    let (count, max) = (taken.len(), at(100));
+    println!(
+        "{what}: n {count} p50 {:?} p95 {:?} max {max:?}",
+        at(50),
+        at(95)
+    );
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn measure_leader_loss() {
+    let mut group = ControlGroup::spawn(3, 0);
+    let mut killed = Vec::new();
+    let mut frozen = Vec::new();
+    for round in 0..2 * ROUNDS {
+        let leader = group.leader();
+        let others = group.others(&leader);
+        let kills = round % 2 == 0;
+        let lost = Instant::now();
+        if kills {
+            group.cluster.kill(&leader).unwrap();
+        } else {
+            group.cluster.signal(&leader, Signal::SIGSTOP).unwrap();
+        }
+        group.edit_at(&others, &format!("round {round}"));
+        if kills {
+            killed.push(lost.elapsed());
+            group.cluster.restart(&leader).unwrap();
+        } else {
+            frozen.push(lost.elapsed());
+            group.cluster.signal(&leader, Signal::SIGCONT).unwrap();
+        }
+        group.wait_voters(3);
+    }
+    report("leader killed -> edit accepted", killed);
+    report("leader frozen -> edit accepted", frozen);
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn measure_edit_in_force() {
+    let group = ControlGroup::spawn(3, 2);
+    let entries = group.cluster.callers.iter();
+    let entries: Vec<HttpCaller> = entries.map(|at| HttpCaller::new(*at, None)).collect();
+    let mut edited = Vec::new();
+    let mut in_force = Vec::new();
+    for number in 0..EDITS {
+        let asked = Instant::now();
+        let version = group.edit(&format!("edit {number}"));
+        edited.push(asked.elapsed());
+        let accepted = Instant::now();
+        wait_until("the edit is in force", || {
+            let mut versions = entries.iter().map(ready_version);
+            versions.all(|known| known >= Some(version))
+        })
+        .unwrap();
+        in_force.push(accepted.elapsed());
+    }
+    report("edit asked -> accepted", edited);
+    report("edit accepted -> in force at both entries", in_force);
+    let mut refused = Vec::new();
+    for number in 0..ROUNDS {
+        let label = format!("k{number}");
+        let key = group.cluster.give_key("medellin", &label).unwrap();
+        group
+            .cluster
+            .operate_well(&["key", "withdraw", &label])
+            .unwrap();
+        let accepted = Instant::now();
+        for at in &group.cluster.callers {
+            let caller = HttpCaller::new(*at, Some(&key));
+            wait_until("the key is refused", || {
+                let answer = caller.call("GET", "/v1/models", &[], "");
+                answer.is_ok_and(|answer| answer.status == 401)
+            })
+            .unwrap();
+        }
+        refused.push(accepted.elapsed());
+    }
+    report("withdrawal accepted -> refused at both entries", refused);
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn measure_edit_rate() {
+    let group = ControlGroup::spawn(3, 0);
+    for operators in [1, OPERATORS] {
+        let started = Instant::now();
+        std::thread::scope(|scope| {
+            for operator in 0..operators {
+                let caller = group.operator(operator % 3);
+                scope.spawn(move || give_keys(&caller, &format!("{operators}-{operator}")));
+            }
+        });
+        let changes = operators * KEYS;
+        let rate = changes as f64 / started.elapsed().as_secs_f64();
+        println!("{operators} operators, {changes} changes: {rate:.0} a second");
+    }
+}
+
+fn give_keys(caller: &HttpCaller, prefix: &str) {
+    for number in 0..KEYS {
+        let label = format!("{prefix}-{number}");
+        let digest: String = format!("{label:0>64}").bytes().map(hex_digit).collect();
+        let gift = json!({
+            "account": "medellin",
+            "label": label,
+            "digest": digest,
+            "request_id": label,
+        });
+        let answer = caller.call("POST", "/v1/keys/give", &[], &gift.to_string());
+        assert_eq!(answer.unwrap().status, 200);
+    }
+}
+
+/// Keeps digits and turns any other byte into one hex digit.
+fn hex_digit(byte: u8) -> char {
+    if byte.is_ascii_digit() {
+        char::from(byte)
+    } else {
+        'f'
+    }
+}
