--- a/crates/control/src/relay_table.rs
+++ b/crates/control/src/relay_table.rs
@@ -81,7 +81,14 @@
 
     /// Ends overdue relays.
     pub fn expire(&mut self, now: Instant) -> Vec<RelayAsker> {
-        self.end(|relay| relay.expires <= now)
+        let mut ended = Vec::new();
+        while let Some(oldest) = self.relays.first_entry() {
+            if oldest.get().expires > now {
+                break;
+            }
+            ended.push(oldest.remove().asker);
+        }
+        ended
     }
 
     /// Ends all relays.
--- a/crates/directory/src/config_directory.rs
+++ b/crates/directory/src/config_directory.rs
@@ -45,7 +45,15 @@
     version: ConfigVersion,
     items: ItemMaps,
     /// Parts of a whole configuration that are not in force yet.
-    pending: Option<(ConfigVersion, ItemMaps)>,
+    pending: Option<PendingParts>,
+}
+
+/// The parts of one whole configuration that have come.
+#[derive(Debug, Clone)]
+struct PendingParts {
+    cluster: u64,
+    version: ConfigVersion,
+    items: ItemMaps,
 }
 
 /// All items by name.
@@ -90,13 +98,20 @@
     }
 
     fn apply_part(&mut self, update: &Update) -> ApplyOutcome {
-        let mut items = match self.pending.take() {
-            Some((version, items)) if version == update.version => items,
-            _ => ItemMaps::default(),
+        let earlier = self.pending.take();
+        let same = |parts: &PendingParts| {
+            parts.cluster == update.cluster && parts.version == update.version
         };
+        let mut items = earlier
+            .filter(same)
+            .map_or_else(ItemMaps::default, |parts| parts.items);
         items.merge(update);
         if update.more {
-            self.pending = Some((update.version, items));
+            self.pending = Some(PendingParts {
+                cluster: update.cluster,
+                version: update.version,
+                items,
+            });
             return ApplyOutcome::Partial;
         }
         self.items = items;
--- a/crates/mulberrywell/tests/control_group/measure.rs
+++ b/crates/mulberrywell/tests/control_group/measure.rs
@@ -1,6 +1,7 @@
 //! Measurements of the replicated state; run on demand, they assert nothing
 //! but that each round ends.
 
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use mulberrywell_testkit::{wait_until, HttpCaller};
@@ -15,6 +16,9 @@
 const KEYS: usize = 500;
 const OPERATORS: usize = 8;
 
+/// Time over which an idle member's bytes are counted.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
 /// Prints the percentiles of durations.
 fn report(what: &str, mut taken: Vec<Duration>) {
     taken.sort_unstable();
@@ -109,8 +113,8 @@
         let started = Instant::now();
         std::thread::scope(|scope| {
             for operator in 0..operators {
-                let caller = group.operator(operator % 3);
-                scope.spawn(move || give_keys(&caller, &format!("{operators}-{operator}")));
+                let group = &group;
+                scope.spawn(move || give_keys(group, operators, operator));
             }
         });
         let changes = operators * KEYS;
@@ -119,9 +123,11 @@
     }
 }
 
-fn give_keys(caller: &HttpCaller, prefix: &str) {
+/// Gives keys, each over a new connection.
+fn give_keys(group: &ControlGroup, operators: usize, operator: usize) {
     for number in 0..KEYS {
-        let label = format!("{prefix}-{number}");
+        let caller = group.operator(operator % 3);
+        let label = format!("{operators}-{operator}-{number}");
         let digest: String = format!("{label:0>64}").bytes().map(hex_digit).collect();
         let gift = json!({
             "account": "medellin",
@@ -142,3 +148,47 @@
         'f'
     }
 }
+
+/// Bytes that a process sent and received on its open TCP connections.
+fn tcp_bytes(id: u32) -> u64 {
+    let output = Command::new("ss").args(["-tnipH"]).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let owner = format!("pid={id},");
+    let mut lines = text.lines().peekable();
+    let mut total = 0;
+    while let Some(line) = lines.next() {
+        if !line.contains(&owner) {
+            continue;
+        }
+        let fields = lines.peek().copied().unwrap_or("").split_whitespace();
+        let counts = fields.filter_map(|field| {
+            let sent = field.strip_prefix("bytes_sent:");
+            let count = sent.or(field.strip_prefix("bytes_received:"))?;
+            count.parse::<u64>().ok()
+        });
+        total += counts.sum::<u64>();
+    }
+    total
+}
+
+fn resident_kib(id: u32) -> String {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    line.unwrap_or("")
+        .trim_start_matches("VmRSS:")
+        .trim()
+        .to_owned()
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn measure_idle_member() {
+    let group = ControlGroup::spawn(3, 1);
+    for name in ["control-0", "control-1", "control-2"] {
+        let id = group.cluster.id(name).unwrap();
+        let before = tcp_bytes(id);
+        std::thread::sleep(IDLE_TIME);
+        let rate = (tcp_bytes(id) - before) / IDLE_TIME.as_secs();
+        println!("{name}: resident {}, {rate} bytes/s", resident_kib(id));
+    }
+}
