Put a guard between callers and the HTTP library

Cause: the library gives each connection a thread, sets no read timeout, bounds neither a head nor a declared body (dropping a request with a length of 2^60 reserves that much), tells no hang-up and can't close a connection after an aborted answer.

Ruled out: a bound in the request's thread (the library has read the head by then); replacing the library (the house style names it); one library connection for each request (does not mend the queue).

The guard polls all callers in one thread, checks a head whole, passes on exactly one request at a time, reports hang-ups at once, resets aborted answers and slow readers, and makes room by closing idle connections. The fakes serve with a thread for each connection, so that the queue shows in no figure.

--- /dev/null
+++ b/crates/runtime/src/head_check.rs
@@ -0,0 +1,161 @@
+//! Checks the head of an HTTP request before the HTTP library sees it.
+//!
+//! Purpose: the library bounds neither the length of a head nor the lengths
+//! that a head names, and it reads some malformed heads in its own way. A head
+//! that passes here has one meaning only (RFC 9112): its body has a known
+//! length or is chunked.
+//!
+//! Algorithm: [`HeadScan`] looks at each byte once, as it comes, so that bytes
+//! that can't be a head are refused at once. [`check_head`] then reads the
+//! fields of the whole head.
+
+/// Longest head in bytes.
+pub const HEAD_MAX: usize = 16 * 1024;
+
+/// Versions of HTTP that are served.
+const VERSIONS: [&str; 2] = ["HTTP/1.1", "HTTP/1.0"];
+
+/// Why a head is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeadFault {
+    /// The bytes are no head.
+    Malformed,
+    /// The head is longer than [`HEAD_MAX`].
+    TooLong,
+    /// The body is longer than the limit.
+    BodyTooLong,
+    /// The lengths contradict each other or can't be read.
+    AmbiguousLength,
+    /// The caller asks for another protocol.
+    Upgrade,
+}
+
+/// Where the body of a request ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyLength {
+    /// After this many bytes.
+    Known(u64),
+    /// After its last chunk.
+    Chunked,
+}
+
+/// Finds the end of a head in bytes as they come.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HeadScan {
+    /// Bytes that were looked at; at most [`HEAD_MAX`].
+    seen: usize,
+    /// Bytes of the final `\r\n\r\n` that match so far; at most 4.
+    matched: usize,
+}
+
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+
+impl HeadScan {
+    /// Looks at what `head` has beyond the bytes of earlier calls; returns the
+    /// length of the head once it is whole.
+    ///
+    /// # Errors
+    /// Fails as soon as the bytes can't become a head.
+    pub fn advance(&mut self, head: &[u8]) -> Result<Option<usize>, HeadFault> {
+        for (idx, byte) in head.iter().enumerate().skip(self.seen) {
+            if idx >= HEAD_MAX {
+                return Err(HeadFault::TooLong);
+            }
+            self.seen = idx + 1;
+            self.take_byte(idx, *byte)?;
+            if self.matched == HEAD_END.len() {
+                return Ok(Some(self.seen));
+            }
+        }
+        if self.seen >= HEAD_MAX {
+            return Err(HeadFault::TooLong);
+        }
+        Ok(None)
+    }
+
+    fn take_byte(&mut self, idx: usize, byte: u8) -> Result<(), HeadFault> {
+        if idx == 0 && !byte.is_ascii_uppercase() {
+            return Err(HeadFault::Malformed);
+        }
+        let expected = HEAD_END[self.matched];
+        self.matched = match byte {
+            _ if byte == expected => self.matched + 1,
+            b'\r' | b'\n' => return Err(HeadFault::Malformed),
+            // A carriage return must be followed by a line feed.
+            _ if self.matched % 2 == 1 => return Err(HeadFault::Malformed),
+            b'\t' | b' '..=b'~' => 0,
+            _ => return Err(HeadFault::Malformed),
+        };
+        Ok(())
+    }
+}
+
+/// Checks the fields of a whole head; bodies may have up to `max_body` bytes.
+///
+/// # Errors
+/// Fails when the head has more than one meaning or asks for too much.
+pub fn check_head(head: &[u8], max_body: u64) -> Result<BodyLength, HeadFault> {
+    let text = std::str::from_utf8(head).map_err(|_| HeadFault::Malformed)?;
+    let mut lines = text.trim_end().split("\r\n");
+    if !lines.next().is_some_and(is_request_line) {
+        return Err(HeadFault::Malformed);
+    }
+    let mut length = None;
+    let mut chunked = false;
+    for line in lines {
+        let (name, value) = line.split_once(':').ok_or(HeadFault::Malformed)?;
+        if name.is_empty() || !name.bytes().all(is_token_byte) {
+            return Err(HeadFault::Malformed);
+        }
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("content-length") {
+            if length.is_some() {
+                return Err(HeadFault::AmbiguousLength);
+            }
+            length = Some(parse_length(value)?);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            if chunked || !value.eq_ignore_ascii_case("chunked") {
+                return Err(HeadFault::AmbiguousLength);
+            }
+            chunked = true;
+        } else if name.eq_ignore_ascii_case("connection") && has_upgrade(value) {
+            return Err(HeadFault::Upgrade);
+        }
+    }
+    match (length, chunked) {
+        (Some(_), true) => Err(HeadFault::AmbiguousLength),
+        (Some(length), false) if length > max_body => Err(HeadFault::BodyTooLong),
+        (Some(length), false) => Ok(BodyLength::Known(length)),
+        (None, true) => Ok(BodyLength::Chunked),
+        (None, false) => Ok(BodyLength::Known(0)),
+    }
+}
+
+/// Tells whether a line has a method, a path and a version that is served.
+fn is_request_line(line: &str) -> bool {
+    let mut words = line.split(' ');
+    let method = words.next().unwrap_or_default();
+    let path = words.next().unwrap_or_default();
+    let version = words.next().unwrap_or_default();
+    method.bytes().all(is_token_byte)
+        && path.starts_with(['/', '*'])
+        && VERSIONS.contains(&version)
+        && words.next().is_none()
+}
+
+/// A length past 64 bits is too long, not malformed.
+fn parse_length(value: &str) -> Result<u64, HeadFault> {
+    if value.is_empty() || !value.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HeadFault::AmbiguousLength);
+    }
+    Ok(value.parse().unwrap_or(u64::MAX))
+}
+
+fn has_upgrade(value: &str) -> bool {
+    value.to_ascii_lowercase().contains("upgrade")
+}
+
+/// Bytes of a token (RFC 9110, section 5.6.2).
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
--- a/crates/runtime/src/http_gate.rs
+++ b/crates/runtime/src/http_gate.rs
@@ -1,9 +1,10 @@
 //! The HTTP listener of a role.
 //!
-//! One thread takes requests from the library and gives each its own thread,
-//! up to a bound; past it a request is refused at once. The request's thread
-//! reads the body, passes the request to the role and writes the answer's
-//! parts as they come.
+//! A guard accepts the connections and passes well-formed requests to the
+//! HTTP library. One thread takes requests from the library and gives each its
+//! own thread, up to a bound; past it a request is refused at once. The
+//! request's thread reads the body, passes the request to the role and writes
+//! the answer's parts as they come.
 
 use std::collections::BTreeMap;
 use std::io::Read;
@@ -12,19 +13,38 @@
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 use anyhow::{anyhow, Result};
 use bytes::Bytes;
 use mulberrywell_role::{AnswerPart, HttpEvent, HttpRequest, RequestId};
 use mulberrywell_wire::request::HeaderField;
+use socket2::SockRef;
 use tiny_http::{Method, Request, Server};
 
+use crate::caller_guard::{CallerGuard, GuardLimits, SEND_BUFFER};
+use crate::descriptor_limit::raise_descriptor_limit;
 use crate::event_sender::EventSender;
+use crate::guard_connection::{CloseMode, ConnectionLimits};
+use crate::http_refusal::{HttpRefusal, BAD_BODY, BODY_TOO_LARGE, OVERLOADED};
 use crate::http_writer::HttpWriter;
 
 /// Answer parts that may wait for a slow caller before it is cut.
 const PARTS_MAX: usize = 4_096;
 
+/// Bytes of an answer that may wait for a slow caller before it is cut.
+const WAITING_MAX: usize = 8 * 1024 * 1024;
+
+/// Connections for each request that may be in work.
+const CONNECTIONS_PER_REQUEST: usize = 4;
+
+/// Connections get one descriptor of this many; each uses up to three, and
+/// the rest is for links, files and endpoints.
+const DESCRIPTORS_PER_CONNECTION: usize = 6;
+
+/// Longest body in bytes that the library reads before it hands a request on.
+const BODY_BUFFERED: usize = 1_024;
+
 /// Bounds of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct GateLimits {
@@ -34,7 +54,64 @@
     pub max_body: usize,
 }
 
-type PartSenders = Arc<Mutex<BTreeMap<RequestId, SyncSender<AnswerPart>>>>;
+/// Longest time for a head, and without progress of a body or an answer,
+/// where the settings name none.
+pub const STALL_MAX: Duration = Duration::from_secs(10);
+
+/// The way to the thread of one request.
+struct PartSender {
+    tx: SyncSender<AnswerPart>,
+    /// Bytes that wait in the channel.
+    waiting: Arc<AtomicUsize>,
+}
+
+/// The other end of a [`PartSender`].
+struct PartReceiver {
+    rx: Receiver<AnswerPart>,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl PartSender {
+    fn open() -> (Self, PartReceiver) {
+        let (tx, rx) = sync_channel(PARTS_MAX);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let sender = PartSender {
+            tx,
+            waiting: waiting.clone(),
+        };
+        (sender, PartReceiver { rx, waiting })
+    }
+
+    /// Passes a part on; false when too much waits or the thread has ended.
+    fn send(&self, part: AnswerPart) -> bool {
+        let len = data_len(&part);
+        if self.waiting.fetch_add(len, Ordering::Relaxed) + len > WAITING_MAX {
+            return false;
+        }
+        match self.tx.try_send(part) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        }
+    }
+}
+
+impl PartReceiver {
+    /// Waits for the next part; none when the sender was dropped.
+    fn next(&self) -> Option<AnswerPart> {
+        let part = self.rx.recv().ok()?;
+        self.waiting.fetch_sub(data_len(&part), Ordering::Relaxed);
+        Some(part)
+    }
+}
+
+fn data_len(part: &AnswerPart) -> usize {
+    match part {
+        AnswerPart::Data(data) => data.len(),
+        _ => 0,
+    }
+}
+
+type PartSenders = Arc<Mutex<BTreeMap<RequestId, PartSender>>>;
 
 /// A running listener.
 pub struct HttpGate {
@@ -44,6 +121,7 @@
 /// What the request threads share.
 struct GateShared<E> {
     limits: GateLimits,
+    guard: CallerGuard,
     senders: PartSenders,
     events: EventSender<E>,
     wrap: fn(HttpEvent) -> E,
@@ -62,10 +140,31 @@
         events: EventSender<E>,
         wrap: fn(HttpEvent) -> E,
     ) -> Result<Self> {
-        let server = Server::from_listener(listener, None).map_err(|err| anyhow!("{err}"))?;
+        Self::spawn_with_stall(listener, limits, STALL_MAX, events, wrap)
+    }
+
+    /// Serves requests; callers may stall for `stall` at most.
+    ///
+    /// # Errors
+    /// Fails when the library can't use the listener.
+    pub fn spawn_with_stall<E: Send + 'static>(
+        listener: TcpListener,
+        limits: GateLimits,
+        stall: Duration,
+        events: EventSender<E>,
+        wrap: fn(HttpEvent) -> E,
+    ) -> Result<Self> {
+        let inner = bind_library()?;
+        let library = inner.local_addr()?;
+        let server = Server::from_listener(inner, None).map_err(|err| anyhow!("{err}"))?;
         let senders = PartSenders::default();
+        let gone_senders = senders.clone();
+        // The request's thread sees the dropped sender and reports the caller.
+        let gone = move |request| drop(lock(&gone_senders).remove(&request));
+        let guard = CallerGuard::spawn(listener, library, guard_limits(limits, stall), gone)?;
         let shared = Arc::new(GateShared {
             limits,
+            guard,
             senders: senders.clone(),
             events,
             wrap,
@@ -80,20 +179,38 @@
 
     /// Passes a part of an answer on; a caller that is too slow is cut.
     pub fn answer(&self, request: RequestId, part: AnswerPart) {
-        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut senders = lock(&self.senders);
         let last = matches!(part, AnswerPart::End | AnswerPart::Abort);
-        let Some(tx) = senders.get(&request) else {
+        let Some(sender) = senders.get(&request) else {
             return;
         };
-        match tx.try_send(part) {
-            Ok(()) if !last => {}
-            Ok(()) | Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                senders.remove(&request);
-            }
+        if !sender.send(part) || last {
+            senders.remove(&request);
         }
     }
 }
 
+fn guard_limits(limits: GateLimits, stall: Duration) -> GuardLimits {
+    let wanted = limits.max_requests.saturating_mul(CONNECTIONS_PER_REQUEST);
+    let possible = raise_descriptor_limit() / DESCRIPTORS_PER_CONNECTION;
+    GuardLimits {
+        max_connections: wanted.min(possible),
+        connection: ConnectionLimits {
+            max_body: limits.max_body as u64,
+            stall,
+        },
+    }
+}
+
+/// Binds the library's listener; its connections take over both options.
+fn bind_library() -> Result<TcpListener> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let socket = SockRef::from(&listener);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    Ok(listener)
+}
+
 /// Binds a listener for HTTP.
 ///
 /// # Errors
@@ -113,14 +230,14 @@
         };
         if shared.in_work.fetch_add(1, Ordering::Relaxed) >= shared.limits.max_requests {
             shared.in_work.fetch_sub(1, Ordering::Relaxed);
-            refuse(request, 503, "overloaded", "too many requests in work");
+            shared.refuse(request, OVERLOADED);
             continue;
         }
         let worker = shared.clone();
         let spawned = thread::Builder::new()
             .name("http request".to_owned())
             .spawn(move || {
-                serve_request(request, &worker);
+                worker.serve(request);
                 worker.in_work.fetch_sub(1, Ordering::Relaxed);
             });
         if let Err(err) = spawned {
@@ -130,78 +247,90 @@
     }
 }
 
-fn serve_request<E: Send>(mut request: Request, shared: &GateShared<E>) {
-    let http = match read_request(&mut request, shared.limits.max_body) {
-        Ok(http) => http,
-        Err(fault) => return refuse(request, fault.status, fault.code, fault.message),
-    };
-    let chunks = *request.http_version() >= tiny_http::HTTPVersion(1, 1);
-    let bodyless = *request.method() == Method::Head;
-    let id = shared.next_request.fetch_add(1, Ordering::Relaxed);
-    let (tx, rx) = sync_channel(PARTS_MAX);
-    lock(&shared.senders).insert(id, tx);
-    let event = (shared.wrap)(HttpEvent::Request { request: id, http });
-    if shared.events.try_send(event).is_err() {
-        lock(&shared.senders).remove(&id);
-        return refuse(request, 503, "overloaded", "too many events wait");
-    }
-    let writer = HttpWriter::new(request.into_writer(), chunks, bodyless);
-    let written = write_answer(writer, &rx);
-    lock(&shared.senders).remove(&id);
-    if !written {
-        shared
-            .events
-            .send((shared.wrap)(HttpEvent::Gone { request: id }));
+impl<E: Send> GateShared<E> {
+    /// Serves one request on its thread.
+    fn serve(&self, mut request: Request) {
+        let port = peer_port(&request);
+        if request.body_length().is_none_or(|len| len > BODY_BUFFERED) {
+            self.guard.seen(port);
+        }
+        let http = match read_request(&mut request, self.limits.max_body) {
+            Ok(http) => http,
+            Err(refusal) => return self.refuse(request, refusal),
+        };
+        let chunks = *request.http_version() >= tiny_http::HTTPVersion(1, 1);
+        let bodyless = *request.method() == Method::Head;
+        let id = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let (sender, parts) = PartSender::open();
+        lock(&self.senders).insert(id, sender);
+        self.guard.started(port, id);
+        let event = (self.wrap)(HttpEvent::Request { request: id, http });
+        if self.events.try_send(event).is_err() {
+            lock(&self.senders).remove(&id);
+            self.guard.finished(port, Some(id), CloseMode::Close);
+            return self.refuse(request, OVERLOADED);
+        }
+        let mut writer = HttpWriter::new(request.into_writer(), chunks, bodyless);
+        let whole = write_answer(&mut writer, &parts);
+        lock(&self.senders).remove(&id);
+        let close = if whole {
+            CloseMode::Keep
+        } else {
+            CloseMode::Reset
+        };
+        self.guard.finished(port, Some(id), close);
+        drop(writer);
+        if !whole {
+            let gone = HttpEvent::Gone { request: id };
+            self.events.send((self.wrap)(gone));
+        }
     }
-}
 
-/// Writes an answer's parts; false when the caller did not get all of it.
-fn write_answer<W: std::io::Write>(mut writer: HttpWriter<W>, rx: &Receiver<AnswerPart>) -> bool {
-    loop {
-        match rx.recv() {
-            Ok(part) => match writer.write(part) {
-                Ok(true) => return true,
-                Ok(false) => {}
-                Err(_) => return false,
-            },
-            Err(_) => {
-                // The sender is gone without an end: the caller was too slow.
-                let _ = writer.write(AnswerPart::Abort);
-                return false;
+    /// Answers a request that the role never sees and closes its connection.
+    fn refuse(&self, request: Request, refusal: HttpRefusal) {
+        let port = peer_port(&request);
+        let bodyless = *request.method() == Method::Head;
+        // The library reads the rest of the body before it answers; the guard
+        // ends that.
+        self.guard.finished(port, None, CloseMode::Close);
+        let mut writer = HttpWriter::new(request.into_writer(), true, bodyless);
+        for part in refusal.parts() {
+            if writer.write(part).is_err() {
+                return;
             }
         }
     }
 }
 
-struct ReadFault {
-    status: u16,
-    code: &'static str,
-    message: &'static str,
+/// Returns the port by which the guard knows the request's connection.
+fn peer_port(request: &Request) -> u16 {
+    request.remote_addr().map_or(0, SocketAddr::port)
 }
 
-fn read_request(request: &mut Request, max_body: usize) -> Result<HttpRequest, ReadFault> {
-    let too_large = ReadFault {
-        status: 413,
-        code: "body_too_large",
-        message: "the body is longer than the limit",
-    };
-    if request.body_length().is_some_and(|len| len > max_body) {
-        return Err(too_large);
+/// Writes an answer's parts; false when the caller did not get all of it.
+fn write_answer<W: std::io::Write>(writer: &mut HttpWriter<W>, parts: &PartReceiver) -> bool {
+    loop {
+        // Without an end the caller hung up or was too slow.
+        let part = parts.next().unwrap_or(AnswerPart::Abort);
+        match writer.write(part) {
+            Ok(true) => return true,
+            Ok(false) => {}
+            Err(_) => return false,
+        }
     }
-    let mut body = Vec::with_capacity(request.body_length().unwrap_or(0));
+}
+
+fn read_request(request: &mut Request, max_body: usize) -> Result<HttpRequest, HttpRefusal> {
+    let mut body = Vec::with_capacity(request.body_length().unwrap_or(0).min(max_body));
     let read = request
         .as_reader()
         .take(max_body as u64 + 1)
         .read_to_end(&mut body);
-    if read.is_err() {
-        return Err(ReadFault {
-            status: 400,
-            code: "bad_body",
-            message: "the body can't be read",
-        });
+    if read.is_err() || request.body_length().is_some_and(|len| body.len() < len) {
+        return Err(BAD_BODY);
     }
     if body.len() > max_body {
-        return Err(too_large);
+        return Err(BODY_TOO_LARGE);
     }
     let headers = request.headers().iter().map(|header| HeaderField {
         name: Bytes::copy_from_slice(header.field.as_str().as_str().as_bytes()),
@@ -215,42 +344,6 @@
     })
 }
 
-/// Answers a request that the role never sees.
-fn refuse(request: Request, status: u16, code: &str, message: &str) {
-    let body = serde_json::json!({
-        "error": { "message": message, "type": "invalid_request_error", "code": code }
-    })
-    .to_string();
-    let mut writer = HttpWriter::new(request.into_writer(), true, false);
-    let field = |name: &'static str, value: &'static str| HeaderField {
-        name: Bytes::from_static(name.as_bytes()),
-        value: Bytes::from_static(value.as_bytes()),
-    };
-    let mut headers = vec![
-        field("Content-Type", "application/json"),
-        field("Mulberrywell-Ran", "no"),
-    ];
-    if status == 503 {
-        headers.push(field("Retry-After", "1"));
-    }
-    let parts = [
-        AnswerPart::Head {
-            status,
-            headers,
-            length: Some(body.len() as u64),
-        },
-        AnswerPart::Data(Bytes::from(body)),
-        AnswerPart::End,
-    ];
-    for part in parts {
-        if writer.write(part).is_err() {
-            return;
-        }
-    }
-}
-
-fn lock(
-    senders: &PartSenders,
-) -> std::sync::MutexGuard<'_, BTreeMap<RequestId, SyncSender<AnswerPart>>> {
+fn lock(senders: &PartSenders) -> std::sync::MutexGuard<'_, BTreeMap<RequestId, PartSender>> {
     senders.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/runtime/src/http_refusal.rs
@@ -0,0 +1,131 @@
+//! Answers to requests that no role sees.
+
+use mulberrywell_role::AnswerPart;
+use mulberrywell_wire::request::HeaderField;
+
+use bytes::Bytes;
+
+/// A refusal of the listener itself; the request was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HttpRefusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Code in the answer's body.
+    pub code: &'static str,
+    /// Message in the answer's body.
+    pub message: &'static str,
+}
+
+/// The caller asked for too much at once.
+pub const OVERLOADED: HttpRefusal = HttpRefusal {
+    status: 503,
+    code: "overloaded",
+    message: "too many requests in work",
+};
+
+/// The body is longer than the limit.
+pub const BODY_TOO_LARGE: HttpRefusal = HttpRefusal {
+    status: 413,
+    code: "body_too_large",
+    message: "the body is longer than the limit",
+};
+
+/// The body ended early or is not framed well.
+pub const BAD_BODY: HttpRefusal = HttpRefusal {
+    status: 400,
+    code: "bad_body",
+    message: "the body can't be read",
+};
+
+/// The bytes are no HTTP request.
+pub const BAD_REQUEST: HttpRefusal = HttpRefusal {
+    status: 400,
+    code: "bad_request",
+    message: "the bytes are no HTTP/1.1 request",
+};
+
+/// Lengths that contradict each other.
+pub const AMBIGUOUS_LENGTH: HttpRefusal = HttpRefusal {
+    status: 400,
+    code: "ambiguous_length",
+    message: "the length of the body is ambiguous",
+};
+
+/// Another protocol was asked for.
+pub const NO_UPGRADE: HttpRefusal = HttpRefusal {
+    status: 400,
+    code: "no_upgrade",
+    message: "the connection can't change its protocol",
+};
+
+/// The head is longer than the limit.
+pub const HEAD_TOO_LARGE: HttpRefusal = HttpRefusal {
+    status: 431,
+    code: "head_too_large",
+    message: "the request line and headers are longer than the limit",
+};
+
+/// The request did not come in time.
+pub const TOO_SLOW: HttpRefusal = HttpRefusal {
+    status: 408,
+    code: "request_timeout",
+    message: "the request did not come in time",
+};
+
+impl HttpRefusal {
+    /// Returns the parts of the answer.
+    pub fn parts(&self) -> [AnswerPart; 3] {
+        let body = self.body();
+        let head = AnswerPart::Head {
+            status: self.status,
+            headers: self.headers(),
+            length: Some(body.len() as u64),
+        };
+        [head, AnswerPart::Data(Bytes::from(body)), AnswerPart::End]
+    }
+
+    /// Returns the answer as bytes, after which the connection is closed.
+    pub fn bytes(&self) -> Vec<u8> {
+        let body = self.body();
+        let reason = tiny_http::StatusCode(self.status).default_reason_phrase();
+        let mut text = format!("HTTP/1.1 {} {reason}\r\n", self.status).into_bytes();
+        for field in self.headers() {
+            text.extend_from_slice(&field.name);
+            text.extend_from_slice(b": ");
+            text.extend_from_slice(&field.value);
+            text.extend_from_slice(b"\r\n");
+        }
+        let rest = format!(
+            "Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        text.extend_from_slice(rest.as_bytes());
+        text
+    }
+
+    fn headers(&self) -> Vec<HeaderField> {
+        let field = |name: &'static str, value: &'static str| HeaderField {
+            name: Bytes::from_static(name.as_bytes()),
+            value: Bytes::from_static(value.as_bytes()),
+        };
+        let mut headers = vec![
+            field("Content-Type", "application/json"),
+            field("Mulberrywell-Ran", "no"),
+        ];
+        if self.status == OVERLOADED.status {
+            headers.push(field("Retry-After", "1"));
+        }
+        headers
+    }
+
+    fn body(&self) -> String {
+        serde_json::json!({
+            "error": {
+                "message": self.message,
+                "type": "invalid_request_error",
+                "code": self.code,
+            }
+        })
+        .to_string()
+    }
+}
--- a/crates/runtime/src/http_writer.rs
+++ b/crates/runtime/src/http_writer.rs
@@ -19,22 +19,29 @@
 
 /// Flushes when it is dropped: the encoder writes its last chunk on drop and
 /// does not flush it.
-struct FlushedWriter<W: Write>(W);
+struct FlushedWriter<W: Write> {
+    writer: W,
+    /// Set once the answer is cut: the encoder's last chunk must not go out.
+    cut: bool,
+}
 
 impl<W: Write> Write for FlushedWriter<W> {
     fn write(&mut self, buf: &[u8]) -> Result<usize> {
-        self.0.write(buf)
+        if self.cut {
+            return Ok(buf.len());
+        }
+        self.writer.write(buf)
     }
 
     fn flush(&mut self) -> Result<()> {
-        self.0.flush()
+        self.writer.flush()
     }
 }
 
 impl<W: Write> Drop for FlushedWriter<W> {
     fn drop(&mut self) {
         // The caller may be gone; the answer has ended either way.
-        let _ = self.0.flush();
+        let _ = self.flush();
     }
 }
 
@@ -120,7 +127,10 @@
         self.state = if plain {
             WriterState::Plain(writer)
         } else {
-            WriterState::Chunked(Encoder::with_flush_after_write(FlushedWriter(writer)))
+            WriterState::Chunked(Encoder::with_flush_after_write(FlushedWriter {
+                writer,
+                cut: false,
+            }))
         };
         Ok(())
     }
@@ -142,13 +152,11 @@
         }
     }
 
-    /// Breaks the framing, so that the caller can't take the answer for whole:
-    /// the encoder would end it with a valid last chunk.
+    /// Leaves the answer without its end, so that the caller can't take it for
+    /// whole.
     fn abort(&mut self) -> Result<bool> {
         if let WriterState::Chunked(encoder) = &mut self.state {
-            let writer = encoder.get_mut();
-            writer.write_all(b"aborted\r\n")?;
-            writer.flush()?;
+            encoder.get_mut().cut = true;
         }
         Err(Error::new(ErrorKind::ConnectionAborted, "answer cut short"))
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,9 +8,14 @@
 //! link that stays silent is closed within [`link_table::SILENCE_MAX`]; a
 //! fault of one caller, link or endpoint ends only that one.
 
+mod caller_guard;
+mod descriptor_limit;
 mod engine_client;
 mod event_sender;
+mod guard_connection;
+pub mod head_check;
 mod http_gate;
+mod http_refusal;
 mod http_writer;
 mod journal_file;
 mod link_socket;
@@ -19,6 +24,7 @@
 mod metric_output;
 mod process;
 mod role_host;
+mod start_queue;
 
 pub use log_output::open_log;
 pub use process::{serve, serve_agent};
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -40,6 +40,7 @@
             max_requests: settings.max_requests,
             max_body: settings.max_body,
         };
+        let stall = settings.caller_stall;
         let config = EntryConfig {
             settings: settings.clone(),
             seeds: instance.seeds.clone(),
@@ -54,7 +55,7 @@
             listener: None,
             metrics,
             port: Box::new(move |events| EntryPort {
-                gate: HttpGate::spawn(listener, limits, events, |event| event)
+                gate: HttpGate::spawn_with_stall(listener, limits, stall, events, |event| event)
                     .expect("a bound listener can be served"),
             }),
             finished: self.finished_fwd(),
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -40,6 +40,9 @@
     pub max_requests: usize,
     /// Longest request body in bytes.
     pub max_body: usize,
+    /// Longest time for the head of a request, and for a caller to make no
+    /// progress sending a body or reading an answer.
+    pub caller_stall: Duration,
     /// Oldest confirmation of the configuration that still admits keys.
     pub freshness: Duration,
     /// Deadline of a request that names none.
@@ -230,6 +233,7 @@
         caller_listen: table.required_address("caller_listen"),
         max_requests: size(table.number("max_requests", 1..=65_536), 1_024),
         max_body: size(table.number("max_body_kib", 1..=16_384), 4_096) * 1024,
+        caller_stall: table.millis("caller_stall_ms", 100..=10 * MINUTE_MS, 10_000),
         freshness: table.millis("freshness_ms", 500..=MINUTE_MS, 5_000),
         default_deadline: table.millis("default_deadline_ms", 100..=60 * MINUTE_MS, 60_000),
         shutdown_grace: table.millis("shutdown_grace_ms", 0..=10 * MINUTE_MS, 2_000),
--- a/crates/testkit/src/fake_engine.rs
+++ b/crates/testkit/src/fake_engine.rs
@@ -4,21 +4,23 @@
 //! whose answer it got and a resumed stream continues the same text.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use anyhow::{anyhow, Result};
+use anyhow::Result;
 use serde_json::{json, Value};
-use tiny_http::{Method, Request, Response, Server};
 
 use crate::fake_records::{FakeRecords, RunRecord, RunState};
+use crate::fake_server::{spawn_server, AnswerStream, ServerRequest};
 
 /// Tokens of an answer whose request bounds none.
 const DEFAULT_TOKENS: u64 = 8;
 
+/// Interval at which a waiting run looks for its cancellation.
+const CANCEL_POLL: Duration = Duration::from_millis(50);
+
 /// A model in the engine's memory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FakeModel {
@@ -97,7 +99,6 @@
     pub fn spawn_at(address: SocketAddr, config: EngineConfig) -> Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(|err| anyhow!("{err}"))?;
         let models = config.models.iter();
         let memory = EngineMemory {
             models: models
@@ -113,11 +114,8 @@
         };
         engine.note_peak();
         let worker = engine.clone();
-        thread::spawn(move || {
-            for request in server.incoming_requests() {
-                let worker = worker.clone();
-                thread::spawn(move || worker.serve(request));
-            }
+        spawn_server(listener, move |request, stream| {
+            worker.serve(&request, stream)
         });
         Ok(engine)
     }
@@ -169,32 +167,23 @@
         memory.peak_mib = memory.peak_mib.max(sum);
     }
 
-    fn serve(&self, mut request: Request) {
-        let mut body = String::new();
-        if request.as_reader().read_to_string(&mut body).is_err() {
-            return;
-        }
-        let path = request.url().to_owned();
-        match (request.method().clone(), path.as_str()) {
-            (Method::Get, "/engine/state") => {
-                let state = self.state();
-                respond(request, 200, &state);
-            }
-            (Method::Post, "/engine/cancel") => {
-                let value: Value = serde_json::from_str(&body).unwrap_or_default();
+    /// Serves one request; true when its connection takes another.
+    fn serve(&self, request: &ServerRequest, stream: &mut AnswerStream) -> bool {
+        match (request.method.as_str(), request.target.as_str()) {
+            ("GET", "/engine/state") => stream.respond(200, &self.state()),
+            ("POST", "/engine/cancel") => {
+                let value: Value = serde_json::from_str(&request.body).unwrap_or_default();
                 let id = value["request"].as_str().unwrap_or_default().to_owned();
                 self.lock().cancelled.insert(id);
-                respond(request, 200, &json!({}));
+                stream.respond(200, &json!({}))
             }
-            (Method::Post, "/engine/load" | "/engine/unload" | "/engine/role") => {
-                let value: Value = serde_json::from_str(&body).unwrap_or_default();
-                let status = self.take_order(&path, &value);
-                respond(request, status, &json!({ "status": status }));
+            ("POST", path @ ("/engine/load" | "/engine/unload" | "/engine/role")) => {
+                let value: Value = serde_json::from_str(&request.body).unwrap_or_default();
+                let status = self.take_order(path, &value);
+                stream.respond(status, &json!({ "status": status }))
             }
-            (Method::Post, "/v1/chat/completions" | "/v1/completions") => {
-                self.complete(request, &body);
-            }
-            _ => respond(request, 404, &json!({ "error": "no such path" })),
+            ("POST", "/v1/chat/completions" | "/v1/completions") => self.complete(request, stream),
+            _ => stream.respond(404, &json!({ "error": "no such path" })),
         }
     }
 
@@ -271,106 +260,119 @@
         200
     }
 
-    fn complete(&self, request: Request, body: &str) {
-        let value: Value = serde_json::from_str(body).unwrap_or_default();
+    fn complete(&self, request: &ServerRequest, stream: &mut AnswerStream) -> bool {
+        let value: Value = serde_json::from_str(&request.body).unwrap_or_default();
         let model = value["model"].as_str().unwrap_or_default().to_owned();
         let ready = self.lock().models.get(&model).is_some_and(|m| m.ready);
         if !ready {
-            return respond(request, 404, &json!({ "error": "model is not resident" }));
+            return stream.respond(404, &json!({ "error": "model is not resident" }));
         }
-        let config = self.config();
-        let number = self.records.start(run_record(&request, body));
-        let id = header(&request, "X-Request-Id");
-        let skip: u64 = header(&request, "X-Resume-Events").parse().unwrap_or(0);
-        let tokens = value["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
-        let stream = value["stream"].as_bool().unwrap_or(false);
-        thread::sleep(config.first_token);
-        let finished = if stream {
-            self.stream(request, number, &id, body, skip, tokens, &config)
-        } else {
-            self.answer(request, number, &id, body, tokens, &config)
+        let run = EngineRun {
+            engine: self,
+            number: self.records.start(run_record(request)),
+            id: request.header("X-Request-Id").to_owned(),
+            body: &request.body,
+            skip: request.header("X-Resume-Events").parse().unwrap_or(0),
+            tokens: value["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+            config: self.config(),
         };
+        let finished = run.pause(run.config.first_token)
+            && match value["stream"].as_bool() {
+                Some(true) => run.stream(stream),
+                _ => run.answer(stream),
+            };
         let state = if finished {
             RunState::Finished
         } else {
             RunState::Cancelled
         };
-        self.records.update(number, |record| record.state = state);
+        self.records
+            .update(run.number, |record| record.state = state);
+        finished
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of one request")]
-    fn stream(
-        &self,
-        request: Request,
-        number: u64,
-        id: &str,
-        body: &str,
-        skip: u64,
-        tokens: u64,
-        config: &EngineConfig,
-    ) -> bool {
-        let mut writer = request.into_writer();
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-            Transfer-Encoding: chunked\r\n\r\n";
-        if writer.write_all(head.as_bytes()).is_err() || writer.flush().is_err() {
+    fn is_cancelled(&self, id: &str) -> bool {
+        self.lock().cancelled.contains(id)
+    }
+}
+
+/// One request that the engine runs.
+struct EngineRun<'a> {
+    engine: &'a FakeEngine,
+    /// Number of its record.
+    number: u64,
+    id: String,
+    body: &'a str,
+    /// Tokens that the caller has already.
+    skip: u64,
+    tokens: u64,
+    config: EngineConfig,
+}
+
+impl EngineRun<'_> {
+    /// Streams the tokens; false when cancelled.
+    fn stream(&self, stream: &mut AnswerStream) -> bool {
+        if !stream.begin_chunks("text/event-stream") {
             return false;
         }
-        for idx in skip..tokens {
-            if idx > skip {
-                thread::sleep(config.between_tokens);
+        for idx in self.skip..self.tokens {
+            if idx > self.skip {
+                thread::sleep(self.config.between_tokens);
             }
-            if self.is_cancelled(id) {
+            if self.engine.is_cancelled(&self.id) {
                 return false;
             }
             let event = json!({
                 "object": "chat.completion.chunk",
-                "choices": [{ "index": 0, "delta": { "content": token_text(body, idx) } }],
+                "choices": [{ "index": 0, "delta": { "content": token_text(self.body, idx) } }],
             });
-            if write_chunk(&mut writer, &format!("data: {event}\n\n")).is_err() {
+            if !stream.write_chunk(&format!("data: {event}\n\n")) {
                 return false;
             }
-            self.records.update(number, |record| record.tokens += 1);
+            self.note_token();
         }
-        let end = write_chunk(&mut writer, "data: [DONE]\n\n");
-        end.and_then(|()| write_chunk(&mut writer, "")).is_ok()
+        stream.write_chunk("data: [DONE]\n\n") && stream.write_chunk("")
     }
 
-    fn answer(
-        &self,
-        request: Request,
-        number: u64,
-        id: &str,
-        body: &str,
-        tokens: u64,
-        config: &EngineConfig,
-    ) -> bool {
+    /// Answers with all tokens at once; false when cancelled.
+    fn answer(&self, stream: &mut AnswerStream) -> bool {
         let mut text = String::new();
-        for idx in 0..tokens {
-            thread::sleep(config.between_tokens);
-            if self.is_cancelled(id) {
+        for idx in 0..self.tokens {
+            thread::sleep(self.config.between_tokens);
+            if self.engine.is_cancelled(&self.id) {
                 return false;
             }
-            text.push_str(&token_text(body, idx));
-            self.records.update(number, |record| record.tokens += 1);
+            text.push_str(&token_text(self.body, idx));
+            self.note_token();
         }
         let value = json!({
             "object": "chat.completion",
             "choices": [{ "index": 0, "message": { "role": "assistant", "content": text } }],
-            "usage": { "completion_tokens": tokens },
+            "usage": { "completion_tokens": self.tokens },
         });
-        respond(request, 200, &value);
-        true
+        stream.respond(200, &value)
     }
 
-    fn is_cancelled(&self, id: &str) -> bool {
-        self.lock().cancelled.contains(id)
+    /// Waits; false as soon as the run is cancelled.
+    fn pause(&self, duration: Duration) -> bool {
+        let end = Instant::now() + duration;
+        loop {
+            if self.engine.is_cancelled(&self.id) {
+                return false;
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return true;
+            }
+            thread::sleep(left.min(CANCEL_POLL));
+        }
     }
-}
 
-/// Writes one chunk at once; an empty one ends the body.
-fn write_chunk(writer: &mut impl Write, text: &str) -> std::io::Result<()> {
-    write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
-    writer.flush()
+    fn note_token(&self) {
+        self.engine
+            .records
+            .update(self.number, |record| record.tokens += 1);
+    }
 }
 
 /// Returns the text of one token of the answer to a body.
@@ -382,38 +384,17 @@
 }
 
 /// Builds the record of a request that starts.
-pub(crate) fn run_record(request: &Request, body: &str) -> RunRecord {
-    let headers = request.headers().iter();
+pub(crate) fn run_record(request: &ServerRequest) -> RunRecord {
+    let headers = request.headers.iter();
     RunRecord {
-        request_id: header(request, "X-Request-Id"),
-        target: format!("{} {}", request.method(), request.url()),
+        request_id: request.header("X-Request-Id").to_owned(),
+        target: format!("{} {}", request.method, request.target),
         headers: headers
-            .map(|item| format!("{}: {}", item.field, item.value))
+            .map(|(name, value)| format!("{name}: {value}"))
             .collect(),
-        body: body.to_owned(),
+        body: request.body.clone(),
         started: Instant::now(),
         state: RunState::Running,
         tokens: 0,
     }
 }
-
-/// Returns a header's value, or nothing.
-pub(crate) fn header(request: &Request, name: &str) -> String {
-    request
-        .headers()
-        .iter()
-        .find(|item| item.field.as_str().as_str().eq_ignore_ascii_case(name))
-        .map(|item| item.value.as_str().to_owned())
-        .unwrap_or_default()
-}
-
-/// Answers with JSON.
-pub(crate) fn respond(request: Request, status: u16, body: &Value) {
-    let kind = tiny_http::Header::from_bytes("Content-Type", "application/json");
-    let mut response = Response::from_string(body.to_string()).with_status_code(status);
-    if let Ok(kind) = kind {
-        response = response.with_header(kind);
-    }
-    // The peer may be gone; the records tell what ran.
-    let _ = request.respond(response);
-}
--- a/crates/testkit/src/fake_service.rs
+++ b/crates/testkit/src/fake_service.rs
@@ -6,12 +6,12 @@
 use std::thread;
 use std::time::Duration;
 
-use anyhow::{anyhow, Result};
+use anyhow::Result;
 use serde_json::json;
-use tiny_http::{Request, Server};
 
-use crate::fake_engine::{respond, run_record};
+use crate::fake_engine::run_record;
 use crate::fake_records::{FakeRecords, RunState};
+use crate::fake_server::{spawn_server, AnswerStream, ServerRequest};
 
 /// A running service.
 #[derive(Clone)]
@@ -38,18 +38,14 @@
     pub fn spawn_at(address: SocketAddr) -> Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let server = Server::from_listener(listener, None).map_err(|err| anyhow!("{err}"))?;
         let service = FakeService {
             address,
             records: FakeRecords::default(),
             delay_ms: Arc::new(AtomicU64::new(0)),
         };
         let worker = service.clone();
-        thread::spawn(move || {
-            for request in server.incoming_requests() {
-                let worker = worker.clone();
-                thread::spawn(move || worker.serve(request));
-            }
+        spawn_server(listener, move |request, stream| {
+            worker.serve(&request, stream)
         });
         Ok(service)
     }
@@ -70,23 +66,18 @@
         self.delay_ms.store(millis, Ordering::Relaxed);
     }
 
-    fn serve(&self, mut request: Request) {
-        let mut body = String::new();
-        if request.as_reader().read_to_string(&mut body).is_err() {
-            return;
+    /// Serves one request; true when its connection takes another.
+    fn serve(&self, request: &ServerRequest, stream: &mut AnswerStream) -> bool {
+        if request.target == "/healthz" {
+            return stream.respond(200, &json!({ "status": "running" }));
         }
-        if request.url() == "/healthz" {
-            return respond(request, 200, &json!({ "status": "running" }));
-        }
-        let number = self.records.start(run_record(&request, &body));
+        let number = self.records.start(run_record(request));
         thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
-        let target = format!("{} {}", request.method(), request.url());
-        respond(
-            request,
-            201,
-            &json!({ "number": number, "target": target, "echo": body }),
-        );
+        let target = format!("{} {}", request.method, request.target);
+        let answer = json!({ "number": number, "target": target, "echo": request.body });
+        let written = stream.respond(201, &answer);
         self.records
             .update(number, |record| record.state = RunState::Finished);
+        written
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,11 +7,13 @@
 mod cluster_plan;
 mod fake_engine;
 mod fake_records;
+mod fake_server;
 mod fake_service;
 mod fault_proxy;
 mod free_address;
 mod http_client;
 mod process_cluster;
+mod raw_caller;
 
 pub use cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
 pub use fake_engine::{EngineConfig, FakeEngine, FakeModel};
@@ -21,3 +23,4 @@
 pub use free_address::free_port;
 pub use http_client::{HttpAnswer, HttpCaller};
 pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, WAIT_LIMIT};
+pub use raw_caller::{raw_exchange, RawAnswer, RawCaller, RawEnd};
--- a/crates/testkit/src/process_cluster.rs
+++ b/crates/testkit/src/process_cluster.rs
@@ -315,6 +315,18 @@
         self.processes.get(name).map(|slot| slot.child.id())
     }
 
+    /// Returns the resident memory of a process in KiB.
+    ///
+    /// # Errors
+    /// Fails when the process has ended.
+    pub fn resident_kib(&self, name: &str) -> Result<u64> {
+        let id = self.id(name).context("no such process")?;
+        let status = fs::read_to_string(format!("/proc/{id}/status"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|rest| rest.split_whitespace().next());
+        Ok(number.context("no resident memory is told")?.parse()?)
+    }
+
     /// Starts an ended process again with its settings.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/testkit/src/raw_caller.rs
@@ -0,0 +1,107 @@
+//! A caller that sends any bytes and tells how its connection ended.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+
+/// How a connection ended, as the caller saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RawEnd {
+    /// The other side closed it.
+    Closed,
+    /// The other side reset it.
+    Reset,
+    /// It was still open at the end of the wait.
+    Open,
+}
+
+/// What came back.
+#[derive(Debug, Clone)]
+pub struct RawAnswer {
+    /// All bytes.
+    pub bytes: Vec<u8>,
+    /// How the connection ended.
+    pub end: RawEnd,
+}
+
+impl RawAnswer {
+    /// Returns the HTTP status of the first answer; 0 when there is none.
+    pub fn status(&self) -> u16 {
+        let text = self.text();
+        let status = text
+            .strip_prefix("HTTP/1.1 ")
+            .and_then(|rest| rest.get(..3));
+        status.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+    }
+
+    /// Returns the bytes as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+}
+
+/// One open connection.
+#[derive(Debug)]
+pub struct RawCaller {
+    stream: TcpStream,
+}
+
+impl RawCaller {
+    /// Connects.
+    ///
+    /// # Errors
+    /// Fails when the connection is refused.
+    pub fn connect(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        Ok(RawCaller { stream })
+    }
+
+    /// Sends bytes; false when the connection is over.
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    /// Reads until the connection ends or `limit` has passed.
+    pub fn read_to_end(&mut self, limit: Duration) -> RawAnswer {
+        self.read_until(limit, |_| false)
+    }
+
+    /// Reads until `done` holds of what came, the connection ends or `limit`
+    /// has passed.
+    pub fn read_until(&mut self, limit: Duration, done: impl Fn(&[u8]) -> bool) -> RawAnswer {
+        let deadline = Instant::now() + limit;
+        let mut bytes = Vec::new();
+        let mut buf = [0; 4_096];
+        let end = loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || done(&bytes) {
+                break RawEnd::Open;
+            }
+            // The wait is not zero, which is the only one that is refused.
+            let _ = self.stream.set_read_timeout(Some(left));
+            match self.stream.read(&mut buf) {
+                Ok(0) => break RawEnd::Closed,
+                Ok(len) => bytes.extend_from_slice(&buf[..len]),
+                Err(err) if matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    break RawEnd::Open;
+                }
+                Err(_) => break RawEnd::Reset,
+            }
+        };
+        RawAnswer { bytes, end }
+    }
+}
+
+/// Sends bytes on a new connection and reads until it ends or `limit` passed.
+///
+/// # Errors
+/// Fails when the connection is refused.
+pub fn raw_exchange(address: SocketAddr, bytes: &[u8], limit: Duration) -> Result<RawAnswer> {
+    let mut caller = RawCaller::connect(address)?;
+    // The other side may end the connection before it has all bytes.
+    caller.send(bytes);
+    Ok(caller.read_to_end(limit))
+}
