--- a/crates/mulberrywell/tests/control_group/group_helper.rs
+++ b/crates/mulberrywell/tests/control_group/group_helper.rs
@@ -75,41 +75,17 @@
         Self::spawn_plan(&plan)
     }
 
-    /// Starts a plan; starts it anew while another process took one of its
-    /// ports between their choice and their use.
     pub fn spawn_plan(plan: &ClusterPlan) -> Self {
-        let mut group = Self::try_spawn(plan);
-        while !group.wait_started(plan.controls) {
-            group = Self::try_spawn(plan);
-        }
-        group.cluster.apply(PLANS, GRANTS).unwrap();
-        group
-    }
-
-    fn try_spawn(plan: &ClusterPlan) -> Self {
         let cluster = ProcessCluster::spawn(&binaries(), plan).unwrap();
         let key = std::fs::read_to_string(cluster.folder().join("operator.key")).unwrap();
-        ControlGroup {
+        let group = ControlGroup {
             cluster,
             key,
             edits: AtomicU64::new(0),
-        }
-    }
-
-    /// Waits until all instances vote; false when a port was taken.
-    fn wait_started(&self, controls: usize) -> bool {
-        let names = (0..controls).map(|idx| format!("control-{idx}"));
-        let names: Vec<String> = names
-            .chain(["entry-0", "entry-1"].map(str::to_owned))
-            .collect();
-        let mut taken = false;
-        wait_until("all instances vote", || {
-            let mut logs = names.iter().map(|name| self.cluster.log(name));
-            taken = logs.any(|log| log.contains("Address already in use"));
-            taken || self.has_voters(controls)
-        })
-        .unwrap();
-        !taken
+        };
+        group.wait_voters(plan.controls);
+        group.cluster.apply(PLANS, GRANTS).unwrap();
+        group
     }
 
     pub fn operator(&self, idx: usize) -> HttpCaller {
@@ -131,15 +107,14 @@
     }
 
     pub fn wait_voters(&self, count: usize) {
-        wait_until("all instances vote", || self.has_voters(count)).unwrap();
-    }
-
-    fn has_voters(&self, count: usize) -> bool {
-        let members = self.members();
-        let voters = members
-            .iter()
-            .filter(|member| member["role"] != "learner" && member["connected"] == true);
-        voters.count() == count && members.len() == count
+        wait_until("all instances vote", || {
+            let members = self.members();
+            let voters = members
+                .iter()
+                .filter(|member| member["role"] != "learner" && member["connected"] == true);
+            voters.count() == count && members.len() == count
+        })
+        .unwrap();
     }
 
     pub fn leader(&self) -> String {
