--- /dev/null
+++ b/crates/policy-bench/src/bench_control.rs
@@ -0,0 +1,388 @@
+//! The control instance of a run: directory, planner, and baseline placement.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_policy::{
+    DemandEstimator, EndpointReport, ModelResidence, PacerSettings, PlacementEndpoint,
+    PlacementInput, PlacementModel, PlacementOutput, PlacementPlanner, PlacementState,
+    ResidencePhase,
+};
+use mulberrywell_role::LinkId;
+use mulberrywell_wire::config::EndpointState;
+use mulberrywell_wire::endpoint::{AnnounceAck, StateReport, TargetModel, TargetOrder};
+use mulberrywell_wire::FrameBody;
+
+use crate::bench_entry::BenchEntries;
+use crate::bench_plan::{Deployment, PlacementRule, Variant};
+use crate::fake_engine::{KV_MIB, KV_RESERVE_MIB, MEMORY_MIB, SLOTS};
+use crate::request_stream::{base_of, model_name};
+
+/// Memory for models of one engine.
+const CAPACITY_MIB: u64 = MEMORY_MIB - KV_RESERVE_MIB;
+
+/// Memory of an adapter.
+const ADAPTER_MIB: u64 = 100;
+
+/// Silence after which an endpoint is suspect.
+const SUSPECT_AFTER: Duration = Duration::from_secs(2);
+
+/// What control knows of an endpoint.
+#[derive(Debug, Clone, Default)]
+struct KnownEndpoint {
+    link: LinkId,
+    incarnation: u64,
+    heard: Option<Instant>,
+    report: Option<EndpointReport>,
+    /// Set of the on-demand baseline, with the plan of the last use.
+    held: BTreeMap<usize, u64>,
+    revision: u64,
+}
+
+/// The control instance.
+pub struct BenchControl<'a> {
+    deployment: &'a Deployment,
+    variant: &'a Variant,
+    models: Vec<PlacementModel>,
+    names: Vec<Bytes>,
+    endpoints: Vec<KnownEndpoint>,
+    planner: PlacementPlanner,
+    demand: DemandEstimator,
+    input: PlacementInput,
+    output: PlacementOutput,
+    plans: u64,
+}
+
+impl<'a> BenchControl<'a> {
+    pub fn new(deployment: &'a Deployment, variant: &'a Variant, now: Instant) -> Self {
+        let models: Vec<PlacementModel> = bench_models(deployment);
+        let mut planner = variant.planner.clone();
+        // A variant without pacing keeps its own limits.
+        if planner.pacer == PacerSettings::default() {
+            planner.pacer = deployment.pacer.clone();
+        }
+        let mut control = BenchControl {
+            deployment,
+            variant,
+            names: models.iter().map(|model| model.name.clone()).collect(),
+            models,
+            endpoints: vec![KnownEndpoint::default(); deployment.endpoints],
+            planner: PlacementPlanner::new(planner, now),
+            demand: DemandEstimator::new(variant.demand.clone(), now),
+            input: PlacementInput {
+                term: 1,
+                ..PlacementInput::default()
+            },
+            output: PlacementOutput::default(),
+            plans: 0,
+        };
+        control.place_evenly();
+        control
+    }
+
+    /// Places each model on as many endpoints as an even share of memory
+    /// allows, in turn over zones.
+    fn place_evenly(&mut self) {
+        let zones = self.deployment.zones;
+        let mut free = vec![CAPACITY_MIB; self.deployment.endpoints];
+        for round in 0..self.deployment.endpoints {
+            for base in 0..self.deployment.models {
+                let with_adapters: Vec<usize> = (0..self.models.len())
+                    .filter(|idx| base_of(self.deployment, *idx) == base)
+                    .collect();
+                let sizes = with_adapters.iter().map(|idx| self.models[*idx].memory_mib);
+                let need: u64 = sizes.sum();
+                let wanted_zone = (base + round) % zones;
+                let best = (0..free.len())
+                    .filter(|host| free[*host] >= need)
+                    .filter(|host| !self.endpoints[*host].held.contains_key(&base))
+                    .max_by_key(|host| (host % zones == wanted_zone, free[*host], *host));
+                if let Some(host) = best {
+                    free[host] -= need;
+                    let held = &mut self.endpoints[host].held;
+                    held.extend(with_adapters.iter().map(|idx| (*idx, 0)));
+                }
+            }
+        }
+    }
+
+    /// Returns what an endpoint holds when the run starts.
+    pub fn initial_models(&self, endpoint: usize) -> Vec<(Bytes, u64)> {
+        let held = self.endpoints[endpoint].held.keys();
+        held.map(|idx| {
+            let model = &self.models[*idx];
+            (model.name.clone(), model.memory_mib)
+        })
+        .collect()
+    }
+
+    /// Returns all models and adapters.
+    pub fn model_names(&self) -> &[Bytes] {
+        &self.names
+    }
+
+    pub fn note_link(&mut self, endpoint: usize, link: LinkId) {
+        self.endpoints[endpoint].link = link;
+    }
+
+    pub fn link(&self, endpoint: usize) -> LinkId {
+        self.endpoints[endpoint].link
+    }
+
+    /// An operator puts another version of a model into the list.
+    pub fn edit_version(&mut self, model: usize) {
+        self.models[model].version = Bytes::from(format!("version-{}", self.plans));
+    }
+
+    /// The next plan is made by another leader.
+    pub fn lose_leader(&mut self, now: Instant) {
+        let mut settings = self.variant.planner.clone();
+        settings.pacer = self.deployment.pacer.clone();
+        self.input.term = 2;
+        self.planner = PlacementPlanner::new(settings, now);
+        self.demand = DemandEstimator::new(self.variant.demand.clone(), now);
+    }
+
+    /// Takes a frame of an agent; returns the answer.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        endpoint: usize,
+        body: FrameBody,
+        entries: &mut BenchEntries<'_>,
+    ) -> Option<FrameBody> {
+        let known = &mut self.endpoints[endpoint];
+        match body {
+            FrameBody::Announce(announce) => {
+                let item = announce.endpoint?;
+                if known.incarnation != item.incarnation {
+                    known.incarnation = item.incarnation;
+                    known.report = None;
+                }
+                let live = item.state() == EndpointState::Live;
+                known.heard = Some(now);
+                let view = &mut entries.directory[endpoint];
+                view.resident = item.resident.iter().cloned().collect();
+                view.incarnation = item.incarnation;
+                view.live = live;
+                Some(FrameBody::AnnounceAck(AnnounceAck {
+                    incarnation: item.incarnation,
+                    fencing: item.incarnation,
+                    accepted: true,
+                    draining: false,
+                }))
+            }
+            FrameBody::StateReport(report) if report.incarnation == known.incarnation => {
+                known.heard = Some(now);
+                known.report = Some(endpoint_report(&report));
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Makes a plan; returns the orders to send.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        entries: &mut BenchEntries<'_>,
+    ) -> Vec<(usize, TargetOrder)> {
+        self.plans += 1;
+        for (idx, known) in self.endpoints.iter().enumerate() {
+            let silent = |heard: Instant| now >= heard + SUSPECT_AFTER;
+            if known.heard.is_none_or(silent) {
+                entries.directory[idx].live = false;
+            }
+        }
+        match self.variant.placement {
+            PlacementRule::Static => Vec::new(),
+            PlacementRule::OnDemand => self.plan_on_demand(entries),
+            PlacementRule::Planner => self.plan_by_planner(now, entries),
+        }
+    }
+
+    fn plan_by_planner(
+        &mut self,
+        now: Instant,
+        entries: &mut BenchEntries<'_>,
+    ) -> Vec<(usize, TargetOrder)> {
+        for (model, tokens) in std::mem::take(&mut entries.demand) {
+            self.demand.add_tokens(&self.names[model], tokens);
+        }
+        self.demand.estimate(now, &mut self.input.demand);
+        self.input.models.clone_from(&self.models);
+        self.input.endpoints.clear();
+        for (idx, known) in self.endpoints.iter().enumerate() {
+            self.input.endpoints.push(PlacementEndpoint {
+                name: Bytes::from(format!("engine-{idx:04}")),
+                pool: Bytes::from_static(b"pool"),
+                zone: Bytes::from(format!("zone-{}", idx % self.deployment.zones)),
+                incarnation: known.incarnation,
+                capacity_mib: CAPACITY_MIB,
+                kv_reserve_mib: KV_RESERVE_MIB,
+                slots: SLOTS,
+                state: if entries.directory[idx].live {
+                    PlacementState::Live
+                } else {
+                    PlacementState::Suspect
+                },
+                report: known.report.clone(),
+            });
+        }
+        self.planner.plan(now, &self.input, &mut self.output);
+        let orders = self.output.orders.iter();
+        orders
+            .map(|order| {
+                let digits = std::str::from_utf8(&order.endpoint[7..]).unwrap_or("0");
+                let models = order.models.iter().map(|entry| TargetModel {
+                    model: entry.model.clone(),
+                    version: entry.version.clone(),
+                    memory_mib: entry.memory_mib,
+                    base: entry.base.clone(),
+                    rank: entry.rank,
+                    kv_mib: entry.kv_mib,
+                });
+                let target = TargetOrder {
+                    term: order.term,
+                    revision: order.revision,
+                    endpoint: order.endpoint.clone(),
+                    incarnation: order.incarnation,
+                    models: models.collect(),
+                    load_permits: order.load_permits,
+                    engine_role: Bytes::new(),
+                };
+                (digits.parse().unwrap_or(0), target)
+            })
+            .collect()
+    }
+
+    /// Loads each model that had late or refused requests at the least busy
+    /// endpoint without it, in place of the least recently used ones.
+    fn plan_on_demand(&mut self, entries: &mut BenchEntries<'_>) -> Vec<(usize, TargetOrder)> {
+        let used = std::mem::take(&mut entries.demand);
+        for known in &mut self.endpoints {
+            for (model, last) in &mut known.held {
+                let base = base_of(self.deployment, *model);
+                let is_used = used.keys().any(|idx| {
+                    idx == model || (base == *model && base_of(self.deployment, *idx) == base)
+                });
+                if is_used {
+                    *last = self.plans;
+                }
+            }
+        }
+        let mut changed = Vec::new();
+        for model in std::mem::take(&mut entries.missed) {
+            if let Some(host) = self.load_on_demand(model, entries) {
+                changed.push(host);
+            }
+        }
+        changed.sort_unstable();
+        changed.dedup();
+        let orders = changed
+            .into_iter()
+            .map(|host| (host, self.held_order(host)));
+        orders.collect()
+    }
+
+    fn load_on_demand(&mut self, model: usize, entries: &BenchEntries<'_>) -> Option<usize> {
+        let base = base_of(self.deployment, model);
+        let host = (0..self.endpoints.len())
+            .filter(|host| entries.directory[*host].live)
+            .filter(|host| !self.endpoints[*host].held.contains_key(&model))
+            .min_by_key(|host| {
+                let has_base = self.endpoints[*host].held.contains_key(&base);
+                (!has_base && model != base, entries.busy(*host), *host)
+            })?;
+        for part in [base, model] {
+            let memory = |idx: &usize| self.models[*idx].memory_mib;
+            let held = &self.endpoints[host].held;
+            if held.contains_key(&part) {
+                continue;
+            }
+            let mut sum: u64 = held.keys().map(memory).sum();
+            while sum + memory(&part) > CAPACITY_MIB {
+                let held = &mut self.endpoints[host].held;
+                let oldest = held.iter().filter(|item| *item.0 != base);
+                let victim = *oldest.min_by_key(|item| *item.1)?.0;
+                held.retain(|idx, _| {
+                    *idx != victim
+                        && (victim >= self.deployment.models
+                            || base_of(self.deployment, *idx) != victim)
+                });
+                sum = held.keys().map(|idx| self.models[*idx].memory_mib).sum();
+            }
+            self.endpoints[host].held.insert(part, self.plans);
+        }
+        Some(host)
+    }
+
+    fn held_order(&mut self, host: usize) -> TargetOrder {
+        let known = &mut self.endpoints[host];
+        known.revision += 1;
+        let models = known.held.keys().map(|idx| {
+            let model = &self.models[*idx];
+            TargetModel {
+                model: model.name.clone(),
+                version: Bytes::new(),
+                memory_mib: model.memory_mib,
+                base: model.base.clone(),
+                rank: *idx as u32,
+                kv_mib: model.kv_mib,
+            }
+        });
+        TargetOrder {
+            term: 1,
+            revision: known.revision,
+            endpoint: Bytes::from(format!("engine-{host:04}")),
+            incarnation: known.incarnation,
+            models: models.collect(),
+            load_permits: 8,
+            engine_role: Bytes::new(),
+        }
+    }
+}
+
+/// Returns models of three sizes, and their adapters.
+pub fn bench_models(deployment: &Deployment) -> Vec<PlacementModel> {
+    let all = 0..deployment.models + deployment.adapters;
+    all.map(|idx| {
+        let base = base_of(deployment, idx);
+        let adapter = idx >= deployment.models;
+        PlacementModel {
+            name: model_name(deployment, idx),
+            version: Bytes::from_static(b"1"),
+            memory_mib: if adapter {
+                ADAPTER_MIB
+            } else {
+                [8_000, 14_000, 20_000][base % 3]
+            },
+            kv_mib: KV_MIB,
+            base: if adapter {
+                model_name(deployment, base)
+            } else {
+                Bytes::new()
+            },
+            pool: Bytes::from_static(b"pool"),
+        }
+    })
+    .collect()
+}
+
+fn endpoint_report(report: &StateReport) -> EndpointReport {
+    let residences = report.models.iter().map(|item| ModelResidence {
+        model: item.model.clone(),
+        version: item.version.clone(),
+        phase: match item.state.as_ref() {
+            b"resident" => ResidencePhase::Resident,
+            b"loading" => ResidencePhase::Loading,
+            _ => ResidencePhase::Unloading,
+        },
+    });
+    EndpointReport {
+        residences: residences.collect(),
+        order_term: report.order_term,
+        order_revision: report.order_revision,
+    }
+}
--- /dev/null
+++ b/crates/policy-bench/src/bench_plan.rs
@@ -0,0 +1,171 @@
+//! Deployments, scenarios and variants of the bench.
+
+use std::time::Duration;
+
+use mulberrywell_policy::{ChoiceSettings, DemandSettings, PacerSettings, PlacementSettings};
+
+/// Sizes of a deployment.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    pub name: &'static str,
+    pub endpoints: usize,
+    pub models: usize,
+    pub adapters: usize,
+    pub entries: usize,
+    pub accounts: usize,
+    pub zones: usize,
+    /// One way between availability zones, in microseconds.
+    pub zone_delay_us: u64,
+    pub pacer: PacerSettings,
+    /// Shortest time of an adapter load in microseconds.
+    pub adapter_load_us: u64,
+}
+
+/// The deployments of today, and one ten times larger.
+pub fn deployments() -> Vec<Deployment> {
+    let nodriza = Deployment {
+        name: "nodriza",
+        endpoints: 12,
+        models: 20,
+        adapters: 80,
+        entries: 3,
+        accounts: 5,
+        zones: 3,
+        zone_delay_us: 1_500,
+        pacer: PacerSettings::default(),
+        adapter_load_us: 5_000,
+    };
+    let kovakt = Deployment {
+        name: "kovakt",
+        endpoints: 18,
+        models: 30,
+        adapters: 100,
+        zone_delay_us: 500,
+        pacer: PacerSettings {
+            store_loads_per_minute: 120,
+            store_parallel: 7,
+            adapter_parallel: 55,
+        },
+        adapter_load_us: 7_500,
+        ..nodriza.clone()
+    };
+    let large = Deployment {
+        name: "tenfold",
+        endpoints: 120,
+        models: 200,
+        adapters: 800,
+        entries: 6,
+        accounts: 50,
+        pacer: PacerSettings {
+            store_loads_per_minute: 900,
+            store_parallel: 40,
+            adapter_parallel: 300,
+        },
+        ..nodriza.clone()
+    };
+    vec![nodriza, kovakt, large]
+}
+
+/// What happens during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    Steady,
+    TenfoldMove,
+    HeavyAccount,
+    PopularModel,
+    EndpointLoss,
+    ZoneLoss,
+    LeaderLoss,
+    OrdersLost,
+    OperatorEdits,
+}
+
+impl Scenario {
+    pub const ALL: [(Scenario, &'static str); 9] = [
+        (Scenario::Steady, "steady"),
+        (Scenario::TenfoldMove, "tenfold-move"),
+        (Scenario::HeavyAccount, "heavy-account"),
+        (Scenario::PopularModel, "popular-model"),
+        (Scenario::EndpointLoss, "endpoint-loss"),
+        (Scenario::ZoneLoss, "zone-loss"),
+        (Scenario::LeaderLoss, "leader-loss"),
+        (Scenario::OrdersLost, "orders-lost"),
+        (Scenario::OperatorEdits, "operator-edits"),
+    ];
+}
+
+/// Who decides on placement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementRule {
+    Planner,
+    Static,
+    OnDemand,
+}
+
+/// Who decides on routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteRule {
+    Chooser,
+    Random,
+    LeastInFlight,
+}
+
+/// A set of mechanisms.
+#[derive(Debug, Clone)]
+pub struct Variant {
+    pub name: &'static str,
+    pub placement: PlacementRule,
+    pub route: RouteRule,
+    pub fair: bool,
+    pub hints: bool,
+    pub prefixes: bool,
+    pub choice: ChoiceSettings,
+    pub planner: PlacementSettings,
+    pub demand: DemandSettings,
+}
+
+/// Tokens a second that one slot of the fake engine serves.
+pub const SLOT_RATE: f64 = 240.0;
+
+fn variant(name: &'static str, change: impl FnOnce(&mut Variant)) -> Variant {
+    let mut variant = Variant {
+        name,
+        placement: PlacementRule::Planner,
+        route: RouteRule::Chooser,
+        fair: true,
+        hints: true,
+        prefixes: true,
+        choice: ChoiceSettings::default(),
+        planner: PlacementSettings {
+            slot_tokens_per_second: SLOT_RATE,
+            ..PlacementSettings::default()
+        },
+        demand: DemandSettings::default(),
+    };
+    change(&mut variant);
+    variant
+}
+
+/// All mechanisms, the baselines, and each mechanism switched off in turn.
+pub fn variants() -> Vec<Variant> {
+    vec![
+        variant("all", |_| {}),
+        variant("static-even", |v| v.placement = PlacementRule::Static),
+        variant("on-demand-lru", |v| v.placement = PlacementRule::OnDemand),
+        variant("random-route", |v| v.route = RouteRule::Random),
+        variant("least-in-flight", |v| v.route = RouteRule::LeastInFlight),
+        variant("fifo-queue", |v| v.fair = false),
+        variant("no-hints", |v| v.hints = false),
+        variant("no-prefix", |v| v.prefixes = false),
+        variant("no-zone-cost", |v| v.choice.zone_cost = Duration::ZERO),
+        variant("no-hysteresis", |v| v.planner.load_cost = 0.0),
+        variant("no-hold", |v| v.planner.hold = Duration::ZERO),
+        variant("one-replica", |v| v.planner.min_replicas = 1),
+        variant("fast-fall", |v| v.demand.fall = v.demand.rise),
+        variant("no-pacing", |v| {
+            v.planner.pacer.store_parallel = 1_000;
+            v.planner.pacer.store_loads_per_minute = 60_000;
+            v.planner.pacer.adapter_parallel = 10_000;
+        }),
+    ]
+}
