Plan by measured service rates and unbiased demand

Three reasons: an estimate that rose faster than it fell followed the peaks of the noise, and came to 350 busy slots over 100 models where 192 exist; with all endpoints over their limit no move had a gain; room for a model was sought by evicting dozens of adapters.

Ruled out: a longer window alone (a real rise is then found as late).

Gate: one slot in eight is kept for accounts within half again their share.

--- a/crates/agent/src/agent_frames.rs
+++ b/crates/agent/src/agent_frames.rs
@@ -89,6 +89,7 @@
     config: &AgentConfig,
     orders: &OrderReconciler,
     engine_role: Bytes,
+    tokens_per_second: u64,
     leaving: bool,
     sequence: u64,
 ) -> FrameBody {
@@ -112,6 +113,7 @@
         sequence,
         kv_reserve_mib: config.settings.kv_reserve_mib,
         engine_role,
+        tokens_per_second,
     })
 }
 
--- a/crates/agent/src/agent_role.rs
+++ b/crates/agent/src/agent_role.rs
@@ -328,6 +328,7 @@
             &self.config,
             &self.orders,
             role,
+            self.gate.tokens_per_second(),
             leaving,
             self.report_sequence,
         );
--- a/crates/agent/src/attempt_gate.rs
+++ b/crates/agent/src/attempt_gate.rs
@@ -1,5 +1,9 @@
 //! Admission of attempts: slots, KV reserve, the queue and duplicates.
 //!
+//! The queue decides who is next; the gate also keeps a part of the slots for
+//! accounts that use less than their share, so that these do not wait for an
+//! answer of another account to end.
+//!
 //! Guarantees: no more than `slots` attempts run, and the KV cache of those
 //! that run stays within the reserve; an attempt is handed over at most once;
 //! an attempt that can't meet its deadline is refused when it comes.
@@ -93,6 +97,8 @@
     running: BTreeMap<RunId, RunningAttempt>,
     /// Sum of the KV cache of `running`.
     kv_used_mib: u64,
+    /// By name; `running` adds up to the attempts that run.
+    accounts: BTreeMap<Bytes, ActiveAccount>,
     meter: ServiceMeter,
     /// Attempts that were taken in or cancelled lately, oldest first in
     /// `seen_order`; false for those that were cancelled before they came.
@@ -101,6 +107,20 @@
     next_run: RunId,
 }
 
+/// One in this many slots is kept for accounts below their share.
+const RESERVE_SHARE: usize = 8;
+
+/// Time for which an account without requests still has a share.
+const ACTIVE_TIME: Duration = Duration::from_secs(30);
+
+/// An account that sent requests lately.
+#[derive(Debug, Clone, Copy)]
+struct ActiveAccount {
+    weight: u32,
+    running: usize,
+    last: Instant,
+}
+
 /// Attempts that are remembered to refuse duplicates.
 const SEEN_MAX: usize = 65_536;
 
@@ -112,6 +132,7 @@
             queue: FairQueue::new(queue_limit.max(1)),
             running: BTreeMap::new(),
             kv_used_mib: 0,
+            accounts: BTreeMap::new(),
             meter: ServiceMeter::default(),
             seen: BTreeMap::new(),
             seen_order: VecDeque::new(),
@@ -149,6 +170,7 @@
                 deadline: now + allowed,
             },
         };
+        self.note_active(now, &item.account, item.weight);
         let outcome = self.queue.push(item);
         if !matches!(outcome, PushOutcome::Full(_)) {
             self.remember(key, true);
@@ -160,6 +182,21 @@
         }
     }
 
+    fn note_active(&mut self, now: Instant, account: &Bytes, weight: u32) {
+        self.accounts
+            .retain(|_, item| item.running > 0 || now < item.last + ACTIVE_TIME);
+        let item = self
+            .accounts
+            .entry(account.clone())
+            .or_insert(ActiveAccount {
+                weight,
+                running: 0,
+                last: now,
+            });
+        item.weight = weight.max(1);
+        item.last = now;
+    }
+
     /// Judges an attempt that was seen before.
     ///
     /// A refusal of a live attempt would be taken for the end of the first, so
@@ -220,9 +257,15 @@
             return None;
         }
         let free = kv_limit_mib.saturating_sub(self.kv_used_mib);
-        let item = self
-            .queue
-            .pop(|item| kv_mib(&item.payload.start.model) <= free)?;
+        let in_reserve = self.running.len() >= self.slots - self.slots / RESERVE_SHARE;
+        let (accounts, slots) = (&self.accounts, self.slots);
+        let item = self.queue.pop(|item| {
+            let fits = kv_mib(&item.payload.start.model) <= free;
+            fits && (!in_reserve || may_use_reserve(accounts, slots, &item.account))
+        })?;
+        if let Some(account) = self.accounts.get_mut(&item.account) {
+            account.running += 1;
+        }
         let waiting = item.payload;
         let run = self.next_run;
         self.next_run += 1;
@@ -257,6 +300,9 @@
     pub fn finish(&mut self, now: Instant, run: RunId) -> Option<RunningAttempt> {
         let running = self.running.remove(&run)?;
         self.kv_used_mib -= running.kv_mib;
+        if let Some(account) = self.accounts.get_mut(&running.account) {
+            account.running -= 1;
+        }
         let output = running.counter.tokens();
         if output > 0 {
             let taken = running.prompt_tokens + output;
@@ -361,6 +407,18 @@
     NotHere,
 }
 
+/// Tells whether an account may take one of the last free slots.
+fn may_use_reserve(
+    accounts: &BTreeMap<Bytes, ActiveAccount>,
+    slots: usize,
+    account: &Bytes,
+) -> bool {
+    let all: u64 = accounts.values().map(|item| u64::from(item.weight)).sum();
+    accounts.get(account).is_none_or(|item| {
+        item.running as u64 * all * 2 < u64::from(item.weight) * slots as u64 * 3
+    })
+}
+
 fn token_bound(start: &AttemptStart) -> u64 {
     start.prompt_tokens.saturating_add(start.output_tokens)
 }
--- a/crates/policy-bench/src/bench_control.rs
+++ b/crates/policy-bench/src/bench_control.rs
@@ -384,5 +384,6 @@
         residences: residences.collect(),
         order_term: report.order_term,
         order_revision: report.order_revision,
+        tokens_per_second: report.tokens_per_second,
     }
 }
--- a/crates/policy-bench/src/bench_entry.rs
+++ b/crates/policy-bench/src/bench_entry.rs
@@ -9,7 +9,7 @@
 use mulberrywell_wire::FrameBody;
 
 use crate::bench_plan::{Deployment, RouteRule, Scenario, Variant};
-use crate::request_stream::{model_name, BenchRequest, HEAVY_ACCOUNT};
+use crate::request_stream::{account_weight, model_name, BenchRequest, HEAVY_ACCOUNT};
 use crate::run_result::RunResult;
 
 /// Attempts that a request may take.
@@ -167,7 +167,7 @@
             model: self.models[request.model].clone(),
             body: Bytes::copy_from_slice(&(call as u64).to_le_bytes()),
             deadline_ms: DEADLINE.as_millis() as u64,
-            weight: 1,
+            weight: account_weight(self.deployment.accounts, account),
             prompt_tokens: request.prompt,
             output_tokens: OUTPUT_BOUND,
             idempotent: true,
--- a/crates/policy-bench/src/bench_plan.rs
+++ b/crates/policy-bench/src/bench_plan.rs
@@ -55,7 +55,6 @@
         models: 200,
         adapters: 800,
         entries: 6,
-        accounts: 50,
         pacer: PacerSettings {
             store_loads_per_minute: 900,
             store_parallel: 40,
@@ -150,6 +149,7 @@
 pub fn variants() -> Vec<Variant> {
     vec![
         variant("all", |_| {}),
+        variant("two-draws", |v| v.choice.draws = 2),
         variant("static-even", |v| v.placement = PlacementRule::Static),
         variant("on-demand-lru", |v| v.placement = PlacementRule::OnDemand),
         variant("random-route", |v| v.route = RouteRule::Random),
--- a/crates/policy-bench/src/planner_cost.rs
+++ b/crates/policy-bench/src/planner_cost.rs
@@ -124,6 +124,7 @@
             residences: residences.collect(),
             order_term: order.term,
             order_revision: order.revision,
+            tokens_per_second: 0,
         });
     }
 }
--- a/crates/policy-bench/src/request_stream.rs
+++ b/crates/policy-bench/src/request_stream.rs
@@ -6,6 +6,9 @@
 
 use crate::bench_plan::{Deployment, Scenario};
 
+/// Time for the first announcements, before the first request, in seconds.
+const QUIET_SECONDS: f64 = 2.0;
+
 /// Length of a run in seconds.
 pub const RUN_SECONDS: f64 = 180.0;
 
@@ -16,7 +19,7 @@
 const MOVE_SECONDS: f64 = 60.0;
 
 /// Requests a second for each endpoint.
-const ENDPOINT_RATE: f64 = 3.6;
+const ENDPOINT_RATE: f64 = 4.3;
 
 /// What the heavy account sends on top, in parts of the whole fleet's rate;
 /// with its own share it sends more than five times its rate.
@@ -61,7 +64,7 @@
     let base_rate = ENDPOINT_RATE * deployment.endpoints as f64;
     let most = base_rate * (1.0 + HEAVY_EXTRA);
     let order = shuffled(deployment.models, random);
-    let mut at = 0.0;
+    let mut at = QUIET_SECONDS;
     loop {
         at += -random.random::<f64>().max(1e-12).ln() / most;
         if at >= RUN_SECONDS {
@@ -99,15 +102,29 @@
     order
 }
 
+/// Part of the accounts from this one on that belongs to it.
+const ACCOUNT_SHARE: f64 = 0.34;
+
 /// A few accounts are large: each sends two thirds of the one before.
 fn draw_account(count: usize, random: &mut Pcg64Mcg) -> usize {
     let mut account = 0;
-    while account + 1 < count && random.random::<f64>() > 0.34 {
+    while account + 1 < count && random.random::<f64>() > ACCOUNT_SHARE {
         account += 1;
     }
     account
 }
 
+/// Returns the weight of an account's plan: its part of the fleet's rate.
+pub fn account_weight(count: usize, account: usize) -> u32 {
+    let before = (1.0 - ACCOUNT_SHARE).powi(account as i32);
+    let own = if account + 1 < count {
+        ACCOUNT_SHARE
+    } else {
+        1.0
+    };
+    ((1_000.0 * before * own) as u32).max(1)
+}
+
 /// Draws a base model by Zipf's law over a popularity order that may change.
 fn draw_model(scenario: Scenario, at: f64, order: &[usize], random: &mut Pcg64Mcg) -> usize {
     let moved = ((at - CHANGE_SECONDS) / MOVE_SECONDS).clamp(0.0, 1.0);
--- a/crates/policy/src/demand_estimate.rs
+++ b/crates/policy/src/demand_estimate.rs
@@ -3,9 +3,12 @@
 //! Purpose: the planner must follow a rise within seconds, and must not drop
 //! replicas in a short pause.
 //!
-//! Algorithm: exponentially weighted moving averages with two time constants,
-//! a short one while samples exceed the average and a long one while they fall
-//! below it. Demand that was refused counts like demand that was served.
+//! Algorithm: two exponentially weighted moving averages, one with a short and
+//! one with a long time constant. The long one is the estimate; it jumps to the
+//! short one when that exceeds it by more than the noise of its samples
+//! explains. An average that simply rose faster than it fell would follow the
+//! peaks of the noise: over a hundred models it came to twice the demand.
+//! Demand that was refused counts like demand that was served.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -17,9 +20,9 @@
 pub struct DemandSettings {
     /// Interval over which samples are gathered.
     pub window: Duration,
-    /// Time constant of a rise.
+    /// Time constant of the short average, which finds a rise.
     pub rise: Duration,
-    /// Time constant of a fall.
+    /// Time constant of the long average, and of a fall.
     pub fall: Duration,
 }
 
@@ -27,12 +30,21 @@
     fn default() -> Self {
         DemandSettings {
             window: Duration::from_secs(1),
-            rise: Duration::from_secs(2),
-            fall: Duration::from_secs(120),
+            rise: Duration::from_secs(4),
+            fall: Duration::from_secs(60),
         }
     }
 }
 
+/// Standard deviations of the short average that count as a rise.
+const RISE_DEVIATIONS: f64 = 4.0;
+
+/// Standard deviation of a new model's samples, as part of the first.
+const FIRST_DEVIATION: f64 = 0.3;
+
+/// Squared deviations count up to this many times the variance.
+const OUTLIER_FACTOR: f64 = 16.0;
+
 /// Tokens a second below which a model without samples is forgotten.
 const FORGET_RATE: f64 = 0.01;
 
@@ -40,8 +52,12 @@
 struct ModelSeries {
     /// Tokens gathered in the current window.
     tokens: f64,
-    /// Tokens a second.
-    average: f64,
+    /// Tokens a second, by the short time constant.
+    short: f64,
+    /// Tokens a second, by the long time constant; the estimate.
+    long: f64,
+    /// Mean square deviation of a window's sample from the long average.
+    variance: f64,
 }
 
 /// Demand by model.
@@ -78,7 +94,7 @@
         out.clear();
         out.extend(self.series.iter().map(|(model, series)| DemandEstimate {
             model: model.clone(),
-            tokens_per_second: series.average,
+            tokens_per_second: series.long,
         }));
     }
 
@@ -87,11 +103,25 @@
         let seconds = elapsed.as_secs_f64();
         let share = |constant: Duration| 1.0 - (-seconds / constant.as_secs_f64().max(1e-3)).exp();
         let (rise, fall) = (share(self.settings.rise), share(self.settings.fall));
+        // Variance of an average of independent samples over that of a sample.
+        let noise = rise / (2.0 - rise);
         self.series.retain(|_, series| {
             let sample = std::mem::take(&mut series.tokens) / seconds;
-            let gap = sample - series.average;
-            series.average += gap * if gap > 0.0 { rise } else { fall };
-            sample > 0.0 || series.average > FORGET_RATE
+            let gap = sample - series.long;
+            if series.variance == 0.0 {
+                series.variance = (sample * FIRST_DEVIATION).powi(2);
+            }
+            series.short += (sample - series.short) * rise;
+            let deviation = (series.variance * noise).sqrt();
+            if series.short > series.long + RISE_DEVIATIONS * deviation {
+                series.long = series.short;
+            } else {
+                series.long += gap * fall;
+            }
+            // A rise must not count as noise, or it would hide itself.
+            let most = series.variance * OUTLIER_FACTOR;
+            series.variance += ((gap * gap).min(most) - series.variance) * fall;
+            sample > 0.0 || series.long > FORGET_RATE
         });
     }
 }
--- a/crates/policy/src/endpoint_choice.rs
+++ b/crates/policy/src/endpoint_choice.rs
@@ -10,11 +10,13 @@
 //!
 //! Algorithm: candidates are ranked by rendezvous hashing with the entry's
 //! name (Thaler, Ravishankar: "Using Name-Based Mappings to Increase Hit
-//! Rates", 1998), which gives each entry a stable subset. Two members of the
-//! subset are drawn and the one with the shorter expected time is taken
+//! Rates", 1998), which gives each entry a stable subset. Some members of the
+//! subset are drawn and the one with the shortest expected time is taken.
+//! Fewer draws keep many entries from all following the same late hint
 //! (Mitzenmacher: "The Power of Two Choices in Randomized Load Balancing",
-//! 2001). An endpoint with the request's prompt prefix joins the draw. When the
-//! best of the draw is full or too late, all candidates are compared.
+//! 2001); with few entries more draws find the better endpoint. An endpoint
+//! with the request's prompt prefix joins the draw. When the best of the draw
+//! is full or too late, all candidates are compared.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
@@ -29,6 +31,9 @@
 pub struct ChoiceSettings {
     /// Endpoints that one entry prefers for a model.
     pub subset_len: usize,
+    /// Members of the subset that are drawn for an attempt, up to
+    /// [`DRAWS_MAX`].
+    pub draws: usize,
     /// Age up to which a hint counts in full.
     pub hint_fresh: Duration,
     /// Age from which a hint counts for nothing; more than `hint_fresh`.
@@ -47,12 +52,13 @@
     fn default() -> Self {
         ChoiceSettings {
             subset_len: 8,
+            draws: DRAWS_MAX,
             hint_fresh: Duration::from_millis(400),
             hint_lifetime: Duration::from_secs(3),
             zone_cost: Duration::from_millis(2),
             prompt_rate: 8_000,
             prefix_saving: 80,
-            request_time: Duration::from_millis(50),
+            request_time: Duration::from_millis(200),
         }
     }
 }
@@ -126,6 +132,9 @@
     pub full: bool,
 }
 
+/// Most members of a subset that are drawn.
+pub const DRAWS_MAX: usize = 8;
+
 /// Prefixes that are remembered for each endpoint.
 const SENT_PREFIXES_MAX: usize = 256;
 
@@ -261,27 +270,35 @@
         self.ranked.sort_unstable();
     }
 
-    /// Draws two members of the subset and the holder of the prefix.
+    /// Draws members of the subset and the holder of the prefix.
     fn draw(
         &self,
         request: &ChoiceRequest<'_>,
         candidates: &[EndpointCandidate<'_>],
-    ) -> [Option<usize>; 3] {
+    ) -> [Option<usize>; DRAWS_MAX + 1] {
+        let mut drawn = [None; DRAWS_MAX + 1];
         let len = self.ranked.len();
         if len == 0 {
-            return [None; 3];
+            return drawn;
         }
         let bits = mix_bits(request.seed);
-        let first = (bits % len as u64) as usize;
+        let mut places: [usize; DRAWS_MAX] = [0; DRAWS_MAX];
+        for (idx, place) in places.iter_mut().enumerate() {
+            *place = (mix_bits(bits ^ idx as u64) % len as u64) as usize;
+        }
+        let first = places[0];
         let step = 1 + ((bits >> 32) % (len as u64 - 1).max(1)) as usize;
-        let second = (first + step) % len;
-        let holder = self
+        places[1] = (first + step) % len;
+        let draws = self.settings.draws.clamp(1, DRAWS_MAX);
+        for (idx, place) in places.iter().take(draws).enumerate() {
+            drawn[idx] = Some(self.ranked[*place].1);
+        }
+        drawn[DRAWS_MAX] = self
             .ranked
             .iter()
             .map(|(_, index)| *index)
             .find(|index| self.has_prefix(candidates[*index].name, request.prefix));
-        let at = |place: usize| Some(self.ranked[place].1);
-        [at(first), at(second), holder]
+        drawn
     }
 
     fn has_prefix(&self, endpoint: &Bytes, prefix: u64) -> bool {
--- a/crates/policy/src/placement_moves.rs
+++ b/crates/policy/src/placement_moves.rs
@@ -46,6 +46,14 @@
     busy: f64,
 }
 
+/// A model with its adapters at an endpoint.
+#[derive(Debug)]
+struct VictimGroup {
+    load: f64,
+    memory_mib: u64,
+    models: Vec<ModelIndex>,
+}
+
 /// The passes of one plan.
 pub(crate) struct MovePass<'a> {
     pub now: Instant,
@@ -191,7 +199,11 @@
         let gain = |pass: &Self, offer: &HostOffer| {
             let headroom = pass.view.hosts[offer.host].headroom() + offer.victim_load;
             let gained = excess.min(headroom) - offer.victim_load;
-            let cost = pass.settings.load_cost * (1 + offer.victims.len()) as f64;
+            let bases = offer
+                .victims
+                .iter()
+                .filter(|victim| !pass.is_adapter(**victim));
+            let cost = pass.settings.load_cost * (1 + bases.count()) as f64;
             gained * pass.settings.horizon.as_secs_f64() - cost * pass.settings.hysteresis
         };
         let best = self
@@ -341,7 +353,10 @@
         })
     }
 
-    /// Chooses replicas that free `need` MiB, the least busy first.
+    /// Chooses replicas that free `need` MiB: one model with its adapters
+    /// where that is enough, else several, the least busy first.
+    ///
+    /// For an adapter only other adapters go; a model is worth more than one.
     fn victims(
         &self,
         host: HostIndex,
@@ -349,33 +364,42 @@
         need: u64,
         rule: EvictRule,
     ) -> Option<Vec<ModelIndex>> {
-        let base = self
-            .view
-            .model_index
-            .get(&self.input.models[model].base)
-            .copied();
-        let mut held: Vec<&HeldModel> = self.view.hosts[host]
+        let adapter = self.is_adapter(model);
+        let mut groups: Vec<VictimGroup> = self.view.hosts[host]
             .held
             .iter()
-            .filter(|held| Some(held.model) != base && self.may_evict(host, held, rule))
+            .filter(|held| self.is_adapter(held.model) == adapter)
+            .filter(|held| self.may_evict(host, held, rule))
+            .map(|held| self.victim_group(host, held.model))
             .collect();
-        held.sort_by(|a, b| a.load.total_cmp(&b.load).then(a.model.cmp(&b.model)));
+        groups.sort_by(|a, b| a.load.total_cmp(&b.load));
+        if let Some(group) = groups.iter().find(|group| group.memory_mib >= need) {
+            return Some(group.models.clone());
+        }
         let mut victims = Vec::new();
         let mut freed = 0;
-        for held in held {
-            if freed >= need {
-                break;
-            }
-            for victim in self.with_adapters(host, held.model) {
-                if !victims.contains(&victim) {
-                    victims.push(victim);
-                    freed += self.input.models[victim].memory_mib;
-                }
+        for group in groups {
+            if freed < need {
+                freed += group.memory_mib;
+                victims.extend(group.models);
             }
         }
         (freed >= need).then_some(victims)
     }
 
+    fn victim_group(&self, host: HostIndex, model: ModelIndex) -> VictimGroup {
+        let models = self.with_adapters(host, model);
+        let load = |model: &ModelIndex| self.view.held(host, *model).map_or(0.0, |held| held.load);
+        VictimGroup {
+            load: models.iter().map(load).sum(),
+            memory_mib: models
+                .iter()
+                .map(|model| self.input.models[*model].memory_mib)
+                .sum(),
+            models,
+        }
+    }
+
     /// Returns a model's adapters at an endpoint, and then the model.
     fn with_adapters(&self, host: HostIndex, model: ModelIndex) -> Vec<ModelIndex> {
         let adapters = self.view.adapters[model].iter().copied();
--- a/crates/policy/src/placement_planner.rs
+++ b/crates/policy/src/placement_planner.rs
@@ -32,7 +32,8 @@
 pub struct PlacementSettings {
     /// Limits of loads.
     pub pacer: PacerSettings,
-    /// Tokens a second, prompt and output, that one running request takes.
+    /// Tokens a second, prompt and output, that one running request takes,
+    /// until endpoints report it.
     pub slot_tokens_per_second: f64,
     /// Share of an endpoint's slots up to which demand is met in time.
     pub utilisation: f64,
@@ -127,11 +128,8 @@
         out.orders.clear();
         out.decisions.clear();
         self.take_term(now, input.term);
-        self.view.reset(
-            input,
-            self.settings.slot_tokens_per_second,
-            self.settings.utilisation,
-        );
+        let slot_rate = slot_rate(input).unwrap_or(self.settings.slot_tokens_per_second);
+        self.view.reset(input, slot_rate, self.settings.utilisation);
         for host in 0..input.endpoints.len() {
             self.adopt(now, host, input, out);
         }
@@ -271,6 +269,7 @@
     fn make_moves(&mut self, now: Instant, input: &PlacementInput, out: &mut PlacementOutput) {
         let (models, adapters) = self.loads_in_flight(input);
         self.pacer.begin(now, models, adapters);
+        self.view.raise_limits(input);
         self.view.spread_demand(SPREAD_ROUNDS);
         let mut pass = MovePass {
             now,
@@ -384,6 +383,20 @@
     }
 }
 
+/// Returns the tokens a second that one slot serves by the reports; none
+/// before any endpoint has measured it.
+fn slot_rate(input: &PlacementInput) -> Option<f64> {
+    let mut sums = (0.0, 0.0);
+    for endpoint in &input.endpoints {
+        let report = endpoint.report.as_ref();
+        if let Some(report) = report.filter(|report| report.tokens_per_second > 0) {
+            sums.0 += report.tokens_per_second as f64;
+            sums.1 += f64::from(endpoint.slots);
+        }
+    }
+    (sums.1 > 0.0).then(|| sums.0 / sums.1)
+}
+
 /// Takes what an endpoint reports as its set.
 fn record_of(now: Instant, endpoint: &PlacementEndpoint, report: &EndpointReport) -> TargetRecord {
     let kept = report
--- a/crates/policy/src/placement_types.rs
+++ b/crates/policy/src/placement_types.rs
@@ -67,6 +67,9 @@
     pub order_term: u64,
     /// Revision of that order.
     pub order_revision: u64,
+    /// Tokens a second, prompt and output, that the endpoint serves with all
+    /// slots busy; 0 where it is not known.
+    pub tokens_per_second: u64,
 }
 
 /// A model engine with its agent.
