Refuse hostile peers at the link ports before any role sees them

Cause: any process with the cluster secret could send any frame: an agent could start attempts at another agent, an entry could order models. A link now carries only frames that its peer's role sends; another closes it. No test had shown what random bytes, truncated and oversized frames, wrong secrets and reflected or replayed proofs do.

Ruled out: the check in each role (it would stand three times).

Shown to fail: without the check of the sender's role, and without the check of the proof, the matching tests fail.

--- /dev/null
+++ b/crates/runtime/src/frame_sender.rs
@@ -0,0 +1,42 @@
+//! Which part of the system may send which frame.
+//!
+//! A link is open to every process that holds the cluster secret; a frame that
+//! its sender's part never sends is a fault and closes the link, before any
+//! role sees it.
+
+use mulberrywell_wire::{FrameBody, PeerRole};
+
+/// Tells whether a peer of this role may send a frame.
+pub fn may_send(peer: PeerRole, body: &FrameBody) -> bool {
+    sender_of(body).is_none_or(|sender| sender == peer)
+}
+
+/// Returns the only role that sends a frame, where there is one.
+fn sender_of(body: &FrameBody) -> Option<PeerRole> {
+    match body {
+        FrameBody::AttemptStart(_)
+        | FrameBody::AttemptCancel(_)
+        | FrameBody::PartCredit(_)
+        | FrameBody::LeaseRequest(_)
+        | FrameBody::LeaseReturn(_)
+        | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
+        FrameBody::AttemptHead(_)
+        | FrameBody::AttemptPart(_)
+        | FrameBody::AttemptEnd(_)
+        | FrameBody::AttemptRefused(_)
+        | FrameBody::Announce(_)
+        | FrameBody::StateReport(_) => Some(PeerRole::Agent),
+        FrameBody::Update(_)
+        | FrameBody::ConfirmAnswer(_)
+        | FrameBody::LeaseGrant(_)
+        | FrameBody::ReturnAck(_)
+        | FrameBody::ClaimAnswer(_)
+        | FrameBody::OutcomeAck(_)
+        | FrameBody::AnnounceAck(_)
+        | FrameBody::TargetOrder(_)
+        | FrameBody::Consensus(_)
+        | FrameBody::Forward(_)
+        | FrameBody::ForwardAnswer(_) => Some(PeerRole::Control),
+        _ => None,
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,6 +12,7 @@
 mod descriptor_limit;
 mod engine_client;
 mod event_sender;
+mod frame_sender;
 mod guard_connection;
 pub mod head_check;
 mod http_gate;
--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -5,11 +5,13 @@
 use mulberrywell_wire::link::{Ping, Pong};
 use mulberrywell_wire::{
     encode_frame, FrameBody, FrameCodec, HandshakeStep, LinkHandshake, PeerFrame, PeerIdentity,
-    FRAME_LIMIT,
+    PeerRole, FRAME_LIMIT,
 };
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioSource, ReadStatus, TcpStreamBuf};
 
+use crate::frame_sender::may_send;
+
 /// Longest frame before the handshake ended, in bytes.
 const HANDSHAKE_LIMIT: usize = 4 * 1024;
 
@@ -36,6 +38,8 @@
 pub struct LinkSocket {
     buf: TcpStreamBuf,
     codec: FrameCodec,
+    /// Set once the link is open.
+    peer: Option<PeerRole>,
     /// None once the link is open.
     handshake: Option<LinkHandshake>,
     /// When the last bytes came.
@@ -60,6 +64,7 @@
         LinkSocket {
             buf,
             codec: FrameCodec::with_limit(HANDSHAKE_LIMIT),
+            peer: None,
             handshake: Some(handshake),
             heard: now,
             since: now,
@@ -140,6 +145,7 @@
                         HandshakeStep::Reply(frame) => encode_frame(&frame, &mut self.buf.out),
                         HandshakeStep::Open(peer) => {
                             self.handshake = None;
+                            self.peer = Some(peer.role);
                             self.codec.set_limit(FRAME_LIMIT);
                             inputs.push(SocketInput::Opened(peer));
                         }
@@ -163,6 +169,9 @@
             Some(FrameBody::Hello(_) | FrameBody::Proof(_)) => {
                 Err(SocketFault("handshake frame on an open link".to_owned()))
             }
+            Some(body) if !self.peer.is_some_and(|peer| may_send(peer, &body)) => Err(SocketFault(
+                "frame that the peer's role never sends".to_owned(),
+            )),
             Some(body) => {
                 inputs.push(SocketInput::Frame(body));
                 Ok(())
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 mod fault_proxy;
 mod free_address;
 mod http_client;
+mod link_caller;
 mod process_cluster;
 mod raw_caller;
 
@@ -22,5 +23,6 @@
 pub use fault_proxy::{FaultProxy, FlowFault, ProxyFlow};
 pub use free_address::free_port;
 pub use http_client::{HttpAnswer, HttpCaller};
-pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, WAIT_LIMIT};
+pub use link_caller::{LinkCaller, LinkRecording};
+pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, CLUSTER_SECRET, WAIT_LIMIT};
 pub use raw_caller::{raw_exchange, RawAnswer, RawCaller, RawEnd};
--- a/crates/testkit/src/process_cluster.rs
+++ b/crates/testkit/src/process_cluster.rs
@@ -21,7 +21,8 @@
 /// Longest wait for a condition.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
-const SECRET: &str = "a secret of the test cluster only";
+/// Secret of each test cluster.
+pub const CLUSTER_SECRET: &str = "a secret of the test cluster only";
 /// Stands for every process that connects to an advertised address.
 pub const ANY_PROCESS: &str = "any";
 
@@ -50,6 +51,8 @@
     pub operators: Vec<SocketAddr>,
     /// Link addresses of control instances.
     pub links: Vec<SocketAddr>,
+    /// Link addresses of agents, in the order of their starts.
+    pub agents: Vec<SocketAddr>,
 }
 
 impl ProcessCluster {
@@ -59,7 +62,7 @@
     /// Fails when a process can't be started.
     pub fn spawn(binaries: &BinaryPaths, plan: &ClusterPlan) -> Result<Self> {
         let folder = TempDir::new()?;
-        fs::write(folder.path().join("cluster.secret"), SECRET)?;
+        fs::write(folder.path().join("cluster.secret"), CLUSTER_SECRET)?;
         fs::write(folder.path().join("operator.key"), OPERATOR_KEY)?;
         let mut cluster = ProcessCluster {
             folder,
@@ -74,6 +77,7 @@
             callers: Vec::new(),
             operators: Vec::new(),
             links: Vec::new(),
+            agents: Vec::new(),
         };
         for _ in 0..plan.controls {
             cluster.links.push(free_port()?);
@@ -127,7 +131,9 @@
     /// Fails when the process can't be started.
     pub fn spawn_agent(&mut self, plan: &AgentPlan) -> Result<()> {
         let name = format!("agent-{}", plan.name);
-        let mut text = self.instance_text(&name, free_port()?, &plan.zone)?;
+        let listen = free_port()?;
+        self.agents.push(listen);
+        let mut text = self.instance_text(&name, listen, &plan.zone)?;
         let kind = if plan.engine { "engine" } else { "service" };
         text.push_str(&format!(
             "[endpoint]\nname = \"{}\"\npool = \"{}\"\nkind = \"{kind}\"\naddress = \"{}\"\n{}\n",
