Record whole sessions of callers and operators as golden files

Cause: what a caller or operator sees in each case stood in no file, so a change of a status, header or message went by unseen.

A small driver notes method, path, status, the headers that matter and the body, and operators' commands with their output and exit status. Keys, paths, versions and seconds of Retry-After are redacted: a version counts endpoints' changes as well, which come in any order.

The sessions fail on any changed byte of what they show.

--- a/crates/mulberrywell/tests/common/mod.rs
+++ b/crates/mulberrywell/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![expect(dead_code, reason = "each test file uses a part")]
 
+pub mod session;
+
 use std::path::PathBuf;
 
 use mulberrywell_testkit::{
--- /dev/null
+++ b/crates/mulberrywell/tests/session_operators.rs
@@ -0,0 +1,92 @@
+//! Golden files of operators' sessions.
+
+mod common;
+
+use std::fs;
+
+use common::session::SessionLog;
+use common::{small_cluster, SmallCluster, GRANTS, PLANS};
+
+/// A cluster, the log of a session with it and the paths of both lists.
+fn session() -> (SmallCluster, SessionLog, String, String) {
+    let small = small_cluster(1, 1);
+    let mut log = SessionLog::default();
+    let folder = small.cluster.folder().to_string_lossy().into_owned();
+    log.redact(&folder, "folder");
+    let path = |name: &str| format!("{folder}/{name}");
+    let (plans, grants) = (path("edit-plans.toml"), path("edit-grants.toml"));
+    fs::write(&plans, PLANS).unwrap();
+    fs::write(&grants, GRANTS).unwrap();
+    (small, log, plans, grants)
+}
+
+/// Returns the version of the lists in force.
+fn list_version(small: &SmallCluster) -> String {
+    let shown = small
+        .cluster
+        .operate_well(&["show", "config", "--json"])
+        .unwrap();
+    let config: serde_json::Value = serde_json::from_str(&shown).unwrap();
+    config["list_version"].to_string()
+}
+
+#[test]
+fn session_operator_edit() {
+    let (small, mut log, plans, grants) = session();
+    let base = list_version(&small);
+    fs::write(&plans, PLANS.replace("rate = 10\n", "rate = 20\n")).unwrap();
+    let edit = [
+        "apply", "--plans", &plans, "--grants", &grants, "--base", "1",
+    ];
+    let edit = [&edit[..], &["--request-id", "edit-1"]].concat();
+    log.command(&small.cluster, &edit);
+    log.note("the same edit is resent");
+    log.command(&small.cluster, &edit);
+    log.command(&small.cluster, &["show", "accounts"]);
+    log.compare("operator_edit");
+}
+
+#[test]
+fn session_operator_conflict() {
+    let (small, mut log, plans, grants) = session();
+    let base = list_version(&small);
+    for (id, rate) in [("first", "rate = 20\n"), ("second", "rate = 30\n")] {
+        fs::write(&plans, PLANS.replace("rate = 10\n", rate)).unwrap();
+        let files = ["apply", "--plans", &plans, "--grants", &grants];
+        let args = [&files[..], &["--base", &base, "--request-id", id]].concat();
+        log.command(&small.cluster, &args);
+    }
+    log.command(&small.cluster, &["show", "accounts"]);
+    log.compare("operator_conflict");
+}
+
+#[test]
+fn session_operator_findings() {
+    let (small, mut log, plans, grants) = session();
+    fs::write(
+        &plans,
+        "[[plan]]\nname = \"gold\"\nrate = -1\ncolour = \"red\"\n",
+    )
+    .unwrap();
+    fs::write(&grants, "[[grant]]\nplan = \"absent\"\nmodels = 3\n").unwrap();
+    log.command(&small.cluster, &["check", &plans, &grants]);
+    log.command(
+        &small.cluster,
+        &["apply", "--plans", &plans, "--grants", &grants],
+    );
+    log.note("nothing has changed");
+    log.command(&small.cluster, &["show", "accounts"]);
+    log.compare("operator_findings");
+}
+
+#[test]
+fn session_operator_keys() {
+    let (small, mut log, _, _) = session();
+    log.command(&small.cluster, &["key", "list"]);
+    log.command(&small.cluster, &["key", "list", "--json"]);
+    log.command(&small.cluster, &["key", "withdraw", "c1"]);
+    log.command(&small.cluster, &["key", "withdraw", "no-such-label"]);
+    log.command(&small.cluster, &["key", "give", "no-such-account", "x1"]);
+    log.command(&small.cluster, &["key", "list"]);
+    log.compare("operator_keys");
+}
