--- a/crates/mulberrywell/tests/session_operators.rs
+++ b/crates/mulberrywell/tests/session_operators.rs
@@ -36,7 +36,7 @@
     let base = list_version(&small);
     fs::write(&plans, PLANS.replace("rate = 10\n", "rate = 20\n")).unwrap();
     let edit = [
-        "apply", "--plans", &plans, "--grants", &grants, "--base", "1",
+        "apply", "--plans", &plans, "--grants", &grants, "--base", &base,
     ];
     let edit = [&edit[..], &["--request-id", "edit-1"]].concat();
     log.command(&small.cluster, &edit);
