Check recorded runs against each promise

Cause: tests looked for single facts; nothing checked a whole run against what must always hold.

One function for each promise returns every breach that the records prove. The rate's windows run from the sending of a call to the start of a run, as only these order what was admitted for certain; a wait before a run is no breach.

Conclusion: the checker accepts kept records and a visible cut, and reports exactly the broken promise for each of 13 spoilt records.

--- a/crates/testkit/src/fake_engine.rs
+++ b/crates/testkit/src/fake_engine.rs
@@ -18,6 +18,9 @@
 /// Tokens of an answer whose request bounds none.
 const DEFAULT_TOKENS: u64 = 8;
 
+/// Last event of a stream.
+const STREAM_END: &str = "data: [DONE]\n\n";
+
 /// Interval at which a waiting run looks for its cancellation.
 const CANCEL_POLL: Duration = Duration::from_millis(50);
 
@@ -322,16 +325,12 @@
             if self.engine.is_cancelled(&self.id) {
                 return false;
             }
-            let event = json!({
-                "object": "chat.completion.chunk",
-                "choices": [{ "index": 0, "delta": { "content": token_text(self.body, idx) } }],
-            });
-            if !stream.write_chunk(&format!("data: {event}\n\n")) {
+            if !stream.write_chunk(&token_event(self.body, idx)) {
                 return false;
             }
             self.note_token();
         }
-        stream.write_chunk("data: [DONE]\n\n") && stream.write_chunk("")
+        stream.write_chunk(STREAM_END) && stream.write_chunk("")
     }
 
     /// Answers with all tokens at once; false when cancelled.
@@ -375,6 +374,21 @@
     }
 }
 
+/// Returns the whole streamed answer to a body.
+pub fn stream_answer(body: &str, tokens: u64) -> String {
+    let events: String = (0..tokens).map(|idx| token_event(body, idx)).collect();
+    events + STREAM_END
+}
+
+/// Returns the event of one token of a streamed answer.
+fn token_event(body: &str, idx: u64) -> String {
+    let event = json!({
+        "object": "chat.completion.chunk",
+        "choices": [{ "index": 0, "delta": { "content": token_text(body, idx) } }],
+    });
+    format!("data: {event}\n\n")
+}
+
 /// Returns the text of one token of the answer to a body.
 pub(crate) fn token_text(body: &str, idx: u64) -> String {
     let sum = body.bytes().fold(0_u32, |sum, byte| {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,10 +14,11 @@
 mod http_client;
 mod link_caller;
 mod process_cluster;
+pub mod promise_checker;
 mod raw_caller;
 
 pub use cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
-pub use fake_engine::{EngineConfig, FakeEngine, FakeModel};
+pub use fake_engine::{stream_answer, EngineConfig, FakeEngine, FakeModel};
 pub use fake_records::{FakeRecords, RunRecord, RunState};
 pub use fake_service::FakeService;
 pub use fault_proxy::{FaultProxy, FlowFault, ProxyFlow};
@@ -25,4 +26,8 @@
 pub use http_client::{HttpAnswer, HttpCaller};
 pub use link_caller::{LinkCaller, LinkRecording};
 pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, CLUSTER_SECRET, WAIT_LIMIT};
+pub use promise_checker::{
+    check_promises, AccountAllowance, CallKind, MemoryPeak, ObservedCall, Promise, PromiseBreach,
+    RanClaim, RunEvidence,
+};
 pub use raw_caller::{raw_exchange, RawAnswer, RawCaller, RawEnd};
--- /dev/null
+++ b/crates/testkit/tests/promise_checker.rs
@@ -0,0 +1,129 @@
+//! The checker on records that keep each promise and that break each.
+
+use std::time::{Duration, Instant};
+
+use mulberrywell_testkit::{
+    check_promises, stream_answer, AccountAllowance, CallKind, MemoryPeak, ObservedCall, Promise,
+    RanClaim, RunEvidence, RunRecord, RunState,
+};
+use rstest::rstest;
+
+fn run(body: &str, started: Instant, tokens: u64) -> RunRecord {
+    RunRecord {
+        request_id: "1-1".to_owned(),
+        target: "POST /v1/completions".to_owned(),
+        headers: vec!["content-type: application/json".to_owned()],
+        body: body.to_owned(),
+        started,
+        state: RunState::Finished,
+        tokens,
+    }
+}
+
+fn call(body: &str, sent: Instant, tokens: u64) -> ObservedCall {
+    ObservedCall {
+        account: "cali".to_owned(),
+        kind: CallKind::Stream(tokens),
+        body: body.to_owned(),
+        idempotent: true,
+        sent,
+        status: 200,
+        ran: RanClaim::Yes,
+        whole: true,
+        answer: stream_answer(body, tokens),
+    }
+}
+
+/// Two streams, an order and a refused order; nothing is broken.
+fn kept() -> RunEvidence {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let order = ObservedCall {
+        kind: CallKind::Service,
+        idempotent: false,
+        status: 201,
+        answer: r#"{"echo":"order"}"#.to_owned(),
+        ..call("order", now, 0)
+    };
+    let refused = ObservedCall {
+        status: 503,
+        ran: RanClaim::No,
+        answer: String::new(),
+        ..call("refused", now, 5)
+    };
+    RunEvidence {
+        calls: vec![call("one", now, 50), call("two", later, 60), order, refused],
+        runs: vec![
+            run("one", now, 50),
+            run("two", later, 60),
+            run("order", now, 0),
+        ],
+        keys: vec!["mw-secret".to_owned()],
+        allowances: vec![AccountAllowance {
+            account: "cali".to_owned(),
+            rate: 10.0,
+            burst: 100.0,
+        }],
+        memory: vec![MemoryPeak {
+            peak: 100,
+            capacity: 100,
+        }],
+    }
+}
+
+#[test]
+fn checker_accepts_kept() {
+    assert_eq!(check_promises(&kept()), vec![]);
+}
+
+#[test]
+fn checker_accepts_visible_cut() {
+    let mut evidence = kept();
+    let cut = &mut evidence.calls[0];
+    cut.whole = false;
+    cut.answer.truncate(500);
+    assert_eq!(check_promises(&evidence), vec![]);
+}
+
+#[rstest]
+#[case::order_ran_twice(Promise::SingleRun, |e: &mut RunEvidence| e.runs.push(e.runs[2].clone()))]
+#[case::refused_ran(Promise::NotRun, |e: &mut RunEvidence| e.runs.push(run("refused", Instant::now(), 0)))]
+#[case::answered_without_run(Promise::Ran, |e: &mut RunEvidence| drop(e.runs.remove(2)))]
+#[case::answer_of_another(Promise::OwnAnswer, |e: &mut RunEvidence| e.calls[0].answer = stream_answer("two", 50))]
+#[case::answer_short(Promise::OwnAnswer, |e: &mut RunEvidence| e.calls[0].answer = stream_answer("one", 49))]
+#[case::answer_doubled(Promise::OwnAnswer, |e: &mut RunEvidence| {
+    e.calls[0].answer = stream_answer("one", 50).repeat(2);
+})]
+#[case::answer_without_end(Promise::OwnAnswer, |e: &mut RunEvidence| {
+    e.calls[0].answer = stream_answer("one", 50).replace("data: [DONE]\n\n", "");
+})]
+#[case::cut_answer_of_another(Promise::OwnAnswer, |e: &mut RunEvidence| {
+    e.calls[0].whole = false;
+    e.calls[0].answer = stream_answer("two", 3);
+})]
+#[case::echo_of_another(Promise::OwnAnswer, |e: &mut RunEvidence| {
+    e.calls[2].answer = r#"{"echo":"another"}"#.to_owned();
+})]
+#[case::key_in_header(Promise::HiddenKey, |e: &mut RunEvidence| {
+    e.runs[0].headers.push("cookie: k=mw-secret".to_owned());
+})]
+#[case::key_in_path(Promise::HiddenKey, |e: &mut RunEvidence| e.runs[0].target.push_str("?key=mw-secret"))]
+#[case::over_burst(Promise::Rate, |e: &mut RunEvidence| e.runs[1].tokens = 61)]
+#[case::over_memory(Promise::Memory, |e: &mut RunEvidence| e.memory[0].peak = 101)]
+fn checker_reports(#[case] promise: Promise, #[case] spoil: fn(&mut RunEvidence)) {
+    let mut evidence = kept();
+    spoil(&mut evidence);
+    let broken: Vec<Promise> = check_promises(&evidence)
+        .into_iter()
+        .map(|breach| breach.promise)
+        .collect();
+    assert_eq!(broken, vec![promise]);
+}
+
+#[test]
+fn checker_ignores_wait_before_run() {
+    let mut evidence = kept();
+    // Both were sent a second apart and started together.
+    evidence.runs[0].started = evidence.runs[1].started;
+    assert_eq!(check_promises(&evidence), vec![]);
+}
