--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,6 +16,7 @@
 mod process_cluster;
 pub mod promise_checker;
 mod raw_caller;
+mod request_mix;
 
 pub use cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
 pub use fake_engine::{stream_answer, EngineConfig, FakeEngine, FakeModel};
@@ -31,3 +32,4 @@
     RanClaim, RunEvidence,
 };
 pub use raw_caller::{raw_exchange, RawAnswer, RawCaller, RawEnd};
+pub use request_mix::{MixAccount, RequestMix};
--- /dev/null
+++ b/crates/testkit/src/request_mix.rs
@@ -0,0 +1,112 @@
+//! A mix of calls of several accounts, drawn from a seed.
+//!
+//! Call number `n` of a seed is the same in each run: its account, kind and
+//! body follow from both alone.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::http_client::{HttpAnswer, HttpCaller};
+use crate::promise_checker::{CallKind, ObservedCall, RanClaim};
+
+/// Most tokens of one call.
+const TOKENS_MAX: u64 = 30;
+
+/// Header in which a call states its deadline.
+const DEADLINE_HEADER: &str = "Mulberrywell-Deadline-Ms";
+
+/// An account that calls.
+#[derive(Debug, Clone)]
+pub struct MixAccount {
+    /// Client account.
+    pub name: String,
+    /// Its key.
+    pub key: String,
+    /// Whether its plan grants the service.
+    pub uses_service: bool,
+}
+
+/// What is called, by whom.
+#[derive(Debug, Clone)]
+pub struct RequestMix {
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Entries' addresses.
+    pub entries: Vec<SocketAddr>,
+    /// Accounts.
+    pub accounts: Vec<MixAccount>,
+    /// Model of each completion.
+    pub model: String,
+    /// Path of the service's calls, which are not idempotent.
+    pub service_path: String,
+    /// Deadline of each call in milliseconds.
+    pub deadline_ms: u64,
+}
+
+impl RequestMix {
+    /// Makes one call and returns what its caller saw.
+    pub fn call(&self, number: u64) -> ObservedCall {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed ^ (number << 20));
+        let account = &self.accounts[rng.random_range(0..self.accounts.len())];
+        let entry = self.entries[rng.random_range(0..self.entries.len())];
+        let tokens = rng.random_range(1..=TOKENS_MAX);
+        let kind = match rng.random_range(0..4) {
+            0 if account.uses_service => CallKind::Service,
+            0 | 1 => CallKind::Plain(tokens),
+            _ => CallKind::Stream(tokens),
+        };
+        let (path, body) = self.request(kind, number);
+        let deadline = self.deadline_ms.to_string();
+        let headers = [
+            ("Content-Type", "application/json"),
+            (DEADLINE_HEADER, deadline.as_str()),
+        ];
+        let caller = HttpCaller::new(entry, Some(&account.key));
+        let sent = Instant::now();
+        // Without a status nothing is known, as the default says.
+        let answer = caller.call("POST", path, &headers, &body);
+        let answer = answer.unwrap_or_default();
+        observe(account, kind, body, sent, answer)
+    }
+
+    fn request(&self, kind: CallKind, number: u64) -> (&str, String) {
+        let (tokens, stream) = match kind {
+            CallKind::Service => {
+                let body = format!(r#"{{"order":"{}-{number}"}}"#, self.seed);
+                return (&self.service_path, body);
+            }
+            CallKind::Plain(tokens) => (tokens, false),
+            CallKind::Stream(tokens) => (tokens, true),
+        };
+        let body = serde_json::json!({
+            "model": self.model,
+            "prompt": format!("call {}-{number}", self.seed),
+            "max_tokens": tokens,
+            "stream": stream,
+        });
+        ("/v1/completions", body.to_string())
+    }
+}
+
+fn observe(
+    account: &MixAccount,
+    kind: CallKind,
+    body: String,
+    sent: Instant,
+    answer: HttpAnswer,
+) -> ObservedCall {
+    ObservedCall {
+        account: account.name.clone(),
+        kind,
+        body,
+        idempotent: kind != CallKind::Service,
+        sent,
+        status: answer.status,
+        ran: RanClaim::parse(answer.header("Mulberrywell-Ran")),
+        whole: answer.whole,
+        answer: answer.body,
+    }
+}
