Let faults hit calls in work in the run of all promises

Cause: the services answered at once, so no fault came while a call ran: a retry of every call and a false "not run" passed the run. Services now take 40 ms, faults wait until a call is in work, and one service leaves three calls unanswered.

--- a/crates/mulberrywell/tests/fault_promises.rs
+++ b/crates/mulberrywell/tests/fault_promises.rs
@@ -19,6 +19,9 @@
 /// Calls of a run.
 const CALLS: u64 = 400;
 
+/// Time that a service takes for a call.
+const SERVICE_DELAY: Duration = Duration::from_millis(40);
+
 /// Callers at the same time.
 const CALLERS: usize = 12;
 
@@ -116,9 +119,12 @@
 /// Runs all calls while `disturb` acts by the number of ended calls.
 fn run_calls(
     cluster: &mut FaultCluster,
-    disturb: impl FnOnce(&mut ProcessCluster, &AtomicU64),
+    disturb: impl FnOnce(&mut ProcessCluster, &[FakeService], &AtomicU64),
 ) -> Vec<ObservedCall> {
     let mix = cluster.mix();
+    for service in &cluster.services {
+        service.set_delay(SERVICE_DELAY);
+    }
     let (next, ended) = (AtomicU64::new(0), AtomicU64::new(0));
     let calls = Mutex::new(Vec::new());
     thread::scope(|scope| {
@@ -133,7 +139,7 @@
                 ended.fetch_add(1, Ordering::Relaxed);
             });
         }
-        disturb(&mut cluster.cluster, &ended);
+        disturb(&mut cluster.cluster, &cluster.services, &ended);
     });
     calls.into_inner().unwrap()
 }
@@ -145,8 +151,13 @@
     .unwrap();
 }
 
+/// Waits until a service has a call in work.
+fn wait_running(service: &FakeService) {
+    wait_until("a call is in work", || service.records().running() > 0).unwrap();
+}
+
 /// Cuts, delays, freezes, kills and restarts, one after the other.
-fn disturb(cluster: &mut ProcessCluster, ended: &AtomicU64) {
+fn disturb(cluster: &mut ProcessCluster, services: &[FakeService], ended: &AtomicU64) {
     let chopped = FlowFault {
         delay: Duration::from_millis(3),
         jitter: Duration::from_millis(5),
@@ -160,8 +171,11 @@
     engine_0.heal();
     engine_0.reset();
     let payments_0 = cluster.proxy(ANY_PROCESS, "agent-payments-0").unwrap();
+    wait_running(&services[0]);
     payments_0.reset();
+    services[1].leave_unanswered(3);
     wait_ended(ended, 90);
+    wait_running(&services[0]);
     payments_0.stall();
     wait_ended(ended, 110);
     payments_0.heal();
@@ -171,6 +185,7 @@
     cluster.freeze("agent-engine-1").unwrap();
     wait_ended(ended, 180);
     cluster.thaw("agent-engine-1").unwrap();
+    wait_running(&services[1]);
     cluster.kill("agent-payments-1").unwrap();
     wait_ended(ended, 220);
     cluster.restart("agent-payments-1").unwrap();
@@ -187,7 +202,7 @@
 /// Runs all calls and returns what the records prove, first of the rate and
 /// then of the other promises.
 fn run_checked(
-    disturb: impl FnOnce(&mut ProcessCluster, &AtomicU64),
+    disturb: impl FnOnce(&mut ProcessCluster, &[FakeService], &AtomicU64),
     served_min: usize,
 ) -> (Vec<PromiseBreach>, Vec<PromiseBreach>) {
     let mut cluster = FaultCluster::spawn();
@@ -202,7 +217,7 @@
 
 #[test]
 fn promises_kept_without_faults() {
-    let (_, others) = run_checked(|_, _| {}, 150);
+    let (_, others) = run_checked(|_, _, _| {}, 150);
     assert_eq!(others, vec![]);
 }
 
@@ -214,7 +229,7 @@
 
 #[test]
 fn rate_kept_without_faults() {
-    let (rate, _) = run_checked(|_, _| {}, 150);
+    let (rate, _) = run_checked(|_, _, _| {}, 150);
     assert_eq!(rate, vec![]);
 }
 
--- a/crates/testkit/src/fake_service.rs
+++ b/crates/testkit/src/fake_service.rs
@@ -20,6 +20,8 @@
     records: FakeRecords,
     /// Milliseconds that a call takes.
     delay_ms: Arc<AtomicU64>,
+    /// Calls that still run without an answer.
+    unanswered: Arc<AtomicU64>,
 }
 
 impl FakeService {
@@ -42,6 +44,7 @@
             address,
             records: FakeRecords::default(),
             delay_ms: Arc::new(AtomicU64::new(0)),
+            unanswered: Arc::new(AtomicU64::new(0)),
         };
         let worker = service.clone();
         spawn_server(listener, move |request, stream| {
@@ -66,6 +69,11 @@
         self.delay_ms.store(millis, Ordering::Relaxed);
     }
 
+    /// Lets the next calls run and closes their connections without an answer.
+    pub fn leave_unanswered(&self, calls: u64) {
+        self.unanswered.store(calls, Ordering::Relaxed);
+    }
+
     /// Serves one request; true when its connection takes another.
     fn serve(&self, request: &ServerRequest, stream: &mut AnswerStream) -> bool {
         if request.target == "/healthz" {
@@ -73,6 +81,14 @@
         }
         let number = self.records.start(run_record(request));
         thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
+        let less = |left: u64| left.checked_sub(1);
+        let unanswered = &self.unanswered;
+        if unanswered
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, less)
+            .is_ok()
+        {
+            return false;
+        }
         let target = format!("{} {}", request.method, request.target);
         let answer = json!({ "number": number, "target": target, "echo": request.body });
         let written = stream.respond(201, &answer);
