--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,15 +12,24 @@
 mod fault_proxy;
 mod free_address;
 mod http_client;
+mod link_caller;
 mod process_cluster;
+pub mod promise_checker;
 mod raw_caller;
+mod request_mix;
 
 pub use cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
-pub use fake_engine::{EngineConfig, FakeEngine, FakeModel};
+pub use fake_engine::{stream_answer, EngineConfig, FakeEngine, FakeModel};
 pub use fake_records::{FakeRecords, RunRecord, RunState};
 pub use fake_service::FakeService;
 pub use fault_proxy::{FaultProxy, FlowFault, ProxyFlow};
 pub use free_address::free_port;
 pub use http_client::{HttpAnswer, HttpCaller};
-pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, WAIT_LIMIT};
+pub use link_caller::{LinkCaller, LinkRecording};
+pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, CLUSTER_SECRET, WAIT_LIMIT};
+pub use promise_checker::{
+    check_promises, AccountAllowance, CallKind, MemoryPeak, ObservedCall, Promise, PromiseBreach,
+    RanClaim, RunEvidence,
+};
 pub use raw_caller::{raw_exchange, RawAnswer, RawCaller, RawEnd};
+pub use request_mix::{MixAccount, RequestMix};
