--- /dev/null
+++ b/crates/limit/examples/rate_errors/fleet.rs
@@ -0,0 +1,241 @@
+//! Lease clients and a lease book, with delays of messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_limit::{
+    LeaseAnswer, LeaseAsk, LeaseBook, LeaseClient, LeaseMessage, Reservation, ReserveOutcome,
+    TokenRefund,
+};
+
+use crate::workload::{CaseResult, CaseSetup, OfferedRequest, Spend, PLAN, RUN_TIME};
+
+/// One way between an entry and the leader.
+const LINK_DELAY: Duration = Duration::from_micros(1_500);
+
+/// Commit of a block by a quorum.
+const COMMIT_DELAY: Duration = Duration::from_millis(6);
+
+/// Interval of timers.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Time without a leader.
+const LEADER_GAP: Duration = Duration::from_millis(700);
+
+enum FleetEvent {
+    Arrival(usize),
+    ToBook(usize, LeaseMessage),
+    ToEntry(usize, LeaseAnswer),
+    ReturnAcked(usize, u64),
+    Finished(usize, Reservation, u64),
+    Tick,
+    Committed(u64),
+    LeaderLost,
+    LeaderFound,
+}
+
+struct FleetRun<'a> {
+    setup: &'a CaseSetup,
+    requests: &'a [OfferedRequest],
+    /// Both instances follow the log; the first one may lead.
+    books: [LeaseBook; 2],
+    leading: bool,
+    entries: Vec<LeaseClient>,
+    queue: BTreeMap<(Instant, u64), FleetEvent>,
+    next_event: u64,
+    account: Bytes,
+    admitted: BTreeSet<usize>,
+    spends: Vec<Spend>,
+    waits: Vec<Duration>,
+}
+
+/// Runs the requests through lease clients.
+pub fn run_leases(setup: &CaseSetup, requests: &[OfferedRequest]) -> CaseResult {
+    let start = requests[0].at - Duration::from_millis(1);
+    let mut run = FleetRun {
+        setup,
+        requests,
+        books: [LeaseBook::new(), LeaseBook::new()],
+        leading: true,
+        entries: (0..setup.entries)
+            .map(|_| LeaseClient::new(start))
+            .collect(),
+        queue: BTreeMap::new(),
+        next_event: 0,
+        account: Bytes::from_static(b"medellin"),
+        admitted: BTreeSet::new(),
+        spends: Vec::new(),
+        waits: Vec::new(),
+    };
+    run.books[0].new_leader(start, 1);
+    for book in &mut run.books {
+        book.set_plan(start, &run.account, PLAN);
+    }
+    for entry in &mut run.entries {
+        entry.link_opened(start);
+    }
+    for (idx, request) in requests.iter().enumerate() {
+        run.push(request.at, FleetEvent::Arrival(idx));
+    }
+    if setup.leader_change {
+        let lost = start + RUN_TIME / 2;
+        run.push(lost, FleetEvent::LeaderLost);
+        run.push(lost + LEADER_GAP, FleetEvent::LeaderFound);
+    }
+    run.push(start, FleetEvent::Tick);
+    let end = start + RUN_TIME + setup.deadline + Duration::from_secs(2);
+    while let Some(((now, _), event)) = run.queue.pop_first() {
+        if now > end {
+            break;
+        }
+        run.take(now, event, end);
+    }
+    CaseResult::of(requests.len(), run.spends, run.waits)
+}
+
+impl FleetRun<'_> {
+    fn push(&mut self, at: Instant, event: FleetEvent) {
+        self.next_event += 1;
+        self.queue.insert((at, self.next_event), event);
+    }
+
+    fn take(&mut self, now: Instant, event: FleetEvent, end: Instant) {
+        match event {
+            FleetEvent::Arrival(idx) => self.arrive(now, idx),
+            FleetEvent::ToBook(entry, message) => self.serve(now, entry, message),
+            FleetEvent::ToEntry(entry, answer) => {
+                self.entries[entry].answer(now, &self.account, &answer);
+                self.flush(now, entry);
+            }
+            FleetEvent::ReturnAcked(entry, lease) => {
+                self.entries[entry].acknowledge(&self.account, lease);
+            }
+            FleetEvent::Finished(entry, reservation, unused) => {
+                self.entries[entry].settle(now, &self.account, &reservation, unused);
+                self.flush(now, entry);
+            }
+            FleetEvent::Tick => {
+                for entry in 0..self.entries.len() {
+                    self.entries[entry].tick(now);
+                    self.flush(now, entry);
+                }
+                self.propose(now);
+                if now < end {
+                    self.push(now + TICK, FleetEvent::Tick);
+                }
+            }
+            FleetEvent::Committed(tokens) => {
+                for book in &mut self.books {
+                    book.block_committed(now, &self.account, tokens);
+                }
+            }
+            FleetEvent::LeaderLost => {
+                self.leading = false;
+                self.books[0].follow();
+            }
+            FleetEvent::LeaderFound => {
+                self.leading = true;
+                self.books.swap(0, 1);
+                self.books[0].new_leader(now, 2);
+            }
+        }
+    }
+
+    fn arrive(&mut self, now: Instant, idx: usize) {
+        let request = &self.requests[idx];
+        let entry = request.entry;
+        let deadline = now + self.setup.deadline;
+        let client = &mut self.entries[entry];
+        let outcome = client.reserve(now, &self.account, idx as u64, request.reserved, deadline);
+        if let ReserveOutcome::Taken(reservation) = outcome {
+            self.admit(now, idx, reservation);
+        }
+        self.flush(now, entry);
+    }
+
+    fn admit(&mut self, now: Instant, idx: usize, reservation: Reservation) {
+        let request = &self.requests[idx];
+        self.admitted.insert(idx);
+        self.waits.push(now - request.at);
+        self.spends.push(Spend {
+            at: now,
+            tokens: request.used,
+        });
+        let unused = request.reserved - request.used;
+        let event = FleetEvent::Finished(request.entry, reservation, unused);
+        self.push(now + request.runs_for, event);
+    }
+
+    fn flush(&mut self, now: Instant, entry: usize) {
+        for event in self.entries[entry].take_events() {
+            if let ReserveOutcome::Taken(reservation) = event.outcome {
+                self.admit(now, event.ticket as usize, reservation);
+            }
+        }
+        for message in self.entries[entry].take_messages() {
+            self.push(now + LINK_DELAY, FleetEvent::ToBook(entry, message));
+        }
+    }
+
+    fn serve(&mut self, now: Instant, entry: usize, message: LeaseMessage) {
+        let holder = Bytes::from(format!("entry-{entry}"));
+        let back = now + LINK_DELAY;
+        match message {
+            LeaseMessage::Ask {
+                sequence,
+                account,
+                least,
+                tokens,
+                demand,
+                patience,
+            } => {
+                let ask = LeaseAsk {
+                    holder,
+                    least,
+                    tokens,
+                    demand,
+                    patience,
+                };
+                let decision = self.books[0].request(now, &account, &ask);
+                let answer = LeaseAnswer {
+                    sequence,
+                    lease: decision.lease,
+                    tokens: decision.tokens,
+                    lifetime: decision.lifetime,
+                    retry_after: decision.retry_after,
+                    rate: decision.rate,
+                    unavailable: !self.leading,
+                };
+                self.push(back, FleetEvent::ToEntry(entry, answer));
+            }
+            LeaseMessage::Return { lease, unspent, .. } => {
+                if self.leading {
+                    self.books[0].give_back(now, &self.account, &holder, lease, unspent);
+                    self.push(back, FleetEvent::ReturnAcked(entry, lease));
+                }
+            }
+            LeaseMessage::Refund {
+                number,
+                lease,
+                tokens,
+                ..
+            } => {
+                let refund = TokenRefund {
+                    holder,
+                    number,
+                    lease,
+                    tokens,
+                };
+                self.books[0].refund(now, &self.account, &refund);
+            }
+        }
+        self.propose(now);
+    }
+
+    fn propose(&mut self, now: Instant) {
+        if let Some(tokens) = self.books[0].block_wanted(now, &self.account) {
+            self.push(now + COMMIT_DELAY, FleetEvent::Committed(tokens));
+        }
+    }
+}
--- /dev/null
+++ b/crates/limit/src/account_balance.rs
@@ -0,0 +1,199 @@
+//! What one holder has of one client account's tokens.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::demand_meter::DemandMeter;
+use crate::lease_book::LeaseId;
+use crate::lease_message::{Reservation, ReservedPart, TicketId};
+
+/// Part of a lease's lifetime after which its rest goes back.
+const RETURN_AFTER_PERCENT: u32 = 80;
+
+/// A lease whose tokens may be spent.
+#[derive(Debug, Clone)]
+struct HeldLease {
+    id: LeaseId,
+    /// Unspent tokens.
+    tokens: u64,
+    /// From then on nothing of it may be spent.
+    until: Instant,
+}
+
+/// A request that waits for tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct WaitingTicket {
+    pub(crate) ticket: TicketId,
+    pub(crate) tokens: u64,
+    /// Latest instant at which tokens are of use.
+    pub(crate) deadline: Instant,
+}
+
+/// A request to the lease service that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OpenAsk {
+    pub(crate) sequence: u64,
+    pub(crate) sent: Instant,
+    /// Whether it asks ahead of demand only.
+    pub(crate) ahead: bool,
+}
+
+/// A lease that ends at the holder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct EndedLease {
+    pub(crate) lease: LeaseId,
+    pub(crate) unspent: u64,
+}
+
+/// Tokens of one account at one holder.
+#[derive(Debug, Clone)]
+pub(crate) struct AccountBalance {
+    /// Oldest first.
+    leases: VecDeque<HeldLease>,
+    /// In the order of arrival; the first one is short of tokens.
+    pub(crate) waiting: VecDeque<WaitingTicket>,
+    pub(crate) asked: Option<OpenAsk>,
+    /// No question for waiting requests before, by the last answer.
+    pub(crate) next_ask: Instant,
+    /// No question ahead of demand before.
+    pub(crate) next_ahead: Instant,
+    /// Whether a place in the service's line may have to be given up.
+    pub(crate) in_line: bool,
+    pub(crate) demand: DemandMeter,
+    /// Rate by the last answer, in tokens a second.
+    pub(crate) rate: u64,
+}
+
+impl AccountBalance {
+    pub(crate) fn new(now: Instant) -> Self {
+        AccountBalance {
+            leases: VecDeque::new(),
+            waiting: VecDeque::new(),
+            asked: None,
+            next_ask: now,
+            next_ahead: now,
+            in_line: false,
+            demand: DemandMeter::new(now),
+            rate: 0,
+        }
+    }
+
+    /// Returns the tokens that may be spent now.
+    pub(crate) fn tokens(&self, now: Instant) -> u64 {
+        self.leases
+            .iter()
+            .filter(|lease| lease.until > now)
+            .map(|lease| lease.tokens)
+            .sum()
+    }
+
+    /// Returns the tokens that all waiting requests need.
+    pub(crate) fn wanted(&self) -> u64 {
+        self.waiting.iter().map(|item| item.tokens).sum()
+    }
+
+    /// Adds a lease.
+    pub(crate) fn add_lease(&mut self, id: LeaseId, tokens: u64, until: Instant) {
+        self.leases.push_back(HeldLease { id, tokens, until });
+    }
+
+    /// Takes tokens if they are all there; used-up leases go to `ended`.
+    pub(crate) fn take(
+        &mut self,
+        tokens: u64,
+        now: Instant,
+        ended: &mut Vec<EndedLease>,
+    ) -> Option<Reservation> {
+        if self.tokens(now) < tokens {
+            return None;
+        }
+        let mut missing = tokens;
+        let mut parts = Vec::with_capacity(1);
+        for lease in self.leases.iter_mut().filter(|lease| lease.until > now) {
+            let part = missing.min(lease.tokens);
+            if part > 0 {
+                lease.tokens -= part;
+                missing -= part;
+                parts.push(ReservedPart {
+                    lease: lease.id,
+                    tokens: part,
+                });
+            }
+        }
+        self.end_leases(|lease| lease.tokens == 0, ended);
+        Some(Reservation { parts })
+    }
+
+    /// Puts tokens back into a lease that is still held; false when it is not.
+    pub(crate) fn put_back(&mut self, part: &ReservedPart, now: Instant) -> bool {
+        let held = self
+            .leases
+            .iter_mut()
+            .find(|lease| lease.id == part.lease && lease.until > now);
+        if let Some(lease) = held {
+            lease.tokens += part.tokens;
+            return true;
+        }
+        false
+    }
+
+    /// Ends the leases whose time to return has come.
+    pub(crate) fn end_due(
+        &mut self,
+        now: Instant,
+        lifetime: Duration,
+        ended: &mut Vec<EndedLease>,
+    ) {
+        self.end_leases(|lease| return_at(lease, lifetime) <= now, ended);
+    }
+
+    /// Ends all leases.
+    pub(crate) fn end_all(&mut self, ended: &mut Vec<EndedLease>) {
+        self.end_leases(|_| true, ended);
+    }
+
+    /// Returns when a lease is to be returned next.
+    fn next_return(&self, lifetime: Duration) -> Option<Instant> {
+        self.leases
+            .iter()
+            .map(|lease| return_at(lease, lifetime))
+            .min()
+    }
+
+    /// Returns when something is due.
+    pub(crate) fn next_due(&self, lifetime: Duration) -> Option<Instant> {
+        let asks = !self.waiting.is_empty() && self.asked.is_none();
+        let ask = asks.then_some(self.next_ask);
+        let waiting = self.waiting.iter().map(|item| item.deadline).min();
+        [self.next_return(lifetime), ask, waiting]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Tells whether nothing is held, wanted or lately asked for.
+    pub(crate) fn is_idle(&self, now: Instant) -> bool {
+        self.leases.is_empty() && self.waiting.is_empty() && self.demand.rate(now) == 0
+    }
+
+    fn end_leases(&mut self, ends: impl Fn(&HeldLease) -> bool, ended: &mut Vec<EndedLease>) {
+        self.leases.retain(|lease| {
+            if ends(lease) {
+                ended.push(EndedLease {
+                    lease: lease.id,
+                    unspent: lease.tokens,
+                });
+                return false;
+            }
+            true
+        });
+    }
+}
+
+fn return_at(lease: &HeldLease, lifetime: Duration) -> Instant {
+    let kept = lifetime * RETURN_AFTER_PERCENT / 100;
+    lease
+        .until
+        .checked_sub(lifetime.saturating_sub(kept))
+        .unwrap_or(lease.until)
+}
--- /dev/null
+++ b/crates/limit/src/demand_meter.rs
@@ -0,0 +1,40 @@
+//! Recent demand as an exponentially weighted rate.
+
+use std::time::{Duration, Instant};
+
+/// Time constant of the average.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Tokens a second that were lately asked for.
+#[derive(Debug, Clone)]
+pub struct DemandMeter {
+    /// Tokens a second at `updated`.
+    level: f64,
+    updated: Instant,
+}
+
+impl DemandMeter {
+    /// Creates a meter that has seen nothing.
+    pub fn new(now: Instant) -> Self {
+        DemandMeter {
+            level: 0.0,
+            updated: now,
+        }
+    }
+
+    /// Notes tokens that were asked for.
+    pub fn note(&mut self, tokens: u64, now: Instant) {
+        self.level = self.decayed(now) + tokens as f64 / WINDOW.as_secs_f64();
+        self.updated = now;
+    }
+
+    /// Returns the demand in tokens a second.
+    pub fn rate(&self, now: Instant) -> u64 {
+        self.decayed(now) as u64
+    }
+
+    fn decayed(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.updated);
+        self.level * (-elapsed.as_secs_f64() / WINDOW.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/limit/src/lease_client.rs
@@ -0,0 +1,458 @@
+//! The holder's side of token leases.
+//!
+//! Purpose: admits requests out of leased tokens, asks for leases ahead of
+//! demand and gives back what is not used.
+//!
+//! Guarantees:
+//! * A lease is spent only within its lifetime, counted from the sending of
+//!   its request, so a slow answer shortens it.
+//! * Requests of one account are admitted in the order in which they came.
+//! * A request waits only while the expected accrual covers it before its
+//!   deadline; otherwise it is refused at once with the time to come back.
+//! * Without an answer of the lease service nothing new is admitted: after
+//!   [`ANSWER_LIMIT`] requests are refused.
+//! * Every reservation ends once: unused tokens go back into the lease while
+//!   it is held and to the service as a refund afterwards.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::account_balance::{AccountBalance, EndedLease, OpenAsk, WaitingTicket};
+use crate::account_ledger::LEASE_LIFETIME;
+use crate::lease_book::{AccountId, LeaseId};
+use crate::lease_message::{
+    LeaseAnswer, LeaseMessage, Reservation, ReserveOutcome, ReservedPart, TicketEvent, TicketId,
+};
+
+/// Time without an answer after which requests are refused.
+pub const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time to come back when the lease service does not answer.
+pub const UNAVAILABLE_RETRY: Duration = Duration::from_secs(1);
+
+/// Demand that a balance covers before more is asked for.
+const LOW_BALANCE: Duration = Duration::from_millis(100);
+
+/// Delay after an answer that there is no leader.
+const LEADER_RETRY: Duration = Duration::from_millis(50);
+
+/// Shortest interval of requests ahead of demand.
+const PREFETCH_INTERVAL: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Clone, Copy)]
+struct PendingReturn {
+    unspent: u64,
+    /// The service forgets the lease by then.
+    until: Instant,
+}
+
+/// Leased tokens of all accounts at one holder.
+#[derive(Debug)]
+pub struct LeaseClient {
+    accounts: BTreeMap<AccountId, AccountBalance>,
+    /// Returns without an acknowledgement, sent again on a new link.
+    returns: BTreeMap<(AccountId, LeaseId), PendingReturn>,
+    messages: Vec<LeaseMessage>,
+    events: Vec<TicketEvent>,
+    connected: bool,
+    /// Since when a question waits for an answer, or the link is lost.
+    silent_since: Option<Instant>,
+    next_sequence: u64,
+    next_refund: u64,
+    draining: bool,
+}
+
+impl LeaseClient {
+    /// Creates a client without a link.
+    pub fn new(now: Instant) -> Self {
+        LeaseClient {
+            accounts: BTreeMap::new(),
+            returns: BTreeMap::new(),
+            messages: Vec::new(),
+            events: Vec::new(),
+            connected: false,
+            silent_since: Some(now),
+            next_sequence: 1,
+            next_refund: 1,
+            draining: false,
+        }
+    }
+
+    /// Takes `tokens` for a request, or lets it wait until `deadline`.
+    pub fn reserve(
+        &mut self,
+        now: Instant,
+        account: &AccountId,
+        ticket: TicketId,
+        tokens: u64,
+        deadline: Instant,
+    ) -> ReserveOutcome {
+        let silent = self.is_silent(now);
+        let balance = self
+            .accounts
+            .entry(account.clone())
+            .or_insert_with(|| AccountBalance::new(now));
+        balance.demand.note(tokens, now);
+        let mut ended = Vec::new();
+        if balance.waiting.is_empty() {
+            if let Some(reservation) = balance.take(tokens, now, &mut ended) {
+                self.end_leases(account, ended, now);
+                self.refresh(now, account);
+                return ReserveOutcome::Taken(reservation);
+            }
+        }
+        if silent {
+            self.refresh(now, account);
+            return ReserveOutcome::Unavailable(UNAVAILABLE_RETRY);
+        }
+        if let Some(delay) = expected_wait(balance, tokens, now).filter(|d| now + *d > deadline) {
+            return ReserveOutcome::Short(delay);
+        }
+        balance.waiting.push_back(WaitingTicket {
+            ticket,
+            tokens,
+            deadline,
+        });
+        self.refresh(now, account);
+        ReserveOutcome::Waiting
+    }
+
+    /// Ends a wait without an event.
+    pub fn cancel(&mut self, now: Instant, account: &AccountId, ticket: TicketId) {
+        if let Some(balance) = self.accounts.get_mut(account) {
+            balance.waiting.retain(|item| item.ticket != ticket);
+            self.admit(now, account);
+            self.refresh(now, account);
+        }
+    }
+
+    /// Ends a reservation of which `unused` tokens were not spent.
+    pub fn settle(
+        &mut self,
+        now: Instant,
+        account: &AccountId,
+        reservation: &Reservation,
+        unused: u64,
+    ) {
+        let mut left = unused;
+        for part in reservation.parts.iter().rev() {
+            let tokens = left.min(part.tokens);
+            left -= tokens;
+            if tokens > 0 {
+                let lease = part.lease;
+                self.give_part_back(now, account, &ReservedPart { lease, tokens });
+            }
+        }
+        self.admit(now, account);
+    }
+
+    /// Takes in an answer.
+    pub fn answer(&mut self, now: Instant, account: &AccountId, answer: &LeaseAnswer) {
+        let Some(balance) = self.accounts.get_mut(account) else {
+            return;
+        };
+        let Some(asked) = balance
+            .asked
+            .filter(|asked| asked.sequence == answer.sequence)
+        else {
+            return;
+        };
+        balance.asked = None;
+        if answer.unavailable {
+            balance.next_ask = now + LEADER_RETRY;
+            balance.next_ahead = balance.next_ask;
+            return;
+        }
+        self.silent_since = None;
+        balance.rate = answer.rate;
+        if answer.tokens > 0 {
+            let until = asked.sent + answer.lifetime;
+            balance.add_lease(answer.lease, answer.tokens, until);
+            balance.next_ask = now;
+            balance.in_line = false;
+            self.admit(now, account);
+        } else if asked.ahead {
+            balance.next_ahead = now + answer.retry_after.unwrap_or(UNAVAILABLE_RETRY);
+        } else {
+            self.take_decline(now, account, answer.retry_after);
+        }
+        self.refresh(now, account);
+    }
+
+    /// Takes in the acknowledgement of a return.
+    pub fn acknowledge(&mut self, account: &AccountId, lease: LeaseId) {
+        self.returns.remove(&(account.clone(), lease));
+    }
+
+    /// Notes that the link to the service opened.
+    pub fn link_opened(&mut self, now: Instant) {
+        self.connected = true;
+        self.silent_since = None;
+        for ((account, lease), pending) in &self.returns {
+            self.messages.push(LeaseMessage::Return {
+                account: account.clone(),
+                lease: *lease,
+                unspent: pending.unspent,
+            });
+        }
+        for balance in self.accounts.values_mut() {
+            balance.asked = None;
+            balance.next_ask = now;
+        }
+    }
+
+    /// Notes that the link to the service closed.
+    pub fn link_closed(&mut self, now: Instant) {
+        self.connected = false;
+        self.silent_since = self.silent_since.or(Some(now));
+        for balance in self.accounts.values_mut() {
+            balance.asked = None;
+        }
+    }
+
+    /// Gives back all leases; nothing is asked ahead of demand from now on.
+    pub fn drain(&mut self, now: Instant) {
+        self.draining = true;
+        let accounts: Vec<AccountId> = self.accounts.keys().cloned().collect();
+        for account in accounts {
+            let mut ended = Vec::new();
+            if let Some(balance) = self.accounts.get_mut(&account) {
+                balance.end_all(&mut ended);
+            }
+            self.end_leases(&account, ended, now);
+        }
+    }
+
+    /// Tells whether every return was acknowledged or is worth nothing.
+    pub fn is_drained(&self) -> bool {
+        self.returns.is_empty()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant) {
+        self.returns.retain(|_, pending| pending.until > now);
+        let silent = self.is_silent(now);
+        let accounts: Vec<AccountId> = self.accounts.keys().cloned().collect();
+        for account in accounts {
+            self.end_due(now, &account);
+            self.expire_waiting(now, &account, silent);
+            self.refresh(now, &account);
+        }
+        self.accounts
+            .retain(|_, balance| !balance.is_idle(now) || balance.asked.is_some());
+    }
+
+    /// Returns when [`LeaseClient::tick`] has something to do.
+    pub fn deadline(&self) -> Option<Instant> {
+        let silent = self
+            .silent_since
+            .filter(|_| self.accounts.values().any(|item| !item.waiting.is_empty()))
+            .map(|since| since + ANSWER_LIMIT);
+        let returns = self.returns.values().map(|pending| pending.until).min();
+        let balances = self
+            .accounts
+            .values()
+            .filter_map(|balance| balance.next_due(LEASE_LIFETIME));
+        balances.chain(silent).chain(returns).min()
+    }
+
+    /// Takes the messages to send.
+    pub fn take_messages(&mut self) -> Vec<LeaseMessage> {
+        std::mem::take(&mut self.messages)
+    }
+
+    /// Takes the ends of waits.
+    pub fn take_events(&mut self) -> Vec<TicketEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns the tokens of an account that may be spent now.
+    pub fn balance(&self, now: Instant, account: &AccountId) -> u64 {
+        self.accounts
+            .get(account)
+            .map_or(0, |balance| balance.tokens(now))
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silent_since
+            .is_some_and(|since| now >= since + ANSWER_LIMIT)
+    }
+
+    fn give_part_back(&mut self, now: Instant, account: &AccountId, part: &ReservedPart) {
+        let held = self
+            .accounts
+            .get_mut(account)
+            .is_some_and(|balance| balance.put_back(part, now));
+        if held {
+            return;
+        }
+        self.messages.push(LeaseMessage::Refund {
+            account: account.clone(),
+            number: self.next_refund,
+            lease: part.lease,
+            tokens: part.tokens,
+        });
+        self.next_refund += 1;
+    }
+
+    /// Admits waiting requests in their order while the tokens last.
+    fn admit(&mut self, now: Instant, account: &AccountId) {
+        let mut ended = Vec::new();
+        let Some(balance) = self.accounts.get_mut(account) else {
+            return;
+        };
+        while let Some(first) = balance.waiting.front() {
+            let (ticket, tokens) = (first.ticket, first.tokens);
+            let Some(reservation) = balance.take(tokens, now, &mut ended) else {
+                break;
+            };
+            let outcome = ReserveOutcome::Taken(reservation);
+            self.events.push(TicketEvent { ticket, outcome });
+            balance.waiting.pop_front();
+        }
+        self.end_leases(account, ended, now);
+    }
+
+    /// Refuses the waiting requests that accrual will not cover in time.
+    fn take_decline(&mut self, now: Instant, account: &AccountId, delay: Option<Duration>) {
+        let Some(balance) = self.accounts.get_mut(account) else {
+            return;
+        };
+        let delay = delay.unwrap_or(UNAVAILABLE_RETRY);
+        balance.next_ask = now + delay;
+        balance.in_line = !balance.waiting.is_empty();
+        let mut ahead = 0;
+        let rate = balance.rate;
+        let mut first = true;
+        let events = &mut self.events;
+        balance.waiting.retain(|item| {
+            let own = if first { 0 } else { item.tokens };
+            let wait = delay + accrual_time(ahead + own, rate);
+            if now + wait > item.deadline {
+                events.push(TicketEvent {
+                    ticket: item.ticket,
+                    outcome: ReserveOutcome::Short(wait),
+                });
+                return false;
+            }
+            first = false;
+            ahead += own;
+            true
+        });
+        if balance.waiting.is_empty() {
+            balance.next_ask = now;
+        }
+    }
+
+    fn expire_waiting(&mut self, now: Instant, account: &AccountId, silent: bool) {
+        let Some(balance) = self.accounts.get_mut(account) else {
+            return;
+        };
+        let events = &mut self.events;
+        balance.waiting.retain(|item| {
+            if !silent && now < item.deadline {
+                return true;
+            }
+            let outcome = if silent {
+                ReserveOutcome::Unavailable(UNAVAILABLE_RETRY)
+            } else {
+                ReserveOutcome::Short(UNAVAILABLE_RETRY)
+            };
+            let ticket = item.ticket;
+            events.push(TicketEvent { ticket, outcome });
+            false
+        });
+    }
+
+    fn end_due(&mut self, now: Instant, account: &AccountId) {
+        let mut ended = Vec::new();
+        if let Some(balance) = self.accounts.get_mut(account) {
+            balance.end_due(now, LEASE_LIFETIME, &mut ended);
+        }
+        self.end_leases(account, ended, now);
+    }
+
+    fn end_leases(&mut self, account: &AccountId, ended: Vec<EndedLease>, now: Instant) {
+        for EndedLease { lease, unspent } in ended {
+            let until = now + LEASE_LIFETIME;
+            let pending = PendingReturn { unspent, until };
+            self.returns.insert((account.clone(), lease), pending);
+            self.messages.push(LeaseMessage::Return {
+                account: account.clone(),
+                lease,
+                unspent,
+            });
+        }
+    }
+
+    /// Asks for tokens when they are short and no question is open.
+    fn refresh(&mut self, now: Instant, account: &AccountId) {
+        if !self.connected {
+            return;
+        }
+        let Some(balance) = self.accounts.get_mut(account) else {
+            return;
+        };
+        if balance
+            .asked
+            .is_some_and(|asked| now < asked.sent + ANSWER_LIMIT)
+        {
+            return;
+        }
+        let tokens = balance.tokens(now);
+        let demand = balance.demand.rate(now);
+        let first = balance.waiting.front();
+        let least = first.map_or(0, |item| item.tokens.saturating_sub(tokens));
+        let leaves_line = first.is_none() && balance.in_line;
+        let low = u128::from(tokens) < u128::from(demand) * LOW_BALANCE.as_millis() / 1_000;
+        let ahead = low && !self.draining && now >= balance.next_ahead;
+        let due = if least > 0 {
+            now >= balance.next_ask
+        } else {
+            ahead || leaves_line
+        };
+        if !due {
+            return;
+        }
+        let patience = first.map_or(Duration::ZERO, |item| {
+            item.deadline.saturating_duration_since(now)
+        });
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.messages.push(LeaseMessage::Ask {
+            sequence,
+            account: account.clone(),
+            least,
+            tokens: balance.wanted().saturating_sub(tokens),
+            demand,
+            patience,
+        });
+        balance.in_line = false;
+        balance.asked = Some(OpenAsk {
+            sequence,
+            sent: now,
+            ahead: least == 0,
+        });
+        balance.next_ahead = now + PREFETCH_INTERVAL;
+        self.silent_since = self.silent_since.or(Some(now));
+    }
+}
+
+/// Returns the expected wait of a new request behind those that wait already.
+fn expected_wait(balance: &AccountBalance, tokens: u64, now: Instant) -> Option<Duration> {
+    if balance.waiting.is_empty() || !balance.in_line {
+        return None;
+    }
+    let first = balance.next_ask.saturating_duration_since(now);
+    let behind: u64 = balance.waiting.iter().skip(1).map(|item| item.tokens).sum();
+    Some(first + accrual_time(behind + tokens, balance.rate))
+}
+
+/// Returns the time in which `tokens` accrue at `rate` tokens a second.
+fn accrual_time(tokens: u64, rate: u64) -> Duration {
+    match tokens.saturating_mul(1_000).checked_div(rate) {
+        Some(millis) => Duration::from_millis(millis),
+        None if tokens == 0 => Duration::ZERO,
+        None => UNAVAILABLE_RETRY,
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,15 +5,24 @@
 //! Guarantees: no clock, no randomness and no input or output of their own;
 //! instants are arguments, so that equal calls give equal results.
 
+mod account_balance;
 mod account_ledger;
+mod demand_meter;
 mod headroom_log;
 mod lease_book;
+mod lease_client;
+mod lease_message;
 mod token_bucket;
 mod waiting_line;
 
 pub use account_ledger::LEASE_LIFETIME;
+pub use demand_meter::DemandMeter;
 pub use lease_book::{
     AccountId, BlockProposal, HolderId, LeaseAsk, LeaseBook, LeaseDecision, LeaseId, TokenPlan,
     TokenRefund,
 };
+pub use lease_client::{LeaseClient, ANSWER_LIMIT, UNAVAILABLE_RETRY};
+pub use lease_message::{
+    LeaseAnswer, LeaseMessage, Reservation, ReserveOutcome, ReservedPart, TicketEvent, TicketId,
+};
 pub use token_bucket::{TakeOutcome, TokenBucket};
--- /dev/null
+++ b/crates/limit/tests/lease_client.rs
@@ -0,0 +1,239 @@
+//! The holder's side: admission, order, refusals, returns and refunds.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_limit::{
+    LeaseAnswer, LeaseClient, LeaseMessage, Reservation, ReserveOutcome, TicketEvent, ANSWER_LIMIT,
+    LEASE_LIFETIME,
+};
+use rstest::rstest;
+
+struct TestClient {
+    client: LeaseClient,
+    now: Instant,
+}
+
+fn account() -> Bytes {
+    Bytes::from_static(b"bogota")
+}
+
+impl TestClient {
+    fn connected() -> Self {
+        let now = Instant::now();
+        let mut client = LeaseClient::new(now);
+        client.link_opened(now);
+        TestClient { client, now }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.client.tick(self.now);
+    }
+
+    fn reserve(&mut self, ticket: u64, tokens: u64) -> ReserveOutcome {
+        let deadline = self.now + Duration::from_secs(5);
+        self.client
+            .reserve(self.now, &account(), ticket, tokens, deadline)
+    }
+
+    /// Returns the number and the least tokens of the only question.
+    fn question(&mut self) -> Option<(u64, u64)> {
+        let messages = self.client.take_messages();
+        messages.iter().find_map(|message| match message {
+            LeaseMessage::Ask {
+                sequence, least, ..
+            } => Some((*sequence, *least)),
+            _ => None,
+        })
+    }
+
+    fn grant(&mut self, sequence: u64, lease: u64, tokens: u64) {
+        let answer = LeaseAnswer {
+            sequence,
+            lease,
+            tokens,
+            lifetime: LEASE_LIFETIME,
+            rate: 100,
+            ..LeaseAnswer::default()
+        };
+        self.client.answer(self.now, &account(), &answer);
+    }
+
+    fn decline(&mut self, sequence: u64, millis: u64) {
+        let answer = LeaseAnswer {
+            sequence,
+            retry_after: Some(Duration::from_millis(millis)),
+            rate: 100,
+            ..LeaseAnswer::default()
+        };
+        self.client.answer(self.now, &account(), &answer);
+    }
+
+    fn outcomes(&mut self) -> Vec<(u64, ReserveOutcome)> {
+        let events = self.client.take_events();
+        let pairs = events
+            .into_iter()
+            .map(|TicketEvent { ticket, outcome }| (ticket, outcome));
+        pairs.collect()
+    }
+
+    /// Grants `tokens` as lease 1 and takes `used` of them.
+    fn holding(tokens: u64, used: u64) -> (Self, Reservation) {
+        let mut test = Self::connected();
+        assert_eq!(test.reserve(1, used), ReserveOutcome::Waiting);
+        let (sequence, least) = test.question().unwrap();
+        assert_eq!(least, used);
+        test.grant(sequence, 1, tokens);
+        let Some((1, ReserveOutcome::Taken(reservation))) = test.outcomes().pop() else {
+            panic!("the request was not admitted");
+        };
+        (test, reservation)
+    }
+}
+
+#[test]
+fn reserve_from_balance_at_once() {
+    let (mut test, _) = TestClient::holding(300, 100);
+    assert!(matches!(test.reserve(2, 200), ReserveOutcome::Taken(_)));
+    assert_eq!(test.client.balance(test.now, &account()), 0);
+}
+
+#[test]
+fn reserve_order_kept() {
+    let mut test = TestClient::connected();
+    test.reserve(1, 100);
+    let (sequence, _) = test.question().unwrap();
+    test.reserve(2, 10);
+    test.grant(sequence, 1, 105);
+    let outcomes = test.outcomes();
+    assert_eq!(outcomes.len(), 1, "{outcomes:?}");
+    assert_eq!(outcomes[0].0, 1);
+    let (_, least) = test.question().unwrap();
+    assert_eq!(least, 5);
+}
+
+#[rstest]
+#[case::covered(4_900, true)]
+#[case::too_late(5_100, false)]
+fn decline_within_deadline(#[case] delay_ms: u64, #[case] waits: bool) {
+    let mut test = TestClient::connected();
+    test.reserve(1, 100);
+    let (sequence, _) = test.question().unwrap();
+    test.decline(sequence, delay_ms);
+    let outcomes = test.outcomes();
+    if waits {
+        assert_eq!(outcomes, []);
+    } else {
+        let wait = Duration::from_millis(delay_ms);
+        assert_eq!(outcomes, [(1, ReserveOutcome::Short(wait))]);
+    }
+}
+
+#[test]
+fn reserve_behind_line_refused_at_once() {
+    let mut test = TestClient::connected();
+    test.reserve(1, 100);
+    let (sequence, _) = test.question().unwrap();
+    test.decline(sequence, 4_000);
+    // 4 s for the first, and 2 s at 100 tokens a second for itself.
+    assert_eq!(
+        test.reserve(2, 200),
+        ReserveOutcome::Short(Duration::from_secs(6))
+    );
+    assert_eq!(test.reserve(3, 50), ReserveOutcome::Waiting);
+}
+
+#[test]
+fn answer_slow_shortens_lease() {
+    let mut test = TestClient::connected();
+    test.reserve(1, 100);
+    let (sequence, _) = test.question().unwrap();
+    test.pass(1_000);
+    test.grant(sequence, 1, 100);
+    assert_eq!(test.outcomes(), [], "an ended lease was spent");
+}
+
+#[test]
+fn answer_of_other_question_ignored() {
+    let mut test = TestClient::connected();
+    test.reserve(1, 100);
+    let (sequence, _) = test.question().unwrap();
+    test.grant(sequence + 1, 1, 100);
+    assert_eq!(test.outcomes(), []);
+}
+
+#[rstest]
+#[case::no_answer(true)]
+#[case::no_link(false)]
+fn service_silent_refused(#[case] linked: bool) {
+    let mut test = TestClient::connected();
+    if !linked {
+        test.client.link_closed(test.now);
+    }
+    assert_eq!(test.reserve(1, 100), ReserveOutcome::Waiting);
+    test.now += ANSWER_LIMIT;
+    test.client.tick(test.now);
+    let outcomes = test.outcomes();
+    assert!(
+        matches!(outcomes[..], [(1, ReserveOutcome::Unavailable(_))]),
+        "{outcomes:?}"
+    );
+    assert!(matches!(
+        test.reserve(2, 100),
+        ReserveOutcome::Unavailable(_)
+    ));
+    // The service is asked again, and its answer ends the refusals.
+    test.client.link_opened(test.now);
+    assert_eq!(test.reserve(3, 100), ReserveOutcome::Waiting);
+}
+
+#[test]
+fn settle_held_lease_spent_again() {
+    let (mut test, reservation) = TestClient::holding(100, 90);
+    test.client.settle(test.now, &account(), &reservation, 60);
+    assert_eq!(test.client.balance(test.now, &account()), 70);
+}
+
+#[test]
+fn settle_ended_lease_refunded() {
+    let (mut test, reservation) = TestClient::holding(100, 100);
+    test.client.settle(test.now, &account(), &reservation, 60);
+    let messages = test.client.take_messages();
+    let refund = LeaseMessage::Refund {
+        account: account(),
+        number: 1,
+        lease: 1,
+        tokens: 60,
+    };
+    assert!(messages.contains(&refund), "{messages:?}");
+    assert_eq!(test.client.balance(test.now, &account()), 0);
+}
+
+#[test]
+fn lease_returned_before_end() {
+    let (mut test, _) = TestClient::holding(100, 40);
+    test.client.take_messages();
+    test.pass(850);
+    let messages = test.client.take_messages();
+    let returned = LeaseMessage::Return {
+        account: account(),
+        lease: 1,
+        unspent: 60,
+    };
+    assert!(messages.contains(&returned), "{messages:?}");
+    assert_eq!(test.client.balance(test.now, &account()), 0);
+}
+
+#[test]
+fn drain_returns_until_acknowledged() {
+    let (mut test, _) = TestClient::holding(100, 40);
+    test.client.drain(test.now);
+    assert!(!test.client.is_drained());
+    test.client.link_closed(test.now);
+    test.client.take_messages();
+    test.client.link_opened(test.now);
+    assert_eq!(test.client.take_messages().len(), 1, "sent again");
+    test.client.acknowledge(&account(), 1);
+    assert!(test.client.is_drained());
+}
