--- a/crates/limit/src/account_ledger.rs
+++ b/crates/limit/src/account_ledger.rs
@@ -313,7 +313,12 @@
         let demand = self.demand().max(1);
         let share = u128::from(above) * u128::from(ask.demand) / u128::from(demand);
         let ahead = u128::from(ask.demand) * PREFETCH.as_millis() / 1_000;
-        now_wanted + u64::try_from(share.min(ahead)).unwrap_or(0)
+        let ahead = u64::try_from(share.min(ahead)).unwrap_or(0);
+        if ahead < self.largest.1 {
+            // It would not cover a request, only keep tokens from others.
+            return now_wanted;
+        }
+        now_wanted + ahead
     }
 
     fn open_lease(&mut self, ask: &LeaseAsk, id: LeaseId, tokens: u64, now: Instant) {
