Retry budget and circuit breaker

Cause: an entry retried up to three times whatever the fleet's state, and every request tried a failing endpoint anew.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -7,15 +7,18 @@
 
 mod account_balance;
 mod account_ledger;
+mod circuit_breaker;
 mod demand_meter;
 mod headroom_log;
 mod lease_book;
 mod lease_client;
 mod lease_message;
+mod retry_budget;
 mod token_bucket;
 mod waiting_line;
 
 pub use account_ledger::LEASE_LIFETIME;
+pub use circuit_breaker::CircuitBreaker;
 pub use demand_meter::DemandMeter;
 pub use lease_book::{
     AccountId, BlockProposal, HolderId, LeaseAsk, LeaseBook, LeaseDecision, LeaseId, TokenPlan,
@@ -25,4 +28,5 @@
 pub use lease_message::{
     LeaseAnswer, LeaseMessage, Reservation, ReserveOutcome, ReservedPart, TicketEvent, TicketId,
 };
+pub use retry_budget::RetryBudget;
 pub use token_bucket::{TakeOutcome, TokenBucket};
