--- a/crates/entry/src/agent_links.rs
+++ b/crates/entry/src/agent_links.rs
@@ -46,20 +46,44 @@
             self.send_on(link, body, commands);
             return Some(link);
         }
+        Some(self.dial(endpoint, address, vec![body], next_link, commands))
+    }
+
+    /// Opens a link to an endpoint's agent, if there is none.
+    pub fn keep_open(
+        &mut self,
+        endpoint: &EndpointItem,
+        next_link: &mut LinkId,
+        commands: &mut Vec<LinkCommand>,
+    ) {
+        let Some(address) = parse_address(endpoint) else {
+            return;
+        };
+        if self.usable(&endpoint.name, address).is_none() {
+            self.dial(endpoint, address, Vec::new(), next_link, commands);
+        }
+    }
+
+    fn dial(
+        &mut self,
+        endpoint: &EndpointItem,
+        address: SocketAddr,
+        waiting: Vec<FrameBody>,
+        next_link: &mut LinkId,
+        commands: &mut Vec<LinkCommand>,
+    ) -> LinkId {
         let link = *next_link;
         *next_link += 2;
         commands.push(LinkCommand::Dial { link, address });
         self.current.insert(endpoint.name.clone(), link);
-        self.links.insert(
-            link,
-            AgentLink {
-                endpoint: endpoint.name.clone(),
-                address,
-                open: false,
-                waiting: vec![body],
-            },
-        );
-        Some(link)
+        let agent = AgentLink {
+            endpoint: endpoint.name.clone(),
+            address,
+            open: false,
+            waiting,
+        };
+        self.links.insert(link, agent);
+        link
     }
 
     /// Sends a frame on a link, or lets it wait until the link is open.
--- /dev/null
+++ b/crates/entry/src/attempts.rs
@@ -0,0 +1,289 @@
+//! Attempts of calls: choice, start, failure, retry, resumption and cancel.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_role::LinkId;
+use mulberrywell_wire::config::EndpointItem;
+use mulberrywell_wire::request::{
+    AttemptCancel, AttemptId, AttemptRefused, AttemptStart, Ran, RefusalReason,
+};
+use mulberrywell_wire::FrameBody;
+
+use crate::call_stage::CallEvent;
+use crate::call_table::{CallRecord, CallSequence, CallTarget, CurrentAttempt};
+use crate::endpoint_pool::AttemptVerdict;
+use crate::entry_role::{Actions, EntryRole, RETRY_DELAY};
+use crate::http_answer::{CallerFault, CallerRefusal};
+
+/// Attempts that one call may take.
+const ATTEMPTS_MAX: u32 = 4;
+
+impl EntryRole {
+    /// Starts the next attempt of a call, or ends the call.
+    pub(crate) fn try_next(&mut self, now: Instant, sequence: CallSequence, actions: &mut Actions) {
+        loop {
+            let Some(endpoint) = self.next_endpoint(now, sequence) else {
+                self.end_without_endpoint(now, sequence, actions);
+                return;
+            };
+            if self.start_attempt(now, sequence, &endpoint, actions) {
+                return;
+            }
+        }
+    }
+
+    fn next_endpoint(&mut self, now: Instant, sequence: CallSequence) -> Option<EndpointItem> {
+        let call = self.calls.get_mut(sequence)?;
+        if call.attempts >= ATTEMPTS_MAX {
+            return None;
+        }
+        if call.attempts == 0 {
+            self.retries.note_request();
+        } else if !self.retries.take_retry() {
+            return None;
+        }
+        let seed = sequence ^ u64::from(call.attempts) << 32 ^ self.config.incarnation;
+        let directory = self.link.directory();
+        let chosen = self.pool.choose(now, directory, call, seed);
+        if chosen.is_some() || !call.head_sent {
+            return chosen;
+        }
+        // A stream goes on at a replica that broke it before, if need be.
+        call.tried.clear();
+        self.pool.choose(now, directory, call, seed)
+    }
+
+    /// Sends an attempt; false when the endpoint's address can't be read.
+    fn start_attempt(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        endpoint: &EndpointItem,
+        actions: &mut Actions,
+    ) -> bool {
+        let Some(call) = self.calls.get_mut(sequence) else {
+            return true;
+        };
+        call.attempts += 1;
+        call.tried.push(endpoint.name.clone());
+        let number = call.attempts;
+        if let Some(events) = &mut call.events {
+            events.restart();
+        }
+        let Some(call) = self.calls.get(sequence) else {
+            return true;
+        };
+        let start = self.attempt_start(now, call, sequence, number, endpoint);
+        let body = FrameBody::AttemptStart(start);
+        let link = self
+            .agents
+            .send(endpoint, body, &mut self.next_link, &mut self.commands);
+        let Some(link) = link else {
+            return false;
+        };
+        self.pool.started(now, endpoint, call);
+        self.flush(actions);
+        self.advance(sequence, CallEvent::Attempt);
+        if let Some(call) = self.calls.get_mut(sequence) {
+            call.attempt = Some(CurrentAttempt {
+                number,
+                endpoint: endpoint.name.clone(),
+                link,
+                received: 0,
+                head_seen: false,
+            });
+        }
+        true
+    }
+
+    fn end_without_endpoint(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        actions: &mut Actions,
+    ) {
+        let Some(call) = self.calls.get(sequence) else {
+            return;
+        };
+        if let CallTarget::Model(model) = &call.target {
+            self.demand.note_refusal(model);
+        }
+        let ran = if call.may_have_run {
+            Ran::Unknown
+        } else {
+            Ran::No
+        };
+        let fault = match ran {
+            Ran::No => CallerFault::NoEndpoint,
+            _ => CallerFault::EndpointFailed,
+        };
+        let refusal = CallerRefusal::from(fault).after(call.retry_after.max(RETRY_DELAY));
+        self.end_with(now, sequence, &refusal, ran, actions);
+    }
+
+    fn attempt_start(
+        &self,
+        now: Instant,
+        call: &CallRecord,
+        sequence: CallSequence,
+        number: u32,
+        endpoint: &EndpointItem,
+    ) -> AttemptStart {
+        let directory = self.link.directory();
+        let plan = directory
+            .account(&call.account)
+            .and_then(|account| directory.plan_of(account));
+        let model = match &call.target {
+            CallTarget::Model(name) => name.clone(),
+            CallTarget::Service(_) => Bytes::new(),
+        };
+        let left = call.deadline.saturating_duration_since(now);
+        AttemptStart {
+            id: Some(self.attempt_id(sequence, number)),
+            endpoint: endpoint.name.clone(),
+            endpoint_incarnation: endpoint.incarnation,
+            account: call.account.clone(),
+            model,
+            method: call.method.clone(),
+            path: call.path.clone(),
+            headers: call.headers.clone(),
+            body: call.body.clone(),
+            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            weight: plan.map_or(1, |plan| plan.weight),
+            priority: plan.map_or(0, |plan| plan.priority),
+            prompt_tokens: call.prompt_tokens,
+            output_tokens: call.output_tokens,
+            resume_events: call.events.as_ref().map_or(0, |events| events.delivered()),
+            idempotent: call.idempotent,
+            prefix: call.prefix,
+            stream: call.stream,
+        }
+    }
+
+    fn attempt_id(&self, sequence: CallSequence, attempt: u32) -> AttemptId {
+        AttemptId {
+            incarnation: self.config.incarnation,
+            sequence,
+            attempt,
+        }
+    }
+
+    pub(crate) fn take_refusal(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        refusal: &AttemptRefused,
+        actions: &mut Actions,
+    ) {
+        let Some(sequence) = self.current_call(refusal.id.as_ref(), link) else {
+            return;
+        };
+        if let Some(call) = self.calls.get_mut(sequence) {
+            let delay = Duration::from_millis(refusal.retry_after_ms);
+            call.retry_after = call.retry_after.max(delay);
+        }
+        let verdict = match refusal.reason() {
+            RefusalReason::EngineDown => AttemptVerdict::Bad,
+            _ => AttemptVerdict::Neutral,
+        };
+        self.fail_attempt(now, sequence, refusal.ran(), verdict, actions);
+    }
+
+    /// Ends an attempt that gave no whole answer: retries the call or ends it.
+    pub(crate) fn fail_attempt(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        ran: Ran,
+        verdict: AttemptVerdict,
+        actions: &mut Actions,
+    ) {
+        self.end_attempt(now, sequence, verdict);
+        let Some(call) = self.calls.get_mut(sequence) else {
+            return;
+        };
+        call.may_have_run |= ran != Ran::No;
+        if call.events.as_ref().is_some_and(|events| events.is_done()) {
+            self.finish(now, sequence, 0, actions);
+            return;
+        }
+        let resumable = !call.head_sent || call.events.is_some();
+        let repeatable = call.idempotent || !call.may_have_run;
+        if resumable && repeatable && now < call.deadline {
+            self.try_next(now, sequence, actions);
+            return;
+        }
+        let ran = if call.may_have_run {
+            Ran::Unknown
+        } else {
+            Ran::No
+        };
+        let refusal = match ran {
+            Ran::No => CallerRefusal::from(CallerFault::EndpointFailed).after(RETRY_DELAY),
+            _ => CallerFault::EndpointFailed.into(),
+        };
+        self.end_with(now, sequence, &refusal, ran, actions);
+    }
+
+    /// Takes the current attempt off a call.
+    pub(crate) fn end_attempt(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        verdict: AttemptVerdict,
+    ) {
+        let Some(call) = self.calls.get_mut(sequence) else {
+            return;
+        };
+        let tokens = call.total_tokens();
+        if let Some(attempt) = call.attempt.take() {
+            self.pool.ended(now, &attempt.endpoint, tokens, verdict);
+        }
+    }
+
+    /// Tells the agent of the current attempt to stop it.
+    pub(crate) fn cancel_attempt(&mut self, sequence: CallSequence, actions: &mut Actions) {
+        let attempt = self
+            .calls
+            .get(sequence)
+            .and_then(|call| call.attempt.as_ref());
+        let Some((link, number)) = attempt.map(|attempt| (attempt.link, attempt.number)) else {
+            return;
+        };
+        let cancel = AttemptCancel {
+            id: Some(self.attempt_id(sequence, number)),
+        };
+        let body = FrameBody::AttemptCancel(cancel);
+        self.agents.send_on(link, body, &mut self.commands);
+        self.flush(actions);
+    }
+
+    /// Returns the call whose current attempt a frame belongs to.
+    pub(crate) fn current_call(
+        &self,
+        id: Option<&AttemptId>,
+        link: LinkId,
+    ) -> Option<CallSequence> {
+        let id = id.filter(|id| id.incarnation == self.config.incarnation)?;
+        self.calls.of_attempt(id, link)
+    }
+
+    /// Fails the attempts of a closed link.
+    pub(crate) fn fail_link(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        was_open: bool,
+        actions: &mut Actions,
+    ) {
+        let ran = if was_open { Ran::Unknown } else { Ran::No };
+        let uses = |call: &CallRecord| {
+            let attempt = call.attempt.as_ref();
+            attempt.is_some_and(|attempt| attempt.link == link)
+        };
+        for sequence in self.calls.matching(uses) {
+            self.fail_attempt(now, sequence, ran, AttemptVerdict::Bad, actions);
+        }
+    }
+}
--- a/crates/entry/src/call_table.rs
+++ b/crates/entry/src/call_table.rs
@@ -1,13 +1,17 @@
 //! The requests in work, and their current attempts.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use mulberrywell_directory::{AccountName, EndpointName, KeyDigest};
+use mulberrywell_limit::Reservation;
 use mulberrywell_role::{LinkId, RequestId};
 use mulberrywell_wire::request::{AttemptId, HeaderField};
 
+use crate::call_stage::CallStage;
+use crate::event_stream::EventStream;
+
 /// Number of a call within one run of the entry.
 pub type CallSequence = u64;
 
@@ -31,6 +35,29 @@
     pub link: LinkId,
     /// Bytes of the attempt's body that came.
     pub received: u64,
+    /// Whether its status and headers came.
+    pub head_seen: bool,
+}
+
+/// The claim of a call's idempotency key.
+#[derive(Debug, Clone, Default)]
+pub struct CallClaim {
+    /// SHA-256 of the idempotency key.
+    pub key: Bytes,
+    /// SHA-256 of method, path and body.
+    pub digest: Bytes,
+    /// Id of the claim once it is granted; 0 before.
+    pub claim: u64,
+    /// When the claim was asked for.
+    pub asked: Option<Instant>,
+    /// Status of the endpoint's answer.
+    pub status: u32,
+    /// Media type of the endpoint's answer.
+    pub content_type: Bytes,
+    /// Body of the endpoint's answer, as far as it came.
+    pub body: BytesMut,
+    /// The body is longer than what is kept.
+    pub too_long: bool,
 }
 
 /// One request in work.
@@ -60,8 +87,26 @@
     pub deadline: Instant,
     /// When the call came.
     pub started: Instant,
-    /// Tokens taken from the account's bucket.
+    /// Where the call stands.
+    pub stage: CallStage,
+    /// Tokens wanted from the account's bucket.
     pub reserved: u64,
+    /// The tokens once they are taken.
+    pub reservation: Reservation,
+    /// Set when the request may run once and names an idempotency key.
+    pub claim: Option<CallClaim>,
+    /// An ended attempt may have run the request.
+    pub may_have_run: bool,
+    /// Set when the answer is a stream of events.
+    pub events: Option<EventStream>,
+    /// The caller hung up; the call goes on for its outcome only.
+    pub detached: bool,
+    /// Digest of the prompt's prefix; 0 for none.
+    pub prefix: u64,
+    /// Attempts that were started.
+    pub attempts: u32,
+    /// Longest time to come back that an agent gave.
+    pub retry_after: Duration,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u64,
     /// Bound of the output in tokens.
@@ -74,6 +119,13 @@
     pub head_sent: bool,
 }
 
+impl CallRecord {
+    /// Returns prompt tokens and output bound.
+    pub fn total_tokens(&self) -> u64 {
+        self.prompt_tokens.saturating_add(self.output_tokens)
+    }
+}
+
 /// All requests in work.
 #[derive(Debug, Default)]
 pub struct CallTable {
@@ -135,13 +187,13 @@
         self.calls.values().map(|call| call.deadline).min()
     }
 
-    /// Counts the attempts in work at an endpoint.
-    pub fn in_flight(&self, endpoint: &EndpointName) -> usize {
+    /// Returns when the earliest claim without an answer was asked for.
+    pub fn claims_asked(&self) -> Option<Instant> {
         self.calls
             .values()
-            .filter_map(|call| call.attempt.as_ref())
-            .filter(|attempt| attempt.endpoint == *endpoint)
-            .count()
+            .filter(|call| call.stage == CallStage::Claiming)
+            .filter_map(|call| call.claim.as_ref()?.asked)
+            .min()
     }
 
     /// Tells whether nothing is in work.
--- a/crates/entry/src/config_link.rs
+++ b/crates/entry/src/config_link.rs
@@ -147,6 +147,17 @@
         self.settle();
     }
 
+    /// Returns the command that sends a frame, while the link is open.
+    pub fn send(&self, body: FrameBody) -> Option<LinkCommand> {
+        let link = self.dialer.open_link()?;
+        Some(LinkCommand::Send { link, body })
+    }
+
+    /// Tells whether this is the open link.
+    pub fn is_open_link(&self, link: LinkId) -> bool {
+        self.dialer.open_link() == Some(link)
+    }
+
     fn settle(&mut self) {
         let Some(awaited) = self.awaited else {
             return;
--- a/crates/entry/src/http_answer.rs
+++ b/crates/entry/src/http_answer.rs
@@ -34,6 +34,14 @@
     TooLarge,
     /// The account's rate is used up.
     OverRate,
+    /// No leases of tokens are to be had.
+    NoLeases,
+    /// The idempotency key's first request has no known outcome.
+    ClaimPending,
+    /// The idempotency key came with another request before.
+    ClaimMismatch,
+    /// The claim of the idempotency key could not be committed.
+    ClaimUnavailable,
     /// The configuration is not confirmed as fresh.
     Stale,
     /// The entry shuts down.
@@ -83,7 +91,7 @@
 }
 
 /// Status, code and message of each fault.
-const FAULT_TABLE: [(CallerFault, u16, &str, &str); 16] = [
+const FAULT_TABLE: [(CallerFault, u16, &str, &str); 20] = [
     (
         CallerFault::WrongKey,
         401,
@@ -145,6 +153,30 @@
         "rate_limit_exceeded",
         "the client account's rate is used up",
     ),
+    (
+        CallerFault::NoLeases,
+        503,
+        "rate_service_unavailable",
+        "the client account's rate can't be checked now",
+    ),
+    (
+        CallerFault::ClaimPending,
+        409,
+        "outcome_unknown",
+        "the first request with this idempotency key has no known outcome",
+    ),
+    (
+        CallerFault::ClaimMismatch,
+        422,
+        "idempotency_key_reused",
+        "the idempotency key came with another request",
+    ),
+    (
+        CallerFault::ClaimUnavailable,
+        503,
+        "claim_unavailable",
+        "the idempotency key can't be claimed now",
+    ),
     (
         CallerFault::Stale,
         503,
--- /dev/null
+++ b/crates/entry/src/token_leases.rs
@@ -0,0 +1,188 @@
+//! Reservations of calls, and the frames of the lease client.
+
+use std::time::{Duration, Instant};
+
+use mulberrywell_limit::{LeaseAnswer, LeaseMessage, Reservation, ReserveOutcome, TicketEvent};
+use mulberrywell_role::{MetricKind, RoleAction};
+use mulberrywell_wire::rate::{LeaseGrant, LeaseRequest, LeaseReturn, TokenRefund};
+use mulberrywell_wire::request::Ran;
+use mulberrywell_wire::FrameBody;
+
+use crate::call_stage::{CallEvent, CallStage};
+use crate::call_table::{CallRecord, CallSequence};
+use crate::entry_role::{Actions, EntryRole};
+use crate::http_answer::{CallerFault, CallerRefusal};
+
+impl EntryRole {
+    /// Starts a call: tokens first, then the claim, then an attempt.
+    pub(crate) fn begin(
+        &mut self,
+        now: Instant,
+        call: CallRecord,
+        actions: &mut Actions,
+    ) -> Result<(), CallerRefusal> {
+        let sequence = self.calls.insert(call);
+        actions.push(RoleAction::Metric(MetricKind::Count, "entry.accepted", 1));
+        let Some(call) = self.calls.get(sequence) else {
+            return Ok(());
+        };
+        if call.reserved == 0 {
+            self.claim_or_start(now, sequence, actions);
+            return Ok(());
+        }
+        let outcome = self.leases.reserve(
+            now,
+            &call.account.clone(),
+            sequence,
+            call.reserved,
+            call.deadline,
+        );
+        if outcome == ReserveOutcome::Waiting {
+            self.advance(sequence, CallEvent::TokensWanted);
+        } else {
+            self.take_reservation(now, sequence, outcome, actions);
+        }
+        Ok(())
+    }
+
+    fn take_reservation(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        outcome: ReserveOutcome,
+        actions: &mut Actions,
+    ) {
+        match outcome {
+            ReserveOutcome::Taken(reservation) => {
+                self.hold(now, sequence, reservation, actions);
+            }
+            ReserveOutcome::Waiting => {}
+            ReserveOutcome::Short(delay) => {
+                self.refuse_call(now, sequence, CallerFault::OverRate, delay, actions);
+            }
+            ReserveOutcome::Unavailable(delay) => {
+                self.refuse_call(now, sequence, CallerFault::NoLeases, delay, actions);
+            }
+        }
+    }
+
+    fn hold(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        reservation: Reservation,
+        actions: &mut Actions,
+    ) {
+        if let Some(call) = self.calls.get_mut(sequence) {
+            call.reservation = reservation;
+            self.claim_or_start(now, sequence, actions);
+        }
+    }
+
+    fn refuse_call(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        fault: CallerFault,
+        delay: Duration,
+        actions: &mut Actions,
+    ) {
+        actions.push(RoleAction::Metric(MetricKind::Count, "entry.refused", 1));
+        let refusal = CallerRefusal::from(fault).after(delay);
+        self.end_with(now, sequence, &refusal, Ran::No, actions);
+    }
+
+    pub(crate) fn take_grant(&mut self, now: Instant, grant: &LeaseGrant) {
+        let wait = Duration::from_millis(grant.retry_after_ms);
+        let answer = LeaseAnswer {
+            sequence: grant.sequence,
+            lease: grant.lease,
+            tokens: grant.tokens,
+            lifetime: Duration::from_millis(grant.lifetime_ms),
+            retry_after: (!wait.is_zero()).then_some(wait),
+            rate: grant.rate,
+            unavailable: grant.unavailable,
+        };
+        self.leases.answer(now, &grant.account, &answer);
+    }
+
+    /// Gives back what a call reserved and did not use.
+    pub(crate) fn settle(&mut self, now: Instant, call: &CallRecord, used: u64) {
+        let unused = call.reserved.saturating_sub(used);
+        self.leases
+            .settle(now, &call.account, &call.reservation, unused);
+    }
+
+    /// Sends what the lease client has to say and goes on with its calls.
+    pub(crate) fn pump_leases(&mut self, now: Instant, actions: &mut Actions) {
+        loop {
+            let events = self.leases.take_events();
+            if events.is_empty() {
+                break;
+            }
+            for TicketEvent { ticket, outcome } in events {
+                self.take_ticket(now, ticket, outcome, actions);
+            }
+        }
+        for message in self.leases.take_messages() {
+            let command = self.link.send(lease_frame(message));
+            actions.extend(command.map(RoleAction::Link));
+        }
+    }
+
+    fn take_ticket(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        outcome: ReserveOutcome,
+        actions: &mut Actions,
+    ) {
+        let waits = self
+            .calls
+            .get(sequence)
+            .is_some_and(|call| call.stage == CallStage::Reserving);
+        if waits {
+            self.take_reservation(now, sequence, outcome, actions);
+        }
+    }
+}
+
+fn lease_frame(message: LeaseMessage) -> FrameBody {
+    match message {
+        LeaseMessage::Ask {
+            sequence,
+            account,
+            least,
+            tokens,
+            demand,
+            patience,
+        } => FrameBody::LeaseRequest(LeaseRequest {
+            sequence,
+            account,
+            tokens,
+            demand,
+            least,
+            patience_ms: u64::try_from(patience.as_millis()).unwrap_or(u64::MAX),
+        }),
+        LeaseMessage::Return {
+            account,
+            lease,
+            unspent,
+        } => FrameBody::LeaseReturn(LeaseReturn {
+            account,
+            lease,
+            tokens: unspent,
+        }),
+        LeaseMessage::Refund {
+            account,
+            number,
+            lease,
+            tokens,
+        } => FrameBody::TokenRefund(TokenRefund {
+            account,
+            number,
+            lease,
+            tokens,
+        }),
+    }
+}
