--- /dev/null
+++ b/crates/entry/tests/request_attempts.rs
@@ -0,0 +1,254 @@
+//! Attempts: crossed and late frames, resumption, retries, cancels.
+
+mod scripted;
+
+use mulberrywell_role::{HttpEvent, RoleEvent};
+use mulberrywell_wire::request::{AttemptId, Ran, RefusalReason};
+use rstest::rstest;
+use scripted::ScriptedEntry;
+
+const STREAM: &str = "text/event-stream";
+
+#[test]
+fn chart_fits_code() {
+    mulberrywell_entry::call_chart();
+}
+
+#[test]
+fn answer_whole_passed_on() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    entry.answer_last("text");
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.body.as_str()), (200, "text"));
+    assert_eq!((view.ran().as_str(), view.ended), ("yes", Some(true)));
+}
+
+#[rstest]
+#[case::other_attempt(|id: &mut AttemptId| id.attempt += 1)]
+#[case::other_call(|id: &mut AttemptId| id.sequence += 1)]
+#[case::other_incarnation(|id: &mut AttemptId| id.incarnation += 1)]
+fn frames_crossed_dropped(#[case] change: fn(&mut AttemptId)) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    let (link, start) = entry.last_start();
+    let mut other = start.id.unwrap();
+    change(&mut other);
+    entry.head(link, Some(other), "text/plain");
+    entry.part(link, Some(other), 0, "foreign");
+    entry.end(link, Some(other), 7, 1);
+    assert_eq!(entry.caller(request).status, 0);
+    entry.answer_last("own");
+    assert_eq!(entry.caller(request).body, "own");
+}
+
+#[test]
+fn frames_of_other_link_dropped() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    let (link, start) = entry.last_start();
+    let other = *entry.links.keys().find(|known| **known != link).unwrap();
+    entry.head(other, start.id, "text/plain");
+    assert_eq!(entry.caller(request).status, 0);
+}
+
+#[test]
+fn frames_late_dropped_after_retry() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    let (link, start) = entry.last_start();
+    entry.refuse(link, start.id, RefusalReason::Overloaded, Ran::No);
+    assert_eq!(entry.starts().len(), 2);
+    entry.head(link, start.id, "text/plain");
+    entry.part(link, start.id, 0, "late");
+    entry.answer_last("second");
+    assert_eq!(entry.caller(request).body, "second");
+}
+
+#[rstest]
+#[case::short(3)]
+#[case::long(5)]
+fn end_of_wrong_length_not_whole(#[case] length: u64) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, "text/plain");
+    entry.part(link, start.id, 0, "text");
+    entry.end(link, start.id, length, 1);
+    assert_eq!(entry.caller(request).ended, Some(false));
+}
+
+#[test]
+fn stream_broken_resumed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\ndata: b\n\ndata: c");
+    entry.cut(link);
+    let (link, start) = entry.last_start();
+    assert_eq!(start.resume_events, 2);
+    entry.head(link, start.id, STREAM);
+    let rest = "data: c\n\ndata: [DONE]\n\n";
+    entry.part(link, start.id, 0, rest);
+    entry.end(link, start.id, rest.len() as u64, 3);
+    let view = entry.caller(request);
+    let whole = "data: a\n\ndata: b\n\ndata: c\n\ndata: [DONE]\n\n";
+    assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
+}
+
+#[test]
+fn stream_broken_after_last_event_is_whole() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\ndata: [DONE]\n\n");
+    entry.cut(link);
+    assert_eq!(entry.starts().len(), 1);
+    assert_eq!(entry.caller(request).ended, Some(true));
+}
+
+#[test]
+fn stream_gap_cancelled_and_resumed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\n");
+    entry.part(link, start.id, 20, "data: c\n\n");
+    assert_eq!(entry.cancels(), 1);
+    assert_eq!(entry.last_start().1.resume_events, 1);
+    assert_eq!(entry.caller(request).body, "data: a\n\n");
+}
+
+#[test]
+fn caller_gone_cancelled() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    entry.event(RoleEvent::Own(HttpEvent::Gone { request }));
+    assert_eq!(entry.cancels(), 1);
+    entry.answer_last("late");
+    assert_eq!(entry.caller(request).status, 0);
+}
+
+#[test]
+fn idempotent_unknown_retried() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    let (link, start) = entry.last_start();
+    entry.refuse(link, start.id, RefusalReason::EngineDown, Ran::Unknown);
+    let (_, second) = entry.last_start();
+    assert_ne!(second.endpoint, start.endpoint);
+    entry.answer_last("second");
+    assert_eq!(entry.caller(request).body, "second");
+}
+
+#[rstest]
+#[case::not_run(Ran::No, 2, "")]
+#[case::unknown(Ran::Unknown, 1, "unknown")]
+#[case::run(Ran::Yes, 1, "unknown")]
+fn single_run_retried_only_when_not_run(
+    #[case] ran: Ran,
+    #[case] starts: usize,
+    #[case] said: &str,
+) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.ticket(&[]);
+    let (link, start) = entry.last_start();
+    entry.refuse(link, start.id, RefusalReason::EngineDown, ran);
+    assert_eq!(entry.starts().len(), starts);
+    assert_eq!(entry.caller(request).ran(), said);
+}
+
+#[test]
+fn single_run_link_cut_unknown() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.ticket(&[]);
+    let (link, _) = entry.last_start();
+    entry.cut(link);
+    assert_eq!(entry.starts().len(), 1);
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.ran().as_str()), (502, "unknown"));
+}
+
+#[test]
+fn unknown_attempt_never_said_not_run() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    for ran in [Ran::Unknown, Ran::No] {
+        let (link, start) = entry.last_start();
+        entry.refuse(link, start.id, RefusalReason::EngineDown, ran);
+    }
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.ran().as_str()), (502, "unknown"));
+}
+
+#[test]
+fn dial_refused_not_run() {
+    let mut entry = ScriptedEntry::ready();
+    let links: Vec<u64> = entry
+        .links
+        .keys()
+        .copied()
+        .filter(|link| *link > 2)
+        .collect();
+    entry.refused_ports = vec![9_100, 9_101, 9_102, 9_103];
+    for link in links {
+        entry.cut(link);
+    }
+    let request = entry.ticket(&[]);
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.ran().as_str()), (503, "no"));
+    assert!(!view.header("Retry-After").is_empty());
+}
+
+#[test]
+fn retries_within_budget() {
+    let mut entry = ScriptedEntry::ready();
+    let requests = 200;
+    for _ in 0..requests {
+        entry.chat(1, false, &[]);
+        while let Some((link, start)) = entry.starts().pop() {
+            let before = entry.starts().len();
+            entry.refuse(link, start.id, RefusalReason::Overloaded, Ran::No);
+            if entry.starts().len() == before {
+                break;
+            }
+        }
+    }
+    let retries = entry.starts().len() - requests;
+    assert!((10..=50).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn circuit_bad_endpoint_left_out() {
+    let mut entry = ScriptedEntry::ready();
+    let bad = entry.link_to(9_100);
+    for _ in 0..60 {
+        entry.chat(1, false, &[]);
+        let (link, start) = entry.last_start();
+        if link == bad {
+            entry.refuse(link, start.id, RefusalReason::EngineDown, Ran::No);
+        }
+        entry.answer_last("x");
+    }
+    let tries = entry
+        .starts()
+        .iter()
+        .filter(|(link, _)| *link == bad)
+        .count();
+    assert_eq!(tries, 3);
+}
+
+#[test]
+fn deadline_answered_at_once() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[("Mulberrywell-Deadline-Ms", "300")]);
+    entry.pass(299);
+    assert_eq!(entry.caller(request).status, 0);
+    entry.pass(2);
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.ran().as_str()), (504, "unknown"));
+    assert_eq!(entry.cancels(), 1);
+}
