--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -86,6 +86,8 @@
     pub(crate) next_link: LinkId,
     /// Set once a graceful shutdown began.
     pub(crate) draining: Option<Instant>,
+    /// Set once the grace of a shutdown was seen to be over.
+    grace_over: bool,
     /// When missing links are opened next.
     next_links: Instant,
     finished: bool,
@@ -116,6 +118,7 @@
             late_claims: BTreeMap::new(),
             next_link: 2,
             draining: None,
+            grace_over: false,
             next_links: now,
             finished: false,
             commands: Vec::new(),
@@ -266,7 +269,8 @@
     }
 
     fn check_drained(&mut self, now: Instant, actions: &mut Actions) {
-        if self.finished || !self.calls.is_empty() || !self.refuses_all(now) {
+        self.grace_over = self.refuses_all(now);
+        if self.finished || !self.calls.is_empty() || !self.grace_over {
             return;
         }
         let given_up = self
@@ -310,7 +314,7 @@
     }
 
     fn deadline(&self) -> Option<Instant> {
-        let grace = self.grace_end().filter(|_| !self.finished);
+        let grace = self.grace_end().filter(|_| !self.grace_over);
         let fresh = self.link.fresh_until().filter(|_| self.calls.has_keyed());
         let links = self.draining.is_none().then_some(self.next_links);
         [
--- /dev/null
+++ b/crates/entry/tests/request_keys.rs
@@ -0,0 +1,129 @@
+//! Keys: every place, grants, open routes, withdrawal and freshness.
+
+mod scripted;
+
+use mulberrywell_wire::config::{ItemKind, KeyItem, Removal};
+use rstest::rstest;
+use scripted::{bytes, field, ScriptedEntry, KEY};
+
+const BODY: &str = "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":5}";
+const PATH: &str = "/v1/completions";
+
+#[rstest]
+#[case::bearer("Authorization", "Bearer {}", PATH)]
+#[case::bearer_lower("authorization", "bearer {}", PATH)]
+#[case::api_key("x-api-key", "{}", PATH)]
+#[case::api_key_short("Api-Key", "{}", PATH)]
+#[case::api_key_other("X-Goog-Api-Key", "{}", PATH)]
+#[case::cookie("Cookie", "a=b; api_key={}; c=d", PATH)]
+#[case::query("Accept", "*/*", "/v1/completions?a=b&api_key={}")]
+#[case::query_short("Accept", "*/*", "/v1/completions?key={}&a=b")]
+fn key_stripped(#[case] name: &str, #[case] value: &str, #[case] path: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let headers = vec![field(name, &value.replace("{}", KEY))];
+    entry.http("POST", &path.replace("{}", KEY), headers, BODY);
+    let (_, start) = entry.last_start();
+    assert_eq!(start.account, bytes("bank"));
+    assert!(!format!("{start:?}").contains(KEY), "{start:?}");
+    let frames = format!("{:?}", entry.sent);
+    assert!(!frames.contains(KEY), "a frame holds the key");
+}
+
+#[rstest]
+#[case::user_agent("User-Agent", BODY, PATH)]
+#[case::idempotency_key("Idempotency-Key", BODY, PATH)]
+#[case::body("Accept", "{\"model\":\"m\",\"prompt\":\"{}\"}", PATH)]
+#[case::query("Accept", BODY, "/v1/completions?other={}")]
+fn key_elsewhere_refused(#[case] name: &str, #[case] body: &str, #[case] path: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let extra = if name == "Accept" { "*/*" } else { KEY };
+    let path = path.replace("{}", KEY);
+    let request = entry.keyed("POST", &path, &[(name, extra)], &body.replace("{}", KEY));
+    assert_eq!(entry.caller(request).status, 400);
+    assert_eq!(entry.starts(), []);
+}
+
+#[test]
+fn key_two_different_refused() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.keyed("POST", PATH, &[("X-Api-Key", "another-key-text")], BODY);
+    assert_eq!(entry.caller(request).status, 400);
+}
+
+#[rstest]
+#[case::none(None)]
+#[case::wrong(Some("Bearer mw-key-of-nobody-at-all"))]
+#[case::prefix(Some("Bearer mw-key-of-the-scripted"))]
+fn key_not_known_refused(#[case] value: Option<&str>) {
+    let mut entry = ScriptedEntry::ready();
+    let headers = value.map(|value| field("Authorization", value));
+    let request = entry.http("POST", PATH, headers.into_iter().collect(), BODY);
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.ran().as_str()), (401, "no"));
+    assert!(entry.starts().is_empty());
+}
+
+#[rstest]
+#[case::model("POST", PATH, "{\"model\":\"other\",\"prompt\":\"p\"}")]
+#[case::service("GET", "/services/other/tickets", "")]
+#[case::route("DELETE", "/services/queue-desk/tickets", "")]
+fn grant_missing_refused(#[case] method: &str, #[case] path: &str, #[case] body: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.keyed(method, path, &[], body);
+    assert_eq!(entry.caller(request).status, 404);
+    assert_eq!(entry.starts(), []);
+}
+
+#[test]
+fn open_route_without_key() {
+    let mut entry = ScriptedEntry::ready();
+    entry.http("GET", "/services/queue-desk/open", vec![], "");
+    assert_eq!(entry.last_start().1.account, bytes(""));
+    let closed = entry.http("GET", "/services/queue-desk/tickets", vec![], "");
+    assert_eq!(entry.caller(closed).status, 401);
+}
+
+#[test]
+fn key_withdrawn_ends_running_call() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    entry.update(|update| {
+        update.removals.push(Removal {
+            kind: ItemKind::Key.into(),
+            name: mulberrywell_directory::digest_key(KEY.as_bytes()),
+        });
+    });
+    assert_eq!(entry.caller(request).status, 401);
+    assert_eq!(entry.cancels(), 1);
+    let after = entry.chat(10, false, &[]);
+    assert_eq!(entry.caller(after).status, 401);
+}
+
+#[test]
+fn key_given_to_other_account_ends_running_call() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.chat(10, false, &[]);
+    entry.update(|update| {
+        update.keys.push(KeyItem {
+            digest: mulberrywell_directory::digest_key(KEY.as_bytes()),
+            account: bytes("someone"),
+            label: bytes("k"),
+        });
+    });
+    assert_eq!(entry.caller(request).status, 401);
+}
+
+#[test]
+fn configuration_stale_refused() {
+    let mut entry = ScriptedEntry::ready();
+    let running = entry.chat(10, false, &[]);
+    entry.confirms = false;
+    entry.pass(5_000);
+    assert_eq!(entry.caller(running).status, 503);
+    assert_eq!(entry.cancels(), 1);
+    let request = entry.chat(10, false, &[]);
+    let view = entry.caller(request);
+    assert_eq!((view.status, view.ran().as_str()), (503, "no"));
+    entry.http("GET", "/services/queue-desk/open", vec![], "");
+    assert_eq!(entry.starts().len(), 2, "an open route needs no key");
+}
