--- a/crates/entry/tests/request_limits.rs
+++ b/crates/entry/tests/request_limits.rs
@@ -112,6 +112,8 @@
         grant.tokens = 40;
     });
     assert!(entry.starts().is_empty());
+    entry.pass(900);
+    assert_eq!(given_back(&entry), 40, "the tokens are kept for nobody");
 }
 
 fn given_back(entry: &ScriptedEntry) -> u64 {
--- a/crates/entry/tests/request_shutdown.rs
+++ b/crates/entry/tests/request_shutdown.rs
@@ -43,19 +43,16 @@
 #[test]
 fn shutdown_returns_leases() {
     let mut entry = ScriptedEntry::ready();
-    entry.chat(40, false, &[]);
+    entry.extra = 60;
     entry.event(RoleEvent::Shutdown);
-    entry.pass(2_500);
+    entry.pass(1_950);
+    entry.chat(40, false, &[]);
     entry.answer_last("x");
-    let given_back: u64 = entry
-        .sent
-        .iter()
-        .map(|(_, body)| match body {
-            FrameBody::LeaseReturn(back) => back.tokens,
-            FrameBody::TokenRefund(refund) => refund.tokens,
-            _ => 0,
-        })
-        .sum();
-    assert_eq!(given_back, 39);
+    entry.pass(100);
     assert!(entry.finished);
+    let returned = entry.sent.iter().map(|(_, body)| match body {
+        FrameBody::LeaseReturn(back) => back.tokens,
+        _ => 0,
+    });
+    assert_eq!(returned.sum::<u64>(), 99);
 }
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -61,6 +61,8 @@
     pub finished: bool,
     /// Grants each lease request as it comes.
     pub grants: bool,
+    /// Tokens granted beyond those asked for.
+    pub extra: u64,
     /// Answers confirmation queries.
     pub confirms: bool,
     /// Ports that refuse connections.
@@ -178,6 +180,7 @@
             callers: BTreeMap::new(),
             finished: false,
             grants: true,
+            extra: 0,
             confirms: true,
             refused_ports: Vec::new(),
             links: BTreeMap::new(),
@@ -259,7 +262,7 @@
             sequence: ask.sequence,
             account: ask.account.clone(),
             lease: self.next_lease,
-            tokens: ask.tokens,
+            tokens: ask.tokens + if ask.tokens > 0 { self.extra } else { 0 },
             lifetime_ms: 1_000,
             rate: 100,
             burst: BURST,
--- a/crates/limit/tests/lease_client.rs
+++ b/crates/limit/tests/lease_client.rs
@@ -113,6 +113,13 @@
     assert_eq!(least, 5);
 }
 
+#[test]
+fn reserve_small_does_not_overtake() {
+    let (mut test, _) = TestClient::holding(100, 40);
+    assert_eq!(test.reserve(2, 80), ReserveOutcome::Waiting);
+    assert_eq!(test.reserve(3, 10), ReserveOutcome::Waiting);
+}
+
 #[rstest]
 #[case::covered(4_900, true)]
 #[case::too_late(5_100, false)]
--- /dev/null
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -0,0 +1,290 @@
+//! What holds for a single request, in real processes.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{binaries, engine_config, GRANTS, PLANS};
+use mulberrywell_testkit::{
+    wait_until, AgentPlan, ClusterPlan, FakeEngine, FakeService, HttpAnswer, HttpCaller,
+    ProcessCluster,
+};
+use nix::sys::signal::Signal;
+
+const CLAIM: (&str, &str) = ("Idempotency-Key", "order-of-march");
+const ORDERS: &str = "/services/payments/orders";
+
+/// Two entries and two engines beside one service.
+struct TwinCluster {
+    cluster: ProcessCluster,
+    engines: Vec<FakeEngine>,
+    service: FakeService,
+    gold: String,
+    small: String,
+}
+
+fn twin_cluster(pace: Duration) -> TwinCluster {
+    let mut config = engine_config();
+    config.between_tokens = pace;
+    let engines: Vec<FakeEngine> = (0..2)
+        .map(|_| FakeEngine::spawn(config.clone()).unwrap())
+        .collect();
+    let service = FakeService::spawn().unwrap();
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 2,
+        agents: vec![
+            AgentPlan::engine("engine-0", "asistente", engines[0].address()),
+            AgentPlan::engine("engine-1", "asistente", engines[1].address()),
+            AgentPlan::service("payments", service.address()),
+        ],
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.apply(PLANS, GRANTS).unwrap();
+    cluster.wait_ready(3).unwrap();
+    let gold = cluster.give_key("medellin", "m1").unwrap();
+    let small = cluster.give_key("cali", "c1").unwrap();
+    let twin = TwinCluster {
+        cluster,
+        engines,
+        service,
+        gold,
+        small,
+    };
+    for entry in 0..2 {
+        wait_until("the entry serves", || {
+            let answer = twin.caller(entry).chat("payroll", "warm up", 1, false);
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .unwrap();
+    }
+    twin
+}
+
+impl TwinCluster {
+    fn caller(&self, entry: usize) -> HttpCaller {
+        HttpCaller::new(self.cluster.callers[entry], Some(&self.gold))
+    }
+
+    fn order(&self, entry: usize, body: &str) -> HttpAnswer {
+        self.caller(entry)
+            .call("POST", ORDERS, &[CLAIM], body)
+            .unwrap()
+    }
+
+    fn running(&self) -> usize {
+        let running = self.engines.iter().map(|engine| engine.records().running());
+        running.sum()
+    }
+
+    fn assert_no_key_seen(&self) {
+        let engines = self
+            .engines
+            .iter()
+            .flat_map(|engine| engine.records().all());
+        for record in engines.chain(self.service.records().all()) {
+            let text = format!("{record:?}");
+            assert!(!text.contains(&self.gold) && !text.contains(&self.small));
+        }
+    }
+}
+
+/// Returns the token numbers of a streamed answer, in order.
+fn token_numbers(answer: &HttpAnswer) -> Vec<u64> {
+    let events = answer.body.split("\n\n");
+    events
+        .filter_map(|event| event.split("content\":\"").nth(1))
+        .filter_map(|text| text.split(['.', ' ']).nth(1)?.parse().ok())
+        .collect()
+}
+
+#[test]
+fn rate_counted_across_entries() {
+    let twin = twin_cluster(Duration::ZERO);
+    let started = Instant::now();
+    let workers: Vec<_> = (0..4)
+        .map(|idx| {
+            let caller = HttpCaller::new(twin.cluster.callers[idx % 2], Some(&twin.small));
+            thread::spawn(move || {
+                let mut statuses = Vec::new();
+                for _ in 0..12 {
+                    let body = "{\"model\":\"payroll\",\"prompt\":\"small\",\"max_tokens\":18}";
+                    let headers = [("Mulberrywell-Deadline-Ms", "300")];
+                    let answer = caller.call("POST", "/v1/completions", &headers, body);
+                    statuses.push(answer.unwrap().status);
+                }
+                statuses
+            })
+        })
+        .collect();
+    let statuses: Vec<u16> = workers
+        .into_iter()
+        .flat_map(|worker| worker.join().unwrap())
+        .collect();
+    let elapsed = started.elapsed().as_secs_f64();
+    let runs: usize = twin
+        .engines
+        .iter()
+        .map(|engine| engine.records().count_with("small"))
+        .sum();
+    // Each takes 2 tokens of the prompt and 18 of output: burst 100, rate 10.
+    assert!(
+        runs as f64 * 20.0 <= 100.0 + 10.0 * elapsed,
+        "{runs} runs in {elapsed} s"
+    );
+    assert!(runs >= 5, "only {runs} runs: {statuses:?}");
+    assert!(statuses.contains(&429), "{statuses:?}");
+    twin.assert_no_key_seen();
+}
+
+#[test]
+fn order_claimed_once_across_entries() {
+    let twin = twin_cluster(Duration::ZERO);
+    let first = twin.order(0, "order 7");
+    assert_eq!(first.status, 201, "{}", first.body);
+    // The outcome is committed just after the answer.
+    let mut again = twin.order(1, "order 7");
+    wait_until("the outcome is kept", || {
+        again = twin.order(1, "order 7");
+        again.status != 409
+    })
+    .unwrap();
+    assert_eq!((again.status, &again.body), (201, &first.body));
+    assert_eq!(again.header("Mulberrywell-Ran"), "yes");
+    let other = twin.order(1, "order 8");
+    assert_eq!(
+        (other.status, other.header("Mulberrywell-Ran")),
+        (422, "no")
+    );
+    assert_eq!(twin.service.records().count_with("order"), 1);
+    twin.assert_no_key_seen();
+}
+
+#[test]
+fn order_claimed_at_once_at_both_entries() {
+    let twin = twin_cluster(Duration::ZERO);
+    twin.service.set_delay(Duration::from_millis(300));
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let calls: Vec<_> = (0..2)
+            .map(|entry| {
+                scope.spawn({
+                    let twin = &twin;
+                    move || twin.order(entry, "order 9").status
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    assert_eq!(twin.service.records().count_with("order 9"), 1);
+    assert!(
+        statuses.contains(&201) && statuses.contains(&409),
+        "{statuses:?}"
+    );
+}
+
+#[test]
+fn order_without_control_not_run() {
+    let mut twin = twin_cluster(Duration::ZERO);
+    twin.cluster.kill("control-0").unwrap();
+    let answer = twin.order(0, "order 10");
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert_eq!(answer.header("Mulberrywell-Ran"), "no");
+    assert_eq!(twin.service.records().count_with("order 10"), 0);
+}
+
+#[test]
+fn order_agent_killed_unknown_and_never_again() {
+    let mut twin = twin_cluster(Duration::ZERO);
+    twin.service.set_delay(Duration::from_secs(2));
+    let caller = twin.caller(0);
+    let call = thread::spawn(move || caller.call("POST", ORDERS, &[CLAIM], "order 11").unwrap());
+    let records = twin.service.records().clone();
+    wait_until("the order runs", || records.count_with("order 11") == 1).unwrap();
+    twin.cluster.kill("agent-payments-0").unwrap();
+    let answer = call.join().unwrap();
+    assert_eq!(
+        (answer.status, answer.header("Mulberrywell-Ran")),
+        (502, "unknown")
+    );
+    assert!(
+        answer.total < Duration::from_secs(10),
+        "held for {:?}",
+        answer.total
+    );
+    twin.cluster.restart("agent-payments-0").unwrap();
+    twin.cluster.wait_ready(3).unwrap();
+    let again = twin.order(1, "order 11");
+    assert_eq!(
+        (again.status, again.header("Mulberrywell-Ran")),
+        (409, "unknown")
+    );
+    assert_eq!(twin.service.records().count_with("order 11"), 1);
+}
+
+#[test]
+fn stream_whole_when_agent_killed() {
+    let mut twin = twin_cluster(Duration::from_millis(25));
+    let caller = twin.caller(0);
+    let call = thread::spawn(move || caller.chat("payroll", "long", 60, true).unwrap());
+    let engines = twin.engines.clone();
+    let tokens = move |idx: usize| -> u64 {
+        let records = engines[idx].records().all();
+        let long = records.iter().filter(|record| record.body.contains("long"));
+        long.map(|record| record.tokens).max().unwrap_or(0)
+    };
+    wait_until("the stream flows", || tokens(0).max(tokens(1)) >= 10).unwrap();
+    let busy = usize::from(tokens(1) > tokens(0));
+    twin.cluster.kill(&format!("agent-engine-{busy}")).unwrap();
+    let answer = call.join().unwrap();
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(token_numbers(&answer), (0..60).collect::<Vec<u64>>());
+    assert_eq!(answer.body.matches("[DONE]").count(), 1);
+    assert!(tokens(1 - busy) > 0, "the other engine did not go on");
+}
+
+#[test]
+fn caller_gone_frees_engine() {
+    let twin = twin_cluster(Duration::from_millis(20));
+    let body = "{\"model\":\"payroll\",\"prompt\":\"gone\",\"max_tokens\":5000,\"stream\":true}";
+    let mut stream = TcpStream::connect(twin.cluster.callers[0]).unwrap();
+    write!(
+        stream,
+        "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        twin.gold,
+        body.len()
+    )
+    .unwrap();
+    let mut buf = [0; 512];
+    assert!(stream.read(&mut buf).unwrap() > 0);
+    assert_eq!(twin.running(), 1);
+    drop(stream);
+    wait_until("the engine is free", || twin.running() == 0).unwrap();
+}
+
+#[test]
+fn shutdown_under_load_cuts_nothing() {
+    let mut twin = twin_cluster(Duration::from_millis(10));
+    let calls: Vec<_> = (0..8)
+        .map(|idx| {
+            let caller = twin.caller(0);
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(150 * idx));
+                caller.chat("payroll", "load", 100, true).unwrap()
+            })
+        })
+        .collect();
+    wait_until("the load flows", || twin.running() >= 2).unwrap();
+    twin.cluster.signal("entry-0", Signal::SIGTERM).unwrap();
+    for call in calls {
+        let answer = call.join().unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        assert!(answer.whole);
+        assert_eq!(token_numbers(&answer).len(), 100);
+    }
+    assert!(twin.cluster.wait("entry-0").unwrap());
+}
