Order nothing before the first lists

Cause: in a cluster whose lists are not yet in force the planner saw every resident model as retired and had it unloaded; fault_links::agent_link_resets then got 503. Ruled out: the cut link itself (the agent's log shows the unload orders before the cut). placement_models::placement_before_lists failed first (both models unloaded within 1.8 s) and passes now.

--- a/crates/control/src/placement_task.rs
+++ b/crates/control/src/placement_task.rs
@@ -4,7 +4,8 @@
 //! package what it has observed and sends the orders that result, to its own
 //! agents and, through the other control instances, to all others.
 //!
-//! Guarantees: only a leader that has applied an entry of its own term plans;
+//! Guarantees: only a leader that has applied an entry of its own term plans,
+//! and none before the first lists, so that a new cluster unloads nothing;
 //! orders carry that term, so that those of an earlier leader are ignored by
 //! the agents; nothing here is replicated, as a new leader learns it from the
 //! agents' reports.
@@ -193,7 +194,9 @@
 impl ControlRole {
     /// Plans and sends orders when it is time; for the leader only.
     pub(crate) fn place(&mut self, now: Instant, actions: &mut Actions) {
-        if !self.is_leader() || self.applied_term != self.term {
+        // Before the first lists every model would look like a retired one.
+        let ready = self.applied_term == self.term && self.state.list_version > 0;
+        if !self.is_leader() || !ready {
             return;
         }
         let planned = self
@@ -268,6 +271,7 @@
         residences: report.models.iter().map(model_residence).collect(),
         order_term: report.order_term,
         order_revision: report.order_revision,
+        tokens_per_second: report.tokens_per_second,
     }
 }
 
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -164,6 +164,7 @@
                 caller_listen: address(8_000),
                 max_requests: 100,
                 max_body: 1 << 20,
+                caller_stall: Duration::from_secs(10),
                 freshness: Duration::from_secs(5),
                 default_deadline: Duration::from_secs(60),
                 shutdown_grace: Duration::from_secs(2),
--- a/crates/mulberrywell/tests/placement_models.rs
+++ b/crates/mulberrywell/tests/placement_models.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{binaries, GRANTS, PLANS};
 use mulberrywell_testkit::{
@@ -83,3 +83,24 @@
     })
     .unwrap();
 }
+
+/// Time in which the leader makes several plans.
+const PLANS_TIME: Duration = Duration::from_secs(3);
+
+#[test]
+fn placement_before_lists() {
+    let engine = FakeEngine::spawn(common::engine_config()).unwrap();
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        agents: vec![AgentPlan::engine("engine-0", "asistente", engine.address())],
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.wait_ready(1).unwrap();
+    let end = Instant::now() + PLANS_TIME;
+    while Instant::now() < end {
+        assert_eq!(ready_models(&engine), 2, "{:?}", engine.orders());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
