--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -4,7 +4,8 @@
 //! its own while entries go on being committed. Once the snapshot is saved the
 //! log before it is dropped, but for some entries that are kept for members a
 //! little behind. A member that needs more gets the snapshot, one chunk at a
-//! time from the first byte that it lacks, and then the entries after it.
+//! time from the first byte that it lacks, and then the entries after it; so
+//! does Memgraph's replication specification treat a replica that is stale.
 
 use std::time::Instant;
 
--- a/crates/consensus/tests/suite/election.rs
+++ b/crates/consensus/tests/suite/election.rs
@@ -143,7 +143,7 @@
     cluster.run_for(SECONDS);
     assert!(cluster.members[leader].is_failed());
     let is_unknown = |it: &NodeOutput| matches!(it, NodeOutput::OutcomeUnknown { proposal: it } if *it == proposal);
-    assert!(cluster.was_accepted(proposal) || cluster.seen.iter().any(is_unknown));
+    assert!(cluster.was_accepted(proposal) || cluster.outputs().any(is_unknown));
     let next = cluster.leader().expect("the others elect a leader");
     assert_ne!(next, leader);
     assert_eq!(
--- a/crates/consensus/tests/suite/main.rs
+++ b/crates/consensus/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod random_schedule;
 mod read_index;
 mod replication;
+mod session_file;
 mod snapshot;
 mod storage;
 mod support;
--- a/crates/consensus/tests/suite/membership.rs
+++ b/crates/consensus/tests/suite/membership.rs
@@ -13,7 +13,7 @@
 fn refusal(cluster: &mut VirtualCluster, change: MembershipChange) -> Option<ChangeRefusal> {
     cluster.seen.clear();
     cluster.change_members(change);
-    cluster.seen.iter().find_map(|output| match output {
+    cluster.outputs().find_map(|output| match output {
         NodeOutput::Rejected {
             reason: ProposalRejection::Change(refusal),
             ..
@@ -227,7 +227,7 @@
     cluster.seen.clear();
     cluster.input(leader, NodeInput::Transfer { to });
     let is_failure = |it: &NodeOutput| matches!(it, NodeOutput::TransferFailed);
-    assert!(cluster.seen.iter().any(is_failure));
+    assert!(cluster.outputs().any(is_failure));
     assert_eq!(cluster.leader(), Some(leader));
 }
 
--- a/crates/consensus/tests/suite/read_index.rs
+++ b/crates/consensus/tests/suite/read_index.rs
@@ -8,7 +8,7 @@
 fn is_failed(cluster: &VirtualCluster, read: u64) -> bool {
     let is_it =
         |it: &NodeOutput| matches!(it, NodeOutput::ReadFailed { read: it, .. } if *it == read);
-    cluster.seen.iter().any(is_it)
+    cluster.outputs().any(is_it)
 }
 
 #[test]
--- a/crates/consensus/tests/suite/replication.rs
+++ b/crates/consensus/tests/suite/replication.rs
@@ -133,7 +133,7 @@
     cluster.run_for(3 * SECONDS);
     assert!(!cluster.was_accepted(proposal));
     let is_unknown = |it: &NodeOutput| matches!(it, NodeOutput::OutcomeUnknown { proposal: it } if *it == proposal);
-    assert!(cluster.seen.iter().any(is_unknown));
+    assert!(cluster.outputs().any(is_unknown));
 }
 
 #[test]
@@ -158,7 +158,7 @@
         let reason = ProposalRejection::Overloaded;
         matches!(it, NodeOutput::Rejected { reason: it, .. } if *it == reason)
     };
-    let refused = cluster.seen.iter().filter(is_overload).count();
+    let refused = cluster.outputs().filter(is_overload).count();
     cluster.run_for(SECONDS);
     let accepted = proposals.iter().filter(|it| cluster.was_accepted(**it));
     assert_eq!(accepted.count() + refused, proposals.len());
--- a/crates/consensus/tests/suite/snapshot.rs
+++ b/crates/consensus/tests/suite/snapshot.rs
@@ -40,7 +40,7 @@
     cluster.start_member(laggard);
     cluster.run_for(3 * SECONDS);
     let is_restore = |it: &NodeOutput| matches!(it, NodeOutput::Restore(_));
-    assert!(cluster.seen.iter().any(is_restore));
+    assert!(cluster.outputs().any(is_restore));
     assert_eq!(
         cluster.members[laggard].run.as_ref().unwrap().state,
         cluster.members[leader].run.as_ref().unwrap().state,
@@ -73,7 +73,7 @@
     for _ in 0..60 {
         cluster.propose(0);
         cluster.run_for(10 * MILLIS);
-        let asked = cluster.seen.iter().find_map(|output| match output {
+        let asked = cluster.outputs().find_map(|output| match output {
             NodeOutput::MakeSnapshot { index } => Some(*index),
             _ => None,
         });
--- a/crates/consensus/tests/suite/support/virtual_cluster.rs
+++ b/crates/consensus/tests/suite/support/virtual_cluster.rs
@@ -47,6 +47,13 @@
     pub to: SlotId,
 }
 
+/// What a member told its host.
+#[derive(Debug)]
+pub struct SeenOutput {
+    pub slot: SlotId,
+    pub output: NodeOutput,
+}
+
 /// What the network does to messages.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct NetworkFaults {
@@ -77,7 +84,7 @@
     homes: BTreeMap<MemberId, SlotId>,
     next_number: u64,
     /// Outcomes of proposals, reads and transfers, for focused tests.
-    pub seen: Vec<NodeOutput>,
+    pub seen: Vec<SeenOutput>,
 }
 
 impl VirtualCluster {
@@ -183,9 +190,14 @@
         read
     }
 
+    /// Iterates over the outputs seen.
+    pub fn outputs(&self) -> impl Iterator<Item = &NodeOutput> {
+        self.seen.iter().map(|seen| &seen.output)
+    }
+
     pub fn was_confirmed(&self, read: ReadId) -> bool {
         let is_it = |output: &NodeOutput| matches!(output, NodeOutput::ReadConfirmed { read: it, .. } if *it == read);
-        self.seen.iter().any(is_it)
+        self.outputs().any(is_it)
     }
 
     pub fn was_accepted(&self, proposal: ProposalId) -> bool {
@@ -388,7 +400,7 @@
             _ => {}
         }
         if !self.traffic && !matches!(output, NodeOutput::Send(_) | NodeOutput::Persist(_)) {
-            self.seen.push(output);
+            self.seen.push(SeenOutput { slot, output });
         }
     }
 
