--- a/crates/consensus/tests/suite/random_schedule.rs
+++ b/crates/consensus/tests/suite/random_schedule.rs
@@ -9,7 +9,8 @@
 use rstest::rstest;
 
 use crate::support::cluster_oracle::ScheduleTally;
-use crate::support::virtual_cluster::{NetworkFaults, VirtualCluster, SECONDS};
+use crate::support::virtual_cluster::{VirtualCluster, SECONDS};
+use crate::support::virtual_network::NetworkFaults;
 
 /// Seeds of each case in CI.
 const SEEDS_DEFAULT: u64 = 40;
--- a/crates/consensus/tests/suite/read_index.rs
+++ b/crates/consensus/tests/suite/read_index.rs
@@ -3,7 +3,8 @@
 use mulberrywell_consensus::{NodeConfig, NodeOutput};
 use rstest::rstest;
 
-use crate::support::virtual_cluster::{SlotLink, VirtualCluster, MILLIS, SECONDS};
+use crate::support::virtual_cluster::{VirtualCluster, MILLIS, SECONDS};
+use crate::support::virtual_network::SlotLink;
 
 fn is_failed(cluster: &VirtualCluster, read: u64) -> bool {
     let is_it =
--- a/crates/consensus/tests/suite/support/fault_plan.rs
+++ b/crates/consensus/tests/suite/support/fault_plan.rs
@@ -5,7 +5,8 @@
 use rand::Rng;
 
 use super::fake_disk::FakeDisk;
-use super::virtual_cluster::{SlotId, SlotLink, VirtualCluster, MILLIS, SECONDS};
+use super::virtual_cluster::{SlotId, VirtualCluster, MILLIS, SECONDS};
+use super::virtual_network::SlotLink;
 
 impl VirtualCluster {
     fn any_slot(&mut self) -> SlotId {
--- a/crates/consensus/tests/suite/support/mod.rs
+++ b/crates/consensus/tests/suite/support/mod.rs
@@ -5,3 +5,4 @@
 pub mod fault_plan;
 pub mod virtual_cluster;
 pub mod virtual_member;
+pub mod virtual_network;
--- a/crates/consensus/tests/suite/support/virtual_cluster.rs
+++ b/crates/consensus/tests/suite/support/virtual_cluster.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use mulberrywell_consensus::{
-    MemberId, MembershipChange, NodeConfig, NodeInput, NodeOutput, NodeRole, PeerMessage,
+    LogEntry, MemberId, MembershipChange, NodeConfig, NodeInput, NodeOutput, NodeRole, PeerMessage,
     ProposalId, ReadId, SnapshotImage, StorageError,
 };
 use rand::{Rng, SeedableRng};
@@ -13,6 +13,7 @@
 
 use super::cluster_oracle::ClusterOracle;
 use super::virtual_member::{write_command, VirtualMember, VirtualMicros};
+use super::virtual_network::{NetworkFaults, SlotLink};
 
 /// Place of a member in the cluster.
 pub type SlotId = usize;
@@ -40,13 +41,6 @@
     event: VirtualEvent,
 }
 
-/// A directed pair of slots.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct SlotLink {
-    pub from: SlotId,
-    pub to: SlotId,
-}
-
 /// What a member told its host.
 #[derive(Debug)]
 pub struct SeenOutput {
@@ -54,17 +48,6 @@
     pub output: NodeOutput,
 }
 
-/// What the network does to messages.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct NetworkFaults {
-    /// Part of the messages that is lost, of 1.
-    pub loss: f64,
-    /// Part that comes twice, of 1.
-    pub repeats: f64,
-    /// Part that is late by up to two seconds, of 1.
-    pub late: f64,
-}
-
 /// The cluster.
 pub struct VirtualCluster {
     pub rng: Pcg32,
@@ -222,15 +205,6 @@
         self.schedule(at, VirtualEvent::Restart { slot });
     }
 
-    /// Cuts a member off in both directions.
-    pub fn isolate(&mut self, slot: SlotId, until: VirtualMicros) {
-        for other in 0..self.members.len() {
-            for (from, to) in [(slot, other), (other, slot)] {
-                self.cuts.insert(SlotLink { from, to }, until);
-            }
-        }
-    }
-
     /// Lets clients, the administrator and faults act by themselves.
     pub fn start_traffic(&mut self) {
         self.traffic = true;
@@ -359,18 +333,7 @@
                 run.queue.push(batch.clone());
                 self.schedule_sync(slot);
             }
-            NodeOutput::Apply { entry, proposal } => {
-                let known = run.state.commands.len();
-                run.state.apply(entry);
-                let command = run.state.commands.get(known).copied();
-                self.oracle
-                    .saw_applied(entry.index, entry.term, run.state.digest);
-                match command {
-                    Some(command) => self.oracle.saw_command(command, *proposal),
-                    None if proposal.is_some() => self.oracle.tally.membership_changes += 1,
-                    None => {}
-                }
-            }
+            NodeOutput::Apply { entry, proposal } => self.take_apply(slot, entry, *proposal),
             NodeOutput::Restore(image) => run.restore(image, &mut self.oracle),
             NodeOutput::MakeSnapshot { index } => {
                 let data = run.state.to_bytes();
@@ -404,37 +367,36 @@
         }
     }
 
-    fn send(&mut self, from: SlotId, message: &PeerMessage) {
-        self.oracle.saw_message(message);
-        let Some(to) = self.homes.get(&message.to).copied() else {
-            return;
-        };
-        let is_cut = self.cuts.get(&SlotLink { from, to });
-        let is_cut = is_cut.is_some_and(|until| *until > self.now);
-        if is_cut || self.rng.random_bool(self.network.loss) {
-            return;
-        }
-        let decoded = PeerMessage::from_bytes(message.to_bytes()).expect("its own encoding");
-        assert_eq!(decoded, *message, "the encoding lost something");
-        let copies = 1 + usize::from(self.rng.random_bool(self.network.repeats));
-        for _ in 0..copies {
-            let is_late = self.rng.random_bool(self.network.late);
-            let delay_max = if is_late { 2 * SECONDS } else { 6 * MILLIS };
-            let delay = self.rng.random_range(200..delay_max);
-            let input = NodeInput::Message(decoded.clone());
-            // A message outlives the run that it was sent to.
-            let event = VirtualEvent::Input { slot: to, input };
-            let scheduled = ScheduledEvent {
-                run_number: None,
-                event,
-            };
-            self.events
-                .entry(self.now + delay)
-                .or_default()
-                .push(scheduled);
+    fn take_apply(&mut self, slot: SlotId, entry: &LogEntry, proposal: Option<ProposalId>) {
+        let run = self.members[slot].run.as_mut().expect("it gave an output");
+        let known = run.state.commands.len();
+        run.state.apply(entry);
+        let command = run.state.commands.get(known).copied();
+        self.oracle
+            .saw_applied(entry.index, entry.term, run.state.digest);
+        match command {
+            Some(command) => self.oracle.saw_command(command, proposal),
+            None if proposal.is_some() => self.oracle.tally.membership_changes += 1,
+            None => {}
         }
     }
 
+    /// Returns the slot where a member lives or lived.
+    pub fn home_of(&self, member: MemberId) -> Option<SlotId> {
+        self.homes.get(&member).copied()
+    }
+
+    /// Gives a slot a message later; it outlives the run that it was sent to.
+    pub fn deliver(&mut self, slot: SlotId, message: PeerMessage, delay: VirtualMicros) {
+        let input = NodeInput::Message(message);
+        let scheduled = ScheduledEvent {
+            run_number: None,
+            event: VirtualEvent::Input { slot, input },
+        };
+        let at = self.now + delay;
+        self.events.entry(at).or_default().push(scheduled);
+    }
+
     fn schedule_timer(&mut self, slot: SlotId) {
         let member = &mut self.members[slot];
         let Some(run) = &mut member.run else {
