Give the host time to write the last answer before an entry exits

The role now waits 500 ms after the last part. Also, a lease client without a link named a deadline in the past while a request waited, so that its host would spin for up to 2 s.

--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -38,6 +38,9 @@
 /// Time beyond the grace for which a shutdown waits for acknowledged outcomes.
 const OUTCOME_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time for which the host may still write the last answer's end.
+const FLUSH_TIME: Duration = Duration::from_millis(500);
+
 /// Interval at which missing links are opened again.
 const LINK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -88,6 +91,10 @@
     pub(crate) draining: Option<Instant>,
     /// Set once the grace of a shutdown was seen to be over.
     grace_over: bool,
+    /// Last instant at which an answer's part went out.
+    last_answer: Instant,
+    /// Instant of the last event.
+    handled: Instant,
     /// When missing links are opened next.
     next_links: Instant,
     finished: bool,
@@ -119,6 +126,8 @@
             next_link: 2,
             draining: None,
             grace_over: false,
+            last_answer: now,
+            handled: now,
             next_links: now,
             finished: false,
             commands: Vec::new(),
@@ -280,7 +289,7 @@
             return;
         }
         self.leases.drain(now);
-        if self.leases.is_drained() {
+        if self.leases.is_drained() && now >= self.last_answer + FLUSH_TIME {
             self.finished = true;
             actions.push(RoleAction::Finished);
         }
@@ -309,12 +318,19 @@
             }
             RoleEvent::Own(HttpEvent::Gone { request }) => self.caller_gone(now, request, actions),
         }
+        self.handled = now;
+        let answers = |action: &RoleAction<EntryAction>| matches!(action, RoleAction::Own(_));
+        if actions.iter().any(answers) {
+            self.last_answer = now;
+        }
         self.check_drained(now, actions);
         self.pump_leases(now, actions);
     }
 
     fn deadline(&self) -> Option<Instant> {
         let grace = self.grace_end().filter(|_| !self.grace_over);
+        let flushed = self.last_answer + FLUSH_TIME;
+        let flushed = (self.grace_over && self.calls.is_empty()).then_some(flushed);
         let fresh = self.link.fresh_until().filter(|_| self.calls.has_keyed());
         let links = self.draining.is_none().then_some(self.next_links);
         [
@@ -325,6 +341,7 @@
             Some(self.demand.deadline()),
             links,
             grace,
+            flushed.filter(|at| *at > self.handled),
             fresh,
         ]
         .into_iter()
--- a/crates/limit/src/account_balance.rs
+++ b/crates/limit/src/account_balance.rs
@@ -161,8 +161,8 @@
     }
 
     /// Returns when something is due.
-    pub(crate) fn next_due(&self, lifetime: Duration) -> Option<Instant> {
-        let asks = !self.waiting.is_empty() && self.asked.is_none();
+    pub(crate) fn next_due(&self, lifetime: Duration, connected: bool) -> Option<Instant> {
+        let asks = connected && !self.waiting.is_empty() && self.asked.is_none();
         let ask = asks.then_some(self.next_ask);
         let waiting = self.waiting.iter().map(|item| item.deadline).min();
         [self.next_return(lifetime), ask, waiting]
--- a/crates/limit/src/lease_client.rs
+++ b/crates/limit/src/lease_client.rs
@@ -252,7 +252,7 @@
         let balances = self
             .accounts
             .values()
-            .filter_map(|balance| balance.next_due(LEASE_LIFETIME));
+            .filter_map(|balance| balance.next_due(LEASE_LIFETIME, self.connected));
         balances.chain(silent).chain(returns).min()
     }
 
--- a/crates/limit/tests/lease_client.rs
+++ b/crates/limit/tests/lease_client.rs
@@ -179,6 +179,11 @@
         test.client.link_closed(test.now);
     }
     assert_eq!(test.reserve(1, 100), ReserveOutcome::Waiting);
+    test.pass(100);
+    assert!(
+        test.client.deadline() > Some(test.now),
+        "its host would spin"
+    );
     test.now += ANSWER_LIMIT;
     test.client.tick(test.now);
     let outcomes = test.outcomes();
