Admit an instance that answers at a seed, whatever address it advertises

Cause: with a proxy on every link each process has other addresses for the same instance, and a group of three did not form: the advertised address stood in nobody's seeds. An instance that answers when the leader dials a seed is a seed now, and an instance dials neither its bound nor its advertised address.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -60,6 +60,8 @@
     pub zone: Bytes,
     /// Address that other processes connect to.
     pub advertise: std::net::SocketAddr,
+    /// Address that the instance listens on for them.
+    pub listen: std::net::SocketAddr,
     /// Link addresses of control instances.
     pub seeds: Vec<std::net::SocketAddr>,
     /// Identity of a cluster that this instance may found.
@@ -187,7 +189,12 @@
         let membership = node.membership().clone();
         let founding = (empty && config.settings.bootstrap).then_some(now);
         Ok(ControlRole {
-            peers: PeerLinks::new(member, config.seeds.clone(), now),
+            peers: PeerLinks::new(
+                member,
+                [config.advertise, config.listen],
+                config.seeds.clone(),
+                now,
+            ),
             config,
             node,
             inputs: VecDeque::new(),
--- a/crates/control/src/member_driver.rs
+++ b/crates/control/src/member_driver.rs
@@ -1,12 +1,12 @@
 //! How the leader brings the membership to what operators wish.
 //!
 //! Algorithm: one change at a time, looked for at an interval. An instance
-//! that belongs to no other cluster and is wished for, or whose address is a
-//! seed or whose name is known, becomes a learner, gets a snapshot and the
+//! that belongs to no other cluster and is wished for, or that answers at the
+//! address of a seed or whose name is known, becomes a learner, gets a snapshot and the
 //! log's tail, and votes once it has caught up. An instance that lost its disk
 //! comes back under its name with a new identity: the old identity is removed
-//! once it is no longer connected. The order of copying first and counting
-//! in a quorum later follows the replication paper that the design page cites.
+//! once it is no longer connected. A copy is made first and counts in a quorum
+//! later (Ongaro, section 4.2.1).
 
 use std::collections::BTreeMap;
 
@@ -197,7 +197,7 @@
         Some(wish) => *wish,
         None => {
             let known = view.state.members.values().any(|item| item.name == *name);
-            known || view.peers.is_seed(&info.member.address)
+            known || view.peers.is_seed(info.member.id)
         }
     }
 }
--- a/crates/control/src/peer_links.rs
+++ b/crates/control/src/peer_links.rs
@@ -29,9 +29,13 @@
 #[derive(Debug)]
 pub struct PeerLinks {
     own: MemberItem,
+    /// Where this instance itself is reached, as it is told to others or bound.
+    own_addresses: [SocketAddr; 2],
     seeds: Vec<SocketAddr>,
-    /// One for each address other than the own one.
+    /// One for each address other than the own ones.
     dialers: BTreeMap<SocketAddr, SeedDialer>,
+    /// Instances that answered at the address of a seed.
+    seed_members: BTreeSet<MemberId>,
     /// Open links to control instances; the peer is known after its hello.
     links: BTreeMap<LinkId, Option<PeerInfo>>,
     /// Even; grows with each dialed link.
@@ -40,11 +44,18 @@
 
 impl PeerLinks {
     /// Creates links that are yet to be dialed.
-    pub fn new(own: MemberItem, seeds: Vec<SocketAddr>, now: Instant) -> Self {
+    pub fn new(
+        own: MemberItem,
+        own_addresses: [SocketAddr; 2],
+        seeds: Vec<SocketAddr>,
+        now: Instant,
+    ) -> Self {
         let mut links = PeerLinks {
             own,
+            own_addresses,
             seeds,
             dialers: BTreeMap::new(),
+            seed_members: BTreeSet::new(),
             links: BTreeMap::new(),
             next_link: 2,
         };
@@ -60,10 +71,9 @@
     /// Dials the seeds and these addresses from now on.
     pub fn set_addresses(&mut self, now: Instant, members: &[Bytes]) {
         let parsed = members.iter().filter_map(parse_address);
-        let own = parse_address(&self.own.address);
         let wanted: BTreeSet<SocketAddr> = parsed
             .chain(self.seeds.iter().copied())
-            .filter(|address| Some(*address) != own)
+            .filter(|address| !self.own_addresses.contains(address))
             .collect();
         self.dialers.retain(|address, _| wanted.contains(address));
         for address in wanted {
@@ -73,15 +83,15 @@
         }
     }
 
-    /// Tells whether an address is one of the settings' seeds.
-    pub fn is_seed(&self, address: &Bytes) -> bool {
-        parse_address(address).is_some_and(|address| self.seeds.contains(&address))
+    /// Tells whether an instance answered at the address of a seed.
+    pub fn is_seed(&self, id: MemberId) -> bool {
+        self.seed_members.contains(&id)
     }
 
     /// Returns how many seeds other instances have.
     pub fn other_seeds(&self) -> usize {
-        let own = parse_address(&self.own.address);
-        let others = self.seeds.iter().filter(|seed| Some(**seed) != own);
+        let seeds = self.seeds.iter();
+        let others = seeds.filter(|seed| !self.own_addresses.contains(seed));
         others.count()
     }
 
@@ -140,6 +150,11 @@
             return;
         };
         let member = hello.member.unwrap_or_default();
+        let mut dialers = self.dialers.iter();
+        let dialed = dialers.find(|(_, dialer)| dialer.open_link() == Some(link));
+        if dialed.is_some_and(|(address, _)| self.seeds.contains(address)) {
+            self.seed_members.insert(member.id);
+        }
         *info = Some(PeerInfo {
             member,
             cluster: hello.cluster,
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -331,6 +331,7 @@
         instance: instance_name(place),
         zone: Bytes::new(),
         advertise: address_of(place),
+        listen: address_of(place),
         seeds: (0..count).map(address_of).collect(),
         new_cluster: 9,
         operator_key: Bytes::from_static(OPERATOR_KEY),
--- a/crates/mulberrywell/tests/control_group/entry_cases.rs
+++ b/crates/mulberrywell/tests/control_group/entry_cases.rs
@@ -12,7 +12,6 @@
 use serde_json::Value;
 
 use crate::common::engine_config;
-use crate::cut_proxy::CutProxy;
 use crate::group_helper::ControlGroup;
 
 /// Changes that an entry does not see.
@@ -35,19 +34,19 @@
 
 /// Starts three control instances and two entries before one engine.
 fn served_group(pace: Duration) -> ServedGroup {
-    served_group_with(pace, "")
+    served_group_with(pace, ClusterPlan::default())
 }
 
-fn served_group_with(pace: Duration, control_extra: &str) -> ServedGroup {
+/// Starts the group under the switches and further settings of a plan.
+fn served_group_with(pace: Duration, plan: ClusterPlan) -> ServedGroup {
     let mut config = engine_config();
     config.between_tokens = pace;
     let engine = FakeEngine::spawn(config).unwrap();
     let plan = ClusterPlan {
         controls: 3,
         entries: 2,
-        control_extra: control_extra.to_owned(),
         agents: vec![AgentPlan::engine("engine-0", "asistente", engine.address())],
-        ..ClusterPlan::default()
+        ..plan
     };
     let group = ControlGroup::spawn_plan(&plan);
     group.cluster.wait_ready(1).unwrap();
@@ -152,22 +151,18 @@
 
 #[test]
 fn key_withdrawn_entry_cut_off() {
-    let mut served = served_group(Duration::from_millis(50));
-    let cluster = &mut served.group.cluster;
-    let proxies: Vec<CutProxy> = cluster.links.iter().map(|l| CutProxy::spawn(*l)).collect();
-    cluster.kill("entry-0").unwrap();
-    let settings = cluster.folder().join("entry-0.toml");
-    let mut text = std::fs::read_to_string(&settings).unwrap();
-    for (link, proxy) in cluster.links.iter().zip(&proxies) {
-        text = text.replace(&link.to_string(), &proxy.address.to_string());
-    }
-    std::fs::write(&settings, text).unwrap();
-    cluster.restart("entry-0").unwrap();
-    cluster.wait_ready(1).unwrap();
+    let plan = ClusterPlan {
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let served = served_group_with(Duration::from_millis(50), plan);
+    let cluster = &served.group.cluster;
     let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
     let stream = std::thread::spawn(move || caller.chat("payroll", "hello", 2_000, true));
     std::thread::sleep(Duration::from_millis(500));
-    proxies.iter().for_each(CutProxy::cut);
+    for proxy in cluster.proxies_of("entry-0") {
+        proxy.stall();
+    }
     let withdrawn = Instant::now();
     cluster.operate_well(&["key", "withdraw", "m1"]).unwrap();
     wait_refused(cluster, 0, &served.key, 503);
@@ -256,8 +251,11 @@
 
 #[test]
 fn endpoint_kept_leader_killed() {
-    let extra = "suspect_after_ms = 700\ngone_after_ms = 1500";
-    let mut served = served_group_with(Duration::from_millis(1), extra);
+    let plan = ClusterPlan {
+        control_extra: "suspect_after_ms = 700\ngone_after_ms = 1500".to_owned(),
+        ..ClusterPlan::default()
+    };
+    let mut served = served_group_with(Duration::from_millis(1), plan);
     let fencing = endpoint_field(&served.group, "engine-0", "fencing");
     let leader = served.group.leader();
     served.group.cluster.kill(&leader).unwrap();
@@ -276,3 +274,50 @@
         fencing
     );
 }
+
+/// A silent cut of the leader, both ways, for longer than every bound.
+#[test]
+fn leader_cut_off_silently() {
+    let plan = ClusterPlan {
+        controls: 3,
+        entries: 1,
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let group = ControlGroup::spawn_plan(&plan);
+    let before = group.edit("before the cut");
+    let leader = group.leader();
+    for proxy in group.cluster.proxies_of(&leader) {
+        proxy.stall();
+    }
+    let cut = Instant::now();
+    let others = group.others(&leader);
+    let after = group.edit_at(&others, "during the cut");
+    assert!(after > before);
+    let alone = leader.trim_start_matches("control-").parse().unwrap();
+    let caller = HttpCaller::new(group.cluster.callers[0], None);
+    let mut entry_version = 0;
+    while cut.elapsed() < CUT_BOUND {
+        let answer = group
+            .operator(alone)
+            .call("GET", "/v1/config", &[], "")
+            .unwrap();
+        let shown: Value = serde_json::from_str(&answer.body).unwrap();
+        let stale = answer.status == 200 && shown["version"].as_u64() < Some(after);
+        assert!(!stale, "{}", answer.body);
+        let version = ready_version(&caller).unwrap_or(entry_version);
+        assert!(version >= entry_version);
+        entry_version = version;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(
+        entry_version >= after,
+        "the entry moved to a connected member"
+    );
+    for proxy in group.cluster.proxies_of(&leader) {
+        proxy.heal();
+    }
+    group.wait_voters(3);
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
--- a/crates/mulberrywell/tests/control_group/main.rs
+++ b/crates/mulberrywell/tests/control_group/main.rs
@@ -3,7 +3,6 @@
 
 #[path = "../common/mod.rs"]
 mod common;
-mod cut_proxy;
 mod entry_cases;
 mod group_helper;
 mod measure;
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -74,6 +74,7 @@
             instance: instance.name.clone(),
             zone: instance.zone.clone(),
             advertise: instance.advertise,
+            listen: instance.listen,
             seeds: instance.seeds.clone(),
             new_cluster: rand::random::<u64>().max(1),
             operator_key: Bytes::copy_from_slice(operator_key.trim_ascii()),
