--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -60,6 +60,8 @@
     pub zone: Bytes,
     /// Address that other processes connect to.
     pub advertise: std::net::SocketAddr,
+    /// Address that the instance listens on for them.
+    pub listen: std::net::SocketAddr,
     /// Link addresses of control instances.
     pub seeds: Vec<std::net::SocketAddr>,
     /// Identity of a cluster that this instance may found.
@@ -129,7 +131,7 @@
     /// Term of the last entry applied in this run.
     pub(crate) applied_term: Term,
     pub(crate) leader: Option<MemberId>,
-    /// Since when no leader is known.
+    /// Since when no leader is linked.
     pub(crate) leaderless: Option<Instant>,
     pub(crate) membership: Membership,
     pub(crate) proposals: ProposalTable,
@@ -187,7 +189,12 @@
         let membership = node.membership().clone();
         let founding = (empty && config.settings.bootstrap).then_some(now);
         Ok(ControlRole {
-            peers: PeerLinks::new(member, config.seeds.clone(), now),
+            peers: PeerLinks::new(
+                member,
+                [config.advertise, config.listen],
+                config.seeds.clone(),
+                now,
+            ),
             config,
             node,
             inputs: VecDeque::new(),
@@ -196,7 +203,7 @@
             term: 0,
             applied_term: 0,
             leader: None,
-            leaderless: Some(now),
+            leaderless: None,
             membership,
             proposals: ProposalTable::default(),
             reads: ReadRounds::default(),
--- a/crates/mulberrywell/tests/control_entries.rs
+++ b/crates/mulberrywell/tests/control_group/entry_cases.rs
@@ -1,22 +1,19 @@
 //! What entries hold of the configuration while control instances and links
-//! fail, in real processes.
-
-mod common;
-mod control_common;
+//! fail.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::engine_config;
-use control_common::cut_proxy::CutProxy;
-use control_common::ControlGroup;
 use mulberrywell_testkit::{
     wait_until, AgentPlan, ClusterPlan, FakeEngine, HttpCaller, ProcessCluster,
 };
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
+use crate::common::engine_config;
+use crate::group_helper::ControlGroup;
+
 /// Changes that an entry does not see.
 const CHANGES: u64 = 500;
 
@@ -26,6 +23,9 @@
 /// Bound from a withdrawal to the refusal at an entry without control.
 const CUT_BOUND: Duration = Duration::from_secs(8);
 
+/// Bound from a drain to the end of new work.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+
 struct ServedGroup {
     group: ControlGroup,
     _engine: FakeEngine,
@@ -34,6 +34,11 @@
 
 /// Starts three control instances and two entries before one engine.
 fn served_group(pace: Duration) -> ServedGroup {
+    served_group_with(pace, ClusterPlan::default())
+}
+
+/// Starts the group under the switches and further settings of a plan.
+fn served_group_with(pace: Duration, plan: ClusterPlan) -> ServedGroup {
     let mut config = engine_config();
     config.between_tokens = pace;
     let engine = FakeEngine::spawn(config).unwrap();
@@ -41,7 +46,7 @@
         controls: 3,
         entries: 2,
         agents: vec![AgentPlan::engine("engine-0", "asistente", engine.address())],
-        ..ClusterPlan::default()
+        ..plan
     };
     let group = ControlGroup::spawn_plan(&plan);
     group.cluster.wait_ready(1).unwrap();
@@ -53,7 +58,7 @@
     }
 }
 
-fn ready_version(caller: &HttpCaller) -> Option<u64> {
+pub fn ready_version(caller: &HttpCaller) -> Option<u64> {
     let answer = caller.call("GET", "/readyz", &[], "").ok()?;
     let value: Value = serde_json::from_str(&answer.body).ok()?;
     value["version"].as_u64()
@@ -146,22 +151,18 @@
 
 #[test]
 fn key_withdrawn_entry_cut_off() {
-    let mut served = served_group(Duration::from_millis(50));
-    let cluster = &mut served.group.cluster;
-    let proxies: Vec<CutProxy> = cluster.links.iter().map(|l| CutProxy::spawn(*l)).collect();
-    cluster.kill("entry-0").unwrap();
-    let settings = cluster.folder().join("entry-0.toml");
-    let mut text = std::fs::read_to_string(&settings).unwrap();
-    for (link, proxy) in cluster.links.iter().zip(&proxies) {
-        text = text.replace(&link.to_string(), &proxy.address.to_string());
-    }
-    std::fs::write(&settings, text).unwrap();
-    cluster.restart("entry-0").unwrap();
-    cluster.wait_ready(1).unwrap();
+    let plan = ClusterPlan {
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let served = served_group_with(Duration::from_millis(50), plan);
+    let cluster = &served.group.cluster;
     let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
     let stream = std::thread::spawn(move || caller.chat("payroll", "hello", 2_000, true));
     std::thread::sleep(Duration::from_millis(500));
-    proxies.iter().for_each(CutProxy::cut);
+    for proxy in cluster.proxies_of("entry-0") {
+        proxy.stall();
+    }
     let withdrawn = Instant::now();
     cluster.operate_well(&["key", "withdraw", "m1"]).unwrap();
     wait_refused(cluster, 0, &served.key, 503);
@@ -206,3 +207,117 @@
         wait_refused(&group.cluster, place, &served.key, 200);
     }
 }
+
+fn endpoint_field(group: &ControlGroup, name: &str, field: &str) -> Value {
+    let shown = group.read("/v1/endpoints").unwrap_or_default();
+    let listed = shown["endpoints"].as_array().cloned().unwrap_or_default();
+    let found = listed.into_iter().find(|item| item["name"] == name);
+    found.map_or(Value::Null, |item| item[field].clone())
+}
+
+fn endpoint_state(group: &ControlGroup, name: &str) -> String {
+    let state = endpoint_field(group, name, "state");
+    state.as_str().unwrap_or("").to_owned()
+}
+
+#[test]
+fn endpoint_drained_no_new_work() {
+    let served = served_group(Duration::from_millis(1));
+    let cluster = &served.group.cluster;
+    let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
+    assert_eq!(
+        caller.chat("payroll", "hello", 2, false).unwrap().status,
+        200
+    );
+    cluster
+        .operate_well(&["endpoint", "drain", "engine-0"])
+        .unwrap();
+    let drained = Instant::now();
+    assert_eq!(
+        endpoint_state(&served.group, "engine-0"),
+        "ENDPOINT_STATE_LEAVING"
+    );
+    for place in 0..2 {
+        let caller = HttpCaller::new(cluster.callers[place], Some(&served.key));
+        wait_until("no new work is taken", || {
+            caller
+                .chat("payroll", "hello", 2, false)
+                .is_ok_and(|answer| answer.status == 503)
+        })
+        .unwrap();
+    }
+    assert!(drained.elapsed() < DRAIN_BOUND, "{:?}", drained.elapsed());
+}
+
+#[test]
+fn endpoint_kept_leader_killed() {
+    let plan = ClusterPlan {
+        control_extra: "suspect_after_ms = 700\ngone_after_ms = 1500".to_owned(),
+        ..ClusterPlan::default()
+    };
+    let mut served = served_group_with(Duration::from_millis(1), plan);
+    let fencing = endpoint_field(&served.group, "engine-0", "fencing");
+    let leader = served.group.leader();
+    served.group.cluster.kill(&leader).unwrap();
+    wait_until("another instance leads", || served.group.leader() != leader).unwrap();
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    wait_until("the endpoint is live", || {
+        endpoint_state(&served.group, "engine-0") == "ENDPOINT_STATE_LIVE"
+    })
+    .unwrap();
+    // An endpoint that was gone comes back under a higher token.
+    assert_eq!(
+        endpoint_field(&served.group, "engine-0", "fencing"),
+        fencing
+    );
+}
+
+/// A silent cut of the leader, both ways, for longer than every bound.
+#[test]
+fn leader_cut_off_silently() {
+    let plan = ClusterPlan {
+        controls: 3,
+        entries: 1,
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let group = ControlGroup::spawn_plan(&plan);
+    let before = group.edit("before the cut");
+    let leader = group.leader();
+    for proxy in group.cluster.proxies_of(&leader) {
+        proxy.stall();
+    }
+    let cut = Instant::now();
+    let others = group.others(&leader);
+    let after = group.edit_at(&others, "during the cut");
+    assert!(after > before);
+    let alone = leader.trim_start_matches("control-").parse().unwrap();
+    let caller = HttpCaller::new(group.cluster.callers[0], None);
+    let mut entry_version = 0;
+    while cut.elapsed() < CUT_BOUND {
+        let answer = group
+            .operator(alone)
+            .call("GET", "/v1/config", &[], "")
+            .unwrap();
+        let shown: Value = serde_json::from_str(&answer.body).unwrap();
+        let stale = answer.status == 200 && shown["version"].as_u64() < Some(after);
+        assert!(!stale, "{}", answer.body);
+        let version = ready_version(&caller).unwrap_or(entry_version);
+        assert!(version >= entry_version);
+        entry_version = version;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(
+        entry_version >= after,
+        "the entry moved to a connected member"
+    );
+    for proxy in group.cluster.proxies_of(&leader) {
+        proxy.heal();
+    }
+    group.wait_voters(3);
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
--- a/crates/mulberrywell/tests/control_common/mod.rs
+++ b/crates/mulberrywell/tests/control_group/group_helper.rs
@@ -1,7 +1,5 @@
 //! What the tests of several control instances share.
 
-pub mod cut_proxy;
-
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,6 +32,14 @@
     pub version: u64,
 }
 
+/// An answer to an edit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EditAnswer {
+    pub status: u16,
+    pub version: Option<u64>,
+    pub code: String,
+}
+
 /// An operator that edits in a thread.
 pub struct EditRacer {
     accepted: Arc<AtomicU64>,
@@ -203,6 +209,26 @@
         version
     }
 
+    /// Sends an edit under a given request id to each instance in turn; all
+    /// must give the same answer.
+    pub fn resend(&self, request_id: &str, note: &str) -> EditAnswer {
+        let body = edit_body(note, None, request_id);
+        let answers = (0..self.cluster.operators.len()).map(|idx| {
+            let caller = self.operator(idx);
+            let answer = caller.call("POST", "/v1/lists", &[], &body).unwrap();
+            let shown: Value = serde_json::from_str(&answer.body).unwrap();
+            EditAnswer {
+                status: answer.status,
+                version: shown["version"].as_u64(),
+                code: shown["error"]["code"].as_str().unwrap_or("").to_owned(),
+            }
+        });
+        let mut answers: Vec<EditAnswer> = answers.collect();
+        answers.dedup();
+        assert_eq!(answers.len(), 1, "{answers:?}");
+        answers.remove(0)
+    }
+
     /// Starts an operator that edits until it has won `count` times.
     pub fn spawn_racer(&self, racer: u64, count: u64) -> EditRacer {
         let accepted = Arc::new(AtomicU64::new(0));
