--- a/crates/policy/src/placement_moves.rs
+++ b/crates/policy/src/placement_moves.rs
@@ -23,6 +23,9 @@
 };
 use crate::placement_view::{HeldModel, HostIndex, ModelIndex, PlacementView};
 
+/// Cost of an adapter's load for that of a model.
+const ADAPTER_COST: f64 = 0.01;
+
 /// Which replicas may go to make room.
 #[derive(Debug, Clone, Copy)]
 struct EvictRule {
@@ -143,9 +146,14 @@
     }
 
     /// Adds replicas where demand overloads endpoints and a move pays.
+    ///
+    /// A further replica of a base counts the overload of its adapters too,
+    /// which follow it; no second one is added while one is still to load.
     pub fn meet_demand(&mut self) {
         let mut excess = Vec::new();
-        let mut skipped = vec![false; self.input.models.len()];
+        let mut skipped: Vec<bool> = (0..self.input.models.len())
+            .map(|model| self.has_pending(model))
+            .collect();
         for _ in 0..self.settings.moves_per_plan {
             self.excess_by_model(&mut excess);
             let worst = (0..excess.len())
@@ -154,13 +162,20 @@
             let Some(model) = worst else {
                 return;
             };
-            if !self.relieve(model, excess[model]) {
-                skipped[model] = true;
-            }
+            let relieved = self.relieve(model, excess[model]);
+            skipped[model] = !relieved || !self.is_adapter(model);
         }
     }
 
-    /// Shares each endpoint's overload among its models by their load.
+    fn has_pending(&self, model: ModelIndex) -> bool {
+        self.view.replicas[model].iter().any(|host| {
+            let held = self.view.held(*host, model);
+            held.is_some_and(|held| !held.resident)
+        })
+    }
+
+    /// Shares each endpoint's overload among its models by their load; a base
+    /// has that of its adapters on top.
     fn excess_by_model(&self, excess: &mut Vec<f64>) {
         excess.clear();
         excess.resize(self.input.models.len(), 0.0);
@@ -173,51 +188,51 @@
                 excess[held.model] += overload * held.load / host.load;
             }
         }
-    }
-
-    fn relieve(&mut self, model: ModelIndex, excess: f64) -> bool {
-        if self.relieve_by(model, model, excess) {
-            return true;
+        for (base, adapters) in self.view.adapters.iter().enumerate() {
+            let sum: f64 = adapters.iter().map(|adapter| excess[*adapter]).sum();
+            excess[base] += sum;
         }
-        let base = self
-            .view
-            .model_index
-            .get(&self.input.models[model].base)
-            .copied();
-        base.is_some_and(|base| self.relieve_by(base, model, excess))
     }
 
-    /// Adds a replica of `placed` for the excess of `model`, if that pays.
-    fn relieve_by(&mut self, placed: ModelIndex, model: ModelIndex, excess: f64) -> bool {
-        if !self.pacer.has_permit(self.is_adapter(placed)) {
+    /// Adds a replica for a model's excess, if that pays.
+    fn relieve(&mut self, model: ModelIndex, excess: f64) -> bool {
+        if !self.pacer.has_permit(self.is_adapter(model)) {
             return false;
         }
         let rule = EvictRule {
             left: self.settings.min_replicas,
             recent: false,
         };
-        let gain = |pass: &Self, offer: &HostOffer| {
-            let headroom = pass.view.hosts[offer.host].headroom() + offer.victim_load;
-            let gained = excess.min(headroom) - offer.victim_load;
-            let bases = offer
-                .victims
-                .iter()
-                .filter(|victim| !pass.is_adapter(**victim));
-            let cost = pass.settings.load_cost * (1 + bases.count()) as f64;
-            gained * pass.settings.horizon.as_secs_f64() - cost * pass.settings.hysteresis
-        };
         let best = self
-            .offers(placed, Some(rule))
+            .offers(model, Some(rule))
             .into_iter()
-            .max_by(|a, b| gain(self, a).total_cmp(&gain(self, b)));
-        let Some(offer) = best.filter(|offer| gain(self, offer) > 0.0) else {
+            .map(|offer| (self.net_gain(model, &offer, excess), offer))
+            .max_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, offer)) = best.filter(|best| best.0 > 0.0) else {
             return false;
         };
-        self.take_offer(placed, &offer, DecisionReason::Demand);
+        self.take_offer(model, &offer, DecisionReason::Demand);
         self.view.spread_model(model);
         true
     }
 
+    /// Returns what a move gains past its cost, in slot-seconds.
+    fn net_gain(&self, model: ModelIndex, offer: &HostOffer, excess: f64) -> f64 {
+        let headroom = self.view.hosts[offer.host].headroom() + offer.victim_load;
+        let gained = excess.min(headroom) - offer.victim_load;
+        let moved = offer.victims.iter().chain([&model]);
+        let cost: f64 = moved
+            .map(|model| {
+                if self.is_adapter(*model) {
+                    self.settings.load_cost * ADAPTER_COST
+                } else {
+                    self.settings.load_cost
+                }
+            })
+            .sum();
+        gained * self.settings.horizon.as_secs_f64() - cost * self.settings.hysteresis
+    }
+
     /// Returns the models that fit, the highest demand first, bases first.
     fn by_demand(&self, fits: impl Fn(&PlacementView, ModelIndex) -> bool) -> Vec<ModelIndex> {
         let mut models: Vec<ModelIndex> = (0..self.input.models.len())
--- a/crates/policy/src/placement_planner.rs
+++ b/crates/policy/src/placement_planner.rs
@@ -68,7 +68,7 @@
             hold: Duration::from_secs(30),
             load_timeout: Duration::from_secs(60),
             warmup: Duration::from_secs(3),
-            moves_per_plan: 16,
+            moves_per_plan: 64,
         }
     }
 }
