Even out overloaded pools and charge less for a load

Cause: with limits at 1.1 times the mean load, and 20 slot-seconds for a load, the planner left endpoints at 97% of their slots beside others at 80%.

Conclusion: limits are the pool's share of the demand, a load costs 5 slot-seconds.

--- a/crates/policy/src/placement_planner.rs
+++ b/crates/policy/src/placement_planner.rs
@@ -63,7 +63,7 @@
             utilisation: 0.8,
             min_replicas: 2,
             horizon: Duration::from_secs(60),
-            load_cost: 20.0,
+            load_cost: 5.0,
             hysteresis: 1.5,
             hold: Duration::from_secs(30),
             load_timeout: Duration::from_secs(60),
--- a/crates/policy/src/placement_view.rs
+++ b/crates/policy/src/placement_view.rs
@@ -152,15 +152,15 @@
         hosts.any(|host| self.hosts[*host].zone != zone)
     }
 
-    /// Raises the limits of a pool whose demand exceeds them all together to a
-    /// little more than the mean, so that moves still even the load out.
+    /// Raises the limits of a pool whose demand exceeds them all together to
+    /// their share of the demand, so that moves still even the load out.
     pub fn raise_limits(&mut self, input: &PlacementInput) {
         for (pool, hosts) in &self.pools {
             let usable = hosts.iter().filter(|host| self.hosts[**host].usable);
             let limit: f64 = usable.map(|host| self.hosts[*host].limit).sum();
             let models = input.models.iter().zip(&self.demand);
             let demand: f64 = models.filter(|m| m.0.pool == *pool).map(|m| m.1).sum();
-            let factor = demand * OVERLOAD_MARGIN / limit.max(1.0);
+            let factor = demand / limit.max(1.0);
             if factor > 1.0 {
                 for host in hosts {
                     self.hosts[*host].limit *= factor;
@@ -204,9 +204,6 @@
     }
 }
 
-/// Limits over demand in a pool that is overloaded as a whole.
-const OVERLOAD_MARGIN: f64 = 1.1;
-
 /// Least headroom, in slots, so that a full endpoint still has a share.
 const HEADROOM_MIN: f64 = 0.1;
 
