Flush each token, and measure what entry and agent add to a stream

The chunk encoder never flushes what it writes to, so about 1 KiB, ten tokens, waited in the library's buffer.

Ruled out: the endpoint's client (it returns the first token at 57 ms).

Shown to fail: the test of the flush fails without it (first byte after 1.2 s).

--- a/crates/mulberrywell/tests/whole_path.rs
+++ b/crates/mulberrywell/tests/whole_path.rs
@@ -58,3 +58,17 @@
         assert!(small.cluster.wait(name).unwrap(), "{name}");
     }
 }
+
+#[test]
+fn tokens_flushed_as_they_come() {
+    let small = small_cluster(1, 1);
+    let slow = std::time::Duration::from_millis(600);
+    small
+        .engine
+        .configure(|config| config.between_tokens = slow);
+    let caller = HttpCaller::new(small.cluster.callers[0], Some(&small.gold));
+    let answer = caller.chat("payroll", "hello", 3, true).unwrap();
+    assert!(answer.whole);
+    assert!(answer.first_byte < slow, "{:?}", answer.first_byte);
+    assert!(answer.total >= 2 * slow, "{:?}", answer.total);
+}
--- a/crates/runtime/src/http_writer.rs
+++ b/crates/runtime/src/http_writer.rs
@@ -17,8 +17,8 @@
     b"keep-alive",
 ];
 
-/// Flushes when it is dropped: the encoder writes its last chunk on drop and
-/// does not flush it.
+/// Flushes each write: the encoder hands on each chunk in one write and never
+/// flushes what it wrote to.
 struct FlushedWriter<W: Write> {
     writer: W,
     /// Set once the answer is cut: the encoder's last chunk must not go out.
@@ -30,7 +30,9 @@
         if self.cut {
             return Ok(buf.len());
         }
-        self.writer.write(buf)
+        let len = self.writer.write(buf)?;
+        self.writer.flush()?;
+        Ok(len)
     }
 
     fn flush(&mut self) -> Result<()> {
@@ -38,13 +40,6 @@
     }
 }
 
-impl<W: Write> Drop for FlushedWriter<W> {
-    fn drop(&mut self) {
-        // The caller may be gone; the answer has ended either way.
-        let _ = self.flush();
-    }
-}
-
 /// State of an answer.
 enum WriterState<W: Write> {
     /// Nothing was written.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,9 +14,11 @@
 mod http_client;
 mod link_caller;
 mod process_cluster;
+mod process_usage;
 pub mod promise_checker;
 mod raw_caller;
 mod request_mix;
+mod stream_load;
 
 pub use cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
 pub use fake_engine::{stream_answer, EngineConfig, FakeEngine, FakeModel};
@@ -27,9 +29,11 @@
 pub use http_client::{HttpAnswer, HttpCaller};
 pub use link_caller::{LinkCaller, LinkRecording};
 pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, CLUSTER_SECRET, WAIT_LIMIT};
+pub use process_usage::{read_usage, ProcessUsage};
 pub use promise_checker::{
     check_promises, AccountAllowance, CallKind, MemoryPeak, ObservedCall, Promise, PromiseBreach,
     RanClaim, RunEvidence,
 };
 pub use raw_caller::{raw_exchange, RawAnswer, RawCaller, RawEnd};
 pub use request_mix::{MixAccount, RequestMix};
+pub use stream_load::{run_streams, StreamPlan, StreamTimes};
--- /dev/null
+++ b/crates/testkit/src/stream_load.rs
@@ -0,0 +1,168 @@
+//! Loads an address with streamed completions and measures their times.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{bail, Result};
+use hdrhistogram::Histogram;
+
+/// Longest time that is told apart, in microseconds.
+const TIME_MAX_US: u64 = 60_000_000;
+
+/// Significant digits of the times.
+const DIGITS: u8 = 3;
+
+/// Time over which the streams of a round begin.
+const START_SPREAD: Duration = Duration::from_secs(1);
+
+/// What to send.
+#[derive(Debug, Clone)]
+pub struct StreamPlan {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Key of the caller; none for an engine.
+    pub key: Option<String>,
+    /// Model.
+    pub model: String,
+    /// Streams at the same time.
+    pub streams: u32,
+    /// Requests of each stream, one after the other.
+    pub requests: u32,
+    /// Tokens of each request.
+    pub tokens: u64,
+}
+
+/// Times in microseconds.
+#[derive(Debug, Clone)]
+pub struct StreamTimes {
+    /// From the request to the first token.
+    pub first: Histogram<u64>,
+    /// From token to token.
+    pub between: Histogram<u64>,
+    /// Requests without a whole answer.
+    pub failed: u64,
+}
+
+impl StreamTimes {
+    /// Creates empty times.
+    ///
+    /// # Errors
+    /// Fails when the bounds of the histograms are wrong.
+    pub fn new() -> Result<Self> {
+        let times = Histogram::new_with_bounds(1, TIME_MAX_US, DIGITS)?;
+        Ok(StreamTimes {
+            first: times.clone(),
+            between: times,
+            failed: 0,
+        })
+    }
+
+    /// Adds other times.
+    ///
+    /// # Errors
+    /// Fails when the bounds of the histograms differ.
+    pub fn add(&mut self, other: &StreamTimes) -> Result<()> {
+        self.first.add(&other.first)?;
+        self.between.add(&other.between)?;
+        self.failed += other.failed;
+        Ok(())
+    }
+}
+
+/// Sends all requests of a plan and returns their times.
+///
+/// # Errors
+/// Fails when the times can't be kept.
+pub fn run_streams(plan: &StreamPlan) -> Result<StreamTimes> {
+    let all = Mutex::new(StreamTimes::new()?);
+    thread::scope(|scope| {
+        for idx in 0..plan.streams {
+            let all = &all;
+            scope.spawn(move || {
+                thread::sleep(START_SPREAD * idx / plan.streams);
+                let Ok(mut times) = StreamTimes::new() else {
+                    return;
+                };
+                for number in 0..plan.requests {
+                    if run_request(plan, idx, number, &mut times).is_err() {
+                        times.failed += 1;
+                    }
+                }
+                if let Ok(mut all) = all.lock() {
+                    // The bounds are the same, so the times can be added.
+                    let _ = all.add(&times);
+                }
+            });
+        }
+    });
+    all.into_inner()
+        .map_err(|_| anyhow::anyhow!("a stream's thread panicked"))
+}
+
+fn run_request(plan: &StreamPlan, stream: u32, number: u32, times: &mut StreamTimes) -> Result<()> {
+    let body = serde_json::json!({
+        "model": plan.model,
+        "prompt": format!("stream {stream} request {number}"),
+        "max_tokens": plan.tokens,
+        "stream": true,
+    })
+    .to_string();
+    let key = match &plan.key {
+        Some(key) => format!("Authorization: Bearer {key}\r\n"),
+        None => String::new(),
+    };
+    let mut socket = TcpStream::connect(plan.address)?;
+    socket.set_nodelay(true)?;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: bench\r\n{key}\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let sent = Instant::now();
+    socket.write_all(format!("{head}{body}").as_bytes())?;
+    read_tokens(&mut socket, plan.tokens, sent, times)
+}
+
+/// Reads until the stream's last event and notes when its tokens came.
+fn read_tokens(
+    socket: &mut TcpStream,
+    tokens: u64,
+    sent: Instant,
+    times: &mut StreamTimes,
+) -> Result<()> {
+    let mut buf = [0; 16 * 1024];
+    let mut text = String::new();
+    let mut seen = 0;
+    let mut last = sent;
+    loop {
+        let len = socket.read(&mut buf)?;
+        if len == 0 {
+            bail!("the answer is short");
+        }
+        let now = Instant::now();
+        text.push_str(&String::from_utf8_lossy(&buf[..len]));
+        let come = text.matches("\"content\"").count() as u64;
+        for idx in seen..come {
+            let time = micros(now.saturating_duration_since(last));
+            match idx {
+                0 => times.first.saturating_record(time),
+                _ => times.between.saturating_record(time),
+            }
+            last = now;
+        }
+        seen = come;
+        if text.contains("[DONE]") {
+            if seen != tokens {
+                bail!("{seen} tokens of {tokens} came");
+            }
+            return Ok(());
+        }
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX).max(1)
+}
