Test findings, exit codes, JSON output and logs of the programs

Cause: nothing showed that check and start-up report all findings with their places, that nothing starts half, that the exit codes are as documented, that `--json` prints JSON and that no key stands in a log at level trace.

--- /dev/null
+++ b/crates/mulberrywell/tests/settings_start.rs
@@ -0,0 +1,143 @@
+//! Start-up, exit codes, JSON output and logs of the programs.
+
+mod common;
+
+use std::fs;
+use std::path::Path;
+use std::process::{Command, Output};
+
+use common::{binaries, planned_cluster, small_cluster};
+use mulberrywell_testkit::{ClusterPlan, HttpCaller};
+use rstest::rstest;
+
+/// A finding in each of three tables.
+const BAD_SETTINGS: &str = r#"
+[instance]
+name = "one"
+zone = "zone-a"
+region = "region-a"
+listen = "127.0.0.1:1"
+secret_file = "secret"
+seeds = ["127.0.0.1:1"]
+colour = "red"
+[entry]
+caller_listen = "nowhere"
+[control]
+operator_listen = "127.0.0.1:2"
+data_folder = "DATA"
+operator_key_file = "key"
+bootstrap = 1
+"#;
+
+fn run(binary: &Path, args: &[&str]) -> Output {
+    Command::new(binary).args(args).output().unwrap()
+}
+
+#[test]
+fn start_reports_all_findings_and_nothing_starts() {
+    let folder = tempfile::tempdir().unwrap();
+    let data = folder.path().join("data");
+    let settings = folder.path().join("bad.toml");
+    fs::write(
+        &settings,
+        BAD_SETTINGS.replace("DATA", &data.to_string_lossy()),
+    )
+    .unwrap();
+    let path = settings.to_string_lossy().into_owned();
+    let checked = run(&binaries().serve, &["check", &path]);
+    let started = run(&binaries().serve, &["serve", "--settings", &path]);
+    for output in [&checked, &started] {
+        assert_eq!(output.status.code(), Some(3));
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        for place in [":9:1:", ":11:17:", ":16:13:"] {
+            assert!(
+                text.contains(&format!("{path}{place}")),
+                "{place} in {text}"
+            );
+        }
+        assert_eq!(text.lines().count(), 3, "{text}");
+    }
+    assert!(!data.exists());
+    let agent = run(&binaries().agent, &["--settings", &path]);
+    assert_eq!(agent.status.code(), Some(3));
+}
+
+#[rstest]
+#[case::no_arguments(&[], 2)]
+#[case::unknown_command(&["frobnicate"], 2)]
+#[case::serve_without_settings(&["serve"], 2)]
+#[case::show_unknown(&["show", "weather"], 2)]
+#[case::help(&["--help"], 0)]
+#[case::help_of_command(&["key", "give", "--help"], 0)]
+#[case::missing_file(&["check", "/no/such/file"], 1)]
+#[case::unreachable(&["show", "config", "--control", "127.0.0.1:1"], 5)]
+fn exit_code(#[case] args: &[&str], #[case] code: i32) {
+    let folder = tempfile::tempdir().unwrap();
+    let key = folder.path().join("key");
+    fs::write(&key, "mwop-a-key").unwrap();
+    let output = Command::new(binaries().serve)
+        .args(args)
+        .env("MULBERRYWELL_OPERATOR_KEY_FILE", &key)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(code), "{text}");
+}
+
+#[rstest]
+#[case::config(&["show", "config", "--json"], "list_version")]
+#[case::endpoints(&["show", "endpoints", "--json"], "endpoints")]
+#[case::models(&["show", "models", "--json"], "models")]
+#[case::accounts(&["show", "accounts", "--json"], "accounts")]
+#[case::keys(&["key", "list", "--json"], "keys")]
+#[case::audit(&["audit", "--json"], "entries")]
+#[case::members(&["show", "members", "--json"], "members")]
+fn json_output(#[case] args: &[&str], #[case] field: &str) {
+    let small = small_cluster(1, 1);
+    let text = small.cluster.operate_well(args).unwrap();
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert!(!value[field].is_null(), "{text}");
+}
+
+#[test]
+fn no_key_in_any_log() {
+    let small = planned_cluster(ClusterPlan {
+        controls: 1,
+        entries: 1,
+        log_level: "trace".to_owned(),
+        ..ClusterPlan::default()
+    });
+    let address = small.cluster.callers[0];
+    let caller = HttpCaller::new(address, Some(&small.gold));
+    assert_eq!(caller.chat("payroll", "x", 2, true).unwrap().status, 200);
+    let open = HttpCaller::new(address, None);
+    let by_query = format!("/v1/models?api_key={}", small.gold);
+    let by_cookie = format!("api_key={}", small.gold);
+    open.call("GET", &by_query, &[], "").unwrap();
+    open.call("GET", "/v1/models", &[("cookie", &by_cookie)], "")
+        .unwrap();
+    open.call("GET", "/v1/models", &[("x-api-key", &small.gold)], "")
+        .unwrap();
+    open.call(
+        "POST",
+        "/v1/completions",
+        &[("x-api-key", &small.gold)],
+        &small.gold,
+    )
+    .unwrap();
+    small
+        .cluster
+        .operate_well(&["key", "withdraw", "m1"])
+        .unwrap();
+    let operator = fs::read_to_string(small.cluster.folder().join("operator.key")).unwrap();
+    for name in ["control-0", "entry-0", "agent-engine-0", "agent-payments-0"] {
+        let log = small.cluster.log(name);
+        assert!(!log.is_empty(), "{name}");
+        for key in [&small.gold, &small.small, operator.trim()] {
+            assert!(!log.contains(key), "{name}");
+        }
+    }
+    for run in small.engine.records().all() {
+        assert!(!format!("{run:?}").contains(&small.gold));
+    }
+}
