--- a/crates/runtime/src/guard_connection.rs
+++ b/crates/runtime/src/guard_connection.rs
@@ -520,12 +520,7 @@
     loop {
         match socket.read(buf) {
             Ok(0) => return ReadOutcome::End,
-            Ok(len) => {
-                // A short read has emptied the socket; what comes later is
-                // reported anew, but an end that was reported is not.
-                ready.read = len == buf.len() || ready.closed;
-                return ReadOutcome::Data(len);
-            }
+            Ok(len) => return ReadOutcome::Data(len),
             Err(err) if err.kind() == ErrorKind::Interrupted => {}
             Err(err) if err.kind() == ErrorKind::WouldBlock => {
                 ready.read = false;
