Let the event loop own its actors

Cause: each role's actor was forgotten so that it outlives its shutdown call. The calls now stay with the loop until it ends, and own the actors.

Ruled out: an actor kept beside its call (its type differs from role to role). Conclusion: the tests of the graceful shutdown pass unchanged.

--- a/crates/runtime/src/process/mod.rs
+++ b/crates/runtime/src/process/mod.rs
@@ -60,7 +60,8 @@
         entry.map(|role| role.shutdown),
         control.map(|role| role.shutdown),
     ];
-    process.run(stages.into_iter().flatten().collect())
+    let stages: Vec<ShutdownCall> = stages.into_iter().flatten().collect();
+    process.run(&stages)
 }
 
 /// Runs `mulberrywell-agent` until it is told to end.
@@ -73,10 +74,11 @@
     let metrics = MetricOutput::open(&settings.metrics)?;
     let credentials = credentials(&settings.instance, PeerRole::Agent, &secret);
     let role = process.spawn_agent(settings, credentials, metrics)?;
-    process.run(vec![role.shutdown])
+    process.run(&[role.shutdown])
 }
 
-type ShutdownCall = Box<dyn FnOnce()>;
+/// Begins a role's graceful shutdown; owns its actor.
+type ShutdownCall = Box<dyn Fn()>;
 
 /// A role that runs, for as long as this is kept.
 struct RunningRole {
@@ -116,8 +118,6 @@
         );
         let shutdown = Box::new(move || {
             call!([host], shut_down());
-            // The actor lives as long as the process.
-            std::mem::forget(host);
         });
         RunningRole { shutdown }
     }
@@ -128,10 +128,11 @@
     }
 
     /// Runs until each stage in turn was shut down.
-    fn run(mut self, stages: Vec<ShutdownCall>) -> Result<()> {
+    fn run(mut self, stages: &[ShutdownCall]) -> Result<()> {
         let asked = Arc::new(AtomicBool::new(false));
         self.watch_signals(asked.clone())?;
-        let mut stages = stages.into_iter();
+        // The actors live as long as `stages`.
+        let mut left = stages.iter();
         let mut stopping = false;
         let mut idle_pending = self.stakker.run(Instant::now(), false);
         while self.stakker.not_shutdown() {
@@ -140,7 +141,7 @@
                 self.finished.store(true, Ordering::Relaxed);
             }
             if stopping && self.finished.swap(false, Ordering::Relaxed) {
-                match stages.next() {
+                match left.next() {
                     Some(shutdown) => shutdown(),
                     None => return Ok(()),
                 }
