--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -169,7 +169,6 @@
                 default_deadline: Duration::from_secs(60),
                 shutdown_grace: Duration::from_secs(2),
                 default_output: 100,
-                caller_stall: Duration::from_secs(10),
             },
             seeds: vec![address(CONTROL_PORT)],
             incarnation: 77,
