Cut the leader off from the other instances only

The earlier test stayed green with the turning away of clients taken out, as its cut also broke the entry's own link. Now the entry is pinned to the leader and keeps its link: broken on purpose, the entry stays where it is and the test goes red.

--- a/crates/mulberrywell/tests/control_group/entry_cases.rs
+++ b/crates/mulberrywell/tests/control_group/entry_cases.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_testkit::{
-    wait_until, AgentPlan, ClusterPlan, FakeEngine, HttpCaller, ProcessCluster,
+    wait_until, AgentPlan, ClusterPlan, FakeEngine, HttpCaller, ProcessCluster, ANY_PROCESS,
 };
 use nix::sys::signal::Signal;
 use serde_json::Value;
@@ -275,7 +275,45 @@
     );
 }
 
-/// A silent cut of the leader, both ways, for longer than every bound.
+/// Links an entry to one control instance, though it may dial all.
+fn pin_entry(group: &mut ControlGroup, entry: &str, control: &str) {
+    let others = group.others(control);
+    let proxy_to = |group: &ControlGroup, idx: usize, stalled: bool| {
+        let proxy = group
+            .cluster
+            .proxy(entry, &format!("control-{idx}"))
+            .unwrap();
+        if stalled {
+            proxy.stall();
+        } else {
+            proxy.heal();
+        }
+    };
+    others.iter().for_each(|idx| proxy_to(group, *idx, true));
+    group.cluster.kill(entry).unwrap();
+    group.cluster.restart(entry).unwrap();
+    let caller = HttpCaller::new(group.cluster.callers[0], None);
+    wait_until("the entry is linked", || {
+        ready_version(&caller).is_some_and(|version| version > 0)
+    })
+    .unwrap();
+    others.iter().for_each(|idx| proxy_to(group, *idx, false));
+}
+
+/// Cuts all links between a control instance and the others, without a sign;
+/// entries still reach it.
+fn cut_control(group: &ControlGroup, control: &str) {
+    for idx in 0..3 {
+        let name = format!("control-{idx}");
+        group.cluster.proxy(ANY_PROCESS, &name).unwrap().stall();
+        if name != control {
+            group.cluster.proxy(control, &name).unwrap().stall();
+            group.cluster.proxy(&name, control).unwrap().stall();
+        }
+    }
+}
+
+/// The leader is cut off for longer than every bound.
 #[test]
 fn leader_cut_off_silently() {
     let plan = ClusterPlan {
@@ -284,12 +322,11 @@
         proxied: true,
         ..ClusterPlan::default()
     };
-    let group = ControlGroup::spawn_plan(&plan);
+    let mut group = ControlGroup::spawn_plan(&plan);
     let before = group.edit("before the cut");
     let leader = group.leader();
-    for proxy in group.cluster.proxies_of(&leader) {
-        proxy.stall();
-    }
+    pin_entry(&mut group, "entry-0", &leader);
+    cut_control(&group, &leader);
     let cut = Instant::now();
     let others = group.others(&leader);
     let after = group.edit_at(&others, "during the cut");
@@ -314,8 +351,13 @@
         entry_version >= after,
         "the entry moved to a connected member"
     );
-    for proxy in group.cluster.proxies_of(&leader) {
-        proxy.heal();
+    for idx in 0..3 {
+        let name = format!("control-{idx}");
+        group
+            .cluster
+            .proxies_of(&name)
+            .iter()
+            .for_each(|proxy| proxy.heal());
     }
     group.wait_voters(3);
     let digests = group.equal_digests(&[0, 1, 2]);
