--- a/crates/policy-bench/src/bench_world.rs
+++ b/crates/policy-bench/src/bench_world.rs
@@ -1,7 +1,6 @@
 //! One run: the event loop, the agents and their engines.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,6 +14,7 @@
 use crate::bench_control::BenchControl;
 use crate::bench_entry::{BenchEntries, SentFrame};
 use crate::bench_plan::{Deployment, Scenario, Variant};
+use crate::event_queue::EventQueue;
 use crate::fake_engine::{FakeEngine, FakeStore, KV_RESERVE_MIB, MEMORY_MIB, SLOTS};
 use crate::request_stream::{draw_requests, BenchRequest, CHANGE_SECONDS, RUN_SECONDS};
 use crate::run_result::RunResult;
@@ -56,27 +56,6 @@
     Edit,
 }
 
-/// Events by time; those of the same time in the order scheduled.
-#[derive(Default)]
-struct EventQueue {
-    heap: BinaryHeap<Reverse<(u64, u64)>>,
-    events: BTreeMap<u64, BenchEvent>,
-    sequence: u64,
-}
-
-impl EventQueue {
-    fn push(&mut self, at_us: u64, event: BenchEvent) {
-        self.sequence += 1;
-        self.heap.push(Reverse((at_us, self.sequence)));
-        self.events.insert(self.sequence, event);
-    }
-
-    fn pop(&mut self) -> Option<(u64, BenchEvent)> {
-        let Reverse((at_us, sequence)) = self.heap.pop()?;
-        self.events.remove(&sequence).map(|event| (at_us, event))
-    }
-}
-
 /// An endpoint: agent and engine.
 struct BenchAgent {
     role: AgentRole,
@@ -95,7 +74,7 @@
     scenario: Scenario,
     start: Instant,
     now_us: u64,
-    queue: EventQueue,
+    queue: EventQueue<BenchEvent>,
     agents: Vec<BenchAgent>,
     entries: BenchEntries<'a>,
     control: BenchControl<'a>,
--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -12,6 +12,7 @@
 mod bench_entry;
 mod bench_plan;
 mod bench_world;
+mod event_queue;
 mod fake_engine;
 mod planner_cost;
 mod request_stream;
