--- /dev/null
+++ b/crates/mulberrywell/tests/control_group/entry_cases.rs
@@ -0,0 +1,323 @@
+//! What entries hold of the configuration while control instances and links
+//! fail.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mulberrywell_testkit::{
+    wait_until, AgentPlan, ClusterPlan, FakeEngine, HttpCaller, ProcessCluster,
+};
+use nix::sys::signal::Signal;
+use serde_json::Value;
+
+use crate::common::engine_config;
+use crate::group_helper::ControlGroup;
+
+/// Changes that an entry does not see.
+const CHANGES: u64 = 500;
+
+/// Bound from a withdrawal to the refusal at a connected entry.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(5);
+
+/// Bound from a withdrawal to the refusal at an entry without control.
+const CUT_BOUND: Duration = Duration::from_secs(8);
+
+/// Bound from a drain to the end of new work.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+
+struct ServedGroup {
+    group: ControlGroup,
+    _engine: FakeEngine,
+    key: String,
+}
+
+/// Starts three control instances and two entries before one engine.
+fn served_group(pace: Duration) -> ServedGroup {
+    served_group_with(pace, ClusterPlan::default())
+}
+
+/// Starts the group under the switches and further settings of a plan.
+fn served_group_with(pace: Duration, plan: ClusterPlan) -> ServedGroup {
+    let mut config = engine_config();
+    config.between_tokens = pace;
+    let engine = FakeEngine::spawn(config).unwrap();
+    let plan = ClusterPlan {
+        controls: 3,
+        entries: 2,
+        agents: vec![AgentPlan::engine("engine-0", "asistente", engine.address())],
+        ..plan
+    };
+    let group = ControlGroup::spawn_plan(&plan);
+    group.cluster.wait_ready(1).unwrap();
+    let key = group.cluster.give_key("medellin", "m1").unwrap();
+    ServedGroup {
+        group,
+        _engine: engine,
+        key,
+    }
+}
+
+pub fn ready_version(caller: &HttpCaller) -> Option<u64> {
+    let answer = caller.call("GET", "/readyz", &[], "").ok()?;
+    let value: Value = serde_json::from_str(&answer.body).ok()?;
+    value["version"].as_u64()
+}
+
+fn wait_refused(cluster: &ProcessCluster, place: usize, key: &str, status: u16) {
+    let caller = HttpCaller::new(cluster.callers[place], Some(key));
+    wait_until("the key is refused", || {
+        let answer = caller.call("GET", "/v1/models", &[], "");
+        answer.is_ok_and(|answer| answer.status == status)
+    })
+    .unwrap();
+}
+
+#[test]
+fn entry_restarted_after_changes() {
+    let mut group = ControlGroup::spawn(3, 1);
+    group.cluster.kill("entry-0").unwrap();
+    let racer = group.spawn_racer(0, CHANGES);
+    let edits = racer.join();
+    let last = edits.last().unwrap().version;
+    group.cluster.restart("entry-0").unwrap();
+    let caller = HttpCaller::new(group.cluster.callers[0], None);
+    wait_until("the entry holds the last change", || {
+        ready_version(&caller).is_some_and(|version| version >= last)
+    })
+    .unwrap();
+}
+
+#[test]
+fn version_never_falls_leader_killed() {
+    let mut group = ControlGroup::spawn(3, 1);
+    let first = group.edit("first");
+    let caller = HttpCaller::new(group.cluster.callers[0], None);
+    wait_until("the entry holds the first edit", || {
+        ready_version(&caller).is_some_and(|version| version >= first)
+    })
+    .unwrap();
+    let stop = Arc::new(AtomicBool::new(false));
+    let stopped = stop.clone();
+    let watcher = std::thread::spawn(move || {
+        let mut versions = Vec::new();
+        while !stopped.load(Ordering::Relaxed) {
+            versions.extend(ready_version(&caller));
+        }
+        versions
+    });
+    let racer = group.spawn_racer(0, 40);
+    wait_until("edits run", || racer.accepted() > 10).unwrap();
+    let leader = group.leader();
+    group.cluster.kill(&leader).unwrap();
+    let last = racer.join().last().unwrap().version;
+    let probe = HttpCaller::new(group.cluster.callers[0], None);
+    wait_until("the entry holds the last edit", || {
+        ready_version(&probe).is_some_and(|version| version >= last)
+    })
+    .unwrap();
+    stop.store(true, Ordering::Relaxed);
+    let versions = watcher.join().unwrap();
+    assert!(
+        versions.windows(2).all(|pair| pair[0] <= pair[1]),
+        "{versions:?}"
+    );
+}
+
+#[test]
+fn key_withdrawn_stream_cut() {
+    let served = served_group(Duration::from_millis(50));
+    let cluster = &served.group.cluster;
+    let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
+    let stream = std::thread::spawn(move || caller.chat("payroll", "hello", 2_000, true));
+    std::thread::sleep(Duration::from_millis(500));
+    let withdrawn = Instant::now();
+    cluster.operate_well(&["key", "withdraw", "m1"]).unwrap();
+    for place in 0..2 {
+        wait_refused(cluster, place, &served.key, 401);
+    }
+    let answer = stream.join().unwrap().unwrap();
+    assert!(
+        withdrawn.elapsed() < WITHDRAWAL_BOUND,
+        "{:?}",
+        withdrawn.elapsed()
+    );
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert!(
+        !answer.body.ends_with("data: [DONE]\n\n"),
+        "the stream was not cut"
+    );
+}
+
+#[test]
+fn key_withdrawn_entry_cut_off() {
+    let plan = ClusterPlan {
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let served = served_group_with(Duration::from_millis(50), plan);
+    let cluster = &served.group.cluster;
+    let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
+    let stream = std::thread::spawn(move || caller.chat("payroll", "hello", 2_000, true));
+    std::thread::sleep(Duration::from_millis(500));
+    for proxy in cluster.proxies_of("entry-0") {
+        proxy.stall();
+    }
+    let withdrawn = Instant::now();
+    cluster.operate_well(&["key", "withdraw", "m1"]).unwrap();
+    wait_refused(cluster, 0, &served.key, 503);
+    let answer = stream.join().unwrap().unwrap();
+    assert!(withdrawn.elapsed() < CUT_BOUND, "{:?}", withdrawn.elapsed());
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert!(
+        !answer.body.ends_with("data: [DONE]\n\n"),
+        "the stream was not cut"
+    );
+}
+
+#[test]
+fn control_cut_off_refuses() {
+    let served = served_group(Duration::from_millis(1));
+    let group = &served.group;
+    let leader = group.leader();
+    let alone = group.others(&leader)[0];
+    for idx in (0..3).filter(|idx| *idx != alone) {
+        let name = format!("control-{idx}");
+        group.cluster.signal(&name, Signal::SIGSTOP).unwrap();
+    }
+    let stopped = Instant::now();
+    wait_until("the instance alone refuses", || {
+        let asked = Instant::now();
+        let answer = group.operator(alone).call("GET", "/v1/config", &[], "");
+        let answer = answer.unwrap_or_default();
+        let at_once = asked.elapsed() < Duration::from_millis(500);
+        answer.status == 503 && answer.header("Retry-After") == "1" && at_once
+    })
+    .unwrap();
+    for place in 0..2 {
+        wait_refused(&group.cluster, place, &served.key, 503);
+    }
+    assert!(stopped.elapsed() < CUT_BOUND, "{:?}", stopped.elapsed());
+    for idx in (0..3).filter(|idx| *idx != alone) {
+        let name = format!("control-{idx}");
+        group.cluster.signal(&name, Signal::SIGCONT).unwrap();
+    }
+    group.wait_voters(3);
+    for place in 0..2 {
+        wait_refused(&group.cluster, place, &served.key, 200);
+    }
+}
+
+fn endpoint_field(group: &ControlGroup, name: &str, field: &str) -> Value {
+    let shown = group.read("/v1/endpoints").unwrap_or_default();
+    let listed = shown["endpoints"].as_array().cloned().unwrap_or_default();
+    let found = listed.into_iter().find(|item| item["name"] == name);
+    found.map_or(Value::Null, |item| item[field].clone())
+}
+
+fn endpoint_state(group: &ControlGroup, name: &str) -> String {
+    let state = endpoint_field(group, name, "state");
+    state.as_str().unwrap_or("").to_owned()
+}
+
+#[test]
+fn endpoint_drained_no_new_work() {
+    let served = served_group(Duration::from_millis(1));
+    let cluster = &served.group.cluster;
+    let caller = HttpCaller::new(cluster.callers[0], Some(&served.key));
+    assert_eq!(
+        caller.chat("payroll", "hello", 2, false).unwrap().status,
+        200
+    );
+    cluster
+        .operate_well(&["endpoint", "drain", "engine-0"])
+        .unwrap();
+    let drained = Instant::now();
+    assert_eq!(
+        endpoint_state(&served.group, "engine-0"),
+        "ENDPOINT_STATE_LEAVING"
+    );
+    for place in 0..2 {
+        let caller = HttpCaller::new(cluster.callers[place], Some(&served.key));
+        wait_until("no new work is taken", || {
+            caller
+                .chat("payroll", "hello", 2, false)
+                .is_ok_and(|answer| answer.status == 503)
+        })
+        .unwrap();
+    }
+    assert!(drained.elapsed() < DRAIN_BOUND, "{:?}", drained.elapsed());
+}
+
+#[test]
+fn endpoint_kept_leader_killed() {
+    let plan = ClusterPlan {
+        control_extra: "suspect_after_ms = 700\ngone_after_ms = 1500".to_owned(),
+        ..ClusterPlan::default()
+    };
+    let mut served = served_group_with(Duration::from_millis(1), plan);
+    let fencing = endpoint_field(&served.group, "engine-0", "fencing");
+    let leader = served.group.leader();
+    served.group.cluster.kill(&leader).unwrap();
+    wait_until("another instance leads", || served.group.leader() != leader).unwrap();
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    wait_until("the endpoint is live", || {
+        endpoint_state(&served.group, "engine-0") == "ENDPOINT_STATE_LIVE"
+    })
+    .unwrap();
+    // An endpoint that was gone comes back under a higher token.
+    assert_eq!(
+        endpoint_field(&served.group, "engine-0", "fencing"),
+        fencing
+    );
+}
+
+/// A silent cut of the leader, both ways, for longer than every bound.
+#[test]
+fn leader_cut_off_silently() {
+    let plan = ClusterPlan {
+        controls: 3,
+        entries: 1,
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let group = ControlGroup::spawn_plan(&plan);
+    let before = group.edit("before the cut");
+    let leader = group.leader();
+    for proxy in group.cluster.proxies_of(&leader) {
+        proxy.stall();
+    }
+    let cut = Instant::now();
+    let others = group.others(&leader);
+    let after = group.edit_at(&others, "during the cut");
+    assert!(after > before);
+    let alone = leader.trim_start_matches("control-").parse().unwrap();
+    let caller = HttpCaller::new(group.cluster.callers[0], None);
+    let mut entry_version = 0;
+    while cut.elapsed() < CUT_BOUND {
+        let answer = group
+            .operator(alone)
+            .call("GET", "/v1/config", &[], "")
+            .unwrap();
+        let shown: Value = serde_json::from_str(&answer.body).unwrap();
+        let stale = answer.status == 200 && shown["version"].as_u64() < Some(after);
+        assert!(!stale, "{}", answer.body);
+        let version = ready_version(&caller).unwrap_or(entry_version);
+        assert!(version >= entry_version);
+        entry_version = version;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(
+        entry_version >= after,
+        "the entry moved to a connected member"
+    );
+    for proxy in group.cluster.proxies_of(&leader) {
+        proxy.heal();
+    }
+    group.wait_voters(3);
+    let digests = group.equal_digests(&[0, 1, 2]);
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -10,6 +10,7 @@
 use crate::{Finding, FindingList, TableReader};
 
 const MINUTE_MS: u64 = 60_000;
+const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 const LEVELS: [&str; 6] = ["trace", "debug", "info", "warn", "error", "critical"];
 
 /// What every process of the system has.
@@ -68,6 +69,8 @@
     pub suspect_after: Duration,
     /// How long a suspect endpoint may be silent before it is gone.
     pub gone_after: Duration,
+    /// How long the claim of an idempotency key and its answer are kept.
+    pub claim_lifetime: Duration,
     /// Loads a second that the weight store allows.
     pub store_loads_per_minute: u64,
     /// Loads at once that the weight store serves at full speed.
@@ -129,6 +132,9 @@
     pub address: SocketAddr,
     /// Accelerator memory in MiB; 0 for a plain service.
     pub memory_mib: u64,
+    /// Part of the memory that is kept for the KV cache of running requests;
+    /// at most `memory_mib`.
+    pub kv_reserve_mib: u64,
     /// Requests that the endpoint runs at the same time.
     pub slots: u32,
     /// Requests that may wait before the endpoint.
@@ -139,6 +145,8 @@
     pub checks_fencing: bool,
     /// Longest time after which an order can still take effect.
     pub order_lifetime: Duration,
+    /// Interval of load reports to entry instances.
+    pub load_interval: Duration,
     /// Time that requests in work get when the agent shuts down.
     pub shutdown_grace: Duration,
 }
@@ -251,6 +259,7 @@
         bootstrap: table.flag("bootstrap").unwrap_or(false),
         suspect_after: table.millis("suspect_after_ms", 100..=MINUTE_MS, 2_000),
         gone_after: table.millis("gone_after_ms", 1_000..=60 * MINUTE_MS, 30_000),
+        claim_lifetime: table.millis("claim_lifetime_ms", 1_000..=DAY_MS, DAY_MS),
         store_loads_per_minute: table
             .number("store_loads_per_minute", 1..=100_000)
             .unwrap_or(90),
@@ -261,6 +270,9 @@
     settings
 }
 
+/// Part of the memory that is the KV reserve where settings name none.
+const KV_RESERVE_SHARE: u64 = 8;
+
 fn read_endpoint(mut table: TableReader<'_>) -> EndpointSettings {
     let kind = match table.required_text("kind").as_str() {
         "engine" => EndpointKind::Engine,
@@ -270,22 +282,29 @@
             EndpointKind::Service
         }
     };
+    let memory_mib = table.number("memory_mib", 0..=1 << 32).unwrap_or(0);
+    let kv_reserve_mib = table.number("kv_reserve_mib", 0..=1 << 32);
     let settings = EndpointSettings {
         name: table.required_name("name"),
         pool: table.required_name("pool"),
         kind,
         address: table.required_address("address"),
-        memory_mib: table.number("memory_mib", 0..=1 << 32).unwrap_or(0),
+        memory_mib,
+        kv_reserve_mib: kv_reserve_mib.unwrap_or(memory_mib / KV_RESERVE_SHARE),
         slots: narrow(table.number("slots", 1..=65_536), 32),
         queue: narrow(table.number("queue", 0..=65_536), 256),
         accelerators: narrow(table.number("accelerators", 0..=1_024), 0),
         checks_fencing: table.flag("checks_fencing").unwrap_or(false),
         order_lifetime: table.millis("order_lifetime_ms", 100..=10 * MINUTE_MS, 10_000),
+        load_interval: table.millis("load_interval_ms", 20..=MINUTE_MS, 150),
         shutdown_grace: table.millis("shutdown_grace_ms", 0..=60 * MINUTE_MS, 60_000),
     };
     if kind == EndpointKind::Engine && settings.memory_mib == 0 {
         table.report("an engine needs `memory_mib`");
     }
+    if settings.kv_reserve_mib > settings.memory_mib {
+        table.report("`kv_reserve_mib` is more than `memory_mib`");
+    }
     table.end();
     settings
 }
