--- a/crates/mulberrywell/src/operator_command.rs
+++ b/crates/mulberrywell/src/operator_command.rs
@@ -186,7 +186,8 @@
 fn list(client: &OperatorClient, args: &ArgMatches, what: &str) -> Result<ExitStatus> {
     let view = view_of(what)?;
     let mut answer = client.get(view.path)?;
-    if let Some(items) = answer.body[view.field].as_array_mut() {
+    let items = answer.body.get_mut(view.field);
+    if let Some(items) = items.and_then(Value::as_array_mut) {
         // Some lists come in the order of digests, which nobody can read.
         items.sort_by_cached_key(|item| cell_text(&item[view.columns[0]]));
     }
