Found one cluster only, and take nothing from another

Causes, each with its test, red before and green after: * An instance with bootstrap and an empty disk founded a second cluster when the other seeds did not answer for 1.5 s; a lost disk beside a cut was enough. It now waits for every seed (found_without_seeds_refused; led after 2 s before). * An entry took a whole configuration of any cluster, so such a second cluster would have replaced keys and plans. The directory refuses it, confirmations name their cluster, and the entry closes the link (configuration_foreign_refused). * A read that came before the first commit of a lone leader's term was never confirmed, as nothing looked at reads when the commit advanced (read_before_first_commit).

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -119,6 +119,8 @@
         self.take_input(input, outputs);
         // A busy host may be late with its timer; heartbeats must not be.
         self.take_leader_timer(outputs);
+        // A commit or a change of membership may complete a read's quorum.
+        self.confirm_reads(outputs);
         self.finish(outputs);
     }
 
--- a/crates/consensus/tests/suite/read_index.rs
+++ b/crates/consensus/tests/suite/read_index.rs
@@ -19,6 +19,18 @@
     assert!(cluster.was_confirmed(read));
 }
 
+/// A read that comes before the term's first entry is committed waits for it,
+/// and for nothing else.
+#[test]
+fn read_before_first_commit() {
+    let mut cluster = VirtualCluster::new(6, 1, &NodeConfig::default());
+    cluster.found();
+    cluster.run_until(SECONDS, |cluster| cluster.leader().is_some());
+    let read = cluster.read(0);
+    cluster.run_for(SECONDS);
+    assert!(cluster.was_confirmed(read));
+}
+
 #[rstest]
 #[case::both_ways(true)]
 #[case::answers_only(false)]
--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -168,6 +168,7 @@
             version: self.state.version,
             confirmed: self.state.cluster != 0,
             age_ms: 0,
+            cluster: self.state.cluster,
         };
         reply(origin, FrameBody::ConfirmAnswer(answer), actions);
     }
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -148,7 +148,7 @@
     pub(crate) members: MemberDriver,
     pub(crate) status: StatusTable,
     /// Set while this instance may still found a cluster.
-    pub(crate) founding: Option<Instant>,
+    pub(crate) founding: bool,
     /// Instant of the last regular work.
     pub(crate) last_tick: Instant,
     next_tick: Instant,
@@ -190,7 +190,7 @@
         let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
         let node = ConsensusNode::open(node_config, recovered, now);
         let membership = node.membership().clone();
-        let founding = (empty && config.settings.bootstrap).then_some(now);
+        let founding = empty && config.settings.bootstrap;
         Ok(ControlRole {
             peers: PeerLinks::new(
                 member,
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -18,9 +18,6 @@
 /// Name of the operator whose key the settings give.
 const FIRST_OPERATOR: &[u8] = b"first";
 
-/// Time for which a founder waits for the other seeds to answer.
-const FOUND_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Time without a leader after which entries and agents are sent elsewhere.
 const CLIENT_HOLD: Duration = Duration::from_millis(1_500);
 
@@ -71,7 +68,7 @@
             return;
         }
         if hello.cluster != 0 {
-            self.founding = None;
+            self.founding = false;
         }
         self.peers.take_hello(link, hello);
     }
@@ -81,7 +78,7 @@
         if now.saturating_duration_since(self.last_tick) >= PAUSE_MAX {
             self.watch.lead(now);
         }
-        self.found(now, actions);
+        self.found(actions);
         if self.is_leader() {
             self.drive_members();
             self.propose_blocks(now);
@@ -111,11 +108,12 @@
 
     /// Founds a cluster where the settings allow it and no other instance
     /// belongs to one.
-    fn found(&mut self, now: Instant, actions: &mut Actions) {
-        if let Some(since) = self.founding {
-            let answered = self.peers.connected().len() >= self.peers.other_seeds();
-            if answered || now.saturating_duration_since(since) >= FOUND_WAIT {
-                self.founding = None;
+    fn found(&mut self, actions: &mut Actions) {
+        if self.founding {
+            // A seed that does not answer may be a member of a cluster that
+            // this instance has forgotten with its disk.
+            if self.peers.connected().len() >= self.peers.other_seeds() {
+                self.founding = false;
                 let address = self.peers.own().address.clone();
                 self.input(NodeInput::Found { address });
             }
--- a/crates/control/tests/role_cases/main.rs
+++ b/crates/control/tests/role_cases/main.rs
@@ -153,3 +153,11 @@
     let seconds = (cluster.now() - started).as_secs();
     assert!(granted <= 1_000 + seconds + 1, "{granted} in {seconds} s");
 }
+
+/// One instance that sees no other seed must not found a second cluster.
+#[test]
+fn found_without_seeds_refused() {
+    let mut cluster = RoleCluster::unlinked(3);
+    cluster.run(Duration::from_secs(60));
+    assert_eq!(cluster.leader(), None);
+}
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -58,11 +58,19 @@
 }
 
 impl RoleCluster {
-    /// Creates roles and runs them until all vote.
-    pub fn formed(count: usize) -> Self {
+    /// Creates the first of `count` roles alone; the others are never reached.
+    pub fn unlinked(count: usize) -> Self {
+        let mut cluster = Self::opened(count);
+        for place in 1..count {
+            cluster.freeze(place);
+        }
+        cluster
+    }
+
+    fn opened(count: usize) -> Self {
         let now = Instant::now();
         let roles = (0..count).map(|place| open_role(place, count, now));
-        let mut cluster = RoleCluster {
+        RoleCluster {
             roles: roles.collect(),
             now,
             frozen: BTreeSet::new(),
@@ -72,7 +80,13 @@
             answers: BTreeMap::new(),
             next_link: 1,
             next_request: 1,
-        };
+        }
+    }
+
+    /// Creates roles and runs them until all vote.
+    pub fn formed(count: usize) -> Self {
+        let mut cluster = Self::opened(count);
+        let now = cluster.now;
         let voters = |shown: &Answer| shown.body.matches("\"role\":\"voter\"").count();
         loop {
             cluster.run(Duration::from_millis(100));
--- a/crates/directory/src/config_directory.rs
+++ b/crates/directory/src/config_directory.rs
@@ -34,6 +34,8 @@
     Stale,
     /// The update starts after the held version; a new subscription is due.
     Gap,
+    /// The update is of another cluster; its sender must not be believed.
+    Foreign,
 }
 
 /// The configuration at one version.
@@ -82,6 +84,10 @@
     /// Takes in one update.
     pub fn apply(&mut self, update: &Update) -> ApplyOutcome {
         let same = self.cluster == update.cluster;
+        if !same && self.cluster != 0 {
+            self.pending = None;
+            return ApplyOutcome::Foreign;
+        }
         if same && update.version <= self.version && self.version != 0 {
             self.pending = None;
             return ApplyOutcome::Stale;
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`Update`](mulberrywell_wire::config::Update) frames bring forward, and
 //! look up keys, grants, routes and endpoints in it.
 //!
-//! Guarantees: the version never falls within one cluster; an update that
-//! does not fit the held version changes nothing; several parts of a whole
+//! Guarantees: the version never falls; an update of another cluster, or one
+//! that does not fit the held version, changes nothing; several parts of a whole
 //! configuration come into force together.
 
 mod config_directory;
--- a/crates/entry/src/config_link.rs
+++ b/crates/entry/src/config_link.rs
@@ -3,7 +3,8 @@
 //! Algorithm: a query is sent at an interval; its answer tells that a quorum
 //! confirmed a version after the query was sent. The directory is fresh as of
 //! the send time once it holds that version. Nothing but such an answer moves
-//! the time forward, so a cut-off control instance can't keep an entry fresh.
+//! the time forward, so a cut-off control instance can't keep an entry fresh,
+//! nor can one of another cluster.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 /// A confirmed version that the directory does not hold yet.
 #[derive(Debug, Clone, Copy)]
 struct AwaitedVersion {
+    cluster: u64,
     version: ConfigVersion,
     sent: Instant,
 }
@@ -119,7 +121,11 @@
     /// Takes in an update; returns its outcome and an answer to send.
     pub fn update(&mut self, link: LinkId, update: &Update) -> (ApplyOutcome, Option<LinkCommand>) {
         let outcome = self.directory.apply(update);
-        let reply = (outcome == ApplyOutcome::Gap).then(|| self.subscribe(link));
+        let reply = match outcome {
+            ApplyOutcome::Gap => Some(self.subscribe(link)),
+            ApplyOutcome::Foreign => Some(LinkCommand::Close { link }),
+            _ => None,
+        };
         self.settle();
         (outcome, reply)
     }
@@ -141,6 +147,7 @@
             return;
         };
         self.awaited = Some(AwaitedVersion {
+            cluster: answer.cluster,
             version: answer.version,
             sent,
         });
@@ -162,7 +169,8 @@
         let Some(awaited) = self.awaited else {
             return;
         };
-        if self.directory.version() >= awaited.version && self.directory.version() > 0 {
+        let same = self.directory.cluster() == awaited.cluster;
+        if same && self.directory.version() >= awaited.version && self.directory.version() > 0 {
             self.confirmed = self.confirmed.max(Some(awaited.sent));
             self.awaited = None;
         }
--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -214,6 +214,10 @@
     fn take_update(&mut self, now: Instant, link: LinkId, update: &Update, actions: &mut Actions) {
         let (outcome, reply) = self.link.update(link, update);
         actions.extend(reply.map(RoleAction::Link));
+        if outcome == ApplyOutcome::Foreign {
+            let text = "a control instance of another cluster was refused".to_owned();
+            actions.push(RoleAction::Log(LogLevel::Error, text));
+        }
         if outcome == ApplyOutcome::Applied {
             self.end_withdrawn(now, actions);
             self.pool.retain(self.link.directory());
--- a/crates/entry/tests/request_keys.rs
+++ b/crates/entry/tests/request_keys.rs
@@ -127,3 +127,24 @@
     entry.http("GET", "/services/queue-desk/open", vec![], "");
     assert_eq!(entry.starts().len(), 2, "an open route needs no key");
 }
+
+/// A control instance of another cluster must neither change what the entry
+/// holds nor keep it fresh.
+#[test]
+fn configuration_foreign_refused() {
+    let mut entry = ScriptedEntry::ready();
+    let control = entry.link_to(scripted::CONTROL_PORT);
+    entry.cluster = 8;
+    entry.version = 50;
+    entry.update(|update| update.whole = true);
+    assert!(entry.closed.contains(&control), "the link is closed");
+    let request = entry.keyed("POST", PATH, &[], BODY);
+    assert_eq!(
+        entry.caller(request).status,
+        0,
+        "the own configuration holds"
+    );
+    entry.pass(6_000);
+    let request = entry.keyed("POST", PATH, &[], BODY);
+    assert_eq!(entry.caller(request).status, 503);
+}
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -68,7 +68,11 @@
     /// Ports that refuse connections.
     pub refused_ports: Vec<u16>,
     pub links: BTreeMap<LinkId, u16>,
-    version: u64,
+    pub version: u64,
+    /// Identity that the scripted control instance claims.
+    pub cluster: u64,
+    /// Links that the entry closed.
+    pub closed: Vec<LinkId>,
     next_lease: u64,
     next_request: u64,
 }
@@ -186,6 +190,8 @@
             refused_ports: Vec::new(),
             links: BTreeMap::new(),
             version: 1,
+            cluster: 7,
+            closed: Vec::new(),
             next_lease: 0,
             next_request: 0,
         };
@@ -232,6 +238,11 @@
                 }
                 self.sent.push((link, body));
             }
+            RoleAction::Link(LinkCommand::Close { link }) => {
+                self.closed.push(link);
+                self.links.remove(&link);
+                events.push_back(RoleEvent::Link(LinkEvent::Closed { link }));
+            }
             RoleAction::Own(EntryAction::Answer(request, part)) => self.take_part(request, part),
             RoleAction::Finished => self.finished = true,
             _ => {}
@@ -246,6 +257,7 @@
                     version: self.version,
                     confirmed: true,
                     age_ms: 0,
+                    cluster: self.cluster,
                 }))
             }
             FrameBody::LeaseRequest(ask) if self.grants => Some(self.grant_of(ask)),
@@ -312,7 +324,7 @@
         let mut update = Update {
             base: self.version,
             version: self.version + 1,
-            cluster: 7,
+            cluster: self.cluster,
             ..Update::default()
         };
         change(&mut update);
