Index the endpoints that serve a model

Cause: the choice of an endpoint looked at every endpoint and its list of resident models; at 3,300 endpoints that was nearly all of its time. Circuits are matched by name instead of by a pass over all endpoints for each.

--- a/crates/capacity-bench/src/main.rs
+++ b/crates/capacity-bench/src/main.rs
@@ -170,9 +170,7 @@
     let now = Instant::now();
     let total = fastest(|| {
         for seed in 0..CHOICES {
-            let holders = directory
-                .endpoints()
-                .filter(|endpoint| endpoint.resident.contains(&model));
+            let holders = directory.endpoints_of_model(&model);
             let candidates: Vec<EndpointCandidate<'_>> = holders
                 .map(|endpoint| EndpointCandidate {
                     name: &endpoint.name,
--- a/crates/directory/src/config_directory.rs
+++ b/crates/directory/src/config_directory.rs
@@ -8,6 +8,8 @@
     RouteItem, ServiceItem, Update,
 };
 
+use crate::serving_index::ServingIndex;
+
 /// Name of a client account.
 pub type AccountName = Bytes;
 /// Name of a plan.
@@ -68,6 +70,8 @@
     services: BTreeMap<ServiceName, ServiceItem>,
     grants: BTreeMap<PlanName, GrantItem>,
     endpoints: BTreeMap<EndpointName, EndpointItem>,
+    /// Holds exactly the items of `endpoints`.
+    serving: ServingIndex,
 }
 
 impl ConfigDirectory {
@@ -188,6 +192,22 @@
         self.items.endpoints.get(name)
     }
 
+    /// Returns the engines that have a model resident, in the order of their
+    /// names.
+    pub fn endpoints_of_model(&self, model: &ModelName) -> impl Iterator<Item = &EndpointItem> {
+        let names = self.items.serving.of_model(model);
+        names.filter_map(|name| self.items.endpoints.get(name))
+    }
+
+    /// Returns the endpoints of a plain service, in the order of their names.
+    pub fn endpoints_of_service(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &EndpointItem> {
+        let names = self.items.serving.of_service(service);
+        names.filter_map(|name| self.items.endpoints.get(name))
+    }
+
     /// Returns all endpoints in the order of their names.
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointItem> {
         self.items.endpoints.values()
@@ -205,7 +225,22 @@
         insert(&mut self.models, &update.models, |item| &item.name);
         insert(&mut self.services, &update.services, |item| &item.name);
         insert(&mut self.grants, &update.grants, |item| &item.plan);
-        insert(&mut self.endpoints, &update.endpoints, |item| &item.name);
+        for endpoint in &update.endpoints {
+            self.put_endpoint(endpoint);
+        }
+    }
+
+    fn put_endpoint(&mut self, endpoint: &EndpointItem) {
+        self.remove_endpoint(&endpoint.name);
+        self.serving.insert(endpoint);
+        self.endpoints
+            .insert(endpoint.name.clone(), endpoint.clone());
+    }
+
+    fn remove_endpoint(&mut self, name: &EndpointName) {
+        if let Some(endpoint) = self.endpoints.remove(name) {
+            self.serving.remove(&endpoint);
+        }
     }
 
     fn remove(&mut self, removal: &Removal) {
@@ -217,7 +252,7 @@
             ItemKind::Model => drop(self.models.remove(name)),
             ItemKind::Service => drop(self.services.remove(name)),
             ItemKind::Grant => drop(self.grants.remove(name)),
-            ItemKind::Endpoint => drop(self.endpoints.remove(name)),
+            ItemKind::Endpoint => self.remove_endpoint(name),
             ItemKind::Unspecified => {}
         }
     }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod config_directory;
 mod key_digest;
+mod serving_index;
 
 pub use config_directory::{
     AccountName, ApplyOutcome, ConfigDirectory, ConfigVersion, EndpointName, KeyDigest, ModelName,
--- /dev/null
+++ b/crates/directory/src/serving_index.rs
@@ -0,0 +1,67 @@
+//! Which endpoints serve a model or service.
+//!
+//! Purpose: a request looks at the endpoints that can serve it, not at all.
+//! The index is kept as endpoints come, change and go.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use mulberrywell_wire::config::EndpointItem;
+
+use crate::{EndpointName, ModelName, ServiceName};
+
+/// Endpoint names by what they serve.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ServingIndex {
+    /// Engines by resident model; no set is empty.
+    models: BTreeMap<ModelName, BTreeSet<EndpointName>>,
+    /// Plain services by service; no set is empty.
+    services: BTreeMap<ServiceName, BTreeSet<EndpointName>>,
+}
+
+impl ServingIndex {
+    /// Adds an endpoint that is not in the index.
+    pub fn insert(&mut self, endpoint: &EndpointItem) {
+        let name = &endpoint.name;
+        if endpoint.engine {
+            for model in &endpoint.resident {
+                let names = self.models.entry(model.clone()).or_default();
+                names.insert(name.clone());
+            }
+        } else {
+            let names = self.services.entry(endpoint.pool.clone()).or_default();
+            names.insert(name.clone());
+        }
+    }
+
+    /// Takes an endpoint out, as it stood when it was added.
+    pub fn remove(&mut self, endpoint: &EndpointItem) {
+        let name = &endpoint.name;
+        if endpoint.engine {
+            for model in &endpoint.resident {
+                remove_name(&mut self.models, model, name);
+            }
+        } else {
+            remove_name(&mut self.services, &endpoint.pool, name);
+        }
+    }
+
+    /// Returns the engines that have a model resident, in the order of names.
+    pub fn of_model(&self, model: &ModelName) -> impl Iterator<Item = &EndpointName> {
+        self.models.get(model).into_iter().flatten()
+    }
+
+    /// Returns the endpoints of a plain service, in the order of names.
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &EndpointName> {
+        self.services.get(service).into_iter().flatten()
+    }
+}
+
+fn remove_name(sets: &mut BTreeMap<Bytes, BTreeSet<Bytes>>, key: &Bytes, name: &EndpointName) {
+    if let Some(names) = sets.get_mut(key) {
+        names.remove(name);
+        if names.is_empty() {
+            sets.remove(key);
+        }
+    }
+}
--- a/crates/entry/src/endpoint_pool.rs
+++ b/crates/entry/src/endpoint_pool.rs
@@ -78,13 +78,15 @@
         call: &CallRecord,
         seed: u64,
     ) -> Option<EndpointItem> {
-        let items: Vec<&EndpointItem> = directory
-            .endpoints()
-            .filter(|endpoint| endpoint.state() == EndpointState::Live)
-            .filter(|endpoint| fits(endpoint, &call.target))
-            .filter(|endpoint| !call.tried.contains(&endpoint.name))
-            .filter(|endpoint| self.allows(now, endpoint))
-            .collect();
+        let mut items: Vec<&EndpointItem> = match &call.target {
+            CallTarget::Model(model) => directory.endpoints_of_model(model).collect(),
+            CallTarget::Service(name) => directory.endpoints_of_service(name).collect(),
+        };
+        items.retain(|endpoint| {
+            endpoint.state() == EndpointState::Live
+                && !call.tried.contains(&endpoint.name)
+                && self.allows(now, endpoint)
+        });
         let candidates: Vec<EndpointCandidate<'_>> = items
             .iter()
             .map(|item| EndpointCandidate {
@@ -145,7 +147,7 @@
     pub fn retain(&mut self, directory: &ConfigDirectory) {
         let chooser = &mut self.chooser;
         self.circuits.retain(|name, _| {
-            let known = directory.endpoints().any(|item| item.name == *name);
+            let known = directory.endpoint(name).is_some();
             if !known {
                 chooser.forget(name);
             }
@@ -160,10 +162,3 @@
             .is_none_or(|circuit| circuit.breaker.allows(now))
     }
 }
-
-fn fits(endpoint: &EndpointItem, target: &CallTarget) -> bool {
-    match target {
-        CallTarget::Model(model) => endpoint.engine && endpoint.resident.contains(model),
-        CallTarget::Service(name) => !endpoint.engine && endpoint.pool == *name,
-    }
-}
