--- a/crates/mulberrywell/tests/fault_promises.rs
+++ b/crates/mulberrywell/tests/fault_promises/fault_cluster.rs
@@ -1,23 +1,57 @@
-//! All promises under faults: real processes behind proxies, a fixed seed.
-
-mod common;
+//! The cluster of a fault run, its calls and what they prove.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
-use common::{binaries, engine_config, GRANTS, PLANS};
+use crate::common::{binaries, engine_config, GRANTS, PLANS};
 use mulberrywell_testkit::{
     check_promises, wait_until, AccountAllowance, AgentPlan, ClusterPlan, FakeEngine, FakeService,
-    FlowFault, MemoryPeak, MixAccount, ObservedCall, ProcessCluster, Promise, PromiseBreach,
-    RequestMix, RunEvidence, ANY_PROCESS,
+    MemoryPeak, MixAccount, ObservedCall, ProcessCluster, Promise, PromiseBreach, RequestMix,
+    RunEvidence,
 };
 
 const SEED: u64 = 4_711;
 
-/// Calls of a run.
-const CALLS: u64 = 400;
+/// Plan and rate of a client account that takes part.
+#[derive(Debug, Clone, Copy)]
+pub struct AccountPlan {
+    pub name: &'static str,
+    pub uses_service: bool,
+    /// Tokens a second.
+    pub rate: f64,
+    /// Tokens.
+    pub burst: f64,
+}
+
+/// What a run consists of.
+#[derive(Debug, Clone, Copy)]
+pub struct RunPlan {
+    pub controls: usize,
+    pub calls: u64,
+    pub accounts: &'static [AccountPlan],
+    /// Added to the plan list of the common tests.
+    pub more_plans: &'static str,
+    /// Calls that must be served, or the run proves little.
+    pub served_min: usize,
+}
+
+/// Accounts of the common tests' plan list.
+pub const TWO_ACCOUNTS: [AccountPlan; 2] = [
+    AccountPlan {
+        name: "medellin",
+        uses_service: true,
+        rate: 100_000.0,
+        burst: 200_000.0,
+    },
+    AccountPlan {
+        name: "cali",
+        uses_service: false,
+        rate: 10.0,
+        burst: 100.0,
+    },
+];
 
 /// Time that a service takes for a call.
 const SERVICE_DELAY: Duration = Duration::from_millis(40);
@@ -27,6 +61,7 @@
 
 /// A cluster of two entries, two engines and two services behind proxies.
 struct FaultCluster {
+    plan: RunPlan,
     cluster: ProcessCluster,
     engines: Vec<FakeEngine>,
     services: Vec<FakeService>,
@@ -34,7 +69,7 @@
 }
 
 impl FaultCluster {
-    fn spawn(controls: usize) -> Self {
+    fn spawn(run: RunPlan) -> Self {
         let engines: Vec<FakeEngine> = (0..2)
             .map(|_| FakeEngine::spawn(engine_config()).unwrap())
             .collect();
@@ -51,22 +86,24 @@
             });
         }
         let plan = ClusterPlan {
-            controls,
+            controls: run.controls,
             entries: 2,
             agents,
             proxied: true,
             ..ClusterPlan::default()
         };
         let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
-        cluster.apply(PLANS, GRANTS).unwrap();
+        let plans = format!("{PLANS}{}", run.more_plans);
+        cluster.apply(&plans, GRANTS).unwrap();
         cluster.wait_ready(4).unwrap();
-        let account = |name: &str, uses_service| MixAccount {
-            name: name.to_owned(),
-            key: cluster.give_key(name, name).unwrap(),
-            uses_service,
-        };
-        let accounts = vec![account("medellin", true), account("cali", false)];
+        let accounts = run.accounts.iter().map(|account| MixAccount {
+            name: account.name.to_owned(),
+            key: cluster.give_key(account.name, account.name).unwrap(),
+            uses_service: account.uses_service,
+        });
+        let accounts = accounts.collect();
         FaultCluster {
+            plan: run,
             cluster,
             engines,
             services,
@@ -92,10 +129,7 @@
             calls,
             runs: records.flat_map(|records| records.all()).collect(),
             keys: self.accounts.iter().map(|one| one.key.clone()).collect(),
-            allowances: vec![
-                allowance("medellin", 100_000.0, 200_000.0),
-                allowance("cali", 10.0, 100.0),
-            ],
+            allowances: self.plan.accounts.iter().map(allowance).collect(),
             memory: self
                 .engines
                 .iter()
@@ -108,11 +142,11 @@
     }
 }
 
-fn allowance(account: &str, rate: f64, burst: f64) -> AccountAllowance {
+fn allowance(account: &AccountPlan) -> AccountAllowance {
     AccountAllowance {
-        account: account.to_owned(),
-        rate,
-        burst,
+        account: account.name.to_owned(),
+        rate: account.rate,
+        burst: account.burst,
     }
 }
 
@@ -122,6 +156,7 @@
     disturb: impl FnOnce(&mut ProcessCluster, &[FakeService], &AtomicU64),
 ) -> Vec<ObservedCall> {
     let mix = cluster.mix();
+    let calls_max = cluster.plan.calls;
     for service in &cluster.services {
         service.set_delay(SERVICE_DELAY);
     }
@@ -131,7 +166,7 @@
         for _ in 0..CALLERS {
             scope.spawn(|| loop {
                 let number = next.fetch_add(1, Ordering::Relaxed);
-                if number >= CALLS {
+                if number >= calls_max {
                     return;
                 }
                 let call = mix.call(number);
@@ -144,119 +179,26 @@
     calls.into_inner().unwrap()
 }
 
-fn wait_ended(ended: &AtomicU64, number: u64) {
+/// Waits until a number of calls has ended.
+pub fn wait_ended(ended: &AtomicU64, number: u64) {
     wait_until("calls have ended", || {
         ended.load(Ordering::Relaxed) >= number
     })
     .unwrap();
 }
 
-/// Waits until a service has a call in work.
-fn wait_running(service: &FakeService) {
-    wait_until("a call is in work", || service.records().running() > 0).unwrap();
-}
-
-/// Cuts, delays, freezes, kills and restarts, one after the other.
-fn disturb(cluster: &mut ProcessCluster, services: &[FakeService], ended: &AtomicU64) {
-    let chopped = FlowFault {
-        delay: Duration::from_millis(3),
-        jitter: Duration::from_millis(5),
-        chop_len: 7,
-        ..FlowFault::default()
-    };
-    wait_ended(ended, 30);
-    let engine_0 = cluster.proxy(ANY_PROCESS, "agent-engine-0").unwrap();
-    engine_0.set_both(chopped);
-    wait_ended(ended, 60);
-    engine_0.heal();
-    engine_0.reset();
-    let payments_0 = cluster.proxy(ANY_PROCESS, "agent-payments-0").unwrap();
-    wait_running(&services[0]);
-    payments_0.reset();
-    services[1].leave_unanswered(3);
-    wait_ended(ended, 90);
-    wait_running(&services[0]);
-    payments_0.stall();
-    wait_ended(ended, 110);
-    payments_0.heal();
-    cluster.kill("entry-1").unwrap();
-    wait_ended(ended, 150);
-    cluster.restart("entry-1").unwrap();
-    cluster.freeze("agent-engine-1").unwrap();
-    wait_ended(ended, 180);
-    cluster.thaw("agent-engine-1").unwrap();
-    wait_running(&services[1]);
-    cluster.kill("agent-payments-1").unwrap();
-    wait_ended(ended, 220);
-    cluster.restart("agent-payments-1").unwrap();
-    let entry_0 = cluster.proxy("entry-0", "control-0").unwrap();
-    entry_0.stall();
-    wait_ended(ended, 250);
-    entry_0.heal();
-    cluster.kill("agent-engine-0").unwrap();
-    wait_ended(ended, 290);
-    cluster.restart("agent-engine-0").unwrap();
-    cluster.proxy("entry-0", "control-0").unwrap().reset();
-}
-
 /// Runs all calls and returns what the records prove, first of the rate and
 /// then of the other promises.
-fn run_checked(
-    controls: usize,
+pub fn run_checked(
+    run: RunPlan,
     disturb: impl FnOnce(&mut ProcessCluster, &[FakeService], &AtomicU64),
-    served_min: usize,
 ) -> (Vec<PromiseBreach>, Vec<PromiseBreach>) {
-    let mut cluster = FaultCluster::spawn(controls);
+    let mut cluster = FaultCluster::spawn(run);
     let calls = run_calls(&mut cluster, disturb);
     let served = calls.iter().filter(|call| call.status < 300 && call.whole);
-    assert!(served.count() >= served_min, "too few calls are served");
+    assert!(served.count() >= run.served_min, "too few calls are served");
     let breaches = check_promises(&cluster.evidence(calls));
     breaches
         .into_iter()
         .partition(|breach| breach.promise == Promise::Rate)
 }
-
-#[test]
-fn promises_kept_without_faults() {
-    let (_, others) = run_checked(1, |_, _, _| {}, 150);
-    assert_eq!(others, vec![]);
-}
-
-#[test]
-fn promises_kept_under_faults() {
-    let (_, others) = run_checked(1, disturb, 100);
-    assert_eq!(others, vec![]);
-}
-
-/// Kills each control instance in turn, one of which leads, besides all else.
-fn disturb_control(cluster: &mut ProcessCluster, services: &[FakeService], ended: &AtomicU64) {
-    for idx in 0..3 {
-        let name = format!("control-{idx}");
-        cluster.kill(&name).unwrap();
-        wait_ended(ended, 10 + 8 * idx);
-        cluster.restart(&name).unwrap();
-        wait_until("control serves again", || {
-            cluster.operate_well(&["show", "config", "--json"]).is_ok()
-        })
-        .unwrap();
-    }
-    disturb(cluster, services, ended);
-}
-
-#[test]
-fn promises_kept_while_control_restarts() {
-    let (_, others) = run_checked(3, disturb_control, 100);
-    assert_eq!(others, vec![]);
-}
-
-#[test]
-fn rate_kept_without_faults() {
-    let (rate, _) = run_checked(1, |_, _, _| {}, 150);
-    assert_eq!(rate, vec![]);
-}
-
-#[test]
-fn rate_kept_under_faults() {
-    let (rate, _) = run_checked(1, disturb, 100);
-    assert_eq!(rate, vec![]);
-}
--- /dev/null
+++ b/crates/mulberrywell/tests/fault_promises/long_run.rs
@@ -0,0 +1,191 @@
+//! A few thousand calls of five accounts while every kind of process is killed,
+//! frozen and cut off, and two operators race each other.
+
+use std::sync::atomic::AtomicU64;
+use std::thread;
+
+use mulberrywell_testkit::{wait_until, FakeService, ProcessCluster, ANY_PROCESS};
+
+use crate::common::{GRANTS, PLANS};
+use crate::fault_cluster::{run_checked, wait_ended, AccountPlan, RunPlan};
+
+const MORE_PLANS: &str = r#"
+[[account]]
+name = "bogota"
+plan = "gold"
+
+[[account]]
+name = "oslo"
+plan = "gold"
+
+[[account]]
+name = "bergen"
+plan = "small"
+"#;
+
+const fn gold(name: &'static str) -> AccountPlan {
+    AccountPlan {
+        name,
+        uses_service: true,
+        rate: 100_000.0,
+        burst: 200_000.0,
+    }
+}
+
+const fn small(name: &'static str) -> AccountPlan {
+    AccountPlan {
+        name,
+        uses_service: false,
+        rate: 10.0,
+        burst: 100.0,
+    }
+}
+
+const FIVE_ACCOUNTS: [AccountPlan; 5] = [
+    gold("medellin"),
+    gold("bogota"),
+    gold("oslo"),
+    small("cali"),
+    small("bergen"),
+];
+
+const LONG_RUN: RunPlan = RunPlan {
+    controls: 3,
+    calls: 2_400,
+    accounts: &FIVE_ACCOUNTS,
+    more_plans: MORE_PLANS,
+    served_min: 600,
+};
+
+/// Calls that end while a fault lasts, and between two faults.
+const STEP: u64 = 70;
+
+/// A fault of one process.
+#[derive(Debug, Clone, Copy)]
+enum ProcessFault {
+    Kill(&'static str),
+    Freeze(&'static str),
+    /// Cuts all links to a process, silently.
+    Stall(&'static str),
+    /// Resets all links to a process once.
+    Reset(&'static str),
+}
+
+const FAULTS: [ProcessFault; 15] = [
+    ProcessFault::Kill("control-0"),
+    ProcessFault::Reset("agent-engine-0"),
+    ProcessFault::Freeze("control-1"),
+    ProcessFault::Kill("entry-0"),
+    ProcessFault::Stall("agent-payments-0"),
+    ProcessFault::Kill("control-2"),
+    ProcessFault::Freeze("agent-engine-1"),
+    ProcessFault::Stall("control-0"),
+    ProcessFault::Kill("agent-payments-1"),
+    ProcessFault::Freeze("entry-1"),
+    ProcessFault::Kill("control-1"),
+    ProcessFault::Stall("agent-engine-0"),
+    ProcessFault::Kill("agent-engine-1"),
+    ProcessFault::Freeze("control-0"),
+    ProcessFault::Reset("agent-payments-0"),
+];
+
+fn begin(cluster: &mut ProcessCluster, fault: ProcessFault) {
+    match fault {
+        ProcessFault::Kill(name) => cluster.kill(name).unwrap(),
+        ProcessFault::Freeze(name) => cluster.freeze(name).unwrap(),
+        ProcessFault::Stall(name) => {
+            for proxy in cluster.proxies_of(name) {
+                proxy.stall();
+            }
+        }
+        ProcessFault::Reset(name) => cluster.proxy(ANY_PROCESS, name).unwrap().reset(),
+    }
+}
+
+fn end(cluster: &mut ProcessCluster, fault: ProcessFault) {
+    match fault {
+        ProcessFault::Kill(name) => cluster.restart(name).unwrap(),
+        ProcessFault::Freeze(name) => cluster.thaw(name).unwrap(),
+        ProcessFault::Stall(name) => {
+            for proxy in cluster.proxies_of(name) {
+                proxy.heal();
+                proxy.reset();
+            }
+        }
+        ProcessFault::Reset(_) => {}
+    }
+}
+
+fn list_version(cluster: &ProcessCluster) -> Option<String> {
+    let shown = cluster.operate_well(&["show", "config", "--json"]).ok()?;
+    let at = shown.find("\"list_version\":")?;
+    let digits = shown[at..].split(|c: char| !c.is_ascii_digit());
+    digits
+        .map(ToOwned::to_owned)
+        .find(|digits| !digits.is_empty())
+}
+
+/// Lets two operators edit from the same base; returns how many were accepted.
+fn race_edits(cluster: &ProcessCluster, round: usize) -> usize {
+    let mut base = None;
+    wait_until("a control instance answers", || {
+        base = list_version(cluster);
+        base.is_some()
+    })
+    .unwrap();
+    let base = base.unwrap();
+    let edit = |operator: usize| {
+        let plans = cluster.folder().join(format!("plans-{operator}.toml"));
+        let grants = cluster.folder().join(format!("grants-{operator}.toml"));
+        let text = format!("# round {round} of operator {operator}\n{PLANS}{MORE_PLANS}");
+        std::fs::write(&plans, text).unwrap();
+        std::fs::write(&grants, GRANTS).unwrap();
+        let request = format!("round-{round}-operator-{operator}");
+        let paths = [plans.to_string_lossy(), grants.to_string_lossy()];
+        let args = [
+            "apply",
+            "--plans",
+            &paths[0],
+            "--grants",
+            &paths[1],
+            "--base",
+            &base,
+            "--request-id",
+            &request,
+        ];
+        let mut code = None;
+        // A lost answer is followed by a resend under the same id.
+        wait_until("the edit is answered", || {
+            code = cluster.operate(&args).unwrap().status.code();
+            code != Some(5)
+        })
+        .unwrap();
+        code
+    };
+    let codes = thread::scope(|scope| {
+        let handles = [0, 1].map(|operator| scope.spawn(move || edit(operator)));
+        handles.map(|handle| handle.join().unwrap())
+    });
+    for code in codes {
+        assert!(matches!(code, Some(0 | 4)), "an edit ended with {code:?}");
+    }
+    codes.iter().filter(|code| **code == Some(0)).count()
+}
+
+fn disturb_all(cluster: &mut ProcessCluster, _: &[FakeService], ended: &AtomicU64) {
+    for (round, fault) in FAULTS.into_iter().enumerate() {
+        let calls = STEP * (2 * round as u64 + 1);
+        wait_ended(ended, calls);
+        begin(cluster, fault);
+        assert_eq!(race_edits(cluster, round), 1, "one edit of a base wins");
+        wait_ended(ended, calls + STEP);
+        end(cluster, fault);
+    }
+}
+
+#[test]
+fn promises_kept_in_long_run() {
+    let (rate, others) = run_checked(LONG_RUN, disturb_all);
+    assert_eq!(others, vec![]);
+    assert_eq!(rate, vec![]);
+}
