Let the callers of a fault run give up after their deadline

Cause of the long run that did not end: its callers waited 60 s for each call to a frozen entry, all twelve at once, so no call ended and the fault lasted. Seen in the last run: entry-1 stopped, 25 callers in a socket read. Ruled out: a wait in the system (every other process was idle). Callers now give up 2 s after the deadline that they state; an answer that never came counts as unknown, as before.

--- a/crates/testkit/src/http_client.rs
+++ b/crates/testkit/src/http_client.rs
@@ -49,9 +49,14 @@
 impl HttpCaller {
     /// Creates a caller.
     pub fn new(address: SocketAddr, key: Option<&str>) -> Self {
+        Self::with_limit(address, key, CALL_LIMIT)
+    }
+
+    /// Creates a caller that gives a call up after `limit`.
+    pub fn with_limit(address: SocketAddr, key: Option<&str>, limit: Duration) -> Self {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
-            .timeout_global(Some(CALL_LIMIT))
+            .timeout_global(Some(limit))
             .max_redirects(0)
             .build();
         HttpCaller {
--- a/crates/testkit/src/request_mix.rs
+++ b/crates/testkit/src/request_mix.rs
@@ -4,7 +4,7 @@
 //! body follow from both alone.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -29,6 +29,9 @@
     pub uses_service: bool,
 }
 
+/// Time past its deadline after which a caller gives a call up.
+const GIVE_UP_MARGIN: Duration = Duration::from_secs(2);
+
 /// What is called, by whom.
 #[derive(Debug, Clone)]
 pub struct RequestMix {
@@ -64,7 +67,8 @@
             ("Content-Type", "application/json"),
             (DEADLINE_HEADER, deadline.as_str()),
         ];
-        let caller = HttpCaller::new(entry, Some(&account.key));
+        let limit = Duration::from_millis(self.deadline_ms) + GIVE_UP_MARGIN;
+        let caller = HttpCaller::with_limit(entry, Some(&account.key), limit);
         let sent = Instant::now();
         // Without a status nothing is known, as the default says.
         let answer = caller.call("POST", path, &headers, &body);
