--- a/crates/agent/src/agent_role.rs
+++ b/crates/agent/src/agent_role.rs
@@ -429,6 +429,8 @@
             RoleEvent::Link(event) => self.take_link(now, event, actions),
             RoleEvent::Timer => self.take_timer(now, actions),
             RoleEvent::Shutdown => self.shut_down(now, actions),
+            // This role has no listener and speaks to its engine by its port.
+            RoleEvent::Exchange(_) | RoleEvent::Caller(..) => {}
             RoleEvent::Own(event) => self.take_engine(now, event, actions),
         }
         self.read_state(now, actions);
--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -18,8 +18,9 @@
 
 use crate::command_outcome::{CommandOutcome, EditConflict};
 use crate::control_role::{send, Actions, ControlRole, ReadTask};
-use crate::proposal_table::{FrameOrigin, ProposalWaiter};
+use crate::proposal_table::{CallOrigin, FrameOrigin, ProposalWaiter};
 use crate::relay_table::RelayAsker;
+use crate::serving_calls::refuse_call;
 
 /// A frame that the confirmed leader answers.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
         match body {
             FrameBody::Subscribe(subscribe) => self.subscribers.insert(link, subscribe),
             FrameBody::Announce(announce) => self.take_announce(now, link, announce, actions),
+            FrameBody::ServingAttach(attach) => self.serving.attach(link, &attach),
+            FrameBody::ServingDemand(demand) => self.take_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.take_state_report(now, report),
             FrameBody::DemandReport(report) => {
                 if let Some(instance) = self.clients.instance(link).cloned() {
@@ -134,6 +137,7 @@
     pub(crate) fn refuse_asker(&mut self, asker: RelayAsker, actions: &mut Actions) {
         match asker {
             RelayAsker::Operator(request) => self.answer_lost(request, actions),
+            RelayAsker::Serving(request) => refuse_call(CallOrigin::Local(request), actions),
             RelayAsker::Client { link, frame } => {
                 if let Some(refusal) = refusal_of(&frame) {
                     send(link, refusal, actions);
--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -15,6 +15,7 @@
 use mulberrywell_wire::config::{
     AccountItem, EndpointItem, GrantItem, ItemKind, KeyItem, ModelItem, PlanItem, ServiceItem,
 };
+use mulberrywell_wire::serving::PutServing;
 
 use crate::audit_trail::{AuditEntry, AuditTrail};
 use crate::change_history::{replace_items, ChangeHistory, ItemRef};
@@ -76,6 +77,8 @@
     pub members: BTreeMap<u64, MemberItem>,
     /// Whether operators want an instance as a member, by its name.
     pub wishes: BTreeMap<Bytes, bool>,
+    /// Serving configuration in force; its version never falls.
+    pub serving: Option<PutServing>,
     /// Claims of idempotency keys.
     pub claims: ClaimBook,
     /// The audit trail.
@@ -113,6 +116,7 @@
             fencing: 0,
             members: BTreeMap::new(),
             wishes: BTreeMap::new(),
+            serving: None,
             claims: ClaimBook::default(),
             audit: AuditTrail::default(),
             requests: RequestMemory::default(),
@@ -123,6 +127,12 @@
         }
     }
 
+    /// Returns the version of the serving configuration; 0 without one.
+    pub fn serving_version(&self) -> u64 {
+        let config = self.serving.as_ref().and_then(|put| put.config.as_ref());
+        config.map_or(0, |config| config.version)
+    }
+
     /// Returns the key with a label.
     pub fn key_of_label(&self, label: &Bytes) -> Option<&KeyItem> {
         self.keys.values().find(|key| key.label == *label)
@@ -183,6 +193,7 @@
                 known.map(|_| self.version).ok_or(EditConflict::NotFound)
             }
             Body::WishMember(wish) => self.wish_member(wish),
+            Body::PutServing(put) => Ok(self.put_serving(put)),
         }
     }
 
@@ -289,6 +300,16 @@
         Ok(self.version)
     }
 
+    /// Puts a configuration in force; one whose version is not higher changes
+    /// nothing.
+    fn put_serving(&mut self, put: &PutServing) -> u64 {
+        let version = put.config.as_ref().map_or(0, |config| config.version);
+        if version > self.serving_version() {
+            self.serving = Some(put.clone());
+        }
+        self.version
+    }
+
     fn note_audit(&mut self, command: &LogCommand, before: String, outcome: &CommandOutcome) {
         let accepted = matches!(outcome, CommandOutcome::Accepted { .. });
         let after = if accepted {
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -42,6 +42,8 @@
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
 use crate::read_rounds::ReadRounds;
 use crate::relay_table::RelayTable;
+use crate::serving_calls::{ServingAnswer, ServingCall, ServingTask};
+use crate::serving_desk::ServingDesk;
 use crate::subscriber_table::SubscriberTable;
 
 /// Interval of the role's regular work.
@@ -67,7 +69,7 @@
     pub seeds: Vec<std::net::SocketAddr>,
     /// Identity of a cluster that this instance may found.
     pub new_cluster: u64,
-    /// Key of the first operator.
+    /// Key of the first operator; empty where there is no operators' API.
     pub operator_key: Bytes,
 }
 
@@ -76,6 +78,14 @@
 pub enum ControlEvent {
     /// An operator's request.
     Http(HttpEvent),
+    /// A call about the serving configuration or by an endpoint;
+    /// [`ControlAction::Reply`] follows.
+    Serving {
+        /// A new id.
+        request: RequestId,
+        /// The call.
+        call: ServingCall,
+    },
     /// Wall clock in milliseconds since the Unix epoch, for the audit trail.
     Clock(u64),
     /// Every batch up to this ticket is synced.
@@ -83,6 +93,8 @@
         /// The last synced ticket.
         ticket: PersistTicket,
     },
+    /// The settings name these control instances from now on.
+    Seeds(Vec<std::net::SocketAddr>),
     /// The disk is full; the batch is tried again.
     DiskFull,
     /// A snapshot is synced.
@@ -102,6 +114,8 @@
 pub enum ControlAction {
     /// Sends a part of an answer to an operator.
     Answer(RequestId, AnswerPart),
+    /// Answers a [`ControlEvent::Serving`].
+    Reply(RequestId, ServingAnswer),
     /// Writes and syncs a batch; `Persisted` or `DiskFull` follows.
     Persist(PersistBatch),
     /// Saves a snapshot; `SnapshotSaved` or `SnapshotUnsaved` follows.
@@ -115,6 +129,7 @@
 pub(crate) enum ReadTask {
     Operator(OperatorTask),
     Client(ClientTask),
+    Serving(ServingTask),
 }
 
 /// The control role.
@@ -141,6 +156,7 @@
     pub(crate) peers: PeerLinks,
     pub(crate) clients: ClientLinks,
     pub(crate) subscribers: SubscriberTable,
+    pub(crate) serving: ServingDesk,
     pub(crate) watch: EndpointWatch,
     pub(crate) observed: ObservedState,
     pub(crate) leases: LeaseDesk,
@@ -180,7 +196,10 @@
             name: config.instance.clone(),
             address: Bytes::from(config.advertise.to_string()),
             zone: config.zone.clone(),
-            operator_address: Bytes::from(config.settings.operator_listen.to_string()),
+            operator_address: config
+                .settings
+                .operator_listen
+                .map_or_else(Bytes::new, |address| Bytes::from(address.to_string())),
         };
         let node_config = NodeConfig {
             seed: recovered.member,
@@ -213,6 +232,7 @@
             relays: RelayTable::default(),
             clients: ClientLinks::default(),
             subscribers: SubscriberTable::default(),
+            serving: ServingDesk::default(),
             watch: EndpointWatch::new(now),
             observed: ObservedState::default(),
             leases: LeaseDesk::restore(now, &state),
@@ -311,6 +331,9 @@
             }
         }
         self.subscribers.distribute(&self.state, &mut self.commands);
+        let peers = self.peers.member_links();
+        self.serving
+            .distribute(&self.state, &peers, &mut self.commands);
         self.flush_commands(actions);
     }
 
@@ -318,6 +341,7 @@
         match task {
             ReadTask::Operator(task) => self.judge_call(task, actions),
             ReadTask::Client(task) => self.serve_client(now, task, actions),
+            ReadTask::Serving(task) => self.serve_call(task, actions),
         }
     }
 
@@ -334,6 +358,7 @@
                 }
                 if !self.peers.closed(now, link) {
                     self.subscribers.remove(link);
+                    self.serving.detach(link);
                     self.watch.close_link(link);
                     self.clients.remove(link);
                 }
@@ -399,11 +424,18 @@
             RoleEvent::Link(event) => self.take_link(now, event, actions),
             RoleEvent::Timer => self.take_timer(now, actions),
             RoleEvent::Shutdown => self.shut_down(now, actions),
+            RoleEvent::Exchange(event) => self.take_exchange(now, event, actions),
+            // Callers' requests come decoded, as events of the role's own.
+            RoleEvent::Caller(..) => {}
             RoleEvent::Own(event) => match event {
+                ControlEvent::Serving { request, call } => {
+                    self.take_serving(now, request, call, actions);
+                }
                 ControlEvent::Http(HttpEvent::Request { request, http }) => {
                     self.take_http(now, request, http, actions);
                 }
                 ControlEvent::Http(HttpEvent::Gone { .. }) => {}
+                ControlEvent::Seeds(seeds) => self.peers.set_seeds(now, seeds),
                 ControlEvent::Clock(clock_ms) => {
                     self.clock_ms = clock_ms;
                     return;
--- a/crates/control/src/lease_desk.rs
+++ b/crates/control/src/lease_desk.rs
@@ -27,21 +27,22 @@
     /// known.
     pub fn restore(now: Instant, state: &ClusterState) -> Self {
         let mut desk = LeaseDesk::default();
-        for account in state.accounts.keys() {
-            let plan = plan_of(state, account);
+        for account in account_names(state) {
+            let plan = plan_of(state, &account);
             desk.book.restore_plan(now, account.clone(), plan);
-            desk.accounts.push(account.clone());
+            desk.accounts.push(account);
         }
         desk
     }
 
     /// Takes in the accounts and their plans after an edit.
     pub fn set_plans(&mut self, now: Instant, state: &ClusterState) {
+        let accounts = account_names(state);
         let gone = self.accounts.iter();
-        for account in gone.filter(|account| !state.accounts.contains_key(*account)) {
+        for account in gone.filter(|account| !accounts.contains(account)) {
             self.book.end_plan(now, account);
         }
-        self.accounts = state.accounts.keys().cloned().collect();
+        self.accounts = accounts;
         for account in &self.accounts {
             self.book.set_plan(now, account, plan_of(state, account));
         }
@@ -129,7 +130,23 @@
     }
 }
 
+/// Names the accounts of the lists, then those of the serving configuration.
+fn account_names(state: &ClusterState) -> Vec<Bytes> {
+    let serving = state.serving.iter().filter_map(|put| put.config.as_ref());
+    let serving = serving.flat_map(|config| config.accounts.iter().map(|item| &item.name));
+    let own = serving.filter(|name| !state.accounts.contains_key(*name));
+    state.accounts.keys().chain(own).cloned().collect()
+}
+
 fn plan_of(state: &ClusterState, account: &Bytes) -> TokenPlan {
+    let serving = state.serving.as_ref().and_then(|put| put.config.as_ref());
+    let mut accounts = serving.iter().flat_map(|config| config.accounts.iter());
+    if let Some(item) = accounts.find(|item| item.name == *account) {
+        return TokenPlan {
+            rate: item.rate,
+            burst: item.burst,
+        };
+    }
     let plan = state.accounts.get(account);
     let plan = plan.and_then(|account| state.plans.get(&account.plan));
     plan.map_or_else(TokenPlan::default, |plan| TokenPlan {
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -20,6 +20,7 @@
 use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
 use crate::lease_desk::LeaseDesk;
 use crate::proposal_table::ProposalWaiter;
+use crate::serving_calls::{accept_call, refuse_call};
 
 impl ControlRole {
     pub(crate) fn take_output(&mut self, now: Instant, output: NodeOutput, actions: &mut Actions) {
@@ -133,7 +134,9 @@
             Some(Body::SetEndpointState(set)) => {
                 self.note_endpoint(now, &set.name, outcome, actions);
             }
-            Some(Body::EditLists(_)) => self.leases.set_plans(now, &self.state),
+            Some(Body::EditLists(_) | Body::PutServing(_)) => {
+                self.leases.set_plans(now, &self.state);
+            }
             Some(Body::GrantBlock(grant)) => self.leases.commit(now, grant),
             _ => {}
         }
@@ -153,6 +156,7 @@
             ProposalWaiter::Outcome(origin, sequence) => {
                 self.acknowledge_outcome(origin, sequence, actions);
             }
+            ProposalWaiter::Serving(origin) => accept_call(origin, actions),
             ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
     }
@@ -166,6 +170,7 @@
             }
             // The entry reports the outcome again.
             ProposalWaiter::Outcome(..) => {}
+            ProposalWaiter::Serving(origin) => refuse_call(origin, actions),
             ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
     }
@@ -198,6 +203,7 @@
             match task {
                 ReadTask::Operator(task) => self.answer_unavailable(task.origin, actions),
                 ReadTask::Client(task) => refuse_client(task.origin, &task.frame, actions),
+                ReadTask::Serving(task) => refuse_call(task.origin, actions),
             }
         }
     }
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -54,6 +54,10 @@
             FrameBody::ReportBatch(batch) => self.take_batch(now, batch),
             FrameBody::MemberStatus(status) => self.status.put(status),
             FrameBody::OrderBatch(batch) => self.deliver_orders(batch, actions),
+            FrameBody::ServingUpdate(update) => self.serving.take_peer(now, update),
+            FrameBody::ServingForward(call) => self.take_serving_forward(link, call, actions),
+            FrameBody::ServingReply(reply) => self.take_serving_reply(reply, actions),
+            FrameBody::ServingDemand(demand) => self.take_serving_demand(now, demand, actions),
             _ => {}
         }
     }
@@ -71,6 +75,7 @@
             self.founding = false;
         }
         self.peers.take_hello(link, hello);
+        self.serving.greet_peer(link);
     }
 
     /// Does the role's regular work.
@@ -84,6 +89,7 @@
             self.propose_blocks(now);
             self.place(now, actions);
         }
+        self.serving.tick(now);
         self.tick_watch(now, actions);
         if let Some(status) = self.status.due(now, self.peers.own().id, &self.state) {
             for link in self.peers.member_links() {
@@ -109,7 +115,8 @@
     /// Founds a cluster where the settings allow it and no other instance
     /// belongs to one.
     fn found(&mut self, actions: &mut Actions) {
-        if self.founding {
+        let settings = &self.config.settings;
+        if self.founding && (!settings.first_seed_founds || self.peers.is_first_seed()) {
             // A seed that does not answer may be a member of a cluster that
             // this instance has forgotten with its disk.
             if self.peers.connected().len() >= self.peers.other_seeds() {
@@ -125,14 +132,12 @@
         let cluster = self.config.new_cluster;
         let text = format!("founds cluster {cluster:016x}");
         actions.push(RoleAction::Log(LogLevel::Info, text));
-        let operator = GiveOperator {
+        let key = &self.config.operator_key;
+        let operator = (!key.is_empty()).then(|| GiveOperator {
             name: Bytes::from_static(FIRST_OPERATOR),
-            digest: digest_key(&self.config.operator_key),
-        };
-        let body = Body::FoundCluster(FoundCluster {
-            cluster,
-            operator: Some(operator),
+            digest: digest_key(key),
         });
+        let body = Body::FoundCluster(FoundCluster { cluster, operator });
         self.propose(body, ProposalWaiter::Membership);
     }
 
--- a/crates/control/src/peer_links.rs
+++ b/crates/control/src/peer_links.rs
@@ -32,6 +32,8 @@
     /// Where this instance itself is reached, as it is told to others or bound.
     own_addresses: [SocketAddr; 2],
     seeds: Vec<SocketAddr>,
+    /// Addresses of members.
+    members: Vec<Bytes>,
     /// One for each address other than the own ones.
     dialers: BTreeMap<SocketAddr, SeedDialer>,
     /// Instances that answered at the address of a seed.
@@ -54,6 +56,7 @@
             own,
             own_addresses,
             seeds,
+            members: Vec::new(),
             dialers: BTreeMap::new(),
             seed_members: BTreeSet::new(),
             links: BTreeMap::new(),
@@ -70,6 +73,7 @@
 
     /// Dials the seeds and these addresses from now on.
     pub fn set_addresses(&mut self, now: Instant, members: &[Bytes]) {
+        self.members = members.to_vec();
         let parsed = members.iter().filter_map(parse_address);
         let wanted: BTreeSet<SocketAddr> = parsed
             .chain(self.seeds.iter().copied())
@@ -83,6 +87,19 @@
         }
     }
 
+    /// Replaces the seeds; links to the former ones stay while they are members.
+    pub fn set_seeds(&mut self, now: Instant, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        let members = self.members.clone();
+        self.set_addresses(now, &members);
+    }
+
+    /// Tells whether this instance is the first of the seeds.
+    pub fn is_first_seed(&self) -> bool {
+        let first = self.seeds.iter().min();
+        first.is_some_and(|seed| self.own_addresses.contains(seed))
+    }
+
     /// Tells whether an instance answered at the address of a seed.
     pub fn is_seed(&self, id: MemberId) -> bool {
         self.seed_members.contains(&id)
--- a/crates/control/src/proposal_table.rs
+++ b/crates/control/src/proposal_table.rs
@@ -46,6 +46,8 @@
     Outcome(FrameOrigin, u64),
     /// The watch over endpoints; the endpoint.
     Endpoint(Bytes),
+    /// Whoever put a serving configuration.
+    Serving(CallOrigin),
     /// The driver of the membership.
     Membership,
     /// The book of token leases, which sees each committed block anyway.
--- a/crates/control/src/relay_table.rs
+++ b/crates/control/src/relay_table.rs
@@ -20,6 +20,8 @@
 pub enum RelayAsker {
     /// An operator.
     Operator(RequestId),
+    /// A caller of the serving interface.
+    Serving(RequestId),
     /// An entry or agent; the frame is kept for a refusal.
     Client {
         /// Its link.
--- /dev/null
+++ b/crates/control/src/serving_calls.rs
@@ -0,0 +1,245 @@
+//! Calls about the serving configuration, and of endpoints about themselves.
+//!
+//! Guarantees: a configuration is acknowledged once it, or a higher version,
+//! is committed; a read shows the newest that was acknowledged before it; an
+//! instance that can't learn either from a confirmed leader says so at once.
+//! An endpoint's word is taken by the instance that it reaches and goes on to
+//! all others.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_role::{LogLevel, RequestId, RoleAction};
+use mulberrywell_serving::{EndpointId, MergeOutcome};
+use mulberrywell_wire::command::log_command::Body;
+use mulberrywell_wire::serving::{
+    EndpointPhase, EndpointStatus, PutServing, ServingForward, ServingReply,
+};
+use mulberrywell_wire::FrameBody;
+
+use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
+use crate::proposal_table::{CallOrigin, ProposalWaiter};
+use crate::relay_table::RelayAsker;
+
+/// A call, decoded and verified.
+#[derive(Debug, Clone)]
+pub enum ServingCall {
+    /// Puts a configuration in force.
+    Put(PutServing),
+    /// Reads the text of the configuration in force.
+    Read,
+    /// An endpoint's heartbeat.
+    Beat(EndpointStatus),
+    /// An endpoint leaves.
+    Leave {
+        /// The endpoint.
+        id: EndpointId,
+        /// Its start in milliseconds since the Unix epoch.
+        born_ms: u64,
+    },
+}
+
+/// The answer to a [`ServingCall`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServingAnswer {
+    /// It is done.
+    Accepted,
+    /// The text of the configuration; none before the first.
+    Source(Option<Bytes>),
+    /// No leader confirmed it; it may be sent again.
+    Unavailable,
+}
+
+/// A call that the confirmed leader answers.
+#[derive(Debug)]
+pub(crate) struct ServingTask {
+    pub(crate) origin: CallOrigin,
+    /// None for a read.
+    put: Option<PutServing>,
+}
+
+impl ControlRole {
+    pub(crate) fn take_serving(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        call: ServingCall,
+        actions: &mut Actions,
+    ) {
+        match call {
+            ServingCall::Put(put) => self.route_call(now, request, Some(put), actions),
+            ServingCall::Read => self.route_call(now, request, None, actions),
+            ServingCall::Beat(status) => {
+                self.take_beat(now, status, actions);
+                reply(request, ServingAnswer::Accepted, actions);
+            }
+            ServingCall::Leave { id, born_ms } => {
+                self.take_leave(now, &id, born_ms, actions);
+                reply(request, ServingAnswer::Accepted, actions);
+            }
+        }
+    }
+
+    fn take_beat(&mut self, now: Instant, mut status: EndpointStatus, actions: &mut Actions) {
+        status.heard_by = self.peers.own().id;
+        let text = describe(&status);
+        let outcome = self.serving.hear(now, status);
+        if outcome != MergeOutcome::Same {
+            let text = format!("endpoint {text} outcome={outcome:?}");
+            actions.push(RoleAction::Log(LogLevel::Info, text));
+        }
+    }
+
+    fn take_leave(&mut self, now: Instant, id: &EndpointId, born_ms: u64, actions: &mut Actions) {
+        let known = self.serving.book.find(id).cloned().unwrap_or_default();
+        let status = EndpointStatus {
+            id: id.clone(),
+            born_ms: if born_ms == 0 { known.born_ms } else { born_ms },
+            phase: EndpointPhase::Gone.into(),
+            ..known
+        };
+        self.take_beat(now, status, actions);
+    }
+
+    /// Brings a call before the leader.
+    fn route_call(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        put: Option<PutServing>,
+        actions: &mut Actions,
+    ) {
+        if self.is_leader() {
+            let origin = CallOrigin::Local(request);
+            self.reads
+                .push(ReadTask::Serving(ServingTask { origin, put }));
+            return;
+        }
+        let Some(leader) = self.leader_link() else {
+            reply(request, ServingAnswer::Unavailable, actions);
+            return;
+        };
+        match self.relays.open(now, leader, RelayAsker::Serving(request)) {
+            Ok(sequence) => {
+                let call = ServingForward { sequence, put };
+                send(leader, FrameBody::ServingForward(call), actions);
+            }
+            Err(asker) => self.refuse_asker(asker, actions),
+        }
+    }
+
+    pub(crate) fn take_serving_forward(
+        &mut self,
+        link: mulberrywell_role::LinkId,
+        call: ServingForward,
+        actions: &mut Actions,
+    ) {
+        let sequence = call.sequence;
+        let origin = CallOrigin::Forwarded { link, sequence };
+        if self.is_leader() {
+            let put = call.put;
+            self.reads
+                .push(ReadTask::Serving(ServingTask { origin, put }));
+        } else {
+            refuse_call(origin, actions);
+        }
+    }
+
+    pub(crate) fn take_serving_reply(&mut self, answer: ServingReply, actions: &mut Actions) {
+        let asker = self.relays.finish(answer.sequence);
+        let Some(RelayAsker::Serving(request)) = asker else {
+            return;
+        };
+        let answer = match (answer.confirmed, answer.source) {
+            (false, _) => ServingAnswer::Unavailable,
+            (true, source) if source.is_empty() => ServingAnswer::Accepted,
+            (true, source) => ServingAnswer::Source(Some(source)),
+        };
+        reply(request, answer, actions);
+    }
+
+    /// Carries out a call as the leader that a quorum has confirmed.
+    pub(crate) fn serve_call(&mut self, task: ServingTask, actions: &mut Actions) {
+        let held = self.state.serving_version();
+        let Some(put) = task.put else {
+            let source = self.state.serving.as_ref().map(|put| put.source.clone());
+            answer_call(task.origin, ServingAnswer::Source(source), actions);
+            return;
+        };
+        let version = put.config.as_ref().map_or(0, |config| config.version);
+        if version <= held {
+            let text = format!("configuration version={version} held={held} outcome=kept");
+            actions.push(RoleAction::Log(LogLevel::Info, text));
+            accept_call(task.origin, actions);
+            return;
+        }
+        let text = format!("configuration version={version} held={held} outcome=proposed");
+        actions.push(RoleAction::Log(LogLevel::Info, text));
+        self.propose(Body::PutServing(put), ProposalWaiter::Serving(task.origin));
+    }
+}
+
+/// Acknowledges a call whose command is committed.
+pub(crate) fn accept_call(origin: CallOrigin, actions: &mut Actions) {
+    answer_call(origin, ServingAnswer::Accepted, actions);
+}
+
+/// Tells that no leader confirmed a call.
+pub(crate) fn refuse_call(origin: CallOrigin, actions: &mut Actions) {
+    answer_call(origin, ServingAnswer::Unavailable, actions);
+}
+
+fn answer_call(origin: CallOrigin, answer: ServingAnswer, actions: &mut Actions) {
+    match origin {
+        CallOrigin::Local(request) => reply(request, answer, actions),
+        CallOrigin::Forwarded { link, sequence } => {
+            // An empty text before the first configuration is no answer.
+            let (confirmed, source) = match answer {
+                ServingAnswer::Accepted => (true, Bytes::new()),
+                ServingAnswer::Source(Some(source)) => (true, source),
+                ServingAnswer::Source(None) | ServingAnswer::Unavailable => (false, Bytes::new()),
+            };
+            let reply = ServingReply {
+                sequence,
+                confirmed,
+                source,
+            };
+            send(link, FrameBody::ServingReply(reply), actions);
+        }
+    }
+}
+
+fn reply(request: RequestId, answer: ServingAnswer, actions: &mut Actions) {
+    actions.push(RoleAction::Own(ControlAction::Reply(request, answer)));
+}
+
+fn describe(status: &EndpointStatus) -> String {
+    format!(
+        "id={} service={} address={} born={} sequence={} phase={:?} models={}",
+        String::from_utf8_lossy(&status.id),
+        String::from_utf8_lossy(&status.service),
+        String::from_utf8_lossy(&status.address),
+        status.born_ms,
+        status.sequence,
+        status.phase(),
+        status.models.len(),
+    )
+}
+
+impl ControlRole {
+    pub(crate) fn take_serving_demand(
+        &mut self,
+        _now: Instant,
+        _demand: mulberrywell_wire::serving::ServingDemand,
+        _actions: &mut Actions,
+    ) {
+    }
+
+    pub(crate) fn take_exchange(
+        &mut self,
+        _now: Instant,
+        _event: mulberrywell_role::ExchangeEvent,
+        _actions: &mut Actions,
+    ) {
+    }
+}
--- /dev/null
+++ b/crates/control/src/serving_desk.rs
@@ -0,0 +1,200 @@
+//! Endpoints that registered, and the readers that are told of them and of the
+//! serving configuration.
+//!
+//! Algorithm: each control instance takes heartbeats itself and passes what
+//! they change on to its readers and to the other instances. An endpoint
+//! belongs to the instance that heard it last; that instance notes when its
+//! heartbeats stop. No leader is needed, so a cut-off part goes on by what it
+//! hears.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_role::{LinkCommand, LinkId};
+use mulberrywell_serving::{EndpointBook, EndpointId, MergeOutcome};
+use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus, ServingAttach, ServingUpdate};
+use mulberrywell_wire::FrameBody;
+
+use crate::cluster_state::ClusterState;
+
+/// Silence after which an endpoint counts as silent: three heartbeats of the
+/// platform's usual 1.2 s and a margin for late ones.
+const SILENT_AFTER: Duration = Duration::from_millis(4_500);
+
+/// What a reader was sent.
+#[derive(Debug, Default)]
+struct ReaderRecord {
+    /// Version of the configuration.
+    version: u64,
+    /// All endpoints were sent.
+    is_whole: bool,
+}
+
+/// The endpoints and their readers.
+#[derive(Debug, Default)]
+pub struct ServingDesk {
+    /// All endpoints.
+    pub book: EndpointBook,
+    /// When each endpoint that belongs to this instance was heard.
+    heard: BTreeMap<EndpointId, Instant>,
+    readers: BTreeMap<LinkId, ReaderRecord>,
+    /// Instances that were not sent all endpoints yet.
+    new_peers: BTreeSet<LinkId>,
+    /// Endpoints whose change readers were not sent.
+    changed: BTreeSet<EndpointId>,
+    /// Those of `changed` that this instance heard itself.
+    own_changed: BTreeSet<EndpointId>,
+    /// Entries that were counted for the last update.
+    entries: u32,
+    /// Addresses of all instances, as of the last update.
+    controls: Vec<Bytes>,
+}
+
+impl ServingDesk {
+    /// Adds a reader.
+    pub fn attach(&mut self, link: LinkId, attach: &ServingAttach) {
+        let record = ReaderRecord {
+            version: attach.version,
+            is_whole: false,
+        };
+        self.readers.insert(link, record);
+    }
+
+    /// Removes a reader or instance.
+    pub fn detach(&mut self, link: LinkId) {
+        self.readers.remove(&link);
+        self.new_peers.remove(&link);
+    }
+
+    /// Sends an instance all endpoints.
+    pub fn greet_peer(&mut self, link: LinkId) {
+        self.new_peers.insert(link);
+    }
+
+    /// Takes in an endpoint's own word.
+    pub fn hear(&mut self, now: Instant, status: EndpointStatus) -> MergeOutcome {
+        let id = status.id.clone();
+        let is_gone = status.phase() == EndpointPhase::Gone;
+        let outcome = self.book.merge(status);
+        if outcome == MergeOutcome::Stale {
+            return outcome;
+        }
+        if is_gone {
+            self.heard.remove(&id);
+        } else {
+            self.heard.insert(id.clone(), now);
+        }
+        if outcome == MergeOutcome::Changed {
+            self.changed.insert(id.clone());
+            self.own_changed.insert(id);
+        }
+        outcome
+    }
+
+    /// Takes in what another instance heard.
+    pub fn take_peer(&mut self, now: Instant, update: ServingUpdate) {
+        for status in update.endpoints {
+            let id = status.id.clone();
+            if self.book.merge(status) == MergeOutcome::Changed {
+                self.changed.insert(id.clone());
+                self.heard.remove(&id);
+            }
+        }
+        debug_assert!(self.heard.values().all(|heard| *heard <= now));
+    }
+
+    /// Notes endpoints whose heartbeats have stopped.
+    pub fn tick(&mut self, now: Instant) {
+        let silent = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| now.saturating_duration_since(**heard) >= SILENT_AFTER);
+        let silent: Vec<EndpointId> = silent.map(|(id, _)| id.clone()).collect();
+        for id in silent {
+            self.heard.remove(&id);
+            if let Some(status) = self.book.find_mut(&id) {
+                status.silent = true;
+                self.changed.insert(id.clone());
+                self.own_changed.insert(id);
+            }
+        }
+    }
+
+    /// Appends what brings readers and instances forward.
+    pub fn distribute(
+        &mut self,
+        state: &ClusterState,
+        peers: &[LinkId],
+        commands: &mut Vec<LinkCommand>,
+    ) {
+        self.tell_peers(peers, commands);
+        self.tell_readers(state, commands);
+        self.changed.clear();
+        self.own_changed.clear();
+    }
+
+    fn tell_peers(&mut self, peers: &[LinkId], commands: &mut Vec<LinkCommand>) {
+        let changed = self.statuses(&self.own_changed);
+        for link in peers {
+            let endpoints = if self.new_peers.remove(link) {
+                self.book.all().cloned().collect()
+            } else {
+                changed.clone()
+            };
+            if !endpoints.is_empty() {
+                let update = ServingUpdate {
+                    endpoints,
+                    ..ServingUpdate::default()
+                };
+                commands.push(update_command(*link, update));
+            }
+        }
+    }
+
+    fn tell_readers(&mut self, state: &ClusterState, commands: &mut Vec<LinkCommand>) {
+        let changed = self.statuses(&self.changed);
+        let version = state.serving_version();
+        let controls: Vec<Bytes> = state
+            .members
+            .values()
+            .map(|member| member.address.clone())
+            .collect();
+        let renamed = self.controls != controls;
+        self.controls.clone_from(&controls);
+        let entries = u32::try_from(self.readers.len()).unwrap_or(u32::MAX);
+        let recounted = std::mem::replace(&mut self.entries, entries) != entries;
+        for (link, reader) in &mut self.readers {
+            let endpoints = if reader.is_whole {
+                changed.clone()
+            } else {
+                self.book.all().cloned().collect()
+            };
+            let put = state.serving.as_ref().filter(|_| reader.version < version);
+            let fresh =
+                put.is_none() && endpoints.is_empty() && reader.is_whole && !recounted && !renamed;
+            if fresh {
+                continue;
+            }
+            reader.is_whole = true;
+            reader.version = reader.version.max(version);
+            let update = ServingUpdate {
+                config: put.and_then(|put| put.config.clone()),
+                endpoints,
+                entries,
+                controls: controls.clone(),
+            };
+            commands.push(update_command(*link, update));
+        }
+    }
+
+    fn statuses(&self, ids: &BTreeSet<EndpointId>) -> Vec<EndpointStatus> {
+        let known = ids.iter().filter_map(|id| self.book.find(id));
+        known.cloned().collect()
+    }
+}
+
+fn update_command(link: LinkId, update: ServingUpdate) -> LinkCommand {
+    let body = FrameBody::ServingUpdate(update);
+    LinkCommand::Send { link, body }
+}
--- a/crates/control/src/state_snapshot.rs
+++ b/crates/control/src/state_snapshot.rs
@@ -44,6 +44,7 @@
             clock_ms: self.clock_ms,
             members: self.members.values().cloned().collect(),
             wishes: wish_records(&self.wishes),
+            serving: self.serving.clone(),
         };
         Bytes::from(snapshot.encode_to_vec())
     }
@@ -87,6 +88,7 @@
                 .into_iter()
                 .map(|record| (record.name, record.allowed))
                 .collect(),
+            serving: snapshot.serving,
             claims: ClaimBook::from_records(snapshot.claims),
             audit: AuditTrail::from_records(snapshot.audit),
             requests: RequestMemory::from_records(snapshot.results),
--- a/crates/control/src/state_summary.rs
+++ b/crates/control/src/state_summary.rs
@@ -120,6 +120,7 @@
         Some(Body::PutMember(_)) => "put member",
         Some(Body::DropMember(_)) => "drop member",
         Some(Body::WishMember(_)) => "wish member",
+        Some(Body::PutServing(_)) => "put serving",
         None => "nothing",
     }
 }
--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -317,6 +317,8 @@
             RoleEvent::Link(event) => self.take_link(now, event, actions),
             RoleEvent::Timer => self.take_timer(now, actions),
             RoleEvent::Shutdown => self.draining = self.draining.or(Some(now)),
+            // This role reaches endpoints through their agents.
+            RoleEvent::Exchange(_) | RoleEvent::Caller(..) => {}
             RoleEvent::Own(HttpEvent::Request { request, http }) => {
                 self.take_request(now, request, http, actions);
             }
--- /dev/null
+++ b/crates/gateway/src/caller_answers.rs
@@ -0,0 +1,184 @@
+//! What callers are sent, and how calls end.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_role::{AnswerPart, ExchangeCommand, LogLevel, MetricKind, RequestId, RoleAction};
+use mulberrywell_wire::request::HeaderField;
+
+use crate::call_book::{CallRecord, CallStage, HeldHead, RunState};
+use crate::call_codec::{CallCodec, RefusalReason};
+use crate::gateway_counters as counters;
+use crate::gateway_role::{Actions, GatewayRole};
+
+impl<C: CallCodec> GatewayRole<C> {
+    /// Refuses a request that is no call yet.
+    pub(crate) fn refuse_request(
+        &mut self,
+        request: RequestId,
+        id: &Bytes,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        actions: &mut Actions,
+    ) {
+        let (word, metric) = counters::names_of(reason);
+        actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        let text = format!(
+            "request id={} version={} outcome={word}",
+            text(id),
+            self.index.version()
+        );
+        actions.push(RoleAction::Log(LogLevel::Info, text));
+        let (status, headers) = self.codec.refusal(reason, id, retry_after);
+        send_empty(request, status, headers, actions);
+    }
+
+    /// Ends a call with an answer of the gateway's own; one whose head was
+    /// sent is cut, so that its caller sees that it is not whole.
+    pub(crate) fn refuse_call(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        actions: &mut Actions,
+    ) {
+        let Some(call) = self.finish_call(now, request, actions) else {
+            return;
+        };
+        let (word, metric) = counters::names_of(reason);
+        actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        self.log_call(now, &call, word, 0, actions);
+        if call.head_sent {
+            actions.push(RoleAction::Metric(MetricKind::Count, counters::ABORTED, 1));
+            actions.push(RoleAction::Answer(request, AnswerPart::Abort));
+            return;
+        }
+        let (status, headers) = self.codec.refusal(reason, &call.terms.id, retry_after);
+        send_empty(request, status, headers, actions);
+    }
+
+    /// Ends a call whose answer its caller has whole.
+    pub(crate) fn complete_call(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        status: u16,
+        actions: &mut Actions,
+    ) {
+        actions.push(RoleAction::Answer(request, AnswerPart::End));
+        let Some(call) = self.finish_call(now, request, actions) else {
+            return;
+        };
+        actions.push(RoleAction::Metric(MetricKind::Count, counters::ANSWERED, 1));
+        let spent = millis(now.saturating_duration_since(call.started));
+        let metric = RoleAction::Metric(MetricKind::TimeMs, counters::WHOLE_ANSWER, spent);
+        actions.push(metric);
+        self.log_call(now, &call, "answered", status, actions);
+    }
+
+    /// Ends a call whose caller has left.
+    pub(crate) fn caller_gone(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
+        let Some(call) = self.finish_call(now, request, actions) else {
+            return;
+        };
+        let metric = RoleAction::Metric(MetricKind::Count, counters::CALLERS_GONE, 1);
+        actions.push(metric);
+        self.log_call(now, &call, "caller_gone", 0, actions);
+    }
+
+    /// Takes a call out of the book, ends its exchange and settles its tokens.
+    fn finish_call(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        actions: &mut Actions,
+    ) -> Option<CallRecord> {
+        self.leave_endpoint(request);
+        let call = self.calls.remove(request)?;
+        match call.stage {
+            CallStage::Running(exchange) => {
+                actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
+            }
+            CallStage::Tokens => {
+                if let Some(account) = &call.account {
+                    self.leases.cancel(now, account, request);
+                }
+            }
+            CallStage::Endpoint => {}
+        }
+        if let Some(account) = &call.account {
+            let in_work = matches!(call.stage, CallStage::Running(_));
+            let may_have_run = in_work || call.ran == RunState::Maybe;
+            let unused = if may_have_run { 0 } else { call.units };
+            self.leases.settle(now, account, &call.reservation, unused);
+        }
+        Some(call)
+    }
+
+    fn log_call(
+        &self,
+        now: Instant,
+        call: &CallRecord,
+        outcome: &str,
+        status: u16,
+        actions: &mut Actions,
+    ) {
+        let account = call.account.as_ref().map(text).unwrap_or_default();
+        let first = call
+            .first_piece
+            .map_or(0, |at| millis(at.saturating_duration_since(call.started)));
+        let model = call.terms.model.as_ref();
+        let line = format!(
+            "request id={} route={} account={account} model={} adapter={} version={} \
+             endpoint={} attempts={} ran={:?} first_ms={first} spent_ms={} status={status} \
+             outcome={outcome}",
+            text(&call.terms.id),
+            text(&call.route.name),
+            model.map(|model| text(&model.model)).unwrap_or_default(),
+            model.map(|model| text(&model.adapter)).unwrap_or_default(),
+            call.version,
+            text(&call.endpoint),
+            call.attempts,
+            call.ran,
+            millis(now.saturating_duration_since(call.started)),
+        );
+        actions.push(RoleAction::Log(LogLevel::Info, line));
+    }
+}
+
+/// Sends the head of an endpoint's answer.
+pub(crate) fn send_head(
+    request: RequestId,
+    head: HeldHead,
+    length: Option<u64>,
+    actions: &mut Actions,
+) {
+    let part = AnswerPart::Head {
+        status: head.status,
+        headers: head.headers,
+        length,
+    };
+    actions.push(RoleAction::Answer(request, part));
+}
+
+/// Sends an answer without a body.
+pub(crate) fn send_empty(
+    request: RequestId,
+    status: u16,
+    headers: Vec<HeaderField>,
+    actions: &mut Actions,
+) {
+    let head = HeldHead { status, headers };
+    send_head(request, head, Some(0), actions);
+    actions.push(RoleAction::Answer(request, AnswerPart::End));
+}
+
+/// Shows a name in a log line.
+pub(crate) fn text(name: &Bytes) -> String {
+    String::from_utf8_lossy(name).into_owned()
+}
+
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/control_links.rs
@@ -0,0 +1,153 @@
+//! Links to all control instances.
+//!
+//! Algorithm: the seeds, and every instance that one of them names, are dialed;
+//! each open link is told what version is held and tells of changes. Questions
+//! go over one link, the choice of which moves on when its instance knows no
+//! leader.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_role::{LinkCommand, LinkId, SeedDialer};
+use mulberrywell_wire::FrameBody;
+
+/// All links.
+#[derive(Debug)]
+pub struct ControlLinks {
+    seeds: BTreeSet<SocketAddr>,
+    /// Addresses that control instances named.
+    named: BTreeSet<SocketAddr>,
+    dialers: BTreeMap<SocketAddr, SeedDialer>,
+    /// Open links.
+    open: BTreeSet<LinkId>,
+    /// Link that questions go over.
+    asked: Option<LinkId>,
+    /// Even; grows with each link.
+    next_link: LinkId,
+}
+
+impl ControlLinks {
+    /// Creates links that are yet to be dialed.
+    pub fn new(seeds: &[SocketAddr], now: Instant) -> Self {
+        let mut links = ControlLinks {
+            seeds: seeds.iter().copied().collect(),
+            named: BTreeSet::new(),
+            dialers: BTreeMap::new(),
+            open: BTreeSet::new(),
+            asked: None,
+            next_link: 2,
+        };
+        links.redial(now);
+        links
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, now: Instant, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().collect();
+        self.redial(now);
+    }
+
+    /// Takes in the addresses that a control instance named.
+    pub fn set_named(&mut self, now: Instant, addresses: &[Bytes]) {
+        let parsed = addresses
+            .iter()
+            .filter_map(|address| std::str::from_utf8(address).ok()?.parse().ok());
+        let named: BTreeSet<SocketAddr> = parsed.collect();
+        if !named.is_empty() && named != self.named {
+            self.named = named;
+            self.redial(now);
+        }
+    }
+
+    fn redial(&mut self, now: Instant) {
+        let wanted: BTreeSet<SocketAddr> = self.seeds.union(&self.named).copied().collect();
+        let open = &self.open;
+        self.dialers.retain(|address, dialer| {
+            let in_use = dialer.open_link().is_some_and(|link| open.contains(&link));
+            wanted.contains(address) || in_use
+        });
+        for address in wanted {
+            self.dialers
+                .entry(address)
+                .or_insert_with(|| SeedDialer::new(vec![address], 0, now));
+        }
+    }
+
+    /// Returns when [`ControlLinks::dial`] has something to do.
+    pub fn deadline(&self) -> Option<Instant> {
+        self.dialers.values().filter_map(SeedDialer::deadline).min()
+    }
+
+    /// Appends the links that it is time to dial.
+    pub fn dial(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
+        for dialer in self.dialers.values_mut() {
+            let link = self.next_link;
+            if let Some(address) = dialer.dial(now, link) {
+                self.next_link += 2;
+                commands.push(LinkCommand::Dial { link, address });
+            }
+        }
+    }
+
+    /// Notes an open link.
+    pub fn opened(&mut self, link: LinkId) {
+        for dialer in self.dialers.values_mut() {
+            dialer.opened(link);
+        }
+        self.open.insert(link);
+    }
+
+    /// Notes a closed link; tells whether it was open.
+    pub fn closed(&mut self, now: Instant, link: LinkId) -> bool {
+        for dialer in self.dialers.values_mut() {
+            dialer.closed(now, link);
+        }
+        if self.asked == Some(link) {
+            self.asked = None;
+        }
+        self.open.remove(&link)
+    }
+
+    /// Tells whether any link is open.
+    pub fn is_connected(&self) -> bool {
+        !self.open.is_empty()
+    }
+
+    /// Returns all open links.
+    pub fn open_links(&self) -> impl Iterator<Item = LinkId> + '_ {
+        self.open.iter().copied()
+    }
+
+    /// Returns the link that questions go over.
+    pub fn asked_link(&self) -> Option<LinkId> {
+        self.asked
+    }
+
+    /// Chooses a link for questions where none is chosen; tells whether it is
+    /// a new one.
+    pub fn choose_asked(&mut self) -> bool {
+        if self.asked.is_some() || self.open.is_empty() {
+            return false;
+        }
+        self.asked = self.open.first().copied();
+        true
+    }
+
+    /// Moves questions on to the next open link; false when there is no other.
+    pub fn move_asked(&mut self) -> bool {
+        let Some(link) = self.asked else {
+            return false;
+        };
+        let after = self.open.range(link + 1..).next();
+        let next = after.or_else(|| self.open.first()).copied();
+        self.asked = next;
+        next != Some(link)
+    }
+
+    /// Returns the command that sends a question, if a link is open.
+    pub fn ask(&self, body: FrameBody) -> Option<LinkCommand> {
+        self.asked.map(|link| LinkCommand::Send { link, body })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/endpoint_table.rs
@@ -0,0 +1,152 @@
+//! Endpoints as this instance knows and uses them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_policy::{stable_hash, PrefixCache};
+use mulberrywell_serving::{EndpointBook, EndpointId, MergeOutcome};
+use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus};
+
+use crate::call_codec::ModelTerms;
+
+/// Pause after a failure, doubled with each further one.
+const AVOID_MIN: Duration = Duration::from_millis(500);
+
+/// Longest pause after failures.
+const AVOID_MAX: Duration = Duration::from_secs(8);
+
+/// What an endpoint's requests are and were.
+#[derive(Debug, Clone, Default)]
+pub struct EndpointUse {
+    /// Where it is reached; none when its address can't be read.
+    pub address: Option<SocketAddr>,
+    /// Hash of its name.
+    pub hash: u64,
+    /// Start that the rest belongs to.
+    born_ms: u64,
+    /// Requests that were handed over and have not ended.
+    pub running: u32,
+    /// Prompt tokens of requests without a first event.
+    pub unread_tokens: u64,
+    /// Parts of prompts that it is believed to keep.
+    pub cache: PrefixCache,
+    /// Models and adapters that it said it does not hold after all, until its
+    /// next word.
+    missing: BTreeSet<ModelTerms>,
+    /// Failures in a row.
+    failures: u32,
+    /// Until then others go first.
+    avoid_until: Option<Instant>,
+}
+
+impl EndpointUse {
+    /// Tells whether others go first.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoid_until.is_some_and(|until| until > now)
+    }
+
+    /// Notes an answer.
+    pub fn note_success(&mut self) {
+        self.failures = 0;
+        self.avoid_until = None;
+    }
+
+    /// Notes a failed exchange.
+    pub fn note_failure(&mut self, now: Instant) {
+        let pause = AVOID_MIN * 2_u32.saturating_pow(self.failures.min(6));
+        self.failures = self.failures.saturating_add(1);
+        self.avoid_until = Some(now + pause.min(AVOID_MAX));
+    }
+
+    /// Notes that it does not hold a model.
+    pub fn note_missing(&mut self, model: ModelTerms) {
+        self.missing.insert(model);
+    }
+}
+
+/// All endpoints.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    book: EndpointBook,
+    uses: BTreeMap<EndpointId, EndpointUse>,
+    /// Endpoints by service, those that have gone left out.
+    services: BTreeMap<Bytes, Vec<EndpointId>>,
+}
+
+impl EndpointTable {
+    /// Takes in a control instance's word; tells whether it changed anything.
+    pub fn merge(&mut self, status: EndpointStatus) -> bool {
+        let id = status.id.clone();
+        let address = std::str::from_utf8(&status.address);
+        let address = address.ok().and_then(|text| text.parse().ok());
+        let born_ms = status.born_ms;
+        if self.book.merge(status) != MergeOutcome::Changed {
+            return false;
+        }
+        let usage = self.uses.entry(id.clone()).or_default();
+        if usage.born_ms != born_ms {
+            *usage = EndpointUse {
+                hash: stable_hash(&[&id]),
+                born_ms,
+                ..EndpointUse::default()
+            };
+        }
+        usage.address = address;
+        usage.missing.clear();
+        self.index();
+        true
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for status in self.book.present() {
+            let ids = self.services.entry(status.service.clone()).or_default();
+            ids.push(status.id.clone());
+        }
+        let book = &self.book;
+        self.uses.retain(|id, usage| {
+            let status = book.find(id);
+            usage.running > 0 || status.is_some_and(|it| it.phase() != EndpointPhase::Gone)
+        });
+    }
+
+    /// Returns the endpoints of a service that take requests.
+    pub fn serving<'a>(
+        &'a self,
+        service: &Bytes,
+    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUse)> {
+        let ids = self.services.get(service).into_iter().flatten();
+        let known = ids.filter_map(|id| Some((self.book.find(id)?, self.uses.get(id)?)));
+        known.filter(|(status, usage)| {
+            status.phase() == EndpointPhase::Ready && usage.address.is_some()
+        })
+    }
+
+    /// Returns the endpoints of a service that hold a model.
+    pub fn holding<'a>(
+        &'a self,
+        service: &Bytes,
+        model: &'a ModelTerms,
+    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUse)> {
+        self.serving(service)
+            .filter(|(status, usage)| holds(status, model) && !usage.missing.contains(model))
+    }
+
+    /// Returns how an endpoint is used.
+    pub fn usage_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointUse> {
+        self.uses.get_mut(id)
+    }
+
+    /// Returns how many endpoints have not gone.
+    pub fn len(&self) -> usize {
+        self.services.values().map(Vec::len).sum()
+    }
+}
+
+fn holds(status: &EndpointStatus, model: &ModelTerms) -> bool {
+    let mut models = status.models.iter();
+    let held = models.find(|held| held.name == model.model);
+    held.is_some_and(|held| model.adapter.is_empty() || held.adapters.contains(&model.adapter))
+}
--- /dev/null
+++ b/crates/gateway/src/service_choice.rs
@@ -0,0 +1,128 @@
+//! Which endpoint a call goes to.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use mulberrywell_policy::{first_event_ms, home_rank, EngineView, HOMES};
+use mulberrywell_serving::EndpointId;
+use mulberrywell_wire::serving::{EndpointStatus, ServiceShare};
+
+use crate::call_book::CallRecord;
+use crate::endpoint_table::{EndpointTable, EndpointUse};
+
+/// Share of an engine's slots that one entry counts as its own, at the least.
+const OWN_SLOTS_MIN: u32 = 4;
+
+/// What the choice is made from beside the call.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceView<'a> {
+    /// All endpoints.
+    pub endpoints: &'a EndpointTable,
+    /// Availability zone of this instance.
+    pub zone: &'a Bytes,
+    /// Entries that share the endpoints.
+    pub entries: u32,
+}
+
+/// Returns the service that a request of a route goes to.
+///
+/// The same request goes to the same service at every instance, and requests
+/// are split by the shares' weights.
+pub fn split_service(shares: &[ServiceShare], hash: u64) -> Option<&Bytes> {
+    let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
+    let mut left = hash.checked_rem(total)?;
+    for share in shares {
+        let weight = u64::from(share.weight);
+        if left < weight {
+            return Some(&share.service);
+        }
+        left -= weight;
+    }
+    None
+}
+
+/// Returns the endpoint for a call's next attempt, if any takes it.
+pub fn choose_endpoint(
+    now: Instant,
+    view: ChoiceView<'_>,
+    call: &CallRecord,
+) -> Option<EndpointId> {
+    let fresh = |status: &EndpointStatus| !call.tried.contains(&status.id);
+    if let Some(model) = &call.terms.model {
+        let holding = view.endpoints.holding(&call.service, model);
+        let candidates: Vec<Candidate<'_>> = holding.filter(|(status, _)| fresh(status)).collect();
+        return choose_engine(now, view, call, &candidates);
+    }
+    let serving = view.endpoints.serving(&call.service);
+    let candidates = serving.filter(|(status, _)| fresh(status));
+    let best = candidates.min_by_key(|(status, usage)| {
+        let slots = status.slots.div_ceil(view.entries.max(1)).max(1);
+        (
+            usage.is_avoided(now) || status.silent,
+            usage.running / slots,
+            status.zone != *view.zone,
+            usage.running,
+        )
+    });
+    best.map(|(status, _)| status.id.clone())
+}
+
+type Candidate<'a> = (&'a EndpointStatus, &'a EndpointUse);
+
+fn choose_engine(
+    now: Instant,
+    view: ChoiceView<'_>,
+    call: &CallRecord,
+    candidates: &[Candidate<'_>],
+) -> Option<EndpointId> {
+    let homes = home_engines(call, candidates);
+    let prompt = call.terms.tokens.map_or(0, |tokens| tokens.prompt);
+    let shared = shared_tokens(call);
+    let mut best: Option<(bool, f64, &EndpointId)> = None;
+    for (status, usage) in candidates {
+        let kept = usage.cache.kept_tokens(&call.chain);
+        let assumed = if homes.contains(&usage.hash) {
+            shared
+        } else {
+            0
+        };
+        let engine = EngineView {
+            unread_tokens: usage.unread_tokens,
+            running: usage.running,
+            slots: (status.slots / view.entries.max(1)).max(OWN_SLOTS_MIN),
+            kept_tokens: kept.max(assumed),
+            is_far: status.zone != *view.zone,
+        };
+        let avoided = usage.is_avoided(now) || status.silent;
+        let cost = first_event_ms(&engine, prompt);
+        let is_better = best.is_none_or(|(known, least, _)| (avoided, cost) < (known, least));
+        if is_better {
+            best = Some((avoided, cost, &status.id));
+        }
+    }
+    best.map(|(_, _, id)| id.clone())
+}
+
+/// Returns the hashes of the engines that are homes of the leading part.
+fn home_engines(call: &CallRecord, candidates: &[Candidate<'_>]) -> Vec<u64> {
+    let Some(first) = call.chain.first() else {
+        return Vec::new();
+    };
+    let mut ranked: Vec<(u64, u64)> = candidates
+        .iter()
+        .map(|(_, usage)| (home_rank(*first, usage.hash), usage.hash))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked
+        .into_iter()
+        .take(HOMES)
+        .map(|(_, hash)| hash)
+        .collect()
+}
+
+/// Returns the tokens of all parts but the last, which is the request's own.
+fn shared_tokens(call: &CallRecord) -> u64 {
+    let parts = &call.terms.prefix;
+    let shared = parts.len().saturating_sub(1);
+    parts[..shared].iter().map(|part| part.tokens).sum()
+}
--- /dev/null
+++ b/crates/http1/tests/messages.rs
@@ -0,0 +1,142 @@
+//! Readers and writers, fed whole and byte by byte.
+
+use bytes::{Bytes, BytesMut};
+use mulberrywell_http1::{
+    write_answer_head, write_chunk, write_last_chunk, AnswerInput, AnswerReader, HeadFault,
+    RequestFault, RequestLimits, RequestReader,
+};
+use rstest::rstest;
+
+const LIMITS: RequestLimits = RequestLimits {
+    head_max: 1_024,
+    body_max: 16,
+};
+
+fn read_bytewise(text: &[u8]) -> Result<Vec<(Bytes, Bytes)>, RequestFault> {
+    let mut reader = RequestReader::default();
+    let mut buf = BytesMut::new();
+    let mut read = Vec::new();
+    for byte in text {
+        buf.extend_from_slice(&[*byte]);
+        while let Some(request) = reader.next_request(&mut buf, LIMITS)? {
+            read.push((request.http.path, request.http.body));
+        }
+    }
+    Ok(read)
+}
+
+#[rstest]
+#[case::no_body(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "/a", "")]
+#[case::length(b"POST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", "/b", "abc")]
+#[case::chunks(
+    b"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+    "/c",
+    "abc"
+)]
+fn request_read(#[case] text: &[u8], #[case] path: &str, #[case] body: &str) {
+    let read = read_bytewise(text).expect("a request");
+    assert_eq!(
+        read,
+        [(Bytes::from(path.to_owned()), Bytes::from(body.to_owned()))]
+    );
+    let mut twice = text.to_vec();
+    twice.extend_from_slice(text);
+    assert_eq!(read_bytewise(&twice).expect("two requests").len(), 2);
+}
+
+#[rstest]
+#[case::two_lengths(b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n")]
+#[case::length_and_chunks(
+    b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+)]
+#[case::signed_length(b"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n")]
+#[case::coding(b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n")]
+fn request_ambiguous_refused(#[case] text: &[u8]) {
+    let fault = read_bytewise(text).expect_err("a fault");
+    assert_eq!(fault, RequestFault::Head(HeadFault::BadFraming));
+}
+
+#[rstest]
+#[case::length(
+    b"POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n",
+    RequestFault::BodyTooLong
+)]
+#[case::chunks(
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11\r\n01234567890123456\r\n",
+    RequestFault::BodyTooLong
+)]
+#[case::bad_chunk(
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n",
+    RequestFault::BadBody
+)]
+fn request_body_refused(#[case] text: &[u8], #[case] fault: RequestFault) {
+    assert_eq!(read_bytewise(text).expect_err("a fault"), fault);
+}
+
+#[test]
+fn request_long_head_refused() {
+    let mut text = b"GET / HTTP/1.1\r\nA: ".to_vec();
+    text.resize(LIMITS.head_max + 1, b'a');
+    let fault = read_bytewise(&text).expect_err("a fault");
+    assert_eq!(fault, RequestFault::Head(HeadFault::TooLong));
+}
+
+fn read_answers(text: &[u8], ended: bool) -> Result<(Vec<u16>, Vec<u8>, usize), HeadFault> {
+    let mut reader = AnswerReader::default();
+    let mut buf = BytesMut::new();
+    let (mut statuses, mut data, mut ends) = (Vec::new(), Vec::new(), 0);
+    for byte in text {
+        buf.extend_from_slice(&[*byte]);
+        while let Some(input) = reader.next_input(&mut buf, false)? {
+            match input {
+                AnswerInput::Head(head) => statuses.push(head.status),
+                AnswerInput::Data(piece) => data.extend_from_slice(&piece),
+                AnswerInput::End => ends += 1,
+            }
+        }
+    }
+    if ended && reader.end_of_stream() {
+        ends += 1;
+    }
+    Ok((statuses, data, ends))
+}
+
+#[rstest]
+#[case::length(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false)]
+#[case::chunks(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+    false
+)]
+#[case::until_close(b"HTTP/1.1 200 OK\r\n\r\nab", true)]
+#[case::interim(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+    false
+)]
+fn answer_read(#[case] text: &[u8], #[case] ended: bool) {
+    let read = read_answers(text, ended).expect("an answer");
+    assert_eq!(read, (vec![200], b"ab".to_vec(), 1));
+}
+
+#[test]
+fn answer_short_is_not_whole() {
+    let text = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab";
+    let (_, _, ends) = read_answers(text, true).expect("a part");
+    assert_eq!(ends, 0);
+}
+
+#[test]
+fn answer_garbled_refused() {
+    assert!(read_answers(b"\x00\x01garbage\r\n\r\n", false).is_err());
+}
+
+#[test]
+fn answer_written_is_read() {
+    let mut out = BytesMut::new();
+    write_answer_head(200, &[], None, true, false, &mut out);
+    write_chunk(b"a", &mut out);
+    write_chunk(b"", &mut out);
+    write_chunk(b"b", &mut out);
+    write_last_chunk(&mut out);
+    let read = read_answers(&out, false).expect("an answer");
+    assert_eq!(read, (vec![200], b"ab".to_vec(), 1));
+}
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -19,20 +19,37 @@
 /// Retries that may still be made.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
-    /// Hundredths of a retry; at most [`SAVED_MAX`].
+    /// Hundredths of a retry; at most `saved_max`.
     saved: u32,
+    /// Hundredths that a request earns.
+    earned: u32,
+    saved_max: u32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        RetryBudget { saved: INITIAL }
+        RetryBudget {
+            saved: INITIAL,
+            earned: EARNED,
+            saved_max: SAVED_MAX,
+        }
     }
 }
 
 impl RetryBudget {
+    /// Creates a budget of which each request earns `earned` hundredths of a
+    /// retry, and that starts with and never holds more than `reserve`.
+    pub fn with_bounds(earned: u32, reserve: u32) -> Self {
+        RetryBudget {
+            saved: reserve,
+            earned,
+            saved_max: reserve,
+        }
+    }
+
     /// Notes a request's first attempt.
     pub fn note_request(&mut self) {
-        self.saved = (self.saved + EARNED).min(SAVED_MAX);
+        self.saved = (self.saved + self.earned).min(self.saved_max);
     }
 
     /// Takes one retry, if there is one.
--- a/crates/mulberrywell/src/command_line.rs
+++ b/crates/mulberrywell/src/command_line.rs
@@ -8,6 +8,9 @@
 /// Environment variable with the path of the operator's key file.
 pub const KEY_VARIABLE: &str = "MULBERRYWELL_OPERATOR_KEY_FILE";
 
+/// Environment variable with the path of the instance's settings.
+pub const SETTINGS_VARIABLE: &str = "MULBERRYWELL_SETTINGS";
+
 /// Things that `show` prints.
 pub const SHOWN: [&str; 5] = ["config", "endpoints", "models", "accounts", "members"];
 
@@ -40,6 +43,7 @@
             Arg::new("settings")
                 .long("settings")
                 .value_name("FILE")
+                .env(SETTINGS_VARIABLE)
                 .required(true)
                 .help("Settings of the instance, in TOML"),
         )
--- a/crates/mulberrywell/src/file_check.rs
+++ b/crates/mulberrywell/src/file_check.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result};
 use clap::ArgMatches;
+use mulberrywell_platform::PlatformInterface;
 use mulberrywell_settings::{AgentSettings, Finding, GrantList, PlanList, ServeSettings};
 
 use crate::output::ExitStatus;
@@ -34,7 +35,7 @@
     match ServeSettings::parse(path, &source) {
         Ok(settings) => {
             mulberrywell_runtime::open_log(&settings.log)?;
-            mulberrywell_runtime::serve(&settings)?;
+            mulberrywell_runtime::serve(path, &settings, &PlatformInterface)?;
             Ok(ExitStatus::Done)
         }
         Err(findings) => Ok(report(&findings)),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod demand_estimate;
 mod endpoint_choice;
+mod engine_choice;
 mod fair_queue;
 mod load_pacer;
 mod placement_moves;
 mod placement_planner;
 mod placement_types;
 mod placement_view;
+mod prefix_cache;
 mod service_meter;
 mod stable_hash;
 
@@ -18,6 +20,7 @@
 pub use endpoint_choice::{
     ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
 };
+pub use engine_choice::{first_event_ms, home_rank, EngineView, HOMES, READ_TOKENS_PER_MS};
 pub use fair_queue::{AccountName, FairQueue, PushOutcome, QueuedItem};
 pub use load_pacer::{LoadPacer, PacerSettings};
 pub use placement_planner::{PlacementPlanner, PlacementSettings};
@@ -26,5 +29,6 @@
     ModelName, ModelPlacement, ModelResidence, PlacementDecision, PlacementEndpoint,
     PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, TargetEntry,
 };
+pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart};
 pub use service_meter::ServiceMeter;
 pub use stable_hash::{mix_bits, stable_hash};
--- /dev/null
+++ b/crates/policy/tests/engine_choice.rs
@@ -0,0 +1,50 @@
+//! Estimates of engines and what they are believed to keep.
+
+use mulberrywell_policy::{chain_hashes, first_event_ms, EngineView, PrefixCache, PromptPart};
+use rstest::rstest;
+
+const PROMPT: u64 = 4_000;
+
+fn part(id: u64, tokens: u64) -> PromptPart {
+    PromptPart { id, tokens }
+}
+
+#[rstest]
+#[case::keeps_the_prompt(EngineView { kept_tokens: 3_000, ..EngineView::default() })]
+#[case::has_less_to_read(EngineView { unread_tokens: 100, ..EngineView::default() })]
+#[case::has_fewer_running(EngineView { running: 1, slots: 8, ..EngineView::default() })]
+#[case::is_near(EngineView { unread_tokens: 10, ..EngineView::default() })]
+fn first_event_better(#[case] better: EngineView) {
+    let worse = EngineView {
+        unread_tokens: 500,
+        running: 9,
+        slots: 8,
+        kept_tokens: 0,
+        is_far: true,
+    };
+    assert!(first_event_ms(&better, PROMPT) < first_event_ms(&worse, PROMPT));
+}
+
+#[test]
+fn kept_tokens_in_order() {
+    let parts = [part(1, 100), part(2, 50), part(3, 7)];
+    let chain = chain_hashes(9, &parts);
+    let mut cache = PrefixCache::default();
+    cache.note(&chain[..2], &parts[..2], 1_000);
+    assert_eq!(cache.kept_tokens(&chain), 150);
+    let other_model = chain_hashes(8, &parts);
+    assert_eq!(cache.kept_tokens(&other_model), 0);
+    let other_start = chain_hashes(9, &[part(4, 100), part(2, 50)]);
+    assert_eq!(cache.kept_tokens(&other_start), 0);
+}
+
+#[test]
+fn note_least_recent_yields() {
+    let mut cache = PrefixCache::default();
+    for id in 1..=3 {
+        let parts = [part(id, 40)];
+        cache.note(&chain_hashes(9, &parts), &parts, 100);
+    }
+    let kept = |id| cache.kept_tokens(&chain_hashes(9, &[part(id, 40)]));
+    assert_eq!([kept(1), kept(2), kept(3)], [0, 40, 40]);
+}
--- a/crates/role/src/http_exchange.rs
+++ b/crates/role/src/http_exchange.rs
@@ -6,6 +6,22 @@
 /// Identifies an HTTP request within one process and one of its runs.
 pub type RequestId = u64;
 
+/// Names one of a role's own HTTP listeners.
+pub type ListenerId = u8;
+
+/// Bounds of callers' connections at one listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestBounds {
+    /// Longest head in bytes.
+    pub head_max: usize,
+    /// Longest body in bytes.
+    pub body_max: usize,
+    /// Longest time from a request's first byte to its last.
+    pub head_timeout: std::time::Duration,
+    /// Longest time between requests.
+    pub idle_timeout: std::time::Duration,
+}
+
 /// One HTTP request whose body has been read whole.
 #[derive(Debug, Clone, Default)]
 pub struct HttpRequest {
--- a/crates/role/src/lib.rs
+++ b/crates/role/src/lib.rs
@@ -9,12 +9,16 @@
 //! out in order; `handle` is called with [`RoleEvent::Timer`] no later than
 //! [`RoleMachine::deadline`] plus the host's delay.
 
+mod endpoint_exchange;
 mod http_exchange;
 mod link_exchange;
 mod role_machine;
 mod seed_dialer;
 
-pub use http_exchange::{header_value, AnswerPart, HttpEvent, HttpRequest, RequestId};
+pub use endpoint_exchange::{ExchangeCommand, ExchangeEnd, ExchangeEvent, ExchangeId};
+pub use http_exchange::{
+    header_value, AnswerPart, HttpEvent, HttpRequest, ListenerId, RequestBounds, RequestId,
+};
 pub use link_exchange::{LinkCommand, LinkEvent, LinkId};
 pub use role_machine::{LogLevel, MetricKind, RoleAction, RoleEvent, RoleMachine};
 pub use seed_dialer::{SeedDialer, SeedState};
--- a/crates/role/src/role_machine.rs
+++ b/crates/role/src/role_machine.rs
@@ -2,7 +2,10 @@
 
 use std::time::Instant;
 
-use crate::{LinkCommand, LinkEvent};
+use crate::{
+    AnswerPart, ExchangeCommand, ExchangeEvent, HttpEvent, LinkCommand, LinkEvent, ListenerId,
+    RequestBounds, RequestId,
+};
 
 /// An event of any role.
 #[derive(Debug)]
@@ -13,6 +16,10 @@
     Timer,
     /// The process was asked to shut down gracefully.
     Shutdown,
+    /// Something happened in an exchange with an endpoint.
+    Exchange(ExchangeEvent),
+    /// Something happened at one of the role's own HTTP listeners.
+    Caller(ListenerId, HttpEvent),
     /// An event that only this role has.
     Own(E),
 }
@@ -50,6 +57,14 @@
     Log(LogLevel, String),
     /// Reports a metric.
     Metric(MetricKind, &'static str, u64),
+    /// Asks for something in an exchange with an endpoint.
+    Exchange(ExchangeCommand),
+    /// Sends a part of an answer to a caller of the role's own listeners.
+    Answer(RequestId, AnswerPart),
+    /// Bounds callers of a listener from now on.
+    Bound(ListenerId, RequestBounds),
+    /// Answers end their connections from now on, and idle ones are closed.
+    CloseCallers(ListenerId),
     /// The graceful shutdown has ended.
     Finished,
     /// An action that only this role has.
--- /dev/null
+++ b/crates/runtime/src/caller_table.rs
@@ -0,0 +1,419 @@
+//! Callers' connections at a role's own listeners.
+//!
+//! Purpose: reads requests whole, hands them to the role and writes its
+//! answers, all on the process's poll and without a thread for each.
+//!
+//! Guarantees: one request of a connection is in work at a time, further ones
+//! wait in its buffer; a connection that ends while its request is in work is
+//! reported at once; times and lengths are bounded by the listener's bounds;
+//! an answer that is not whole never looks whole.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use mulberrywell_http1::{
+    write_answer_head, write_chunk, write_last_chunk, HeadFault, RequestFault, RequestLimits,
+    RequestReader,
+};
+use mulberrywell_role::{AnswerPart, HttpEvent, ListenerId, RequestBounds, RequestId};
+use socket2::SockRef;
+use stakker::Fwd;
+use stakker_mio::mio::net::{TcpListener, TcpStream};
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, MioSource, Ready};
+
+use crate::http_socket::{HttpSocket, SocketEnd};
+
+/// Connections of all listeners together; beyond it the longest idle makes
+/// room. Leaves descriptors of the platform's usual 4,096 for endpoints.
+const CONNECTIONS_MAX: usize = 2_600;
+
+/// Bytes of an answer that may wait for a slow caller before it is cut.
+const WAITING_MAX: usize = 8 * 1024 * 1024;
+
+/// Time that a caller gets to take a last answer before its socket closes.
+const LINGER_MAX: Duration = Duration::from_secs(1);
+
+const POLL_PRIORITY: u32 = 10;
+
+/// Number of a connection; never used twice.
+pub type CallerId = u64;
+
+/// Bounds before the role names any.
+pub const BOUNDS_DEFAULT: RequestBounds = RequestBounds {
+    head_max: 16 * 1024,
+    body_max: 4 * 1024 * 1024,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallerPhase {
+    /// Between requests, since then.
+    Idle(Instant),
+    /// Some bytes of a request have come, the first of them then.
+    Reading(Instant),
+    /// A request is in work.
+    Working(RequestId),
+    /// Nothing more is read; closes once all is written, or then.
+    Lingering(Instant),
+}
+
+struct CallerConnection {
+    socket: HttpSocket,
+    listener: ListenerId,
+    reader: RequestReader,
+    phase: CallerPhase,
+    /// The answer in work is the connection's last.
+    last: bool,
+    /// The caller reads chunks.
+    chunks: bool,
+    /// The answer in work is chunked.
+    is_chunked: bool,
+    /// The request in work was a HEAD.
+    bodyless: bool,
+}
+
+struct ListenerRecord {
+    source: MioSource<TcpListener>,
+    bounds: RequestBounds,
+    /// Answers end their connections.
+    closing: bool,
+}
+
+/// All connections.
+#[derive(Default)]
+pub struct CallerTable {
+    listeners: BTreeMap<ListenerId, ListenerRecord>,
+    connections: BTreeMap<CallerId, CallerConnection>,
+    requests: BTreeMap<RequestId, CallerId>,
+    next_id: CallerId,
+    /// Connections with bytes that were queued and not yet written.
+    dirty: Vec<CallerId>,
+}
+
+/// Events for the role.
+pub type CallerEvents = Vec<(ListenerId, HttpEvent)>;
+
+impl CallerTable {
+    /// Accepts connections of a listener from now on.
+    ///
+    /// # Errors
+    /// Fails when the listener can't be polled.
+    pub fn listen(
+        &mut self,
+        poll: &MioPoll,
+        id: ListenerId,
+        listener: TcpListener,
+        ready: Fwd<Ready>,
+    ) -> std::io::Result<()> {
+        let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, ready)?;
+        let record = ListenerRecord {
+            source,
+            bounds: BOUNDS_DEFAULT,
+            closing: false,
+        };
+        self.listeners.insert(id, record);
+        Ok(())
+    }
+
+    /// Takes the next waiting connection of a listener.
+    pub fn accept(&mut self, id: ListenerId) -> Option<(CallerId, TcpStream)> {
+        let (stream, _) = self.listeners.get(&id)?.source.accept().ok()?;
+        self.next_id += 1;
+        Some((self.next_id, stream))
+    }
+
+    /// Takes an accepted connection in.
+    ///
+    /// # Errors
+    /// Fails when the connection can't be polled.
+    pub fn attach(
+        &mut self,
+        poll: &MioPoll,
+        now: Instant,
+        listener: ListenerId,
+        id: CallerId,
+        stream: TcpStream,
+        ready: Fwd<Ready>,
+    ) -> std::io::Result<()> {
+        SockRef::from(&stream).set_tcp_nodelay(true)?;
+        if self.connections.len() >= CONNECTIONS_MAX {
+            self.make_room();
+        }
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let source = poll.add(stream, interest, POLL_PRIORITY, ready)?;
+        let connection = CallerConnection {
+            socket: HttpSocket::new(source, true),
+            listener,
+            reader: RequestReader::default(),
+            phase: CallerPhase::Idle(now),
+            last: false,
+            chunks: true,
+            is_chunked: false,
+            bodyless: false,
+        };
+        self.connections.insert(id, connection);
+        Ok(())
+    }
+
+    /// Bounds a listener's connections from now on.
+    pub fn set_bounds(&mut self, listener: ListenerId, bounds: RequestBounds) {
+        if let Some(record) = self.listeners.get_mut(&listener) {
+            record.bounds = bounds;
+        }
+    }
+
+    /// Ends a listener's connections with their next answers; idle ones stay
+    /// for [`LINGER_MAX`], so that a request under way is still taken.
+    pub fn close_callers(&mut self, now: Instant, listener: ListenerId) {
+        if let Some(record) = self.listeners.get_mut(&listener) {
+            record.closing = true;
+        }
+        for connection in self.connections.values_mut() {
+            if connection.listener == listener {
+                if let CallerPhase::Idle(since) = &mut connection.phase {
+                    *since = (*since).min(now);
+                }
+            }
+        }
+    }
+
+    /// Handles a connection that can be read or written.
+    pub fn ready(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        scratch: &mut [u8],
+        events: &mut CallerEvents,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let end = connection.socket.read(scratch);
+        if matches!(connection.phase, CallerPhase::Lingering(_)) {
+            connection.socket.inp.clear();
+        }
+        if end != SocketEnd::Open || !connection.socket.flush() {
+            self.end(id, events);
+            return;
+        }
+        self.read_requests(now, id, events);
+    }
+
+    /// Queues a part of an answer; a caller that takes nothing is cut.
+    pub fn answer(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        part: AnswerPart,
+        events: &mut CallerEvents,
+    ) {
+        let Some(id) = self.requests.get(&request).copied() else {
+            return;
+        };
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let listener = self.listeners.get(&connection.listener);
+        connection.last |= listener.is_some_and(|record| record.closing);
+        let ended = matches!(part, AnswerPart::End);
+        if !connection.write_part(part) || connection.socket.out.len() > WAITING_MAX {
+            self.requests.remove(&request);
+            self.connections.remove(&id);
+            return;
+        }
+        self.dirty.push(id);
+        if ended {
+            self.requests.remove(&request);
+            self.finish_answer(now, id, events);
+        }
+    }
+
+    /// Writes what was queued.
+    pub fn flush(&mut self, events: &mut CallerEvents) {
+        let mut dirty = std::mem::take(&mut self.dirty);
+        dirty.dedup();
+        for id in dirty.drain(..) {
+            let Some(connection) = self.connections.get_mut(&id) else {
+                continue;
+            };
+            if !connection.socket.flush() {
+                self.end(id, events);
+            }
+        }
+        self.dirty = dirty;
+    }
+
+    /// Closes connections whose times are over.
+    pub fn tick(&mut self, now: Instant, events: &mut CallerEvents) {
+        let mut over = Vec::new();
+        for (id, connection) in &self.connections {
+            let Some(record) = self.listeners.get(&connection.listener) else {
+                continue;
+            };
+            let (since, limit) = match connection.phase {
+                CallerPhase::Idle(since) if record.closing => (since, LINGER_MAX),
+                CallerPhase::Idle(since) => (since, record.bounds.idle_timeout),
+                CallerPhase::Reading(since) => (since, record.bounds.head_timeout),
+                CallerPhase::Lingering(since) => (since, LINGER_MAX),
+                CallerPhase::Working(_) => continue,
+            };
+            if now.saturating_duration_since(since) >= limit {
+                over.push(*id);
+            }
+        }
+        for id in over {
+            self.end_overdue(now, id, events);
+        }
+    }
+
+    fn end_overdue(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if matches!(connection.phase, CallerPhase::Reading(_)) {
+            connection.refuse(now, 408);
+            self.dirty.push(id);
+        } else {
+            self.end(id, events);
+        }
+    }
+
+    fn make_room(&mut self) {
+        let idle = self
+            .connections
+            .iter()
+            .filter_map(|(id, connection)| match connection.phase {
+                CallerPhase::Idle(since) => Some((since, *id)),
+                _ => None,
+            });
+        if let Some((_, id)) = idle.min() {
+            self.connections.remove(&id);
+        }
+    }
+
+    fn finish_answer(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if connection.last {
+            connection.phase = CallerPhase::Lingering(now);
+            // The end of the stream tells the caller that no more comes.
+            if connection.socket.flush() && connection.socket.out.is_empty() {
+                let _ = connection
+                    .socket
+                    .stream()
+                    .shutdown(std::net::Shutdown::Write);
+            }
+            return;
+        }
+        connection.phase = CallerPhase::Idle(now);
+        self.read_requests(now, id, events);
+    }
+
+    fn read_requests(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let Some(record) = self.listeners.get(&connection.listener) else {
+            return;
+        };
+        if !matches!(
+            connection.phase,
+            CallerPhase::Idle(_) | CallerPhase::Reading(_)
+        ) {
+            return;
+        }
+        if connection.socket.inp.is_empty() && !connection.reader.is_open() {
+            return;
+        }
+        let limits = RequestLimits {
+            head_max: record.bounds.head_max,
+            body_max: record.bounds.body_max,
+        };
+        match connection
+            .reader
+            .next_request(&mut connection.socket.inp, limits)
+        {
+            Ok(Some(read)) => {
+                self.next_id += 1;
+                let request = self.next_id;
+                connection.phase = CallerPhase::Working(request);
+                connection.last = read.last;
+                connection.chunks = read.chunks;
+                connection.bodyless = read.http.method == "HEAD";
+                self.requests.insert(request, id);
+                let http = read.http;
+                events.push((connection.listener, HttpEvent::Request { request, http }));
+            }
+            Ok(None) => {
+                if connection.reader.take_continue() {
+                    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+                    connection.socket.out.extend_from_slice(interim);
+                    self.dirty.push(id);
+                }
+                if let CallerPhase::Idle(_) = connection.phase {
+                    connection.phase = CallerPhase::Reading(now);
+                }
+            }
+            Err(fault) => {
+                connection.refuse(now, refusal_status(fault));
+                self.dirty.push(id);
+            }
+        }
+    }
+
+    fn end(&mut self, id: CallerId, events: &mut CallerEvents) {
+        let Some(connection) = self.connections.remove(&id) else {
+            return;
+        };
+        if let CallerPhase::Working(request) = connection.phase {
+            self.requests.remove(&request);
+            events.push((connection.listener, HttpEvent::Gone { request }));
+        }
+    }
+}
+
+impl CallerConnection {
+    /// Queues a part; false when the connection is to be cut.
+    fn write_part(&mut self, part: AnswerPart) -> bool {
+        match part {
+            AnswerPart::Head {
+                status,
+                headers,
+                length,
+            } => {
+                self.is_chunked = length.is_none() && self.chunks;
+                self.last |= length.is_none() && !self.chunks;
+                let out = &mut self.socket.out;
+                write_answer_head(status, &headers, length, self.chunks, self.last, out);
+            }
+            AnswerPart::Data(_) if self.bodyless => {}
+            AnswerPart::Data(data) if self.is_chunked => write_chunk(&data, &mut self.socket.out),
+            AnswerPart::Data(data) => self.socket.out.extend_from_slice(&data),
+            AnswerPart::End if self.is_chunked && !self.bodyless => {
+                write_last_chunk(&mut self.socket.out);
+            }
+            AnswerPart::End => {}
+            AnswerPart::Abort => return false,
+        }
+        true
+    }
+
+    /// Answers bytes that are no request and reads no further.
+    fn refuse(&mut self, now: Instant, status: u16) {
+        self.phase = CallerPhase::Lingering(now);
+        self.socket.inp = BytesMut::new();
+        write_answer_head(status, &[], Some(0), true, true, &mut self.socket.out);
+    }
+}
+
+fn refusal_status(fault: RequestFault) -> u16 {
+    match fault {
+        RequestFault::Head(HeadFault::TooLong) => 431,
+        RequestFault::BodyTooLong => 413,
+        RequestFault::Head(_) | RequestFault::BadBody => 400,
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/exchange_table.rs
@@ -0,0 +1,390 @@
+//! HTTP exchanges with endpoints over kept connections.
+//!
+//! Purpose: sends requests to endpoints and passes their answers on piece by
+//! piece, all on the process's poll and without a thread for each.
+//!
+//! Guarantees: a connection carries one exchange at a time; it is kept only
+//! when the request was written whole, the answer is whole and nothing came
+//! after it; bytes that come between exchanges close it; a cancelled exchange
+//! closes its connection; a break is never reported as a whole answer.
+//!
+//! Algorithm: the connection that was used last is used first, so that spare
+//! ones run out of time. A connection is given up before the endpoint's own
+//! idle timeout, which its answers name.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use mulberrywell_http1::{write_request, AnswerHead, AnswerInput, AnswerReader, BodyFraming};
+use mulberrywell_role::{header_value, ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest};
+use mulberrywell_wire::request::HeaderField;
+use socket2::{SockRef, TcpKeepalive};
+use stakker::Fwd;
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::mio::Interest;
+use stakker_mio::{MioPoll, Ready};
+
+use crate::http_socket::{HttpSocket, SocketEnd};
+
+/// Idle time of a connection whose endpoint names none.
+const IDLE_DEFAULT: Duration = Duration::from_millis(800);
+
+/// Time before the endpoint's idle timeout at which a connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Longest idle time, whatever the endpoint allows.
+const IDLE_MAX: Duration = Duration::from_secs(60);
+
+/// Time without an acknowledgement of sent bytes after which a connection
+/// counts as lost.
+const UNACKED_MAX: Duration = Duration::from_millis(1_500);
+
+/// Silence after which a connection in use is probed, and between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+const POLL_PRIORITY: u32 = 10;
+
+/// Number of a connection; never used twice.
+pub type ConnectionId = u64;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionUse {
+    /// Carries this exchange.
+    Busy(ExchangeId),
+    /// Is kept until then.
+    Idle(Instant),
+}
+
+struct EndpointConnection {
+    socket: HttpSocket,
+    address: SocketAddr,
+    reader: AnswerReader,
+    usage: ConnectionUse,
+    /// When a new connection must be made; none once it is.
+    connect_by: Option<Instant>,
+    matched: Option<HeaderField>,
+    /// The request in work was a HEAD.
+    bodyless: bool,
+    /// The answer that comes belongs to an earlier request.
+    skipping: bool,
+    /// The answer that comes is the connection's last.
+    last: bool,
+    /// Idle time that the answer in work allows.
+    idle: Duration,
+}
+
+/// All connections to endpoints.
+#[derive(Default)]
+pub struct ExchangeTable {
+    connections: BTreeMap<ConnectionId, EndpointConnection>,
+    exchanges: BTreeMap<ExchangeId, ConnectionId>,
+    /// Connections between exchanges; the last was used last.
+    idle: BTreeMap<SocketAddr, Vec<ConnectionId>>,
+    next_id: ConnectionId,
+    /// Connections opened in all.
+    pub opened: u64,
+}
+
+/// What one exchange sends.
+pub struct ExchangeStart {
+    /// The exchange.
+    pub exchange: ExchangeId,
+    /// The endpoint.
+    pub address: SocketAddr,
+    /// The request.
+    pub http: HttpRequest,
+    /// A field that the answer repeats.
+    pub matched: Option<HeaderField>,
+    /// Longest time for a new connection.
+    pub connect_timeout: Duration,
+}
+
+impl ExchangeTable {
+    /// Takes a kept connection for an exchange; false when there is none.
+    pub fn reuse(&mut self, start: &ExchangeStart, events: &mut Vec<ExchangeEvent>) -> bool {
+        let Some(id) = self.idle.get_mut(&start.address).and_then(Vec::pop) else {
+            return false;
+        };
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return false;
+        };
+        connection.begin(start);
+        self.exchanges.insert(start.exchange, id);
+        if !connection.socket.flush() {
+            self.fail(id, "the kept connection failed", events);
+        }
+        true
+    }
+
+    /// Returns the number of the next connection.
+    pub fn next_connection(&mut self) -> ConnectionId {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    /// Opens a connection for an exchange.
+    ///
+    /// # Errors
+    /// Fails when the system refuses at once.
+    pub fn open(
+        &mut self,
+        poll: &MioPoll,
+        now: Instant,
+        id: ConnectionId,
+        start: &ExchangeStart,
+        ready: Fwd<Ready>,
+    ) -> std::io::Result<()> {
+        let stream = TcpStream::connect(start.address)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_user_timeout(Some(UNACKED_MAX))?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL);
+        socket.set_tcp_keepalive(&probes)?;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let source = poll.add(stream, interest, POLL_PRIORITY, ready)?;
+        let mut connection = EndpointConnection {
+            socket: HttpSocket::new(source, false),
+            address: start.address,
+            reader: AnswerReader::default(),
+            usage: ConnectionUse::Busy(start.exchange),
+            connect_by: Some(now + start.connect_timeout),
+            matched: None,
+            bodyless: false,
+            skipping: false,
+            last: false,
+            idle: IDLE_DEFAULT,
+        };
+        connection.begin(start);
+        self.opened += 1;
+        self.exchanges.insert(start.exchange, id);
+        self.connections.insert(id, connection);
+        Ok(())
+    }
+
+    /// Ends an exchange without an event.
+    pub fn cancel(&mut self, exchange: ExchangeId) {
+        if let Some(id) = self.exchanges.remove(&exchange) {
+            self.connections.remove(&id);
+        }
+    }
+
+    /// Closes the kept connections to an endpoint.
+    pub fn forget(&mut self, address: SocketAddr) {
+        for id in self.idle.remove(&address).unwrap_or_default() {
+            self.connections.remove(&id);
+        }
+    }
+
+    /// Handles a connection that can be read or written.
+    pub fn ready(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        scratch: &mut [u8],
+        events: &mut Vec<ExchangeEvent>,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        match connection.socket.check_connected() {
+            Ok(true) => connection.connect_by = None,
+            Ok(false) => return,
+            Err(()) => {
+                self.fail(id, "the connection was refused", events);
+                return;
+            }
+        }
+        let written = connection.socket.flush();
+        let end = connection.socket.read(scratch);
+        if let ConnectionUse::Idle(_) = connection.usage {
+            if end != SocketEnd::Open || !connection.socket.inp.is_empty() {
+                self.drop_idle(id);
+            }
+            return;
+        }
+        self.read_answer(now, id, events);
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if end == SocketEnd::Open && written {
+            return;
+        }
+        let ConnectionUse::Busy(exchange) = connection.usage else {
+            self.drop_idle(id);
+            return;
+        };
+        let whole = end == SocketEnd::Closed && connection.reader.end_of_stream();
+        if whole && !connection.skipping {
+            self.connections.remove(&id);
+            self.exchanges.remove(&exchange);
+            let end = ExchangeEnd::Whole;
+            events.push(ExchangeEvent::End { exchange, end });
+        } else {
+            self.fail(id, "the connection ended", events);
+        }
+    }
+
+    /// Closes connections whose times are over.
+    pub fn tick(&mut self, now: Instant, events: &mut Vec<ExchangeEvent>) {
+        let mut late = Vec::new();
+        let mut idle = Vec::new();
+        for (id, connection) in &self.connections {
+            match connection.usage {
+                ConnectionUse::Busy(_) if connection.connect_by.is_some_and(|at| at <= now) => {
+                    late.push(*id);
+                }
+                ConnectionUse::Idle(until) if until <= now => idle.push(*id),
+                _ => {}
+            }
+        }
+        for id in late {
+            self.fail(id, "the connection was not made in time", events);
+        }
+        for id in idle {
+            self.drop_idle(id);
+        }
+    }
+
+    /// Returns when a connection must be made, at the earliest.
+    pub fn deadline(&self) -> Option<Instant> {
+        let busy = self.exchanges.values();
+        let connections = busy.filter_map(|id| self.connections.get(id));
+        connections
+            .filter_map(|connection| connection.connect_by)
+            .min()
+    }
+
+    fn read_answer(&mut self, now: Instant, id: ConnectionId, events: &mut Vec<ExchangeEvent>) {
+        loop {
+            let Some(connection) = self.connections.get_mut(&id) else {
+                return;
+            };
+            let ConnectionUse::Busy(exchange) = connection.usage else {
+                return;
+            };
+            let buf = &mut connection.socket.inp;
+            match connection.reader.next_input(buf, connection.bodyless) {
+                Ok(None) => return,
+                Ok(Some(AnswerInput::Head(head))) => {
+                    connection.note_head(&head);
+                    if !connection.skipping {
+                        events.push(head_event(exchange, head));
+                    }
+                }
+                Ok(Some(AnswerInput::Data(data))) => {
+                    if !connection.skipping {
+                        events.push(ExchangeEvent::Data { exchange, data });
+                    }
+                }
+                Ok(Some(AnswerInput::End)) if connection.skipping => connection.skipping = false,
+                Ok(Some(AnswerInput::End)) => {
+                    self.finish(now, id, exchange, events);
+                    return;
+                }
+                Err(_) => {
+                    self.fail(id, "the answer is malformed", events);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn finish(
+        &mut self,
+        now: Instant,
+        id: ConnectionId,
+        exchange: ExchangeId,
+        events: &mut Vec<ExchangeEvent>,
+    ) {
+        self.exchanges.remove(&exchange);
+        let end = ExchangeEnd::Whole;
+        events.push(ExchangeEvent::End { exchange, end });
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let spoiled = !connection.socket.inp.is_empty() || !connection.socket.out.is_empty();
+        if connection.last || spoiled || connection.idle.is_zero() {
+            self.connections.remove(&id);
+            return;
+        }
+        connection.usage = ConnectionUse::Idle(now + connection.idle);
+        let address = connection.address;
+        self.idle.entry(address).or_default().push(id);
+    }
+
+    fn fail(&mut self, id: ConnectionId, reason: &'static str, events: &mut Vec<ExchangeEvent>) {
+        let Some(connection) = self.connections.remove(&id) else {
+            return;
+        };
+        let ConnectionUse::Busy(exchange) = connection.usage else {
+            return;
+        };
+        self.exchanges.remove(&exchange);
+        let end = if connection.socket.has_sent {
+            ExchangeEnd::Broken(reason)
+        } else {
+            ExchangeEnd::NotSent(reason)
+        };
+        events.push(ExchangeEvent::End { exchange, end });
+    }
+
+    fn drop_idle(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.remove(&id) {
+            if let Some(kept) = self.idle.get_mut(&connection.address) {
+                kept.retain(|known| *known != id);
+            }
+        }
+    }
+}
+
+impl EndpointConnection {
+    fn begin(&mut self, start: &ExchangeStart) {
+        let http = &start.http;
+        self.usage = ConnectionUse::Busy(start.exchange);
+        self.matched = start.matched.clone();
+        self.bodyless = http.method == "HEAD";
+        self.skipping = false;
+        self.idle = IDLE_DEFAULT;
+        self.socket.has_sent = false;
+        let out = &mut self.socket.out;
+        write_request(&http.method, &http.path, &http.headers, &http.body, out);
+    }
+
+    fn note_head(&mut self, head: &AnswerHead) {
+        self.last = head.last;
+        self.skipping = self.matched.as_ref().is_some_and(|matched| {
+            let name = std::str::from_utf8(&matched.name).unwrap_or_default();
+            header_value(&head.headers, name).is_some_and(|value| *value != matched.value)
+        });
+        if let Some(idle) = named_idle(&head.headers) {
+            self.idle = idle;
+        }
+    }
+}
+
+fn head_event(exchange: ExchangeId, head: AnswerHead) -> ExchangeEvent {
+    let length = match head.framing {
+        BodyFraming::Length(len) => Some(len),
+        BodyFraming::Chunked | BodyFraming::UntilClose => None,
+    };
+    ExchangeEvent::Head {
+        exchange,
+        status: head.status,
+        headers: head.headers,
+        length,
+    }
+}
+
+/// Returns how long a connection may be kept, by the endpoint's idle timeout
+/// in whole seconds.
+fn named_idle(headers: &[HeaderField]) -> Option<Duration> {
+    let value = header_value(headers, "Keep-Alive")?;
+    let text = std::str::from_utf8(value).ok()?;
+    let mut items = text.split(',').map(str::trim);
+    let seconds = items.find_map(|item| item.strip_prefix("timeout="))?;
+    let timeout = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(timeout.saturating_sub(IDLE_MARGIN).min(IDLE_MAX))
+}
--- a/crates/runtime/src/frame_sender.rs
+++ b/crates/runtime/src/frame_sender.rs
@@ -19,6 +19,8 @@
         | FrameBody::PartCredit(_)
         | FrameBody::LeaseRequest(_)
         | FrameBody::LeaseReturn(_)
+        | FrameBody::ServingAttach(_)
+        | FrameBody::ServingDemand(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
         FrameBody::AttemptHead(_)
         | FrameBody::AttemptPart(_)
@@ -36,7 +38,10 @@
         | FrameBody::TargetOrder(_)
         | FrameBody::Consensus(_)
         | FrameBody::Forward(_)
-        | FrameBody::ForwardAnswer(_) => Some(PeerRole::Control),
+        | FrameBody::ForwardAnswer(_)
+        | FrameBody::ServingUpdate(_)
+        | FrameBody::ServingForward(_)
+        | FrameBody::ServingReply(_) => Some(PeerRole::Control),
         _ => None,
     }
 }
--- /dev/null
+++ b/crates/runtime/src/http_ports.rs
@@ -0,0 +1,148 @@
+//! A role's HTTP: callers at its listeners and exchanges with endpoints.
+//!
+//! Algorithm: sockets are polled by the process's poll; what they bring is
+//! collected and passed to the role by its host, one event at a time.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use mulberrywell_role::{ExchangeCommand, ExchangeEnd, ExchangeEvent, HttpEvent, ListenerId};
+
+use crate::caller_table::{CallerEvents, CallerTable};
+use crate::exchange_table::{ExchangeStart, ExchangeTable};
+use crate::http_socket::READ_LEN;
+
+/// Interval at which the times of connections are checked.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An event for the role.
+#[derive(Debug)]
+pub enum PortEvent {
+    /// A caller's.
+    Caller(ListenerId, HttpEvent),
+    /// An exchange's.
+    Exchange(ExchangeEvent),
+}
+
+/// All HTTP of one role.
+pub struct HttpPorts {
+    /// Callers.
+    pub callers: CallerTable,
+    /// Endpoints.
+    pub exchanges: ExchangeTable,
+    /// Events that the role has not taken.
+    events: VecDeque<PortEvent>,
+    /// Reused between reads.
+    pub scratch: Vec<u8>,
+    /// Reused between reads.
+    pub caller_events: CallerEvents,
+    /// Reused between reads.
+    pub exchange_events: Vec<ExchangeEvent>,
+    next_sweep: Instant,
+    /// The role has listeners or has had an exchange.
+    in_use: bool,
+}
+
+impl HttpPorts {
+    /// Creates ports without a connection.
+    pub fn new(now: Instant) -> Self {
+        HttpPorts {
+            callers: CallerTable::default(),
+            exchanges: ExchangeTable::default(),
+            events: VecDeque::new(),
+            scratch: Vec::new(),
+            caller_events: Vec::new(),
+            exchange_events: Vec::new(),
+            next_sweep: now + SWEEP_INTERVAL,
+            in_use: false,
+        }
+    }
+
+    /// Notes that the role uses HTTP.
+    pub fn begin_use(&mut self) {
+        if !self.in_use {
+            self.in_use = true;
+            self.scratch = vec![0; READ_LEN];
+        }
+    }
+
+    /// Takes the next event for the role.
+    pub fn next_event(&mut self) -> Option<PortEvent> {
+        self.collect();
+        self.events.pop_front()
+    }
+
+    /// Tells whether an event waits for the role.
+    pub fn has_events(&self) -> bool {
+        !self.events.is_empty()
+            || !self.caller_events.is_empty()
+            || !self.exchange_events.is_empty()
+    }
+
+    /// Starts an exchange on a kept connection, or returns what a new one is
+    /// to carry.
+    pub fn command(&mut self, command: ExchangeCommand) -> Option<ExchangeStart> {
+        self.begin_use();
+        match command {
+            ExchangeCommand::Start {
+                exchange,
+                address,
+                http,
+                matched,
+                connect_timeout,
+            } => {
+                let start = ExchangeStart {
+                    exchange,
+                    address,
+                    http,
+                    matched,
+                    connect_timeout,
+                };
+                let reused = self.exchanges.reuse(&start, &mut self.exchange_events);
+                (!reused).then_some(start)
+            }
+            ExchangeCommand::Cancel { exchange } => {
+                self.exchanges.cancel(exchange);
+                None
+            }
+        }
+    }
+
+    /// Reports an exchange whose connection could not be opened.
+    pub fn refuse(&mut self, start: &ExchangeStart) {
+        let end = ExchangeEnd::NotSent("no connection could be opened");
+        let exchange = start.exchange;
+        self.exchange_events
+            .push(ExchangeEvent::End { exchange, end });
+    }
+
+    /// Writes what callers are sent.
+    pub fn flush(&mut self) {
+        self.callers.flush(&mut self.caller_events);
+    }
+
+    /// Returns when [`HttpPorts::tick`] has something to do.
+    pub fn deadline(&self) -> Option<Instant> {
+        let connect = self.exchanges.deadline();
+        let sweep = self.in_use.then_some(self.next_sweep);
+        [connect, sweep].into_iter().flatten().min()
+    }
+
+    /// Checks the times of connections.
+    pub fn tick(&mut self, now: Instant) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
+        self.callers.tick(now, &mut self.caller_events);
+        self.exchanges.tick(now, &mut self.exchange_events);
+    }
+
+    fn collect(&mut self) {
+        let callers = self.caller_events.drain(..);
+        self.events
+            .extend(callers.map(|(listener, event)| PortEvent::Caller(listener, event)));
+        let exchanges = self.exchange_events.drain(..);
+        self.events.extend(exchanges.map(PortEvent::Exchange));
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/http_socket.rs
@@ -0,0 +1,101 @@
+//! One TCP connection that carries HTTP: its buffers and its end.
+
+use std::io::{ErrorKind, Read, Write};
+
+use bytes::{Buf, BytesMut};
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::MioSource;
+
+/// Bytes of one read.
+pub const READ_LEN: usize = 64 * 1024;
+
+/// How far a connection's incoming side is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SocketEnd {
+    /// More bytes may come.
+    Open,
+    /// The peer sends no more.
+    Closed,
+    /// The connection failed or was reset.
+    Failed,
+}
+
+/// One connection.
+pub struct HttpSocket {
+    source: MioSource<TcpStream>,
+    /// Bytes that came and were not taken.
+    pub inp: BytesMut,
+    /// Bytes that are to be written.
+    pub out: BytesMut,
+    /// Set once any byte was written.
+    pub has_sent: bool,
+    /// Set once the connection is made.
+    is_connected: bool,
+}
+
+impl HttpSocket {
+    /// Takes over a connection; `is_connected` tells that it is made.
+    pub fn new(source: MioSource<TcpStream>, is_connected: bool) -> Self {
+        HttpSocket {
+            source,
+            inp: BytesMut::new(),
+            out: BytesMut::new(),
+            has_sent: false,
+            is_connected,
+        }
+    }
+
+    /// Returns the polled connection.
+    pub fn stream(&self) -> &TcpStream {
+        &self.source
+    }
+
+    /// Tells whether the connection is made, or failed on the way.
+    pub fn check_connected(&mut self) -> Result<bool, ()> {
+        if self.is_connected {
+            return Ok(true);
+        }
+        if !matches!(self.source.take_error(), Ok(None)) {
+            return Err(());
+        }
+        match self.source.peer_addr() {
+            Ok(_) => {
+                self.is_connected = true;
+                Ok(true)
+            }
+            Err(err) if err.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(_) => Err(()),
+        }
+    }
+
+    /// Reads what has come into `inp`.
+    pub fn read(&mut self, scratch: &mut [u8]) -> SocketEnd {
+        // The poll is edge-triggered, so a turn reads to the end.
+        loop {
+            match (&*self.source).read(scratch) {
+                Ok(0) => return SocketEnd::Closed,
+                Ok(len) => self.inp.extend_from_slice(&scratch[..len]),
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return SocketEnd::Open,
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return SocketEnd::Failed,
+            }
+        }
+    }
+
+    /// Writes what the peer takes now; false when the connection failed.
+    pub fn flush(&mut self) -> bool {
+        while !self.out.is_empty() {
+            match (&*self.source).write(&self.out) {
+                Ok(0) => return false,
+                Ok(len) => {
+                    self.out.advance(len);
+                    self.has_sent = true;
+                }
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return true,
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,23 +9,28 @@
 //! fault of one caller, link or endpoint ends only that one.
 
 mod caller_guard;
+mod caller_table;
 mod descriptor_limit;
 mod engine_client;
 mod event_sender;
+mod exchange_table;
 mod frame_sender;
 mod guard_connection;
 pub mod head_check;
 mod http_gate;
+mod http_ports;
 mod http_refusal;
+mod http_socket;
 mod http_writer;
 mod link_socket;
 pub mod link_table;
 mod log_output;
 mod log_writer;
 mod metric_output;
+mod metric_text;
 mod process;
 mod role_host;
 mod start_queue;
 
 pub use log_output::open_log;
-pub use process::{serve, serve_agent};
+pub use process::{serve, serve_agent, ServingInterface};
--- a/crates/runtime/src/log_output.rs
+++ b/crates/runtime/src/log_output.rs
@@ -1,12 +1,20 @@
 //! Sets up the process's log.
+//!
+//! Guarantees: a writer of a line never waits: lines go through a bounded queue
+//! to a thread of the library, and a full queue drops the line.
 
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
 use mulberrywell_settings::LogSettings;
 use spdlog::formatter::{pattern, PatternFormatter};
 use spdlog::prelude::*;
-use spdlog::sink::{FileSink, Sink, StdStream, StdStreamSink};
+use spdlog::sink::{AsyncPoolSink, FileSink, OverflowPolicy, Sink, StdStreamSink};
+use spdlog::ThreadPool;
+
+/// Lines that may wait to be written.
+const QUEUE_LEN: NonZeroUsize = NonZeroUsize::new(8_192).expect("not 0");
 
 /// Levels by their names in the settings.
 const LEVELS: [(&str, Level); 6] = [
@@ -33,10 +41,17 @@
             .build_arc()
             .with_context(|| format!("can't open the log {}", path.display()))?,
         None => StdStreamSink::builder()
-            .stderr()
+            .stdout()
             .formatter(formatter)
             .build_arc()?,
     };
+    let queue = ThreadPool::builder().capacity(QUEUE_LEN).build_arc()?;
+    let sink: Arc<dyn Sink> = AsyncPoolSink::builder()
+        .sink(sink)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(queue)
+        .error_handler(|_| {})
+        .build_arc()?;
     let level = LEVELS
         .iter()
         .find(|(name, _)| *name == settings.level)
@@ -47,6 +62,5 @@
         .flush_level_filter(LevelFilter::All)
         .build_arc()?;
     spdlog::set_default_logger(logger);
-    let _ = StdStream::Stderr;
     Ok(())
 }
--- a/crates/runtime/src/metric_output.rs
+++ b/crates/runtime/src/metric_output.rs
@@ -1,6 +1,8 @@
-//! Sends metrics to a statsd listener.
+//! Keeps metrics for reading as text and sends them to a statsd listener.
 
+use std::cell::RefCell;
 use std::net::UdpSocket;
+use std::rc::Rc;
 
 use anyhow::Result;
 use cadence::prelude::*;
@@ -8,6 +10,8 @@
 use mulberrywell_role::MetricKind;
 use mulberrywell_settings::MetricSettings;
 
+use crate::metric_text::MetricRegistry;
+
 /// Metrics that may wait to be sent; further ones are dropped.
 const QUEUE_LEN: usize = 16 * 1024;
 
@@ -16,7 +20,10 @@
 /// Where metrics go.
 #[derive(Clone)]
 pub struct MetricOutput {
-    client: std::sync::Arc<StatsdClient>,
+    client: Rc<StatsdClient>,
+    registry: Rc<RefCell<MetricRegistry>>,
+    /// Set where no listener of statsd is named.
+    is_local: bool,
 }
 
 impl MetricOutput {
@@ -36,12 +43,18 @@
             None => StatsdClient::from_sink(PREFIX, NopMetricSink),
         };
         Ok(MetricOutput {
-            client: std::sync::Arc::new(client),
+            client: Rc::new(client),
+            registry: Rc::default(),
+            is_local: settings.statsd.is_none(),
         })
     }
 
     /// Reports one metric; a full queue drops it.
     pub fn report(&self, kind: MetricKind, name: &str, value: u64) {
+        self.registry.borrow_mut().note(kind, name, value);
+        if self.is_local {
+            return;
+        }
         let sent = match kind {
             MetricKind::Count => self.client.count(name, value).is_ok(),
             MetricKind::Gauge => self.client.gauge(name, value).is_ok(),
@@ -51,4 +64,9 @@
             spdlog::debug!("metrics: dropped {}", name);
         }
     }
+
+    /// Returns all metrics as text.
+    pub fn to_text(&self) -> String {
+        self.registry.borrow().to_text()
+    }
 }
--- a/crates/runtime/src/process/agent_process.rs
+++ b/crates/runtime/src/process/agent_process.rs
@@ -53,6 +53,9 @@
             machine: AgentRole::new(config, Instant::now()),
             credentials,
             listener: Some(links),
+            http: Vec::new(),
+            metric_listen: None,
+            seeds_event: None,
             metrics,
             port: Box::new(move |events| AgentPort {
                 client: HttpEndpoint::open(
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -1,12 +1,13 @@
 //! The control role in its process.
 
 use std::fs;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::{anyhow, Context, Result};
 use bytes::Bytes;
 use mulberrywell_control::{ControlAction, ControlConfig, ControlEvent, ControlRole};
+use mulberrywell_role::{ListenerId, RoleMachine};
 use mulberrywell_settings::{ControlSettings, InstanceSettings};
 
 use super::{bind_links, ProcessLoop, RunningRole};
@@ -17,6 +18,9 @@
 use crate::metric_output::MetricOutput;
 use crate::role_host::{HostParts, RolePort};
 
+/// Listener of endpoints and of the serving configuration's operator.
+const SERVING: ListenerId = 0;
+
 /// Requests of operators at the same time.
 const OPERATOR_REQUESTS: usize = 64;
 
@@ -25,19 +29,26 @@
 
 /// Port of the control role.
 pub struct ControlPort {
-    /// The operators' listener.
-    pub gate: HttpGate,
+    /// The operators' listener, where there is one.
+    pub gate: Option<HttpGate>,
     /// The log.
     pub log: LogWriter,
 }
 
-impl RolePort<ControlRole> for ControlPort {
+impl<M> RolePort<M> for ControlPort
+where
+    M: RoleMachine<Event = ControlEvent, Action = ControlAction>,
+{
     fn perform(&mut self, action: ControlAction) {
         let written = match action {
             ControlAction::Answer(request, part) => {
-                self.gate.answer(request, part);
+                if let Some(gate) = &self.gate {
+                    gate.answer(request, part);
+                }
                 Ok(())
             }
+            // The interface before the role has encoded it already.
+            ControlAction::Reply(..) => Ok(()),
             ControlAction::Persist(batch) => self.log.persist(batch),
             ControlAction::SaveSnapshot(image) => self.log.save(image),
         };
@@ -56,19 +67,26 @@
 
 impl ProcessLoop {
     /// Starts the control role.
-    pub fn spawn_control(
+    pub fn spawn_control<M>(
         &mut self,
         instance: &InstanceSettings,
         settings: &ControlSettings,
         credentials: LinkCredentials,
         metrics: MetricOutput,
-    ) -> Result<RunningRole> {
-        let operators = bind_http(settings.operator_listen)?;
+        metric_listen: Option<SocketAddr>,
+        wrap: impl FnOnce(ControlRole) -> M,
+    ) -> Result<RunningRole>
+    where
+        M: RoleMachine<Event = ControlEvent, Action = ControlAction> + 'static,
+    {
+        let operators = settings.operator_listen.map(bind_http).transpose()?;
+        let serving = settings.serving_listen.map(bind_http).transpose()?;
         let links = bind_links(instance)?;
-        let operator_key = fs::read(&settings.operator_key_file).with_context(|| {
-            let file = settings.operator_key_file.display();
-            format!("can't read the operator key {file}")
-        })?;
+        let operator_key = match &settings.operator_key_file {
+            Some(file) => fs::read(file)
+                .with_context(|| format!("can't read the operator key {}", file.display()))?,
+            None => Vec::new(),
+        };
         let config = ControlConfig {
             settings: settings.clone(),
             instance: instance.name.clone(),
@@ -88,14 +106,18 @@
             anyhow!("the control role can't start: {}", texts.join("; "))
         })?;
         spdlog::info!(
-            "control: listens for operators on {}",
-            settings.operator_listen
+            "control: listens for operators on {:?} and for endpoints on {:?}",
+            settings.operator_listen,
+            settings.serving_listen
         );
         let parts = HostParts {
             prefix: "control",
-            machine,
+            machine: wrap(machine),
             credentials,
             listener: Some(links),
+            http: serving.map(|it| (SERVING, it)).into_iter().collect(),
+            metric_listen: metric_listen.map(bind_http).transpose()?,
+            seeds_event: Some(ControlEvent::Seeds),
             metrics,
             port: Box::new(move |events| {
                 open_control_port(log, operators, &events).unwrap_or_else(|err| {
@@ -111,7 +133,7 @@
 
 fn open_control_port(
     log: LogFolder,
-    operators: TcpListener,
+    operators: Option<TcpListener>,
     events: &EventSender<ControlEvent>,
 ) -> Result<ControlPort> {
     let limits = GateLimits {
@@ -119,6 +141,8 @@
         max_body: OPERATOR_BODY,
     };
     let log = log.spawn(events.clone())?;
-    let gate = HttpGate::spawn(operators, limits, events.clone(), ControlEvent::Http)?;
+    let gate = operators
+        .map(|listener| HttpGate::spawn(listener, limits, events.clone(), ControlEvent::Http));
+    let gate = gate.transpose()?;
     Ok(ControlPort { gate, log })
 }
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -53,6 +53,9 @@
             machine: EntryRole::new(config, Instant::now()),
             credentials,
             listener: None,
+            http: Vec::new(),
+            metric_listen: None,
+            seeds_event: None,
             metrics,
             port: Box::new(move |events| EntryPort {
                 gate: HttpGate::spawn_with_stall(listener, limits, stall, events, |event| event)
--- /dev/null
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -0,0 +1,69 @@
+//! The gateway role in its process.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use anyhow::Result;
+use mulberrywell_gateway::{
+    CallCodec, GatewayConfig, GatewayEvent, GatewayRole, CALLERS, READINESS,
+};
+use mulberrywell_limit::RetryBudget;
+use mulberrywell_settings::{GatewaySettings, InstanceSettings};
+
+use super::{ProcessLoop, RunningRole};
+use crate::descriptor_limit::raise_descriptor_limit;
+use crate::http_gate::bind_http;
+use crate::link_table::LinkCredentials;
+use crate::metric_output::MetricOutput;
+use crate::role_host::{HostParts, RolePort};
+
+/// Hundredths of a retry in one.
+const RETRY_HUNDREDTHS: u32 = 100;
+
+/// The gateway has no actions of its own.
+pub struct GatewayPort;
+
+impl<C: CallCodec> RolePort<GatewayRole<C>> for GatewayPort {
+    fn perform(&mut self, (): ()) {}
+}
+
+impl ProcessLoop {
+    /// Starts the gateway role.
+    pub fn spawn_gateway<C: CallCodec + 'static>(
+        &mut self,
+        instance: &InstanceSettings,
+        settings: &GatewaySettings,
+        credentials: LinkCredentials,
+        metrics: MetricOutput,
+        metric_listen: Option<SocketAddr>,
+        codec: C,
+    ) -> Result<RunningRole> {
+        raise_descriptor_limit();
+        let listeners = vec![
+            (CALLERS, bind_http(settings.caller_listen)?),
+            (READINESS, bind_http(settings.ready_listen)?),
+        ];
+        let reserve = settings.retry_reserve * RETRY_HUNDREDTHS;
+        let config = GatewayConfig {
+            zone: instance.zone.clone(),
+            seeds: instance.seeds.clone(),
+            retry_budget: RetryBudget::with_bounds(settings.retry_percent, reserve),
+            shutdown_accept: settings.shutdown_accept,
+            shutdown_limit: settings.shutdown_limit,
+        };
+        spdlog::info!("gateway: listens for callers on {}", settings.caller_listen);
+        let parts = HostParts {
+            prefix: "gateway",
+            machine: GatewayRole::new(config, codec, Instant::now()),
+            credentials,
+            listener: None,
+            http: listeners,
+            metric_listen: metric_listen.map(bind_http).transpose()?,
+            metrics,
+            port: Box::new(|_| GatewayPort),
+            seeds_event: Some(GatewayEvent::Seeds),
+            finished: self.finished_fwd(),
+        };
+        Ok(self.spawn(parts))
+    }
+}
--- a/crates/runtime/src/process/mod.rs
+++ b/crates/runtime/src/process/mod.rs
@@ -3,10 +3,14 @@
 mod agent_process;
 mod control_process;
 mod entry_process;
+mod gateway_process;
+mod serving_interface;
+mod settings_watch;
 
 use std::fs;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -16,18 +20,20 @@
 use mulberrywell_role::RoleMachine;
 use mulberrywell_settings::{AgentSettings, InstanceSettings, ServeSettings};
 use mulberrywell_wire::{PeerIdentity, PeerRole};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::{actor, call, ret_shutdown, ActorOwn, Fwd, Stakker, StopCause};
 use stakker_mio::mio::{Events, Poll};
 use stakker_mio::MioPoll;
 
+pub use self::serving_interface::ServingInterface;
+use self::settings_watch::SettingsWatch;
 use crate::link_table::LinkCredentials;
 use crate::metric_output::MetricOutput;
 use crate::role_host::{HostParts, RoleHost, RolePort};
 
 /// Longest wait of the event loop.
-const WAIT_MAX: Duration = Duration::from_secs(60);
+const WAIT_MAX: Duration = Duration::from_secs(1);
 
 /// Shortest cluster secret in bytes.
 const SECRET_MIN: usize = 16;
@@ -36,15 +42,35 @@
 ///
 /// # Errors
 /// Fails when an address, file or folder can't be used.
-pub fn serve(settings: &ServeSettings) -> Result<()> {
+pub fn serve<I: ServingInterface>(
+    path: &str,
+    settings: &ServeSettings,
+    interface: &I,
+) -> Result<()> {
     let mut process = ProcessLoop::open()?;
-    let secret = read_secret(&settings.instance.secret_file)?;
+    let secret = read_secret(settings.instance.secret_file.as_deref())?;
     let metrics = MetricOutput::open(&settings.metrics)?;
+    // One listener serves the metrics of all roles.
+    let mut metric_listen = settings.metrics.listen;
+    let gateway = match &settings.gateway {
+        Some(gateway) => {
+            let credentials = credentials(&settings.instance, PeerRole::Entry, &secret);
+            let listen = metric_listen.take();
+            let metrics = metrics.clone();
+            let instance = &settings.instance;
+            let codec = interface.codec();
+            Some(process.spawn_gateway(instance, gateway, credentials, metrics, listen, codec)?)
+        }
+        None => None,
+    };
     let control = match &settings.control {
         Some(control) => {
             let credentials = credentials(&settings.instance, PeerRole::Control, &secret);
             let metrics = metrics.clone();
-            Some(process.spawn_control(&settings.instance, control, credentials, metrics)?)
+            let listen = metric_listen.take();
+            let instance = &settings.instance;
+            let wrap = |role| interface.control(role);
+            Some(process.spawn_control(instance, control, credentials, metrics, listen, wrap)?)
         }
         None => None,
     };
@@ -56,12 +82,8 @@
         None => None,
     };
     // Callers are served to their end before the control role stops.
-    let stages = [
-        entry.map(|role| role.shutdown),
-        control.map(|role| role.shutdown),
-    ];
-    let stages: Vec<ShutdownCall> = stages.into_iter().flatten().collect();
-    process.run(&stages)
+    let roles: Vec<RunningRole> = [gateway, entry, control].into_iter().flatten().collect();
+    process.run(&roles, Some(SettingsWatch::open(path, settings)))
 }
 
 /// Runs `mulberrywell-agent` until it is told to end.
@@ -70,20 +92,25 @@
 /// Fails when an address or file can't be used.
 pub fn serve_agent(settings: &AgentSettings) -> Result<()> {
     let mut process = ProcessLoop::open()?;
-    let secret = read_secret(&settings.instance.secret_file)?;
+    let secret = read_secret(settings.instance.secret_file.as_deref())?;
     let metrics = MetricOutput::open(&settings.metrics)?;
     let credentials = credentials(&settings.instance, PeerRole::Agent, &secret);
     let role = process.spawn_agent(settings, credentials, metrics)?;
-    process.run(&[role.shutdown])
+    process.run(&[role], None)
 }
 
 /// Begins a role's graceful shutdown; owns its actor.
 type ShutdownCall = Box<dyn Fn()>;
 
+/// Tells a role of new seeds.
+type SeedsCall = Box<dyn Fn(Vec<SocketAddr>)>;
+
 /// A role that runs, for as long as this is kept.
 struct RunningRole {
     /// Begins the role's graceful shutdown.
     shutdown: ShutdownCall,
+    /// Tells the role of new seeds.
+    set_seeds: SeedsCall,
 }
 
 /// The process's stakker thread.
@@ -116,10 +143,16 @@
             <RoleHost<M, P>>::init(parts),
             ret_shutdown!(stakker)
         );
-        let shutdown = Box::new(move || {
-            call!([host], shut_down());
-        });
-        RunningRole { shutdown }
+        let host = Rc::new(host);
+        let seeds_host = host.clone();
+        RunningRole {
+            shutdown: Box::new(move || {
+                call!([host], shut_down());
+            }),
+            set_seeds: Box::new(move |seeds| {
+                call!([seeds_host], set_seeds(seeds));
+            }),
+        }
     }
 
     fn finished_fwd(&self) -> Fwd<()> {
@@ -128,11 +161,11 @@
     }
 
     /// Runs until each stage in turn was shut down.
-    fn run(mut self, stages: &[ShutdownCall]) -> Result<()> {
+    fn run(mut self, roles: &[RunningRole], mut watch: Option<SettingsWatch>) -> Result<()> {
         let asked = Arc::new(AtomicBool::new(false));
         self.watch_signals(asked.clone())?;
-        // The actors live as long as `stages`.
-        let mut left = stages.iter();
+        // The actors live as long as `roles`.
+        let mut left = roles.iter();
         let mut stopping = false;
         let mut idle_pending = self.stakker.run(Instant::now(), false);
         while self.stakker.not_shutdown() {
@@ -142,12 +175,18 @@
             }
             if stopping && self.finished.swap(false, Ordering::Relaxed) {
                 match left.next() {
-                    Some(shutdown) => shutdown(),
+                    Some(role) => (role.shutdown)(),
                     None => return Ok(()),
                 }
                 idle_pending = self.stakker.run(Instant::now(), false);
                 continue;
             }
+            if let Some(seeds) = watch.as_mut().and_then(|watch| watch.check(Instant::now())) {
+                for role in roles {
+                    (role.set_seeds)(seeds.clone());
+                }
+                idle_pending = self.stakker.run(Instant::now(), false);
+            }
             let wait = self
                 .stakker
                 .next_wait_max(Instant::now(), WAIT_MAX, idle_pending);
@@ -162,13 +201,20 @@
 
     fn watch_signals(&mut self, asked: Arc<AtomicBool>) -> Result<()> {
         let waker = self.stakker.waker(|_, _| {});
-        let mut signals = Signals::new([SIGTERM, SIGINT])?;
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         std::thread::Builder::new()
             .name("signals".to_owned())
             .spawn(move || {
-                if signals.forever().next().is_some() {
+                for signal in signals.forever() {
+                    if signal == SIGHUP {
+                        // The settings are read at an interval in any case.
+                        spdlog::info!("process: SIGHUP came; the settings are read again");
+                        waker.wake();
+                        continue;
+                    }
                     asked.store(true, Ordering::Relaxed);
                     waker.wake();
+                    break;
                 }
                 // The waker must outlive the loop.
                 loop {
@@ -204,7 +250,11 @@
     u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
 
-fn read_secret(path: &Path) -> Result<Bytes> {
+/// Reads the cluster secret; it is empty on a trusted network.
+fn read_secret(path: Option<&Path>) -> Result<Bytes> {
+    let Some(path) = path else {
+        return Ok(Bytes::new());
+    };
     let content = fs::read(path)
         .with_context(|| format!("can't read the cluster secret {}", path.display()))?;
     let secret = content.trim_ascii();
--- /dev/null
+++ b/crates/serving/tests/serving.rs
@@ -0,0 +1,142 @@
+//! The verifier, the index and the book of endpoints.
+
+use bytes::Bytes;
+use mulberrywell_serving::{verify_config, EndpointBook, KeyOwner, MergeOutcome, ServingIndex};
+use mulberrywell_wire::serving::{
+    EndpointPhase, EndpointStatus, ServiceShare, ServingAccount, ServingConfig, ServingRoute,
+    ServingService,
+};
+use rstest::rstest;
+
+fn bytes(text: &str) -> Bytes {
+    Bytes::from(text.to_owned())
+}
+
+fn route(name: &str, prefix: &str) -> ServingRoute {
+    ServingRoute {
+        name: bytes(name),
+        host: bytes("h"),
+        path_prefix: bytes(prefix),
+        timeout_ms: 100,
+        shares: vec![ServiceShare {
+            service: bytes("s"),
+            weight: 1,
+        }],
+        ..ServingRoute::default()
+    }
+}
+
+fn config() -> ServingConfig {
+    ServingConfig {
+        version: 3,
+        routes: vec![route("a", "/a/"), route("b", "/a/b/")],
+        services: vec![ServingService {
+            name: bytes("s"),
+            ..ServingService::default()
+        }],
+        accounts: vec![ServingAccount {
+            name: bytes("acc"),
+            keys: vec![bytes("k1")],
+            ..ServingAccount::default()
+        }],
+        ..ServingConfig::default()
+    }
+}
+
+type Change = fn(&mut ServingConfig);
+
+#[rstest]
+#[case::unknown_service(|config: &mut ServingConfig| config.routes[0].shares[0].service = bytes("x"))]
+#[case::same_place(|config: &mut ServingConfig| config.routes[1].path_prefix = bytes("/a/"))]
+#[case::no_weight(|config: &mut ServingConfig| config.routes[0].shares[0].weight = 0)]
+#[case::no_share(|config: &mut ServingConfig| config.routes[0].shares.clear())]
+#[case::no_timeout(|config: &mut ServingConfig| config.routes[0].timeout_ms = 0)]
+#[case::bare_prefix(|config: &mut ServingConfig| config.routes[0].path_prefix = bytes("/a"))]
+#[case::shared_key(|config: &mut ServingConfig| {
+    let mut other = config.accounts[0].clone();
+    other.name = bytes("other");
+    config.accounts.push(other);
+})]
+fn verify_config_faulty(#[case] change: Change) {
+    assert_eq!(verify_config(&config()), Ok(()));
+    let mut faulty = config();
+    change(&mut faulty);
+    assert_eq!(verify_config(&faulty).expect_err("a finding").len(), 1);
+}
+
+#[rstest]
+#[case::short("/a/x", Some("a"))]
+#[case::long("/a/b/x", Some("b"))]
+#[case::query("/a/?q=/a/b/", Some("a"))]
+#[case::no_slash("/ab", None)]
+fn route_longest(#[case] path: &str, #[case] name: Option<&str>) {
+    let mut index = ServingIndex::default();
+    assert!(index.apply(config()));
+    let found = index.route(b"h", path.as_bytes());
+    let found = found.map(|(_, route)| route.name.clone());
+    assert_eq!(found, name.map(bytes));
+    assert!(index.route(b"other", path.as_bytes()).is_none());
+}
+
+#[test]
+fn apply_older_refused() {
+    let mut index = ServingIndex::default();
+    assert!(index.apply(config()));
+    assert!(!index.apply(config()));
+    let mut older = config();
+    older.version = 2;
+    older.routes.clear();
+    assert!(!index.apply(older));
+    assert!(index.route(b"h", b"/a/").is_some());
+}
+
+#[test]
+fn owner_by_key() {
+    let mut index = ServingIndex::default();
+    assert_eq!(index.owner(None), KeyOwner::Open);
+    index.apply(config());
+    assert_eq!(index.owner(None), KeyOwner::Nobody);
+    assert_eq!(index.owner(Some(&bytes("k2"))), KeyOwner::Nobody);
+    let owner = index.owner(Some(&bytes("k1")));
+    assert!(matches!(owner, KeyOwner::Account(account) if account.name == "acc"));
+}
+
+fn status(id: &str, born_ms: u64, sequence: u64, phase: EndpointPhase) -> EndpointStatus {
+    EndpointStatus {
+        id: bytes(id),
+        service: bytes("s"),
+        address: bytes("10.0.0.1:80"),
+        born_ms,
+        sequence,
+        phase: phase.into(),
+        ..EndpointStatus::default()
+    }
+}
+
+#[rstest]
+#[case::newer_sequence(status("a", 5, 3, EndpointPhase::Draining), MergeOutcome::Changed)]
+#[case::nothing_new(status("a", 5, 3, EndpointPhase::Ready), MergeOutcome::Same)]
+#[case::older_sequence(status("a", 5, 1, EndpointPhase::Draining), MergeOutcome::Stale)]
+#[case::older_start(status("a", 4, 9, EndpointPhase::Draining), MergeOutcome::Stale)]
+#[case::restarted(status("a", 6, 1, EndpointPhase::Ready), MergeOutcome::Changed)]
+#[case::other_before(status("b", 4, 9, EndpointPhase::Ready), MergeOutcome::Stale)]
+#[case::other_after(status("b", 6, 1, EndpointPhase::Ready), MergeOutcome::Changed)]
+fn merge_ordered(#[case] word: EndpointStatus, #[case] outcome: MergeOutcome) {
+    let mut book = EndpointBook::default();
+    book.merge(status("a", 5, 2, EndpointPhase::Ready));
+    assert_eq!(book.merge(word), outcome);
+    assert_eq!(book.present().count(), 1);
+}
+
+#[test]
+fn merge_left_stays_gone() {
+    let mut book = EndpointBook::default();
+    book.merge(status("a", 5, 2, EndpointPhase::Ready));
+    book.merge(status("a", 5, 3, EndpointPhase::Gone));
+    let late = status("a", 5, 4, EndpointPhase::Ready);
+    assert_eq!(book.merge(late), MergeOutcome::Stale);
+    assert_eq!(book.present().count(), 0);
+    let restarted = status("a", 6, 1, EndpointPhase::Ready);
+    assert_eq!(book.merge(restarted), MergeOutcome::Changed);
+    assert_eq!(book.present().count(), 1);
+}
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -26,8 +26,8 @@
     pub listen: SocketAddr,
     /// The address that others are told; `listen` when it is not set.
     pub advertise: SocketAddr,
-    /// File that holds the cluster secret.
-    pub secret_file: PathBuf,
+    /// File that holds the cluster secret; none on a trusted network.
+    pub secret_file: Option<PathBuf>,
     /// Link addresses of control instances.
     pub seeds: Vec<SocketAddr>,
 }
@@ -54,17 +54,41 @@
     pub default_output: u64,
 }
 
+/// Settings of the gateway role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Where callers connect.
+    pub caller_listen: SocketAddr,
+    /// Where the balancer asks whether callers are taken.
+    pub ready_listen: SocketAddr,
+    /// Time after the begin of a shutdown for which new callers are taken.
+    pub shutdown_accept: Duration,
+    /// Time after which a shutdown cuts the requests that are left.
+    pub shutdown_limit: Duration,
+    /// Second hand-overs for each hundred requests of a service.
+    pub retry_percent: u32,
+    /// Second hand-overs that may be made beyond that share.
+    pub retry_reserve: u32,
+}
+
 /// Settings of the control role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlSettings {
-    /// Where operators connect.
-    pub operator_listen: SocketAddr,
+    /// Where operators connect; none where only the serving interface is used.
+    pub operator_listen: Option<SocketAddr>,
+    /// Where endpoints and the serving configuration's operator connect.
+    pub serving_listen: Option<SocketAddr>,
     /// Folder of the durable state.
     pub data_folder: PathBuf,
     /// File with the first operator's key, taken in by a new cluster only.
-    pub operator_key_file: PathBuf,
+    pub operator_key_file: Option<PathBuf>,
     /// Starts a new cluster when the data folder is empty.
     pub bootstrap: bool,
+    /// All instances of a new cluster have `bootstrap`; the first seed founds it.
+    pub first_seed_founds: bool,
+    /// Any instance that connects may become a member, and takes the place of
+    /// one that is lost.
+    pub open_membership: bool,
     /// How long an endpoint may be silent before it counts as suspect.
     pub suspect_after: Duration,
     /// How long a suspect endpoint may be silent before it is gone.
@@ -84,7 +108,7 @@
 pub struct LogSettings {
     /// trace, debug, info, warn, error or critical.
     pub level: String,
-    /// File to append to; standard error when it is not set.
+    /// File to append to; standard output when it is not set.
     pub file: Option<PathBuf>,
 }
 
@@ -93,6 +117,8 @@
 pub struct MetricSettings {
     /// Address of a statsd listener; no metrics are sent without it.
     pub statsd: Option<SocketAddr>,
+    /// Where metrics are read as text.
+    pub listen: Option<SocketAddr>,
 }
 
 /// Settings of `mulberrywell serve`.
@@ -102,6 +128,8 @@
     pub instance: InstanceSettings,
     /// Set when the instance has the entry role.
     pub entry: Option<EntrySettings>,
+    /// Set when the instance has the gateway role.
+    pub gateway: Option<GatewaySettings>,
     /// Set when the instance has the control role.
     pub control: Option<ControlSettings>,
     /// Logs.
@@ -175,15 +203,17 @@
             let mut root = TableReader::parse(source, &findings);
             let instance = read_instance(&mut root);
             let entry = root.table("entry").map(read_entry);
+            let gateway = root.table("gateway").map(read_gateway);
             let control = root.table("control").map(read_control);
-            if entry.is_none() && control.is_none() {
-                root.report("one of the tables `entry` and `control` must be there");
+            if entry.is_none() && gateway.is_none() && control.is_none() {
+                root.report("one of the tables `entry`, `gateway` and `control` must be there");
             }
             let (log, metrics) = read_output(&mut root);
             root.end();
             ServeSettings {
                 instance,
                 entry,
+                gateway,
                 control,
                 log,
                 metrics,
@@ -226,8 +256,8 @@
         region: table.required_name("region"),
         listen,
         advertise: table.address("advertise").unwrap_or(listen),
-        secret_file: PathBuf::from(table.required_text("secret_file")),
-        seeds: table.addresses("seeds"),
+        secret_file: read_secret_file(&mut table),
+        seeds: read_seeds(&mut table),
     };
     if settings.seeds.is_empty() {
         table.report("`seeds` needs the address of at least one control instance");
@@ -236,6 +266,38 @@
     settings
 }
 
+fn read_secret_file(table: &mut TableReader<'_>) -> Option<PathBuf> {
+    if table.flag("trusted_network").unwrap_or(false) {
+        return None;
+    }
+    Some(PathBuf::from(table.required_text("secret_file")))
+}
+
+/// Reads the seeds; `seed_port` replaces the port of each.
+fn read_seeds(table: &mut TableReader<'_>) -> Vec<SocketAddr> {
+    let mut seeds = table.addresses("seeds");
+    let port = table.number("seed_port", 1..=65_535);
+    if let Some(port) = port.and_then(|port| u16::try_from(port).ok()) {
+        for seed in &mut seeds {
+            seed.set_port(port);
+        }
+    }
+    seeds
+}
+
+fn read_gateway(mut table: TableReader<'_>) -> GatewaySettings {
+    let settings = GatewaySettings {
+        caller_listen: table.required_address("caller_listen"),
+        ready_listen: table.required_address("ready_listen"),
+        shutdown_accept: table.millis("shutdown_accept_ms", 0..=MINUTE_MS, 2_500),
+        shutdown_limit: table.millis("shutdown_limit_ms", 100..=10 * MINUTE_MS, 7_500),
+        retry_percent: narrow(table.number("retry_percent", 0..=1_000), 20),
+        retry_reserve: narrow(table.number("retry_reserve", 0..=10_000), 6),
+    };
+    table.end();
+    settings
+}
+
 fn read_entry(mut table: TableReader<'_>) -> EntrySettings {
     let settings = EntrySettings {
         caller_listen: table.required_address("caller_listen"),
@@ -252,11 +314,22 @@
 }
 
 fn read_control(mut table: TableReader<'_>) -> ControlSettings {
+    let serving_listen = table.address("serving_listen");
     let settings = ControlSettings {
-        operator_listen: table.required_address("operator_listen"),
+        operator_listen: match serving_listen {
+            Some(_) => table.address("operator_listen"),
+            None => Some(table.required_address("operator_listen")),
+        },
+        serving_listen,
         data_folder: PathBuf::from(table.required_text("data_folder")),
-        operator_key_file: PathBuf::from(table.required_text("operator_key_file")),
+        operator_key_file: match serving_listen {
+            Some(_) => table.text("operator_key_file").map(|(file, _)| file),
+            None => Some(table.required_text("operator_key_file")),
+        }
+        .map(PathBuf::from),
         bootstrap: table.flag("bootstrap").unwrap_or(false),
+        first_seed_founds: table.flag("first_seed_founds").unwrap_or(false),
+        open_membership: table.flag("open_membership").unwrap_or(false),
         suspect_after: table.millis("suspect_after_ms", 100..=MINUTE_MS, 2_000),
         gone_after: table.millis("gone_after_ms", 1_000..=60 * MINUTE_MS, 30_000),
         claim_lifetime: table.millis("claim_lifetime_ms", 1_000..=DAY_MS, DAY_MS),
@@ -327,6 +400,7 @@
     let mut metrics = MetricSettings::default();
     if let Some(mut table) = root.table("metrics") {
         metrics.statsd = table.address("statsd");
+        metrics.listen = table.address("listen");
         table.end();
     }
     (log, metrics)
--- a/crates/wire-codegen/src/main.rs
+++ b/crates/wire-codegen/src/main.rs
@@ -8,7 +8,7 @@
 
 use anyhow::{bail, Context, Result};
 
-const FILES: [&str; 9] = [
+const FILES: [&str; 10] = [
     "link.proto",
     "config.proto",
     "request.proto",
@@ -18,6 +18,7 @@
     "consensus.proto",
     "operate.proto",
     "command.proto",
+    "serving.proto",
 ];
 
 fn main() -> Result<()> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -60,6 +60,10 @@
     /// Commands of the replicated log.
     command, "command"
 );
+generated!(
+    /// The serving configuration and registered endpoints.
+    serving, "serving"
+);
 generated!(
     /// The envelope of all frames.
     link, "link"
