Order models and adapters by what callers ask for

Ruled out: the planner of target sets, whose plan a second and hold of 30 s are slower than the shifts of demand seen (6 s).

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -17,6 +17,7 @@
     ConsensusNode, LogIndex, MemberId, Membership, NodeConfig, NodeInput, NodeOutput, NodeRole,
     PersistBatch, PersistTicket, RecoveredState, SnapshotImage, Term,
 };
+use mulberrywell_policy::OrderAnswer;
 use mulberrywell_role::{
     AnswerPart, HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RequestId, RoleAction,
     RoleEvent, RoleMachine,
@@ -37,6 +38,7 @@
 use crate::member_status::StatusTable;
 use crate::observed_state::ObservedState;
 use crate::operator_calls::OperatorTask;
+use crate::order_desk::{EngineOrder, OrderDesk};
 use crate::peer_links::PeerLinks;
 use crate::placement_task::PlacementTask;
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
@@ -86,6 +88,13 @@
         /// The call.
         call: ServingCall,
     },
+    /// An engine answered an order, or the exchange with it failed.
+    OrderAnswered {
+        /// The order.
+        order: EngineOrder,
+        /// The answer.
+        answer: OrderAnswer,
+    },
     /// Wall clock in milliseconds since the Unix epoch, for the audit trail.
     Clock(u64),
     /// Every batch up to this ticket is synced.
@@ -116,6 +125,10 @@
     Answer(RequestId, AnswerPart),
     /// Answers a [`ControlEvent::Serving`].
     Reply(RequestId, ServingAnswer),
+    /// Sends an order; [`ControlEvent::OrderAnswered`] follows.
+    Order(EngineOrder),
+    /// Gives up waiting for an order's answer.
+    AbandonOrder(EngineOrder),
     /// Writes and syncs a batch; `Persisted` or `DiskFull` follows.
     Persist(PersistBatch),
     /// Saves a snapshot; `SnapshotSaved` or `SnapshotUnsaved` follows.
@@ -157,6 +170,7 @@
     pub(crate) clients: ClientLinks,
     pub(crate) subscribers: SubscriberTable,
     pub(crate) serving: ServingDesk,
+    pub(crate) orders: OrderDesk,
     pub(crate) watch: EndpointWatch,
     pub(crate) observed: ObservedState,
     pub(crate) leases: LeaseDesk,
@@ -233,6 +247,7 @@
             clients: ClientLinks::default(),
             subscribers: SubscriberTable::default(),
             serving: ServingDesk::default(),
+            orders: OrderDesk::default(),
             watch: EndpointWatch::new(now),
             observed: ObservedState::default(),
             leases: LeaseDesk::restore(now, &state),
@@ -381,6 +396,9 @@
         for asker in self.relays.expire(now) {
             self.refuse_asker(asker, actions);
         }
+        if self.orders.deadline().is_some_and(|at| at <= now) {
+            self.give_orders(now, actions);
+        }
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             self.tick(now, actions);
@@ -424,10 +442,12 @@
             RoleEvent::Link(event) => self.take_link(now, event, actions),
             RoleEvent::Timer => self.take_timer(now, actions),
             RoleEvent::Shutdown => self.shut_down(now, actions),
-            RoleEvent::Exchange(event) => self.take_exchange(now, event, actions),
-            // Callers' requests come decoded, as events of the role's own.
-            RoleEvent::Caller(..) => {}
+            // Both come decoded, as events of the role's own.
+            RoleEvent::Exchange(_) | RoleEvent::Caller(..) => {}
             RoleEvent::Own(event) => match event {
+                ControlEvent::OrderAnswered { order, answer } => {
+                    self.take_order_answer(now, &order, answer, actions);
+                }
                 ControlEvent::Serving { request, call } => {
                     self.take_serving(now, request, call, actions);
                 }
@@ -462,6 +482,7 @@
             self.node.deadline(),
             self.peers.deadline(),
             self.relays.deadline(),
+            self.orders.deadline(),
             self.stopping.filter(|_| !self.finished),
             Some(self.next_tick),
         ]
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -229,11 +229,13 @@
             let text = format!("leads in term {term}");
             actions.push(RoleAction::Log(LogLevel::Info, text));
             self.watch.lead(now);
+            self.orders.lead(now);
         }
         if led && !self.is_leader() {
             let text = format!("leads no longer; term {term}");
             actions.push(RoleAction::Log(LogLevel::Info, text));
             self.leases.follow();
+            self.orders.follow();
             self.finish_if_stopping(actions);
         }
     }
--- /dev/null
+++ b/crates/control/src/order_desk.rs
@@ -0,0 +1,409 @@
+//! Orders to engines that control itself reaches.
+//!
+//! Purpose: the leader places models and adapters by what entries ask for and
+//! gives the orders; no other instance does.
+//!
+//! Guarantees: a leader gives no order before the last one of any earlier
+//! leader is [`HOLDER_PAUSE`] ago, nor once a quorum has not confirmed it; its
+//! term is its fencing token; an order that got no answer counts as one that
+//! may still be carried out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_policy::{
+    DemandPlacement, EngineReport, EngineSpec, LoadPacer, ModelSpec, OrderAnswer, OrderNumber,
+    OrderVerb, PacerSettings, PlacementChange, PlacementOrder,
+};
+use mulberrywell_role::{LogLevel, RoleAction};
+use mulberrywell_serving::{EndpointBook, EndpointId};
+use mulberrywell_wire::serving::{
+    EndpointPhase, EndpointStatus, EngineTraits, ServingConfig, ServingDemand,
+};
+use mulberrywell_wire::FrameBody;
+
+use crate::control_role::{send, Actions, ControlAction, ControlRole};
+use crate::state_summary::text;
+
+/// Time between the orders of two leaders: the platform's lease of 3 s and a
+/// margin for an order on its way.
+const HOLDER_PAUSE: Duration = Duration::from_millis(3_400);
+
+/// Interval of plans beside those that a want causes.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Loads of models that may start at once: less than the ceiling's allowance
+/// above its rate.
+const STORE_BURST: u32 = 2;
+
+/// Time after an accepted order until the adapter answers.
+const ADAPTER_LOAD: Duration = Duration::from_millis(12);
+
+/// Time after which an order counts as one without an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Loads of adapters at once.
+const ADAPTERS_MAX: u32 = 24;
+
+/// An order for the interface to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Service that the engine belongs to.
+    pub service: Bytes,
+    /// Address of the engine.
+    pub address: Bytes,
+    /// The order.
+    pub order: PlacementOrder,
+    /// Name of this instance.
+    pub holder: Bytes,
+    /// Fencing token.
+    pub token: u64,
+}
+
+/// Placement of all services of engines.
+#[derive(Debug, Default)]
+pub struct OrderDesk {
+    services: BTreeMap<Bytes, DemandPlacement>,
+    /// From then on this leader may give orders; none while it follows.
+    orders_from: Option<Instant>,
+    next_plan: Option<Instant>,
+    /// Adapters that answer from then on.
+    due: Vec<(Instant, PlacementChange)>,
+    /// Orders that await their answer, by when they were sent.
+    sent: Vec<(Instant, EngineOrder)>,
+}
+
+impl OrderDesk {
+    /// Begins to lead.
+    pub fn lead(&mut self, now: Instant) {
+        self.services.clear();
+        self.due.clear();
+        self.sent.clear();
+        self.orders_from = Some(now + HOLDER_PAUSE);
+        self.next_plan = Some(now + HOLDER_PAUSE);
+    }
+
+    /// Stops leading.
+    pub fn follow(&mut self) {
+        self.orders_from = None;
+        self.next_plan = None;
+        self.due.clear();
+        self.sent.clear();
+    }
+
+    /// Returns when [`OrderDesk::plan`] or [`OrderDesk::take_due`] has something
+    /// to do.
+    pub fn deadline(&self) -> Option<Instant> {
+        let due = self.due.iter().map(|(at, _)| *at);
+        let sent = self.sent.first().map(|(at, _)| *at + ANSWER_TIMEOUT);
+        due.chain(self.next_plan).chain(sent).min()
+    }
+
+    /// Takes in what an entry's requests asked for.
+    pub fn take_demand(&mut self, now: Instant, demand: &ServingDemand) {
+        if self.orders_from.is_none() {
+            return;
+        }
+        for share in &demand.shares {
+            let placement = self.placement(now, &share.service);
+            placement.note_use(now, &share.model, &share.adapter, share.requests);
+        }
+        for want in &demand.wanted {
+            let placement = self.placement(now, &want.service);
+            placement.want(now, want.model.clone(), want.adapter.clone());
+        }
+        if !demand.wanted.is_empty() {
+            self.next_plan = self.orders_from.map(|from| from.max(now));
+        }
+    }
+
+    fn placement(&mut self, now: Instant, service: &Bytes) -> &mut DemandPlacement {
+        self.services.entry(service.clone()).or_insert_with(|| {
+            let pacer = PacerSettings::default();
+            DemandPlacement::new(LoadPacer::new(pacer, now))
+        })
+    }
+
+    /// Returns the orders that are due.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        config: &ServingConfig,
+        book: &EndpointBook,
+    ) -> Vec<(Bytes, PlacementOrder)> {
+        if self.next_plan.is_none_or(|at| at > now) {
+            return Vec::new();
+        }
+        self.next_plan = Some(now + PLAN_INTERVAL);
+        let mut orders = Vec::new();
+        for service in &config.services {
+            let Some(traits) = &service.engine else {
+                continue;
+            };
+            let placement = self
+                .services
+                .entry(service.name.clone())
+                .or_insert_with(|| {
+                    let pacer = LoadPacer::new(pacer_settings(traits), now);
+                    DemandPlacement::new(pacer)
+                });
+            placement.set_spec(engine_spec(traits));
+            observe(now, placement, &service.name, book);
+            let planned = placement.plan(now).into_iter();
+            orders.extend(planned.map(|order| (service.name.clone(), order)));
+        }
+        orders
+    }
+
+    /// Takes in an answer; returns what it changes for callers now.
+    pub fn answer(
+        &mut self,
+        now: Instant,
+        service: &Bytes,
+        endpoint: &EndpointId,
+        number: OrderNumber,
+        answer: OrderAnswer,
+    ) -> Option<PlacementChange> {
+        let placement = self.services.get_mut(service)?;
+        let change = placement.answer(now, endpoint, number, answer)?;
+        // An order that made room is followed by what the room is for.
+        self.next_plan = self.next_plan.map(|_| now);
+        let is_loading = change.is_held && answer == OrderAnswer::Accepted;
+        if is_loading && !change.adapter.is_empty() {
+            self.due.push((now + ADAPTER_LOAD, change));
+            return None;
+        }
+        Some(change)
+    }
+
+    /// Takes an order that was answered; none when it was given up.
+    fn take_sent(&mut self, order: &EngineOrder) -> Option<EngineOrder> {
+        let place = self.sent.iter().position(|(_, sent)| sent == order)?;
+        Some(self.sent.remove(place).1)
+    }
+
+    /// Takes the orders whose answer has not come in time.
+    fn take_overdue(&mut self, now: Instant) -> Vec<EngineOrder> {
+        let is_overdue = |at: &Instant| *at + ANSWER_TIMEOUT <= now;
+        let overdue = self.sent.iter().filter(|(at, _)| is_overdue(at));
+        let orders = overdue.map(|(_, order)| order.clone()).collect();
+        self.sent.retain(|(at, _)| !is_overdue(at));
+        orders
+    }
+
+    /// Tells whether a service's engine was ordered to unload a model.
+    fn is_leaving(&self, service: &Bytes, endpoint: &EndpointId, model: &Bytes) -> bool {
+        let placement = self.services.get(service);
+        placement.is_some_and(|placement| placement.is_leaving(endpoint, model))
+    }
+
+    /// Takes the adapters that answer by now.
+    pub fn take_due(&mut self, now: Instant) -> Vec<PlacementChange> {
+        let due = self.due.iter().filter(|(at, _)| *at <= now);
+        let changes = due.map(|(_, change)| change.clone()).collect();
+        self.due.retain(|(at, _)| *at > now);
+        changes
+    }
+}
+
+impl ControlRole {
+    /// Takes in an entry's demand, or brings it to the leader.
+    pub(crate) fn take_serving_demand(
+        &mut self,
+        now: Instant,
+        demand: ServingDemand,
+        actions: &mut Actions,
+    ) {
+        if self.is_leader() {
+            self.orders.take_demand(now, &demand);
+            self.give_orders(now, actions);
+        } else if let Some(leader) = self.leader_link() {
+            send(leader, FrameBody::ServingDemand(demand), actions);
+        }
+    }
+
+    /// Gives the orders that are due.
+    pub(crate) fn give_orders(&mut self, now: Instant, actions: &mut Actions) {
+        if !self.is_leader() || self.applied_term != self.term {
+            return;
+        }
+        for change in self.orders.take_due(now) {
+            self.serving.note_change(&change);
+        }
+        for order in self.orders.take_overdue(now) {
+            actions.push(RoleAction::Own(ControlAction::AbandonOrder(order.clone())));
+            self.note_answer(now, &order, OrderAnswer::Unknown, actions);
+        }
+        let put = self.state.serving.as_ref();
+        let Some(config) = put.and_then(|put| put.config.as_ref()) else {
+            return;
+        };
+        let orders = self.orders.plan(now, config, &self.serving.book);
+        let desk = &self.orders;
+        if desk.orders_from.is_some_and(|from| from <= now) {
+            self.serving
+                .reopen(|status, model| !desk.is_leaving(&status.service, &status.id, model));
+        }
+        for (service, order) in orders {
+            self.give_order(now, service, order, actions);
+        }
+    }
+
+    fn give_order(
+        &mut self,
+        now: Instant,
+        service: Bytes,
+        order: PlacementOrder,
+        actions: &mut Actions,
+    ) {
+        let status = self.serving.book.find(&order.endpoint);
+        let address = status.map(|status| status.address.clone());
+        let Some(address) = address else {
+            let refused = OrderAnswer::Refused;
+            self.orders
+                .answer(now, &service, &order.endpoint, order.number, refused);
+            return;
+        };
+        let line = format!("order {} token={} outcome=sent", shown(&order), self.term);
+        actions.push(RoleAction::Log(LogLevel::Info, line));
+        if order.verb == OrderVerb::Unload {
+            // Callers leave before the model does.
+            self.serving.note_change(&PlacementChange {
+                endpoint: order.endpoint.clone(),
+                model: order.model.clone(),
+                adapter: order.adapter.clone(),
+                is_held: false,
+            });
+        }
+        let order = EngineOrder {
+            service,
+            address,
+            order,
+            holder: self.config.instance.clone(),
+            token: self.term,
+        };
+        self.orders.sent.push((now, order.clone()));
+        actions.push(RoleAction::Own(ControlAction::Order(order)));
+    }
+
+    /// Takes in the answer to an order.
+    pub(crate) fn take_order_answer(
+        &mut self,
+        now: Instant,
+        order: &EngineOrder,
+        answer: OrderAnswer,
+        actions: &mut Actions,
+    ) {
+        if self.orders.take_sent(order).is_some() {
+            self.note_answer(now, order, answer, actions);
+            self.give_orders(now, actions);
+        }
+    }
+
+    fn note_answer(
+        &mut self,
+        now: Instant,
+        order: &EngineOrder,
+        answer: OrderAnswer,
+        actions: &mut Actions,
+    ) {
+        let line = format!("order {} outcome={answer:?}", shown(&order.order));
+        actions.push(RoleAction::Log(LogLevel::Info, line));
+        let placed = &order.order;
+        let change =
+            self.orders
+                .answer(now, &order.service, &placed.endpoint, placed.number, answer);
+        if let Some(change) = change {
+            self.serving.note_change(&change);
+        }
+    }
+}
+
+fn shown(order: &PlacementOrder) -> String {
+    format!(
+        "number={} verb={:?} endpoint={} model={} adapter={}",
+        order.number,
+        order.verb,
+        text(&order.endpoint),
+        text(&order.model),
+        text(&order.adapter)
+    )
+}
+
+fn pacer_settings(traits: &EngineTraits) -> PacerSettings {
+    PacerSettings {
+        store_loads_per_minute: traits.store_loads_milli * 60 / 1_000,
+        store_parallel: STORE_BURST,
+        adapter_parallel: ADAPTERS_MAX,
+    }
+}
+
+fn engine_spec(traits: &EngineTraits) -> EngineSpec {
+    let models = traits.models.iter().map(|model| ModelSpec {
+        name: model.name.clone(),
+        weight_mb: model.weight_mb,
+        adapter_mb: model.adapter_mb,
+        load_time: Duration::from_millis(model.store_load_ms),
+    });
+    EngineSpec {
+        memory_mb: traits.memory_mb,
+        adapter_places: usize::try_from(traits.adapter_places).unwrap_or(0),
+        models: models.collect(),
+    }
+}
+
+/// Tells a placement what the engines of its service hold.
+fn observe(now: Instant, placement: &mut DemandPlacement, service: &Bytes, book: &EndpointBook) {
+    let present = book.present().filter(|status| status.service == *service);
+    let mut ids = BTreeSet::new();
+    for status in present {
+        ids.insert(status.id.clone());
+        placement.observe(now, &status.id, engine_report(status));
+    }
+    placement.retain(&ids);
+}
+
+fn engine_report(status: &EndpointStatus) -> EngineReport {
+    let models = status.models.iter().map(|held| {
+        let adapters = held.adapters.iter().cloned().collect();
+        (held.name.clone(), adapters)
+    });
+    EngineReport {
+        incarnation: status.born_ms,
+        is_usable: status.phase() == EndpointPhase::Ready && !status.silent,
+        models: models.collect(),
+    }
+}
+
+/// Notes a change in what an endpoint is known to hold; tells whether it is one.
+///
+/// The endpoint itself says which models it holds; only whether they get
+/// requests is noted here.
+pub(crate) fn apply_change(status: &mut EndpointStatus, change: &PlacementChange) -> bool {
+    if change.adapter.is_empty() {
+        return apply_closing(&mut status.closing, change);
+    }
+    let mut models = status.models.iter_mut();
+    let Some(held) = models.find(|held| held.name == change.model) else {
+        return false;
+    };
+    set_listed(&mut held.adapters, &change.adapter, change.is_held)
+}
+
+fn apply_closing(closing: &mut Vec<Bytes>, change: &PlacementChange) -> bool {
+    set_listed(closing, &change.model, !change.is_held)
+}
+
+/// Puts a name into a list or takes it out; tells whether that changed it.
+fn set_listed(names: &mut Vec<Bytes>, name: &Bytes, is_listed: bool) -> bool {
+    let place = names.iter().position(|known| known == name);
+    match (place, is_listed) {
+        (None, true) => names.push(name.clone()),
+        (Some(place), false) => {
+            names.remove(place);
+        }
+        _ => return false,
+    }
+    true
+}
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -225,21 +225,3 @@
         status.models.len(),
     )
 }
-
-impl ControlRole {
-    pub(crate) fn take_serving_demand(
-        &mut self,
-        _now: Instant,
-        _demand: mulberrywell_wire::serving::ServingDemand,
-        _actions: &mut Actions,
-    ) {
-    }
-
-    pub(crate) fn take_exchange(
-        &mut self,
-        _now: Instant,
-        _event: mulberrywell_role::ExchangeEvent,
-        _actions: &mut Actions,
-    ) {
-    }
-}
--- a/crates/control/src/serving_desk.rs
+++ b/crates/control/src/serving_desk.rs
@@ -11,12 +11,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use mulberrywell_policy::PlacementChange;
 use mulberrywell_role::{LinkCommand, LinkId};
 use mulberrywell_serving::{EndpointBook, EndpointId, MergeOutcome};
 use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus, ServingAttach, ServingUpdate};
 use mulberrywell_wire::FrameBody;
 
 use crate::cluster_state::ClusterState;
+use crate::order_desk::apply_change;
 
 /// Silence after which an endpoint counts as silent: three heartbeats of the
 /// platform's usual 1.2 s and a margin for late ones.
@@ -72,9 +74,46 @@
         self.new_peers.insert(link);
     }
 
+    /// Notes what an order changed at an endpoint.
+    pub fn note_change(&mut self, change: &PlacementChange) {
+        let Some(status) = self.book.find_mut(&change.endpoint) else {
+            return;
+        };
+        if apply_change(status, change) {
+            self.changed.insert(change.endpoint.clone());
+            self.own_changed.insert(change.endpoint.clone());
+        }
+    }
+
+    /// Lets models take requests again that are not to be unloaded after all.
+    pub fn reopen(&mut self, stays: impl Fn(&EndpointStatus, &Bytes) -> bool) {
+        let closing = self.book.present().flat_map(|status| {
+            let models = status.closing.iter();
+            models.map(move |model| (status, model))
+        });
+        let stay = closing.filter(|(status, model)| stays(status, model));
+        let changes: Vec<PlacementChange> = stay
+            .map(|(status, model)| PlacementChange {
+                endpoint: status.id.clone(),
+                model: model.clone(),
+                adapter: Bytes::new(),
+                is_held: true,
+            })
+            .collect();
+        for change in changes {
+            self.note_change(&change);
+        }
+    }
+
     /// Takes in an endpoint's own word.
-    pub fn hear(&mut self, now: Instant, status: EndpointStatus) -> MergeOutcome {
+    pub fn hear(&mut self, now: Instant, mut status: EndpointStatus) -> MergeOutcome {
         let id = status.id.clone();
+        if let Some(known) = self.book.find(&id) {
+            if known.born_ms == status.born_ms {
+                let held = |model: &&Bytes| status.models.iter().any(|it| it.name == **model);
+                status.closing = known.closing.iter().filter(held).cloned().collect();
+            }
+        }
         let is_gone = status.phase() == EndpointPhase::Gone;
         let outcome = self.book.merge(status);
         if outcome == MergeOutcome::Stale {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -114,6 +114,9 @@
         let until = call.deadline.min(now + wait);
         let account = call.account.clone().filter(|_| has_rate);
         let units = call.units;
+        if let Some(model) = &call.terms.model {
+            self.wanted.count(call.service.clone(), model.clone());
+        }
         self.budgets
             .entry(call.service.clone())
             .or_insert_with(|| self.config.retry_budget.clone())
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -146,6 +146,9 @@
 }
 
 fn holds(status: &EndpointStatus, model: &ModelTerms) -> bool {
+    if status.closing.contains(&model.model) {
+        return false;
+    }
     let mut models = status.models.iter();
     let held = models.find(|held| held.name == model.model);
     held.is_some_and(|held| model.adapter.is_empty() || held.adapters.contains(&model.adapter))
--- /dev/null
+++ b/crates/policy/src/demand_placement.rs
@@ -0,0 +1,641 @@
+//! Models and adapters of engines that are ordered one by one.
+//!
+//! Purpose: the control leader keeps one [`DemandPlacement`] for each service of
+//! engines, tells it what engines hold and what callers ask for, and sends the
+//! orders that [`DemandPlacement::plan`] returns.
+//!
+//! Guarantees: the memory and the adapter places that an engine holds, that it
+//! is ordered to load and that an order without an answer may still take never
+//! exceed what it has; an engine has one order for a model at a time; a model
+//! leaves its last engine only for one that is asked for while it is not.
+//!
+//! Algorithm: a model's pressure is its demand by replica. What callers wait
+//! for is loaded first; then the model under the highest pressure takes the
+//! place of the one whose pressure would be lowest without it, if the ratio of
+//! both exceeds [`GAIN_MIN`]. An adapter takes the place of the one that was
+//! used longest ago.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::load_pacer::LoadPacer;
+use crate::placement_types::{EndpointName, ModelName};
+
+/// Pressure of the newcomer over that of the one that goes.
+const GAIN_MIN: f64 = 2.0;
+
+/// Requests a second by replica below which a model needs no further one.
+const PRESSURE_MIN: f64 = 1.0;
+
+/// Pressure of a model that no engine holds and nobody asked for: above
+/// nothing, so that it is loaded where there is room.
+const UNHELD_PRESSURE: f64 = 0.01;
+
+/// Time constant of the demand average.
+const DEMAND_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a want counts after callers last told of it.
+const WANT_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Time for which a new replica stays, so that two models don't swap.
+const HOLD_TIME: Duration = Duration::from_secs(4);
+
+/// Time without use after which an adapter may make room.
+const ADAPTER_IDLE: Duration = Duration::from_millis(1_200);
+
+/// Longest time after which an order without an answer is still carried out.
+const ORDER_LIFETIME: Duration = Duration::from_millis(12_500);
+
+/// Time after which an accepted order counts as settled by what the engine
+/// says, two of its heartbeats and a margin.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Times its usual length after which a load counts as failed.
+const LOAD_PATIENCE: u32 = 4;
+
+/// Names an order within one run of a leader.
+pub type OrderNumber = u64;
+
+/// A model of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelSpec {
+    /// Name.
+    pub name: ModelName,
+    /// Accelerator memory in MB.
+    pub weight_mb: u64,
+    /// Accelerator memory of each adapter in MB.
+    pub adapter_mb: u64,
+    /// Load from the weight store.
+    pub load_time: Duration,
+}
+
+/// Engines of a service, which are all alike.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Accelerator memory for models and adapters in MB.
+    pub memory_mb: u64,
+    /// Adapters at the same time.
+    pub adapter_places: usize,
+    /// All models.
+    pub models: Vec<ModelSpec>,
+}
+
+/// What an engine says that it holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Start of the engine.
+    pub incarnation: u64,
+    /// Takes requests and is heard of.
+    pub is_usable: bool,
+    /// Adapters by model.
+    pub models: BTreeMap<ModelName, BTreeSet<ModelName>>,
+}
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderVerb {
+    /// Loads.
+    Load,
+    /// Unloads.
+    Unload,
+}
+
+/// One order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacementOrder {
+    /// Its number.
+    pub number: OrderNumber,
+    /// Engine.
+    pub endpoint: EndpointName,
+    /// Start of the engine that the order is for.
+    pub incarnation: u64,
+    /// What it does.
+    pub verb: OrderVerb,
+    /// Model.
+    pub model: ModelName,
+    /// Adapter of the model; empty for the model itself.
+    pub adapter: ModelName,
+}
+
+/// How an order was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds.
+    Done,
+    /// It was refused and is never carried out.
+    Refused,
+    /// No answer came; it may be carried out much later.
+    Unknown,
+}
+
+/// What an answered order changes for callers at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacementChange {
+    /// Engine.
+    pub endpoint: EndpointName,
+    /// Model.
+    pub model: ModelName,
+    /// Adapter; empty for the model itself.
+    pub adapter: ModelName,
+    /// Held from now on, or no longer.
+    pub is_held: bool,
+}
+
+#[derive(Debug, Clone)]
+struct OpenOrder {
+    order: PlacementOrder,
+    answer: Option<OrderAnswer>,
+    /// When it stops counting whatever was heard.
+    until: Instant,
+}
+
+#[derive(Debug, Clone, Default)]
+struct EngineState {
+    report: EngineReport,
+    /// When each model came to be held.
+    since: BTreeMap<ModelName, Instant>,
+    open: Vec<OpenOrder>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct DemandRate {
+    /// Requests a second.
+    rate: f64,
+    noted: Instant,
+}
+
+/// Placement of one service's models.
+#[derive(Debug)]
+pub struct DemandPlacement {
+    spec: EngineSpec,
+    engines: BTreeMap<EndpointName, EngineState>,
+    demand: BTreeMap<ModelName, DemandRate>,
+    /// When each adapter was last used, by model and adapter.
+    adapter_use: BTreeMap<(ModelName, ModelName), Instant>,
+    /// When callers last told that they wait.
+    wants: BTreeMap<(ModelName, ModelName), Instant>,
+    pacer: LoadPacer,
+    next_number: OrderNumber,
+}
+
+impl DemandPlacement {
+    /// Creates a placement that knows no engine.
+    pub fn new(pacer: LoadPacer) -> Self {
+        DemandPlacement {
+            spec: EngineSpec::default(),
+            engines: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            adapter_use: BTreeMap::new(),
+            wants: BTreeMap::new(),
+            pacer,
+            next_number: 1,
+        }
+    }
+
+    /// Sets what the engines are.
+    pub fn set_spec(&mut self, spec: EngineSpec) {
+        self.spec = spec;
+    }
+
+    /// Takes in what an engine says.
+    pub fn observe(&mut self, now: Instant, endpoint: &EndpointName, report: EngineReport) {
+        let state = self.engines.entry(endpoint.clone()).or_default();
+        if state.report.incarnation != report.incarnation {
+            *state = EngineState::default();
+        }
+        for model in report.models.keys() {
+            state.since.entry(model.clone()).or_insert(now);
+        }
+        let models = &report.models;
+        state.since.retain(|model, _| models.contains_key(model));
+        state.report = report;
+        let spec = &self.spec;
+        let report = &state.report;
+        state
+            .open
+            .retain(|open| !is_settled(now, open, report, spec));
+    }
+
+    /// Drops engines that are not among these.
+    pub fn retain(&mut self, present: &BTreeSet<EndpointName>) {
+        self.engines
+            .retain(|endpoint, _| present.contains(endpoint));
+    }
+
+    /// Notes that callers wait for a model or an adapter.
+    pub fn want(&mut self, now: Instant, model: ModelName, adapter: ModelName) {
+        self.wants.insert((model, adapter), now);
+    }
+
+    /// Notes requests that callers made.
+    pub fn note_use(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        adapter: &ModelName,
+        requests: u64,
+    ) {
+        if !adapter.is_empty() {
+            let key = (model.clone(), adapter.clone());
+            self.adapter_use.insert(key, now);
+        }
+        let demand = self.demand.entry(model.clone()).or_insert(DemandRate {
+            rate: 0.0,
+            noted: now,
+        });
+        demand.rate = rate_at(*demand, now) + requests as f64 / DEMAND_TIME.as_secs_f64();
+        demand.noted = now;
+    }
+
+    /// Returns the orders that are due now.
+    pub fn plan(&mut self, now: Instant) -> Vec<PlacementOrder> {
+        self.wants
+            .retain(|_, told| now.saturating_duration_since(*told) < WANT_LIFETIME);
+        let loading = self.open_loads();
+        self.pacer.begin(now, loading, 0);
+        let mut orders = Vec::new();
+        let wants: Vec<(ModelName, ModelName)> = self.wants.keys().cloned().collect();
+        for (model, adapter) in wants {
+            if self.replicas(&model) == 0 {
+                self.add_replica(now, &model, f64::MAX, &mut orders);
+            } else if !adapter.is_empty() && !self.holds_adapter(&model, &adapter) {
+                self.add_adapter(now, &model, &adapter, &mut orders);
+            }
+        }
+        self.relieve(now, &mut orders);
+        orders
+    }
+
+    /// Takes in an answer; returns what it changes for callers.
+    pub fn answer(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointName,
+        number: OrderNumber,
+        answer: OrderAnswer,
+    ) -> Option<PlacementChange> {
+        let state = self.engines.get_mut(endpoint)?;
+        let place = state
+            .open
+            .iter()
+            .position(|open| open.order.number == number)?;
+        let order = state.open[place].order.clone();
+        match answer {
+            OrderAnswer::Refused => {
+                state.open.remove(place);
+                let stays = order.verb == OrderVerb::Unload;
+                return stays.then(|| PlacementChange {
+                    endpoint: endpoint.clone(),
+                    model: order.model,
+                    adapter: order.adapter,
+                    is_held: true,
+                });
+            }
+            OrderAnswer::Unknown => {
+                state.open[place].answer = Some(answer);
+                state.open[place].until = now + ORDER_LIFETIME;
+                return None;
+            }
+            OrderAnswer::Accepted if order.adapter.is_empty() => {
+                state.open[place].answer = Some(answer);
+                return None;
+            }
+            OrderAnswer::Accepted if order.verb == OrderVerb::Unload => {
+                state.open[place].answer = Some(answer);
+                state.open[place].until = now + SETTLE_TIME;
+            }
+            OrderAnswer::Accepted | OrderAnswer::Done => {
+                state.open.remove(place);
+                state.note_held(&order, now);
+            }
+        }
+        Some(PlacementChange {
+            endpoint: endpoint.clone(),
+            is_held: order.verb == OrderVerb::Load,
+            model: order.model,
+            adapter: order.adapter,
+        })
+    }
+
+    /// Tells whether an engine was ordered to unload a model.
+    pub fn is_leaving(&self, endpoint: &EndpointName, model: &ModelName) -> bool {
+        let state = self.engines.get(endpoint);
+        state.is_some_and(|state| state.is_leaving(model))
+    }
+
+    fn open_loads(&self) -> u32 {
+        let open = self.engines.values().flat_map(|state| &state.open);
+        let loads =
+            open.filter(|open| open.order.verb == OrderVerb::Load && open.order.adapter.is_empty());
+        u32::try_from(loads.count()).unwrap_or(u32::MAX)
+    }
+
+    fn spec_of(&self, model: &ModelName) -> Option<&ModelSpec> {
+        self.spec.models.iter().find(|spec| spec.name == *model)
+    }
+
+    /// Counts usable engines that hold the model or are to load it.
+    fn replicas(&self, model: &ModelName) -> usize {
+        let engines = self.engines.values();
+        engines
+            .filter(|state| state.report.is_usable && state.will_hold(model))
+            .count()
+    }
+
+    fn holds_adapter(&self, model: &ModelName, adapter: &ModelName) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|state| state.report.is_usable && state.will_hold_adapter(model, adapter))
+    }
+
+    fn pressure(&self, now: Instant, model: &ModelName, replicas: usize) -> f64 {
+        let rate = self.demand.get(model).map_or(0.0, |it| rate_at(*it, now));
+        match replicas {
+            0 => rate.max(UNHELD_PRESSURE) * 1_000.0,
+            count => rate / count as f64,
+        }
+    }
+
+    /// Gives the model under the highest pressure one more replica.
+    fn relieve(&mut self, now: Instant, orders: &mut Vec<PlacementOrder>) {
+        let pressures = self.spec.models.iter().map(|spec| {
+            let replicas = self.replicas(&spec.name);
+            (self.pressure(now, &spec.name, replicas), spec.name.clone())
+        });
+        let mut pressures: Vec<(f64, ModelName)> = pressures.collect();
+        pressures.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (pressure, model) in pressures.into_iter().take(2) {
+            if pressure >= PRESSURE_MIN {
+                self.add_replica(now, &model, pressure, orders);
+            }
+        }
+    }
+
+    /// Orders what brings a model to one more engine.
+    fn add_replica(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        pressure: f64,
+        orders: &mut Vec<PlacementOrder>,
+    ) {
+        let Some(weight) = self.spec_of(model).map(|spec| spec.weight_mb) else {
+            return;
+        };
+        let mut best: Option<(f64, EndpointName, Option<ModelName>)> = None;
+        for (endpoint, state) in &self.engines {
+            if !state.report.is_usable || state.will_hold(model) || state.has_model_order() {
+                continue;
+            }
+            let (value, victim) = if self.free_mb(state) >= weight {
+                (-1.0, None)
+            } else {
+                let Some((value, victim)) = self.victim(now, state) else {
+                    continue;
+                };
+                (value, Some(victim))
+            };
+            if best.as_ref().is_none_or(|(least, ..)| value < *least) {
+                best = Some((value, endpoint.clone(), victim));
+            }
+        }
+        let Some((value, endpoint, victim)) = best else {
+            return;
+        };
+        if pressure < value * GAIN_MIN {
+            return;
+        }
+        match victim {
+            Some(victim) => {
+                let order = self.order(&endpoint, OrderVerb::Unload, &victim, &ModelName::new());
+                self.open_order(now, order, orders);
+            }
+            None if self.pacer.take_permit(false) => {
+                let order = self.order(&endpoint, OrderVerb::Load, model, &ModelName::new());
+                self.open_order(now, order, orders);
+            }
+            None => {}
+        }
+    }
+
+    /// Returns the model of an engine that is missed least, with its pressure
+    /// once it has left.
+    fn victim(&self, now: Instant, state: &EngineState) -> Option<(f64, ModelName)> {
+        let old = state
+            .since
+            .iter()
+            .filter(|(_, since)| now.saturating_duration_since(**since) >= HOLD_TIME);
+        let values = old.map(|(model, _)| {
+            let left = self.replicas(model).saturating_sub(1);
+            (self.pressure(now, model, left), model.clone())
+        });
+        values.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    fn free_mb(&self, state: &EngineState) -> u64 {
+        let weight = |model: &ModelName| self.spec_of(model).map_or(0, |spec| spec.weight_mb);
+        let adapter = |model: &ModelName| self.spec_of(model).map_or(0, |spec| spec.adapter_mb);
+        let held = state.report.models.iter();
+        let held: u64 = held
+            .map(|(model, adapters)| weight(model) + adapters.len() as u64 * adapter(model))
+            .sum();
+        let loads = state.loads().map(|order| {
+            if order.adapter.is_empty() {
+                weight(&order.model)
+            } else {
+                adapter(&order.model)
+            }
+        });
+        self.spec
+            .memory_mb
+            .saturating_sub(held + loads.sum::<u64>())
+    }
+
+    /// Orders what brings an adapter to one engine.
+    fn add_adapter(
+        &mut self,
+        now: Instant,
+        model: &ModelName,
+        adapter: &ModelName,
+        orders: &mut Vec<PlacementOrder>,
+    ) {
+        let Some(size) = self.spec_of(model).map(|spec| spec.adapter_mb) else {
+            return;
+        };
+        let holders = self.engines.iter().filter(|(_, state)| {
+            let held = state.report.models.contains_key(model);
+            state.report.is_usable && held && !state.is_leaving(model)
+        });
+        let roomy = holders.clone().filter(|(_, state)| {
+            state.adapter_count() < self.spec.adapter_places && self.free_mb(state) >= size
+        });
+        if let Some((endpoint, _)) = roomy.min_by_key(|(_, state)| state.adapter_count()) {
+            let order = self.order(&endpoint.clone(), OrderVerb::Load, model, adapter);
+            self.open_order(now, order, orders);
+            return;
+        }
+        let mut oldest: Option<(Option<Instant>, EndpointName, (ModelName, ModelName))> = None;
+        for (endpoint, state) in holders {
+            if state.has_adapter_unload() {
+                return;
+            }
+            for key in state.adapters() {
+                let used = self.adapter_use.get(&key).copied();
+                let idle = used.is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
+                if idle && oldest.as_ref().is_none_or(|(least, ..)| used < *least) {
+                    oldest = Some((used, endpoint.clone(), key));
+                }
+            }
+        }
+        if let Some((_, endpoint, (base, name))) = oldest {
+            let order = self.order(&endpoint, OrderVerb::Unload, &base, &name);
+            self.open_order(now, order, orders);
+        }
+    }
+
+    fn order(
+        &mut self,
+        endpoint: &EndpointName,
+        verb: OrderVerb,
+        model: &ModelName,
+        adapter: &ModelName,
+    ) -> PlacementOrder {
+        let number = self.next_number;
+        self.next_number += 1;
+        let state = self.engines.get(endpoint);
+        PlacementOrder {
+            number,
+            endpoint: endpoint.clone(),
+            incarnation: state.map_or(0, |state| state.report.incarnation),
+            verb,
+            model: model.clone(),
+            adapter: adapter.clone(),
+        }
+    }
+
+    fn open_order(
+        &mut self,
+        now: Instant,
+        order: PlacementOrder,
+        orders: &mut Vec<PlacementOrder>,
+    ) {
+        if let Some(state) = self.engines.get_mut(&order.endpoint) {
+            state.open.push(OpenOrder {
+                order: order.clone(),
+                answer: None,
+                until: now + ORDER_LIFETIME,
+            });
+            orders.push(order);
+        }
+    }
+}
+
+impl EngineState {
+    fn loads(&self) -> impl Iterator<Item = &PlacementOrder> {
+        let open = self.open.iter().map(|open| &open.order);
+        open.filter(|order| order.verb == OrderVerb::Load)
+    }
+
+    fn unloads(&self) -> impl Iterator<Item = &PlacementOrder> {
+        let open = self.open.iter().map(|open| &open.order);
+        open.filter(|order| order.verb == OrderVerb::Unload)
+    }
+
+    fn is_leaving(&self, model: &ModelName) -> bool {
+        self.unloads()
+            .any(|order| order.model == *model && order.adapter.is_empty())
+    }
+
+    fn will_hold(&self, model: &ModelName) -> bool {
+        let held = self.report.models.contains_key(model) && !self.is_leaving(model);
+        let mut loads = self.loads();
+        held || loads.any(|order| order.model == *model && order.adapter.is_empty())
+    }
+
+    fn will_hold_adapter(&self, model: &ModelName, adapter: &ModelName) -> bool {
+        let held = self.report.models.get(model);
+        let held = held.is_some_and(|adapters| adapters.contains(adapter));
+        let named = |order: &&PlacementOrder| order.model == *model && order.adapter == *adapter;
+        (held && self.unloads().find(named).is_none()) || self.loads().find(named).is_some()
+    }
+
+    fn has_model_order(&self) -> bool {
+        self.open.iter().any(|open| open.order.adapter.is_empty())
+    }
+
+    fn has_adapter_unload(&self) -> bool {
+        self.unloads().any(|order| !order.adapter.is_empty())
+    }
+
+    fn adapters(&self) -> Vec<(ModelName, ModelName)> {
+        let held = self.report.models.iter();
+        let held = held.flat_map(|(model, adapters)| {
+            let names = adapters.iter();
+            names.map(|name| (model.clone(), name.clone()))
+        });
+        held.collect()
+    }
+
+    /// Counts the places that adapters take or may take.
+    fn adapter_count(&self) -> usize {
+        let held: usize = self.report.models.values().map(BTreeSet::len).sum();
+        let loads = self.loads().filter(|order| !order.adapter.is_empty());
+        // An adapter that is to go is no longer told to callers, so the report
+        // may lack it while it has its place.
+        let leaving = self.unloads().filter(|order| {
+            let listed = self.report.models.get(&order.model);
+            let listed = listed.is_some_and(|names| names.contains(&order.adapter));
+            !order.adapter.is_empty() && !listed
+        });
+        held + loads.count() + leaving.count()
+    }
+
+    fn note_held(&mut self, order: &PlacementOrder, now: Instant) {
+        let models = &mut self.report.models;
+        match (order.verb, order.adapter.is_empty()) {
+            (OrderVerb::Load, true) => {
+                models.entry(order.model.clone()).or_default();
+                self.since.insert(order.model.clone(), now);
+            }
+            (OrderVerb::Load, false) => {
+                let adapters = models.entry(order.model.clone()).or_default();
+                adapters.insert(order.adapter.clone());
+            }
+            (OrderVerb::Unload, true) => {
+                models.remove(&order.model);
+                self.since.remove(&order.model);
+            }
+            (OrderVerb::Unload, false) => {
+                if let Some(adapters) = models.get_mut(&order.model) {
+                    adapters.remove(&order.adapter);
+                }
+            }
+        }
+    }
+}
+
+/// Tells whether an order no longer counts beside what the engine says.
+fn is_settled(now: Instant, open: &OpenOrder, report: &EngineReport, spec: &EngineSpec) -> bool {
+    let order = &open.order;
+    let held = report.models.get(&order.model);
+    let is_held = match order.adapter.is_empty() {
+        true => held.is_some(),
+        false => held.is_some_and(|adapters| adapters.contains(&order.adapter)),
+    };
+    if open.answer != Some(OrderAnswer::Accepted) {
+        return open.until <= now;
+    }
+    if !order.adapter.is_empty() {
+        return open.until <= now;
+    }
+    let wanted = order.verb == OrderVerb::Load;
+    let load_time = spec.models.iter().find(|it| it.name == order.model);
+    let load_time = load_time.map_or(ORDER_LIFETIME, |it| it.load_time * LOAD_PATIENCE);
+    is_held == wanted || open.until + load_time <= now
+}
+
+fn rate_at(demand: DemandRate, now: Instant) -> f64 {
+    let elapsed = now.saturating_duration_since(demand.noted).as_secs_f64();
+    demand.rate * (-elapsed / DEMAND_TIME.as_secs_f64()).exp()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! instants and seeds are arguments, so that equal calls give equal results.
 
 mod demand_estimate;
+mod demand_placement;
 mod endpoint_choice;
 mod engine_choice;
 mod fair_queue;
@@ -17,6 +18,10 @@
 mod stable_hash;
 
 pub use demand_estimate::{DemandEstimator, DemandSettings};
+pub use demand_placement::{
+    DemandPlacement, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderNumber, OrderVerb,
+    PlacementChange, PlacementOrder,
+};
 pub use endpoint_choice::{
     ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
 };
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -48,7 +48,9 @@
                 Ok(())
             }
             // The interface before the role has encoded it already.
-            ControlAction::Reply(..) => Ok(()),
+            ControlAction::Reply(..) | ControlAction::Order(_) | ControlAction::AbandonOrder(_) => {
+                Ok(())
+            }
             ControlAction::Persist(batch) => self.log.persist(batch),
             ControlAction::SaveSnapshot(image) => self.log.save(image),
         };
