--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -9,7 +9,7 @@
 //! at once. The inputs of the log's node are queued and carried out before
 //! `handle` returns, so that a call leaves nothing half done.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -176,6 +176,8 @@
     pub(crate) leases: LeaseDesk,
     pub(crate) placement: PlacementTask,
     pub(crate) members: MemberDriver,
+    /// Since when members have had no link to this leader.
+    pub(crate) absent: BTreeMap<MemberId, Instant>,
     pub(crate) status: StatusTable,
     /// Set while this instance may still found a cluster.
     pub(crate) founding: bool,
@@ -254,6 +256,7 @@
             placement,
             state,
             members,
+            absent: BTreeMap::new(),
             status: StatusTable::new(now),
             founding,
             last_tick: now,
--- a/crates/control/src/log_outputs.rs
+++ b/crates/control/src/log_outputs.rs
@@ -230,6 +230,7 @@
             actions.push(RoleAction::Log(LogLevel::Info, text));
             self.watch.lead(now);
             self.orders.lead(now);
+            self.absent.clear();
         }
         if led && !self.is_leader() {
             let text = format!("leads no longer; term {term}");
--- a/crates/control/src/member_driver.rs
+++ b/crates/control/src/member_driver.rs
@@ -5,10 +5,13 @@
 //! address of a seed or whose name is known, becomes a learner, gets a snapshot and the
 //! log's tail, and votes once it has caught up. An instance that lost its disk
 //! comes back under its name with a new identity: the old identity is removed
-//! once it is no longer connected. A copy is made first and counts in a quorum
+//! once it is no longer connected. With open membership any instance is
+//! admitted, and where the voters are even in number one that has been lost for
+//! [`LOST_AFTER`] is removed: a quorum of the others is no larger without it. A copy is made first and counts in a quorum
 //! later (Ongaro, section 4.2.1).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use bytes::Bytes;
 use mulberrywell_chart::{ChartSymbol, StateChart};
@@ -20,6 +23,10 @@
 use crate::cluster_state::ClusterState;
 use crate::peer_links::{PeerInfo, PeerLinks};
 
+/// Time without a link after which a member counts as lost: longer than a
+/// restart takes.
+pub const LOST_AFTER: Duration = Duration::from_millis(2_500);
+
 const CHART_FILE: &str = "charts/member.toml";
 const CHART_TEXT: &str = include_str!("../../../charts/member.toml");
 
@@ -90,6 +97,10 @@
     pub membership: &'a Membership,
     /// Links to other instances.
     pub peers: &'a PeerLinks,
+    /// Members that have been without a link for [`LOST_AFTER`].
+    pub lost: &'a BTreeSet<MemberId>,
+    /// Any instance may become a member.
+    pub is_open: bool,
 }
 
 impl MemberDriver {
@@ -169,7 +180,7 @@
             && connected
                 .values()
                 .any(|info| info.member.name == item.name && is_admitted(view, info));
-        if unwanted || replaced {
+        if unwanted || replaced || is_spare(view, id) {
             return Some(MemberEvent::Removed);
         }
     }
@@ -187,11 +198,23 @@
     }
 }
 
+/// Tells whether a lost member can go without a quorum of the others growing.
+fn is_spare(view: MemberView<'_>, id: MemberId) -> bool {
+    if !view.is_open || !view.lost.contains(&id) {
+        return false;
+    }
+    let voters = view.membership.voters().count();
+    !view.membership.is_voter(id) || voters.is_multiple_of(2)
+}
+
 /// Tells whether an instance may become a member.
 fn is_admitted(view: MemberView<'_>, info: &PeerInfo) -> bool {
     if info.cluster != 0 && info.cluster != view.state.cluster {
         return false;
     }
+    if view.is_open {
+        return true;
+    }
     let name: &Bytes = &info.member.name;
     match view.state.wishes.get(name) {
         Some(wish) => *wish,
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -1,9 +1,10 @@
 //! Frames of other control instances, and the role's regular work.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_consensus::{NodeInput, PeerMessage};
+use mulberrywell_consensus::{MemberId, NodeInput, PeerMessage};
 use mulberrywell_directory::digest_key;
 use mulberrywell_role::{LinkCommand, LinkId, LogLevel, RoleAction};
 use mulberrywell_wire::command::log_command::Body;
@@ -12,7 +13,7 @@
 use mulberrywell_wire::{FrameBody, PeerIdentity, PeerRole};
 
 use crate::control_role::{send, Actions, ControlRole};
-use crate::member_driver::{MemberStep, MemberView};
+use crate::member_driver::{MemberStep, MemberView, LOST_AFTER};
 use crate::proposal_table::ProposalWaiter;
 
 /// Name of the operator whose key the settings give.
@@ -85,7 +86,7 @@
         }
         self.found(actions);
         if self.is_leader() {
-            self.drive_members();
+            self.drive_members(now);
             self.propose_blocks(now);
             self.place(now, actions);
         }
@@ -141,8 +142,29 @@
         self.propose(body, ProposalWaiter::Membership);
     }
 
+    /// Notes since when members have had no link.
+    fn note_absent(&mut self, now: Instant) {
+        let connected = self.peers.connected();
+        let own = self.peers.own().id;
+        let members = self.membership.members.iter().map(|member| member.id);
+        let absent: Vec<_> = members
+            .filter(|id| *id != own && !connected.contains_key(id))
+            .collect();
+        self.absent.retain(|id, _| absent.contains(id));
+        for id in absent {
+            self.absent.entry(id).or_insert(now);
+        }
+    }
+
+    fn lost_members(&self, now: Instant) -> BTreeSet<MemberId> {
+        let absent = self.absent.iter();
+        let lost = absent.filter(|(_, since)| now.saturating_duration_since(**since) >= LOST_AFTER);
+        lost.map(|(id, _)| *id).collect()
+    }
+
     /// Takes the next step towards the wished membership.
-    fn drive_members(&mut self) {
+    fn drive_members(&mut self, now: Instant) {
+        self.note_absent(now);
         if self.state.cluster == 0 || self.proposals.changes_membership() {
             return;
         }
@@ -150,6 +172,8 @@
             state: &self.state,
             membership: &self.membership,
             peers: &self.peers,
+            lost: &self.lost_members(now),
+            is_open: self.config.settings.open_membership,
         });
         for step in steps {
             match step {
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -84,6 +84,8 @@
     pub(crate) entries: u32,
     /// When the shutdown began.
     stopping: Option<Instant>,
+    /// Callers are taken no more.
+    refusing: bool,
     finished: bool,
     next_tick: Instant,
     next_waiting: Instant,
@@ -105,6 +107,7 @@
             wanted: WantedModels::default(),
             entries: ENTRIES_DEFAULT,
             stopping: None,
+            refusing: false,
             finished: false,
             next_tick: now,
             next_waiting: now,
@@ -254,6 +257,10 @@
             return;
         };
         let spent = now.saturating_duration_since(since);
+        if spent >= self.config.shutdown_accept && !self.refusing {
+            self.refusing = true;
+            actions.push(RoleAction::StopCallers(CALLERS));
+        }
         let quiet = spent >= self.config.shutdown_accept && self.calls.is_empty();
         if quiet || spent >= self.config.shutdown_limit {
             self.finished = true;
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -50,6 +50,12 @@
 /// says, two of its heartbeats and a margin.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Pause of orders to an engine that refused one: it is carrying others out.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// Adapters that may be on their way to an engine at the same time.
+const TRANSIT_MAX: usize = 4;
+
 /// Times its usual length after which a load counts as failed.
 const LOAD_PATIENCE: u32 = 4;
 
@@ -157,6 +163,8 @@
     /// When each model came to be held.
     since: BTreeMap<ModelName, Instant>,
     open: Vec<OpenOrder>,
+    /// It refused an order and gets none until then.
+    refused_until: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -285,6 +293,7 @@
         match answer {
             OrderAnswer::Refused => {
                 state.open.remove(place);
+                state.refused_until = Some(now + REFUSED_PAUSE);
                 let stays = order.verb == OrderVerb::Unload;
                 return stays.then(|| PlacementChange {
                     endpoint: endpoint.clone(),
@@ -302,11 +311,11 @@
                 state.open[place].answer = Some(answer);
                 return None;
             }
-            OrderAnswer::Accepted if order.verb == OrderVerb::Unload => {
+            OrderAnswer::Accepted => {
                 state.open[place].answer = Some(answer);
                 state.open[place].until = now + SETTLE_TIME;
             }
-            OrderAnswer::Accepted | OrderAnswer::Done => {
+            OrderAnswer::Done => {
                 state.open.remove(place);
                 state.note_held(&order, now);
             }
@@ -385,7 +394,8 @@
         };
         let mut best: Option<(f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, state) in &self.engines {
-            if !state.report.is_usable || state.will_hold(model) || state.has_model_order() {
+            let takes_orders = state.takes_orders(now) && !state.has_model_order();
+            if !takes_orders || state.will_hold(model) {
                 continue;
             }
             let (value, victim) = if self.free_mb(state) >= weight {
@@ -440,7 +450,8 @@
         let held: u64 = held
             .map(|(model, adapters)| weight(model) + adapters.len() as u64 * adapter(model))
             .sum();
-        let loads = state.loads().map(|order| {
+        let unlisted = |order: &&PlacementOrder| !state.lists(&order.model, &order.adapter);
+        let loads = state.loads().filter(unlisted).map(|order| {
             if order.adapter.is_empty() {
                 weight(&order.model)
             } else {
@@ -465,10 +476,12 @@
         };
         let holders = self.engines.iter().filter(|(_, state)| {
             let held = state.report.models.contains_key(model);
-            state.report.is_usable && held && !state.is_leaving(model)
+            state.takes_orders(now) && held && !state.is_leaving(model)
         });
         let roomy = holders.clone().filter(|(_, state)| {
-            state.adapter_count() < self.spec.adapter_places && self.free_mb(state) >= size
+            state.adapter_count() < self.spec.adapter_places
+                && state.in_transit() < TRANSIT_MAX
+                && self.free_mb(state) >= size
         });
         if let Some((endpoint, _)) = roomy.min_by_key(|(_, state)| state.adapter_count()) {
             let order = self.order(&endpoint.clone(), OrderVerb::Load, model, adapter);
@@ -542,6 +555,12 @@
         open.filter(|order| order.verb == OrderVerb::Unload)
     }
 
+    /// Tells whether the report lists a model, or an adapter of it.
+    fn lists(&self, model: &ModelName, adapter: &ModelName) -> bool {
+        let held = self.report.models.get(model);
+        held.is_some_and(|adapters| adapter.is_empty() || adapters.contains(adapter))
+    }
+
     fn is_leaving(&self, model: &ModelName) -> bool {
         self.unloads()
             .any(|order| order.model == *model && order.adapter.is_empty())
@@ -577,18 +596,24 @@
         held.collect()
     }
 
-    /// Counts the places that adapters take or may take.
+    fn takes_orders(&self, now: Instant) -> bool {
+        self.report.is_usable && self.refused_until.is_none_or(|until| until <= now)
+    }
+
+    /// Counts adapters that are being loaded.
+    fn in_transit(&self) -> usize {
+        let loads = self.loads().filter(|order| !order.adapter.is_empty());
+        loads.count()
+    }
+
+    /// Counts the places that adapters take or may take: an adapter that is
+    /// loaded or unloaded has its place, whether it is listed or not.
     fn adapter_count(&self) -> usize {
         let held: usize = self.report.models.values().map(BTreeSet::len).sum();
-        let loads = self.loads().filter(|order| !order.adapter.is_empty());
-        // An adapter that is to go is no longer told to callers, so the report
-        // may lack it while it has its place.
-        let leaving = self.unloads().filter(|order| {
-            let listed = self.report.models.get(&order.model);
-            let listed = listed.is_some_and(|names| names.contains(&order.adapter));
-            !order.adapter.is_empty() && !listed
-        });
-        held + loads.count() + leaving.count()
+        let open = self.open.iter().map(|open| &open.order);
+        let unlisted = open
+            .filter(|order| !order.adapter.is_empty() && !self.lists(&order.model, &order.adapter));
+        held + unlisted.count()
     }
 
     fn note_held(&mut self, order: &PlacementOrder, now: Instant) {
@@ -619,17 +644,16 @@
 fn is_settled(now: Instant, open: &OpenOrder, report: &EngineReport, spec: &EngineSpec) -> bool {
     let order = &open.order;
     let held = report.models.get(&order.model);
-    let is_held = match order.adapter.is_empty() {
-        true => held.is_some(),
-        false => held.is_some_and(|adapters| adapters.contains(&order.adapter)),
-    };
+    let is_held =
+        held.is_some_and(|adapters| order.adapter.is_empty() || adapters.contains(&order.adapter));
     if open.answer != Some(OrderAnswer::Accepted) {
         return open.until <= now;
     }
+    let wanted = order.verb == OrderVerb::Load;
     if !order.adapter.is_empty() {
-        return open.until <= now;
+        // The report lacks an adapter from the order to unload it on.
+        return open.until <= now || (wanted && is_held);
     }
-    let wanted = order.verb == OrderVerb::Load;
     let load_time = spec.models.iter().find(|it| it.name == order.model);
     let load_time = load_time.map_or(ORDER_LIFETIME, |it| it.load_time * LOAD_PATIENCE);
     is_held == wanted || open.until + load_time <= now
--- a/crates/role/src/role_machine.rs
+++ b/crates/role/src/role_machine.rs
@@ -65,6 +65,8 @@
     Bound(ListenerId, RequestBounds),
     /// Answers end their connections from now on, and idle ones are closed.
     CloseCallers(ListenerId),
+    /// Takes no further callers at a listener.
+    StopCallers(ListenerId),
     /// The graceful shutdown has ended.
     Finished,
     /// An action that only this role has.
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -76,7 +76,8 @@
 }
 
 struct ListenerRecord {
-    source: MioSource<TcpListener>,
+    /// None once no further callers are taken.
+    source: Option<MioSource<TcpListener>>,
     bounds: RequestBounds,
     /// Answers end their connections.
     closing: bool,
@@ -110,7 +111,7 @@
     ) -> std::io::Result<()> {
         let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, ready)?;
         let record = ListenerRecord {
-            source,
+            source: Some(source),
             bounds: BOUNDS_DEFAULT,
             closing: false,
         };
@@ -120,7 +121,7 @@
 
     /// Takes the next waiting connection of a listener.
     pub fn accept(&mut self, id: ListenerId) -> Option<(CallerId, TcpStream)> {
-        let (stream, _) = self.listeners.get(&id)?.source.accept().ok()?;
+        let (stream, _) = self.listeners.get(&id)?.source.as_ref()?.accept().ok()?;
         self.next_id += 1;
         Some((self.next_id, stream))
     }
@@ -165,6 +166,13 @@
         }
     }
 
+    /// Closes a listener; its connections stay.
+    pub fn stop(&mut self, listener: ListenerId) {
+        if let Some(record) = self.listeners.get_mut(&listener) {
+            record.source = None;
+        }
+    }
+
     /// Ends a listener's connections with their next answers; idle ones stay
     /// for [`LINGER_MAX`], so that a request under way is still taken.
     pub fn close_callers(&mut self, now: Instant, listener: ListenerId) {
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -343,6 +343,7 @@
                 RoleAction::CloseCallers(listener) => {
                     self.ports.callers.close_callers(cx.now(), listener);
                 }
+                RoleAction::StopCallers(listener) => self.ports.callers.stop(listener),
                 RoleAction::Finished => self.finished.fwd(()),
                 RoleAction::Own(action) => self.port.perform(action),
             }
