--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -17,7 +17,7 @@
     ConsensusNode, LogIndex, MemberId, Membership, NodeConfig, NodeInput, NodeOutput, NodeRole,
     PersistBatch, PersistTicket, RecoveredState, SnapshotImage, Term,
 };
-use mulberrywell_policy::OrderAnswer;
+use mulberrywell_policy::{EngineInventory, OrderAnswer};
 use mulberrywell_role::{
     AnswerPart, HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RequestId, RoleAction,
     RoleEvent, RoleMachine,
@@ -38,7 +38,7 @@
 use crate::member_status::StatusTable;
 use crate::observed_state::ObservedState;
 use crate::operator_calls::OperatorTask;
-use crate::order_desk::{EngineOrder, OrderDesk};
+use crate::order_desk::{EngineOrder, EngineQuery, OrderDesk};
 use crate::peer_links::PeerLinks;
 use crate::placement_task::PlacementTask;
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
@@ -95,6 +95,13 @@
         /// The answer.
         answer: OrderAnswer,
     },
+    /// An engine told what it holds, or did not.
+    InventoryRead {
+        /// The question.
+        query: EngineQuery,
+        /// None when no answer came or it could not be read.
+        inventory: Option<EngineInventory>,
+    },
     /// Wall clock in milliseconds since the Unix epoch, for the audit trail.
     Clock(u64),
     /// Every batch up to this ticket is synced.
@@ -129,6 +136,8 @@
     Order(EngineOrder),
     /// Gives up waiting for an order's answer.
     AbandonOrder(EngineOrder),
+    /// Asks what an engine holds; [`ControlEvent::InventoryRead`] follows.
+    AskInventory(EngineQuery),
     /// Writes and syncs a batch; `Persisted` or `DiskFull` follows.
     Persist(PersistBatch),
     /// Saves a snapshot; `SnapshotSaved` or `SnapshotUnsaved` follows.
@@ -451,6 +460,9 @@
                 ControlEvent::OrderAnswered { order, answer } => {
                     self.take_order_answer(now, &order, answer, actions);
                 }
+                ControlEvent::InventoryRead { query, inventory } => {
+                    self.take_inventory(now, &query, inventory.as_ref(), actions);
+                }
                 ControlEvent::Serving { request, call } => {
                     self.take_serving(now, request, call, actions);
                 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -51,7 +51,7 @@
 pub use control_role::{ControlAction, ControlConfig, ControlEvent, ControlRole};
 pub use endpoint_chart::{EndpointChange, EndpointChart, EndpointPhase};
 pub use observed_state::{ModelRate, ObservedDemand, ObservedEndpoint, ObservedState};
-pub use order_desk::EngineOrder;
+pub use order_desk::{EngineOrder, EngineQuery};
 pub use request_memory::RequestMemory;
 pub use serving_calls::{ServingAnswer, ServingCall};
 pub use update_builder::updates_since;
--- a/crates/control/src/order_desk.rs
+++ b/crates/control/src/order_desk.rs
@@ -5,16 +5,16 @@
 //!
 //! Guarantees: a leader gives no order before the last one of any earlier
 //! leader is [`HOLDER_PAUSE`] ago, nor once a quorum has not confirmed it; its
-//! term is its fencing token; an order that got no answer counts as one that
-//! may still be carried out.
+//! term is its fencing token; an engine whose accepted orders are in doubt gets
+//! none until its inventory has told them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use mulberrywell_policy::{
-    DemandPlacement, EngineReport, EngineSpec, LoadPacer, ModelSpec, OrderAnswer, OrderNumber,
-    OrderVerb, PacerSettings, PlacementChange, PlacementOrder,
+    DemandPlacement, EngineInventory, EngineReport, EngineSpec, LoadPacer, ModelSpec, OrderAnswer,
+    OrderNumber, OrderVerb, PacerSettings, PlacementChange, PlacementOrder,
 };
 use mulberrywell_role::{LogLevel, RoleAction};
 use mulberrywell_serving::{EndpointBook, EndpointId};
@@ -61,6 +61,17 @@
     pub token: u64,
 }
 
+/// A question for what an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineQuery {
+    /// Service that the engine belongs to.
+    pub service: Bytes,
+    /// The engine.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: Bytes,
+}
+
 /// Placement of all services of engines.
 #[derive(Debug, Default)]
 pub struct OrderDesk {
@@ -156,6 +167,22 @@
         orders
     }
 
+    /// Returns the engines whose inventory is to be asked for now.
+    fn queries(&mut self, now: Instant, book: &EndpointBook) -> Vec<EngineQuery> {
+        let mut queries = Vec::new();
+        for (service, placement) in &mut self.services {
+            for endpoint in placement.inventories_due(now) {
+                let status = book.find(&endpoint);
+                queries.push(EngineQuery {
+                    service: service.clone(),
+                    address: status.map(|it| it.address.clone()).unwrap_or_default(),
+                    endpoint,
+                });
+            }
+        }
+        queries
+    }
+
     /// Takes in an answer; returns what it changes for callers now.
     pub fn answer(
         &mut self,
@@ -245,11 +272,37 @@
             self.serving
                 .reopen(|status, model| !desk.is_leaving(&status.service, &status.id, model));
         }
+        for query in self.orders.queries(now, &self.serving.book) {
+            actions.push(RoleAction::Own(ControlAction::AskInventory(query)));
+        }
         for (service, order) in orders {
             self.give_order(now, service, order, actions);
         }
     }
 
+    /// Takes in what an engine holds, or that it did not say.
+    pub(crate) fn take_inventory(
+        &mut self,
+        now: Instant,
+        query: &EngineQuery,
+        inventory: Option<&EngineInventory>,
+        actions: &mut Actions,
+    ) {
+        let line = format!(
+            "inventory endpoint={} orders={:?} busy={:?}",
+            text(&query.endpoint),
+            inventory.map(|it| it.orders),
+            inventory.map(|it| it.is_busy),
+        );
+        actions.push(RoleAction::Log(LogLevel::Info, line));
+        let placement = self.orders.services.get_mut(&query.service);
+        let is_held = placement
+            .is_some_and(|placement| placement.take_inventory(now, &query.endpoint, inventory));
+        if let Some(inventory) = inventory.filter(|_| is_held) {
+            self.serving.note_models(&query.endpoint, &inventory.models);
+        }
+    }
+
     fn give_order(
         &mut self,
         now: Instant,
--- a/crates/control/src/serving_desk.rs
+++ b/crates/control/src/serving_desk.rs
@@ -14,7 +14,9 @@
 use mulberrywell_policy::PlacementChange;
 use mulberrywell_role::{LinkCommand, LinkId};
 use mulberrywell_serving::{EndpointBook, EndpointId, MergeOutcome};
-use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus, ServingAttach, ServingUpdate};
+use mulberrywell_wire::serving::{
+    EndpointPhase, EndpointStatus, HeldModel, ServingAttach, ServingUpdate,
+};
 use mulberrywell_wire::FrameBody;
 
 use crate::cluster_state::ClusterState;
@@ -85,6 +87,31 @@
         }
     }
 
+    /// Notes the models and adapters that an endpoint holds.
+    pub fn note_models(
+        &mut self,
+        endpoint: &EndpointId,
+        models: &BTreeMap<Bytes, BTreeSet<Bytes>>,
+    ) {
+        let Some(status) = self.book.find_mut(endpoint) else {
+            return;
+        };
+        let held = models.iter().map(|(name, adapters)| {
+            let known = status.models.iter().find(|held| held.name == *name);
+            HeldModel {
+                name: name.clone(),
+                version: known.map_or(0, |held| held.version),
+                adapters: adapters.iter().cloned().collect(),
+            }
+        });
+        let held: Vec<HeldModel> = held.collect();
+        if status.models != held {
+            status.models = held;
+            self.changed.insert(endpoint.clone());
+            self.own_changed.insert(endpoint.clone());
+        }
+    }
+
     /// Lets models take requests again that are not to be unloaded after all.
     pub fn reopen(&mut self, stays: impl Fn(&EndpointStatus, &Bytes) -> bool) {
         let closing = self.book.present().flat_map(|status| {
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -4,10 +4,15 @@
 //! engines, tells it what engines hold and what callers ask for, and sends the
 //! orders that [`DemandPlacement::plan`] returns.
 //!
-//! Guarantees: the memory and the adapter places that an engine holds, that it
-//! is ordered to load and that an order without an answer may still take never
-//! exceed what it has; an engine has one order for a model at a time; a model
-//! leaves its last engine only for one that is asked for while it is not.
+//! Guarantees: the memory and the adapter places that an engine holds and that
+//! it is ordered to load never exceed what it has; an engine has one order for a
+//! model at a time; a model leaves its last engine only for one that is asked
+//! for while it is not.
+//!
+//! Each order names how many orders the engine has accepted before it, which
+//! the engine checks when it begins: an order that comes late, after one that
+//! was planned without it, is void. What an engine holds beside that number
+//! comes from its inventory, which is asked for whenever the number is in doubt.
 //!
 //! Algorithm: a model's pressure is its demand by replica. What callers wait
 //! for is loaded first; then the model under the highest pressure takes the
@@ -43,16 +48,20 @@
 /// Time without use after which an adapter may make room.
 const ADAPTER_IDLE: Duration = Duration::from_millis(1_200);
 
-/// Longest time after which an order without an answer is still carried out.
+/// Time after which an order that was given up counts no more.
 const ORDER_LIFETIME: Duration = Duration::from_millis(12_500);
 
+/// Age of an engine's inventory: it shows what was some hundred milliseconds
+/// before.
+const INVENTORY_LAG: Duration = Duration::from_millis(450);
+
+/// Time after which an inventory that did not come is asked for again.
+const INVENTORY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time after which an accepted order counts as settled by what the engine
 /// says, two of its heartbeats and a margin.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
-/// Pause of orders to an engine that refused one: it is carrying others out.
-const REFUSED_PAUSE: Duration = Duration::from_millis(150);
-
 /// Adapters that may be on their way to an engine at the same time.
 const TRANSIT_MAX: usize = 4;
 
@@ -121,6 +130,19 @@
     pub model: ModelName,
     /// Adapter of the model; empty for the model itself.
     pub adapter: ModelName,
+    /// Orders that the engine has accepted before this one.
+    pub expected: u64,
+}
+
+/// What an engine holds beside the orders that it has accepted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineInventory {
+    /// An order for a model is being carried out.
+    pub is_busy: bool,
+    /// Orders accepted since its start.
+    pub orders: u64,
+    /// Adapters by model, those on their way with them.
+    pub models: BTreeMap<ModelName, BTreeSet<ModelName>>,
 }
 
 /// How an order was answered.
@@ -163,8 +185,10 @@
     /// When each model came to be held.
     since: BTreeMap<ModelName, Instant>,
     open: Vec<OpenOrder>,
-    /// It refused an order and gets none until then.
-    refused_until: Option<Instant>,
+    /// Orders that it has accepted; none while that is in doubt.
+    orders: Option<u64>,
+    /// When its inventory is asked for next; none while `orders` is known.
+    ask_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -211,7 +235,10 @@
     pub fn observe(&mut self, now: Instant, endpoint: &EndpointName, report: EngineReport) {
         let state = self.engines.entry(endpoint.clone()).or_default();
         if state.report.incarnation != report.incarnation {
-            *state = EngineState::default();
+            *state = EngineState {
+                ask_at: Some(now),
+                ..EngineState::default()
+            };
         }
         for model in report.models.keys() {
             state.since.entry(model.clone()).or_insert(now);
@@ -226,6 +253,40 @@
             .retain(|open| !is_settled(now, open, report, spec));
     }
 
+    /// Returns the engines whose inventory is to be asked for now.
+    pub fn inventories_due(&mut self, now: Instant) -> Vec<EndpointName> {
+        let mut due = Vec::new();
+        for (endpoint, state) in &mut self.engines {
+            if state.report.is_usable && state.ask_at.is_some_and(|at| at <= now) {
+                state.ask_at = Some(now + INVENTORY_TIMEOUT);
+                due.push(endpoint.clone());
+            }
+        }
+        due
+    }
+
+    /// Takes in an inventory, or that none came; tells whether it is what the
+    /// engine holds.
+    pub fn take_inventory(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointName,
+        inventory: Option<&EngineInventory>,
+    ) -> bool {
+        let Some(state) = self.engines.get_mut(endpoint) else {
+            return false;
+        };
+        let Some(inventory) = inventory.filter(|it| !it.is_busy) else {
+            state.ask_at = Some(now + INVENTORY_LAG);
+            return false;
+        };
+        state.orders = Some(inventory.orders);
+        state.ask_at = None;
+        state.open.clear();
+        state.report.models.clone_from(&inventory.models);
+        true
+    }
+
     /// Drops engines that are not among these.
     pub fn retain(&mut self, present: &BTreeSet<EndpointName>) {
         self.engines
@@ -293,7 +354,7 @@
         match answer {
             OrderAnswer::Refused => {
                 state.open.remove(place);
-                state.refused_until = Some(now + REFUSED_PAUSE);
+                state.doubt(now);
                 let stays = order.verb == OrderVerb::Unload;
                 return stays.then(|| PlacementChange {
                     endpoint: endpoint.clone(),
@@ -305,18 +366,24 @@
             OrderAnswer::Unknown => {
                 state.open[place].answer = Some(answer);
                 state.open[place].until = now + ORDER_LIFETIME;
+                state.doubt(now);
                 return None;
             }
             OrderAnswer::Accepted if order.adapter.is_empty() => {
                 state.open[place].answer = Some(answer);
+                state.count_order();
                 return None;
             }
             OrderAnswer::Accepted => {
                 state.open[place].answer = Some(answer);
                 state.open[place].until = now + SETTLE_TIME;
+                state.count_order();
             }
             OrderAnswer::Done => {
                 state.open.remove(place);
+                if order.verb == OrderVerb::Unload {
+                    state.count_order();
+                }
                 state.note_held(&order, now);
             }
         }
@@ -394,7 +461,7 @@
         };
         let mut best: Option<(f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, state) in &self.engines {
-            let takes_orders = state.takes_orders(now) && !state.has_model_order();
+            let takes_orders = state.takes_orders() && !state.has_model_order();
             if !takes_orders || state.will_hold(model) {
                 continue;
             }
@@ -476,7 +543,7 @@
         };
         let holders = self.engines.iter().filter(|(_, state)| {
             let held = state.report.models.contains_key(model);
-            state.takes_orders(now) && held && !state.is_leaving(model)
+            state.takes_orders() && held && !state.is_leaving(model)
         });
         let roomy = holders.clone().filter(|(_, state)| {
             state.adapter_count() < self.spec.adapter_places
@@ -524,6 +591,7 @@
             verb,
             model: model.clone(),
             adapter: adapter.clone(),
+            expected: state.and_then(|state| state.orders).unwrap_or(0),
         }
     }
 
@@ -596,8 +664,21 @@
         held.collect()
     }
 
-    fn takes_orders(&self, now: Instant) -> bool {
-        self.report.is_usable && self.refused_until.is_none_or(|until| until <= now)
+    /// Tells whether it may be ordered: what it holds is certain and no order
+    /// awaits its answer.
+    fn takes_orders(&self) -> bool {
+        let unanswered = self.open.iter().any(|open| open.answer.is_none());
+        self.report.is_usable && self.orders.is_some() && !unanswered
+    }
+
+    fn count_order(&mut self) {
+        self.orders = self.orders.map(|orders| orders + 1);
+    }
+
+    /// Notes that it is not certain what it has accepted.
+    fn doubt(&mut self, now: Instant) {
+        self.orders = None;
+        self.ask_at = Some(now + INVENTORY_LAG);
     }
 
     /// Counts adapters that are being loaded.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use demand_estimate::{DemandEstimator, DemandSettings};
 pub use demand_placement::{
-    DemandPlacement, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderNumber, OrderVerb,
-    PlacementChange, PlacementOrder,
+    DemandPlacement, EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer,
+    OrderNumber, OrderVerb, PlacementChange, PlacementOrder,
 };
 pub use endpoint_choice::{
     ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -48,9 +48,10 @@
                 Ok(())
             }
             // The interface before the role has encoded it already.
-            ControlAction::Reply(..) | ControlAction::Order(_) | ControlAction::AbandonOrder(_) => {
-                Ok(())
-            }
+            ControlAction::Reply(..)
+            | ControlAction::Order(_)
+            | ControlAction::AbandonOrder(_)
+            | ControlAction::AskInventory(_) => Ok(()),
             ControlAction::Persist(batch) => self.log.persist(batch),
             ControlAction::SaveSnapshot(image) => self.log.save(image),
         };
