--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -18,8 +18,12 @@
 use crate::gateway_role::{Actions, GatewayRole};
 use crate::service_choice::split_service;
 
-/// Time that a caller is asked to stay away while no configuration is known.
-const NOT_READY_RETRY: Duration = Duration::from_millis(300);
+/// Times that callers are asked to stay away: while no configuration is known,
+/// and for another instance to take the request.
+const RETRIES: [(RefusalReason, Duration); 2] = [
+    (RefusalReason::NotReady, Duration::from_millis(300)),
+    (RefusalReason::Stopping, Duration::from_millis(20)),
+];
 
 /// Share of the latency objective that a request waits for tokens; up to an
 /// eighth is not counted as held.
@@ -44,7 +48,9 @@
         match self.admit(now, http, terms) {
             Ok((call, has_rate)) => self.begin_call(now, request, call, has_rate, actions),
             Err(reason) => {
-                let retry = (reason == RefusalReason::NotReady).then_some(NOT_READY_RETRY);
+                let mut retries = RETRIES.iter();
+                let retry = retries.find(|(known, _)| *known == reason);
+                let retry = retry.map(|(_, delay)| *delay);
                 self.refuse_request(request, &id, reason, retry, actions);
             }
         }
@@ -63,6 +69,9 @@
         }
         let found = self.index.route(&terms.host, &http.path);
         let (_, route) = found.ok_or(RefusalReason::NoRoute)?;
+        if !self.may_finish(now, &route.name) {
+            return Err(RefusalReason::Stopping);
+        }
         let account = match self.index.owner(terms.key.as_ref()) {
             _ if route.open => None,
             KeyOwner::Open => None,
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -82,6 +82,8 @@
     Malformed,
     /// No configuration is known yet.
     NotReady,
+    /// This instance stops before the request's answer would end.
+    Stopping,
     /// No route fits.
     NoRoute,
     /// The key is nobody's.
--- a/crates/gateway/src/gateway_counters.rs
+++ b/crates/gateway/src/gateway_counters.rs
@@ -26,7 +26,7 @@
 pub const IN_WORK: &str = "gateway.in_work";
 
 /// Refusals by their reason.
-const REFUSED: [(RefusalReason, &str, &str); 9] = [
+const REFUSED: [(RefusalReason, &str, &str); 10] = [
     (
         RefusalReason::Malformed,
         "malformed",
@@ -37,6 +37,11 @@
         "not_ready",
         "gateway.refused.not_ready",
     ),
+    (
+        RefusalReason::Stopping,
+        "stopping",
+        "gateway.refused.stopping",
+    ),
     (
         RefusalReason::NoRoute,
         "no_route",
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -14,6 +14,7 @@
 use mulberrywell_wire::serving::{CallerLimits, ServingAttach, ServingUpdate};
 use mulberrywell_wire::FrameBody;
 
+use crate::answer_time::AnswerTime;
 use crate::attempts::WAIT_INTERVAL;
 use crate::call_book::CallBook;
 use crate::call_codec::CallCodec;
@@ -80,6 +81,8 @@
     pub(crate) budgets: BTreeMap<Bytes, RetryBudget>,
     pub(crate) links: ControlLinks,
     pub(crate) wanted: WantedModels,
+    /// How long answers take, by route.
+    pub(crate) answer_times: BTreeMap<Bytes, AnswerTime>,
     /// Entries that share endpoints and budgets.
     pub(crate) entries: u32,
     /// When the shutdown began.
@@ -105,6 +108,7 @@
             budgets: BTreeMap::new(),
             links: ControlLinks::new(&config.seeds, now),
             wanted: WantedModels::default(),
+            answer_times: BTreeMap::new(),
             entries: ENTRIES_DEFAULT,
             stopping: None,
             refusing: false,
@@ -251,6 +255,18 @@
         actions.push(RoleAction::CloseCallers(CALLERS));
     }
 
+    /// Tells whether an answer of a route is expected to end before a shutdown
+    /// would cut it.
+    pub(crate) fn may_finish(&self, now: Instant, route: &Bytes) -> bool {
+        let Some(since) = self.stopping else {
+            return true;
+        };
+        let end = since + self.config.shutdown_limit;
+        let left = end.saturating_duration_since(now);
+        let time = self.answer_times.get(route);
+        time.is_none_or(|time| time.likely_limit() <= left)
+    }
+
     /// Ends a shutdown once no call is left and no new one is to come.
     fn check_shutdown(&mut self, now: Instant, actions: &mut Actions) {
         let Some(since) = self.stopping.filter(|_| !self.finished) else {
