Draw election times by the process and not by the member alone

Also: adapters of an inventory keep their places until heartbeats show them, and a gateway that stops answers what is left.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -227,7 +227,8 @@
                 .map_or_else(Bytes::new, |address| Bytes::from(address.to_string())),
         };
         let node_config = NodeConfig {
-            seed: recovered.member,
+            // The node mixes its member's id in.
+            seed: config.new_cluster,
             ..NodeConfig::default()
         };
         let placement = PlacementTask::new(&config.settings, now);
--- a/crates/control/tests/role_cases/main.rs
+++ b/crates/control/tests/role_cases/main.rs
@@ -1,6 +1,7 @@
 //! The control role in virtual time: three roles that talk in memory.
 
 mod role_cluster;
+mod serving_cases;
 
 use std::time::Duration;
 
@@ -161,3 +162,14 @@
     cluster.run(Duration::from_secs(60));
     assert_eq!(cluster.leader(), None);
 }
+
+/// Members that start to wait at the same instant must not campaign at the same
+/// instants for ever.
+#[rstest]
+#[case(3)]
+#[case(5)]
+fn restarted_together_elect(#[case] count: usize) {
+    let mut cluster = RoleCluster::restarted(count);
+    cluster.run(Duration::from_secs(6));
+    assert!(cluster.leader().is_some());
+}
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -5,8 +5,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_consensus::{HardState, RecoveredState};
-use mulberrywell_control::{ControlAction, ControlConfig, ControlEvent, ControlRole};
+use mulberrywell_consensus::{
+    EntryPayload, HardState, LogEntry, MemberRecord, Membership, RecoveredState,
+};
+use mulberrywell_control::{
+    ControlAction, ControlConfig, ControlEvent, ControlRole, EngineOrder, ServingAnswer,
+    ServingCall,
+};
 use mulberrywell_role::{
     AnswerPart, HttpEvent, HttpRequest, LinkCommand, LinkEvent, LinkId, RoleAction, RoleEvent,
     RoleMachine,
@@ -53,6 +58,10 @@
     /// Frames to clients, by the role's end.
     frames: BTreeMap<LinkEnd, Vec<FrameBody>>,
     answers: BTreeMap<u64, Answer>,
+    /// Answers to serving calls, by place and request.
+    replies: BTreeMap<(usize, u64), ServingAnswer>,
+    /// Orders to engines.
+    pub orders: Vec<EngineOrder>,
     next_link: LinkId,
     next_request: u64,
 }
@@ -67,9 +76,29 @@
         cluster
     }
 
+    /// Starts the voters of a cluster anew, all at the same instant.
+    pub fn restarted(count: usize) -> Self {
+        let member = |place: usize| MemberRecord {
+            id: place as u64 + 1,
+            address: Bytes::from(address_of(place).to_string()),
+            voter: true,
+        };
+        let members = (0..count).map(member).collect();
+        let entry = LogEntry {
+            index: 1,
+            term: 1,
+            payload: Some(EntryPayload::Membership(Membership { members })),
+        };
+        Self::opened_with(count, &[entry])
+    }
+
     fn opened(count: usize) -> Self {
+        Self::opened_with(count, &[])
+    }
+
+    fn opened_with(count: usize, entries: &[LogEntry]) -> Self {
         let now = Instant::now();
-        let roles = (0..count).map(|place| open_role(place, count, now));
+        let roles = (0..count).map(|place| open_role(place, count, entries, now));
         RoleCluster {
             roles: roles.collect(),
             now,
@@ -78,6 +107,8 @@
             links: BTreeMap::new(),
             frames: BTreeMap::new(),
             answers: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            orders: Vec::new(),
             next_link: 1,
             next_request: 1,
         }
@@ -121,6 +152,22 @@
         self.frozen.remove(&place);
     }
 
+    /// Makes a serving call and runs until it is answered.
+    pub fn serve(&mut self, place: usize, call: ServingCall) -> ServingAnswer {
+        let request = self.next_request;
+        self.next_request += 1;
+        let event = ControlEvent::Serving { request, call };
+        self.handle(place, RoleEvent::Own(event));
+        let start = self.now;
+        loop {
+            if let Some(answer) = self.replies.remove(&(place, request)) {
+                return answer;
+            }
+            assert!(self.now - start < LIMIT, "no answer");
+            self.run(Duration::from_millis(10));
+        }
+    }
+
     /// Links a client to a role.
     pub fn attach(&mut self, place: usize, instance: &'static [u8]) -> ClientLink {
         let end = self.new_end(place);
@@ -210,13 +257,15 @@
 
     fn step(&mut self) {
         self.now += STEP;
-        for place in 0..self.roles.len() {
-            if self.frozen.contains(&place) {
-                continue;
-            }
-            while let Some(event) = self.events[place].pop_front() {
-                self.handle(place, event);
+        let running = (0..self.roles.len()).filter(|place| !self.frozen.contains(place));
+        let running: Vec<usize> = running.collect();
+        for place in &running {
+            while let Some(event) = self.events[*place].pop_front() {
+                self.handle(*place, event);
             }
+        }
+        // Timers that fire together see nothing of each other.
+        for place in running {
             if self.roles[place]
                 .deadline()
                 .is_some_and(|at| at <= self.now)
@@ -240,6 +289,15 @@
 
     fn perform(&mut self, place: usize, action: ControlAction) {
         let event = match action {
+            ControlAction::Reply(request, answer) => {
+                self.replies.insert((place, request), answer);
+                return;
+            }
+            ControlAction::Order(order) => {
+                self.orders.push(order);
+                return;
+            }
+            ControlAction::AbandonOrder(_) | ControlAction::AskInventory(_) => return,
             ControlAction::Answer(request, part) => {
                 let answer = self.answers.entry(request).or_default();
                 match part {
@@ -339,7 +397,7 @@
         .unwrap()
 }
 
-fn open_role(place: usize, count: usize, now: Instant) -> ControlRole {
+fn open_role(place: usize, count: usize, entries: &[LogEntry], now: Instant) -> ControlRole {
     let config = ControlConfig {
         settings: control_settings(place == 0),
         instance: instance_name(place),
@@ -352,9 +410,12 @@
     };
     let recovered = RecoveredState {
         member: place as u64 + 1,
-        hard_state: HardState::default(),
+        hard_state: HardState {
+            term: entries.last().map_or(0, |entry| entry.term),
+            vote: 0,
+        },
         snapshot: None,
-        entries: Vec::new(),
+        entries: entries.to_vec(),
         torn_bytes: 0,
     };
     ControlRole::open(config, recovered, now).unwrap()
--- /dev/null
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -0,0 +1,152 @@
+//! The serving configuration and endpoints at several control roles.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use mulberrywell_control::{ServingAnswer, ServingCall};
+use mulberrywell_wire::serving::{
+    EndpointPhase, EndpointStatus, PutServing, ServingAttach, ServingConfig, ServingUpdate,
+};
+use mulberrywell_wire::FrameBody;
+use rstest::rstest;
+
+use crate::role_cluster::{ClientLink, RoleCluster};
+
+fn put(version: u64) -> ServingCall {
+    ServingCall::Put(PutServing {
+        config: Some(ServingConfig {
+            version,
+            ..ServingConfig::default()
+        }),
+        source: Bytes::from(format!("version {version}")),
+    })
+}
+
+fn beat(sequence: u64, phase: EndpointPhase) -> ServingCall {
+    ServingCall::Beat(EndpointStatus {
+        id: Bytes::from_static(b"e"),
+        service: Bytes::from_static(b"s"),
+        address: Bytes::from_static(b"10.0.0.1:80"),
+        born_ms: 5,
+        sequence,
+        phase: phase.into(),
+        ..EndpointStatus::default()
+    })
+}
+
+fn source(version: u64) -> ServingAnswer {
+    ServingAnswer::Source(Some(Bytes::from(format!("version {version}"))))
+}
+
+fn attach(cluster: &mut RoleCluster, place: usize, version: u64) -> ClientLink {
+    let entry = cluster.attach(place, b"entry-0");
+    let attach = ServingAttach { version };
+    cluster.send(&entry, FrameBody::ServingAttach(attach));
+    entry
+}
+
+fn updates(cluster: &mut RoleCluster, entry: &ClientLink) -> Vec<ServingUpdate> {
+    cluster.run(Duration::from_millis(200));
+    let frames = cluster.take_frames(entry).into_iter();
+    let updates = frames.filter_map(|frame| match frame {
+        FrameBody::ServingUpdate(update) => Some(update),
+        _ => None,
+    });
+    updates.collect()
+}
+
+/// Places of the role that is asked, after the leader.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn put_any_instance_highest_wins(#[case] offset: usize) {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let place = (leader + offset) % 3;
+    assert_ne!(cluster.serve(place, ServingCall::Read), source(4));
+    assert_eq!(cluster.serve(place, put(4)), ServingAnswer::Accepted);
+    assert_eq!(cluster.serve(place, put(2)), ServingAnswer::Accepted);
+    for asked in 0..3 {
+        assert_eq!(cluster.serve(asked, ServingCall::Read), source(4));
+    }
+}
+
+#[test]
+fn put_leader_lost_is_kept() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    assert_eq!(cluster.serve(leader, put(4)), ServingAnswer::Accepted);
+    cluster.freeze(leader);
+    cluster.run(Duration::from_secs(6));
+    let other = cluster.leader().unwrap();
+    assert_eq!(cluster.serve(other, ServingCall::Read), source(4));
+}
+
+#[test]
+fn read_without_quorum_unavailable() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    assert_eq!(cluster.serve(leader, put(4)), ServingAnswer::Accepted);
+    for place in (0..3).filter(|place| *place != leader) {
+        cluster.freeze(place);
+    }
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(
+        cluster.serve(leader, ServingCall::Read),
+        ServingAnswer::Unavailable
+    );
+    assert_eq!(cluster.serve(leader, put(5)), ServingAnswer::Unavailable);
+}
+
+#[test]
+fn attach_newer_only() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    cluster.serve(leader, put(4));
+    let behind = attach(&mut cluster, leader, 3);
+    let known = attach(&mut cluster, leader, 4);
+    let version = |updates: &[ServingUpdate]| {
+        let configs = updates.iter().filter_map(|update| update.config.as_ref());
+        configs.map(|config| config.version).collect::<Vec<u64>>()
+    };
+    assert_eq!(version(&updates(&mut cluster, &behind)), [4]);
+    assert!(version(&updates(&mut cluster, &known)).is_empty());
+    cluster.serve(leader, put(9));
+    assert_eq!(version(&updates(&mut cluster, &known)), [9]);
+}
+
+#[test]
+fn beat_told_everywhere() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [0, 1, 2].map(|place| attach(&mut cluster, place, 0));
+    let drain = beat(2, EndpointPhase::Draining);
+    assert_eq!(
+        cluster.serve(0, beat(1, EndpointPhase::Ready)),
+        ServingAnswer::Accepted
+    );
+    assert_eq!(cluster.serve(1, drain), ServingAnswer::Accepted);
+    // A heartbeat that was held up on its way.
+    cluster.serve(2, beat(1, EndpointPhase::Ready));
+    for entry in &entries {
+        let told = updates(&mut cluster, entry);
+        let statuses = told.iter().flat_map(|update| &update.endpoints);
+        let last = statuses.last().map(EndpointStatus::phase);
+        assert_eq!(last, Some(EndpointPhase::Draining));
+    }
+}
+
+#[test]
+fn beat_stops_is_told() {
+    let mut cluster = RoleCluster::formed(3);
+    let entry = attach(&mut cluster, 1, 0);
+    cluster.serve(0, beat(1, EndpointPhase::Ready));
+    cluster.run(Duration::from_secs(6));
+    let told = updates(&mut cluster, &entry);
+    let last = told.iter().flat_map(|update| &update.endpoints).last();
+    assert!(last.is_some_and(|status| status.silent));
+    cluster.serve(2, beat(9, EndpointPhase::Ready));
+    let told = updates(&mut cluster, &entry);
+    let last = told.iter().flat_map(|update| &update.endpoints).last();
+    assert!(last.is_some_and(|status| !status.silent));
+}
--- a/crates/gateway/src/call_book.rs
+++ b/crates/gateway/src/call_book.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Returns all calls.
+    pub fn requests(&self) -> Vec<RequestId> {
+        self.calls.keys().copied().collect()
+    }
+
     /// Returns the calls that wait for an endpoint.
     pub fn waiting(&self) -> Vec<RequestId> {
         self.waiting.iter().copied().collect()
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -17,7 +17,7 @@
 use crate::answer_time::AnswerTime;
 use crate::attempts::WAIT_INTERVAL;
 use crate::call_book::CallBook;
-use crate::call_codec::CallCodec;
+use crate::call_codec::{CallCodec, RefusalReason};
 use crate::caller_answers::send_empty;
 use crate::control_links::ControlLinks;
 use crate::endpoint_table::EndpointTable;
@@ -33,6 +33,9 @@
 /// Interval of regular work.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time in which callers get their last answers.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Entries that share endpoints and budgets before control counted them.
 const ENTRIES_DEFAULT: u32 = 8;
 
@@ -90,6 +93,8 @@
     /// Callers are taken no more.
     refusing: bool,
     finished: bool,
+    /// Instant of the last event.
+    handled: Instant,
     next_tick: Instant,
     next_waiting: Instant,
     /// Reused for commands of the links.
@@ -113,6 +118,7 @@
             stopping: None,
             refusing: false,
             finished: false,
+            handled: now,
             next_tick: now,
             next_waiting: now,
             commands: Vec::new(),
@@ -277,8 +283,13 @@
             self.refusing = true;
             actions.push(RoleAction::StopCallers(CALLERS));
         }
+        if spent >= self.config.shutdown_limit {
+            for request in self.calls.requests() {
+                self.end_unserved(now, request, RefusalReason::TimedOut, actions);
+            }
+        }
         let quiet = spent >= self.config.shutdown_accept && self.calls.is_empty();
-        if quiet || spent >= self.config.shutdown_limit {
+        if quiet || spent >= self.config.shutdown_limit + FLUSH_TIME {
             self.finished = true;
             self.leases.drain(now);
             actions.push(RoleAction::Finished);
@@ -297,7 +308,13 @@
 
     fn shutdown_deadline(&self) -> Option<Instant> {
         let since = self.stopping.filter(|_| !self.finished)?;
-        Some(since + self.config.shutdown_accept)
+        let times = [
+            self.config.shutdown_accept,
+            self.config.shutdown_limit,
+            self.config.shutdown_limit + FLUSH_TIME,
+        ];
+        let instants = times.map(|time| since + time);
+        instants.into_iter().find(|at| *at > self.handled)
     }
 }
 
@@ -306,6 +323,7 @@
     type Action = ();
 
     fn handle(&mut self, now: Instant, event: RoleEvent<GatewayEvent>, actions: &mut Actions) {
+        self.handled = now;
         match event {
             RoleEvent::Link(event) => self.take_link(now, event, actions),
             RoleEvent::Timer => self.take_timer(now, actions),
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -282,11 +282,35 @@
         };
         state.orders = Some(inventory.orders);
         state.ask_at = None;
-        state.open.clear();
         state.report.models.clone_from(&inventory.models);
+        let open = self.held_adapters(now, endpoint, inventory);
+        if let Some(state) = self.engines.get_mut(endpoint) {
+            state.open = open;
+        }
         true
     }
 
+    /// Returns accepted loads in place of the adapters of an inventory, which
+    /// the engine's next heartbeat may lack.
+    fn held_adapters(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointName,
+        inventory: &EngineInventory,
+    ) -> Vec<OpenOrder> {
+        let mut open = Vec::new();
+        for (model, adapters) in &inventory.models {
+            for adapter in adapters {
+                open.push(OpenOrder {
+                    order: self.order(endpoint, OrderVerb::Load, model, adapter),
+                    answer: Some(OrderAnswer::Accepted),
+                    until: now + SETTLE_TIME,
+                });
+            }
+        }
+        open
+    }
+
     /// Drops engines that are not among these.
     pub fn retain(&mut self, present: &BTreeSet<EndpointName>) {
         self.engines
@@ -378,9 +402,11 @@
                 state.open[place].answer = Some(answer);
                 state.open[place].until = now + SETTLE_TIME;
                 state.count_order();
+                state.end_loads_before(&order);
             }
             OrderAnswer::Done => {
                 state.open.remove(place);
+                state.end_loads_before(&order);
                 if order.verb == OrderVerb::Unload {
                     state.count_order();
                 }
@@ -683,7 +709,9 @@
 
     /// Counts adapters that are being loaded.
     fn in_transit(&self) -> usize {
-        let loads = self.loads().filter(|order| !order.adapter.is_empty());
+        let loads = self
+            .loads()
+            .filter(|order| !order.adapter.is_empty() && !self.lists(&order.model, &order.adapter));
         loads.count()
     }
 
@@ -697,6 +725,16 @@
         held + unlisted.count()
     }
 
+    /// Ends the loads of an adapter that is unloaded.
+    fn end_loads_before(&mut self, order: &PlacementOrder) {
+        if order.verb == OrderVerb::Unload && !order.adapter.is_empty() {
+            self.open.retain(|open| {
+                let same = open.order.model == order.model && open.order.adapter == order.adapter;
+                !same || open.order.number >= order.number
+            });
+        }
+    }
+
     fn note_held(&mut self, order: &PlacementOrder, now: Instant) {
         let models = &mut self.report.models;
         match (order.verb, order.adapter.is_empty()) {
@@ -732,8 +770,9 @@
     }
     let wanted = order.verb == OrderVerb::Load;
     if !order.adapter.is_empty() {
-        // The report lacks an adapter from the order to unload it on.
-        return open.until <= now || (wanted && is_held);
+        // Heartbeats lag behind orders, and from the order to unload an adapter
+        // on callers are no longer told of it.
+        return open.until <= now;
     }
     let load_time = spec.models.iter().find(|it| it.name == order.model);
     let load_time = load_time.map_or(ORDER_LIFETIME, |it| it.load_time * LOAD_PATIENCE);
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -208,6 +208,32 @@
     assert!(placement.plan(now).is_empty(), "both places are taken");
 }
 
+#[test]
+fn plan_old_heartbeat_frees_no_place() {
+    let start = Instant::now();
+    let mut placement = placement(start);
+    let now = start + LATER;
+    let engine = name("e");
+    observe(&mut placement, now, &engine, report(&[("a", &["x"])]));
+    observe(
+        &mut placement,
+        now,
+        &name("f"),
+        report(&[("b", &[]), ("c", &[])]),
+    );
+    placement.want(now, name("a"), name("y"));
+    let orders = placement.plan(now);
+    placement.answer(now, &engine, orders[0].number, OrderAnswer::Accepted);
+    observe(&mut placement, now, &engine, report(&[("a", &["x", "y"])]));
+    // A heartbeat that was made before either adapter was there.
+    observe(&mut placement, now, &engine, report(&[("a", &[])]));
+    for adapter in ["x", "y"] {
+        placement.note_use(now, &name("a"), &name(adapter), 1);
+    }
+    placement.want(now, name("a"), name("z"));
+    assert!(placement.plan(now).is_empty(), "both places are taken");
+}
+
 #[test]
 fn plan_adapter_in_use_stays() {
     let start = Instant::now();
