--- a/crates/testkit/src/process_cluster.rs
+++ b/crates/testkit/src/process_cluster.rs
@@ -246,7 +246,7 @@
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
             .with_context(|| format!("can't start {name}"))
