--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -69,7 +69,7 @@
         }
         let found = self.index.route(&terms.host, &http.path);
         let (_, route) = found.ok_or(RefusalReason::NoRoute)?;
-        if !self.may_finish(now, &route.name) {
+        if !self.may_begin(route) {
             return Err(RefusalReason::Stopping);
         }
         let account = match self.index.owner(terms.key.as_ref()) {
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -82,7 +82,7 @@
     Malformed,
     /// No configuration is known yet.
     NotReady,
-    /// This instance stops before the request's answer would end.
+    /// This instance stops and might cut the request's answer.
     Stopping,
     /// No route fits.
     NoRoute,
--- a/crates/gateway/src/caller_answers.rs
+++ b/crates/gateway/src/caller_answers.rs
@@ -71,10 +71,7 @@
             return;
         };
         actions.push(RoleAction::Metric(MetricKind::Count, counters::ANSWERED, 1));
-        let spent = now.saturating_duration_since(call.started);
-        let time = self.answer_times.entry(call.route.name.clone());
-        time.or_default().note(spent);
-        let spent = millis(spent);
+        let spent = millis(now.saturating_duration_since(call.started));
         let metric = RoleAction::Metric(MetricKind::TimeMs, counters::WHOLE_ANSWER, spent);
         actions.push(metric);
         self.log_call(now, &call, "answered", status, actions);
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -11,10 +11,11 @@
     RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_serving::ServingIndex;
-use mulberrywell_wire::serving::{CallerLimits, ServingAttach, ServingUpdate};
+use mulberrywell_wire::serving::{
+    CallerLimits, RepeatRule, ServingAttach, ServingRoute, ServingUpdate,
+};
 use mulberrywell_wire::FrameBody;
 
-use crate::answer_time::AnswerTime;
 use crate::attempts::WAIT_INTERVAL;
 use crate::call_book::CallBook;
 use crate::call_codec::{CallCodec, RefusalReason};
@@ -84,8 +85,6 @@
     pub(crate) budgets: BTreeMap<Bytes, RetryBudget>,
     pub(crate) links: ControlLinks,
     pub(crate) wanted: WantedModels,
-    /// How long answers take, by route.
-    pub(crate) answer_times: BTreeMap<Bytes, AnswerTime>,
     /// Entries that share endpoints and budgets.
     pub(crate) entries: u32,
     /// When the shutdown began.
@@ -113,7 +112,6 @@
             budgets: BTreeMap::new(),
             links: ControlLinks::new(&config.seeds, now),
             wanted: WantedModels::default(),
-            answer_times: BTreeMap::new(),
             entries: ENTRIES_DEFAULT,
             stopping: None,
             refusing: false,
@@ -261,16 +259,10 @@
         actions.push(RoleAction::CloseCallers(CALLERS));
     }
 
-    /// Tells whether an answer of a route is expected to end before a shutdown
-    /// would cut it.
-    pub(crate) fn may_finish(&self, now: Instant, route: &Bytes) -> bool {
-        let Some(since) = self.stopping else {
-            return true;
-        };
-        let end = since + self.config.shutdown_limit;
-        let left = end.saturating_duration_since(now);
-        let time = self.answer_times.get(route);
-        time.is_none_or(|time| time.likely_limit() <= left)
+    /// Tells whether a call of a route may begin here: once a shutdown has begun
+    /// other instances take the streams, whose length is not known.
+    pub(crate) fn may_begin(&self, route: &ServingRoute) -> bool {
+        self.stopping.is_none() || route.repeat() != RepeatRule::Stream
     }
 
     /// Ends a shutdown once no call is left and no new one is to come.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,6 @@
 //! package knows what they mean only.
 
 mod admission;
-mod answer_time;
 mod attempts;
 mod call_book;
 mod call_codec;
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -290,7 +290,7 @@
         caller_listen: table.required_address("caller_listen"),
         ready_listen: table.required_address("ready_listen"),
         shutdown_accept: table.millis("shutdown_accept_ms", 0..=MINUTE_MS, 2_500),
-        shutdown_limit: table.millis("shutdown_limit_ms", 100..=10 * MINUTE_MS, 7_500),
+        shutdown_limit: table.millis("shutdown_limit_ms", 100..=10 * MINUTE_MS, 7_800),
         retry_percent: narrow(table.number("retry_percent", 0..=1_000), 20),
         retry_reserve: narrow(table.number("retry_reserve", 0..=10_000), 6),
     };
