--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -42,6 +42,7 @@
 use crate::peer_links::PeerLinks;
 use crate::placement_task::PlacementTask;
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
+use crate::rate_count::RateCount;
 use crate::read_rounds::ReadRounds;
 use crate::relay_table::RelayTable;
 use crate::serving_calls::{ServingAnswer, ServingCall, ServingTask};
@@ -180,6 +181,7 @@
     pub(crate) subscribers: SubscriberTable,
     pub(crate) serving: ServingDesk,
     pub(crate) orders: OrderDesk,
+    pub(crate) rates: RateCount,
     pub(crate) watch: EndpointWatch,
     pub(crate) observed: ObservedState,
     pub(crate) leases: LeaseDesk,
@@ -235,6 +237,7 @@
         let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
         let node = ConsensusNode::open(node_config, recovered, now);
         let membership = node.membership().clone();
+        let rate_epoch = config.new_cluster;
         let founding = empty && config.settings.bootstrap;
         Ok(ControlRole {
             peers: PeerLinks::new(
@@ -260,6 +263,7 @@
             subscribers: SubscriberTable::default(),
             serving: ServingDesk::default(),
             orders: OrderDesk::default(),
+            rates: RateCount::new(rate_epoch),
             watch: EndpointWatch::new(now),
             observed: ObservedState::default(),
             leases: LeaseDesk::restore(now, &state),
@@ -387,6 +391,7 @@
                 if !self.peers.closed(now, link) {
                     self.subscribers.remove(link);
                     self.serving.detach(link);
+                    self.rates.remove(link);
                     self.watch.close_link(link);
                     self.clients.remove(link);
                 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -33,6 +33,7 @@
 mod peer_links;
 mod placement_task;
 mod proposal_table;
+mod rate_count;
 mod read_rounds;
 mod relay_table;
 mod request_memory;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,17 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use mulberrywell_limit::{LeaseAnswer, LeaseMessage, Reservation, ReserveOutcome, TicketEvent};
 use mulberrywell_policy::{chain_hashes, stable_hash};
 use mulberrywell_role::{HttpRequest, MetricKind, RequestId, RoleAction};
 use mulberrywell_serving::KeyOwner;
-use mulberrywell_wire::rate::{LeaseGrant, LeaseRequest, LeaseReturn, TokenRefund};
 use mulberrywell_wire::serving::{ServingAccount, ServingRoute};
-use mulberrywell_wire::FrameBody;
 
 use crate::call_book::{CallRecord, CallStage, OpenAnswer, RouteTerms, RunState};
 use crate::call_codec::{CallCodec, CallTerms, RefusalReason};
-use crate::caller_answers::millis;
 use crate::event_splitter::EventSplitter;
 use crate::gateway_counters as counters;
 use crate::gateway_role::{Actions, GatewayRole};
@@ -25,10 +21,6 @@
     (RefusalReason::Stopping, Duration::from_millis(20)),
 ];
 
-/// Share of the latency objective that a request waits for tokens; up to an
-/// eighth is not counted as held.
-const TOKEN_WAIT_SHARE: u32 = 8;
-
 impl<C: CallCodec> GatewayRole<C> {
     pub(crate) fn take_request(
         &mut self,
@@ -93,13 +85,13 @@
             started: now,
             deadline: now + time_limit(route, &terms),
             attempt_deadline: None,
-            stage: CallStage::Tokens,
+            stage: CallStage::Endpoint,
             ran: RunState::No,
             attempts: 0,
             tried: Vec::new(),
             endpoint: bytes::Bytes::new(),
             unread_tokens: 0,
-            reservation: Reservation::default(),
+            reserved: 0,
             units: account.map_or(0, |account| units_of(account, &terms)),
             answer: OpenAnswer::default(),
             events: EventSplitter::after(terms.last_event),
@@ -119,8 +111,6 @@
         has_rate: bool,
         actions: &mut Actions,
     ) {
-        let wait = call.route.objective / TOKEN_WAIT_SHARE;
-        let until = call.deadline.min(now + wait);
         let account = call.account.clone().filter(|_| has_rate);
         let units = call.units;
         if let Some(model) = &call.terms.model {
@@ -131,110 +121,17 @@
             .or_insert_with(|| self.config.retry_budget.clone())
             .note_request();
         self.calls.insert(request, call);
-        let Some(account) = account else {
-            self.start_attempt(now, request, actions);
-            return;
-        };
-        let outcome = self.leases.reserve(now, &account, request, units, until);
-        self.take_tokens(now, request, outcome, actions);
-    }
-
-    fn take_tokens(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        outcome: ReserveOutcome,
-        actions: &mut Actions,
-    ) {
-        match outcome {
-            ReserveOutcome::Taken(reservation) => {
-                if let Some(call) = self.calls.get_mut(request) {
-                    call.reservation = reservation;
-                    call.stage = CallStage::Endpoint;
-                }
-                self.start_attempt(now, request, actions);
-            }
-            ReserveOutcome::Waiting => {}
-            ReserveOutcome::Short(delay) => {
+        if let Some(account) = account {
+            if let Err(delay) = self.rates.admit(now, &account, units, self.entries) {
                 let reason = RefusalReason::OverRate;
                 self.refuse_call(now, request, reason, Some(delay), actions);
-            }
-            ReserveOutcome::Unavailable(delay) => {
-                let reason = RefusalReason::NoEndpoint;
-                self.refuse_call(now, request, reason, Some(delay), actions);
-            }
-        }
-    }
-
-    pub(crate) fn take_grant(&mut self, now: Instant, grant: &LeaseGrant) {
-        let wait = Duration::from_millis(grant.retry_after_ms);
-        let answer = LeaseAnswer {
-            sequence: grant.sequence,
-            lease: grant.lease,
-            tokens: grant.tokens,
-            lifetime: Duration::from_millis(grant.lifetime_ms),
-            retry_after: (!wait.is_zero()).then_some(wait),
-            rate: grant.rate,
-            unavailable: grant.unavailable,
-        };
-        self.leases.answer(now, &grant.account, &answer);
-    }
-
-    /// Sends what the lease client has to say and goes on with its calls.
-    pub(crate) fn pump_leases(&mut self, now: Instant, actions: &mut Actions) {
-        loop {
-            let events = self.leases.take_events();
-            if events.is_empty() {
-                break;
-            }
-            for TicketEvent { ticket, outcome } in events {
-                self.take_tokens(now, ticket, outcome, actions);
+                return;
             }
         }
-        for message in self.leases.take_messages() {
-            let command = self.links.ask(lease_frame(message));
-            actions.extend(command.map(RoleAction::Link));
+        if let Some(call) = self.calls.get_mut(request) {
+            call.reserved = if has_rate { units } else { 0 };
         }
-    }
-}
-
-fn lease_frame(message: LeaseMessage) -> FrameBody {
-    match message {
-        LeaseMessage::Ask {
-            sequence,
-            account,
-            least,
-            tokens,
-            demand,
-            patience,
-        } => FrameBody::LeaseRequest(LeaseRequest {
-            sequence,
-            account,
-            least,
-            tokens,
-            demand,
-            patience_ms: millis(patience),
-        }),
-        LeaseMessage::Return {
-            account,
-            lease,
-            unspent,
-        } => FrameBody::LeaseReturn(LeaseReturn {
-            account,
-            lease,
-            tokens: unspent,
-        }),
-        LeaseMessage::Refund {
-            account,
-            number,
-            lease,
-            tokens,
-        } => FrameBody::TokenRefund(TokenRefund {
-            account,
-            number,
-            lease,
-            tokens,
-        }),
+        self.start_attempt(now, request, actions);
     }
 }
 
--- a/crates/gateway/src/call_book.rs
+++ b/crates/gateway/src/call_book.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use mulberrywell_limit::Reservation;
 use mulberrywell_role::{ExchangeId, HttpRequest, RequestId};
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::request::HeaderField;
@@ -49,8 +48,6 @@
 /// How far a call is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallStage {
-    /// Waits for tokens of its account.
-    Tokens,
     /// Waits for an endpoint that takes it.
     Endpoint,
     /// Is in an exchange.
@@ -129,8 +126,8 @@
     pub endpoint: EndpointId,
     /// Prompt tokens counted at that endpoint.
     pub unread_tokens: u64,
-    /// Tokens reserved of the account.
-    pub reservation: Reservation,
+    /// Units taken from the account's rate.
+    pub reserved: u64,
     /// Units that the call counts.
     pub units: u64,
     /// Answer of the attempt in work.
--- a/crates/gateway/src/caller_answers.rs
+++ b/crates/gateway/src/caller_answers.rs
@@ -43,11 +43,26 @@
         retry_after: Option<Duration>,
         actions: &mut Actions,
     ) {
-        let Some(call) = self.finish_call(now, request, actions) else {
+        let Some(call) = self.finish_call(request, actions) else {
             return;
         };
         let (word, metric) = counters::names_of(reason);
         actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        let level = call
+            .account
+            .as_ref()
+            .map(|account| self.rates.level(account));
+        let line = format!(
+            "refusal id={} retry_ms={} rate_level={} heard_ms={:?} entries={}",
+            text(&call.terms.id),
+            retry_after.map_or(0, millis),
+            level.map_or(0, |(level, _)| level),
+            level
+                .and_then(|(_, heard)| heard)
+                .map(|at| millis(now.saturating_duration_since(at))),
+            self.entries,
+        );
+        actions.push(RoleAction::Log(LogLevel::Info, line));
         self.log_call(now, &call, word, 0, actions);
         if call.head_sent {
             actions.push(RoleAction::Metric(MetricKind::Count, counters::ABORTED, 1));
@@ -67,7 +82,7 @@
         actions: &mut Actions,
     ) {
         actions.push(RoleAction::Answer(request, AnswerPart::End));
-        let Some(call) = self.finish_call(now, request, actions) else {
+        let Some(call) = self.finish_call(request, actions) else {
             return;
         };
         actions.push(RoleAction::Metric(MetricKind::Count, counters::ANSWERED, 1));
@@ -79,7 +94,7 @@
 
     /// Ends a call whose caller has left.
     pub(crate) fn caller_gone(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
-        let Some(call) = self.finish_call(now, request, actions) else {
+        let Some(call) = self.finish_call(request, actions) else {
             return;
         };
         let metric = RoleAction::Metric(MetricKind::Count, counters::CALLERS_GONE, 1);
@@ -87,31 +102,18 @@
         self.log_call(now, &call, "caller_gone", 0, actions);
     }
 
-    /// Takes a call out of the book, ends its exchange and settles its tokens.
-    fn finish_call(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        actions: &mut Actions,
-    ) -> Option<CallRecord> {
+    /// Takes a call out of the book, ends its exchange and gives back what it did not use.
+    fn finish_call(&mut self, request: RequestId, actions: &mut Actions) -> Option<CallRecord> {
         self.leave_endpoint(request);
         let call = self.calls.remove(request)?;
-        match call.stage {
-            CallStage::Running(exchange) => {
-                actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
-            }
-            CallStage::Tokens => {
-                if let Some(account) = &call.account {
-                    self.leases.cancel(now, account, request);
-                }
-            }
-            CallStage::Endpoint => {}
+        let in_work = matches!(call.stage, CallStage::Running(_));
+        if let CallStage::Running(exchange) = call.stage {
+            actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
         }
         if let Some(account) = &call.account {
-            let in_work = matches!(call.stage, CallStage::Running(_));
-            let may_have_run = in_work || call.ran == RunState::Maybe;
-            let unused = if may_have_run { 0 } else { call.units };
-            self.leases.settle(now, account, &call.reservation, unused);
+            if !in_work && call.ran == RunState::No {
+                self.rates.give_back(account, call.reserved);
+            }
         }
         Some(call)
     }
@@ -130,11 +132,12 @@
             .map_or(0, |at| millis(at.saturating_duration_since(call.started)));
         let model = call.terms.model.as_ref();
         let line = format!(
-            "request id={} route={} account={account} model={} adapter={} version={} \
+            "request id={} route={} account={account} units={} model={} adapter={} version={} \
              endpoint={} attempts={} ran={:?} first_ms={first} spent_ms={} status={status} \
              outcome={outcome}",
             text(&call.terms.id),
             text(&call.route.name),
+            call.units,
             model.map(|model| text(&model.model)).unwrap_or_default(),
             model.map(|model| text(&model.adapter)).unwrap_or_default(),
             call.version,
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -2,8 +2,7 @@
 //!
 //! Algorithm: the seeds, and every instance that one of them names, are dialed;
 //! each open link is told what version is held and tells of changes. Questions
-//! go over one link, the choice of which moves on when its instance knows no
-//! leader.
+//! go over one of them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -110,11 +109,6 @@
         self.open.remove(&link)
     }
 
-    /// Tells whether any link is open.
-    pub fn is_connected(&self) -> bool {
-        !self.open.is_empty()
-    }
-
     /// Returns all open links.
     pub fn open_links(&self) -> impl Iterator<Item = LinkId> + '_ {
         self.open.iter().copied()
@@ -125,25 +119,11 @@
         self.asked
     }
 
-    /// Chooses a link for questions where none is chosen; tells whether it is
-    /// a new one.
-    pub fn choose_asked(&mut self) -> bool {
-        if self.asked.is_some() || self.open.is_empty() {
-            return false;
+    /// Chooses a link for questions where none is chosen.
+    pub fn choose_asked(&mut self) {
+        if self.asked.is_none() {
+            self.asked = self.open.first().copied();
         }
-        self.asked = self.open.first().copied();
-        true
-    }
-
-    /// Moves questions on to the next open link; false when there is no other.
-    pub fn move_asked(&mut self) -> bool {
-        let Some(link) = self.asked else {
-            return false;
-        };
-        let after = self.open.range(link + 1..).next();
-        let next = after.or_else(|| self.open.first()).copied();
-        self.asked = next;
-        next != Some(link)
     }
 
     /// Returns the command that sends a question, if a link is open.
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{LeaseClient, RetryBudget};
+use mulberrywell_limit::RetryBudget;
 use mulberrywell_role::{
     HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind, RequestBounds,
     RoleAction, RoleEvent, RoleMachine,
@@ -23,6 +23,7 @@
 use crate::control_links::ControlLinks;
 use crate::endpoint_table::EndpointTable;
 use crate::gateway_counters as counters;
+use crate::rate_limits::RateLimits;
 use crate::wanted_models::WantedModels;
 
 /// Listener of callers.
@@ -57,6 +58,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Budget of second hand-overs of each service.
     pub retry_budget: RetryBudget,
+    /// Tokens that all instances together may admit beyond an account's rate
+    /// and burst.
+    pub rate_tolerance: u64,
     /// Time after the begin of a shutdown for which new callers are taken, as
     /// the balancer takes that long to see that this instance is not ready.
     pub shutdown_accept: Duration,
@@ -80,7 +84,7 @@
     pub(crate) index: ServingIndex,
     pub(crate) endpoints: EndpointTable,
     pub(crate) calls: CallBook,
-    pub(crate) leases: LeaseClient,
+    pub(crate) rates: RateLimits,
     /// By service.
     pub(crate) budgets: BTreeMap<Bytes, RetryBudget>,
     pub(crate) links: ControlLinks,
@@ -108,7 +112,7 @@
             index: ServingIndex::default(),
             endpoints: EndpointTable::default(),
             calls: CallBook::default(),
-            leases: LeaseClient::new(now),
+            rates: RateLimits::new(config.rate_tolerance, now),
             budgets: BTreeMap::new(),
             links: ControlLinks::new(&config.seeds, now),
             wanted: WantedModels::default(),
@@ -131,23 +135,19 @@
 
     fn take_link(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
         match event {
-            LinkEvent::Opened { link, .. } => self.take_opened(now, link, actions),
+            LinkEvent::Opened { link, .. } => self.take_opened(link, actions),
             LinkEvent::Closed { link } => self.take_closed(now, link, actions),
             LinkEvent::Frame { link, body } => match body {
                 FrameBody::ServingUpdate(update) => self.take_update(now, update, actions),
-                FrameBody::LeaseGrant(grant) => {
-                    self.take_grant(now, &grant);
-                    if grant.unavailable && self.links.asked_link() == Some(link) {
-                        self.move_questions(now);
-                    }
+                FrameBody::RateTotals(totals) if self.links.asked_link() == Some(link) => {
+                    self.rates.hear(now, &totals);
                 }
-                FrameBody::ReturnAck(ack) => self.leases.acknowledge(&ack.account, ack.lease),
                 _ => {}
             },
         }
     }
 
-    fn take_opened(&mut self, now: Instant, link: LinkId, actions: &mut Actions) {
+    fn take_opened(&mut self, link: LinkId, actions: &mut Actions) {
         self.links.opened(link);
         let text = format!("control link {link} opened");
         actions.push(RoleAction::Log(LogLevel::Info, text));
@@ -156,30 +156,16 @@
         };
         let body = FrameBody::ServingAttach(attach);
         self.commands.push(LinkCommand::Send { link, body });
-        if self.links.choose_asked() {
-            self.leases.link_opened(now);
-        }
+        self.links.choose_asked();
+        self.rates.tell_all();
     }
 
     fn take_closed(&mut self, now: Instant, link: LinkId, actions: &mut Actions) {
-        let asked = self.links.asked_link() == Some(link);
         if self.links.closed(now, link) {
             let text = format!("control link {link} closed");
             actions.push(RoleAction::Log(LogLevel::Warn, text));
         }
-        if asked {
-            self.leases.link_closed(now);
-            if self.links.choose_asked() {
-                self.leases.link_opened(now);
-            }
-        }
-    }
-
-    fn move_questions(&mut self, now: Instant) {
-        if self.links.move_asked() {
-            self.leases.link_closed(now);
-            self.leases.link_opened(now);
-        }
+        self.links.choose_asked();
     }
 
     fn take_update(&mut self, now: Instant, update: ServingUpdate, actions: &mut Actions) {
@@ -193,6 +179,7 @@
             if self.index.apply(config) {
                 let text = format!("configuration version={version} held={held} outcome=in_force");
                 actions.push(RoleAction::Log(LogLevel::Info, text));
+                self.rates.set_plans(now, self.index.config(), self.entries);
                 let limits = self.index.config().limits.unwrap_or_default();
                 actions.push(RoleAction::Bound(CALLERS, bounds_of(&limits)));
             }
@@ -248,9 +235,6 @@
             self.next_waiting = now + WAIT_INTERVAL;
             self.try_waiting(now, actions);
         }
-        if self.leases.deadline().is_some_and(|at| at <= now) {
-            self.leases.tick(now);
-        }
         self.check_shutdown(now, actions);
     }
 
@@ -283,11 +267,20 @@
         let quiet = spent >= self.config.shutdown_accept && self.calls.is_empty();
         if quiet || spent >= self.config.shutdown_limit + FLUSH_TIME {
             self.finished = true;
-            self.leases.drain(now);
             actions.push(RoleAction::Finished);
         }
     }
 
+    /// Tells every control instance what was admitted.
+    fn report_rates(&mut self, now: Instant) {
+        if let Some(report) = self.rates.report(now) {
+            for link in self.links.open_links() {
+                let body = FrameBody::RateUse(report.clone());
+                self.commands.push(LinkCommand::Send { link, body });
+            }
+        }
+    }
+
     fn report_wants(&mut self, now: Instant) {
         if self.links.asked_link().is_none() {
             return;
@@ -324,7 +317,7 @@
             RoleEvent::Caller(listener, event) => self.take_caller(now, listener, event, actions),
             RoleEvent::Own(GatewayEvent::Seeds(seeds)) => self.links.set_seeds(now, &seeds),
         }
-        self.pump_leases(now, actions);
+        self.report_rates(now);
         self.report_wants(now);
         actions.extend(self.commands.drain(..).map(RoleAction::Link));
     }
@@ -334,7 +327,7 @@
         [
             self.calls.deadline(),
             self.links.deadline(),
-            self.leases.deadline(),
+            self.rates.deadline(),
             waiting,
             self.shutdown_deadline(),
             Some(self.next_tick),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod event_splitter;
 mod gateway_counters;
 mod gateway_role;
+mod rate_limits;
 mod service_choice;
 mod wanted_models;
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -14,6 +14,7 @@
 mod lease_client;
 mod lease_message;
 mod retry_budget;
+mod shared_bucket;
 mod token_bucket;
 mod waiting_line;
 
@@ -29,4 +30,5 @@
     LeaseAnswer, LeaseMessage, Reservation, ReserveOutcome, ReservedPart, TicketEvent, TicketId,
 };
 pub use retry_budget::RetryBudget;
+pub use shared_bucket::{BucketPlan, SharedBucket, SharedTotal, WORD_LIFETIME};
 pub use token_bucket::{TakeOutcome, TokenBucket};
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -171,13 +171,6 @@
         }
     }
 
-    /// Closes the kept connections to an endpoint.
-    pub fn forget(&mut self, address: SocketAddr) {
-        for id in self.idle.remove(&address).unwrap_or_default() {
-            self.connections.remove(&id);
-        }
-    }
-
     /// Handles a connection that can be read or written.
     pub fn ready(
         &mut self,
--- a/crates/runtime/src/frame_sender.rs
+++ b/crates/runtime/src/frame_sender.rs
@@ -21,6 +21,7 @@
         | FrameBody::LeaseReturn(_)
         | FrameBody::ServingAttach(_)
         | FrameBody::ServingDemand(_)
+        | FrameBody::RateUse(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
         FrameBody::AttemptHead(_)
         | FrameBody::AttemptPart(_)
@@ -41,7 +42,8 @@
         | FrameBody::ForwardAnswer(_)
         | FrameBody::ServingUpdate(_)
         | FrameBody::ServingForward(_)
-        | FrameBody::ServingReply(_) => Some(PeerRole::Control),
+        | FrameBody::ServingReply(_)
+        | FrameBody::RateTotals(_) => Some(PeerRole::Control),
         _ => None,
     }
 }
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -48,6 +48,7 @@
             zone: instance.zone.clone(),
             seeds: instance.seeds.clone(),
             retry_budget: RetryBudget::with_bounds(settings.retry_percent, reserve),
+            rate_tolerance: settings.rate_tolerance,
             shutdown_accept: settings.shutdown_accept,
             shutdown_limit: settings.shutdown_limit,
         };
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -69,6 +69,9 @@
     pub retry_percent: u32,
     /// Second hand-overs that may be made beyond that share.
     pub retry_reserve: u32,
+    /// Tokens that all instances together may admit beyond an account's rate
+    /// and burst.
+    pub rate_tolerance: u64,
 }
 
 /// Settings of the control role.
@@ -293,6 +296,9 @@
         shutdown_limit: table.millis("shutdown_limit_ms", 100..=10 * MINUTE_MS, 7_800),
         retry_percent: narrow(table.number("retry_percent", 0..=1_000), 20),
         retry_reserve: narrow(table.number("retry_reserve", 0..=10_000), 6),
+        rate_tolerance: table
+            .number("rate_tolerance_tokens", 0..=1 << 40)
+            .unwrap_or(0),
     };
     table.end();
     settings
