Let a control instance pass demand on to the leader

Ruled out: a leader that gives no orders (it loaded what no engine held). The rule moved to the wire package, and the roles' tests keep it: demand_any_instance_ordered was red at both followers.

--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -12,13 +12,14 @@
     ControlAction, ControlConfig, ControlEvent, ControlRole, EngineOrder, ServingAnswer,
     ServingCall,
 };
+use mulberrywell_policy::EngineInventory;
 use mulberrywell_role::{
     AnswerPart, HttpEvent, HttpRequest, LinkCommand, LinkEvent, LinkId, RoleAction, RoleEvent,
     RoleMachine,
 };
 use mulberrywell_settings::{ControlSettings, ServeSettings};
 use mulberrywell_wire::request::HeaderField;
-use mulberrywell_wire::{FrameBody, PeerIdentity, PeerRole};
+use mulberrywell_wire::{may_send, FrameBody, PeerIdentity, PeerRole};
 
 const STEP: Duration = Duration::from_millis(10);
 const LIMIT: Duration = Duration::from_secs(20);
@@ -62,6 +63,8 @@
     replies: BTreeMap<(usize, u64), ServingAnswer>,
     /// Orders to engines.
     pub orders: Vec<EngineOrder>,
+    /// What every engine holds.
+    pub inventory: EngineInventory,
     next_link: LinkId,
     next_request: u64,
 }
@@ -109,6 +112,7 @@
             answers: BTreeMap::new(),
             replies: BTreeMap::new(),
             orders: Vec::new(),
+            inventory: EngineInventory::default(),
             next_link: 1,
             next_request: 1,
         }
@@ -297,7 +301,13 @@
                 self.orders.push(order);
                 return;
             }
-            ControlAction::AbandonOrder(_) | ControlAction::AskInventory(_) => return,
+            ControlAction::AbandonOrder(_) => return,
+            ControlAction::AskInventory(query) => {
+                let inventory = Some(self.inventory.clone());
+                let event = ControlEvent::InventoryRead { query, inventory };
+                self.events[place].push_back(RoleEvent::Own(event));
+                return;
+            }
             ControlAction::Answer(request, part) => {
                 let answer = self.answers.entry(request).or_default();
                 match part {
@@ -331,6 +341,7 @@
             }
             LinkCommand::Send { link, body } => {
                 let near = LinkEnd { place, link };
+                assert!(may_send(PeerRole::Control, &body), "{body:?}");
                 if let Some(frames) = self.frames.get_mut(&near) {
                     frames.push(body);
                 } else if let Some(far) = self.links.get(&near).copied() {
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -1,11 +1,13 @@
 //! The serving configuration and endpoints at several control roles.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
 use mulberrywell_control::{ServingAnswer, ServingCall};
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, PutServing, ServingAttach, ServingConfig, ServingUpdate,
+    EndpointPhase, EndpointStatus, EngineModel, EngineTraits, HeldModel, PutServing, ServingAttach,
+    ServingConfig, ServingDemand, ServingService, ServingUpdate, WantedModel,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -150,3 +152,77 @@
     let last = told.iter().flat_map(|update| &update.endpoints).last();
     assert!(last.is_some_and(|status| !status.silent));
 }
+
+/// A deployment with one model and its adapters.
+fn engine_config() -> ServingCall {
+    let model = EngineModel {
+        name: Bytes::from_static(b"m"),
+        weight_mb: 10,
+        adapter_mb: 1,
+        ..EngineModel::default()
+    };
+    let service = ServingService {
+        name: Bytes::from_static(b"s"),
+        engine: Some(EngineTraits {
+            models: vec![model],
+            memory_mb: 100,
+            adapter_places: 2,
+            ..EngineTraits::default()
+        }),
+        ..ServingService::default()
+    };
+    ServingCall::Put(PutServing {
+        config: Some(ServingConfig {
+            version: 1,
+            services: vec![service],
+            ..ServingConfig::default()
+        }),
+        source: Bytes::from_static(b"engine"),
+    })
+}
+
+/// Places of the role that the entry asks, after the leader.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn demand_any_instance_ordered(#[case] offset: usize) {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let model = Bytes::from_static(b"m");
+    cluster
+        .inventory
+        .models
+        .insert(model.clone(), BTreeSet::new());
+    cluster.serve(leader, engine_config());
+    cluster.serve(leader, engine_beat());
+    // No order before the last one of an earlier leader has run out.
+    cluster.run(Duration::from_secs(4));
+    assert!(cluster.orders.is_empty());
+    let entry = cluster.attach((leader + offset) % 3, b"entry-0");
+    let wanted = WantedModel {
+        service: Bytes::from_static(b"s"),
+        model,
+        adapter: Bytes::from_static(b"a1"),
+    };
+    let demand = ServingDemand {
+        wanted: vec![wanted],
+        ..ServingDemand::default()
+    };
+    cluster.send(&entry, FrameBody::ServingDemand(demand));
+    cluster.run(Duration::from_millis(300));
+    let orders = cluster.orders.iter().map(|order| &order.order.adapter);
+    assert_eq!(orders.collect::<Vec<_>>(), ["a1"]);
+}
+
+fn engine_beat() -> ServingCall {
+    let ServingCall::Beat(mut status) = beat(1, EndpointPhase::Ready) else {
+        unreachable!("a beat");
+    };
+    status.engine = true;
+    status.models.push(HeldModel {
+        name: Bytes::from_static(b"m"),
+        ..HeldModel::default()
+    });
+    ServingCall::Beat(status)
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -14,7 +14,6 @@
 mod engine_client;
 mod event_sender;
 mod exchange_table;
-mod frame_sender;
 mod guard_connection;
 pub mod head_check;
 mod http_gate;
--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -4,14 +4,12 @@
 
 use mulberrywell_wire::link::{Ping, Pong};
 use mulberrywell_wire::{
-    encode_frame, FrameBody, FrameCodec, HandshakeStep, LinkHandshake, PeerFrame, PeerIdentity,
-    PeerRole, FRAME_LIMIT,
+    encode_frame, may_send, FrameBody, FrameCodec, HandshakeStep, LinkHandshake, PeerFrame,
+    PeerIdentity, PeerRole, FRAME_LIMIT,
 };
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioSource, ReadStatus, TcpStreamBuf};
 
-use crate::frame_sender::may_send;
-
 /// Longest frame before the handshake ended, in bytes.
 const HANDSHAKE_LIMIT: usize = 4 * 1024;
 
--- a/crates/runtime/src/frame_sender.rs
+++ b/crates/wire/src/frame_sender.rs
@@ -4,7 +4,7 @@
 //! its sender's part never sends is a fault and closes the link, before any
 //! role sees it.
 
-use mulberrywell_wire::{FrameBody, PeerRole};
+use crate::{FrameBody, PeerRole};
 
 /// Tells whether a peer of this role may send a frame.
 pub fn may_send(peer: PeerRole, body: &FrameBody) -> bool {
@@ -20,7 +20,6 @@
         | FrameBody::LeaseRequest(_)
         | FrameBody::LeaseReturn(_)
         | FrameBody::ServingAttach(_)
-        | FrameBody::ServingDemand(_)
         | FrameBody::RateUse(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
         FrameBody::AttemptHead(_)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,9 +11,11 @@
 //! takes bytes out.
 
 mod frame_codec;
+mod frame_sender;
 mod link_handshake;
 
 pub use frame_codec::{decode_frame, encode_frame, FrameCodec, FrameError, FRAME_LIMIT};
+pub use frame_sender::may_send;
 pub use link_handshake::{
     HandshakeError, HandshakeStep, LinkHandshake, LinkSide, PeerIdentity, PROTOCOL_VERSION,
 };
