--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -46,6 +46,10 @@
 const DISK_COST: f64 = 0.3;
 const STORE_COST: f64 = 1.0;
 
+/// Time for which room that is being made is kept from idle models: the runs of
+/// the model that goes end first.
+const PROMISE_LIFETIME: Duration = Duration::from_secs(4);
+
 /// Models that one plan gives a further replica.
 const RELIEVED_MAX: usize = 4;
 
@@ -202,6 +206,8 @@
     /// When each model came to be held.
     since: BTreeMap<ModelName, Instant>,
     open: Vec<OpenOrder>,
+    /// Until then no idle model gets the room that was made.
+    promised: Option<Instant>,
     /// Orders that it has accepted; none while that is in doubt.
     orders: Option<u64>,
     /// When its inventory is asked for next; none while `orders` is known.
@@ -502,10 +508,13 @@
         let Some(weight) = self.spec_of(model).map(|spec| spec.weight_mb) else {
             return;
         };
+        let rate = self.demand.get(model).map_or(0.0, |it| rate_at(*it, now));
+        let is_idle = rate <= IDLE_RATE && !self.is_wanted(model);
         let mut best: Option<(f64, f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, state) in &self.engines {
             let takes_orders = state.takes_orders() && !state.has_model_order();
-            if !takes_orders || state.will_hold(model) {
+            let is_kept = is_idle && state.is_promised(now);
+            if !takes_orders || is_kept || state.will_hold(model) {
                 continue;
             }
             let (value, victim) = if self.free_mb(state) >= weight {
@@ -531,6 +540,9 @@
             Some(victim) => {
                 let order = self.order(&endpoint, OrderVerb::Unload, &victim, &ModelName::new());
                 self.open_order(now, order, orders);
+                if let Some(state) = self.engines.get_mut(&endpoint) {
+                    state.promised = Some(now + PROMISE_LIFETIME);
+                }
             }
             None if self.is_at_hand(&endpoint, model) || self.pacer.take_permit(false) => {
                 let order = self.order(&endpoint, OrderVerb::Load, model, &ModelName::new());
@@ -540,6 +552,11 @@
         }
     }
 
+    /// Tells whether callers wait for a model.
+    fn is_wanted(&self, model: &ModelName) -> bool {
+        self.wants.keys().any(|(wanted, _)| wanted == model)
+    }
+
     /// Tells whether an engine loads a model without the weight store.
     fn is_at_hand(&self, endpoint: &EndpointName, model: &ModelName) -> bool {
         let state = self.engines.get(endpoint);
@@ -654,6 +671,9 @@
         orders: &mut Vec<PlacementOrder>,
     ) {
         if let Some(state) = self.engines.get_mut(&order.endpoint) {
+            if order.verb == OrderVerb::Load && order.adapter.is_empty() {
+                state.promised = None;
+            }
             state.open.push(OpenOrder {
                 order: order.clone(),
                 answer: None,
@@ -710,6 +730,10 @@
         (held && self.unloads().find(named).is_none()) || self.loads().find(named).is_some()
     }
 
+    fn is_promised(&self, now: Instant) -> bool {
+        self.promised.is_some_and(|until| until > now)
+    }
+
     fn has_model_order(&self) -> bool {
         self.open.iter().any(|open| open.order.adapter.is_empty())
     }
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -186,7 +186,12 @@
     let start = Instant::now();
     let mut placement = placement(start);
     observe(&mut placement, start, &name("e"), report(&[("a", &[])]));
-    observe(&mut placement, start, &name("f"), report(&[("b", &[]), ("c", &[])]));
+    observe(
+        &mut placement,
+        start,
+        &name("f"),
+        report(&[("b", &[]), ("c", &[])]),
+    );
     let now = start + LATER;
     placement.note_use(now, &name("a"), &Bytes::new(), 40);
     placement.note_use(now, &name("b"), &Bytes::new(), 10);
@@ -194,6 +199,28 @@
     assert_eq!(orders, ["unload f c", "load e b"]);
 }
 
+#[test]
+fn plan_room_goes_to_its_model() {
+    let start = Instant::now();
+    let mut placement = placement(start);
+    let engine = name("e");
+    observe(
+        &mut placement,
+        start,
+        &engine,
+        report(&[("b", &[]), ("c", &[])]),
+    );
+    let now = start + LATER;
+    placement.note_use(now, &name("a"), &Bytes::new(), 40);
+    let orders = placement.plan(now);
+    assert_eq!(described(&orders), ["unload e b"]);
+    placement.answer(now, &engine, orders[0].number, OrderAnswer::Accepted);
+    observe(&mut placement, now, &engine, report(&[("c", &[])]));
+    // No engine holds `b` now, but the room was made for `a`.
+    assert_eq!(described(&placement.plan(now)), ["load e a"]);
+    assert!(placement.plan(now).is_empty());
+}
+
 #[test]
 fn plan_kept_weights_first() {
     let start = Instant::now();
