Let gateways know what the others have at endpoints

Cause: a gateway chose engines by its own eighth of their load; the busiest had 1.5 to 2.5 times the mean. Ruled out: reports of the engines, which lag 200 ms and are priced. Control sums what gateways report ten times a second.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -43,6 +43,7 @@
             FrameBody::Subscribe(subscribe) => self.subscribers.insert(link, subscribe),
             FrameBody::Announce(announce) => self.take_announce(now, link, announce, actions),
             FrameBody::ServingAttach(attach) => self.serving.attach(link, &attach),
+            FrameBody::LoadShare(report) => self.loads.take(link, report),
             FrameBody::RateUse(report) => self.rates.take(link, report),
             FrameBody::ServingDemand(demand) => self.take_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.take_state_report(now, report),
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -34,6 +34,7 @@
 use crate::endpoint_chart::EndpointChart;
 use crate::endpoint_watch::EndpointWatch;
 use crate::lease_desk::LeaseDesk;
+use crate::load_board::LoadBoard;
 use crate::member_driver::MemberDriver;
 use crate::member_status::StatusTable;
 use crate::observed_state::ObservedState;
@@ -182,6 +183,7 @@
     pub(crate) serving: ServingDesk,
     pub(crate) orders: OrderDesk,
     pub(crate) rates: RateCount,
+    pub(crate) loads: LoadBoard,
     pub(crate) watch: EndpointWatch,
     pub(crate) observed: ObservedState,
     pub(crate) leases: LeaseDesk,
@@ -264,6 +266,7 @@
             serving: ServingDesk::default(),
             orders: OrderDesk::default(),
             rates: RateCount::new(rate_epoch),
+            loads: LoadBoard::default(),
             watch: EndpointWatch::new(now),
             observed: ObservedState::default(),
             leases: LeaseDesk::restore(now, &state),
@@ -392,6 +395,7 @@
                     self.subscribers.remove(link);
                     self.serving.detach(link);
                     self.rates.remove(link);
+                    self.loads.remove(link);
                     self.watch.close_link(link);
                     self.clients.remove(link);
                 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,7 @@
 mod endpoint_frames;
 mod endpoint_watch;
 mod lease_desk;
+mod load_board;
 mod log_outputs;
 mod member_driver;
 mod member_status;
--- a/crates/control/src/member_driver.rs
+++ b/crates/control/src/member_driver.rs
@@ -204,7 +204,7 @@
         return false;
     }
     let voters = view.membership.voters().count();
-    !view.membership.is_voter(id) || voters.is_multiple_of(2)
+    !view.membership.is_voter(id) || voters % 2 == 0
 }
 
 /// Tells whether an instance may become a member.
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -92,6 +92,7 @@
         }
         self.serving.tick(now);
         self.rates.tell(&mut self.commands);
+        self.loads.tell(&mut self.commands);
         self.tick_watch(now, actions);
         if let Some(status) = self.status.due(now, self.peers.own().id, &self.state) {
             for link in self.peers.member_links() {
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -119,11 +119,12 @@
         self.asked
     }
 
-    /// Chooses a link for questions where none is chosen.
-    pub fn choose_asked(&mut self) {
-        if self.asked.is_none() {
-            self.asked = self.open.first().copied();
-        }
+    /// Chooses the open link with the lowest address for questions, so that all
+    /// entries ask the same instance; tells whether it is another one.
+    pub fn choose_asked(&mut self) -> bool {
+        let open = self.dialers.values().filter_map(SeedDialer::open_link);
+        let first = open.into_iter().find(|link| self.open.contains(link));
+        std::mem::replace(&mut self.asked, first) != first
     }
 
     /// Returns the command that sends a question, if a link is open.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use mulberrywell_policy::{stable_hash, PrefixCache};
 use mulberrywell_serving::{EndpointBook, EndpointId, MergeOutcome};
-use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus};
+use mulberrywell_wire::serving::{EndpointLoad, EndpointPhase, EndpointStatus, LoadShare};
 
 use crate::call_codec::ModelTerms;
 
@@ -30,6 +30,10 @@
     pub running: u32,
     /// Prompt tokens of requests without a first event.
     pub unread_tokens: u64,
+    /// What the other entries have there, as control told it last.
+    pub others: OtherLoad,
+    /// What control was told: requests and unread tokens.
+    told: (u32, u64),
     /// Parts of prompts that it is believed to keep.
     pub cache: PrefixCache,
     /// Models and adapters that it said it does not hold after all, until its
@@ -41,6 +45,15 @@
     avoid_until: Option<Instant>,
 }
 
+/// What other entries have at an endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OtherLoad {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens of requests without a first event.
+    pub unread_tokens: u64,
+}
+
 impl EndpointUse {
     /// Tells whether others go first.
     pub fn is_avoided(&self, now: Instant) -> bool {
@@ -134,6 +147,43 @@
             .filter(|(status, usage)| holds(status, model) && !usage.missing.contains(model))
     }
 
+    /// Returns what has changed of this entry's loads since it was told.
+    pub fn take_loads(&mut self) -> LoadShare {
+        let mut loads = Vec::new();
+        for (id, usage) in &mut self.uses {
+            let load = (usage.running, usage.unread_tokens);
+            if usage.told != load {
+                usage.told = load;
+                loads.push(EndpointLoad {
+                    endpoint: id.clone(),
+                    running: usage.running,
+                    unread: usage.unread_tokens,
+                });
+            }
+        }
+        LoadShare { loads }
+    }
+
+    /// Takes in what the other entries have at endpoints.
+    pub fn hear_loads(&mut self, share: LoadShare) {
+        for load in share.loads {
+            if let Some(usage) = self.uses.get_mut(&load.endpoint) {
+                usage.others = OtherLoad {
+                    running: load.running,
+                    unread_tokens: load.unread,
+                };
+            }
+        }
+    }
+
+    /// Forgets what the other entries have, and tells everything anew.
+    pub fn forget_loads(&mut self) {
+        for usage in self.uses.values_mut() {
+            usage.others = OtherLoad::default();
+            usage.told = (0, 0);
+        }
+    }
+
     /// Returns how an endpoint is used.
     pub fn usage_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointUse> {
         self.uses.get_mut(id)
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -139,6 +139,9 @@
             LinkEvent::Closed { link } => self.take_closed(now, link, actions),
             LinkEvent::Frame { link, body } => match body {
                 FrameBody::ServingUpdate(update) => self.take_update(now, update, actions),
+                FrameBody::LoadShare(share) if self.links.asked_link() == Some(link) => {
+                    self.endpoints.hear_loads(share);
+                }
                 FrameBody::RateTotals(totals) if self.links.asked_link() == Some(link) => {
                     self.rates.hear(now, &totals);
                 }
@@ -156,7 +159,7 @@
         };
         let body = FrameBody::ServingAttach(attach);
         self.commands.push(LinkCommand::Send { link, body });
-        self.links.choose_asked();
+        self.choose_asked();
         self.rates.tell_all();
     }
 
@@ -165,7 +168,14 @@
             let text = format!("control link {link} closed");
             actions.push(RoleAction::Log(LogLevel::Warn, text));
         }
-        self.links.choose_asked();
+        self.choose_asked();
+    }
+
+    /// Asks the instance that all others ask, if it is linked.
+    fn choose_asked(&mut self) {
+        if self.links.choose_asked() {
+            self.endpoints.forget_loads();
+        }
     }
 
     fn take_update(&mut self, now: Instant, update: ServingUpdate, actions: &mut Actions) {
@@ -227,6 +237,7 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             self.wanted.tick(now);
+            self.report_loads();
             let in_work = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, counters::IN_WORK, in_work);
             actions.push(metric);
@@ -281,6 +292,18 @@
         }
     }
 
+    /// Tells control what this entry has at endpoints.
+    fn report_loads(&mut self) {
+        if self.links.asked_link().is_none() {
+            return;
+        }
+        let share = self.endpoints.take_loads();
+        if !share.loads.is_empty() {
+            self.commands
+                .extend(self.links.ask(FrameBody::LoadShare(share)));
+        }
+    }
+
     fn report_wants(&mut self, now: Instant) {
         if self.links.asked_link().is_none() {
             return;
--- a/crates/gateway/src/service_choice.rs
+++ b/crates/gateway/src/service_choice.rs
@@ -10,9 +10,6 @@
 use crate::call_book::CallRecord;
 use crate::endpoint_table::{EndpointTable, EndpointUse};
 
-/// Share of an engine's slots that one entry counts as its own, at the least.
-const OWN_SLOTS_MIN: u32 = 4;
-
 /// What the choice is made from beside the call.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceView<'a> {
@@ -87,9 +84,9 @@
             0
         };
         let engine = EngineView {
-            unread_tokens: usage.unread_tokens,
-            running: usage.running,
-            slots: (status.slots / view.entries.max(1)).max(OWN_SLOTS_MIN),
+            unread_tokens: usage.unread_tokens + usage.others.unread_tokens,
+            running: usage.running + usage.others.running,
+            slots: status.slots,
             kept_tokens: kept.max(assumed),
             is_far: status.zone != *view.zone,
         };
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -137,7 +137,10 @@
         "it would be too old"
     );
     now += Duration::from_millis(300);
-    assert_eq!(placement.inventories_due(now), [engine.clone()]);
+    assert_eq!(
+        placement.inventories_due(now),
+        std::slice::from_ref(&engine)
+    );
     let busy = EngineInventory {
         is_busy: true,
         ..EngineInventory::default()
