--- a/crates/gateway/src/caller_answers.rs
+++ b/crates/gateway/src/caller_answers.rs
@@ -105,13 +105,13 @@
     /// Takes a call out of the book, ends its exchange and gives back what it did not use.
     fn finish_call(&mut self, request: RequestId, actions: &mut Actions) -> Option<CallRecord> {
         self.leave_endpoint(request);
-        let call = self.calls.remove(request)?;
-        let in_work = matches!(call.stage, CallStage::Running(_));
+        let mut call = self.calls.remove(request)?;
         if let CallStage::Running(exchange) = call.stage {
             actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
+            call.ran = RunState::Maybe;
         }
         if let Some(account) = &call.account {
-            if !in_work && call.ran == RunState::No {
+            if call.ran == RunState::No {
                 self.rates.give_back(account, call.reserved);
             }
         }
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -35,6 +35,10 @@
 /// Interval of regular work.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time before the end of a shutdown at which callers are taken no more: a plain
+/// service answers well within it.
+const PLAIN_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time in which callers get their last answers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
@@ -61,8 +65,8 @@
     /// Tokens that all instances together may admit beyond an account's rate
     /// and burst.
     pub rate_tolerance: u64,
-    /// Time after the begin of a shutdown for which new callers are taken, as
-    /// the balancer takes that long to see that this instance is not ready.
+    /// Time after the begin of a shutdown before which it does not end, as the
+    /// balancer takes that long to see that this instance is not ready.
     pub shutdown_accept: Duration,
     /// Time after which a shutdown cuts the calls that are left.
     pub shutdown_limit: Duration,
@@ -266,7 +270,8 @@
             return;
         };
         let spent = now.saturating_duration_since(since);
-        if spent >= self.config.shutdown_accept && !self.refusing {
+        let last_callers = self.config.shutdown_limit.saturating_sub(PLAIN_TIME);
+        if spent >= last_callers && !self.refusing {
             self.refusing = true;
             actions.push(RoleAction::StopCallers(CALLERS));
         }
@@ -318,6 +323,7 @@
         let since = self.stopping.filter(|_| !self.finished)?;
         let times = [
             self.config.shutdown_accept,
+            self.config.shutdown_limit.saturating_sub(PLAIN_TIME),
             self.config.shutdown_limit,
             self.config.shutdown_limit + FLUSH_TIME,
         ];
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -202,8 +202,8 @@
     }
 
     /// Answers a reader of metrics.
-    fn answer_metrics(&mut self, cx: CX![], event: HttpEvent) {
-        let HttpEvent::Request { request, .. } = event else {
+    fn answer_metrics(&mut self, cx: CX![], event: &HttpEvent) {
+        let HttpEvent::Request { request, .. } = *event else {
             return;
         };
         let body = Bytes::from(self.metrics.to_text());
@@ -299,7 +299,7 @@
             }
             while let Some(event) = self.ports.next_event() {
                 match event {
-                    PortEvent::Caller(METRICS, event) => self.answer_metrics(cx, event),
+                    PortEvent::Caller(METRICS, event) => self.answer_metrics(cx, &event),
                     PortEvent::Caller(listener, event) => {
                         self.feed(cx, RoleEvent::Caller(listener, event));
                     }
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -61,7 +61,7 @@
     pub caller_listen: SocketAddr,
     /// Where the balancer asks whether callers are taken.
     pub ready_listen: SocketAddr,
-    /// Time after the begin of a shutdown for which new callers are taken.
+    /// Time after the begin of a shutdown before which it does not end.
     pub shutdown_accept: Duration,
     /// Time after which a shutdown cuts the requests that are left.
     pub shutdown_limit: Duration,
