Let a woken leader see the time that passed before it decides

Ruled out: the pause of new leaders (3.4 s kept). order_woken_leader_gives_none was red and is green.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -53,6 +53,10 @@
 /// Interval of the role's regular work.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time without an event after which the process counts as one that stood
+/// still: twice the interval of its regular work and more.
+const WAKE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time that a graceful shutdown gives the transfer of the leadership.
 const TRANSFER_TIME: Duration = Duration::from_secs(1);
 
@@ -194,6 +198,8 @@
     pub(crate) status: StatusTable,
     /// Set while this instance may still found a cluster.
     pub(crate) founding: bool,
+    /// Instant of the last event.
+    handled: Instant,
     /// Instant of the last regular work.
     pub(crate) last_tick: Instant,
     next_tick: Instant,
@@ -276,6 +282,7 @@
             absent: BTreeMap::new(),
             status: StatusTable::new(now),
             founding,
+            handled: now,
             last_tick: now,
             next_tick: now,
             clock_ms: 0,
@@ -460,6 +467,14 @@
     type Action = ControlAction;
 
     fn handle(&mut self, now: Instant, event: RoleEvent<ControlEvent>, actions: &mut Actions) {
+        let pause = now.saturating_duration_since(self.handled);
+        self.handled = now;
+        if pause >= WAKE_PAUSE {
+            // The node must see the time that has passed before anything is
+            // decided by its lead.
+            self.input(NodeInput::Timer);
+            self.settle(now, actions);
+        }
         match event {
             RoleEvent::Link(event) => self.take_link(now, event, actions),
             RoleEvent::Timer => self.take_timer(now, actions),
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -172,6 +172,12 @@
         }
     }
 
+    /// Lets a role run again whose timer fires before any event reaches it.
+    pub fn thaw_by_timer(&mut self, place: usize) {
+        self.thaw(place);
+        self.handle(place, RoleEvent::Timer);
+    }
+
     /// Links a client to a role.
     pub fn attach(&mut self, place: usize, instance: &'static [u8]) -> ClientLink {
         let end = self.new_end(place);
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -159,6 +159,7 @@
         name: Bytes::from_static(b"m"),
         weight_mb: 10,
         adapter_mb: 1,
+        store_load_ms: 100,
         ..EngineModel::default()
     };
     let service = ServingService {
@@ -167,6 +168,7 @@
             models: vec![model],
             memory_mb: 100,
             adapter_places: 2,
+            store_loads_milli: 250,
             ..EngineTraits::default()
         }),
         ..ServingService::default()
@@ -226,3 +228,36 @@
     });
     ServingCall::Beat(status)
 }
+
+#[test]
+fn order_woken_leader_gives_none() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    cluster.serve(leader, engine_config());
+    let other = (leader + 1) % 3;
+    // No engine holds the model: each leader orders it when the store allows,
+    // every four seconds.
+    let mut sequence = 1;
+    while cluster.orders.is_empty() {
+        cluster.serve(other, beat(sequence, EndpointPhase::Ready));
+        cluster.run(Duration::from_millis(500));
+        sequence += 1;
+    }
+    cluster.run(Duration::from_millis(2_500));
+    let holder = cluster.orders[0].holder.clone();
+    cluster.freeze(leader);
+    for _ in 0..6 {
+        sequence += 1;
+        cluster.serve(other, beat(sequence, EndpointPhase::Ready));
+        cluster.run(Duration::from_secs(2));
+    }
+    let given = cluster.orders.len();
+    assert_ne!(cluster.orders[given - 1].holder, holder);
+    cluster.thaw_by_timer(leader);
+    cluster.run(Duration::from_secs(2));
+    let later = cluster.orders[given..].iter();
+    assert!(
+        later.clone().all(|order| order.holder != holder),
+        "{later:?}"
+    );
+}
