--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -53,6 +53,24 @@
         self.write(&text)
     }
 
+    /// Writes the head of a worker's answer, which is chunked without a length.
+    pub fn write_head(
+        &mut self,
+        status: u16,
+        id: &str,
+        name: &str,
+        value: &str,
+        length: Option<usize>,
+    ) -> bool {
+        let framing = match length {
+            Some(len) => format!("Content-Length: {len}"),
+            None => "Transfer-Encoding: chunked".to_owned(),
+        };
+        self.write(&format!(
+            "HTTP/1.1 {status} Answer\r\nRequest-Id: {id}\r\n{name}: {value}\r\n{framing}\r\n\r\n"
+        ))
+    }
+
     /// Begins a chunked answer.
     pub fn begin_chunks(&mut self, content_type: &str) -> bool {
         self.write(&format!(
@@ -66,7 +84,8 @@
         self.write(&format!("{:x}\r\n{text}\r\n", text.len()))
     }
 
-    fn write(&mut self, text: &str) -> bool {
+    /// Writes bytes as they are.
+    pub fn write(&mut self, text: &str) -> bool {
         self.0.write_all(text.as_bytes()).is_ok()
     }
 }
