--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -146,9 +146,7 @@
                 FrameBody::LoadShare(share) if self.links.asked_link() == Some(link) => {
                     self.endpoints.hear_loads(share);
                 }
-                FrameBody::RateTotals(totals) if self.links.asked_link() == Some(link) => {
-                    self.rates.hear(now, &totals);
-                }
+                FrameBody::RateTotals(totals) => self.rates.hear(now, &totals),
                 _ => {}
             },
         }
--- a/crates/limit/src/shared_bucket.rs
+++ b/crates/limit/src/shared_bucket.rs
@@ -5,7 +5,7 @@
 //! for nobody.
 //!
 //! Guarantees: a holder counts its own admissions at once and those of others
-//! once, however often they are told; what was admitted on old word is paid
+//! once, however often and by however many places they are told; what was admitted on old word is paid
 //! back before anything further is admitted, so over a window of length W the
 //! holders admit at most burst + rate x W and what all of them admit within the
 //! age of their word. A holder that hears nothing for [`WORD_LIFETIME`] uses its
@@ -14,7 +14,10 @@
 use std::time::{Duration, Instant};
 
 /// Age of the last word of the others after which only a share is used.
-pub const WORD_LIFETIME: Duration = Duration::from_millis(1_500);
+pub const WORD_LIFETIME: Duration = Duration::from_millis(500);
+
+/// Places whose counts are told apart; the one that was met first goes.
+const PLACES_MAX: usize = 16;
 
 /// Seconds of the rate that a bucket may be below empty.
 const DEBT_SECONDS: f64 = 4.0;
@@ -51,8 +54,11 @@
     updated: Instant,
     /// Units that this holder has admitted, ever rising.
     admitted: u64,
-    /// Units of others that were taken in, by the count's epoch.
-    others: Option<(u64, u64)>,
+    /// Units of others that were taken in since this bucket began.
+    others: u64,
+    /// What is added to each place's count of the others to compare it with
+    /// `others`, by epoch in the order met.
+    places: Vec<(u64, i64)>,
     /// When the others were last heard of.
     heard: Option<Instant>,
 }
@@ -65,7 +71,8 @@
             level: plan.burst as f64,
             updated: now,
             admitted: 0,
-            others: None,
+            others: 0,
+            places: Vec::new(),
             heard: None,
         }
     }
@@ -121,16 +128,26 @@
         self.admitted
     }
 
-    /// Takes in what all holders have admitted.
+    /// Takes in what all holders have admitted, as one place has counted.
     pub fn hear(&mut self, told: SharedTotal, now: Instant) {
-        let others = told.total.saturating_sub(told.own);
+        let others = signed(told.total.saturating_sub(told.own));
         self.heard = Some(now);
-        let fresh = match self.others {
-            Some((epoch, known)) if epoch == told.epoch => others.saturating_sub(known),
-            // A new count begins: what was admitted before is not known anew.
-            _ => 0,
+        let known = self.places.iter().find(|(epoch, _)| *epoch == told.epoch);
+        let offset = match known {
+            Some((_, offset)) => *offset,
+            None => {
+                // What this place counted before is not told apart.
+                let offset = signed(self.others) - others;
+                if self.places.len() >= PLACES_MAX {
+                    self.places.remove(0);
+                }
+                self.places.push((told.epoch, offset));
+                offset
+            }
         };
-        self.others = Some((told.epoch, others));
+        let counted = u64::try_from(others + offset).unwrap_or(0);
+        let fresh = counted.saturating_sub(self.others);
+        self.others += fresh;
         let floor = -(self.plan.rate as f64) * DEBT_SECONDS;
         self.level = (self.level - fresh as f64).max(floor);
     }
@@ -165,3 +182,7 @@
         self.level = self.level.min(most.max(0.0));
     }
 }
+
+fn signed(units: u64) -> i64 {
+    i64::try_from(units).unwrap_or(i64::MAX / 4)
+}
--- a/crates/limit/tests/shared_bucket.rs
+++ b/crates/limit/tests/shared_bucket.rs
@@ -72,9 +72,30 @@
     };
     bucket.hear(other, now);
     let later = now + millis(500);
+    bucket.hear(other, later);
     assert_eq!(bucket.admit(500, later, HOLDERS), Ok(()));
 }
 
+#[test]
+fn hear_two_places_counted_once() {
+    let now = Instant::now();
+    let mut bucket = SharedBucket::new(PLAN, now);
+    let by = |epoch, total| SharedTotal {
+        epoch,
+        total,
+        own: 0,
+    };
+    for epoch in [1, 2] {
+        bucket.hear(by(epoch, 10 * epoch), now);
+    }
+    // The second place is ahead, then stands still while the first goes on.
+    bucket.hear(by(2, 420), now);
+    bucket.hear(by(1, 310), now);
+    bucket.hear(by(1, 610), now);
+    assert_eq!(bucket.admit(400, now, HOLDERS), Ok(()));
+    assert_eq!(bucket.admit(1, now, HOLDERS), Err(millis(1)));
+}
+
 /// Holders that hear nothing of each other keep to the plan together.
 #[rstest]
 #[case(1)]
