--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -14,13 +14,11 @@
 
 use bytes::Bytes;
 use mulberrywell_consensus::{
-    ConsensusNode, LogIndex, MemberId, Membership, NodeConfig, NodeInput, NodeOutput, NodeRole,
-    PersistBatch, PersistTicket, RecoveredState, SnapshotImage, Term,
+    ConsensusNode, MemberId, Membership, NodeConfig, NodeInput, NodeOutput, NodeRole,
+    RecoveredState, Term,
 };
-use mulberrywell_policy::{EngineInventory, OrderAnswer};
 use mulberrywell_role::{
-    AnswerPart, HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RequestId, RoleAction,
-    RoleEvent, RoleMachine,
+    HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_settings::{ControlSettings, Finding, FindingList};
 use mulberrywell_wire::command::log_command::Body;
@@ -31,6 +29,7 @@
 use crate::client_frames::ClientTask;
 use crate::client_links::ClientLinks;
 use crate::cluster_state::ClusterState;
+use crate::control_event::{ControlAction, ControlEvent};
 use crate::endpoint_chart::EndpointChart;
 use crate::endpoint_watch::EndpointWatch;
 use crate::lease_desk::LeaseDesk;
@@ -39,14 +38,14 @@
 use crate::member_status::StatusTable;
 use crate::observed_state::ObservedState;
 use crate::operator_calls::OperatorTask;
-use crate::order_desk::{EngineOrder, EngineQuery, OrderDesk};
+use crate::order_desk::OrderDesk;
 use crate::peer_links::PeerLinks;
 use crate::placement_task::PlacementTask;
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
 use crate::rate_count::RateCount;
 use crate::read_rounds::ReadRounds;
 use crate::relay_table::RelayTable;
-use crate::serving_calls::{ServingAnswer, ServingCall, ServingTask};
+use crate::serving_calls::ServingTask;
 use crate::serving_desk::ServingDesk;
 use crate::subscriber_table::SubscriberTable;
 
@@ -81,75 +80,6 @@
     pub operator_key: Bytes,
 }
 
-/// Events that only the control role has.
-#[derive(Debug)]
-pub enum ControlEvent {
-    /// An operator's request.
-    Http(HttpEvent),
-    /// A call about the serving configuration or by an endpoint;
-    /// [`ControlAction::Reply`] follows.
-    Serving {
-        /// A new id.
-        request: RequestId,
-        /// The call.
-        call: ServingCall,
-    },
-    /// An engine answered an order, or the exchange with it failed.
-    OrderAnswered {
-        /// The order.
-        order: EngineOrder,
-        /// The answer.
-        answer: OrderAnswer,
-    },
-    /// An engine told what it holds, or did not.
-    InventoryRead {
-        /// The question.
-        query: EngineQuery,
-        /// None when no answer came or it could not be read.
-        inventory: Option<EngineInventory>,
-    },
-    /// Wall clock in milliseconds since the Unix epoch, for the audit trail.
-    Clock(u64),
-    /// Every batch up to this ticket is synced.
-    Persisted {
-        /// The last synced ticket.
-        ticket: PersistTicket,
-    },
-    /// The settings name these control instances from now on.
-    Seeds(Vec<std::net::SocketAddr>),
-    /// The disk is full; the batch is tried again.
-    DiskFull,
-    /// A snapshot is synced.
-    SnapshotSaved {
-        /// Last place in the log that it covers.
-        index: LogIndex,
-    },
-    /// A snapshot could not be saved.
-    SnapshotUnsaved {
-        /// Last place in the log that it covers.
-        index: LogIndex,
-    },
-}
-
-/// Actions that only the control role has.
-#[derive(Debug)]
-pub enum ControlAction {
-    /// Sends a part of an answer to an operator.
-    Answer(RequestId, AnswerPart),
-    /// Answers a [`ControlEvent::Serving`].
-    Reply(RequestId, ServingAnswer),
-    /// Sends an order; [`ControlEvent::OrderAnswered`] follows.
-    Order(EngineOrder),
-    /// Gives up waiting for an order's answer.
-    AbandonOrder(EngineOrder),
-    /// Asks what an engine holds; [`ControlEvent::InventoryRead`] follows.
-    AskInventory(EngineQuery),
-    /// Writes and syncs a batch; `Persisted` or `DiskFull` follows.
-    Persist(PersistBatch),
-    /// Saves a snapshot; `SnapshotSaved` or `SnapshotUnsaved` follows.
-    SaveSnapshot(SnapshotImage),
-}
-
 pub(crate) type Actions = Vec<RoleAction<ControlAction>>;
 
 /// A read that a quorum must confirm.
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -16,7 +16,8 @@
 use mulberrywell_wire::FrameBody;
 
 use crate::command_outcome::CommandOutcome;
-use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
+use crate::control_event::ControlAction;
+use crate::control_role::{send, Actions, ControlRole, ReadTask};
 use crate::operator_api::{fault, outcome_answer, read_call, OperatorAnswer, OperatorCall};
 use crate::proposal_table::{CallOrigin, ProposalWaiter};
 use crate::relay_table::RelayAsker;
--- a/crates/control/src/order_desk.rs
+++ b/crates/control/src/order_desk.rs
@@ -23,7 +23,8 @@
 };
 use mulberrywell_wire::FrameBody;
 
-use crate::control_role::{send, Actions, ControlAction, ControlRole};
+use crate::control_event::ControlAction;
+use crate::control_role::{send, Actions, ControlRole};
 use crate::state_summary::text;
 
 /// Time between the orders of two leaders: the platform's lease of 3 s and a
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -17,7 +17,8 @@
 };
 use mulberrywell_wire::FrameBody;
 
-use crate::control_role::{send, Actions, ControlAction, ControlRole, ReadTask};
+use crate::control_event::ControlAction;
+use crate::control_role::{send, Actions, ControlRole, ReadTask};
 use crate::proposal_table::{CallOrigin, ProposalWaiter};
 use crate::relay_table::RelayAsker;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! package knows what they mean only.
 
 mod admission;
+mod answer_flow;
 mod attempts;
 mod call_book;
 mod call_codec;
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -23,6 +23,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::demand_types::{
+    EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderNumber, OrderVerb,
+    PlacementChange, PlacementOrder,
+};
+use crate::engine_state::{
+    is_settled, EngineState, OpenOrder, INVENTORY_LAG, ORDER_LIFETIME, SETTLE_TIME,
+};
 use crate::load_pacer::LoadPacer;
 use crate::placement_types::{EndpointName, ModelName};
 
@@ -40,12 +47,6 @@
 /// a load.
 const UNHELD_FACTOR: f64 = 100.0;
 
-/// Costs of loads by where the weights are, in pressure: about a second for
-/// each unit.
-const MEMORY_COST: f64 = 0.1;
-const DISK_COST: f64 = 0.3;
-const STORE_COST: f64 = 1.0;
-
 /// Time for which room that is being made is kept from idle models: the runs of
 /// the model that goes end first.
 const PROMISE_LIFETIME: Duration = Duration::from_secs(4);
@@ -65,155 +66,12 @@
 /// Time without use after which an adapter may make room.
 const ADAPTER_IDLE: Duration = Duration::from_millis(1_200);
 
-/// Time after which an order that was given up counts no more.
-const ORDER_LIFETIME: Duration = Duration::from_millis(12_500);
-
-/// Age of an engine's inventory: it shows what was some hundred milliseconds
-/// before.
-const INVENTORY_LAG: Duration = Duration::from_millis(450);
-
 /// Time after which an inventory that did not come is asked for again.
 const INVENTORY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time after which an accepted order counts as settled by what the engine
-/// says, two of its heartbeats and a margin.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
-
 /// Adapters that may be on their way to an engine at the same time.
 const TRANSIT_MAX: usize = 4;
 
-/// Times its usual length after which a load counts as failed.
-const LOAD_PATIENCE: u32 = 4;
-
-/// Names an order within one run of a leader.
-pub type OrderNumber = u64;
-
-/// A model of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ModelSpec {
-    /// Name.
-    pub name: ModelName,
-    /// Accelerator memory in MB.
-    pub weight_mb: u64,
-    /// Accelerator memory of each adapter in MB.
-    pub adapter_mb: u64,
-    /// Load from the weight store.
-    pub load_time: Duration,
-}
-
-/// Engines of a service, which are all alike.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EngineSpec {
-    /// Accelerator memory for models and adapters in MB.
-    pub memory_mb: u64,
-    /// Adapters at the same time.
-    pub adapter_places: usize,
-    /// All models.
-    pub models: Vec<ModelSpec>,
-}
-
-/// What an engine says that it holds.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EngineReport {
-    /// Start of the engine.
-    pub incarnation: u64,
-    /// Takes requests and is heard of.
-    pub is_usable: bool,
-    /// Adapters by model.
-    pub models: BTreeMap<ModelName, BTreeSet<ModelName>>,
-    /// Models whose weights its host keeps in memory, by rising load time.
-    pub in_memory: BTreeSet<ModelName>,
-    /// Models whose weights its host keeps on disk.
-    pub on_disk: BTreeSet<ModelName>,
-}
-
-/// What an order does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderVerb {
-    /// Loads.
-    Load,
-    /// Unloads.
-    Unload,
-}
-
-/// One order.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlacementOrder {
-    /// Its number.
-    pub number: OrderNumber,
-    /// Engine.
-    pub endpoint: EndpointName,
-    /// Start of the engine that the order is for.
-    pub incarnation: u64,
-    /// What it does.
-    pub verb: OrderVerb,
-    /// Model.
-    pub model: ModelName,
-    /// Adapter of the model; empty for the model itself.
-    pub adapter: ModelName,
-    /// Orders that the engine has accepted before this one.
-    pub expected: u64,
-}
-
-/// What an engine holds beside the orders that it has accepted.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EngineInventory {
-    /// An order for a model is being carried out.
-    pub is_busy: bool,
-    /// Orders accepted since its start.
-    pub orders: u64,
-    /// Adapters by model, those on their way with them.
-    pub models: BTreeMap<ModelName, BTreeSet<ModelName>>,
-}
-
-/// How an order was answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderAnswer {
-    /// It is being carried out.
-    Accepted,
-    /// What it asks for holds.
-    Done,
-    /// It was refused and is never carried out.
-    Refused,
-    /// No answer came; it may be carried out much later.
-    Unknown,
-}
-
-/// What an answered order changes for callers at once.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlacementChange {
-    /// Engine.
-    pub endpoint: EndpointName,
-    /// Model.
-    pub model: ModelName,
-    /// Adapter; empty for the model itself.
-    pub adapter: ModelName,
-    /// Held from now on, or no longer.
-    pub is_held: bool,
-}
-
-#[derive(Debug, Clone)]
-struct OpenOrder {
-    order: PlacementOrder,
-    answer: Option<OrderAnswer>,
-    /// When it stops counting whatever was heard.
-    until: Instant,
-}
-
-#[derive(Debug, Clone, Default)]
-struct EngineState {
-    report: EngineReport,
-    /// When each model came to be held.
-    since: BTreeMap<ModelName, Instant>,
-    open: Vec<OpenOrder>,
-    /// Until then no idle model gets the room that was made.
-    promised: Option<Instant>,
-    /// Orders that it has accepted; none while that is in doubt.
-    orders: Option<u64>,
-    /// When its inventory is asked for next; none while `orders` is known.
-    ask_at: Option<Instant>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct DemandRate {
     /// Requests a second.
@@ -684,162 +542,6 @@
     }
 }
 
-impl EngineState {
-    /// Returns what a load costs beside the one that goes, in pressure.
-    fn load_cost(&self, model: &ModelName) -> f64 {
-        if self.report.in_memory.contains(model) {
-            MEMORY_COST
-        } else if self.report.on_disk.contains(model) {
-            DISK_COST
-        } else {
-            STORE_COST
-        }
-    }
-
-    fn loads(&self) -> impl Iterator<Item = &PlacementOrder> {
-        let open = self.open.iter().map(|open| &open.order);
-        open.filter(|order| order.verb == OrderVerb::Load)
-    }
-
-    fn unloads(&self) -> impl Iterator<Item = &PlacementOrder> {
-        let open = self.open.iter().map(|open| &open.order);
-        open.filter(|order| order.verb == OrderVerb::Unload)
-    }
-
-    /// Tells whether the report lists a model, or an adapter of it.
-    fn lists(&self, model: &ModelName, adapter: &ModelName) -> bool {
-        let held = self.report.models.get(model);
-        held.is_some_and(|adapters| adapter.is_empty() || adapters.contains(adapter))
-    }
-
-    fn is_leaving(&self, model: &ModelName) -> bool {
-        self.unloads()
-            .any(|order| order.model == *model && order.adapter.is_empty())
-    }
-
-    fn will_hold(&self, model: &ModelName) -> bool {
-        let held = self.report.models.contains_key(model) && !self.is_leaving(model);
-        let mut loads = self.loads();
-        held || loads.any(|order| order.model == *model && order.adapter.is_empty())
-    }
-
-    fn will_hold_adapter(&self, model: &ModelName, adapter: &ModelName) -> bool {
-        let held = self.report.models.get(model);
-        let held = held.is_some_and(|adapters| adapters.contains(adapter));
-        let named = |order: &&PlacementOrder| order.model == *model && order.adapter == *adapter;
-        (held && self.unloads().find(named).is_none()) || self.loads().find(named).is_some()
-    }
-
-    fn is_promised(&self, now: Instant) -> bool {
-        self.promised.is_some_and(|until| until > now)
-    }
-
-    fn has_model_order(&self) -> bool {
-        self.open.iter().any(|open| open.order.adapter.is_empty())
-    }
-
-    fn has_adapter_unload(&self) -> bool {
-        self.unloads().any(|order| !order.adapter.is_empty())
-    }
-
-    fn adapters(&self) -> Vec<(ModelName, ModelName)> {
-        let held = self.report.models.iter();
-        let held = held.flat_map(|(model, adapters)| {
-            let names = adapters.iter();
-            names.map(|name| (model.clone(), name.clone()))
-        });
-        held.collect()
-    }
-
-    /// Tells whether it may be ordered: what it holds is certain and no order
-    /// awaits its answer.
-    fn takes_orders(&self) -> bool {
-        let unanswered = self.open.iter().any(|open| open.answer.is_none());
-        self.report.is_usable && self.orders.is_some() && !unanswered
-    }
-
-    fn count_order(&mut self) {
-        self.orders = self.orders.map(|orders| orders + 1);
-    }
-
-    /// Notes that it is not certain what it has accepted.
-    fn doubt(&mut self, now: Instant) {
-        self.orders = None;
-        self.ask_at = Some(now + INVENTORY_LAG);
-    }
-
-    /// Counts adapters that are being loaded.
-    fn in_transit(&self) -> usize {
-        let loads = self
-            .loads()
-            .filter(|order| !order.adapter.is_empty() && !self.lists(&order.model, &order.adapter));
-        loads.count()
-    }
-
-    /// Counts the places that adapters take or may take: an adapter that is
-    /// loaded or unloaded has its place, whether it is listed or not.
-    fn adapter_count(&self) -> usize {
-        let held: usize = self.report.models.values().map(BTreeSet::len).sum();
-        let open = self.open.iter().map(|open| &open.order);
-        let unlisted = open
-            .filter(|order| !order.adapter.is_empty() && !self.lists(&order.model, &order.adapter));
-        held + unlisted.count()
-    }
-
-    /// Ends the loads of an adapter that is unloaded.
-    fn end_loads_before(&mut self, order: &PlacementOrder) {
-        if order.verb == OrderVerb::Unload && !order.adapter.is_empty() {
-            self.open.retain(|open| {
-                let same = open.order.model == order.model && open.order.adapter == order.adapter;
-                !same || open.order.number >= order.number
-            });
-        }
-    }
-
-    fn note_held(&mut self, order: &PlacementOrder, now: Instant) {
-        let models = &mut self.report.models;
-        match (order.verb, order.adapter.is_empty()) {
-            (OrderVerb::Load, true) => {
-                models.entry(order.model.clone()).or_default();
-                self.since.insert(order.model.clone(), now);
-            }
-            (OrderVerb::Load, false) => {
-                let adapters = models.entry(order.model.clone()).or_default();
-                adapters.insert(order.adapter.clone());
-            }
-            (OrderVerb::Unload, true) => {
-                models.remove(&order.model);
-                self.since.remove(&order.model);
-            }
-            (OrderVerb::Unload, false) => {
-                if let Some(adapters) = models.get_mut(&order.model) {
-                    adapters.remove(&order.adapter);
-                }
-            }
-        }
-    }
-}
-
-/// Tells whether an order no longer counts beside what the engine says.
-fn is_settled(now: Instant, open: &OpenOrder, report: &EngineReport, spec: &EngineSpec) -> bool {
-    let order = &open.order;
-    let held = report.models.get(&order.model);
-    let is_held =
-        held.is_some_and(|adapters| order.adapter.is_empty() || adapters.contains(&order.adapter));
-    if open.answer != Some(OrderAnswer::Accepted) {
-        return open.until <= now;
-    }
-    let wanted = order.verb == OrderVerb::Load;
-    if !order.adapter.is_empty() {
-        // Heartbeats lag behind orders, and from the order to unload an adapter
-        // on callers are no longer told of it.
-        return open.until <= now;
-    }
-    let load_time = spec.models.iter().find(|it| it.name == order.model);
-    let load_time = load_time.map_or(ORDER_LIFETIME, |it| it.load_time * LOAD_PATIENCE);
-    is_held == wanted || open.until + load_time <= now
-}
-
 fn rate_at(demand: DemandRate, now: Instant) -> f64 {
     let elapsed = now.saturating_duration_since(demand.noted).as_secs_f64();
     demand.rate * (-elapsed / DEMAND_TIME.as_secs_f64()).exp()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod demand_estimate;
 mod demand_placement;
+mod demand_types;
 mod endpoint_choice;
 mod engine_choice;
+mod engine_state;
 mod fair_queue;
 mod load_pacer;
 mod placement_moves;
@@ -18,9 +20,10 @@
 mod stable_hash;
 
 pub use demand_estimate::{DemandEstimator, DemandSettings};
-pub use demand_placement::{
-    DemandPlacement, EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer,
-    OrderNumber, OrderVerb, PlacementChange, PlacementOrder,
+pub use demand_placement::DemandPlacement;
+pub use demand_types::{
+    EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderNumber, OrderVerb,
+    PlacementChange, PlacementOrder,
 };
 pub use endpoint_choice::{
     ChoiceRequest, ChoiceSettings, ChosenEndpoint, EndpointCandidate, EndpointChooser, LoadHint,
