Take the gateway's grace, retries and tolerance from the deployment's bounds

Cause: each gateway had a reserve of 6 second sends of its own, which 23 gateways would have added up to 138 where the deployment allows 84; the grace was fixed; a deployment without a bound would have rendered settings that can't be read.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -116,10 +116,9 @@
         if let Some(model) = &call.terms.model {
             self.wanted.count(call.service.clone(), model.clone());
         }
-        self.budgets
-            .entry(call.service.clone())
-            .or_insert_with(|| self.config.retry_budget.clone())
-            .note_request();
+        let budget = self.new_budget();
+        let budgets = self.budgets.entry(call.service.clone());
+        budgets.or_insert(budget).note_request();
         self.calls.insert(request, call);
         if let Some(account) = account {
             if let Err(delay) = self.rates.admit(now, &account, units, self.entries) {
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -39,6 +39,9 @@
 /// service answers well within it.
 const PLAIN_TIME: Duration = Duration::from_millis(1_500);
 
+/// Hundredths of a retry in one.
+const RETRY_HUNDREDTHS: u32 = 100;
+
 /// Time in which callers get their last answers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
@@ -60,8 +63,11 @@
     pub zone: Bytes,
     /// Link addresses of control instances.
     pub seeds: Vec<SocketAddr>,
-    /// Budget of second hand-overs of each service.
-    pub retry_budget: RetryBudget,
+    /// Second hand-overs for each hundred requests of a service.
+    pub retry_percent: u32,
+    /// Second hand-overs of a service that all instances together may make
+    /// beyond that share.
+    pub retry_extra: u32,
     /// Tokens that all instances together may admit beyond an account's rate
     /// and burst.
     pub rate_tolerance: u64,
@@ -137,6 +143,13 @@
         self.index.version() > 0 && self.endpoints.len() > 0 && self.stopping.is_none()
     }
 
+    /// Returns this instance's part of a service's budget of second hand-overs.
+    pub(crate) fn new_budget(&self) -> RetryBudget {
+        let extra = self.config.retry_extra.saturating_mul(RETRY_HUNDREDTHS);
+        let reserve = extra / self.entries.max(1);
+        RetryBudget::with_bounds(self.config.retry_percent, reserve.max(RETRY_HUNDREDTHS))
+    }
+
     fn take_link(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
         match event {
             LinkEvent::Opened { link, .. } => self.take_opened(link, actions),
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -7,7 +7,6 @@
 use mulberrywell_gateway::{
     CallCodec, GatewayConfig, GatewayEvent, GatewayRole, CALLERS, READINESS,
 };
-use mulberrywell_limit::RetryBudget;
 use mulberrywell_settings::{GatewaySettings, InstanceSettings};
 
 use super::{ProcessLoop, RunningRole};
@@ -17,9 +16,6 @@
 use crate::metric_output::MetricOutput;
 use crate::role_host::{HostParts, RolePort};
 
-/// Hundredths of a retry in one.
-const RETRY_HUNDREDTHS: u32 = 100;
-
 /// The gateway has no actions of its own.
 pub struct GatewayPort;
 
@@ -43,11 +39,11 @@
             (CALLERS, bind_http(settings.caller_listen)?),
             (READINESS, bind_http(settings.ready_listen)?),
         ];
-        let reserve = settings.retry_reserve * RETRY_HUNDREDTHS;
         let config = GatewayConfig {
             zone: instance.zone.clone(),
             seeds: instance.seeds.clone(),
-            retry_budget: RetryBudget::with_bounds(settings.retry_percent, reserve),
+            retry_percent: settings.retry_percent,
+            retry_extra: settings.retry_extra,
             rate_tolerance: settings.rate_tolerance,
             shutdown_accept: settings.shutdown_accept,
             shutdown_limit: settings.shutdown_limit,
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -67,8 +67,8 @@
     pub shutdown_limit: Duration,
     /// Second hand-overs for each hundred requests of a service.
     pub retry_percent: u32,
-    /// Second hand-overs that may be made beyond that share.
-    pub retry_reserve: u32,
+    /// Second hand-overs that all instances together may make beyond that share.
+    pub retry_extra: u32,
     /// Tokens that all instances together may admit beyond an account's rate
     /// and burst.
     pub rate_tolerance: u64,
@@ -288,17 +288,36 @@
     seeds
 }
 
+/// Time before the process is killed at which a shutdown ends: its callers get
+/// their last answers in it.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(200);
+
+/// Time until the process is killed where settings name none, in thousandths of
+/// a second.
+const SHUTDOWN_GRACE: u64 = 8_000;
+
+fn read_shutdown_limit(table: &mut TableReader<'_>) -> Duration {
+    let grace = table.thousandths("shutdown_grace_s", 500..=10 * MINUTE_MS);
+    let grace = Duration::from_millis(grace.unwrap_or(SHUTDOWN_GRACE));
+    grace.saturating_sub(SHUTDOWN_MARGIN)
+}
+
 fn read_gateway(mut table: TableReader<'_>) -> GatewaySettings {
     let settings = GatewaySettings {
         caller_listen: table.required_address("caller_listen"),
         ready_listen: table.required_address("ready_listen"),
         shutdown_accept: table.millis("shutdown_accept_ms", 0..=MINUTE_MS, 2_500),
-        shutdown_limit: table.millis("shutdown_limit_ms", 100..=10 * MINUTE_MS, 7_800),
-        retry_percent: narrow(table.number("retry_percent", 0..=1_000), 20),
-        retry_reserve: narrow(table.number("retry_reserve", 0..=10_000), 6),
+        shutdown_limit: read_shutdown_limit(&mut table),
+        retry_percent: narrow(
+            table
+                .thousandths("retry_ratio", 0..=10_000)
+                .map(|ratio| ratio / 10),
+            20,
+        ),
+        retry_extra: narrow(table.number("retry_extra", 0..=1_000_000), 48),
         rate_tolerance: table
-            .number("rate_tolerance_tokens", 0..=1 << 40)
-            .unwrap_or(0),
+            .thousandths("rate_tolerance_tokens", 0..=1 << 50)
+            .map_or(0, |tolerance| tolerance / 1_000),
     };
     table.end();
     settings
--- a/crates/settings/src/table_reader.rs
+++ b/crates/settings/src/table_reader.rs
@@ -199,6 +199,29 @@
         }
     }
 
+    /// Takes a number that may have a fraction, in thousandths.
+    pub fn thousandths(&mut self, name: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let value = self.take(name)?;
+        let span = value.span();
+        let number: Option<f64> = match value.into_inner() {
+            DeValue::Integer(integer) => integer.as_str().parse().ok(),
+            DeValue::Float(float) => float.as_str().parse().ok(),
+            _ => return self.wrong(&span, name, "a number"),
+        };
+        // A cast of a float to an integer saturates.
+        let number = number.map(|number| (number * 1_000.0).round());
+        let number = number.filter(|number| number.is_finite() && *number >= 0.0);
+        match number.map(|number| number as u64) {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => {
+                let least = *range.start() as f64 / 1_000.0;
+                let most = *range.end() as f64 / 1_000.0;
+                self.report_at(&span, format!("`{name}` must be {least} to {most}"));
+                None
+            }
+        }
+    }
+
     /// Takes a whole number that must be there.
     pub fn required_number(&mut self, name: &str, range: RangeInclusive<u64>) -> u64 {
         let present = self.table.contains_key(name);
--- a/crates/settings/tests/finding_files.rs
+++ b/crates/settings/tests/finding_files.rs
@@ -36,6 +36,11 @@
     compare("agent", agent_findings);
 }
 
+#[test]
+fn findings_of_gateway() {
+    compare("gateway", serve_findings);
+}
+
 #[test]
 fn findings_beside_syntax_error() {
     compare("syntax", serve_findings);
