One set of dialers for control and gateway; the platform's worker moves to platform/

Cause: read as a newcomer, peer_links of control and control_links of the gateway each kept dialers by address, numbered links and passed on openings and closings in the same lines; the stand-in worker put the platform's header names into testkit; five placement tests set up the same two engines by hand. Ruled out: one type for the whole of both link tables, as what they know of an open link differs; a constructor for the refusals in http_refusal, whose rows are data. Box<dyn> stays where it was found: at the start of a process, at its shutdown, on new seeds and in the log's sink, none of them on the path of a request.

--- a/crates/control/src/peer_links.rs
+++ b/crates/control/src/peer_links.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use mulberrywell_consensus::MemberId;
-use mulberrywell_role::{LinkCommand, LinkId, SeedDialer};
+use mulberrywell_role::{DialerSet, LinkCommand, LinkId};
 use mulberrywell_wire::command::MemberItem;
 use mulberrywell_wire::operate::MemberHello;
 use mulberrywell_wire::FrameBody;
@@ -35,13 +35,11 @@
     /// Addresses of members.
     members: Vec<Bytes>,
     /// One for each address other than the own ones.
-    dialers: BTreeMap<SocketAddr, SeedDialer>,
+    dialers: DialerSet,
     /// Instances that answered at the address of a seed.
     seed_members: BTreeSet<MemberId>,
     /// Open links to control instances; the peer is known after its hello.
     links: BTreeMap<LinkId, Option<PeerInfo>>,
-    /// Even; grows with each dialed link.
-    next_link: LinkId,
 }
 
 impl PeerLinks {
@@ -57,10 +55,9 @@
             own_addresses,
             seeds,
             members: Vec::new(),
-            dialers: BTreeMap::new(),
+            dialers: DialerSet::default(),
             seed_members: BTreeSet::new(),
             links: BTreeMap::new(),
-            next_link: 2,
         };
         links.set_addresses(now, &[]);
         links
@@ -79,12 +76,7 @@
             .chain(self.seeds.iter().copied())
             .filter(|address| !self.own_addresses.contains(address))
             .collect();
-        self.dialers.retain(|address, _| wanted.contains(address));
-        for address in wanted {
-            self.dialers
-                .entry(address)
-                .or_insert_with(|| SeedDialer::new(vec![address], 0, now));
-        }
+        self.dialers.set_addresses(now, &wanted, |_| false);
     }
 
     /// Replaces the seeds; links to the former ones stay while they are members.
@@ -114,25 +106,17 @@
 
     /// Returns when [`PeerLinks::dial`] has something to do.
     pub fn deadline(&self) -> Option<Instant> {
-        self.dialers.values().filter_map(SeedDialer::deadline).min()
+        self.dialers.deadline()
     }
 
     /// Appends the links that it is time to dial.
     pub fn dial(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
-        for dialer in self.dialers.values_mut() {
-            let link = self.next_link;
-            if let Some(address) = dialer.dial(now, link) {
-                self.next_link += 2;
-                commands.push(LinkCommand::Dial { link, address });
-            }
-        }
+        self.dialers.dial(now, commands);
     }
 
     /// Notes an open link to a control instance; returns the hello to send.
     pub fn opened(&mut self, link: LinkId, cluster: u64) -> LinkCommand {
-        for dialer in self.dialers.values_mut() {
-            dialer.opened(link);
-        }
+        self.dialers.opened(link);
         self.links.insert(link, None);
         self.hello(link, cluster)
     }
@@ -155,9 +139,7 @@
 
     /// Notes a closed link; tells whether it led to a control instance.
     pub fn closed(&mut self, now: Instant, link: LinkId) -> bool {
-        for dialer in self.dialers.values_mut() {
-            dialer.closed(now, link);
-        }
+        self.dialers.closed(now, link);
         self.links.remove(&link).is_some()
     }
 
@@ -167,9 +149,9 @@
             return;
         };
         let member = hello.member.unwrap_or_default();
-        let mut dialers = self.dialers.iter();
-        let dialed = dialers.find(|(_, dialer)| dialer.open_link() == Some(link));
-        if dialed.is_some_and(|(address, _)| self.seeds.contains(address)) {
+        let mut open = self.dialers.open_links();
+        let dialed = open.find(|(_, known)| *known == link);
+        if dialed.is_some_and(|(address, _)| self.seeds.contains(&address)) {
             self.seed_members.insert(member.id);
         }
         *info = Some(PeerInfo {
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -4,12 +4,12 @@
 //! each open link is told what version is held and tells of changes. Questions
 //! go over one of them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use bytes::Bytes;
-use mulberrywell_role::{LinkCommand, LinkId, SeedDialer};
+use mulberrywell_role::{DialerSet, LinkCommand, LinkId};
 use mulberrywell_wire::FrameBody;
 
 /// All links.
@@ -18,13 +18,11 @@
     seeds: BTreeSet<SocketAddr>,
     /// Addresses that control instances named.
     named: BTreeSet<SocketAddr>,
-    dialers: BTreeMap<SocketAddr, SeedDialer>,
+    dialers: DialerSet,
     /// Open links.
     open: BTreeSet<LinkId>,
     /// Link that questions go over.
     asked: Option<LinkId>,
-    /// Even; grows with each link.
-    next_link: LinkId,
 }
 
 impl ControlLinks {
@@ -33,10 +31,9 @@
         let mut links = ControlLinks {
             seeds: seeds.iter().copied().collect(),
             named: BTreeSet::new(),
-            dialers: BTreeMap::new(),
+            dialers: DialerSet::default(),
             open: BTreeSet::new(),
             asked: None,
-            next_link: 2,
         };
         links.redial(now);
         links
@@ -63,46 +60,29 @@
     fn redial(&mut self, now: Instant) {
         let wanted: BTreeSet<SocketAddr> = self.seeds.union(&self.named).copied().collect();
         let open = &self.open;
-        self.dialers.retain(|address, dialer| {
-            let in_use = dialer.open_link().is_some_and(|link| open.contains(&link));
-            wanted.contains(address) || in_use
-        });
-        for address in wanted {
-            self.dialers
-                .entry(address)
-                .or_insert_with(|| SeedDialer::new(vec![address], 0, now));
-        }
+        self.dialers
+            .set_addresses(now, &wanted, |link| open.contains(&link));
     }
 
     /// Returns when [`ControlLinks::dial`] has something to do.
     pub fn deadline(&self) -> Option<Instant> {
-        self.dialers.values().filter_map(SeedDialer::deadline).min()
+        self.dialers.deadline()
     }
 
     /// Appends the links that it is time to dial.
     pub fn dial(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
-        for dialer in self.dialers.values_mut() {
-            let link = self.next_link;
-            if let Some(address) = dialer.dial(now, link) {
-                self.next_link += 2;
-                commands.push(LinkCommand::Dial { link, address });
-            }
-        }
+        self.dialers.dial(now, commands);
     }
 
     /// Notes an open link.
     pub fn opened(&mut self, link: LinkId) {
-        for dialer in self.dialers.values_mut() {
-            dialer.opened(link);
-        }
+        self.dialers.opened(link);
         self.open.insert(link);
     }
 
     /// Notes a closed link; tells whether it was open.
     pub fn closed(&mut self, now: Instant, link: LinkId) -> bool {
-        for dialer in self.dialers.values_mut() {
-            dialer.closed(now, link);
-        }
+        self.dialers.closed(now, link);
         if self.asked == Some(link) {
             self.asked = None;
         }
@@ -122,8 +102,8 @@
     /// Chooses the open link with the lowest address for questions, so that all
     /// entries ask the same instance; tells whether it is another one.
     pub fn choose_asked(&mut self) -> bool {
-        let open = self.dialers.values().filter_map(SeedDialer::open_link);
-        let first = open.into_iter().find(|link| self.open.contains(link));
+        let mut dialed = self.dialers.open_links().map(|(_, link)| link);
+        let first = dialed.find(|link| self.open.contains(link));
         std::mem::replace(&mut self.asked, first) != first
     }
 
--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use common::binaries;
-use mulberrywell_testkit::{free_port, wait_until, FakeWorker, HttpAnswer, HttpCaller};
+use mulberrywell_platform_testkit::FakeWorker;
+use mulberrywell_testkit::{free_port, wait_until, HttpAnswer, HttpCaller};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::json;
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -83,6 +83,17 @@
 
 const LATER: Duration = Duration::from_secs(10);
 
+/// Begins at `start` and sees at `now` the engines `e`, which holds `models`,
+/// and `f`, which holds `b` and `c`.
+fn two_engines(start: Instant, now: Instant, models: &[(&str, &[&str])]) -> DemandPlacement {
+    let mut placement = placement(start);
+    let others: &[(&str, &[&str])] = &[("b", &[]), ("c", &[])];
+    for (engine, held) in [("e", models), ("f", others)] {
+        observe(&mut placement, now, &name(engine), report(held));
+    }
+    placement
+}
+
 #[test]
 fn plan_wanted_model_loaded() {
     let start = Instant::now();
@@ -163,19 +174,7 @@
 #[test]
 fn plan_pressed_model_spreads() {
     let start = Instant::now();
-    let mut placement = placement(start);
-    observe(
-        &mut placement,
-        start,
-        &name("e"),
-        report(&[("a", &[]), ("c", &[])]),
-    );
-    observe(
-        &mut placement,
-        start,
-        &name("f"),
-        report(&[("b", &[]), ("c", &[])]),
-    );
+    let mut placement = two_engines(start, start, &[("a", &[]), ("c", &[])]);
     let now = start + LATER;
     placement.note_use(now, &name("a"), &Bytes::new(), 40);
     placement.note_use(now, &name("b"), &Bytes::new(), 10);
@@ -187,14 +186,7 @@
 #[test]
 fn plan_idle_last_replica_makes_room() {
     let start = Instant::now();
-    let mut placement = placement(start);
-    observe(&mut placement, start, &name("e"), report(&[("a", &[])]));
-    observe(
-        &mut placement,
-        start,
-        &name("f"),
-        report(&[("b", &[]), ("c", &[])]),
-    );
+    let mut placement = two_engines(start, start, &[("a", &[])]);
     let now = start + LATER;
     placement.note_use(now, &name("a"), &Bytes::new(), 40);
     placement.note_use(now, &name("b"), &Bytes::new(), 10);
@@ -244,16 +236,9 @@
 #[test]
 fn plan_adapters_within_places() {
     let start = Instant::now();
-    let mut placement = placement(start);
     let now = start + LATER;
     let engine = name("e");
-    observe(&mut placement, now, &engine, report(&[("a", &["x"])]));
-    observe(
-        &mut placement,
-        now,
-        &name("f"),
-        report(&[("b", &[]), ("c", &[])]),
-    );
+    let mut placement = two_engines(start, now, &[("a", &["x"])]);
     for adapter in ["y", "z"] {
         placement.want(now, name("a"), name(adapter));
     }
@@ -274,16 +259,9 @@
 #[test]
 fn plan_old_heartbeat_frees_no_place() {
     let start = Instant::now();
-    let mut placement = placement(start);
     let now = start + LATER;
     let engine = name("e");
-    observe(&mut placement, now, &engine, report(&[("a", &["x"])]));
-    observe(
-        &mut placement,
-        now,
-        &name("f"),
-        report(&[("b", &[]), ("c", &[])]),
-    );
+    let mut placement = two_engines(start, now, &[("a", &["x"])]);
     placement.want(now, name("a"), name("y"));
     let orders = placement.plan(now);
     placement.answer(now, &engine, orders[0].number, OrderAnswer::Accepted);
@@ -300,20 +278,8 @@
 #[test]
 fn plan_adapter_in_use_stays() {
     let start = Instant::now();
-    let mut placement = placement(start);
     let now = start + LATER;
-    observe(
-        &mut placement,
-        now,
-        &name("e"),
-        report(&[("a", &["x", "y"])]),
-    );
-    observe(
-        &mut placement,
-        now,
-        &name("f"),
-        report(&[("b", &[]), ("c", &[])]),
-    );
+    let mut placement = two_engines(start, now, &[("a", &["x", "y"])]);
     placement.note_use(now, &name("a"), &name("x"), 1);
     placement.note_use(now, &name("a"), &name("y"), 1);
     placement.want(now, name("a"), name("z"));
--- a/crates/role/src/lib.rs
+++ b/crates/role/src/lib.rs
@@ -9,12 +9,14 @@
 //! out in order; `handle` is called with [`RoleEvent::Timer`] no later than
 //! [`RoleMachine::deadline`] plus the host's delay.
 
+mod dialer_set;
 mod endpoint_exchange;
 mod http_exchange;
 mod link_exchange;
 mod role_machine;
 mod seed_dialer;
 
+pub use dialer_set::DialerSet;
 pub use endpoint_exchange::{ExchangeCommand, ExchangeEnd, ExchangeEvent, ExchangeId};
 pub use http_exchange::{
     header_value, AnswerPart, HttpEvent, HttpRequest, ListenerId, RequestBounds, RequestId,
--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -53,24 +53,6 @@
         self.write(&text)
     }
 
-    /// Writes the head of a worker's answer, which is chunked without a length.
-    pub fn write_head(
-        &mut self,
-        status: u16,
-        id: &str,
-        name: &str,
-        value: &str,
-        length: Option<usize>,
-    ) -> bool {
-        let framing = match length {
-            Some(len) => format!("Content-Length: {len}"),
-            None => "Transfer-Encoding: chunked".to_owned(),
-        };
-        self.write(&format!(
-            "HTTP/1.1 {status} Answer\r\nRequest-Id: {id}\r\n{name}: {value}\r\n{framing}\r\n\r\n"
-        ))
-    }
-
     /// Begins a chunked answer.
     pub fn begin_chunks(&mut self, content_type: &str) -> bool {
         self.write(&format!(
