Count an entry's links once; pace loads by the deployment's store

A gateway dropped a dialer whose address had just left the list of members, while its link was still being dialed, and dialed the same address anew when it came back. While control instances disagree on the members each word of theirs does so: up to six links to one instance, each with a reader and a count of its own ("entries=133" of 22). What the gateway admitted was counted once for each link, and the others refused. An address now goes when its link has closed; control counts readers by instance and units by process. Ruled out: late word of the others (heard_ms was below 50 in all refusals). Tests, both seen red: set_addresses_changing_dials_once (it asked for the signature change), entry_two_links_counted_once (3 entries in place of 2).

After a change of the leader demand came before the first plan and created the service's placement with the pacer's defaults: 1.5 loads a second in place of the deployment's 1.4 to 5.5. The bound on loads in flight was the burst of 3, where the store serves 4 to 19 at once (its rate times the mean load time). Loads from the host's own copies counted as well. Sixteen models were unloaded at one moment for three loads; room is now made no faster than the store fills it, and what is asked for most goes first. Tests, seen red: demand_before_first_plan_paced_by_store (3 loads in place of 2 in 8 s), plan_room_as_the_store_fills_it (5 for 3), plan_wanted_by_demand.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -42,9 +42,15 @@
         match body {
             FrameBody::Subscribe(subscribe) => self.subscribers.insert(link, subscribe),
             FrameBody::Announce(announce) => self.take_announce(now, link, announce, actions),
-            FrameBody::ServingAttach(attach) => self.serving.attach(link, &attach),
+            FrameBody::ServingAttach(attach) => {
+                let instance = self.clients.instance(link).cloned().unwrap_or_default();
+                self.serving.attach(link, instance, &attach);
+            }
             FrameBody::LoadShare(report) => self.loads.take(link, report),
-            FrameBody::RateUse(report) => self.rates.take(link, report),
+            FrameBody::RateUse(report) => {
+                let holder = self.clients.holder(link);
+                self.rates.take(link, holder, report);
+            }
             FrameBody::ServingDemand(demand) => self.take_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.take_state_report(now, report),
             FrameBody::DemandReport(report) => {
--- a/crates/control/src/order_desk.rs
+++ b/crates/control/src/order_desk.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use mulberrywell_policy::{
-    DemandPlacement, EngineInventory, EngineReport, EngineSpec, LoadPacer, ModelSpec, OrderAnswer,
+    DemandPlacement, EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer,
     OrderNumber, OrderVerb, PacerSettings, PlacementChange, PlacementOrder,
 };
 use mulberrywell_role::{LogLevel, RoleAction};
@@ -34,8 +34,8 @@
 /// Interval of plans beside those that a want causes.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Loads of models that may start at once: less than the ceiling's allowance
-/// above its rate.
+/// Loads of models that may start at the same moment: less than the ceiling's
+/// allowance above its rate.
 const STORE_BURST: u32 = 3;
 
 /// Time after an accepted order until the adapter answers.
@@ -131,10 +131,8 @@
     }
 
     fn placement(&mut self, now: Instant, service: &Bytes) -> &mut DemandPlacement {
-        self.services.entry(service.clone()).or_insert_with(|| {
-            let pacer = PacerSettings::default();
-            DemandPlacement::new(LoadPacer::new(pacer, now))
-        })
+        let placement = self.services.entry(service.clone());
+        placement.or_insert_with(|| DemandPlacement::new(now))
     }
 
     /// Returns the orders that are due.
@@ -153,14 +151,8 @@
             let Some(traits) = &service.engine else {
                 continue;
             };
-            let placement = self
-                .services
-                .entry(service.name.clone())
-                .or_insert_with(|| {
-                    let pacer = LoadPacer::new(pacer_settings(traits), now);
-                    DemandPlacement::new(pacer)
-                });
-            placement.set_spec(engine_spec(traits));
+            let placement = self.placement(now, &service.name);
+            placement.set_spec(engine_spec(traits), pacer_settings(traits));
             observe(now, placement, &service.name, book);
             let planned = placement.plan(now).into_iter();
             orders.extend(planned.map(|order| (service.name.clone(), order)));
@@ -388,11 +380,21 @@
 fn pacer_settings(traits: &EngineTraits) -> PacerSettings {
     PacerSettings {
         store_loads_per_minute: traits.store_loads_milli * 60 / 1_000,
-        store_parallel: STORE_BURST,
+        store_burst: STORE_BURST,
+        store_parallel: loads_at_once(traits).max(STORE_BURST),
         adapter_parallel: ADAPTERS_MAX,
     }
 }
 
+/// Returns how many loads are in flight at the store's full rate, by Little's
+/// law: the rate times the mean time of a load.
+fn loads_at_once(traits: &EngineTraits) -> u32 {
+    let count = traits.models.len().max(1) as u64;
+    let total_ms: u64 = traits.models.iter().map(|model| model.store_load_ms).sum();
+    let loads = traits.store_loads_milli * (total_ms / count) / 1_000_000;
+    u32::try_from(loads).unwrap_or(u32::MAX)
+}
+
 fn engine_spec(traits: &EngineTraits) -> EngineSpec {
     let models = traits.models.iter().map(|model| ModelSpec {
         name: model.name.clone(),
--- a/crates/control/src/peer_links.rs
+++ b/crates/control/src/peer_links.rs
@@ -76,7 +76,7 @@
             .chain(self.seeds.iter().copied())
             .filter(|address| !self.own_addresses.contains(address))
             .collect();
-        self.dialers.set_addresses(now, &wanted, |_| false);
+        self.dialers.set_addresses(now, &wanted);
     }
 
     /// Replaces the seeds; links to the former ones stay while they are members.
--- a/crates/control/src/placement_task.rs
+++ b/crates/control/src/placement_task.rs
@@ -100,6 +100,7 @@
         let placement = PlacementSettings {
             pacer: PacerSettings {
                 store_loads_per_minute: settings.store_loads_per_minute,
+                store_burst: settings.store_parallel,
                 store_parallel: settings.store_parallel,
                 adapter_parallel: settings.adapter_parallel,
             },
--- a/crates/control/src/rate_count.rs
+++ b/crates/control/src/rate_count.rs
@@ -11,11 +11,11 @@
 use mulberrywell_wire::serving::{AccountTotal, RateTotals, RateUse};
 use mulberrywell_wire::FrameBody;
 
-/// What one entry has reported.
-#[derive(Debug, Default)]
-struct EntryUse {
-    /// Units admitted since its start, by account.
-    admitted: BTreeMap<Bytes, u64>,
+/// A link of an entry.
+#[derive(Debug)]
+struct EntryLink {
+    /// Name and start of the entry, which may have several links.
+    holder: Bytes,
     /// Accounts whose sum it was not told.
     untold: BTreeSet<Bytes>,
 }
@@ -26,7 +26,9 @@
     epoch: u64,
     /// Units of all entries, those that left with them.
     totals: BTreeMap<Bytes, u64>,
-    entries: BTreeMap<LinkId, EntryUse>,
+    /// Units that each entry has admitted since its start, by account.
+    admitted: BTreeMap<Bytes, BTreeMap<Bytes, u64>>,
+    links: BTreeMap<LinkId, EntryLink>,
 }
 
 impl RateCount {
@@ -38,36 +40,52 @@
         }
     }
 
-    /// Takes in a report.
-    pub fn take(&mut self, link: LinkId, report: RateUse) {
+    /// Takes in a report of the entry `holder`.
+    pub fn take(&mut self, link: LinkId, holder: Bytes, report: RateUse) {
         let mut changed = Vec::new();
-        let entry = self.entries.entry(link).or_default();
+        let uses = self.admitted.entry(holder.clone()).or_default();
         for item in report.uses {
-            // The first report of a link may tell of units counted before.
-            let known = entry.admitted.insert(item.account.clone(), item.admitted);
-            let fresh = known.map_or(0, |known| item.admitted.saturating_sub(known));
+            // The first report of an entry may tell of units counted before; a
+            // lower one is older, or units were given back.
+            let known = uses.entry(item.account.clone()).or_insert(item.admitted);
+            let fresh = item.admitted.saturating_sub(*known);
+            *known += fresh;
             let total = self.totals.entry(item.account.clone()).or_default();
             *total += fresh;
             changed.push(item.account);
         }
-        for entry in self.entries.values_mut() {
-            entry.untold.extend(changed.iter().cloned());
+        self.links.entry(link).or_insert(EntryLink {
+            holder,
+            untold: BTreeSet::new(),
+        });
+        for link in self.links.values_mut() {
+            link.untold.extend(changed.iter().cloned());
         }
     }
 
-    /// Forgets an entry; what it admitted stays counted.
+    /// Forgets a link; what its entry admitted stays counted.
     pub fn remove(&mut self, link: LinkId) {
-        self.entries.remove(&link);
+        let Some(closed) = self.links.remove(&link) else {
+            return;
+        };
+        let mut others = self.links.values();
+        if !others.any(|other| other.holder == closed.holder) {
+            self.admitted.remove(&closed.holder);
+        }
     }
 
     /// Appends what entries were not told yet; an empty frame tells that there
     /// is nothing new.
     pub fn tell(&mut self, commands: &mut Vec<LinkCommand>) {
-        for (link, entry) in &mut self.entries {
+        for (link, entry) in &mut self.links {
+            let uses = self.admitted.get(&entry.holder);
             let untold = std::mem::take(&mut entry.untold).into_iter();
             let totals = untold.map(|account| AccountTotal {
                 total: self.totals.get(&account).copied().unwrap_or(0),
-                own: entry.admitted.get(&account).copied().unwrap_or(0),
+                own: uses
+                    .and_then(|uses| uses.get(&account))
+                    .copied()
+                    .unwrap_or(0),
                 account,
             });
             let frame = RateTotals {
--- a/crates/control/src/serving_desk.rs
+++ b/crates/control/src/serving_desk.rs
@@ -29,6 +29,8 @@
 /// What a reader was sent.
 #[derive(Debug, Default)]
 struct ReaderRecord {
+    /// Name of the reader's instance, which may have several links.
+    instance: Bytes,
     /// Version of the configuration.
     version: u64,
     /// All endpoints were sent.
@@ -57,8 +59,9 @@
 
 impl ServingDesk {
     /// Adds a reader.
-    pub fn attach(&mut self, link: LinkId, attach: &ServingAttach) {
+    pub fn attach(&mut self, link: LinkId, instance: Bytes, attach: &ServingAttach) {
         let record = ReaderRecord {
+            instance,
             version: attach.version,
             is_whole: false,
         };
@@ -228,7 +231,8 @@
             .collect();
         let renamed = self.controls != controls;
         self.controls.clone_from(&controls);
-        let entries = u32::try_from(self.readers.len()).unwrap_or(u32::MAX);
+        let instances: BTreeSet<&Bytes> = self.readers.values().map(|it| &it.instance).collect();
+        let entries = u32::try_from(instances.len()).unwrap_or(u32::MAX);
         let recounted = std::mem::replace(&mut self.entries, entries) != entries;
         for (link, reader) in &mut self.readers {
             let endpoints = if reader.is_whole {
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -178,14 +178,25 @@
         self.handle(place, RoleEvent::Timer);
     }
 
-    /// Links a client to a role.
+    /// Links a client that has just started to a role.
     pub fn attach(&mut self, place: usize, instance: &'static [u8]) -> ClientLink {
+        let incarnation = self.new_end(place).link;
+        self.attach_start(place, instance, incarnation)
+    }
+
+    /// Links a certain start of a client to a role.
+    pub fn attach_start(
+        &mut self,
+        place: usize,
+        instance: &'static [u8],
+        incarnation: u64,
+    ) -> ClientLink {
         let end = self.new_end(place);
         self.frames.insert(end, Vec::new());
         let peer = PeerIdentity {
             role: PeerRole::Entry,
             instance: Bytes::from_static(instance),
-            incarnation: end.link,
+            incarnation,
             zone: Bytes::new(),
         };
         let link = end.link;
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use mulberrywell_control::{ServingAnswer, ServingCall};
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, EngineModel, EngineTraits, HeldModel, PutServing, ServingAttach,
-    ServingConfig, ServingDemand, ServingService, ServingUpdate, WantedModel,
+    AccountUse, EndpointPhase, EndpointStatus, EngineModel, EngineTraits, HeldModel, PutServing,
+    RateUse, ServingAttach, ServingConfig, ServingDemand, ServingService, ServingUpdate,
+    WantedModel,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -155,17 +156,22 @@
 
 /// A deployment with one model and its adapters.
 fn engine_config() -> ServingCall {
-    let model = EngineModel {
-        name: Bytes::from_static(b"m"),
+    models_config(&[b"m"])
+}
+
+/// A deployment whose store allows a load every four seconds.
+fn models_config(names: &[&'static [u8]]) -> ServingCall {
+    let models = names.iter().map(|name| EngineModel {
+        name: Bytes::from_static(name),
         weight_mb: 10,
         adapter_mb: 1,
         store_load_ms: 100,
         ..EngineModel::default()
-    };
+    });
     let service = ServingService {
         name: Bytes::from_static(b"s"),
         engine: Some(EngineTraits {
-            models: vec![model],
+            models: models.collect(),
             memory_mb: 100,
             adapter_places: 2,
             store_loads_milli: 250,
@@ -261,3 +267,67 @@
         "{later:?}"
     );
 }
+
+#[test]
+fn demand_before_first_plan_paced_by_store() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    cluster.serve(leader, models_config(&[b"m", b"n", b"o", b"p"]));
+    cluster.serve(leader, beat(1, EndpointPhase::Ready));
+    let entry = cluster.attach(leader, b"entry-0");
+    let wanted = [b"m", b"n", b"o", b"p"].map(|model| WantedModel {
+        service: Bytes::from_static(b"s"),
+        model: Bytes::from_static(model),
+        adapter: Bytes::new(),
+    });
+    let demand = ServingDemand {
+        wanted: wanted.into(),
+        ..ServingDemand::default()
+    };
+    cluster.send(&entry, FrameBody::ServingDemand(demand));
+    for sequence in 2..10 {
+        cluster.run(Duration::from_secs(1));
+        cluster.serve(leader, beat(sequence, EndpointPhase::Ready));
+    }
+    let given = cluster.orders.len();
+    assert!((1..=2).contains(&given), "{given} loads in eight seconds");
+}
+
+fn rate_use(admitted: u64) -> FrameBody {
+    FrameBody::RateUse(RateUse {
+        uses: vec![AccountUse {
+            account: Bytes::from_static(b"a"),
+            admitted,
+        }],
+    })
+}
+
+#[test]
+fn entry_two_links_counted_once() {
+    let mut cluster = RoleCluster::formed(3);
+    let other = cluster.attach(0, b"entry-1");
+    cluster.send(&other, rate_use(0));
+    cluster.send(&other, FrameBody::ServingAttach(ServingAttach::default()));
+    let links = [7, 7].map(|start| cluster.attach_start(0, b"entry-0", start));
+    for link in &links {
+        cluster.send(link, FrameBody::ServingAttach(ServingAttach::default()));
+    }
+    // Reports of one link may come behind those of the other.
+    for link in &links {
+        for admitted in [0, 40, 100] {
+            cluster.send(link, rate_use(admitted));
+        }
+        cluster.run(Duration::from_millis(100));
+    }
+    let frames = cluster.take_frames(&other);
+    let entries = frames.iter().filter_map(|frame| match frame {
+        FrameBody::ServingUpdate(update) => Some(update.entries),
+        _ => None,
+    });
+    assert_eq!(entries.max(), Some(2));
+    let totals = frames.iter().filter_map(|frame| match frame {
+        FrameBody::RateTotals(totals) => totals.totals.last(),
+        _ => None,
+    });
+    assert_eq!(totals.last().map(|total| total.total), Some(100));
+}
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -59,9 +59,7 @@
 
     fn redial(&mut self, now: Instant) {
         let wanted: BTreeSet<SocketAddr> = self.seeds.union(&self.named).copied().collect();
-        let open = &self.open;
-        self.dialers
-            .set_addresses(now, &wanted, |link| open.contains(&link));
+        self.dialers.set_addresses(now, &wanted);
     }
 
     /// Returns when [`ControlLinks::dial`] has something to do.
--- a/crates/policy-bench/src/bench_plan.rs
+++ b/crates/policy-bench/src/bench_plan.rs
@@ -43,6 +43,7 @@
         zone_delay_us: 500,
         pacer: PacerSettings {
             store_loads_per_minute: 120,
+            store_burst: 7,
             store_parallel: 7,
             adapter_parallel: 55,
         },
@@ -57,6 +58,7 @@
         entries: 6,
         pacer: PacerSettings {
             store_loads_per_minute: 900,
+            store_burst: 40,
             store_parallel: 40,
             adapter_parallel: 300,
         },
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -7,7 +7,7 @@
 //! Guarantees: the memory and the adapter places that an engine holds and that
 //! it is ordered to load never exceed what it has; an engine has one order for a
 //! model at a time; a model leaves its last engine only for one that is asked
-//! for while it is not.
+//! for while it is not; room is made no faster than the weight store fills it.
 //!
 //! Each order names how many orders the engine has accepted before it, which
 //! the engine checks when it begins: an order that comes late, after one that
@@ -30,7 +30,7 @@
 use crate::engine_state::{
     is_settled, EngineState, OpenOrder, INVENTORY_LAG, ORDER_LIFETIME, SETTLE_TIME,
 };
-use crate::load_pacer::LoadPacer;
+use crate::load_pacer::{LoadPacer, PacerSettings};
 use crate::placement_types::{EndpointName, ModelName};
 
 /// Pressure of the newcomer over that of the one that goes.
@@ -95,7 +95,8 @@
 
 impl DemandPlacement {
     /// Creates a placement that knows no engine.
-    pub fn new(pacer: LoadPacer) -> Self {
+    pub fn new(now: Instant) -> Self {
+        let pacer = LoadPacer::new(PacerSettings::default(), now);
         DemandPlacement {
             spec: EngineSpec::default(),
             engines: BTreeMap::new(),
@@ -107,9 +108,10 @@
         }
     }
 
-    /// Sets what the engines are.
-    pub fn set_spec(&mut self, spec: EngineSpec) {
+    /// Sets what the engines are, and what their weight store allows.
+    pub fn set_spec(&mut self, spec: EngineSpec, pacer: PacerSettings) {
         self.spec = spec;
+        self.pacer.set_settings(pacer);
     }
 
     /// Takes in what an engine says.
@@ -227,11 +229,10 @@
     pub fn plan(&mut self, now: Instant) -> Vec<PlacementOrder> {
         self.wants
             .retain(|_, told| now.saturating_duration_since(*told) < WANT_LIFETIME);
-        let loading = self.open_loads();
+        let loading = self.store_loads();
         self.pacer.begin(now, loading, 0);
         let mut orders = Vec::new();
-        let wants: Vec<(ModelName, ModelName)> = self.wants.keys().cloned().collect();
-        for (model, adapter) in wants {
+        for (model, adapter) in self.wants_by_demand(now) {
             if self.replicas(&model) == 0 {
                 self.add_replica(now, &model, f64::MAX, &mut orders);
             } else if !adapter.is_empty() && !self.holds_adapter(&model, &adapter) {
@@ -242,6 +243,14 @@
         orders
     }
 
+    /// Returns what callers wait for, models asked for most first.
+    fn wants_by_demand(&self, now: Instant) -> Vec<(ModelName, ModelName)> {
+        let mut wants: Vec<(ModelName, ModelName)> = self.wants.keys().cloned().collect();
+        let rate = |model: &ModelName| self.demand.get(model).map_or(0.0, |it| rate_at(*it, now));
+        wants.sort_by(|a, b| rate(&b.0).total_cmp(&rate(&a.0)));
+        wants
+    }
+
     /// Takes in an answer; returns what it changes for callers.
     pub fn answer(
         &mut self,
@@ -308,11 +317,16 @@
         state.is_some_and(|state| state.is_leaving(model))
     }
 
-    fn open_loads(&self) -> u32 {
-        let open = self.engines.values().flat_map(|state| &state.open);
-        let loads =
-            open.filter(|open| open.order.verb == OrderVerb::Load && open.order.adapter.is_empty());
-        u32::try_from(loads.count()).unwrap_or(u32::MAX)
+    /// Counts loads of models from the weight store that have not settled.
+    fn store_loads(&self) -> u32 {
+        let states = self.engines.values();
+        let loads = states.map(|state| {
+            let loads = state.loads().filter(|order| order.adapter.is_empty());
+            loads
+                .filter(|order| !state.is_at_hand(&order.model))
+                .count()
+        });
+        u32::try_from(loads.sum::<usize>()).unwrap_or(u32::MAX)
     }
 
     fn spec_of(&self, model: &ModelName) -> Option<&ModelSpec> {
@@ -394,15 +408,19 @@
         if pressure < value * GAIN_MIN {
             return;
         }
+        let is_at_hand = self.is_at_hand(&endpoint, model);
         match victim {
             Some(victim) => {
+                if !is_at_hand && self.rooms_made(now) >= self.pacer.loads_per_second() {
+                    return;
+                }
                 let order = self.order(&endpoint, OrderVerb::Unload, &victim, &ModelName::new());
                 self.open_order(now, order, orders);
                 if let Some(state) = self.engines.get_mut(&endpoint) {
                     state.promised = Some(now + PROMISE_LIFETIME);
                 }
             }
-            None if self.is_at_hand(&endpoint, model) || self.pacer.take_permit(false) => {
+            None if is_at_hand || self.pacer.take_permit(false) => {
                 let order = self.order(&endpoint, OrderVerb::Load, model, &ModelName::new());
                 self.open_order(now, order, orders);
             }
@@ -410,6 +428,13 @@
         }
     }
 
+    /// Counts engines on which room was made that no load has taken.
+    fn rooms_made(&self, now: Instant) -> u32 {
+        let states = self.engines.values();
+        let rooms = states.filter(|state| state.is_promised(now)).count();
+        u32::try_from(rooms).unwrap_or(u32::MAX)
+    }
+
     /// Tells whether callers wait for a model.
     fn is_wanted(&self, model: &ModelName) -> bool {
         self.wants.keys().any(|(wanted, _)| wanted == model)
@@ -418,9 +443,7 @@
     /// Tells whether an engine loads a model without the weight store.
     fn is_at_hand(&self, endpoint: &EndpointName, model: &ModelName) -> bool {
         let state = self.engines.get(endpoint);
-        state.is_some_and(|state| {
-            state.report.in_memory.contains(model) || state.report.on_disk.contains(model)
-        })
+        state.is_some_and(|state| state.is_at_hand(model))
     }
 
     /// Returns the model of an engine that is missed least, with its pressure
--- a/crates/policy/src/engine_state.rs
+++ b/crates/policy/src/engine_state.rs
@@ -53,6 +53,11 @@
 }
 
 impl EngineState {
+    /// Tells whether it loads a model without the weight store.
+    pub(crate) fn is_at_hand(&self, model: &ModelName) -> bool {
+        self.report.in_memory.contains(model) || self.report.on_disk.contains(model)
+    }
+
     /// Returns what a load costs beside the one that goes, in pressure.
     pub(crate) fn load_cost(&self, model: &ModelName) -> f64 {
         if self.report.in_memory.contains(model) {
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use mulberrywell_policy::{
-    DemandPlacement, EngineInventory, EngineReport, EngineSpec, LoadPacer, ModelSpec, OrderAnswer,
-    OrderVerb, PacerSettings, PlacementOrder,
+    DemandPlacement, EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderVerb,
+    PacerSettings, PlacementOrder,
 };
 use rstest::rstest;
 
@@ -40,15 +40,17 @@
 fn placement(now: Instant) -> DemandPlacement {
     let pacer = PacerSettings {
         store_loads_per_minute: 600,
+        store_burst: 4,
         store_parallel: 4,
         adapter_parallel: 8,
     };
-    let mut placement = DemandPlacement::new(LoadPacer::new(pacer, now));
-    placement.set_spec(EngineSpec {
+    let spec = EngineSpec {
         memory_mb: 100,
         adapter_places: 2,
         models: ["a", "b", "c"].map(model).into(),
-    });
+    };
+    let mut placement = DemandPlacement::new(now);
+    placement.set_spec(spec, pacer);
     placement
 }
 
@@ -289,3 +291,52 @@
     placement.want(later, name("a"), name("z"));
     assert_eq!(described(&placement.plan(later)), ["unload e a x"]);
 }
+
+#[test]
+fn plan_room_as_the_store_fills_it() {
+    let start = Instant::now();
+    let mut placement = DemandPlacement::new(start);
+    let spec = EngineSpec {
+        memory_mb: 100,
+        adapter_places: 2,
+        models: ["a", "b", "c", "d", "e", "f", "g"].map(model).into(),
+    };
+    let pacer = PacerSettings {
+        store_loads_per_minute: 150,
+        store_burst: 3,
+        store_parallel: 7,
+        adapter_parallel: 8,
+    };
+    placement.set_spec(spec, pacer);
+    let now = start + LATER;
+    let engines = ["1", "2", "3", "4", "5"];
+    for (engine, held) in engines.iter().zip(["a", "b", "c", "d", "e"]) {
+        let told = report(&[(held, &[]), ("f", &[])]);
+        observe(&mut placement, start, &name(engine), told);
+    }
+    placement.note_use(now, &name("g"), &Bytes::new(), 200);
+    let mut unloads = 0;
+    for _ in 0..10 {
+        for order in placement.plan(now) {
+            assert_eq!(order.verb, OrderVerb::Unload);
+            unloads += 1;
+            placement.answer(now, &order.endpoint, order.number, OrderAnswer::Accepted);
+        }
+    }
+    assert_eq!(unloads, 3, "what the store loads in a second");
+}
+
+#[test]
+fn plan_wanted_by_demand() {
+    let start = Instant::now();
+    let mut placement = placement(start);
+    let now = start + LATER;
+    observe(&mut placement, now, &name("e"), report(&[("a", &[])]));
+    placement.note_use(now, &name("b"), &Bytes::new(), 1);
+    placement.note_use(now, &name("c"), &Bytes::new(), 9);
+    for model in ["b", "c"] {
+        placement.want(now, name(model), Bytes::new());
+    }
+    let orders = described(&placement.plan(now));
+    assert_eq!(orders.first().map(String::as_str), Some("load e c"));
+}
--- a/crates/role/src/dialer_set.rs
+++ b/crates/role/src/dialer_set.rs
@@ -1,7 +1,9 @@
 //! Keeps one link to each of a set of control instances.
 //!
 //! Algorithm: every address has a [`SeedDialer`] of its own; links are numbered
-//! in the order in which they are dialed.
+//! in the order in which they are dialed. An address that is no longer wanted
+//! goes once its link has closed, so that a set that changes often never has two
+//! links to one address.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -13,6 +15,8 @@
 #[derive(Debug)]
 pub struct DialerSet {
     dialers: BTreeMap<SocketAddr, SeedDialer>,
+    /// Addresses that are dialed again when their link closes.
+    wanted: BTreeSet<SocketAddr>,
     /// Even, as links that a host accepts are odd; grows with each
     /// dialed link.
     next_link: LinkId,
@@ -22,23 +26,19 @@
     fn default() -> Self {
         DialerSet {
             dialers: BTreeMap::new(),
+            wanted: BTreeSet::new(),
             next_link: 2,
         }
     }
 }
 
 impl DialerSet {
-    /// Dials these addresses from now on; a former one is kept while
-    /// `is_kept` holds for its open link.
-    pub fn set_addresses(
-        &mut self,
-        now: Instant,
-        wanted: &BTreeSet<SocketAddr>,
-        is_kept: impl Fn(LinkId) -> bool,
-    ) {
-        self.dialers.retain(|address, dialer| {
-            wanted.contains(address) || dialer.open_link().is_some_and(&is_kept)
-        });
+    /// Dials these addresses from now on; the link of a former one stays until it
+    /// closes.
+    pub fn set_addresses(&mut self, now: Instant, wanted: &BTreeSet<SocketAddr>) {
+        self.wanted.clone_from(wanted);
+        self.dialers
+            .retain(|address, dialer| wanted.contains(address) || dialer.has_link());
         for address in wanted {
             self.dialers
                 .entry(*address)
@@ -71,9 +71,9 @@
 
     /// Notes a closed link.
     pub fn closed(&mut self, now: Instant, link: LinkId) {
-        for dialer in self.dialers.values_mut() {
-            dialer.closed(now, link);
-        }
+        let wanted = &self.wanted;
+        self.dialers
+            .retain(|address, dialer| !dialer.closed(now, link) || wanted.contains(address));
     }
 
     /// Returns the open links, by address.
--- a/crates/role/src/seed_dialer.rs
+++ b/crates/role/src/seed_dialer.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Tells whether a link is open or being dialed.
+    pub fn has_link(&self) -> bool {
+        !matches!(self.state, SeedState::Waiting(_))
+    }
+
     /// Returns when [`SeedDialer::dial`] has something to do.
     pub fn deadline(&self) -> Option<Instant> {
         match self.state {
--- a/crates/role/tests/dialer_set.rs
+++ b/crates/role/tests/dialer_set.rs
@@ -23,7 +23,7 @@
 /// Dialers of the ports 1 and 2, over the links 2 and 4.
 fn dialing(now: Instant) -> DialerSet {
     let mut dialers = DialerSet::default();
-    dialers.set_addresses(now, &BTreeSet::from([address(1), address(2)]), |_| false);
+    dialers.set_addresses(now, &BTreeSet::from([address(1), address(2)]));
     let dials = dialed(&mut dialers, now);
     assert_eq!(dials, [(2, address(1)), (4, address(2))]);
     dialers
@@ -50,15 +50,29 @@
 }
 
 #[test]
-fn set_addresses_keeps_named_links() {
+fn set_addresses_former_kept_until_closed() {
     let now = Instant::now();
     let mut dialers = dialing(now);
-    dialers.opened(2);
     dialers.opened(4);
-    dialers.set_addresses(now, &BTreeSet::new(), |link| link == 4);
+    dialers.set_addresses(now, &BTreeSet::new());
+    // The other one was still being dialed.
+    dialers.opened(2);
     let open: Vec<_> = dialers.open_links().collect();
-    assert_eq!(open, [(address(2), 4)]);
-    dialers.set_addresses(now, &BTreeSet::new(), |_| false);
-    assert_eq!(dialers.open_links().count(), 0);
+    assert_eq!(open, [(address(1), 2), (address(2), 4)]);
+    dialers.closed(now, 2);
+    assert_eq!(dialers.open_links().count(), 1);
     assert_eq!(dialed(&mut dialers, now + Duration::from_secs(9)), []);
 }
+
+#[test]
+fn set_addresses_changing_dials_once() {
+    let now = Instant::now();
+    let mut dialers = dialing(now);
+    for _ in 0..5 {
+        dialers.set_addresses(now, &BTreeSet::from([address(1)]));
+        dialers.set_addresses(now, &BTreeSet::from([address(1), address(2)]));
+        assert_eq!(dialed(&mut dialers, now), []);
+    }
+    dialers.opened(4);
+    assert_eq!(dialers.open_links().collect::<Vec<_>>(), [(address(2), 4)]);
+}
