Avoid endpoints that fail a part of their requests; tell waits and pauses

Cause: an answer of 500 and above counted as a success of its endpoint, and the second attempt of an idempotent call went to the same endpoint; an endpoint that hangs was known only to calls that may be tried again. One success made a failing endpoint sound.

The line of a request tells wait_ms (until the first hand-over) and pause_ms (the longest between two pieces).

Homes of a prompt are chosen by all of its shared parts. By the leading part alone a model's hottest part had two homes for up to ten prompts a second.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -96,7 +96,10 @@
             answer: OpenAnswer::default(),
             events: EventSplitter::after(terms.last_event),
             head_sent: false,
+            handed: None,
             first_piece: None,
+            last_piece: None,
+            longest_pause: Duration::ZERO,
             http,
             terms,
         };
--- a/crates/gateway/src/answer_flow.rs
+++ b/crates/gateway/src/answer_flow.rs
@@ -108,7 +108,7 @@
         events: Bytes,
         actions: &mut Actions,
     ) {
-        self.note_first_piece(now, request, actions);
+        self.note_piece(now, request, actions);
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
@@ -137,18 +137,23 @@
         }
         let data = call.answer.body.split().freeze();
         actions.push(RoleAction::Answer(request, AnswerPart::Data(data)));
-        self.note_first_piece(now, request, actions);
+        self.note_piece(now, request, actions);
     }
 
-    fn note_first_piece(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
+    fn note_piece(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
         if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
             usage.unread_tokens = usage.unread_tokens.saturating_sub(call.unread_tokens);
-            usage.note_success();
+            usage.note_success(now);
         }
         call.unread_tokens = 0;
+        let pause = call
+            .last_piece
+            .replace(now)
+            .map(|at| now.saturating_duration_since(at));
+        call.longest_pause = call.longest_pause.max(pause.unwrap_or_default());
         if call.first_piece.is_none() {
             call.first_piece = Some(now);
             let spent = millis(now.saturating_duration_since(call.started));
@@ -191,16 +196,24 @@
         call.ran = RunState::Maybe;
         let faulty = call.answer.head.as_ref();
         let faulty = faulty.is_some_and(|head| head.status >= SERVER_FAULT);
-        if faulty && self.may_try_again(now, request, AttemptFailure::Broken, actions) {
-            self.start_attempt(now, request, actions);
+        if !faulty {
+            self.note_piece(now, request, actions);
+            self.pass_whole(now, request, actions);
             return;
         }
-        self.pass_whole(now, request, actions);
+        call.tried.push(call.endpoint.clone());
+        if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
+            usage.note_failure(now);
+        }
+        if self.may_try_again(now, request, AttemptFailure::Broken, actions) {
+            self.start_attempt(now, request, actions);
+        } else {
+            self.pass_whole(now, request, actions);
+        }
     }
 
     /// Passes on what is left of a whole answer.
     fn pass_whole(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
-        self.note_first_piece(now, request, actions);
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -33,11 +33,11 @@
 /// Time after which a caller without an endpoint is to come back.
 const ENDPOINT_RETRY: Duration = Duration::from_millis(400);
 
-/// Shortest time without an answer after which an idempotent call is tried
-/// elsewhere.
+/// Shortest time without an answer after which an endpoint counts as faulty and
+/// an idempotent call is tried elsewhere.
 const SILENCE_MIN: Duration = Duration::from_millis(400);
 
-/// Latency objectives after which an idempotent call is tried elsewhere.
+/// The same time in latency objectives.
 const SILENCE_OBJECTIVES: u32 = 2;
 
 /// Share of an engine's cache that its prompts are believed to fill; running
@@ -135,6 +135,7 @@
             actions.push(metric);
         }
         call.attempts += 1;
+        call.handed = call.handed.or(Some(now));
         call.endpoint = endpoint.clone();
         call.answer = OpenAnswer::default();
         call.attempt_deadline = silence_limit(call).map(|limit| now + limit);
@@ -288,8 +289,8 @@
         }
     }
 
-    /// Ends an attempt that has had no answer for too long, if another one is
-    /// allowed.
+    /// Lets other endpoints go first where an attempt has had no answer for too
+    /// long; ends the attempt if another one is allowed.
     fn give_attempt_up(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
         let Some(call) = self.calls.get_mut(request) else {
             return;
@@ -298,7 +299,10 @@
         let CallStage::Running(exchange) = call.stage else {
             return;
         };
-        if call.attempts >= call.route.max_attempts {
+        if !call.route.is_idempotent || call.attempts >= call.route.max_attempts {
+            if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
+                usage.note_failure(now);
+            }
             return;
         }
         self.calls.end_exchange(exchange);
@@ -319,9 +323,10 @@
     }
 }
 
-/// Returns how long an attempt may be silent.
+/// Returns how long an attempt may be silent; an engine's streams may wait in
+/// its queue.
 fn silence_limit(call: &CallRecord) -> Option<Duration> {
-    if !call.route.is_idempotent || call.route.is_stream {
+    if call.route.is_stream {
         return None;
     }
     let limit = call.route.objective * SILENCE_OBJECTIVES;
--- a/crates/gateway/src/call_book.rs
+++ b/crates/gateway/src/call_book.rs
@@ -136,8 +136,14 @@
     pub events: EventSplitter,
     /// The caller has a head.
     pub head_sent: bool,
+    /// When it was first handed to an endpoint.
+    pub handed: Option<Instant>,
     /// When the caller was sent the first piece.
     pub first_piece: Option<Instant>,
+    /// When the caller was sent the latest piece.
+    pub last_piece: Option<Instant>,
+    /// Longest time between two pieces.
+    pub longest_pause: Duration,
 }
 
 /// All calls.
--- a/crates/gateway/src/caller_answers.rs
+++ b/crates/gateway/src/caller_answers.rs
@@ -127,13 +127,14 @@
         actions: &mut Actions,
     ) {
         let account = call.account.as_ref().map(text).unwrap_or_default();
-        let first = call
-            .first_piece
-            .map_or(0, |at| millis(at.saturating_duration_since(call.started)));
+        let since = |at: Instant| millis(at.saturating_duration_since(call.started));
+        let wait = since(call.handed.unwrap_or(now));
+        let first = call.first_piece.map_or(0, since);
         let model = call.terms.model.as_ref();
         let line = format!(
             "request id={} route={} account={account} units={} model={} adapter={} version={} \
-             endpoint={} attempts={} ran={:?} first_ms={first} spent_ms={} status={status} \
+             endpoint={} attempts={} ran={:?} wait_ms={wait} first_ms={first} pause_ms={} \
+             spent_ms={} status={status} \
              outcome={outcome}",
             text(&call.terms.id),
             text(&call.route.name),
@@ -144,7 +145,8 @@
             text(&call.endpoint),
             call.attempts,
             call.ran,
-            millis(now.saturating_duration_since(call.started)),
+            millis(call.longest_pause),
+            since(now),
         );
         actions.push(RoleAction::Log(LogLevel::Info, line));
     }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use mulberrywell_limit::FailureShare;
 use mulberrywell_policy::{stable_hash, PrefixCache};
 use mulberrywell_serving::{EndpointBook, EndpointId, MergeOutcome};
 use mulberrywell_wire::serving::{EndpointLoad, EndpointPhase, EndpointStatus, LoadShare};
@@ -41,6 +42,8 @@
     missing: BTreeSet<ModelTerms>,
     /// Failures in a row.
     failures: u32,
+    /// Failures among its recent answers.
+    share: FailureShare,
     /// Until then others go first.
     avoid_until: Option<Instant>,
 }
@@ -57,17 +60,19 @@
 impl EndpointUse {
     /// Tells whether others go first.
     pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| until > now)
+        self.avoid_until.is_some_and(|until| until > now) || self.share.is_faulty(now)
     }
 
     /// Notes an answer.
-    pub fn note_success(&mut self) {
+    pub fn note_success(&mut self, now: Instant) {
+        self.share.note(now, false);
         self.failures = 0;
         self.avoid_until = None;
     }
 
     /// Notes a failed exchange.
     pub fn note_failure(&mut self, now: Instant) {
+        self.share.note(now, true);
         let pause = AVOID_MIN * 2_u32.saturating_pow(self.failures.min(6));
         self.failures = self.failures.saturating_add(1);
         self.avoid_until = Some(now + pause.min(AVOID_MAX));
--- a/crates/gateway/src/service_choice.rs
+++ b/crates/gateway/src/service_choice.rs
@@ -100,14 +100,14 @@
     best.map(|(_, _, id)| id.clone())
 }
 
-/// Returns the hashes of the engines that are homes of the leading part.
+/// Returns the hashes of the engines that are homes of the shared parts.
 fn home_engines(call: &CallRecord, candidates: &[Candidate<'_>]) -> Vec<u64> {
-    let Some(first) = call.chain.first() else {
+    let Some(shared) = call.chain.iter().rev().nth(1) else {
         return Vec::new();
     };
     let mut ranked: Vec<(u64, u64)> = candidates
         .iter()
-        .map(|(_, usage)| (home_rank(*first, usage.hash), usage.hash))
+        .map(|(_, usage)| (home_rank(*shared, usage.hash), usage.hash))
         .collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -9,6 +9,7 @@
 mod account_ledger;
 mod circuit_breaker;
 mod demand_meter;
+mod failure_share;
 mod headroom_log;
 mod lease_book;
 mod lease_client;
@@ -21,6 +22,7 @@
 pub use account_ledger::LEASE_LIFETIME;
 pub use circuit_breaker::CircuitBreaker;
 pub use demand_meter::DemandMeter;
+pub use failure_share::FailureShare;
 pub use lease_book::{
     AccountId, BlockProposal, HolderId, LeaseAsk, LeaseBook, LeaseDecision, LeaseId, TokenPlan,
     TokenRefund,
