Add a randomized soak of the real programs under faults from outside

mulberrywell-soak starts control instances, gateways and stand-in workers behind proxies, plays a schedule of faults drawn from a seed (kills, shutdowns, freezes, lost data, all control instances at once, cuts in both or one direction, delays, resets, failing workers) beside callers and operators, waits until the deployment has settled, and checks the promises from what callers, workers and operators saw.

Ways weighed: growing the long run of fault_promises, which plays a fixed list against the product's own interface; the soak plays the serving path that the users run. Both stay. testkit's process handling, the serving path's test and the soak now share ProcessSet; the stand-ins of callers and operators moved to platform/testkit.

The first start of seed 100 never took a configuration: the harness had put bootstrap = false into the settings before the process had read them.

--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -5,47 +5,21 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use common::binaries;
-use mulberrywell_platform_testkit::FakeWorker;
-use mulberrywell_testkit::{free_port, wait_until, HttpAnswer, HttpCaller};
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
-use serde_json::json;
+use mulberrywell_platform_testkit::{
+    FakeAccount, FakeCaller, FakeConfig, FakeOperator, FakeRequest, FakeWorker,
+};
+use mulberrywell_testkit::{free_port, wait_until, HttpAnswer, HttpCaller, ProcessSet};
+use nix::sys::signal::Signal;
 
 const KEY: &str = "serving-key-1";
 
-/// A process that ends with the test.
-struct OwnedProcess(Child);
-
-impl OwnedProcess {
-    fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.0.id()).unwrap();
-        kill(Pid::from_raw(id), signal).unwrap();
-    }
-
-    fn is_running(&mut self) -> bool {
-        self.0.try_wait().unwrap().is_none()
-    }
-}
-
-impl Drop for OwnedProcess {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// A small deployment.
 struct ServingDeployment {
-    folder: tempfile::TempDir,
-    seeds: Vec<SocketAddr>,
-    /// Where workers and operators call.
-    serving: Vec<SocketAddr>,
-    control: Vec<Option<OwnedProcess>>,
-    gateway: OwnedProcess,
+    processes: ProcessSet,
+    operator: FakeOperator,
     callers: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
@@ -54,133 +28,97 @@
 
 impl ServingDeployment {
     fn spawn() -> Self {
-        let folder = tempfile::tempdir().unwrap();
         let ports = |count: usize| -> Vec<SocketAddr> {
             (0..count).map(|_| free_port().unwrap()).collect()
         };
-        let seeds = ports(3);
-        let serving = ports(3);
+        let (seeds, serving) = (ports(3), ports(3));
         let [callers, ready, metrics] = ports(3)[..] else {
             unreachable!("three ports");
         };
+        let mut processes = ProcessSet::open().unwrap();
         let gateway_table = format!(
             "[gateway]\ncaller_listen = \"{callers}\"\nready_listen = \"{ready}\"\n\
              [metrics]\nlisten = \"{metrics}\"\n"
         );
         let own = free_port().unwrap();
-        let gateway = launch(folder.path(), "gateway", own, &seeds, &gateway_table);
-        let mut deployment = ServingDeployment {
-            folder,
-            seeds,
-            serving,
-            control: Vec::new(),
-            gateway,
+        launch(&mut processes, "gateway", own, &seeds, &gateway_table);
+        for place in 0..3 {
+            let table = format!(
+                "[control]\nserving_listen = \"{}\"\ndata_folder = \"{}\"\nbootstrap = true\n\
+                 first_seed_founds = true\nopen_membership = true\n",
+                serving[place],
+                processes.path(&format!("data-{place}")).display()
+            );
+            let name = format!("control-{place}");
+            launch(&mut processes, &name, seeds[place], &seeds, &table);
+        }
+        let deployment = ServingDeployment {
+            processes,
+            operator: FakeOperator::new(serving),
             callers,
             ready,
             metrics,
             worker: FakeWorker::spawn("w1").unwrap(),
         };
-        for place in 0..3 {
-            let process = deployment.launch_control(place, true);
-            deployment.control.push(Some(process));
-        }
-        wait_until("the configuration is taken", || deployment.put(1).is_some()).unwrap();
+        wait_until("the configuration is taken", || {
+            deployment.operator.put(&config(1))
+        })
+        .unwrap();
         wait_until("the gateway is ready", || {
-            deployment.beat(&deployment.worker, "ready", 1);
-            deployment.ask(deployment.ready, "GET", "/ready", "") == Some(200)
+            let beat = deployment.worker.heartbeat("s1", "ready", 1);
+            assert!(deployment.operator.beat("w1", &beat));
+            let ready = HttpCaller::with_limit(deployment.ready, None, Duration::from_secs(3));
+            let answer = ready.call("GET", "/ready", &[], "");
+            answer.is_ok_and(|answer| answer.status == 200)
         })
         .unwrap();
         deployment
     }
 
-    fn launch_control(&self, place: usize, bootstrap: bool) -> OwnedProcess {
-        let data = self.folder.path().join(format!("data-{place}"));
-        let table = format!(
-            "[control]\nserving_listen = \"{}\"\ndata_folder = \"{}\"\nbootstrap = {bootstrap}\n\
-             first_seed_founds = true\nopen_membership = true\n",
-            self.serving[place],
-            data.display()
-        );
-        let name = format!("control-{place}");
-        launch(
-            self.folder.path(),
-            &name,
-            self.seeds[place],
-            &self.seeds,
-            &table,
-        )
-    }
-
-    /// Calls an address and returns the status, if any came.
-    fn ask(&self, address: SocketAddr, method: &str, path: &str, body: &str) -> Option<u16> {
-        let caller = HttpCaller::with_limit(address, None, Duration::from_secs(3));
-        let answer = caller.call(method, path, &[], body).ok()?;
-        Some(answer.status)
-    }
-
-    /// Puts a version in force at any control instance.
-    fn put(&self, version: u64) -> Option<()> {
-        let route = |name: &str, kind: &str| {
-            json!({"name": name, "host": "h.example", "path_prefix": format!("/{name}/"),
-                "kind": kind, "timeout_ms": 5000, "goal_ms": 500, "service": "s1",
-                "max_attempts": 2, "resumable": false})
-        };
-        let body = json!({
-            "version": version,
-            "routes": [route("once", "unsafe"), route("stream", "streaming")],
-            "services": [{"name": "s1", "health_path": "/health", "max_conns": 100}],
-            "tenants": [{"name": "cali", "api_keys": [KEY]}],
-        });
-        let mut taken = self.serving.iter().filter(|address| {
-            self.ask(**address, "POST", "/api/config/put", &body.to_string()) == Some(200)
-        });
-        taken.next().map(|_| ())
+    fn call(&self, path: &str, key: &str) -> HttpAnswer {
+        call(self.callers, path, key).unwrap()
     }
+}
 
-    fn beat(&self, worker: &FakeWorker, state: &str, sequence: u64) {
-        let body = worker.heartbeat("s1", state, sequence);
-        let taken = self.serving.iter().any(|address| {
-            self.ask(*address, "POST", "/api/instances/w1/heartbeat", &body) == Some(200)
-        });
-        assert!(taken);
+fn config(version: u64) -> FakeConfig {
+    FakeConfig {
+        version,
+        service: "s1".to_owned(),
+        accounts: vec![FakeAccount {
+            name: "cali".to_owned(),
+            keys: vec![KEY.to_owned()],
+            rate: 0,
+            burst: 0,
+        }],
     }
+}
 
-    fn call(&self, path: &str, key: &str) -> HttpAnswer {
-        let caller = HttpCaller::new(self.callers, None);
-        let headers = [
-            ("Host", "h.example"),
-            ("Request-Id", "r1"),
-            ("Deadline-Ms", "4000"),
-            ("Credential", key),
-        ];
-        caller.call("POST", path, &headers, "body").unwrap()
-    }
+fn call(callers: SocketAddr, path: &str, key: &str) -> Option<HttpAnswer> {
+    let request = FakeRequest {
+        id: "r1",
+        key,
+        path,
+        body: "body",
+        deadline: Duration::from_secs(4),
+    };
+    FakeCaller::new(callers, Duration::from_secs(60)).call(&request)
 }
 
 fn launch(
-    folder: &std::path::Path,
+    processes: &mut ProcessSet,
     name: &str,
     listen: SocketAddr,
     seeds: &[SocketAddr],
     tables: &str,
-) -> OwnedProcess {
+) {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     let text = format!(
         "[instance]\nname = \"{name}\"\nzone = \"zone-a\"\nregion = \"region-a\"\n\
          listen = \"{listen}\"\ntrusted_network = true\nseeds = [{}]\n{tables}",
         seeds.join(", ")
     );
-    let settings = folder.join(format!("{name}.toml"));
-    fs::write(&settings, text).unwrap();
-    let log = fs::File::create(folder.join(format!("{name}.log"))).unwrap();
-    let child = Command::new(binaries().serve)
-        .arg("serve")
-        .env("MULBERRYWELL_SETTINGS", &settings)
-        .stdin(Stdio::null())
-        .stdout(log)
-        .stderr(Stdio::null())
-        .spawn();
-    OwnedProcess(child.unwrap())
+    let binary = binaries().serve;
+    processes.start(name, &binary, &["serve"], &text).unwrap();
 }
 
 #[test]
@@ -190,11 +128,12 @@
     assert_eq!(answer.status, 200);
     assert_eq!(answer.body, "/once/x?q=1 cali body");
     assert_eq!(answer.header("Server-Signature"), "s1");
-    assert_eq!(deployment.worker.runs()[0].header("Credential"), "");
+    let runs = deployment.worker.runs();
+    assert_eq!(runs[0].request.header("Credential"), "");
     assert_eq!(deployment.call("/once/x", "other").status, 401);
     assert_eq!(deployment.call("/none/x", KEY).status, 404);
     let stream = deployment.call("/stream/x", KEY);
-    assert!(stream.whole && stream.body.ends_with("id: 3\ndata: e3\n\n"));
+    assert!(stream.whole && stream.body.ends_with("id: 3\ndata: r1 e3\n\n"));
     assert!(stream.first_byte < stream.total, "events come one by one");
     deployment.worker.set_sheds(true);
     let refused = deployment.call("/once/x", KEY);
@@ -208,7 +147,7 @@
     );
     assert!(!text.contains(KEY));
     for name in ["gateway", "control-0"] {
-        let log = fs::read_to_string(deployment.folder.path().join(format!("{name}.log")));
+        let log = fs::read_to_string(deployment.processes.path(&format!("{name}.log")));
         assert!(!log.unwrap().contains(KEY), "{name}");
     }
 }
@@ -216,19 +155,20 @@
 #[test]
 fn serving_control_restarts_keep_the_configuration() {
     let mut deployment = ServingDeployment::spawn();
-    assert!(deployment.put(7).is_some());
-    for place in 0..3 {
-        deployment.control[place] = None;
+    assert!(deployment.operator.put(&config(7)));
+    let names = ["control-0", "control-1", "control-2"];
+    for name in names {
+        deployment.processes.kill(name).unwrap();
     }
     // The gateway goes on by what it knows.
     assert_eq!(deployment.call("/once/x", KEY).status, 200);
-    for place in 0..3 {
-        deployment.control[place] = Some(deployment.launch_control(place, false));
+    for name in names {
+        let started = |text: &str| text.replace("bootstrap = true", "bootstrap = false");
+        deployment.processes.edit_settings(name, started).unwrap();
+        deployment.processes.restart(name).unwrap();
     }
-    let caller = HttpCaller::with_limit(deployment.serving[1], None, Duration::from_secs(3));
     wait_until("the configuration is read back", || {
-        let read = caller.call("GET", "/api/config/get", &[], "");
-        read.is_ok_and(|read| read.status == 200 && read.body.contains("\"version\":7"))
+        deployment.operator.version_at(1) == Some(7)
     })
     .unwrap();
 }
@@ -236,23 +176,15 @@
 #[test]
 fn serving_shutdown_cuts_nothing() {
     let mut deployment = ServingDeployment::spawn();
-    deployment.gateway.signal(Signal::SIGHUP);
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGHUP).unwrap();
     let callers = deployment.callers;
-    let stream = std::thread::spawn(move || {
-        let headers = [
-            ("Host", "h.example"),
-            ("Request-Id", "r2"),
-            ("Deadline-Ms", "4000"),
-            ("Credential", KEY),
-        ];
-        HttpCaller::new(callers, None).call("POST", "/stream/x", &headers, "")
-    });
+    let stream = std::thread::spawn(move || call(callers, "/stream/x", KEY));
     wait_until("the stream runs", || !deployment.worker.runs().is_empty()).unwrap();
-    assert!(deployment.gateway.is_running(), "SIGHUP ends nothing");
-    deployment.gateway.signal(Signal::SIGTERM);
+    assert!(processes.is_running("gateway"), "SIGHUP ends nothing");
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
     let answer = stream.join().unwrap().unwrap();
-    assert!(answer.whole && answer.body.ends_with("data: e3\n\n"));
-    wait_until("the gateway ends", || !deployment.gateway.is_running()).unwrap();
-    let status = deployment.gateway.0.try_wait().unwrap().unwrap();
-    assert!(status.success(), "{status}");
+    assert!(answer.whole && answer.body.ends_with("data: r1 e3\n\n"));
+    wait_until("the gateway ends", || !processes.is_running("gateway")).unwrap();
+    assert!(processes.wait("gateway").unwrap(), "it ends well");
 }
--- /dev/null
+++ b/crates/mulberrywell/tests/soak_seeds.rs
@@ -0,0 +1,31 @@
+//! Short seeded runs of the soak; each seed that ever failed stays here with a
+//! line on its cause.
+
+mod common;
+
+use std::time::Duration;
+
+use common::binaries;
+use mulberrywell_soak::{run_soak, ClusterSize, SoakSettings};
+use rstest::rstest;
+
+#[rstest]
+#[case::usual(1, 12)]
+fn soak_keeps_promises(#[case] seed: u64, #[case] seconds: u64) {
+    let settings = SoakSettings {
+        binary: binaries().serve,
+        seed,
+        duration: Duration::from_secs(seconds),
+        size: ClusterSize {
+            controls: 3,
+            gateways: 3,
+            workers: 4,
+        },
+        callers: 8,
+        log_folder: None,
+    };
+    let report = run_soak(&settings).unwrap();
+    assert!(report.breaches.is_empty(), "{report:#?}");
+    assert!(!report.faults.is_empty());
+    assert!(report.served > report.calls / 10, "{report:#?}");
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,90 @@
+//! Plays seeds of the soak and tells what broke.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clap::{value_parser, Arg, ArgMatches, Command};
+use mulberrywell_soak::{run_soak, ClusterSize, SoakSettings};
+
+fn main() -> Result<ExitCode> {
+    let matches = command().get_matches();
+    let first = *matches.get_one::<u64>("seed").context("a seed")?;
+    let runs = *matches.get_one::<u64>("runs").context("a number of runs")?;
+    let mut broken = 0;
+    for seed in first..first + runs {
+        let report = run_soak(&settings(&matches, seed)?)?;
+        println!(
+            "seed {seed}: {} faults, {} of {} calls served, {} breaches",
+            report.faults.len(),
+            report.served,
+            report.calls,
+            report.breaches.len()
+        );
+        if report.breaches.is_empty() {
+            continue;
+        }
+        broken += 1;
+        for fault in &report.faults {
+            println!("  fault: {fault}");
+        }
+        for breach in &report.breaches {
+            println!("  breach: {}: {}", breach.promise, breach.detail);
+        }
+    }
+    println!("{runs} runs, {broken} with breaches");
+    Ok(ExitCode::from(u8::from(broken > 0)))
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_parser(value_parser!(u64))
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("mulberrywell-soak")
+        .about("Plays randomized faults against the real programs")
+        .arg(number("seed", "1", "First seed"))
+        .arg(number("runs", "1", "Seeds to play, one after the other"))
+        .arg(number("seconds", "20", "Seconds of faults in a run"))
+        .arg(number("controls", "3", "Control instances"))
+        .arg(number("gateways", "3", "Gateways"))
+        .arg(number("workers", "4", "Workers"))
+        .arg(number("callers", "8", "Callers at the same time"))
+        .arg(
+            Arg::new("binary")
+                .long("binary")
+                .value_parser(value_parser!(PathBuf))
+                .help("Path of mulberrywell [default: beside this program]"),
+        )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_parser(value_parser!(PathBuf))
+                .help("Folder for the logs of runs with breaches"),
+        )
+}
+
+fn settings(matches: &ArgMatches, seed: u64) -> Result<SoakSettings> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let count = |name: &str| usize::try_from(number(name));
+    let binary = match matches.get_one::<PathBuf>("binary") {
+        Some(path) => path.clone(),
+        None => std::env::current_exe()?.with_file_name("mulberrywell"),
+    };
+    Ok(SoakSettings {
+        binary,
+        seed,
+        duration: Duration::from_secs(number("seconds")),
+        size: ClusterSize {
+            controls: count("controls")?,
+            gateways: count("gateways")?,
+            workers: count("workers")?,
+        },
+        callers: number("callers"),
+        log_folder: matches.get_one::<PathBuf>("logs").cloned(),
+    })
+}
--- a/crates/testkit/src/fault_proxy.rs
+++ b/crates/testkit/src/fault_proxy.rs
@@ -15,7 +15,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -61,6 +61,8 @@
 struct ProxyState {
     /// Faults by flow, in the order of [`ProxyFlow`].
     faults: [FlowFault; 2],
+    /// Texts in the first bytes of a connection whose flows are stalled.
+    stalled: Vec<(String, ProxyFlow)>,
     /// Whether new connections are reset at once.
     refusing: bool,
     connections: Vec<Weak<ProxyConnection>>,
@@ -83,6 +85,8 @@
 struct ProxyConnection {
     caller: TcpStream,
     target: TcpStream,
+    /// First bytes that the side that connected sent.
+    opening: OnceLock<Vec<u8>>,
     /// Set once the connection is reset.
     cut: AtomicBool,
 }
@@ -151,6 +155,22 @@
         });
     }
 
+    /// Stops one flow of the connections whose first bytes hold a text, such as
+    /// the name of the process that connected.
+    pub fn stall_named(&self, name: &str, flow: ProxyFlow) {
+        self.shared.lock().stalled.push((name.to_owned(), flow));
+        self.shared.changed.notify_all();
+    }
+
+    /// Lets the connections whose first bytes hold a text go on.
+    pub fn heal_named(&self, name: &str) {
+        self.shared
+            .lock()
+            .stalled
+            .retain(|(known, _)| known != name);
+        self.shared.changed.notify_all();
+    }
+
     /// Resets all open connections.
     pub fn reset(&self) {
         let connections = std::mem::take(&mut self.shared.lock().connections);
@@ -168,6 +188,7 @@
     /// Ends all faults; what stalled goes on.
     pub fn heal(&self) {
         self.refuse(false);
+        self.shared.lock().stalled.clear();
         self.set_both(FlowFault::default());
     }
 
@@ -204,7 +225,10 @@
                 return None;
             }
             let fault = state.faults[flow as usize];
-            if !fault.stalled {
+            let named = |(name, stalled): &(String, ProxyFlow)| {
+                *stalled == flow && connection.is_opened_by(name)
+            };
+            if !fault.stalled && !state.stalled.iter().any(named) {
                 return Some(fault);
             }
             state = self
@@ -216,6 +240,13 @@
 }
 
 impl ProxyConnection {
+    fn is_opened_by(&self, name: &str) -> bool {
+        let opening = self.opening.get().map_or(&[][..], Vec::as_slice);
+        opening
+            .windows(name.len().max(1))
+            .any(|part| part == name.as_bytes())
+    }
+
     /// Lets both flows end; the last of them resets both sockets.
     fn cut(&self) {
         self.cut.store(true, Ordering::Relaxed);
@@ -267,6 +298,7 @@
     let connection = Arc::new(ProxyConnection {
         caller,
         target,
+        opening: OnceLock::new(),
         cut: AtomicBool::new(false),
     });
     {
@@ -293,6 +325,9 @@
                 break;
             }
         };
+        if flow == ProxyFlow::ToTarget {
+            connection.opening.get_or_init(|| buf[..len].to_vec());
+        }
         // The fault may have come while the read waited.
         let Some(fault) = shared.wait_flow(flow, connection) else {
             break;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,6 +14,7 @@
 mod http_client;
 mod link_caller;
 mod process_cluster;
+mod process_set;
 mod process_usage;
 pub mod promise_checker;
 mod raw_caller;
@@ -30,6 +31,7 @@
 pub use http_client::{HttpAnswer, HttpCaller};
 pub use link_caller::{LinkCaller, LinkRecording};
 pub use process_cluster::{wait_until, ProcessCluster, ANY_PROCESS, CLUSTER_SECRET, WAIT_LIMIT};
+pub use process_set::ProcessSet;
 pub use process_usage::{read_usage, ProcessUsage};
 pub use promise_checker::{
     check_promises, AccountAllowance, CallKind, MemoryPeak, ObservedCall, Promise, PromiseBreach,
--- a/crates/testkit/src/process_cluster.rs
+++ b/crates/testkit/src/process_cluster.rs
@@ -3,20 +3,19 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::ops::{Deref, DerefMut};
+use std::path::Path;
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, Context, Result};
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
 use serde_json::Value;
-use tempfile::TempDir;
 
 use crate::cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
 use crate::fault_proxy::FaultProxy;
 use crate::free_address::free_port;
 use crate::http_client::HttpCaller;
+use crate::process_set::ProcessSet;
 
 /// Longest wait for a condition.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -28,19 +27,11 @@
 
 const OPERATOR_KEY: &str = "mwop-operator-key-of-the-test-cluster";
 
-#[derive(Debug)]
-struct ProcessSlot {
-    child: Child,
-    settings: PathBuf,
-    binary: PathBuf,
-}
-
 /// Running processes with their files in a folder of their own.
 #[derive(Debug)]
 pub struct ProcessCluster {
-    folder: TempDir,
+    processes: ProcessSet,
     binaries: BinaryPaths,
-    processes: BTreeMap<String, ProcessSlot>,
     /// Proxies by the names of the process that connects and its target.
     proxies: BTreeMap<(String, String), FaultProxy>,
     proxied: bool,
@@ -61,13 +52,12 @@
     /// # Errors
     /// Fails when a process can't be started.
     pub fn spawn(binaries: &BinaryPaths, plan: &ClusterPlan) -> Result<Self> {
-        let folder = TempDir::new()?;
-        fs::write(folder.path().join("cluster.secret"), CLUSTER_SECRET)?;
-        fs::write(folder.path().join("operator.key"), OPERATOR_KEY)?;
+        let processes = ProcessSet::open()?;
+        fs::write(processes.path("cluster.secret"), CLUSTER_SECRET)?;
+        fs::write(processes.path("operator.key"), OPERATOR_KEY)?;
         let mut cluster = ProcessCluster {
-            folder,
+            processes,
             binaries: binaries.clone(),
-            processes: BTreeMap::new(),
             proxies: BTreeMap::new(),
             proxied: plan.proxied,
             log_level: match plan.log_level.as_str() {
@@ -94,11 +84,6 @@
         Ok(cluster)
     }
 
-    /// Returns the folder of settings, data and logs.
-    pub fn folder(&self) -> &Path {
-        self.folder.path()
-    }
-
     fn spawn_control(&mut self, idx: usize, plan: &ClusterPlan) -> Result<()> {
         let name = format!("control-{idx}");
         let operators = free_port()?;
@@ -211,81 +196,13 @@
             .collect()
     }
 
-    fn path(&self, name: &str) -> PathBuf {
-        self.folder.path().join(name)
-    }
-
     fn start(&mut self, name: &str, settings: &str, serve: bool) -> Result<()> {
-        let path = self.path(&format!("{name}.toml"));
-        fs::write(&path, settings)?;
-        let binary = if serve {
-            self.binaries.serve.clone()
+        let (binary, args): (_, &[&str]) = if serve {
+            (self.binaries.serve.clone(), &["serve"])
         } else {
-            self.binaries.agent.clone()
+            (self.binaries.agent.clone(), &[])
         };
-        let child = self.launch(name, &path, &binary)?;
-        let slot = ProcessSlot {
-            child,
-            settings: path,
-            binary,
-        };
-        self.processes.insert(name.to_owned(), slot);
-        Ok(())
-    }
-
-    fn launch(&self, name: &str, settings: &Path, binary: &Path) -> Result<Child> {
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.path(&format!("{name}.log")))?;
-        let mut command = Command::new(binary);
-        if *binary == self.binaries.serve {
-            command.arg("serve");
-        }
-        command
-            .arg("--settings")
-            .arg(settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()
-            .with_context(|| format!("can't start {name}"))
-    }
-
-    /// Sends a signal to a process.
-    ///
-    /// # Errors
-    /// Fails when there is no such process.
-    pub fn signal(&self, name: &str, signal: Signal) -> Result<()> {
-        let slot = self.processes.get(name).context("no such process")?;
-        kill(Pid::from_raw(i32::try_from(slot.child.id())?), signal)?;
-        Ok(())
-    }
-
-    /// Kills a process without warning.
-    ///
-    /// # Errors
-    /// Fails when there is no such process.
-    pub fn kill(&mut self, name: &str) -> Result<()> {
-        self.signal(name, Signal::SIGKILL)?;
-        self.wait(name)?;
-        Ok(())
-    }
-
-    /// Stops a process without ending it, as a stalled machine does.
-    ///
-    /// # Errors
-    /// Fails when there is no such process.
-    pub fn freeze(&self, name: &str) -> Result<()> {
-        self.signal(name, Signal::SIGSTOP)
-    }
-
-    /// Lets a frozen process go on.
-    ///
-    /// # Errors
-    /// Fails when there is no such process.
-    pub fn thaw(&self, name: &str) -> Result<()> {
-        self.signal(name, Signal::SIGCONT)
+        self.processes.start(name, &binary, args, settings)
     }
 
     /// Deletes the data folder of a control instance, which must have ended.
@@ -300,27 +217,6 @@
         Ok(())
     }
 
-    /// Waits for a process to end; true when it ended well.
-    ///
-    /// # Errors
-    /// Fails when there is no such process.
-    pub fn wait(&mut self, name: &str) -> Result<bool> {
-        let slot = self.processes.get_mut(name).context("no such process")?;
-        Ok(slot.child.wait()?.success())
-    }
-
-    /// Tells whether a process still runs.
-    pub fn is_running(&mut self, name: &str) -> bool {
-        self.processes
-            .get_mut(name)
-            .is_some_and(|slot| matches!(slot.child.try_wait(), Ok(None)))
-    }
-
-    /// Returns the process id.
-    pub fn id(&self, name: &str) -> Option<u32> {
-        self.processes.get(name).map(|slot| slot.child.id())
-    }
-
     /// Returns the resident memory of a process in KiB.
     ///
     /// # Errors
@@ -333,24 +229,6 @@
         Ok(number.context("no resident memory is told")?.parse()?)
     }
 
-    /// Starts an ended process again with its settings.
-    ///
-    /// # Errors
-    /// Fails when it can't be started.
-    pub fn restart(&mut self, name: &str) -> Result<()> {
-        let slot = self.processes.get(name).context("no such process")?;
-        let child = self.launch(name, &slot.settings, &slot.binary)?;
-        if let Some(slot) = self.processes.get_mut(name) {
-            slot.child = child;
-        }
-        Ok(())
-    }
-
-    /// Returns the log of a process.
-    pub fn log(&self, name: &str) -> String {
-        fs::read_to_string(self.path(&format!("{name}.log"))).unwrap_or_default()
-    }
-
     /// Runs the operators' command line against all control instances.
     ///
     /// # Errors
@@ -452,20 +330,17 @@
     }
 }
 
-impl Drop for ProcessCluster {
-    fn drop(&mut self) {
-        for slot in self.processes.values_mut() {
-            // A process that has ended already can't be killed.
-            let _ = slot.child.kill();
-            let _ = slot.child.wait();
-        }
-        if std::thread::panicking() {
-            for name in self.processes.keys() {
-                let log = self.log(name);
-                let start = log.len().saturating_sub(4_000);
-                eprintln!("--- log of {name}\n{}", log.get(start..).unwrap_or(&log));
-            }
-        }
+impl Deref for ProcessCluster {
+    type Target = ProcessSet;
+
+    fn deref(&self) -> &ProcessSet {
+        &self.processes
+    }
+}
+
+impl DerefMut for ProcessCluster {
+    fn deref_mut(&mut self) -> &mut ProcessSet {
+        &mut self.processes
     }
 }
 
--- a/crates/testkit/tests/fault_proxy.rs
+++ b/crates/testkit/tests/fault_proxy.rs
@@ -165,3 +165,18 @@
     let ports: std::collections::BTreeSet<_> = (0..200).map(|_| free_port().unwrap()).collect();
     assert_eq!(ports.len(), 200);
 }
+
+#[test]
+fn proxy_stalls_named() {
+    let (proxy, mut caller, mut target) = proxied();
+    caller.write_all(b"i am control-1").unwrap();
+    assert_eq!(read_len(&mut target, 14), b"i am control-1");
+    proxy.stall_named("control-1", ProxyFlow::ToCaller);
+    proxy.stall_named("control-2", ProxyFlow::ToTarget);
+    target.write_all(b"held").unwrap();
+    caller.write_all(b"more").unwrap();
+    assert_eq!(read_len(&mut target, 4), b"more");
+    assert!(is_quiet(&mut caller));
+    proxy.heal_named("control-1");
+    assert_eq!(read_len(&mut caller, 4), b"held");
+}
