--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -37,7 +37,7 @@
 const GAIN_MIN: f64 = 2.0;
 
 /// Requests a second by replica below which a model needs no further one.
-const PRESSURE_MIN: f64 = 2.0;
+const PRESSURE_MIN: f64 = 4.0;
 
 /// Requests a second that an idle model counts with: above nothing, so that it
 /// is loaded where there is room.
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -5,8 +5,10 @@
 //! this request that it does not keep, and the requests that share its steps.
 //! Every instance counts only its own requests, so that the counts of the
 //! others are missing evenly. Rendezvous hashing (Thaler and Ravishankar, 1998)
-//! gives each leading part of a prompt the same few homes at every instance, so
-//! that a part is kept there and not everywhere.
+//! gives the shared parts of a prompt the same few homes at every instance, so
+//! that they are kept there and not everywhere. All shared parts together are
+//! hashed: a leading part alone is common to so many prompts that its homes would
+//! be overloaded.
 
 use crate::stable_hash::mix_bits;
 
@@ -24,7 +26,7 @@
 /// Time that another availability zone adds, there and back, with its price.
 const FAR_MS: f64 = 4.0;
 
-/// Homes of one leading part.
+/// Homes of the shared parts of a prompt.
 pub const HOMES: usize = 2;
 
 /// What is known of an engine.
@@ -52,7 +54,7 @@
     reading + waiting + sharing + distance
 }
 
-/// Returns the rank of an engine for a leading part; the highest are its homes.
+/// Returns the rank of an engine for shared parts; the highest are their homes.
 pub fn home_rank(part: u64, engine: u64) -> u64 {
     mix_bits(mix_bits(part) ^ engine)
 }
