Test that a member which hears its leader grants no pre-vote

With the bar on pre-votes taken out all tests stayed green: a member that is cut off in both directions hears its leader before it asks again. The new test cuts one direction only; it is red without the bar (the leader changes) and green with it.

--- a/crates/consensus/tests/suite/election.rs
+++ b/crates/consensus/tests/suite/election.rs
@@ -9,6 +9,7 @@
 use rstest::rstest;
 
 use crate::support::virtual_cluster::{VirtualCluster, MILLIS, SECONDS};
+use crate::support::virtual_network::SlotLink;
 
 const MEMBER: u64 = 7;
 const CANDIDATE: u64 = 8;
@@ -118,6 +119,26 @@
     }
 }
 
+#[test]
+fn pre_vote_barred_while_leader_heard() {
+    let mut cluster = VirtualCluster::founded(2, 3, &NodeConfig::default());
+    let leader = cluster.leader().expect("a leader");
+    let deaf = (leader + 1) % 3;
+    let term = cluster.members[leader].run.as_ref().unwrap().node.term();
+    // The third member hears the leader, and the one that does not.
+    let link = SlotLink {
+        from: leader,
+        to: deaf,
+    };
+    let until = cluster.now + 5 * SECONDS;
+    cluster.cuts.insert(link, until);
+    cluster.run_for(8 * SECONDS);
+    assert_eq!(cluster.leader(), Some(leader));
+    for member in &cluster.members {
+        assert_eq!(member.run.as_ref().unwrap().node.term(), term);
+    }
+}
+
 #[test]
 fn message_for_lost_member_dropped() {
     let now = Instant::now();
