--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -204,6 +204,12 @@
         ClientLink { end }
     }
 
+    /// Closes a client's link.
+    pub fn detach(&mut self, client: &ClientLink) {
+        let LinkEnd { place, link } = client.end;
+        self.handle(place, RoleEvent::Link(LinkEvent::Closed { link }));
+    }
+
     /// Hands a frame to the role before anything else that waits.
     pub fn send(&mut self, client: &ClientLink, body: FrameBody) {
         let LinkEnd { place, link } = client.end;
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use mulberrywell_control::{ServingAnswer, ServingCall};
 use mulberrywell_wire::serving::{
-    AccountUse, EndpointPhase, EndpointStatus, EngineModel, EngineTraits, HeldModel, PutServing,
-    RateUse, ServingAttach, ServingConfig, ServingDemand, ServingService, ServingUpdate,
-    WantedModel,
+    AccountUse, EndpointLoad, EndpointPhase, EndpointStatus, EngineModel, EngineTraits, HeldModel,
+    LoadShare, PutServing, RateUse, ServingAttach, ServingConfig, ServingDemand, ServingService,
+    ServingUpdate, WantedModel,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -331,3 +331,46 @@
     });
     assert_eq!(totals.last().map(|total| total.total), Some(100));
 }
+
+fn load_share(endpoint: &'static [u8], running: u32, unread: u64) -> FrameBody {
+    FrameBody::LoadShare(LoadShare {
+        loads: vec![EndpointLoad {
+            endpoint: Bytes::from_static(endpoint),
+            running,
+            unread,
+        }],
+    })
+}
+
+/// Returns the last word of the others' load at an endpoint.
+fn told_load(cluster: &mut RoleCluster, entry: &ClientLink) -> Option<(u32, u64)> {
+    cluster.run(Duration::from_millis(300));
+    let frames = cluster.take_frames(entry).into_iter();
+    let loads = frames.filter_map(|frame| match frame {
+        FrameBody::LoadShare(share) => share.loads.last().cloned(),
+        _ => None,
+    });
+    loads.last().map(|load| (load.running, load.unread))
+}
+
+#[test]
+fn load_sums_of_others_told() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [b"entry-0", b"entry-1", b"entry-2"].map(|name| cluster.attach(0, name));
+    for (entry, running) in entries.iter().zip([1, 2, 4]) {
+        cluster.send(entry, load_share(b"e", running, u64::from(running) * 100));
+    }
+    let told = entries.map(|entry| told_load(&mut cluster, &entry));
+    assert_eq!(told, [Some((6, 600)), Some((5, 500)), Some((3, 300))]);
+}
+
+#[test]
+fn load_of_closed_link_forgotten() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [b"entry-0", b"entry-1"].map(|name| cluster.attach(0, name));
+    cluster.send(&entries[0], load_share(b"e", 1, 100));
+    cluster.send(&entries[1], load_share(b"e", 2, 200));
+    assert_eq!(told_load(&mut cluster, &entries[0]), Some((2, 200)));
+    cluster.detach(&entries[1]);
+    assert_eq!(told_load(&mut cluster, &entries[0]), Some((0, 0)));
+}
