Watch signals before anything else is opened

The harness signalled the process before its program ran, which ends any process; it now waits for the first log line. The program itself had no handler until all listeners were bound and the log was recovered from disk, so that a change of the settings in that time ended it with 129, and a SIGTERM with 143. Signals are now watched when the loop is opened.

Test, seen red in both cases: start_signal_not_lost holds a process at its secret and signals it. The soak now also reports a process that has ended by itself, and hides a control instance's data folder.

--- a/crates/mulberrywell/tests/settings_start.rs
+++ b/crates/mulberrywell/tests/settings_start.rs
@@ -3,11 +3,15 @@
 mod common;
 
 use std::fs;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::process::{Command, Output};
 
 use common::{binaries, planned_cluster, small_cluster};
-use mulberrywell_testkit::{ClusterPlan, HttpCaller};
+use mulberrywell_testkit::{free_port, wait_until, ClusterPlan, HttpCaller, ProcessSet};
+use nix::libc::O_NONBLOCK;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 
 /// A finding in each of three tables.
@@ -141,3 +145,55 @@
         assert!(!format!("{run:?}").contains(&small.gold));
     }
 }
+
+/// Starts a process that waits for its secret, and signals it meanwhile.
+#[rstest]
+#[case::hangup(Signal::SIGHUP)]
+#[case::terminate(Signal::SIGTERM)]
+fn start_signal_not_lost(#[case] signal: Signal) {
+    let mut processes = ProcessSet::open().unwrap();
+    let secret = processes.path("secret");
+    let made = Command::new("mkfifo").arg(&secret).status().unwrap();
+    assert!(made.success());
+    let ports = [(); 3].map(|()| free_port().unwrap());
+    let settings = format!(
+        "[instance]\nname = \"one\"\nzone = \"zone-a\"\nregion = \"region-a\"\n\
+         listen = \"{}\"\nsecret_file = \"{}\"\nseeds = [\"{}\"]\n\
+         [gateway]\ncaller_listen = \"{}\"\nready_listen = \"{}\"\n",
+        ports[0],
+        secret.display(),
+        ports[0],
+        ports[1],
+        ports[2],
+    );
+    let binary = binaries().serve;
+    processes
+        .start("one", &binary, &["serve"], &settings)
+        .unwrap();
+    // The pipe can be opened once the process reads from it.
+    let mut pipe = None;
+    wait_until("the process reads its secret", || {
+        let mut options = fs::OpenOptions::new();
+        pipe = options
+            .write(true)
+            .custom_flags(O_NONBLOCK)
+            .open(&secret)
+            .ok();
+        pipe.is_some()
+    })
+    .unwrap();
+    processes.signal("one", signal).unwrap();
+    pipe.take()
+        .unwrap()
+        .write_all(b"a secret that is long enough")
+        .unwrap();
+    if signal == Signal::SIGTERM {
+        assert!(processes.wait("one").unwrap(), "it ends well");
+        return;
+    }
+    wait_until("the process serves", || {
+        let caller = HttpCaller::new(ports[2], None);
+        caller.call("GET", "/ready", &[], "").is_ok()
+    })
+    .unwrap();
+}
--- a/crates/mulberrywell/tests/soak_seeds.rs
+++ b/crates/mulberrywell/tests/soak_seeds.rs
@@ -11,6 +11,9 @@
 
 #[rstest]
 #[case::usual(1, 12)]
+// A process had no handler yet when SIGHUP came soon after its start, and ended
+// (start_signal_not_lost); the harness itself signalled it before the program ran.
+#[case::hangup_after_start(202, 20)]
 fn soak_keeps_promises(#[case] seed: u64, #[case] seconds: u64) {
     let settings = SoakSettings {
         binary: binaries().serve,
--- a/crates/runtime/src/process/mod.rs
+++ b/crates/runtime/src/process/mod.rs
@@ -119,17 +119,23 @@
     poll: MioPoll,
     /// Set by a role whose graceful shutdown has ended.
     finished: Arc<AtomicBool>,
+    /// Set once the process was asked to end.
+    asked: Arc<AtomicBool>,
 }
 
 impl ProcessLoop {
+    /// Opens the loop; from then on no signal ends the process.
     fn open() -> Result<Self> {
         let mut stakker = Stakker::new(Instant::now());
         let poll = MioPoll::new(&mut stakker, Poll::new()?, Events::with_capacity(1024), 10)?;
-        Ok(ProcessLoop {
+        let mut process = ProcessLoop {
             stakker,
             poll,
             finished: Arc::new(AtomicBool::new(false)),
-        })
+            asked: Arc::new(AtomicBool::new(false)),
+        };
+        process.watch_signals()?;
+        Ok(process)
     }
 
     fn spawn<M, P>(&mut self, parts: HostParts<M, P>) -> RunningRole
@@ -162,14 +168,12 @@
 
     /// Runs until each stage in turn was shut down.
     fn run(mut self, roles: &[RunningRole], mut watch: Option<SettingsWatch>) -> Result<()> {
-        let asked = Arc::new(AtomicBool::new(false));
-        self.watch_signals(asked.clone())?;
         // The actors live as long as `roles`.
         let mut left = roles.iter();
         let mut stopping = false;
         let mut idle_pending = self.stakker.run(Instant::now(), false);
         while self.stakker.not_shutdown() {
-            if !stopping && asked.load(Ordering::Relaxed) {
+            if !stopping && self.asked.load(Ordering::Relaxed) {
                 stopping = true;
                 self.finished.store(true, Ordering::Relaxed);
             }
@@ -199,7 +203,8 @@
         }
     }
 
-    fn watch_signals(&mut self, asked: Arc<AtomicBool>) -> Result<()> {
+    fn watch_signals(&mut self) -> Result<()> {
+        let asked = self.asked.clone();
         let waker = self.stakker.waker(|_, _| {});
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         std::thread::Builder::new()
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -8,7 +8,7 @@
 
 use anyhow::{Context, Result};
 use mulberrywell_platform_testkit::{FakeOperator, FakeWorker};
-use mulberrywell_testkit::{free_port, FaultProxy, FlowFault, ProcessSet, ProxyFlow};
+use mulberrywell_testkit::{free_port, wait_until, FaultProxy, FlowFault, ProcessSet, ProxyFlow};
 use nix::sys::signal::Signal;
 
 use crate::soak_plan::SoakFault;
@@ -190,6 +190,10 @@
                 let place = place_of(name)?;
                 std::fs::remove_dir_all(self.data_path(place))?;
             }
+            SoakFault::HideData(name) => {
+                let data = self.data_path(place_of(name)?);
+                std::fs::rename(&data, data.with_extension("hidden"))?;
+            }
             SoakFault::KillControls => {
                 for place in 0..self.links.len() {
                     self.kill(&format!("control-{place}"))?;
@@ -236,6 +240,14 @@
                 anyhow::ensure!(ended_well, "{name} did not end well");
                 self.restart(name)?;
             }
+            SoakFault::HideData(name) => {
+                let data = self.data_path(place_of(name)?);
+                std::fs::rename(data.with_extension("hidden"), &data)?;
+                // The platform starts a process again that has ended by itself.
+                if !self.processes.is_running(name) {
+                    self.restart(name)?;
+                }
+            }
             SoakFault::Freeze(name) => self.processes.thaw(name)?,
             SoakFault::Hangup(_) | SoakFault::WorkerReset(_) => {}
             SoakFault::KillControls => {
@@ -283,9 +295,19 @@
         // The deployment is no longer new.
         let started = |text: &str| text.replace("bootstrap = true", "bootstrap = false");
         self.processes.edit_settings(name, started)?;
+        let len = self.processes.log(name).len();
         self.processes.restart(name)?;
         self.note_boot(name);
-        Ok(())
+        // A signal before the program itself runs ends any process.
+        wait_until("the process has started", || {
+            self.processes.log(name).len() > len
+        })
+    }
+
+    /// Returns a process that has ended, which none does by itself.
+    pub(crate) fn ended_process(&mut self) -> Option<String> {
+        let mut names = self.names().into_iter();
+        names.find(|name| !self.processes.is_running(name))
     }
 
     fn note_boot(&self, name: &str) {
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -36,6 +36,8 @@
     Hangup(String),
     /// A control instance is killed and starts again without its data.
     LoseData(String),
+    /// A control instance can make no file in its data folder.
+    HideData(String),
     /// All control instances are killed at the same moment.
     KillControls,
     /// A control instance is cut off from all other processes.
@@ -141,24 +143,25 @@
     } else {
         gateway.clone()
     };
-    match rng.random_range(0..22) {
+    match rng.random_range(0..23) {
         0 | 1 => SoakFault::Kill(any),
         2 | 3 => SoakFault::Terminate(any),
         4 | 5 => SoakFault::Freeze(any),
         6 => SoakFault::Hangup(any),
         7 => SoakFault::LoseData(control),
+        15 => SoakFault::HideData(control),
         8 => SoakFault::KillControls,
         9 | 10 => SoakFault::Isolate(control),
         11 => SoakFault::Mute(any),
         12 => SoakFault::Deafen(any),
         13 => SoakFault::Delay(control),
         14 => SoakFault::Refuse(control),
-        15 => SoakFault::Terminate(gateway),
-        16 => SoakFault::WorkerDown(worker),
-        17 => SoakFault::WorkerSheds(worker),
-        18 => SoakFault::WorkerLoses(worker),
-        19 => SoakFault::WorkerSlow(worker),
-        20 => SoakFault::WorkerCut(worker),
+        16 => SoakFault::Terminate(gateway),
+        17 => SoakFault::WorkerDown(worker),
+        18 => SoakFault::WorkerSheds(worker),
+        19 => SoakFault::WorkerLoses(worker),
+        20 => SoakFault::WorkerSlow(worker),
+        21 => SoakFault::WorkerCut(worker),
         _ => SoakFault::WorkerReset(worker),
     }
 }
@@ -171,6 +174,7 @@
         | SoakFault::Freeze(name)
         | SoakFault::Hangup(name)
         | SoakFault::LoseData(name)
+        | SoakFault::HideData(name)
         | SoakFault::Isolate(name)
         | SoakFault::Mute(name)
         | SoakFault::Deafen(name)
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -183,7 +183,10 @@
 /// when it does.
 fn settle(traffic: &Traffic<'_>) -> Option<String> {
     let (operator, gateways, controls) = {
-        let cluster = locked(traffic.cluster);
+        let mut cluster = locked(traffic.cluster);
+        if let Some(name) = cluster.ended_process() {
+            return Some(format!("{name} has ended by itself"));
+        }
         let controls = cluster.control_count();
         (cluster.operator.clone(), cluster.gateways.clone(), controls)
     };
