Give orders by the leader's lease only

A leader without a quorum went on to give orders until it stepped down, 800 ms after the last answer, while another one may lead after 400 ms; the pause of 3.4 s before a new leader's orders made up for that. Orders now need the lease (360 ms from the sending of the last round that a quorum answered), and the pause is the platform's lease of 3 s and 150 ms for an order on its way.

Test, seen red: order_without_lease_not_given.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -237,6 +237,11 @@
         self.role == NodeRole::Leader
     }
 
+    /// Tells whether no other instance can lead now.
+    pub(crate) fn has_lease(&self, now: Instant) -> bool {
+        self.node.lease_until().is_some_and(|until| now < until)
+    }
+
     /// Returns the link to the leader, where another instance leads.
     pub(crate) fn leader_link(&self) -> Option<LinkId> {
         let leader = self.leader.filter(|_| !self.is_leader())?;
--- a/crates/control/src/order_desk.rs
+++ b/crates/control/src/order_desk.rs
@@ -3,9 +3,9 @@
 //! Purpose: the leader places models and adapters by what entries ask for and
 //! gives the orders; no other instance does.
 //!
-//! Guarantees: a leader gives no order before the last one of any earlier
-//! leader is [`HOLDER_PAUSE`] ago, nor once a quorum has not confirmed it; its
-//! term is its fencing token; an engine whose accepted orders are in doubt gets
+//! Guarantees: a leader gives orders only while its lease says that no other one
+//! can lead, and none before the last one of any earlier leader is
+//! [`HOLDER_PAUSE`] ago; its term is its fencing token; an engine whose accepted orders are in doubt gets
 //! none until its inventory has told them.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,7 +29,7 @@
 
 /// Time between the orders of two leaders: the platform's lease of 3 s and a
 /// margin for an order on its way.
-const HOLDER_PAUSE: Duration = Duration::from_millis(3_400);
+const HOLDER_PAUSE: Duration = Duration::from_millis(3_150);
 
 /// Interval of plans beside those that a want causes.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
@@ -135,6 +135,11 @@
         placement.or_insert_with(|| DemandPlacement::new(now))
     }
 
+    /// Puts a due plan off.
+    fn defer_plan(&mut self, now: Instant) {
+        self.next_plan = self.next_plan.map(|at| at.max(now + PLAN_INTERVAL));
+    }
+
     /// Returns the orders that are due.
     pub fn plan(
         &mut self,
@@ -255,6 +260,10 @@
             actions.push(RoleAction::Own(ControlAction::AbandonOrder(order.clone())));
             self.note_answer(now, &order, OrderAnswer::Unknown, actions);
         }
+        if !self.has_lease(now) {
+            self.orders.defer_plan(now);
+            return;
+        }
         let put = self.state.serving.as_ref();
         let Some(config) = put.and_then(|put| put.config.as_ref()) else {
             return;
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -374,3 +374,33 @@
     cluster.detach(&entries[1]);
     assert_eq!(told_load(&mut cluster, &entries[0]), Some((0, 0)));
 }
+
+#[test]
+fn order_without_lease_not_given() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let model = Bytes::from_static(b"m");
+    let models = &mut cluster.inventory.models;
+    models.insert(model.clone(), BTreeSet::new());
+    cluster.serve(leader, engine_config());
+    cluster.serve(leader, engine_beat());
+    cluster.run(Duration::from_secs(4));
+    let entry = cluster.attach(leader, b"entry-0");
+    for place in (0..3).filter(|place| *place != leader) {
+        cluster.freeze(place);
+    }
+    // Another one may lead soon, though this one has not stepped down yet.
+    cluster.run(Duration::from_millis(500));
+    assert_eq!(cluster.leader(), Some(leader));
+    let demand = ServingDemand {
+        wanted: vec![WantedModel {
+            service: Bytes::from_static(b"s"),
+            model,
+            adapter: Bytes::from_static(b"a1"),
+        }],
+        ..ServingDemand::default()
+    };
+    cluster.send(&entry, FrameBody::ServingDemand(demand));
+    cluster.run(Duration::from_millis(200));
+    assert!(cluster.orders.is_empty(), "{:?}", cluster.orders);
+}
