Tell callers to come back in time when a model or the configuration is missing

A call whose model no engine held waited until its caller left, eight seconds for chat, and was then lost with the price of being held.

A caller without a configuration is told to come back after one second; a call waits for a model for 1.5 latency objectives, at least 2.5 s and at most half of its time, and is then refused with 1.5 s to come back.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -15,9 +15,10 @@
 use crate::service_choice::split_service;
 
 /// Times that callers are asked to stay away: while no configuration is known,
-/// and for another instance to take the request.
+/// which after a loss of all instances takes a recovery of the log and an
+/// election, and for another instance to take the request.
 const RETRIES: [(RefusalReason, Duration); 2] = [
-    (RefusalReason::NotReady, Duration::from_millis(300)),
+    (RefusalReason::NotReady, Duration::from_millis(1_000)),
     (RefusalReason::Stopping, Duration::from_millis(20)),
 ];
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -27,12 +27,27 @@
 /// Longest time that a call waits for an endpoint of a plain service.
 const SERVICE_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Longest time that a call waits for an engine with its model, in latency
+/// objectives; a caller that comes back later is served by the load meanwhile.
+const MODEL_WAIT_OBJECTIVES: f64 = 1.5;
+
+/// The same time where the objective is short: a load from the weight store takes
+/// two to four seconds.
+const MODEL_WAIT_MIN: Duration = Duration::from_millis(2_500);
+
+/// Part of the caller's time that the call may wait at most, so that the caller
+/// has time to come back.
+const MODEL_WAIT_PART: u32 = 2;
+
 /// Interval at which waiting calls are looked at.
 pub(crate) const WAIT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time after which a caller without an endpoint is to come back.
 const ENDPOINT_RETRY: Duration = Duration::from_millis(400);
 
+/// Time after which a caller whose model is nowhere is to come back.
+const MODEL_RETRY: Duration = Duration::from_millis(1_500);
+
 /// Shortest time without an answer after which an endpoint counts as faulty and
 /// an idempotent call is tried elsewhere.
 const SILENCE_MIN: Duration = Duration::from_millis(400);
@@ -89,8 +104,7 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
-        let is_service = call.terms.model.is_none();
-        if is_service && now.saturating_duration_since(call.started) >= SERVICE_WAIT {
+        if now.saturating_duration_since(call.started) >= endpoint_wait(call) {
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return;
         }
@@ -257,7 +271,13 @@
             (RunState::Maybe, RefusalReason::TooLate) => RefusalReason::TimedOut,
             (_, reason) => reason,
         };
-        self.refuse_call(now, request, reason, Some(ENDPOINT_RETRY), actions);
+        let lacks_model = call.terms.model.is_some() && call.handed.is_none();
+        let retry = if lacks_model {
+            MODEL_RETRY
+        } else {
+            ENDPOINT_RETRY
+        };
+        self.refuse_call(now, request, reason, Some(retry), actions);
     }
 
     /// Takes the call of a request out of its endpoint's counts.
@@ -323,6 +343,16 @@
     }
 }
 
+/// Returns how long a call waits for an endpoint.
+fn endpoint_wait(call: &CallRecord) -> Duration {
+    if call.terms.model.is_none() {
+        return SERVICE_WAIT;
+    }
+    let wait = call.route.objective.mul_f64(MODEL_WAIT_OBJECTIVES);
+    let patience = call.deadline.saturating_duration_since(call.started);
+    wait.max(MODEL_WAIT_MIN).min(patience / MODEL_WAIT_PART)
+}
+
 /// Returns how long an attempt may be silent; an engine's streams may wait in
 /// its queue.
 fn silence_limit(call: &CallRecord) -> Option<Duration> {
