Let models leave crowded engines; split the book of demand from the placement

A model's pressure is now also what all models of its least busy engine bring that engine, where that is 1.5 times the mean or more, and the new replica goes where little is asked.

Ruled out on the way: the age of the others' load (told twice as often: no gain). Test, seen red: plan_crowded_model_spreads_where_little_is_asked.

--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -14,15 +14,17 @@
 //! was planned without it, is void. What an engine holds beside that number
 //! comes from its inventory, which is asked for whenever the number is in doubt.
 //!
-//! Algorithm: a model's pressure is its demand by replica. What callers wait
-//! for is loaded first; then the model under the highest pressure takes the
-//! place of the one whose pressure would be lowest without it, if the ratio of
-//! both exceeds [`GAIN_MIN`]. An adapter takes the place of the one that was
+//! Algorithm: a model's pressure is its demand by replica, or what all models of
+//! its least busy engine bring that engine where that is far above the mean. What callers wait for is loaded first;
+//! then the model under the highest pressure takes the place of the one whose
+//! demand by replica would be lowest without it, if the ratio of both exceeds
+//! [`GAIN_MIN`], on an engine with little to do. An adapter takes the place of the one that was
 //! used longest ago.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::demand_book::DemandBook;
 use crate::demand_types::{
     EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderNumber, OrderVerb,
     PlacementChange, PlacementOrder,
@@ -39,6 +41,18 @@
 /// Requests a second by replica below which a model needs no further one.
 const PRESSURE_MIN: f64 = 4.0;
 
+/// Requests of an engine, in means of all engines, above which its models count as
+/// crowded.
+const CROWDED_MEANS: f64 = 1.5;
+
+/// Requests a second by replica below which a model does not leave a crowded
+/// engine.
+const CROWDED_RATE_MIN: f64 = 1.0;
+
+/// Pressure that a request a second at an engine counts as, so that replicas go
+/// to engines with little to do.
+const LOAD_WEIGHT: f64 = 0.25;
+
 /// Requests a second that an idle model counts with: above nothing, so that it
 /// is loaded where there is room.
 const IDLE_RATE: f64 = 0.01;
@@ -54,12 +68,6 @@
 /// Models that one plan gives a further replica.
 const RELIEVED_MAX: usize = 4;
 
-/// Time constant of the demand average.
-const DEMAND_TIME: Duration = Duration::from_secs(2);
-
-/// Time for which a want counts after callers last told of it.
-const WANT_LIFETIME: Duration = Duration::from_secs(1);
-
 /// Time for which a new replica stays, so that two models don't swap.
 const HOLD_TIME: Duration = Duration::from_secs(4);
 
@@ -72,23 +80,12 @@
 /// Adapters that may be on their way to an engine at the same time.
 const TRANSIT_MAX: usize = 4;
 
-#[derive(Debug, Clone, Copy)]
-struct DemandRate {
-    /// Requests a second.
-    rate: f64,
-    noted: Instant,
-}
-
 /// Placement of one service's models.
 #[derive(Debug)]
 pub struct DemandPlacement {
     spec: EngineSpec,
     engines: BTreeMap<EndpointName, EngineState>,
-    demand: BTreeMap<ModelName, DemandRate>,
-    /// When each adapter was last used, by model and adapter.
-    adapter_use: BTreeMap<(ModelName, ModelName), Instant>,
-    /// When callers last told that they wait.
-    wants: BTreeMap<(ModelName, ModelName), Instant>,
+    demand: DemandBook,
     pacer: LoadPacer,
     next_number: OrderNumber,
 }
@@ -100,9 +97,7 @@
         DemandPlacement {
             spec: EngineSpec::default(),
             engines: BTreeMap::new(),
-            demand: BTreeMap::new(),
-            adapter_use: BTreeMap::new(),
-            wants: BTreeMap::new(),
+            demand: DemandBook::default(),
             pacer,
             next_number: 1,
         }
@@ -202,7 +197,7 @@
 
     /// Notes that callers wait for a model or an adapter.
     pub fn want(&mut self, now: Instant, model: ModelName, adapter: ModelName) {
-        self.wants.insert((model, adapter), now);
+        self.demand.want(now, model, adapter);
     }
 
     /// Notes requests that callers made.
@@ -213,26 +208,16 @@
         adapter: &ModelName,
         requests: u64,
     ) {
-        if !adapter.is_empty() {
-            let key = (model.clone(), adapter.clone());
-            self.adapter_use.insert(key, now);
-        }
-        let demand = self.demand.entry(model.clone()).or_insert(DemandRate {
-            rate: 0.0,
-            noted: now,
-        });
-        demand.rate = rate_at(*demand, now) + requests as f64 / DEMAND_TIME.as_secs_f64();
-        demand.noted = now;
+        self.demand.note_use(now, model, adapter, requests);
     }
 
     /// Returns the orders that are due now.
     pub fn plan(&mut self, now: Instant) -> Vec<PlacementOrder> {
-        self.wants
-            .retain(|_, told| now.saturating_duration_since(*told) < WANT_LIFETIME);
+        self.demand.forget_old_wants(now);
         let loading = self.store_loads();
         self.pacer.begin(now, loading, 0);
         let mut orders = Vec::new();
-        for (model, adapter) in self.wants_by_demand(now) {
+        for (model, adapter) in self.demand.wants(now) {
             if self.replicas(&model) == 0 {
                 self.add_replica(now, &model, f64::MAX, &mut orders);
             } else if !adapter.is_empty() && !self.holds_adapter(&model, &adapter) {
@@ -243,14 +228,6 @@
         orders
     }
 
-    /// Returns what callers wait for, models asked for most first.
-    fn wants_by_demand(&self, now: Instant) -> Vec<(ModelName, ModelName)> {
-        let mut wants: Vec<(ModelName, ModelName)> = self.wants.keys().cloned().collect();
-        let rate = |model: &ModelName| self.demand.get(model).map_or(0.0, |it| rate_at(*it, now));
-        wants.sort_by(|a, b| rate(&b.0).total_cmp(&rate(&a.0)));
-        wants
-    }
-
     /// Takes in an answer; returns what it changes for callers.
     pub fn answer(
         &mut self,
@@ -347,7 +324,7 @@
     }
 
     fn pressure(&self, now: Instant, model: &ModelName, replicas: usize) -> f64 {
-        let rate = self.demand.get(model).map_or(0.0, |it| rate_at(*it, now));
+        let rate = self.demand.rate(now, model);
         match replicas {
             0 => rate.max(IDLE_RATE) * UNHELD_FACTOR,
             count => rate / count as f64,
@@ -356,9 +333,21 @@
 
     /// Gives the model under the highest pressure one more replica.
     fn relieve(&mut self, now: Instant, orders: &mut Vec<PlacementOrder>) {
+        let usable = self.engines.values().filter(|it| it.report.is_usable);
+        let loads: Vec<(&EngineState, f64)> = usable
+            .map(|state| (state, self.engine_load(now, state)))
+            .collect();
+        let total: f64 = loads.iter().map(|(_, load)| load).sum();
+        let crowded = PRESSURE_MIN.max(CROWDED_MEANS * total / loads.len().max(1) as f64);
         let pressures = self.spec.models.iter().map(|spec| {
             let replicas = self.replicas(&spec.name);
-            (self.pressure(now, &spec.name, replicas), spec.name.clone())
+            let own = self.pressure(now, &spec.name, replicas);
+            let holders = loads
+                .iter()
+                .filter(|(state, _)| state.will_hold(&spec.name));
+            let crowd = holders.map(|(_, load)| *load).min_by(f64::total_cmp);
+            let crowd = crowd.filter(|load| own >= CROWDED_RATE_MIN && *load >= crowded);
+            (own.max(crowd.unwrap_or(0.0)), spec.name.clone())
         });
         let mut pressures: Vec<(f64, ModelName)> = pressures.collect();
         pressures.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -380,8 +369,8 @@
         let Some(weight) = self.spec_of(model).map(|spec| spec.weight_mb) else {
             return;
         };
-        let rate = self.demand.get(model).map_or(0.0, |it| rate_at(*it, now));
-        let is_idle = rate <= IDLE_RATE && !self.is_wanted(model);
+        let rate = self.demand.rate(now, model);
+        let is_idle = rate <= IDLE_RATE && !self.demand.is_wanted(model);
         let mut best: Option<(f64, f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, state) in &self.engines {
             let takes_orders = state.takes_orders() && !state.has_model_order();
@@ -397,7 +386,8 @@
                 };
                 (value, Some(victim))
             };
-            let cost = value + state.load_cost(model);
+            let load = self.engine_load(now, state) * LOAD_WEIGHT;
+            let cost = value + load + state.load_cost(model);
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, value, endpoint.clone(), victim));
             }
@@ -435,17 +425,19 @@
         u32::try_from(rooms).unwrap_or(u32::MAX)
     }
 
-    /// Tells whether callers wait for a model.
-    fn is_wanted(&self, model: &ModelName) -> bool {
-        self.wants.keys().any(|(wanted, _)| wanted == model)
-    }
-
     /// Tells whether an engine loads a model without the weight store.
     fn is_at_hand(&self, endpoint: &EndpointName, model: &ModelName) -> bool {
         let state = self.engines.get(endpoint);
         state.is_some_and(|state| state.is_at_hand(model))
     }
 
+    /// Returns the requests a second that an engine's models bring it.
+    fn engine_load(&self, now: Instant, state: &EngineState) -> f64 {
+        let models = state.report.models.keys();
+        let rates = models.map(|model| self.pressure(now, model, self.replicas(model).max(1)));
+        rates.sum()
+    }
+
     /// Returns the model of an engine that is missed least, with its pressure
     /// once it has left.
     fn victim(&self, now: Instant, state: &EngineState) -> Option<(f64, ModelName)> {
@@ -511,7 +503,7 @@
                 return;
             }
             for key in state.adapters() {
-                let used = self.adapter_use.get(&key).copied();
+                let used = self.demand.last_use(&key);
                 let idle = used.is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
                 if idle && oldest.as_ref().is_none_or(|(least, ..)| used < *least) {
                     oldest = Some((used, endpoint.clone(), key));
@@ -564,8 +556,3 @@
         }
     }
 }
-
-fn rate_at(demand: DemandRate, now: Instant) -> f64 {
-    let elapsed = now.saturating_duration_since(demand.noted).as_secs_f64();
-    demand.rate * (-elapsed / DEMAND_TIME.as_secs_f64()).exp()
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Guarantees: no clock, no randomness and no input or output of their own;
 //! instants and seeds are arguments, so that equal calls give equal results.
 
+mod demand_book;
 mod demand_estimate;
 mod demand_placement;
 mod demand_types;
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -340,3 +340,20 @@
     let orders = described(&placement.plan(now));
     assert_eq!(orders.first().map(String::as_str), Some("load e c"));
 }
+
+#[test]
+fn plan_crowded_model_spreads_where_little_is_asked() {
+    let start = Instant::now();
+    let mut placement = placement(start);
+    for (engine, held) in [("e", &["a", "b"][..]), ("f", &["c"]), ("g", &[])] {
+        let held: Vec<(&str, &[&str])> = held.iter().map(|model| (*model, &[][..])).collect();
+        observe(&mut placement, start, &name(engine), report(&held));
+    }
+    let now = start + LATER;
+    placement.note_use(now, &name("a"), &Bytes::new(), 7);
+    placement.note_use(now, &name("b"), &Bytes::new(), 6);
+    placement.note_use(now, &name("c"), &Bytes::new(), 1);
+    // Neither model of `e` is asked for much, but both together are.
+    let orders = described(&placement.plan(now));
+    assert_eq!(orders.first().map(String::as_str), Some("load g a"));
+}
