--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -15,11 +15,11 @@
 //! comes from its inventory, which is asked for whenever the number is in doubt.
 //!
 //! Algorithm: a model's pressure is its demand by replica, or what all models of
-//! its least busy engine bring that engine where that is far above the mean. What callers wait for is loaded first;
-//! then the model under the highest pressure takes the place of the one whose
-//! demand by replica would be lowest without it, if the ratio of both exceeds
-//! [`GAIN_MIN`], on an engine with little to do. An adapter takes the place of the one that was
-//! used longest ago.
+//! its least busy engine bring that engine where that is far above the mean. What
+//! callers wait for is loaded first; then the model under the highest pressure
+//! takes the place of the one whose demand by replica would be lowest without it,
+//! if the ratio of both exceeds [`GAIN_MIN`], on an engine with little to do. An
+//! adapter takes the place of the one that was used longest ago.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -331,31 +331,34 @@
         }
     }
 
-    /// Gives the model under the highest pressure one more replica.
+    /// Gives the models under the highest pressures one more replica each.
     fn relieve(&mut self, now: Instant, orders: &mut Vec<PlacementOrder>) {
+        let mut pressures = self.model_pressures(now);
+        pressures.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (pressure, model) in pressures.into_iter().take(RELIEVED_MAX) {
+            if pressure >= PRESSURE_MIN || self.replicas(&model) == 0 {
+                self.add_replica(now, &model, pressure, orders);
+            }
+        }
+    }
+
+    /// Returns all models with their pressures.
+    fn model_pressures(&self, now: Instant) -> Vec<(f64, ModelName)> {
         let usable = self.engines.values().filter(|it| it.report.is_usable);
         let loads: Vec<(&EngineState, f64)> = usable
             .map(|state| (state, self.engine_load(now, state)))
             .collect();
         let total: f64 = loads.iter().map(|(_, load)| load).sum();
-        let crowded = PRESSURE_MIN.max(CROWDED_MEANS * total / loads.len().max(1) as f64);
+        let mean = total / loads.len().max(1) as f64;
+        let crowded = PRESSURE_MIN.max(CROWDED_MEANS * mean);
         let pressures = self.spec.models.iter().map(|spec| {
-            let replicas = self.replicas(&spec.name);
-            let own = self.pressure(now, &spec.name, replicas);
-            let holders = loads
-                .iter()
-                .filter(|(state, _)| state.will_hold(&spec.name));
+            let own = self.pressure(now, &spec.name, self.replicas(&spec.name));
+            let holders = loads.iter().filter(|(it, _)| it.will_hold(&spec.name));
             let crowd = holders.map(|(_, load)| *load).min_by(f64::total_cmp);
             let crowd = crowd.filter(|load| own >= CROWDED_RATE_MIN && *load >= crowded);
             (own.max(crowd.unwrap_or(0.0)), spec.name.clone())
         });
-        let mut pressures: Vec<(f64, ModelName)> = pressures.collect();
-        pressures.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (pressure, model) in pressures.into_iter().take(RELIEVED_MAX) {
-            if pressure >= PRESSURE_MIN || self.replicas(&model) == 0 {
-                self.add_replica(now, &model, pressure, orders);
-            }
-        }
+        pressures.collect()
     }
 
     /// Orders what brings a model to one more engine.
