--- a/crates/mulberrywell/tests/soak_seeds.rs
+++ b/crates/mulberrywell/tests/soak_seeds.rs
@@ -12,7 +12,7 @@
 const USUAL_SIZE: ClusterSize = ClusterSize {
     controls: 3,
     gateways: 3,
-    workers: 4,
+    endpoints: 4,
 };
 
 fn play(seed: u64, seconds: u64, size: ClusterSize, callers: u64) {
@@ -48,7 +48,7 @@
     let size = ClusterSize {
         controls: 5,
         gateways: 80,
-        workers: 20,
+        endpoints: 20,
     };
     play(seed, 20, size, 40);
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! Guarantees: only processes that a run started are signalled, by their ids;
 //! all traffic stays on loopback addresses. A breach is reported only where the
-//! records of callers, workers and operators leave no other explanation.
+//! records of callers, endpoints and operators leave no other explanation.
 //!
 //! Algorithm: [`SoakPlan`] draws a schedule, [`SoakCluster`] starts the
 //! processes behind proxies, [`run_soak`] plays the schedule beside the traffic,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -52,7 +52,7 @@
         .arg(number("seconds", "20", "Seconds of faults in a run"))
         .arg(number("controls", "3", "Control instances"))
         .arg(number("gateways", "3", "Gateways"))
-        .arg(number("workers", "4", "Workers"))
+        .arg(number("endpoints", "4", "Endpoints"))
         .arg(number("callers", "8", "Callers at the same time"))
         .arg(
             Arg::new("binary")
@@ -82,7 +82,7 @@
         size: ClusterSize {
             controls: count("controls")?,
             gateways: count("gateways")?,
-            workers: count("workers")?,
+            endpoints: count("endpoints")?,
         },
         callers: number("callers"),
         log_folder: matches.get_one::<PathBuf>("logs").cloned(),
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -60,7 +60,7 @@
 pub struct SoakRecords {
     /// Calls of all callers.
     pub calls: Vec<CallRecord>,
-    /// Runs of all workers.
+    /// Runs of all endpoints.
     pub runs: Vec<WorkerRun>,
     /// Versions that were sent.
     pub versions: Vec<VersionRecord>,
@@ -167,7 +167,7 @@
             .iter()
             .any(|(_, value)| value.contains(&call.key))
         {
-            breaches.push(breach("key seen by a worker", call, ""));
+            breaches.push(breach("key seen by an endpoint", call, ""));
         }
     }
     breaches
@@ -253,7 +253,7 @@
             continue;
         };
         let began = runs.get(call.id.as_str()).and_then(|runs| runs.first());
-        if let Some(run) = began.filter(|_| call.boots.0 == call.boots.1) {
+        if let Some(run) = began.filter(|_| call.incarnations.0 == call.incarnations.1) {
             effects.push((call, version, run.began));
         }
     }
@@ -261,7 +261,7 @@
     let mut told = BTreeSet::new();
     for (call, version, _) in &effects {
         let newer = effects.iter().find(|(other, newer, began)| {
-            let same = other.gateway == call.gateway && other.boots == call.boots;
+            let same = other.gateway == call.gateway && other.incarnations == call.incarnations;
             same && newer > version && *began + ROLLBACK_SLACK < call.sent
         });
         if let Some((_, newer, _)) = newer.filter(|_| told.insert(&call.id)) {
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -13,13 +13,13 @@
 
 use crate::soak_plan::SoakFault;
 
-/// Service of the workers.
+/// Service of the endpoints.
 pub(crate) const SERVICE: &str = "s1";
 
-/// Time that a worker takes for a plain request while it is slow.
+/// Time that an endpoint takes for a plain request while it is slow.
 const SLOW_ANSWER: Duration = Duration::from_millis(700);
 
-/// Usual time that a worker takes for a plain request.
+/// Usual time that an endpoint takes for a plain request.
 const USUAL_ANSWER: Duration = Duration::from_millis(15);
 
 /// Wait before each piece on a slow link.
@@ -35,8 +35,8 @@
     pub controls: usize,
     /// Gateways.
     pub gateways: usize,
-    /// Workers, which are threads of the soak itself.
-    pub workers: usize,
+    /// Endpoints, which are threads of the soak itself.
+    pub endpoints: usize,
 }
 
 /// Where a gateway is reached.
@@ -45,7 +45,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
     /// Grows with each start of the process, and once more when it is ended.
-    pub(crate) boot: Arc<AtomicU64>,
+    pub(crate) incarnation: Arc<AtomicU64>,
 }
 
 /// Running processes behind proxies.
@@ -55,9 +55,9 @@
     binary: PathBuf,
     /// Before the links of each control instance.
     links: Vec<FaultProxy>,
-    /// Before each worker.
-    worker_ways: Vec<FaultProxy>,
-    pub(crate) workers: Vec<FakeWorker>,
+    /// Before each endpoint.
+    endpoint_ways: Vec<FaultProxy>,
+    pub(crate) endpoints: Vec<FakeWorker>,
     pub(crate) gateways: Vec<GatewayPlace>,
     pub(crate) operator: FakeOperator,
 }
@@ -72,17 +72,17 @@
         let serving = free_ports(size.controls)?;
         let numbered = listens.iter().zip(0..);
         let links = numbered.map(|(listen, place)| FaultProxy::spawn_seeded(*listen, seed ^ place));
-        let workers = (0..size.workers).map(|place| FakeWorker::spawn(&format!("w{place}")));
-        let workers = workers.collect::<Result<Vec<_>>>()?;
-        let ways = workers
+        let endpoints = (0..size.endpoints).map(|place| FakeWorker::spawn(&format!("w{place}")));
+        let endpoints = endpoints.collect::<Result<Vec<_>>>()?;
+        let ways = endpoints
             .iter()
-            .map(|worker| FaultProxy::spawn(worker.address()));
+            .map(|endpoint| FaultProxy::spawn(endpoint.address()));
         let mut cluster = SoakCluster {
             processes: ProcessSet::open()?,
             binary: binary.to_owned(),
             links: links.collect::<Result<_>>()?,
-            worker_ways: ways.collect::<Result<_>>()?,
-            workers,
+            endpoint_ways: ways.collect::<Result<_>>()?,
+            endpoints,
             gateways: Vec::new(),
             operator: FakeOperator::new(serving.clone()),
         };
@@ -92,8 +92,8 @@
         for place in 0..size.gateways {
             cluster.spawn_gateway(place)?;
         }
-        for worker in &cluster.workers {
-            worker.set_delay(USUAL_ANSWER);
+        for endpoint in &cluster.endpoints {
+            endpoint.set_delay(USUAL_ANSWER);
         }
         Ok(cluster)
     }
@@ -127,7 +127,7 @@
         self.gateways.push(GatewayPlace {
             callers,
             ready,
-            boot: Arc::default(),
+            incarnation: Arc::default(),
         });
         Ok(())
     }
@@ -166,10 +166,10 @@
         controls.chain(gateways).collect()
     }
 
-    /// Returns the body of a worker's heartbeat, which names the way to it.
+    /// Returns the body of an endpoint's heartbeat, which names the way to it.
     pub(crate) fn heartbeat(&self, place: usize, sequence: u64) -> String {
-        let address = self.worker_ways[place].address();
-        self.workers[place].heartbeat_at(address, SERVICE, "ready", sequence)
+        let address = self.endpoint_ways[place].address();
+        self.endpoints[place].heartbeat_at(address, SERVICE, "ready", sequence)
     }
 
     /// Begins a fault.
@@ -180,7 +180,7 @@
         match fault {
             SoakFault::Kill(name) => self.kill(name)?,
             SoakFault::Terminate(name) => {
-                self.note_boot(name);
+                self.note_start(name);
                 self.processes.signal(name, Signal::SIGTERM)?;
             }
             SoakFault::Freeze(name) => self.processes.freeze(name)?,
@@ -217,12 +217,12 @@
                 link.refuse(true);
                 link.reset();
             }
-            SoakFault::WorkerDown(place) => self.workers[*place].set_down(true),
-            SoakFault::WorkerSheds(place) => self.workers[*place].set_sheds(true),
-            SoakFault::WorkerLoses(place) => self.workers[*place].set_loses(true),
-            SoakFault::WorkerSlow(place) => self.workers[*place].set_delay(SLOW_ANSWER),
-            SoakFault::WorkerCut(place) => self.worker_ways[*place].stall(),
-            SoakFault::WorkerReset(place) => self.worker_ways[*place].reset(),
+            SoakFault::EndpointDown(place) => self.endpoints[*place].set_down(true),
+            SoakFault::EndpointSheds(place) => self.endpoints[*place].set_sheds(true),
+            SoakFault::EndpointLoses(place) => self.endpoints[*place].set_loses(true),
+            SoakFault::EndpointSlow(place) => self.endpoints[*place].set_delay(SLOW_ANSWER),
+            SoakFault::EndpointCut(place) => self.endpoint_ways[*place].stall(),
+            SoakFault::EndpointReset(place) => self.endpoint_ways[*place].reset(),
         }
         Ok(())
     }
@@ -249,7 +249,7 @@
                 }
             }
             SoakFault::Freeze(name) => self.processes.thaw(name)?,
-            SoakFault::Hangup(_) | SoakFault::WorkerReset(_) => {}
+            SoakFault::Hangup(_) | SoakFault::EndpointReset(_) => {}
             SoakFault::KillControls => {
                 for place in 0..self.links.len() {
                     self.restart(&format!("control-{place}"))?;
@@ -265,11 +265,11 @@
                 link.refuse(false);
                 link.set_both(FlowFault::default());
             }
-            SoakFault::WorkerDown(place) => self.workers[*place].set_down(false),
-            SoakFault::WorkerSheds(place) => self.workers[*place].set_sheds(false),
-            SoakFault::WorkerLoses(place) => self.workers[*place].set_loses(false),
-            SoakFault::WorkerSlow(place) => self.workers[*place].set_delay(USUAL_ANSWER),
-            SoakFault::WorkerCut(place) => self.worker_ways[*place].heal(),
+            SoakFault::EndpointDown(place) => self.endpoints[*place].set_down(false),
+            SoakFault::EndpointSheds(place) => self.endpoints[*place].set_sheds(false),
+            SoakFault::EndpointLoses(place) => self.endpoints[*place].set_loses(false),
+            SoakFault::EndpointSlow(place) => self.endpoints[*place].set_delay(USUAL_ANSWER),
+            SoakFault::EndpointCut(place) => self.endpoint_ways[*place].heal(),
         }
         Ok(())
     }
@@ -287,7 +287,7 @@
     }
 
     fn kill(&mut self, name: &str) -> Result<()> {
-        self.note_boot(name);
+        self.note_start(name);
         self.processes.kill(name)
     }
 
@@ -297,7 +297,7 @@
         self.processes.edit_settings(name, started)?;
         let len = self.processes.log(name).len();
         self.processes.restart(name)?;
-        self.note_boot(name);
+        self.note_start(name);
         // A signal before the program itself runs ends any process.
         wait_until("the process has started", || {
             self.processes.log(name).len() > len
@@ -310,11 +310,11 @@
         names.find(|name| !self.processes.is_running(name))
     }
 
-    fn note_boot(&self, name: &str) {
+    fn note_start(&self, name: &str) {
         let gateway = name.strip_prefix("gateway-");
         let place = gateway.and_then(|number| number.parse::<usize>().ok());
         if let Some(gateway) = place.and_then(|place| self.gateways.get(place)) {
-            gateway.boot.fetch_add(1, Ordering::SeqCst);
+            gateway.incarnation.fetch_add(1, Ordering::SeqCst);
         }
     }
 }
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -50,18 +50,18 @@
     Delay(String),
     /// Links to a control instance are reset, and new ones for the fault's time.
     Refuse(String),
-    /// A worker closes connections without an answer.
-    WorkerDown(usize),
-    /// A worker refuses all requests.
-    WorkerSheds(usize),
-    /// A worker's answers get lost after it has run the requests.
-    WorkerLoses(usize),
-    /// A worker is slow.
-    WorkerSlow(usize),
-    /// The way to a worker is silent.
-    WorkerCut(usize),
-    /// Connections to a worker are reset.
-    WorkerReset(usize),
+    /// An endpoint closes connections without an answer.
+    EndpointDown(usize),
+    /// An endpoint refuses all requests.
+    EndpointSheds(usize),
+    /// An endpoint's answers get lost after it has run the requests.
+    EndpointLoses(usize),
+    /// An endpoint is slow.
+    EndpointSlow(usize),
+    /// The way to an endpoint is silent.
+    EndpointCut(usize),
+    /// Connections to an endpoint are reset.
+    EndpointReset(usize),
 }
 
 impl SoakFault {
@@ -137,7 +137,7 @@
 fn draw_fault(rng: &mut Pcg64Mcg, size: ClusterSize) -> SoakFault {
     let control = format!("control-{}", rng.random_range(0..size.controls));
     let gateway = format!("gateway-{}", rng.random_range(0..size.gateways));
-    let worker = rng.random_range(0..size.workers);
+    let endpoint = rng.random_range(0..size.endpoints);
     let any = if rng.random_bool(0.5) {
         control.clone()
     } else {
@@ -157,12 +157,12 @@
         13 => SoakFault::Delay(control),
         14 => SoakFault::Refuse(control),
         16 => SoakFault::Terminate(gateway),
-        17 => SoakFault::WorkerDown(worker),
-        18 => SoakFault::WorkerSheds(worker),
-        19 => SoakFault::WorkerLoses(worker),
-        20 => SoakFault::WorkerSlow(worker),
-        21 => SoakFault::WorkerCut(worker),
-        _ => SoakFault::WorkerReset(worker),
+        17 => SoakFault::EndpointDown(endpoint),
+        18 => SoakFault::EndpointSheds(endpoint),
+        19 => SoakFault::EndpointLoses(endpoint),
+        20 => SoakFault::EndpointSlow(endpoint),
+        21 => SoakFault::EndpointCut(endpoint),
+        _ => SoakFault::EndpointReset(endpoint),
     }
 }
 
@@ -184,11 +184,11 @@
             let places = 0..size.controls;
             places.map(|place| format!("control-{place}")).collect()
         }
-        SoakFault::WorkerDown(place)
-        | SoakFault::WorkerSheds(place)
-        | SoakFault::WorkerLoses(place)
-        | SoakFault::WorkerSlow(place)
-        | SoakFault::WorkerCut(place)
-        | SoakFault::WorkerReset(place) => vec![format!("worker-{place}")],
+        SoakFault::EndpointDown(place)
+        | SoakFault::EndpointSheds(place)
+        | SoakFault::EndpointLoses(place)
+        | SoakFault::EndpointSlow(place)
+        | SoakFault::EndpointCut(place)
+        | SoakFault::EndpointReset(place) => vec![format!("endpoint-{place}")],
     }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -94,7 +94,10 @@
         Ok(())
     })?;
     let cluster = locked(&cluster);
-    let runs = cluster.workers.iter().flat_map(|worker| worker.runs());
+    let runs = cluster
+        .endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.runs());
     let records = SoakRecords {
         calls: traffic.log.calls().clone(),
         runs: runs.collect(),
--- a/crates/soak/src/soak_traffic.rs
+++ b/crates/soak/src/soak_traffic.rs
@@ -1,4 +1,4 @@
-//! Callers, operators and workers' heartbeats of a run, and what they saw.
+//! Callers, operators and endpoints' heartbeats of a run, and what they saw.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,7 +20,7 @@
 /// Longest pause of an operator between two changes.
 const OPERATOR_PAUSE_MS: u64 = 900;
 
-/// Pause between two heartbeats of a worker.
+/// Pause between two heartbeats of an endpoint.
 const BEAT_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Time that a caller waits for an answer.
@@ -64,7 +64,7 @@
     /// Place of the gateway.
     pub gateway: usize,
     /// Start of the gateway's process when it was sent, and when it ended.
-    pub boots: (u64, u64),
+    pub incarnations: (u64, u64),
     /// What was asked for.
     pub kind: CallKind,
     /// Key that it came with.
@@ -134,7 +134,7 @@
     pub(crate) log: TrafficLog,
     /// Callers and operators stop.
     pub(crate) is_over: AtomicBool,
-    /// Workers stop their heartbeats.
+    /// Endpoints stop their heartbeats.
     pub(crate) is_ended: AtomicBool,
 }
 
@@ -158,12 +158,12 @@
             let place = rng.random_range(0..callers.len());
             let (kind, key) = self.draw_call(&mut rng);
             let id = format!("s{caller}-{number}");
-            let boot = || gateways[place].boot.load(Ordering::SeqCst);
-            let begun = boot();
+            let incarnation = || gateways[place].incarnation.load(Ordering::SeqCst);
+            let begun = incarnation();
             let record = send_call(&callers[place], id, kind, key);
             self.log.calls().push(CallRecord {
                 gateway: place,
-                boots: (begun, boot()),
+                incarnations: (begun, incarnation()),
                 ..record
             });
             let pause = rng.random_range(1..CALLER_PAUSE_MS);
@@ -261,7 +261,7 @@
         acknowledged
     }
 
-    /// Sends the heartbeats of all workers until the run has ended.
+    /// Sends the heartbeats of all endpoints until the run has ended.
     pub(crate) fn beat_on(&self) {
         for sequence in 1.. {
             if self.is_ended.load(Ordering::Relaxed) {
@@ -275,9 +275,9 @@
     fn beat(&self, sequence: u64) {
         let (operator, beats) = {
             let cluster = locked(self.cluster);
-            let places = 0..cluster.workers.len();
+            let places = 0..cluster.endpoints.len();
             let beats = places.map(|place| {
-                let id = cluster.workers[place].id().to_owned();
+                let id = cluster.endpoints[place].id().to_owned();
                 (id, cluster.heartbeat(place, sequence))
             });
             (cluster.operator.clone(), beats.collect::<Vec<_>>())
@@ -308,7 +308,7 @@
     CallRecord {
         id,
         gateway: 0,
-        boots: (0, 0),
+        incarnations: (0, 0),
         kind,
         key,
         sent,
