Make two comments say what the code does

Cause: the soak's keys are shared by eight versions, not by two, and SIGKILL still ends a process whose loop is open. Conclusion: none beyond the comments.

--- a/crates/runtime/src/process/mod.rs
+++ b/crates/runtime/src/process/mod.rs
@@ -124,7 +124,8 @@
 }
 
 impl ProcessLoop {
-    /// Opens the loop; from then on no signal ends the process.
+    /// Opens the loop; from then on SIGTERM and SIGINT ask for a graceful shutdown
+    /// and SIGHUP ends nothing.
     fn open() -> Result<Self> {
         let mut stakker = Stakker::new(Instant::now());
         let poll = MioPoll::new(&mut stakker, Poll::new()?, Events::with_capacity(1024), 10)?;
--- a/crates/soak/src/soak_traffic.rs
+++ b/crates/soak/src/soak_traffic.rs
@@ -319,8 +319,8 @@
     }
 }
 
-/// Returns a version's configuration: each version has keys of its own, and
-/// every second one those of the version before it.
+/// Returns a version's configuration: each account has a key of this version alone
+/// and one that eight versions share.
 pub(crate) fn config(version: u64) -> FakeConfig {
     let accounts = ACCOUNTS.map(|(name, rate, burst)| FakeAccount {
         name: name.to_owned(),
