gateway: log how the response of an attempt was framed and how far it came

The decision itself moved to response_check and is unchanged; the length of a body, which no role read, became whether it is delimited. gateway_sessions: 42 passed before and after.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -14,6 +14,7 @@
 use crate::endpoint_choice::{choose_endpoint, ChoiceView};
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
+use crate::response_check::FailureCause;
 
 /// Timeout for opening a connection to an endpoint. Connections within a region
 /// take a few milliseconds; a lost SYN is retransmitted only after one second.
@@ -184,18 +185,24 @@
         &mut self,
         now: Instant,
         request: RequestId,
-        failure: AttemptFailure,
-        cause: &str,
+        cause: FailureCause,
         actions: &mut Actions,
     ) {
+        let failure = cause.failure;
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
         let line = format!(
-            "attempt id={} endpoint={} attempts={} outcome={failure:?} cause=\"{cause}\"",
+            "attempt id={} endpoint={} attempts={} status={} delimited={} begun={} event={} \
+             outcome={failure:?} cause=\"{}\"",
             text(&call.terms.id),
             text(&call.endpoint),
             call.attempts,
+            call.response.status,
+            call.response.is_delimited,
+            call.head_sent,
+            call.events.last_event().unwrap_or_default(),
+            cause.text,
         );
         actions.push(RoleAction::Log(LogLevel::Info, line));
         if failure == AttemptFailure::Broken {
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -79,8 +79,12 @@
 /// The response of the current attempt.
 #[derive(Debug, Default)]
 pub struct PendingResponse {
-    /// Set once the head has been received.
+    /// Set once the head has been received, until it is sent to the caller.
     pub head: Option<BufferedHead>,
+    /// Status of the head; 0 before it was received.
+    pub status: u16,
+    /// The body has a length or chunks; otherwise it ends with the connection.
+    pub is_delimited: bool,
     /// The endpoint reports that it did not run the call.
     pub not_run: bool,
     /// The status implies that the call has not run, but the endpoint does not
@@ -155,8 +159,9 @@
     /// Returns whether the current attempt resumes a stream whose head was sent and
     /// was answered with a status of its own, which must not reach the caller.
     pub fn is_resumption_refused(&self) -> bool {
-        let head = self.response.head.as_ref();
-        self.head_sent && head.is_some_and(|head| head.status >= REDIRECT_STATUS_MIN)
+        self.head_sent
+            && self.response.head.is_some()
+            && self.response.status >= REDIRECT_STATUS_MIN
     }
 }
 
--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -140,7 +140,7 @@
         let line = format!(
             "request id={} route={} account={account} units={} model={} adapter={} version={} \
              endpoint={} attempts={} ran={:?} wait_ms={wait} first_ms={first} pause_ms={} \
-             spent_ms={} status={status} \
+             spent_ms={} status={status} delimited={} event={} \
              outcome={outcome}",
             text(&call.terms.id),
             text(&call.route.name),
@@ -153,6 +153,8 @@
             call.ran,
             millis(call.longest_gap),
             since(now),
+            call.response.is_delimited,
+            call.events.last_event().unwrap_or_default(),
         );
         actions.push(RoleAction::Log(LogLevel::Info, line));
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod gateway_metrics;
 mod gateway_role;
 mod rate_limits;
+mod response_check;
 mod response_flow;
 
 pub use call_codec::{
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -20,6 +20,7 @@
 use crate::caller_responses::{millis, send_head, text};
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
+use crate::response_check::check_response;
 
 /// Maximum size in bytes of a body that is buffered until it is complete.
 const BUFFERED_BODY_MAX: usize = 256 * 1024;
@@ -39,11 +40,11 @@
                 exchange,
                 status,
                 headers,
-                length: _,
+                is_delimited,
             } => {
                 if let Some(request) = self.calls.request_of_exchange(exchange) {
                     let head = BufferedHead { status, headers };
-                    self.handle_head(now, request, head, actions);
+                    self.handle_head(now, request, head, is_delimited, actions);
                 }
             }
             ExchangeEvent::Data { exchange, data } => {
@@ -64,6 +65,7 @@
         now: Instant,
         request: RequestId,
         mut head: BufferedHead,
+        is_delimited: bool,
         actions: &mut Actions,
     ) {
         let terms = self.codec.read_response_head(head.status, &head.headers);
@@ -72,6 +74,8 @@
             return;
         };
         head.headers = self.codec.response_fields(head.headers);
+        call.response.status = head.status;
+        call.response.is_delimited = is_delimited;
         call.response.not_run = terms.not_run;
         call.response.run_unconfirmed = terms.run_unconfirmed;
         call.response.misdirected = terms.misdirected;
@@ -220,24 +224,8 @@
             return;
         };
         call.stage = CallStage::Waiting;
-        let failure = match end {
-            ExchangeEnd::NotSent(_) => Some(AttemptFailure::NotSent),
-            ExchangeEnd::Broken(_) if call.response.not_run => Some(AttemptFailure::NotRun),
-            ExchangeEnd::Broken(_) => Some(AttemptFailure::Broken),
-            ExchangeEnd::Complete if call.response.not_run => Some(AttemptFailure::NotRun),
-            ExchangeEnd::Complete if call.response.run_unconfirmed => Some(AttemptFailure::Broken),
-            ExchangeEnd::Complete if call.is_resumption_refused() => Some(AttemptFailure::Broken),
-            ExchangeEnd::Complete if call.response.is_stream && call.events.has_partial_event() => {
-                Some(AttemptFailure::Broken)
-            }
-            ExchangeEnd::Complete => None,
-        };
-        if let Some(failure) = failure {
-            let cause = match end {
-                ExchangeEnd::NotSent(cause) | ExchangeEnd::Broken(cause) => cause,
-                ExchangeEnd::Complete => "the endpoint refused it",
-            };
-            self.fail_attempt(now, request, failure, cause, actions);
+        if let Err(cause) = check_response(call, end) {
+            self.fail_attempt(now, request, cause, actions);
             return;
         }
         call.ran = RunState::Maybe;
--- a/crates/role/src/endpoint_exchange.rs
+++ b/crates/role/src/endpoint_exchange.rs
@@ -58,8 +58,9 @@
         status: u16,
         /// Fields in the order received.
         headers: Vec<HeaderField>,
-        /// Length of the body in bytes, if known.
-        length: Option<u64>,
+        /// The body has a length or chunks. Otherwise it ends with the connection,
+        /// which doesn't show whether the body is complete.
+        is_delimited: bool,
     },
     /// A part of the body was received.
     Data {
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -379,15 +379,11 @@
 }
 
 fn head_event(exchange: ExchangeId, head: ResponseHead) -> ExchangeEvent {
-    let length = match head.framing {
-        BodyFraming::Length(len) => Some(len),
-        BodyFraming::Chunked | BodyFraming::UntilClose => None,
-    };
     ExchangeEvent::Head {
         exchange,
         status: head.status,
         headers: head.headers,
-        length,
+        is_delimited: head.framing != BodyFraming::UntilClose,
     }
 }
 
