gateway: an undelimited stream that ends before its first event is broken off

What callers saw: a 200 with an empty body, or a stream that ended as complete after the events of its first run, though the endpoint had broken it off.

Cause: a response without length and chunks ends with its connection. The gateway took that end for the response's unless an event was truncated; before the first event, of a first run or of a resumption, there is none to be truncated.

Evidence: undelimited_stream_without_event_not_complete and undelimited_resumption_without_event_aborted failed before, and pass. Such an end is now a failed attempt: resumed or retried where the route allows it, otherwise 502 or an aborted response. An empty stream that is delimited, such as a resumption after the last event, is still passed on. Ruled out: the reader of the connection (a reset, a short length and missing chunks are reported as broken).

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -94,6 +94,8 @@
     pub misdirected: bool,
     /// The body is a stream of events.
     pub is_stream: bool,
+    /// At least one whole event was forwarded.
+    pub has_event: bool,
     /// Body received so far, for a response that is buffered.
     pub body: BytesMut,
 }
--- a/crates/gateway/src/response_check.rs
+++ b/crates/gateway/src/response_check.rs
@@ -37,6 +37,15 @@
         ExchangeEnd::Complete if response.is_stream && call.events.has_partial_event() => {
             (AttemptFailure::Broken, "the stream ended inside an event")
         }
+        // Only the events show whether a stream without length and chunks is complete.
+        ExchangeEnd::Complete
+            if response.is_stream && !response.is_delimited && !response.has_event =>
+        {
+            (
+                AttemptFailure::Broken,
+                "the stream ended before its first event",
+            )
+        }
         ExchangeEnd::Complete => return Ok(()),
     };
     Err(FailureCause { failure, text })
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -163,6 +163,7 @@
             return;
         };
         call.ran = RunState::Maybe;
+        call.response.has_event = true;
         if !call.head_sent {
             call.head_sent = true;
             if let Some(head) = call.response.head.take() {
