gateway: retry a response that has begun only where it can be continued

What callers saw: a body of more than 256 KiB whose endpoint broke it off was followed by a second head and the body of a second run; a stream was resumed on a route that isn't resumable, or after events without an id, and began again from its first event.

Cause: whether a call may be forwarded again was decided by its route and by what had run, not by what its caller had received. Now a response that has begun is continued only as a resumable stream whose last event has an id; otherwise it is aborted. A comment between events doesn't count as an event.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -249,6 +249,7 @@
         let not_run = call.ran == RunState::No && failure != AttemptFailure::Broken;
         let left = call.deadline.saturating_duration_since(now);
         let allowed = (not_run || call.route.is_idempotent)
+            && call.can_continue()
             && call.attempts < call.route.max_attempts
             && left >= FORWARD_MIN;
         if !allowed || call.attempts == 0 {
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -158,6 +158,13 @@
 }
 
 impl CallRecord {
+    /// Returns whether a further attempt can continue the response that the caller
+    /// has received so far.
+    pub fn can_continue(&self) -> bool {
+        let is_resumable = self.route.is_stream && self.route.is_idempotent;
+        !self.head_sent || (is_resumable && self.events.last_event().is_some())
+    }
+
     /// Returns whether the current attempt resumes a stream whose head was sent and
     /// was answered with a status of its own, which must not reach the caller.
     pub fn is_resumption_refused(&self) -> bool {
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -15,7 +15,7 @@
     partial: BytesMut,
     /// Bytes of `partial` already searched for the end of an event.
     searched: usize,
-    /// Id of the last complete event.
+    /// Id of the last complete event; none if it has none.
     last_event: Option<u64>,
 }
 
@@ -32,7 +32,8 @@
         }
     }
 
-    /// Returns the id of the last complete event.
+    /// Returns the id of the last complete event; none if it has none, so that the
+    /// stream can't be resumed after it.
     pub fn last_event(&self) -> Option<u64> {
         self.last_event
     }
@@ -68,18 +69,30 @@
         };
         let events = self.partial.split_to(start + offset + 2).freeze();
         self.searched = self.partial.len();
-        if let Some(id) = last_id(&events) {
-            self.last_event = Some(id);
+        if let Some(last) = last_position(&events) {
+            self.last_event = last;
         }
         Ok(Some(events))
     }
 }
 
-/// Returns the id of the last event that has one.
-fn last_id(events: &[u8]) -> Option<u64> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
-    lines.find_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
-    })
+/// Returns the id, if any, of the last event; none if there is no event. A block
+/// without a `data` field, such as a comment, is no event.
+fn last_position(events: &[u8]) -> Option<Option<u64>> {
+    let mut has_data = false;
+    for line in events.rsplit(|byte| *byte == b'\n') {
+        if let Some(id) = parse_id(line) {
+            return Some(Some(id));
+        }
+        if line.is_empty() && has_data {
+            return Some(None);
+        }
+        has_data |= line.starts_with(b"data");
+    }
+    has_data.then_some(None)
+}
+
+fn parse_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
 }
