gateway: break off a resumption that begins the stream anew

What callers saw: events that they had received came again, from a second run, where the endpoint of a resumption ignored the position that it was given.

Cause: the splitter recorded the ids of events and never compared them. An event whose id is not above the last one's now ends the attempt.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -1,7 +1,8 @@
 //! Splits a byte stream into complete events (WHATWG HTML, server-sent events).
 //!
-//! Guarantees: only complete events are returned, in order and unchanged; what
-//! remains at the end of the stream is a truncated event.
+//! Guarantees: only complete events are returned, in order and unchanged, and none
+//! whose id is not above the last one's; what remains at the end of the stream is a
+//! truncated event.
 
 use bytes::{Bytes, BytesMut};
 
@@ -19,9 +20,14 @@
     last_event: Option<u64>,
 }
 
-/// An event is longer than the limit.
+/// Why a stream can't be forwarded any further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EventTooLong;
+pub enum EventError {
+    /// An event is longer than the limit.
+    TooLong,
+    /// Events that the caller has received come again.
+    Repeated,
+}
 
 impl EventSplitter {
     /// Creates a splitter for a stream that resumes after an event.
@@ -52,8 +58,8 @@
     /// Appends bytes and returns the events that they complete.
     ///
     /// # Errors
-    /// Fails when an event is longer than the limit.
-    pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventTooLong> {
+    /// Fails when an event is longer than the limit, or not after the last one.
+    pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
         let start = self.searched.saturating_sub(1);
         let found = self.partial[start..]
@@ -62,13 +68,16 @@
         let Some(offset) = found else {
             self.searched = self.partial.len();
             return if self.partial.len() > EVENT_MAX {
-                Err(EventTooLong)
+                Err(EventError::TooLong)
             } else {
                 Ok(None)
             };
         };
         let events = self.partial.split_to(start + offset + 2).freeze();
         self.searched = self.partial.len();
+        if first_id(&events).is_some_and(|id| self.last_event.is_some_and(|last| id <= last)) {
+            return Err(EventError::Repeated);
+        }
         if let Some(last) = last_position(&events) {
             self.last_event = last;
         }
@@ -92,6 +101,13 @@
     has_data.then_some(None)
 }
 
+/// Returns the id of the first event, if it has one.
+fn first_id(events: &[u8]) -> Option<u64> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let mut fields = lines.take_while(|line| !line.is_empty());
+    fields.find_map(parse_id)
+}
+
 fn parse_id(line: &[u8]) -> Option<u64> {
     let value = line.strip_prefix(b"id:")?;
     std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -18,6 +18,7 @@
 use crate::call_codec::{CallCodec, ResponseTerms};
 use crate::call_table::{BufferedHead, CallStage, RunState};
 use crate::caller_responses::{millis, send_head, text};
+use crate::event_splitter::EventError;
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
 use crate::response_check::check_response;
@@ -142,10 +143,14 @@
         match call.events.feed(data) {
             Ok(None) => {}
             Ok(Some(events)) => self.forward_events(now, request, events, actions),
-            Err(_) => {
+            Err(error) => {
+                let cause = match error {
+                    EventError::TooLong => "an event is too long",
+                    EventError::Repeated => "the stream began anew",
+                };
                 self.calls.end_exchange(exchange);
                 actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
-                let end = ExchangeEnd::Broken("an event is too long");
+                let end = ExchangeEnd::Broken(cause);
                 self.handle_end(now, request, end, actions);
             }
         }
