--- a/crates/mulberrywell/tests/common/serving_deployment.rs
+++ b/crates/mulberrywell/tests/common/serving_deployment.rs
@@ -21,6 +21,8 @@
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
     pub worker: FakeWorker,
+    /// Link addresses of the control instances.
+    seeds: Vec<SocketAddr>,
 }
 
 impl ServingDeployment {
@@ -33,18 +35,7 @@
             unreachable!("three ports");
         };
         let mut processes = ProcessSet::open().unwrap();
-        let gateway_table = format!(
-            "[gateway]\ncaller_listen = \"{callers}\"\nready_listen = \"{ready}\"\n\
-             [metrics]\nlisten = \"{metrics}\"\n"
-        );
-        let gateway_listen = free_port().unwrap();
-        start_process(
-            &mut processes,
-            "gateway",
-            gateway_listen,
-            &seeds,
-            &gateway_table,
-        );
+        start_gateway(&mut processes, "gateway", &seeds, [callers, ready, metrics]);
         for place in 0..3 {
             let table = format!(
                 "[control]\nserving_listen = \"{}\"\ndata_folder = \"{}\"\nbootstrap = true\n\
@@ -62,6 +53,7 @@
             ready,
             metrics,
             worker: FakeWorker::spawn("w1").unwrap(),
+            seeds,
         };
         wait_until("the configuration is accepted", || {
             deployment.operator.put(&config(1))
@@ -81,6 +73,34 @@
     pub fn call(&self, path: &str, key: &str) -> HttpResponse {
         call(self.callers, path, key).unwrap()
     }
+
+    /// Starts a further gateway; returns its address for callers once it is ready.
+    pub fn add_gateway(&mut self, name: &str) -> SocketAddr {
+        let addresses = [0; 3].map(|_| free_port().unwrap());
+        start_gateway(&mut self.processes, name, &self.seeds, addresses);
+        let [callers, ready, _] = addresses;
+        wait_until("the further gateway is ready", || {
+            let caller = HttpCaller::with_timeout(ready, None, Duration::from_secs(3));
+            let response = caller.call("GET", "/ready", &[], "");
+            response.is_ok_and(|response| response.status == 200)
+        })
+        .unwrap();
+        callers
+    }
+}
+
+/// Starts a gateway with addresses for callers, readiness checks and metrics.
+fn start_gateway(
+    processes: &mut ProcessSet,
+    name: &str,
+    seeds: &[SocketAddr],
+    [callers, ready, metrics]: [SocketAddr; 3],
+) {
+    let table = format!(
+        "[gateway]\ncaller_listen = \"{callers}\"\nready_listen = \"{ready}\"\n\
+         [metrics]\nlisten = \"{metrics}\"\n"
+    );
+    start_process(processes, name, free_port().unwrap(), seeds, &table);
 }
 
 pub fn config(version: u64) -> FakeConfig {
