gateway: log the shared prompt parts of an attempt that failed

The attempt line now has hashes of the first four shared parts. No logic changed; gateway_sessions: 53 passed.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use mulberrywell_policy::PromptPart;
 use mulberrywell_role::{
     ExchangeCommand, ExchangeEnd, HttpRequest, LogLevel, MetricKind, RequestId, RoleAction,
 };
@@ -60,6 +61,9 @@
 /// cached prompt prefixes; running requests use the rest.
 const PREFIX_CACHE_DIVISOR: u64 = 2;
 
+/// Maximum number of prompt parts in a log line.
+const LOGGED_PARTS_MAX: usize = 4;
+
 /// How an attempt ended without a response for the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptFailure {
@@ -194,7 +198,7 @@
         };
         let line = format!(
             "attempt id={} endpoint={} attempts={} status={} delimited={} begun={} event={} \
-             outcome={failure:?} cause=\"{}\"",
+             parts={} outcome={failure:?} cause=\"{}\"",
             text(&call.terms.id),
             text(&call.endpoint),
             call.attempts,
@@ -202,6 +206,7 @@
             call.response.is_delimited,
             call.head_sent,
             call.events.last_event().unwrap_or_default(),
+            parts_text(call.shared_parts()),
             cause.text,
         );
         actions.push(RoleAction::Log(LogLevel::Info, line));
@@ -359,6 +364,13 @@
     }
 }
 
+/// Formats the shared parts of a prompt for a log line.
+fn parts_text(parts: &[PromptPart]) -> String {
+    let ids = parts.iter().take(LOGGED_PARTS_MAX);
+    let texts: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+    texts.join(",")
+}
+
 /// Returns the maximum time that a call waits for an endpoint.
 fn endpoint_wait_limit(call: &CallRecord) -> Duration {
     if call.terms.model.is_none() {
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use mulberrywell_policy::PromptPart;
 use mulberrywell_role::{ExchangeId, HttpRequest, RequestId};
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::request::HeaderField;
@@ -158,6 +159,12 @@
 }
 
 impl CallRecord {
+    /// Returns all prompt parts but the last, which is specific to the request.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let parts = &self.terms.prefix;
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
     /// Returns whether a further attempt can continue the response that the caller
     /// has received so far.
     pub fn can_continue(&self) -> bool {
--- a/crates/gateway/src/endpoint_choice.rs
+++ b/crates/gateway/src/endpoint_choice.rs
@@ -122,10 +122,7 @@
         .collect()
 }
 
-/// Returns the tokens of all prompt parts but the last, which is specific to
-/// the request.
+/// Returns the tokens of the shared prompt parts.
 fn shared_tokens(call: &CallRecord) -> u64 {
-    let parts = &call.terms.prefix;
-    let shared = parts.len().saturating_sub(1);
-    parts[..shared].iter().map(|part| part.tokens).sum()
+    call.shared_parts().iter().map(|part| part.tokens).sum()
 }
