gateway, control: quarantine the prompt part under which endpoints crash

Cause: a break was held against the endpoint alone. Nothing related it to the prompt, what one gateway saw stayed with it, and the request was forwarded again.

Now each gateway reports what an endpoint broke off before its response had lasted to every control instance, and the parts on which responses last. Each instance finds the part that a chain of crashes has in common (crash_ledger) and tells all gateways; they refuse its requests at once, with the time left to come back, and cancel those that no endpoint has begun to respond to. Sound requests are kept by three things: a lasting response clears a part of all crashes before it; endpoints that go down together form no chain; parts that can't be told apart are quarantined only together. A quarantine lasts 10 minutes. An instance that restarts learns the quarantines from its gateways.

Ruled out: refusing per endpoint or per account (sound requests share both), blaming the gateways' own counts only (five ends spread over seven gateways leave each with one), fewer retries alone (new requests crash as well), and counting crashes for each part without a chain (in the seeded fleets it quarantines what runs at many endpoints that go down together).

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -46,6 +46,7 @@
                 let instance = self.clients.instance(link).cloned().unwrap_or_default();
                 let holder = self.clients.holder(link);
                 self.rates.attach(now, link, instance.clone(), holder);
+                self.prompts.attach(now, link, &mut self.commands);
                 self.serving.attach(link, instance, &attach);
             }
             FrameBody::LoadShare(report) => self.loads.record_report(link, report),
@@ -53,6 +54,7 @@
                 self.rates
                     .record_report(now, link, &report, &mut self.commands);
             }
+            FrameBody::PromptReport(report) => self.prompts.record_report(now, report),
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.handle_state_report(now, report),
             FrameBody::DemandReport(report) => {
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -42,6 +42,7 @@
 use crate::order_dispatcher::OrderDispatcher;
 use crate::peer_links::PeerLinks;
 use crate::placement_task::PlacementTask;
+use crate::prompt_monitor::PromptMonitor;
 use crate::proposal_table::{ProposalTable, ProposalWaiter};
 use crate::rate_counter::RateCounter;
 use crate::read_rounds::ReadRounds;
@@ -120,6 +121,7 @@
     pub(crate) orders: OrderDispatcher,
     pub(crate) rates: RateCounter,
     pub(crate) loads: LoadTracker,
+    pub(crate) prompts: PromptMonitor,
     pub(crate) monitor: EndpointMonitor,
     pub(crate) observed: ObservedState,
     pub(crate) leases: LeaseIssuer,
@@ -209,6 +211,7 @@
             orders: OrderDispatcher::default(),
             rates: RateCounter::new(rate_epoch, now),
             loads: LoadTracker::default(),
+            prompts: PromptMonitor::default(),
             monitor: EndpointMonitor::new(now),
             observed: ObservedState::default(),
             leases: LeaseIssuer::restore(now, &state),
@@ -348,6 +351,7 @@
                     self.serving.detach(link);
                     self.rates.remove(now, link);
                     self.loads.remove(link);
+                    self.prompts.remove(link);
                     self.monitor.remove_link(link);
                     self.clients.remove(link);
                 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -36,6 +36,7 @@
 mod peer_frames;
 mod peer_links;
 mod placement_task;
+mod prompt_monitor;
 mod proposal_table;
 mod rate_counter;
 mod read_rounds;
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -114,6 +114,7 @@
         self.serving.tick(now);
         self.rates.broadcast(now, &mut self.commands);
         self.loads.broadcast(&mut self.commands);
+        self.prompts.tick(now, &mut self.commands, actions);
         self.tick_endpoints(now, actions);
         if let Some(status) = self
             .status
--- /dev/null
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -0,0 +1,94 @@
+//! Quarantines of prompt parts: reports of several entries add up, and an instance that
+//! has lost its ledger learns the quarantines from its entries.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use mulberrywell_wire::serving::{
+    PromptCrash, PromptNotice, PromptQuarantine, PromptReport, ServingAttach, SoundPart,
+};
+use mulberrywell_wire::FrameBody;
+
+use crate::role_cluster::RoleCluster;
+
+const SHARED: u64 = 1;
+const CRASHING: u64 = 2;
+
+fn crash(endpoint: &'static str) -> FrameBody {
+    FrameBody::PromptReport(PromptReport {
+        crashes: vec![PromptCrash {
+            endpoint: Bytes::from_static(endpoint.as_bytes()),
+            born_ms: 1,
+            parts: vec![SHARED, CRASHING],
+            running_ms: 50,
+        }],
+        ..PromptReport::default()
+    })
+}
+
+fn notices(frames: &[FrameBody]) -> Vec<&PromptNotice> {
+    let notices = frames.iter().filter_map(|frame| match frame {
+        FrameBody::PromptNotice(notice) => Some(notice),
+        _ => None,
+    });
+    notices.collect()
+}
+
+/// Guards against crashes that each entry knows of by itself, so that no one finds the
+/// part that they have in common.
+#[test]
+fn crashes_of_entries_quarantine_part() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [b"entry-0", b"entry-1", b"entry-2"].map(|name| cluster.attach(0, name));
+    for entry in &entries {
+        cluster.send(entry, FrameBody::ServingAttach(ServingAttach::default()));
+    }
+    for (entry, endpoint) in entries.iter().zip(["e1", "e2", "e3"]) {
+        cluster.send(entry, crash(endpoint));
+        cluster.run(Duration::from_millis(300));
+        let sound = SoundPart {
+            part: SHARED,
+            age_ms: 0,
+        };
+        let report = PromptReport {
+            sound: vec![sound],
+            ..PromptReport::default()
+        };
+        cluster.send(entry, FrameBody::PromptReport(report));
+    }
+    cluster.run(Duration::from_millis(300));
+    for entry in &entries {
+        let frames = cluster.drain_frames(entry);
+        let notices = notices(&frames);
+        assert_eq!(notices[0].watched, [SHARED, CRASHING]);
+        let last = notices.last().expect("a notice");
+        assert_eq!(last.quarantines.len(), 1, "{notices:?}");
+        assert_eq!(last.quarantines[0].parts, [CRASHING]);
+        assert!(last.watched.is_empty(), "explained crashes");
+    }
+}
+
+#[test]
+fn quarantine_learned_from_entry() {
+    let mut cluster = RoleCluster::formed(3);
+    let first = cluster.attach(0, b"entry-0");
+    cluster.send(&first, FrameBody::ServingAttach(ServingAttach::default()));
+    let quarantine = PromptQuarantine {
+        parts: vec![CRASHING],
+        left_ms: 60_000,
+    };
+    let report = PromptReport {
+        quarantines: vec![quarantine],
+        ..PromptReport::default()
+    };
+    cluster.send(&first, FrameBody::PromptReport(report));
+    cluster.run(Duration::from_millis(200));
+    let second = cluster.attach(0, b"entry-1");
+    cluster.send(&second, FrameBody::ServingAttach(ServingAttach::default()));
+    cluster.run(Duration::from_millis(50));
+    let frames = cluster.drain_frames(&second);
+    let notices = notices(&frames);
+    assert_eq!(notices[0].quarantines[0].parts, [CRASHING]);
+    let left_ms = notices[0].quarantines[0].left_ms;
+    assert!((59_000..=60_000).contains(&left_ms), "{left_ms}");
+}
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -99,6 +99,8 @@
             attempts: 0,
             tried: Vec::new(),
             endpoint: bytes::Bytes::new(),
+            endpoint_born_ms: 0,
+            attempt_started: None,
             prefill_tokens: 0,
             reserved: 0,
             units: account.map_or(0, |account| charged_units(account, &terms)),
@@ -123,6 +125,12 @@
         has_rate: bool,
         actions: &mut Actions,
     ) {
+        if let Some(until) = self.prompts.quarantine_end(now, &call) {
+            let left = until.saturating_duration_since(now);
+            let reason = RefusalReason::Quarantined;
+            self.refuse_request(request, &call.terms.id, reason, Some(left), actions);
+            return;
+        }
         let account = call.account.clone().filter(|_| has_rate);
         let units = call.units;
         if let Some(model) = &call.terms.model {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -83,6 +83,9 @@
         request: RequestId,
         actions: &mut Actions,
     ) {
+        if self.refuse_if_quarantined(now, request, actions) {
+            return;
+        }
         let Some(call) = self.calls.get(request) else {
             return;
         };
@@ -162,6 +165,8 @@
         call.attempts += 1;
         call.first_forwarded = call.first_forwarded.or(Some(now));
         call.endpoint = endpoint.clone();
+        call.endpoint_born_ms = usage.born_ms();
+        call.attempt_started = Some(now);
         call.response = PendingResponse::default();
         call.attempt_deadline = response_timeout(call).map(|limit| now + limit);
         if let Some(at) = call.attempt_deadline {
@@ -286,7 +291,9 @@
         let is_running = matches!(call.stage, CallStage::Running(_));
         let reason = match (call.ran, reason) {
             (RunState::No, RefusalReason::TimedOut) if !is_running => RefusalReason::TooLate,
-            (RunState::Maybe, RefusalReason::NoEndpoint) => RefusalReason::Broken,
+            (RunState::Maybe, RefusalReason::NoEndpoint | RefusalReason::Quarantined) => {
+                RefusalReason::Broken
+            }
             (RunState::Maybe, RefusalReason::TooLate) => RefusalReason::TimedOut,
             (_, reason) => reason,
         };
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -98,6 +98,8 @@
     OverRate,
     /// No endpoint was available; the request has not run.
     NoEndpoint,
+    /// Endpoints crashed under a part of the request's prompt; it has not run.
+    Quarantined,
     /// The deadline passed before the request was forwarded; it has not run.
     TooLate,
     /// The endpoint's response was incomplete; the request may have run.
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -97,6 +97,10 @@
     pub is_stream: bool,
     /// At least one whole event was forwarded.
     pub has_event: bool,
+    /// When the first piece was forwarded.
+    pub first_event: Option<Instant>,
+    /// The response has shown that the prompt doesn't crash its endpoint.
+    pub has_lasted: bool,
     /// Body received so far, for a response that is buffered.
     pub body: BytesMut,
 }
@@ -136,6 +140,10 @@
     pub tried: Vec<EndpointId>,
     /// Endpoint of the current attempt.
     pub endpoint: EndpointId,
+    /// Start of that endpoint's process.
+    pub endpoint_born_ms: u64,
+    /// When the current attempt was forwarded.
+    pub attempt_started: Option<Instant>,
     /// Prompt tokens counted at that endpoint as awaiting prefill.
     pub prefill_tokens: u64,
     /// Units charged to the account's rate limit.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -87,6 +87,11 @@
         self.backoff_until = Some(now + backoff.min(BACKOFF_MAX));
     }
 
+    /// Returns the start time of the endpoint process.
+    pub fn born_ms(&self) -> u64 {
+        self.born_ms
+    }
+
     /// Returns whether the endpoint may be sent a request.
     pub fn is_open(&self, now: Instant) -> bool {
         !self.leaving && self.closed_until.is_none_or(|until| until <= now)
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -22,11 +22,13 @@
 pub const FIRST_PIECE: &str = "gateway.first_piece_ms";
 /// Time from a request to the end of its response.
 pub const WHOLE_ANSWER: &str = "gateway.answer_ms";
+/// Quarantines of prompt parts in force.
+pub const QUARANTINES: &str = "gateway.quarantines";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
 /// Outcome and metric name of each refusal reason.
-const REFUSED: [(RefusalReason, &str, &str); 10] = [
+const REFUSED: [(RefusalReason, &str, &str); 11] = [
     (
         RefusalReason::Malformed,
         "malformed",
@@ -67,6 +69,11 @@
         "too_late",
         "gateway.refused.too_late",
     ),
+    (
+        RefusalReason::Quarantined,
+        "quarantined",
+        "gateway.refused.quarantined",
+    ),
     (RefusalReason::Broken, "broken", "gateway.refused.broken"),
     (
         RefusalReason::TimedOut,
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -25,6 +25,7 @@
 use crate::demand_tracker::DemandTracker;
 use crate::endpoint_table::EndpointTable;
 use crate::gateway_metrics as metrics;
+use crate::prompt_guard::PromptGuard;
 use crate::rate_limits::RateLimits;
 
 /// Listener for callers.
@@ -109,6 +110,7 @@
     pub(crate) budgets: BTreeMap<Bytes, RetryBudget>,
     pub(crate) links: ControlLinks,
     pub(crate) demand: DemandTracker,
+    pub(crate) prompts: PromptGuard,
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
@@ -123,7 +125,7 @@
     /// When waiting calls are next retried.
     next_retry: Instant,
     /// Reusable buffer for link commands.
-    commands: Vec<LinkCommand>,
+    pub(crate) commands: Vec<LinkCommand>,
 }
 
 impl<C: CallCodec> GatewayRole<C> {
@@ -138,6 +140,7 @@
             budgets: BTreeMap::new(),
             links: ControlLinks::new(&config.seeds, now),
             demand: DemandTracker::default(),
+            prompts: PromptGuard::default(),
             rate_waits: VecDeque::new(),
             stopping: None,
             stopped_accepting: false,
@@ -189,6 +192,9 @@
                     }
                     self.confirm_waiting_calls(now, actions);
                 }
+                FrameBody::PromptNotice(notice) => {
+                    self.handle_prompt_notice(now, link, notice, actions);
+                }
                 _ => {}
             },
         }
@@ -203,11 +209,16 @@
         };
         let body = FrameBody::ServingAttach(attach);
         self.commands.push(LinkCommand::Send { link, body });
+        if let Some(report) = self.prompts.quarantine_report(now) {
+            let body = FrameBody::PromptReport(report);
+            self.commands.push(LinkCommand::Send { link, body });
+        }
         self.choose_primary();
         self.rates.reset_reported();
     }
 
     fn handle_closed(&mut self, now: Instant, link: LinkId, actions: &mut Actions) {
+        self.prompts.remove_link(link);
         if self.links.handle_closed(now, link) {
             let text = format!("control link {link} closed");
             actions.push(RoleAction::Log(LogLevel::Warn, text));
@@ -291,6 +302,7 @@
             self.next_tick = now + TICK_INTERVAL;
             self.demand.remove_expired(now);
             self.report_loads();
+            self.report_prompts(now, true, actions);
             let in_flight = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::IN_WORK, in_flight);
             actions.push(metric);
@@ -404,6 +416,7 @@
         }
         self.report_rates(now);
         self.report_demand(now);
+        self.report_prompts(now, false, actions);
         actions.extend(self.commands.drain(..).map(RoleAction::Link));
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_role;
+mod prompt_guard;
 mod rate_limits;
 mod response_check;
 mod response_flow;
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -55,6 +55,10 @@
             }
             ExchangeEvent::End { exchange, end } => {
                 if let Some(request) = self.calls.end_exchange(exchange) {
+                    let call = self.calls.get(request);
+                    if let (ExchangeEnd::Broken(_), Some(call)) = (end, call) {
+                        self.prompts.record_break(now, call);
+                    }
                     self.handle_end(now, request, end, actions);
                 }
             }
@@ -197,6 +201,7 @@
     }
 
     fn record_chunk(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
+        self.record_progress(now, request, false);
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
@@ -239,6 +244,7 @@
         let is_error = head.is_some_and(|head| head.status >= SERVER_ERROR_MIN);
         if !is_error {
             self.record_chunk(now, request, actions);
+            self.record_progress(now, request, true);
             self.forward_rest(now, request, actions);
             return;
         }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,7 +1,8 @@
-//! Rate limits, token leases, retry budgets and circuit breakers.
+//! Rate limits, token leases, retry budgets, circuit breakers and quarantines.
 //!
 //! Purpose: token buckets of client accounts, the leases that share one bucket
-//! among several processes, and the limits on attempts to failing endpoints.
+//! among several processes, the limits on attempts to failing endpoints, and the
+//! search for prompts that crash them.
 //!
 //! Guarantees: the types read no clock, draw no random numbers and do no input
 //! or output; instants are arguments, so equal calls give equal results.
@@ -9,12 +10,14 @@
 mod account_balance;
 mod account_ledger;
 mod circuit_breaker;
+mod crash_ledger;
 mod demand_meter;
 mod failure_share;
 mod headroom_log;
 mod lease_client;
 mod lease_message;
 mod lease_table;
+mod quarantine_table;
 mod retry_budget;
 mod shared_bucket;
 mod token_bucket;
@@ -23,6 +26,7 @@
 
 pub use account_ledger::LEASE_LIFETIME;
 pub use circuit_breaker::CircuitBreaker;
+pub use crash_ledger::{CrashLedger, PartId, SuspectRequest};
 pub use demand_meter::DemandMeter;
 pub use failure_share::FailureShare;
 pub use lease_client::{LeaseClient, ANSWER_TIMEOUT, UNAVAILABLE_RETRY};
@@ -33,6 +37,7 @@
     AccountId, BlockProposal, HolderId, LeaseDecision, LeaseId, LeaseTable, TokenPlan, TokenRefund,
     TokenRequest,
 };
+pub use quarantine_table::{PartSet, QuarantineTable};
 pub use retry_budget::RetryBudget;
 pub use shared_bucket::{BucketPlan, RateDecision, SharedBucket, SharedTotal, TOTALS_LIFETIME};
 pub use token_bucket::{AcquireOutcome, TokenBucket};
--- /dev/null
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -0,0 +1,242 @@
+//! Engines that a prompt part crashes, between sound requests, in virtual time.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+pub const CRASHING_PART: PartId = 0xdead;
+
+/// Time after the fifth crash in which requests with the part may be forwarded:
+/// `contact_ms` of the users' first sites, less two ticks of a control instance.
+pub const FORWARD_LIMIT: Duration = Duration::from_millis(2_800);
+
+const STEP: Duration = Duration::from_millis(10);
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which a response is written before its parts are known to be sound, as in
+/// the gateway.
+const SOUND_TIME: Duration = Duration::from_millis(500);
+
+/// Time before the first request with the crashing part.
+const WARM_TIME: Duration = Duration::from_secs(5);
+
+const RESTART_TIME: Duration = Duration::from_secs(3);
+const ROUTES: u64 = 3;
+const SUBJECTS: u64 = 30;
+
+/// Load and faults of a fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetPlan {
+    pub engines: usize,
+    /// Requests a second: sound ones, and ones with the crashing part.
+    pub sound_rate: f64,
+    pub crashing_rate: f64,
+    /// All requests with the crashing part have the same subject.
+    pub one_subject: bool,
+    /// Probability that a request is broken off though its engine is up.
+    pub broken_share: f64,
+    /// Interval at which a third of the engines crash for another reason.
+    pub outage_interval: Option<Duration>,
+}
+
+#[derive(Debug, Clone)]
+struct RunningRequest {
+    parts: Vec<PartId>,
+    engine: usize,
+    forwarded: Instant,
+    begins: Instant,
+    ends: Instant,
+    is_reported: bool,
+}
+
+/// What a run of a fleet showed.
+#[derive(Debug, Default)]
+pub struct FleetOutcome {
+    pub quarantined: Vec<PartSet>,
+    /// Sound requests that were refused.
+    pub refused_sound: usize,
+    /// Requests with the crashing part that were forwarded later than
+    /// [`FORWARD_LIMIT`] after the fifth crash.
+    pub late: usize,
+}
+
+pub struct CrashFleet {
+    plan: FleetPlan,
+    rng: StdRng,
+    started: Instant,
+    now: Instant,
+    ledger: CrashLedger,
+    /// When each engine is up again.
+    up_at: Vec<Instant>,
+    /// Number of starts of each engine.
+    born: Vec<u64>,
+    running: Vec<RunningRequest>,
+    crashes: Vec<Instant>,
+    outcome: FleetOutcome,
+}
+
+impl CrashFleet {
+    pub fn run(plan: FleetPlan, seed: u64, duration: Duration) -> FleetOutcome {
+        let now = Instant::now();
+        let mut fleet = CrashFleet {
+            plan,
+            rng: StdRng::seed_from_u64(seed),
+            started: now,
+            now,
+            ledger: CrashLedger::default(),
+            up_at: vec![now; plan.engines],
+            born: vec![1; plan.engines],
+            running: Vec::new(),
+            crashes: Vec::new(),
+            outcome: FleetOutcome::default(),
+        };
+        let end = now + duration;
+        let mut next_tick = now;
+        let mut next_outage = plan.outage_interval.map(|interval| now + interval);
+        while fleet.now < end {
+            fleet.now += STEP;
+            fleet.add_requests();
+            fleet.advance_requests();
+            if next_outage.is_some_and(|at| at <= fleet.now) {
+                next_outage = plan.outage_interval.map(|interval| fleet.now + interval);
+                for engine in (0..plan.engines).step_by(3) {
+                    fleet.crash(engine);
+                }
+            }
+            if next_tick <= fleet.now {
+                next_tick = fleet.now + TICK_INTERVAL;
+                fleet.tick();
+            }
+        }
+        fleet.outcome
+    }
+
+    fn tick(&mut self) {
+        let found = self.ledger.tick(self.now).into_iter();
+        self.outcome
+            .quarantined
+            .extend(found.map(|(parts, _)| parts));
+    }
+
+    fn add_requests(&mut self) {
+        let per_step = STEP.as_secs_f64();
+        if self.rng.random_bool(self.plan.sound_rate * per_step) {
+            let subject = self.draw_subject();
+            self.add_request(subject, false);
+        }
+        let is_warm = self.now >= self.started + WARM_TIME;
+        if is_warm && self.rng.random_bool(self.plan.crashing_rate * per_step) {
+            let subject = match self.plan.one_subject {
+                true => SUBJECTS - 1,
+                false => self.draw_subject(),
+            };
+            self.add_request(subject, true);
+        }
+    }
+
+    /// Draws a subject; low ones are popular.
+    fn draw_subject(&mut self) -> u64 {
+        let draw: f64 = self.rng.random();
+        ((draw * draw * SUBJECTS as f64) as u64).min(SUBJECTS - 1)
+    }
+
+    fn add_request(&mut self, subject: u64, crashes: bool) {
+        let engines = (0..self.plan.engines).filter(|engine| self.up_at[*engine] <= self.now);
+        let engines: Vec<usize> = engines.collect();
+        if engines.is_empty() {
+            return;
+        }
+        let engine = engines[self.rng.random_range(0..engines.len())];
+        let load = self.running.iter().filter(|it| it.engine == engine).count() as u64;
+        let wait = Duration::from_millis(5 + 20 * load);
+        let begins = self.now + wait;
+        let lasts = Duration::from_millis(self.rng.random_range(300..2_500));
+        let mut parts = vec![subject % ROUTES, 100 + subject];
+        if crashes {
+            parts.push(CRASHING_PART);
+        }
+        if self.ledger.quarantines().find(self.now, &parts).is_some() {
+            self.outcome.refused_sound += usize::from(!crashes);
+            return;
+        }
+        let fifth = self.crashes.get(4).filter(|_| crashes);
+        if fifth.is_some_and(|fifth| self.now > *fifth + FORWARD_LIMIT) {
+            self.outcome.late += 1;
+        }
+        self.running.push(RunningRequest {
+            parts,
+            engine,
+            forwarded: self.now,
+            begins,
+            ends: begins + lasts,
+            is_reported: false,
+        });
+    }
+
+    fn advance_requests(&mut self) {
+        let crash_delay = Duration::from_millis(self.rng.random_range(20..180));
+        let due: Vec<usize> = self
+            .running
+            .iter()
+            .filter(|it| it.parts.contains(&CRASHING_PART))
+            .filter(|it| it.begins + crash_delay <= self.now)
+            .map(|it| it.engine)
+            .collect();
+        for engine in due {
+            if self.running.iter().any(|it| it.engine == engine) {
+                self.crashes.push(self.now);
+                self.crash(engine);
+            }
+        }
+        for request in &mut self.running {
+            let has_lasted = request.begins + SOUND_TIME <= self.now || request.ends <= self.now;
+            if has_lasted && !request.is_reported {
+                request.is_reported = true;
+                for part in &request.parts {
+                    self.ledger.record_sound(*part, request.begins);
+                }
+            }
+        }
+        self.break_requests();
+        let now = self.now;
+        self.running.retain(|request| request.ends > now);
+    }
+
+    /// Breaks off single requests of engines that stay up.
+    fn break_requests(&mut self) {
+        let ending = self.running.iter().filter(|it| it.ends <= self.now);
+        let ending: Vec<RunningRequest> = ending.cloned().collect();
+        for request in ending {
+            if request.is_reported || !self.rng.random_bool(self.plan.broken_share) {
+                continue;
+            }
+            self.report(&request);
+        }
+    }
+
+    fn crash(&mut self, engine: usize) {
+        let running = self.running.iter().filter(|it| it.engine == engine);
+        let broken: Vec<RunningRequest> = running.cloned().collect();
+        for request in &broken {
+            if !request.is_reported {
+                self.report(request);
+            }
+        }
+        self.running.retain(|it| it.engine != engine);
+        self.up_at[engine] = self.now + RESTART_TIME;
+        self.born[engine] += 1;
+    }
+
+    fn report(&mut self, request: &RunningRequest) {
+        let suspect = SuspectRequest {
+            parts: request.parts.iter().copied().collect(),
+            forwarded: request.forwarded,
+        };
+        let endpoint = Bytes::from(request.engine.to_string());
+        let born = self.born[request.engine];
+        self.ledger.record_crash(self.now, &endpoint, born, suspect);
+    }
+}
--- /dev/null
+++ b/crates/limit/tests/crash_ledger.rs
@@ -0,0 +1,204 @@
+//! Which prompt part the ledger finds in crashes.
+
+mod crash_fleet;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use crash_fleet::{CrashFleet, FleetPlan};
+use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest};
+use rstest::rstest;
+
+const FIRST: PartId = 1;
+const SUBJECT: PartId = 2;
+const CULPRIT: PartId = 3;
+
+/// Longer than the time in which reports of one incident arrive.
+const SETTLED: Duration = Duration::from_millis(300);
+
+/// A ledger and its virtual time.
+struct LedgerScript {
+    ledger: CrashLedger,
+    now: Instant,
+    crashes: u64,
+}
+
+impl LedgerScript {
+    fn new() -> Self {
+        LedgerScript {
+            ledger: CrashLedger::default(),
+            now: Instant::now(),
+            crashes: 0,
+        }
+    }
+
+    fn advance(&mut self, duration: Duration) {
+        self.now += duration;
+    }
+
+    /// Another endpoint crashes under a request forwarded `running` ago.
+    fn crash(&mut self, parts: &[PartId], running: Duration) {
+        self.crashes += 1;
+        let request = SuspectRequest {
+            parts: parts.iter().copied().collect(),
+            forwarded: self.now - running,
+        };
+        let endpoint = Bytes::from(format!("e{}", self.crashes));
+        self.ledger.record_crash(self.now, &endpoint, 1, request);
+    }
+
+    fn quarantined(&mut self) -> Vec<PartSet> {
+        let found = self.ledger.tick(self.now);
+        found.into_iter().map(|(parts, _)| parts).collect()
+    }
+}
+
+const RUNNING: Duration = Duration::from_millis(50);
+
+#[test]
+fn tick_part_in_every_crash_quarantined() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        assert_eq!(script.quarantined(), []);
+        script.crash(&[FIRST, CULPRIT], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    script.crash(&[FIRST, CULPRIT], RUNNING);
+    assert!(script.ledger.suspects().is_empty(), "explained crashes");
+}
+
+/// Guards against a quarantine of what happens to run at many endpoints that go down
+/// together.
+#[test]
+fn tick_endpoints_down_together_nothing_quarantined() {
+    let mut script = LedgerScript::new();
+    for _ in 0..6 {
+        script.crash(&[FIRST, SUBJECT], Duration::from_secs(1));
+    }
+    for _ in 0..30 {
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+    }
+}
+
+#[test]
+fn tick_bystanders_not_quarantined() {
+    let mut script = LedgerScript::new();
+    for number in 0..4 {
+        script.crash(&[FIRST, CULPRIT], RUNNING);
+        if number < 3 {
+            script.crashes -= 1;
+            script.crash(&[FIRST, SUBJECT], RUNNING);
+        }
+        script.advance(SETTLED);
+    }
+    script.ledger.record_sound(FIRST, script.now);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
+/// Parts that explain the same crashes are quarantined together, until a response on
+/// one of them lasts.
+#[test]
+fn tick_tie_quarantined_together() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash(&[SUBJECT, CULPRIT], RUNNING);
+        script.advance(SETTLED);
+    }
+    assert_eq!(script.quarantined(), []);
+    script.advance(Duration::from_secs(1));
+    assert_eq!(script.quarantined(), [PartSet::from([SUBJECT, CULPRIT])]);
+    script.ledger.record_sound(SUBJECT, script.now);
+    assert_eq!(script.quarantined(), []);
+    let held: Vec<&PartSet> = script
+        .ledger
+        .quarantines()
+        .iter()
+        .map(|(parts, _)| parts)
+        .collect();
+    assert_eq!(held, [&PartSet::from([CULPRIT])]);
+}
+
+/// A part that is quarantined together with another crashes an endpoint without it.
+#[test]
+fn tick_tie_ended_by_crash() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash(&[SUBJECT, CULPRIT], RUNNING);
+        script.advance(SETTLED);
+    }
+    script.advance(Duration::from_secs(1));
+    assert_eq!(script.quarantined().len(), 1);
+    script.crash(&[FIRST, CULPRIT], RUNNING);
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    assert_eq!(script.ledger.quarantines().iter().count(), 1);
+}
+
+#[test]
+fn tick_quarantine_ends() {
+    let mut script = LedgerScript::new();
+    let until = script.now + Duration::from_secs(10);
+    let parts = PartSet::from([CULPRIT]);
+    script.ledger.record_quarantine(parts, until);
+    let left = script.ledger.quarantines();
+    assert_eq!(left.find(script.now, &[FIRST, CULPRIT]), Some(until));
+    assert_eq!(left.find(script.now, &[FIRST, SUBJECT]), None);
+    script.advance(Duration::from_secs(11));
+    script.quarantined();
+    assert_eq!(script.ledger.quarantines().iter().count(), 0);
+}
+
+const PLAN: FleetPlan = FleetPlan {
+    engines: 18,
+    sound_rate: 50.0,
+    crashing_rate: 8.0,
+    one_subject: false,
+    broken_share: 0.0,
+    outage_interval: None,
+};
+
+const FLEET_SEEDS: u64 = 20;
+
+/// Requests with the part that may be forwarded after [`crash_fleet::FORWARD_LIMIT`].
+const LATE_MAX: usize = 3;
+
+/// Guards against a crashing part that is found too late, and against sound requests
+/// that are refused with it.
+#[rstest]
+#[case::frequent(PLAN)]
+#[case::seldom(FleetPlan { crashing_rate: 0.7, ..PLAN })]
+#[case::one_subject(FleetPlan { one_subject: true, ..PLAN })]
+#[case::few_engines(FleetPlan { engines: 6, sound_rate: 20.0, ..PLAN })]
+#[case::beside_broken_requests(FleetPlan { broken_share: 0.05, ..PLAN })]
+#[case::beside_outages(FleetPlan { outage_interval: Some(Duration::from_secs(2)), ..PLAN })]
+fn fleet_crashing_part_found(#[case] plan: FleetPlan) {
+    for seed in 0..FLEET_SEEDS {
+        let outcome = CrashFleet::run(plan, seed, Duration::from_secs(40));
+        assert_eq!(outcome.refused_sound, 0, "seed {seed}: {outcome:?}");
+        assert!(outcome.late <= LATE_MAX, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// Guards against quarantines where nothing but crashes and broken requests of other
+/// causes goes on.
+#[rstest]
+#[case::broken_requests(FleetPlan { broken_share: 0.05, ..PLAN })]
+#[case::outages(FleetPlan { outage_interval: Some(Duration::from_secs(3)), ..PLAN })]
+#[case::both(FleetPlan {
+    broken_share: 0.05,
+    outage_interval: Some(Duration::from_secs(3)),
+    ..PLAN
+})]
+fn fleet_sound_parts_kept(#[case] plan: FleetPlan) {
+    let plan = FleetPlan {
+        crashing_rate: 0.0,
+        ..plan
+    };
+    for seed in 0..FLEET_SEEDS {
+        let outcome = CrashFleet::run(plan, seed, Duration::from_secs(60));
+        assert_eq!(outcome.quarantined, [], "seed {seed}");
+    }
+}
--- a/crates/wire/src/frame_sender.rs
+++ b/crates/wire/src/frame_sender.rs
@@ -21,6 +21,7 @@
         | FrameBody::LeaseReturn(_)
         | FrameBody::ServingAttach(_)
         | FrameBody::RateUse(_)
+        | FrameBody::PromptReport(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
         FrameBody::AttemptHead(_)
         | FrameBody::AttemptPart(_)
@@ -42,7 +43,8 @@
         | FrameBody::ServingUpdate(_)
         | FrameBody::ServingForward(_)
         | FrameBody::ServingReply(_)
-        | FrameBody::RateTotals(_) => Some(PeerRole::Control),
+        | FrameBody::RateTotals(_)
+        | FrameBody::PromptNotice(_) => Some(PeerRole::Control),
         _ => None,
     }
 }
