gateway: compare each id of a resumption, and only of a resumption

What callers saw: events that they had received came again, from a second run, where the endpoint of a resumption sent a comment, a blank line or a block without an id first, or repeated an event later in the same piece. And sound streams were broken off after they had run: those of a caller whose own Last-Event-Id was not below the ids of the run (also on routes that aren't resumable), and those with equal ids where the reads were split between them.

Cause: one comparison served for both. It looked at the first block of a piece only, and it compared each piece with whatever position was known, be it the caller's own or that of the same run.

Now the splitter notes, when a run ends, the last event that the run has returned; in a resumption every id of every block must be above that one, and in a first run ids are not compared at all.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -216,7 +216,7 @@
         if failure == AttemptFailure::NotSent {
             call.attempts -= 1;
         }
-        call.events.discard_partial_event();
+        call.events.end_run();
         call.tried.push(call.endpoint.clone());
         let misdirected = call.response.misdirected;
         let model = call.terms.model.clone().filter(|_| misdirected);
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -1,8 +1,8 @@
 //! Splits a byte stream into complete events (WHATWG HTML, server-sent events).
 //!
-//! Guarantees: only complete events are returned, in order and unchanged, and none
-//! whose id is not above the last one's; what remains at the end of the stream is a
-//! truncated event.
+//! Guarantees: only complete events are returned, in order and unchanged; a run that
+//! resumes the stream repeats no event of the runs before it. What remains at the end
+//! of a run is a truncated event.
 
 use bytes::{Bytes, BytesMut};
 
@@ -16,8 +16,13 @@
     partial: BytesMut,
     /// Bytes of `partial` already searched for the end of an event.
     searched: usize,
-    /// Id of the last complete event; none if it has none.
+    /// Id of the last complete event; none if it has none. Before the first event, the
+    /// caller's own position.
     last_event: Option<u64>,
+    /// Whether the current run has returned an event.
+    has_event: bool,
+    /// Id of the last event that the runs before the current one have returned.
+    resumed_after: Option<u64>,
 }
 
 /// Why a stream can't be forwarded any further.
@@ -30,7 +35,7 @@
 }
 
 impl EventSplitter {
-    /// Creates a splitter for a stream that resumes after an event.
+    /// Creates a splitter for a stream that its caller resumes after an event.
     pub fn resuming_after(last_event: Option<u64>) -> Self {
         EventSplitter {
             last_event,
@@ -49,16 +54,20 @@
         !self.partial.is_empty()
     }
 
-    /// Discards an incomplete event.
-    pub fn discard_partial_event(&mut self) {
+    /// Ends a run and discards its incomplete event. The next run must continue after
+    /// the events returned so far.
+    pub fn end_run(&mut self) {
         self.partial.clear();
         self.searched = 0;
+        if std::mem::take(&mut self.has_event) {
+            self.resumed_after = self.last_event;
+        }
     }
 
     /// Appends bytes and returns the events that they complete.
     ///
     /// # Errors
-    /// Fails when an event is longer than the limit, or not after the last one.
+    /// Fails when an event is longer than the limit, or was returned in an earlier run.
     pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
         let start = self.searched.saturating_sub(1);
@@ -75,11 +84,15 @@
         };
         let events = self.partial.split_to(start + offset + 2).freeze();
         self.searched = self.partial.len();
-        if first_id(&events).is_some_and(|id| self.last_event.is_some_and(|last| id <= last)) {
+        if self
+            .resumed_after
+            .is_some_and(|last| has_id_up_to(&events, last))
+        {
             return Err(EventError::Repeated);
         }
         if let Some(last) = last_position(&events) {
             self.last_event = last;
+            self.has_event = true;
         }
         Ok(Some(events))
     }
@@ -101,11 +114,10 @@
     has_data.then_some(None)
 }
 
-/// Returns the id of the first event, if it has one.
-fn first_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n');
-    let mut fields = lines.take_while(|line| !line.is_empty());
-    fields.find_map(parse_id)
+/// Returns whether an id among the events is not above `last`.
+fn has_id_up_to(events: &[u8], last: u64) -> bool {
+    let mut lines = events.split(|byte| *byte == b'\n');
+    lines.any(|line| parse_id(line).is_some_and(|id| id <= last))
 }
 
 fn parse_id(line: &[u8]) -> Option<u64> {
