gateway: continue a stream only with a response of its kind

What callers saw: a stream that had been broken off ended as complete because the endpoint of its resumption answered 204 or 202 without a body, or it went on with the body of a 206, of a JSON document or of a compressed stream.

Cause: any status below 300 counted as a continuation, whatever the body was.

--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -75,6 +75,8 @@
     pub misdirected: bool,
     /// The response is a stream of events.
     pub is_stream: bool,
+    /// The response can continue a stream of events that has begun.
+    pub continues_stream: bool,
     /// The endpoint is leaving and accepts no further requests.
     pub leaving: bool,
     /// Time for which the endpoint accepts no further requests from this instance.
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -13,9 +13,6 @@
 use crate::call_codec::CallTerms;
 use crate::event_splitter::EventSplitter;
 
-/// Lowest status beyond those of success.
-const REDIRECT_STATUS_MIN: u16 = 300;
-
 /// Properties of a route that apply to its calls.
 #[derive(Debug, Clone)]
 pub struct RouteTerms {
@@ -95,6 +92,8 @@
     pub misdirected: bool,
     /// The body is a stream of events.
     pub is_stream: bool,
+    /// The body can continue a stream of events that has begun.
+    pub continues_stream: bool,
     /// At least one whole event was forwarded.
     pub has_event: bool,
     /// Body received so far, for a response that is buffered.
@@ -172,12 +171,10 @@
         !self.head_sent || (is_resumable && self.events.last_event().is_some())
     }
 
-    /// Returns whether the current attempt resumes a stream whose head was sent and
-    /// was answered with a status of its own, which must not reach the caller.
+    /// Returns whether the current attempt resumes a stream whose head was sent, and
+    /// its response is of another kind, which must not reach the caller.
     pub fn is_resumption_refused(&self) -> bool {
-        self.head_sent
-            && self.response.head.is_some()
-            && self.response.status >= REDIRECT_STATUS_MIN
+        self.head_sent && self.response.head.is_some() && !self.response.continues_stream
     }
 }
 
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -80,6 +80,7 @@
         call.response.not_run = terms.not_run;
         call.response.run_unconfirmed = terms.run_unconfirmed;
         call.response.misdirected = terms.misdirected;
+        call.response.continues_stream = terms.continues_stream;
         call.response.is_stream = terms.is_stream || (call.route.is_stream && head.status < 300);
         call.response.head = Some(head);
         call.attempt_deadline = None;
