gateway: hold a stream back until its first block with data

What callers saw: an undelimited stream, or its resumption, that broke off after a comment or a blank line ended as complete; and a comment before the first event sent the head, after which a stream that broke off could only be aborted, although nothing of it had been an event.

Cause: each block that ended counted as an event. Now only a block with a `data` field is one. The blocks before the first event of a run stay in the splitter: they are sent with the event, discarded when the run fails, and sent as the whole body when a delimited stream ends without any event. The flag moved to the splitter, which knows where runs begin.

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -94,8 +94,6 @@
     pub is_stream: bool,
     /// The body can continue a stream of events that has begun.
     pub continues_stream: bool,
-    /// At least one whole event was forwarded.
-    pub has_event: bool,
     /// Body received so far, for a response that is buffered.
     pub body: BytesMut,
 }
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -2,7 +2,8 @@
 //!
 //! Guarantees: only complete events are returned, in order and unchanged; a run that
 //! resumes the stream repeats no event of the runs before it. What remains at the end
-//! of a run is a truncated event.
+//! of a run is a truncated event. Blocks without data, such as comments, are held back
+//! until the run's first event, so that a run without one can be replaced.
 
 use bytes::{Bytes, BytesMut};
 
@@ -12,8 +13,10 @@
 /// Splitter state of one stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
-    /// Bytes of an incomplete event.
+    /// Blocks that are held back, and bytes of an incomplete event.
     partial: BytesMut,
+    /// Bytes of `partial` that are held back until the first event of the run.
+    held: usize,
     /// Bytes of `partial` already searched for the end of an event.
     searched: usize,
     /// Id of the last complete event; none if it has none. Before the first event, the
@@ -49,15 +52,28 @@
         self.last_event
     }
 
+    /// Returns whether the current run has returned an event.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Returns whether an event is incomplete.
     pub fn has_partial_event(&self) -> bool {
-        !self.partial.is_empty()
+        self.partial.len() > self.held
+    }
+
+    /// Returns what remains of a stream that is complete.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.held = 0;
+        self.searched = 0;
+        self.partial.split().freeze()
     }
 
     /// Ends a run and discards its incomplete event. The next run must continue after
     /// the events returned so far.
     pub fn end_run(&mut self) {
         self.partial.clear();
+        self.held = 0;
         self.searched = 0;
         if std::mem::take(&mut self.has_event) {
             self.resumed_after = self.last_event;
@@ -71,35 +87,43 @@
     pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
         let start = self.searched.saturating_sub(1);
+        self.searched = self.partial.len();
         let found = self.partial[start..]
             .windows(2)
             .rposition(|pair| pair == b"\n\n");
-        let Some(offset) = found else {
-            self.searched = self.partial.len();
-            return if self.partial.len() > EVENT_MAX {
-                Err(EventError::TooLong)
-            } else {
-                Ok(None)
-            };
-        };
-        let events = self.partial.split_to(start + offset + 2).freeze();
-        self.searched = self.partial.len();
-        if self
-            .resumed_after
-            .is_some_and(|last| has_id_up_to(&events, last))
-        {
-            return Err(EventError::Repeated);
+        if let Some(offset) = found {
+            let end = start + offset + 2;
+            let blocks = &self.partial[self.held..end];
+            if self
+                .resumed_after
+                .is_some_and(|last| has_id_up_to(blocks, last))
+            {
+                return Err(EventError::Repeated);
+            }
+            if self.has_event || has_data(blocks) {
+                return Ok(Some(self.split_events(end)));
+            }
+            self.held = end;
+        }
+        if self.partial.len() > EVENT_MAX {
+            return Err(EventError::TooLong);
         }
+        Ok(None)
+    }
+
+    fn split_events(&mut self, end: usize) -> Bytes {
+        let events = self.partial.split_to(end).freeze();
+        self.held = 0;
+        self.searched = self.partial.len();
+        self.has_event = true;
         if let Some(last) = last_position(&events) {
             self.last_event = last;
-            self.has_event = true;
         }
-        Ok(Some(events))
+        events
     }
 }
 
-/// Returns the id, if any, of the last event; none if there is no event. A block
-/// without a `data` field, such as a comment, is no event.
+/// Returns the id, if any, of the last event; none if there is no event.
 fn last_position(events: &[u8]) -> Option<Option<u64>> {
     let mut has_data = false;
     for line in events.rsplit(|byte| *byte == b'\n') {
@@ -109,11 +133,22 @@
         if line.is_empty() && has_data {
             return Some(None);
         }
-        has_data |= line.starts_with(b"data");
+        has_data |= is_data(line);
     }
     has_data.then_some(None)
 }
 
+/// Returns whether one of the blocks is an event. A block without a `data` field, such
+/// as a comment, is none.
+fn has_data(blocks: &[u8]) -> bool {
+    blocks.split(|byte| *byte == b'\n').any(is_data)
+}
+
+fn is_data(line: &[u8]) -> bool {
+    line.strip_prefix(b"data")
+        .is_some_and(|rest| rest.first().is_none_or(|byte| *byte == b':'))
+}
+
 /// Returns whether an id among the events is not above `last`.
 fn has_id_up_to(events: &[u8], last: u64) -> bool {
     let mut lines = events.split(|byte| *byte == b'\n');
--- a/crates/gateway/src/response_check.rs
+++ b/crates/gateway/src/response_check.rs
@@ -39,7 +39,7 @@
         }
         // Only the events show whether a stream without length and chunks is complete.
         ExchangeEnd::Complete
-            if response.is_stream && !response.is_delimited && !response.has_event =>
+            if response.is_stream && !response.is_delimited && !call.events.has_event() =>
         {
             (
                 AttemptFailure::Broken,
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -169,7 +169,6 @@
             return;
         };
         call.ran = RunState::Maybe;
-        call.response.has_event = true;
         if !call.head_sent {
             call.head_sent = true;
             if let Some(head) = call.response.head.take() {
@@ -260,7 +259,11 @@
             return;
         };
         let status = call.response.head.as_ref().map_or(200, |head| head.status);
-        let body = call.response.body.split().freeze();
+        let body = if call.response.is_stream {
+            call.events.take_rest()
+        } else {
+            call.response.body.split().freeze()
+        };
         if let Some(head) = call.response.head.take().filter(|_| !call.head_sent) {
             call.head_sent = true;
             send_head(request, head, Some(body.len() as u64), actions);
