gateway: continue a response only after an event of its own

What callers saw: an error of more than 256 KiB that its endpoint broke off was followed by the events of a second run, if the caller had sent a Last-Event-Id of its own.

Cause: whether a response could be continued was read from the position that is sent to endpoints, and before the first event that is the caller's own. It is now read from the events that the splitter has returned, which are those of a stream.

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -166,7 +166,7 @@
     /// has received so far.
     pub fn can_continue(&self) -> bool {
         let is_resumable = self.route.is_stream && self.route.is_idempotent;
-        !self.head_sent || (is_resumable && self.events.last_event().is_some())
+        !self.head_sent || (is_resumable && self.events.resume_position().is_some())
     }
 
     /// Returns whether the current attempt resumes a stream whose head was sent, and
--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -46,12 +46,22 @@
         }
     }
 
-    /// Returns the id of the last complete event; none if it has none, so that the
-    /// stream can't be resumed after it.
+    /// Returns the id of the last complete event, or the caller's own position before
+    /// the first; none if that event has none.
     pub fn last_event(&self) -> Option<u64> {
         self.last_event
     }
 
+    /// Returns the id of the last event returned; none if there is no such event or it
+    /// has none, so that the stream can't be resumed after it.
+    pub fn resume_position(&self) -> Option<u64> {
+        if self.has_event {
+            self.last_event
+        } else {
+            self.resumed_after
+        }
+    }
+
     /// Returns whether the current run has returned an event.
     pub fn has_event(&self) -> bool {
         self.has_event
@@ -75,9 +85,8 @@
         self.partial.clear();
         self.held = 0;
         self.searched = 0;
-        if std::mem::take(&mut self.has_event) {
-            self.resumed_after = self.last_event;
-        }
+        self.resumed_after = self.resume_position();
+        self.has_event = false;
     }
 
     /// Appends bytes and returns the events that they complete.
