--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -73,7 +73,7 @@
     pub run_unconfirmed: bool,
     /// The request reached the wrong endpoint, or one without the model.
     pub misdirected: bool,
-    /// The response is a stream of events.
+    /// The type of the response is that of a stream of events.
     pub is_stream: bool,
     /// The response can continue a stream of events that has begun.
     pub continues_stream: bool,
