gateway: a comment or blank line at the end is no truncated event

What callers saw: a sound stream was broken off, or run again, because it ended with one blank line too many or with a comment without a blank line behind it.

Cause: any bytes behind the last event counted as a truncated event. Now only a rest with a field, or the beginning of one, does. A rest without `data` and `id`, such as `event: token`, still counts: it may be the first line of an event that was cut off. A rest that is none reaches the caller.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -2,8 +2,9 @@
 //!
 //! Guarantees: only complete events are returned, in order and unchanged; a run that
 //! resumes the stream repeats no event of the runs before it. What remains at the end
-//! of a run is a truncated event. Blocks without data, such as comments, are held back
-//! until the run's first event, so that a run without one can be replaced.
+//! of a run is a truncated event if it has a field. Blocks without data, such as
+//! comments, are held back until the run's first event, so that a run without one can
+//! be replaced.
 
 use bytes::{Bytes, BytesMut};
 
@@ -67,9 +68,10 @@
         self.has_event
     }
 
-    /// Returns whether an event is incomplete.
+    /// Returns whether an event is incomplete. Comments and blank lines belong to none.
     pub fn has_partial_event(&self) -> bool {
-        self.partial.len() > self.held
+        let mut lines = self.partial[self.held..].split(|byte| *byte == b'\n');
+        lines.any(is_field)
     }
 
     /// Returns what remains of a stream that is complete.
@@ -153,6 +155,12 @@
     blocks.split(|byte| *byte == b'\n').any(is_data)
 }
 
+/// Returns whether a line is a field, or the beginning of one.
+fn is_field(line: &[u8]) -> bool {
+    let first = line.first();
+    first.is_some_and(|byte| !matches!(byte, b':' | b'\r'))
+}
+
 fn is_data(line: &[u8]) -> bool {
     line.strip_prefix(b"data")
         .is_some_and(|rest| rest.first().is_none_or(|byte| *byte == b':'))
