gateway: events may end with returns and newlines

What callers saw: a stream with CRLF line ends (WHATWG HTML, server-sent events, allows them) arrived only when it had ended, and was then run again or broken off. Where just the blank lines had other ends than the fields, an event without an id went unseen, and the stream was resumed after the one before it.

Cause: only two newlines in a row ended a block. Now a newline does that ends an empty line, whether or not a return precedes it; so "\r\n\r\n" and mixed ends work as well. The search runs backwards over the new bytes as before and stops at the last blank line; it copies nothing. A return alone, the standard's third line end, is still not one: whether a newline belongs to it can't be told at the end of a read.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -4,7 +4,7 @@
 //! resumes the stream repeats no event of the runs before it. What remains at the end
 //! of a run is a truncated event if it has a field. Blocks without data, such as
 //! comments, are held back until the run's first event, so that a run without one can
-//! be replaced.
+//! be replaced. Lines end with a newline, or with a return and a newline.
 
 use bytes::{Bytes, BytesMut};
 
@@ -70,8 +70,7 @@
 
     /// Returns whether an event is incomplete. Comments and blank lines belong to none.
     pub fn has_partial_event(&self) -> bool {
-        let mut lines = self.partial[self.held..].split(|byte| *byte == b'\n');
-        lines.any(is_field)
+        lines(&self.partial[self.held..]).any(is_field)
     }
 
     /// Returns what remains of a stream that is complete.
@@ -97,13 +96,8 @@
     /// Fails when an event is longer than the limit, or was returned in an earlier run.
     pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
-        let start = self.searched.saturating_sub(1);
-        self.searched = self.partial.len();
-        let found = self.partial[start..]
-            .windows(2)
-            .rposition(|pair| pair == b"\n\n");
-        if let Some(offset) = found {
-            let end = start + offset + 2;
+        let start = std::mem::replace(&mut self.searched, self.partial.len());
+        if let Some(end) = last_block_end(&self.partial, start) {
             let blocks = &self.partial[self.held..end];
             if self
                 .resumed_after
@@ -134,10 +128,29 @@
     }
 }
 
+/// Returns the end of the last block of `bytes`; none if it is not beyond `start`.
+fn last_block_end(bytes: &[u8], start: usize) -> Option<usize> {
+    let bytes_backwards = bytes[start..].iter().enumerate().rev();
+    let mut line_ends = bytes_backwards
+        .filter(|(_, byte)| **byte == b'\n')
+        .map(|(offset, _)| start + offset);
+    let blank_line = line_ends.find(|idx| strip_return(&bytes[..*idx]).ends_with(b"\n"));
+    blank_line.map(|idx| idx + 1)
+}
+
+/// Returns the lines of blocks, without their ends.
+fn lines(blocks: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    blocks.split(|byte| *byte == b'\n').map(strip_return)
+}
+
+fn strip_return(line: &[u8]) -> &[u8] {
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
 /// Returns the id, if any, of the last event; none if there is no event.
 fn last_position(events: &[u8]) -> Option<Option<u64>> {
     let mut has_data = false;
-    for line in events.rsplit(|byte| *byte == b'\n') {
+    for line in lines(events).rev() {
         if let Some(id) = parse_id(line) {
             return Some(Some(id));
         }
@@ -152,13 +165,12 @@
 /// Returns whether one of the blocks is an event. A block without a `data` field, such
 /// as a comment, is none.
 fn has_data(blocks: &[u8]) -> bool {
-    blocks.split(|byte| *byte == b'\n').any(is_data)
+    lines(blocks).any(is_data)
 }
 
 /// Returns whether a line is a field, or the beginning of one.
 fn is_field(line: &[u8]) -> bool {
-    let first = line.first();
-    first.is_some_and(|byte| !matches!(byte, b':' | b'\r'))
+    line.first().is_some_and(|byte| *byte != b':')
 }
 
 fn is_data(line: &[u8]) -> bool {
@@ -168,8 +180,7 @@
 
 /// Returns whether an id among the events is not above `last`.
 fn has_id_up_to(events: &[u8], last: u64) -> bool {
-    let mut lines = events.split(|byte| *byte == b'\n');
-    lines.any(|line| parse_id(line).is_some_and(|id| id <= last))
+    lines(events).any(|line| parse_id(line).is_some_and(|id| id <= last))
 }
 
 fn parse_id(line: &[u8]) -> Option<u64> {
