--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -1,8 +1,10 @@
 //! Splits a byte stream into complete events (WHATWG HTML, server-sent events).
 //!
-//! Guarantees: only complete events are returned, in order and unchanged, and none
-//! whose id is not above the last one's; what remains at the end of the stream is a
-//! truncated event.
+//! Guarantees: only complete events are returned, in order and unchanged; a run that
+//! resumes the stream repeats no event of the runs before it. What remains at the end
+//! of a run is a truncated event if it has a field. Blocks without data, such as
+//! comments, are held back until the run's first event, so that a run without one can
+//! be replaced. Lines end with a newline, or with a return and a newline.
 
 use bytes::{Bytes, BytesMut};
 
@@ -12,12 +14,19 @@
 /// Splitter state of one stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
-    /// Bytes of an incomplete event.
+    /// Blocks that are held back, and bytes of an incomplete event.
     partial: BytesMut,
+    /// Bytes of `partial` that are held back until the first event of the run.
+    held: usize,
     /// Bytes of `partial` already searched for the end of an event.
     searched: usize,
-    /// Id of the last complete event; none if it has none.
+    /// Id of the last complete event; none if it has none. Before the first event, the
+    /// caller's own position.
     last_event: Option<u64>,
+    /// Whether the current run has returned an event.
+    has_event: bool,
+    /// Id of the last event that the runs before the current one have returned.
+    resumed_after: Option<u64>,
 }
 
 /// Why a stream can't be forwarded any further.
@@ -30,7 +39,7 @@
 }
 
 impl EventSplitter {
-    /// Creates a splitter for a stream that resumes after an event.
+    /// Creates a splitter for a stream that its caller resumes after an event.
     pub fn resuming_after(last_event: Option<u64>) -> Self {
         EventSplitter {
             last_event,
@@ -38,74 +47,140 @@
         }
     }
 
-    /// Returns the id of the last complete event; none if it has none, so that the
-    /// stream can't be resumed after it.
+    /// Returns the id of the last complete event, or the caller's own position before
+    /// the first; none if that event has none.
     pub fn last_event(&self) -> Option<u64> {
         self.last_event
     }
 
-    /// Returns whether an event is incomplete.
+    /// Returns the id of the last event returned; none if there is no such event or it
+    /// has none, so that the stream can't be resumed after it.
+    pub fn resume_position(&self) -> Option<u64> {
+        if self.has_event {
+            self.last_event
+        } else {
+            self.resumed_after
+        }
+    }
+
+    /// Returns whether the current run has returned an event.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Returns whether an event is incomplete. Comments and blank lines belong to none.
     pub fn has_partial_event(&self) -> bool {
-        !self.partial.is_empty()
+        lines(&self.partial[self.held..]).any(is_field)
     }
 
-    /// Discards an incomplete event.
-    pub fn discard_partial_event(&mut self) {
+    /// Returns what remains of a stream that is complete.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.held = 0;
+        self.searched = 0;
+        self.partial.split().freeze()
+    }
+
+    /// Ends a run and discards its incomplete event. The next run must continue after
+    /// the events returned so far.
+    pub fn end_run(&mut self) {
         self.partial.clear();
+        self.held = 0;
         self.searched = 0;
+        self.resumed_after = self.resume_position();
+        self.has_event = false;
     }
 
     /// Appends bytes and returns the events that they complete.
     ///
     /// # Errors
-    /// Fails when an event is longer than the limit, or not after the last one.
+    /// Fails when an event is longer than the limit, or was returned in an earlier run.
     pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
-        let start = self.searched.saturating_sub(1);
-        let found = self.partial[start..]
-            .windows(2)
-            .rposition(|pair| pair == b"\n\n");
-        let Some(offset) = found else {
-            self.searched = self.partial.len();
-            return if self.partial.len() > EVENT_MAX {
-                Err(EventError::TooLong)
-            } else {
-                Ok(None)
-            };
-        };
-        let events = self.partial.split_to(start + offset + 2).freeze();
-        self.searched = self.partial.len();
-        if first_id(&events).is_some_and(|id| self.last_event.is_some_and(|last| id <= last)) {
-            return Err(EventError::Repeated);
+        let start = std::mem::replace(&mut self.searched, self.partial.len());
+        if let Some(end) = last_block_end(&self.partial, start) {
+            let blocks = &self.partial[self.held..end];
+            if self
+                .resumed_after
+                .is_some_and(|last| has_id_up_to(blocks, last))
+            {
+                return Err(EventError::Repeated);
+            }
+            if self.has_event || has_data(blocks) {
+                return Ok(Some(self.split_events(end)));
+            }
+            self.held = end;
+        }
+        if self.partial.len() > EVENT_MAX {
+            return Err(EventError::TooLong);
         }
+        Ok(None)
+    }
+
+    fn split_events(&mut self, end: usize) -> Bytes {
+        let events = self.partial.split_to(end).freeze();
+        self.held = 0;
+        self.searched = self.partial.len();
+        self.has_event = true;
         if let Some(last) = last_position(&events) {
             self.last_event = last;
         }
-        Ok(Some(events))
+        events
     }
 }
 
-/// Returns the id, if any, of the last event; none if there is no event. A block
-/// without a `data` field, such as a comment, is no event.
+/// Returns the end of the last block of `bytes`; none if it is not beyond `start`.
+fn last_block_end(bytes: &[u8], start: usize) -> Option<usize> {
+    let bytes_backwards = bytes[start..].iter().enumerate().rev();
+    let mut line_ends = bytes_backwards
+        .filter(|(_, byte)| **byte == b'\n')
+        .map(|(offset, _)| start + offset);
+    let blank_line = line_ends.find(|idx| strip_return(&bytes[..*idx]).ends_with(b"\n"));
+    blank_line.map(|idx| idx + 1)
+}
+
+/// Returns the lines of blocks, without their ends.
+fn lines(blocks: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    blocks.split(|byte| *byte == b'\n').map(strip_return)
+}
+
+fn strip_return(line: &[u8]) -> &[u8] {
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+/// Returns the id, if any, of the last event; none if there is no event.
 fn last_position(events: &[u8]) -> Option<Option<u64>> {
     let mut has_data = false;
-    for line in events.rsplit(|byte| *byte == b'\n') {
+    for line in lines(events).rev() {
         if let Some(id) = parse_id(line) {
             return Some(Some(id));
         }
         if line.is_empty() && has_data {
             return Some(None);
         }
-        has_data |= line.starts_with(b"data");
+        has_data |= is_data(line);
     }
     has_data.then_some(None)
 }
 
-/// Returns the id of the first event, if it has one.
-fn first_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n');
-    let mut fields = lines.take_while(|line| !line.is_empty());
-    fields.find_map(parse_id)
+/// Returns whether one of the blocks is an event. A block without a `data` field, such
+/// as a comment, is none.
+fn has_data(blocks: &[u8]) -> bool {
+    lines(blocks).any(is_data)
+}
+
+/// Returns whether a line is a field, or the beginning of one.
+fn is_field(line: &[u8]) -> bool {
+    line.first().is_some_and(|byte| *byte != b':')
+}
+
+fn is_data(line: &[u8]) -> bool {
+    line.strip_prefix(b"data")
+        .is_some_and(|rest| rest.first().is_none_or(|byte| *byte == b':'))
+}
+
+/// Returns whether an id among the events is not above `last`.
+fn has_id_up_to(events: &[u8], last: u64) -> bool {
+    lines(events).any(|line| parse_id(line).is_some_and(|id| id <= last))
 }
 
 fn parse_id(line: &[u8]) -> Option<u64> {
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -5,6 +5,7 @@
 //! incomplete one can be retried; beyond [`BUFFERED_BODY_MAX`] it is forwarded
 //! in chunks.
 
+use std::ops::Range;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -26,6 +27,9 @@
 /// Maximum size in bytes of a body that is buffered until it is complete.
 const BUFFERED_BODY_MAX: usize = 256 * 1024;
 
+/// Statuses of success; the body of any other status is no stream.
+const SUCCESS_STATUSES: Range<u16> = 200..300;
+
 /// Lowest status of server errors.
 const SERVER_ERROR_MIN: u16 = 500;
 
@@ -84,7 +88,9 @@
         call.response.not_run = terms.not_run;
         call.response.run_unconfirmed = terms.run_unconfirmed;
         call.response.misdirected = terms.misdirected;
-        call.response.is_stream = terms.is_stream || (call.route.is_stream && head.status < 300);
+        call.response.continues_stream = terms.continues_stream;
+        call.response.is_stream =
+            SUCCESS_STATUSES.contains(&head.status) && (terms.is_stream || call.route.is_stream);
         call.response.head = Some(head);
         call.attempt_deadline = None;
     }
@@ -172,7 +178,6 @@
             return;
         };
         call.ran = RunState::Maybe;
-        call.response.has_event = true;
         if !call.head_sent {
             call.head_sent = true;
             if let Some(head) = call.response.head.take() {
@@ -265,7 +270,11 @@
             return;
         };
         let status = call.response.head.as_ref().map_or(200, |head| head.status);
-        let body = call.response.body.split().freeze();
+        let body = if call.response.is_stream {
+            call.events.take_rest()
+        } else {
+            call.response.body.split().freeze()
+        };
         if let Some(head) = call.response.head.take().filter(|_| !call.head_sent) {
             call.head_sent = true;
             send_head(request, head, Some(body.len() as u64), actions);
