entry: recognise event ends of CR LF and CR in streams

Callers of an idempotent stream saw none of its events until the stream had ended when the endpoint ended its lines in CR LF or CR, and an interruption began the stream again from its first event. The cause: only two LF in a row counted as the end of an event, whereas a blank line of any of the three line ends is one. Every further pair of LF counted as an event, too.

Evidence: stream_line_ends_recognised (four cases) and stream_of_crlf_resumed failed before: the caller's body was empty with CR LF and CR, the last blank line was missing with the others, and resume_events was 0 instead of 2.

The scan now keeps the last byte, so that a line end is known for what it is across frames; blank lines between events are forwarded and not counted.

--- a/crates/entry/src/event_stream.rs
+++ b/crates/entry/src/event_stream.rs
@@ -2,23 +2,27 @@
 //!
 //! Only complete events are sent to the caller. A partial event left by a
 //! failed attempt is discarded, and the next attempt starts with that event.
+//! A blank line ends an event; lines end in LF, CR LF or CR (WHATWG HTML,
+//! server-sent events).
 
 use bytes::{Bytes, BytesMut};
 
-/// End of an event (WHATWG HTML, server-sent events).
-const EVENT_END: &[u8] = b"\n\n";
-
-/// Last event of a completion stream.
-const LAST_EVENT: &[u8] = b"data: [DONE]\n\n";
+/// Last line of the last event of a completion stream.
+const LAST_LINE: &[u8] = b"data: [DONE]";
 
 /// Maximum size of an event in bytes.
 const EVENT_MAX: usize = 1024 * 1024;
 
+/// A line end of two bytes.
+const CR_LF: (u8, u8) = (b'\r', b'\n');
+
 /// The event stream of one call across its attempts.
 #[derive(Debug, Clone, Default)]
 pub struct EventStream {
     /// Received bytes of an incomplete event.
     partial: BytesMut,
+    /// Last received byte; 0 at the start of an attempt.
+    last_byte: u8,
     delivered: u64,
     done: bool,
 }
@@ -27,21 +31,24 @@
     /// Appends bytes and returns the events that they complete; none when an
     /// event is too long.
     pub fn push(&mut self, data: &Bytes) -> Option<Bytes> {
-        let search_start = self.partial.len().saturating_sub(EVENT_END.len() - 1);
+        let mut cursor = self.partial.len();
         self.partial.extend_from_slice(data);
         let mut end = 0;
-        let mut cursor = search_start;
-        while cursor + EVENT_END.len() <= self.partial.len() {
-            if self.partial[cursor..].starts_with(EVENT_END) {
-                cursor += EVENT_END.len();
-                end = cursor;
-                self.delivered += 1;
-            } else {
-                cursor += 1;
+        while cursor < self.partial.len() {
+            let last_byte = std::mem::replace(&mut self.last_byte, self.partial[cursor]);
+            if is_line_end(self.last_byte) {
+                if cursor == end {
+                    // A further blank line, or the LF of a CR LF.
+                    end += 1;
+                } else if is_line_end(last_byte) && (last_byte, self.last_byte) != CR_LF {
+                    self.delivered += 1;
+                    self.done |= is_last_event(&self.partial[end..cursor]);
+                    end = cursor + 1;
+                }
             }
+            cursor += 1;
         }
         let events = self.partial.split_to(end).freeze();
-        self.done |= events.ends_with(LAST_EVENT);
         (self.partial.len() <= EVENT_MAX).then_some(events)
     }
 
@@ -53,6 +60,7 @@
     /// Discards a partial event left by a failed attempt.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.last_byte = 0;
     }
 
     /// Returns the number of events sent to the caller.
@@ -65,3 +73,12 @@
         self.done
     }
 }
+
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+fn is_last_event(event: &[u8]) -> bool {
+    let mut lines = event.trim_ascii_end().rsplit(|byte| is_line_end(*byte));
+    lines.next() == Some(LAST_LINE)
+}
--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -123,6 +123,38 @@
     assert_eq!(entry.caller_view(request).body, "data: a\n\n");
 }
 
+// Guards against events that end in CR LF being held back until the stream ends.
+#[rstest]
+#[case::crlf("data: a\r\n\r\ndata: b\r\n\r", "\ndata: [DONE]\r\n\r\n")]
+#[case::cr("data: a\r\rdata: b\r\r", "data: [DONE]\r\r")]
+#[case::mixed("data: a\n\r\ndata: b\r\n\n", "data: [DONE]\n\r")]
+#[case::extra_blank("data: a\n\n\n\ndata: b\n\n", "data: [DONE]\n\n\n")]
+fn stream_line_ends_recognised(#[case] first: &str, #[case] rest: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, first);
+    assert_eq!(entry.caller_view(request).body, first);
+    entry.part(link, start.id, first.len() as u64, rest);
+    entry.close_link(link);
+    let view = entry.caller_view(request);
+    assert_eq!(view.body, format!("{first}{rest}"));
+    assert_eq!((entry.starts().len(), view.ended), (1, Some(true)));
+}
+
+// Guards against a wrong count of events, which would repeat or skip some.
+#[test]
+fn stream_of_crlf_resumed() {
+    let mut entry = ScriptedEntry::ready();
+    entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\r\n\r\n\r\ndata: b\r\n\r\ndata");
+    entry.close_link(link);
+    assert_eq!(entry.last_start().1.resume_events, 2);
+}
+
 #[test]
 fn disconnect_cancels_attempt() {
     let mut entry = ScriptedEntry::ready();
