entry: fail the attempt whose stream ends inside an event

A caller received a truncated event in a response framed as complete when the endpoint's response ended inside it, as a response without length and chunks does that ends with its connection. The cause: at the end of the attempt the entry forwarded the incomplete event that it held back, and ended the response.

Evidence: stream_ended_in_event_resumed and stream_ended_in_event_aborted_without_attempts failed before (one attempt, body "data: a", complete), stream_rest_after_last_event_dropped as well (the rest was forwarded).

Such an end now is a failed attempt: the stream is resumed after its last complete event, or aborted if no attempt is left. After the last event of the stream nothing is missing, so that a rest is dropped as after a lost link.

--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -108,27 +108,28 @@
         let Some(sequence) = self.current_call(end.id.as_ref(), link) else {
             return;
         };
-        let attempt = self
-            .calls
-            .get(sequence)
-            .and_then(|call| call.attempt.as_ref());
-        let complete =
-            attempt.is_some_and(|attempt| attempt.head_received && attempt.received == end.length);
-        if !end.whole || !complete {
+        if !end.whole || !self.is_response_complete(sequence, end.length) {
             let outcome = AttemptOutcome::Failure;
             self.fail_attempt(now, sequence, end.ran(), outcome, actions);
             return;
         }
         self.end_attempt(now, sequence, AttemptOutcome::Success);
-        if let Some(call) = self.calls.get_mut(sequence) {
-            let rest = call.events.as_mut().map(EventStream::drain_partial);
-            if let Some(rest) = rest.filter(|rest| !rest.is_empty()) {
-                send_part(call, ResponsePart::Data(rest), actions);
-            }
-        }
         self.complete_call(now, sequence, end.tokens, actions);
     }
 
+    /// Returns whether the current attempt's response was received up to its
+    /// length in bytes and does not break off inside its stream.
+    fn is_response_complete(&self, sequence: CallSequence, length: u64) -> bool {
+        let Some(call) = self.calls.get(sequence) else {
+            return false;
+        };
+        let is_received = call
+            .attempt
+            .as_ref()
+            .is_some_and(|attempt| attempt.head_received && attempt.received == length);
+        is_received && !call.events.as_ref().is_some_and(EventStream::is_truncated)
+    }
+
     /// Ends a call whose response is complete; `tokens` counts the output
     /// tokens, 0 when unknown.
     pub(crate) fn complete_call(
--- a/crates/entry/src/event_stream.rs
+++ b/crates/entry/src/event_stream.rs
@@ -52,9 +52,10 @@
         (self.partial.len() <= EVENT_MAX).then_some(events)
     }
 
-    /// Removes and returns the remaining bytes at the end of a complete stream.
-    pub fn drain_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
+    /// Returns whether a response that ends here is truncated: it ends inside an
+    /// event.
+    pub fn is_truncated(&self) -> bool {
+        !self.done && !self.partial.is_empty()
     }
 
     /// Discards a partial event left by a failed attempt.
--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -155,6 +155,44 @@
     assert_eq!(entry.last_start().1.resume_events, 2);
 }
 
+// Guards against a truncated event being delivered in a response framed as complete.
+#[test]
+fn stream_ended_in_event_resumed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    entry.respond_with(STREAM, "data: a\n\ndata: b");
+    let (_, start) = entry.last_start();
+    assert_eq!((entry.starts().len(), start.resume_events), (2, 1));
+    entry.respond_with(STREAM, "data: b\n\n");
+    let view = entry.caller_view(request);
+    let whole = "data: a\n\ndata: b\n\n";
+    assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
+}
+
+// Guards against a stream that is truncated by each attempt passing as complete.
+#[test]
+fn stream_ended_in_event_aborted_without_attempts() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    while entry.caller_view(request).ended.is_none() {
+        entry.respond_with(STREAM, "data: a");
+    }
+    let view = entry.caller_view(request);
+    assert_eq!((view.body.as_str(), view.ended), ("", Some(false)));
+    assert!(entry.starts().len() > 1);
+}
+
+// Guards against a rest after the last event failing a stream that is complete.
+#[test]
+fn stream_rest_after_last_event_dropped() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    entry.respond_with(STREAM, "data: [DONE]\n\n: rest");
+    let view = entry.caller_view(request);
+    let whole = "data: [DONE]\n\n";
+    assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
+}
+
 #[test]
 fn disconnect_cancels_attempt() {
     let mut entry = ScriptedEntry::ready();
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -462,8 +462,13 @@
 
     /// Sends a complete response to the last started attempt.
     pub fn respond_to_last(&mut self, text: &str) {
+        self.respond_with("text/plain", text);
+    }
+
+    /// Sends a complete response of a media type to the last started attempt.
+    pub fn respond_with(&mut self, kind: &str, text: &str) {
         let (link, start) = self.last_start();
-        self.head(link, start.id, "text/plain");
+        self.head(link, start.id, kind);
         self.part(link, start.id, 0, text);
         self.end(link, start.id, text.len() as u64, 1);
     }
