entry: check the streams of calls that may run only once

A caller whose request may run only once received a truncated event in a response framed as complete, and its claim stored it as the outcome that each resend got. The cause: only streams of idempotent calls were split into events, so that nothing knew where an event of the others ended.

Evidence: non_idempotent_stream_checked_not_resumed (in_event), non_idempotent_stream_interrupted_aborted (both) and claim_of_stream_stores_only_whole (both) failed before; the first with the body "data: a, data: b" ended as complete.

Every event stream is split now, and only those of idempotent calls are resumed; the others are aborted. The claim stores what the caller was sent. The limit of an event's size now applies to these streams, too.

--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -45,7 +45,7 @@
             return;
         }
         call.head_sent = true;
-        if is_stream && call.idempotent {
+        if is_stream {
             call.events = Some(EventStream::default());
         }
         if let Some(claim) = &mut call.claim {
@@ -84,15 +84,17 @@
             return;
         }
         attempt.received += part.data.len() as u64;
-        if let Some(claim) = &mut call.claim {
-            claim.append_body(&part.data);
-        }
         let data = match &mut call.events {
             Some(events) => events.push(&part.data),
             None => Some(part.data),
         };
         match data {
-            Some(data) if !data.is_empty() => send_part(call, ResponsePart::Data(data), actions),
+            Some(data) if !data.is_empty() => {
+                if let Some(claim) = &mut call.claim {
+                    claim.append_body(&data);
+                }
+                send_part(call, ResponsePart::Data(data), actions);
+            }
             Some(_) => {}
             None => self.abandon_attempt(now, sequence, actions),
         }
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -218,7 +218,7 @@
             self.complete_call(now, sequence, 0, actions);
             return;
         }
-        let resumable = !call.head_sent || call.events.is_some();
+        let resumable = !call.head_sent || (call.events.is_some() && call.idempotent);
         let repeatable = call.idempotent || !call.may_have_run;
         if resumable && repeatable && now < call.deadline {
             self.start_next_attempt(now, sequence, actions);
--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -193,6 +193,42 @@
     assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
 }
 
+// Guards against truncated streams of calls that aren't resumed passing as complete.
+#[rstest]
+#[case::in_event("data: a\n\ndata: b", "data: a\n\n", false)]
+#[case::after_event("data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n", true)]
+fn non_idempotent_stream_checked_not_resumed(
+    #[case] sent: &str,
+    #[case] body: &str,
+    #[case] is_complete: bool,
+) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(&[]);
+    entry.respond_with(STREAM, sent);
+    let view = entry.caller_view(request);
+    assert_eq!((view.body.as_str(), view.ended), (body, Some(is_complete)));
+    assert_eq!(entry.starts().len(), 1);
+}
+
+// Guards against a stream that may run once being started again by its refusal.
+#[rstest]
+#[case::not_run(Ran::No)]
+#[case::unknown(Ran::Unknown)]
+fn non_idempotent_stream_interrupted_aborted(#[case] ran: Ran) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(&[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\ndata: b");
+    entry.refuse(link, start.id, RefusalReason::EngineDown, ran);
+    let view = entry.caller_view(request);
+    assert_eq!(
+        (view.body.as_str(), view.ended),
+        ("data: a\n\n", Some(false))
+    );
+    assert_eq!(entry.starts().len(), 1);
+}
+
 #[test]
 fn disconnect_cancels_attempt() {
     let mut entry = ScriptedEntry::ready();
--- a/crates/entry/tests/request_claims.rs
+++ b/crates/entry/tests/request_claims.rs
@@ -169,3 +169,20 @@
         entry.control(FrameBody::OutcomeAck(OutcomeAck { sequence }));
     }
 }
+
+// Guards against a truncated stream being stored and replayed as complete.
+#[rstest]
+#[case::truncated("data: a\n\ndata: b", None)]
+#[case::rest_after_last_event("data: [DONE]\n\n: rest", Some("data: [DONE]\n\n"))]
+fn claim_of_stream_stores_only_whole(#[case] sent: &str, #[case] stored: Option<&str>) {
+    let (mut entry, _) = entry_with_pending_claim();
+    answer_claim(&mut entry, ClaimState::Granted, None);
+    entry.respond_with("text/event-stream", sent);
+    let bodies: Vec<_> = outcomes(&entry)
+        .into_iter()
+        .filter_map(|report| report.answer)
+        .map(|answer| answer.body)
+        .collect();
+    let expected: Vec<_> = stored.into_iter().collect();
+    assert_eq!(bodies, expected);
+}
