entry: fail the attempt whose stream ends before its first event

A caller received an empty stream framed as complete when the endpoint's connection ended between the head and the first event of a response that ends with its connection. The cause: only an incomplete event counted as truncated.

Evidence: stream_without_event_resumed (both) and non_idempotent_stream_without_event_aborted failed before: one attempt, ended as complete.

A stream without any event across all attempts now is truncated. A resumption after delivered events may be empty, as it is when the link was lost after the last of them (stream_resumed_after_all_events_completed, which passed before). A response to HEAD is not read as a stream (stream_of_head_request_without_event_completed, likewise).

--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -37,7 +37,8 @@
             return;
         };
         attempt.head_received = true;
-        let is_stream = head.status == 200 && is_event_stream(&head);
+        // A response to HEAD has no body.
+        let is_stream = head.status == 200 && call.method != "HEAD" && is_event_stream(&head);
         if call.head_sent {
             if !is_stream {
                 self.abandon_attempt(now, sequence, actions);
--- a/crates/entry/src/event_stream.rs
+++ b/crates/entry/src/event_stream.rs
@@ -53,9 +53,9 @@
     }
 
     /// Returns whether a response that ends here is truncated: it ends inside an
-    /// event.
+    /// event or before the first one of the stream.
     pub fn is_truncated(&self) -> bool {
-        !self.done && !self.partial.is_empty()
+        !self.done && (!self.partial.is_empty() || self.delivered == 0)
     }
 
     /// Discards a partial event left by a failed attempt.
--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -229,6 +229,59 @@
     assert_eq!(entry.starts().len(), 1);
 }
 
+// Guards against a stream broken off before its first event passing as complete.
+#[rstest]
+#[case::empty("")]
+#[case::blank_lines("\n\r\n")]
+fn stream_without_event_resumed(#[case] sent: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    entry.respond_with(STREAM, sent);
+    assert_eq!(entry.starts().len(), 2);
+    entry.respond_with(STREAM, "data: a\n\n");
+    let view = entry.caller_view(request);
+    assert_eq!(view.body, format!("{sent}data: a\n\n"));
+    assert_eq!(view.ended, Some(true));
+}
+
+// Guards against an empty stream of a call that may run once passing as complete.
+#[test]
+fn non_idempotent_stream_without_event_aborted() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(&[]);
+    entry.respond_with(STREAM, "");
+    assert_eq!(entry.caller_view(request).ended, Some(false));
+    assert_eq!(entry.starts().len(), 1);
+}
+
+// Guards against a resumption that has no event left failing a complete stream.
+#[test]
+fn stream_resumed_after_all_events_completed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\n");
+    entry.close_link(link);
+    entry.respond_with(STREAM, "");
+    let view = entry.caller_view(request);
+    assert_eq!(
+        (view.body.as_str(), view.ended),
+        ("data: a\n\n", Some(true))
+    );
+    assert_eq!(entry.starts().len(), 2);
+}
+
+// Guards against responses that have no body by definition counting as broken off.
+#[test]
+fn stream_of_head_request_without_event_completed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_with_key("HEAD", "/services/queue-desk/tickets", &[], "");
+    entry.respond_with(STREAM, "");
+    let view = entry.caller_view(request);
+    assert_eq!((view.status, view.ended), (200, Some(true)));
+}
+
 #[test]
 fn disconnect_cancels_attempt() {
     let mut entry = ScriptedEntry::ready();
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -146,6 +146,7 @@
             routes: vec![
                 route("POST", "/tickets", false, false),
                 route("GET", "/tickets", true, false),
+                route("HEAD", "/tickets", true, false),
                 route("GET", "/open", true, true),
             ],
         }],
