agent: fail a response whose endpoint resets the connection

A caller received a truncated response framed as complete when the endpoint reset the connection of a response without length and chunks. The cause: ureq 3.5.2 takes ConnectionReset and ConnectionAborted while it reads a body for the end of the connection, which ends such a body; the agent then reports the response as whole.

Evidence: endpoint_body_cut_not_complete serves 13 bodies from an endpoint of its own. Before, two failed: text and a stream without framing, each cut by a reset, arrived as complete. Its other 11 passed before: ureq reports an error for a length or chunks that an orderly close or a reset cuts short, and the entry finds streams that end inside or before an event.

The connections of the agent's client now report a reset as another kind of error, which ureq passes on. An orderly close remains the end of a body without framing, as HTTP has it.

--- a/crates/mulberrywell/tests/agent_process.rs
+++ b/crates/mulberrywell/tests/agent_process.rs
@@ -3,14 +3,17 @@
 
 mod common;
 
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::Duration;
 
 use common::{binaries, engine_config, small_cluster, GRANTS, PLANS};
 use mulberrywell_testkit::{
-    wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, HttpCaller, ProcessCluster,
+    spawn_server, wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, HttpCaller,
+    ProcessCluster,
 };
 use nix::sys::signal::Signal;
+use serde_json::json;
 
 const AGENT: &str = "agent-engine-0";
 
@@ -109,3 +112,93 @@
         light_response.total
     );
 }
+
+/// How an endpoint ends the connection after a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    Close,
+    Reset,
+}
+
+/// Fields and body of a response, the end of its connection, and whether the
+/// response is complete.
+type BodyCase = (&'static str, &'static str, ConnectionEnd, bool);
+
+const LENGTH: &str = "Content-Length: 8";
+const CHUNKS: &str = "Transfer-Encoding: chunked";
+const UNFRAMED: &str = "Content-Type: text/plain";
+const UNFRAMED_STREAM: &str = "Content-Type: text/event-stream";
+
+const BODY_CASES: [BodyCase; 13] = [
+    (LENGTH, "complete", ConnectionEnd::Close, true),
+    (LENGTH, "cut", ConnectionEnd::Close, false),
+    (LENGTH, "cut", ConnectionEnd::Reset, false),
+    (CHUNKS, "3\r\nall\r\n0\r\n\r\n", ConnectionEnd::Close, true),
+    (CHUNKS, "3\r\ncut\r\n", ConnectionEnd::Close, false),
+    (CHUNKS, "8\r\ncut", ConnectionEnd::Close, false),
+    (CHUNKS, "3\r\ncut\r\n", ConnectionEnd::Reset, false),
+    (UNFRAMED, "all", ConnectionEnd::Close, true),
+    (UNFRAMED, "cut", ConnectionEnd::Reset, false),
+    (UNFRAMED_STREAM, "data: a\n\n", ConnectionEnd::Close, true),
+    (
+        UNFRAMED_STREAM,
+        "data: a\n\nda",
+        ConnectionEnd::Close,
+        false,
+    ),
+    (UNFRAMED_STREAM, "", ConnectionEnd::Close, false),
+    (UNFRAMED_STREAM, "data: a\n\n", ConnectionEnd::Reset, false),
+];
+
+/// Serves the case whose index a request's body is.
+fn spawn_body_cases() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_server(listener, |request, stream| {
+        let Ok(idx) = request.body.parse::<usize>() else {
+            return stream.respond(200, &json!({}));
+        };
+        let (fields, body, end, _) = BODY_CASES[idx];
+        stream.write(&format!(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n{fields}\r\n\r\n{body}"
+        ));
+        // The agent receives the bytes before the end.
+        thread::sleep(Duration::from_millis(50));
+        if end == ConnectionEnd::Reset {
+            stream.reset_on_close().unwrap();
+        }
+        false
+    });
+    address
+}
+
+// Guards against bodies that an endpoint cut short reaching callers as complete.
+#[test]
+fn endpoint_body_cut_not_complete() {
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        agents: vec![AgentPlan::service("payments", spawn_body_cases())],
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.apply(PLANS, GRANTS).unwrap();
+    cluster.wait_ready(1).unwrap();
+    let key = cluster.create_key("medellin", "m1").unwrap();
+    let caller = HttpCaller::new(cluster.callers[0], Some(&key));
+    let call = |idx: usize| {
+        let path = "/services/payments/orders";
+        caller.call("POST", path, &[], &idx.to_string()).unwrap()
+    };
+    let mut wrong = Vec::new();
+    for (idx, case) in BODY_CASES.iter().enumerate() {
+        // A complete response keeps the endpoint's circuit closed.
+        assert!(call(0).complete);
+        let response = call(idx);
+        assert_eq!(response.status, 200, "{case:?}: {}", response.body);
+        if response.complete != case.3 {
+            wrong.push((case, response.body));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -26,9 +26,12 @@
 use mulberrywell_wire::request::HeaderField;
 use serde_json::{json, Value};
 use ureq::http::{Request, Response};
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{Connector, DefaultConnector};
 use ureq::{Agent, Body};
 
 use crate::event_sender::EventSender;
+use crate::reset_connector::ResetConnector;
 
 /// Timeout for state and cancel calls and for connecting.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -81,11 +84,12 @@
             .max_idle_connections_per_host(slots)
             .max_redirects(0)
             .build();
+        let connector = DefaultConnector::default().chain(ResetConnector);
         HttpEndpoint {
             base: format!("http://{address}"),
             incarnation,
             is_engine,
-            agent: config.into(),
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
             events,
             cancel_flags: CancelFlags::default(),
         }
--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -7,10 +7,12 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
+use std::time::Duration;
 
 use anyhow::{bail, Context, Result};
 use chunked_transfer::Decoder;
 use serde_json::Value;
+use socket2::SockRef;
 
 /// Maximum number of headers of a request.
 const HEADERS_MAX: usize = 64;
@@ -71,6 +73,14 @@
     pub fn write(&mut self, text: &str) -> bool {
         self.0.write_all(text.as_bytes()).is_ok()
     }
+
+    /// Makes closing the connection send a reset.
+    ///
+    /// # Errors
+    /// Fails when the socket has failed.
+    pub fn reset_on_close(&self) -> Result<()> {
+        Ok(SockRef::from(&self.0).set_linger(Some(Duration::ZERO))?)
+    }
 }
 
 /// Serves each request of a listener with `handle`, which returns whether the
