runtime: reset a caller's connection that is dropped within a response

A caller of HTTP/1.0 that closed its sending side after the request received a truncated response that looked complete. The cause: the front proxy takes the close for a hang-up and dropped the connection in an orderly way, which ends a body without length and chunks.

Evidence: half_closed_caller_reset failed before with HTTP/1.0 and 1.1 (the connection ended by a close within the stream). The new aborted_response_without_chunks_reset and complete_response_without_chunks_closed passed before: an abort already resets.

The proxy now resets each connection that it removes while a request is unanswered or bytes of a response are unwritten. A close between requests and the close after a complete response stay orderly.

--- a/crates/mulberrywell/tests/hostile_callers.rs
+++ b/crates/mulberrywell/tests/hostile_callers.rs
@@ -12,6 +12,7 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
 
 /// Limit of the time to a refusal, or to the first byte of a response.
 const RESPONSE_LIMIT: Duration = Duration::from_secs(1);
@@ -241,10 +242,19 @@
 
 /// Sends a streamed request and returns the connection.
 fn start_stream(small: &SmallCluster, prompt: &str, tokens: u64) -> RawCaller {
+    start_stream_of_version(small, "HTTP/1.1", prompt, tokens)
+}
+
+fn start_stream_of_version(
+    small: &SmallCluster,
+    version: &str,
+    prompt: &str,
+    tokens: u64,
+) -> RawCaller {
     let body =
         format!(r#"{{"model":"payroll","prompt":"{prompt}","max_tokens":{tokens},"stream":true}}"#);
     let head = format!(
-        "POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer {}\r\n\
+        "POST /v1/completions {version}\r\nAuthorization: Bearer {}\r\n\
          Content-Length: {}\r\n\r\n{body}",
         small.gold_key,
         body.len()
@@ -327,6 +337,49 @@
     assert!(!rest.text().ends_with("0\r\n\r\n"));
 }
 
+// Guards against a response without chunks looking complete when it is aborted.
+#[test]
+fn aborted_response_without_chunks_reset() {
+    let mut small = small_cluster(1, 1);
+    small
+        .engine
+        .configure(|config| config.between_tokens = Duration::from_millis(20));
+    let mut caller = start_stream_of_version(&small, "HTTP/1.0", "aborted", 5_000);
+    let first_part = caller.read_until(CLOSE_TIMEOUT, |bytes| bytes.len() > 1_000);
+    assert_eq!(first_part.status(), 200);
+    small.cluster.kill("agent-engine-0").unwrap();
+    let rest = caller.read_to_end(CLOSE_TIMEOUT);
+    assert_eq!(rest.end, RawEnd::Reset, "{}", rest.text());
+}
+
+// Guards against a response that the connection ends being reset although complete.
+#[test]
+fn complete_response_without_chunks_closed() {
+    let small = small_cluster(1, 1);
+    let mut caller = start_stream_of_version(&small, "HTTP/1.0", "complete", 3);
+    let response = caller.read_to_end(CLOSE_TIMEOUT);
+    assert_eq!(response.end, RawEnd::Closed);
+    assert!(response.text().ends_with("data: [DONE]\n\n"));
+}
+
+// Guards against a response being cut short in an orderly way for a caller that
+// has closed its sending side.
+#[rstest]
+#[case::without_chunks("HTTP/1.0")]
+#[case::chunked("HTTP/1.1")]
+fn half_closed_caller_reset(#[case] version: &str) {
+    let small = small_cluster(1, 1);
+    small
+        .engine
+        .configure(|config| config.between_tokens = Duration::from_millis(20));
+    let mut caller = start_stream_of_version(&small, version, "half", 5_000);
+    let first_part = caller.read_until(CLOSE_TIMEOUT, |bytes| bytes.len() > 1_000);
+    assert_eq!(first_part.status(), 200);
+    caller.end_sending().unwrap();
+    let rest = caller.read_to_end(CLOSE_TIMEOUT);
+    assert_eq!(rest.end, RawEnd::Reset, "{}", rest.text());
+}
+
 #[test]
 fn pipelined_requests_answered_in_order() {
     let small = small_cluster(1, 1);
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -367,6 +367,10 @@
             return;
         };
         self.start_tracker.remove(id);
+        if connection.has_pending_response() {
+            // An orderly close would end a body without length and chunks.
+            connection.reset_on_drop();
+        }
         for request in connection.requests() {
             (self.notify_disconnect)(request);
         }
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -295,6 +295,13 @@
         ProxyStep::Wait
     }
 
+    /// Returns whether a response is expected, or bytes of one are still to be
+    /// written.
+    pub fn has_pending_response(&self) -> bool {
+        let has_unread = self.upstream_ready.read && !self.upstream_ended;
+        !self.requests.is_empty() || !self.outbound.is_empty() || has_unread
+    }
+
     /// Makes closing the caller's socket send a reset.
     pub fn reset_on_drop(&self) {
         // A failed socket needs no reset.
--- a/crates/testkit/src/raw_caller.rs
+++ b/crates/testkit/src/raw_caller.rs
@@ -1,7 +1,7 @@
 //! A caller that sends arbitrary bytes and reports how its connection ended.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
@@ -64,6 +64,14 @@
         self.stream.write_all(bytes).is_ok()
     }
 
+    /// Closes the sending side of the connection.
+    ///
+    /// # Errors
+    /// Fails if the connection is closed.
+    pub fn end_sending(&self) -> Result<()> {
+        Ok(self.stream.shutdown(Shutdown::Write)?)
+    }
+
     /// Reads until the connection ends or `limit` has elapsed.
     pub fn read_to_end(&mut self, limit: Duration) -> RawResponse {
         self.read_until(limit, |_| false)
