runtime: reset the connection that ends an incomplete response body

A caller of HTTP/1.0 at a gateway received truncated responses that looked complete: when the response was aborted, when it read too slowly for the response's buffer or for the second after the response's end, when it had closed its sending side, and when the gateway was killed. The cause: the end of the connection ends the body of a response without length and chunks, and each of these closed the connection in an orderly way.

The socket gets a linger time of 0 with the head of such a response and loses it once the last byte of the response was handed to the system, so that any other end of the connection, also that of the process, sends a reset.

--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -78,6 +78,9 @@
     chunked: bool,
     /// The current request is a HEAD request.
     is_head_request: bool,
+    /// Closing the socket sends a reset, as the end of the connection would end
+    /// the body of the current response, which is not yet written completely.
+    resets_on_close: bool,
 }
 
 struct ListenerRecord {
@@ -159,6 +162,7 @@
             allows_chunks: true,
             chunked: false,
             is_head_request: false,
+            resets_on_close: false,
         };
         self.connections.insert(id, connection);
         Ok(())
@@ -209,7 +213,7 @@
         if matches!(connection.phase, CallerPhase::Lingering(_)) {
             connection.socket.input.clear();
         }
-        if read_state != ReadState::Open || !connection.socket.flush() {
+        if read_state != ReadState::Open || !connection.flush() {
             self.close(id, events);
             return;
         }
@@ -254,7 +258,7 @@
             let Some(connection) = self.connections.get_mut(&id) else {
                 continue;
             };
-            if !connection.socket.flush() {
+            if !connection.flush() {
                 self.close(id, events);
             }
         }
@@ -316,7 +320,7 @@
         if connection.close_after {
             connection.phase = CallerPhase::Lingering(now);
             // The end of the stream signals the caller that nothing follows.
-            if connection.socket.flush() && connection.socket.output.is_empty() {
+            if connection.flush() && connection.socket.output.is_empty() {
                 let _ = connection
                     .socket
                     .stream()
@@ -401,7 +405,10 @@
                 length,
             } => {
                 self.chunked = length.is_none() && self.allows_chunks;
-                self.close_after |= length.is_none() && !self.allows_chunks;
+                if length.is_none() && !self.allows_chunks {
+                    self.close_after = true;
+                    self.set_reset_on_close(!self.is_head_request);
+                }
                 let output = &mut self.socket.output;
                 write_response_head(
                     status,
@@ -424,6 +431,25 @@
         true
     }
 
+    /// Writes queued bytes; false when the connection failed.
+    fn flush(&mut self) -> bool {
+        if !self.socket.flush() {
+            return false;
+        }
+        let is_written =
+            matches!(self.phase, CallerPhase::Lingering(_)) && self.socket.output.is_empty();
+        if is_written && self.resets_on_close {
+            self.set_reset_on_close(false);
+        }
+        true
+    }
+
+    fn set_reset_on_close(&mut self, resets: bool) {
+        self.resets_on_close = resets;
+        // A failed socket needs no reset.
+        let _ = SockRef::from(self.socket.stream()).set_linger(resets.then_some(Duration::ZERO));
+    }
+
     /// Sends an error response to invalid input and stops reading requests.
     fn refuse(&mut self, now: Instant, status: u16) {
         self.phase = CallerPhase::Lingering(now);
