--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -123,6 +123,165 @@
     assert_eq!(entry.caller_view(request).body, "data: a\n\n");
 }
 
+// Guards against events that end in CR LF being held back until the stream ends.
+#[rstest]
+#[case::crlf("data: a\r\n\r\ndata: b\r\n\r", "\ndata: [DONE]\r\n\r\n")]
+#[case::cr("data: a\r\rdata: b\r\r", "data: [DONE]\r\r")]
+#[case::mixed("data: a\n\r\ndata: b\r\n\n", "data: [DONE]\n\r")]
+#[case::extra_blank("data: a\n\n\n\ndata: b\n\n", "data: [DONE]\n\n\n")]
+fn stream_line_ends_recognised(#[case] first: &str, #[case] rest: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, first);
+    assert_eq!(entry.caller_view(request).body, first);
+    entry.part(link, start.id, first.len() as u64, rest);
+    entry.close_link(link);
+    let view = entry.caller_view(request);
+    assert_eq!(view.body, format!("{first}{rest}"));
+    assert_eq!((entry.starts().len(), view.ended), (1, Some(true)));
+}
+
+// Guards against a wrong count of events, which would repeat or skip some.
+#[test]
+fn stream_of_crlf_resumed() {
+    let mut entry = ScriptedEntry::ready();
+    entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\r\n\r\n\r\ndata: b\r\n\r\ndata");
+    entry.close_link(link);
+    assert_eq!(entry.last_start().1.resume_events, 2);
+}
+
+// Guards against a truncated event being delivered in a response framed as complete.
+#[test]
+fn stream_ended_in_event_resumed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    entry.respond_with(STREAM, "data: a\n\ndata: b");
+    let (_, start) = entry.last_start();
+    assert_eq!((entry.starts().len(), start.resume_events), (2, 1));
+    entry.respond_with(STREAM, "data: b\n\n");
+    let view = entry.caller_view(request);
+    let whole = "data: a\n\ndata: b\n\n";
+    assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
+}
+
+// Guards against a stream that is truncated by each attempt passing as complete.
+#[test]
+fn stream_ended_in_event_aborted_without_attempts() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    while entry.caller_view(request).ended.is_none() {
+        entry.respond_with(STREAM, "data: a");
+    }
+    let view = entry.caller_view(request);
+    assert_eq!((view.body.as_str(), view.ended), ("", Some(false)));
+    assert!(entry.starts().len() > 1);
+}
+
+// Guards against a rest after the last event failing a stream that is complete.
+#[test]
+fn stream_rest_after_last_event_dropped() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    entry.respond_with(STREAM, "data: [DONE]\n\n: rest");
+    let view = entry.caller_view(request);
+    let whole = "data: [DONE]\n\n";
+    assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
+}
+
+// Guards against truncated streams of calls that aren't resumed passing as complete.
+#[rstest]
+#[case::in_event("data: a\n\ndata: b", "data: a\n\n", false)]
+#[case::after_event("data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n", true)]
+fn non_idempotent_stream_checked_not_resumed(
+    #[case] sent: &str,
+    #[case] body: &str,
+    #[case] is_complete: bool,
+) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(&[]);
+    entry.respond_with(STREAM, sent);
+    let view = entry.caller_view(request);
+    assert_eq!((view.body.as_str(), view.ended), (body, Some(is_complete)));
+    assert_eq!(entry.starts().len(), 1);
+}
+
+// Guards against a stream that may run once being started again by its refusal.
+#[rstest]
+#[case::not_run(Ran::No)]
+#[case::unknown(Ran::Unknown)]
+fn non_idempotent_stream_interrupted_aborted(#[case] ran: Ran) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(&[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\ndata: b");
+    entry.refuse(link, start.id, RefusalReason::EngineDown, ran);
+    let view = entry.caller_view(request);
+    assert_eq!(
+        (view.body.as_str(), view.ended),
+        ("data: a\n\n", Some(false))
+    );
+    assert_eq!(entry.starts().len(), 1);
+}
+
+// Guards against a stream broken off before its first event passing as complete.
+#[rstest]
+#[case::empty("")]
+#[case::blank_lines("\n\r\n")]
+fn stream_without_event_resumed(#[case] sent: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    entry.respond_with(STREAM, sent);
+    assert_eq!(entry.starts().len(), 2);
+    entry.respond_with(STREAM, "data: a\n\n");
+    let view = entry.caller_view(request);
+    assert_eq!(view.body, format!("{sent}data: a\n\n"));
+    assert_eq!(view.ended, Some(true));
+}
+
+// Guards against an empty stream of a call that may run once passing as complete.
+#[test]
+fn non_idempotent_stream_without_event_aborted() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(&[]);
+    entry.respond_with(STREAM, "");
+    assert_eq!(entry.caller_view(request).ended, Some(false));
+    assert_eq!(entry.starts().len(), 1);
+}
+
+// Guards against a resumption that has no event left failing a complete stream.
+#[test]
+fn stream_resumed_after_all_events_completed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, "data: a\n\n");
+    entry.close_link(link);
+    entry.respond_with(STREAM, "");
+    let view = entry.caller_view(request);
+    assert_eq!(
+        (view.body.as_str(), view.ended),
+        ("data: a\n\n", Some(true))
+    );
+    assert_eq!(entry.starts().len(), 2);
+}
+
+// Guards against responses that have no body by definition counting as broken off.
+#[test]
+fn stream_of_head_request_without_event_completed() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_with_key("HEAD", "/services/queue-desk/tickets", &[], "");
+    entry.respond_with(STREAM, "");
+    let view = entry.caller_view(request);
+    assert_eq!((view.status, view.ended), (200, Some(true)));
+}
+
 #[test]
 fn disconnect_cancels_attempt() {
     let mut entry = ScriptedEntry::ready();
