http1: interim heads without end end the exchange

What callers saw: an endpoint that sends `HTTP/1.1 100 Continue` heads without end ended the gateway process, and with it every call in flight.

Cause: the reader called itself for each interim head in its buffer, and nothing counted the interim heads of a response.

Evidence: response_endless_interim_heads_refused aborted with 'has overflowed its stack' (SIGABRT) before this change; it passes now.

Interim heads are skipped in a loop, and their bytes count towards the limit on the head that follows them, so both the stack and the number of interim heads are bounded. The limit now also holds for a head that arrives whole in one read; before, only an incomplete one was measured.

--- a/crates/http1/src/response_reader.rs
+++ b/crates/http1/src/response_reader.rs
@@ -8,7 +8,7 @@
     fields_as_slices, framing_from_headers, list_has_token, HeadError, FIELDS_MAX,
 };
 
-/// Longest head of a response in bytes.
+/// Longest head of a response in bytes, including the interim heads before it.
 const HEAD_MAX: usize = 64 * 1024;
 
 /// Head of a response.
@@ -40,6 +40,8 @@
 pub struct ResponseReader {
     /// Set from a head until the end of its body.
     body: Option<BodyDecoder>,
+    /// Bytes of the interim heads before the head that is expected.
+    interim_len: usize,
 }
 
 impl ResponseReader {
@@ -90,26 +92,30 @@
         buf: &mut BytesMut,
         is_head_request: bool,
     ) -> Result<Option<ResponseInput>, HeadError> {
-        if buf.is_empty() {
-            return Ok(None);
-        }
-        let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
-        let mut parsed = httparse::Response::new(&mut fields);
-        let status = parsed.parse(buf).map_err(|_| HeadError::Malformed)?;
-        let httparse::Status::Complete(len) = status else {
-            return if buf.len() > HEAD_MAX {
-                Err(HeadError::TooLong)
-            } else {
-                Ok(None)
+        while !buf.is_empty() {
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+            let mut parsed = httparse::Response::new(&mut fields);
+            let status = parsed.parse(buf).map_err(|_| HeadError::Malformed)?;
+            let len = match status {
+                httparse::Status::Complete(len) => len,
+                httparse::Status::Partial => buf.len(),
             };
-        };
-        let head = buf.split_to(len).freeze();
-        let head = parse_head(&head, is_head_request)?;
-        if head.status < 200 {
-            return self.next_head(buf, is_head_request);
+            if self.interim_len + len > HEAD_MAX {
+                return Err(HeadError::TooLong);
+            }
+            if status.is_partial() {
+                break;
+            }
+            let head = parse_head(&buf.split_to(len).freeze(), is_head_request)?;
+            if head.status < 200 {
+                self.interim_len += len;
+                continue;
+            }
+            self.interim_len = 0;
+            self.body = Some(BodyDecoder::new(head.framing));
+            return Ok(Some(ResponseInput::Head(head)));
         }
-        self.body = Some(BodyDecoder::new(head.framing));
-        Ok(Some(ResponseInput::Head(head)))
+        Ok(None)
     }
 }
 
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -12,6 +12,12 @@
     body_max: 16,
 };
 
+/// Bytes that stand for a response without end.
+const ENDLESS_LEN: usize = 8 * 1024 * 1024;
+
+/// Bytes received at once.
+const READ_LEN: usize = 256 * 1024;
+
 fn read_bytewise(text: &[u8]) -> Result<Vec<(Bytes, Bytes)>, RequestError> {
     let mut reader = RequestReader::default();
     let mut buf = BytesMut::new();
@@ -127,6 +133,34 @@
     assert_eq!(ends, 0);
 }
 
+/// Reads a response whose first part is followed by `repeated` without end, and returns
+/// the error that ends it.
+fn read_endless(first: &[u8], repeated: &[u8]) -> HeadError {
+    let mut reader = ResponseReader::default();
+    let mut buf = BytesMut::from(first);
+    for _ in 0..ENDLESS_LEN / repeated.len() {
+        buf.extend_from_slice(repeated);
+        if buf.len() < READ_LEN {
+            continue;
+        }
+        loop {
+            match reader.next_input(&mut buf, false) {
+                Ok(Some(_)) => {}
+                Ok(None) => break,
+                Err(error) => return error,
+            }
+        }
+    }
+    panic!("the response is still being read");
+}
+
+/// Interim heads without end overflowed the stack when one read contained many.
+#[test]
+fn response_endless_interim_heads_refused() {
+    let error = read_endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n");
+    assert_eq!(error, HeadError::TooLong);
+}
+
 #[test]
 fn response_malformed_refused() {
     assert!(read_responses(b"\x00\x01garbage\r\n\r\n", false).is_err());
