http1: a trailer section without end ends the exchange

What callers saw: an endpoint that ends a chunked body with trailer lines without end kept the exchange, and its endless reading, until the call's deadline.

Cause: only a single trailer line was limited; complete lines were dropped without being counted.

The limit is that of the whole section: each line is taken from what is left of it.

--- a/crates/http1/src/body_framing.rs
+++ b/crates/http1/src/body_framing.rs
@@ -5,7 +5,7 @@
 /// Longest chunk size line in bytes.
 const SIZE_LINE_MAX: usize = 256;
 
-/// Longest trailer line in bytes.
+/// Longest trailer section in bytes.
 const TRAILER_MAX: usize = 4 * 1024;
 
 /// How a body is framed.
@@ -31,7 +31,8 @@
     /// Bytes left of a chunk.
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// Bytes that the rest of the trailer section may have.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -99,8 +100,8 @@
                     buf.advance(2);
                     self.state = DecoderState::ChunkSize;
                 }
-                DecoderState::Trailer => {
-                    if !self.read_trailer_line(buf)? {
+                DecoderState::Trailer(left) => {
+                    if !self.read_trailer_line(left, buf)? {
                         return Ok(None);
                     }
                 }
@@ -128,7 +129,7 @@
             Ok(httparse::Status::Complete((len, size))) => {
                 buf.advance(len);
                 self.state = match size {
-                    0 => DecoderState::Trailer,
+                    0 => DecoderState::Trailer(TRAILER_MAX),
                     size => DecoderState::ChunkData(size),
                 };
                 Ok(true)
@@ -138,18 +139,18 @@
         }
     }
 
-    fn read_trailer_line(&mut self, buf: &mut BytesMut) -> Result<bool, BodyError> {
-        let Some(end) = buf.windows(2).position(|pair| pair == b"\r\n") else {
-            return if buf.len() > TRAILER_MAX {
-                Err(BodyError)
-            } else {
-                Ok(false)
-            };
+    fn read_trailer_line(&mut self, left: usize, buf: &mut BytesMut) -> Result<bool, BodyError> {
+        let end = buf.windows(2).position(|pair| pair == b"\r\n");
+        let len = end.map_or(buf.len(), |end| end + 2);
+        let left = left.checked_sub(len).ok_or(BodyError)?;
+        let Some(end) = end else {
+            return Ok(false);
+        };
+        buf.advance(len);
+        self.state = match end {
+            0 => DecoderState::Done,
+            _ => DecoderState::Trailer(left),
         };
-        buf.advance(end + 2);
-        if end == 0 {
-            self.state = DecoderState::Done;
-        }
         Ok(true)
     }
 }
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -161,6 +161,22 @@
     assert_eq!(error, HeadError::TooLong);
 }
 
+/// Trailer lines without end kept a response open, as only single lines were limited.
+#[test]
+fn response_endless_trailer_refused() {
+    let first = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    let error = read_endless(first, b"Name: value\r\n");
+    assert_eq!(error, HeadError::BadFraming);
+}
+
+#[test]
+fn response_trailer_read() {
+    let text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+        2\r\nab\r\n0\r\nName: value\r\nOther: value\r\n\r\n";
+    let read = read_responses(text, false).expect("valid response");
+    assert_eq!(read, (vec![200], b"ab".to_vec(), 1));
+}
+
 #[test]
 fn response_malformed_refused() {
     assert!(read_responses(b"\x00\x01garbage\r\n\r\n", false).is_err());
