http1: the limit on chunk size lines holds for complete lines

What callers saw: nothing directly; a chunk extension of any length was accepted if it arrived in one read and rejected if it arrived in parts.

Cause: the length was compared with the limit only while the line was incomplete.

Evidence: response_long_size_line_refused failed for in_one_read before this change and passed for in_parts; both pass now.

A complete line is now held to the same limit.

--- a/crates/http1/src/body_framing.rs
+++ b/crates/http1/src/body_framing.rs
@@ -126,7 +126,7 @@
 
     fn read_chunk_size(&mut self, buf: &mut BytesMut) -> Result<bool, BodyError> {
         match httparse::parse_chunk_size(buf) {
-            Ok(httparse::Status::Complete((len, size))) => {
+            Ok(httparse::Status::Complete((len, size))) if len <= SIZE_LINE_MAX => {
                 buf.advance(len);
                 self.state = match size {
                     0 => DecoderState::Trailer(TRAILER_MAX),
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -177,6 +177,30 @@
     assert_eq!(read, (vec![200], b"ab".to_vec(), 1));
 }
 
+/// A chunk's size line was limited only while it was incomplete.
+#[rstest]
+#[case::in_one_read(READ_LEN)]
+#[case::in_parts(1)]
+fn response_long_size_line_refused(#[case] read_len: usize) {
+    let mut text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;".to_vec();
+    text.resize(text.len() + 1_024, b'e');
+    text.extend_from_slice(b"\r\nab\r\n");
+    let mut reader = ResponseReader::default();
+    let mut buf = BytesMut::new();
+    let mut outcome = Ok(());
+    for part in text.chunks(read_len) {
+        buf.extend_from_slice(part);
+        while outcome.is_ok() {
+            match reader.next_input(&mut buf, false) {
+                Ok(Some(_)) => {}
+                Ok(None) => break,
+                Err(error) => outcome = Err(error),
+            }
+        }
+    }
+    assert_eq!(outcome, Err(HeadError::BadFraming));
+}
+
 #[test]
 fn response_malformed_refused() {
     assert!(read_responses(b"\x00\x01garbage\r\n\r\n", false).is_err());
