runtime: a connection is read in turns of bounded length

What callers saw: an endpoint that sends faster than the process reads stopped the service of all other callers, and the process's memory grew by what was received.

Cause: as the poll is edge-triggered, a connection was read until it would block, and nothing was parsed, timed out or served before that. A peer that keeps sending keeps the process in that loop.

Evidence, tests/endless_bytes.rs with real processes on the unchanged reading: * body_without_end: the gateway's memory peaked at 2,275,944 KiB; * garbage_without_end: 166,828 KiB, although the first byte is an error; * skipped_body_without_end: no request reached another endpoint for 30 s; * chunks_without_end: connections to the gateway timed out. The cases of heads, fields, interim heads, trailers and idle bytes passed before, the interim heads and trailers with the reader's limits in place.

A turn reads at most 256 KiB. A connection whose response is complete while bytes may be unread is not kept for reuse, as their origin can't be told later.

ProcessUsage gains the peak of the resident memory.

--- /dev/null
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -0,0 +1,239 @@
+//! Endpoints that send bytes without end until the gateway closes the connection.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::serving_deployment::{ServingDeployment, KEY};
+use mulberrywell_platform_testkit::{FakeCaller, FakeRequest, FakeWorker};
+use mulberrywell_testkit::{read_usage, wait_until};
+use rstest::rstest;
+
+/// Memory limit of a machine that runs a gateway, in KiB.
+const MEMORY_MAX_KIB: u64 = 160 * 1024;
+
+/// Timeout of the calls to the endless endpoint, as sent with the requests.
+const ENDLESS_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Timeout of the calls to the other endpoint, as sent with the requests.
+const OTHER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time in which a connection is closed after its call's timeout.
+const CLOSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Number of calls to the endless endpoint that run at the same time.
+const ENDLESS_CALLS: usize = 3;
+
+/// Number of calls to the other endpoint.
+const OTHER_CALLS: usize = 20;
+
+/// Bytes of one write of the endless endpoint.
+const WRITE_LEN: usize = 256 * 1024;
+
+const ENDLESS_HEAD: &str = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n";
+
+/// An endpoint that answers each request with bytes without end.
+struct EndlessEndpoint {
+    address: SocketAddr,
+    /// Connections on which bytes were sent.
+    started: Arc<AtomicUsize>,
+    /// Those of them that the peer has closed.
+    closed: Arc<AtomicUsize>,
+}
+
+impl EndlessEndpoint {
+    /// Starts an endpoint that sends `first` once, then `repeated` without end. `<id>`
+    /// in `first` stands for the id of the request.
+    fn spawn(first: String, repeated: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (started, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let counters = (started.clone(), closed.clone());
+        let rest = repeated.repeat(WRITE_LEN / repeated.len());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (started, closed) = counters.clone();
+                let (first, rest) = (first.clone(), rest.clone());
+                thread::spawn(move || {
+                    let Some(id) = read_request(&mut stream) else {
+                        return;
+                    };
+                    started.fetch_add(1, Ordering::Relaxed);
+                    let first = first.replace("<id>", &id);
+                    let mut open = stream.write_all(first.as_bytes()).is_ok();
+                    while open {
+                        open = stream.write_all(rest.as_bytes()).is_ok();
+                    }
+                    closed.fetch_add(1, Ordering::Relaxed);
+                });
+            }
+        });
+        EndlessEndpoint {
+            address,
+            started,
+            closed,
+        }
+    }
+
+    fn started(&self) -> usize {
+        self.started.load(Ordering::Relaxed)
+    }
+
+    fn closed(&self) -> usize {
+        self.closed.load(Ordering::Relaxed)
+    }
+}
+
+/// Reads a request with a body of 4 bytes; returns its id.
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\nbody") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    }
+    let text = String::from_utf8(text).ok()?;
+    let mut fields = text.lines().filter_map(|line| line.split_once(':'));
+    let (_, id) = fields.find(|(name, _)| name.eq_ignore_ascii_case("Request-Id"))?;
+    Some(id.trim().to_owned())
+}
+
+/// A deployment whose requests reach an endless endpoint first.
+struct EndlessDeployment {
+    deployment: ServingDeployment,
+    endpoint: EndlessEndpoint,
+}
+
+impl EndlessDeployment {
+    fn spawn(endpoint: EndlessEndpoint) -> Self {
+        let deployment = ServingDeployment::spawn();
+        let worker = &deployment.worker;
+        let operator = &deployment.operator;
+        assert!(operator.send_heartbeat("w1", &worker.heartbeat("s1", "draining", 2)));
+        let heartbeat = worker.heartbeat_at(endpoint.address, "s1", "ready", 1);
+        assert!(operator.send_heartbeat("w2", &heartbeat));
+        EndlessDeployment {
+            deployment,
+            endpoint,
+        }
+    }
+
+    /// Sends a request to the endless endpoint and returns the caller's connection.
+    fn send_request(&self) -> TcpStream {
+        let mut stream = TcpStream::connect(self.deployment.callers).unwrap();
+        let request = format!(
+            "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\n\
+             Deadline-Ms: {}\r\nCredential: {KEY}\r\nContent-Length: 4\r\n\r\nbody",
+            ENDLESS_TIMEOUT.as_millis()
+        );
+        stream.write_all(request.as_bytes()).unwrap();
+        stream
+    }
+
+    /// Starts calls until `count` of them have reached the endless endpoint; returns
+    /// the callers' connections.
+    fn start_calls(&self, count: usize) -> Vec<TcpStream> {
+        let mut streams = Vec::new();
+        wait_until("requests reach the endless endpoint", || {
+            if self.endpoint.started() < count {
+                streams.push(self.send_request());
+            }
+            thread::sleep(Duration::from_millis(50));
+            self.endpoint.started() >= count
+        })
+        .unwrap();
+        streams
+    }
+
+    /// Replaces the endless endpoint for further requests; returns once it is replaced.
+    fn replace_endpoint(&self) {
+        let operator = &self.deployment.operator;
+        let worker = FakeWorker::spawn("w3").unwrap();
+        let heartbeat = worker.heartbeat_at(self.endpoint.address, "s1", "draining", 2);
+        assert!(operator.send_heartbeat("w2", &heartbeat));
+        assert!(operator.send_heartbeat("w3", &worker.heartbeat("s1", "ready", 1)));
+        wait_until("requests reach the other endpoint", || {
+            self.call_other() == Some(200)
+        })
+        .unwrap();
+    }
+
+    /// Calls the other endpoint; returns the status.
+    fn call_other(&self) -> Option<u16> {
+        let caller = FakeCaller::new(self.deployment.callers, OTHER_TIMEOUT);
+        let request = FakeRequest {
+            id: "other",
+            key: KEY,
+            path: "/once/x",
+            body: "body",
+            timeout: OTHER_TIMEOUT,
+        };
+        caller.call(&request).map(|response| response.status)
+    }
+
+    /// Waits until every connection of the endless endpoint is closed.
+    fn wait_closed(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        while self.endpoint.closed() < self.endpoint.started() {
+            let left = self.endpoint.started() - self.endpoint.closed();
+            assert!(Instant::now() < end, "{left} connections are still open");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn check_memory(&self) {
+        let id = self.deployment.processes.id("gateway").unwrap();
+        let peak_kib = read_usage(id).unwrap().resident_peak_kib;
+        assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
+    }
+}
+
+/// Reads and discards what a caller receives.
+fn spawn_reader(mut stream: TcpStream) {
+    thread::spawn(move || {
+        let mut buf = vec![0; WRITE_LEN];
+        while stream.read(&mut buf).is_ok_and(|len| len > 0) {}
+    });
+}
+
+/// Bytes without end neither starve other connections nor exhaust the memory, and the
+/// gateway closes their connection by the call's deadline.
+#[rstest]
+#[case::head_without_end(format!("{ENDLESS_HEAD}Name: "), "a")]
+#[case::fields_without_end(ENDLESS_HEAD.to_owned(), "Name: value\r\n")]
+#[case::interim_heads_without_end(String::new(), "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::body_without_end(format!("{ENDLESS_HEAD}Request-Id: <id>\r\n\r\n"), "a")]
+#[case::chunks_without_end(
+    format!("{ENDLESS_HEAD}Request-Id: <id>\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    "1\r\na\r\n"
+)]
+#[case::trailer_without_end(
+    format!("{ENDLESS_HEAD}Request-Id: <id>\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"),
+    "Name: value\r\n"
+)]
+#[case::skipped_body_without_end(format!("{ENDLESS_HEAD}Request-Id: earlier\r\n\r\n"), "a")]
+#[case::garbage_without_end(String::new(), "\u{0}\u{1}garbage")]
+#[case::idle_bytes_without_end(
+    format!("{ENDLESS_HEAD}Request-Id: <id>\r\nContent-Length: 0\r\n\r\n"),
+    "a"
+)]
+fn endless_bytes(#[case] first: String, #[case] repeated: &str) {
+    let endless = EndlessDeployment::spawn(EndlessEndpoint::spawn(first, repeated));
+    for stream in endless.start_calls(ENDLESS_CALLS) {
+        spawn_reader(stream);
+    }
+    let started = Instant::now();
+    endless.replace_endpoint();
+    for number in 0..OTHER_CALLS {
+        assert_eq!(endless.call_other(), Some(200), "call {number}");
+    }
+    endless.wait_closed((ENDLESS_TIMEOUT + CLOSE_LIMIT).saturating_sub(started.elapsed()));
+    endless.check_memory();
+}
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -9,7 +9,7 @@
 //! flight is reported at once; durations and lengths are limited by the
 //! listener's bounds; a truncated response is never framed as a complete one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -97,6 +97,8 @@
     next_id: CallerId,
     /// Connections with queued bytes that are not yet written.
     dirty: Vec<CallerId>,
+    /// Connections that may have more bytes than their last turn read.
+    unread: BTreeSet<CallerId>,
 }
 
 /// Events for the role.
@@ -206,16 +208,33 @@
             return;
         };
         let read_state = connection.socket.read(scratch);
+        if read_state == ReadState::Unread {
+            self.unread.insert(id);
+        } else {
+            self.unread.remove(&id);
+        }
         if matches!(connection.phase, CallerPhase::Lingering(_)) {
             connection.socket.input.clear();
         }
-        if read_state != ReadState::Open || !connection.socket.flush() {
+        if !read_state.is_open() || !connection.socket.flush() {
             self.close(id, events);
             return;
         }
         self.read_requests(now, id, events);
     }
 
+    /// Returns whether a connection must be read again.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Reads the connections again that have more bytes than one turn reads.
+    pub fn read_again(&mut self, now: Instant, scratch: &mut [u8], events: &mut CallerEvents) {
+        for id in std::mem::take(&mut self.unread) {
+            self.handle_ready(now, id, scratch, events);
+        }
+    }
+
     /// Queues a part of a response; the connection of a caller that stops
     /// reading is closed once too much is buffered.
     pub fn queue_response_part(
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -13,7 +13,7 @@
 //! surplus ones reach their idle timeout. A connection is closed before the
 //! endpoint's own idle timeout, which its responses announce.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -85,6 +85,8 @@
     exchanges: BTreeMap<ExchangeId, ConnectionId>,
     /// Idle connections by endpoint, the most recently used last.
     idle_connections: BTreeMap<SocketAddr, Vec<ConnectionId>>,
+    /// Connections that may have more bytes than their last turn read.
+    unread: BTreeSet<ConnectionId>,
     next_id: ConnectionId,
     /// Total number of connections opened.
     pub opened_count: u64,
@@ -201,6 +203,11 @@
         }
         let written = connection.socket.flush();
         let read_state = connection.socket.read(scratch);
+        if read_state == ReadState::Unread {
+            self.unread.insert(id);
+        } else {
+            self.unread.remove(&id);
+        }
         if let ConnectionState::Idle(_) = connection.state {
             if read_state != ReadState::Open || !connection.socket.input.is_empty() {
                 self.remove_idle(id);
@@ -211,7 +218,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        if read_state == ReadState::Open && written {
+        if read_state.is_open() && written {
             return;
         }
         let ConnectionState::Busy(exchange) = connection.state else {
@@ -229,6 +236,23 @@
         }
     }
 
+    /// Returns whether a connection must be read again.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Reads the connections again that have more bytes than one turn reads.
+    pub fn read_again(
+        &mut self,
+        now: Instant,
+        scratch: &mut [u8],
+        events: &mut Vec<ExchangeEvent>,
+    ) {
+        for id in std::mem::take(&mut self.unread) {
+            self.handle_ready(now, id, scratch, events);
+        }
+    }
+
     /// Closes connections whose connect or idle timeout has expired.
     pub fn tick(&mut self, now: Instant, events: &mut Vec<ExchangeEvent>) {
         let mut connect_overdue = Vec::new();
@@ -312,8 +336,9 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let has_leftover_bytes =
-            !connection.socket.input.is_empty() || !connection.socket.output.is_empty();
+        let has_leftover_bytes = !connection.socket.input.is_empty()
+            || !connection.socket.output.is_empty()
+            || self.unread.contains(&id);
         if connection.close_after || has_leftover_bytes || connection.idle_timeout.is_zero() {
             self.connections.remove(&id);
             return;
--- a/crates/runtime/src/http_driver.rs
+++ b/crates/runtime/src/http_driver.rs
@@ -123,14 +123,22 @@
     }
 
     /// Returns when [`HttpDriver::tick`] must be called next.
-    pub fn deadline(&self) -> Option<Instant> {
+    pub fn deadline(&self, now: Instant) -> Option<Instant> {
+        let has_unread = self.exchanges.has_unread() || self.callers.has_unread();
+        let read = has_unread.then_some(now);
         let connect = self.exchanges.deadline();
         let sweep = self.is_active.then_some(self.next_sweep);
-        [connect, sweep].into_iter().flatten().min()
+        [read, connect, sweep].into_iter().flatten().min()
     }
 
-    /// Applies the timeouts of all connections.
+    /// Reads connections again where that is due, and applies the timeouts of all
+    /// connections.
     pub fn tick(&mut self, now: Instant) {
+        let scratch = &mut self.scratch;
+        self.callers
+            .read_again(now, scratch, &mut self.caller_events);
+        self.exchanges
+            .read_again(now, scratch, &mut self.exchange_events);
         if now < self.next_sweep {
             return;
         }
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -10,17 +10,29 @@
 /// Bytes of one read.
 pub const READ_LEN: usize = 64 * 1024;
 
+/// Bytes read from one connection before others are served.
+const TURN_LEN: usize = 256 * 1024;
+
 /// State of a connection's incoming side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadState {
     /// More bytes may arrive.
     Open,
+    /// More bytes may be available already; the connection must be read again.
+    Unread,
     /// The peer has closed its sending side.
     Closed,
     /// The connection failed or was reset.
     Failed,
 }
 
+impl ReadState {
+    /// Returns whether more bytes may follow.
+    pub fn is_open(self) -> bool {
+        matches!(self, ReadState::Open | ReadState::Unread)
+    }
+}
+
 /// One connection.
 pub struct HttpSocket {
     source: MioSource<TcpStream>,
@@ -72,19 +84,24 @@
         }
     }
 
-    /// Reads all available bytes into `input`.
+    /// Reads the available bytes of one turn into `input`.
     pub fn read(&mut self, scratch: &mut [u8]) -> ReadState {
-        // The poll is edge-triggered, so reading continues until it would
-        // block.
-        loop {
+        // The poll is edge-triggered, so a turn that ends before reading would
+        // block must be followed by another.
+        let mut turn_len = 0;
+        while turn_len < TURN_LEN {
             match (&*self.source).read(scratch) {
                 Ok(0) => return ReadState::Closed,
-                Ok(len) => self.input.extend_from_slice(&scratch[..len]),
+                Ok(len) => {
+                    self.input.extend_from_slice(&scratch[..len]);
+                    turn_len += len;
+                }
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return ReadState::Open,
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return ReadState::Failed,
             }
         }
+        ReadState::Unread
     }
 
     /// Writes queued bytes until the socket would block; false when the
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -331,7 +331,7 @@
         let deadlines = [
             Some(self.links.deadline()),
             self.machine.deadline(),
-            self.driver.deadline(),
+            self.driver.deadline(cx.now()),
         ];
         let next = deadlines.into_iter().flatten().min();
         let at = next.unwrap_or_else(|| self.links.deadline());
--- a/crates/testkit/src/process_usage.rs
+++ b/crates/testkit/src/process_usage.rs
@@ -18,6 +18,8 @@
     pub processor: Duration,
     /// Resident memory in KiB.
     pub resident_kib: u64,
+    /// Highest resident memory since the process started, in KiB.
+    pub resident_peak_kib: u64,
 }
 
 /// Reads the usage of a process.
@@ -32,12 +34,17 @@
     let times = fields.split_whitespace().skip(FIELDS_BEFORE_TIME).take(2);
     let ticks: u64 = times.filter_map(|text| text.parse::<u64>().ok()).sum();
     let status = fs::read_to_string(format!("/proc/{id}/status"))?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let number = line.and_then(|rest| rest.split_whitespace().next());
     Ok(ProcessUsage {
         processor: Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
-        resident_kib: number
-            .context("no VmRSS line in the process status")?
-            .parse()?,
+        resident_kib: status_kib(&status, "VmRSS:")?,
+        resident_peak_kib: status_kib(&status, "VmHWM:")?,
     })
 }
+
+/// Returns the value of a line of the process status.
+fn status_kib(status: &str, name: &str) -> Result<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
+    let number = line.and_then(|rest| rest.split_whitespace().next());
+    let number = number.with_context(|| format!("no {name} line in the process status"))?;
+    Ok(number.parse()?)
+}
