runtime: a caller closed for not reading is reported

What callers saw: nothing themselves; the endpoint kept sending a body without end to a caller that was gone, until the call's deadline, and the call kept its place in the load counts.

Cause: when too much of a response was buffered for a caller, its connection was removed without HttpEvent::Disconnected, so the role did not cancel the exchange.

--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -237,3 +237,14 @@
     endless.wait_closed((ENDLESS_TIMEOUT + CLOSE_LIMIT).saturating_sub(started.elapsed()));
     endless.check_memory();
 }
+
+/// The exchange of a caller that is closed because it reads nothing ends with it.
+#[test]
+fn unread_body_ends_exchange() {
+    let first = format!("{ENDLESS_HEAD}Request-Id: <id>\r\n\r\n");
+    let endless = EndlessDeployment::spawn(EndlessEndpoint::spawn(first, "a"));
+    let callers = endless.start_calls(1);
+    endless.wait_closed(ENDLESS_TIMEOUT / 2);
+    endless.check_memory();
+    drop(callers);
+}
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -253,11 +253,15 @@
         let listener = self.listeners.get(&connection.listener);
         connection.close_after |= listener.is_some_and(|record| record.closing);
         let ended = matches!(part, ResponsePart::End);
-        if !connection.write_part(part) || connection.socket.output.len() > RESPONSE_BUFFER_MAX {
+        if !connection.write_part(part) {
             self.requests.remove(&request);
             self.connections.remove(&id);
             return;
         }
+        if connection.socket.output.len() > RESPONSE_BUFFER_MAX {
+            self.close(id, events);
+            return;
+        }
         self.dirty.push(id);
         if ended {
             self.requests.remove(&request);
