runtime: bytes behind a caller's request are read up to a limit

What callers saw: a caller that sends bytes without end behind a request that is still running filled the memory of the gateway; once the response was complete, the process parsed the whole buffer and served nobody meanwhile.

Cause: pipelined bytes were read without a limit while a request was in flight.

While a request is in flight, a connection is read until its buffer has the length of one request, and again once the response is complete. The end of such a connection is noticed when the response is written.

--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -1,4 +1,5 @@
-//! Endpoints that send bytes without end until the gateway closes the connection.
+//! Endpoints and callers that send bytes without end until the gateway closes the
+//! connection.
 
 mod common;
 
@@ -125,25 +126,13 @@
         }
     }
 
-    /// Sends a request to the endless endpoint and returns the caller's connection.
-    fn send_request(&self) -> TcpStream {
-        let mut stream = TcpStream::connect(self.deployment.callers).unwrap();
-        let request = format!(
-            "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\n\
-             Deadline-Ms: {}\r\nCredential: {KEY}\r\nContent-Length: 4\r\n\r\nbody",
-            ENDLESS_TIMEOUT.as_millis()
-        );
-        stream.write_all(request.as_bytes()).unwrap();
-        stream
-    }
-
     /// Starts calls until `count` of them have reached the endless endpoint; returns
     /// the callers' connections.
     fn start_calls(&self, count: usize) -> Vec<TcpStream> {
         let mut streams = Vec::new();
         wait_until("requests reach the endless endpoint", || {
             if self.endpoint.started() < count {
-                streams.push(self.send_request());
+                streams.push(send_request(self.deployment.callers));
             }
             thread::sleep(Duration::from_millis(50));
             self.endpoint.started() >= count
@@ -160,24 +149,11 @@
         assert!(operator.send_heartbeat("w2", &heartbeat));
         assert!(operator.send_heartbeat("w3", &worker.heartbeat("s1", "ready", 1)));
         wait_until("requests reach the other endpoint", || {
-            self.call_other() == Some(200)
+            call_other(self.deployment.callers) == Some(200)
         })
         .unwrap();
     }
 
-    /// Calls the other endpoint; returns the status.
-    fn call_other(&self) -> Option<u16> {
-        let caller = FakeCaller::new(self.deployment.callers, OTHER_TIMEOUT);
-        let request = FakeRequest {
-            id: "other",
-            key: KEY,
-            path: "/once/x",
-            body: "body",
-            timeout: OTHER_TIMEOUT,
-        };
-        caller.call(&request).map(|response| response.status)
-    }
-
     /// Waits until every connection of the endless endpoint is closed.
     fn wait_closed(&self, limit: Duration) {
         let end = Instant::now() + limit;
@@ -187,12 +163,37 @@
             thread::sleep(Duration::from_millis(10));
         }
     }
+}
 
-    fn check_memory(&self) {
-        let id = self.deployment.processes.id("gateway").unwrap();
-        let peak_kib = read_usage(id).unwrap().resident_peak_kib;
-        assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
-    }
+/// Sends a request and returns the caller's connection.
+fn send_request(callers: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(callers).unwrap();
+    let request = format!(
+        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\n\
+         Deadline-Ms: {}\r\nCredential: {KEY}\r\nContent-Length: 4\r\n\r\nbody",
+        ENDLESS_TIMEOUT.as_millis()
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
+/// Sends a request to an endpoint that answers; returns the status.
+fn call_other(callers: SocketAddr) -> Option<u16> {
+    let request = FakeRequest {
+        id: "other",
+        key: KEY,
+        path: "/once/x",
+        body: "body",
+        timeout: OTHER_TIMEOUT,
+    };
+    let response = FakeCaller::new(callers, OTHER_TIMEOUT).call(&request);
+    response.map(|response| response.status)
+}
+
+fn check_memory(deployment: &ServingDeployment) {
+    let id = deployment.processes.id("gateway").unwrap();
+    let peak_kib = read_usage(id).unwrap().resident_peak_kib;
+    assert!(peak_kib < MEMORY_MAX_KIB, "{peak_kib} KiB");
 }
 
 /// Reads and discards what a caller receives.
@@ -232,10 +233,14 @@
     let started = Instant::now();
     endless.replace_endpoint();
     for number in 0..OTHER_CALLS {
-        assert_eq!(endless.call_other(), Some(200), "call {number}");
+        assert_eq!(
+            call_other(endless.deployment.callers),
+            Some(200),
+            "call {number}"
+        );
     }
     endless.wait_closed((ENDLESS_TIMEOUT + CLOSE_LIMIT).saturating_sub(started.elapsed()));
-    endless.check_memory();
+    check_memory(&endless.deployment);
 }
 
 /// The exchange of a caller that is closed because it reads nothing ends with it.
@@ -245,6 +250,31 @@
     let endless = EndlessDeployment::spawn(EndlessEndpoint::spawn(first, "a"));
     let callers = endless.start_calls(1);
     endless.wait_closed(ENDLESS_TIMEOUT / 2);
-    endless.check_memory();
+    check_memory(&endless.deployment);
     drop(callers);
 }
+
+/// Bytes that a caller sends behind its request without end are not buffered.
+#[test]
+fn endless_bytes_behind_request() {
+    let deployment = ServingDeployment::spawn();
+    deployment.worker.set_delay(ENDLESS_TIMEOUT / 2);
+    let mut stream = send_request(deployment.callers);
+    let writer = thread::spawn(move || {
+        let rest = vec![b'a'; WRITE_LEN];
+        while stream.write_all(&rest).is_ok() {}
+    });
+    wait_until("the request runs", || !deployment.worker.runs().is_empty()).unwrap();
+    let started = Instant::now();
+    deployment.worker.set_delay(Duration::ZERO);
+    for number in 0..OTHER_CALLS {
+        let status = call_other(deployment.callers);
+        assert_eq!(status, Some(200), "call {number}");
+    }
+    while !writer.is_finished() {
+        let limit = ENDLESS_TIMEOUT + CLOSE_LIMIT;
+        assert!(started.elapsed() < limit, "the connection is still open");
+        thread::sleep(Duration::from_millis(10));
+    }
+    check_memory(&deployment);
+}
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -5,9 +5,11 @@
 //! connection.
 //!
 //! Guarantees: a connection has at most one request in flight, and pipelined
-//! requests wait in its buffer; a connection that ends while its request is in
-//! flight is reported at once; durations and lengths are limited by the
-//! listener's bounds; a truncated response is never framed as a complete one.
+//! requests wait in its buffer; beyond the length of one request they are not
+//! read; a connection that ends while its request is in flight is reported at
+//! once, unless bytes before its end are not read; durations and lengths are
+//! limited by the listener's bounds; a truncated response is never framed as a
+//! complete one.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -207,7 +209,12 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let read_state = connection.socket.read(scratch);
+        let record = self.listeners.get(&connection.listener);
+        let read_state = if record.is_some_and(|record| connection.is_full(record.bounds)) {
+            ReadState::Open
+        } else {
+            connection.socket.read(scratch)
+        };
         if read_state == ReadState::Unread {
             self.unread.insert(id);
         } else {
@@ -336,6 +343,10 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        if !connection.socket.input.is_empty() {
+            // Reading may have stopped while the input was full.
+            self.unread.insert(id);
+        }
         if connection.close_after {
             connection.phase = CallerPhase::Lingering(now);
             // The end of the stream signals the caller that nothing follows.
@@ -415,6 +426,12 @@
 }
 
 impl CallerConnection {
+    /// Returns whether no more input is read until the response is complete.
+    fn is_full(&self, bounds: ConnectionBounds) -> bool {
+        let input_max = bounds.head_max + bounds.body_max;
+        matches!(self.phase, CallerPhase::Processing(_)) && self.socket.input.len() >= input_max
+    }
+
     /// Queues a part; false when the connection must be closed.
     fn write_part(&mut self, part: ResponsePart) -> bool {
         match part {
