--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -5,11 +5,13 @@
 //! connection.
 //!
 //! Guarantees: a connection has at most one request in flight, and pipelined
-//! requests wait in its buffer; a connection that ends while its request is in
-//! flight is reported at once; durations and lengths are limited by the
-//! listener's bounds; a truncated response is never framed as a complete one.
+//! requests wait in its buffer; beyond the length of one request they are not
+//! read; a connection that ends while its request is in flight is reported at
+//! once, unless bytes before its end are not read; durations and lengths are
+//! limited by the listener's bounds; a truncated response is never framed as a
+//! complete one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -100,6 +102,8 @@
     next_id: CallerId,
     /// Connections with queued bytes that are not yet written.
     dirty: Vec<CallerId>,
+    /// Connections that may have more bytes than their last turn read.
+    unread: BTreeSet<CallerId>,
 }
 
 /// Events for the role.
@@ -209,17 +213,39 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let read_state = connection.socket.read(scratch);
+        let record = self.listeners.get(&connection.listener);
+        let read_state = if record.is_some_and(|record| connection.is_full(record.bounds)) {
+            ReadState::Open
+        } else {
+            connection.socket.read(scratch)
+        };
+        if read_state == ReadState::Unread {
+            self.unread.insert(id);
+        } else {
+            self.unread.remove(&id);
+        }
         if matches!(connection.phase, CallerPhase::Lingering(_)) {
             connection.socket.input.clear();
         }
-        if read_state != ReadState::Open || !connection.flush() {
+        if !read_state.is_open() || !connection.flush() {
             self.close(id, events);
             return;
         }
         self.read_requests(now, id, events);
     }
 
+    /// Returns whether a connection must be read again.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Reads the connections again that have more bytes than one turn reads.
+    pub fn read_again(&mut self, now: Instant, scratch: &mut [u8], events: &mut CallerEvents) {
+        for id in std::mem::take(&mut self.unread) {
+            self.handle_ready(now, id, scratch, events);
+        }
+    }
+
     /// Queues a part of a response; the connection of a caller that stops
     /// reading is closed once too much is buffered.
     pub fn queue_response_part(
@@ -238,11 +264,15 @@
         let listener = self.listeners.get(&connection.listener);
         connection.close_after |= listener.is_some_and(|record| record.closing);
         let ended = matches!(part, ResponsePart::End);
-        if !connection.write_part(part) || connection.socket.output.len() > RESPONSE_BUFFER_MAX {
+        if !connection.write_part(part) {
             self.requests.remove(&request);
             self.connections.remove(&id);
             return;
         }
+        if connection.socket.output.len() > RESPONSE_BUFFER_MAX {
+            self.close(id, events);
+            return;
+        }
         self.dirty.push(id);
         if ended {
             self.requests.remove(&request);
@@ -317,6 +347,10 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        if !connection.socket.input.is_empty() {
+            // Reading may have stopped while the input was full.
+            self.unread.insert(id);
+        }
         if connection.close_after {
             connection.phase = CallerPhase::Lingering(now);
             // The end of the stream signals the caller that nothing follows.
@@ -396,6 +430,12 @@
 }
 
 impl CallerConnection {
+    /// Returns whether no more input is read until the response is complete.
+    fn is_full(&self, bounds: ConnectionBounds) -> bool {
+        let input_max = bounds.head_max + bounds.body_max;
+        matches!(self.phase, CallerPhase::Processing(_)) && self.socket.input.len() >= input_max
+    }
+
     /// Queues a part; false when the connection must be closed.
     fn write_part(&mut self, part: ResponsePart) -> bool {
         match part {
