--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -9,7 +9,7 @@
 //! flight is reported at once; durations and lengths are limited by the
 //! listener's bounds; a truncated response is never framed as a complete one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -100,6 +100,8 @@
     next_id: CallerId,
     /// Connections with queued bytes that are not yet written.
     dirty: Vec<CallerId>,
+    /// Connections that may have more bytes than their last turn read.
+    unread: BTreeSet<CallerId>,
 }
 
 /// Events for the role.
@@ -210,16 +212,33 @@
             return;
         };
         let read_state = connection.socket.read(scratch);
+        if read_state == ReadState::Unread {
+            self.unread.insert(id);
+        } else {
+            self.unread.remove(&id);
+        }
         if matches!(connection.phase, CallerPhase::Lingering(_)) {
             connection.socket.input.clear();
         }
-        if read_state != ReadState::Open || !connection.flush() {
+        if !read_state.is_open() || !connection.flush() {
             self.close(id, events);
             return;
         }
         self.read_requests(now, id, events);
     }
 
+    /// Returns whether a connection must be read again.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
+    }
+
+    /// Reads the connections again that have more bytes than one turn reads.
+    pub fn read_again(&mut self, now: Instant, scratch: &mut [u8], events: &mut CallerEvents) {
+        for id in std::mem::take(&mut self.unread) {
+            self.handle_ready(now, id, scratch, events);
+        }
+    }
+
     /// Queues a part of a response; the connection of a caller that stops
     /// reading is closed once too much is buffered.
     pub fn queue_response_part(
@@ -238,11 +257,15 @@
         let listener = self.listeners.get(&connection.listener);
         connection.close_after |= listener.is_some_and(|record| record.closing);
         let ended = matches!(part, ResponsePart::End);
-        if !connection.write_part(part) || connection.socket.output.len() > RESPONSE_BUFFER_MAX {
+        if !connection.write_part(part) {
             self.requests.remove(&request);
             self.connections.remove(&id);
             return;
         }
+        if connection.socket.output.len() > RESPONSE_BUFFER_MAX {
+            self.close(id, events);
+            return;
+        }
         self.dirty.push(id);
         if ended {
             self.requests.remove(&request);
