http1: a chunk size line has a digit

A chunked response that was broken off after a chunk and followed by a blank line ("\r\n\r\n\r\n") or by a line without a size (";x\r\n") was passed to the caller as complete. The same lines ended the chunked body of a request, so that an intermediary that reads them otherwise takes the bytes that follow for part of the body while the gateway takes them for the next request.

The cause: httparse::parse_chunk_size returns 0 for a size line without digits, and a size of 0 starts the trailer section.

Evidence: response_chunk_without_size_refused and request_chunk_without_size_refused failed before in all six cases: a response with an end, ([200], "a", 1), and a request with the body "a".

The line's first byte must be a hexadecimal digit now, which the grammar requires (RFC 9112, section 7.1), also while the rest of the line has not arrived.

--- a/crates/http1/src/body_framing.rs
+++ b/crates/http1/src/body_framing.rs
@@ -125,6 +125,10 @@
     }
 
     fn read_chunk_size(&mut self, buf: &mut BytesMut) -> Result<bool, BodyError> {
+        // The parser reads a size without digits as 0, which would end the body.
+        if buf.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+            return Err(BodyError);
+        }
         match httparse::parse_chunk_size(buf) {
             Ok(httparse::Status::Complete((len, size))) if len <= SIZE_LINE_MAX => {
                 buf.advance(len);
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -82,6 +82,18 @@
     );
 }
 
+/// A chunk size line without digits counted as the last chunk of a request.
+#[rstest]
+#[case::blank("")]
+#[case::space(" ")]
+#[case::extension(";x")]
+fn request_chunk_without_size_refused(#[case] size: &str) {
+    let text =
+        format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n{size}\r\n\r\n");
+    let error = read_bytewise(text.as_bytes()).expect_err("request must be rejected");
+    assert_eq!(error, RequestError::BadBody);
+}
+
 #[test]
 fn request_long_head_refused() {
     let mut text = b"GET / HTTP/1.1\r\nA: ".to_vec();
@@ -201,6 +213,18 @@
     assert_eq!(outcome, Err(HeadError::BadFraming));
 }
 
+/// A chunk size line without digits ended a truncated body as a complete one.
+#[rstest]
+#[case::blank("")]
+#[case::space(" ")]
+#[case::extension(";x")]
+fn response_chunk_without_size_refused(#[case] size: &str) {
+    let text =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n{size}\r\n\r\n");
+    let error = read_responses(text.as_bytes(), true).expect_err("response must be rejected");
+    assert_eq!(error, HeadError::BadFraming);
+}
+
 #[test]
 fn response_malformed_refused() {
     assert!(read_responses(b"\x00\x01garbage\r\n\r\n", false).is_err());
