runtime: a reset beside an unsent request body isn't a complete response

A caller received a truncated response as complete when the endpoint responded without length before it had read a long request, sent a part of the body and reset the connection.

The cause: the exchange's connection was written before it was read. The write that failed with the reset (ECONNRESET) took the error from the socket, the read after it returned the end of the stream, and an end of the stream completes a body without length.

Evidence: unframed_body_early_end, which runs an exchange table against real sockets, failed before in its case `reset` with Complete. Its case `closed`, in which the endpoint closes its sending side before the reset, passed before and after: an endpoint may respond before it has read a long body.

The connection is now read first, so that the read reports the reset. A write that fails otherwise fails the exchange, except with EPIPE, which the system reports for a reset that arrives after the end of the peer's stream: what the peer sent is then read to that end. While a turn leaves bytes unread, nothing is written, so that no write can fail ahead of them.

The module exchange_table becomes public for its test, like head_check and link_table. All tests of the file run on one thread, as a process may have only one Stakker.

--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -201,8 +201,7 @@
                 return;
             }
         }
-        let written = connection.socket.flush();
-        let read_state = connection.socket.read(scratch);
+        let read_state = connection.socket.transfer(scratch);
         if read_state == ReadState::Unread {
             self.unread.insert(id);
         } else {
@@ -218,7 +217,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        if read_state.is_open() && written {
+        if read_state.is_open() {
             return;
         }
         let ConnectionState::Busy(exchange) = connection.state else {
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -1,7 +1,7 @@
 //! One TCP connection that carries HTTP: its buffers and the state of its
 //! incoming side.
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Error, ErrorKind, Read, Write};
 
 use bytes::{Buf, BytesMut};
 use stakker_mio::mio::net::TcpStream;
@@ -104,21 +104,44 @@
         ReadState::Unread
     }
 
+    /// Reads the available bytes of one turn, then writes queued bytes; returns
+    /// the state of the incoming side.
+    ///
+    /// The read comes first, because a write that fails takes the error from the
+    /// socket, and a reset connection then reads as closed.
+    pub fn transfer(&mut self, scratch: &mut [u8]) -> ReadState {
+        let read_state = self.read(scratch);
+        if read_state != ReadState::Open {
+            return read_state;
+        }
+        match self.write_queued() {
+            Ok(()) => ReadState::Open,
+            // The peer had closed its sending side when it refused the bytes, so
+            // that all it sent can still be read.
+            Err(err) if err.kind() == ErrorKind::BrokenPipe => self.read(scratch),
+            Err(_) => ReadState::Failed,
+        }
+    }
+
     /// Writes queued bytes until the socket would block; false when the
     /// connection failed.
     pub fn flush(&mut self) -> bool {
+        self.write_queued().is_ok()
+    }
+
+    fn write_queued(&mut self) -> Result<(), Error> {
         while !self.output.is_empty() {
             match (&*self.source).write(&self.output) {
-                Ok(0) => return false,
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(len) => {
                     self.output.advance(len);
                     self.has_sent = true;
                 }
-                Err(err) if err.kind() == ErrorKind::WouldBlock => return true,
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return false,
+                Err(err) => return Err(err),
             }
         }
-        true
+        Ok(())
     }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,7 +13,7 @@
 mod descriptor_limit;
 mod engine_client;
 mod event_sender;
-mod exchange_table;
+pub mod exchange_table;
 mod front_proxy;
 pub mod head_check;
 mod http_driver;
--- /dev/null
+++ b/crates/runtime/tests/exchange_table.rs
@@ -0,0 +1,169 @@
+//! Exchanges with an endpoint whose connections end or go on unexpectedly.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mulberrywell_role::{ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest};
+use mulberrywell_runtime::exchange_table::{ConnectionId, ExchangeStart, ExchangeTable};
+use rstest::rstest;
+use socket2::SockRef;
+use stakker::{Fwd, Stakker};
+use stakker_mio::mio::{Events, Poll};
+use stakker_mio::MioPoll;
+
+/// Timeout for an exchange to advance.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Length in bytes of a request body that the buffers of a connection don't hold.
+const LONG_BODY_LEN: usize = 64 * 1024 * 1024;
+
+/// Size in bytes of the endpoint's receive buffers.
+const RECEIVE_BUFFER: usize = 64 * 1024;
+
+const READ_LEN: usize = 64 * 1024;
+
+type TestBody = Box<dyn FnOnce(&MioPoll) + Send>;
+
+/// Runs a test on the thread of the process's only [`Stakker`].
+fn run_with_poll(body: impl FnOnce(&MioPoll) + Send + 'static) {
+    static BODIES: OnceLock<Sender<TestBody>> = OnceLock::new();
+    let bodies = BODIES.get_or_init(|| {
+        let (tx, rx) = channel::<TestBody>();
+        thread::spawn(move || {
+            let mut stakker = Stakker::new(Instant::now());
+            let poll = Poll::new().unwrap();
+            let poll = MioPoll::new(&mut stakker, poll, Events::with_capacity(16), 0).unwrap();
+            for body in rx {
+                body(&poll);
+            }
+        });
+        tx
+    });
+    let (tx, rx) = channel();
+    let body = move |poll: &MioPoll| {
+        let result = catch_unwind(AssertUnwindSafe(|| body(poll)));
+        tx.send(result).unwrap();
+    };
+    bodies.send(Box::new(body)).unwrap();
+    if let Err(panic) = rx.recv().unwrap() {
+        resume_unwind(panic);
+    }
+}
+
+/// An exchange table and the endpoint that it connects to.
+struct TableHarness<'a> {
+    poll: &'a MioPoll,
+    table: ExchangeTable,
+    listener: TcpListener,
+    /// Events so far.
+    events: Vec<ExchangeEvent>,
+}
+
+impl<'a> TableHarness<'a> {
+    fn new(poll: &'a MioPoll) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let socket = SockRef::from(&listener);
+        socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+        TableHarness {
+            poll,
+            table: ExchangeTable::default(),
+            listener,
+            events: Vec::new(),
+        }
+    }
+
+    fn start(&self, exchange: ExchangeId, body_len: usize) -> ExchangeStart {
+        ExchangeStart {
+            exchange,
+            address: self.listener.local_addr().unwrap(),
+            http: HttpRequest {
+                method: Bytes::from_static(b"POST"),
+                path: Bytes::from_static(b"/"),
+                headers: Vec::new(),
+                body: Bytes::from(vec![b'x'; body_len]),
+            },
+            echoed_field: None,
+            connect_timeout: EVENT_TIMEOUT,
+        }
+    }
+
+    /// Starts an exchange on a new connection; returns the connection and the
+    /// endpoint's side of it, which has received the start of the request.
+    fn open(&mut self, exchange: ExchangeId, body_len: usize) -> (ConnectionId, TcpStream) {
+        let id = self.table.next_connection_id();
+        let start = self.start(exchange, body_len);
+        let now = Instant::now();
+        self.table
+            .open(self.poll, now, id, &start, Fwd::new(|_| {}))
+            .unwrap();
+        let (mut endpoint, _) = self.listener.accept().unwrap();
+        self.handle_ready(id);
+        endpoint.read_exact(&mut [0]).unwrap();
+        (id, endpoint)
+    }
+
+    fn handle_ready(&mut self, id: ConnectionId) {
+        let mut scratch = vec![0; READ_LEN];
+        let now = Instant::now();
+        self.table
+            .handle_ready(now, id, &mut scratch, &mut self.events);
+    }
+
+    /// Advances an exchange to its end; returns the body and how the exchange ended.
+    fn finish(&mut self, id: ConnectionId) -> (Vec<u8>, ExchangeEnd) {
+        let deadline = Instant::now() + EVENT_TIMEOUT;
+        let mut body = Vec::new();
+        while Instant::now() < deadline {
+            self.handle_ready(id);
+            for event in self.events.drain(..) {
+                match event {
+                    ExchangeEvent::Head { .. } => {}
+                    ExchangeEvent::Data { data, .. } => body.extend_from_slice(&data),
+                    ExchangeEvent::End { end, .. } => return (body, end),
+                }
+            }
+        }
+        panic!("the exchange has not ended");
+    }
+}
+
+/// How an endpoint ends a connection whose request it has not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndpointEnd {
+    /// By a reset.
+    Reset,
+    /// By closing its sending side, and then by a reset.
+    ClosedThenReset,
+}
+
+fn end_connection(endpoint: TcpStream, end: EndpointEnd) {
+    if end == EndpointEnd::ClosedThenReset {
+        endpoint.shutdown(Shutdown::Write).unwrap();
+    }
+    let socket = SockRef::from(&endpoint);
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+    drop(endpoint);
+}
+
+/// A reset while the request was being written made a truncated body complete.
+#[rstest]
+#[case::reset(EndpointEnd::Reset, false)]
+#[case::closed(EndpointEnd::ClosedThenReset, true)]
+fn unframed_body_early_end(#[case] end: EndpointEnd, #[case] is_complete: bool) {
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open(1, LONG_BODY_LEN);
+        endpoint.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").unwrap();
+        end_connection(endpoint, end);
+        let (body, exchange_end) = harness.finish(id);
+        assert_eq!(body, b"half");
+        assert_eq!(exchange_end == ExchangeEnd::Complete, is_complete);
+        assert!(is_complete || matches!(exchange_end, ExchangeEnd::Broken(_)));
+    });
+}
