runtime: a kept connection with unread input isn't reused

A request without an echoed field, such as an order or a query to a worker, got the response to an earlier request when the endpoint sent an extra response on the idle connection and the request started before the connection's event was handled. The same order of events sent a request on a connection that the endpoint had closed.

The cause: only the handling of the event closes an idle connection on which bytes or its end arrive; the reuse of a connection looked at nothing.

Evidence: kept_connection_reused failed before in its cases `extra_response` and `close`, in which the connection was reused; its case `nothing` passed before.

A connection is peeked at before its reuse, and one with bytes, an end or an error is closed in favour of the next. A response that arrives after the peek can only be told apart by an echoed field.

--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -110,11 +110,7 @@
 impl ExchangeTable {
     /// Starts an exchange on an idle connection; false when there is none.
     pub fn reuse(&mut self, start: &ExchangeStart, events: &mut Vec<ExchangeEvent>) -> bool {
-        let Some(id) = self
-            .idle_connections
-            .get_mut(&start.address)
-            .and_then(Vec::pop)
-        else {
+        let Some(id) = self.pop_idle(start.address) else {
             return false;
         };
         let Some(connection) = self.connections.get_mut(&id) else {
@@ -368,6 +364,20 @@
         events.push(ExchangeEvent::End { exchange, end });
     }
 
+    /// Removes and returns the most recently used idle connection of an endpoint;
+    /// closes those before it on which bytes or an end have arrived.
+    fn pop_idle(&mut self, address: SocketAddr) -> Option<ConnectionId> {
+        let idle_ids = self.idle_connections.get_mut(&address)?;
+        while let Some(id) = idle_ids.pop() {
+            let connection = self.connections.get(&id);
+            if connection.is_some_and(|connection| !connection.socket.has_unread()) {
+                return Some(id);
+            }
+            self.connections.remove(&id);
+        }
+        None
+    }
+
     fn remove_idle(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.remove(&id) {
             if let Some(idle_ids) = self.idle_connections.get_mut(&connection.address) {
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Returns whether bytes, an end or an error have arrived that are not yet
+    /// read.
+    pub fn has_unread(&self) -> bool {
+        let peeked = self.source.peek(&mut [0]);
+        !matches!(peeked, Err(err) if err.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Reads the available bytes of one turn into `input`.
     pub fn read(&mut self, scratch: &mut [u8]) -> ReadState {
         // The poll is edge-triggered, so a turn that ends before reading would
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -20,6 +20,9 @@
 /// Timeout for an exchange to advance.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time in which what an endpoint sends arrives.
+const ARRIVAL_DELAY: Duration = Duration::from_millis(50);
+
 /// Length in bytes of a request body that the buffers of a connection don't hold.
 const LONG_BODY_LEN: usize = 64 * 1024 * 1024;
 
@@ -28,6 +31,8 @@
 
 const READ_LEN: usize = 64 * 1024;
 
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+
 type TestBody = Box<dyn FnOnce(&MioPoll) + Send>;
 
 /// Runs a test on the thread of the process's only [`Stakker`].
@@ -167,3 +172,35 @@
         assert!(is_complete || matches!(exchange_end, ExchangeEnd::Broken(_)));
     });
 }
+
+/// What an endpoint does on a connection between two exchanges.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IdleEvent {
+    Nothing,
+    /// Sends a second response to the first request.
+    ExtraResponse,
+    Close,
+}
+
+/// A response that arrived between two exchanges was taken for the second one's.
+#[rstest]
+#[case::nothing(IdleEvent::Nothing, true)]
+#[case::extra_response(IdleEvent::ExtraResponse, false)]
+#[case::close(IdleEvent::Close, false)]
+fn kept_connection_reused(#[case] idle_event: IdleEvent, #[case] is_reused: bool) {
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open(1, 0);
+        endpoint.write_all(RESPONSE).unwrap();
+        assert_eq!(harness.finish(id), (b"ab".to_vec(), ExchangeEnd::Complete));
+        match idle_event {
+            IdleEvent::Nothing => {}
+            IdleEvent::ExtraResponse => endpoint.write_all(RESPONSE).unwrap(),
+            IdleEvent::Close => endpoint.shutdown(Shutdown::Write).unwrap(),
+        }
+        thread::sleep(ARRIVAL_DELAY);
+        let start = harness.start(2, 0);
+        let reused = harness.table.reuse(&start, &mut harness.events);
+        assert_eq!(reused, is_reused);
+    });
+}
