runtime: an entry's connection resets until an unframed response is written

A caller of HTTP/1.0 at an entry received a truncated response that looked complete when the entry was killed (SIGKILL) while it wrote the response.

The cause: the end of the connection ends the body of a response without length and chunks, and the system closes the sockets of a killed process in an orderly way. The front proxy asked for a reset only where it ended a connection itself.

The front proxy sets a linger time of 0 with the head of a request of HTTP/1.0 and clears it when the response is written: before it closes its sending side, or once the connection is between requests and nothing of a response is pending. This adds two system calls to such a request and none to those of HTTP/1.1, whose bodies have a length or chunks.

--- a/crates/mulberrywell/tests/hostile_callers.rs
+++ b/crates/mulberrywell/tests/hostile_callers.rs
@@ -352,6 +352,21 @@
     assert_eq!(rest.end, RawEnd::Reset, "{}", rest.text());
 }
 
+// Guards against a response without chunks looking complete when its entry is killed.
+#[test]
+fn killed_entry_without_chunks_reset() {
+    let mut small = small_cluster(1, 1);
+    small
+        .engine
+        .configure(|config| config.between_tokens = Duration::from_millis(20));
+    let mut caller = start_stream_of_version(&small, "HTTP/1.0", "killed", 5_000);
+    let first_part = caller.read_until(CLOSE_TIMEOUT, |bytes| bytes.len() > 1_000);
+    assert_eq!(first_part.status(), 200);
+    small.cluster.kill("entry-0").unwrap();
+    let rest = caller.read_to_end(CLOSE_TIMEOUT);
+    assert_eq!(rest.end, RawEnd::Reset, "{}", rest.text());
+}
+
 // Guards against a response that the connection ends being reset although complete.
 #[test]
 fn complete_response_without_chunks_closed() {
--- a/crates/runtime/src/head_check.rs
+++ b/crates/runtime/src/head_check.rs
@@ -134,6 +134,12 @@
     }
 }
 
+/// Returns whether the sender of a valid head supports chunked transfer coding.
+pub fn allows_chunks(head: &[u8]) -> bool {
+    let line = head.split(|byte| *byte == b'\r').next();
+    !line.is_some_and(|line| line.ends_with(b" HTTP/1.0"))
+}
+
 /// Returns whether a line has a method, a path and a supported version.
 fn is_request_line(line: &str) -> bool {
     let mut words = line.split(' ');
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -17,7 +17,7 @@
 use mulberrywell_role::RequestId;
 use socket2::SockRef;
 
-use crate::head_check::{check_head, BodyLength, HeadError, HeadScan, HEAD_MAX};
+use crate::head_check::{allows_chunks, check_head, BodyLength, HeadError, HeadScan, HEAD_MAX};
 use crate::http_refusal::{
     HttpRefusal, AMBIGUOUS_LENGTH, BAD_REQUEST, BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_UPGRADE,
     TOO_SLOW,
@@ -125,6 +125,9 @@
     /// Set once the caller has closed its sending side while response bytes are
     /// still to be written.
     caller_ended: bool,
+    /// Closing the caller's socket sends a reset, as the end of the connection may
+    /// end the body of the current response, which is not yet written completely.
+    resets_on_drop: bool,
     /// Set once the upstream server has closed its sending side.
     upstream_ended: bool,
     /// Requests that were passed to a role and are not yet answered.
@@ -150,6 +153,7 @@
             inbound: Vec::new(),
             outbound: Vec::new(),
             caller_ended: false,
+            resets_on_drop: false,
             upstream_ended: false,
             requests: BTreeSet::new(),
             phase_since: now,
@@ -303,9 +307,16 @@
     }
 
     /// Makes closing the caller's socket send a reset.
-    pub fn reset_on_drop(&self) {
-        // A failed socket needs no reset.
-        let _ = SockRef::from(&self.caller).set_linger(Some(Duration::ZERO));
+    pub fn reset_on_drop(&mut self) {
+        self.set_reset_on_drop(true);
+    }
+
+    fn set_reset_on_drop(&mut self, resets: bool) {
+        if self.resets_on_drop != resets {
+            self.resets_on_drop = resets;
+            // A failed socket needs no reset.
+            let _ = SockRef::from(&self.caller).set_linger(resets.then_some(Duration::ZERO));
+        }
     }
 
     fn enter(&mut self, phase: ProxyPhase, now: Instant) {
@@ -348,6 +359,7 @@
                     BodyLength::Known(len) => BodyLength::Known(len + end as u64),
                     BodyLength::Chunked => BodyLength::Chunked,
                 };
+                self.set_reset_on_drop(!allows_chunks(&self.inbound[..end]));
                 self.enter(ProxyPhase::Body(remaining), now);
                 match self.upstream {
                     Some(_) => ProxyStep::Wait,
@@ -491,6 +503,9 @@
     /// Ends the connection once the upstream server has closed and all bytes
     /// have been written to the caller.
     fn finish_close(&mut self, now: Instant) -> ProxyStep {
+        if self.phase == ProxyPhase::Head && !self.has_pending_response() {
+            self.set_reset_on_drop(false);
+        }
         if !self.upstream_ended || !self.outbound.is_empty() || self.phase == ProxyPhase::Lingering
         {
             return ProxyStep::Wait;
@@ -499,6 +514,7 @@
             self.reset_on_drop();
             return ProxyStep::Ended;
         }
+        self.set_reset_on_drop(false);
         if self.caller.shutdown(Shutdown::Write).is_err() || self.caller_ended {
             return ProxyStep::Ended;
         }
--- a/crates/runtime/tests/head_check.rs
+++ b/crates/runtime/tests/head_check.rs
@@ -1,6 +1,8 @@
 //! Checks which request heads are accepted and why others are rejected.
 
-use mulberrywell_runtime::head_check::{check_head, BodyLength, HeadError, HeadScan, HEAD_MAX};
+use mulberrywell_runtime::head_check::{
+    allows_chunks, check_head, BodyLength, HeadError, HeadScan, HEAD_MAX,
+};
 use rstest::rstest;
 
 const MAX_BODY: u64 = 1_000;
@@ -91,3 +93,10 @@
     head.push(b'a');
     assert_eq!(scan.advance(&head), Err(HeadError::TooLong));
 }
+
+#[rstest]
+#[case::version_1_0("GET / HTTP/1.0\r\nA: HTTP/1.1\r\n\r\n", false)]
+#[case::version_1_1("GET / HTTP/1.1\r\nA: HTTP/1.0\r\n\r\n", true)]
+fn allows_chunks_by_version(#[case] head: &str, #[case] allowed: bool) {
+    assert_eq!(allows_chunks(head.as_bytes()), allowed);
+}
