gateway: a broken connection is a crash only if the endpoint doesn't take another

An endpoint that breaks off a request is now asked for its health. It has crashed if it refuses the connection, or breaks off two of these; a response shows that it is up, and nothing within 300 ms shows nothing. Only crashes are reported, with their time. To tell a refusal from a lost connection, the end of an exchange has a variant of its own.

--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -51,8 +51,9 @@
                 parts: crash.parts.into_iter().collect(),
                 forwarded: instant(crash.running_ms),
             };
+            let at = instant(crash.age_ms);
             self.ledger
-                .record_crash(now, &crash.endpoint, crash.born_ms, request);
+                .record_crash(at, &crash.endpoint, crash.born_ms, request);
         }
         for sound in report.sound {
             self.ledger.record_sound(sound.part, instant(sound.age_ms));
--- a/crates/control/tests/role_cases/prompt_cases.rs
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -21,6 +21,7 @@
             born_ms: 1,
             parts: vec![SHARED, CRASHING],
             running_ms: 50,
+            age_ms: 5,
         }],
         ..PromptReport::default()
     })
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -235,6 +235,12 @@
         self.calls.len()
     }
 
+    /// Returns the id of a new exchange, which belongs to no call.
+    pub fn new_exchange(&mut self) -> ExchangeId {
+        self.next_exchange += 1;
+        self.next_exchange
+    }
+
     /// Starts an exchange for a call and returns the exchange's id.
     pub fn begin_exchange(&mut self, request: RequestId) -> ExchangeId {
         self.next_exchange += 1;
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -23,6 +23,7 @@
 use crate::caller_responses::send_empty_response;
 use crate::control_links::ControlLinks;
 use crate::demand_tracker::DemandTracker;
+use crate::endpoint_probes::EndpointProbes;
 use crate::endpoint_table::EndpointTable;
 use crate::gateway_metrics as metrics;
 use crate::prompt_guard::PromptGuard;
@@ -111,6 +112,7 @@
     pub(crate) links: ControlLinks,
     pub(crate) demand: DemandTracker,
     pub(crate) prompts: PromptGuard,
+    pub(crate) probes: EndpointProbes,
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
@@ -141,6 +143,7 @@
             links: ControlLinks::new(&config.seeds, now),
             demand: DemandTracker::default(),
             prompts: PromptGuard::default(),
+            probes: EndpointProbes::default(),
             rate_waits: VecDeque::new(),
             stopping: None,
             stopped_accepting: false,
@@ -302,6 +305,7 @@
             self.next_tick = now + TICK_INTERVAL;
             self.demand.remove_expired(now);
             self.report_loads();
+            self.expire_probes(now, actions);
             self.report_prompts(now, true, actions);
             let in_flight = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::IN_WORK, in_flight);
--- a/crates/gateway/src/prompt_guard.rs
+++ b/crates/gateway/src/prompt_guard.rs
@@ -1,7 +1,7 @@
 //! Keeps requests from endpoints that crash under a part of their prompts.
 //!
-//! Algorithm: the gateway reports each request that an endpoint broke off, with the
-//! shared parts of its prompt, to every control instance, and the parts that control
+//! Algorithm: the gateway reports each request that an endpoint broke off in a crash,
+//! with the shared parts of its prompt, to every control instance, and the parts that control
 //! watches on which responses last. Control finds the part that the crashes have in
 //! common and quarantines it. A request with a quarantined part is refused at once;
 //! one that an endpoint has not begun to respond to is cancelled.
@@ -9,9 +9,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use mulberrywell_limit::{PartId, PartSet, QuarantineTable};
+use mulberrywell_limit::{PartId, PartSet, QuarantineTable, SuspectRequest};
 use mulberrywell_policy::PromptPart;
 use mulberrywell_role::{LinkCommand, LinkId, LogLevel, MetricKind, RequestId, RoleAction};
+use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::serving::{
     PromptCrash, PromptNotice, PromptQuarantine, PromptReport, SoundPart,
 };
@@ -53,22 +54,24 @@
         self.quarantines.find(now, &part_ids(call.shared_parts()))
     }
 
-    /// Records that an endpoint broke off a call, unless the response had lasted.
-    pub fn record_break(&mut self, now: Instant, call: &CallRecord) {
-        let parts = call.shared_parts();
-        let (Some(forwarded), false) = (call.attempt_started, parts.is_empty()) else {
-            return;
-        };
-        let first_event = call.response.first_event;
-        if first_event.is_some_and(|at| now.saturating_duration_since(at) >= SOUND_TIME) {
-            return;
-        }
-        self.crashes.push(PromptCrash {
-            endpoint: call.endpoint.clone(),
-            born_ms: call.endpoint_born_ms,
-            parts: part_ids(parts),
-            running_ms: millis(now.saturating_duration_since(forwarded)),
-        });
+    /// Records the requests that an endpoint broke off when it crashed, with the time
+    /// of the crash.
+    pub fn record_crashes(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointId,
+        born_ms: u64,
+        requests: impl Iterator<Item = (SuspectRequest, Instant)>,
+    ) {
+        let since = |at: Instant| millis(now.saturating_duration_since(at));
+        self.crashes
+            .extend(requests.map(|(request, broken_at)| PromptCrash {
+                endpoint: endpoint.clone(),
+                born_ms,
+                running_ms: since(request.forwarded),
+                parts: request.parts.into_iter().collect(),
+                age_ms: since(broken_at),
+            }));
     }
 
     /// Records that a response, begun at an instant, has lasted.
@@ -242,6 +245,21 @@
     }
 }
 
+/// Returns what a request that an endpoint broke off says of its prompt; none if the
+/// response had lasted.
+pub(crate) fn broken_request(now: Instant, call: &CallRecord) -> Option<SuspectRequest> {
+    let parts = call.shared_parts();
+    let first_event = call.response.first_event;
+    let has_lasted = first_event.is_some_and(|at| now.saturating_duration_since(at) >= SOUND_TIME);
+    if parts.is_empty() || has_lasted {
+        return None;
+    }
+    Some(SuspectRequest {
+        parts: part_ids(parts).into_iter().collect(),
+        forwarded: call.attempt_started?,
+    })
+}
+
 fn part_ids(parts: &[PromptPart]) -> Vec<PartId> {
     parts.iter().map(|part| part.id).collect()
 }
--- a/crates/gateway/src/response_check.rs
+++ b/crates/gateway/src/response_check.rs
@@ -21,7 +21,7 @@
 pub(crate) fn check_response(call: &CallRecord, end: ExchangeEnd) -> Result<(), FailureCause> {
     let response = &call.response;
     let (failure, text) = match end {
-        ExchangeEnd::NotSent(text) => (AttemptFailure::NotSent, text),
+        ExchangeEnd::NotSent(text) | ExchangeEnd::Refused(text) => (AttemptFailure::NotSent, text),
         ExchangeEnd::Broken(text) if response.not_run => (AttemptFailure::NotRun, text),
         ExchangeEnd::Broken(text) => (AttemptFailure::Broken, text),
         ExchangeEnd::Complete if response.not_run => {
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -40,6 +40,9 @@
         event: ExchangeEvent,
         actions: &mut Actions,
     ) {
+        if self.handle_probe(now, &event, actions) {
+            return;
+        }
         match event {
             ExchangeEvent::Head {
                 exchange,
@@ -59,9 +62,8 @@
             }
             ExchangeEvent::End { exchange, end } => {
                 if let Some(request) = self.calls.end_exchange(exchange) {
-                    let call = self.calls.get(request);
-                    if let (ExchangeEnd::Broken(_), Some(call)) = (end, call) {
-                        self.prompts.record_break(now, call);
+                    if matches!(end, ExchangeEnd::Broken(_)) {
+                        self.record_break(now, request, actions);
                     }
                     self.handle_end(now, request, end, actions);
                 }
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -98,7 +98,7 @@
 /// Crashes of endpoints, and the parts that are quarantined for them.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
-    /// Oldest first.
+    /// In order of their first reports.
     incidents: Vec<CrashIncident>,
     /// When the latest response that lasted was begun on a part.
     sound: BTreeMap<PartId, Instant>,
@@ -278,7 +278,9 @@
             let is_settled = now.saturating_duration_since(incident.at) >= SETTLE_TIME;
             is_settled && self.is_suspect(part, incident)
         });
-        incidents.collect()
+        let mut incidents: Vec<&CrashIncident> = incidents.collect();
+        incidents.sort_by_key(|incident| incident.at);
+        incidents
     }
 
     fn is_suspect(&self, part: PartId, incident: &CrashIncident) -> bool {
--- a/crates/role/src/endpoint_exchange.rs
+++ b/crates/role/src/endpoint_exchange.rs
@@ -43,6 +43,8 @@
     Complete,
     /// No byte of the request was sent.
     NotSent(&'static str),
+    /// The endpoint refused the connection.
+    Refused(&'static str),
     /// The response is incomplete; the endpoint may have executed the request.
     Broken(&'static str),
 }
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -193,7 +193,7 @@
             Ok(true) => connection.connect_deadline = None,
             Ok(false) => return,
             Err(()) => {
-                self.fail_exchange(id, "the connection was refused", events);
+                self.refuse_exchange(id, events);
                 return;
             }
         }
@@ -343,6 +343,16 @@
         self.idle_connections.entry(address).or_default().push(id);
     }
 
+    fn refuse_exchange(&mut self, id: ConnectionId, events: &mut Vec<ExchangeEvent>) {
+        let connection = self.connections.remove(&id);
+        let state = connection.map(|connection| connection.state);
+        if let Some(ConnectionState::Busy(exchange)) = state {
+            self.exchanges.remove(&exchange);
+            let end = ExchangeEnd::Refused("the connection was refused");
+            events.push(ExchangeEvent::End { exchange, end });
+        }
+    }
+
     fn fail_exchange(
         &mut self,
         id: ConnectionId,
