--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -29,6 +29,7 @@
 mod metric_text;
 mod process;
 mod proxy_connection;
+mod proxy_io;
 mod reset_connector;
 mod role_host;
 mod start_tracker;
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -9,7 +9,6 @@
 //! buffers of the other side.
 
 use std::collections::BTreeSet;
-use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -22,6 +21,7 @@
     HttpRefusal, AMBIGUOUS_LENGTH, BAD_REQUEST, BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_UPGRADE,
     TOO_SLOW,
 };
+use crate::proxy_io::{read_some, write_some, ReadOutcome, WriteOutcome};
 
 /// Size in bytes of one read, and limit of the bytes buffered in each
 /// direction.
@@ -532,21 +532,6 @@
     Failed,
 }
 
-enum ReadOutcome {
-    Data(usize),
-    Blocked,
-    /// The peer has closed its sending side.
-    End,
-    Failed,
-}
-
-#[derive(Clone, Copy)]
-enum WriteOutcome {
-    Written(usize),
-    Blocked,
-    Failed,
-}
-
 impl From<WriteOutcome> for MoveOutcome {
     fn from(outcome: WriteOutcome) -> Self {
         match outcome {
@@ -557,45 +542,6 @@
     }
 }
 
-fn read_some(socket: &mut TcpStream, ready: &mut SocketReady, buf: &mut [u8]) -> ReadOutcome {
-    loop {
-        match socket.read(buf) {
-            Ok(0) => return ReadOutcome::End,
-            Ok(len) => return ReadOutcome::Data(len),
-            Err(err) if err.kind() == ErrorKind::Interrupted => {}
-            Err(err) if err.kind() == ErrorKind::WouldBlock => {
-                ready.read = false;
-                return ReadOutcome::Blocked;
-            }
-            Err(_) => return ReadOutcome::Failed,
-        }
-    }
-}
-
-/// Writes up to `limit` bytes of `data` and removes the written ones.
-fn write_some(
-    socket: &mut TcpStream,
-    ready: &mut SocketReady,
-    data: &mut Vec<u8>,
-    limit: usize,
-) -> WriteOutcome {
-    if limit == 0 {
-        return WriteOutcome::Blocked;
-    }
-    match socket.write(&data[..limit]) {
-        Ok(len) => {
-            data.drain(..len);
-            WriteOutcome::Written(len)
-        }
-        Err(err) if err.kind() == ErrorKind::Interrupted => WriteOutcome::Written(0),
-        Err(err) if err.kind() == ErrorKind::WouldBlock => {
-            ready.write = false;
-            WriteOutcome::Blocked
-        }
-        Err(_) => WriteOutcome::Failed,
-    }
-}
-
 fn head_refusal(error: HeadError) -> HttpRefusal {
     match error {
         HeadError::Malformed => BAD_REQUEST,
