gateway: only a response of success shows that a prompt is sound

What could happen: a part that crashes engines is cleared of their crashes because an engine refuses another of its requests, say with 400, and is found later.

Cause: any complete response below 500 counted as one that was begun on the prompt and lasted. Evidence: error_response_not_reported_as_sound failed before, and passes.

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -1,6 +1,7 @@
 //! The table of calls in progress.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -13,6 +14,9 @@
 use crate::call_codec::CallTerms;
 use crate::event_splitter::EventSplitter;
 
+/// Statuses of success.
+const SUCCESS_STATUSES: Range<u16> = 200..300;
+
 /// Properties of a route that apply to its calls.
 #[derive(Debug, Clone)]
 pub struct RouteTerms {
@@ -102,6 +106,13 @@
     pub body: BytesMut,
 }
 
+impl PendingResponse {
+    /// Returns whether the status is one of success.
+    pub fn is_success(&self) -> bool {
+        SUCCESS_STATUSES.contains(&self.status)
+    }
+}
+
 /// State of one call.
 #[derive(Debug)]
 pub struct CallRecord {
--- a/crates/gateway/src/prompt_guard.rs
+++ b/crates/gateway/src/prompt_guard.rs
@@ -214,7 +214,8 @@
     /// Records a part of a response: a response that has lasted shows that its
     /// prompt is sound.
     pub(crate) fn record_progress(&mut self, now: Instant, request: RequestId, is_complete: bool) {
-        let Some(call) = self.calls.get_mut(request) else {
+        let call = self.calls.get_mut(request);
+        let Some(call) = call.filter(|call| call.response.is_success()) else {
             return;
         };
         let begun = *call.response.first_event.get_or_insert(now);
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -5,7 +5,6 @@
 //! incomplete one can be retried; beyond [`BUFFERED_BODY_MAX`] it is forwarded
 //! in chunks.
 
-use std::ops::Range;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -27,9 +26,6 @@
 /// Maximum size in bytes of a body that is buffered until it is complete.
 const BUFFERED_BODY_MAX: usize = 256 * 1024;
 
-/// Statuses of success; the body of any other status is no stream.
-const SUCCESS_STATUSES: Range<u16> = 200..300;
-
 /// Lowest status of server errors.
 const SERVER_ERROR_MIN: u16 = 500;
 
@@ -91,8 +87,9 @@
         call.response.run_unconfirmed = terms.run_unconfirmed;
         call.response.misdirected = terms.misdirected;
         call.response.continues_stream = terms.continues_stream;
+        // The body of an error is no stream.
         call.response.is_stream =
-            SUCCESS_STATUSES.contains(&head.status) && (terms.is_stream || call.route.is_stream);
+            call.response.is_success() && (terms.is_stream || call.route.is_stream);
         call.response.head = Some(head);
         call.attempt_deadline = None;
     }
