gateway: log what a planned stop has to finish and what it cuts

A stream that a stop cut had outcome=timed_out, as one at its own timeout has, and no line told when the stop began, with how many calls, or how long a response was allowed to be. The shutdown moves to a module of its own; what it decides is as before.

--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -138,13 +138,14 @@
         let first = call.first_chunk.map_or(0, since);
         let model = call.terms.model.as_ref();
         let line = format!(
-            "request id={} route={} account={account} units={} model={} adapter={} version={} \
-             endpoint={} attempts={} ran={:?} wait_ms={wait} first_ms={first} pause_ms={} \
+            "request id={} route={} account={account} units={} output={} model={} adapter={} \
+             version={} endpoint={} attempts={} ran={:?} wait_ms={wait} first_ms={first} pause_ms={} \
              spent_ms={} status={status} delimited={} event={} \
              outcome={outcome}",
             text(&call.terms.id),
             text(&call.route.name),
             call.units,
+            call.terms.tokens.map_or(0, |tokens| tokens.output),
             model.map(|model| text(&model.model)).unwrap_or_default(),
             model.map(|model| text(&model.adapter)).unwrap_or_default(),
             call.version,
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -11,14 +11,12 @@
     RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_serving::ServingIndex;
-use mulberrywell_wire::serving::{
-    CallerLimits, RepeatRule, ServingAttach, ServingRoute, ServingUpdate,
-};
+use mulberrywell_wire::serving::{CallerLimits, ServingAttach, ServingUpdate};
 use mulberrywell_wire::FrameBody;
 
 use crate::admission::RateWait;
 use crate::attempts::WAIT_INTERVAL;
-use crate::call_codec::{CallCodec, RefusalReason};
+use crate::call_codec::CallCodec;
 use crate::call_table::CallTable;
 use crate::caller_responses::send_empty_response;
 use crate::control_links::ControlLinks;
@@ -28,6 +26,7 @@
 use crate::gateway_metrics as metrics;
 use crate::prompt_guard::PromptGuard;
 use crate::rate_limits::RateLimits;
+use crate::shutdown::ShutdownState;
 
 /// Listener for callers.
 pub const CALLER_LISTENER: ListenerId = 0;
@@ -38,18 +37,6 @@
 /// Interval of periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time from the start of a shutdown in which streams are accepted: the load
-/// balancer takes two seconds to notice that an instance is not ready.
-const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
-
-/// Divisor of the shutdown limit that bounds that time, so that most of it is left
-/// for the streams.
-const STREAM_ACCEPT_DIVISOR: u32 = 3;
-
-/// Margin before the shutdown limit in which new callers are no longer
-/// accepted; a plain service responds well within it.
-const ACCEPT_MARGIN: Duration = Duration::from_millis(1_500);
-
 /// Budget units of one retry; the budget counts in hundredths.
 const RETRY_HUNDREDTHS: u32 = 100;
 
@@ -57,9 +44,6 @@
 /// recorded; counters draw theirs at random.
 const UNCOUNTED_EPOCH: u64 = 0;
 
-/// Time for sending the last responses to callers.
-const FLUSH_TIME: Duration = Duration::from_millis(100);
-
 /// Limits on callers' requests where the configuration sets none.
 const BOUNDS_DEFAULT: ConnectionBounds = ConnectionBounds {
     head_max: 16 * 1024,
@@ -116,13 +100,9 @@
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
-    /// When the shutdown began.
-    stopping: Option<Instant>,
-    /// Whether new callers are no longer accepted.
-    stopped_accepting: bool,
-    finished: bool,
+    pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
-    last_handled: Instant,
+    pub(crate) last_handled: Instant,
     next_tick: Instant,
     /// When waiting calls are next retried.
     next_retry: Instant,
@@ -145,9 +125,7 @@
             prompts: PromptGuard::default(),
             probes: EndpointProbes::default(),
             rate_waits: VecDeque::new(),
-            stopping: None,
-            stopped_accepting: false,
-            finished: false,
+            shutdown: ShutdownState::default(),
             last_handled: now,
             next_tick: now,
             next_retry: now,
@@ -158,7 +136,7 @@
 
     /// Returns whether this instance accepts callers.
     pub fn is_ready(&self) -> bool {
-        self.index.version() > 0 && self.endpoints.len() > 0 && self.stopping.is_none()
+        self.index.version() > 0 && self.endpoints.len() > 0 && !self.shutdown.has_begun()
     }
 
     /// Returns this instance's share of a service's retry budget.
@@ -318,47 +296,6 @@
         self.check_shutdown(now, actions);
     }
 
-    fn begin_shutdown(&mut self, now: Instant, actions: &mut Actions) {
-        self.stopping = self.stopping.or(Some(now));
-        actions.push(RoleAction::DrainConnections(CALLER_LISTENER));
-    }
-
-    /// Returns whether calls of a route are accepted. Some time into a shutdown
-    /// streams are left to other instances, as they may last longer than what
-    /// remains; until then the load balancer still sends callers here.
-    pub(crate) fn accepts_route(&self, now: Instant, route: &ServingRoute) -> bool {
-        let Some(since) = self.stopping else {
-            return true;
-        };
-        let limit = STREAM_ACCEPT_TIME.min(self.config.shutdown_limit / STREAM_ACCEPT_DIVISOR);
-        let accepts_streams = now.saturating_duration_since(since) < limit;
-        accepts_streams || route.repeat() != RepeatRule::Stream
-    }
-
-    /// Advances a shutdown: stops accepting callers, aborts the calls that remain
-    /// at the limit, and finishes once no call is left after the minimum duration.
-    fn check_shutdown(&mut self, now: Instant, actions: &mut Actions) {
-        let Some(since) = self.stopping.filter(|_| !self.finished) else {
-            return;
-        };
-        let elapsed = now.saturating_duration_since(since);
-        let accept_time = self.config.shutdown_limit.saturating_sub(ACCEPT_MARGIN);
-        if elapsed >= accept_time && !self.stopped_accepting {
-            self.stopped_accepting = true;
-            actions.push(RoleAction::StopAccepting(CALLER_LISTENER));
-        }
-        if elapsed >= self.config.shutdown_limit {
-            for request in self.calls.requests() {
-                self.end_unserved(now, request, RefusalReason::TimedOut, actions);
-            }
-        }
-        let is_drained = elapsed >= self.config.min_shutdown && self.calls.is_empty();
-        if is_drained || elapsed >= self.config.shutdown_limit + FLUSH_TIME {
-            self.finished = true;
-            actions.push(RoleAction::Finished);
-        }
-    }
-
     /// Reports the admitted units to every control instance.
     fn report_rates(&mut self, now: Instant) {
         if let Some(report) = self.rates.report(now) {
@@ -390,18 +327,6 @@
             self.commands.extend(command);
         }
     }
-
-    fn shutdown_deadline(&self) -> Option<Instant> {
-        let since = self.stopping.filter(|_| !self.finished)?;
-        let times = [
-            self.config.min_shutdown,
-            self.config.shutdown_limit.saturating_sub(ACCEPT_MARGIN),
-            self.config.shutdown_limit,
-            self.config.shutdown_limit + FLUSH_TIME,
-        ];
-        let instants = times.map(|time| since + time);
-        instants.into_iter().find(|at| *at > self.last_handled)
-    }
 }
 
 impl<C: CallCodec> RoleMachine for GatewayRole<C> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod rate_limits;
 mod response_check;
 mod response_flow;
+mod shutdown;
 
 pub use call_codec::{
     CallCodec, CallTerms, ForwardTerms, ModelTerms, RefusalReason, ResponseTerms, TokenTerms,
