gateway: a planned stop accepts only what can be expected to end before it

Cause: what a stop accepts was decided by the age of the stop (2.5 s) and by the kind of the route, not by how long the work lasts. Ruled out: the change of the configuration (a call keeps the deadline it was admitted with, and the streams end at 7.80 s with or without one) and an early end of the process (the cut comes before it).

Each gateway now measures its responses: time to the first chunk and pace of events, as means with deviations, the events that output limits lead to, and the longest duration of each route. In a stop a call is forwarded only if its upper estimate fits in what is left; the same question is asked again when it has waited for its rate or its model, and before a stream is resumed. What doesn't fit and has not run gets 503 at once; a stream that can't be resumed here is aborted, so that its caller resumes it elsewhere. A short request is served up to the end of the stop, where every stream was refused after 2.5 s.

A stream that was accepted before SIGTERM and lasts longer than the whole stop is still cut.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -49,9 +49,7 @@
         match self.admit(now, http, terms) {
             Ok((call, has_rate)) => self.begin_call(now, request, call, has_rate, actions),
             Err(reason) => {
-                let mut retries = RETRY_DELAYS.iter();
-                let retry_after = retries.find(|(known, _)| *known == reason);
-                let retry_after = retry_after.map(|(_, delay)| *delay);
+                let retry_after = retry_delay(reason);
                 self.refuse_request(request, &id, reason, retry_after, actions);
             }
         }
@@ -70,9 +68,6 @@
         }
         let found = self.index.route(&terms.host, &http.path);
         let (_, route) = found.ok_or(RefusalReason::NoRoute)?;
-        if !self.accepts_route(now, route) {
-            return Err(RefusalReason::Stopping);
-        }
         let account = match self.index.owner(terms.key.as_ref()) {
             _ if route.open => None,
             KeyOwner::NoAccounts => None,
@@ -111,6 +106,7 @@
             first_chunk: None,
             last_chunk: None,
             longest_gap: Duration::ZERO,
+            pace_mark: None,
             http,
             terms,
         };
@@ -131,6 +127,12 @@
             self.refuse_request(request, &call.terms.id, reason, Some(left), actions);
             return;
         }
+        if !self.fits_shutdown(now, &call, None) {
+            let reason = RefusalReason::Stopping;
+            let retry_after = retry_delay(reason);
+            self.refuse_request(request, &call.terms.id, reason, retry_after, actions);
+            return;
+        }
         let account = call.account.clone().filter(|_| has_rate);
         let units = call.units;
         if let Some(model) = &call.terms.model {
@@ -228,6 +230,13 @@
     since: Instant,
 }
 
+/// Returns the retry delay of a refusal that another attempt can overcome.
+pub(crate) fn retry_delay(reason: RefusalReason) -> Option<Duration> {
+    let mut delays = RETRY_DELAYS.iter();
+    let found = delays.find(|(known, _)| *known == reason);
+    found.map(|(_, delay)| *delay)
+}
+
 fn prompt_chain(terms: &CallTerms) -> Vec<u64> {
     let Some(model) = &terms.model else {
         return Vec::new();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -99,7 +99,12 @@
             zone: &self.config.zone,
             entries: self.rates.holders(),
         };
-        match choose_endpoint(now, view, call) {
+        let endpoint = choose_endpoint(now, view, call);
+        if !self.fits_shutdown(now, call, endpoint.as_ref()) {
+            self.leave_call(now, request, actions);
+            return;
+        }
+        match endpoint {
             Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
             None if call.attempts > 0 => {
                 self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
@@ -168,6 +173,7 @@
         call.endpoint_born_ms = usage.born_ms();
         call.attempt_started = Some(now);
         call.response = PendingResponse::default();
+        call.pace_mark = None;
         call.attempt_deadline = response_timeout(call).map(|limit| now + limit);
         if let Some(at) = call.attempt_deadline {
             self.calls.set_timer(at, request);
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -172,6 +172,8 @@
     pub last_chunk: Option<Instant>,
     /// Longest time between two chunks.
     pub longest_gap: Duration,
+    /// When the pace of the current attempt was last measured, and at which event.
+    pub pace_mark: Option<(Instant, u64)>,
 }
 
 impl CallRecord {
@@ -281,6 +283,11 @@
         }
     }
 
+    /// Returns all calls.
+    pub fn iter(&self) -> impl Iterator<Item = &CallRecord> {
+        self.calls.values()
+    }
+
     /// Returns the requests of all calls.
     pub fn requests(&self) -> Vec<RequestId> {
         self.calls.keys().copied().collect()
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use mulberrywell_limit::FailureShare;
-use mulberrywell_policy::{stable_hash, PrefixCache};
+use mulberrywell_policy::{stable_hash, DurationEstimate, PrefixCache};
 use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{EndpointLoad, EndpointPhase, EndpointStatus, LoadShare};
 
@@ -43,6 +43,8 @@
     /// Models and adapters that the endpoint reported as not resident in a
     /// response; cleared by its next status.
     missing: BTreeSet<ModelTerms>,
+    /// Time from one event of a stream to the next.
+    pub event_pace: DurationEstimate,
     /// Consecutive failures.
     failures: u32,
     /// Share of failures among recent responses.
@@ -235,6 +237,11 @@
     }
 
     /// Returns the load and failure state of an endpoint.
+    pub fn usage(&self, id: &EndpointId) -> Option<&EndpointUsage> {
+        self.usages.get(id)
+    }
+
+    /// Returns the load and failure state of an endpoint for modification.
     pub fn usage_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointUsage> {
         self.usages.get_mut(id)
     }
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use mulberrywell_limit::{HolderCount, RetryBudget};
+use mulberrywell_policy::ResponseTimes;
 use mulberrywell_role::{
     ConnectionBounds, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
     RoleAction, RoleEvent, RoleMachine,
@@ -95,6 +96,8 @@
     pub(crate) budgets: BTreeMap<Bytes, RetryBudget>,
     pub(crate) links: ControlLinks,
     pub(crate) demand: DemandTracker,
+    /// Durations of responses by route.
+    pub(crate) times: BTreeMap<Bytes, ResponseTimes>,
     pub(crate) prompts: PromptGuard,
     pub(crate) probes: EndpointProbes,
     /// Calls whose units a total must contain before they are forwarded, in order
@@ -122,6 +125,7 @@
             budgets: BTreeMap::new(),
             links: ControlLinks::new(&config.seeds, now),
             demand: DemandTracker::default(),
+            times: BTreeMap::new(),
             prompts: PromptGuard::default(),
             probes: EndpointProbes::default(),
             rate_waits: VecDeque::new(),
@@ -231,6 +235,7 @@
                 let text = format!("configuration version={version} held={held} outcome=in_force");
                 actions.push(RoleAction::Log(LogLevel::Info, text));
                 self.rates.set_plans(now, self.index.config());
+                self.remove_unrouted_times();
                 let limits = self.index.config().limits.unwrap_or_default();
                 actions.push(RoleAction::SetConnectionBounds(
                     CALLER_LISTENER,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod rate_limits;
 mod response_check;
 mod response_flow;
+mod response_timing;
 mod shutdown;
 
 pub use call_codec::{
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -214,6 +214,10 @@
             usage.record_success(now);
         }
         call.prefill_tokens = 0;
+        self.record_pace(now, request);
+        let Some(call) = self.calls.get_mut(request) else {
+            return;
+        };
         let gap = call
             .last_chunk
             .replace(now)
@@ -249,6 +253,7 @@
         if !is_error {
             self.record_chunk(now, request, actions);
             self.record_progress(now, request, true);
+            self.record_whole(now, request);
             self.forward_rest(now, request, actions);
             return;
         }
--- /dev/null
+++ b/crates/gateway/src/response_timing.rs
@@ -0,0 +1,99 @@
+//! Measured durations of responses, and what they say of a call's end.
+
+use std::time::{Duration, Instant};
+
+use mulberrywell_role::RequestId;
+use mulberrywell_serving::EndpointId;
+
+use crate::call_codec::CallCodec;
+use crate::call_table::CallRecord;
+use crate::gateway_role::GatewayRole;
+
+/// Shortest time over which the pace of a stream is measured; events that were
+/// delayed on the way arrive together.
+const PACE_TIME: Duration = Duration::from_millis(200);
+
+impl<C: CallCodec> GatewayRole<C> {
+    /// Records the pace of a stream after a chunk.
+    pub(crate) fn record_pace(&mut self, now: Instant, request: RequestId) {
+        let Some(call) = self.calls.get_mut(request) else {
+            return;
+        };
+        let event = match call.events.last_event() {
+            Some(event) if call.response.is_stream => event,
+            _ => return,
+        };
+        let times = self.times.entry(call.route.name.clone()).or_default();
+        times.record_events(now, event, output_limit(call));
+        let Some((since, first)) = call.pace_mark else {
+            call.pace_mark = Some((now, event));
+            let started = call.attempt_started.unwrap_or(now);
+            times.record_first_chunk(now.saturating_duration_since(started));
+            return;
+        };
+        let elapsed = now.saturating_duration_since(since);
+        let events = u32::try_from(event.saturating_sub(first)).unwrap_or(u32::MAX);
+        if elapsed < PACE_TIME || events == 0 {
+            return;
+        }
+        call.pace_mark = Some((now, event));
+        let pace = elapsed / events;
+        times.record_pace(pace);
+        if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
+            usage.event_pace.record(pace);
+        }
+    }
+
+    /// Records the duration of a response that is complete.
+    pub(crate) fn record_whole(&mut self, now: Instant, request: RequestId) {
+        let Some(call) = self.calls.get(request) else {
+            return;
+        };
+        let elapsed = running_time(now, call);
+        let times = self.times.entry(call.route.name.clone()).or_default();
+        times.record_whole(now, elapsed);
+    }
+
+    /// Returns the time that a call can be expected to take from now on at an
+    /// endpoint, or at any if none is given; none if too little is known.
+    pub(crate) fn expected_time(
+        &self,
+        now: Instant,
+        call: &CallRecord,
+        endpoint: Option<&EndpointId>,
+    ) -> Option<Duration> {
+        let times = self.times.get(&call.route.name)?;
+        if call.route.is_stream {
+            let usage = endpoint.and_then(|id| self.endpoints.usage(id));
+            let pace = usage.and_then(|usage| usage.event_pace.upper_pace());
+            let received = call.events.last_event().unwrap_or_default();
+            let time = times.stream_time(output_limit(call), received, pace);
+            if time.is_some() {
+                return time;
+            }
+        }
+        let running = self
+            .calls
+            .iter()
+            .filter(|it| it.route.name == call.route.name);
+        let longest = running.map(|it| running_time(now, it)).max();
+        times.longest().max(longest)
+    }
+
+    /// Removes the durations of routes that the configuration no longer has.
+    pub(crate) fn remove_unrouted_times(&mut self) {
+        let routes = &self.index.config().routes;
+        self.times
+            .retain(|name, _| routes.iter().any(|route| route.name == *name));
+    }
+}
+
+fn output_limit(call: &CallRecord) -> u64 {
+    call.terms.tokens.map_or(0, |tokens| tokens.output)
+}
+
+/// Returns the time since a call was first forwarded.
+fn running_time(now: Instant, call: &CallRecord) -> Duration {
+    let since = call.first_forwarded.unwrap_or(now);
+    now.saturating_duration_since(since)
+}
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -3,23 +3,21 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_role::{LogLevel, RequestId, RoleAction};
-use mulberrywell_wire::serving::{RepeatRule, ServingRoute};
+use mulberrywell_serving::EndpointId;
 
+use crate::admission::retry_delay;
 use crate::call_codec::{CallCodec, RefusalReason};
+use crate::call_table::{CallRecord, RunState};
 use crate::caller_responses::{millis, text};
 use crate::gateway_role::{Actions, GatewayRole, CALLER_LISTENER};
 
-/// Time from the start of a shutdown in which streams are accepted: the load
-/// balancer takes two seconds to notice that an instance is not ready.
-const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+/// Divisor of the shutdown limit that gives the time in which streams of unknown
+/// duration are accepted, so that most of it is left for them.
+const UNKNOWN_STREAM_DIVISOR: u32 = 3;
 
-/// Divisor of the shutdown limit that bounds that time, so that most of it is left
-/// for the streams.
-const STREAM_ACCEPT_DIVISOR: u32 = 3;
-
-/// Margin before the shutdown limit in which new callers are no longer
-/// accepted; a plain service responds well within it.
-const ACCEPT_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time within which a plain service responds if nothing is known of its durations. The
+/// same time before the shutdown limit new callers are no longer accepted.
+const PLAIN_TIME_MAX: Duration = Duration::from_millis(1_500);
 
 /// Time for sending the last responses to callers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
@@ -56,16 +54,41 @@
         actions.push(RoleAction::Log(LogLevel::Info, line));
     }
 
-    /// Returns whether calls of a route are accepted. Some time into a shutdown
-    /// streams are left to other instances, as they may last longer than what
-    /// remains; until then the load balancer still sends callers here.
-    pub(crate) fn accepts_route(&self, now: Instant, route: &ServingRoute) -> bool {
+    /// Returns whether a call can be expected to end before the shutdown ends it, if it
+    /// is forwarded to an endpoint now, or to any if none is given. Until the load
+    /// balancer has noticed the shutdown, callers still come here.
+    pub(crate) fn fits_shutdown(
+        &self,
+        now: Instant,
+        call: &CallRecord,
+        endpoint: Option<&EndpointId>,
+    ) -> bool {
         let Some(since) = self.shutdown.since else {
             return true;
         };
-        let limit = STREAM_ACCEPT_TIME.min(self.config.shutdown_limit / STREAM_ACCEPT_DIVISOR);
-        let accepts_streams = now.saturating_duration_since(since) < limit;
-        accepts_streams || route.repeat() != RepeatRule::Stream
+        let limit = self.config.shutdown_limit;
+        let end = since + limit;
+        if call.deadline <= end {
+            return true;
+        }
+        match self.expected_time(now, call, endpoint) {
+            Some(time) => now + time <= end,
+            None if call.route.is_stream => now < since + limit / UNKNOWN_STREAM_DIVISOR,
+            None => now + PLAIN_TIME_MAX <= end,
+        }
+    }
+
+    /// Ends a call that can't end before the shutdown does; another instance may
+    /// serve it.
+    pub(crate) fn leave_call(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
+        let Some(call) = self.calls.get(request) else {
+            return;
+        };
+        let reason = match call.ran {
+            RunState::No => RefusalReason::Stopping,
+            RunState::Maybe => RefusalReason::Broken,
+        };
+        self.refuse_call(now, request, reason, retry_delay(reason), actions);
     }
 
     /// Advances a shutdown: stops accepting callers, aborts the calls that remain
@@ -75,7 +98,7 @@
             return;
         };
         let elapsed = now.saturating_duration_since(since);
-        let accept_time = self.config.shutdown_limit.saturating_sub(ACCEPT_MARGIN);
+        let accept_time = self.config.shutdown_limit.saturating_sub(PLAIN_TIME_MAX);
         if elapsed >= accept_time && !self.shutdown.stopped_accepting {
             self.shutdown.stopped_accepting = true;
             actions.push(RoleAction::StopAccepting(CALLER_LISTENER));
@@ -121,7 +144,7 @@
         let since = self.shutdown.since.filter(|_| !self.shutdown.finished)?;
         let times = [
             self.config.min_shutdown,
-            self.config.shutdown_limit.saturating_sub(ACCEPT_MARGIN),
+            self.config.shutdown_limit.saturating_sub(PLAIN_TIME_MAX),
             self.config.shutdown_limit,
             self.config.shutdown_limit + FLUSH_TIME,
         ];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod placement_types;
 mod placement_view;
 mod prefix_cache;
+mod response_times;
 mod service_meter;
 mod stable_hash;
 
@@ -42,5 +43,6 @@
     PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, TargetEntry,
 };
 pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart};
+pub use response_times::{DurationEstimate, RecentMaximum, ResponseTimes};
 pub use service_meter::ServiceMeter;
 pub use stable_hash::{mix_bits, stable_hash};
--- /dev/null
+++ b/crates/policy/src/response_times.rs
@@ -0,0 +1,165 @@
+//! Estimates of how long responses last, from those of the recent past.
+//!
+//! Algorithm: a mean and a mean deviation, both moving averages as for the
+//! retransmission timeout of TCP (RFC 6298, section 2), give an upper estimate; a
+//! maximum over the recent past covers what a mean hides.
+
+use std::time::{Duration, Instant};
+
+/// Weight of a new sample in the mean (RFC 6298).
+const MEAN_WEIGHT: f64 = 0.125;
+
+/// Weight of a new sample in the mean deviation (RFC 6298).
+const DEVIATION_WEIGHT: f64 = 0.25;
+
+/// Mean deviations above the mean of an upper estimate of one duration (RFC 6298).
+const UPPER_DEVIATIONS: f64 = 4.0;
+
+/// Mean deviations above the mean of the pace of a whole stream, in which the
+/// deviations of single events partly cancel out.
+const PACE_DEVIATIONS: f64 = 2.0;
+
+/// Time after which a maximum is forgotten at the earliest; at the latest after twice
+/// that.
+const RECENT_TIME: Duration = Duration::from_secs(60);
+
+/// Upper estimate of a duration.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DurationEstimate {
+    /// Mean and mean deviation in seconds; none before the first sample.
+    averages: Option<(f64, f64)>,
+}
+
+impl DurationEstimate {
+    /// Records a sample.
+    pub fn record(&mut self, sample: Duration) {
+        let sample = sample.as_secs_f64();
+        self.averages = Some(match self.averages {
+            None => (sample, sample / 2.0),
+            Some((mean, deviation)) => {
+                let error = sample - mean;
+                let deviation = deviation + DEVIATION_WEIGHT * (error.abs() - deviation);
+                (mean + MEAN_WEIGHT * error, deviation)
+            }
+        });
+    }
+
+    /// Returns a duration that few samples exceed; none without a sample.
+    pub fn upper(&self) -> Option<Duration> {
+        self.above(UPPER_DEVIATIONS)
+    }
+
+    /// Returns a duration that few means of many samples exceed; none without a
+    /// sample.
+    pub fn upper_pace(&self) -> Option<Duration> {
+        self.above(PACE_DEVIATIONS)
+    }
+
+    fn above(&self, deviations: f64) -> Option<Duration> {
+        let (mean, deviation) = self.averages?;
+        Some(Duration::from_secs_f64(mean + deviations * deviation))
+    }
+}
+
+/// Maximum of the samples of the last minute or two.
+#[derive(Debug, Clone, Copy)]
+pub struct RecentMaximum<T> {
+    /// Start of the current period.
+    since: Option<Instant>,
+    current: Option<T>,
+    previous: Option<T>,
+}
+
+impl<T> Default for RecentMaximum<T> {
+    fn default() -> Self {
+        RecentMaximum {
+            since: None,
+            current: None,
+            previous: None,
+        }
+    }
+}
+
+impl<T: Copy + PartialOrd> RecentMaximum<T> {
+    /// Records a sample.
+    pub fn record(&mut self, now: Instant, sample: T) {
+        let since = *self.since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= RECENT_TIME {
+            self.since = Some(now);
+            self.previous = self.current.take();
+        }
+        self.current = larger(self.current, Some(sample));
+    }
+
+    /// Returns the largest sample; none without one.
+    pub fn get(&self) -> Option<T> {
+        larger(self.current, self.previous)
+    }
+}
+
+fn larger<T: PartialOrd>(left: Option<T>, right: Option<T>) -> Option<T> {
+    match (left, right) {
+        (Some(left), Some(right)) => Some(if left < right { right } else { left }),
+        (left, right) => left.or(right),
+    }
+}
+
+/// Durations of the responses of one route.
+#[derive(Debug, Clone, Default)]
+pub struct ResponseTimes {
+    /// Time from forwarding to the first chunk.
+    first_chunk: DurationEstimate,
+    /// Time from one event to the next.
+    event_pace: DurationEstimate,
+    /// Events of the longest stream for each token of its output limit.
+    events_per_token: RecentMaximum<f64>,
+    /// Time from forwarding to the end.
+    whole: RecentMaximum<Duration>,
+}
+
+impl ResponseTimes {
+    /// Records the time from forwarding to the first chunk.
+    pub fn record_first_chunk(&mut self, elapsed: Duration) {
+        self.first_chunk.record(elapsed);
+    }
+
+    /// Records the time from one event to the next.
+    pub fn record_pace(&mut self, pace: Duration) {
+        self.event_pace.record(pace);
+    }
+
+    /// Records the number of events that a stream has had so far.
+    pub fn record_events(&mut self, now: Instant, events: u64, output_limit: u64) {
+        if output_limit > 0 {
+            let share = events as f64 / output_limit as f64;
+            self.events_per_token.record(now, share);
+        }
+    }
+
+    /// Records the time that a response has taken from forwarding, to its end or so
+    /// far.
+    pub fn record_whole(&mut self, now: Instant, elapsed: Duration) {
+        self.whole.record(now, elapsed);
+    }
+
+    /// Returns the longest time that a response took; none if none is known.
+    pub fn longest(&self) -> Option<Duration> {
+        self.whole.get()
+    }
+
+    /// Returns an upper estimate of the time from forwarding to the end of a stream
+    /// with an output limit in tokens, of which the caller has `received` events; none
+    /// if too little is known. `pace` is the upper estimate of the time between events
+    /// at its endpoint; without one, that of all endpoints of the route is used.
+    pub fn stream_time(
+        &self,
+        output_limit: u64,
+        received: u64,
+        pace: Option<Duration>,
+    ) -> Option<Duration> {
+        let events = (output_limit as f64 * self.events_per_token.get()?).ceil();
+        let left = (events - received as f64).max(0.0);
+        let pace = pace.or_else(|| self.event_pace.upper_pace())?;
+        Some(self.first_chunk.upper()? + pace.mul_f64(left))
+    }
+}
