--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -24,7 +24,6 @@
             _ => return,
         };
         let times = self.times.entry(call.route.name.clone()).or_default();
-        times.record_events(now, event, output_limit(call));
         let Some((since, first)) = call.pace_mark else {
             call.pace_mark = Some((now, event));
             let started = call.attempt_started.unwrap_or(now);
@@ -66,8 +65,8 @@
         if call.route.is_stream {
             let usage = endpoint.and_then(|id| self.endpoints.usage(id));
             let pace = usage.and_then(|usage| usage.event_pace.upper_pace());
-            let received = call.events.last_event().unwrap_or_default();
-            let time = times.stream_time(output_limit(call), received, pace);
+            let left = self.events_left(call);
+            let time = left.and_then(|left| times.stream_time(left, pace));
             if time.is_some() {
                 return time;
             }
@@ -80,6 +79,18 @@
         times.longest().max(longest)
     }
 
+    /// Returns the events of a stream that its caller may still receive; none if the
+    /// request doesn't limit its output.
+    fn events_left(&self, call: &CallRecord) -> Option<u64> {
+        let limit = call.terms.tokens.map(|tokens| tokens.output);
+        let limit = limit.filter(|tokens| *tokens > 0)?;
+        let service = self.index.service(&call.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+        let events = limit.div_ceil(u64::from(tokens_per_event));
+        Some(events.saturating_sub(call.events.last_event().unwrap_or_default()))
+    }
+
     /// Removes the durations of routes that the configuration no longer has.
     pub(crate) fn remove_unrouted_times(&mut self) {
         let routes = &self.index.config().routes;
@@ -88,10 +99,6 @@
     }
 }
 
-fn output_limit(call: &CallRecord) -> u64 {
-    call.terms.tokens.map_or(0, |tokens| tokens.output)
-}
-
 /// Returns the time since a call was first forwarded.
 fn running_time(now: Instant, call: &CallRecord) -> Duration {
     let since = call.first_forwarded.unwrap_or(now);
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -111,8 +111,6 @@
     first_chunk: DurationEstimate,
     /// Time from one event to the next.
     event_pace: DurationEstimate,
-    /// Events of the longest stream for each token of its output limit.
-    events_per_token: RecentMaximum<f64>,
     /// Time from forwarding to the end.
     whole: RecentMaximum<Duration>,
 }
@@ -128,14 +126,6 @@
         self.event_pace.record(pace);
     }
 
-    /// Records the number of events that a stream has had so far.
-    pub fn record_events(&mut self, now: Instant, events: u64, output_limit: u64) {
-        if output_limit > 0 {
-            let share = events as f64 / output_limit as f64;
-            self.events_per_token.record(now, share);
-        }
-    }
-
     /// Records the time that a response has taken from forwarding, to its end or so
     /// far.
     pub fn record_whole(&mut self, now: Instant, elapsed: Duration) {
@@ -147,19 +137,12 @@
         self.whole.get()
     }
 
-    /// Returns an upper estimate of the time from forwarding to the end of a stream
-    /// with an output limit in tokens, of which the caller has `received` events; none
-    /// if too little is known. `pace` is the upper estimate of the time between events
-    /// at its endpoint; without one, that of all endpoints of the route is used.
-    pub fn stream_time(
-        &self,
-        output_limit: u64,
-        received: u64,
-        pace: Option<Duration>,
-    ) -> Option<Duration> {
-        let events = (output_limit as f64 * self.events_per_token.get()?).ceil();
-        let left = (events - received as f64).max(0.0);
+    /// Returns an upper estimate of the time from forwarding to the end of a stream of
+    /// which a number of events is left; none if too little is known. `pace` is the
+    /// upper estimate of the time between events at its endpoint; without one, that of
+    /// all endpoints of the route is used.
+    pub fn stream_time(&self, events_left: u64, pace: Option<Duration>) -> Option<Duration> {
         let pace = pace.or_else(|| self.event_pace.upper_pace())?;
-        Some(self.first_chunk.upper()? + pace.mul_f64(left))
+        Some(self.first_chunk.upper()? + pace.mul_f64(events_left as f64))
     }
 }
--- a/crates/policy/tests/response_times.rs
+++ b/crates/policy/tests/response_times.rs
@@ -7,14 +7,13 @@
 const SECOND: Duration = Duration::from_secs(1);
 const PACE: Duration = Duration::from_millis(30);
 
-/// Times after streams with `events` events at a steady pace for a limit of 200 tokens.
-fn times_after(events: u64, now: Instant) -> ResponseTimes {
+/// Times after events at a steady pace.
+fn steady_times() -> ResponseTimes {
     let mut times = ResponseTimes::default();
     for _ in 0..50 {
         times.record_first_chunk(PACE);
         times.record_pace(PACE);
     }
-    times.record_events(now, events, 200);
     times
 }
 
@@ -41,23 +40,21 @@
 }
 
 #[test]
-fn stream_time_limit_and_pace() {
-    let times = times_after(50, Instant::now());
-    let whole = times.stream_time(200, 0, None).unwrap();
+fn stream_time_events_at_pace() {
+    let times = steady_times();
+    let whole = times.stream_time(50, None).unwrap();
     assert!(whole >= 50 * PACE && whole < 53 * PACE, "{whole:?}");
-    let half = times.stream_time(100, 0, None).unwrap();
-    assert!(half < 28 * PACE, "half of the limit, half of the events");
-    let resumed = times.stream_time(200, 40, None).unwrap();
-    assert!(resumed < 13 * PACE, "{resumed:?}");
-    let slow = times.stream_time(200, 0, Some(2 * PACE)).unwrap();
+    let last = times.stream_time(10, None).unwrap();
+    assert!(last < 13 * PACE, "{last:?}");
+    let slow = times.stream_time(50, Some(2 * PACE)).unwrap();
     assert!(slow >= 100 * PACE, "the endpoint's own pace goes first");
 }
 
 #[test]
 fn stream_time_unknown() {
     let times = ResponseTimes::default();
-    assert_eq!(times.stream_time(200, 0, Some(PACE)), None);
-    assert_eq!(times_after(50, Instant::now()).longest(), None);
+    assert_eq!(times.stream_time(200, Some(PACE)), None);
+    assert_eq!(steady_times().longest(), None);
 }
 
 #[test]
