Tests: requests that crash each worker that runs them

A request that crashes its worker is forwarded again with each repeat, at every gateway, whatever has been seen of it; a plain service's request has nothing by which it could be refused.

The stand-in's worker crashes while it runs a request with a given path and body. The crash is shared with that of a prompt part, and now breaks all connections at once, idle ones too; before, a stream was cut at its next event and idle connections stayed open. crashing_prompts uses the fleet that moved to tests/common; its loads and bounds are as before, except that it now waits for its calls to end, so that a sound request that hangs at the end counts as well.

--- a/crates/mulberrywell/tests/common/mod.rs
+++ b/crates/mulberrywell/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod serving_deployment;
 pub mod session;
+pub mod worker_fleet;
 
 use std::path::PathBuf;
 
--- a/crates/mulberrywell/tests/common/serving_deployment.rs
+++ b/crates/mulberrywell/tests/common/serving_deployment.rs
@@ -21,6 +21,8 @@
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
     pub worker: FakeWorker,
+    /// Metrics addresses of the gateways that were added.
+    pub further_metrics: Vec<SocketAddr>,
     /// Link addresses of the control instances.
     seeds: Vec<SocketAddr>,
 }
@@ -53,6 +55,7 @@
             ready,
             metrics,
             worker: FakeWorker::spawn("w1").unwrap(),
+            further_metrics: Vec::new(),
             seeds,
         };
         wait_until("the configuration is accepted", || {
@@ -78,7 +81,8 @@
     pub fn add_gateway(&mut self, name: &str) -> SocketAddr {
         let addresses = [0; 3].map(|_| free_port().unwrap());
         start_gateway(&mut self.processes, name, &self.seeds, addresses);
-        let [callers, ready, _] = addresses;
+        let [callers, ready, metrics] = addresses;
+        self.further_metrics.push(metrics);
         wait_until("the further gateway is ready", || {
             let caller = HttpCaller::with_timeout(ready, None, Duration::from_secs(3));
             let response = caller.call("GET", "/ready", &[], "");
--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -6,6 +6,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::Duration;
 
@@ -42,7 +43,7 @@
 
 /// Writes a response; each method returns whether the write succeeded.
 #[derive(Debug)]
-pub struct ResponseStream(TcpStream);
+pub struct ResponseStream(Arc<TcpStream>);
 
 impl ResponseStream {
     /// Writes a response with a JSON body.
@@ -71,7 +72,7 @@
 
     /// Writes text unchanged.
     pub fn write(&mut self, text: &str) -> bool {
-        self.0.write_all(text.as_bytes()).is_ok()
+        (&*self.0).write_all(text.as_bytes()).is_ok()
     }
 
     /// Makes closing the connection send a reset.
@@ -79,7 +80,12 @@
     /// # Errors
     /// Fails when the socket has failed.
     pub fn reset_on_close(&self) -> Result<()> {
-        Ok(SockRef::from(&self.0).set_linger(Some(Duration::ZERO))?)
+        Ok(SockRef::from(&*self.0).set_linger(Some(Duration::ZERO))?)
+    }
+
+    /// Returns the connection, so that a fake can break it from another thread.
+    pub fn connection(&self) -> Weak<TcpStream> {
+        Arc::downgrade(&self.0)
     }
 }
 
@@ -101,12 +107,12 @@
 where
     H: Fn(ServerRequest, &mut ResponseStream) -> bool,
 {
-    let Ok(copy) = stream.try_clone() else { return };
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let mut reader = BufReader::new(stream);
-    let mut response = ResponseStream(copy);
+    let stream = Arc::new(stream);
+    let mut reader = BufReader::new(&*stream);
+    let mut response = ResponseStream(stream.clone());
     while let Ok(request) = read_request(&mut reader) {
         if !handle(request, &mut response) {
             return;
@@ -114,7 +120,7 @@
     }
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Result<ServerRequest> {
+fn read_request(reader: &mut BufReader<&TcpStream>) -> Result<ServerRequest> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         if reader.read_until(b'\n', &mut head)? == 0 {
