--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -209,7 +209,7 @@
         };
         let line = format!(
             "attempt id={} endpoint={} attempts={} status={} delimited={} begun={} event={} \
-             parts={} outcome={failure:?} cause=\"{}\"",
+             content={:x} parts={} outcome={failure:?} cause=\"{}\"",
             text(&call.terms.id),
             text(&call.endpoint),
             call.attempts,
@@ -217,6 +217,7 @@
             call.response.is_delimited,
             call.head_sent,
             call.events.last_event().unwrap_or_default(),
+            call.content_hash(),
             parts_text(call.shared_parts()),
             cause.text,
         );
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use mulberrywell_policy::PromptPart;
+use mulberrywell_policy::{stable_hash, PromptPart};
 use mulberrywell_role::{ExchangeId, HttpRequest, RequestId};
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::request::HeaderField;
@@ -177,6 +177,16 @@
 }
 
 impl CallRecord {
+    /// Returns a hash of what a request has in common with its repeats: method, host,
+    /// path, account and body.
+    pub fn content_hash(&self) -> u64 {
+        let account = self.account.as_deref().unwrap_or_default();
+        let http = &self.http;
+        let parts = [&http.method, &self.terms.host, &http.path];
+        let [method, host, path] = parts.map(|part| part.as_ref());
+        stable_hash(&[method, host, path, account, &http.body])
+    }
+
     /// Returns all prompt parts but the last, which is specific to the request.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let parts = &self.terms.prefix;
