limit, gateway: quarantine the content of a request that crashes its endpoints

At engines its crashes were charged to the prompt parts that it shares with sound requests, so that these were refused for ten minutes.

Cause: a crash was related to a request by the shared parts of its prompt alone. A request without parts was neither probed for nor reported, and a repeated one shares all of its parts with sound ones. Ruled out: missing reports beside an outage (83 of 83 attempts had no parts to report) and retries (they add one crash of three; the caller's own repeats go on).

Each request has a content: a hash of method, host, path, account and body, which its repeats share. Gateways report it with each request that a crash broke off, and the responses on it that last. Control quarantines a content whose incidents form a chain of three if no other content is in all of them, before it looks at parts; a part needs two incidents that don't have the content which most of its incidents have. What was forwarded after an endpoint had crashed is no suspect. A content that was at two crashes is neither retried nor kept waiting, so that it doesn't meet the endpoints the moment they are back.

--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -48,6 +48,7 @@
         };
         for crash in report.crashes {
             let request = SuspectRequest {
+                content: crash.content,
                 parts: crash.parts.into_iter().collect(),
                 forwarded: instant(crash.running_ms),
             };
--- a/crates/control/tests/role_cases/prompt_cases.rs
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -14,6 +14,9 @@
 const SHARED: u64 = 1;
 const CRASHING: u64 = 2;
 
+/// Content of a request that comes again.
+const REPEATED: u64 = 3;
+
 fn crash(endpoint: &'static str) -> FrameBody {
     FrameBody::PromptReport(PromptReport {
         crashes: vec![PromptCrash {
@@ -22,6 +25,22 @@
             parts: vec![SHARED, CRASHING],
             running_ms: 50,
             age_ms: 5,
+            content: u64::from(endpoint.as_bytes()[1]),
+        }],
+        ..PromptReport::default()
+    })
+}
+
+/// Returns a report of a request without prompt parts.
+fn plain_crash(endpoint: &'static str, content: u64) -> FrameBody {
+    FrameBody::PromptReport(PromptReport {
+        crashes: vec![PromptCrash {
+            endpoint: Bytes::from_static(endpoint.as_bytes()),
+            born_ms: 1,
+            parts: Vec::new(),
+            running_ms: 50,
+            age_ms: 5,
+            content,
         }],
         ..PromptReport::default()
     })
@@ -69,6 +88,32 @@
     }
 }
 
+/// Guards against a repeated request of a plain service that no one finds, as each
+/// entry sees one of its crashes.
+#[test]
+fn crashes_of_entries_quarantine_content() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [b"entry-0", b"entry-1", b"entry-2"].map(|name| cluster.attach(0, name));
+    for entry in &entries {
+        cluster.send(entry, FrameBody::ServingAttach(ServingAttach::default()));
+    }
+    let endpoints = ["e1", "e2", "e3"];
+    for (neighbour, (entry, endpoint)) in (100..).zip(entries.iter().zip(endpoints)) {
+        cluster.send(entry, plain_crash(endpoint, REPEATED));
+        cluster.send(entry, plain_crash(endpoint, neighbour));
+        cluster.run(Duration::from_millis(300));
+    }
+    cluster.run(Duration::from_millis(300));
+    for entry in &entries {
+        let frames = cluster.drain_frames(entry);
+        let notices = notices(&frames);
+        assert_eq!(notices[0].watched, [REPEATED], "contents of two incidents");
+        let last = notices.last().expect("a notice");
+        assert_eq!(last.quarantines.len(), 1, "{notices:?}");
+        assert_eq!(last.quarantines[0].parts, [REPEATED]);
+    }
+}
+
 #[test]
 fn quarantine_learned_from_entry() {
     let mut cluster = RoleCluster::formed(3);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -117,7 +117,8 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
-        if now.saturating_duration_since(call.started) >= endpoint_wait_limit(call) {
+        let has_waited = now.saturating_duration_since(call.started) >= endpoint_wait_limit(call);
+        if has_waited || self.prompts.is_suspected(call) {
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return;
         }
@@ -272,6 +273,9 @@
         if !allowed || call.attempts == 0 {
             return allowed;
         }
+        if failure == AttemptFailure::Broken && self.prompts.is_suspected(call) {
+            return false;
+        }
         let budget = self.budgets.get_mut(&call.service);
         let is_acquired = budget.is_some_and(|budget| budget.acquire_retry());
         if !is_acquired {
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use mulberrywell_limit::PartId;
 use mulberrywell_policy::{stable_hash, PromptPart};
 use mulberrywell_role::{ExchangeId, HttpRequest, RequestId};
 use mulberrywell_serving::EndpointId;
@@ -187,6 +188,13 @@
         stable_hash(&[method, host, path, account, &http.body])
     }
 
+    /// Returns what may crash endpoints: the shared parts of the prompt, and the
+    /// content.
+    pub fn subjects(&self) -> Vec<PartId> {
+        let parts = self.shared_parts().iter().map(|part| part.id);
+        parts.chain([self.content_hash()]).collect()
+    }
+
     /// Returns all prompt parts but the last, which is specific to the request.
     pub fn shared_parts(&self) -> &[PromptPart] {
         let parts = &self.terms.prefix;
--- a/crates/gateway/src/prompt_guard.rs
+++ b/crates/gateway/src/prompt_guard.rs
@@ -1,16 +1,17 @@
-//! Keeps requests from endpoints that crash under a part of their prompts.
+//! Keeps requests from endpoints that crash under their content, or under a part of
+//! their prompts.
 //!
 //! Algorithm: the gateway reports each request that an endpoint broke off in a crash,
-//! with the shared parts of its prompt, to every control instance, and the parts that control
-//! watches on which responses last. Control finds the part that the crashes have in
-//! common and quarantines it. A request with a quarantined part is refused at once;
-//! one that an endpoint has not begun to respond to is cancelled.
+//! with its content and the shared parts of its prompt, to every control instance, and
+//! those that control watches on which responses last. Control finds what the crashes
+//! have in common and quarantines it. A request of a quarantine is refused at once;
+//! one that an endpoint has not begun to respond to is cancelled. A content that was at
+//! several crashes is neither retried nor kept waiting.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use mulberrywell_limit::{PartId, PartSet, QuarantineTable, SuspectRequest};
-use mulberrywell_policy::PromptPart;
 use mulberrywell_role::{LinkCommand, LinkId, LogLevel, MetricKind, RequestId, RoleAction};
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::serving::{
@@ -51,7 +52,14 @@
         if self.quarantines.is_empty() {
             return None;
         }
-        self.quarantines.find(now, &part_ids(call.shared_parts()))
+        self.quarantines.find(now, &call.subjects())
+    }
+
+    /// Returns whether requests with a call's content were at several crashes that
+    /// nothing explains yet.
+    pub fn is_suspected(&self, call: &CallRecord) -> bool {
+        let has_watched = self.watched.values().any(|watched| !watched.is_empty());
+        has_watched && self.is_watched(call.content_hash())
     }
 
     /// Records the requests that an endpoint broke off when it crashed, with the time
@@ -69,18 +77,19 @@
                 endpoint: endpoint.clone(),
                 born_ms,
                 running_ms: since(request.forwarded),
+                content: request.content,
                 parts: request.parts.into_iter().collect(),
                 age_ms: since(broken_at),
             }));
     }
 
     /// Records that a response, begun at an instant, has lasted.
-    pub fn record_sound(&mut self, parts: &[PromptPart], begun: Instant) {
-        for part in parts {
-            let known = self.sound.entry(part.id).or_insert(begun);
+    pub fn record_sound(&mut self, subjects: &[PartId], begun: Instant) {
+        for subject in subjects {
+            let known = self.sound.entry(*subject).or_insert(begun);
             *known = (*known).max(begun);
-            if self.is_watched(part.id) {
-                self.unreported.insert(part.id);
+            if self.is_watched(*subject) {
+                self.unreported.insert(*subject);
             }
         }
         if self.sound.len() > SOUND_MAX {
@@ -222,7 +231,7 @@
         let has_lasted = is_complete || now.saturating_duration_since(begun) >= SOUND_TIME;
         if has_lasted && !call.response.has_lasted {
             call.response.has_lasted = true;
-            self.prompts.record_sound(call.shared_parts(), begun);
+            self.prompts.record_sound(&call.subjects(), begun);
         }
     }
 
@@ -246,21 +255,17 @@
     }
 }
 
-/// Returns what a request that an endpoint broke off says of its prompt; none if the
+/// Returns what a request that an endpoint broke off says of its crash; none if the
 /// response had lasted.
 pub(crate) fn broken_request(now: Instant, call: &CallRecord) -> Option<SuspectRequest> {
-    let parts = call.shared_parts();
     let first_event = call.response.first_event;
     let has_lasted = first_event.is_some_and(|at| now.saturating_duration_since(at) >= SOUND_TIME);
-    if parts.is_empty() || has_lasted {
+    if has_lasted {
         return None;
     }
     Some(SuspectRequest {
-        parts: part_ids(parts).into_iter().collect(),
+        content: call.content_hash(),
+        parts: call.shared_parts().iter().map(|part| part.id).collect(),
         forwarded: call.attempt_started?,
     })
 }
-
-fn part_ids(parts: &[PromptPart]) -> Vec<PartId> {
-    parts.iter().map(|part| part.id).collect()
-}
--- /dev/null
+++ b/crates/limit/src/crash_incident.rs
@@ -0,0 +1,106 @@
+//! Endpoints that broke off their requests, and what these have in common.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use crate::quarantine_table::PartSet;
+
+/// Identifies a part of a prompt, or the content of a request.
+pub type PartId = u64;
+
+/// Maximum number of requests of one incident.
+const REQUESTS_MAX: usize = 256;
+
+/// A request that an endpoint broke off.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SuspectRequest {
+    /// Hash of what it has in common with its repeats; 0 if unknown.
+    pub content: PartId,
+    /// The shared parts of its prompt; none for a plain service.
+    pub parts: PartSet,
+    /// When it was forwarded.
+    pub forwarded: Instant,
+}
+
+impl SuspectRequest {
+    /// Returns the shared parts and the content.
+    pub(crate) fn subjects(&self) -> impl Iterator<Item = PartId> + '_ {
+        self.parts.iter().copied().chain([self.content])
+    }
+
+    fn has(&self, subject: PartId) -> bool {
+        self.content == subject || self.parts.contains(&subject)
+    }
+}
+
+/// An endpoint that broke off its requests.
+#[derive(Debug)]
+pub(crate) struct CrashIncident {
+    pub endpoint: Bytes,
+    pub born_ms: u64,
+    /// When the first request was broken off.
+    pub at: Instant,
+    /// Requests that were forwarded before the incident.
+    pub requests: Vec<SuspectRequest>,
+    /// One of the requests has a part or a content that is quarantined by itself.
+    pub is_explained: bool,
+}
+
+impl CrashIncident {
+    /// Creates an incident without requests.
+    pub fn new(endpoint: Bytes, born_ms: u64, at: Instant) -> Self {
+        CrashIncident {
+            endpoint,
+            born_ms,
+            at,
+            requests: Vec::new(),
+            is_explained: false,
+        }
+    }
+
+    /// Adds a request, unless the endpoint had broken off before it was forwarded.
+    pub fn push(&mut self, request: SuspectRequest) {
+        if request.forwarded <= self.at && self.requests.len() < REQUESTS_MAX {
+            self.requests.push(request);
+        }
+    }
+
+    /// Returns whether a request has a part or a content.
+    pub fn has(&self, subject: PartId) -> bool {
+        self.requests.iter().any(|it| it.has(subject))
+    }
+
+    /// Returns the shared parts of all requests.
+    pub fn parts(&self) -> impl Iterator<Item = PartId> + '_ {
+        self.requests.iter().flat_map(|it| it.parts.iter().copied())
+    }
+
+    /// Returns the known contents of all requests.
+    pub fn contents(&self) -> impl Iterator<Item = PartId> + '_ {
+        let contents = self.requests.iter().map(|it| it.content);
+        contents.filter(|content| *content != 0)
+    }
+
+    /// Returns when the latest request with a part or a content was forwarded.
+    pub fn forwarded(&self, subject: PartId) -> Option<Instant> {
+        let requests = self.requests.iter().filter(|it| it.has(subject));
+        requests.map(|it| it.forwarded).max()
+    }
+}
+
+/// Returns the times of a chain of incidents in which each request with a part or a
+/// content was forwarded after the incident before.
+pub(crate) fn find_chain(subject: PartId, incidents: &[&CrashIncident]) -> Vec<Instant> {
+    let mut chain: Vec<Instant> = Vec::new();
+    for incident in incidents {
+        let forwarded = incident.forwarded(subject);
+        let is_next = chain
+            .last()
+            .is_none_or(|last| forwarded.is_some_and(|at| at > *last));
+        if is_next {
+            chain.push(incident.at);
+        }
+    }
+    chain
+}
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -1,33 +1,35 @@
-//! Finds the prompt part under which endpoints crash.
+//! Finds what crashes endpoints: the content of a request that comes again, or a part
+//! that prompts share.
 //!
 //! Purpose: an endpoint that crashes breaks off all of its requests, most of which
-//! have nothing to do with it. The ledger receives what all gateways saw and finds the
-//! part that the crashes have in common, so that its requests can be refused.
+//! have nothing to do with it. The ledger receives what all gateways saw and finds what
+//! the crashes have in common, so that its requests can be refused.
 //!
-//! Guarantees: parts are quarantined only after crashes that follow from each other;
-//! a part that explains no more of them than another is quarantined only together with
-//! that one.
+//! Guarantees: something is quarantined only after crashes that follow from each other.
+//! A content goes before the parts of its prompt, as it refuses less; a part that
+//! explains no more crashes than another is quarantined only together with that one.
 //!
-//! Algorithm: each endpoint that broke off is an incident, with the shared parts of
-//! the requests that may have caused it. A response that was begun on a part and
-//! lasted clears the part of all incidents before it. A part is quarantined once its
-//! incidents form a chain of [`CHAIN_MIN`], where each request was forwarded after the
-//! incident before, and no other part is in all of them. Parts that stay equal for
-//! [`TIE_TIME`], less those on which a response has ever lasted if others have none, are
-//! quarantined together: only requests with all of them are refused, and a part that
-//! turns out to be sound is taken out. Incidents with a part that is
-//! quarantined by itself are explained and count for no other.
+//! Algorithm: each endpoint that broke off is an incident, with the requests that may
+//! have caused it. A response that was begun on a content or a part and lasted clears
+//! it of all incidents before. It is suspected if its incidents form a chain of
+//! [`CHAIN_MIN`], where each request was forwarded after the incident before.
+//!
+//! A suspected content is quarantined if no other one is in all of its incidents: its
+//! neighbours at one endpoint are not those at the next. A suspected part is
+//! quarantined if no other part is in all of its incidents, and no content in all but
+//! one. Parts that stay equal for [`TIE_TIME`], less those on which a response has ever
+//! lasted if others have none, are quarantined together: only requests with all of them
+//! are refused, and a part that turns out to be sound is taken out. Incidents with
+//! something that is quarantined by itself are explained and count for nothing else.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
+use crate::crash_incident::{find_chain, CrashIncident, PartId, SuspectRequest};
 use crate::quarantine_table::{PartSet, QuarantineTable};
 
-/// Identifies a part of a prompt.
-pub type PartId = u64;
-
 /// Incidents in a chain that quarantine a part.
 const CHAIN_MIN: usize = 3;
 
@@ -40,6 +42,16 @@
 /// Time in which the reports of one incident arrive from all gateways.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 
+/// Time after a content's latest incident in which gateways report that a response on
+/// it has lasted: a notice to them and a report, each at the next tick.
+const CONTENT_SETTLE_TIME: Duration = Duration::from_millis(400);
+
+/// Incidents of a content from which on gateways watch for responses on it.
+const WATCHED_INCIDENTS_MIN: usize = 2;
+
+/// Incidents of a part that don't have the content which most of them have.
+const OTHER_CONTENTS_MIN: usize = 2;
+
 /// Time in which failures at one endpoint belong to the same incident.
 const INCIDENT_SPAN: Duration = Duration::from_secs(1);
 
@@ -49,58 +61,21 @@
 /// Time after which parts that explain the same incidents are quarantined together.
 const TIE_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which a part is quarantined.
+/// Duration of a quarantine.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
-/// Maximum number of incidents, and of requests of one incident.
+/// Maximum number of incidents.
 const INCIDENTS_MAX: usize = 128;
-const INCIDENT_REQUESTS_MAX: usize = 64;
 
-/// Maximum number of parts whose responses are recorded.
+/// Maximum number of parts and contents whose responses are recorded.
 const SOUND_MAX: usize = 4_096;
 
-/// A request that an endpoint broke off.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SuspectRequest {
-    /// The shared parts of its prompt.
-    pub parts: PartSet,
-    /// When it was forwarded.
-    pub forwarded: Instant,
-}
-
-/// An endpoint that broke off its requests.
-#[derive(Debug)]
-struct CrashIncident {
-    endpoint: Bytes,
-    born_ms: u64,
-    at: Instant,
-    requests: Vec<SuspectRequest>,
-    /// One of the requests has a part that is quarantined by itself.
-    is_explained: bool,
-}
-
-impl CrashIncident {
-    fn has_part(&self, part: PartId) -> bool {
-        self.requests.iter().any(|it| it.parts.contains(&part))
-    }
-
-    fn parts(&self) -> impl Iterator<Item = PartId> + '_ {
-        self.requests.iter().flat_map(|it| it.parts.iter().copied())
-    }
-
-    /// Returns when the latest request with a part was forwarded.
-    fn forwarded(&self, part: PartId) -> Option<Instant> {
-        let requests = self.requests.iter().filter(|it| it.parts.contains(&part));
-        requests.map(|it| it.forwarded).max()
-    }
-}
-
-/// Crashes of endpoints, and the parts that are quarantined for them.
+/// Crashes of endpoints, and what is quarantined for them.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     /// In order of their first reports.
     incidents: Vec<CrashIncident>,
-    /// When the latest response that lasted was begun on a part.
+    /// When the latest response that lasted was begun on a part or a content.
     sound: BTreeMap<PartId, Instant>,
     quarantines: QuarantineTable,
 }
@@ -114,16 +89,11 @@
         born_ms: u64,
         request: SuspectRequest,
     ) {
-        if request.parts.is_empty() {
-            return;
-        }
-        let mut parts = request.parts.iter();
-        let is_explained = parts.any(|part| self.quarantines.has_single(*part));
+        let quarantines = &self.quarantines;
+        let is_explained = request.subjects().any(|it| quarantines.has_single(it));
         let incident = self.open_incident(now, endpoint, born_ms);
         incident.is_explained |= is_explained;
-        if incident.requests.len() < INCIDENT_REQUESTS_MAX {
-            incident.requests.push(request);
-        }
+        incident.push(request);
     }
 
     fn open_incident(
@@ -141,19 +111,15 @@
             if self.incidents.len() >= INCIDENTS_MAX {
                 self.incidents.remove(0);
             }
-            self.incidents.push(CrashIncident {
-                endpoint: endpoint.clone(),
-                born_ms,
-                at: now,
-                requests: Vec::new(),
-                is_explained: false,
-            });
+            let incident = CrashIncident::new(endpoint.clone(), born_ms, now);
+            self.incidents.push(incident);
             self.incidents.len() - 1
         });
         &mut self.incidents[index]
     }
 
-    /// Records that a response was begun on a part at an instant and lasted.
+    /// Records that a response was begun on a part or a content at an instant and
+    /// lasted.
     pub fn record_sound(&mut self, part: PartId, begun: Instant) {
         let known = self.sound.entry(part).or_insert(begun);
         *known = (*known).max(begun);
@@ -164,29 +130,32 @@
         }
     }
 
-    /// Quarantines parts.
+    /// Quarantines parts, or a content.
     pub fn record_quarantine(&mut self, parts: PartSet, until: Instant) {
         if let (1, Some(part)) = (parts.len(), parts.first()) {
             for incident in &mut self.incidents {
-                incident.is_explained |= incident.has_part(*part);
+                incident.is_explained |= incident.has(*part);
             }
         }
         self.quarantines.insert(parts, until);
     }
 
-    /// Quarantines the parts that explain the incidents; returns the new quarantines
-    /// with the number of their incidents.
+    /// Quarantines what explains the incidents; returns the new quarantines with the
+    /// number of their incidents.
     pub fn tick(&mut self, now: Instant) -> Vec<(PartSet, usize)> {
         self.quarantines.remove_expired(now);
         self.incidents
             .retain(|incident| now.saturating_duration_since(incident.at) < INCIDENT_LIFETIME);
         self.narrow_quarantines();
         let mut found = Vec::new();
-        while let Some((parts, incidents)) = self.find_culprits(now) {
+        loop {
+            let culprits = self.find_content(now).or_else(|| self.find_parts(now));
+            let Some((parts, incidents)) = culprits else {
+                return found;
+            };
             self.record_quarantine(parts.clone(), now + QUARANTINE_TIME);
             found.push((parts, incidents));
         }
-        found
     }
 
     /// Takes the parts on which a response was begun since, and lasted, out of
@@ -212,23 +181,29 @@
         }
     }
 
-    /// Returns the parts whose sound responses matter: those of unexplained incidents.
+    /// Returns the parts and contents whose sound responses matter: the parts of
+    /// unexplained incidents, and the contents of several.
     pub fn suspects(&self) -> BTreeSet<PartId> {
+        let mut suspects = self.repeated(WATCHED_INCIDENTS_MIN, |it| it.contents().collect());
         let unexplained = self.incidents.iter().filter(|it| !it.is_explained);
-        unexplained.flat_map(CrashIncident::parts).collect()
+        suspects.extend(unexplained.flat_map(CrashIncident::parts));
+        suspects
     }
 
-    /// Returns the parts of enough unexplained incidents to be quarantined.
-    fn repeated_suspects(&self) -> Vec<PartId> {
+    /// Returns the subjects of at least `min` unexplained incidents.
+    fn repeated(
+        &self,
+        min: usize,
+        subjects: impl Fn(&CrashIncident) -> PartSet,
+    ) -> BTreeSet<PartId> {
         let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
         for incident in self.incidents.iter().filter(|it| !it.is_explained) {
-            let parts: PartSet = incident.parts().collect();
-            for part in parts {
-                *counts.entry(part).or_default() += 1;
+            for subject in subjects(incident) {
+                *counts.entry(subject).or_default() += 1;
             }
         }
-        let repeated = counts.into_iter().filter(|(_, count)| *count >= CHAIN_MIN);
-        repeated.map(|(part, _)| part).collect()
+        let repeated = counts.into_iter().filter(|(_, count)| *count >= min);
+        repeated.map(|(subject, _)| subject).collect()
     }
 
     /// Returns the quarantines.
@@ -236,12 +211,35 @@
         &self.quarantines
     }
 
+    /// Returns a content that alone explains a chain of incidents, and the number of
+    /// these.
+    fn find_content(&self, now: Instant) -> Option<(PartSet, usize)> {
+        let contents = self.repeated(CHAIN_MIN, |it| it.contents().collect());
+        contents.into_iter().find_map(|content| {
+            let incidents = self.incidents_of(now, content);
+            let latest = incidents.last()?.at;
+            let is_settled = now.saturating_duration_since(latest) >= CONTENT_SETTLE_TIME;
+            if !is_settled || self.quarantines.has_single(content) {
+                return None;
+            }
+            self.chain_end(content, &incidents)?;
+            let first = incidents.first()?;
+            let mut others = first.contents().filter(|other| *other != content);
+            let has_rival = others.any(|other| self.explains(other, &incidents));
+            (!has_rival).then(|| (PartSet::from([content]), incidents.len()))
+        })
+    }
+
     /// Returns parts that together explain a chain of incidents, and the number of
     /// these.
-    fn find_culprits(&self, now: Instant) -> Option<(PartSet, usize)> {
-        self.repeated_suspects().into_iter().find_map(|part| {
+    fn find_parts(&self, now: Instant) -> Option<(PartSet, usize)> {
+        let parts = self.repeated(CHAIN_MIN, |it| it.parts().collect());
+        parts.into_iter().find_map(|part| {
             let incidents = self.incidents_of(now, part);
             let settled_at = self.chain_end(part, &incidents)?;
+            if self.most_with_content(part, &incidents) + OTHER_CONTENTS_MIN > incidents.len() {
+                return None;
+            }
             let mut parts = self.rivals(part, &incidents);
             let has_more = |rival: &PartId| self.incidents_of(now, *rival).len() > incidents.len();
             if parts.iter().any(has_more) {
@@ -261,31 +259,57 @@
         })
     }
 
-    /// Returns when the incidents of a part had formed a chain that is long enough.
-    fn chain_end(&self, part: PartId, incidents: &[&CrashIncident]) -> Option<Instant> {
-        let chain = find_chain(part, incidents);
+    /// Returns how many of a part's incidents the content explains that explains the
+    /// most, of those of requests with the part.
+    fn most_with_content(&self, part: PartId, incidents: &[&CrashIncident]) -> usize {
+        let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
+        for incident in incidents {
+            let requests = incident
+                .requests
+                .iter()
+                .filter(|it| it.parts.contains(&part));
+            let contents: PartSet = requests.map(|it| it.content).collect();
+            let known = contents.into_iter().filter(|content| *content != 0);
+            for content in known.filter(|content| self.is_suspect(*content, incident)) {
+                *counts.entry(content).or_default() += 1;
+            }
+        }
+        counts.into_values().max().unwrap_or_default()
+    }
+
+    /// Returns when the incidents of a part or a content had formed a chain that is long
+    /// enough.
+    fn chain_end(&self, subject: PartId, incidents: &[&CrashIncident]) -> Option<Instant> {
+        let chain = find_chain(subject, incidents);
         if let Some(third) = chain.get(CHAIN_MIN - 1) {
             return Some(*third);
         }
-        let is_unproven = !self.sound.contains_key(&part);
+        let is_unproven = !self.sound.contains_key(&subject);
         let last = incidents.get(UNPROVEN_INCIDENTS_MIN - 1)?;
         (is_unproven && chain.len() >= UNPROVEN_CHAIN_MIN).then_some(last.at)
     }
 
-    /// Returns the settled incidents that a part may have caused.
-    fn incidents_of(&self, now: Instant, part: PartId) -> Vec<&CrashIncident> {
+    /// Returns the settled incidents that a part or a content may have caused.
+    fn incidents_of(&self, now: Instant, subject: PartId) -> Vec<&CrashIncident> {
         let incidents = self.incidents.iter().filter(|incident| {
             let is_settled = now.saturating_duration_since(incident.at) >= SETTLE_TIME;
-            is_settled && self.is_suspect(part, incident)
+            is_settled && self.is_suspect(subject, incident)
         });
         let mut incidents: Vec<&CrashIncident> = incidents.collect();
         incidents.sort_by_key(|incident| incident.at);
         incidents
     }
 
-    fn is_suspect(&self, part: PartId, incident: &CrashIncident) -> bool {
-        let is_cleared = self.sound.get(&part).is_some_and(|at| *at >= incident.at);
-        !incident.is_explained && !is_cleared && incident.has_part(part)
+    fn is_suspect(&self, subject: PartId, incident: &CrashIncident) -> bool {
+        let sound = self.sound.get(&subject);
+        let is_cleared = sound.is_some_and(|at| *at >= incident.at);
+        !incident.is_explained && !is_cleared && incident.has(subject)
+    }
+
+    /// Returns whether a part or a content may have caused all of these incidents.
+    fn explains(&self, subject: PartId, incidents: &[&CrashIncident]) -> bool {
+        let mut all = incidents.iter();
+        all.all(|incident| self.is_suspect(subject, incident))
     }
 
     /// Returns the other parts that may have caused all of these incidents.
@@ -294,26 +318,8 @@
             return PartSet::new();
         };
         let others = first.parts().filter(|other| *other != part);
-        let rivals = others.filter(|other| {
-            let mut all = incidents.iter();
-            all.all(|incident| self.is_suspect(*other, incident))
-        });
-        rivals.collect()
-    }
-}
-
-/// Returns the times of a chain of incidents in which each request with the part was
-/// forwarded after the incident before.
-fn find_chain(part: PartId, incidents: &[&CrashIncident]) -> Vec<Instant> {
-    let mut chain: Vec<Instant> = Vec::new();
-    for incident in incidents {
-        let forwarded = incident.forwarded(part);
-        let is_next = chain
-            .last()
-            .is_none_or(|last| forwarded.is_some_and(|at| at > *last));
-        if is_next {
-            chain.push(incident.at);
-        }
+        others
+            .filter(|other| self.explains(*other, incidents))
+            .collect()
     }
-    chain
 }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -10,6 +10,7 @@
 mod account_balance;
 mod account_ledger;
 mod circuit_breaker;
+mod crash_incident;
 mod crash_ledger;
 mod demand_meter;
 mod failure_share;
@@ -26,7 +27,8 @@
 
 pub use account_ledger::LEASE_LIFETIME;
 pub use circuit_breaker::CircuitBreaker;
-pub use crash_ledger::{CrashLedger, PartId, SuspectRequest};
+pub use crash_incident::{PartId, SuspectRequest};
+pub use crash_ledger::CrashLedger;
 pub use demand_meter::DemandMeter;
 pub use failure_share::FailureShare;
 pub use lease_client::{LeaseClient, ANSWER_TIMEOUT, UNAVAILABLE_RETRY};
--- a/crates/limit/src/quarantine_table.rs
+++ b/crates/limit/src/quarantine_table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use crate::crash_ledger::PartId;
+use crate::crash_incident::PartId;
 
 /// Parts that are quarantined together: requests with all of them are refused.
 pub type PartSet = BTreeSet<PartId>;
--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -9,6 +9,9 @@
 
 pub const CRASHING_PART: PartId = 0xdead;
 
+/// Lower bound of the requests' contents.
+const OWN_CONTENTS: PartId = 1_000_000;
+
 /// Time after the fifth crash in which requests with the part may be forwarded:
 /// `contact_ms` of the users' first sites, less two ticks of a control instance.
 pub const FORWARD_LIMIT: Duration = Duration::from_millis(2_800);
@@ -44,6 +47,8 @@
 
 #[derive(Debug, Clone)]
 struct RunningRequest {
+    /// No two requests have the same.
+    content: PartId,
     parts: Vec<PartId>,
     engine: usize,
     forwarded: Instant,
@@ -75,6 +80,8 @@
     born: Vec<u64>,
     running: Vec<RunningRequest>,
     crashes: Vec<Instant>,
+    /// Number of requests forwarded.
+    requests: u64,
     outcome: FleetOutcome,
 }
 
@@ -91,6 +98,7 @@
             born: vec![1; plan.engines],
             running: Vec::new(),
             crashes: Vec::new(),
+            requests: 0,
             outcome: FleetOutcome::default(),
         };
         let end = now + duration;
@@ -166,7 +174,9 @@
         if fifth.is_some_and(|fifth| self.now > *fifth + FORWARD_LIMIT) {
             self.outcome.late += 1;
         }
+        self.requests += 1;
         self.running.push(RunningRequest {
+            content: OWN_CONTENTS + self.requests,
             parts,
             engine,
             forwarded: self.now,
@@ -232,6 +242,7 @@
 
     fn report(&mut self, request: &RunningRequest) {
         let suspect = SuspectRequest {
+            content: request.content,
             parts: request.parts.iter().copied().collect(),
             forwarded: request.forwarded,
         };
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -13,6 +13,13 @@
 const SUBJECT: PartId = 2;
 const CULPRIT: PartId = 3;
 
+/// Contents of requests that come again.
+const REPEATED: PartId = 10;
+const NEIGHBOUR: PartId = 11;
+
+/// Contents above this one come once.
+const OWN_CONTENTS: PartId = 1_000;
+
 /// Longer than the time in which reports of one incident arrive.
 const SETTLED: Duration = Duration::from_millis(300);
 
@@ -21,6 +28,7 @@
     ledger: CrashLedger,
     now: Instant,
     crashes: u64,
+    contents: u64,
 }
 
 impl LedgerScript {
@@ -29,6 +37,7 @@
             ledger: CrashLedger::default(),
             now: Instant::now(),
             crashes: 0,
+            contents: 0,
         }
     }
 
@@ -36,10 +45,18 @@
         self.now += duration;
     }
 
-    /// Another endpoint crashes under a request forwarded `running` ago.
+    /// Another endpoint crashes under a request forwarded `running` ago, which has a
+    /// content of its own.
     fn crash(&mut self, parts: &[PartId], running: Duration) {
+        self.contents += 1;
+        self.crash_content(OWN_CONTENTS + self.contents, parts, running);
+    }
+
+    /// Another endpoint crashes under a request with a content.
+    fn crash_content(&mut self, content: PartId, parts: &[PartId], running: Duration) {
         self.crashes += 1;
         let request = SuspectRequest {
+            content,
             parts: parts.iter().copied().collect(),
             forwarded: self.now - running,
         };
@@ -137,6 +154,83 @@
     assert_eq!(script.ledger.quarantines().iter().count(), 1);
 }
 
+/// Guards against a repeated request whose crashes are charged to the prompt parts that
+/// it shares with sound ones.
+#[test]
+fn tick_content_goes_before_its_parts() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash_content(REPEATED, &[FIRST, SUBJECT], RUNNING);
+        script.advance(SETTLED);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([REPEATED])]);
+    script.advance(Duration::from_secs(2));
+    assert_eq!(script.quarantined(), [], "its parts stay");
+}
+
+/// Guards against a quarantine of what ran beside a crashing request and was repeated
+/// as often.
+#[test]
+fn tick_repeated_neighbour_not_quarantined() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash_content(REPEATED, &[], RUNNING);
+        script.crashes -= 1;
+        script.crash_content(NEIGHBOUR, &[], RUNNING);
+        script.advance(SETTLED);
+    }
+    script.advance(Duration::from_secs(2));
+    assert_eq!(script.quarantined(), [], "either may be the cause");
+    script.crash_content(REPEATED, &[], RUNNING);
+    script.advance(2 * SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([REPEATED])]);
+}
+
+/// Guards against a quarantine of a request that is repeated eagerly through outages,
+/// and served between them.
+#[test]
+fn tick_served_content_not_quarantined() {
+    let mut script = LedgerScript::new();
+    for _ in 0..8 {
+        script.crash_content(REPEATED, &[], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(REPEATED, script.now);
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+    }
+}
+
+/// A request that was forwarded after its endpoint had crashed is not a cause.
+#[test]
+fn tick_request_after_crash_not_suspected() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash_content(REPEATED, &[], RUNNING);
+        script.crashes -= 1;
+        script.now += Duration::from_millis(5);
+        script.crash_content(NEIGHBOUR, &[], Duration::from_millis(2));
+        script.advance(SETTLED);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([REPEATED])]);
+}
+
+/// A part that crashes endpoints under different contents is found, though each of its
+/// requests is retried once.
+#[test]
+fn tick_part_of_retried_requests_quarantined() {
+    let mut script = LedgerScript::new();
+    for content in [REPEATED, NEIGHBOUR] {
+        for _ in 0..2 {
+            script.crash_content(content, &[FIRST, CULPRIT], RUNNING);
+            script.advance(SETTLED);
+            script.ledger.record_sound(FIRST, script.now);
+        }
+    }
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
 #[test]
 fn tick_quarantine_ends() {
     let mut script = LedgerScript::new();
