agent: give back at once what its shutdown would cut

What callers saw: in a planned stop of an agent, attempts in its queue were kept and forwarded up to the limit of `shutdown_grace_ms` (60 s), although by the measured durations they would end after it. They waited for most of a minute to be refused at the limit, or were forwarded shortly before it and cut.

Cause: the end of the shutdown was read only by the check that ends the process. The queue, which measures how long its requests take, didn't know of it.

The tests failed before:

shutdown_returns_waiting_that_would_outlast_it left: [] right: [6, 7] shutdown_forwards_nothing_that_it_would_cut forwarded with 25 s left

Ruled out: new attempts after the begin of a stop; they were and are refused as "not run" on arrival (shutdown_finishes_requests).

Why it works: from the begin of a shutdown each pass over the queue schedules it on the slots, in the order in which it is served, with the mean duration of ended requests scaled by token bound; what would end after the limit is refused as "not run" then, and the entry starts it elsewhere. Nothing is forwarded without that check. An endpoint without a measured request keeps its queue: nothing is known about it. The same holds for plain services, whose requests have no tokens and aren't measured.

--- a/crates/agent/src/agent_role.rs
+++ b/crates/agent/src/agent_role.rs
@@ -167,8 +167,8 @@
         (!resident).then_some(RefusalReason::NotResident)
     }
 
-    /// Refuses waiting attempts past their deadline and forwards others while
-    /// slots and KV reserve are free.
+    /// Refuses waiting attempts past their deadline, and in a shutdown those that
+    /// it would cut; forwards others while slots and KV reserve are free.
     fn forward_waiting(&mut self, now: Instant, actions: &mut Actions) {
         for waiting in self
             .scheduler
@@ -176,6 +176,11 @@
         {
             refuse_waiting(&waiting, RefusalReason::Deadline, actions);
         }
+        if let Some(end) = self.shutdown_end() {
+            for waiting in self.scheduler.remove_ending_after(now, end) {
+                refuse_waiting(&waiting, RefusalReason::Leaving, actions);
+            }
+        }
         let limit = self.kv_limit_mib();
         let orders = &self.orders;
         while let Some((run, waiting)) = self.scheduler.start_next(now, limit, |m| orders.kv_mib(m))
@@ -408,16 +413,23 @@
             self.announcer.mark_changed(now);
             self.announce(now, actions);
             self.reporter.schedule_now(now);
+            self.forward_waiting(now, actions);
         }
     }
 
+    /// Returns when a shutdown ends at the latest; none before it began.
+    fn shutdown_end(&self) -> Option<Instant> {
+        self.leaving_since
+            .map(|since| since + self.config.settings.shutdown_grace)
+    }
+
     fn finish_if_idle(&mut self, now: Instant, actions: &mut Actions) {
         let Some(since) = self.leaving_since.filter(|_| !self.finished) else {
             return;
         };
         let idle = self.scheduler.running_len() == 0 && self.scheduler.waiting_len() == 0;
         let acknowledged = self.announcer.is_acknowledged() || now >= since + LEAVE_ACK_TIMEOUT;
-        let grace_expired = now >= since + self.config.settings.shutdown_grace;
+        let grace_expired = self.shutdown_end().is_some_and(|end| now >= end);
         if grace_expired || (idle && acknowledged) {
             for waiting in self.scheduler.remove_waiting(|_| true) {
                 refuse_waiting(&waiting, RefusalReason::Leaving, actions);
--- a/crates/agent/src/attempt_scheduler.rs
+++ b/crates/agent/src/attempt_scheduler.rs
@@ -10,7 +10,7 @@
 //! once; an attempt that is not expected to meet its deadline is refused on
 //! arrival.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -116,6 +116,9 @@
 /// Time after the last request for which an idle account keeps its share.
 const ACCOUNT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum of an expected duration, which keeps sums of instants in range.
+const DURATION_MAX: Duration = Duration::from_secs(24 * 3_600);
+
 /// An account that sent requests recently.
 #[derive(Debug, Clone, Copy)]
 struct ActiveAccount {
@@ -356,6 +359,36 @@
         dropped.into_iter().map(|item| item.payload).collect()
     }
 
+    /// Removes the waiting attempts that are not expected to end by `end`.
+    ///
+    /// Algorithm: list scheduling of the queue on the slots with the measured
+    /// durations of ended requests. Without one of them, all attempts remain.
+    pub fn remove_ending_after(&mut self, now: Instant, end: Instant) -> Vec<WaitingAttempt> {
+        let running = self.running.values();
+        let mut free_at: Vec<Instant> = running
+            .map(|item| (item.started + self.duration_of(item.charged_tokens)).max(now))
+            .collect();
+        free_at.resize(self.slots.max(free_at.len()), now);
+        let mut late = BTreeSet::new();
+        for item in self.queue.service_order() {
+            let Some(slot) = free_at.iter_mut().min() else {
+                break;
+            };
+            let ends_at = *slot + self.duration_of(item.tokens);
+            if ends_at > end {
+                late.insert(attempt_key(item.payload.start.id.as_ref()));
+            } else {
+                *slot = ends_at;
+            }
+        }
+        self.remove_waiting(|waiting| late.contains(&attempt_key(waiting.start.id.as_ref())))
+    }
+
+    /// Returns the expected duration of a request.
+    fn duration_of(&self, tokens: u64) -> Duration {
+        self.meter.estimate_duration(tokens).min(DURATION_MAX)
+    }
+
     /// Returns the earliest deadline in the queue.
     pub fn deadline(&self) -> Option<Instant> {
         self.queue.iter().map(|item| item.deadline).min()
--- a/crates/agent/tests/agent_role.rs
+++ b/crates/agent/tests/agent_role.rs
@@ -429,6 +429,76 @@
     assert_eq!(ended.count(), 3);
 }
 
+fn send_patient_start(harness: &mut AgentHarness, sequence: u64) {
+    let start = AttemptStart {
+        deadline_ms: 600_000,
+        ..attempt(sequence)
+    };
+    harness.send_frame(ENTRY, FrameBody::AttemptStart(start));
+}
+
+/// An agent whose requests last 30 s, with two running for 5 s, four waiting and
+/// 60 s for its shutdown, which has begun.
+fn leaving_agent() -> AgentHarness {
+    let mut harness = AgentHarness::new(&["payroll"]);
+    harness.send_ack(false);
+    send_patient_start(&mut harness, 1);
+    let run = harness.pop_runs()[0];
+    harness.advance(Duration::from_secs(30));
+    let data = Bytes::from_static(b"{\"usage\": {\"completion_tokens\": 100}}");
+    harness.send_engine_event(AgentEvent::Part { run, data });
+    harness.send_engine_event(AgentEvent::End { run });
+    for sequence in 2..=7 {
+        send_patient_start(&mut harness, sequence);
+    }
+    assert_eq!(harness.pop_runs(), [2, 3]);
+    harness.advance(Duration::from_secs(5));
+    assert!(harness.pop_refusals(ENTRY).is_empty());
+    harness.send(RoleEvent::Shutdown);
+    harness.send_ack(false);
+    harness
+}
+
+fn refused_sequences(refused: &[AttemptRefused]) -> Vec<u64> {
+    let is_leaving =
+        |item: &AttemptRefused| item.reason() == RefusalReason::Leaving && item.ran() == Ran::No;
+    assert!(refused.iter().all(is_leaving), "{refused:?}");
+    let ids = refused.iter().filter_map(|item| item.id);
+    ids.map(|id| id.sequence).collect()
+}
+
+// Guards against attempts that wait for most of a shutdown although they can't end
+// within it: their callers were refused or cut at its limit.
+#[test]
+fn shutdown_returns_waiting_that_would_outlast_it() {
+    let mut harness = leaving_agent();
+    let refused = harness.pop_refusals(ENTRY);
+    assert_eq!(refused_sequences(&refused), [6, 7]);
+    harness.advance(Duration::from_secs(25));
+    for run in [2, 3] {
+        harness.send_engine_event(AgentEvent::End { run });
+    }
+    assert_eq!(harness.pop_runs(), [4, 5]);
+    assert!(harness.pop_refusals(ENTRY).is_empty());
+}
+
+// Guards against attempts that are forwarded so late in a shutdown that it cuts them.
+#[test]
+fn shutdown_forwards_nothing_that_it_would_cut() {
+    let mut harness = leaving_agent();
+    harness.pop_refusals(ENTRY);
+    // The running requests last longer than those before them.
+    harness.advance(Duration::from_secs(29));
+    assert!(harness.pop_refusals(ENTRY).is_empty());
+    harness.advance(Duration::from_secs(6));
+    for run in [2, 3] {
+        harness.send_engine_event(AgentEvent::End { run });
+    }
+    assert!(harness.pop_runs().is_empty(), "forwarded with 25 s left");
+    let refused = harness.pop_refusals(ENTRY);
+    assert_eq!(refused_sequences(&refused), [4, 5]);
+}
+
 #[test]
 fn load_reports_all_entries() {
     let mut harness = AgentHarness::new(&["payroll"]);
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -264,6 +264,34 @@
             .flat_map(|queue| queue.classes.values().flatten())
     }
 
+    /// Returns the waiting requests in the order in which they are served if no other
+    /// request arrives and each is eligible.
+    pub fn service_order(&self) -> Vec<&QueuedItem<T>> {
+        let mut lanes: Vec<_> = self
+            .queues
+            .values()
+            .map(|queue| {
+                let items = queue.classes.values().flatten().peekable();
+                (queue.start, queue.weight, items)
+            })
+            .collect();
+        let mut order = Vec::with_capacity(self.len);
+        while let Some((start, weight, items)) = lanes
+            .iter_mut()
+            .filter_map(|(start, weight, items)| {
+                items.peek().is_some().then_some((start, weight, items))
+            })
+            .min_by(|(a, ..), (b, ..)| a.total_cmp(b))
+        {
+            let Some(item) = items.next() else {
+                break;
+            };
+            *start += item.cost() / *weight;
+            order.push(item);
+        }
+        order
+    }
+
     /// Returns the tokens that are served before a new request of an account.
     ///
     /// For each other account, these are its waiting tokens, but no more than its
--- a/crates/policy/src/service_meter.rs
+++ b/crates/policy/src/service_meter.rs
@@ -46,6 +46,16 @@
         (self.used / self.duration * slots as f64) as u64
     }
 
+    /// Estimates the duration of a request with a bound of `tokens`; zero before the
+    /// first sample.
+    pub fn estimate_duration(&self, tokens: u64) -> Duration {
+        if self.samples == 0 {
+            return Duration::ZERO;
+        }
+        let duration = tokens as f64 / self.bound * self.duration;
+        Duration::try_from_secs_f64(duration).unwrap_or(Duration::MAX)
+    }
+
     /// Estimates the wait of a request behind requests with a total bound of
     /// `tokens_ahead` while all slots are busy; zero before the first sample.
     pub fn estimate_wait(&self, tokens_ahead: u64, slots: usize) -> Duration {
--- a/crates/policy/tests/fair_queue.rs
+++ b/crates/policy/tests/fair_queue.rs
@@ -73,6 +73,23 @@
     assert_eq!(of_a, [2, 3, 1]);
 }
 
+#[test]
+fn service_order_as_popped() {
+    let mut queue = FairQueue::new(100);
+    for idx in 0..10 {
+        queue.push(item("a", 1, idx % 3, 100 + u64::from(idx)));
+        queue.push(item("b", 3, 0, 200 + u64::from(idx)));
+        queue.push(item("c", 1, 1, 310 + u64::from(idx)));
+    }
+    pop_tokens(&mut queue, 5);
+    let order: Vec<u64> = queue.service_order().iter().map(|it| it.payload).collect();
+    let popped: Vec<u64> = std::iter::from_fn(|| queue.pop(|_| true))
+        .map(|it| it.payload)
+        .collect();
+    assert_eq!(popped.len(), 25);
+    assert_eq!(order, popped);
+}
+
 #[test]
 fn pop_skips_ineligible() {
     let mut queue = FairQueue::new(10);
