agent: stay after a shutdown until crossing attempts are refused

What callers saw: requests sent while an agent left were answered 502 with "Mulberrywell-Ran: unknown", although they had not run and other endpoints were free. A request that may run only once can't be repeated after that.

Cause: an idle agent exited as soon as control had acknowledged its leave, within milliseconds. Attempts that entries had sent before its last load report reached them met a closed link, of which an entry can only say "unknown". By reading, without a test: frames of a last response still queued for a slow link are lost the same way.

Ruled out: the entry's retries. It starts what an agent refuses as "not run" at another endpoint, also requests that may run only once.

Why it works: from the begin of a shutdown, and from the last frame about an attempt, the agent stays for 500 ms, refuses as "not run" what arrives and writes what is queued; the limit of the shutdown stays. Entries know of the leave one way after its begin, so nothing is sent to it after that time on links that are quicker than 500 ms there and back.

shutdown_finishes_requests asserted the exit at the moment of the last response; it now asserts that the agent is still there then and gone within 1 s.

--- a/crates/agent/src/agent_role.rs
+++ b/crates/agent/src/agent_role.rs
@@ -41,6 +41,10 @@
 /// Time that shutdown waits for control to acknowledge that the endpoint leaves.
 const LEAVE_ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after the begin of a shutdown and after the last frame to an entry in which
+/// attempts that cross the leave are refused and frames are written.
+const CROSSING_TIME: Duration = Duration::from_millis(500);
+
 /// Configuration of the role.
 #[derive(Debug, Clone)]
 pub struct AgentConfig {
@@ -84,6 +88,8 @@
     draining: bool,
     /// Start of a graceful shutdown, from which on no attempt is admitted.
     leaving_since: Option<Instant>,
+    /// When the last frame about an attempt was sent to an entry.
+    last_reply: Instant,
     finished: bool,
     /// Buffer that is reused for the load reporter's commands.
     commands: Vec<LinkCommand>,
@@ -115,6 +121,7 @@
             report_sequence: 0,
             draining: false,
             leaving_since: None,
+            last_reply: now,
             finished: false,
             commands: Vec::new(),
             config,
@@ -430,7 +437,8 @@
         let idle = self.scheduler.running_len() == 0 && self.scheduler.waiting_len() == 0;
         let acknowledged = self.announcer.is_acknowledged() || now >= since + LEAVE_ACK_TIMEOUT;
         let grace_expired = self.shutdown_end().is_some_and(|end| now >= end);
-        if grace_expired || (idle && acknowledged) {
+        let crossed = now >= since.max(self.last_reply) + CROSSING_TIME;
+        if grace_expired || (idle && acknowledged && crossed) {
             for waiting in self.scheduler.remove_waiting(|_| true) {
                 refuse_waiting(&waiting, RefusalReason::Leaving, actions);
             }
@@ -453,6 +461,7 @@
     type Action = AgentAction;
 
     fn handle(&mut self, now: Instant, event: RoleEvent<AgentEvent>, actions: &mut Actions) {
+        let earlier_actions = actions.len();
         match event {
             RoleEvent::Link(event) => self.handle_link_event(now, event, actions),
             RoleEvent::Timer => self.handle_timer(now, actions),
@@ -462,6 +471,9 @@
             RoleEvent::Exchange(_) | RoleEvent::Http(..) => {}
             RoleEvent::RoleSpecific(event) => self.handle_engine_event(now, event, actions),
         }
+        if actions[earlier_actions..].iter().any(is_reply) {
+            self.last_reply = now;
+        }
         self.read_state(now, actions);
         self.report_load(now, actions);
         self.finish_if_idle(now, actions);
@@ -486,6 +498,20 @@
     }
 }
 
+/// Returns whether an action sends an entry a frame about one of its attempts.
+fn is_reply(action: &RoleAction<AgentAction>) -> bool {
+    let RoleAction::Link(LinkCommand::Send { body, .. }) = action else {
+        return false;
+    };
+    matches!(
+        body,
+        FrameBody::AttemptHead(_)
+            | FrameBody::AttemptPart(_)
+            | FrameBody::AttemptEnd(_)
+            | FrameBody::AttemptRefused(_)
+    )
+}
+
 fn to_refusal(refusal: QueueRefusal) -> AttemptRefusal {
     AttemptRefusal {
         reason: refusal.reason,
--- a/crates/agent/tests/agent_role.rs
+++ b/crates/agent/tests/agent_role.rs
@@ -385,6 +385,11 @@
     assert_eq!(harness.pop_runs().len(), 1);
 }
 
+fn is_finished(harness: &AgentHarness) -> bool {
+    let mut actions = harness.actions.iter();
+    actions.any(|action| matches!(action, RoleAction::Finished))
+}
+
 #[rstest]
 #[case::acknowledged_last(false)]
 #[case::acknowledged_first(true)]
@@ -401,12 +406,6 @@
     let refused = harness.pop_refusals(ENTRY);
     assert_eq!(refused.len(), 1);
     assert_eq!(refused[0].reason(), RefusalReason::Leaving);
-    let is_finished = |harness: &AgentHarness| {
-        harness
-            .actions
-            .iter()
-            .any(|a| matches!(a, RoleAction::Finished))
-    };
     if ack_first {
         harness.send_ack(false);
     }
@@ -421,6 +420,11 @@
         );
         harness.send_ack(false);
     }
+    assert!(
+        !is_finished(&harness),
+        "finished before the last response was written"
+    );
+    harness.advance(Duration::from_millis(1_000));
     assert!(is_finished(&harness));
     let sent = harness.pop_sent(ENTRY);
     let ended = sent
@@ -429,6 +433,23 @@
     assert_eq!(ended.count(), 3);
 }
 
+// Guards against attempts that entries sent just before they learned of a shutdown and
+// that met a closed link: nobody knew whether they ran.
+#[test]
+fn shutdown_refuses_crossing_starts() {
+    let mut harness = AgentHarness::new(&["payroll"]);
+    harness.send_ack(false);
+    harness.send(RoleEvent::Shutdown);
+    harness.send_ack(false);
+    harness.advance(Duration::from_millis(200));
+    assert!(!is_finished(&harness), "finished while attempts may arrive");
+    send_start(&mut harness, 1);
+    let refused = harness.pop_refusals(ENTRY);
+    assert_eq!(refused_sequences(&refused), [1]);
+    harness.advance(Duration::from_millis(1_000));
+    assert!(is_finished(&harness));
+}
+
 fn send_patient_start(harness: &mut AgentHarness, sequence: u64) {
     let start = AttemptStart {
         deadline_ms: 600_000,
--- a/crates/mulberrywell/tests/agent_process.rs
+++ b/crates/mulberrywell/tests/agent_process.rs
@@ -4,13 +4,15 @@
 mod common;
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use common::{binaries, engine_config, small_cluster, GRANTS, PLANS};
 use mulberrywell_testkit::{
-    spawn_server, wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, HttpCaller,
-    ProcessCluster,
+    spawn_server, wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, FakeService,
+    FlowFault, HttpCaller, ProcessCluster, ProxyFlow, ANY_PROCESS,
 };
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -202,3 +204,70 @@
     }
     assert!(wrong.is_empty(), "{wrong:?}");
 }
+
+// Guards against requests that callers sent while an agent left and whose answers said
+// that nobody knows whether they ran.
+#[test]
+fn shutdown_under_load_loses_no_order() {
+    let services: Vec<_> = (0..2).map(|_| FakeService::spawn().unwrap()).collect();
+    let agents = services.iter().enumerate().map(|(idx, service)| {
+        let mut agent = AgentPlan::service("payments", service.address());
+        agent.name = format!("payments-{idx}");
+        agent
+    });
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        agents: agents.collect(),
+        proxied: true,
+        ..ClusterPlan::default()
+    };
+    let mut cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.apply(PLANS, GRANTS).unwrap();
+    cluster.wait_ready(2).unwrap();
+    let key = cluster.create_key("medellin", "m1").unwrap();
+    let entry = cluster.callers[0];
+    // Requests take a while to the agents, as from another zone.
+    let distance = FlowFault {
+        delay: Duration::from_millis(40),
+        ..FlowFault::default()
+    };
+    for name in ["agent-payments-0", "agent-payments-1"] {
+        let proxy = cluster.proxy(ANY_PROCESS, name).unwrap();
+        proxy.set_flow(ProxyFlow::ToTarget, distance);
+    }
+    let stopped = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..6)
+        .map(|_| {
+            let caller = HttpCaller::new(entry, Some(&key));
+            let stopped = stopped.clone();
+            thread::spawn(move || {
+                let mut lost = Vec::new();
+                while !stopped.load(Ordering::Relaxed) {
+                    let response = caller
+                        .call("POST", "/services/payments/orders", &[], "order")
+                        .unwrap();
+                    if response.header("Mulberrywell-Ran") == "unknown" {
+                        lost.push((response.status, response.body));
+                    }
+                }
+                lost
+            })
+        })
+        .collect();
+    for _ in 0..4 {
+        for name in ["agent-payments-0", "agent-payments-1"] {
+            thread::sleep(Duration::from_millis(100));
+            cluster.signal(name, Signal::SIGTERM).unwrap();
+            assert!(cluster.wait(name).unwrap());
+            cluster.restart(name).unwrap();
+            cluster.wait_ready(2).unwrap();
+        }
+    }
+    stopped.store(true, Ordering::Relaxed);
+    let lost: Vec<_> = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().unwrap())
+        .collect();
+    assert!(lost.is_empty(), "{} lost: {lost:?}", lost.len());
+}
