entry: wait for outcomes from the last call's end

What callers saw: a request with an idempotency key that was accepted before or in the grace period of an entry's stop and ended more than 5 s after that period got its answer, but if the link to control was down at that moment the outcome was lost with the process: each resend was told that the outcome is unknown (409).

Cause: the 5 s in which a shutdown waits for the acknowledgement of outcomes were counted from the end of the grace period. For a call that ends later they were over before its outcome existed, so the entry exited 500 ms after the answer.

The tests failed before:

shutdown_waits_for_outcome_of_long_call finished with an unacknowledged outcome shutdown_ends_without_acknowledgement assertion failed: !entry.finished (4.9 s after the answer)

Ruled out: the resend itself. Outcomes are resent when the link opens again; the process was gone by then.

Why it works: the wait ends 5 s after the later of the grace period and the end of the last call, so each outcome has its 5 s, and the exit stays bounded.

--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -242,6 +242,7 @@
         let stage = self.calls.get(sequence)?.stage;
         self.advance(sequence, CallEvent::End);
         let call = self.calls.remove(sequence)?;
+        self.last_call_end = now;
         match stage {
             CallStage::Reserving => self.leases.cancel(now, &call.account, sequence),
             CallStage::Claiming => self.record_late_claim(sequence, &call),
--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -36,8 +36,8 @@
 /// reports.
 const REPORT_LINKS_MAX: usize = 64;
 
-/// Time after the grace period for which a shutdown waits for outcomes to be
-/// acknowledged.
+/// Time after the grace period and after the last call's end for which a shutdown
+/// waits for outcomes to be acknowledged.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time for the host to write the end of the last response.
@@ -95,6 +95,8 @@
     grace_over: bool,
     /// When a part of a response was last sent.
     last_response: Instant,
+    /// When a call last ended.
+    pub(crate) last_call_end: Instant,
     /// Instant of the last event.
     last_handled: Instant,
     /// When missing links are next reopened.
@@ -129,6 +131,7 @@
             draining: None,
             grace_over: false,
             last_response: now,
+            last_call_end: now,
             last_handled: now,
             next_link_check: now,
             finished: false,
@@ -156,6 +159,12 @@
             .map(|since| since + self.config.settings.shutdown_grace)
     }
 
+    /// Returns when a shutdown no longer waits for outcomes of the ended calls.
+    fn outcome_end(&self) -> Option<Instant> {
+        self.grace_end()
+            .map(|end| end.max(self.last_call_end) + OUTCOME_TIMEOUT)
+    }
+
     fn handle_link(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
         match event {
             LinkEvent::Opened { link, .. } => match self.link.handle_opened(now, link) {
@@ -300,9 +309,7 @@
         if self.finished || !self.calls.is_empty() || !self.grace_over {
             return;
         }
-        let timed_out = self
-            .grace_end()
-            .is_some_and(|end| now >= end + OUTCOME_TIMEOUT);
+        let timed_out = self.outcome_end().is_some_and(|end| now >= end);
         if !self.outcomes.is_empty() && !timed_out {
             return;
         }
@@ -357,6 +364,9 @@
         let grace = self.grace_end().filter(|_| !self.grace_over);
         let flushed = self.last_response + FLUSH_TIME;
         let flushed = (self.grace_over && self.calls.is_empty()).then_some(flushed);
+        let outcomes = self
+            .outcome_end()
+            .filter(|_| self.grace_over && self.calls.is_empty());
         let fresh = self
             .link
             .fresh_until()
@@ -371,6 +381,7 @@
             links,
             grace,
             flushed.filter(|at| *at > self.last_handled),
+            outcomes.filter(|at| *at > self.last_handled),
             fresh,
         ]
         .into_iter()
--- a/crates/entry/tests/request_shutdown.rs
+++ b/crates/entry/tests/request_shutdown.rs
@@ -3,8 +3,11 @@
 mod scripted;
 
 use mulberrywell_role::RoleEvent;
+use mulberrywell_wire::claim::{ClaimAnswer, ClaimState, OutcomeAck, OutcomeReport};
 use mulberrywell_wire::FrameBody;
-use scripted::ScriptedEntry;
+use scripted::{ScriptedEntry, CONTROL_PORT};
+
+const CLAIM_KEY: &[(&str, &str)] = &[("Idempotency-Key", "order-1")];
 
 #[test]
 fn shutdown_not_ready_within_grace() {
@@ -65,3 +68,69 @@
     });
     assert_eq!(returned.sum::<u64>(), 99);
 }
+
+fn grant_claim(entry: &mut ScriptedEntry) {
+    let claims = entry.sent.iter().filter_map(|(_, body)| match body {
+        FrameBody::ClaimRequest(claim) => Some(claim.sequence),
+        _ => None,
+    });
+    let sequence = claims.last().expect("no claim request was sent");
+    entry.control(FrameBody::ClaimAnswer(ClaimAnswer {
+        sequence,
+        state: ClaimState::Granted.into(),
+        answer: None,
+        claim: 5,
+    }));
+}
+
+fn outcomes(entry: &ScriptedEntry) -> Vec<OutcomeReport> {
+    let reports = entry.sent.iter().filter_map(|(_, body)| match body {
+        FrameBody::OutcomeReport(report) => Some(report.clone()),
+        _ => None,
+    });
+    reports.collect()
+}
+
+fn acknowledge_outcomes(entry: &mut ScriptedEntry) {
+    for report in outcomes(entry) {
+        let sequence = report.sequence;
+        entry.control(FrameBody::OutcomeAck(OutcomeAck { sequence }));
+    }
+}
+
+// Guards against outcomes lost in a shutdown because the wait for their acknowledgement
+// ended before their request did: a resend was told that the outcome is unknown.
+#[test]
+fn shutdown_waits_for_outcome_of_long_call() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(CLAIM_KEY);
+    grant_claim(&mut entry);
+    entry.event(RoleEvent::Shutdown);
+    // The call outlasts the grace period of 2 s and the 5 s for outcomes.
+    entry.advance(20_000);
+    let link = entry.link_to(CONTROL_PORT);
+    entry.respond_to_last("ticket 9");
+    assert_eq!(entry.caller_view(request).ended, Some(true));
+    entry.close_link(link);
+    let sent = outcomes(&entry).len();
+    entry.advance(2_000);
+    assert!(!entry.finished, "finished with an unacknowledged outcome");
+    assert!(outcomes(&entry).len() > sent, "the outcome was not resent");
+    acknowledge_outcomes(&mut entry);
+    entry.advance(600);
+    assert!(entry.finished);
+}
+
+#[test]
+fn shutdown_ends_without_acknowledgement() {
+    let mut entry = ScriptedEntry::ready();
+    entry.send_ticket(CLAIM_KEY);
+    grant_claim(&mut entry);
+    entry.event(RoleEvent::Shutdown);
+    entry.advance(20_000);
+    entry.respond_to_last("ticket 9");
+    entry.advance(4_900);
+    assert!(!entry.finished);
+    entry.advance(1_200);
+    assert!(entry.finished);
+}
