entry: wait in a shutdown for claims that are answered late

What callers saw: a request refused as "not run" because its idempotency key couldn't be claimed within 2 s, at the end of an entry's stop; if the claim was granted after all, nobody gave it back, and each resend was told that the outcome is unknown (409).

Cause: the check for the end of a shutdown counted calls and unacknowledged outcomes, not the claims whose answer is still due. The entry exited 500 ms after the refusal.

The test failed before:

shutdown_releases_late_claim finished before the claim was answered

Ruled out: the release itself; without a stop a late grant is given back (claim_granted_late_released).

Why it works: a late claim holds the exit for the same 5 s as an outcome, and its release is then an outcome.

A claim granted while its link was lost stays taken until its lifetime ends, as before; that needs no stop.

--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -37,7 +37,7 @@
 const REPORT_LINKS_MAX: usize = 64;
 
 /// Time after the grace period and after the last call's end for which a shutdown
-/// waits for outcomes to be acknowledged.
+/// waits for outcomes to be acknowledged and for late claims to be released.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time for the host to write the end of the last response.
@@ -189,6 +189,8 @@
             actions.push(RoleAction::Log(LogLevel::Warn, text));
             self.leases.handle_link_closed(now);
             self.expire_claims(now, true, actions);
+            // The answers to them were due on this link.
+            self.late_claims.clear();
             return;
         }
         if let Some(was_open) = self.agents.handle_closed(link) {
@@ -310,7 +312,8 @@
             return;
         }
         let timed_out = self.outcome_end().is_some_and(|end| now >= end);
-        if !self.outcomes.is_empty() && !timed_out {
+        let has_outcomes = !self.outcomes.is_empty() || !self.late_claims.is_empty();
+        if has_outcomes && !timed_out {
             return;
         }
         self.leases.drain(now);
--- a/crates/entry/tests/request_shutdown.rs
+++ b/crates/entry/tests/request_shutdown.rs
@@ -134,3 +134,37 @@
     entry.advance(1_200);
     assert!(entry.finished);
 }
+
+// Guards against claims that stay taken because the entry exited between the refusal of
+// their request and their grant: a resend was told "unknown" after a "not run".
+#[test]
+fn shutdown_releases_late_claim() {
+    let mut entry = ScriptedEntry::ready();
+    entry.event(RoleEvent::Shutdown);
+    entry.advance(1_900);
+    let request = entry.send_ticket(CLAIM_KEY);
+    entry.advance(2_000);
+    let view = entry.caller_view(request);
+    assert_eq!((view.status, view.ran().as_str()), (503, "no"));
+    entry.advance(1_000);
+    assert!(!entry.finished, "finished before the claim was answered");
+    grant_claim(&mut entry);
+    let report = outcomes(&entry).pop().unwrap();
+    assert_eq!((report.claim, report.not_run), (5, true));
+    acknowledge_outcomes(&mut entry);
+    entry.advance(600);
+    assert!(entry.finished);
+}
+
+// The answer to a claim can't arrive once its link has closed.
+#[test]
+fn shutdown_not_delayed_by_lost_claim() {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_ticket(CLAIM_KEY);
+    let link = entry.link_to(CONTROL_PORT);
+    entry.close_link(link);
+    assert_eq!(entry.caller_view(request).status, 503);
+    entry.event(RoleEvent::Shutdown);
+    entry.advance(2_600);
+    assert!(entry.finished);
+}
