entry, runtime: answer requests that the exit would cut

What callers saw: a request whose head or body was still arriving when an entry ended its stop was cut: the connection closed without a byte, and the caller couldn't know that nothing had run.

Cause: the role counts the calls that it knows. The front proxy takes a request before that, byte by byte, and the process ended without asking it.

Ruled out: requests that arrive completely in the last 500 ms; the role refuses them with 503 and stays 500 ms longer (shutdown_finishes_calls_and_refuses_new_ones).

Why it works: once no call is left, the role tells its host to refuse what isn't read; the proxy answers 503 with "Mulberrywell-Ran: no" and `Retry-After` in place of the library and refuses further requests, and 500 ms later the process exits. "Not run" is true: past the grace the role starts nothing. It isn't told earlier, as health checks are answered while calls are in work.

Not mended: a caller that sends a request on an idle connection at the very moment of the exit. HTTP/1.1 leaves that to the caller (RFC 9112, section 9.3.1).

--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -54,6 +54,8 @@
 pub enum EntryAction {
     /// Sends a part of a response to a caller.
     Respond(RequestId, ResponsePart),
+    /// Refuses the requests that the host has not read completely, and further ones.
+    RefuseUnread,
 }
 
 /// Start parameters of the role.
@@ -93,7 +95,9 @@
     pub(crate) draining: Option<Instant>,
     /// Whether the grace period of a shutdown was over at the last event.
     grace_over: bool,
-    /// When a part of a response was last sent.
+    /// Whether a shutdown has refused the requests that were still being read.
+    unread_refused: bool,
+    /// When a part of a response or the refusal of unread requests was last sent.
     last_response: Instant,
     /// When a call last ended.
     pub(crate) last_call_end: Instant,
@@ -130,6 +134,7 @@
             next_link: 2,
             draining: None,
             grace_over: false,
+            unread_refused: false,
             last_response: now,
             last_call_end: now,
             last_handled: now,
@@ -316,6 +321,11 @@
         if has_outcomes && !timed_out {
             return;
         }
+        if !self.unread_refused {
+            self.unread_refused = true;
+            self.last_response = now;
+            actions.push(RoleAction::RoleSpecific(EntryAction::RefuseUnread));
+        }
         self.leases.drain(now);
         if self.leases.is_drained() && now >= self.last_response + FLUSH_TIME {
             self.finished = true;
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -59,6 +59,8 @@
     pub sent: Vec<(LinkId, FrameBody)>,
     pub callers: BTreeMap<u64, CallerView>,
     pub finished: bool,
+    /// Whether the entry has refused the requests that were still being read.
+    pub unread_refused: bool,
     /// Whether lease requests are granted at once.
     pub grants: bool,
     /// Tokens granted beyond the requested ones.
@@ -186,6 +188,7 @@
             sent: Vec::new(),
             callers: BTreeMap::new(),
             finished: false,
+            unread_refused: false,
             grants: true,
             extra_tokens: 0,
             confirms: true,
@@ -246,6 +249,7 @@
                 events.push_back(RoleEvent::Link(LinkEvent::Closed { link }));
             }
             RoleAction::RoleSpecific(EntryAction::Respond(id, part)) => self.record_part(id, part),
+            RoleAction::RoleSpecific(EntryAction::RefuseUnread) => self.unread_refused = true,
             RoleAction::Finished => self.finished = true,
             _ => {}
         }
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -87,6 +87,7 @@
         request: Option<RequestId>,
         close: CloseMode,
     },
+    RefuseUnread,
 }
 
 /// Handle by which request threads notify a running proxy.
@@ -128,6 +129,7 @@
             start_tracker: StartTracker::default(),
             next_id: 0,
             accept_resume_at: None,
+            refuses_unread: false,
             scratch: vec![0; READ_LEN],
         };
         thread::Builder::new()
@@ -156,6 +158,11 @@
         });
     }
 
+    /// Refuses the requests that are not passed to a role yet, and further ones.
+    pub fn refuse_unread(&self) {
+        self.send(ProxyCommand::RefuseUnread);
+    }
+
     fn send(&self, command: ProxyCommand) {
         // The proxy thread runs as long as the process.
         let _ = self.tx.send(command);
@@ -179,6 +186,8 @@
     next_id: ConnectionId,
     /// When accepting resumes; set while it is paused.
     accept_resume_at: Option<Instant>,
+    /// Requests that are not passed to a role yet are refused.
+    refuses_unread: bool,
     /// Reused between reads.
     scratch: Vec<u8>,
 }
@@ -244,10 +253,22 @@
                         self.advance(now, id);
                     }
                 }
+                ProxyCommand::RefuseUnread => self.handle_refuse_unread(now),
             }
         }
     }
 
+    fn handle_refuse_unread(&mut self, now: Instant) {
+        self.refuses_unread = true;
+        for connection in self.connections.values_mut() {
+            connection.refuse_unread(now);
+        }
+        let ids: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        for id in ids {
+            self.advance(now, id);
+        }
+    }
+
     fn connection_at_port(&mut self, port: u16) -> Option<(ConnectionId, &mut ProxyConnection)> {
         let id = *self.ports.get(&port)?;
         Some((id, self.connections.get_mut(&id)?))
@@ -306,7 +327,10 @@
         if registry.register(&mut caller, token, interest).is_err() {
             return;
         }
-        let connection = ProxyConnection::new(caller, self.limits.connection, now);
+        let mut connection = ProxyConnection::new(caller, self.limits.connection, now);
+        if self.refuses_unread {
+            connection.refuse_unread(now);
+        }
         self.connections.insert(id, connection);
     }
 
--- a/crates/runtime/src/http_refusal.rs
+++ b/crates/runtime/src/http_refusal.rs
@@ -23,6 +23,13 @@
     message: "too many requests in work",
 };
 
+/// The process ends before the request can be read.
+pub const SHUTTING_DOWN: HttpRefusal = HttpRefusal {
+    status: 503,
+    code: "shutting_down",
+    message: "the instance shuts down",
+};
+
 /// The body is longer than the limit.
 pub const BODY_TOO_LARGE: HttpRefusal = HttpRefusal {
     status: 413,
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -121,6 +121,7 @@
 /// A running server.
 pub struct HttpServer {
     senders: PartSenders,
+    proxy: FrontProxy,
 }
 
 /// State shared by the request threads.
@@ -178,7 +179,7 @@
         )?;
         let shared = Arc::new(ServerState {
             limits,
-            proxy,
+            proxy: proxy.clone(),
             senders: senders.clone(),
             events,
             wrap,
@@ -188,7 +189,12 @@
         thread::Builder::new()
             .name("http".to_owned())
             .spawn(move || accept_requests(&server, &shared))?;
-        Ok(HttpServer { senders })
+        Ok(HttpServer { senders, proxy })
+    }
+
+    /// Refuses the requests that are not passed to the role yet, and further ones.
+    pub fn refuse_unread(&self) {
+        self.proxy.refuse_unread();
     }
 
     /// Queues a part of a response; the connection of a caller that is too slow
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -22,6 +22,7 @@
     fn perform(&mut self, action: EntryAction) {
         match action {
             EntryAction::Respond(request, part) => self.server.send_response_part(request, part),
+            EntryAction::RefuseUnread => self.server.refuse_unread(),
         }
     }
 }
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -19,7 +19,7 @@
 use crate::head_check::{allows_chunks, check_head, BodyLength, HeadError, HeadScan, HEAD_MAX};
 use crate::http_refusal::{
     HttpRefusal, AMBIGUOUS_LENGTH, BAD_REQUEST, BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_UPGRADE,
-    TOO_SLOW,
+    SHUTTING_DOWN, TOO_SLOW,
 };
 use crate::proxy_io::{read_some, write_some, ReadOutcome, WriteOutcome};
 
@@ -130,6 +130,8 @@
     resets_on_drop: bool,
     /// Set once the upstream server has closed its sending side.
     upstream_ended: bool,
+    /// Requests that are not passed to a role yet are refused.
+    refuses_unread: bool,
     /// Requests that were passed to a role and are not yet answered.
     requests: BTreeSet<RequestId>,
     /// Start of the current phase.
@@ -155,6 +157,7 @@
             caller_ended: false,
             resets_on_drop: false,
             upstream_ended: false,
+            refuses_unread: false,
             requests: BTreeSet::new(),
             phase_since: now,
             last_progress: now,
@@ -228,6 +231,14 @@
         }
     }
 
+    /// Refuses the request that is being read, if any, and further ones.
+    pub fn refuse_unread(&mut self, now: Instant) {
+        self.refuses_unread = true;
+        if matches!(self.phase, ProxyPhase::Body(_)) && self.requests.is_empty() {
+            self.refuse(now, SHUTTING_DOWN);
+        }
+    }
+
     /// Sends an error response in place of the upstream server's and closes.
     pub fn refuse(&mut self, now: Instant, refusal: HttpRefusal) {
         self.shut_down_upstream();
@@ -339,6 +350,10 @@
         if self.phase != ProxyPhase::Head || self.inbound.is_empty() {
             return ProxyStep::Wait;
         }
+        if self.refuses_unread {
+            self.refuse(now, SHUTTING_DOWN);
+            return ProxyStep::Wait;
+        }
         let found = self.scan.advance(&self.inbound);
         let checked = found.and_then(|end| match end {
             Some(end) => {
