entry: test that calls that wait at the end of the grace are served

Calls accepted in the grace period of a stop and waiting for tokens, a claim or another endpoint when it ends, and streams to be resumed after it, all get their answers; also when an agent that leaves refuses a request that may run only once.

--- a/crates/entry/tests/request_shutdown.rs
+++ b/crates/entry/tests/request_shutdown.rs
@@ -4,7 +4,9 @@
 
 use mulberrywell_role::RoleEvent;
 use mulberrywell_wire::claim::{ClaimAnswer, ClaimState, OutcomeAck, OutcomeReport};
+use mulberrywell_wire::request::{Ran, RefusalReason};
 use mulberrywell_wire::FrameBody;
+use rstest::rstest;
 use scripted::{ScriptedEntry, CONTROL_PORT};
 
 const CLAIM_KEY: &[(&str, &str)] = &[("Idempotency-Key", "order-1")];
@@ -175,3 +177,67 @@
     entry.advance(2_600);
     assert!(entry.finished);
 }
+
+/// A call accepted in the grace period that waits for something when it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitCase {
+    Tokens,
+    Claim,
+    Retry,
+    Resumption,
+}
+
+// Guards against calls that a shutdown accepted and then dropped while they waited.
+#[rstest]
+#[case::reserving(WaitCase::Tokens)]
+#[case::claiming(WaitCase::Claim)]
+#[case::agent_leaves(WaitCase::Retry)]
+#[case::stream_broken(WaitCase::Resumption)]
+fn shutdown_serves_calls_that_wait(#[case] case: WaitCase) {
+    let mut entry = ScriptedEntry::ready();
+    entry.event(RoleEvent::Shutdown);
+    entry.grants = case != WaitCase::Tokens;
+    entry.advance(1_900);
+    let is_ticket = matches!(case, WaitCase::Claim | WaitCase::Retry);
+    let request = match is_ticket {
+        true if case == WaitCase::Claim => entry.send_ticket(CLAIM_KEY),
+        true => entry.send_ticket(&[]),
+        false => entry.send_chat(10, true, &[]),
+    };
+    let events = "data: a\n\n";
+    if case == WaitCase::Resumption {
+        let (link, start) = entry.last_start();
+        entry.head(link, start.id, "text/event-stream");
+        entry.part(link, start.id, 0, events);
+    }
+    entry.advance(500);
+    assert_eq!(entry.caller_view(request).ended, None);
+    match case {
+        WaitCase::Tokens => {
+            let requests = entry.sent.iter().filter_map(|(_, body)| match body {
+                FrameBody::LeaseRequest(request) => Some(request.clone()),
+                _ => None,
+            });
+            let request = requests.last().expect("no lease was requested");
+            let grant = entry.grant_for(&request);
+            entry.control(grant);
+        }
+        WaitCase::Claim => grant_claim(&mut entry),
+        WaitCase::Retry => {
+            let (link, start) = entry.last_start();
+            entry.refuse(link, start.id, RefusalReason::Leaving, Ran::No);
+            assert_eq!(entry.starts().len(), 2);
+        }
+        WaitCase::Resumption => {
+            let (link, _) = entry.last_start();
+            entry.close_link(link);
+            assert_eq!(entry.last_start().1.resume_events, 1);
+        }
+    }
+    entry.respond_with("text/event-stream", "data: [DONE]\n\n");
+    let view = entry.caller_view(request);
+    assert_eq!((view.status, view.ended), (200, Some(true)), "{view:?}");
+    acknowledge_outcomes(&mut entry);
+    entry.advance(600);
+    assert!(entry.finished);
+}
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -275,7 +275,7 @@
         }
     }
 
-    fn grant_for(&mut self, request: &LeaseRequest) -> FrameBody {
+    pub fn grant_for(&mut self, request: &LeaseRequest) -> FrameBody {
         self.next_lease += 1;
         FrameBody::LeaseGrant(LeaseGrant {
             sequence: request.sequence,
