tests: reloads cut nothing in any kind of process

Streams and orders run through 12 reloads of control, entries and agents, every other one with changed seeds, and calls and streams through 5 reloads of a gateway and its control instances. All were answered completely; the streams, and the calls of the gateway, ran once.

A reload reads the settings file again and passes new seeds on: gateway and control take them, an entry ignores them (it has no event for seeds) and an agent doesn't read the file again.

--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -325,3 +325,67 @@
     }
     assert!(twin.cluster.wait("entry-0").unwrap());
 }
+
+// Guards against reloads that cut, drop or refuse what is in work.
+#[test]
+fn reload_under_load_cuts_nothing() {
+    let twin = twin_cluster(Duration::from_millis(20));
+    twin.service.set_delay(Duration::from_millis(300));
+    let streams: Vec<_> = (0..6)
+        .map(|idx| {
+            let caller = twin.caller(idx % 2);
+            thread::spawn(move || caller.chat("payroll", "reload", 150, true).unwrap())
+        })
+        .collect();
+    let orders: Vec<_> = (0..6)
+        .map(|idx| {
+            let caller = twin.caller(idx % 2);
+            thread::spawn(move || {
+                let calls = (0..8).map(|number| {
+                    let key = format!("reload-{idx}-{number}");
+                    let fields = [("Idempotency-Key", key.as_str())];
+                    caller.call("POST", ORDERS, &fields, "order").unwrap()
+                });
+                calls.collect::<Vec<HttpResponse>>()
+            })
+        })
+        .collect();
+    wait_until("requests are running", || twin.running() >= 6).unwrap();
+    let names = [
+        "control-0",
+        "entry-0",
+        "entry-1",
+        "agent-engine-0",
+        "agent-engine-1",
+        "agent-payments-0",
+    ];
+    for round in 0..12 {
+        for name in names {
+            // Every other reload finds other seeds.
+            twin.cluster
+                .edit_settings(name, |text| match round % 2 {
+                    0 => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
+                    _ => text.replacen("\"127.0.0.1:9\", ", "", 1),
+                })
+                .unwrap();
+            twin.cluster.signal(name, Signal::SIGHUP).unwrap();
+        }
+        thread::sleep(Duration::from_millis(250));
+    }
+    for stream in streams {
+        let response = stream.join().unwrap();
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert!(response.complete);
+        assert_eq!(token_numbers(&response).len(), 150);
+    }
+    for response in orders.into_iter().flat_map(|order| order.join().unwrap()) {
+        assert_eq!(response.status, 201, "{}", response.body);
+    }
+    for name in ["control-0", "entry-0", "entry-1"] {
+        let log = twin.cluster.log(name);
+        assert!(log.contains("seeds changed: true"), "{name}: no reload");
+    }
+    // Every stream ran once: none was broken and resumed.
+    let runs = |engine: &FakeEngine| engine.records().count_with("reload");
+    assert_eq!(twin.engines.iter().map(runs).sum::<usize>(), 6);
+}
--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -116,3 +116,41 @@
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(send_request("r2").status(), 200);
 }
+
+// Guards against reloads that cut, drop or refuse what is in work at a gateway.
+#[test]
+fn serving_reload_cuts_nothing() {
+    let deployment = ServingDeployment::spawn();
+    deployment.worker.set_delay(Duration::from_millis(1_500));
+    let callers = deployment.callers;
+    let calls: Vec<_> = (0..4)
+        .map(|idx| {
+            let path = if idx % 2 == 0 { "/once/x" } else { "/stream/x" };
+            std::thread::spawn(move || call(callers, path, KEY))
+        })
+        .collect();
+    wait_until("the calls run", || deployment.worker.runs().len() == 4).unwrap();
+    for round in 0..5 {
+        for name in ["gateway", "control-0", "control-1", "control-2"] {
+            let processes = &deployment.processes;
+            processes
+                .edit_settings(name, |text| match round % 2 {
+                    0 => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
+                    _ => text.replacen("\"127.0.0.1:9\", ", "", 1),
+                })
+                .unwrap();
+            processes.signal(name, Signal::SIGHUP).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(250));
+        assert_eq!(deployment.call("/once/x", KEY).status, 200);
+    }
+    for call in calls {
+        let response = call.join().unwrap().unwrap();
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert!(response.complete);
+    }
+    // Five calls during the reloads; none of the others was started twice.
+    assert_eq!(deployment.worker.runs().len(), 9);
+    let log = deployment.processes.log("gateway");
+    assert!(log.contains("seeds changed: true"), "no reload");
+}
