--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -326,6 +326,42 @@
     assert!(twin.cluster.wait("entry-0").unwrap());
 }
 
+// Guards against kept connections whose further requests a shutdown cuts.
+#[test]
+fn shutdown_answers_kept_connection() {
+    let mut twin = twin_cluster(Duration::from_millis(30));
+    let stream_caller = twin.caller(0);
+    let stream = thread::spawn(move || stream_caller.chat("payroll", "hold", 150, true).unwrap());
+    wait_until("the stream is running", || twin.running() >= 1).unwrap();
+    let mut caller = RawCaller::connect(twin.cluster.callers[0]).unwrap();
+    let request = format!(
+        "GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {}\r\n\r\n",
+        twin.gold_key
+    );
+    let mut exchange = || {
+        assert!(caller.send(request.as_bytes()), "the connection is closed");
+        caller.read_until(Duration::from_secs(2), |bytes| bytes.ends_with(b"}"))
+    };
+    assert_eq!(exchange().status(), 200);
+    twin.cluster.signal("entry-0", Signal::SIGTERM).unwrap();
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(exchange().status(), 200, "within the grace period of 2 s");
+    thread::sleep(Duration::from_millis(2_000));
+    let refused = exchange();
+    assert_eq!(refused.status(), 503, "{}", refused.text());
+    for part in ["Mulberrywell-Ran: no\r\n", "Retry-After: "] {
+        assert!(refused.text().contains(part), "{}", refused.text());
+    }
+    let response = stream.join().unwrap();
+    assert!(response.complete);
+    assert_eq!(token_numbers(&response).len(), 150);
+    assert_eq!(
+        caller.read_to_end(Duration::from_secs(5)).end,
+        RawEnd::Closed
+    );
+    assert!(twin.cluster.wait("entry-0").unwrap());
+}
+
 // Guards against reloads that cut, drop or refuse what is in work.
 #[test]
 fn reload_under_load_cuts_nothing() {
