tests: change the seeds of a reload for longer than the reading interval

The test changed the seeds back every 250 ms, while a process reads its file once a second: four changes apart it could find the same text each time. SIGHUP doesn't bring the reading forward. The fault was the test's; nothing had been cut.

Bounds and assertions are the same.

--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -397,11 +397,14 @@
     ];
     for round in 0..12 {
         for name in names {
-            // Every other reload finds other seeds.
+            // The seeds change after 1.5 s, as the file is read once a second.
             twin.cluster
-                .edit_settings(name, |text| match round % 2 {
-                    0 => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
-                    _ => text.replacen("\"127.0.0.1:9\", ", "", 1),
+                .edit_settings(name, |text| {
+                    let text = text.replacen("\"127.0.0.1:9\", ", "", 1);
+                    match round / 6 {
+                        0 => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
+                        _ => text,
+                    }
                 })
                 .unwrap();
             twin.cluster.signal(name, Signal::SIGHUP).unwrap();
