--- a/crates/agent/src/agent_frames.rs
+++ b/crates/agent/src/agent_frames.rs
@@ -11,7 +11,7 @@
 use mulberrywell_wire::request::{AttemptId, AttemptRefused, Ran, RefusalReason};
 use mulberrywell_wire::FrameBody;
 
-use crate::attempt_scheduler::WaitingAttempt;
+use crate::attempt_scheduler::{QueueRefusal, WaitingAttempt};
 use crate::memory_ledger::MemoryLedger;
 use crate::residency::ResidencyState;
 use crate::{AgentAction, AgentConfig, EngineRequest, OrderReconciler};
@@ -131,3 +131,40 @@
         resume_events: start.resume_events,
     }
 }
+
+/// Returns whether an action sends an entry a frame about one of its attempts.
+pub(crate) fn is_reply(action: &RoleAction<AgentAction>) -> bool {
+    let RoleAction::Link(LinkCommand::Send { body, .. }) = action else {
+        return false;
+    };
+    matches!(
+        body,
+        FrameBody::AttemptHead(_)
+            | FrameBody::AttemptPart(_)
+            | FrameBody::AttemptEnd(_)
+            | FrameBody::AttemptRefused(_)
+    )
+}
+
+/// Converts a refusal of the scheduler.
+pub(crate) fn to_refusal(refusal: QueueRefusal) -> AttemptRefusal {
+    AttemptRefusal {
+        reason: refusal.reason,
+        // The refusal of a duplicate says nothing about whether the original
+        // attempt ran.
+        ran: match refusal.reason {
+            RefusalReason::Duplicate => Ran::Unknown,
+            _ => Ran::No,
+        },
+        retry_after: refusal.retry_after,
+    }
+}
+
+/// Appends the action that refuses a waiting attempt as not run.
+pub(crate) fn refuse_waiting(
+    waiting: &WaitingAttempt,
+    reason: RefusalReason,
+    actions: &mut Vec<RoleAction<AgentAction>>,
+) {
+    actions.push(AttemptRefusal::not_run(reason).to_action(waiting.link, waiting.start.id));
+}
--- a/crates/agent/src/agent_role.rs
+++ b/crates/agent/src/agent_role.rs
@@ -15,16 +15,15 @@
 };
 use mulberrywell_settings::{EndpointKind, EndpointSettings};
 use mulberrywell_wire::endpoint::{AnnounceAck, TargetOrder};
-use mulberrywell_wire::request::{AttemptCancel, AttemptStart, Ran, RefusalReason};
+use mulberrywell_wire::request::{AttemptCancel, AttemptStart, RefusalReason};
 use mulberrywell_wire::{FrameBody, PeerRole};
 
 use crate::agent_frames::{
-    announcement, engine_request, resident_models, state_report, AttemptRefusal,
+    announcement, engine_request, is_reply, refuse_waiting, resident_models, state_report,
+    to_refusal, AttemptRefusal,
 };
 use crate::announcer::Announcer;
-use crate::attempt_scheduler::{
-    AttemptScheduler, CancelOutcome, QueueOutcome, QueueRefusal, WaitingAttempt,
-};
+use crate::attempt_scheduler::{AttemptScheduler, CancelOutcome, QueueOutcome};
 use crate::load_reporter::{LoadReporter, ReportContext};
 use crate::memory_ledger::{FenceRule, MemoryLedger};
 use crate::{AgentAction, AgentEvent, EngineState, OrderReconciler};
@@ -497,34 +496,3 @@
         .min()
     }
 }
-
-/// Returns whether an action sends an entry a frame about one of its attempts.
-fn is_reply(action: &RoleAction<AgentAction>) -> bool {
-    let RoleAction::Link(LinkCommand::Send { body, .. }) = action else {
-        return false;
-    };
-    matches!(
-        body,
-        FrameBody::AttemptHead(_)
-            | FrameBody::AttemptPart(_)
-            | FrameBody::AttemptEnd(_)
-            | FrameBody::AttemptRefused(_)
-    )
-}
-
-fn to_refusal(refusal: QueueRefusal) -> AttemptRefusal {
-    AttemptRefusal {
-        reason: refusal.reason,
-        // The refusal of a duplicate says nothing about whether the original
-        // attempt ran.
-        ran: match refusal.reason {
-            RefusalReason::Duplicate => Ran::Unknown,
-            _ => Ran::No,
-        },
-        retry_after: refusal.retry_after,
-    }
-}
-
-fn refuse_waiting(waiting: &WaitingAttempt, reason: RefusalReason, actions: &mut Actions) {
-    actions.push(AttemptRefusal::not_run(reason).to_action(waiting.link, waiting.start.id));
-}
