--- a/crates/agent/src/agent_role.rs
+++ b/crates/agent/src/agent_role.rs
@@ -15,16 +15,15 @@
 };
 use mulberrywell_settings::{EndpointKind, EndpointSettings};
 use mulberrywell_wire::endpoint::{AnnounceAck, TargetOrder};
-use mulberrywell_wire::request::{AttemptCancel, AttemptStart, Ran, RefusalReason};
+use mulberrywell_wire::request::{AttemptCancel, AttemptStart, RefusalReason};
 use mulberrywell_wire::{FrameBody, PeerRole};
 
 use crate::agent_frames::{
-    announcement, engine_request, resident_models, state_report, AttemptRefusal,
+    announcement, engine_request, is_reply, refuse_waiting, resident_models, state_report,
+    to_refusal, AttemptRefusal,
 };
 use crate::announcer::Announcer;
-use crate::attempt_scheduler::{
-    AttemptScheduler, CancelOutcome, QueueOutcome, QueueRefusal, WaitingAttempt,
-};
+use crate::attempt_scheduler::{AttemptScheduler, CancelOutcome, QueueOutcome};
 use crate::load_reporter::{LoadReporter, ReportContext};
 use crate::memory_ledger::{FenceRule, MemoryLedger};
 use crate::{AgentAction, AgentEvent, EngineState, OrderReconciler};
@@ -41,6 +40,10 @@
 /// Time that shutdown waits for control to acknowledge that the endpoint leaves.
 const LEAVE_ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after the begin of a shutdown and after the last frame to an entry in which
+/// attempts that cross the leave are refused and frames are written.
+const CROSSING_TIME: Duration = Duration::from_millis(500);
+
 /// Configuration of the role.
 #[derive(Debug, Clone)]
 pub struct AgentConfig {
@@ -84,6 +87,8 @@
     draining: bool,
     /// Start of a graceful shutdown, from which on no attempt is admitted.
     leaving_since: Option<Instant>,
+    /// When the last frame about an attempt was sent to an entry.
+    last_reply: Instant,
     finished: bool,
     /// Buffer that is reused for the load reporter's commands.
     commands: Vec<LinkCommand>,
@@ -115,6 +120,7 @@
             report_sequence: 0,
             draining: false,
             leaving_since: None,
+            last_reply: now,
             finished: false,
             commands: Vec::new(),
             config,
@@ -167,8 +173,8 @@
         (!resident).then_some(RefusalReason::NotResident)
     }
 
-    /// Refuses waiting attempts past their deadline and forwards others while
-    /// slots and KV reserve are free.
+    /// Refuses waiting attempts past their deadline, and in a shutdown those that
+    /// it would cut; forwards others while slots and KV reserve are free.
     fn forward_waiting(&mut self, now: Instant, actions: &mut Actions) {
         for waiting in self
             .scheduler
@@ -176,6 +182,11 @@
         {
             refuse_waiting(&waiting, RefusalReason::Deadline, actions);
         }
+        if let Some(end) = self.shutdown_end() {
+            for waiting in self.scheduler.remove_ending_after(now, end) {
+                refuse_waiting(&waiting, RefusalReason::Leaving, actions);
+            }
+        }
         let limit = self.kv_limit_mib();
         let orders = &self.orders;
         while let Some((run, waiting)) = self.scheduler.start_next(now, limit, |m| orders.kv_mib(m))
@@ -408,17 +419,25 @@
             self.announcer.mark_changed(now);
             self.announce(now, actions);
             self.reporter.schedule_now(now);
+            self.forward_waiting(now, actions);
         }
     }
 
+    /// Returns when a shutdown ends at the latest; none before it began.
+    fn shutdown_end(&self) -> Option<Instant> {
+        self.leaving_since
+            .map(|since| since + self.config.settings.shutdown_grace)
+    }
+
     fn finish_if_idle(&mut self, now: Instant, actions: &mut Actions) {
         let Some(since) = self.leaving_since.filter(|_| !self.finished) else {
             return;
         };
         let idle = self.scheduler.running_len() == 0 && self.scheduler.waiting_len() == 0;
         let acknowledged = self.announcer.is_acknowledged() || now >= since + LEAVE_ACK_TIMEOUT;
-        let grace_expired = now >= since + self.config.settings.shutdown_grace;
-        if grace_expired || (idle && acknowledged) {
+        let grace_expired = self.shutdown_end().is_some_and(|end| now >= end);
+        let crossed = now >= since.max(self.last_reply) + CROSSING_TIME;
+        if grace_expired || (idle && acknowledged && crossed) {
             for waiting in self.scheduler.remove_waiting(|_| true) {
                 refuse_waiting(&waiting, RefusalReason::Leaving, actions);
             }
@@ -441,6 +460,7 @@
     type Action = AgentAction;
 
     fn handle(&mut self, now: Instant, event: RoleEvent<AgentEvent>, actions: &mut Actions) {
+        let earlier_actions = actions.len();
         match event {
             RoleEvent::Link(event) => self.handle_link_event(now, event, actions),
             RoleEvent::Timer => self.handle_timer(now, actions),
@@ -450,6 +470,9 @@
             RoleEvent::Exchange(_) | RoleEvent::Http(..) => {}
             RoleEvent::RoleSpecific(event) => self.handle_engine_event(now, event, actions),
         }
+        if actions[earlier_actions..].iter().any(is_reply) {
+            self.last_reply = now;
+        }
         self.read_state(now, actions);
         self.report_load(now, actions);
         self.finish_if_idle(now, actions);
@@ -473,20 +496,3 @@
         .min()
     }
 }
-
-fn to_refusal(refusal: QueueRefusal) -> AttemptRefusal {
-    AttemptRefusal {
-        reason: refusal.reason,
-        // The refusal of a duplicate says nothing about whether the original
-        // attempt ran.
-        ran: match refusal.reason {
-            RefusalReason::Duplicate => Ran::Unknown,
-            _ => Ran::No,
-        },
-        retry_after: refusal.retry_after,
-    }
-}
-
-fn refuse_waiting(waiting: &WaitingAttempt, reason: RefusalReason, actions: &mut Actions) {
-    actions.push(AttemptRefusal::not_run(reason).to_action(waiting.link, waiting.start.id));
-}
--- a/crates/agent/tests/agent_role.rs
+++ b/crates/agent/tests/agent_role.rs
@@ -385,6 +385,11 @@
     assert_eq!(harness.pop_runs().len(), 1);
 }
 
+fn is_finished(harness: &AgentHarness) -> bool {
+    let mut actions = harness.actions.iter();
+    actions.any(|action| matches!(action, RoleAction::Finished))
+}
+
 #[rstest]
 #[case::acknowledged_last(false)]
 #[case::acknowledged_first(true)]
@@ -401,12 +406,6 @@
     let refused = harness.pop_refusals(ENTRY);
     assert_eq!(refused.len(), 1);
     assert_eq!(refused[0].reason(), RefusalReason::Leaving);
-    let is_finished = |harness: &AgentHarness| {
-        harness
-            .actions
-            .iter()
-            .any(|a| matches!(a, RoleAction::Finished))
-    };
     if ack_first {
         harness.send_ack(false);
     }
@@ -421,6 +420,11 @@
         );
         harness.send_ack(false);
     }
+    assert!(
+        !is_finished(&harness),
+        "finished before the last response was written"
+    );
+    harness.advance(Duration::from_millis(1_000));
     assert!(is_finished(&harness));
     let sent = harness.pop_sent(ENTRY);
     let ended = sent
@@ -429,6 +433,93 @@
     assert_eq!(ended.count(), 3);
 }
 
+// Guards against attempts that entries sent just before they learned of a shutdown and
+// that met a closed link: nobody knew whether they ran.
+#[test]
+fn shutdown_refuses_crossing_starts() {
+    let mut harness = AgentHarness::new(&["payroll"]);
+    harness.send_ack(false);
+    harness.send(RoleEvent::Shutdown);
+    harness.send_ack(false);
+    harness.advance(Duration::from_millis(200));
+    assert!(!is_finished(&harness), "finished while attempts may arrive");
+    send_start(&mut harness, 1);
+    let refused = harness.pop_refusals(ENTRY);
+    assert_eq!(refused_sequences(&refused), [1]);
+    harness.advance(Duration::from_millis(1_000));
+    assert!(is_finished(&harness));
+}
+
+fn send_patient_start(harness: &mut AgentHarness, sequence: u64) {
+    let start = AttemptStart {
+        deadline_ms: 600_000,
+        ..attempt(sequence)
+    };
+    harness.send_frame(ENTRY, FrameBody::AttemptStart(start));
+}
+
+/// An agent whose requests last 30 s, with two running for 5 s, four waiting and
+/// 60 s for its shutdown, which has begun.
+fn leaving_agent() -> AgentHarness {
+    let mut harness = AgentHarness::new(&["payroll"]);
+    harness.send_ack(false);
+    send_patient_start(&mut harness, 1);
+    let run = harness.pop_runs()[0];
+    harness.advance(Duration::from_secs(30));
+    let data = Bytes::from_static(b"{\"usage\": {\"completion_tokens\": 100}}");
+    harness.send_engine_event(AgentEvent::Part { run, data });
+    harness.send_engine_event(AgentEvent::End { run });
+    for sequence in 2..=7 {
+        send_patient_start(&mut harness, sequence);
+    }
+    assert_eq!(harness.pop_runs(), [2, 3]);
+    harness.advance(Duration::from_secs(5));
+    assert!(harness.pop_refusals(ENTRY).is_empty());
+    harness.send(RoleEvent::Shutdown);
+    harness.send_ack(false);
+    harness
+}
+
+fn refused_sequences(refused: &[AttemptRefused]) -> Vec<u64> {
+    let is_leaving =
+        |item: &AttemptRefused| item.reason() == RefusalReason::Leaving && item.ran() == Ran::No;
+    assert!(refused.iter().all(is_leaving), "{refused:?}");
+    let ids = refused.iter().filter_map(|item| item.id);
+    ids.map(|id| id.sequence).collect()
+}
+
+// Guards against attempts that wait for most of a shutdown although they can't end
+// within it: their callers were refused or cut at its limit.
+#[test]
+fn shutdown_returns_waiting_that_would_outlast_it() {
+    let mut harness = leaving_agent();
+    let refused = harness.pop_refusals(ENTRY);
+    assert_eq!(refused_sequences(&refused), [6, 7]);
+    harness.advance(Duration::from_secs(25));
+    for run in [2, 3] {
+        harness.send_engine_event(AgentEvent::End { run });
+    }
+    assert_eq!(harness.pop_runs(), [4, 5]);
+    assert!(harness.pop_refusals(ENTRY).is_empty());
+}
+
+// Guards against attempts that are forwarded so late in a shutdown that it cuts them.
+#[test]
+fn shutdown_forwards_nothing_that_it_would_cut() {
+    let mut harness = leaving_agent();
+    harness.pop_refusals(ENTRY);
+    // The running requests last longer than those before them.
+    harness.advance(Duration::from_secs(29));
+    assert!(harness.pop_refusals(ENTRY).is_empty());
+    harness.advance(Duration::from_secs(6));
+    for run in [2, 3] {
+        harness.send_engine_event(AgentEvent::End { run });
+    }
+    assert!(harness.pop_runs().is_empty(), "forwarded with 25 s left");
+    let refused = harness.pop_refusals(ENTRY);
+    assert_eq!(refused_sequences(&refused), [4, 5]);
+}
+
 #[test]
 fn load_reports_all_entries() {
     let mut harness = AgentHarness::new(&["payroll"]);
--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -36,8 +36,8 @@
 /// reports.
 const REPORT_LINKS_MAX: usize = 64;
 
-/// Time after the grace period for which a shutdown waits for outcomes to be
-/// acknowledged.
+/// Time after the grace period and after the last call's end for which a shutdown
+/// waits for outcomes to be acknowledged and for late claims to be released.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time for the host to write the end of the last response.
@@ -54,6 +54,8 @@
 pub enum EntryAction {
     /// Sends a part of a response to a caller.
     Respond(RequestId, ResponsePart),
+    /// Refuses the requests that the host has not read completely, and further ones.
+    RefuseUnread,
 }
 
 /// Start parameters of the role.
@@ -93,8 +95,12 @@
     pub(crate) draining: Option<Instant>,
     /// Whether the grace period of a shutdown was over at the last event.
     grace_over: bool,
-    /// When a part of a response was last sent.
+    /// Whether a shutdown has refused the requests that were still being read.
+    unread_refused: bool,
+    /// When a part of a response or the refusal of unread requests was last sent.
     last_response: Instant,
+    /// When a call last ended.
+    pub(crate) last_call_end: Instant,
     /// Instant of the last event.
     last_handled: Instant,
     /// When missing links are next reopened.
@@ -128,7 +134,9 @@
             next_link: 2,
             draining: None,
             grace_over: false,
+            unread_refused: false,
             last_response: now,
+            last_call_end: now,
             last_handled: now,
             next_link_check: now,
             finished: false,
@@ -156,6 +164,12 @@
             .map(|since| since + self.config.settings.shutdown_grace)
     }
 
+    /// Returns when a shutdown no longer waits for outcomes of the ended calls.
+    fn outcome_end(&self) -> Option<Instant> {
+        self.grace_end()
+            .map(|end| end.max(self.last_call_end) + OUTCOME_TIMEOUT)
+    }
+
     fn handle_link(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
         match event {
             LinkEvent::Opened { link, .. } => match self.link.handle_opened(now, link) {
@@ -180,6 +194,8 @@
             actions.push(RoleAction::Log(LogLevel::Warn, text));
             self.leases.handle_link_closed(now);
             self.expire_claims(now, true, actions);
+            // The answers to them were due on this link.
+            self.late_claims.clear();
             return;
         }
         if let Some(was_open) = self.agents.handle_closed(link) {
@@ -300,12 +316,16 @@
         if self.finished || !self.calls.is_empty() || !self.grace_over {
             return;
         }
-        let timed_out = self
-            .grace_end()
-            .is_some_and(|end| now >= end + OUTCOME_TIMEOUT);
-        if !self.outcomes.is_empty() && !timed_out {
+        let timed_out = self.outcome_end().is_some_and(|end| now >= end);
+        let has_outcomes = !self.outcomes.is_empty() || !self.late_claims.is_empty();
+        if has_outcomes && !timed_out {
             return;
         }
+        if !self.unread_refused {
+            self.unread_refused = true;
+            self.last_response = now;
+            actions.push(RoleAction::RoleSpecific(EntryAction::RefuseUnread));
+        }
         self.leases.drain(now);
         if self.leases.is_drained() && now >= self.last_response + FLUSH_TIME {
             self.finished = true;
@@ -357,6 +377,9 @@
         let grace = self.grace_end().filter(|_| !self.grace_over);
         let flushed = self.last_response + FLUSH_TIME;
         let flushed = (self.grace_over && self.calls.is_empty()).then_some(flushed);
+        let outcomes = self
+            .outcome_end()
+            .filter(|_| self.grace_over && self.calls.is_empty());
         let fresh = self
             .link
             .fresh_until()
@@ -371,6 +394,7 @@
             links,
             grace,
             flushed.filter(|at| *at > self.last_handled),
+            outcomes.filter(|at| *at > self.last_handled),
             fresh,
         ]
         .into_iter()
--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -10,9 +10,10 @@
 use common::{binaries, engine_config, GRANTS, PLANS};
 use mulberrywell_testkit::{
     wait_until, AgentPlan, ClusterPlan, FakeEngine, FakeService, HttpCaller, HttpResponse,
-    ProcessCluster,
+    ProcessCluster, RawCaller, RawEnd,
 };
 use nix::sys::signal::Signal;
+use rstest::rstest;
 
 /// Header with the idempotency key of the orders in these tests.
 const CLAIM: (&str, &str) = ("Idempotency-Key", "order-of-march");
@@ -296,3 +297,134 @@
     }
     assert!(twin.cluster.wait("entry-0").unwrap());
 }
+
+// Guards against requests that arrive while an entry ends its shutdown and are cut
+// without an answer.
+#[rstest]
+#[case::head_begun("POST /v1/completions HTTP/1.1\r\nHost: en")]
+#[case::body_begun(
+    "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer KEY\r\n\
+     Content-Length: 2000\r\n\r\n{\"model\":\"payroll\","
+)]
+#[case::chunks_begun(
+    "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer KEY\r\n\
+     Transfer-Encoding: chunked\r\n\r\n13\r\n{\"model\":\"payroll\",\r\n"
+)]
+fn shutdown_answers_unread_requests(#[case] begun: &str) {
+    let mut twin = twin_cluster(Duration::from_millis(5));
+    twin.cluster.signal("entry-0", Signal::SIGTERM).unwrap();
+    let mut caller = RawCaller::connect(twin.cluster.callers[0]).unwrap();
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(caller.send(begun.replace("KEY", &twin.gold_key).as_bytes()));
+    let response = caller.read_to_end(Duration::from_secs(5));
+    let text = response.text();
+    assert_eq!(response.status(), 503, "{:?} {text}", response.end);
+    assert_eq!(response.end, RawEnd::Closed, "{text}");
+    for part in ["Mulberrywell-Ran: no\r\n", "Retry-After: ", "shutting_down"] {
+        assert!(text.contains(part), "{text}");
+    }
+    assert!(twin.cluster.wait("entry-0").unwrap());
+}
+
+// Guards against kept connections whose further requests a shutdown cuts.
+#[test]
+fn shutdown_answers_kept_connection() {
+    let mut twin = twin_cluster(Duration::from_millis(30));
+    let stream_caller = twin.caller(0);
+    let stream = thread::spawn(move || stream_caller.chat("payroll", "hold", 150, true).unwrap());
+    wait_until("the stream is running", || twin.running() >= 1).unwrap();
+    let mut caller = RawCaller::connect(twin.cluster.callers[0]).unwrap();
+    let request = format!(
+        "GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {}\r\n\r\n",
+        twin.gold_key
+    );
+    let mut exchange = || {
+        assert!(caller.send(request.as_bytes()), "the connection is closed");
+        caller.read_until(Duration::from_secs(2), |bytes| bytes.ends_with(b"}"))
+    };
+    assert_eq!(exchange().status(), 200);
+    twin.cluster.signal("entry-0", Signal::SIGTERM).unwrap();
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(exchange().status(), 200, "within the grace period of 2 s");
+    thread::sleep(Duration::from_millis(2_000));
+    let refused = exchange();
+    assert_eq!(refused.status(), 503, "{}", refused.text());
+    for part in ["Mulberrywell-Ran: no\r\n", "Retry-After: "] {
+        assert!(refused.text().contains(part), "{}", refused.text());
+    }
+    let response = stream.join().unwrap();
+    assert!(response.complete);
+    assert_eq!(token_numbers(&response).len(), 150);
+    assert_eq!(
+        caller.read_to_end(Duration::from_secs(5)).end,
+        RawEnd::Closed
+    );
+    assert!(twin.cluster.wait("entry-0").unwrap());
+}
+
+// Guards against reloads that cut, drop or refuse what is in work.
+#[test]
+fn reload_under_load_cuts_nothing() {
+    let twin = twin_cluster(Duration::from_millis(20));
+    twin.service.set_delay(Duration::from_millis(300));
+    let streams: Vec<_> = (0..6)
+        .map(|idx| {
+            let caller = twin.caller(idx % 2);
+            thread::spawn(move || caller.chat("payroll", "reload", 150, true).unwrap())
+        })
+        .collect();
+    let orders: Vec<_> = (0..6)
+        .map(|idx| {
+            let caller = twin.caller(idx % 2);
+            thread::spawn(move || {
+                let calls = (0..8).map(|number| {
+                    let key = format!("reload-{idx}-{number}");
+                    let fields = [("Idempotency-Key", key.as_str())];
+                    caller.call("POST", ORDERS, &fields, "order").unwrap()
+                });
+                calls.collect::<Vec<HttpResponse>>()
+            })
+        })
+        .collect();
+    wait_until("requests are running", || twin.running() >= 6).unwrap();
+    let names = [
+        "control-0",
+        "entry-0",
+        "entry-1",
+        "agent-engine-0",
+        "agent-engine-1",
+        "agent-payments-0",
+    ];
+    for round in 0..12 {
+        for name in names {
+            // The seeds change after 1.5 s, as the file is read once a second.
+            twin.cluster
+                .edit_settings(name, |text| {
+                    let text = text.replacen("\"127.0.0.1:9\", ", "", 1);
+                    match round / 6 {
+                        0 => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
+                        _ => text,
+                    }
+                })
+                .unwrap();
+            twin.cluster.signal(name, Signal::SIGHUP).unwrap();
+        }
+        thread::sleep(Duration::from_millis(250));
+    }
+    for stream in streams {
+        let response = stream.join().unwrap();
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert!(response.complete);
+        assert_eq!(token_numbers(&response).len(), 150);
+    }
+    for response in orders.into_iter().flat_map(|order| order.join().unwrap()) {
+        assert_eq!(response.status, 201, "{}", response.body);
+    }
+    for name in ["control-0", "entry-0", "entry-1"] {
+        let log = twin.cluster.log(name);
+        assert!(log.contains("seeds changed: true"), "{name}: no reload");
+    }
+    // Every stream ran once: none was broken and resumed.
+    let runs = |engine: &FakeEngine| engine.records().count_with("reload");
+    assert_eq!(twin.engines.iter().map(runs).sum::<usize>(), 6);
+}
