gateway: tell other control instances of a quarantine that one has found

Gateways now report a quarantine that is new to them to the other instances. quarantine_told_to_other_instances failed before (0 reports, 1 expected).

--- a/crates/gateway/src/prompt_guard.rs
+++ b/crates/gateway/src/prompt_guard.rs
@@ -207,11 +207,12 @@
         if added.is_empty() {
             return;
         }
-        for parts in added {
+        for parts in &added {
             let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
             let text = format!("quarantine parts={} outcome=applied", parts.join(","));
             actions.push(RoleAction::Log(LogLevel::Warn, text));
         }
+        self.relay_quarantines(now, link, &added);
         for request in self.calls.requests() {
             let call = self.calls.get(request);
             if call.is_some_and(|call| call.response.first_event.is_none()) {
@@ -220,6 +221,22 @@
         }
     }
 
+    /// Reports quarantines that a control instance told to the other instances, which
+    /// may not have seen the same crashes.
+    fn relay_quarantines(&mut self, now: Instant, source: LinkId, added: &[PartSet]) {
+        let Some(mut report) = self.prompts.quarantine_report(now) else {
+            return;
+        };
+        report.quarantines.retain(|quarantine| {
+            let parts: PartSet = quarantine.parts.iter().copied().collect();
+            added.contains(&parts)
+        });
+        for link in self.links.open_links().filter(|link| *link != source) {
+            let body = FrameBody::PromptReport(report.clone());
+            self.commands.push(LinkCommand::Send { link, body });
+        }
+    }
+
     /// Records a part of a response: a response that has lasted shows that its
     /// prompt is sound.
     pub(crate) fn record_progress(&mut self, now: Instant, request: RequestId, is_complete: bool) {
