gateway: a huge output limit doesn't end a stopping process

The expected duration saturates, and is compared with the time that is left instead of being added to an instant. Ruled out: a limit alone before a stop, which the estimate isn't asked for.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -72,7 +72,7 @@
             return true;
         }
         match self.expected_time(now, call, endpoint) {
-            Some(time) => now + time <= end,
+            Some(time) => time <= end.saturating_duration_since(now),
             None if call.route.is_stream => now < since + limit / UNKNOWN_STREAM_DIVISOR,
             None => now + PLAIN_TIME_MAX <= end,
         }
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -143,6 +143,8 @@
     /// all endpoints of the route is used.
     pub fn stream_time(&self, events_left: u64, pace: Option<Duration>) -> Option<Duration> {
         let pace = pace.or_else(|| self.event_pace.upper_pace())?;
-        Some(self.first_chunk.upper()? + pace.mul_f64(events_left as f64))
+        let seconds = pace.as_secs_f64() * events_left as f64;
+        let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+        Some(self.first_chunk.upper()?.saturating_add(time))
     }
 }
--- a/crates/policy/tests/response_times.rs
+++ b/crates/policy/tests/response_times.rs
@@ -67,3 +67,11 @@
     maximum.record(now + 140 * SECOND, 2);
     assert_eq!(maximum.get(), Some(3));
 }
+
+#[test]
+fn stream_time_huge_saturates() {
+    let time = steady_times().stream_time(u64::MAX, None).unwrap();
+    assert!(time > 1_000_000_000 * SECOND, "{time:?}");
+    let time = steady_times().stream_time(u64::MAX, Some(SECOND * 60));
+    assert_eq!(time, Some(Duration::MAX));
+}
