gateway: an endpoint's huge Retry-After doesn't end the process

A 503 of an endpoint with Retry-After 1e19 ended the whole gateway process: the instant up to which the endpoint is sent nothing can't be represented ("overflow when adding duration to instant"). endpoint_retry_after_huge_keeps_process panicked so before.

The time is bounded to an hour, after which the endpoint is asked again. Ruled out: Keep-Alive, which has its own bound, and times in milliseconds, which an instant holds.

--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -5,7 +5,7 @@
 //! incomplete one can be retried; beyond [`BUFFERED_BODY_MAX`] it is forwarded
 //! in chunks.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use mulberrywell_role::{
@@ -29,6 +29,10 @@
 /// Lowest status of server errors.
 const SERVER_ERROR_MIN: u16 = 500;
 
+/// Longest time for which an endpoint is sent nothing at its own request; it may ask
+/// for more time than an instant can hold.
+const CLOSED_TIME_MAX: Duration = Duration::from_secs(3_600);
+
 impl<C: CallCodec> GatewayRole<C> {
     pub(crate) fn handle_exchange(
         &mut self,
@@ -108,7 +112,7 @@
         let Some(usage) = self.endpoints.usage_mut(&call.endpoint) else {
             return;
         };
-        if let Some(time) = terms.closed_for {
+        if let Some(time) = terms.closed_for.map(|time| time.min(CLOSED_TIME_MAX)) {
             usage.record_closed(now + time);
             let line = format!(
                 "endpoint id={} outcome=closed closed_ms={}",
