gateway: the age of running streams is no estimate in a planned stop

A gateway that has seen no stream of a route end, or none long enough to show a pace, took the age of those in progress, or the duration of the few that had ended, for the duration of the next one: a stream of 5 s was accepted 3 s into a stop, at which nothing is known and the limit for unknown streams (a third) has passed, and was cut.

Cause: where the pace was unknown the estimate fell back to the longest duration of the route, though the output limit was known. Now a stream with a limit is estimated by its limit alone, and is unknown without a pace unless it has one event; ages raise a known longest duration only. Ruled out: the load of the first chunk, which is measured.

--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -65,18 +65,19 @@
         if call.route.is_stream {
             let usage = endpoint.and_then(|id| self.endpoints.usage(id));
             let pace = usage.and_then(|usage| usage.event_pace.upper_pace());
-            let left = self.events_left(call);
-            let time = left.and_then(|left| times.stream_time(left, pace));
-            if time.is_some() {
-                return time;
+            if let Some(left) = self.events_left(call) {
+                return times.stream_time(left, pace);
             }
         }
+        // Calls in progress will last longer than they have so far, so that their age
+        // says nothing before one has ended.
+        let longest = times.longest()?;
         let running = self
             .calls
             .iter()
             .filter(|it| it.route.name == call.route.name);
-        let longest = running.map(|it| running_time(now, it)).max();
-        times.longest().max(longest)
+        let ages = running.map(|it| running_time(now, it));
+        Some(ages.fold(longest, Duration::max))
     }
 
     /// Returns the events of a stream that its caller may still receive; none if the
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -142,9 +142,13 @@
     /// upper estimate of the time between events at its endpoint; without one, that of
     /// all endpoints of the route is used.
     pub fn stream_time(&self, events_left: u64, pace: Option<Duration>) -> Option<Duration> {
+        let first = self.first_chunk.upper()?;
+        if events_left <= 1 {
+            return Some(first);
+        }
         let pace = pace.or_else(|| self.event_pace.upper_pace())?;
         let seconds = pace.as_secs_f64() * events_left as f64;
         let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
-        Some(self.first_chunk.upper()?.saturating_add(time))
+        Some(first.saturating_add(time))
     }
 }
--- a/crates/policy/tests/response_times.rs
+++ b/crates/policy/tests/response_times.rs
@@ -75,3 +75,11 @@
     let time = steady_times().stream_time(u64::MAX, Some(SECOND * 60));
     assert_eq!(time, Some(Duration::MAX));
 }
+
+#[test]
+fn stream_time_single_event_needs_no_pace() {
+    let mut times = ResponseTimes::default();
+    times.record_first_chunk(SECOND);
+    assert_eq!(times.stream_time(1, None), Some(3 * SECOND));
+    assert_eq!(times.stream_time(2, None), None);
+}
