gateway: nothing is accepted once a planned stop has finished

A gateway without calls finishes its stop 2.5 s after SIGTERM, and the process then stops its other roles, which takes up to 1 s for control (TRANSFER_TIMEOUT). Callers that came in that time were accepted and forwarded, though nothing waits for them any more, and ended with the process. shutdown_finished_request_refused failed before.

They get 503 at once. Ruled out: the end of the listener at that point, as a refusal that promises "not run" is better than a closed connection.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -29,6 +29,7 @@
     since: Option<Instant>,
     /// Whether new callers are no longer accepted.
     stopped_accepting: bool,
+    /// Whether the role has finished; the process still ends its other roles.
     finished: bool,
 }
 
@@ -66,6 +67,9 @@
         let Some(since) = self.shutdown.since else {
             return true;
         };
+        if self.shutdown.finished {
+            return false;
+        }
         let limit = self.config.shutdown_limit;
         let end = since + limit;
         if call.deadline <= end {
