gateway: a planned stop cancels no attempt that it can't repeat

An idempotent call whose attempt had no response within the response timeout was cancelled late in a stop, and then refused as nothing fits any more: its endpoint would have answered before the stop's end. shutdown_slow_attempt_kept_without_time_for_another failed before.

Cause: the stop was asked after the cancellation instead of before it. Ruled out: the response timeout itself, which is as before the stop.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -344,7 +344,7 @@
     }
 
     /// Handles an attempt without a response in time: its endpoint is avoided,
-    /// and the attempt is cancelled if the call may be retried.
+    /// and the attempt is cancelled if the call may be retried and has the time.
     fn time_out_attempt(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
         let Some(call) = self.calls.get_mut(request) else {
             return;
@@ -353,7 +353,11 @@
         let CallStage::Running(exchange) = call.stage else {
             return;
         };
-        if !call.route.is_idempotent || call.attempts >= call.route.max_attempts {
+        let may_repeat = call.route.is_idempotent && call.attempts < call.route.max_attempts;
+        let Some(call) = self.calls.get(request) else {
+            return;
+        };
+        if !may_repeat || !self.fits_shutdown(now, call, None) {
             if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
                 usage.record_failure(now);
             }
