gateway: a planned stop forwards the error that it has no time to retry

An endpoint's complete 5xx answer to an idempotent call was replaced by 502, without the endpoint's signature, when the call could be repeated but no longer fitted in the stop. shutdown_server_error_forwarded_without_time_for_another failed before (502 for 500).

The stop is asked before the answer is given up and the retry budget charged.

--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -265,7 +265,9 @@
         if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
             usage.record_failure(now);
         }
-        if self.try_acquire_retry(now, request, AttemptFailure::Broken, actions) {
+        let call = self.calls.get(request);
+        let has_time = call.is_some_and(|call| self.fits_shutdown(now, call, None));
+        if has_time && self.try_acquire_retry(now, request, AttemptFailure::Broken, actions) {
             self.start_attempt(now, request, actions);
         } else {
             self.forward_rest(now, request, actions);
