gateway: a planned stop ends once slow callers have their responses

The gateway finished as soon as no call was left, which says nothing of bytes that are queued for callers, and FLUSH_TIME never took effect, as the calls that a stop cuts are gone at once; the role now names the latest end, and its host finishes once all is written. And a connection that closes after its response was closed 1 s later, written or not; that time now begins when all is written, and a caller without progress is given up after 3 s. Ruled out: a reset (the connection ended in order).

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -117,7 +117,8 @@
             self.shutdown.finished = true;
             let line = format!("shutdown elapsed_ms={} outcome=finished", millis(elapsed));
             actions.push(RoleAction::Log(LogLevel::Info, line));
-            actions.push(RoleAction::Finished);
+            let end = since + self.config.shutdown_limit + FLUSH_TIME;
+            actions.push(RoleAction::FinishedBy(end));
         }
     }
 
--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -116,3 +116,31 @@
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(send_request("r2").status(), 200);
 }
+
+/// Guards against a response that a planned stop cuts because its caller reads it
+/// slowly: the worker has ended, and the gateway holds the rest.
+#[test]
+fn serving_shutdown_slow_reader_gets_whole_response() {
+    let mut deployment = ServingDeployment::spawn();
+    let mut caller = RawCaller::connect(deployment.callers).unwrap();
+    let body = "b".repeat(4_000_000);
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 4000\r\n\
+         Credential: {KEY}\r\nRequest-Id: r1\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    assert!(caller.send(head.as_bytes()) && caller.send(body.as_bytes()));
+    wait_until("the request runs", || !deployment.worker.runs().is_empty()).unwrap();
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    let mut len = 0;
+    while len <= body.len() {
+        let received = caller.read_until(Duration::from_secs(1), |bytes| !bytes.is_empty());
+        len += received.bytes.len();
+        if received.bytes.is_empty() {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(4));
+    }
+    assert!(len > body.len(), "cut after {len} bytes");
+}
--- a/crates/role/src/role_machine.rs
+++ b/crates/role/src/role_machine.rs
@@ -70,6 +70,9 @@
     StopAccepting(ListenerId),
     /// The graceful shutdown has ended.
     Finished,
+    /// As [`RoleAction::Finished`], once the callers have been sent what is queued for
+    /// them, or at this instant at the latest.
+    FinishedBy(Instant),
     /// An action specific to this role.
     RoleSpecific(A),
 }
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -37,10 +37,14 @@
 /// is closed.
 const RESPONSE_BUFFER_MAX: usize = 8 * 1024 * 1024;
 
-/// Time allowed for the caller to receive the last response before its socket
-/// is closed.
+/// Time allowed for the caller to receive the last response, once it is written,
+/// before its socket is closed.
 const LINGER_MAX: Duration = Duration::from_secs(1);
 
+/// Time without progress allowed while a response is written to a slow caller. A socket
+/// takes more bytes only once a good part of its buffer is sent.
+const WRITE_STALL_MAX: Duration = Duration::from_secs(3);
+
 const POLL_PRIORITY: u32 = 10;
 
 /// Id of a connection; never reused.
@@ -83,6 +87,8 @@
     /// Closing the socket sends a reset, as the end of the connection would end
     /// the body of the current response, which is not yet written completely.
     resets_on_close: bool,
+    /// Queued bytes that were not yet written when the timeouts were last checked.
+    unwritten_len: usize,
 }
 
 struct ListenerRecord {
@@ -167,6 +173,7 @@
             chunked: false,
             is_head_request: false,
             resets_on_close: false,
+            unwritten_len: 0,
         };
         self.connections.insert(id, connection);
         Ok(())
@@ -295,18 +302,30 @@
         self.dirty = dirty;
     }
 
+    /// Returns whether bytes are queued that are not yet written.
+    pub fn has_output(&self) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|connection| !connection.socket.output.is_empty())
+    }
+
     /// Applies the timeouts of all connections.
     pub fn tick(&mut self, now: Instant, events: &mut CallerEvents) {
         let mut overdue = Vec::new();
-        for (id, connection) in &self.connections {
+        for (id, connection) in &mut self.connections {
+            connection.record_progress(now);
             let Some(record) = self.listeners.get(&connection.listener) else {
                 continue;
             };
+            let is_written = connection.socket.output.is_empty();
             let (since, limit) = match connection.phase {
-                CallerPhase::Idle(since) if record.closing => (since, LINGER_MAX),
-                CallerPhase::Idle(since) => (since, record.bounds.idle_timeout),
+                CallerPhase::Idle(since) if !record.closing => (since, record.bounds.idle_timeout),
                 CallerPhase::Reading(since) => (since, record.bounds.head_timeout),
-                CallerPhase::Lingering(since) => (since, LINGER_MAX),
+                CallerPhase::Idle(since) | CallerPhase::Lingering(since) if is_written => {
+                    (since, LINGER_MAX)
+                }
+                CallerPhase::Idle(since) | CallerPhase::Lingering(since) => {
+                    (since, WRITE_STALL_MAX)
+                }
                 CallerPhase::Processing(_) => continue,
             };
             if now.saturating_duration_since(since) >= limit {
@@ -436,6 +455,18 @@
         matches!(self.phase, CallerPhase::Processing(_)) && self.socket.input.len() >= input_max
     }
 
+    /// Extends the wait of a connection whose caller still receives a response.
+    fn record_progress(&mut self, now: Instant) {
+        let unwritten_len = self.socket.output.len();
+        let is_progress = unwritten_len < self.unwritten_len;
+        self.unwritten_len = unwritten_len;
+        if let CallerPhase::Idle(since) | CallerPhase::Lingering(since) = &mut self.phase {
+            if is_progress {
+                *since = now;
+            }
+        }
+    }
+
     /// Queues a part; false when the connection must be closed.
     fn write_part(&mut self, part: ResponsePart) -> bool {
         match part {
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -79,6 +79,9 @@
     rx: Receiver<M::Event>,
     wake: Fwd<()>,
     finished: Fwd<()>,
+    /// Set once the machine has finished, until the callers have been sent what is
+    /// queued for them: when the shutdown ends at the latest.
+    finish_by: Option<Instant>,
     timer: MinTimerKey,
     /// Empty between events.
     link_events: VecDeque<LinkEvent>,
@@ -105,6 +108,7 @@
             rx,
             wake,
             finished: parts.finished,
+            finish_by: None,
             timer: MinTimerKey::default(),
             link_events: VecDeque::new(),
             actions: Vec::new(),
@@ -328,7 +332,9 @@
                 break;
             }
         }
+        self.check_finished(cx.now());
         let deadlines = [
+            self.finish_by,
             Some(self.links.deadline()),
             self.machine.deadline(),
             self.driver.deadline(cx.now()),
@@ -340,6 +346,17 @@
         timer_min!(&mut self.timer, at, [cx], handle_timer());
     }
 
+    /// Ends the shutdown of a machine that has finished, once nothing is left to write.
+    fn check_finished(&mut self, now: Instant) {
+        let Some(at) = self.finish_by else {
+            return;
+        };
+        if at <= now || !self.driver.callers.has_output() {
+            self.finish_by = None;
+            self.finished.fwd(());
+        }
+    }
+
     fn perform_actions(&mut self, cx: CX![]) {
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
@@ -362,6 +379,7 @@
                 }
                 RoleAction::StopAccepting(listener) => self.driver.callers.stop_accepting(listener),
                 RoleAction::Finished => self.finished.fwd(()),
+                RoleAction::FinishedBy(at) => self.finish_by = Some(at),
                 RoleAction::RoleSpecific(action) => self.handler.perform(action),
             }
         }
