runtime: a connection ends in a planned stop once its caller was told

A request that had been sent behind a stream on one connection was read and dropped when a planned stop began during the stream: the connection was closed after the stream, though its head, sent before, did not say so. serving_shutdown_pipelined_request_answered failed before.

Only a response whose head announces the end now ends its connection; the next request is passed to the role, which serves or refuses it, and an idle connection is closed after 1 s as before. Ruled out: requests behind a head that did announce it, which their callers send again (RFC 9112, section 9.6).

--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -144,3 +144,28 @@
     }
     assert!(len > body.len(), "cut after {len} bytes");
 }
+
+/// Guards against a request that a planned stop reads and drops without an answer: it
+/// follows a stream on the same connection, whose head did not announce the end.
+#[test]
+fn serving_shutdown_pipelined_request_answered() {
+    let mut deployment = ServingDeployment::spawn();
+    let mut caller = RawCaller::connect(deployment.callers).unwrap();
+    let mut send_request = |path: &str, id: &str| {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 4000\r\n\
+             Credential: {KEY}\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        assert!(caller.send(request.as_bytes()), "the connection is closed");
+    };
+    send_request("/stream/x", "r1");
+    send_request("/once/x", "r2");
+    let begun = caller.read_until(Duration::from_secs(2), |bytes| !bytes.is_empty());
+    assert_eq!(begun.status(), 200);
+    assert!(!begun.text().contains("Connection: close"));
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    let rest = caller.read_to_end(Duration::from_secs(4)).text();
+    assert!(rest.contains("data: r1 e3"), "{rest}");
+    assert!(rest.ends_with("/once/x cali body"), "{rest}");
+}
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -269,7 +269,9 @@
             return;
         };
         let listener = self.listeners.get(&connection.listener);
-        connection.close_after |= listener.is_some_and(|record| record.closing);
+        // A caller that was not told of the end may have sent its next request already.
+        let is_head = matches!(part, ResponsePart::Head { .. });
+        connection.close_after |= is_head && listener.is_some_and(|record| record.closing);
         let ended = matches!(part, ResponsePart::End);
         if !connection.write_part(part) {
             self.requests.remove(&request);
