gateway: a planned stop uses an endpoint's pace for a new route

The time of the events at the endpoint's pace is a lower bound where the route is unknown. Ruled out: taking it as the estimate, as the time to the first chunk is missing from it; the limit for unknown streams holds beside it.

--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use mulberrywell_policy::events_time;
 use mulberrywell_role::RequestId;
 use mulberrywell_serving::EndpointId;
 
@@ -63,10 +64,8 @@
     ) -> Option<Duration> {
         let times = self.times.get(&call.route.name)?;
         if call.route.is_stream {
-            let usage = endpoint.and_then(|id| self.endpoints.usage(id));
-            let pace = usage.and_then(|usage| usage.event_pace.upper_pace());
             if let Some(left) = self.events_left(call) {
-                return times.stream_time(left, pace);
+                return times.stream_time(left, self.endpoint_pace(endpoint));
             }
         }
         // Calls in progress will last longer than they have so far, so that their age
@@ -80,6 +79,19 @@
         Some(ages.fold(longest, Duration::max))
     }
 
+    /// Returns the time that the events of a stream take at the pace of its endpoint,
+    /// for a route of which nothing is known; zero if the pace is unknown too.
+    pub(crate) fn least_time(&self, call: &CallRecord, endpoint: Option<&EndpointId>) -> Duration {
+        let pace = self.endpoint_pace(endpoint);
+        let time = self.events_left(call).zip(pace);
+        time.map_or(Duration::ZERO, |(left, pace)| events_time(left, pace))
+    }
+
+    fn endpoint_pace(&self, endpoint: Option<&EndpointId>) -> Option<Duration> {
+        let usage = self.endpoints.usage(endpoint?)?;
+        usage.event_pace.upper_pace()
+    }
+
     /// Returns the events of a stream that its caller may still receive; none if the
     /// request doesn't limit its output.
     fn events_left(&self, call: &CallRecord) -> Option<u64> {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -75,9 +75,13 @@
         if call.deadline <= end {
             return true;
         }
+        let left = end.saturating_duration_since(now);
         match self.expected_time(now, call, endpoint) {
-            Some(time) => time <= end.saturating_duration_since(now),
-            None if call.route.is_stream => now < since + limit / UNKNOWN_STREAM_DIVISOR,
+            Some(time) => time <= left,
+            None if call.route.is_stream => {
+                now < since + limit / UNKNOWN_STREAM_DIVISOR
+                    && self.least_time(call, endpoint) <= left
+            }
             None => now + PLAIN_TIME_MAX <= end,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,6 @@
     PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, TargetEntry,
 };
 pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart};
-pub use response_times::{DurationEstimate, RecentMaximum, ResponseTimes};
+pub use response_times::{events_time, DurationEstimate, RecentMaximum, ResponseTimes};
 pub use service_meter::ServiceMeter;
 pub use stable_hash::{mix_bits, stable_hash};
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -147,8 +147,12 @@
             return Some(first);
         }
         let pace = pace.or_else(|| self.event_pace.upper_pace())?;
-        let seconds = pace.as_secs_f64() * events_left as f64;
-        let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
-        Some(first.saturating_add(time))
+        Some(first.saturating_add(events_time(events_left, pace)))
     }
 }
+
+/// Returns the time in which a number of events come at a pace.
+pub fn events_time(events: u64, pace: Duration) -> Duration {
+    let seconds = pace.as_secs_f64() * events as f64;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
