--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -169,3 +169,26 @@
     assert!(rest.contains("data: r1 e3"), "{rest}");
     assert!(rest.ends_with("/once/x cali body"), "{rest}");
 }
+
+/// Further signals during a planned stop neither end it early nor cut its stream.
+#[test]
+fn serving_shutdown_further_signals_ignored() {
+    let mut deployment = ServingDeployment::spawn();
+    let callers = deployment.callers;
+    let stream = std::thread::spawn(move || call(callers, "/stream/x", KEY));
+    wait_until("the stream runs", || !deployment.worker.runs().is_empty()).unwrap();
+    let processes = &mut deployment.processes;
+    for signal in [
+        Signal::SIGTERM,
+        Signal::SIGHUP,
+        Signal::SIGTERM,
+        Signal::SIGHUP,
+    ] {
+        processes.signal("gateway", signal).unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let response = stream.join().unwrap().unwrap();
+    assert!(response.complete && response.body.ends_with("data: r1 e3\n\n"));
+    assert!(processes.is_running("gateway"), "the stop ended early");
+    assert!(processes.wait("gateway").unwrap());
+}
