gateway: a position counts in a planned stop only where streams resume

A request with Last-Event-Id on a route whose streams can't be resumed was expected to need only the events after it, and was accepted and cut if its endpoint sends all. shutdown_position_on_whole_stream_ignored failed before.

Ruled out: dropping the field, which goes to the endpoint as before.

--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -101,7 +101,13 @@
         let engine = service.and_then(|service| service.engine.as_ref());
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
         let events = limit.div_ceil(u64::from(tokens_per_event));
-        Some(events.saturating_sub(call.events.last_event().unwrap_or_default()))
+        // A stream that can't be resumed comes as a whole, whatever position its caller
+        // names.
+        let position = call
+            .events
+            .last_event()
+            .filter(|_| call.route.is_idempotent);
+        Some(events.saturating_sub(position.unwrap_or_default()))
     }
 
     /// Removes the durations of routes that the configuration no longer has.
