--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use mulberrywell_policy::events_time;
 use mulberrywell_role::RequestId;
 use mulberrywell_serving::EndpointId;
 
@@ -63,20 +64,32 @@
     ) -> Option<Duration> {
         let times = self.times.get(&call.route.name)?;
         if call.route.is_stream {
-            let usage = endpoint.and_then(|id| self.endpoints.usage(id));
-            let pace = usage.and_then(|usage| usage.event_pace.upper_pace());
-            let left = self.events_left(call);
-            let time = left.and_then(|left| times.stream_time(left, pace));
-            if time.is_some() {
-                return time;
+            if let Some(left) = self.events_left(call) {
+                return times.stream_time(left, self.endpoint_pace(endpoint));
             }
         }
+        // Calls in progress will last longer than they have so far, so that their age
+        // says nothing before one has ended.
+        let longest = times.longest()?;
         let running = self
             .calls
             .iter()
             .filter(|it| it.route.name == call.route.name);
-        let longest = running.map(|it| running_time(now, it)).max();
-        times.longest().max(longest)
+        let ages = running.map(|it| running_time(now, it));
+        Some(ages.fold(longest, Duration::max))
+    }
+
+    /// Returns the time that the events of a stream take at the pace of its endpoint,
+    /// for a route of which nothing is known; zero if the pace is unknown too.
+    pub(crate) fn least_time(&self, call: &CallRecord, endpoint: Option<&EndpointId>) -> Duration {
+        let pace = self.endpoint_pace(endpoint);
+        let time = self.events_left(call).zip(pace);
+        time.map_or(Duration::ZERO, |(left, pace)| events_time(left, pace))
+    }
+
+    fn endpoint_pace(&self, endpoint: Option<&EndpointId>) -> Option<Duration> {
+        let usage = self.endpoints.usage(endpoint?)?;
+        usage.event_pace.upper_pace()
     }
 
     /// Returns the events of a stream that its caller may still receive; none if the
@@ -88,7 +101,13 @@
         let engine = service.and_then(|service| service.engine.as_ref());
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
         let events = limit.div_ceil(u64::from(tokens_per_event));
-        Some(events.saturating_sub(call.events.last_event().unwrap_or_default()))
+        // A stream that can't be resumed comes as a whole, whatever position its caller
+        // names.
+        let position = call
+            .events
+            .last_event()
+            .filter(|_| call.route.is_idempotent);
+        Some(events.saturating_sub(position.unwrap_or_default()))
     }
 
     /// Removes the durations of routes that the configuration no longer has.
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -29,6 +29,7 @@
     since: Option<Instant>,
     /// Whether new callers are no longer accepted.
     stopped_accepting: bool,
+    /// Whether the role has finished; the process still ends its other roles.
     finished: bool,
 }
 
@@ -66,14 +67,21 @@
         let Some(since) = self.shutdown.since else {
             return true;
         };
+        if self.shutdown.finished {
+            return false;
+        }
         let limit = self.config.shutdown_limit;
         let end = since + limit;
         if call.deadline <= end {
             return true;
         }
+        let left = end.saturating_duration_since(now);
         match self.expected_time(now, call, endpoint) {
-            Some(time) => now + time <= end,
-            None if call.route.is_stream => now < since + limit / UNKNOWN_STREAM_DIVISOR,
+            Some(time) => time <= left,
+            None if call.route.is_stream => {
+                now < since + limit / UNKNOWN_STREAM_DIVISOR
+                    && self.least_time(call, endpoint) <= left
+            }
             None => now + PLAIN_TIME_MAX <= end,
         }
     }
@@ -113,7 +121,8 @@
             self.shutdown.finished = true;
             let line = format!("shutdown elapsed_ms={} outcome=finished", millis(elapsed));
             actions.push(RoleAction::Log(LogLevel::Info, line));
-            actions.push(RoleAction::Finished);
+            let end = since + self.config.shutdown_limit + FLUSH_TIME;
+            actions.push(RoleAction::FinishedBy(end));
         }
     }
 
--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -154,3 +154,79 @@
     let log = deployment.processes.log("gateway");
     assert!(log.contains("seeds changed: true"), "no reload");
 }
+
+/// Guards against a response that a planned stop cuts because its caller reads it
+/// slowly: the worker has ended, and the gateway holds the rest.
+#[test]
+fn serving_shutdown_slow_reader_gets_whole_response() {
+    let mut deployment = ServingDeployment::spawn();
+    let mut caller = RawCaller::connect(deployment.callers).unwrap();
+    let body = "b".repeat(4_000_000);
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 4000\r\n\
+         Credential: {KEY}\r\nRequest-Id: r1\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    assert!(caller.send(head.as_bytes()) && caller.send(body.as_bytes()));
+    wait_until("the request runs", || !deployment.worker.runs().is_empty()).unwrap();
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    let mut len = 0;
+    while len <= body.len() {
+        let received = caller.read_until(Duration::from_secs(1), |bytes| !bytes.is_empty());
+        len += received.bytes.len();
+        if received.bytes.is_empty() {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(4));
+    }
+    assert!(len > body.len(), "cut after {len} bytes");
+}
+
+/// Guards against a request that a planned stop reads and drops without an answer: it
+/// follows a stream on the same connection, whose head did not announce the end.
+#[test]
+fn serving_shutdown_pipelined_request_answered() {
+    let mut deployment = ServingDeployment::spawn();
+    let mut caller = RawCaller::connect(deployment.callers).unwrap();
+    let mut send_request = |path: &str, id: &str| {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 4000\r\n\
+             Credential: {KEY}\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        assert!(caller.send(request.as_bytes()), "the connection is closed");
+    };
+    send_request("/stream/x", "r1");
+    send_request("/once/x", "r2");
+    let begun = caller.read_until(Duration::from_secs(2), |bytes| !bytes.is_empty());
+    assert_eq!(begun.status(), 200);
+    assert!(!begun.text().contains("Connection: close"));
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    let rest = caller.read_to_end(Duration::from_secs(4)).text();
+    assert!(rest.contains("data: r1 e3"), "{rest}");
+    assert!(rest.ends_with("/once/x cali body"), "{rest}");
+}
+
+/// Further signals during a planned stop neither end it early nor cut its stream.
+#[test]
+fn serving_shutdown_further_signals_ignored() {
+    let mut deployment = ServingDeployment::spawn();
+    let callers = deployment.callers;
+    let stream = std::thread::spawn(move || call(callers, "/stream/x", KEY));
+    wait_until("the stream runs", || !deployment.worker.runs().is_empty()).unwrap();
+    let processes = &mut deployment.processes;
+    for signal in [
+        Signal::SIGTERM,
+        Signal::SIGHUP,
+        Signal::SIGTERM,
+        Signal::SIGHUP,
+    ] {
+        processes.signal("gateway", signal).unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let response = stream.join().unwrap().unwrap();
+    assert!(response.complete && response.body.ends_with("data: r1 e3\n\n"));
+    assert!(processes.is_running("gateway"), "the stop ended early");
+    assert!(processes.wait("gateway").unwrap());
+}
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -142,7 +142,17 @@
     /// upper estimate of the time between events at its endpoint; without one, that of
     /// all endpoints of the route is used.
     pub fn stream_time(&self, events_left: u64, pace: Option<Duration>) -> Option<Duration> {
+        let first = self.first_chunk.upper()?;
+        if events_left <= 1 {
+            return Some(first);
+        }
         let pace = pace.or_else(|| self.event_pace.upper_pace())?;
-        Some(self.first_chunk.upper()? + pace.mul_f64(events_left as f64))
+        Some(first.saturating_add(events_time(events_left, pace)))
     }
 }
+
+/// Returns the time in which a number of events come at a pace.
+pub fn events_time(events: u64, pace: Duration) -> Duration {
+    let seconds = pace.as_secs_f64() * events as f64;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/crates/policy/tests/response_times.rs
+++ b/crates/policy/tests/response_times.rs
@@ -67,3 +67,19 @@
     maximum.record(now + 140 * SECOND, 2);
     assert_eq!(maximum.get(), Some(3));
 }
+
+#[test]
+fn stream_time_huge_saturates() {
+    let time = steady_times().stream_time(u64::MAX, None).unwrap();
+    assert!(time > 1_000_000_000 * SECOND, "{time:?}");
+    let time = steady_times().stream_time(u64::MAX, Some(SECOND * 60));
+    assert_eq!(time, Some(Duration::MAX));
+}
+
+#[test]
+fn stream_time_single_event_needs_no_pace() {
+    let mut times = ResponseTimes::default();
+    times.record_first_chunk(SECOND);
+    assert_eq!(times.stream_time(1, None), Some(3 * SECOND));
+    assert_eq!(times.stream_time(2, None), None);
+}
