wire: name the limit that a frame exceeded

A frame that is too long for the handshake (4 KiB) was reported as longer than the general limit of 20 MiB. The error now carries the codec's limit.

--- a/crates/wire/src/frame_codec.rs
+++ b/crates/wire/src/frame_codec.rs
@@ -17,8 +17,8 @@
 /// Reason why received bytes are not a valid frame.
 #[derive(Debug)]
 pub enum FrameError {
-    /// The length field exceeds the limit of the codec.
-    TooLong,
+    /// The length field exceeds the limit of the codec, in bytes.
+    TooLong(usize),
     /// The bytes do not decode as a message.
     Malformed(prost::DecodeError),
 }
@@ -26,7 +26,7 @@
 impl fmt::Display for FrameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            FrameError::TooLong => write!(f, "frame longer than {FRAME_LIMIT} bytes"),
+            FrameError::TooLong(limit) => write!(f, "frame longer than {limit} bytes"),
             FrameError::Malformed(err) => write!(f, "malformed frame: {err}"),
         }
     }
@@ -78,7 +78,7 @@
         match self.framing.decode(&mut self.buf) {
             Ok(Some(data)) => decode_frame(data.freeze()).map(Some),
             Ok(None) => Ok(None),
-            Err(_) => Err(FrameError::TooLong),
+            Err(_) => Err(FrameError::TooLong(self.framing.max_frame_length())),
         }
     }
 }
