--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -88,8 +88,6 @@
     /// Connections that may have more bytes than their last turn read.
     unread: BTreeSet<ConnectionId>,
     next_id: ConnectionId,
-    /// Total number of connections opened.
-    pub opened_count: u64,
 }
 
 /// Parameters of a new exchange.
@@ -165,7 +163,6 @@
             idle_timeout: IDLE_DEFAULT,
         };
         connection.start_exchange(start);
-        self.opened_count += 1;
         self.exchanges.insert(start.exchange, id);
         self.connections.insert(id, connection);
         Ok(())
