policy-bench: keep the limits of no-pacing after a leader loss

`replace_leader` gave every variant the deployment's limits of loads, so that `no-pacing` was paced from the leader loss on. The package becomes a library with a command line, so that its tests can be files; its public items get their documentation.

--- a/crates/policy-bench/src/bench_control.rs
+++ b/crates/policy-bench/src/bench_control.rs
@@ -5,9 +5,8 @@
 
 use bytes::Bytes;
 use mulberrywell_policy::{
-    DemandEstimator, EndpointReport, ModelResidence, PacerSettings, PlacementEndpoint,
-    PlacementInput, PlacementModel, PlacementOutput, PlacementPlanner, PlacementState,
-    ResidencePhase,
+    DemandEstimator, EndpointReport, ModelResidence, PlacementEndpoint, PlacementInput,
+    PlacementModel, PlacementOutput, PlacementPlanner, PlacementState, ResidencePhase,
 };
 use mulberrywell_role::LinkId;
 use mulberrywell_wire::config::EndpointState;
@@ -56,20 +55,16 @@
 }
 
 impl<'a> BenchControl<'a> {
+    /// Creates a leader with the even placement that all variants start from.
     pub fn new(deployment: &'a Deployment, variant: &'a Variant, now: Instant) -> Self {
         let models: Vec<PlacementModel> = bench_models(deployment);
-        let mut planner = variant.planner.clone();
-        // The variant without pacing keeps its own limits.
-        if planner.pacer == PacerSettings::default() {
-            planner.pacer = deployment.pacer.clone();
-        }
         let mut control = BenchControl {
             deployment,
             variant,
             names: models.iter().map(|model| model.name.clone()).collect(),
             models,
             endpoints: vec![EndpointRecord::default(); deployment.endpoints],
-            planner: PlacementPlanner::new(planner, now),
+            planner: PlacementPlanner::new(variant.planner_settings(deployment), now),
             demand: DemandEstimator::new(variant.demand.clone(), now),
             input: PlacementInput {
                 term: 1,
@@ -123,10 +118,12 @@
         &self.names
     }
 
+    /// Records the link to an endpoint's agent.
     pub fn record_link(&mut self, endpoint: usize, link: LinkId) {
         self.endpoints[endpoint].link = link;
     }
 
+    /// Returns the link to an endpoint's agent.
     pub fn link(&self, endpoint: usize) -> LinkId {
         self.endpoints[endpoint].link
     }
@@ -139,8 +136,7 @@
     /// Replaces the leader with one that starts with an empty planner and demand
     /// estimate.
     pub fn replace_leader(&mut self, now: Instant) {
-        let mut settings = self.variant.planner.clone();
-        settings.pacer = self.deployment.pacer.clone();
+        let settings = self.variant.planner_settings(self.deployment);
         self.input.term = 2;
         self.planner = PlacementPlanner::new(settings, now);
         self.demand = DemandEstimator::new(self.variant.demand.clone(), now);
--- a/crates/policy-bench/src/bench_entry.rs
+++ b/crates/policy-bench/src/bench_entry.rs
@@ -57,6 +57,7 @@
     deployment: &'a Deployment,
     variant: &'a Variant,
     choosers: Vec<EndpointChooser>,
+    /// Endpoints as the entries see them.
     pub directory: Vec<DirectoryItem>,
     names: Vec<Bytes>,
     zones: Vec<Bytes>,
@@ -71,6 +72,7 @@
 }
 
 impl<'a> BenchEntries<'a> {
+    /// Creates the entries of a deployment with an empty directory.
     pub fn new(deployment: &'a Deployment, variant: &'a Variant) -> Self {
         let zone = |idx: usize| Bytes::from(format!("zone-{}", idx % deployment.zones));
         let chooser = |entry: usize| {
--- a/crates/policy-bench/src/main.rs
+++ b/crates/policy-bench/src/main.rs
@@ -1,31 +1,14 @@
-//! Measures the policy in virtual time.
-//!
-//! Purpose: drives the agent role, the entry's endpoint choice and the placement
-//! planner in one process, with simple fakes of the engine, the weight store and
-//! the network, and prints one table row per cell. No part of the product depends
-//! on this package.
-//!
-//! Guarantees: the figures of a cell depend on its deployment, scenario, variant
-//! and seeds alone.
-
-mod bench_control;
-mod bench_entry;
-mod bench_matrix;
-mod bench_simulation;
-mod event_queue;
-mod fake_engine;
-mod planner_cost;
-mod request_stream;
-mod run_result;
+//! Command line of the policy bench.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::thread;
 
-use bench_matrix::{deployments, variants, Deployment, Scenario, Variant};
-use bench_simulation::BenchSimulation;
 use clap::{Arg, ArgMatches, Command};
-use run_result::{print_row, print_table_header, RunResult};
+use mulberrywell_policy_bench::{
+    deployments, measure, print_row, print_table_header, variants, BenchSimulation, Deployment,
+    RunResult, Scenario, Variant,
+};
 
 /// One cell of the table.
 struct BenchCell {
@@ -58,7 +41,7 @@
         );
     let args = command.get_matches();
     if args.subcommand_matches("planner-cost").is_some() {
-        planner_cost::measure();
+        measure();
         return;
     }
     let seeds = args.get_one::<u64>("seeds").copied().unwrap_or(5);
--- a/crates/policy-bench/src/run_result.rs
+++ b/crates/policy-bench/src/run_result.rs
@@ -11,9 +11,11 @@
     pub offered: u64,
     /// Attained requests per second per accelerator.
     pub per_accelerator: f64,
+    /// Loads of models from the weight store.
     pub moves: u64,
-    /// Lowest attainment of any account, and the mean over the accounts.
+    /// Lowest attainment of any account.
     pub worst_account: f64,
+    /// Mean attainment over the accounts.
     pub mean_account: f64,
     /// Refused requests that were within their account's rate.
     pub refused: u64,
