policy-bench: let no-pacing start any number of loads at once

The variant kept the default burst of four, so that at most four loads started with each plan of a second: 240 a minute, where the deployment allows 90.

--- a/crates/policy-bench/src/bench_matrix.rs
+++ b/crates/policy-bench/src/bench_matrix.rs
@@ -215,9 +215,9 @@
         variant("no-pacing", |v| {
             v.pacer = Some(PacerSettings {
                 store_loads_per_minute: 60_000,
+                store_burst: 1_000,
                 store_parallel: 1_000,
                 adapter_parallel: 10_000,
-                ..PacerSettings::default()
             });
         }),
     ]
--- a/crates/policy-bench/tests/leader_change.rs
+++ b/crates/policy-bench/tests/leader_change.rs
@@ -90,3 +90,16 @@
         assert_eq!(fleet.ordered_loads(), first, "{}", deployment.name);
     }
 }
+
+// Guards against a variant without pacing whose burst still paces it.
+#[test]
+fn no_pacing_loads_at_once() {
+    let variant = variant_named("no-pacing");
+    for deployment in deployments() {
+        let mut fleet = EmptyFleet::new(&deployment, &variant);
+        let loads = fleet.ordered_loads();
+        // The planner brings each model to two engines where memory allows.
+        let wanted = 2 * deployment.models;
+        assert!(loads >= wanted, "{}: {loads} of {wanted}", deployment.name);
+    }
+}
