policy: don't count a loading replica when one is evicted

A model's replicas included those that were only ordered. Once a second replica of a model under pressure was ordered, its only loaded replica was worth half its demand and no longer that of a last one, and could be evicted for a hotter model in the next plan: the model was on no engine until the load ended, or for good if it failed. `loaded_counts` counts the engines that hold a model, and the last of these has the pressure of a model that no engine holds.

`plan_keeps_replica_while_next_loads` failed before (`unload f b` while `load e b` was in progress).

--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -92,6 +92,8 @@
     next_number: OrderNumber,
     /// Usable engines that hold each model or were ordered to load it, during a plan.
     pub(crate) replica_counts: BTreeMap<ModelName, usize>,
+    /// Usable engines that hold each model, during a plan.
+    pub(crate) loaded_counts: BTreeMap<ModelName, usize>,
     /// Engines that can be given a model order, during a plan.
     pub(crate) options: BTreeMap<EndpointName, EngineOption>,
 }
@@ -107,6 +109,7 @@
             pacer,
             next_number: 1,
             replica_counts: BTreeMap::new(),
+            loaded_counts: BTreeMap::new(),
             options: BTreeMap::new(),
         }
     }
@@ -422,13 +425,13 @@
                 if let Some(state) = self.engines.get_mut(&endpoint) {
                     state.reserved_until = Some(now + RESERVATION_LIFETIME);
                 }
-                self.change_replicas(now, &victim, -1);
+                self.remove_replica(now, &victim);
             }
             None if is_cached_on_host || self.pacer.acquire_permit(false) => {
                 let order = self.new_order(&endpoint, OrderVerb::Load, model, &ModelName::new());
                 self.issue_order(now, order, orders);
                 self.options.remove(&endpoint);
-                self.change_replicas(now, model, 1);
+                self.insert_ordered_replica(now, model);
             }
             None => {}
         }
--- a/crates/policy/src/engine_option.rs
+++ b/crates/policy/src/engine_option.rs
@@ -34,9 +34,15 @@
 
     pub(crate) fn count_replicas(&mut self) {
         self.replica_counts.clear();
+        self.loaded_counts.clear();
         let usable = self.engines.values().filter(|it| it.report.is_usable);
-        for model in usable.flat_map(EngineState::held_models) {
-            *self.replica_counts.entry(model).or_default() += 1;
+        for state in usable {
+            for model in state.held_models() {
+                if state.report.models.contains_key(&model) {
+                    *self.loaded_counts.entry(model.clone()).or_default() += 1;
+                }
+                *self.replica_counts.entry(model).or_default() += 1;
+            }
         }
     }
 
@@ -66,13 +72,27 @@
         self.options = options;
     }
 
-    /// Applies an order's change of the number of replicas during a plan.
-    pub(crate) fn change_replicas(&mut self, now: Instant, model: &ModelName, change: isize) {
-        let count = self.replica_counts.entry(model.clone()).or_default();
-        *count = count.saturating_add_signed(change);
+    /// Counts a replica whose load was ordered during a plan.
+    pub(crate) fn insert_ordered_replica(&mut self, now: Instant, model: &ModelName) {
+        *self.replica_counts.entry(model.clone()).or_default() += 1;
         self.update_options(now, Some(model));
     }
 
+    /// Counts a replica as gone whose unload was ordered during a plan.
+    pub(crate) fn remove_replica(&mut self, now: Instant, model: &ModelName) {
+        for counts in [&mut self.replica_counts, &mut self.loaded_counts] {
+            let count = counts.entry(model.clone()).or_default();
+            *count = count.saturating_sub(1);
+        }
+        self.update_options(now, Some(model));
+    }
+
+    /// Returns whether callers of a model would have no engine without one of those
+    /// that hold it.
+    fn is_last_loaded(&self, model: &ModelName) -> bool {
+        self.loaded_counts.get(model).copied().unwrap_or(0) <= 1
+    }
+
     /// Returns an engine's load: the requests per second for the models it holds.
     pub(crate) fn engine_load(&self, now: Instant, state: &EngineState) -> f64 {
         let models = state.report.models.keys();
@@ -88,7 +108,11 @@
             .iter()
             .filter(|(_, held_since)| now.saturating_duration_since(**held_since) >= RESIDENCE_MIN);
         let values = evictable.map(|(model, _)| {
-            let remaining = self.replicas(model).saturating_sub(1);
+            // A replica that is still loading serves no callers yet.
+            let remaining = match self.is_last_loaded(model) {
+                true => 0,
+                false => self.replicas(model).saturating_sub(1),
+            };
             (self.pressure(now, model, remaining), model.clone())
         });
         values.min_by(|a, b| a.0.total_cmp(&b.0))
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -385,3 +385,31 @@
     let orders = format_orders(&placement.plan(now));
     assert_eq!(orders.first().map(String::as_str), Some("load g a"));
 }
+
+// Guards against a model without a loaded replica while its next one still loads.
+#[test]
+fn plan_keeps_replica_while_next_loads() {
+    let start = Instant::now();
+    let mut placement = two_engines(start, start, &[("a", &[])]);
+    let now = start + LATER;
+    let record = |placement: &mut DemandPlacement, now: Instant| {
+        placement.record_requests(now, &name("a"), &Bytes::new(), 400);
+        placement.record_requests(now, &name("b"), &Bytes::new(), 20);
+        placement.record_requests(now, &name("c"), &Bytes::new(), 20);
+    };
+    record(&mut placement, now);
+    let orders = placement.plan(now);
+    assert_eq!(format_orders(&orders), ["load e b"]);
+    placement.handle_answer(now, &name("e"), orders[0].number, OrderAnswer::Accepted);
+    assert!(
+        placement.plan(now).is_empty(),
+        "last loaded replica evicted"
+    );
+    handle_report(
+        &mut placement,
+        now,
+        &name("e"),
+        report(&[("a", &[]), ("b", &[])]),
+    );
+    assert_eq!(format_orders(&placement.plan(now)), ["unload f b"]);
+}
