policy: keep the last replica with demand from further replicas

The last replica of a model in use was evicted for a further replica of a model whose pressure was 200 times its rate: of a model with a request every five seconds at a pressure of 40. Its next caller waits for a load of seconds, which in turn evicts something. Every model is to stay reachable, so that a further replica now takes spare replicas and idle models only. A model that no engine holds may still take any place, cheapest first, or it would be out of reach while all others are in use.

Failed before: `plan_further_replica_keeps_last_with_demand` (`unload f c`), `plan_last_with_demand_evicted_for_unheld::case_1_further_replica` (`unload e c`), `hot_model_keeps_others_reachable` (m006 on no engine). case_2_held_by_none passed before as well.

--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -6,10 +6,11 @@
 //!
 //! Guarantees: the models and adapters that an engine holds or is ordered to load
 //! never exceed its memory and adapter places; an engine has one order for a model
-//! at a time; the last replica of a model is evicted only for a model that callers
-//! wait for and no engine holds, or for one whose pressure is at least [`GAIN_MIN`]
-//! times the pressure that the evicted model has without a replica; memory for
-//! loads from the weight store is freed no faster than the store can fill it.
+//! at a time; the last loaded replica of a model with demand is evicted only for a
+//! model that no engine holds, and if callers don't wait for that one, only where
+//! its pressure is at least [`GAIN_MIN`] times that of the evicted model without a
+//! replica; memory for loads from the weight store is freed no faster than the store
+//! can fill it.
 //!
 //! Each order carries the number of orders that the engine should have accepted
 //! before it, which the engine checks before it executes the order. An order that
@@ -330,6 +331,11 @@
         engines.any(|state| state.report.is_usable && state.will_hold_adapter(model, adapter))
     }
 
+    /// Returns whether callers ask for a model, or asked for it a moment ago.
+    pub(crate) fn has_demand(&self, now: Instant, model: &ModelName) -> bool {
+        self.demand.rate(now, model) > IDLE_RATE || self.demand.is_awaited(model)
+    }
+
     pub(crate) fn pressure(&self, now: Instant, model: &ModelName, replicas: usize) -> f64 {
         let rate = self.demand.rate(now, model);
         match replicas {
@@ -384,8 +390,8 @@
         let Some(weight) = self.spec_of(model).map(|spec| spec.weight_mb) else {
             return;
         };
-        let rate = self.demand.rate(now, model);
-        let is_idle = rate <= IDLE_RATE && !self.demand.is_awaited(model);
+        let is_idle = !self.has_demand(now, model);
+        let is_unheld = self.replicas(model) == 0;
         let mut best: Option<(f64, f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, option) in &self.options {
             let Some(state) = self.engines.get(endpoint) else {
@@ -395,7 +401,11 @@
             if is_reserved || state.will_hold(model) {
                 continue;
             }
-            let (value, victim) = match &option.victim {
+            let victim = match is_unheld {
+                true => &option.victim,
+                false => &option.spare_victim,
+            };
+            let (value, victim) = match victim {
                 _ if option.free_mb >= weight => (-1.0, None),
                 Some((value, victim)) => (*value, Some(victim)),
                 None => continue,
--- a/crates/policy/src/engine_option.rs
+++ b/crates/policy/src/engine_option.rs
@@ -23,9 +23,14 @@
     /// Requests per second for the models that the engine holds.
     pub(crate) load: f64,
     /// Model whose eviction costs least, with its pressure after the eviction.
-    pub(crate) victim: Option<(f64, ModelName)>,
+    pub(crate) victim: Option<Victim>,
+    /// The same without the last replicas of models with demand.
+    pub(crate) spare_victim: Option<Victim>,
 }
 
+/// A model and its pressure after its eviction.
+pub(crate) type Victim = (f64, ModelName);
+
 impl DemandPlacement {
     /// Returns the usable engines that hold the model or were ordered to load it.
     pub(crate) fn replicas(&self, model: &ModelName) -> usize {
@@ -59,10 +64,13 @@
                 continue;
             }
             if state.can_accept_order() && !state.has_model_order() {
+                let spare_victims = self.victims(now, state);
+                let spare_victims = spare_victims.filter(|(_, model)| self.is_spare(now, model));
                 let option = EngineOption {
                     free_mb: self.free_mb(state),
                     load: self.engine_load(now, state),
-                    victim: self.victim(now, state),
+                    victim: cheapest(self.victims(now, state)),
+                    spare_victim: cheapest(spare_victims),
                 };
                 options.insert(endpoint.clone(), option);
             } else {
@@ -100,22 +108,27 @@
         rates.sum()
     }
 
-    /// Returns the model whose eviction from an engine costs least, with its pressure
-    /// after the eviction.
-    pub(crate) fn victim(&self, now: Instant, state: &EngineState) -> Option<(f64, ModelName)> {
-        let evictable = state
-            .held_since
-            .iter()
-            .filter(|(_, held_since)| now.saturating_duration_since(**held_since) >= RESIDENCE_MIN);
-        let values = evictable.map(|(model, _)| {
+    /// Returns the models that may be evicted from an engine.
+    fn victims<'a>(
+        &'a self,
+        now: Instant,
+        state: &'a EngineState,
+    ) -> impl Iterator<Item = Victim> + 'a {
+        let models = state.held_since.iter();
+        let evictable = models
+            .filter(move |(_, since)| now.saturating_duration_since(**since) >= RESIDENCE_MIN);
+        evictable.map(move |(model, _)| {
             // A replica that is still loading serves no callers yet.
             let remaining = match self.is_last_loaded(model) {
                 true => 0,
                 false => self.replicas(model).saturating_sub(1),
             };
             (self.pressure(now, model, remaining), model.clone())
-        });
-        values.min_by(|a, b| a.0.total_cmp(&b.0))
+        })
+    }
+
+    fn is_spare(&self, now: Instant, model: &ModelName) -> bool {
+        !self.is_last_loaded(model) || !self.has_demand(now, model)
     }
 
     pub(crate) fn free_mb(&self, state: &EngineState) -> u64 {
@@ -138,3 +151,7 @@
             .saturating_sub(held + loads.sum::<u64>())
     }
 }
+
+fn cheapest(victims: impl Iterator<Item = Victim>) -> Option<Victim> {
+    victims.min_by(|a, b| a.0.total_cmp(&b.0))
+}
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -413,3 +413,49 @@
     );
     assert_eq!(format_orders(&placement.plan(now)), ["unload f b"]);
 }
+
+// Guards against a model with demand that becomes unreachable for a further replica
+// of another one, however high the demand for that one is.
+#[test]
+fn plan_further_replica_keeps_last_with_demand() {
+    let start = Instant::now();
+    let mut placement = two_engines(start, start, &[("a", &[]), ("b", &[])]);
+    let now = start + LATER;
+    placement.record_requests(now, &name("c"), &Bytes::new(), 1);
+    let later = now + Duration::from_secs(5);
+    placement.record_requests(later, &name("a"), &Bytes::new(), 4_000);
+    placement.record_requests(later, &name("b"), &Bytes::new(), 40);
+    // `b` has two replicas, and `c` one that was used five seconds ago.
+    assert_eq!(format_orders(&placement.plan(later)), ["unload f b"]);
+}
+
+#[rstest]
+#[case::further_replica(None, &[])]
+#[case::held_by_none(Some("d"), &["unload e c"])]
+fn plan_last_with_demand_evicted_for_unheld(
+    #[case] awaited: Option<&str>,
+    #[case] expected: &[&str],
+) {
+    let start = Instant::now();
+    let mut placement = placement(start);
+    let mut models: Vec<ModelSpec> = ["a", "b", "c", "d"].map(model).into();
+    models[0].weight_mb = 80;
+    let spec = EngineSpec {
+        memory_mb: 100,
+        adapter_places: 2,
+        models,
+    };
+    placement.set_spec(spec, PacerSettings::default());
+    for (engine, held) in [("e", &["b", "c"][..]), ("f", &["a"])] {
+        let held: Vec<(&str, &[&str])> = held.iter().map(|model| (*model, &[][..])).collect();
+        handle_report(&mut placement, start, &name(engine), report(&held));
+    }
+    let now = start + LATER;
+    placement.record_requests(now, &name("a"), &Bytes::new(), 4_000);
+    placement.record_requests(now, &name("b"), &Bytes::new(), 9);
+    placement.record_requests(now, &name("c"), &Bytes::new(), 1);
+    if let Some(awaited) = awaited {
+        placement.record_awaited(now, name(awaited), Bytes::new());
+    }
+    assert_eq!(format_orders(&placement.plan(now)), expected);
+}
--- a/crates/policy/tests/fleet_placement.rs
+++ b/crates/policy/tests/fleet_placement.rs
@@ -228,6 +228,43 @@
     assert!(peak.max().unwrap() as f64 <= allowed);
 }
 
+/// One model has most of the demand, and each other one a request every few seconds:
+/// none of those loses its last engine to it.
+#[test]
+fn hot_model_keeps_others_reachable() {
+    const REQUEST_INTERVAL: Duration = Duration::from_secs(5);
+    let mut fleet = EngineFleet::full(4, 20, 2);
+    let models: Vec<Bytes> = (0..10).map(model_name).collect();
+    // The spare replicas of two others are on engines that don't hold it.
+    let hot = &models[3];
+    let end = fleet.now + Duration::from_secs(60);
+    let mut next_request = fleet.now;
+    let mut next_report = fleet.now;
+    while fleet.now < end {
+        fleet.now += PLAN_INTERVAL;
+        fleet.finish_orders();
+        if fleet.now >= next_report {
+            next_report = fleet.now + REPORT_INTERVAL;
+            fleet.report();
+        }
+        let now = fleet.now;
+        let placement = &mut fleet.placement;
+        placement.record_requests(now, hot, &Bytes::new(), 200);
+        if now >= next_request {
+            next_request = now + REQUEST_INTERVAL;
+            for model in models.iter().filter(|model| *model != hot) {
+                placement.record_requests(now, model, &Bytes::new(), 1);
+            }
+        }
+        let orders = fleet.placement.plan(now);
+        fleet.accept_orders(orders);
+        let unreachable = models.iter().find(|model| !fleet.holds(model));
+        assert_eq!(unreachable, None);
+    }
+    let replicas = fleet.engines.iter().filter(|it| it.models.contains(hot));
+    assert_eq!(replicas.count(), 3, "spare places left unused");
+}
+
 /// Returns the shortest time that one plan takes.
 fn plan_time(engines: usize, models: usize) -> Duration {
     let mut fleet = EngineFleet::full(engines, models, 23);
