tests: let the caller that reads nothing have a stream without end

`caller_not_reading_disconnected` raced the engine against the stall timeout of 500 ms: the 60,000 tokens are 6.8 MB, less than the 8 MiB that the server queues for a slow caller, and an engine without pauses writes them in 0.87 s.

The stream now has 10 million tokens (1.1 GB), for which the account has a plan of its own, and the engine's run must end within CLOSE_TIMEOUT.

--- a/crates/mulberrywell/tests/hostile_callers.rs
+++ b/crates/mulberrywell/tests/hostile_callers.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{planned_cluster, small_cluster, SmallCluster};
+use common::{planned_cluster, small_cluster, SmallCluster, GRANTS, PLANS};
 use mulberrywell_testkit::{
     raw_exchange, wait_until, ClusterPlan, HttpCaller, RawCaller, RawEnd, RunState,
 };
@@ -23,6 +23,29 @@
 /// `caller_stall_ms` of the entry in these tests.
 const CALLER_STALL: Duration = Duration::from_millis(500);
 
+/// Tokens of a stream that no buffers on its way can hold: about 1.1 GB, which an
+/// engine takes minutes to write.
+const LONG_STREAM_TOKENS: u64 = 10_000_000;
+
+/// Plan and account whose burst allows a stream of [`LONG_STREAM_TOKENS`].
+const LONG_PLAN: &str = r#"
+[[plan]]
+name = "long"
+rate = 1000000
+burst = 20000000
+
+[[account]]
+name = "bogota"
+plan = "long"
+"#;
+
+/// Grant for the plan of [`LONG_PLAN`].
+const LONG_GRANT: &str = r#"
+[[grant]]
+plan = "long"
+models = ["payroll"]
+"#;
+
 /// A hostile request and the expected status.
 struct HostileCase {
     name: &'static str,
@@ -310,12 +333,18 @@
 
 #[test]
 fn caller_not_reading_disconnected() {
-    let small = strict_cluster();
+    let mut small = strict_cluster();
+    let (plans, grants) = (PLANS.to_owned() + LONG_PLAN, GRANTS.to_owned() + LONG_GRANT);
+    small.cluster.apply(&plans, &grants).unwrap();
+    small.gold_key = small.cluster.create_key("bogota", "b1").unwrap();
     small
         .engine
         .configure(|config| config.between_tokens = Duration::ZERO);
-    let mut caller = start_stream(&small, "reads nothing", 60_000);
+    let started = Instant::now();
+    let mut caller = start_stream(&small, "reads nothing", LONG_STREAM_TOKENS);
     wait_state(&small, "reads nothing", RunState::Cancelled);
+    let elapsed = started.elapsed();
+    assert!(elapsed < CLOSE_TIMEOUT, "{elapsed:?}");
     let response = caller.read_to_end(CLOSE_TIMEOUT);
     assert_eq!(response.end, RawEnd::Reset);
     let resident = small.cluster.resident_kib("control-0").unwrap();
