--- a/crates/mulberrywell/tests/agent_process.rs
+++ b/crates/mulberrywell/tests/agent_process.rs
@@ -4,15 +4,18 @@
 mod common;
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use common::{binaries, engine_config, small_cluster, GRANTS, PLANS};
 use mulberrywell_testkit::{
-    spawn_server, wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, HttpCaller,
-    ProcessCluster,
+    spawn_server, wait_until, AgentPlan, ClusterPlan, EngineConfig, FakeEngine, FakeService,
+    HttpCaller, HttpResponse, ProcessCluster,
 };
 use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
 const AGENT: &str = "agent-engine-0";
@@ -34,6 +37,146 @@
     assert!(small.cluster.wait(AGENT).unwrap());
 }
 
+/// Callers of each kind in the rounds of shutdowns.
+const ROUND_CALLERS: usize = 6;
+
+/// Longest time between two shutdowns, in milliseconds.
+const ROUND_PAUSE_MS: u64 = 400;
+
+/// Tokens of a stream in the rounds, which takes a second.
+const ROUND_TOKENS: u64 = 50;
+
+/// Two agents of engines and two of a service.
+struct AgentPairs {
+    cluster: ProcessCluster,
+    /// The endpoints, which must exist as long as the cluster.
+    _endpoints: (Vec<FakeEngine>, Vec<FakeService>),
+    key: String,
+}
+
+impl AgentPairs {
+    fn spawn() -> Self {
+        let config = EngineConfig {
+            between_tokens: Duration::from_millis(20),
+            ..engine_config()
+        };
+        let engines: Vec<FakeEngine> = (0..2)
+            .map(|_| FakeEngine::spawn(config.clone()).unwrap())
+            .collect();
+        let services: Vec<FakeService> = (0..2).map(|_| FakeService::spawn().unwrap()).collect();
+        let mut agents = Vec::new();
+        for (idx, engine) in engines.iter().enumerate() {
+            let name = format!("engine-{idx}");
+            agents.push(AgentPlan::engine(&name, "asistente", engine.address()));
+        }
+        for (idx, service) in services.iter().enumerate() {
+            service.set_delay(Duration::from_millis(300));
+            let mut agent = AgentPlan::service("payments", service.address());
+            agent.name = format!("payments-{idx}");
+            agents.push(agent);
+        }
+        let plan = ClusterPlan {
+            controls: 1,
+            entries: 1,
+            agents,
+            ..ClusterPlan::default()
+        };
+        let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+        cluster.apply(PLANS, GRANTS).unwrap();
+        cluster.wait_ready(4).unwrap();
+        let key = cluster.create_key("medellin", "m1").unwrap();
+        AgentPairs {
+            cluster,
+            _endpoints: (engines, services),
+            key,
+        }
+    }
+
+    /// Stops one agent after another by SIGTERM, each at a random time, and starts it
+    /// again.
+    fn stop_in_turn(&mut self, rounds: usize, seed: u64) -> anyhow::Result<()> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let agents = ["engine-0", "payments-0", "engine-1", "payments-1"];
+        for agent in agents.iter().cycle().take(rounds) {
+            let pause = rng.random_range(0..ROUND_PAUSE_MS);
+            thread::sleep(Duration::from_millis(pause));
+            let name = format!("agent-{agent}");
+            self.cluster.signal(&name, Signal::SIGTERM)?;
+            anyhow::ensure!(self.cluster.wait(&name)?, "{name} exited with a failure");
+            self.cluster.restart(&name)?;
+            self.cluster.wait_ready(4)?;
+        }
+        Ok(())
+    }
+}
+
+/// Calls until `stopped` is set; returns the calls that were not answered in full.
+fn call_repeatedly(
+    stopped: &AtomicBool,
+    completed: &AtomicU64,
+    call: impl Fn() -> anyhow::Result<HttpResponse>,
+) -> Vec<String> {
+    let mut failures = Vec::new();
+    while !stopped.load(Ordering::Relaxed) {
+        match call() {
+            Ok(response) if matches!(response.status, 200 | 201) && response.complete => {}
+            response => failures.push(format!("{response:?}")),
+        }
+        completed.fetch_add(1, Ordering::Relaxed);
+    }
+    failures
+}
+
+fn check_shutdown_rounds(rounds: usize, seed: u64) {
+    let mut pairs = AgentPairs::spawn();
+    let caller = HttpCaller::new(pairs.cluster.callers[0], Some(&pairs.key));
+    let (stopped, completed) = (AtomicBool::new(false), AtomicU64::new(0));
+    let failures: Vec<String> = thread::scope(|scope| {
+        let mut threads = Vec::new();
+        for _ in 0..ROUND_CALLERS {
+            let (stopped, completed, caller) = (&stopped, &completed, &caller);
+            threads.push(scope.spawn(move || {
+                call_repeatedly(stopped, completed, || {
+                    let response = caller.chat("payroll", "rounds", ROUND_TOKENS, true)?;
+                    let is_whole = response.body.ends_with("data: [DONE]\n\n");
+                    anyhow::ensure!(is_whole, "{response:?}");
+                    Ok(response)
+                })
+            }));
+            threads.push(scope.spawn(move || {
+                call_repeatedly(stopped, completed, || {
+                    caller.call("POST", "/services/payments/orders", &[], "{}")
+                })
+            }));
+        }
+        let result = pairs.stop_in_turn(rounds, seed);
+        // The callers end before a failed round does, or it would wait for them.
+        stopped.store(true, Ordering::Relaxed);
+        result.unwrap();
+        let threads = threads.into_iter();
+        threads.flat_map(|thread| thread.join().unwrap()).collect()
+    });
+    let completed = completed.into_inner();
+    println!("{rounds} rounds, seed {seed}: {completed} calls");
+    assert!(completed > 0);
+    assert!(
+        failures.is_empty(),
+        "{} of {completed} calls: {failures:#?}",
+        failures.len()
+    );
+}
+
+#[test]
+fn shutdown_rounds_under_load_cut_none() {
+    check_shutdown_rounds(4, 31);
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn shutdown_many_rounds_under_load_cut_none() {
+    check_shutdown_rounds(20, 32);
+}
+
 #[test]
 fn drain_refuses_new() {
     let small = small_cluster(1, 1);
