policy: move the adapter orders out of demand_placement

Code moves only: `add_adapter`, `accepted_adapter_loads` and `holds_adapter` with their two constants go to `adapter_orders.rs`; `new_order` and `issue_order` are visible in the package.

--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -74,15 +74,9 @@
 /// Maximum number of models that get a further replica in one plan.
 const RELIEVED_MODELS_MAX: usize = 4;
 
-/// Time without use after which an adapter may be evicted.
-const ADAPTER_IDLE: Duration = Duration::from_millis(1_200);
-
 /// Time after which a missing inventory is requested again.
 const INVENTORY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Adapters that may be loading on an engine concurrently.
-const PENDING_ADAPTER_LOADS_MAX: usize = 4;
-
 /// Placement of one service's models.
 #[derive(Debug)]
 pub struct DemandPlacement {
@@ -182,27 +176,6 @@
         true
     }
 
-    /// Returns an accepted load for each adapter of an inventory, because the
-    /// engine's next heartbeat may not contain them yet.
-    fn accepted_adapter_loads(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointName,
-        inventory: &EngineInventory,
-    ) -> Vec<OpenOrder> {
-        let mut open_orders = Vec::new();
-        for (model, adapters) in &inventory.models {
-            for adapter in adapters {
-                open_orders.push(OpenOrder {
-                    order: self.new_order(endpoint, OrderVerb::Load, model, adapter),
-                    answer: Some(OrderAnswer::Accepted),
-                    expires_at: now + SETTLE_TIME,
-                });
-            }
-        }
-        open_orders
-    }
-
     /// Removes the engines that are not in `present`.
     pub fn retain_engines(&mut self, present: &BTreeSet<EndpointName>) {
         self.engines
@@ -326,11 +299,6 @@
         self.spec.models.iter().find(|spec| spec.name == *model)
     }
 
-    fn holds_adapter(&self, model: &ModelName, adapter: &ModelName) -> bool {
-        let mut engines = self.engines.values();
-        engines.any(|state| state.report.is_usable && state.will_hold_adapter(model, adapter))
-    }
-
     /// Returns whether callers ask for a model, or asked for it a moment ago.
     pub(crate) fn has_demand(&self, now: Instant, model: &ModelName) -> bool {
         self.demand.rate(now, model) > IDLE_RATE || self.demand.is_awaited(model)
@@ -462,60 +430,7 @@
         state.is_some_and(|state| state.is_cached_on_host(model))
     }
 
-    /// Issues the next order towards loading an adapter on one engine: its load, or
-    /// an unload that frees a place for it.
-    fn add_adapter(
-        &mut self,
-        now: Instant,
-        model: &ModelName,
-        adapter: &ModelName,
-        orders: &mut Vec<PlacementOrder>,
-    ) {
-        let Some(size) = self.spec_of(model).map(|spec| spec.adapter_mb) else {
-            return;
-        };
-        let holders = self.engines.iter().filter(|(_, state)| {
-            let held = state.report.models.contains_key(model);
-            state.can_accept_order() && held && !state.is_unloading(model)
-        });
-        let with_capacity = holders.clone().filter(|(_, state)| {
-            state.occupied_adapter_places() < self.spec.adapter_places
-                && state.pending_adapter_loads() < PENDING_ADAPTER_LOADS_MAX
-                && self.free_mb(state) >= size
-        });
-        if let Some((endpoint, _)) =
-            with_capacity.min_by_key(|(_, state)| state.occupied_adapter_places())
-        {
-            let order = self.new_order(&endpoint.clone(), OrderVerb::Load, model, adapter);
-            self.issue_order(now, order, orders);
-            return;
-        }
-        let mut least_recent: Option<(Option<Instant>, EndpointName, (ModelName, ModelName))> =
-            None;
-        for (endpoint, state) in holders {
-            if state.has_adapter_unload() {
-                return;
-            }
-            for key in state.adapters() {
-                let last_use = self.demand.last_use(&key);
-                let is_idle =
-                    last_use.is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
-                if is_idle
-                    && least_recent
-                        .as_ref()
-                        .is_none_or(|(least, ..)| last_use < *least)
-                {
-                    least_recent = Some((last_use, endpoint.clone(), key));
-                }
-            }
-        }
-        if let Some((_, endpoint, (base, name))) = least_recent {
-            let order = self.new_order(&endpoint, OrderVerb::Unload, &base, &name);
-            self.issue_order(now, order, orders);
-        }
-    }
-
-    fn new_order(
+    pub(crate) fn new_order(
         &mut self,
         endpoint: &EndpointName,
         verb: OrderVerb,
@@ -536,7 +451,7 @@
         }
     }
 
-    fn issue_order(
+    pub(crate) fn issue_order(
         &mut self,
         now: Instant,
         order: PlacementOrder,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Guarantees: nothing here reads a clock, draws random numbers or does I/O;
 //! instants and seeds are arguments, so equal calls give equal results.
 
+mod adapter_orders;
 mod demand_estimate;
 mod demand_placement;
 mod demand_tracker;
