--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -6,10 +6,11 @@
 //!
 //! Guarantees: the models and adapters that an engine holds or is ordered to load
 //! never exceed its memory and adapter places; an engine has one order for a model
-//! at a time; the last replica of a model is evicted only for a model that callers
-//! wait for and no engine holds, or for one whose pressure is at least [`GAIN_MIN`]
-//! times the pressure that the evicted model has without a replica; memory for
-//! loads from the weight store is freed no faster than the store can fill it.
+//! at a time; the last loaded replica of a model with demand is evicted only for a
+//! model that no engine holds, and if callers don't wait for that one, only where
+//! its pressure is at least [`GAIN_MIN`] times that of the evicted model without a
+//! replica; memory for loads from the weight store is freed no faster than the store
+//! can fill it.
 //!
 //! Each order carries the number of orders that the engine should have accepted
 //! before it, which the engine checks before it executes the order. An order that
@@ -73,15 +74,9 @@
 /// Maximum number of models that get a further replica in one plan.
 const RELIEVED_MODELS_MAX: usize = 4;
 
-/// Time without use after which an adapter may be evicted.
-const ADAPTER_IDLE: Duration = Duration::from_millis(1_200);
-
 /// Time after which a missing inventory is requested again.
 const INVENTORY_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Adapters that may be loading on an engine concurrently.
-const PENDING_ADAPTER_LOADS_MAX: usize = 4;
-
 /// Placement of one service's models.
 #[derive(Debug)]
 pub struct DemandPlacement {
@@ -92,6 +87,8 @@
     next_number: OrderNumber,
     /// Usable engines that hold each model or were ordered to load it, during a plan.
     pub(crate) replica_counts: BTreeMap<ModelName, usize>,
+    /// Usable engines that hold each model, during a plan.
+    pub(crate) loaded_counts: BTreeMap<ModelName, usize>,
     /// Engines that can be given a model order, during a plan.
     pub(crate) options: BTreeMap<EndpointName, EngineOption>,
 }
@@ -107,6 +104,7 @@
             pacer,
             next_number: 1,
             replica_counts: BTreeMap::new(),
+            loaded_counts: BTreeMap::new(),
             options: BTreeMap::new(),
         }
     }
@@ -178,27 +176,6 @@
         true
     }
 
-    /// Returns an accepted load for each adapter of an inventory, because the
-    /// engine's next heartbeat may not contain them yet.
-    fn accepted_adapter_loads(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointName,
-        inventory: &EngineInventory,
-    ) -> Vec<OpenOrder> {
-        let mut open_orders = Vec::new();
-        for (model, adapters) in &inventory.models {
-            for adapter in adapters {
-                open_orders.push(OpenOrder {
-                    order: self.new_order(endpoint, OrderVerb::Load, model, adapter),
-                    answer: Some(OrderAnswer::Accepted),
-                    expires_at: now + SETTLE_TIME,
-                });
-            }
-        }
-        open_orders
-    }
-
     /// Removes the engines that are not in `present`.
     pub fn retain_engines(&mut self, present: &BTreeSet<EndpointName>) {
         self.engines
@@ -322,9 +299,9 @@
         self.spec.models.iter().find(|spec| spec.name == *model)
     }
 
-    fn holds_adapter(&self, model: &ModelName, adapter: &ModelName) -> bool {
-        let mut engines = self.engines.values();
-        engines.any(|state| state.report.is_usable && state.will_hold_adapter(model, adapter))
+    /// Returns whether callers ask for a model, or asked for it a moment ago.
+    pub(crate) fn has_demand(&self, now: Instant, model: &ModelName) -> bool {
+        self.demand.rate(now, model) > IDLE_RATE || self.demand.is_awaited(model)
     }
 
     pub(crate) fn pressure(&self, now: Instant, model: &ModelName, replicas: usize) -> f64 {
@@ -381,8 +358,8 @@
         let Some(weight) = self.spec_of(model).map(|spec| spec.weight_mb) else {
             return;
         };
-        let rate = self.demand.rate(now, model);
-        let is_idle = rate <= IDLE_RATE && !self.demand.is_awaited(model);
+        let is_idle = !self.has_demand(now, model);
+        let is_unheld = self.replicas(model) == 0;
         let mut best: Option<(f64, f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, option) in &self.options {
             let Some(state) = self.engines.get(endpoint) else {
@@ -392,7 +369,11 @@
             if is_reserved || state.will_hold(model) {
                 continue;
             }
-            let (value, victim) = match &option.victim {
+            let victim = match is_unheld {
+                true => &option.victim,
+                false => &option.spare_victim,
+            };
+            let (value, victim) = match victim {
                 _ if option.free_mb >= weight => (-1.0, None),
                 Some((value, victim)) => (*value, Some(victim)),
                 None => continue,
@@ -422,13 +403,13 @@
                 if let Some(state) = self.engines.get_mut(&endpoint) {
                     state.reserved_until = Some(now + RESERVATION_LIFETIME);
                 }
-                self.change_replicas(now, &victim, -1);
+                self.remove_replica(now, &victim);
             }
             None if is_cached_on_host || self.pacer.acquire_permit(false) => {
                 let order = self.new_order(&endpoint, OrderVerb::Load, model, &ModelName::new());
                 self.issue_order(now, order, orders);
                 self.options.remove(&endpoint);
-                self.change_replicas(now, model, 1);
+                self.insert_ordered_replica(now, model);
             }
             None => {}
         }
@@ -449,60 +430,7 @@
         state.is_some_and(|state| state.is_cached_on_host(model))
     }
 
-    /// Issues the next order towards loading an adapter on one engine: its load, or
-    /// an unload that frees a place for it.
-    fn add_adapter(
-        &mut self,
-        now: Instant,
-        model: &ModelName,
-        adapter: &ModelName,
-        orders: &mut Vec<PlacementOrder>,
-    ) {
-        let Some(size) = self.spec_of(model).map(|spec| spec.adapter_mb) else {
-            return;
-        };
-        let holders = self.engines.iter().filter(|(_, state)| {
-            let held = state.report.models.contains_key(model);
-            state.can_accept_order() && held && !state.is_unloading(model)
-        });
-        let with_capacity = holders.clone().filter(|(_, state)| {
-            state.occupied_adapter_places() < self.spec.adapter_places
-                && state.pending_adapter_loads() < PENDING_ADAPTER_LOADS_MAX
-                && self.free_mb(state) >= size
-        });
-        if let Some((endpoint, _)) =
-            with_capacity.min_by_key(|(_, state)| state.occupied_adapter_places())
-        {
-            let order = self.new_order(&endpoint.clone(), OrderVerb::Load, model, adapter);
-            self.issue_order(now, order, orders);
-            return;
-        }
-        let mut least_recent: Option<(Option<Instant>, EndpointName, (ModelName, ModelName))> =
-            None;
-        for (endpoint, state) in holders {
-            if state.has_adapter_unload() {
-                return;
-            }
-            for key in state.adapters() {
-                let last_use = self.demand.last_use(&key);
-                let is_idle =
-                    last_use.is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
-                if is_idle
-                    && least_recent
-                        .as_ref()
-                        .is_none_or(|(least, ..)| last_use < *least)
-                {
-                    least_recent = Some((last_use, endpoint.clone(), key));
-                }
-            }
-        }
-        if let Some((_, endpoint, (base, name))) = least_recent {
-            let order = self.new_order(&endpoint, OrderVerb::Unload, &base, &name);
-            self.issue_order(now, order, orders);
-        }
-    }
-
-    fn new_order(
+    pub(crate) fn new_order(
         &mut self,
         endpoint: &EndpointName,
         verb: OrderVerb,
@@ -523,7 +451,7 @@
         }
     }
 
-    fn issue_order(
+    pub(crate) fn issue_order(
         &mut self,
         now: Instant,
         order: PlacementOrder,
