tests: wait for the reload before the seeds change back

The seeds stood in the file for 1.5 s, which a process on a busy machine may miss, as it reads the file once a second.

--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -362,6 +362,10 @@
     assert!(twin.cluster.wait("entry-0").unwrap());
 }
 
+/// Rounds of changes and signals after which a reload must have been seen; one takes a
+/// quarter of a second.
+const RELOAD_ROUNDS_MAX: usize = 60;
+
 // Guards against reloads that cut, drop or refuse what is in work.
 #[test]
 fn reload_under_load_cuts_nothing() {
@@ -395,21 +399,33 @@
         "agent-engine-1",
         "agent-payments-0",
     ];
-    for round in 0..12 {
+    let is_reloaded = || {
+        let mut readers = ["control-0", "entry-0", "entry-1"].into_iter();
+        readers.all(|name| twin.cluster.log(name).contains("seeds changed: true"))
+    };
+    // The file is read once a second. The seeds change back after all have read it.
+    let mut rounds_left = 6;
+    for round in 0..RELOAD_ROUNDS_MAX {
+        let has_added_seed = round < 6 || (rounds_left == 6 && !is_reloaded());
+        if !has_added_seed {
+            rounds_left -= 1;
+        }
         for name in names {
-            // The seeds change after 1.5 s, as the file is read once a second.
             twin.cluster
                 .edit_settings(name, |text| {
                     let text = text.replacen("\"127.0.0.1:9\", ", "", 1);
-                    match round / 6 {
-                        0 => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
-                        _ => text,
+                    match has_added_seed {
+                        true => text.replacen("seeds = [", "seeds = [\"127.0.0.1:9\", ", 1),
+                        false => text,
                     }
                 })
                 .unwrap();
             twin.cluster.signal(name, Signal::SIGHUP).unwrap();
         }
         thread::sleep(Duration::from_millis(250));
+        if rounds_left == 0 {
+            break;
+        }
     }
     for stream in streams {
         let response = stream.join().unwrap();
