limit: a suspected content's incidents count for no prompt part

Two ways led there: parts were decided after 200 ms, contents after 400; and of parts that can't be told apart the one on which no response had lasted was kept without asking whether one content explains it.

Incidents of a content whose chain is long enough count for no part until it is told apart, and every part of a quarantine must have been in incidents without the content that most of them have. A content's reports have 400 ms from its chain on, not from its latest incident, which each crash put off.

--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -15,7 +15,8 @@
 //! [`CHAIN_MIN`], where each request was forwarded after the incident before.
 //!
 //! A suspected content is quarantined if no other one is in all of its incidents: its
-//! neighbours at one endpoint are not those at the next. A suspected part is
+//! neighbours at one endpoint are not those at the next. Until then its incidents count
+//! for no part. A suspected part is
 //! quarantined if no other part is in all of its incidents, and no content in all but
 //! one. Parts that stay equal for [`TIE_TIME`], less those on which a response has ever
 //! lasted if others have none, are quarantined together: only requests with all of them
@@ -42,7 +43,7 @@
 /// Time in which the reports of one incident arrive from all gateways.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 
-/// Time after a content's latest incident in which gateways report that a response on
+/// Time after a content's chain of incidents in which gateways report that a response on
 /// it has lasted: a notice to them and a report, each at the next tick.
 const CONTENT_SETTLE_TIME: Duration = Duration::from_millis(400);
 
@@ -217,12 +218,11 @@
         let contents = self.repeated(CHAIN_MIN, |it| it.contents().collect());
         contents.into_iter().find_map(|content| {
             let incidents = self.incidents_of(now, content);
-            let latest = incidents.last()?.at;
-            let is_settled = now.saturating_duration_since(latest) >= CONTENT_SETTLE_TIME;
+            let chain_end = self.chain_end(content, &incidents)?;
+            let is_settled = now.saturating_duration_since(chain_end) >= CONTENT_SETTLE_TIME;
             if !is_settled || self.quarantines.has_single(content) {
                 return None;
             }
-            self.chain_end(content, &incidents)?;
             let first = incidents.first()?;
             let mut others = first.contents().filter(|other| *other != content);
             let has_rival = others.any(|other| self.explains(other, &incidents));
@@ -233,13 +233,16 @@
     /// Returns parts that together explain a chain of incidents, and the number of
     /// these.
     fn find_parts(&self, now: Instant) -> Option<(PartSet, usize)> {
+        let suspected = self.suspected_contents();
+        let is_open = |incident: &&CrashIncident| {
+            let mut contents = incident.contents();
+            !contents.any(|content| suspected.contains(&content))
+        };
         let parts = self.repeated(CHAIN_MIN, |it| it.parts().collect());
         parts.into_iter().find_map(|part| {
-            let incidents = self.incidents_of(now, part);
+            let mut incidents = self.incidents_of(now, part);
+            incidents.retain(is_open);
             let settled_at = self.chain_end(part, &incidents)?;
-            if self.most_with_content(part, &incidents) + OTHER_CONTENTS_MIN > incidents.len() {
-                return None;
-            }
             let mut parts = self.rivals(part, &incidents);
             let has_more = |rival: &PartId| self.incidents_of(now, *rival).len() > incidents.len();
             if parts.iter().any(has_more) {
@@ -252,6 +255,12 @@
             if parts.iter().any(|part| !self.sound.contains_key(part)) {
                 parts.retain(|part| !self.sound.contains_key(part));
             }
+            if parts
+                .iter()
+                .any(|part| !self.has_contents(*part, &incidents))
+            {
+                return None;
+            }
             let mut requests = incidents.iter().flat_map(|it| &it.requests);
             let is_one_request = requests.any(|it| parts.is_subset(&it.parts));
             let is_new = !self.quarantines.covers(&parts);
@@ -259,9 +268,22 @@
         })
     }
 
-    /// Returns how many of a part's incidents the content explains that explains the
-    /// most, of those of requests with the part.
-    fn most_with_content(&self, part: PartId, incidents: &[&CrashIncident]) -> usize {
+    /// Returns the contents whose incidents form a chain, whether or not they are told
+    /// apart yet.
+    fn suspected_contents(&self) -> PartSet {
+        let mut contents = self.repeated(CHAIN_MIN, |it| it.contents().collect());
+        contents.retain(|content| {
+            let incidents = self.incidents.iter();
+            let incidents = incidents.filter(|it| self.is_suspect(*content, it));
+            let incidents: Vec<&CrashIncident> = incidents.collect();
+            self.chain_end(*content, &incidents).is_some()
+        });
+        contents
+    }
+
+    /// Returns whether requests with a part were in these incidents under more contents
+    /// than the one that most of them have.
+    fn has_contents(&self, part: PartId, incidents: &[&CrashIncident]) -> bool {
         let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
         for incident in incidents {
             let requests = incident
@@ -274,7 +296,8 @@
                 *counts.entry(content).or_default() += 1;
             }
         }
-        counts.into_values().max().unwrap_or_default()
+        let most = counts.into_values().max().unwrap_or_default();
+        most + OTHER_CONTENTS_MIN <= incidents.len()
     }
 
     /// Returns when the incidents of a part or a content had formed a chain that is long
--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -1,4 +1,5 @@
-//! Engines that a prompt part crashes, between sound requests, in virtual time.
+//! Engines that a prompt part or a repeated request crashes, between sound requests, in
+//! virtual time.
 
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,13 @@
 
 pub const CRASHING_PART: PartId = 0xdead;
 
-/// Lower bound of the requests' contents.
+/// Content of the repeated request that crashes engines.
+pub const CRASHING_CONTENT: PartId = 0xbeef;
+
+/// Times that an eager caller sends a request again that was broken off.
+const EAGER_REPEATS: u32 = 3;
+
+/// Lower bound of the other requests' contents.
 const OWN_CONTENTS: PartId = 1_000_000;
 
 /// Time after the fifth crash in which requests with the part may be forwarded:
@@ -34,11 +41,15 @@
 #[derive(Debug, Clone, Copy)]
 pub struct FleetPlan {
     pub engines: usize,
-    /// Requests a second: sound ones, and ones with the crashing part.
+    /// Requests a second: sound ones, and ones that crash engines.
     pub sound_rate: f64,
     pub crashing_rate: f64,
-    /// All requests with the crashing part have the same subject.
+    /// All requests that crash engines have the same subject.
     pub one_subject: bool,
+    /// What crashes engines is a content, and not a part of the prompt.
+    pub one_content: bool,
+    /// Probability that a sound request is repeated at once when it was broken off.
+    pub eager_share: f64,
     /// Probability that a request is broken off though its engine is up.
     pub broken_share: f64,
     /// Interval at which a third of the engines crash for another reason.
@@ -47,8 +58,11 @@
 
 #[derive(Debug, Clone)]
 struct RunningRequest {
-    /// No two requests have the same.
+    /// Only repeats have the same.
     content: PartId,
+    crashes: bool,
+    /// Times that it is sent again if it is broken off.
+    repeats_left: u32,
     parts: Vec<PartId>,
     engine: usize,
     forwarded: Instant,
@@ -63,8 +77,8 @@
     pub quarantined: Vec<PartSet>,
     /// Sound requests that were refused.
     pub refused_sound: usize,
-    /// Requests with the crashing part that were forwarded later than
-    /// [`FORWARD_LIMIT`] after the fifth crash.
+    /// Requests that crash engines and were forwarded later than [`FORWARD_LIMIT`] after
+    /// the last crash that is allowed.
     pub late: usize,
 }
 
@@ -152,6 +166,13 @@
     }
 
     fn add_request(&mut self, subject: u64, crashes: bool) {
+        let is_eager = !crashes && self.rng.random_bool(self.plan.eager_share);
+        let repeats = if is_eager { EAGER_REPEATS } else { 0 };
+        self.forward(subject, OWN_CONTENTS + self.requests, crashes, repeats);
+    }
+
+    /// Forwards a request to some engine that is up.
+    fn forward(&mut self, subject: u64, content: PartId, crashes: bool, repeats_left: u32) {
         let engines = (0..self.plan.engines).filter(|engine| self.up_at[*engine] <= self.now);
         let engines: Vec<usize> = engines.collect();
         if engines.is_empty() {
@@ -162,21 +183,34 @@
         let wait = Duration::from_millis(5 + 20 * load);
         let begins = self.now + wait;
         let lasts = Duration::from_millis(self.rng.random_range(300..2_500));
+        self.requests += 1;
+        let content = match crashes && self.plan.one_content {
+            true => CRASHING_CONTENT,
+            false => content,
+        };
         let mut parts = vec![subject % ROUTES, 100 + subject];
-        if crashes {
+        if crashes && !self.plan.one_content {
             parts.push(CRASHING_PART);
         }
-        if self.ledger.quarantines().find(self.now, &parts).is_some() {
+        let subjects = [&parts[..], &[content]].concat();
+        if self
+            .ledger
+            .quarantines()
+            .find(self.now, &subjects)
+            .is_some()
+        {
             self.outcome.refused_sound += usize::from(!crashes);
             return;
         }
-        let fifth = self.crashes.get(4).filter(|_| crashes);
-        if fifth.is_some_and(|fifth| self.now > *fifth + FORWARD_LIMIT) {
+        let allowed = if self.plan.one_content { 3 } else { 5 };
+        let last = self.crashes.get(allowed - 1).filter(|_| crashes);
+        if last.is_some_and(|last| self.now > *last + FORWARD_LIMIT) {
             self.outcome.late += 1;
         }
-        self.requests += 1;
         self.running.push(RunningRequest {
-            content: OWN_CONTENTS + self.requests,
+            content,
+            crashes,
+            repeats_left,
             parts,
             engine,
             forwarded: self.now,
@@ -191,7 +225,7 @@
         let due: Vec<usize> = self
             .running
             .iter()
-            .filter(|it| it.parts.contains(&CRASHING_PART))
+            .filter(|it| it.crashes)
             .filter(|it| it.begins + crash_delay <= self.now)
             .map(|it| it.engine)
             .collect();
@@ -205,8 +239,8 @@
             let has_lasted = request.begins + SOUND_TIME <= self.now || request.ends <= self.now;
             if has_lasted && !request.is_reported {
                 request.is_reported = true;
-                for part in &request.parts {
-                    self.ledger.record_sound(*part, request.begins);
+                for subject in request.parts.iter().chain([&request.content]) {
+                    self.ledger.record_sound(*subject, request.begins);
                 }
             }
         }
@@ -238,6 +272,10 @@
         self.running.retain(|it| it.engine != engine);
         self.up_at[engine] = self.now + RESTART_TIME;
         self.born[engine] += 1;
+        for request in broken.iter().filter(|it| it.repeats_left > 0) {
+            let subject = request.parts[1] - 100;
+            self.forward(subject, request.content, false, request.repeats_left - 1);
+        }
     }
 
     fn report(&mut self, request: &RunningRequest) {
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -250,6 +250,8 @@
     sound_rate: 50.0,
     crashing_rate: 8.0,
     one_subject: false,
+    one_content: false,
+    eager_share: 0.0,
     broken_share: 0.0,
     outage_interval: None,
 };
@@ -276,6 +278,58 @@
     }
 }
 
+const REPEATED_PLAN: FleetPlan = FleetPlan {
+    one_content: true,
+    one_subject: true,
+    crashing_rate: 0.7,
+    ..PLAN
+};
+
+/// Guards against a repeated request that is found too late, and against sound requests
+/// with its prompt parts, or repeated beside it, that are refused in its place.
+#[rstest]
+#[case::seldom(REPEATED_PLAN)]
+#[case::frequent(FleetPlan { crashing_rate: 4.0, ..REPEATED_PLAN })]
+#[case::few_engines(FleetPlan { engines: 3, sound_rate: 20.0, ..REPEATED_PLAN })]
+#[case::beside_eager_callers(FleetPlan { eager_share: 0.5, ..REPEATED_PLAN })]
+#[case::few_engines_eager_callers(FleetPlan {
+    engines: 3,
+    sound_rate: 20.0,
+    eager_share: 0.5,
+    ..REPEATED_PLAN
+})]
+#[case::beside_outages(FleetPlan {
+    eager_share: 0.5,
+    outage_interval: Some(Duration::from_secs(2)),
+    ..REPEATED_PLAN
+})]
+fn fleet_repeated_request_found(#[case] plan: FleetPlan) {
+    for seed in 0..FLEET_SEEDS {
+        let outcome = CrashFleet::run(plan, seed, Duration::from_secs(40));
+        assert_eq!(outcome.refused_sound, 0, "seed {seed}: {outcome:?}");
+        assert!(outcome.late <= LATE_MAX, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// Seeds on which a repeated request is found one request too late; the first ones of
+/// their plans.
+#[rstest]
+#[case::few_engines_eager_callers(89, FleetPlan {
+    engines: 3,
+    sound_rate: 20.0,
+    eager_share: 0.5,
+    ..REPEATED_PLAN
+})]
+#[case::beside_outages(249, FleetPlan {
+    eager_share: 0.5,
+    outage_interval: Some(Duration::from_secs(2)),
+    ..REPEATED_PLAN
+})]
+fn fleet_repeated_request_late_seed(#[case] seed: u64, #[case] plan: FleetPlan) {
+    let outcome = CrashFleet::run(plan, seed, Duration::from_secs(40));
+    assert!(outcome.late <= LATE_MAX, "{outcome:?}");
+}
+
 /// Guards against quarantines where nothing but crashes and broken requests of other
 /// causes goes on.
 #[rstest]
@@ -286,6 +340,11 @@
     outage_interval: Some(Duration::from_secs(3)),
     ..PLAN
 })]
+#[case::outages_eager_callers(FleetPlan {
+    eager_share: 1.0,
+    outage_interval: Some(Duration::from_millis(700)),
+    ..PLAN
+})]
 fn fleet_sound_parts_kept(#[case] plan: FleetPlan) {
     let plan = FleetPlan {
         crashing_rate: 0.0,
