Entry: failing tests of a request that comes again and crashes endpoints

The agent's frames can't tell an engine that ended from a response that broke: both are ENGINE_DOWN with RAN_UNKNOWN. AttemptRefused gets the field crashed, which nobody sets or reads yet.

--- a/crates/agent/src/agent_frames.rs
+++ b/crates/agent/src/agent_frames.rs
@@ -41,6 +41,7 @@
             reason: self.reason.into(),
             ran: self.ran.into(),
             retry_after_ms: u64::try_from(self.retry_after.as_millis()).unwrap_or(u64::MAX),
+            crashed: false,
         });
         RoleAction::Link(LinkCommand::Send { link, body })
     }
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -90,7 +90,7 @@
     }
 }
 
-fn endpoint(idx: u16, engine: bool) -> EndpointItem {
+pub fn endpoint(idx: u16, engine: bool) -> EndpointItem {
     EndpointItem {
         name: bytes(&format!("endpoint-{idx}")),
         address: bytes(&format!("127.0.0.1:{}", 9_100 + idx)),
@@ -432,6 +432,17 @@
         );
     }
 
+    pub fn head_with_status(&mut self, link: LinkId, id: Option<AttemptId>, status: u32) {
+        self.frame(
+            link,
+            FrameBody::AttemptHead(AttemptHead {
+                id,
+                status,
+                headers: Vec::new(),
+            }),
+        );
+    }
+
     pub fn part(&mut self, link: LinkId, id: Option<AttemptId>, offset: u64, data: &str) {
         let data = bytes(data);
         self.frame(
@@ -461,6 +472,21 @@
                 reason: reason.into(),
                 ran: ran.into(),
                 retry_after_ms: 0,
+                crashed: false,
+            }),
+        );
+    }
+
+    /// Ends an attempt as the agent of an engine that crashed under it.
+    pub fn crash(&mut self, link: LinkId, id: Option<AttemptId>) {
+        self.frame(
+            link,
+            FrameBody::AttemptRefused(AttemptRefused {
+                id,
+                reason: RefusalReason::EngineDown.into(),
+                ran: Ran::Unknown.into(),
+                retry_after_ms: 0,
+                crashed: true,
             }),
         );
     }
