limit: take the gateway's prompt guard

Moved only, so that entries can keep the same one: crashes, sound responses, watched parts, quarantines, reports and notices know no role. The role's part stays in gateway/prompt_guard. What took a call takes its subjects now (quarantine_end, is_watched), and fields that the gateway read have accessors. limit depends on wire for the reports and notices, as the arrows allow.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -121,7 +121,7 @@
         has_rate: bool,
         actions: &mut Actions,
     ) {
-        if let Some(until) = self.prompts.quarantine_end(now, &call) {
+        if let Some(until) = self.quarantine_end(now, &call) {
             let left = until.saturating_duration_since(now);
             let reason = RefusalReason::Quarantined;
             self.refuse_request(request, &call.terms.id, reason, Some(left), actions);
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -118,7 +118,7 @@
             return;
         };
         let has_waited = now.saturating_duration_since(call.started) >= endpoint_wait_limit(call);
-        if has_waited || self.prompts.is_suspected(call) {
+        if has_waited || self.is_suspected(call) {
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return;
         }
@@ -273,7 +273,7 @@
         if !allowed || call.attempts == 0 {
             return allowed;
         }
-        if failure == AttemptFailure::Broken && self.prompts.is_suspected(call) {
+        if failure == AttemptFailure::Broken && self.is_suspected(call) {
             return false;
         }
         let budget = self.budgets.get_mut(&call.service);
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{HolderCount, RetryBudget};
+use mulberrywell_limit::{HolderCount, PromptGuard, RetryBudget};
 use mulberrywell_policy::ResponseTimes;
 use mulberrywell_role::{
     ConnectionBounds, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
@@ -25,7 +25,6 @@
 use crate::endpoint_probes::EndpointProbes;
 use crate::endpoint_table::EndpointTable;
 use crate::gateway_metrics as metrics;
-use crate::prompt_guard::PromptGuard;
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -18,6 +18,7 @@
 mod lease_client;
 mod lease_message;
 mod lease_table;
+mod prompt_guard;
 mod quarantine_table;
 mod retry_budget;
 mod shared_bucket;
@@ -39,6 +40,7 @@
     AccountId, BlockProposal, HolderId, LeaseDecision, LeaseId, LeaseTable, TokenPlan, TokenRefund,
     TokenRequest,
 };
+pub use prompt_guard::{PromptGuard, SOUND_TIME};
 pub use quarantine_table::{PartSet, QuarantineTable};
 pub use retry_budget::RetryBudget;
 pub use shared_bucket::{BucketPlan, RateDecision, SharedBucket, SharedTotal, TOTALS_LIFETIME};
