Entry: the crashed endpoints of a test are not chosen again

request_refused_after_three_crashes expects that three endpoints crash, but the choice may return to one that has crashed once: with the mend it got two of three. Control now shows each as suspect after its crash, and all as live before the fourth request; no assertion is changed.

--- a/crates/entry/tests/repeated_requests.rs
+++ b/crates/entry/tests/repeated_requests.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
-use mulberrywell_wire::config::EndpointState;
+use mulberrywell_wire::config::{EndpointItem, EndpointState};
 use mulberrywell_wire::request::{Ran, RefusalReason};
 use mulberrywell_wire::serving::{PromptCrash, PromptNotice, PromptQuarantine, PromptReport};
 use mulberrywell_wire::FrameBody;
@@ -43,6 +43,19 @@
     (request, start.endpoint)
 }
 
+/// Returns an endpoint of the plain service by its name.
+fn named_endpoint(name: &Bytes) -> EndpointItem {
+    let idx = name[name.len() - 1] - b'0';
+    endpoint(u16::from(idx), false)
+}
+
+/// Changes the state of an endpoint, as an update of control shows it.
+fn change_state(entry: &mut ScriptedEntry, name: &Bytes, state: EndpointState) {
+    let mut item = named_endpoint(name);
+    item.state = state.into();
+    entry.update(|update| update.endpoints.push(item));
+}
+
 fn reports(entry: &ScriptedEntry) -> Vec<PromptReport> {
     let control = entry.link_to(CONTROL_PORT);
     let frames = entry.sent.iter().filter(|(link, _)| *link == control);
@@ -98,10 +111,14 @@
     for _ in 0..3 {
         let (request, endpoint) = crash_ticket(&mut entry, CRASHING);
         assert_eq!(entry.caller_view(request).ran(), "unknown");
+        change_state(&mut entry, &endpoint, EndpointState::Suspect);
         endpoints.insert(endpoint);
         entry.advance(1_000);
     }
     assert_eq!(endpoints.len(), 3, "{endpoints:?}");
+    for endpoint in &endpoints {
+        change_state(&mut entry, endpoint, EndpointState::Live);
+    }
 
     let crashes = crashes(&entry);
     assert_eq!(crashes.len(), 3, "{crashes:?}");
@@ -204,16 +221,13 @@
     let mut entry = entry_with_three();
     send_ticket(&mut entry, CRASHING);
     let (link, start) = entry.last_start();
-    let idx = start.endpoint[start.endpoint.len() - 1] - b'0';
-    let mut item = endpoint(u16::from(idx), false);
-    item.state = state.into();
-    entry.update(|update| update.endpoints.push(item.clone()));
+    change_state(&mut entry, &start.endpoint, state);
     entry.advance(RUNNING_MS);
     entry.close_link(link);
     entry.advance(2_000);
     assert!(crashes(&entry).is_empty(), "a lost link alone");
+    let mut item = named_endpoint(&start.endpoint);
     item.incarnation += 1;
-    item.state = EndpointState::Live.into();
     entry.update(|update| update.endpoints.push(item));
     let crashes = crashes(&entry);
     assert_eq!(crashes.len(), count, "{crashes:?}");
