Entry: refuse a request under which endpoints crash

An entry keeps the prompt guard of gateways, on contents: it reports each crash to its control instance, with the content, the endpoint, its incarnation and the running time, refuses a quarantined content at once (503, not run, Retry-After), reports sound responses of watched ones and doesn't retry these after a failure.

What shows a crash: the agent's word (AttemptRefused.crashed), given when the endpoint broke off a sent request and then refuses connections; or a later incarnation within 30 s of a lost link. A timeout, a cancel, a refusal, an orderly leave and a lost link alone show none. Control adds entries to its prompt monitor when they subscribe.

--- a/crates/agent/src/agent_frames.rs
+++ b/crates/agent/src/agent_frames.rs
@@ -22,6 +22,8 @@
     pub reason: RefusalReason,
     pub ran: Ran,
     pub retry_after: Duration,
+    /// The endpoint ended while it ran the attempt.
+    pub crashed: bool,
 }
 
 impl AttemptRefusal {
@@ -31,6 +33,7 @@
             reason,
             ran: Ran::No,
             retry_after: Duration::ZERO,
+            crashed: false,
         }
     }
 
@@ -41,7 +44,7 @@
             reason: self.reason.into(),
             ran: self.ran.into(),
             retry_after_ms: u64::try_from(self.retry_after.as_millis()).unwrap_or(u64::MAX),
-            crashed: false,
+            crashed: self.crashed,
         });
         RoleAction::Link(LinkCommand::Send { link, body })
     }
@@ -158,6 +161,7 @@
             _ => Ran::No,
         },
         retry_after: refusal.retry_after,
+        crashed: false,
     }
 }
 
--- a/crates/agent/src/agent_role/engine_events.rs
+++ b/crates/agent/src/agent_role/engine_events.rs
@@ -29,7 +29,9 @@
             } => self.handle_head(run, status, headers, actions),
             AgentEvent::Part { run, data } => self.handle_part(run, data, actions),
             AgentEvent::End { run } => self.handle_end(now, run, actions),
-            AgentEvent::Failed { run, sent } => self.handle_failure(now, run, sent, actions),
+            AgentEvent::Failed { run, sent, crashed } => {
+                self.handle_failure(now, run, sent, crashed, actions);
+            }
             AgentEvent::State(state) => self.handle_state(now, state, actions),
             AgentEvent::OrderEnded { order, outcome } => {
                 self.orders.handle_order_end(now, order, outcome);
@@ -82,7 +84,14 @@
         self.forward_and_reconcile(now, actions);
     }
 
-    fn handle_failure(&mut self, now: Instant, run: RunId, sent: bool, actions: &mut Actions) {
+    fn handle_failure(
+        &mut self,
+        now: Instant,
+        run: RunId,
+        sent: bool,
+        crashed: bool,
+        actions: &mut Actions,
+    ) {
         if let Some(running) = self.scheduler.finish(now, run) {
             let reason = if running.cancelled {
                 RefusalReason::Cancelled
@@ -93,6 +102,7 @@
                 reason,
                 ran: if sent { Ran::Unknown } else { Ran::No },
                 retry_after: Duration::ZERO,
+                crashed: crashed && sent && !running.cancelled,
             };
             actions.push(refusal.to_action(running.link, Some(running.id)));
         }
--- a/crates/agent/src/engine_exchange.rs
+++ b/crates/agent/src/engine_exchange.rs
@@ -132,6 +132,8 @@
         run: RunId,
         /// False only if no byte of the request left the agent.
         sent: bool,
+        /// The endpoint broke off the request and refuses connections since.
+        crashed: bool,
     },
     /// The engine's state; none if the endpoint did not respond.
     State(Option<EngineState>),
--- a/crates/agent/tests/agent_role.rs
+++ b/crates/agent/tests/agent_role.rs
@@ -339,12 +339,37 @@
         harness.pop_refusals(ENTRY).is_empty(),
         "refused before the endpoint reported how the run ended"
     );
-    harness.send_engine_event(AgentEvent::Failed { run, sent });
+    let crashed = false;
+    harness.send_engine_event(AgentEvent::Failed { run, sent, crashed });
     let refused = harness.pop_refusals(ENTRY).pop().unwrap();
     assert_eq!(refused.reason(), RefusalReason::Cancelled);
     assert_eq!(refused.ran(), ran);
 }
 
+/// Guards against crashes of the engine that its entry takes for broken responses, and
+/// the reverse.
+#[rstest]
+#[case::broken_response(true, false, false, false)]
+#[case::crashed(true, true, false, true)]
+#[case::down_before(false, true, false, false)]
+#[case::cancelled(true, true, true, false)]
+fn failure_tells_crash(
+    #[case] sent: bool,
+    #[case] crashed: bool,
+    #[case] is_cancelled: bool,
+    #[case] is_told: bool,
+) {
+    let mut harness = AgentHarness::new(&["payroll"]);
+    send_start(&mut harness, 1);
+    let run = harness.pop_runs()[0];
+    if is_cancelled {
+        send_cancel(&mut harness, 1);
+    }
+    harness.send_engine_event(AgentEvent::Failed { run, sent, crashed });
+    let refused = harness.pop_refusals(ENTRY).pop().unwrap();
+    assert_eq!(refused.crashed, is_told);
+}
+
 #[rstest]
 #[case::idempotent(true, 1)]
 #[case::not_idempotent(false, 0)]
--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -40,7 +40,10 @@
         actions: &mut Actions,
     ) {
         match body {
-            FrameBody::Subscribe(subscribe) => self.subscribers.insert(link, subscribe),
+            FrameBody::Subscribe(subscribe) => {
+                self.subscribers.insert(link, subscribe);
+                self.prompts.attach(now, link, &mut self.commands);
+            }
             FrameBody::Announce(announce) => self.handle_announce(now, link, announce, actions),
             FrameBody::ServingAttach(attach) => {
                 let instance = self.clients.instance(link).cloned().unwrap_or_default();
--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -1,9 +1,9 @@
-//! Collects what gateways see of prompts under which endpoints crash, and tells all of
-//! them which requests to refuse.
+//! Collects what gateways and entries see of requests under which endpoints crash, and
+//! tells all of them which requests to refuse.
 //!
-//! Algorithm: every gateway reports to every control instance, so each instance keeps
-//! a ledger of its own and nothing is replicated. Gateways are told the parts to watch
-//! and the quarantines; they send the quarantines that they hold to an instance that
+//! Algorithm: every gateway reports to every control instance, and an entry to the one
+//! that it links to, so each instance keeps a ledger of its own and nothing is
+//! replicated. Gateways and entries are told the parts to watch and the quarantines; they send the quarantines that they hold to an instance that
 //! they link to, so that it has them after a restart.
 
 use std::collections::BTreeSet;
@@ -16,7 +16,7 @@
 
 use crate::control_role::Actions;
 
-/// The ledger of this instance and the gateways that follow it.
+/// The ledger of this instance and the gateways and entries that follow it.
 #[derive(Debug, Default)]
 pub struct PromptMonitor {
     ledger: CrashLedger,
@@ -27,7 +27,7 @@
 }
 
 impl PromptMonitor {
-    /// Adds a gateway's link and tells it what the others were told.
+    /// Adds the link of a gateway or an entry and tells it what the others were told.
     pub fn attach(&mut self, now: Instant, link: LinkId, commands: &mut Vec<LinkCommand>) {
         self.links.insert(link);
         if !self.watched.is_empty() || !self.quarantined.is_empty() {
@@ -40,7 +40,7 @@
         self.links.remove(&link);
     }
 
-    /// Records a gateway's report.
+    /// Records a report.
     pub fn record_report(&mut self, now: Instant, report: PromptReport) {
         let instant = |age_ms: u64| {
             let at = now.checked_sub(Duration::from_millis(age_ms));
--- a/crates/control/tests/role_cases/prompt_cases.rs
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mulberrywell_wire::config::Subscribe;
 use mulberrywell_wire::serving::{
     PromptCrash, PromptNotice, PromptQuarantine, PromptReport, ServingAttach, SoundPart,
 };
@@ -88,6 +89,29 @@
     }
 }
 
+/// Guards against entries with agents that control tells of no quarantine, as they
+/// attach by a subscription.
+#[test]
+fn subscribed_entry_told_of_quarantine() {
+    let mut cluster = RoleCluster::formed(3);
+    let entry = cluster.attach(0, b"entry-0");
+    cluster.send(&entry, FrameBody::Subscribe(Subscribe::default()));
+    for endpoint in ["e1", "e2", "e3"] {
+        cluster.send(&entry, plain_crash(endpoint, REPEATED));
+        cluster.run(Duration::from_millis(300));
+    }
+    cluster.run(Duration::from_millis(300));
+    let later = cluster.attach(0, b"entry-1");
+    cluster.send(&later, FrameBody::Subscribe(Subscribe::default()));
+    for link in [&entry, &later] {
+        let frames = cluster.drain_frames(link);
+        let notices = notices(&frames);
+        let last = notices.last().expect("a notice");
+        assert_eq!(last.quarantines.len(), 1, "{notices:?}");
+        assert_eq!(last.quarantines[0].parts, [REPEATED]);
+    }
+}
+
 /// Guards against a repeated request of a plain service that no one finds, as each
 /// entry sees one of its crashes.
 #[test]
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -81,10 +81,12 @@
             }
             CallerRoute::Completion => {
                 let call = self.completion_call(now, draft)?;
+                self.check_quarantine(now, &call)?;
                 self.start_call(now, call, actions)?;
             }
             CallerRoute::Service { name, path } => {
                 let call = self.service_call(now, draft, name, path)?;
+                self.check_quarantine(now, &call)?;
                 self.start_call(now, call, actions)?;
             }
         }
--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -37,6 +37,7 @@
             return;
         };
         attempt.head_received = true;
+        attempt.is_success = (200..300).contains(&head.status);
         // A response to HEAD has no body.
         let is_stream = head.status == 200 && call.method != "HEAD" && is_event_stream(&head);
         if call.head_sent {
@@ -85,6 +86,10 @@
             return;
         }
         attempt.received += part.data.len() as u64;
+        self.record_progress(now, sequence, false);
+        let Some(call) = self.calls.get_mut(sequence) else {
+            return;
+        };
         let data = match &mut call.events {
             Some(events) => events.push(&part.data),
             None => Some(part.data),
@@ -116,6 +121,7 @@
             self.fail_attempt(now, sequence, end.ran(), outcome, actions);
             return;
         }
+        self.record_progress(now, sequence, true);
         self.end_attempt(now, sequence, AttemptOutcome::Success);
         self.complete_call(now, sequence, end.tokens, actions);
     }
@@ -195,16 +201,39 @@
         error: CallerError,
         actions: &mut Actions,
     ) {
-        self.cancel_attempt(sequence, actions);
-        let started = self
-            .calls
-            .get(sequence)
-            .is_some_and(|call| call.attempt.is_some() || call.may_have_run);
-        let ran = if started { Ran::Unknown } else { Ran::No };
         let refusal = CallerRefusal::from(error).retry_after(RETRY_DELAY);
+        self.cancel_attempt(sequence, actions);
+        let ran = self.ran_so_far(sequence);
+        self.end_with_refusal(now, sequence, &refusal, ran, actions);
+    }
+
+    /// Cancels a call with a refusal that is true only if the request did not run;
+    /// otherwise the caller learns that the endpoint failed.
+    pub(crate) fn cancel_with_refusal(
+        &mut self,
+        now: Instant,
+        sequence: CallSequence,
+        refusal: CallerRefusal,
+        actions: &mut Actions,
+    ) {
+        self.cancel_attempt(sequence, actions);
+        let ran = self.ran_so_far(sequence);
+        let refusal = match ran {
+            Ran::No => refusal,
+            _ => CallerError::EndpointFailed.into(),
+        };
         self.end_with_refusal(now, sequence, &refusal, ran, actions);
     }
 
+    /// Returns whether a call without a complete response may have run.
+    pub(crate) fn ran_so_far(&self, sequence: CallSequence) -> Ran {
+        let call = self.calls.get(sequence);
+        match call.is_some_and(|call| call.attempt.is_some() || call.may_have_run) {
+            true => Ran::Unknown,
+            false => Ran::No,
+        }
+    }
+
     /// Ends a call with a refusal. If the head was already sent, the response
     /// is aborted.
     pub(crate) fn end_with_refusal(
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -98,7 +98,12 @@
             call.attempt = Some(CurrentAttempt {
                 number,
                 endpoint: endpoint.name.clone(),
+                incarnation: endpoint.incarnation,
                 link,
+                started: now,
+                begun: None,
+                is_success: false,
+                has_lasted: false,
                 received: 0,
                 head_received: false,
             });
@@ -192,6 +197,9 @@
             let delay = Duration::from_millis(refusal.retry_after_ms);
             call.retry_after = call.retry_after.max(delay);
         }
+        if refusal.crashed {
+            self.record_crash(now, sequence, actions);
+        }
         let outcome = match refusal.reason() {
             RefusalReason::EngineDown => AttemptOutcome::Failure,
             _ => AttemptOutcome::Neutral,
@@ -220,15 +228,13 @@
         }
         let resumable = !call.head_sent || (call.events.is_some() && call.idempotent);
         let repeatable = call.idempotent || !call.may_have_run;
-        if resumable && repeatable && now < call.deadline {
+        let may_crash = ran != Ran::No && outcome == AttemptOutcome::Failure;
+        let allowed = resumable && repeatable && now < call.deadline;
+        if allowed && !(may_crash && self.is_suspected(sequence)) {
             self.start_next_attempt(now, sequence, actions);
             return;
         }
-        let ran = if call.may_have_run {
-            Ran::Unknown
-        } else {
-            Ran::No
-        };
+        let ran = self.ran_so_far(sequence);
         let refusal = match ran {
             Ran::No => CallerRefusal::from(CallerError::EndpointFailed).retry_after(RETRY_DELAY),
             _ => CallerError::EndpointFailed.into(),
@@ -293,7 +299,11 @@
             let attempt = call.attempt.as_ref();
             attempt.is_some_and(|attempt| attempt.link == link)
         };
-        for sequence in self.calls.matching(uses) {
+        let calls = self.calls.matching(uses);
+        if was_open {
+            self.record_lost_link(now, &calls);
+        }
+        for sequence in calls {
             self.fail_attempt(now, sequence, ran, AttemptOutcome::Failure, actions);
         }
     }
--- a/crates/entry/src/call_table.rs
+++ b/crates/entry/src/call_table.rs
@@ -31,8 +31,18 @@
     pub number: u32,
     /// Chosen endpoint.
     pub endpoint: EndpointName,
+    /// Incarnation of the endpoint that the entry means to reach.
+    pub incarnation: u64,
     /// Link to its agent.
     pub link: LinkId,
+    /// When it was sent to the agent.
+    pub started: Instant,
+    /// When the response was begun.
+    pub begun: Option<Instant>,
+    /// Whether the response is one of success.
+    pub is_success: bool,
+    /// Whether the response has lasted, which shows that its content is sound.
+    pub has_lasted: bool,
     /// Body bytes received from the attempt.
     pub received: u64,
     /// Whether status and headers were received.
--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -1,7 +1,7 @@
 //! The state machine of the entry role: its state, events and timers.
 //!
 //! The processing of requests is implemented in `admission`, `token_leases`,
-//! `claims`, `attempts` and `attempt_responses`.
+//! `claims`, `attempts`, `attempt_responses` and `prompt_guard`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use mulberrywell_directory::ApplyOutcome;
-use mulberrywell_limit::{LeaseClient, RetryBudget};
+use mulberrywell_limit::{LeaseClient, PromptGuard, RetryBudget};
 use mulberrywell_policy::stable_hash;
 use mulberrywell_role::{
     HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RequestId, ResponsePart, RoleAction,
@@ -28,6 +28,7 @@
 use crate::demand_counter::DemandCounter;
 use crate::endpoint_pool::EndpointPool;
 use crate::http_response::CallerError;
+use crate::prompt_guard::LostLinks;
 
 /// Default retry delay sent to callers.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -85,6 +86,10 @@
     pub(crate) pool: EndpointPool,
     pub(crate) retries: RetryBudget,
     pub(crate) demand: DemandCounter,
+    pub(crate) prompts: PromptGuard,
+    pub(crate) lost_links: LostLinks,
+    /// When sound contents are next reported.
+    pub(crate) next_prompt_report: Instant,
     /// Unacknowledged outcomes, by call.
     pub(crate) outcomes: BTreeMap<CallSequence, OutcomeReport>,
     /// Claims requested by calls that have since ended.
@@ -129,6 +134,9 @@
             pool: EndpointPool::new(name, config.zone.clone()),
             retries: RetryBudget::default(),
             demand: DemandCounter::new(now),
+            prompts: PromptGuard::default(),
+            lost_links: LostLinks::default(),
+            next_prompt_report: now,
             outcomes: BTreeMap::new(),
             late_claims: BTreeMap::new(),
             next_link: 2,
@@ -177,6 +185,7 @@
                     actions.push(RoleAction::Link(command));
                     self.leases.handle_link_opened(now);
                     self.resend_outcomes(actions);
+                    self.send_quarantines(now, actions);
                 }
                 None => {
                     self.agents.handle_opened(link, &mut self.commands);
@@ -193,6 +202,7 @@
             let text = "link to the control instance closed".to_owned();
             actions.push(RoleAction::Log(LogLevel::Warn, text));
             self.leases.handle_link_closed(now);
+            self.prompts.remove_link(link);
             self.expire_claims(now, true, actions);
             // The answers to them were due on this link.
             self.late_claims.clear();
@@ -231,6 +241,9 @@
             FrameBody::OutcomeAck(ack) => {
                 self.outcomes.remove(&ack.sequence);
             }
+            FrameBody::PromptNotice(notice) => {
+                self.handle_prompt_notice(now, link, notice, actions);
+            }
             _ => {}
         }
     }
@@ -250,6 +263,7 @@
         }
         if outcome == ApplyOutcome::Applied {
             self.end_withdrawn_calls(now, actions);
+            self.record_restarts(now, actions);
             self.pool.retain(self.link.directory());
             self.next_link_check = now;
         }
@@ -369,6 +383,7 @@
         if actions.iter().any(is_response) {
             self.last_response = now;
         }
+        self.report_prompts(now, actions);
         self.check_drained(now, actions);
         self.process_lease_events(now, actions);
     }
@@ -391,6 +406,7 @@
             self.leases.deadline(),
             self.claim_deadline(),
             Some(self.demand.deadline()),
+            self.report_deadline(),
             links,
             grace,
             flushed.filter(|at| *at > self.last_handled),
--- a/crates/entry/src/http_response.rs
+++ b/crates/entry/src/http_response.rs
@@ -53,6 +53,8 @@
     Deadline,
     /// The endpoint failed.
     EndpointFailed,
+    /// Endpoints crash under the request's content.
+    Quarantined,
 }
 
 /// An error and the additional content of its response.
@@ -92,7 +94,7 @@
 }
 
 /// Status, code and message of each error.
-const ERROR_TABLE: [(CallerError, u16, &str, &str); 20] = [
+const ERROR_TABLE: [(CallerError, u16, &str, &str); 21] = [
     (
         CallerError::WrongKey,
         401,
@@ -208,6 +210,12 @@
         "endpoint_failed",
         "the endpoint failed",
     ),
+    (
+        CallerError::Quarantined,
+        503,
+        "request_quarantined",
+        "endpoints crashed under requests with the same content",
+    ),
 ];
 
 /// Builds a header.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod entry_role;
 mod event_stream;
 mod http_response;
+mod prompt_guard;
 mod token_leases;
 
 pub use call_stage::{call_chart, CallChart, CallEvent, CallStage};
--- a/crates/limit/src/prompt_guard.rs
+++ b/crates/limit/src/prompt_guard.rs
@@ -67,6 +67,11 @@
         self.watched.values().any(|watched| watched.contains(&part))
     }
 
+    /// Returns whether there is something to report.
+    pub fn has_report(&self) -> bool {
+        self.has_crashes() || !self.unreported.is_empty()
+    }
+
     /// Returns whether crashes have not been reported.
     pub fn has_crashes(&self) -> bool {
         !self.crashes.is_empty()
--- a/crates/policy-bench/src/bench_simulation.rs
+++ b/crates/policy-bench/src/bench_simulation.rs
@@ -333,7 +333,11 @@
             }
             AgentAction::Cancel { run } => {
                 if self.agents[idx].engine.finish(run) {
-                    let failed = AgentEvent::Failed { run, sent: true };
+                    let failed = AgentEvent::Failed {
+                        run,
+                        sent: true,
+                        crashed: false,
+                    };
                     self.schedule_agent_event(SAME_ZONE_US, idx, RoleEvent::RoleSpecific(failed));
                 }
             }
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -11,8 +11,8 @@
 //!   `fencing`. Status 409 rejects an order with an outdated fencing token.
 
 use std::collections::BTreeMap;
-use std::io::Read;
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -36,6 +36,12 @@
 /// Timeout for state and cancel calls and for connecting.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Timeout for connecting to an endpoint that broke off a request.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause between two probes.
+const PROBE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Timeout for one order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -59,6 +65,7 @@
 /// An endpoint on this machine that is reached over HTTP.
 pub struct HttpEndpoint {
     base: String,
+    address: SocketAddr,
     /// Part of the request ids, so that they differ between runs of the agent.
     incarnation: u64,
     is_engine: bool,
@@ -87,6 +94,7 @@
         let connector = DefaultConnector::default().chain(ResetConnector);
         HttpEndpoint {
             base: format!("http://{address}"),
+            address,
             incarnation,
             is_engine,
             agent: Agent::with_parts(config, connector, DefaultResolver::default()),
@@ -116,6 +124,7 @@
             run,
             id: self.request_id(run),
             base: self.base.clone(),
+            address: self.address,
             agent: self.agent.clone(),
             events: self.events.clone(),
             cancel_flag,
@@ -130,9 +139,7 @@
             lock(&self.cancel_flags).remove(&run);
             // The queue has room for this event, because the agent limits its
             // runs.
-            let _ = self
-                .events
-                .try_send(AgentEvent::Failed { run, sent: false });
+            let _ = self.events.try_send(unsent(run));
         }
     }
 
@@ -189,6 +196,7 @@
     run: RunId,
     id: String,
     base: String,
+    address: SocketAddr,
     agent: Agent,
     events: EventSender<AgentEvent>,
     cancel_flag: Arc<AtomicBool>,
@@ -199,11 +207,12 @@
     fn perform(&self, request: &EngineRequest) -> AgentEvent {
         let run = self.run;
         if self.cancel_flag.load(Ordering::Relaxed) {
-            return AgentEvent::Failed { run, sent: false };
+            return unsent(run);
         }
         let response = match self.send(request) {
             Ok(response) => response,
-            Err(sent) => return AgentEvent::Failed { run, sent },
+            Err(None) => return unsent(run),
+            Err(Some(cause)) => return self.failed(cause),
         };
         let status = response.status().as_u16();
         let headers = response.headers().iter().map(|(name, value)| HeaderField {
@@ -219,9 +228,8 @@
         self.forward_body(response)
     }
 
-    /// Sends the request; an error states whether a byte of it may have been
-    /// sent.
-    fn send(&self, request: &EngineRequest) -> Result<Response<Body>, bool> {
+    /// Sends the request; an error has a cause if a byte of it may have been sent.
+    fn send(&self, request: &EngineRequest) -> Result<Response<Body>, Option<FailureCause>> {
         let uri = format!("{}{}", self.base, String::from_utf8_lossy(&request.path));
         let mut builder = Request::builder().method(request.method.as_ref()).uri(uri);
         for field in &request.headers {
@@ -233,7 +241,7 @@
             .header("X-Deadline-Ms", request.deadline_ms)
             .header("X-Resume-Events", request.resume_events)
             .body(request.body.to_vec())
-            .map_err(|_| false)?;
+            .map_err(|_| None)?;
         let timeout = Duration::from_millis(request.deadline_ms.max(1));
         let configured = self
             .agent
@@ -241,7 +249,11 @@
             .timeout_global(Some(timeout))
             .allow_non_standard_methods(true)
             .build();
-        self.agent.run(configured).map_err(|err| !is_unsent(&err))
+        self.agent.run(configured).map_err(|err| match &err {
+            err if is_unsent(err) => None,
+            ureq::Error::Timeout(_) => Some(FailureCause::TimedOut),
+            _ => Some(FailureCause::Broken),
+        })
     }
 
     fn forward_body(&self, response: Response<Body>) -> AgentEvent {
@@ -250,7 +262,7 @@
         let mut buf = vec![0; READ_LEN];
         loop {
             if self.cancel_flag.load(Ordering::Relaxed) {
-                return AgentEvent::Failed { run, sent: true };
+                return self.failed(FailureCause::Cancelled);
             }
             match reader.read(&mut buf) {
                 Ok(0) => return AgentEvent::End { run },
@@ -258,10 +270,57 @@
                     let data = Bytes::copy_from_slice(&buf[..len]);
                     self.events.send(AgentEvent::Part { run, data });
                 }
-                Err(_) => return AgentEvent::Failed { run, sent: true },
+                Err(err) if err.kind() == ErrorKind::TimedOut => {
+                    return self.failed(FailureCause::TimedOut);
+                }
+                Err(_) => return self.failed(FailureCause::Broken),
             }
         }
     }
+
+    /// Returns the last event of a request of which a byte may have been sent. An
+    /// endpoint that breaks a request off and refuses connections has crashed; one that
+    /// accepts them has broken off the response only.
+    fn failed(&self, cause: FailureCause) -> AgentEvent {
+        let crashed = cause == FailureCause::Broken && refuses_connections(self.address);
+        AgentEvent::Failed {
+            run: self.run,
+            sent: true,
+            crashed,
+        }
+    }
+}
+
+/// Why a request failed after its first byte.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FailureCause {
+    /// The endpoint broke off the connection.
+    Broken,
+    /// The deadline passed.
+    TimedOut,
+    /// The entry cancelled the request.
+    Cancelled,
+}
+
+fn unsent(run: RunId) -> AgentEvent {
+    AgentEvent::Failed {
+        run,
+        sent: false,
+        crashed: false,
+    }
+}
+
+/// Probes an endpoint twice, as one that ends may close its connections before it
+/// closes its listener.
+fn refuses_connections(address: SocketAddr) -> bool {
+    let is_refused = || {
+        let probed = TcpStream::connect_timeout(&address, PROBE_TIMEOUT);
+        probed.is_err_and(|err| err.kind() == ErrorKind::ConnectionRefused)
+    };
+    is_refused() || {
+        thread::sleep(PROBE_PAUSE);
+        is_refused()
+    }
 }
 
 /// Returns whether an error is certain to have occurred before the first byte
