control: relay the reports of entries to the other instances

An entry links to one control instance, whereas a gateway reports to all. Three entries at three instances would report one crash to each, and none would find a chain: crashes_at_all_instances_quarantine_content failed before (no notice at any instance). A relay without an answer is known to older instances, which drop one that they can't use; a bare PromptReport between control instances would close their link. report_of_gateway_not_relayed guards against counting a gateway's report twice.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -13,6 +13,7 @@
 use mulberrywell_wire::config::{ConfirmAnswer, ConfirmQuery};
 use mulberrywell_wire::operate::{Relay, RelayAnswer};
 use mulberrywell_wire::rate::LeaseGrant;
+use mulberrywell_wire::serving::PromptReport;
 use mulberrywell_wire::{FrameBody, PeerFrame};
 use prost::Message;
 
@@ -57,7 +58,12 @@
                 self.rates
                     .record_report(now, link, &report, &mut self.commands);
             }
-            FrameBody::PromptReport(report) => self.prompts.record_report(now, report),
+            FrameBody::PromptReport(report) => {
+                if self.subscribers.contains(link) {
+                    self.relay_prompt_report(report.clone(), actions);
+                }
+                self.prompts.record_report(now, report);
+            }
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.handle_state_report(now, report),
             FrameBody::DemandReport(report) => {
@@ -82,6 +88,15 @@
         }
     }
 
+    /// Relays an entry's report to the other instances: an entry links to one instance
+    /// only, whereas a gateway reports to all.
+    fn relay_prompt_report(&self, report: PromptReport, actions: &mut Actions) {
+        let relay = unanswered_relay(FrameBody::PromptReport(report));
+        for link in self.peers.member_links() {
+            send(link, relay.clone(), actions);
+        }
+    }
+
     /// Handles a frame forwarded by another member.
     pub(crate) fn handle_relay(
         &mut self,
@@ -95,6 +110,7 @@
         };
         match frame.body {
             Some(FrameBody::Announce(announce)) => self.handle_relayed_announce(now, announce),
+            Some(FrameBody::PromptReport(report)) => self.prompts.record_report(now, report),
             Some(frame) => {
                 let sequence = relay.sequence;
                 let task = ClientTask {
@@ -300,6 +316,15 @@
     }
 }
 
+/// Wraps a frame for another member that doesn't answer it.
+pub(crate) fn unanswered_relay(body: FrameBody) -> FrameBody {
+    FrameBody::Relay(Relay {
+        sequence: 0,
+        frame: Bytes::from(PeerFrame::from(body).encode_to_vec()),
+        holder: Bytes::new(),
+    })
+}
+
 /// Notifies the sender of a frame that it can't be answered now.
 pub(crate) fn refuse_client(origin: FrameOrigin, frame: &FrameBody, actions: &mut Actions) {
     if let Some(refusal) = refusal_of(frame) {
--- a/crates/control/src/endpoint_frames.rs
+++ b/crates/control/src/endpoint_frames.rs
@@ -8,10 +8,10 @@
 use mulberrywell_wire::command::{EndpointSignal, PutEndpoint, SetEndpointState};
 use mulberrywell_wire::config::EndpointState;
 use mulberrywell_wire::endpoint::{Announce, AnnounceAck, DemandReport, StateReport};
-use mulberrywell_wire::operate::{OrderBatch, Relay, ReportBatch};
-use mulberrywell_wire::{FrameBody, PeerFrame};
-use prost::Message;
+use mulberrywell_wire::operate::{OrderBatch, ReportBatch};
+use mulberrywell_wire::FrameBody;
 
+use crate::client_frames::unanswered_relay;
 use crate::cluster_state::ClusterState;
 use crate::command_outcome::CommandOutcome;
 use crate::control_role::{send, Actions, ControlRole};
@@ -55,13 +55,8 @@
             AnnounceStatus::Changed if self.is_leader() => self.register(announce),
             AnnounceStatus::Changed => {
                 if let Some(leader) = self.leader_link() {
-                    let frame = PeerFrame::from(FrameBody::Announce(announce));
-                    let relay = Relay {
-                        sequence: 0,
-                        frame: Bytes::from(frame.encode_to_vec()),
-                        holder: Bytes::new(),
-                    };
-                    send(leader, FrameBody::Relay(relay), actions);
+                    let relay = unanswered_relay(FrameBody::Announce(announce));
+                    send(leader, relay, actions);
                 }
             }
             status => self.acknowledge(link, name, status, actions),
--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -2,8 +2,8 @@
 //! tells all of them which requests to refuse.
 //!
 //! Algorithm: every gateway reports to every control instance, and an entry to the one
-//! that it links to, so each instance keeps a ledger of its own and nothing is
-//! replicated. Gateways and entries are told the parts to watch and the quarantines; they send the quarantines that they hold to an instance that
+//! that it links to, which relays the report to the others. Each instance keeps a ledger
+//! of its own and nothing is replicated. Gateways and entries are told the parts to watch and the quarantines; they send the quarantines that they hold to an instance that
 //! they link to, so that it has them after a restart.
 
 use std::collections::BTreeSet;
--- a/crates/control/src/subscriber_table.rs
+++ b/crates/control/src/subscriber_table.rs
@@ -23,6 +23,11 @@
         self.subscribers.insert(link, sent);
     }
 
+    /// Returns whether a link is a subscriber's.
+    pub fn contains(&self, link: LinkId) -> bool {
+        self.subscribers.contains_key(&link)
+    }
+
     /// Removes a subscriber.
     pub fn remove(&mut self, link: LinkId) {
         self.subscribers.remove(&link);
--- a/crates/control/tests/role_cases/prompt_cases.rs
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -112,6 +112,48 @@
     }
 }
 
+/// Guards against crashes that no instance adds up, as each entry with agents links to
+/// one instance only.
+#[test]
+fn crashes_at_all_instances_quarantine_content() {
+    let mut cluster = RoleCluster::formed(3);
+    let links = [(0, b"entry-0"), (1, b"entry-1"), (2, b"entry-2")];
+    let entries = links.map(|(idx, name)| cluster.attach(idx, name));
+    for entry in &entries {
+        cluster.send(entry, FrameBody::Subscribe(Subscribe::default()));
+    }
+    for (entry, endpoint) in entries.iter().zip(["e1", "e2", "e3"]) {
+        cluster.send(entry, plain_crash(endpoint, REPEATED));
+        cluster.run(Duration::from_millis(300));
+    }
+    cluster.run(Duration::from_millis(300));
+    for entry in &entries {
+        let frames = cluster.drain_frames(entry);
+        let notices = notices(&frames);
+        let last = notices.last().expect("a notice");
+        assert_eq!(last.quarantines.len(), 1, "{notices:?}");
+        assert_eq!(last.quarantines[0].parts, [REPEATED]);
+    }
+}
+
+/// Guards against reports of a gateway, which links to all instances, that are relayed
+/// and counted twice.
+#[test]
+fn report_of_gateway_not_relayed() {
+    let mut cluster = RoleCluster::formed(3);
+    let gateway = cluster.attach(0, b"gateway");
+    cluster.send(&gateway, FrameBody::ServingAttach(ServingAttach::default()));
+    let entry = cluster.attach(1, b"entry-0");
+    cluster.send(&entry, FrameBody::Subscribe(Subscribe::default()));
+    for endpoint in ["e1", "e2", "e3"] {
+        cluster.send(&gateway, plain_crash(endpoint, REPEATED));
+        cluster.run(Duration::from_millis(300));
+    }
+    cluster.run(Duration::from_millis(300));
+    assert!(notices(&cluster.drain_frames(&entry)).is_empty());
+    assert!(!notices(&cluster.drain_frames(&gateway)).is_empty());
+}
+
 /// Guards against a repeated request of a plain service that no one finds, as each
 /// entry sees one of its crashes.
 #[test]
