tests: a request that comes again at entries, with real processes

Three entries, three control instances, three workers of a plain service with agents; a stand-in whose listener and connections close under the request and that starts again after 500 ms.

--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -103,7 +103,8 @@
     });
 }
 
-fn serve_connection<H>(stream: TcpStream, handle: &H)
+/// Serves the requests of a connection until `handle` ends it.
+pub(crate) fn serve_connection<H>(stream: TcpStream, handle: &H)
 where
     H: Fn(ServerRequest, &mut ResponseStream) -> bool,
 {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! be killed, suspended and restarted. Nothing here is part of the product.
 
 mod cluster_plan;
+mod crashing_service;
 mod fake_engine;
 mod fake_records;
 mod fake_server;
@@ -22,6 +23,7 @@
 mod stream_load;
 
 pub use cluster_plan::{AgentPlan, BinaryPaths, ClusterPlan};
+pub use crashing_service::CrashingService;
 pub use fake_engine::{streamed_response, EngineConfig, FakeEngine, FakeModel};
 pub use fake_records::{FakeRecords, RunRecord, RunState};
 pub use fake_server::{spawn_server, ResponseStream, ServerRequest};
