--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -3,8 +3,9 @@
 //!
 //! Algorithm: every gateway reports to every control instance, and an entry to the one
 //! that it links to, which relays the report to the others. Each instance keeps a ledger
-//! of its own and nothing is replicated. Gateways and entries are told the parts to watch and the quarantines; they send the quarantines that they hold to an instance that
-//! they link to, so that it has them after a restart.
+//! of its own and nothing is replicated. Gateways and entries are told what to watch and
+//! the quarantines; they send the quarantines that they hold to an instance that they
+//! link to, so that it has them after a restart.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
