limit: overlapping crashes of a repeated request are enough to find it

A content on which no response has ever lasted needs a chain of two among three incidents, where a part needs five: a content is in two incidents by chance only if it is repeated beside both. The wait begins at the earlier of the two ways.

--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -34,9 +34,9 @@
 /// Incidents in a chain that quarantine a part.
 const CHAIN_MIN: usize = 3;
 
-/// Incidents in a chain that do if no response has ever lasted on the part and it has
-/// [`UNPROVEN_INCIDENTS_MIN`] incidents: endpoints that crash at about the same time
-/// form no longer chain.
+/// Incidents in a chain that do if no response has ever lasted: endpoints that crash at
+/// about the same time form no longer chain. A part needs [`UNPROVEN_INCIDENTS_MIN`]
+/// incidents then, a content [`CHAIN_MIN`], as other requests don't have it by chance.
 const UNPROVEN_CHAIN_MIN: usize = 2;
 const UNPROVEN_INCIDENTS_MIN: usize = 5;
 
@@ -218,7 +218,7 @@
         let contents = self.repeated(CHAIN_MIN, |it| it.contents().collect());
         contents.into_iter().find_map(|content| {
             let incidents = self.incidents_of(now, content);
-            let chain_end = self.chain_end(content, &incidents)?;
+            let chain_end = self.chain_end(content, &incidents, CHAIN_MIN)?;
             let is_settled = now.saturating_duration_since(chain_end) >= CONTENT_SETTLE_TIME;
             if !is_settled || self.quarantines.has_single(content) {
                 return None;
@@ -242,7 +242,7 @@
         parts.into_iter().find_map(|part| {
             let mut incidents = self.incidents_of(now, part);
             incidents.retain(is_open);
-            let settled_at = self.chain_end(part, &incidents)?;
+            let settled_at = self.chain_end(part, &incidents, UNPROVEN_INCIDENTS_MIN)?;
             let mut parts = self.rivals(part, &incidents);
             let has_more = |rival: &PartId| self.incidents_of(now, *rival).len() > incidents.len();
             if parts.iter().any(has_more) {
@@ -276,7 +276,7 @@
             let incidents = self.incidents.iter();
             let incidents = incidents.filter(|it| self.is_suspect(*content, it));
             let incidents: Vec<&CrashIncident> = incidents.collect();
-            self.chain_end(*content, &incidents).is_some()
+            self.chain_end(*content, &incidents, CHAIN_MIN).is_some()
         });
         contents
     }
@@ -301,15 +301,20 @@
     }
 
     /// Returns when the incidents of a part or a content had formed a chain that is long
-    /// enough.
-    fn chain_end(&self, subject: PartId, incidents: &[&CrashIncident]) -> Option<Instant> {
+    /// enough. `unproven_min` incidents do with a shorter one if no response has ever
+    /// lasted on it.
+    fn chain_end(
+        &self,
+        subject: PartId,
+        incidents: &[&CrashIncident],
+        unproven_min: usize,
+    ) -> Option<Instant> {
         let chain = find_chain(subject, incidents);
-        if let Some(third) = chain.get(CHAIN_MIN - 1) {
-            return Some(*third);
-        }
         let is_unproven = !self.sound.contains_key(&subject);
-        let last = incidents.get(UNPROVEN_INCIDENTS_MIN - 1)?;
-        (is_unproven && chain.len() >= UNPROVEN_CHAIN_MIN).then_some(last.at)
+        let last = incidents.get(unproven_min - 1);
+        let last = last.filter(|_| is_unproven && chain.len() >= UNPROVEN_CHAIN_MIN);
+        let ends = [chain.get(CHAIN_MIN - 1).copied(), last.map(|last| last.at)];
+        ends.into_iter().flatten().min()
     }
 
     /// Returns the settled incidents that a part or a content may have caused.
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -311,8 +311,8 @@
     }
 }
 
-/// Seeds on which a repeated request is found one request too late; the first ones of
-/// their plans.
+/// Guards against a repeated request that is found one request too late, where its first
+/// crashes overlap.
 #[rstest]
 #[case::few_engines_eager_callers(89, FleetPlan {
     engines: 3,
