--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -16,9 +16,10 @@
 //!
 //! A suspected content is quarantined if no other one is in all of its incidents: its
 //! neighbours at one endpoint are not those at the next. Until then its incidents count
-//! for no part. A suspected part is
-//! quarantined if no other part is in all of its incidents, and no content in all but
-//! one. Parts that stay equal for [`TIE_TIME`], less those on which a response has ever
+//! for no part.
+//!
+//! A suspected part is quarantined if no other part is in all of its incidents, and no
+//! content of its requests in all but one. Parts that stay equal for [`TIE_TIME`], less those on which a response has ever
 //! lasted if others have none, are quarantined together: only requests with all of them
 //! are refused, and a part that turns out to be sound is taken out. Incidents with
 //! something that is quarantined by itself are explained and count for nothing else.
@@ -31,7 +32,7 @@
 use crate::crash_incident::{find_chain, CrashIncident, PartId, SuspectRequest};
 use crate::quarantine_table::{PartSet, QuarantineTable};
 
-/// Incidents in a chain that quarantine a part.
+/// Incidents in a chain that quarantine a content or a part.
 const CHAIN_MIN: usize = 3;
 
 /// Incidents in a chain that do if no response has ever lasted: endpoints that crash at
@@ -257,7 +258,7 @@
             }
             if parts
                 .iter()
-                .any(|part| !self.has_contents(*part, &incidents))
+                .any(|part| !self.has_other_contents(*part, &incidents))
             {
                 return None;
             }
@@ -281,9 +282,9 @@
         contents
     }
 
-    /// Returns whether requests with a part were in these incidents under more contents
-    /// than the one that most of them have.
-    fn has_contents(&self, part: PartId, incidents: &[&CrashIncident]) -> bool {
+    /// Returns whether requests with a part were in enough of these incidents under other
+    /// contents than the one that most of them have.
+    fn has_other_contents(&self, part: PartId, incidents: &[&CrashIncident]) -> bool {
         let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
         for incident in incidents {
             let requests = incident
