limit: crashes of a chain are some time apart

A request that is retried at once meets an engine that went down in the same moment and is broken off again, 2 ms later: it was forwarded after the crash before, so that one outage made a chain of two. Ruled out: lost responses (each probe was refused).

Incidents of a chain are now at least 20 ms apart. A request that really crashes its endpoints comes again later than that; its immediate retries alone don't count. tick_retries_into_outage_not_quarantined failed before (the request was quarantined) and passes; the fleets pass as before.

--- a/crates/limit/src/crash_incident.rs
+++ b/crates/limit/src/crash_incident.rs
@@ -1,6 +1,6 @@
 //! Endpoints that broke off their requests, and what these have in common.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
@@ -9,6 +9,11 @@
 /// Identifies a part of a prompt, or the content of a request.
 pub type PartId = u64;
 
+/// Shortest time between two incidents of a chain. Endpoints that go down together are
+/// noticed within milliseconds, and a request that is retried at once meets some of them
+/// after they went.
+const CHAIN_GAP_MIN: Duration = Duration::from_millis(20);
+
 /// Maximum number of requests of one incident.
 const REQUESTS_MAX: usize = 256;
 
@@ -90,14 +95,15 @@
 }
 
 /// Returns the times of a chain of incidents in which each request with a part or a
-/// content was forwarded after the incident before.
+/// content was forwarded after the incident before, and broken off some time later.
 pub(crate) fn find_chain(subject: PartId, incidents: &[&CrashIncident]) -> Vec<Instant> {
     let mut chain: Vec<Instant> = Vec::new();
     for incident in incidents {
         let forwarded = incident.forwarded(subject);
-        let is_next = chain
-            .last()
-            .is_none_or(|last| forwarded.is_some_and(|at| at > *last));
+        let is_next = chain.last().is_none_or(|last| {
+            let has_gap = incident.at >= *last + CHAIN_GAP_MIN;
+            has_gap && forwarded.is_some_and(|at| at > *last)
+        });
         if is_next {
             chain.push(incident.at);
         }
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -201,6 +201,21 @@
     }
 }
 
+/// Guards against a quarantine of a request that is retried at once while several
+/// endpoints go down together, and meets each of them just after it went.
+#[test]
+fn tick_retries_into_outage_not_quarantined() {
+    let mut script = LedgerScript::new();
+    for _ in 0..6 {
+        script.crash_content(REPEATED, &[FIRST, SUBJECT], Duration::from_millis(1));
+        script.advance(Duration::from_millis(2));
+    }
+    for _ in 0..10 {
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+    }
+}
+
 /// A request that was forwarded after its endpoint had crashed is not a cause.
 #[test]
 fn tick_request_after_crash_not_suspected() {
