serving: what a response told of an endpoint is kept whatever heartbeat it came with

An instance that learned from a response that an endpoint leaves sent its status on with the sequence of the last heartbeat that it knew. An instance that had heard a later heartbeat took that for outdated, and its next status undid the announcement everywhere but at the gateways that had seen the response.

The registry joins the announcement by itself: it is final for a start of the endpoint. merge_leaving_unordered failed in all three cases before.

--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -4,6 +4,8 @@
 //! has gone, then by its own sequence number. At one address only the endpoint
 //! with the latest start is present; any other has gone. Endpoints that have
 //! gone stay in the registry, so that a late heartbeat does not add them again.
+//! What responses told of an endpoint's start is merged by itself, as it isn't
+//! ordered by the endpoint's sequence: leaving is final.
 
 use std::collections::BTreeMap;
 
@@ -40,10 +42,20 @@
 impl EndpointRegistry {
     /// Merges a status, unless it is older than the stored one or another
     /// endpoint has replaced the sender at its address.
-    pub fn merge(&mut self, status: EndpointStatus) -> MergeOutcome {
-        if let Some(stored) = self.endpoints.get(&status.id) {
+    pub fn merge(&mut self, mut status: EndpointStatus) -> MergeOutcome {
+        if let Some(stored) = self.endpoints.get_mut(&status.id) {
+            let is_joined = join_observations(stored, &mut status);
             if merge_order(&status) < merge_order(stored) {
-                return MergeOutcome::Stale;
+                return if is_joined {
+                    MergeOutcome::Changed
+                } else {
+                    MergeOutcome::Stale
+                };
+            }
+            // The joined observations are new in both.
+            if is_joined && has_same_content(stored, &status) {
+                stored.sequence = status.sequence;
+                return MergeOutcome::Changed;
             }
         }
         if self.is_replaced(&status) {
@@ -123,6 +135,19 @@
     }
 }
 
+/// Joins what responses told of one start in both statuses; returns whether it is new
+/// in the stored one.
+fn join_observations(stored: &mut EndpointStatus, status: &mut EndpointStatus) -> bool {
+    if stored.born_ms != status.born_ms {
+        return false;
+    }
+    let leaving = stored.leaving || status.leaving;
+    let is_new = stored.leaving != leaving;
+    stored.leaving = leaving;
+    status.leaving = leaving;
+    is_new
+}
+
 /// Returns the key that orders the statuses of one endpoint.
 fn merge_order(status: &EndpointStatus) -> (u64, bool, u64) {
     let is_gone = status.phase() == EndpointPhase::Gone;
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -140,3 +140,33 @@
     assert_eq!(registry.merge(restarted), MergeOutcome::Changed);
     assert_eq!(registry.present().count(), 1);
 }
+
+/// Guards against an endpoint that is used again although a response announced that it
+/// is leaving: the instance that learned it may know an older heartbeat than others.
+#[rstest]
+#[case::older_heartbeat(4, 5)]
+#[case::same_heartbeat(5, 5)]
+#[case::newer_heartbeat(6, 5)]
+fn merge_leaving_unordered(#[case] told_at: u64, #[case] stored_at: u64) {
+    let status = |sequence, leaving| EndpointStatus {
+        id: bytes("e"),
+        address: bytes("10.0.0.1:80"),
+        born_ms: 7,
+        sequence,
+        leaving,
+        ..EndpointStatus::default()
+    };
+    let mut registry = EndpointRegistry::default();
+    registry.merge(status(stored_at, false));
+    assert_eq!(registry.merge(status(told_at, true)), MergeOutcome::Changed);
+    registry.merge(status(9, false));
+    let stored = registry.get(&bytes("e")).unwrap();
+    assert!(stored.leaving);
+    assert_eq!(stored.sequence, 9);
+    let restarted = EndpointStatus {
+        born_ms: 8,
+        ..status(1, false)
+    };
+    registry.merge(restarted);
+    assert!(!registry.get(&bytes("e")).unwrap().leaving);
+}
