gateway: requests to an endpoint that names a limit need a permit of the control leader

Cause: nothing read Server-Limit. Class: a bound that is the sum over all senders needs a count that all of them share; no sender can keep it by itself, least of all where there are more of them than requests a second. Weighed: a share for each gateway (with 80 gateways 84 requests in 4 s at 1 a second), the shared buckets of the accounts' rates (two gateways that take the last unit at once are both refused, and a cut-off one keeps a share), permits of the leader.

Now whatever would reach such an endpoint (first attempts, retries, resumptions, probes, and the leader's own orders and queries) needs a permit. The control leader grants them from one bucket for each start of an endpoint while its lease excludes any other leader; a new leader begins with empty buckets. Gateways ask the leader directly, one request at a time for each endpoint. Without a permit a call goes to an endpoint with room or is refused at once with the time to come back. Limits are told to all instances as a register by revision, so that late messages undo nothing; a limit ends with a response without it to a request forwarded under it.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -64,6 +64,9 @@
                 }
                 self.prompts.record_report(now, report);
             }
+            FrameBody::PermitRequest(request) => {
+                self.handle_permit_request(now, link, &request, actions);
+            }
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.handle_state_report(now, report),
             FrameBody::DemandReport(report) => {
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -18,6 +18,7 @@
     ConsensusNode, MemberId, Membership, NodeConfig, NodeInput, NodeOutput, NodeRole,
     RecoveredState, Term,
 };
+use mulberrywell_limit::PermitIssuer;
 use mulberrywell_role::{
     HttpEvent, LinkCommand, LinkEvent, LinkId, LogLevel, RoleAction, RoleEvent, RoleMachine,
 };
@@ -119,6 +120,8 @@
     pub(crate) subscribers: SubscriberTable,
     pub(crate) serving: ServingRegistry,
     pub(crate) orders: OrderDispatcher,
+    /// Permits for requests to endpoints with a limit, of the leader.
+    pub(crate) permits: PermitIssuer,
     pub(crate) rates: RateCounter,
     pub(crate) loads: LoadTracker,
     pub(crate) prompts: PromptMonitor,
@@ -209,6 +212,7 @@
             subscribers: SubscriberTable::default(),
             serving: ServingRegistry::default(),
             orders: OrderDispatcher::default(),
+            permits: PermitIssuer::default(),
             rates: RateCounter::new(rate_epoch, now),
             loads: LoadTracker::default(),
             prompts: PromptMonitor::default(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 mod endpoint_chart;
 mod endpoint_frames;
 mod endpoint_monitor;
+mod endpoint_permits;
 mod lease_issuer;
 mod load_tracker;
 mod member_driver;
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -238,6 +238,7 @@
             actions.push(RoleAction::Log(LogLevel::Info, text));
             self.monitor.restart_observation(now);
             self.orders.become_leader(now);
+            self.permits.start(now);
             self.absent_since.clear();
         }
         if was_leader && !self.is_leader() {
@@ -245,6 +246,7 @@
             actions.push(RoleAction::Log(LogLevel::Info, text));
             self.leases.become_follower();
             self.orders.become_follower();
+            self.permits.stop();
             self.finish_if_stopping(actions);
         }
     }
--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -7,9 +7,10 @@
 //! leader, and not before [`LEADER_CHANGE_DELAY`] has passed since the last
 //! order of any earlier leader. Its term is its fencing token. An engine whose
 //! number of accepted orders is uncertain receives no orders until its
-//! inventory has reported the number.
+//! inventory has reported the number. Orders and queries count towards the limit
+//! of their engine; an order that exceeds it waits for [`DEFER_MAX`] at most.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -47,6 +48,9 @@
 /// Time after which the answer to an order is treated as unknown.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which an order waits for its engine's limit before it counts as refused.
+const DEFER_MAX: Duration = Duration::from_secs(3);
+
 /// Maximum number of concurrent adapter loads.
 const ADAPTER_LOADS_MAX: u32 = 24;
 
@@ -76,6 +80,14 @@
     pub address: Bytes,
 }
 
+/// A planned order that waits for its engine's limit.
+#[derive(Debug)]
+struct DeferredOrder {
+    planned_at: Instant,
+    service: Bytes,
+    order: PlacementOrder,
+}
+
 /// Placement and pending orders of all services with engines.
 #[derive(Debug, Default)]
 pub struct OrderDispatcher {
@@ -87,6 +99,8 @@
     last_plan: Option<Instant>,
     /// Adapters being loaded, with the time at which they become ready.
     loading: Vec<(Instant, PlacementChange)>,
+    /// Orders that are not yet sent, in the order of their plans.
+    deferred: VecDeque<DeferredOrder>,
     /// Orders without an answer, with the time at which they were sent.
     sent: Vec<(Instant, EngineOrder)>,
 }
@@ -96,6 +110,7 @@
     pub fn become_leader(&mut self, now: Instant) {
         self.services.clear();
         self.loading.clear();
+        self.deferred.clear();
         self.sent.clear();
         self.orders_allowed_from = Some(now + LEADER_CHANGE_DELAY);
         self.next_plan = Some(now + LEADER_CHANGE_DELAY);
@@ -106,6 +121,7 @@
         self.orders_allowed_from = None;
         self.next_plan = None;
         self.loading.clear();
+        self.deferred.clear();
         self.sent.clear();
     }
 
@@ -257,6 +273,9 @@
         for endpoint in std::mem::take(&mut demand.leaving) {
             self.serving.record_leaving(&endpoint);
         }
+        for endpoint in std::mem::take(&mut demand.limits) {
+            self.record_limit(&endpoint, actions);
+        }
         if self.is_leader() {
             self.orders.record_demand(now, &demand);
             self.dispatch_orders(now, actions);
@@ -294,12 +313,47 @@
                 .reopen(|status, model| !planner.is_unloading(&status.service, &status.id, model));
         }
         for query in self.orders.queries(now, &self.serving.endpoints) {
-            actions.push(RoleAction::RoleSpecific(ControlAction::QueryInventory(
-                query,
-            )));
+            // A query that the limit doesn't allow is due again later.
+            if self.acquire_order_permit(now, &query.endpoint) {
+                actions.push(RoleAction::RoleSpecific(ControlAction::QueryInventory(
+                    query,
+                )));
+            }
         }
-        for (service, order) in orders {
-            self.dispatch_order(now, service, order, actions);
+        let deferred = orders.into_iter().map(|(service, order)| DeferredOrder {
+            planned_at: now,
+            service,
+            order,
+        });
+        self.orders.deferred.extend(deferred);
+        self.dispatch_deferred(now, actions);
+    }
+
+    /// Sends the planned orders that the limits of their engines allow, those of one
+    /// engine in the order of their plans.
+    fn dispatch_deferred(&mut self, now: Instant, actions: &mut Actions) {
+        let mut blocked = BTreeSet::new();
+        for deferred in std::mem::take(&mut self.orders.deferred) {
+            let endpoint = &deferred.order.endpoint;
+            if !blocked.contains(endpoint) && self.acquire_order_permit(now, endpoint) {
+                self.dispatch_order(now, deferred.service, deferred.order, actions);
+                continue;
+            }
+            blocked.insert(endpoint.clone());
+            if now.saturating_duration_since(deferred.planned_at) < DEFER_MAX {
+                self.orders.deferred.push_back(deferred);
+                continue;
+            }
+            let DeferredOrder { service, order, .. } = deferred;
+            let line = format!("order {} outcome=deferred_too_long", describe_order(&order));
+            actions.push(RoleAction::Log(LogLevel::Info, line));
+            let refused = OrderAnswer::Refused;
+            let change =
+                self.orders
+                    .apply_answer(now, &service, &order.endpoint, order.number, refused);
+            if let Some(change) = change {
+                self.serving.apply_placement_change(&change);
+            }
         }
     }
 
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -112,6 +112,9 @@
             self.plan_placement(now, actions);
         }
         self.serving.tick(now);
+        self.permits.remove_idle(now);
+        let leads = self.is_leader() && self.has_lease(now);
+        self.rates.set_leads(leads);
         self.rates.broadcast(now, &mut self.commands);
         self.loads.broadcast(&mut self.commands);
         self.prompts.tick(now, &mut self.commands, actions);
--- a/crates/control/src/rate_counter.rs
+++ b/crates/control/src/rate_counter.rs
@@ -32,6 +32,8 @@
     epoch: u64,
     /// When the count began.
     started: Instant,
+    /// Whether this instance leads and issues permits.
+    leads: bool,
     counter: TotalCounter,
     /// Entries by instance: a restarted one is not a further holder.
     holders: HolderSet,
@@ -48,6 +50,7 @@
         RateCounter {
             epoch,
             started: now,
+            leads: false,
             counter: TotalCounter::default(),
             holders: HolderSet::default(),
             links: BTreeMap::new(),
@@ -55,6 +58,11 @@
         }
     }
 
+    /// Sets whether this instance leads, which all frames to entries tell.
+    pub fn set_leads(&mut self, leads: bool) {
+        self.leads = leads;
+    }
+
     /// Adds a link to the entry `holder` of an instance.
     pub fn attach(&mut self, now: Instant, link: LinkId, instance: Bytes, holder: Bytes) {
         if self.links.contains_key(&link) {
@@ -158,6 +166,7 @@
             entries: count.known,
             heard: count.heard,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            leads: self.leads,
         };
         let body = FrameBody::RateTotals(frame);
         commands.push(LinkCommand::Send { link, body });
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -15,7 +15,8 @@
 use mulberrywell_role::{LinkCommand, LinkId};
 use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, ServingAttach, ServingUpdate,
+    EndpointLimit, EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, LimitedEndpoint,
+    ServingAttach, ServingUpdate,
 };
 use mulberrywell_wire::FrameBody;
 
@@ -126,6 +127,23 @@
         }
     }
 
+    /// Records the limit that an endpoint named in a response; returns whether it is
+    /// new.
+    pub fn record_limit(&mut self, endpoint: &LimitedEndpoint) -> bool {
+        let is_new = self.endpoints.record_limit(endpoint);
+        if is_new {
+            self.changed.insert(endpoint.id.clone());
+            self.own_changed.insert(endpoint.id.clone());
+        }
+        is_new
+    }
+
+    /// Returns the limit of a start of an endpoint, if it has named one.
+    pub fn limit(&self, id: &EndpointId, born_ms: u64) -> Option<EndpointLimit> {
+        let status = self.endpoints.get(id);
+        status.filter(|status| status.born_ms == born_ms)?.limit
+    }
+
     /// Resumes requests for models that are no longer to be unloaded.
     pub fn reopen(&mut self, is_kept: impl Fn(&EndpointStatus, &Bytes) -> bool) {
         let closing = self.endpoints.present().flat_map(|status| {
@@ -152,6 +170,7 @@
         if let Some(known) = self.endpoints.get(&id) {
             if known.born_ms == status.born_ms {
                 status.leaving = known.leaving;
+                status.limit = known.limit;
                 let held = |model: &&Bytes| status.models.iter().any(|it| it.name == **model);
                 status.closing = known.closing.iter().filter(held).cloned().collect();
             }
--- a/crates/control/tests/role_cases/main.rs
+++ b/crates/control/tests/role_cases/main.rs
@@ -1,6 +1,7 @@
 //! The control role in virtual time: clusters of roles linked in memory.
 
 mod observer_cases;
+mod permit_cases;
 mod prompt_cases;
 mod role_cluster;
 mod serving_cases;
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -201,8 +201,13 @@
     }
 
     /// Answers the last order that was sent.
-    pub fn answer_order(&mut self, idx: usize, answer: OrderAnswer) {
-        let order = self.orders.last().cloned().unwrap();
+    pub fn answer_last_order(&mut self, idx: usize, answer: OrderAnswer) {
+        self.answer_order(idx, self.orders.len() - 1, answer);
+    }
+
+    /// Answers an order by its place among all that were sent.
+    pub fn answer_order(&mut self, idx: usize, place: usize, answer: OrderAnswer) {
+        let order = self.orders[place].clone();
         let event = ControlEvent::OrderAnswered { order, answer };
         self.events[idx].push_back(RoleEvent::RoleSpecific(event));
     }
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -7,9 +7,9 @@
 use mulberrywell_control::{ServingAnswer, ServingCall};
 use mulberrywell_policy::{OrderAnswer, OrderVerb};
 use mulberrywell_wire::serving::{
-    AccountUse, EndpointLoad, EndpointPhase, EndpointStatus, EngineModel, EngineTraits, HeldModel,
-    LeavingEndpoint, LoadShare, PutServing, RateUse, ServingAttach, ServingConfig, ServingDemand,
-    ServingService, ServingUpdate, WantedModel,
+    AccountUse, EndpointLimit, EndpointLoad, EndpointPhase, EndpointStatus, EngineModel,
+    EngineTraits, HeldModel, LeavingEndpoint, LimitedEndpoint, LoadShare, PutServing, RateUse,
+    ServingAttach, ServingConfig, ServingDemand, ServingService, ServingUpdate, WantedModel,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -237,6 +237,62 @@
     assert_eq!(orders.collect::<Vec<_>>(), ["a1"]);
 }
 
+/// Guards against orders that exceed the limit of their engine: they wait for it.
+#[rstest]
+#[case::limited(Some(1_000), 2, 6)]
+#[case::unlimited(None, 12, 12)]
+fn order_limit_of_engine_kept(
+    #[case] milli_per_s: Option<u64>,
+    #[case] orders_min: usize,
+    #[case] orders_max: usize,
+) {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let model = Bytes::from_static(b"m");
+    cluster
+        .inventory
+        .models
+        .insert(model.clone(), BTreeSet::new());
+    let ServingCall::Put(mut put) = engine_config() else {
+        unreachable!("a configuration");
+    };
+    let service = &mut put.config.as_mut().unwrap().services[0];
+    service.engine.as_mut().unwrap().adapter_places = 20;
+    cluster.call_serving(leader, ServingCall::Put(put));
+    cluster.call_serving(leader, engine_heartbeat());
+    cluster.run(Duration::from_secs(4));
+    let entry = cluster.attach(leader, b"entry-0");
+    let wanted = (1..=12).map(|number| WantedModel {
+        service: Bytes::from_static(b"s"),
+        model: model.clone(),
+        adapter: Bytes::from(format!("a{number}")),
+    });
+    let limit = EndpointLimit {
+        milli_per_s,
+        revision: 1,
+    };
+    let demand = ServingDemand {
+        wanted: wanted.collect(),
+        limits: vec![LimitedEndpoint {
+            id: Bytes::from_static(b"e"),
+            born_ms: 5,
+            limit: Some(limit),
+        }],
+        ..ServingDemand::default()
+    };
+    cluster.send(&entry, FrameBody::ServingDemand(demand));
+    let mut answered = 0;
+    for _ in 0..80 {
+        cluster.run(Duration::from_millis(50));
+        while answered < cluster.orders.len() {
+            cluster.answer_order(leader, answered, OrderAnswer::Accepted);
+            answered += 1;
+        }
+    }
+    let count = cluster.orders.len();
+    assert!((orders_min..=orders_max).contains(&count), "{count} orders");
+}
+
 fn engine_heartbeat() -> ServingCall {
     let ServingCall::Heartbeat(mut status) = heartbeat(1, EndpointPhase::Ready) else {
         unreachable!("a heartbeat");
@@ -625,7 +681,7 @@
     for (idx, adapter) in [b"a1", b"a2"].into_iter().enumerate() {
         demand(&mut cluster, adapter);
         assert_eq!(cluster.orders.len(), idx + 1);
-        cluster.answer_order(leader, OrderAnswer::Accepted);
+        cluster.answer_last_order(leader, OrderAnswer::Accepted);
         cluster.run(Duration::from_millis(100));
         let inventory = &mut cluster.inventory;
         inventory.orders += 1;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -95,6 +95,7 @@
             tried: Vec::new(),
             endpoint: bytes::Bytes::new(),
             endpoint_born_ms: 0,
+            is_limited: false,
             attempt_started: None,
             prefill_tokens: 0,
             reserved: 0,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -13,6 +13,7 @@
 use crate::call_table::{CallRecord, CallStage, PendingResponse, RunState};
 use crate::caller_responses::text;
 use crate::endpoint_choice::{choose_endpoint, ChoiceView};
+use crate::endpoint_permits::{PERMIT_RETRY_MIN, PERMIT_UNAVAILABLE_RETRY};
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
 use crate::response_check::FailureCause;
@@ -41,6 +42,9 @@
 /// retry remains.
 const MODEL_WAIT_DIVISOR: u32 = 2;
 
+/// Longest time from a call's arrival for which it waits for a permit.
+const PERMIT_WAIT_MAX: Duration = Duration::from_millis(100);
+
 /// Interval at which waiting calls are retried.
 pub(crate) const WAIT_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -83,42 +87,82 @@
         request: RequestId,
         actions: &mut Actions,
     ) {
-        if self.refuse_if_quarantined(now, request, actions) {
+        let Some(left) = self.check_attempt(now, request, actions) else {
             return;
-        }
+        };
+        let endpoint = self.choose_permitted(now, request);
         let Some(call) = self.calls.get(request) else {
             return;
         };
-        let left = call.deadline.saturating_duration_since(now);
-        if left < FORWARD_MIN {
-            self.end_unserved(now, request, RefusalReason::TooLate, actions);
-            return;
-        }
-        let view = ChoiceView {
-            endpoints: &self.endpoints,
-            zone: &self.config.zone,
-            entries: self.rates.holders(),
-        };
-        let endpoint = choose_endpoint(now, view, call);
         if !self.fits_shutdown(now, call, endpoint.as_ref()) {
             self.leave_call(now, request, actions);
             return;
         }
         match endpoint {
-            Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
-            None if call.attempts > 0 => {
-                self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
+            Some(endpoint) if self.endpoints.rate_limit(&endpoint).is_some() => {
+                self.await_permit(now, request, &endpoint, left, actions);
             }
+            Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
             None => self.await_endpoint(now, request, actions),
         }
     }
 
+    /// Ends a call that must not be forwarded any more; otherwise returns the time that
+    /// it has left.
+    pub(crate) fn check_attempt(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        actions: &mut Actions,
+    ) -> Option<Duration> {
+        if self.refuse_if_quarantined(now, request, actions) {
+            return None;
+        }
+        let call = self.calls.get(request)?;
+        let left = call.deadline.saturating_duration_since(now);
+        if left < FORWARD_MIN {
+            self.end_unserved(now, request, RefusalReason::TooLate, actions);
+            return None;
+        }
+        Some(left)
+    }
+
+    /// Returns the endpoint for a call's next attempt. Without a link to the leader
+    /// there are no permits, so endpoints with a limit are passed over.
+    fn choose_permitted(&mut self, now: Instant, request: RequestId) -> Option<EndpointId> {
+        loop {
+            let view = ChoiceView {
+                endpoints: &self.endpoints,
+                zone: &self.config.zone,
+                entries: self.rates.holders(),
+            };
+            let endpoint = choose_endpoint(now, view, self.calls.get(request)?)?;
+            let is_limited = self.endpoints.rate_limit(&endpoint).is_some();
+            if !is_limited || self.links.leader_link().is_some() {
+                return Some(endpoint);
+            }
+            self.deny_endpoint(now, &endpoint, PERMIT_UNAVAILABLE_RETRY);
+        }
+    }
+
     fn await_endpoint(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
         let Some(call) = self.calls.get(request) else {
             return;
         };
+        let model = call.terms.model.as_ref();
+        let permit = self
+            .endpoints
+            .next_permit(now, &call.service, model, &call.tried);
+        if permit.is_some_and(|at| at > call.started + PERMIT_WAIT_MAX) {
+            if let Some(model) = model.cloned() {
+                let service = call.service.clone();
+                self.request_model(now, service, model);
+            }
+            self.end_unserved(now, request, RefusalReason::AtLimit, actions);
+            return;
+        }
         let has_waited = now.saturating_duration_since(call.started) >= endpoint_wait_limit(call);
-        if has_waited || self.is_suspected(call) {
+        if has_waited || call.attempts > 0 || self.is_suspected(call) {
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return;
         }
@@ -135,7 +179,8 @@
         self.calls.wait_for_endpoint(request);
     }
 
-    fn forward_call(
+    /// Forwards a call to an endpoint; if that has a limit, the caller has a permit.
+    pub(crate) fn forward_call(
         &mut self,
         now: Instant,
         request: RequestId,
@@ -143,6 +188,7 @@
         left: Duration,
         actions: &mut Actions,
     ) {
+        let is_limited = self.endpoints.rate_limit(endpoint).is_some();
         let exchange = self.calls.begin_exchange(request);
         let (Some(call), Some(usage)) = (
             self.calls.get_mut(request),
@@ -172,6 +218,7 @@
         call.first_forwarded = call.first_forwarded.or(Some(now));
         call.endpoint = endpoint.clone();
         call.endpoint_born_ms = usage.born_ms();
+        call.is_limited = is_limited;
         call.attempt_started = Some(now);
         call.response = PendingResponse::default();
         call.pace_mark = None;
@@ -302,16 +349,25 @@
         let is_running = matches!(call.stage, CallStage::Running(_));
         let reason = match (call.ran, reason) {
             (RunState::No, RefusalReason::TimedOut) if !is_running => RefusalReason::TooLate,
-            (RunState::Maybe, RefusalReason::NoEndpoint | RefusalReason::Quarantined) => {
-                RefusalReason::Broken
-            }
+            (
+                RunState::Maybe,
+                RefusalReason::NoEndpoint | RefusalReason::AtLimit | RefusalReason::Quarantined,
+            ) => RefusalReason::Broken,
             (RunState::Maybe, RefusalReason::TooLate) => RefusalReason::TimedOut,
             (_, reason) => reason,
         };
         let awaits_model = call.terms.model.is_some() && call.first_forwarded.is_none();
         let opening = self.endpoints.next_opening(now, &call.service);
         let opening = opening.filter(|_| call.terms.model.is_none());
+        let model = call.terms.model.as_ref();
+        let permit = self
+            .endpoints
+            .next_permit(now, &call.service, model, &call.tried)
+            .filter(|_| reason == RefusalReason::AtLimit);
         let retry_after = match opening {
+            _ if permit.is_some() => permit
+                .map_or(ENDPOINT_RETRY, |at| at.saturating_duration_since(now))
+                .max(PERMIT_RETRY_MIN),
             _ if awaits_model => MODEL_RETRY,
             Some(at) => at.saturating_duration_since(now).max(ENDPOINT_RETRY),
             None => ENDPOINT_RETRY,
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mulberrywell_limit::MilliRate;
 use mulberrywell_policy::PromptPart;
 use mulberrywell_role::HttpRequest;
 use mulberrywell_wire::request::HeaderField;
@@ -81,6 +82,8 @@
     pub leaving: bool,
     /// Time for which the endpoint accepts no further requests from this instance.
     pub closed_for: Option<Duration>,
+    /// Requests a second that the endpoint accepts from all instances together.
+    pub rate_limit: Option<MilliRate>,
 }
 
 /// Why the gateway refuses a request.
@@ -100,6 +103,8 @@
     OverRate,
     /// No endpoint was available; the request has not run.
     NoEndpoint,
+    /// The endpoints that could run the request are at their limits; it has not run.
+    AtLimit,
     /// Endpoints crashed under a part of the request's prompt; it has not run.
     Quarantined,
     /// The deadline passed before the request was forwarded; it has not run.
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -151,6 +151,8 @@
     pub endpoint: EndpointId,
     /// Start of that endpoint's process.
     pub endpoint_born_ms: u64,
+    /// The endpoint of the current attempt had a limit when the call was forwarded.
+    pub is_limited: bool,
     /// When the current attempt was forwarded.
     pub attempt_started: Option<Instant>,
     /// Prompt tokens counted at that endpoint as awaiting prefill.
@@ -301,6 +303,14 @@
         }
     }
 
+    /// Takes a call from those waiting for an endpoint, as it waits for a permit of one.
+    pub fn wait_for_permit(&mut self, request: RequestId) {
+        self.waiting.remove(&request);
+        if let Some(call) = self.calls.get_mut(&request) {
+            call.stage = CallStage::Waiting;
+        }
+    }
+
     /// Returns all calls.
     pub fn iter(&self) -> impl Iterator<Item = &CallRecord> {
         self.calls.values()
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -26,6 +26,8 @@
     open: BTreeSet<LinkId>,
     /// Link for load and demand reports.
     primary: Option<LinkId>,
+    /// Link to the leader.
+    leader: Option<LinkId>,
 }
 
 impl ControlLinks {
@@ -38,6 +40,7 @@
             dialers: DialerSet::default(),
             open: BTreeSet::new(),
             primary: None,
+            leader: None,
         };
         links.update_dialers(now);
         links
@@ -101,6 +104,9 @@
         if self.primary == Some(link) {
             self.primary = None;
         }
+        if self.leader == Some(link) {
+            self.leader = None;
+        }
         self.update_dialers(now);
         self.open.remove(&link)
     }
@@ -115,6 +121,20 @@
         self.primary
     }
 
+    /// Records whether the control instance of a link leads.
+    pub fn record_leads(&mut self, link: LinkId, leads: bool) {
+        if leads {
+            self.leader = Some(link);
+        } else if self.leader == Some(link) {
+            self.leader = None;
+        }
+    }
+
+    /// Returns the link to the leader, if one is known.
+    pub fn leader_link(&self) -> Option<LinkId> {
+        self.leader
+    }
+
     /// Chooses the open link with the lowest address as the primary link, so
     /// that all gateways report to the same instance. Returns whether the
     /// primary link changed.
--- a/crates/gateway/src/demand_tracker.rs
+++ b/crates/gateway/src/demand_tracker.rs
@@ -7,7 +7,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_wire::serving::{DemandShare, LeavingEndpoint, ServingDemand, WantedModel};
+use mulberrywell_limit::EndpointStart;
+use mulberrywell_wire::serving::{
+    DemandShare, LeavingEndpoint, LimitedEndpoint, ServingDemand, WantedModel,
+};
 
 use crate::call_codec::ModelTerms;
 
@@ -32,6 +35,8 @@
     shares_reported: Option<Instant>,
     /// Endpoints whose responses announced that they are leaving, not yet reported.
     leaving: Vec<LeavingEndpoint>,
+    /// Latest limits of endpoints, not yet reported.
+    limits: BTreeMap<EndpointStart, LimitedEndpoint>,
 }
 
 impl DemandTracker {
@@ -51,6 +56,12 @@
         self.leaving.push(endpoint);
     }
 
+    /// Records the limit of an endpoint.
+    pub fn record_limit(&mut self, endpoint: LimitedEndpoint) {
+        let start = (endpoint.id.clone(), endpoint.born_ms);
+        self.limits.insert(start, endpoint);
+    }
+
     /// Counts a request.
     pub fn record_request(&mut self, service: Bytes, model: ModelTerms) {
         *self.shares.entry((service, model)).or_default() += 1;
@@ -87,11 +98,14 @@
         }
         let shares = self.take_shares(now);
         let leaving = std::mem::take(&mut self.leaving);
-        let has_content = !wanted.is_empty() || !shares.is_empty() || !leaving.is_empty();
-        has_content.then_some(ServingDemand {
+        let limits = std::mem::take(&mut self.limits);
+        let has_models = !wanted.is_empty() || !shares.is_empty();
+        let has_endpoints = !leaving.is_empty() || !limits.is_empty();
+        (has_models || has_endpoints).then_some(ServingDemand {
             wanted,
             shares,
             leaving,
+            limits: limits.into_values().collect(),
         })
     }
 
--- a/crates/gateway/src/endpoint_probes.rs
+++ b/crates/gateway/src/endpoint_probes.rs
@@ -8,12 +8,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::SuspectRequest;
+use mulberrywell_limit::{EndpointStart, SuspectRequest};
 use mulberrywell_role::{
     ExchangeCommand, ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest, LogLevel, RequestId,
     RoleAction,
 };
-use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::request::HeaderField;
 
 use crate::call_codec::CallCodec;
@@ -31,9 +30,6 @@
 /// Health path of a service whose configuration states none.
 const HEALTH_PATH_DEFAULT: &[u8] = b"/health";
 
-/// One start of an endpoint.
-type EndpointStart = (EndpointId, u64);
-
 /// A request for the health of an endpoint that broke off requests.
 #[derive(Debug)]
 struct EndpointProbe {
@@ -54,6 +50,11 @@
 }
 
 impl EndpointProbes {
+    /// Returns whether a probe of an endpoint's start is under way.
+    pub fn contains(&self, start: &EndpointStart) -> bool {
+        self.probes.contains_key(start)
+    }
+
     fn find(&self, exchange: ExchangeId) -> Option<EndpointStart> {
         let mut probes = self.probes.iter();
         let found = probes.find(|(_, probe)| probe.exchange == exchange);
@@ -85,10 +86,22 @@
             requests: vec![request],
         };
         self.probes.probes.insert(start.clone(), probe);
-        self.send_probe(&start, actions);
+        self.start_probe(now, &start, actions);
     }
 
-    fn send_probe(&mut self, start: &EndpointStart, actions: &mut Actions) {
+    /// Sends a probe, or asks for a permit if the endpoint has a limit. Without one,
+    /// nothing is known of the endpoint.
+    fn start_probe(&mut self, now: Instant, start: &EndpointStart, actions: &mut Actions) {
+        let is_limited = self.endpoints.rate_limit(&start.0).is_some();
+        if !is_limited {
+            self.send_probe(start, actions);
+        } else if !self.await_probe_permit(now, start) {
+            self.finish_probe(now, start, false, actions);
+        }
+    }
+
+    /// Sends a probe; if the endpoint has a limit, the caller has a permit.
+    pub(crate) fn send_probe(&mut self, start: &EndpointStart, actions: &mut Actions) {
         let Some(probe) = self.probes.probes.get_mut(start) else {
             return;
         };
@@ -143,6 +156,13 @@
                 }
             },
             ExchangeEvent::Head { .. } | ExchangeEvent::Data { .. } => {
+                if let ExchangeEvent::Head {
+                    status, headers, ..
+                } = event
+                {
+                    let terms = self.codec.read_response_head(*status, headers);
+                    self.record_probed_limit(&start, terms, actions);
+                }
                 actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
                 self.finish_probe(now, &start, false, actions);
             }
@@ -158,12 +178,12 @@
         if probe.broken_probes >= BROKEN_PROBES {
             self.finish_probe(now, start, true, actions);
         } else {
-            self.send_probe(start, actions);
+            self.start_probe(now, start, actions);
         }
     }
 
     /// Ends a probe; the requests are reported if the endpoint has crashed.
-    fn finish_probe(
+    pub(crate) fn finish_probe(
         &mut self,
         now: Instant,
         start: &EndpointStart,
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -6,10 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::FailureShare;
+use mulberrywell_limit::{EndpointStart, FailureShare, MilliRate};
 use mulberrywell_policy::{stable_hash, DurationEstimate, PrefixCache};
 use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
-use mulberrywell_wire::serving::{EndpointLoad, EndpointPhase, EndpointStatus, LoadShare};
+use mulberrywell_wire::serving::{
+    EndpointLimit, EndpointLoad, EndpointPhase, EndpointStatus, LimitedEndpoint, LoadShare,
+};
 
 use crate::call_codec::ModelTerms;
 
@@ -56,6 +58,8 @@
     leaving: bool,
     /// Until then, the endpoint wants no request from this instance.
     closed_until: Option<Instant>,
+    /// Until then, no permit for the endpoint is asked for, if it has a limit.
+    denied_until: Option<Instant>,
 }
 
 /// Load from other gateways at an endpoint.
@@ -111,6 +115,11 @@
         self.closed_until = self.closed_until.max(Some(until));
     }
 
+    /// Records that no permit for the endpoint is to be had until an instant.
+    pub fn record_denied(&mut self, until: Instant) {
+        self.denied_until = Some(until);
+    }
+
     /// Records that the endpoint does not have a model resident.
     pub fn record_missing(&mut self, model: ModelTerms) {
         self.missing.insert(model);
@@ -173,8 +182,62 @@
         let ids = self.services.get(service).into_iter().flatten();
         let listed = ids.filter_map(|id| Some((self.registry.get(id)?, self.usages.get(id)?)));
         listed.filter(move |(status, usage)| {
-            let is_ready = status.phase() == EndpointPhase::Ready && !status.leaving;
-            is_ready && usage.address.is_some() && usage.is_open(now)
+            accepts_requests(now, status, usage) && denied_until(now, status, usage).is_none()
+        })
+    }
+
+    /// Returns whether a start of an endpoint accepts requests now, apart from its limit.
+    pub fn accepts_requests(&self, now: Instant, start: &EndpointStart) -> bool {
+        let (id, born_ms) = start;
+        match (self.registry.get(id), self.usages.get(id)) {
+            (Some(status), Some(usage)) => {
+                status.born_ms == *born_ms && accepts_requests(now, status, usage)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns when the first permit is to be had for an endpoint that could run a call
+    /// and has none left now.
+    pub fn next_permit(
+        &self,
+        now: Instant,
+        service: &Bytes,
+        model: Option<&ModelTerms>,
+        tried: &[EndpointId],
+    ) -> Option<Instant> {
+        let ids = self.services.get(service).into_iter().flatten();
+        let listed = ids.filter_map(|id| Some((self.registry.get(id)?, self.usages.get(id)?)));
+        let usable = listed.filter(|(status, usage)| {
+            let is_resident = model.is_none_or(|model| holds_model(status, usage, model));
+            is_resident && accepts_requests(now, status, usage) && !tried.contains(&status.id)
+        });
+        let denied = usable.filter_map(|(status, usage)| denied_until(now, status, usage));
+        denied.min()
+    }
+
+    /// Records a limit that an endpoint named in a response; returns whether it is new.
+    pub fn record_limit(&mut self, endpoint: &LimitedEndpoint) -> bool {
+        self.registry.record_limit(endpoint)
+    }
+
+    /// Returns the limit of an endpoint as recorded, also one that has ended.
+    pub fn limit(&self, id: &EndpointId) -> Option<EndpointLimit> {
+        self.registry.get(id)?.limit
+    }
+
+    /// Returns the limit that an endpoint has now.
+    pub fn rate_limit(&self, id: &EndpointId) -> Option<MilliRate> {
+        self.limit(id)?.milli_per_s
+    }
+
+    /// Returns all limits that were recorded of endpoints that are not gone.
+    pub fn limits(&self) -> impl Iterator<Item = LimitedEndpoint> + '_ {
+        let limited = self.registry.present().filter(|it| it.limit.is_some());
+        limited.map(|status| LimitedEndpoint {
+            id: status.id.clone(),
+            born_ms: status.born_ms,
+            limit: status.limit,
         })
     }
 
@@ -186,7 +249,7 @@
         model: &'a ModelTerms,
     ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
         self.ready_endpoints(now, service)
-            .filter(|(status, usage)| has_model(status, model) && !usage.missing.contains(model))
+            .filter(|(status, usage)| holds_model(status, usage, model))
     }
 
     /// Returns when the first endpoint of a service that is closed for a time, and
@@ -252,8 +315,20 @@
     }
 }
 
-fn has_model(status: &EndpointStatus, model: &ModelTerms) -> bool {
-    if status.closing.contains(&model.model) {
+fn accepts_requests(now: Instant, status: &EndpointStatus, usage: &EndpointUsage) -> bool {
+    let is_ready = status.phase() == EndpointPhase::Ready && !status.leaving;
+    is_ready && usage.address.is_some() && usage.is_open(now)
+}
+
+/// Returns until when no permit for an endpoint is to be had; none if one may be, or if
+/// the endpoint has no limit.
+fn denied_until(now: Instant, status: &EndpointStatus, usage: &EndpointUsage) -> Option<Instant> {
+    status.limit?.milli_per_s?;
+    usage.denied_until.filter(|until| *until > now)
+}
+
+fn holds_model(status: &EndpointStatus, usage: &EndpointUsage, model: &ModelTerms) -> bool {
+    if usage.missing.contains(model) || status.closing.contains(&model.model) {
         return false;
     }
     let mut models = status.models.iter();
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -24,11 +24,13 @@
 pub const WHOLE_ANSWER: &str = "gateway.answer_ms";
 /// Quarantines of prompt parts in force.
 pub const QUARANTINES: &str = "gateway.quarantines";
+/// Permits for endpoints with a limit that were asked for and not granted.
+pub const PERMITS_DENIED: &str = "gateway.permits_denied";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
 /// Outcome and metric name of each refusal reason.
-const REFUSED: [(RefusalReason, &str, &str); 11] = [
+const REFUSED: [(RefusalReason, &str, &str); 12] = [
     (
         RefusalReason::Malformed,
         "malformed",
@@ -64,6 +66,11 @@
         "no_endpoint",
         "gateway.refused.no_endpoint",
     ),
+    (
+        RefusalReason::AtLimit,
+        "at_limit",
+        "gateway.refused.at_limit",
+    ),
     (
         RefusalReason::TooLate,
         "too_late",
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -22,6 +22,7 @@
 use crate::caller_responses::send_empty_response;
 use crate::control_links::ControlLinks;
 use crate::demand_tracker::DemandTracker;
+use crate::endpoint_permits::EndpointPermits;
 use crate::endpoint_probes::EndpointProbes;
 use crate::endpoint_table::EndpointTable;
 use crate::gateway_metrics as metrics;
@@ -99,6 +100,7 @@
     pub(crate) times: BTreeMap<Bytes, ResponseTimes>,
     pub(crate) prompts: PromptGuard,
     pub(crate) probes: EndpointProbes,
+    pub(crate) permits: EndpointPermits,
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
@@ -127,6 +129,7 @@
             times: BTreeMap::new(),
             prompts: PromptGuard::default(),
             probes: EndpointProbes::default(),
+            permits: EndpointPermits::default(),
             rate_waits: VecDeque::new(),
             shutdown: ShutdownState::default(),
             last_handled: now,
@@ -171,11 +174,13 @@
                     self.endpoints.apply_load_share(share);
                 }
                 FrameBody::RateTotals(totals) => {
+                    self.links.record_leads(link, totals.leads);
                     if self.rates.apply_totals(now, &totals) {
                         self.update_budgets();
                     }
                     self.confirm_waiting_calls(now, actions);
                 }
+                FrameBody::PermitGrant(grant) => self.handle_permit_grant(now, &grant, actions),
                 FrameBody::PromptNotice(notice) => {
                     self.handle_prompt_notice(now, link, notice, actions);
                 }
@@ -211,11 +216,14 @@
     }
 
     /// Chooses the control instance to report loads and demand to: the one that
-    /// all gateways report to, if its link is open. If it changed, all loads are
-    /// reported anew.
+    /// all gateways report to, if its link is open. If it changed, all loads and limits
+    /// are reported anew.
     fn choose_primary(&mut self) {
         if self.links.choose_primary() {
             self.endpoints.reset_loads();
+            for endpoint in self.endpoints.limits() {
+                self.demand.record_limit(endpoint);
+            }
         }
     }
 
@@ -245,12 +253,13 @@
         let mut changed = false;
         for status in update.endpoints {
             let text = format!(
-                "endpoint id={} born={} sequence={} phase={:?} silent={}",
+                "endpoint id={} born={} sequence={} phase={:?} silent={} limit_milli={:?}",
                 String::from_utf8_lossy(&status.id),
                 status.born_ms,
                 status.sequence,
                 status.phase(),
-                status.silent
+                status.silent,
+                status.limit.and_then(|limit| limit.milli_per_s),
             );
             if self.endpoints.merge(status) {
                 changed = true;
@@ -281,6 +290,7 @@
 
     fn handle_timer(&mut self, now: Instant, actions: &mut Actions) {
         self.handle_due_calls(now, actions);
+        self.expire_permits(now, actions);
         self.confirm_waiting_calls(now, actions);
         self.links.dial(now, &mut self.commands);
         if self.next_tick <= now {
@@ -360,6 +370,7 @@
             self.links.deadline(),
             self.rates.deadline(),
             self.confirmation_deadline(),
+            self.permits.deadline(),
             waiting,
             self.shutdown_deadline(),
             Some(self.next_tick),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod control_links;
 mod demand_tracker;
 mod endpoint_choice;
+mod endpoint_permits;
 mod endpoint_probes;
 mod endpoint_table;
 mod event_splitter;
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -81,6 +81,7 @@
     ) {
         let terms = self.codec.read_response_head(head.status, &head.headers);
         self.record_closing(now, request, terms, actions);
+        self.record_limit(request, terms, actions);
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,8 +1,8 @@
 //! Rate limits, token leases, retry budgets, circuit breakers and quarantines.
 //!
 //! Purpose: token buckets of client accounts, the leases that share one bucket
-//! among several processes, the limits on attempts to failing endpoints, and the
-//! search for prompts that crash them.
+//! among several processes, the permits for requests to endpoints with a limit, the
+//! limits on attempts to failing endpoints, and the search for prompts that crash them.
 //!
 //! Guarantees: the types read no clock, draw no random numbers and do no input
 //! or output; instants are arguments, so equal calls give equal results.
@@ -18,6 +18,7 @@
 mod lease_client;
 mod lease_message;
 mod lease_table;
+mod permit_issuer;
 mod prompt_guard;
 mod quarantine_table;
 mod retry_budget;
@@ -40,6 +41,7 @@
     AccountId, BlockProposal, HolderId, LeaseDecision, LeaseId, LeaseTable, TokenPlan, TokenRefund,
     TokenRequest,
 };
+pub use permit_issuer::{EndpointStart, MilliRate, PermitDecision, PermitIssuer};
 pub use prompt_guard::{PromptGuard, SOUND_TIME};
 pub use quarantine_table::{PartSet, QuarantineTable};
 pub use retry_budget::RetryBudget;
--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -5,12 +5,14 @@
 //! with the latest start is present; any other has gone. Endpoints that have
 //! gone stay in the registry, so that a late heartbeat does not add them again.
 //! What responses told of an endpoint's start is merged by itself, as it isn't
-//! ordered by the endpoint's sequence: leaving is final.
+//! ordered by the endpoint's sequence: leaving is final, and of two limits the one
+//! with the higher revision holds.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus};
+use mulberrywell_wire::serving::{EndpointLimit, EndpointPhase, EndpointStatus, LimitedEndpoint};
 
 /// Identifier that an endpoint chooses for itself.
 pub type EndpointId = Bytes;
@@ -86,6 +88,19 @@
         self.endpoints.get_mut(id)
     }
 
+    /// Records a limit that responses named; returns whether it is new.
+    pub fn record_limit(&mut self, endpoint: &LimitedEndpoint) -> bool {
+        let stored = self.endpoints.get_mut(&endpoint.id);
+        let Some(stored) = stored.filter(|stored| stored.born_ms == endpoint.born_ms) else {
+            return false;
+        };
+        let is_newer = limit_order(endpoint.limit) > limit_order(stored.limit);
+        if is_newer {
+            stored.limit = endpoint.limit;
+        }
+        is_newer
+    }
+
     /// Returns all endpoints, including those that have gone.
     pub fn all(&self) -> impl Iterator<Item = &EndpointStatus> {
         self.endpoints.values()
@@ -141,13 +156,27 @@
     if stored.born_ms != status.born_ms {
         return false;
     }
+    let limit = if limit_order(status.limit) > limit_order(stored.limit) {
+        status.limit
+    } else {
+        stored.limit
+    };
     let leaving = stored.leaving || status.leaving;
-    let is_new = stored.leaving != leaving;
-    stored.leaving = leaving;
-    status.leaving = leaving;
+    let is_new = stored.limit != limit || stored.leaving != leaving;
+    for joined in [stored, status] {
+        joined.limit = limit;
+        joined.leaving = leaving;
+    }
     is_new
 }
 
+/// Returns the key that orders the limits of one start of an endpoint.
+fn limit_order(limit: Option<EndpointLimit>) -> (u64, Reverse<u64>) {
+    let limit = limit.unwrap_or_default();
+    let milli_per_s = limit.milli_per_s.unwrap_or(u64::MAX);
+    (limit.revision, Reverse(milli_per_s))
+}
+
 /// Returns the key that orders the statuses of one endpoint.
 fn merge_order(status: &EndpointStatus) -> (u64, bool, u64) {
     let is_gone = status.phase() == EndpointPhase::Gone;
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use mulberrywell_serving::{verify_config, EndpointRegistry, KeyOwner, MergeOutcome, ServingIndex};
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, ServiceShare, ServingAccount, ServingConfig, ServingRoute,
-    ServingService,
+    EndpointLimit, EndpointPhase, EndpointStatus, LimitedEndpoint, ServiceShare, ServingAccount,
+    ServingConfig, ServingRoute, ServingService,
 };
 use rstest::rstest;
 
@@ -170,3 +170,56 @@
     registry.merge(restarted);
     assert!(!registry.get(&bytes("e")).unwrap().leaving);
 }
+
+/// Guards against limits that a late message undoes: the latest change holds, whatever
+/// heartbeat it came with, and ends with the endpoint's start.
+#[test]
+fn merge_limit_latest_holds() {
+    let limit = |milli_per_s, revision| {
+        Some(EndpointLimit {
+            milli_per_s,
+            revision,
+        })
+    };
+    let status = |sequence, limit| EndpointStatus {
+        id: bytes("e"),
+        address: bytes("10.0.0.1:80"),
+        born_ms: 7,
+        sequence,
+        limit,
+        ..EndpointStatus::default()
+    };
+    let mut registry = EndpointRegistry::default();
+    let held = |registry: &EndpointRegistry| registry.get(&bytes("e")).unwrap().limit;
+    registry.merge(status(5, None));
+    let first = limit(Some(1_000), 1);
+    assert_eq!(registry.merge(status(4, first)), MergeOutcome::Changed);
+    assert_eq!(registry.merge(status(6, None)), MergeOutcome::Same);
+    assert_eq!(held(&registry), first);
+    let ended = limit(None, 2);
+    assert_eq!(registry.merge(status(6, ended)), MergeOutcome::Changed);
+    assert_eq!(registry.merge(status(7, first)), MergeOutcome::Same);
+    assert_eq!(held(&registry), ended);
+    // Two gateways saw different limits at once: the lower one holds.
+    let lower = limit(Some(500), 3);
+    registry.merge(status(7, limit(Some(900), 3)));
+    assert_eq!(registry.merge(status(1, lower)), MergeOutcome::Changed);
+    assert_eq!(
+        registry.merge(status(7, limit(Some(900), 3))),
+        MergeOutcome::Same
+    );
+    assert_eq!(held(&registry), lower);
+    let restarted = EndpointStatus {
+        born_ms: 8,
+        ..status(1, None)
+    };
+    registry.merge(restarted);
+    assert_eq!(held(&registry), None);
+    let late = LimitedEndpoint {
+        id: bytes("e"),
+        born_ms: 7,
+        limit: limit(Some(1), 9),
+    };
+    assert!(!registry.record_limit(&late));
+    assert_eq!(held(&registry), None);
+}
--- a/crates/wire/src/frame_sender.rs
+++ b/crates/wire/src/frame_sender.rs
@@ -22,6 +22,7 @@
         | FrameBody::ServingAttach(_)
         | FrameBody::RateUse(_)
         | FrameBody::PromptReport(_)
+        | FrameBody::PermitRequest(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
         FrameBody::AttemptHead(_)
         | FrameBody::AttemptPart(_)
@@ -44,7 +45,8 @@
         | FrameBody::ServingForward(_)
         | FrameBody::ServingReply(_)
         | FrameBody::RateTotals(_)
-        | FrameBody::PromptNotice(_) => Some(PeerRole::Control),
+        | FrameBody::PromptNotice(_)
+        | FrameBody::PermitGrant(_) => Some(PeerRole::Control),
         _ => None,
     }
 }
