soak: endpoints that name limits, and a check of what reaches them

Limits are drawn from a sequence of their own, so that the faults of the kept seeds stay as they are; half of the endpoints name none.

--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -32,6 +32,13 @@
 /// Window over which rates are checked: the platform's `quota_window_s`.
 const RATE_WINDOW: Duration = Duration::from_secs(8);
 
+/// Window over which limits of endpoints are checked: that of the platform's rule.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Factor by which a limit may be exceeded in a window, and requests beyond that.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_EXTRA: f64 = 5.0;
+
 /// Share by which an account may exceed its rate and burst: the platform's
 /// `quota_over`.
 const RATE_OVERRUN: f64 = 0.1;
@@ -64,6 +71,8 @@
     pub calls: Vec<CallRecord>,
     /// Requests that the endpoints ran.
     pub runs: Vec<WorkerRun>,
+    /// Times of all requests that reached each endpoint, in order.
+    pub arrivals: Vec<Vec<Instant>>,
     /// Configuration versions that operators sent.
     pub versions: Vec<VersionRecord>,
     /// Configuration versions that operators read back.
@@ -88,6 +97,16 @@
         let mut faults = self.faults.iter().filter(near);
         faults.all(|fault| fault.fault.is_maintenance())
     }
+
+    /// Returns whether connections to an endpoint were stalled in [`FAULT_GAP`] before an
+    /// instant or in [`LIMIT_WINDOW`] after it, so that requests may arrive together.
+    fn is_cut(&self, place: usize, from: Instant) -> bool {
+        let mut cuts = self.faults.iter();
+        cuts.any(|cut| {
+            let is_same = cut.fault == SoakFault::EndpointCut(place);
+            is_same && cut.begin <= from + LIMIT_WINDOW && cut.end + FAULT_GAP >= from
+        })
+    }
 }
 
 /// Checks all guarantees.
@@ -99,6 +118,7 @@
         find_unexpected_runs(records),
         find_truncated_responses(records, &runs),
         find_rate_excess(records),
+        find_limit_excess(records),
         find_stale_reads(records),
         find_config_rollbacks(records, &runs),
     ]
@@ -232,6 +252,42 @@
     })
 }
 
+/// Finds limits that were exceeded, from [`FAULT_GAP`] after the endpoint first named
+/// them on.
+fn find_limit_excess(records: &SoakRecords) -> Vec<SoakBreach> {
+    let mut breaches = Vec::new();
+    for limited in &records.faults {
+        let SoakFault::EndpointLimits(place, limit) = limited.fault else {
+            continue;
+        };
+        let arrivals = records.arrivals.get(place).into_iter().flatten().copied();
+        let within: Vec<Instant> = arrivals
+            .filter(|at| (limited.begin..limited.end).contains(at))
+            .collect();
+        let Some(binding) = within.first().map(|named| *named + FAULT_GAP) else {
+            continue;
+        };
+        let rate: f64 = limit.parse().unwrap_or_default();
+        let allowed = LIMIT_FACTOR * rate * LIMIT_WINDOW.as_secs_f64() + LIMIT_EXTRA;
+        let bound: Vec<Instant> = within.into_iter().filter(|at| *at >= binding).collect();
+        let windows = bound.iter().filter(|from| !records.is_cut(place, **from));
+        let counts = windows.map(|from| {
+            let counted = bound
+                .iter()
+                .filter(|at| (*from..*from + LIMIT_WINDOW).contains(at));
+            counted.count()
+        });
+        let most = counts.max().unwrap_or(0);
+        if most as f64 > allowed {
+            breaches.push(SoakBreach {
+                promise: "limit of an endpoint exceeded",
+                detail: format!("w{place} got {most} requests at {limit}/s, allowed {allowed:.1}"),
+            });
+        }
+    }
+    breaches
+}
+
 /// Finds reads that returned an older version than one acknowledged more than
 /// [`CONFIG_APPLY_TIME`] earlier.
 fn find_stale_reads(records: &SoakRecords) -> Vec<SoakBreach> {
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -228,6 +228,9 @@
             SoakFault::EndpointSlow(place) => self.endpoints[*place].set_delay(SLOW_RESPONSE_DELAY),
             SoakFault::EndpointCut(place) => self.endpoint_proxies[*place].stall(),
             SoakFault::EndpointReset(place) => self.endpoint_proxies[*place].reset(),
+            SoakFault::EndpointLimits(place, limit) => {
+                self.endpoints[*place].set_rate_limit(Some(limit));
+            }
         }
         Ok(())
     }
@@ -275,6 +278,7 @@
             SoakFault::EndpointLoses(place) => self.endpoints[*place].set_losing_responses(false),
             SoakFault::EndpointSlow(place) => self.endpoints[*place].set_delay(RESPONSE_DELAY),
             SoakFault::EndpointCut(place) => self.endpoint_proxies[*place].heal(),
+            SoakFault::EndpointLimits(place, _) => self.endpoints[*place].set_rate_limit(None),
         }
         Ok(())
     }
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -4,7 +4,9 @@
 //! follow one another and may overlap, except for data loss: at most one control
 //! instance at a time lacks entries that it has acknowledged, and another one
 //! loses its data only after the first has had time to catch up. A deployment of
-//! three control instances is designed to tolerate exactly this.
+//! three control instances is designed to tolerate exactly this. Limits that
+//! endpoints name are drawn by themselves and may overlap any fault; half of the
+//! endpoints name none.
 
 use std::fmt;
 use std::time::Duration;
@@ -24,6 +26,19 @@
 /// may lose its data: the platform's limit for catching up, and a margin.
 const CATCH_UP_TIME: Duration = Duration::from_secs(6);
 
+/// Minimum and maximum duration of an endpoint's limit, in milliseconds; longer than
+/// the time until it binds and the window over which it is checked.
+const LIMIT_DURATION_MS: (u64, u64) = (7_500, 12_000);
+
+/// Maximum time between two limits of any endpoint, in milliseconds.
+const LIMIT_PAUSE_MAX_MS: u64 = 3_000;
+
+/// Limits in requests a second, as endpoints name them.
+const LIMITS: [&str; 4] = ["0.5", "1", "1.1", "4"];
+
+/// Changes the random sequence of the limits from that of the faults.
+const LIMIT_SEED: u64 = 0x11_31_75;
+
 /// A fault to inject.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SoakFault {
@@ -64,13 +79,18 @@
     EndpointCut(usize),
     /// Connections to an endpoint are reset.
     EndpointReset(usize),
+    /// An endpoint names a limit in requests a second.
+    EndpointLimits(usize, &'static str),
 }
 
 impl SoakFault {
-    /// Returns whether the fault is planned maintenance, during which no request
-    /// may be interrupted.
+    /// Returns whether the fault is planned maintenance or a limit, during which no
+    /// request may be interrupted.
     pub fn is_maintenance(&self) -> bool {
-        matches!(self, SoakFault::Terminate(_) | SoakFault::Hangup(_))
+        matches!(
+            self,
+            SoakFault::Terminate(_) | SoakFault::Hangup(_) | SoakFault::EndpointLimits(..)
+        )
     }
 }
 
@@ -113,6 +133,8 @@
                 Duration::from_millis(rng.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1));
             let end = begin + fault_duration;
             if end >= duration {
+                faults.extend(draw_limits(seed, duration, size));
+                faults.sort_by_key(|planned| planned.begin);
                 return SoakPlan { faults };
             }
             let fault = draw_fault(&mut rng, size);
@@ -137,6 +159,30 @@
     }
 }
 
+/// Draws the limits of a run for the first half of the endpoints, at most one at a time
+/// for each.
+fn draw_limits(seed: u64, duration: Duration, size: ClusterSize) -> Vec<PlannedFault> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut limits = Vec::new();
+    let mut limited_until = vec![Duration::ZERO; size.endpoints.div_ceil(2)];
+    let mut begin = Duration::ZERO;
+    loop {
+        begin += Duration::from_millis(rng.random_range(0..LIMIT_PAUSE_MAX_MS));
+        let limit_duration = rng.random_range(LIMIT_DURATION_MS.0..LIMIT_DURATION_MS.1);
+        let end = begin + Duration::from_millis(limit_duration);
+        if end >= duration {
+            return limits;
+        }
+        let place = rng.random_range(0..limited_until.len());
+        let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+        if limited_until[place] < begin {
+            limited_until[place] = end;
+            let fault = SoakFault::EndpointLimits(place, limit);
+            limits.push(PlannedFault { begin, end, fault });
+        }
+    }
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, size: ClusterSize) -> SoakFault {
     let control = format!("control-{}", rng.random_range(0..size.controls));
     let gateway = format!("gateway-{}", rng.random_range(0..size.gateways));
@@ -192,6 +238,7 @@
         | SoakFault::EndpointLoses(place)
         | SoakFault::EndpointSlow(place)
         | SoakFault::EndpointCut(place)
-        | SoakFault::EndpointReset(place) => vec![format!("endpoint-{place}")],
+        | SoakFault::EndpointReset(place)
+        | SoakFault::EndpointLimits(place, _) => vec![format!("endpoint-{place}")],
     }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -96,9 +96,14 @@
         .endpoints
         .iter()
         .flat_map(|endpoint| endpoint.runs());
+    let arrivals = cluster.endpoints.iter().map(|endpoint| {
+        let arrivals = endpoint.arrivals().into_iter();
+        arrivals.map(|arrival| arrival.at).collect()
+    });
     let records = SoakRecords {
         calls: traffic.log.calls().clone(),
         runs: runs.collect(),
+        arrivals: arrivals.collect(),
         versions: traffic.log.versions().clone(),
         reads: traffic.log.reads().clone(),
         faults,
