gateway: a stream goes on only at the software version that began it

Cause: nothing read a heartbeat's version or Resumes; a resumption, inside one response or by the caller, went to whichever endpoint was best. Class: work that goes on elsewhere must go where what it continues can be continued, and what it needs for that must be known wherever and whenever it is taken up. Ruled out: endpoints that change their version under their id (none in the record does).

Now the first event binds a call to its endpoint's version. Gateways report the origin of each stream to all control instances, which keep it in memory until the caller's deadline. While a service has one version, nothing else is kept; with two or more the leader puts the origins into the replicated log as well, in batches of 100 ms, and the versions that may have begun streams are in the log at all times. A gateway that doesn't know a stream asks all instances: a record decides, without one a majority that knows of one version only. Otherwise the call is refused at once as not run, also when its version has gone. Weighed: each stream in the log at all times (20 commits a second for nothing while there is one version), records in memory only (lost when all processes are killed at once).

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -67,6 +67,13 @@
             FrameBody::PermitRequest(request) => {
                 self.handle_permit_request(now, link, &request, actions);
             }
+            FrameBody::StreamReport(report) => self.streams.record_report(now, &report),
+            FrameBody::StreamQuery(query) => {
+                let answer = self
+                    .streams
+                    .answer(&query, &self.serving.endpoints, &self.state);
+                send(link, FrameBody::StreamAnswer(answer), actions);
+            }
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.handle_state_report(now, report),
             FrameBody::DemandReport(report) => {
--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -6,9 +6,10 @@
 //! and the recorded outcomes. The version rises with each change visible to
 //! subscribers and never falls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
+use mulberrywell_serving::{OriginTable, ServiceVersion};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::command::{
     EditLists, FoundCluster, GiveOperator, LogCommand, MemberItem, WishMember, WithdrawOperator,
@@ -16,7 +17,7 @@
 use mulberrywell_wire::config::{
     AccountItem, EndpointItem, GrantItem, ItemKind, KeyItem, ModelItem, PlanItem, ServiceItem,
 };
-use mulberrywell_wire::serving::PutServing;
+use mulberrywell_wire::serving::{PutServing, PutSoftware, PutStreams};
 
 use crate::audit_trail::{AuditEntry, AuditTrail};
 use crate::change_history::{replace_items, ChangeHistory, ItemRef};
@@ -26,6 +27,10 @@
 use crate::endpoint_chart::EndpointChart;
 use crate::state_summary::{action_name, is_audited, text};
 
+/// Time in milliseconds for which origins of streams are kept beyond their lifetime,
+/// as the clock of the commands may be set forward.
+const STREAM_CLOCK_MARGIN_MS: u64 = 10_000;
+
 /// An endpoint with the attributes that only control instances need.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct EndpointRecord {
@@ -81,6 +86,11 @@
     pub wishes: BTreeMap<Bytes, bool>,
     /// Serving configuration in force; its version never falls.
     pub serving: Option<PutServing>,
+    /// Origins of streams that callers may take up, in services with several software
+    /// versions; they expire by `clock_ms`.
+    pub streams: OriginTable<u64>,
+    /// Software versions of each service that may have begun such streams.
+    pub software: BTreeMap<Bytes, BTreeSet<Bytes>>,
     /// Claims of idempotency keys.
     pub claims: ClaimTable,
     /// The audit trail.
@@ -120,6 +130,8 @@
             members: BTreeMap::new(),
             wishes: BTreeMap::new(),
             serving: None,
+            streams: OriginTable::default(),
+            software: BTreeMap::new(),
             claims: ClaimTable::default(),
             audit: AuditTrail::default(),
             requests: DedupTable::default(),
@@ -197,6 +209,8 @@
             }
             Body::WishMember(wish) => self.wish_member(wish),
             Body::PutServing(put) => Ok(self.put_serving(put)),
+            Body::PutStreams(put) => Ok(self.put_streams(put)),
+            Body::PutSoftware(put) => Ok(self.put_software(put)),
         }
     }
 
@@ -313,6 +327,26 @@
         self.version
     }
 
+    fn put_streams(&mut self, put: &PutStreams) -> u64 {
+        self.streams.remove_expired(self.clock_ms);
+        for item in &put.origins {
+            let origin = ServiceVersion {
+                service: item.service.clone(),
+                software: item.software.clone(),
+            };
+            let kept_ms = item.lifetime_ms.saturating_add(STREAM_CLOCK_MARGIN_MS);
+            let expires_ms = self.clock_ms.saturating_add(kept_ms);
+            self.streams.insert(item.stream, &origin, expires_ms);
+        }
+        self.version
+    }
+
+    fn put_software(&mut self, put: &PutSoftware) -> u64 {
+        let versions = put.versions.iter().cloned().collect();
+        self.software.insert(put.service.clone(), versions);
+        self.version
+    }
+
     fn record_audit(&mut self, command: &LogCommand, before: String, outcome: &CommandOutcome) {
         let accepted = matches!(outcome, CommandOutcome::Accepted { .. });
         let after = if accepted {
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -50,6 +50,7 @@
 use crate::relay_table::RelayTable;
 use crate::serving_calls::ServingTask;
 use crate::serving_registry::ServingRegistry;
+use crate::stream_registry::StreamRegistry;
 use crate::subscriber_table::SubscriberTable;
 
 /// Interval of the role's periodic work.
@@ -123,6 +124,7 @@
     /// Permits for requests to endpoints with a limit, of the leader.
     pub(crate) permits: PermitIssuer,
     pub(crate) rates: RateCounter,
+    pub(crate) streams: StreamRegistry,
     pub(crate) loads: LoadTracker,
     pub(crate) prompts: PromptMonitor,
     pub(crate) monitor: EndpointMonitor,
@@ -214,6 +216,7 @@
             orders: OrderDispatcher::default(),
             permits: PermitIssuer::default(),
             rates: RateCounter::new(rate_epoch, now),
+            streams: StreamRegistry::default(),
             loads: LoadTracker::default(),
             prompts: PromptMonitor::default(),
             monitor: EndpointMonitor::new(now),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -46,6 +46,7 @@
 mod serving_registry;
 mod state_snapshot;
 mod state_summary;
+mod stream_registry;
 mod subscriber_table;
 mod update_builder;
 
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -145,6 +145,7 @@
                 self.leases.update_plans(now, &self.state);
             }
             Some(Body::GrantBlock(grant)) => self.leases.apply_blocks(now, grant),
+            Some(Body::PutStreams(put)) => self.streams.record_saved(put),
             _ => {}
         }
     }
@@ -164,6 +165,7 @@
                 self.acknowledge_outcome(origin, sequence, actions);
             }
             ProposalWaiter::Serving(origin) => accept_call(origin, actions),
+            ProposalWaiter::Streams => self.streams.end_proposal(),
             ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
     }
@@ -178,6 +180,7 @@
             // The entry retries the report of the outcome.
             ProposalWaiter::Outcome(..) => {}
             ProposalWaiter::Serving(origin) => refuse_call(origin, actions),
+            ProposalWaiter::Streams => self.streams.end_proposal(),
             ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
     }
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -111,6 +111,12 @@
             self.propose_blocks(now);
             self.plan_placement(now, actions);
         }
+        self.streams.tick(now, &self.serving.endpoints, &self.state);
+        if self.is_leader() && self.applied_term == self.term {
+            for command in self.streams.due_commands(now, &self.state) {
+                self.propose(command, ProposalWaiter::Streams);
+            }
+        }
         self.serving.tick(now);
         self.permits.remove_idle(now);
         let leads = self.is_leader() && self.has_lease(now);
--- a/crates/control/src/proposal_table.rs
+++ b/crates/control/src/proposal_table.rs
@@ -50,6 +50,8 @@
     Serving(CallOrigin),
     /// The membership driver.
     Membership,
+    /// The registry of streams.
+    Streams,
     /// The lease issuer, which applies each committed block independently of
     /// its proposal.
     Blocks,
--- a/crates/control/src/state_snapshot.rs
+++ b/crates/control/src/state_snapshot.rs
@@ -4,11 +4,15 @@
 //! because every map is encoded in key order. Decoding and re-encoding a
 //! snapshot yields the same bytes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use mulberrywell_directory::digest_key;
-use mulberrywell_wire::command::{self as wire, OperatorRecord, StateSnapshot, WishRecord};
+use mulberrywell_serving::{OriginTable, ServiceVersion};
+use mulberrywell_wire::command::{
+    self as wire, OperatorRecord, StateSnapshot, StreamRecord, WishRecord,
+};
+use mulberrywell_wire::serving::{PutSoftware, StreamOrigin};
 use prost::{DecodeError, Message};
 
 use crate::audit_trail::AuditTrail;
@@ -45,6 +49,8 @@
             members: self.members.values().cloned().collect(),
             wishes: wish_records(&self.wishes),
             serving: self.serving.clone(),
+            streams: stream_records(&self.streams),
+            software: software_records(&self.software),
         };
         Bytes::from(snapshot.encode_to_vec())
     }
@@ -89,6 +95,12 @@
                 .map(|record| (record.name, record.allowed))
                 .collect(),
             serving: snapshot.serving,
+            streams: restored_streams(snapshot.streams),
+            software: snapshot
+                .software
+                .into_iter()
+                .map(|record| (record.service, record.versions.into_iter().collect()))
+                .collect(),
             claims: ClaimTable::from_records(snapshot.claims),
             audit: AuditTrail::from_records(snapshot.audit),
             requests: DedupTable::from_records(snapshot.results),
@@ -126,6 +138,43 @@
     records.collect()
 }
 
+/// An origin without a service stands for a stream with two origins.
+fn stream_records(streams: &OriginTable<u64>) -> Vec<StreamRecord> {
+    let records = streams.iter().map(|(stream, origin, expires_ms)| {
+        let origin = origin.map_or_else(StreamOrigin::default, |origin| StreamOrigin {
+            service: origin.service.clone(),
+            software: origin.software.clone(),
+            ..StreamOrigin::default()
+        });
+        StreamRecord {
+            origin: Some(StreamOrigin { stream, ..origin }),
+            expires_ms,
+        }
+    });
+    records.collect()
+}
+
+fn restored_streams(records: Vec<StreamRecord>) -> OriginTable<u64> {
+    let mut streams = OriginTable::default();
+    for record in records {
+        let item = record.origin.unwrap_or_default();
+        let origin = (!item.service.is_empty()).then(|| ServiceVersion {
+            service: Bytes::copy_from_slice(&item.service),
+            software: Bytes::copy_from_slice(&item.software),
+        });
+        streams.restore(item.stream, origin, record.expires_ms);
+    }
+    streams
+}
+
+fn software_records(software: &BTreeMap<Bytes, BTreeSet<Bytes>>) -> Vec<PutSoftware> {
+    let records = software.iter().map(|(service, versions)| PutSoftware {
+        service: service.clone(),
+        versions: versions.iter().cloned().collect(),
+    });
+    records.collect()
+}
+
 fn endpoint_record(record: &EndpointRecord) -> wire::EndpointRecord {
     wire::EndpointRecord {
         item: Some(record.item.clone()),
--- a/crates/control/src/state_summary.rs
+++ b/crates/control/src/state_summary.rs
@@ -100,7 +100,8 @@
 pub fn is_audited(command: &LogCommand) -> bool {
     !matches!(
         command.body,
-        Some(Body::GrantBlock(_) | Body::PutClaim(_) | Body::PutOutcome(_)) | None
+        Some(Body::GrantBlock(_) | Body::PutClaim(_) | Body::PutOutcome(_) | Body::PutStreams(_))
+            | None
     )
 }
 
@@ -122,6 +123,8 @@
         Some(Body::DropMember(_)) => "drop member",
         Some(Body::WishMember(_)) => "wish member",
         Some(Body::PutServing(_)) => "put serving",
+        Some(Body::PutStreams(_)) => "put streams",
+        Some(Body::PutSoftware(_)) => "put software",
         None => "nothing",
     }
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -8,10 +8,12 @@
 use mulberrywell_policy::{chain_hashes, stable_hash};
 use mulberrywell_role::{HttpRequest, MetricKind, RequestId, RoleAction};
 use mulberrywell_serving::KeyOwner;
-use mulberrywell_wire::serving::{ServingAccount, ServingRoute};
+use mulberrywell_wire::serving::{RepeatRule, ServingAccount, ServingRoute};
 
 use crate::call_codec::{CallCodec, CallTerms, RefusalReason};
-use crate::call_table::{CallRecord, CallStage, PendingResponse, RouteTerms, RunState};
+use crate::call_table::{
+    CallRecord, CallStage, PendingResponse, RouteTerms, RunState, StreamVersion,
+};
 use crate::endpoint_choice::split_service;
 use crate::event_splitter::EventSplitter;
 use crate::gateway_metrics as metrics;
@@ -74,7 +76,8 @@
             KeyOwner::Account(account) => Some(account),
             KeyOwner::Unknown => return Err(RefusalReason::WrongKey),
         };
-        let hash = stable_hash(&[&terms.id]);
+        // A stream that is taken up goes to the service that began it.
+        let hash = stable_hash(&[terms.resumes.as_ref().unwrap_or(&terms.id)]);
         let service = split_service(&route.shares, hash).ok_or(RefusalReason::NoRoute)?;
         let has_rate = account.is_some_and(|account| account.rate > 0);
         let call = CallRecord {
@@ -93,7 +96,9 @@
             ran: RunState::No,
             attempts: 0,
             tried: Vec::new(),
+            version_bound: initial_bound(route, &terms),
             endpoint: bytes::Bytes::new(),
+            endpoint_software: bytes::Bytes::new(),
             endpoint_born_ms: 0,
             is_limited: false,
             attempt_started: None,
@@ -238,6 +243,17 @@
     found.map(|(_, delay)| *delay)
 }
 
+/// Returns the version at which a new call may run. One that takes a stream up may hold
+/// events already.
+fn initial_bound(route: &ServingRoute, terms: &CallTerms) -> StreamVersion {
+    let is_stream = route.repeat() == RepeatRule::Stream;
+    if is_stream && (terms.last_event.is_some() || terms.resumes.is_some()) {
+        StreamVersion::Unresolved
+    } else {
+        StreamVersion::Any
+    }
+}
+
 fn prompt_chain(terms: &CallTerms) -> Vec<u64> {
     let Some(model) = &terms.model else {
         return Vec::new();
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -90,6 +90,9 @@
         let Some(left) = self.check_attempt(now, request, actions) else {
             return;
         };
+        if !self.resolve_version(now, request, actions) {
+            return;
+        }
         let endpoint = self.choose_permitted(now, request);
         let Some(call) = self.calls.get(request) else {
             return;
@@ -150,9 +153,11 @@
             return;
         };
         let model = call.terms.model.as_ref();
-        let permit = self
-            .endpoints
-            .next_permit(now, &call.service, model, &call.tried);
+        if call.needs().software.is_some() && !self.endpoints.serves_version(call.needs()) {
+            self.end_unserved(now, request, RefusalReason::VersionGone, actions);
+            return;
+        }
+        let permit = self.endpoints.next_permit(now, call.needs());
         if permit.is_some_and(|at| at > call.started + PERMIT_WAIT_MAX) {
             if let Some(model) = model.cloned() {
                 let service = call.service.clone();
@@ -189,6 +194,7 @@
         actions: &mut Actions,
     ) {
         let is_limited = self.endpoints.rate_limit(endpoint).is_some();
+        let software = self.endpoints.software(endpoint).cloned();
         let exchange = self.calls.begin_exchange(request);
         let (Some(call), Some(usage)) = (
             self.calls.get_mut(request),
@@ -218,6 +224,7 @@
         call.first_forwarded = call.first_forwarded.or(Some(now));
         call.endpoint = endpoint.clone();
         call.endpoint_born_ms = usage.born_ms();
+        call.endpoint_software = software.unwrap_or_default();
         call.is_limited = is_limited;
         call.attempt_started = Some(now);
         call.response = PendingResponse::default();
@@ -351,7 +358,10 @@
             (RunState::No, RefusalReason::TimedOut) if !is_running => RefusalReason::TooLate,
             (
                 RunState::Maybe,
-                RefusalReason::NoEndpoint | RefusalReason::AtLimit | RefusalReason::Quarantined,
+                RefusalReason::NoEndpoint
+                | RefusalReason::AtLimit
+                | RefusalReason::VersionGone
+                | RefusalReason::Quarantined,
             ) => RefusalReason::Broken,
             (RunState::Maybe, RefusalReason::TooLate) => RefusalReason::TimedOut,
             (_, reason) => reason,
@@ -359,11 +369,8 @@
         let awaits_model = call.terms.model.is_some() && call.first_forwarded.is_none();
         let opening = self.endpoints.next_opening(now, &call.service);
         let opening = opening.filter(|_| call.terms.model.is_none());
-        let model = call.terms.model.as_ref();
-        let permit = self
-            .endpoints
-            .next_permit(now, &call.service, model, &call.tried)
-            .filter(|_| reason == RefusalReason::AtLimit);
+        let permit = self.endpoints.next_permit(now, call.needs());
+        let permit = permit.filter(|_| reason == RefusalReason::AtLimit);
         let retry_after = match opening {
             _ if permit.is_some() => permit
                 .map_or(ENDPOINT_RETRY, |at| at.saturating_duration_since(now))
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -40,6 +40,9 @@
     pub key: Option<Bytes>,
     /// Id of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream that the caller
+    /// takes up.
+    pub resumes: Option<Bytes>,
     /// Set for a request to a model engine.
     pub model: Option<ModelTerms>,
     /// Token counts, if the request states them.
@@ -105,6 +108,12 @@
     NoEndpoint,
     /// The endpoints that could run the request are at their limits; it has not run.
     AtLimit,
+    /// Nothing tells which software version began the stream that the caller takes up;
+    /// the request has not run.
+    OriginUnknown,
+    /// No endpoint of the software version that began the stream could go on with it; the
+    /// request has not run.
+    VersionGone,
     /// Endpoints crashed under a part of the request's prompt; it has not run.
     Quarantined,
     /// The deadline passed before the request was forwarded; it has not run.
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -13,6 +13,7 @@
 use mulberrywell_wire::serving::{RepeatRule, ServingRoute};
 
 use crate::call_codec::CallTerms;
+use crate::endpoint_table::EndpointNeeds;
 use crate::event_splitter::EventSplitter;
 
 /// Statuses of success.
@@ -60,6 +61,17 @@
     Running(ExchangeId),
 }
 
+/// The software version at which a call's stream may go on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamVersion {
+    /// Any: the stream has not begun.
+    Any,
+    /// The caller takes up a stream whose version isn't known yet.
+    Unresolved,
+    /// The one that began the stream.
+    Bound(Bytes),
+}
+
 /// Whether an endpoint may have run a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
@@ -147,10 +159,14 @@
     pub attempts: u32,
     /// Endpoints excluded from further attempts.
     pub tried: Vec<EndpointId>,
+    /// Version at which the stream may go on.
+    pub version_bound: StreamVersion,
     /// Endpoint of the current attempt.
     pub endpoint: EndpointId,
     /// Start of that endpoint's process.
     pub endpoint_born_ms: u64,
+    /// Software version of that endpoint.
+    pub endpoint_software: Bytes,
     /// The endpoint of the current attempt had a limit when the call was forwarded.
     pub is_limited: bool,
     /// When the current attempt was forwarded.
@@ -203,6 +219,19 @@
         &parts[..parts.len().saturating_sub(1)]
     }
 
+    /// Returns what an endpoint must have for the next attempt.
+    pub fn needs(&self) -> EndpointNeeds<'_> {
+        EndpointNeeds {
+            service: &self.service,
+            model: self.terms.model.as_ref(),
+            software: match &self.version_bound {
+                StreamVersion::Bound(software) => Some(software),
+                StreamVersion::Any | StreamVersion::Unresolved => None,
+            },
+            tried: &self.tried,
+        }
+    }
+
     /// Returns whether a further attempt can continue the response that the caller
     /// has received so far.
     pub fn can_continue(&self) -> bool {
@@ -303,8 +332,9 @@
         }
     }
 
-    /// Takes a call from those waiting for an endpoint, as it waits for a permit of one.
-    pub fn wait_for_permit(&mut self, request: RequestId) {
+    /// Takes a call from those waiting for an endpoint, as it waits for an answer of
+    /// control.
+    pub fn park(&mut self, request: RequestId) {
         self.waiting.remove(&request);
         if let Some(call) = self.calls.get_mut(&request) {
             call.stage = CallStage::Waiting;
--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -139,7 +139,7 @@
         let model = call.terms.model.as_ref();
         let line = format!(
             "request id={} route={} account={account} units={} output={} model={} adapter={} \
-             version={} endpoint={} attempts={} ran={:?} wait_ms={wait} first_ms={first} pause_ms={} \
+             version={} endpoint={} software={} attempts={} ran={:?} wait_ms={wait} first_ms={first} pause_ms={} \
              spent_ms={} status={status} delimited={} event={} \
              outcome={outcome}",
             text(&call.terms.id),
@@ -150,6 +150,7 @@
             model.map(|model| text(&model.adapter)).unwrap_or_default(),
             call.version,
             text(&call.endpoint),
+            text(&call.endpoint_software),
             call.attempts,
             call.ran,
             millis(call.longest_gap),
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -116,6 +116,11 @@
         self.open.iter().copied()
     }
 
+    /// Returns the number of control instances that are known, linked or not.
+    pub fn instance_count(&self) -> usize {
+        self.wanted.len()
+    }
+
     /// Returns the primary link.
     pub fn primary_link(&self) -> Option<LinkId> {
         self.primary
--- a/crates/gateway/src/endpoint_choice.rs
+++ b/crates/gateway/src/endpoint_choice.rs
@@ -44,17 +44,11 @@
     view: ChoiceView<'_>,
     call: &CallRecord,
 ) -> Option<EndpointId> {
-    let untried = |status: &EndpointStatus| !call.tried.contains(&status.id);
-    if let Some(model) = &call.terms.model {
-        let resident = view
-            .endpoints
-            .endpoints_with_model(now, &call.service, model);
-        let candidates: Vec<Candidate<'_>> =
-            resident.filter(|(status, _)| untried(status)).collect();
+    let candidates = view.endpoints.candidates(now, call.needs());
+    if call.terms.model.is_some() {
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
         return choose_engine(now, view, call, &candidates);
     }
-    let ready = view.endpoints.ready_endpoints(now, &call.service);
-    let candidates = ready.filter(|(status, _)| untried(status));
     let best = candidates.min_by_key(|(status, usage)| {
         let slots = status.slots.div_ceil(view.entries.max(1)).max(1);
         (
--- a/crates/gateway/src/endpoint_permits.rs
+++ b/crates/gateway/src/endpoint_permits.rs
@@ -240,7 +240,7 @@
             self.forward_call(now, request, endpoint, left, actions);
             return;
         }
-        self.calls.wait_for_permit(request);
+        self.calls.park(request);
         self.permits.push(&start, PermitWaiter::Call(request));
         self.request_permits(now, &start);
     }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -21,6 +21,19 @@
 /// Maximum back-off.
 const BACKOFF_MAX: Duration = Duration::from_secs(8);
 
+/// What an endpoint must have for an attempt of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct EndpointNeeds<'a> {
+    /// The service.
+    pub service: &'a Bytes,
+    /// Set for a model engine, which must have it resident.
+    pub model: Option<&'a ModelTerms>,
+    /// Version of its software; none if any will do.
+    pub software: Option<&'a Bytes>,
+    /// Endpoints that are excluded.
+    pub tried: &'a [EndpointId],
+}
+
 /// Load and failure state of an endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointUsage {
@@ -173,17 +186,53 @@
         });
     }
 
-    /// Returns the endpoints of a service that accept requests now.
-    pub fn ready_endpoints<'a>(
+    /// Returns the endpoints that have what is needed and accept requests now.
+    pub fn candidates<'a>(
+        &'a self,
+        now: Instant,
+        needs: EndpointNeeds<'a>,
+    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
+        self.fitting(now, needs)
+            .filter(move |(status, usage)| denied_until(now, status, usage).is_none())
+    }
+
+    /// Returns the endpoints that have what is needed and accept requests now, apart from
+    /// their limits.
+    fn fitting<'a>(
         &'a self,
         now: Instant,
+        needs: EndpointNeeds<'a>,
+    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
+        self.listed(needs.service).filter(move |(status, usage)| {
+            let holds_model = |model| holds_model(status, usage, model);
+            accepts_requests(now, status, usage)
+                && needs.model.is_none_or(holds_model)
+                && needs.software.is_none_or(|it| status.software == *it)
+                && !needs.tried.contains(&status.id)
+        })
+    }
+
+    /// Returns whether an endpoint of a software version serves a model, or could soon:
+    /// it has the base model, whatever else it lacks now.
+    pub fn serves_version(&self, needs: EndpointNeeds<'_>) -> bool {
+        let mut listed = self.listed(needs.service);
+        listed.any(|(status, _)| {
+            let holds_base = |model: &ModelTerms| {
+                let mut models = status.models.iter();
+                models.any(|held| held.name == model.model)
+            };
+            is_ready(status)
+                && needs.model.is_none_or(holds_base)
+                && needs.software.is_none_or(|it| status.software == *it)
+        })
+    }
+
+    fn listed<'a>(
+        &'a self,
         service: &Bytes,
     ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
         let ids = self.services.get(service).into_iter().flatten();
-        let listed = ids.filter_map(|id| Some((self.registry.get(id)?, self.usages.get(id)?)));
-        listed.filter(move |(status, usage)| {
-            accepts_requests(now, status, usage) && denied_until(now, status, usage).is_none()
-        })
+        ids.filter_map(|id| Some((self.registry.get(id)?, self.usages.get(id)?)))
     }
 
     /// Returns whether a start of an endpoint accepts requests now, apart from its limit.
@@ -197,25 +246,19 @@
         }
     }
 
-    /// Returns when the first permit is to be had for an endpoint that could run a call
+    /// Returns when the first permit is to be had for an endpoint that has what is needed
     /// and has none left now.
-    pub fn next_permit(
-        &self,
-        now: Instant,
-        service: &Bytes,
-        model: Option<&ModelTerms>,
-        tried: &[EndpointId],
-    ) -> Option<Instant> {
-        let ids = self.services.get(service).into_iter().flatten();
-        let listed = ids.filter_map(|id| Some((self.registry.get(id)?, self.usages.get(id)?)));
-        let usable = listed.filter(|(status, usage)| {
-            let is_resident = model.is_none_or(|model| holds_model(status, usage, model));
-            is_resident && accepts_requests(now, status, usage) && !tried.contains(&status.id)
-        });
-        let denied = usable.filter_map(|(status, usage)| denied_until(now, status, usage));
+    pub fn next_permit(&self, now: Instant, needs: EndpointNeeds<'_>) -> Option<Instant> {
+        let fitting = self.fitting(now, needs);
+        let denied = fitting.filter_map(|(status, usage)| denied_until(now, status, usage));
         denied.min()
     }
 
+    /// Returns the software version of an endpoint.
+    pub fn software(&self, id: &EndpointId) -> Option<&Bytes> {
+        Some(&self.registry.get(id)?.software)
+    }
+
     /// Records a limit that an endpoint named in a response; returns whether it is new.
     pub fn record_limit(&mut self, endpoint: &LimitedEndpoint) -> bool {
         self.registry.record_limit(endpoint)
@@ -241,17 +284,6 @@
         })
     }
 
-    /// Returns the endpoints of a service that have a model resident.
-    pub fn endpoints_with_model<'a>(
-        &'a self,
-        now: Instant,
-        service: &Bytes,
-        model: &'a ModelTerms,
-    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
-        self.ready_endpoints(now, service)
-            .filter(|(status, usage)| holds_model(status, usage, model))
-    }
-
     /// Returns when the first endpoint of a service that is closed for a time, and
     /// otherwise ready, is open again.
     pub fn next_opening(&self, now: Instant, service: &Bytes) -> Option<Instant> {
@@ -316,8 +348,11 @@
 }
 
 fn accepts_requests(now: Instant, status: &EndpointStatus, usage: &EndpointUsage) -> bool {
-    let is_ready = status.phase() == EndpointPhase::Ready && !status.leaving;
-    is_ready && usage.address.is_some() && usage.is_open(now)
+    is_ready(status) && usage.address.is_some() && usage.is_open(now)
+}
+
+fn is_ready(status: &EndpointStatus) -> bool {
+    status.phase() == EndpointPhase::Ready && !status.leaving
 }
 
 /// Returns until when no permit for an endpoint is to be had; none if one may be, or if
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -30,7 +30,7 @@
 pub const IN_WORK: &str = "gateway.in_work";
 
 /// Outcome and metric name of each refusal reason.
-const REFUSED: [(RefusalReason, &str, &str); 12] = [
+const REFUSED: [(RefusalReason, &str, &str); 14] = [
     (
         RefusalReason::Malformed,
         "malformed",
@@ -71,6 +71,16 @@
         "at_limit",
         "gateway.refused.at_limit",
     ),
+    (
+        RefusalReason::OriginUnknown,
+        "origin_unknown",
+        "gateway.refused.origin_unknown",
+    ),
+    (
+        RefusalReason::VersionGone,
+        "version_gone",
+        "gateway.refused.version_gone",
+    ),
     (
         RefusalReason::TooLate,
         "too_late",
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -28,6 +28,7 @@
 use crate::gateway_metrics as metrics;
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
+use crate::stream_origins::StreamOrigins;
 
 /// Listener for callers.
 pub const CALLER_LISTENER: ListenerId = 0;
@@ -101,6 +102,7 @@
     pub(crate) prompts: PromptGuard,
     pub(crate) probes: EndpointProbes,
     pub(crate) permits: EndpointPermits,
+    pub(crate) streams: StreamOrigins,
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
@@ -130,6 +132,7 @@
             prompts: PromptGuard::default(),
             probes: EndpointProbes::default(),
             permits: EndpointPermits::default(),
+            streams: StreamOrigins::new(now),
             rate_waits: VecDeque::new(),
             shutdown: ShutdownState::default(),
             last_handled: now,
@@ -180,6 +183,9 @@
                     }
                     self.confirm_waiting_calls(now, actions);
                 }
+                FrameBody::StreamAnswer(answer) => {
+                    self.handle_stream_answer(now, link, answer, actions);
+                }
                 FrameBody::PermitGrant(grant) => self.handle_permit_grant(now, &grant, actions),
                 FrameBody::PromptNotice(notice) => {
                     self.handle_prompt_notice(now, link, notice, actions);
@@ -202,6 +208,7 @@
             let body = FrameBody::PromptReport(report);
             self.commands.push(LinkCommand::Send { link, body });
         }
+        self.report_all_streams(now, link);
         self.choose_primary();
         self.rates.reset_reported();
     }
@@ -291,6 +298,7 @@
     fn handle_timer(&mut self, now: Instant, actions: &mut Actions) {
         self.handle_due_calls(now, actions);
         self.expire_permits(now, actions);
+        self.expire_lookups(now, actions);
         self.confirm_waiting_calls(now, actions);
         self.links.dial(now, &mut self.commands);
         if self.next_tick <= now {
@@ -359,6 +367,7 @@
         }
         self.report_rates(now);
         self.report_demand(now);
+        self.report_streams(now);
         self.report_prompts(now, false, actions);
         actions.extend(self.commands.drain(..).map(RoleAction::Link));
     }
@@ -371,6 +380,7 @@
             self.rates.deadline(),
             self.confirmation_deadline(),
             self.permits.deadline(),
+            self.streams.deadline(),
             waiting,
             self.shutdown_deadline(),
             Some(self.next_tick),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod response_flow;
 mod response_timing;
 mod shutdown;
+mod stream_origins;
 
 pub use call_codec::{
     CallCodec, CallTerms, ForwardTerms, ModelTerms, RefusalReason, ResponseTerms, TokenTerms,
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -188,6 +188,7 @@
                 send_head(request, head, None, actions);
             }
         }
+        self.bind_begun_stream(now, request);
         actions.push(RoleAction::Respond(request, ResponsePart::Data(events)));
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,7 +3,7 @@
 //! Purpose: control verifies a [`ServingConfig`](mulberrywell_wire::serving::ServingConfig)
 //! before it is put in force; gateways look up routes and keys in a
 //! [`ServingIndex`] of it. Both store the registered endpoints in an
-//! [`EndpointRegistry`].
+//! [`EndpointRegistry`], and the versions that began streams in an [`OriginTable`].
 //!
 //! Guarantees: the verifier reports every fault with the item that has it; the
 //! version of a [`ServingIndex`] never decreases; an older status of an endpoint
@@ -12,10 +12,12 @@
 
 mod config_verifier;
 mod endpoint_registry;
+mod origin_table;
 mod serving_index;
 
 pub use config_verifier::verify_config;
 pub use mulberrywell_settings::Finding;
 
 pub use endpoint_registry::{EndpointId, EndpointRegistry, MergeOutcome};
+pub use origin_table::{OriginTable, ServiceVersion, StreamKey, ORIGINS_MAX};
 pub use serving_index::{KeyOwner, RouteMatch, ServingIndex};
--- a/crates/wire/src/frame_sender.rs
+++ b/crates/wire/src/frame_sender.rs
@@ -23,6 +23,8 @@
         | FrameBody::RateUse(_)
         | FrameBody::PromptReport(_)
         | FrameBody::PermitRequest(_)
+        | FrameBody::StreamReport(_)
+        | FrameBody::StreamQuery(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
         FrameBody::AttemptHead(_)
         | FrameBody::AttemptPart(_)
@@ -46,7 +48,8 @@
         | FrameBody::ServingReply(_)
         | FrameBody::RateTotals(_)
         | FrameBody::PromptNotice(_)
-        | FrameBody::PermitGrant(_) => Some(PeerRole::Control),
+        | FrameBody::PermitGrant(_)
+        | FrameBody::StreamAnswer(_) => Some(PeerRole::Control),
         _ => None,
     }
 }
