policy: what streams wait for is loaded at engines of their software version

A wanted model now may name the only software version of engines that will do. An adapter is loaded there, and a model too, in place of a spare one; a caller whose version lacks the model is refused at once and may find it when it comes back. awaited_at_version_loaded_there can't be compiled before; its first half is what the placement did.

--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -144,7 +144,8 @@
         }
         for awaited in &demand.wanted {
             let placement = self.placement(now, &awaited.service);
-            placement.record_awaited(now, awaited.model.clone(), awaited.adapter.clone());
+            let (model, adapter) = (awaited.model.clone(), awaited.adapter.clone());
+            placement.record_awaited(now, model, adapter, awaited.software.clone());
         }
         if !demand.wanted.is_empty() {
             self.plan_soon(now);
@@ -525,6 +526,7 @@
     });
     EngineReport {
         incarnation: status.born_ms,
+        software: status.software.clone(),
         is_usable: status.phase() == EndpointPhase::Ready && !status.silent && !status.leaving,
         models: models.collect(),
         in_memory: status.in_memory.iter().cloned().collect(),
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -226,6 +226,7 @@
         service: Bytes::from_static(b"s"),
         model,
         adapter: Bytes::from_static(b"a1"),
+        software: None,
     };
     let demand = ServingDemand {
         wanted: vec![wanted],
@@ -266,6 +267,7 @@
         service: Bytes::from_static(b"s"),
         model: model.clone(),
         adapter: Bytes::from(format!("a{number}")),
+        software: None,
     });
     let limit = EndpointLimit {
         milli_per_s,
@@ -349,6 +351,7 @@
         service: Bytes::from_static(b"s"),
         model: Bytes::from_static(model),
         adapter: Bytes::new(),
+        software: None,
     });
     let demand = ServingDemand {
         wanted: wanted.into(),
@@ -430,6 +433,7 @@
         service: Bytes::from_static(b"s"),
         model: model.clone(),
         adapter: Bytes::from(adapter.to_owned()),
+        software: None,
     };
     let demand = |cluster: &mut RoleCluster, idx: usize, number: usize| {
         let demand = ServingDemand {
@@ -641,6 +645,7 @@
             service: Bytes::from_static(b"s"),
             model,
             adapter: Bytes::from_static(b"a1"),
+            software: None,
         }],
         ..ServingDemand::default()
     };
@@ -669,6 +674,7 @@
             service: Bytes::from_static(b"s"),
             model: model.clone(),
             adapter: Bytes::from_static(adapter),
+            software: None,
         };
         let demand = ServingDemand {
             wanted: vec![wanted],
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -2,16 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use mulberrywell_policy::PromptPart;
 use mulberrywell_role::{
     ExchangeCommand, ExchangeEnd, HttpRequest, LogLevel, MetricKind, RequestId, RoleAction,
 };
 use mulberrywell_serving::EndpointId;
 
-use crate::call_codec::{CallCodec, ForwardTerms, ModelTerms, RefusalReason};
+use crate::call_codec::{CallCodec, ForwardTerms, RefusalReason};
 use crate::call_table::{CallRecord, CallStage, PendingResponse, RunState};
 use crate::caller_responses::text;
+use crate::demand_tracker::MissingModel;
 use crate::endpoint_choice::{choose_endpoint, ChoiceView};
 use crate::endpoint_permits::{PERMIT_RETRY_MIN, PERMIT_UNAVAILABLE_RETRY};
 use crate::gateway_metrics as metrics;
@@ -152,17 +152,15 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
-        let model = call.terms.model.as_ref();
         if call.needs().software.is_some() && !self.endpoints.serves_version(call.needs()) {
+            // The caller may find the model loaded when it comes back.
+            self.request_model(now, request);
             self.end_unserved(now, request, RefusalReason::VersionGone, actions);
             return;
         }
         let permit = self.endpoints.next_permit(now, call.needs());
         if permit.is_some_and(|at| at > call.started + PERMIT_WAIT_MAX) {
-            if let Some(model) = model.cloned() {
-                let service = call.service.clone();
-                self.request_model(now, service, model);
-            }
+            self.request_model(now, request);
             self.end_unserved(now, request, RefusalReason::AtLimit, actions);
             return;
         }
@@ -177,10 +175,7 @@
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return;
         }
-        if let Some(model) = call.terms.model.clone() {
-            let service = call.service.clone();
-            self.request_model(now, service, model);
-        }
+        self.request_model(now, request);
         self.calls.wait_for_endpoint(request);
     }
 
@@ -444,8 +439,20 @@
         }
     }
 
-    fn request_model(&mut self, now: Instant, service: Bytes, model: ModelTerms) {
-        self.demand.record_missing(now, service, model);
+    /// Reports the model that a call waits for, if it needs one.
+    fn request_model(&mut self, now: Instant, request: RequestId) {
+        let Some(call) = self.calls.get(request) else {
+            return;
+        };
+        let Some(model) = call.terms.model.clone() else {
+            return;
+        };
+        let missing = MissingModel {
+            service: call.service.clone(),
+            model,
+            software: call.needs().software.cloned(),
+        };
+        self.demand.record_missing(now, missing);
     }
 }
 
--- a/crates/gateway/src/demand_tracker.rs
+++ b/crates/gateway/src/demand_tracker.rs
@@ -24,11 +24,22 @@
 /// cleared. An entry is also removed once no call waits for it.
 const MISSING_MAX: usize = 1_024;
 
+/// A model that calls wait for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MissingModel {
+    /// The service.
+    pub service: Bytes,
+    /// The model, or an adapter of it.
+    pub model: ModelTerms,
+    /// The only software version of endpoints that will do; none if any does.
+    pub software: Option<Bytes>,
+}
+
 /// Demand observed by one instance.
 #[derive(Debug, Default)]
 pub struct DemandTracker {
     /// When each missing model was last reported; none when a report is due.
-    missing: BTreeMap<(Bytes, ModelTerms), Option<Instant>>,
+    missing: BTreeMap<MissingModel, Option<Instant>>,
     /// Requests since the last report.
     shares: BTreeMap<(Bytes, ModelTerms), u64>,
     /// When request counts were last reported.
@@ -41,11 +52,11 @@
 
 impl DemandTracker {
     /// Records that a call waits for a model.
-    pub fn record_missing(&mut self, now: Instant, service: Bytes, model: ModelTerms) {
+    pub fn record_missing(&mut self, now: Instant, missing: MissingModel) {
         if self.missing.len() >= MISSING_MAX {
             self.missing.clear();
         }
-        let reported = self.missing.entry((service, model)).or_insert(None);
+        let reported = self.missing.entry(missing).or_insert(None);
         if reported.is_some_and(|at| now.saturating_duration_since(at) >= REPEAT_INTERVAL) {
             *reported = None;
         }
@@ -86,13 +97,14 @@
     /// Returns the report that is due, if any.
     pub fn report(&mut self, now: Instant) -> Option<ServingDemand> {
         let mut wanted = Vec::new();
-        for ((service, model), reported) in &mut self.missing {
+        for (missing, reported) in &mut self.missing {
             if reported.is_none() {
                 *reported = Some(now);
                 wanted.push(WantedModel {
-                    service: service.clone(),
-                    model: model.model.clone(),
-                    adapter: model.adapter.clone(),
+                    service: missing.service.clone(),
+                    model: missing.model.model.clone(),
+                    adapter: missing.model.adapter.clone(),
+                    software: missing.software.clone(),
                 });
             }
         }
--- a/crates/policy/src/adapter_orders.rs
+++ b/crates/policy/src/adapter_orders.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use crate::demand_placement::DemandPlacement;
+use crate::demand_tracker::AwaitedModel;
 use crate::demand_types::{EngineInventory, OrderAnswer, OrderVerb, PlacementOrder};
-use crate::engine_state::{OpenOrder, SETTLE_TIME};
+use crate::engine_state::{EngineState, OpenOrder, SETTLE_TIME};
 use crate::placement_types::{EndpointName, ModelName};
 
 /// Time without use after which an adapter may be evicted.
@@ -36,25 +37,29 @@
         open_orders
     }
 
-    pub(crate) fn holds_adapter(&self, model: &ModelName, adapter: &ModelName) -> bool {
+    pub(crate) fn holds_adapter(&self, awaited: &AwaitedModel) -> bool {
         let mut engines = self.engines.values();
-        engines.any(|state| state.report.is_usable && state.will_hold_adapter(model, adapter))
+        engines.any(|state| {
+            state.report.is_usable
+                && has_version(state, awaited)
+                && state.will_hold_adapter(&awaited.model, &awaited.adapter)
+        })
     }
 
-    /// Issues the next order towards loading an adapter on one engine: its load, or
-    /// an unload that frees a place for it.
+    /// Issues the next order towards loading an awaited adapter on one engine: its load,
+    /// or an unload that frees a place for it.
     pub(crate) fn add_adapter(
         &mut self,
         now: Instant,
-        model: &ModelName,
-        adapter: &ModelName,
+        awaited: &AwaitedModel,
         orders: &mut Vec<PlacementOrder>,
     ) {
+        let AwaitedModel { model, adapter, .. } = awaited;
         let Some(size) = self.spec_of(model).map(|spec| spec.adapter_mb) else {
             return;
         };
         let holders = self.engines.iter().filter(|(_, state)| {
-            let held = state.report.models.contains_key(model);
+            let held = state.report.models.contains_key(model) && has_version(state, awaited);
             state.can_accept_order() && held && !state.is_unloading(model)
         });
         let with_capacity = holders.clone().filter(|(_, state)| {
@@ -94,3 +99,9 @@
         }
     }
 }
+
+/// Returns whether an engine's software version will do for callers.
+fn has_version(state: &EngineState, awaited: &AwaitedModel) -> bool {
+    let software = awaited.software.as_ref();
+    software.is_none_or(|software| state.report.software == *software)
+}
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -29,7 +29,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::demand_tracker::DemandTracker;
+use crate::demand_tracker::{AwaitedModel, DemandTracker};
 use crate::demand_types::{
     EngineInventory, EngineReport, EngineSpec, ModelSpec, OrderAnswer, OrderNumber, OrderVerb,
     PlacementChange, PlacementOrder,
@@ -39,7 +39,7 @@
     is_settled, EngineState, OpenOrder, INVENTORY_LAG, ORDER_LIFETIME, SETTLE_TIME,
 };
 use crate::load_pacer::{LoadPacer, PacerSettings};
-use crate::placement_types::{EndpointName, ModelName};
+use crate::placement_types::{EndpointName, ModelName, SoftwareName};
 
 /// Minimum ratio of the pressure of the model to load to that of the evicted model
 /// after the eviction.
@@ -192,9 +192,21 @@
             .retain(|endpoint, _| present.contains(endpoint));
     }
 
-    /// Records that callers wait for a model or an adapter.
-    pub fn record_awaited(&mut self, now: Instant, model: ModelName, adapter: ModelName) {
-        self.demand.record_awaited(now, model, adapter);
+    /// Records that callers wait for a model or an adapter; those that take up streams
+    /// wait for it at engines of one software version.
+    pub fn record_awaited(
+        &mut self,
+        now: Instant,
+        model: ModelName,
+        adapter: ModelName,
+        software: Option<SoftwareName>,
+    ) {
+        let awaited = AwaitedModel {
+            model,
+            adapter,
+            software,
+        };
+        self.demand.record_awaited(now, awaited);
     }
 
     /// Records requests for a model or an adapter.
@@ -216,11 +228,12 @@
         self.count_replicas();
         self.update_options(now, None);
         let mut orders = Vec::new();
-        for (model, adapter) in self.demand.awaited_by_rate(now) {
-            if self.replicas(&model) == 0 {
-                self.add_replica(now, &model, f64::MAX, &mut orders);
-            } else if !adapter.is_empty() && !self.holds_adapter(&model, &adapter) {
-                self.add_adapter(now, &model, &adapter, &mut orders);
+        for awaited in self.demand.awaited_by_rate(now) {
+            if !self.will_hold_model(&awaited) {
+                let software = awaited.software.as_ref();
+                self.add_replica(now, &awaited.model, software, f64::MAX, &mut orders);
+            } else if !awaited.adapter.is_empty() && !self.holds_adapter(&awaited) {
+                self.add_adapter(now, &awaited, &mut orders);
             }
         }
         self.relieve_pressure(now, &mut orders);
@@ -322,13 +335,26 @@
         }
     }
 
+    /// Returns whether an engine that will do holds an awaited model or was ordered to load
+    /// it.
+    fn will_hold_model(&self, awaited: &AwaitedModel) -> bool {
+        let Some(software) = &awaited.software else {
+            return self.replicas(&awaited.model) > 0;
+        };
+        let mut states = self.engines.values();
+        states.any(|state| {
+            let report = &state.report;
+            report.is_usable && report.software == *software && state.will_hold(&awaited.model)
+        })
+    }
+
     /// Adds one replica for each of the models with the highest pressures.
     fn relieve_pressure(&mut self, now: Instant, orders: &mut Vec<PlacementOrder>) {
         let mut pressures = self.model_pressures(now);
         pressures.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (pressure, model) in pressures.into_iter().take(RELIEVED_MODELS_MAX) {
             if pressure >= PRESSURE_MIN || self.replicas(&model) == 0 {
-                self.add_replica(now, &model, pressure, orders);
+                self.add_replica(now, &model, None, pressure, orders);
             }
         }
     }
@@ -357,11 +383,13 @@
     }
 
     /// Issues the next order towards a further replica of a model: its load, or an
-    /// unload that frees memory for it.
+    /// unload that frees memory for it; on an engine of a software version if one is
+    /// given.
     fn add_replica(
         &mut self,
         now: Instant,
         model: &ModelName,
+        software: Option<&SoftwareName>,
         pressure: f64,
         orders: &mut Vec<PlacementOrder>,
     ) {
@@ -376,7 +404,8 @@
                 continue;
             };
             let is_reserved = is_idle && state.has_reserved_memory(now);
-            if is_reserved || state.will_hold(model) {
+            let will_do = software.is_none_or(|it| state.report.software == *it);
+            if is_reserved || !will_do || state.will_hold(model) {
                 continue;
             }
             let victim = match is_unheld {
--- a/crates/policy/src/demand_tracker.rs
+++ b/crates/policy/src/demand_tracker.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::placement_types::ModelName;
+use crate::placement_types::{ModelName, SoftwareName};
 
 /// Time constant of the request rate average.
 const DEMAND_TIME: Duration = Duration::from_secs(2);
@@ -20,6 +20,16 @@
 /// A model and an adapter of it; the adapter is empty for the model itself.
 pub(crate) type AdapterKey = (ModelName, ModelName);
 
+/// What callers wait for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct AwaitedModel {
+    pub(crate) model: ModelName,
+    /// Empty for the model itself.
+    pub(crate) adapter: ModelName,
+    /// The only software version of engines that will do; none if any does.
+    pub(crate) software: Option<SoftwareName>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct DemandRate {
     /// Requests per second.
@@ -34,13 +44,13 @@
     /// When each adapter was last used.
     uses: BTreeMap<AdapterKey, Instant>,
     /// When callers were last reported to wait.
-    awaited: BTreeMap<AdapterKey, Instant>,
+    awaited: BTreeMap<AwaitedModel, Instant>,
 }
 
 impl DemandTracker {
     /// Records that callers wait for a model or an adapter.
-    pub(crate) fn record_awaited(&mut self, now: Instant, model: ModelName, adapter: ModelName) {
-        self.awaited.insert((model, adapter), now);
+    pub(crate) fn record_awaited(&mut self, now: Instant, awaited: AwaitedModel) {
+        self.awaited.insert(awaited, now);
     }
 
     /// Records requests for a model or an adapter.
@@ -81,13 +91,16 @@
 
     /// Returns whether callers wait for a model or one of its adapters.
     pub(crate) fn is_awaited(&self, model: &ModelName) -> bool {
-        self.awaited.keys().any(|(name, _)| name == model)
+        self.awaited.keys().any(|awaited| awaited.model == *model)
     }
 
     /// Returns what callers wait for, models with the highest request rate first.
-    pub(crate) fn awaited_by_rate(&self, now: Instant) -> Vec<AdapterKey> {
-        let mut keys: Vec<AdapterKey> = self.awaited.keys().cloned().collect();
-        keys.sort_by(|a, b| self.rate(now, &b.0).total_cmp(&self.rate(now, &a.0)));
+    pub(crate) fn awaited_by_rate(&self, now: Instant) -> Vec<AwaitedModel> {
+        let mut keys: Vec<AwaitedModel> = self.awaited.keys().cloned().collect();
+        keys.sort_by(|a, b| {
+            self.rate(now, &b.model)
+                .total_cmp(&self.rate(now, &a.model))
+        });
         keys
     }
 }
--- a/crates/policy/src/demand_types.rs
+++ b/crates/policy/src/demand_types.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::placement_types::{EndpointName, ModelName};
+use crate::placement_types::{EndpointName, ModelName, SoftwareName};
 
 /// Identifies an order within one run of a leader.
 pub type OrderNumber = u64;
@@ -37,6 +37,8 @@
 pub struct EngineReport {
     /// Identifies one run of the engine; changes when it restarts.
     pub incarnation: u64,
+    /// Version of its software.
+    pub software: SoftwareName,
     /// The engine accepts requests and its heartbeats arrive.
     pub is_usable: bool,
     /// Adapters by model.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,7 +41,8 @@
 pub use placement_types::{
     DecisionKind, DecisionReason, DemandEstimate, EndpointName, EndpointReport, EndpointTarget,
     ModelName, ModelPlacement, ModelResidence, PlacementDecision, PlacementEndpoint,
-    PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, TargetEntry,
+    PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, SoftwareName,
+    TargetEntry,
 };
 pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart};
 pub use response_times::{events_time, DurationEstimate, RecentMaximum, ResponseTimes};
--- a/crates/policy/src/placement_types.rs
+++ b/crates/policy/src/placement_types.rs
@@ -2,6 +2,9 @@
 
 use bytes::Bytes;
 
+/// Version of an endpoint's software.
+pub type SoftwareName = Bytes;
+
 /// Name of a model or an adapter.
 pub type ModelName = Bytes;
 
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -108,7 +108,7 @@
     let mut placement = placement(start);
     let now = start + LATER;
     handle_report(&mut placement, now, &name("e"), report(&[("a", &[])]));
-    placement.record_awaited(now, name("b"), Bytes::new());
+    placement.record_awaited(now, name("b"), Bytes::new(), None);
     let orders = placement.plan(now);
     assert_eq!(format_orders(&orders), ["load e b"]);
     assert!(
@@ -129,7 +129,7 @@
     );
     let now = start + LATER;
     placement.record_requests(now, &name("a"), &Bytes::new(), 5);
-    placement.record_awaited(now, name("c"), Bytes::new());
+    placement.record_awaited(now, name("c"), Bytes::new(), None);
     let orders = placement.plan(now);
     assert_eq!(format_orders(&orders), ["unload e b"]);
     placement.handle_answer(now, &name("e"), orders[0].number, OrderAnswer::Accepted);
@@ -150,12 +150,12 @@
     let mut now = start + LATER;
     let engine = name("e");
     handle_report(&mut placement, now, &engine, report(&[("a", &[])]));
-    placement.record_awaited(now, name("b"), Bytes::new());
+    placement.record_awaited(now, name("b"), Bytes::new(), None);
     let orders = placement.plan(now);
     assert_eq!(orders[0].expected, 7);
     placement.handle_answer(now, &engine, orders[0].number, answer);
     now += Duration::from_millis(200);
-    placement.record_awaited(now, name("c"), Bytes::new());
+    placement.record_awaited(now, name("c"), Bytes::new(), None);
     assert!(placement.plan(now).is_empty());
     assert!(
         placement.inventories_due(now).is_empty(),
@@ -182,7 +182,7 @@
     };
     assert!(placement.handle_inventory(now, &engine, Some(&inventory)));
     now += Duration::from_secs(5);
-    placement.record_awaited(now, name("c"), Bytes::new());
+    placement.record_awaited(now, name("c"), Bytes::new(), None);
     let orders = placement.plan(now);
     assert_eq!(orders[0].expected, 8);
     assert_eq!(orders[0].verb, OrderVerb::Unload);
@@ -245,7 +245,7 @@
         }
         handle_report(&mut placement, now, &name(engine), engine_report);
     }
-    placement.record_awaited(now, name("b"), Bytes::new());
+    placement.record_awaited(now, name("b"), Bytes::new(), None);
     let orders = format_orders(&placement.plan(now));
     assert_eq!(orders.first().map(String::as_str), Some("load f b"));
 }
@@ -257,7 +257,7 @@
     let engine = name("e");
     let mut placement = two_engines(start, now, &[("a", &["x"])]);
     for adapter in ["y", "z"] {
-        placement.record_awaited(now, name("a"), name(adapter));
+        placement.record_awaited(now, name("a"), name(adapter), None);
     }
     let orders = placement.plan(now);
     assert_eq!(
@@ -286,7 +286,7 @@
     let now = start + LATER;
     let engine = name("e");
     let mut placement = two_engines(start, now, &[("a", &["x"])]);
-    placement.record_awaited(now, name("a"), name("y"));
+    placement.record_awaited(now, name("a"), name("y"), None);
     let orders = placement.plan(now);
     placement.handle_answer(now, &engine, orders[0].number, OrderAnswer::Accepted);
     handle_report(&mut placement, now, &engine, report(&[("a", &["x", "y"])]));
@@ -295,7 +295,7 @@
     for adapter in ["x", "y"] {
         placement.record_requests(now, &name("a"), &name(adapter), 1);
     }
-    placement.record_awaited(now, name("a"), name("z"));
+    placement.record_awaited(now, name("a"), name("z"), None);
     assert!(
         placement.plan(now).is_empty(),
         "load ordered while both places are in use"
@@ -317,14 +317,14 @@
     now += LATER;
     placement.handle_report(now, &engine, report(held));
     placement.handle_report(now, &engine, stale);
-    placement.record_awaited(now, name("a"), name("z"));
-    placement.record_awaited(now, name("c"), Bytes::new());
+    placement.record_awaited(now, name("a"), name("z"), None);
+    placement.record_awaited(now, name("c"), Bytes::new(), None);
     assert!(
         placement.plan(now).is_empty(),
         "ordered on a report that lacks what the engine holds"
     );
     now += Duration::from_millis(500);
-    placement.record_awaited(now, name("c"), Bytes::new());
+    placement.record_awaited(now, name("c"), Bytes::new(), None);
     assert!(placement.plan(now).is_empty());
     assert_eq!(
         placement.inventories_due(now),
@@ -338,7 +338,7 @@
     assert!(placement.handle_inventory(now, &engine, Some(&inventory)));
     now += LATER;
     placement.handle_report(now, &engine, report(held));
-    placement.record_awaited(now, name("c"), Bytes::new());
+    placement.record_awaited(now, name("c"), Bytes::new(), None);
     let orders = placement.plan(now);
     assert_eq!(orders[0].verb, OrderVerb::Unload);
     assert_eq!(orders[0].expected, 9);
@@ -351,11 +351,11 @@
     let mut placement = two_engines(start, now, &[("a", &["x", "y"])]);
     placement.record_requests(now, &name("a"), &name("x"), 1);
     placement.record_requests(now, &name("a"), &name("y"), 1);
-    placement.record_awaited(now, name("a"), name("z"));
+    placement.record_awaited(now, name("a"), name("z"), None);
     assert!(placement.plan(now).is_empty());
     let later = now + Duration::from_secs(2);
     placement.record_requests(later, &name("a"), &name("y"), 1);
-    placement.record_awaited(later, name("a"), name("z"));
+    placement.record_awaited(later, name("a"), name("z"), None);
     assert_eq!(format_orders(&placement.plan(later)), ["unload e a x"]);
 }
 
@@ -405,7 +405,7 @@
     placement.record_requests(now, &name("b"), &Bytes::new(), 1);
     placement.record_requests(now, &name("c"), &Bytes::new(), 9);
     for model in ["b", "c"] {
-        placement.record_awaited(now, name(model), Bytes::new());
+        placement.record_awaited(now, name(model), Bytes::new(), None);
     }
     let orders = format_orders(&placement.plan(now));
     assert_eq!(orders.first().map(String::as_str), Some("load e c"));
@@ -497,7 +497,40 @@
     placement.record_requests(now, &name("b"), &Bytes::new(), 9);
     placement.record_requests(now, &name("c"), &Bytes::new(), 1);
     if let Some(awaited) = awaited {
-        placement.record_awaited(now, name(awaited), Bytes::new());
+        placement.record_awaited(now, name(awaited), Bytes::new(), None);
     }
     assert_eq!(format_orders(&placement.plan(now)), expected);
 }
+
+/// Guards against streams that can't go on at their software version because their
+/// adapter, or their model, is loaded at engines of another version only.
+#[rstest]
+#[case::adapter("x", "load e2 a x")]
+#[case::model_in_place_of_spare("", "unload e2 c")]
+fn awaited_at_version_loaded_there(#[case] adapter: &str, #[case] expected: &str) {
+    let now = Instant::now();
+    let mut placement = placement(now);
+    let older: &[(&str, &[&str])] = if adapter.is_empty() {
+        &[("b", &[]), ("c", &[])]
+    } else {
+        &[("a", &[]), ("b", &[])]
+    };
+    let engines = [
+        ("e1", "v2", report(&[("a", &["x"]), ("c", &[])])),
+        ("e2", "v1", report(older)),
+    ];
+    for (endpoint, software, engine_report) in engines {
+        let engine_report = EngineReport {
+            software: name(software),
+            ..engine_report
+        };
+        handle_report(&mut placement, now, &name(endpoint), engine_report);
+    }
+    let later = now + Duration::from_secs(5);
+    placement.record_awaited(later, name("a"), name(adapter), None);
+    let orders = format_orders(&placement.plan(later));
+    assert!(orders.is_empty(), "any version holds it: {orders:?}");
+    placement.record_awaited(later, name("a"), name(adapter), Some(name("v1")));
+    let orders = format_orders(&placement.plan(later));
+    assert_eq!(orders, [expected]);
+}
--- a/crates/policy/tests/fleet_placement.rs
+++ b/crates/policy/tests/fleet_placement.rs
@@ -184,7 +184,8 @@
             for model in missing {
                 self.placement
                     .record_requests(self.now, &model, &Bytes::new(), 1);
-                self.placement.record_awaited(self.now, model, Bytes::new());
+                self.placement
+                    .record_awaited(self.now, model, Bytes::new(), None);
             }
             let orders = self.placement.plan(self.now);
             self.accept_orders(orders);
@@ -274,7 +275,7 @@
         for idx in models / 2..models {
             fleet
                 .placement
-                .record_awaited(fleet.now, model_name(idx), Bytes::new());
+                .record_awaited(fleet.now, model_name(idx), Bytes::new(), None);
         }
         let started = Instant::now();
         let orders = fleet.placement.plan(fleet.now);
