policy: a model of a crashed engine is loaded anew at its software version at once

Gateways report endpoints that refuse connections; for streams of one version placement doesn't rely on such an engine. Other callers are placed as before. awaited_at_version_of_refusing_engine failed to unload for it before.

--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use mulberrywell_limit::EndpointStart;
 use mulberrywell_policy::{
     store_burst, DemandPlacement, EngineInventory, EngineReport, EngineSpec, ModelSpec,
     OrderAnswer, OrderNumber, OrderVerb, PacerSettings, PlacementChange, PlacementOrder,
@@ -51,6 +52,10 @@
 /// Time for which an order waits for its engine's limit before it counts as refused.
 const DEFER_MAX: Duration = Duration::from_secs(3);
 
+/// Time for which an engine that refused a connection counts as refusing; its heartbeats
+/// count as missing by then.
+const REFUSING_LIFETIME: Duration = Duration::from_secs(5);
+
 /// Maximum number of concurrent adapter loads.
 const ADAPTER_LOADS_MAX: u32 = 24;
 
@@ -103,6 +108,8 @@
     deferred: VecDeque<DeferredOrder>,
     /// Orders without an answer, with the time at which they were sent.
     sent: Vec<(Instant, EngineOrder)>,
+    /// Engines that refused connections, and when entries last reported it.
+    refusing: BTreeMap<EndpointStart, Instant>,
 }
 
 impl OrderDispatcher {
@@ -138,6 +145,10 @@
         if self.orders_allowed_from.is_none() {
             return;
         }
+        for start in &demand.refusing {
+            let start = (start.id.clone(), start.born_ms);
+            self.refusing.insert(start, now);
+        }
         for share in &demand.shares {
             let placement = self.placement(now, &share.service);
             placement.record_requests(now, &share.model, &share.adapter, share.requests);
@@ -180,6 +191,9 @@
         }
         self.next_plan = Some(now + PLAN_INTERVAL);
         self.last_plan = Some(now);
+        self.refusing
+            .retain(|_, at| now.saturating_duration_since(*at) < REFUSING_LIFETIME);
+        let refusing = std::mem::take(&mut self.refusing);
         let mut orders = Vec::new();
         for service in &config.services {
             let Some(traits) = &service.engine else {
@@ -187,10 +201,11 @@
             };
             let placement = self.placement(now, &service.name);
             placement.set_spec(engine_spec(traits), pacer_settings(traits));
-            update_engines(now, placement, &service.name, endpoints);
+            update_engines(now, placement, &service.name, endpoints, &refusing);
             let planned = placement.plan(now).into_iter();
             orders.extend(planned.map(|order| (service.name.clone(), order)));
         }
+        self.refusing = refusing;
         orders
     }
 
@@ -507,6 +522,7 @@
     placement: &mut DemandPlacement,
     service: &Bytes,
     endpoints: &EndpointRegistry,
+    refusing: &BTreeMap<EndpointStart, Instant>,
 ) {
     let present = endpoints
         .present()
@@ -514,7 +530,12 @@
     let mut ids = BTreeSet::new();
     for status in present {
         ids.insert(status.id.clone());
-        placement.handle_report(now, &status.id, engine_report(status));
+        let start = (status.id.clone(), status.born_ms);
+        let report = EngineReport {
+            is_refusing: refusing.contains_key(&start),
+            ..engine_report(status)
+        };
+        placement.handle_report(now, &status.id, report);
     }
     placement.retain_engines(&ids);
 }
@@ -527,6 +548,7 @@
     EngineReport {
         incarnation: status.born_ms,
         software: status.software.clone(),
+        is_refusing: false,
         is_usable: status.phase() == EndpointPhase::Ready && !status.silent && !status.leaving,
         models: models.collect(),
         in_memory: status.in_memory.iter().cloned().collect(),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -38,6 +38,10 @@
 /// from the weight store takes two to four seconds.
 const MODEL_WAIT_MIN: Duration = Duration::from_millis(2_500);
 
+/// Lower bound of that wait for a stream that was begun: it can't go on elsewhere, and
+/// its model may have to be loaded at an engine of its software version.
+const STREAM_WAIT_MIN: Duration = Duration::from_millis(4_000);
+
 /// Divisor of the caller's timeout that bounds the wait, so that time for a
 /// retry remains.
 const MODEL_WAIT_DIVISOR: u32 = 2;
@@ -153,8 +157,6 @@
             return;
         };
         if call.needs().software.is_some() && !self.endpoints.serves_version(call.needs()) {
-            // The caller may find the model loaded when it comes back.
-            self.request_model(now, request);
             self.end_unserved(now, request, RefusalReason::VersionGone, actions);
             return;
         }
@@ -470,7 +472,11 @@
     }
     let wait = call.route.objective.mul_f64(MODEL_WAIT_OBJECTIVES);
     let timeout = call.deadline.saturating_duration_since(call.started);
-    wait.max(MODEL_WAIT_MIN).min(timeout / MODEL_WAIT_DIVISOR)
+    let wait_min = match call.needs().software {
+        Some(_) => STREAM_WAIT_MIN,
+        None => MODEL_WAIT_MIN,
+    };
+    wait.max(wait_min).min(timeout / MODEL_WAIT_DIVISOR)
 }
 
 /// Returns the response timeout of an attempt; none for streams, which may wait
--- a/crates/gateway/src/demand_tracker.rs
+++ b/crates/gateway/src/demand_tracker.rs
@@ -3,13 +3,13 @@
 //! Algorithm: a model that no endpoint has resident is reported at once, and
 //! again while calls wait; requests are counted and reported at an interval.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use mulberrywell_limit::EndpointStart;
 use mulberrywell_wire::serving::{
-    DemandShare, LeavingEndpoint, LimitedEndpoint, ServingDemand, WantedModel,
+    self as wire, DemandShare, LeavingEndpoint, LimitedEndpoint, ServingDemand, WantedModel,
 };
 
 use crate::call_codec::ModelTerms;
@@ -48,6 +48,10 @@
     leaving: Vec<LeavingEndpoint>,
     /// Latest limits of endpoints, not yet reported.
     limits: BTreeMap<EndpointStart, LimitedEndpoint>,
+    /// Endpoints that refused connections since the last report of request counts.
+    refusing: BTreeSet<EndpointStart>,
+    /// Those of them that are not yet reported.
+    refusing_unreported: Vec<EndpointStart>,
 }
 
 impl DemandTracker {
@@ -73,6 +77,13 @@
         self.limits.insert(start, endpoint);
     }
 
+    /// Records that an endpoint refused a connection.
+    pub fn record_refusing(&mut self, start: EndpointStart) {
+        if self.refusing.insert(start.clone()) {
+            self.refusing_unreported.push(start);
+        }
+    }
+
     /// Counts a request.
     pub fn record_request(&mut self, service: Bytes, model: ModelTerms) {
         *self.shares.entry((service, model)).or_default() += 1;
@@ -84,6 +95,7 @@
             return Vec::new();
         }
         self.shares_reported = Some(now);
+        self.refusing.clear();
         let shares = std::mem::take(&mut self.shares).into_iter();
         let shares = shares.map(|((service, model), requests)| DemandShare {
             service,
@@ -111,13 +123,18 @@
         let shares = self.take_shares(now);
         let leaving = std::mem::take(&mut self.leaving);
         let limits = std::mem::take(&mut self.limits);
+        let refusing = std::mem::take(&mut self.refusing_unreported).into_iter();
+        let refusing: Vec<_> = refusing
+            .map(|(id, born_ms)| wire::EndpointStart { id, born_ms })
+            .collect();
         let has_models = !wanted.is_empty() || !shares.is_empty();
-        let has_endpoints = !leaving.is_empty() || !limits.is_empty();
+        let has_endpoints = !leaving.is_empty() || !limits.is_empty() || !refusing.is_empty();
         (has_models || has_endpoints).then_some(ServingDemand {
             wanted,
             shares,
             leaving,
             limits: limits.into_values().collect(),
+            refusing,
         })
     }
 
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -212,17 +212,13 @@
         })
     }
 
-    /// Returns whether an endpoint of a software version serves a model, or could soon:
-    /// it has the base model, whatever else it lacks now.
+    /// Returns whether an endpoint of the software version that is needed serves, whatever
+    /// models it has now.
     pub fn serves_version(&self, needs: EndpointNeeds<'_>) -> bool {
         let mut listed = self.listed(needs.service);
         listed.any(|(status, _)| {
-            let holds_base = |model: &ModelTerms| {
-                let mut models = status.models.iter();
-                models.any(|held| held.name == model.model)
-            };
             is_ready(status)
-                && needs.model.is_none_or(holds_base)
+                && !status.silent
                 && needs.software.is_none_or(|it| status.software == *it)
         })
     }
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -62,8 +62,10 @@
             }
             ExchangeEvent::End { exchange, end } => {
                 if let Some(request) = self.calls.end_exchange(exchange) {
-                    if matches!(end, ExchangeEnd::Broken(_)) {
-                        self.record_break(now, request, actions);
+                    match end {
+                        ExchangeEnd::Broken(_) => self.record_break(now, request, actions),
+                        ExchangeEnd::Refused(_) => self.record_refusing(request),
+                        ExchangeEnd::Complete | ExchangeEnd::NotSent(_) => {}
                     }
                     self.handle_end(now, request, end, actions);
                 }
@@ -71,6 +73,15 @@
         }
     }
 
+    /// Records that the endpoint of a call refused the connection: it has probably
+    /// crashed, long before its heartbeats count as missing.
+    fn record_refusing(&mut self, request: RequestId) {
+        if let Some(call) = self.calls.get(request) {
+            let start = (call.endpoint.clone(), call.endpoint_born_ms);
+            self.demand.record_refusing(start);
+        }
+    }
+
     fn handle_head(
         &mut self,
         now: Instant,
--- a/crates/policy/src/adapter_orders.rs
+++ b/crates/policy/src/adapter_orders.rs
@@ -100,8 +100,9 @@
     }
 }
 
-/// Returns whether an engine's software version will do for callers.
+/// Returns whether an engine's software version will do for callers. Those that need one
+/// version have few engines, so that they don't rely on one that may have crashed.
 fn has_version(state: &EngineState, awaited: &AwaitedModel) -> bool {
     let software = awaited.software.as_ref();
-    software.is_none_or(|software| state.report.software == *software)
+    software.is_none_or(|software| state.report.software == *software && !state.report.is_refusing)
 }
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -344,7 +344,10 @@
         let mut states = self.engines.values();
         states.any(|state| {
             let report = &state.report;
-            report.is_usable && report.software == *software && state.will_hold(&awaited.model)
+            report.is_usable
+                && !report.is_refusing
+                && report.software == *software
+                && state.will_hold(&awaited.model)
         })
     }
 
@@ -404,7 +407,8 @@
                 continue;
             };
             let is_reserved = is_idle && state.has_reserved_memory(now);
-            let will_do = software.is_none_or(|it| state.report.software == *it);
+            let report = &state.report;
+            let will_do = software.is_none_or(|it| report.software == *it && !report.is_refusing);
             if is_reserved || !will_do || state.will_hold(model) {
                 continue;
             }
--- a/crates/policy/src/demand_types.rs
+++ b/crates/policy/src/demand_types.rs
@@ -41,6 +41,8 @@
     pub software: SoftwareName,
     /// The engine accepts requests and its heartbeats arrive.
     pub is_usable: bool,
+    /// The engine refused connections lately, so that what it holds may be lost.
+    pub is_refusing: bool,
     /// Adapters by model.
     pub models: BTreeMap<ModelName, BTreeSet<ModelName>>,
     /// Models whose weights its host caches in memory, the fastest source to
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -534,3 +534,29 @@
     let orders = format_orders(&placement.plan(later));
     assert_eq!(orders, [expected]);
 }
+
+/// Guards against streams that wait for a model at an engine of their software version
+/// that has crashed: its heartbeats count as missing only seconds later.
+#[rstest]
+#[case::sound(false, &[])]
+#[case::refusing(true, &["unload e2 c"])]
+fn awaited_at_version_of_refusing_engine(#[case] is_refusing: bool, #[case] expected: &[&str]) {
+    let now = Instant::now();
+    let mut placement = placement(now);
+    let engines = [
+        ("e1", "v1", is_refusing, report(&[("a", &[]), ("b", &[])])),
+        ("e2", "v1", false, report(&[("b", &[]), ("c", &[])])),
+        ("e3", "v2", false, report(&[("a", &[]), ("c", &[])])),
+    ];
+    for (endpoint, software, is_refusing, engine_report) in engines {
+        let engine_report = EngineReport {
+            software: name(software),
+            is_refusing,
+            ..engine_report
+        };
+        handle_report(&mut placement, now, &name(endpoint), engine_report);
+    }
+    let later = now + Duration::from_secs(5);
+    placement.record_awaited(later, name("a"), Bytes::new(), Some(name("v1")));
+    assert_eq!(format_orders(&placement.plan(later)), expected);
+}
