entry: a stream is resumed at endpoints of its software version only

Agents now announce the version of their endpoint's software (setting software of [endpoint]); the first event that reaches the caller binds its call. Callers of entries can't take streams up themselves, so nothing has to outlive the entry. Case begun of stream_resumed_at_own_version went on at the other version without the filter.

--- a/crates/agent/src/agent_frames.rs
+++ b/crates/agent/src/agent_frames.rs
@@ -78,6 +78,7 @@
         fencing: 0,
         state: state.into(),
         resident: resident.to_vec(),
+        software: settings.software.clone(),
     };
     FrameBody::Announce(Announce {
         endpoint: Some(endpoint),
--- a/crates/capacity-bench/src/sample_cluster.rs
+++ b/crates/capacity-bench/src/sample_cluster.rs
@@ -76,6 +76,7 @@
         fencing: 0,
         state: EndpointState::Live.into(),
         resident: resident.map(model_name).collect(),
+        software: Bytes::new(),
     };
     LogCommand {
         at_ms: 1,
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -191,6 +191,7 @@
             claim: None,
             may_have_run: false,
             events: None,
+            software: None,
             detached: false,
             prefix: 0,
             attempts: 0,
--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -99,6 +99,10 @@
                 if let Some(claim) = &mut call.claim {
                     claim.append_body(&data);
                 }
+                let software = call.attempt.as_ref().map(|it| it.software.clone());
+                if call.events.is_some() {
+                    call.software = call.software.take().or(software);
+                }
                 send_part(call, ResponsePart::Data(data), actions);
             }
             Some(_) => {}
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -99,6 +99,7 @@
                 number,
                 endpoint: endpoint.name.clone(),
                 incarnation: endpoint.incarnation,
+                software: endpoint.software.clone(),
                 link,
                 started: now,
                 begun: None,
--- a/crates/entry/src/call_table.rs
+++ b/crates/entry/src/call_table.rs
@@ -33,6 +33,8 @@
     pub endpoint: EndpointName,
     /// Incarnation of the endpoint that the entry means to reach.
     pub incarnation: u64,
+    /// Version of the endpoint's software.
+    pub software: Bytes,
     /// Link to its agent.
     pub link: LinkId,
     /// When it was sent to the agent.
@@ -109,6 +111,8 @@
     pub may_have_run: bool,
     /// Set when the response is a stream of events.
     pub events: Option<EventStream>,
+    /// Software version that began the stream; it goes on at no other.
+    pub software: Option<Bytes>,
     /// The caller disconnected; the call goes on only for its outcome.
     pub detached: bool,
     /// Digest of the prompt's prefix; 0 for none.
--- a/crates/entry/src/endpoint_pool.rs
+++ b/crates/entry/src/endpoint_pool.rs
@@ -86,6 +86,10 @@
         items.retain(|endpoint| {
             endpoint.state() == EndpointState::Live
                 && !call.tried.contains(&endpoint.name)
+                && call
+                    .software
+                    .as_ref()
+                    .is_none_or(|it| endpoint.software == *it)
                 && self.circuit_allows(now, endpoint)
         });
         let candidates: Vec<EndpointCandidate<'_>> = items
--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -98,6 +98,31 @@
     assert_eq!((view.body.as_str(), view.ended), (whole, Some(true)));
 }
 
+/// Guards against streams whose events come from two software versions.
+#[rstest]
+#[case::begun("data: a\n\ndata: b", "v2", false)]
+#[case::begun_same_version("data: a\n\ndata: b", "v1", true)]
+#[case::without_event("", "v2", true)]
+fn stream_resumed_at_own_version(
+    #[case] sent: &str,
+    #[case] other_software: &str,
+    #[case] goes_elsewhere: bool,
+) {
+    let mut entry = ScriptedEntry::ready();
+    entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    let first_port = entry.port_of(link);
+    entry.set_other_software(link, other_software);
+    entry.head(link, start.id, STREAM);
+    if !sent.is_empty() {
+        entry.part(link, start.id, 0, sent);
+    }
+    entry.close_link(link);
+    let (next, _) = entry.last_start();
+    assert_eq!(entry.starts().len(), 2);
+    assert_eq!(entry.port_of(next) != first_port, goes_elsewhere);
+}
+
 #[test]
 fn stream_broken_after_last_event_completed() {
     let mut entry = ScriptedEntry::ready();
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -102,6 +102,7 @@
         fencing: 0,
         state: EndpointState::Live.into(),
         resident: if engine { vec![bytes("m")] } else { vec![] },
+        software: bytes("v1"),
     }
 }
 
@@ -206,6 +207,30 @@
         entry
     }
 
+    /// Returns the port of the agent that a link was opened to.
+    pub fn port_of(&self, link: LinkId) -> u16 {
+        self.links[&link]
+    }
+
+    /// Sets the software version of the other engine than the one on a link.
+    pub fn set_other_software(&mut self, link: LinkId, software: &str) {
+        let port = self.port_of(link);
+        let engines = [0, 2].map(|idx| endpoint(idx, true));
+        let is_other = |item: &EndpointItem| !item.address.ends_with(port.to_string().as_bytes());
+        let endpoints = engines.into_iter().filter(is_other);
+        let endpoints = endpoints.map(|item| EndpointItem {
+            software: bytes(software),
+            ..item
+        });
+        self.version += 1;
+        self.control(FrameBody::Update(Update {
+            version: self.version,
+            cluster: self.cluster,
+            endpoints: endpoints.collect(),
+            ..Update::default()
+        }));
+    }
+
     pub fn event(&mut self, event: RoleEvent<HttpEvent>) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
--- a/crates/policy-bench/src/bench_simulation.rs
+++ b/crates/policy-bench/src/bench_simulation.rs
@@ -141,6 +141,7 @@
             slots: SLOTS,
             queue: 64,
             accelerators: 1,
+            software: Bytes::new(),
             checks_fencing: true,
             order_lifetime: Duration::from_secs(10),
             load_interval: Duration::from_millis(150),
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -177,6 +177,8 @@
     pub queue: u32,
     /// Number of accelerators of the endpoint.
     pub accelerators: u32,
+    /// Version of the endpoint's software; empty if it isn't stated.
+    pub software: Bytes,
     /// Whether the engine rejects orders with an old fencing token.
     pub checks_fencing: bool,
     /// Longest time for which an order can still take effect at the engine.
@@ -413,6 +415,7 @@
         slots: u32_or(table.number("slots", 1..=65_536), 32),
         queue: u32_or(table.number("queue", 0..=65_536), 256),
         accelerators: u32_or(table.number("accelerators", 0..=1_024), 0),
+        software: table.name("software").unwrap_or_default(),
         checks_fencing: table.boolean("checks_fencing").unwrap_or(false),
         order_lifetime: table.millis("order_lifetime_ms", 100..=10 * MINUTE_MS, 10_000),
         load_interval: table.millis("load_interval_ms", 20..=MINUTE_MS, 150),
