--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -222,8 +222,10 @@
             software: bytes(software),
             ..item
         });
+        let base = self.version;
         self.version += 1;
         self.control(FrameBody::Update(Update {
+            base,
             version: self.version,
             cluster: self.cluster,
             endpoints: endpoints.collect(),
