tests: versions of streams at the gateway and at control; expired origins leave the log's state

Role cases in virtual time: resumptions, streams taken up where they began and elsewhere, unknown, gone and moved ones, lagging instances, restarts of all control instances from their disks.

--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -2,7 +2,7 @@
 //!
 //! Guarantees: `apply` depends only on the state and the command, so all
 //! members reach the same state. A refused command changes nothing except the
-//! applied index, the clock and the claims that expire by it, the audit trail
+//! applied index, the clock and the claims and streams that expire by it, the audit trail
 //! and the recorded outcomes. The version rises with each change visible to
 //! subscribers and never falls.
 
@@ -158,6 +158,7 @@
         debug_assert!(index > self.applied);
         self.applied = index;
         self.clock_ms = self.clock_ms.max(command.at_ms);
+        self.streams.remove_expired(self.clock_ms);
         if let Some(earlier) = self.requests.find(command) {
             return earlier;
         }
@@ -328,7 +329,6 @@
     }
 
     fn put_streams(&mut self, put: &PutStreams) -> u64 {
-        self.streams.remove_expired(self.clock_ms);
         for item in &put.origins {
             let origin = ServiceVersion {
                 service: item.service.clone(),
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use mulberrywell_consensus::{
-    EntryPayload, HardState, LogEntry, MemberRecord, Membership, RecoveredState,
+    EntryPayload, HardState, LogEntry, MemberRecord, Membership, PersistBatch, RecoveredState,
 };
 use mulberrywell_control::{
     ControlAction, ControlConfig, ControlEvent, ControlRole, EngineOrder, ServingAnswer,
@@ -47,9 +47,27 @@
     ended: bool,
 }
 
+/// What a role has written to its disk.
+#[derive(Debug, Clone, Default)]
+struct RoleDisk {
+    hard_state: HardState,
+    entries: Vec<LogEntry>,
+}
+
+impl RoleDisk {
+    fn write(&mut self, batch: &PersistBatch) {
+        self.hard_state = batch.hard_state.unwrap_or(self.hard_state);
+        if let Some(from) = batch.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        self.entries.extend(batch.entries.iter().cloned());
+    }
+}
+
 /// Roles, their links and their shared clock.
 pub struct RoleCluster {
     roles: Vec<ControlRole>,
+    disks: Vec<RoleDisk>,
     now: Instant,
     frozen: BTreeSet<usize>,
     /// Roles whose dials fail and that can't be dialed.
@@ -107,8 +125,13 @@
     fn opened_with(count: usize, entries: &[LogEntry]) -> Self {
         let now = Instant::now();
         let roles = (0..count).map(|idx| open_role(idx, count, entries, now));
+        let disk = RoleDisk {
+            entries: entries.to_vec(),
+            ..RoleDisk::default()
+        };
         RoleCluster {
             roles: roles.collect(),
+            disks: vec![disk; count],
             now,
             frozen: BTreeSet::new(),
             isolated: BTreeSet::new(),
@@ -162,6 +185,32 @@
         cluster
     }
 
+    /// Kills all roles at once and starts them from their disks.
+    pub fn restart_all(&mut self) {
+        let count = self.roles.len();
+        for idx in 0..count {
+            let disk = self.disks[idx].clone();
+            let recovered = RecoveredState {
+                member: idx as u64 + 1,
+                hard_state: disk.hard_state,
+                entries: disk.entries,
+                ..RecoveredState::default()
+            };
+            let config = role_config(idx, count);
+            self.roles[idx] = ControlRole::open(config, recovered, self.now).unwrap();
+            self.events[idx].clear();
+        }
+        self.links.clear();
+        self.frames.clear();
+    }
+
+    /// Sets the wall clock of all roles.
+    pub fn set_clocks(&mut self, clock_ms: u64) {
+        for idx in 0..self.roles.len() {
+            self.handle(idx, RoleEvent::RoleSpecific(ControlEvent::Clock(clock_ms)));
+        }
+    }
+
     /// Returns the cluster that a role belongs to; 0 for none.
     pub fn cluster_of(&self, idx: usize) -> u64 {
         self.roles[idx].state().cluster
@@ -396,9 +445,12 @@
                 }
                 return;
             }
-            ControlAction::Persist(batch) => ControlEvent::Persisted {
-                ticket: batch.ticket,
-            },
+            ControlAction::Persist(batch) => {
+                self.disks[idx].write(&batch);
+                ControlEvent::Persisted {
+                    ticket: batch.ticket,
+                }
+            }
             ControlAction::SaveSnapshot(image) => ControlEvent::SnapshotSaved {
                 index: image.meta.index,
             },
@@ -513,8 +565,8 @@
     ControlRole::open(config, recovered, now).unwrap()
 }
 
-fn open_role(idx: usize, count: usize, entries: &[LogEntry], now: Instant) -> ControlRole {
-    let config = ControlConfig {
+fn role_config(idx: usize, count: usize) -> ControlConfig {
+    ControlConfig {
         settings: control_settings(idx == 0),
         instance: instance_name(idx),
         zone: Bytes::new(),
@@ -523,7 +575,11 @@
         seeds: (0..count).map(address_of).collect(),
         new_cluster_id: 9,
         operator_key: Bytes::from_static(OPERATOR_KEY),
-    };
+    }
+}
+
+fn open_role(idx: usize, count: usize, entries: &[LogEntry], now: Instant) -> ControlRole {
+    let config = role_config(idx, count);
     let recovered = RecoveredState {
         member: idx as u64 + 1,
         hard_state: HardState {
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -1,7 +1,10 @@
 //! Tests of the verifier, the index and the registry of endpoints.
 
 use bytes::Bytes;
-use mulberrywell_serving::{verify_config, EndpointRegistry, KeyOwner, MergeOutcome, ServingIndex};
+use mulberrywell_serving::{
+    verify_config, EndpointRegistry, KeyOwner, MergeOutcome, OriginTable, ServiceVersion,
+    ServingIndex, ORIGINS_MAX,
+};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointPhase, EndpointStatus, LimitedEndpoint, ServiceShare, ServingAccount,
     ServingConfig, ServingRoute, ServingService,
@@ -223,3 +226,43 @@
     assert!(!registry.record_limit(&late));
     assert_eq!(held(&registry), None);
 }
+
+fn version(service: &str, software: &str) -> ServiceVersion {
+    ServiceVersion {
+        service: bytes(service),
+        software: bytes(software),
+    }
+}
+
+/// Guards against one of two recorded origins that is taken for the true one, also after
+/// the table was stored.
+#[test]
+fn insert_origin_conflict_unknown() {
+    let mut origins = OriginTable::default();
+    let [v1, v2] = ["v1", "v2"].map(|software| version("s", software));
+    assert!(origins.insert(1, &v1, 10_u64));
+    assert!(!origins.insert(1, &v1, 30));
+    assert_eq!(origins.entry(1), Some((&v1, 30)));
+    assert!(origins.insert(2, &v1, 20));
+    assert!(!origins.insert(2, &v2, 20));
+    assert_eq!(origins.get(2), None);
+    let mut restored = OriginTable::default();
+    for (stream, origin, expires) in origins.iter() {
+        restored.restore(stream, origin.cloned(), expires);
+    }
+    assert!(!restored.insert(2, &v1, 20));
+    assert_eq!((restored.get(1), restored.get(2)), (Some(&v1), None));
+    restored.remove_expired(20);
+    assert!(restored.contains(1) && !restored.contains(2));
+}
+
+/// Guards against a table that grows with what callers send.
+#[test]
+fn insert_origin_bounded() {
+    let mut origins = OriginTable::default();
+    for stream in 0..ORIGINS_MAX as u64 + 500 {
+        origins.insert(stream, &version("s", &stream.to_string()), stream);
+    }
+    assert_eq!(origins.len(), ORIGINS_MAX);
+    assert!(!origins.contains(499) && origins.contains(500));
+}
