soak: endpoints of two software versions, and callers that take streams up

Every second endpoint has another version; a stream that breaks off after an event is taken up at the next gateway.

--- a/crates/mulberrywell/tests/common/serving_deployment.rs
+++ b/crates/mulberrywell/tests/common/serving_deployment.rs
@@ -150,6 +150,7 @@
         path,
         body: "body",
         timeout: Duration::from_secs(4),
+        resumes: None,
     };
     FakeCaller::new(callers, Duration::from_secs(60)).call(&request)
 }
--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -185,6 +185,7 @@
         path: "/once/x",
         body: "body",
         timeout: OTHER_TIMEOUT,
+        resumes: None,
     };
     let response = FakeCaller::new(callers, OTHER_TIMEOUT).call(&request);
     response.map(|response| response.status)
--- a/crates/mulberrywell/tests/second_copies.rs
+++ b/crates/mulberrywell/tests/second_copies.rs
@@ -118,6 +118,7 @@
             path: "/safe/x",
             body: "body",
             timeout: Duration::from_secs(4),
+            resumes: None,
         };
         caller.call(&request).unwrap()
     };
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_platform_testkit::{
-    stream_event, WorkerRun, DEFAULT_REQUEST_TOKENS, STREAM_EVENTS,
+    versioned_event, WorkerRun, DEFAULT_REQUEST_TOKENS, FIRST_VERSION, STREAM_EVENTS,
 };
 
-use crate::soak_cluster::RATE_TOLERANCE;
+use crate::soak_cluster::{RATE_TOLERANCE, SECOND_VERSION};
 use crate::soak_plan::SoakFault;
 use crate::soak_traffic::{CallKind, CallRecord, ReadRecord, VersionRecord, ACCOUNTS};
 
@@ -146,7 +146,7 @@
 }
 
 /// Finds responses that belong to another call or are truncated without notice,
-/// duplicated or out of order.
+/// duplicated, out of order or of two software versions.
 fn find_wrong_responses(records: &SoakRecords) -> Vec<SoakBreach> {
     let succeeded = records.calls.iter().filter(|call| call.status == 200);
     let wrong = succeeded.filter(|call| !is_expected_response(call));
@@ -156,16 +156,26 @@
 }
 
 fn is_expected_response(call: &CallRecord) -> bool {
+    let stream = |after: u64, version: &str| {
+        let events = after + 1..=STREAM_EVENTS;
+        let events = events.map(|event| versioned_event(&call.id, event, version));
+        events.collect::<String>()
+    };
     let expected = match call.kind {
-        CallKind::Stream => (1..=STREAM_EVENTS)
-            .map(|event| stream_event(&call.id, event))
-            .collect(),
-        kind => format!("{} {} {}", kind.path(), account_of(&call.key), call.id),
+        // All events come from one version.
+        CallKind::Stream => vec![stream(0, FIRST_VERSION), stream(0, SECOND_VERSION)],
+        CallKind::TakenUp(after, version) => vec![stream(after, version)],
+        kind => vec![format!(
+            "{} {} {}",
+            kind.path(),
+            account_of(&call.key),
+            call.id
+        )],
     };
-    if call.is_complete {
-        return call.response == expected;
-    }
-    expected.starts_with(&call.response)
+    expected.iter().any(|expected| match call.is_complete {
+        true => call.response == *expected,
+        false => expected.starts_with(&call.response),
+    })
 }
 
 /// Finds runs that match no call, changed the request, were made for another
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -17,6 +17,9 @@
 /// Service that all endpoints provide.
 pub(crate) const SERVICE: &str = "s1";
 
+/// Software version of every second endpoint.
+pub(crate) const SECOND_VERSION: &str = "v2";
+
 /// Time that a slow endpoint takes for a plain request.
 const SLOW_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
@@ -96,8 +99,11 @@
         for place in 0..size.gateways {
             cluster.spawn_gateway(place)?;
         }
-        for endpoint in &cluster.endpoints {
+        for (place, endpoint) in cluster.endpoints.iter().enumerate() {
             endpoint.set_delay(RESPONSE_DELAY);
+            if place % 2 == 1 {
+                endpoint.set_version(SECOND_VERSION);
+            }
         }
         Ok(cluster)
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -246,7 +246,7 @@
             continue;
         }
         let id = format!("probe-{place}-{number}-{}", traffic.log.calls().len());
-        let record = send_call(&caller, id, kind, key(key_version));
+        let record = send_call(&caller, id, kind, key(key_version), None);
         let status = record.status;
         traffic.log.calls().push(record);
         if status != expected {
--- a/crates/soak/src/soak_traffic.rs
+++ b/crates/soak/src/soak_traffic.rs
@@ -8,12 +8,13 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_platform_testkit::{
-    FakeAccount, FakeCaller, FakeConfig, FakeOperator, FakeRequest,
+    versioned_event, FakeAccount, FakeCaller, FakeConfig, FakeOperator, FakeRequest, FIRST_VERSION,
+    STREAM_EVENTS,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::soak_cluster::{SoakCluster, SERVICE};
+use crate::soak_cluster::{SoakCluster, SECOND_VERSION, SERVICE};
 
 /// Maximum pause of a caller between two calls.
 const CALLER_PAUSE_MS: u64 = 60;
@@ -43,6 +44,8 @@
     Safe,
     /// A resumable stream.
     Stream,
+    /// Takes up a stream that an endpoint of a software version began, after an event.
+    TakenUp(u64, &'static str),
     /// On the route that exists only in this configuration version.
     OwnRoute(u64),
 }
@@ -52,7 +55,7 @@
         match self {
             CallKind::Once => "/once/x".to_owned(),
             CallKind::Safe => "/safe/x".to_owned(),
-            CallKind::Stream => "/stream/x".to_owned(),
+            CallKind::Stream | CallKind::TakenUp(..) => "/stream/x".to_owned(),
             CallKind::OwnRoute(version) => format!("{}x", FakeConfig::version_path(version)),
         }
     }
@@ -163,17 +166,42 @@
             let id = format!("s{caller}-{number}");
             let incarnation = || gateways[place].incarnation.load(Ordering::SeqCst);
             let incarnation_before = incarnation();
-            let record = send_call(&callers[place], id, kind, key);
-            self.log.calls().push(CallRecord {
+            let record = send_call(&callers[place], id, kind, key, None);
+            let record = CallRecord {
                 gateway: place,
                 incarnations: (incarnation_before, incarnation()),
                 ..record
-            });
+            };
+            self.log.calls().push(record.clone());
+            self.take_up(&callers, &record);
             let pause = rng.random_range(1..CALLER_PAUSE_MS);
             thread::sleep(Duration::from_millis(pause));
         }
     }
 
+    /// Takes a stream up at the next gateway if it broke off after an event.
+    fn take_up(&self, callers: &[FakeCaller], broken: &CallRecord) {
+        let is_broken = broken.kind == CallKind::Stream && !broken.is_complete;
+        let events = broken.response.matches("\n\n").count() as u64;
+        if !is_broken || events == 0 || events == STREAM_EVENTS {
+            return;
+        }
+        let first = versioned_event(&broken.id, 1, FIRST_VERSION);
+        let version = if broken.response.starts_with(&first) {
+            FIRST_VERSION
+        } else {
+            SECOND_VERSION
+        };
+        let place = (broken.gateway + 1) % callers.len();
+        let (id, key) = (format!("{}-up", broken.id), broken.key.clone());
+        let kind = CallKind::TakenUp(events, version);
+        let record = send_call(&callers[place], id, kind, key, Some((&broken.id, events)));
+        self.log.calls().push(CallRecord {
+            gateway: place,
+            ..record
+        });
+    }
+
     fn draw_request(&self, rng: &mut Pcg64Mcg) -> (CallKind, String) {
         let versions = self.log.versions();
         let newest = versions.last().map_or(1, |it| it.version);
@@ -301,6 +329,7 @@
     id: String,
     kind: CallKind,
     key: String,
+    resumes: Option<(&str, u64)>,
 ) -> CallRecord {
     let sent = Instant::now();
     let response = caller.call(&FakeRequest {
@@ -309,6 +338,7 @@
         path: &kind.path(),
         body: &id,
         timeout: REQUEST_TIMEOUT,
+        resumes,
     });
     let response = response.unwrap_or_default();
     CallRecord {
