policy: what only an engine with a limit holds is loaded at one with room

What callers wait for is now loaded at an engine without a limit, in place of a spare model; engines with a limit are used where no other will do. awaited_at_limited_engine_loaded_elsewhere gave no order before.

--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -549,6 +549,9 @@
         incarnation: status.born_ms,
         software: status.software.clone(),
         is_refusing: false,
+        is_limited: status
+            .limit
+            .is_some_and(|limit| limit.milli_per_s.is_some()),
         is_usable: status.phase() == EndpointPhase::Ready && !status.silent && !status.leaving,
         models: models.collect(),
         in_memory: status.in_memory.iter().cloned().collect(),
--- a/crates/policy/src/adapter_orders.rs
+++ b/crates/policy/src/adapter_orders.rs
@@ -6,7 +6,7 @@
 use crate::demand_placement::DemandPlacement;
 use crate::demand_tracker::AwaitedModel;
 use crate::demand_types::{EngineInventory, OrderAnswer, OrderVerb, PlacementOrder};
-use crate::engine_state::{EngineState, OpenOrder, SETTLE_TIME};
+use crate::engine_state::{OpenOrder, VersionFit, SETTLE_TIME};
 use crate::placement_types::{EndpointName, ModelName};
 
 /// Time without use after which an adapter may be evicted.
@@ -37,21 +37,22 @@
         open_orders
     }
 
-    pub(crate) fn holds_adapter(&self, awaited: &AwaitedModel) -> bool {
+    pub(crate) fn holds_adapter(&self, awaited: &AwaitedModel, fit: VersionFit<'_>) -> bool {
         let mut engines = self.engines.values();
         engines.any(|state| {
             state.report.is_usable
-                && has_version(state, awaited)
+                && state.fits(fit)
                 && state.will_hold_adapter(&awaited.model, &awaited.adapter)
         })
     }
 
-    /// Issues the next order towards loading an awaited adapter on one engine: its load,
-    /// or an unload that frees a place for it.
+    /// Issues the next order towards loading an awaited adapter on an engine that fits: its
+    /// load, or an unload that frees a place for it.
     pub(crate) fn add_adapter(
         &mut self,
         now: Instant,
         awaited: &AwaitedModel,
+        fit: VersionFit<'_>,
         orders: &mut Vec<PlacementOrder>,
     ) {
         let AwaitedModel { model, adapter, .. } = awaited;
@@ -59,7 +60,7 @@
             return;
         };
         let holders = self.engines.iter().filter(|(_, state)| {
-            let held = state.report.models.contains_key(model) && has_version(state, awaited);
+            let held = state.report.models.contains_key(model) && state.fits(fit);
             state.can_accept_order() && held && !state.is_unloading(model)
         });
         let with_capacity = holders.clone().filter(|(_, state)| {
@@ -99,10 +100,3 @@
         }
     }
 }
-
-/// Returns whether an engine's software version will do for callers. Those that need one
-/// version have few engines, so that they don't rely on one that may have crashed.
-fn has_version(state: &EngineState, awaited: &AwaitedModel) -> bool {
-    let software = awaited.software.as_ref();
-    software.is_none_or(|software| state.report.software == *software && !state.report.is_refusing)
-}
--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -36,7 +36,8 @@
 };
 use crate::engine_option::EngineOption;
 use crate::engine_state::{
-    is_settled, EngineState, OpenOrder, INVENTORY_LAG, ORDER_LIFETIME, SETTLE_TIME,
+    is_settled, EngineFit, EngineState, OpenOrder, VersionFit, INVENTORY_LAG, ORDER_LIFETIME,
+    SETTLE_TIME,
 };
 use crate::load_pacer::{LoadPacer, PacerSettings};
 use crate::placement_types::{EndpointName, ModelName, SoftwareName};
@@ -229,12 +230,7 @@
         self.update_options(now, None);
         let mut orders = Vec::new();
         for awaited in self.demand.awaited_by_rate(now) {
-            if !self.will_hold_model(&awaited) {
-                let software = awaited.software.as_ref();
-                self.add_replica(now, &awaited.model, software, f64::MAX, &mut orders);
-            } else if !awaited.adapter.is_empty() && !self.holds_adapter(&awaited) {
-                self.add_adapter(now, &awaited, &mut orders);
-            }
+            self.place_awaited(now, &awaited, &mut orders);
         }
         self.relieve_pressure(now, &mut orders);
         orders
@@ -335,20 +331,35 @@
         }
     }
 
-    /// Returns whether an engine that will do holds an awaited model or was ordered to load
-    /// it.
-    fn will_hold_model(&self, awaited: &AwaitedModel) -> bool {
-        let Some(software) = &awaited.software else {
-            return self.replicas(&awaited.model) > 0;
-        };
+    /// Issues the next order for what callers wait for. They wait in spite of what engines
+    /// with a limit hold, so that those are used only where no other will do.
+    fn place_awaited(
+        &mut self,
+        now: Instant,
+        awaited: &AwaitedModel,
+        orders: &mut Vec<PlacementOrder>,
+    ) {
+        let first = orders.len();
+        for fit in [EngineFit::Unlimited, EngineFit::Any] {
+            let fit = (awaited.software.as_ref(), fit);
+            if self.will_hold_model(&awaited.model, fit) {
+                if !awaited.adapter.is_empty() && !self.holds_adapter(awaited, fit) {
+                    self.add_adapter(now, awaited, fit, orders);
+                }
+                return;
+            }
+            self.add_replica(now, &awaited.model, fit, f64::MAX, orders);
+            let has_limited = self.engines.values().any(|it| it.report.is_limited);
+            if orders.len() > first || !has_limited {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether an engine that fits holds a model or was ordered to load it.
+    fn will_hold_model(&self, model: &ModelName, fit: VersionFit<'_>) -> bool {
         let mut states = self.engines.values();
-        states.any(|state| {
-            let report = &state.report;
-            report.is_usable
-                && !report.is_refusing
-                && report.software == *software
-                && state.will_hold(&awaited.model)
-        })
+        states.any(|state| state.report.is_usable && state.fits(fit) && state.will_hold(model))
     }
 
     /// Adds one replica for each of the models with the highest pressures.
@@ -357,7 +368,8 @@
         pressures.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (pressure, model) in pressures.into_iter().take(RELIEVED_MODELS_MAX) {
             if pressure >= PRESSURE_MIN || self.replicas(&model) == 0 {
-                self.add_replica(now, &model, None, pressure, orders);
+                let fit = (None, EngineFit::Any);
+                self.add_replica(now, &model, fit, pressure, orders);
             }
         }
     }
@@ -386,13 +398,12 @@
     }
 
     /// Issues the next order towards a further replica of a model: its load, or an
-    /// unload that frees memory for it; on an engine of a software version if one is
-    /// given.
+    /// unload that frees memory for it, on an engine that fits.
     fn add_replica(
         &mut self,
         now: Instant,
         model: &ModelName,
-        software: Option<&SoftwareName>,
+        fit: VersionFit<'_>,
         pressure: f64,
         orders: &mut Vec<PlacementOrder>,
     ) {
@@ -407,9 +418,7 @@
                 continue;
             };
             let is_reserved = is_idle && state.has_reserved_memory(now);
-            let report = &state.report;
-            let will_do = software.is_none_or(|it| report.software == *it && !report.is_refusing);
-            if is_reserved || !will_do || state.will_hold(model) {
+            if is_reserved || !state.fits(fit) || state.will_hold(model) {
                 continue;
             }
             let victim = match is_unheld {
--- a/crates/policy/src/demand_types.rs
+++ b/crates/policy/src/demand_types.rs
@@ -43,6 +43,9 @@
     pub is_usable: bool,
     /// The engine refused connections lately, so that what it holds may be lost.
     pub is_refusing: bool,
+    /// The engine takes a limited number of requests a second. Callers may wait for what
+    /// it holds.
+    pub is_limited: bool,
     /// Adapters by model.
     pub models: BTreeMap<ModelName, BTreeSet<ModelName>>,
     /// Models whose weights its host caches in memory, the fastest source to
--- a/crates/policy/src/engine_state.rs
+++ b/crates/policy/src/engine_state.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::demand_types::{EngineReport, EngineSpec, OrderAnswer, OrderVerb, PlacementOrder};
-use crate::placement_types::ModelName;
+use crate::placement_types::{ModelName, SoftwareName};
 
 /// Time after which an order without an answer stops counting.
 pub(crate) const ORDER_LIFETIME: Duration = Duration::from_millis(12_500);
@@ -34,6 +34,17 @@
 /// A model, or an adapter of it; the adapter is empty for the model itself.
 pub(crate) type Holding = (ModelName, ModelName);
 
+/// Which engines fit by their limit on requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EngineFit {
+    /// Those without one.
+    Unlimited,
+    Any,
+}
+
+/// Which engines fit by their software version, if only one does, and by their limit.
+pub(crate) type VersionFit<'a> = (Option<&'a SoftwareName>, EngineFit);
+
 #[derive(Debug, Clone)]
 pub(crate) struct OpenOrder {
     pub(crate) order: PlacementOrder,
@@ -134,6 +145,14 @@
         kept.cloned().chain(ordered).collect()
     }
 
+    /// Returns whether the engine fits callers, of which some can use one software version
+    /// only. Those have few engines and don't rely on one that may have crashed.
+    pub(crate) fn fits(&self, (software, fit): VersionFit<'_>) -> bool {
+        let report = &self.report;
+        let has_version = software.is_none_or(|it| report.software == *it && !report.is_refusing);
+        has_version && (fit == EngineFit::Any || !report.is_limited)
+    }
+
     pub(crate) fn will_hold(&self, model: &ModelName) -> bool {
         let held = self.report.models.contains_key(model) && !self.is_unloading(model);
         let mut loads = self.loads();
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -560,3 +560,32 @@
     placement.record_awaited(later, name("a"), Bytes::new(), Some(name("v1")));
     assert_eq!(format_orders(&placement.plan(later)), expected);
 }
+
+/// Guards against callers that are refused for as long as the only engine with their
+/// model or adapter has a limit, though others have room.
+#[rstest]
+#[case::model("", &["unload e2 b"])]
+#[case::adapter("x", &["load e3 a x"])]
+fn awaited_at_limited_engine_loaded_elsewhere(#[case] adapter: &str, #[case] expected: &[&str]) {
+    let now = Instant::now();
+    let mut placement = placement(now);
+    let mut engines = vec![
+        ("e1", true, report(&[("a", &["x"]), ("c", &[])])),
+        ("e2", false, report(&[("b", &[]), ("c", &[])])),
+    ];
+    if !adapter.is_empty() {
+        engines.push(("e3", false, report(&[("a", &[]), ("b", &[])])));
+    } else {
+        engines.push(("e3", false, report(&[("b", &[]), ("c", &[])])));
+    }
+    for (endpoint, is_limited, engine_report) in engines {
+        let engine_report = EngineReport {
+            is_limited,
+            ..engine_report
+        };
+        handle_report(&mut placement, now, &name(endpoint), engine_report);
+    }
+    let later = now + Duration::from_secs(5);
+    placement.record_awaited(later, name("a"), name(adapter), None);
+    assert_eq!(format_orders(&placement.plan(later)), expected);
+}
