--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 mod endpoint_frames;
 mod endpoint_monitor;
 mod endpoint_permits;
+mod engine_reports;
 mod lease_issuer;
 mod load_tracker;
 mod member_driver;
--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -16,18 +16,17 @@
 use bytes::Bytes;
 use mulberrywell_limit::EndpointStart;
 use mulberrywell_policy::{
-    store_burst, DemandPlacement, EngineInventory, EngineReport, EngineSpec, ModelSpec,
-    OrderAnswer, OrderNumber, OrderVerb, PacerSettings, PlacementChange, PlacementOrder,
+    DemandPlacement, EngineInventory, OrderAnswer, OrderNumber, OrderVerb, PlacementChange,
+    PlacementOrder,
 };
 use mulberrywell_role::{LogLevel, RoleAction};
 use mulberrywell_serving::{EndpointId, EndpointRegistry};
-use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, EngineTraits, ServingConfig, ServingDemand,
-};
+use mulberrywell_wire::serving::{EndpointStatus, ServingConfig, ServingDemand};
 use mulberrywell_wire::FrameBody;
 
 use crate::control_event::ControlAction;
 use crate::control_role::{send, Actions, ControlRole};
+use crate::engine_reports::{engine_spec, pacer_settings, update_engines};
 use crate::state_summary::text;
 
 /// Minimum time between the orders of two leaders: the platform's lease of 3 s
@@ -56,9 +55,6 @@
 /// count as missing by then.
 const REFUSING_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Maximum number of concurrent adapter loads.
-const ADAPTER_LOADS_MAX: u32 = 24;
-
 /// An order to be sent to an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineOrder {
@@ -482,83 +478,6 @@
     )
 }
 
-fn pacer_settings(traits: &EngineTraits) -> PacerSettings {
-    let loads_per_minute = traits.store_loads_milli * 60 / 1_000;
-    let burst = store_burst(loads_per_minute);
-    PacerSettings {
-        store_loads_per_minute: loads_per_minute,
-        store_burst: burst,
-        store_parallel: concurrent_loads(traits).max(burst),
-        adapter_parallel: ADAPTER_LOADS_MAX,
-    }
-}
-
-/// Returns the number of concurrent loads at the store's full rate, by Little's
-/// law: the rate times the mean duration of a load.
-fn concurrent_loads(traits: &EngineTraits) -> u32 {
-    let count = traits.models.len().max(1) as u64;
-    let total_ms: u64 = traits.models.iter().map(|model| model.store_load_ms).sum();
-    let loads = traits.store_loads_milli * (total_ms / count) / 1_000_000;
-    u32::try_from(loads).unwrap_or(u32::MAX)
-}
-
-fn engine_spec(traits: &EngineTraits) -> EngineSpec {
-    let models = traits.models.iter().map(|model| ModelSpec {
-        name: model.name.clone(),
-        weight_mb: model.weight_mb,
-        adapter_mb: model.adapter_mb,
-        load_time: Duration::from_millis(model.store_load_ms),
-    });
-    EngineSpec {
-        memory_mb: traits.memory_mb,
-        adapter_places: usize::try_from(traits.adapter_places).unwrap_or(0),
-        models: models.collect(),
-    }
-}
-
-/// Updates a placement with the current state of its service's engines.
-fn update_engines(
-    now: Instant,
-    placement: &mut DemandPlacement,
-    service: &Bytes,
-    endpoints: &EndpointRegistry,
-    refusing: &BTreeMap<EndpointStart, Instant>,
-) {
-    let present = endpoints
-        .present()
-        .filter(|status| status.service == *service);
-    let mut ids = BTreeSet::new();
-    for status in present {
-        ids.insert(status.id.clone());
-        let start = (status.id.clone(), status.born_ms);
-        let report = EngineReport {
-            is_refusing: refusing.contains_key(&start),
-            ..engine_report(status)
-        };
-        placement.handle_report(now, &status.id, report);
-    }
-    placement.retain_engines(&ids);
-}
-
-fn engine_report(status: &EndpointStatus) -> EngineReport {
-    let models = status.models.iter().map(|held| {
-        let adapters = held.adapters.iter().cloned().collect();
-        (held.name.clone(), adapters)
-    });
-    EngineReport {
-        incarnation: status.born_ms,
-        software: status.software.clone(),
-        is_refusing: false,
-        is_limited: status
-            .limit
-            .is_some_and(|limit| limit.milli_per_s.is_some()),
-        is_usable: status.phase() == EndpointPhase::Ready && !status.silent && !status.leaving,
-        models: models.collect(),
-        in_memory: status.in_memory.iter().cloned().collect(),
-        on_disk: status.on_disk.iter().cloned().collect(),
-    }
-}
-
 /// Applies a change to the models and adapters of an endpoint; returns whether
 /// the status changed.
 ///
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -16,7 +16,6 @@
 use mulberrywell_wire::FrameBody;
 
 use crate::admission::RateWait;
-use crate::attempts::WAIT_INTERVAL;
 use crate::call_codec::CallCodec;
 use crate::call_table::CallTable;
 use crate::caller_responses::send_empty_response;
@@ -25,6 +24,7 @@
 use crate::endpoint_permits::EndpointPermits;
 use crate::endpoint_probes::EndpointProbes;
 use crate::endpoint_table::EndpointTable;
+use crate::endpoint_wait::WAIT_INTERVAL;
 use crate::gateway_metrics as metrics;
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod endpoint_permits;
 mod endpoint_probes;
 mod endpoint_table;
+mod endpoint_wait;
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_role;
