gateway: streams wait for a load at their version as long as one takes

They wait up to 6 s now, never more than half of the caller's time; and a report of a refusing engine is planned for at once, where it waited for the next plan (300 ms here).

--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -154,7 +154,7 @@
             let (model, adapter) = (awaited.model.clone(), awaited.adapter.clone());
             placement.record_awaited(now, model, adapter, awaited.software.clone());
         }
-        if !demand.wanted.is_empty() {
+        if !demand.wanted.is_empty() || !demand.refusing.is_empty() {
             self.plan_soon(now);
         }
     }
--- a/crates/gateway/src/endpoint_wait.rs
+++ b/crates/gateway/src/endpoint_wait.rs
@@ -22,8 +22,9 @@
 const MODEL_WAIT_MIN: Duration = Duration::from_millis(2_500);
 
 /// Lower bound of that wait for a stream that was begun: it can't go on elsewhere, and
-/// its model may have to be loaded at an engine of its software version.
-const STREAM_WAIT_MIN: Duration = Duration::from_millis(4_000);
+/// its model may have to be loaded at an engine of its software version, which takes up
+/// to 4.2 s alone and longer beside other loads.
+const STREAM_WAIT_MIN: Duration = Duration::from_millis(6_000);
 
 /// Divisor of the caller's timeout that bounds the wait, so that time for a
 /// retry remains.
