policy: a model gives way to one that streams of a version wait for

As for a model that no engine holds, a last replica with less than half of its demand now gives way.

--- a/crates/policy/src/demand_placement.rs
+++ b/crates/policy/src/demand_placement.rs
@@ -7,9 +7,9 @@
 //! Guarantees: the models and adapters that an engine holds or is ordered to load
 //! never exceed its memory and adapter places; an engine has one order for a model
 //! at a time; the last loaded replica of a model with demand is evicted only for a
-//! model that no engine holds, and if callers don't wait for that one, only where
-//! its pressure is at least [`GAIN_MIN`] times that of the evicted model without a
-//! replica; memory for loads from the weight store is freed no faster than the store
+//! model that no engine holds, or none of the software version that its callers need, and
+//! if callers don't wait for one that no engine holds, only where its pressure is at least
+//! [`GAIN_MIN`] times that of the evicted model without a replica; memory for loads from the weight store is freed no faster than the store
 //! can fill it.
 //!
 //! Each order carries the number of orders that the engine should have accepted
@@ -340,6 +340,11 @@
         orders: &mut Vec<PlacementOrder>,
     ) {
         let first = orders.len();
+        // At one software version, the model goes before others as if no engine held it.
+        let pressure = match self.replicas(&awaited.model) {
+            0 => f64::MAX,
+            _ => self.pressure(now, &awaited.model, 0),
+        };
         for fit in [EngineFit::Unlimited, EngineFit::Any] {
             let fit = (awaited.software.as_ref(), fit);
             if self.will_hold_model(&awaited.model, fit) {
@@ -348,7 +353,7 @@
                 }
                 return;
             }
-            self.add_replica(now, &awaited.model, fit, f64::MAX, orders);
+            self.add_replica(now, &awaited.model, fit, pressure, orders);
             let has_limited = self.engines.values().any(|it| it.report.is_limited);
             if orders.len() > first || !has_limited {
                 return;
@@ -411,7 +416,7 @@
             return;
         };
         let is_idle = !self.has_demand(now, model);
-        let is_unheld = self.replicas(model) == 0;
+        let is_unheld = self.replicas(model) == 0 || fit.0.is_some();
         let mut best: Option<(f64, f64, EndpointName, Option<ModelName>)> = None;
         for (endpoint, option) in &self.options {
             let Some(state) = self.engines.get(endpoint) else {
--- a/crates/policy/tests/demand_placement.rs
+++ b/crates/policy/tests/demand_placement.rs
@@ -589,3 +589,35 @@
     placement.record_awaited(later, name("a"), name(adapter), None);
     assert_eq!(format_orders(&placement.plan(later)), expected);
 }
+
+/// Guards against streams that can't go on because every model at the engines of their
+/// version is the last of its kind: one with far less demand gives way, another doesn't.
+#[rstest]
+#[case::little_demand(1, &["unload e2 c"])]
+#[case::as_much_demand(30, &[])]
+fn awaited_at_version_replaces_last(#[case] requests: u64, #[case] expected: &[&str]) {
+    let now = Instant::now();
+    let mut placement = placement(now);
+    let engines = [
+        ("e1", "v2", report(&[("a", &[])])),
+        ("e2", "v1", report(&[("b", &[]), ("c", &[])])),
+    ];
+    for (endpoint, software, engine_report) in engines {
+        let engine_report = EngineReport {
+            software: name(software),
+            ..engine_report
+        };
+        handle_report(&mut placement, now, &name(endpoint), engine_report);
+    }
+    let later = now + Duration::from_secs(5);
+    for (model, requests) in [("a", 30), ("b", 90), ("c", requests)] {
+        placement.record_requests(later, &name(model), &Bytes::new(), requests);
+    }
+    placement.record_awaited(later, name("a"), Bytes::new(), Some(name("v1")));
+    let orders = format_orders(&placement.plan(later));
+    let unloads: Vec<_> = orders
+        .iter()
+        .filter(|it| it.starts_with("unload"))
+        .collect();
+    assert_eq!(unloads, expected, "{orders:?}");
+}
