--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod config_verifier;
 mod endpoint_registry;
 mod origin_table;
+mod route_urgency;
 mod serving_index;
 
 pub use config_verifier::verify_config;
--- a/crates/serving/src/serving_index.rs
+++ b/crates/serving/src/serving_index.rs
@@ -10,6 +10,8 @@
 use mulberrywell_directory::digest_key;
 use mulberrywell_wire::serving::{ServingAccount, ServingConfig, ServingRoute, ServingService};
 
+use crate::route_urgency::RouteUrgency;
+
 /// Owner of a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeyOwner<'a> {
@@ -33,6 +35,7 @@
     /// Indexes of accounts by the digests of their keys.
     keys: BTreeMap<Bytes, usize>,
     services: BTreeMap<Bytes, usize>,
+    urgency: RouteUrgency,
 }
 
 impl ServingIndex {
@@ -67,6 +70,7 @@
             hosts,
             keys,
             services,
+            urgency: RouteUrgency::of(&config),
             config,
         }
     }
@@ -108,4 +112,15 @@
         let index = self.services.get(name)?;
         self.config.services.get(*index)
     }
+
+    /// Returns whether the work of a route can yield to urgent work of the same service: a
+    /// route with a lower priority number has an objective that is at most a quarter of its.
+    pub fn is_deferrable(&self, route: &ServingRoute) -> bool {
+        self.urgency.is_deferrable(route)
+    }
+
+    /// Returns whether a service has deferrable routes.
+    pub fn has_deferrable(&self, service: &Bytes) -> bool {
+        self.urgency.has_deferrable(service)
+    }
 }
