control, gateway: evacuate an availability zone

Operators had no way to take a zone out of service while traffic runs. POST /api/evacuations/ZONE/start and /end commit a command of the replicated log (SetEvacuation) before they are answered, and every control instance tells its gateways the list of evacuated zones as of a log entry. A late list is ignored by its term and index. A gateway sends nothing to an evacuated zone; models that are resident nowhere else are still sent there for 2.5 s, while control loads them elsewhere.

A change names the entry that its call was based on, so that a call which is delayed in transit can't undo a later one. A restarted control instance also lists zones whose start is in its log but not known to be committed, as a gateway that starts at that moment must not serve them. A list by revision number alone was ruled out: the uncommitted entry may be replaced by one with a lower index.

Placement counts engines of an evacuated zone as unusable. Entries are told of its endpoints as leaving. Without any call nothing is sent or stored that wasn't before.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -179,7 +179,9 @@
     pub(crate) fn refuse_requester(&mut self, requester: RelayRequester, actions: &mut Actions) {
         match requester {
             RelayRequester::Operator(request) => self.answer_leader_lost(request, actions),
-            RelayRequester::Serving(request) => refuse_call(CallOrigin::Local(request), actions),
+            RelayRequester::Serving(request) | RelayRequester::Evacuation(request) => {
+                refuse_call(CallOrigin::Local(request), actions);
+            }
             RelayRequester::Client { link, frame } => {
                 if let Some(refusal) = refusal_of(&frame) {
                     send(link, refusal, actions);
--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -17,7 +17,7 @@
 use mulberrywell_wire::config::{
     AccountItem, EndpointItem, GrantItem, ItemKind, KeyItem, ModelItem, PlanItem, ServiceItem,
 };
-use mulberrywell_wire::serving::{PutServing, PutSoftware, PutStreams};
+use mulberrywell_wire::serving::{PutServing, PutSoftware, PutStreams, SetEvacuation};
 
 use crate::audit_trail::{AuditEntry, AuditTrail};
 use crate::change_history::{replace_items, ChangeHistory, ItemRef};
@@ -25,6 +25,7 @@
 use crate::command_outcome::{CommandOutcome, EditConflict};
 use crate::dedup_table::DedupTable;
 use crate::endpoint_chart::EndpointChart;
+use crate::evacuation_table::EvacuationTable;
 use crate::state_summary::{action_name, is_audited, text};
 
 /// Time in milliseconds for which origins of streams are kept beyond their lifetime,
@@ -91,6 +92,8 @@
     pub streams: OriginTable<u64>,
     /// Software versions of each service that may have begun such streams.
     pub software: BTreeMap<Bytes, BTreeSet<Bytes>>,
+    /// Evacuations of availability zones.
+    pub evacuations: EvacuationTable,
     /// Claims of idempotency keys.
     pub claims: ClaimTable,
     /// The audit trail.
@@ -132,6 +135,7 @@
             serving: None,
             streams: OriginTable::default(),
             software: BTreeMap::new(),
+            evacuations: EvacuationTable::default(),
             claims: ClaimTable::default(),
             audit: AuditTrail::default(),
             requests: DedupTable::default(),
@@ -212,6 +216,7 @@
             Body::PutServing(put) => Ok(self.put_serving(put)),
             Body::PutStreams(put) => Ok(self.put_streams(put)),
             Body::PutSoftware(put) => Ok(self.put_software(put)),
+            Body::SetEvacuation(set) => self.set_evacuation(set),
         }
     }
 
@@ -347,6 +352,24 @@
         self.version
     }
 
+    /// Starts or ends an evacuation; subscribers are told of the zone's endpoints anew.
+    fn set_evacuation(&mut self, set: &SetEvacuation) -> Result<u64, EditConflict> {
+        let evacuations = &mut self.evacuations;
+        if !evacuations.apply_change(self.applied, self.clock_ms, set)? {
+            return Ok(self.version);
+        }
+        let records = self.endpoints.values();
+        let affected = records.filter(|record| record.item.zone == set.zone);
+        let names: Vec<Bytes> = affected.map(|record| record.item.name.clone()).collect();
+        if names.is_empty() {
+            return Ok(self.version);
+        }
+        for name in &names {
+            self.record_change(ItemKind::Endpoint, name);
+        }
+        Ok(self.advance_version())
+    }
+
     fn record_audit(&mut self, command: &LogCommand, before: String, outcome: &CommandOutcome) {
         let accepted = matches!(outcome, CommandOutcome::Accepted { .. });
         let after = if accepted {
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -34,6 +34,7 @@
 use crate::control_event::{ControlAction, ControlEvent};
 use crate::endpoint_chart::EndpointChart;
 use crate::endpoint_monitor::EndpointMonitor;
+use crate::evacuation_view::EvacuationView;
 use crate::lease_issuer::LeaseIssuer;
 use crate::load_tracker::LoadTracker;
 use crate::member_driver::MemberDriver;
@@ -120,6 +121,7 @@
     pub(crate) clients: ClientLinks,
     pub(crate) subscribers: SubscriberTable,
     pub(crate) serving: ServingRegistry,
+    pub(crate) evacuations: EvacuationView,
     pub(crate) orders: OrderDispatcher,
     /// Permits for requests to endpoints with a limit, of the leader.
     pub(crate) permits: PermitIssuer,
@@ -184,6 +186,7 @@
             seed: config.new_cluster_id,
             ..NodeConfig::default()
         };
+        let evacuations = EvacuationView::recover(&recovered, &state);
         let placement = PlacementTask::new(&config.settings, now);
         let empty = recovered.snapshot.is_none() && recovered.entries.is_empty();
         let node = ConsensusNode::open(node_config, recovered, now);
@@ -213,6 +216,7 @@
             clients: ClientLinks::default(),
             subscribers: SubscriberTable::default(),
             serving: ServingRegistry::default(),
+            evacuations,
             orders: OrderDispatcher::default(),
             permits: PermitIssuer::default(),
             rates: RateCounter::new(rate_epoch, now),
@@ -329,8 +333,9 @@
         }
         self.subscribers.distribute(&self.state, &mut self.commands);
         let peers = self.peers.member_links();
+        let evacuations = (&self.evacuations, self.clock_ms);
         self.serving
-            .distribute(&self.state, &peers, &mut self.commands);
+            .distribute(&self.state, evacuations, &peers, &mut self.commands);
         self.flush_commands(actions);
     }
 
--- a/crates/control/src/engine_reports.rs
+++ b/crates/control/src/engine_reports.rs
@@ -12,6 +12,8 @@
 use mulberrywell_serving::EndpointRegistry;
 use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus, EngineTraits};
 
+use crate::evacuation_table::EvacuationTable;
+
 /// Maximum number of concurrent adapter loads.
 const ADAPTER_LOADS_MAX: u32 = 24;
 
@@ -57,6 +59,7 @@
     placement: &mut DemandPlacement,
     service: &Bytes,
     endpoints: &EndpointRegistry,
+    evacuations: &EvacuationTable,
     refusing: &BTreeMap<EndpointStart, Instant>,
 ) {
     let present = endpoints
@@ -70,6 +73,11 @@
             is_refusing: refusing.contains_key(&start),
             ..engine_report(status)
         };
+        let is_evacuated = evacuations.contains(&status.zone);
+        let report = EngineReport {
+            is_usable: report.is_usable && !is_evacuated,
+            ..report
+        };
         placement.handle_report(now, &status.id, report);
     }
     placement.retain_engines(&ids);
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -21,7 +21,7 @@
 use crate::control_role::{send, Actions, ControlRole, ReadTask};
 use crate::lease_issuer::LeaseIssuer;
 use crate::proposal_table::ProposalWaiter;
-use crate::serving_calls::{accept_call, refuse_call};
+use crate::serving_calls::{complete_call, refuse_call};
 
 impl ControlRole {
     pub(crate) fn handle_output(
@@ -92,6 +92,8 @@
         let waiter = proposal.and_then(|proposal| self.proposals.remove(proposal));
         let Some(data) = entry.command() else {
             self.state.applied = entry.index;
+            self.evacuations
+                .record_applied(entry.term, entry.index, false);
             return;
         };
         let command = match LogCommand::decode(data.clone()) {
@@ -105,6 +107,9 @@
         };
         let cluster = self.state.cluster;
         let outcome = self.state.apply(entry.index, &command);
+        let is_change = self.record_evacuation(now, &command, &outcome, actions);
+        self.evacuations
+            .record_applied(entry.term, entry.index, is_change);
         if self.state.cluster != cluster {
             self.commands
                 .extend(self.peers.hello_commands(self.state.cluster));
@@ -164,7 +169,7 @@
             ProposalWaiter::Outcome(origin, sequence) => {
                 self.acknowledge_outcome(origin, sequence, actions);
             }
-            ProposalWaiter::Serving(origin) => accept_call(origin, actions),
+            ProposalWaiter::Serving(origin) => complete_call(origin, outcome, actions),
             ProposalWaiter::Streams => self.streams.end_proposal(),
             ProposalWaiter::Endpoint(_) | ProposalWaiter::Membership | ProposalWaiter::Blocks => {}
         }
@@ -192,6 +197,8 @@
                 self.state = state;
                 // Log entries without a command may follow the last command.
                 self.state.applied = self.state.applied.max(image.meta.index);
+                let meta = &image.meta;
+                self.evacuations.restore(&self.state, meta.term, meta.index);
                 self.commands
                     .extend(self.peers.hello_commands(self.state.cluster));
                 self.leases = LeaseIssuer::restore(now, &self.state);
--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -27,6 +27,7 @@
 use crate::control_event::ControlAction;
 use crate::control_role::{send, Actions, ControlRole};
 use crate::engine_reports::{engine_spec, pacer_settings, update_engines};
+use crate::evacuation_table::EvacuationTable;
 use crate::state_summary::text;
 
 /// Minimum time between the orders of two leaders: the platform's lease of 3 s
@@ -165,7 +166,7 @@
     }
 
     /// Schedules a plan as soon as one is allowed.
-    fn plan_soon(&mut self, now: Instant) {
+    pub(crate) fn plan_soon(&mut self, now: Instant) {
         let pause_end = self.last_plan.map_or(now, |at| now.max(at + PLAN_PAUSE));
         self.next_plan = self.orders_allowed_from.map(|from| from.max(pause_end));
     }
@@ -181,6 +182,7 @@
         now: Instant,
         config: &ServingConfig,
         endpoints: &EndpointRegistry,
+        evacuations: &EvacuationTable,
     ) -> Vec<(Bytes, PlacementOrder)> {
         if self.next_plan.is_none_or(|at| at > now) {
             return Vec::new();
@@ -197,7 +199,14 @@
             };
             let placement = self.placement(now, &service.name);
             placement.set_spec(engine_spec(traits), pacer_settings(traits));
-            update_engines(now, placement, &service.name, endpoints, &refusing);
+            update_engines(
+                now,
+                placement,
+                &service.name,
+                endpoints,
+                evacuations,
+                &refusing,
+            );
             let planned = placement.plan(now).into_iter();
             orders.extend(planned.map(|order| (service.name.clone(), order)));
         }
@@ -318,7 +327,10 @@
         let Some(config) = put.and_then(|put| put.config.as_ref()) else {
             return;
         };
-        let orders = self.orders.plan(now, config, &self.serving.endpoints);
+        let evacuations = &self.state.evacuations;
+        let orders = self
+            .orders
+            .plan(now, config, &self.serving.endpoints, evacuations);
         let planner = &self.orders;
         if planner.orders_allowed_from.is_some_and(|from| from <= now) {
             self.serving
@@ -401,6 +413,9 @@
         actions: &mut Actions,
     ) {
         let status = self.serving.endpoints.get(&order.endpoint);
+        // A deferred order may be older than the evacuation of the engine's zone.
+        let evacuations = &self.state.evacuations;
+        let status = status.filter(|status| !evacuations.contains(&status.zone));
         let address = status.map(|status| status.address.clone());
         let Some(address) = address else {
             let refused = OrderAnswer::Refused;
--- a/crates/control/src/placement_task.rs
+++ b/crates/control/src/placement_task.rs
@@ -141,7 +141,9 @@
         let models = state.models.values();
         self.input.models.extend(models.map(placement_model));
         self.input.endpoints.clear();
-        for record in state.endpoints.values() {
+        let records = state.endpoints.values();
+        // Engines in an evacuated zone hold nothing that callers reach and get no orders.
+        for record in records.filter(|it| !state.evacuations.contains(&it.item.zone)) {
             let report = observed.endpoint(&record.item.name);
             let report = report.map(|observed| &observed.report);
             self.input
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -14,10 +14,11 @@
 use mulberrywell_serving::{EndpointId, MergeOutcome};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, PutServing, ServingForward, ServingReply,
+    EndpointPhase, EndpointStatus, PutServing, ServingForward, ServingReply, SetEvacuation,
 };
 use mulberrywell_wire::FrameBody;
 
+use crate::command_outcome::{CommandOutcome, EditConflict};
 use crate::control_event::ControlAction;
 use crate::control_role::{send, Actions, ControlRole, ReadTask};
 use crate::proposal_table::{CallOrigin, ProposalWaiter};
@@ -30,6 +31,13 @@
     Put(PutServing),
     /// Reads the text of the configuration in force.
     Read,
+    /// Starts or ends the evacuation of a zone.
+    Evacuate {
+        /// The zone.
+        zone: Bytes,
+        /// Whether the evacuation starts.
+        is_start: bool,
+    },
     /// An endpoint's heartbeat.
     Heartbeat(EndpointStatus),
     /// An endpoint leaves.
@@ -49,6 +57,8 @@
     Accepted,
     /// The text of the configuration; `None` before the first one.
     Source(Option<Bytes>),
+    /// The call can't be executed; retrying it is of no use.
+    Refused,
     /// No leader confirmed the call; it may be retried.
     Unavailable,
 }
@@ -57,8 +67,15 @@
 #[derive(Debug)]
 pub(crate) struct ServingTask {
     pub(crate) origin: CallOrigin,
-    /// `None` for a read.
-    put: Option<PutServing>,
+    change: ServingChange,
+}
+
+/// What a call that the leader executes asks for.
+#[derive(Debug, Clone)]
+pub(crate) enum ServingChange {
+    Read,
+    Put(PutServing),
+    Evacuate(SetEvacuation),
 }
 
 impl ControlRole {
@@ -70,8 +87,14 @@
         actions: &mut Actions,
     ) {
         match call {
-            ServingCall::Put(put) => self.route_call(now, request, Some(put), actions),
-            ServingCall::Read => self.route_call(now, request, None, actions),
+            ServingCall::Put(put) => {
+                self.route_call(now, request, ServingChange::Put(put), actions);
+            }
+            ServingCall::Read => self.route_call(now, request, ServingChange::Read, actions),
+            ServingCall::Evacuate { zone, is_start } => {
+                let set = self.evacuation_change(zone, is_start);
+                self.route_call(now, request, ServingChange::Evacuate(set), actions);
+            }
             // An observer without a link to the others would acknowledge what no
             // gateway learns.
             ServingCall::Heartbeat(_) | ServingCall::Leave { .. } if self.is_isolated() => {
@@ -127,25 +150,34 @@
         &mut self,
         now: Instant,
         request: RequestId,
-        put: Option<PutServing>,
+        change: ServingChange,
         actions: &mut Actions,
     ) {
         if self.is_leader() {
             let origin = CallOrigin::Local(request);
             self.reads
-                .push(ReadTask::Serving(ServingTask { origin, put }));
+                .push(ReadTask::Serving(ServingTask { origin, change }));
             return;
         }
         let Some(leader) = self.leader_link() else {
             reply(request, ServingAnswer::Unavailable, actions);
             return;
         };
-        match self
-            .relays
-            .insert(now, leader, RelayRequester::Serving(request))
-        {
+        let requester = match change {
+            ServingChange::Evacuate(_) => RelayRequester::Evacuation(request),
+            _ => RelayRequester::Serving(request),
+        };
+        match self.relays.insert(now, leader, requester) {
             Ok(sequence) => {
-                let call = ServingForward { sequence, put };
+                let mut call = ServingForward {
+                    sequence,
+                    ..ServingForward::default()
+                };
+                match change {
+                    ServingChange::Read => {}
+                    ServingChange::Put(put) => call.put = Some(put),
+                    ServingChange::Evacuate(set) => call.evacuation = Some(set),
+                }
                 send(leader, FrameBody::ServingForward(call), actions);
             }
             Err(requester) => self.refuse_requester(requester, actions),
@@ -161,9 +193,13 @@
         let sequence = call.sequence;
         let origin = CallOrigin::Forwarded { link, sequence };
         if self.is_leader() {
-            let put = call.put;
+            let change = match (call.evacuation, call.put) {
+                (Some(set), _) => ServingChange::Evacuate(set),
+                (None, Some(put)) => ServingChange::Put(put),
+                (None, None) => ServingChange::Read,
+            };
             self.reads
-                .push(ReadTask::Serving(ServingTask { origin, put }));
+                .push(ReadTask::Serving(ServingTask { origin, change }));
         } else {
             refuse_call(origin, actions);
         }
@@ -171,12 +207,17 @@
 
     pub(crate) fn handle_serving_reply(&mut self, answer: ServingReply, actions: &mut Actions) {
         let requester = self.relays.remove(answer.sequence);
-        let Some(RelayRequester::Serving(request)) = requester else {
-            return;
+        let (request, is_evacuation) = match requester {
+            Some(RelayRequester::Serving(request)) => (request, false),
+            Some(RelayRequester::Evacuation(request)) => (request, true),
+            _ => return,
         };
         let answer = match (answer.confirmed, answer.source) {
+            _ if answer.refused => ServingAnswer::Refused,
             (false, _) => ServingAnswer::Unavailable,
             (true, source) if source.is_empty() => ServingAnswer::Accepted,
+            // A leader of an older version takes the call for a read.
+            (true, _) if is_evacuation => ServingAnswer::Unavailable,
             (true, source) => ServingAnswer::Source(Some(source)),
         };
         reply(request, answer, actions);
@@ -186,10 +227,17 @@
     /// leadership.
     pub(crate) fn execute_serving_call(&mut self, task: ServingTask, actions: &mut Actions) {
         let held = self.state.serving_version();
-        let Some(put) = task.put else {
-            let source = self.state.serving.as_ref().map(|put| put.source.clone());
-            answer_call(task.origin, ServingAnswer::Source(source), actions);
-            return;
+        let put = match task.change {
+            ServingChange::Put(put) => put,
+            ServingChange::Read => {
+                let source = self.state.serving.as_ref().map(|put| put.source.clone());
+                answer_call(task.origin, ServingAnswer::Source(source), actions);
+                return;
+            }
+            ServingChange::Evacuate(set) => {
+                self.execute_evacuation(task.origin, set, actions);
+                return;
+            }
         };
         let version = put.config.as_ref().map_or(0, |config| config.version);
         if version <= held {
@@ -209,6 +257,17 @@
     answer_call(origin, ServingAnswer::Accepted, actions);
 }
 
+/// Answers a call whose command is committed. A command without effect because of a later
+/// change is answered as not confirmed, so that it is retried on the newer state.
+pub(crate) fn complete_call(origin: CallOrigin, outcome: &CommandOutcome, actions: &mut Actions) {
+    let answer = match outcome {
+        CommandOutcome::Accepted { .. } => ServingAnswer::Accepted,
+        CommandOutcome::Refused(EditConflict::Full) => ServingAnswer::Refused,
+        CommandOutcome::Refused(_) => ServingAnswer::Unavailable,
+    };
+    answer_call(origin, answer, actions);
+}
+
 /// Answers that no leader confirmed the call.
 pub(crate) fn refuse_call(origin: CallOrigin, actions: &mut Actions) {
     answer_call(origin, ServingAnswer::Unavailable, actions);
@@ -220,15 +279,19 @@
         CallOrigin::Forwarded { link, sequence } => {
             // An empty text would read as an acknowledgement, so a read before
             // the first configuration is answered as not confirmed.
+            let refused = answer == ServingAnswer::Refused;
             let (confirmed, source) = match answer {
                 ServingAnswer::Accepted => (true, Bytes::new()),
                 ServingAnswer::Source(Some(source)) => (true, source),
-                ServingAnswer::Source(None) | ServingAnswer::Unavailable => (false, Bytes::new()),
+                ServingAnswer::Source(None)
+                | ServingAnswer::Refused
+                | ServingAnswer::Unavailable => (false, Bytes::new()),
             };
             let reply = ServingReply {
                 sequence,
                 confirmed,
                 source,
+                refused,
             };
             send(link, FrameBody::ServingReply(reply), actions);
         }
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -21,6 +21,7 @@
 use mulberrywell_wire::FrameBody;
 
 use crate::cluster_state::ClusterState;
+use crate::evacuation_view::{EvacuationView, ListPosition};
 use crate::order_dispatcher::apply_change;
 
 /// Time without heartbeats after which an endpoint is marked silent: three
@@ -36,6 +37,8 @@
     version: u64,
     /// Whether all endpoints have been sent.
     has_all_endpoints: bool,
+    /// Position of the list of evacuations.
+    evacuations: Option<ListPosition>,
 }
 
 /// The endpoints and their subscribers.
@@ -64,6 +67,7 @@
             instance,
             version: attach.version,
             has_all_endpoints: false,
+            evacuations: None,
         };
         self.subscribers.insert(link, record);
     }
@@ -242,15 +246,17 @@
         }
     }
 
-    /// Appends the updates for subscribers and other control instances.
+    /// Appends the updates for subscribers and other control instances. `evacuations`
+    /// comes with the wall clock in milliseconds.
     pub fn distribute(
         &mut self,
         state: &ClusterState,
+        evacuations: (&EvacuationView, u64),
         peers: &[LinkId],
         commands: &mut Vec<LinkCommand>,
     ) {
         self.send_to_peers(peers, commands);
-        self.send_to_subscribers(state, commands);
+        self.send_to_subscribers(state, evacuations, commands);
         self.changed.clear();
         self.own_changed.clear();
     }
@@ -273,7 +279,12 @@
         }
     }
 
-    fn send_to_subscribers(&mut self, state: &ClusterState, commands: &mut Vec<LinkCommand>) {
+    fn send_to_subscribers(
+        &mut self,
+        state: &ClusterState,
+        (evacuations, clock_ms): (&EvacuationView, u64),
+        commands: &mut Vec<LinkCommand>,
+    ) {
         let changed = self.statuses(&self.changed);
         let changed: Vec<EndpointStatus> = changed.iter().map(routing_status).collect();
         let version = state.serving_version();
@@ -298,7 +309,10 @@
                 .serving
                 .as_ref()
                 .filter(|_| subscriber.version < version);
+            let position = evacuations.position();
+            let has_evacuations = subscriber.evacuations == position;
             let is_current = put.is_none()
+                && has_evacuations
                 && endpoints.is_empty()
                 && subscriber.has_all_endpoints
                 && !controls_changed;
@@ -307,11 +321,14 @@
             }
             subscriber.has_all_endpoints = true;
             subscriber.version = subscriber.version.max(version);
+            subscriber.evacuations = position;
+            let list = evacuations.list(state, clock_ms);
             let update = ServingUpdate {
                 config: put.and_then(|put| put.config.clone()),
                 endpoints,
                 entries,
                 controls: controls.clone(),
+                evacuations: list.filter(|_| !has_evacuations),
             };
             commands.push(update_command(*link, update));
         }
--- a/crates/control/src/state_snapshot.rs
+++ b/crates/control/src/state_snapshot.rs
@@ -21,6 +21,7 @@
 use crate::cluster_state::{ClusterState, EndpointRecord};
 use crate::dedup_table::DedupTable;
 use crate::endpoint_chart::EndpointChart;
+use crate::evacuation_table::EvacuationTable;
 
 impl ClusterState {
     /// Encodes the entire state.
@@ -51,6 +52,7 @@
             serving: self.serving.clone(),
             streams: stream_records(&self.streams),
             software: software_records(&self.software),
+            evacuations: self.evacuations.to_records(),
         };
         Bytes::from(snapshot.encode_to_vec())
     }
@@ -101,6 +103,7 @@
                 .into_iter()
                 .map(|record| (record.service, record.versions.into_iter().collect()))
                 .collect(),
+            evacuations: EvacuationTable::from_records(snapshot.evacuations),
             claims: ClaimTable::from_records(snapshot.claims),
             audit: AuditTrail::from_records(snapshot.audit),
             requests: DedupTable::from_records(snapshot.results),
--- a/crates/control/src/state_summary.rs
+++ b/crates/control/src/state_summary.rs
@@ -41,6 +41,7 @@
                 let wishes = given.map(|name| self.wish_summary(name));
                 wishes.collect::<Vec<_>>().join(", ")
             }
+            Some(Body::SetEvacuation(set)) => self.evacuation_summary(&set.zone),
             _ => String::new(),
         }
     }
@@ -80,6 +81,14 @@
         })
     }
 
+    fn evacuation_summary(&self, zone: &Bytes) -> String {
+        let state = match self.evacuations.contains(zone) {
+            true => "evacuated",
+            false => "in service",
+        };
+        format!("zone {} {state}", text(zone))
+    }
+
     fn wish_summary(&self, name: &Bytes) -> String {
         let wish = match self.wishes.get(name) {
             Some(true) => "wanted",
@@ -125,6 +134,8 @@
         Some(Body::PutServing(_)) => "put serving",
         Some(Body::PutStreams(_)) => "put streams",
         Some(Body::PutSoftware(_)) => "put software",
+        Some(Body::SetEvacuation(set)) if set.evacuated => "start evacuation",
+        Some(Body::SetEvacuation(_)) => "end evacuation",
         None => "nothing",
     }
 }
--- a/crates/control/src/update_builder.rs
+++ b/crates/control/src/update_builder.rs
@@ -4,7 +4,9 @@
 //! one delta. Any other gets the full configuration in parts of at most
 //! [`PART_ITEMS`] items, which the subscriber applies together.
 
-use mulberrywell_wire::config::{ItemKind, Removal, Subscribe, Update};
+use mulberrywell_wire::config::{
+    EndpointItem, EndpointState, ItemKind, Removal, Subscribe, Update,
+};
 
 use crate::change_history::ItemRef;
 use crate::cluster_state::ClusterState;
@@ -112,8 +114,11 @@
         ItemKind::Service => push(state.services.get(name), &mut update.services),
         ItemKind::Grant => push(state.grants.get(name), &mut update.grants),
         ItemKind::Endpoint => {
-            let record = state.endpoints.get(name);
-            push(record.map(|record| &record.item), &mut update.endpoints)
+            let item = state.endpoints.get(name).map(|record| &record.item);
+            update
+                .endpoints
+                .extend(item.map(|item| listed_endpoint(state, item)));
+            item.is_some()
         }
         ItemKind::Unspecified => true,
     };
@@ -125,6 +130,16 @@
     }
 }
 
+/// Returns an endpoint as subscribers are told of it: one in an evacuated zone gets no
+/// requests, like one that is leaving.
+fn listed_endpoint(state: &ClusterState, item: &EndpointItem) -> EndpointItem {
+    let mut item = item.clone();
+    if item.state() != EndpointState::Gone && state.evacuations.contains(&item.zone) {
+        item.set_state(EndpointState::Leaving);
+    }
+    item
+}
+
 fn push<T: Clone>(item: Option<&T>, items: &mut Vec<T>) -> bool {
     items.extend(item.cloned());
     item.is_some()
--- a/crates/gateway/src/endpoint_probes.rs
+++ b/crates/gateway/src/endpoint_probes.rs
@@ -102,6 +102,10 @@
 
     /// Sends a probe; if the endpoint has a limit, the caller has a permit.
     pub(crate) fn send_probe(&mut self, start: &EndpointStart, actions: &mut Actions) {
+        if self.endpoints.is_in_evacuated_zone(&start.0) {
+            self.finish_probe(self.last_handled, start, false, actions);
+            return;
+        }
         let Some(probe) = self.probes.probes.get_mut(start) else {
             return;
         };
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::call_codec::ModelTerms;
+use crate::zone_evacuations::ZoneEvacuations;
 
 /// Back-off after a failure, doubled with each consecutive one.
 const BACKOFF_MIN: Duration = Duration::from_millis(500);
@@ -146,6 +147,8 @@
     usages: BTreeMap<EndpointId, EndpointUsage>,
     /// Endpoints by service, without those that are gone.
     services: BTreeMap<Bytes, Vec<EndpointId>>,
+    /// Zones whose endpoints get no requests.
+    pub(crate) evacuations: ZoneEvacuations,
 }
 
 impl EndpointTable {
@@ -203,21 +206,61 @@
         now: Instant,
         needs: EndpointNeeds<'a>,
     ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
+        let is_handed_over = self.is_handed_over(now, needs);
         self.listed(needs.service).filter(move |(status, usage)| {
             let holds_model = |model| holds_model(status, usage, model);
-            accepts_requests(now, status, usage)
+            let zone = &status.zone;
+            let is_evacuated = match is_handed_over {
+                true => self.evacuations.is_closed(now, zone),
+                false => self.evacuations.contains(zone),
+            };
+            !is_evacuated
+                && accepts_requests(now, status, usage)
                 && needs.model.is_none_or(holds_model)
                 && needs.software.is_none_or(|it| status.software == *it)
                 && !needs.tried.contains(&status.id)
         })
     }
 
+    /// Returns whether an evacuated zone may still get what is needed, as it is nowhere else.
+    fn is_handed_over(&self, now: Instant, needs: EndpointNeeds<'_>) -> bool {
+        let Some(model) = needs.model.filter(|_| self.evacuations.has_handover(now)) else {
+            return false;
+        };
+        let mut listed = self.listed(needs.service);
+        !listed.any(|(status, usage)| {
+            !self.evacuations.contains(&status.zone)
+                && accepts_requests(now, status, usage)
+                && holds_model(status, usage, model)
+                && needs.software.is_none_or(|it| status.software == *it)
+        })
+    }
+
+    /// Returns whether only evacuated zones have endpoints of a service that serve.
+    pub fn is_evacuated(&self, now: Instant, service: &Bytes) -> bool {
+        let serving = self.listed(service);
+        let mut serving = serving.filter(|(status, _)| is_ready(status) && !status.silent);
+        self.evacuations.len() > 0
+            && serving.clone().next().is_some()
+            && serving.all(|(status, _)| match status.engine {
+                true => self.evacuations.is_closed(now, &status.zone),
+                false => self.evacuations.contains(&status.zone),
+            })
+    }
+
+    /// Returns whether an endpoint is in an evacuated zone.
+    pub fn is_in_evacuated_zone(&self, id: &EndpointId) -> bool {
+        let status = self.registry.get(id);
+        status.is_some_and(|status| self.evacuations.contains(&status.zone))
+    }
+
     /// Returns whether an endpoint of the software version that is needed serves, whatever
     /// models it has now.
-    pub fn serves_version(&self, needs: EndpointNeeds<'_>) -> bool {
+    pub fn serves_version(&self, now: Instant, needs: EndpointNeeds<'_>) -> bool {
         let mut listed = self.listed(needs.service);
         listed.any(|(status, _)| {
             is_ready(status)
+                && !self.evacuations.is_closed(now, &status.zone)
                 && !status.silent
                 && needs.software.is_none_or(|it| status.software == *it)
         })
@@ -226,7 +269,7 @@
     fn listed<'a>(
         &'a self,
         service: &Bytes,
-    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
+    ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> + Clone {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| Some((self.registry.get(id)?, self.usages.get(id)?)))
     }
@@ -236,7 +279,9 @@
         let (id, born_ms) = start;
         match (self.registry.get(id), self.usages.get(id)) {
             (Some(status), Some(usage)) => {
-                status.born_ms == *born_ms && accepts_requests(now, status, usage)
+                status.born_ms == *born_ms
+                    && !self.evacuations.is_closed(now, &status.zone)
+                    && accepts_requests(now, status, usage)
             }
             _ => false,
         }
@@ -284,7 +329,8 @@
     /// otherwise ready, is open again.
     pub fn next_opening(&self, now: Instant, service: &Bytes) -> Option<Instant> {
         let ids = self.services.get(service).into_iter().flatten();
-        let usages = ids.filter_map(|id| self.usages.get(id));
+        let usages = ids.filter(|id| !self.is_in_evacuated_zone(id));
+        let usages = usages.filter_map(|id| self.usages.get(id));
         let closed = usages.filter(|usage| !usage.leaving && !usage.is_open(now));
         closed.filter_map(|usage| usage.closed_until).min()
     }
--- a/crates/gateway/src/endpoint_wait.rs
+++ b/crates/gateway/src/endpoint_wait.rs
@@ -48,7 +48,7 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
-        if call.needs().software.is_some() && !self.endpoints.serves_version(call.needs()) {
+        if call.needs().software.is_some() && !self.endpoints.serves_version(now, call.needs()) {
             self.end_unserved(now, request, RefusalReason::VersionGone, actions);
             return;
         }
@@ -59,7 +59,8 @@
             return;
         }
         let has_waited = now.saturating_duration_since(call.started) >= endpoint_wait_limit(call);
-        if has_waited || call.attempts > 0 || self.is_suspected(call) {
+        let is_evacuated = self.endpoints.is_evacuated(now, &call.service);
+        if has_waited || call.attempts > 0 || is_evacuated || self.is_suspected(call) {
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return;
         }
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -12,13 +12,13 @@
     RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_serving::ServingIndex;
-use mulberrywell_wire::serving::{CallerLimits, ServingAttach, ServingUpdate};
+use mulberrywell_wire::serving::{CallerLimits, EvacuationList, ServingAttach, ServingUpdate};
 use mulberrywell_wire::FrameBody;
 
 use crate::admission::RateWait;
 use crate::call_codec::CallCodec;
 use crate::call_table::CallTable;
-use crate::caller_responses::send_empty_response;
+use crate::caller_responses::{send_empty_response, text};
 use crate::control_links::ControlLinks;
 use crate::demand_tracker::DemandTracker;
 use crate::endpoint_permits::EndpointPermits;
@@ -236,6 +236,8 @@
 
     fn handle_update(&mut self, now: Instant, update: ServingUpdate, actions: &mut Actions) {
         self.links.set_advertised(now, &update.controls);
+        let list = update.evacuations.as_ref();
+        let mut changed = list.is_some_and(|list| self.apply_evacuations(now, list, actions));
         if update.entries > 0 {
             let count = HolderCount::all_heard(update.entries);
             if self.rates.record_holders(now, UNCOUNTED_EPOCH, count) {
@@ -257,7 +259,6 @@
                 ));
             }
         }
-        let mut changed = false;
         for status in update.endpoints {
             let text = format!(
                 "endpoint id={} born={} sequence={} phase={:?} silent={} limit_milli={:?}",
@@ -278,6 +279,34 @@
         }
     }
 
+    /// Applies a list of evacuated zones; returns whether it changed anything.
+    fn apply_evacuations(
+        &mut self,
+        now: Instant,
+        list: &EvacuationList,
+        actions: &mut Actions,
+    ) -> bool {
+        let changes = self.endpoints.evacuations.apply(now, list);
+        for change in &changes {
+            let line = format!(
+                "evacuation zone={} term={} index={} outcome={}",
+                text(&change.zone),
+                list.term,
+                list.index,
+                if change.is_evacuated {
+                    "in_force"
+                } else {
+                    "ended"
+                },
+            );
+            actions.push(RoleAction::Log(LogLevel::Info, line));
+        }
+        let evacuated = self.endpoints.evacuations.len() as u64;
+        let metric = RoleAction::Metric(MetricKind::Gauge, metrics::EVACUATED_ZONES, evacuated);
+        actions.push(metric);
+        !changes.is_empty()
+    }
+
     fn handle_http(
         &mut self,
         now: Instant,
