control, cli: operators start, end and list evacuations

mulberrywell evacuation start, end and status use the operators' API, whose calls have request ids, so a resend is idempotent and audited under the operator's name. Status lists the endpoints of each zone and the requests that still run there if gateways report to the leader; all gateways report to one instance, which may be another, and then the field is empty.

--- a/crates/control/src/evacuation_calls.rs
+++ b/crates/control/src/evacuation_calls.rs
@@ -12,9 +12,11 @@
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::command::LogCommand;
 use mulberrywell_wire::serving::{EndpointPhase, SetEvacuation};
+use serde_json::{json, Value};
 
 use crate::command_outcome::CommandOutcome;
 use crate::control_role::{Actions, ControlRole};
+use crate::operator_api::OperatorAnswer;
 use crate::proposal_table::{CallOrigin, ProposalWaiter};
 use crate::serving_calls::accept_call;
 use crate::state_summary::text;
@@ -93,6 +95,36 @@
         is_change
     }
 
+    /// Lists the evacuations and the endpoints in their zones.
+    pub(crate) fn show_evacuations(&self) -> OperatorAnswer {
+        let records = self.state.evacuations.records().map(|record| {
+            let present = self.serving.endpoints.present();
+            let endpoints = present.filter(|status| status.zone == record.zone);
+            let endpoints = endpoints.map(|status| {
+                json!({
+                    "name": text(&status.id),
+                    "service": text(&status.service),
+                    "running": self.loads.running(&status.id),
+                })
+            });
+            let agents = self.state.endpoints.values();
+            let agents = agents.filter(|agent| agent.item.zone == record.zone);
+            let agents = agents.map(|agent| json!({ "name": text(&agent.item.name) }));
+            json!({
+                "zone": text(&record.zone),
+                "state": if record.ended_ms.is_none() { "evacuated" } else { "ended" },
+                "since_ms": record.since_ms,
+                "ended_ms": record.ended_ms,
+                "endpoints": endpoints.chain(agents).collect::<Vec<Value>>(),
+            })
+        });
+        let body = json!({
+            "evacuations": records.collect::<Vec<Value>>(),
+            "ready_elsewhere": self.ready_endpoints(|zone| !self.state.evacuations.contains(zone)),
+        });
+        OperatorAnswer { status: 200, body }
+    }
+
     /// Returns the number of ready endpoints whose zone matches.
     fn ready_endpoints(&self, matches: impl Fn(&Bytes) -> bool) -> usize {
         let present = self.serving.endpoints.present();
--- a/crates/control/src/load_tracker.rs
+++ b/crates/control/src/load_tracker.rs
@@ -66,6 +66,13 @@
         self.changed.insert(endpoint);
     }
 
+    /// Returns the requests that run at an endpoint; `None` if no entry reports its load
+    /// to this instance.
+    pub fn running(&self, endpoint: &Bytes) -> Option<u32> {
+        let sum = self.sums.get(endpoint).copied().unwrap_or_default();
+        (!self.reports.is_empty()).then_some(sum.running)
+    }
+
     /// Appends a frame for each entry with the changed load of the others.
     pub fn broadcast(&mut self, commands: &mut Vec<LinkCommand>) {
         if self.changed.is_empty() {
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -8,6 +8,7 @@
     WithdrawOperator,
 };
 use mulberrywell_wire::config::KeyItem;
+use mulberrywell_wire::serving::SetEvacuation;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
@@ -96,7 +97,7 @@
     pub body: &'a [u8],
 }
 
-const ROUTES: [(&str, &str, Handler); 13] = [
+const ROUTES: [(&str, &str, Handler); 15] = [
     ("GET", "/v1/config", show_config),
     ("GET", "/v1/endpoints", show_endpoints),
     ("GET", "/v1/models", show_models),
@@ -110,6 +111,8 @@
     ("POST", "/v1/operators/withdraw", withdraw_operator),
     ("POST", "/v1/endpoints/drain", drain_endpoint),
     ("POST", "/v1/members/wish", wish_member),
+    ("POST", "/v1/evacuations/start", start_evacuation),
+    ("POST", "/v1/evacuations/end", end_evacuation),
 ];
 
 /// Parses a call.
@@ -414,6 +417,31 @@
     change(body, wish.request_id)
 }
 
+fn start_evacuation(
+    _: &ClusterState,
+    input: &CallInput<'_>,
+) -> Result<OperatorCall, OperatorAnswer> {
+    set_evacuation(input, true)
+}
+
+fn end_evacuation(_: &ClusterState, input: &CallInput<'_>) -> Result<OperatorCall, OperatorAnswer> {
+    set_evacuation(input, false)
+}
+
+fn set_evacuation(input: &CallInput<'_>, evacuated: bool) -> Result<OperatorCall, OperatorAnswer> {
+    let named: NamedChange = parse(input)?;
+    if named.name.is_empty() || named.name.len() > 256 {
+        return Err(error(400, "bad_request", "`name` has 1 to 256 bytes"));
+    }
+    let body = Body::SetEvacuation(SetEvacuation {
+        zone: Bytes::from(named.name),
+        evacuated,
+        // Resends have the same request id, so none undoes a later change.
+        base: u64::MAX,
+    });
+    change(body, named.request_id)
+}
+
 fn parse_digest(text: &str) -> Result<Bytes, OperatorAnswer> {
     let digits = text.as_bytes().chunks(2);
     let bytes: Option<Vec<u8>> = digits
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -125,6 +125,11 @@
             reply(origin, &answer, actions);
             return;
         }
+        if call.method == "GET" && call.path == "/v1/evacuations" {
+            let answer = self.show_evacuations();
+            reply(origin, &answer, actions);
+            return;
+        }
         match parse_call(&self.state, &call.method, &call.path, &call.body) {
             Ok(OperatorCall::Read(mut answer)) => {
                 if call.path == MODELS_PATH {
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -173,7 +173,7 @@
 }
 
 /// A deployment whose weight store allows one load every four seconds.
-fn models_config(names: &[&'static [u8]]) -> ServingCall {
+pub fn models_config(names: &[&'static [u8]]) -> ServingCall {
     let models = names.iter().map(|name| EngineModel {
         name: Bytes::from_static(name),
         weight_mb: 10,
--- a/crates/control/tests/state_cases.rs
+++ b/crates/control/tests/state_cases.rs
@@ -13,6 +13,7 @@
 use mulberrywell_wire::config::{
     AccountItem, EndpointItem, EndpointState, KeyItem, PlanItem, Subscribe,
 };
+use mulberrywell_wire::serving::SetEvacuation;
 use rstest::rstest;
 
 fn name(text: &str) -> Bytes {
@@ -331,3 +332,77 @@
     };
     assert!(updates_since(&lagging, &ahead).is_empty());
 }
+
+impl StateDriver {
+    fn evacuate(&mut self, base: u64, evacuated: bool) -> CommandOutcome {
+        let zone = name("z");
+        self.apply(Body::SetEvacuation(SetEvacuation {
+            zone,
+            evacuated,
+            base,
+        }))
+    }
+}
+
+/// A start that was delayed in transit undoes the end that was acknowledged after it; and
+/// a state with evacuations that snapshots lose.
+#[test]
+fn delayed_start_without_effect() {
+    let mut driver = StateDriver::new();
+    let base = driver.state.applied;
+    let accepted = |outcome| matches!(outcome, CommandOutcome::Accepted { .. });
+    assert!(accepted(driver.evacuate(base, true)));
+    let started = driver.state.applied;
+    // A resent call changes nothing.
+    assert!(accepted(driver.evacuate(base, true)));
+    assert!(accepted(driver.evacuate(started + 1, false)));
+    assert!(!accepted(driver.evacuate(base, true)));
+    assert!(!driver.state.evacuations.contains(&name("z")));
+    assert!(accepted(driver.evacuate(driver.state.applied, true)));
+    let data = driver.state.encode_snapshot();
+    let chart = EndpointChart::open().unwrap();
+    let copy = ClusterState::decode_snapshot(data, chart).unwrap();
+    assert_eq!(copy.evacuations, driver.state.evacuations);
+}
+
+/// Calls without end of zones that don't exist fill the memory of all instances.
+#[test]
+fn evacuated_zones_bounded() {
+    let mut driver = StateDriver::new();
+    let mut refused = 0;
+    for number in 0..1_030 {
+        let outcome = driver.apply(Body::SetEvacuation(SetEvacuation {
+            zone: name(&format!("z{number}")),
+            evacuated: true,
+            base: driver.state.applied,
+        }));
+        refused += u64::from(outcome == CommandOutcome::Refused(EditConflict::Full));
+    }
+    assert_eq!(refused, 6);
+}
+
+/// Entries go on to send requests to engines of an evacuated zone.
+#[test]
+fn entries_told_endpoints_leave() {
+    let mut driver = StateDriver::new();
+    driver.announce(1, EndpointState::Live);
+    let told = |state: &ClusterState| {
+        let updates = updates_since(state, &Subscribe::default());
+        updates[0].endpoints[0].state()
+    };
+    assert_eq!(told(&driver.state), EndpointState::Live);
+    let zone = driver.endpoint().zone.clone();
+    let mut evacuate = |evacuated| {
+        let set = SetEvacuation {
+            zone: zone.clone(),
+            evacuated,
+            base: driver.state.applied,
+        };
+        let before = driver.state.version;
+        driver.apply(Body::SetEvacuation(set));
+        assert!(driver.state.version > before, "entries are told");
+        told(&driver.state)
+    };
+    assert_eq!(evacuate(true), EndpointState::Leaving);
+    assert_eq!(evacuate(false), EndpointState::Live);
+}
--- a/crates/mulberrywell/src/command_line.rs
+++ b/crates/mulberrywell/src/command_line.rs
@@ -33,6 +33,7 @@
         .subcommand(operator_command())
         .subcommand(endpoint_command())
         .subcommand(member_command())
+        .subcommand(evacuation_command())
         .subcommand(operator_args(audit_command()))
 }
 
@@ -178,6 +179,30 @@
         .subcommand(operator_args(drain))
 }
 
+fn evacuation_command() -> Command {
+    let zone = || {
+        Arg::new("zone")
+            .required(true)
+            .help("Availability zone, which may be unknown")
+    };
+    let start = Command::new("start")
+        .about("Stops sending requests to the endpoints of a zone; running streams finish")
+        .arg(zone())
+        .arg(request_arg());
+    let end = Command::new("end")
+        .about("Returns a zone to service")
+        .arg(zone())
+        .arg(request_arg());
+    let status = Command::new("status")
+        .about("Lists evacuations, their endpoints and the requests that still run there");
+    Command::new("evacuation")
+        .about("Evacuates availability zones and returns them to service")
+        .subcommand_required(true)
+        .subcommand(operator_args(start))
+        .subcommand(operator_args(end))
+        .subcommand(operator_args(status))
+}
+
 fn audit_command() -> Command {
     Command::new("audit")
         .about("Prints the audit trail of changes")
--- a/crates/mulberrywell/src/operator_command.rs
+++ b/crates/mulberrywell/src/operator_command.rs
@@ -109,6 +109,9 @@
         ("operator", "give") => give_operator(&client, args),
         ("operator", "withdraw") => post_by_name(&client, args, "/v1/operators/withdraw", "name"),
         ("member", verb) => request_member_change(&client, args, verb),
+        ("evacuation", "start") => post_by_name(&client, args, "/v1/evacuations/start", "zone"),
+        ("evacuation", "end") => post_by_name(&client, args, "/v1/evacuations/end", "zone"),
+        ("evacuation", "status") => show_evacuations(&client, args),
         ("endpoint", "drain") => post_by_name(&client, args, "/v1/endpoints/drain", "name"),
         _ => bail!("unknown command"),
     }
@@ -178,6 +181,36 @@
     Ok(ExitStatus::Done)
 }
 
+/// Prints each evacuation with one line for each endpoint of its zone.
+fn show_evacuations(client: &OperatorClient, args: &ArgMatches) -> Result<ExitStatus> {
+    let response = client.get("/v1/evacuations")?;
+    if response.status != 200 || args.get_flag("json") {
+        return Ok(print_response(&response, args));
+    }
+    let columns = [
+        "zone", "state", "since_ms", "ended_ms", "endpoint", "running",
+    ];
+    let mut rows = Vec::new();
+    let items = response.body["evacuations"].as_array();
+    for item in items.into_iter().flatten() {
+        let cells = ["zone", "state", "since_ms", "ended_ms"];
+        let cells = cells.map(|name| cell_text(&item[name]));
+        let endpoints = item["endpoints"].as_array().into_iter().flatten();
+        let endpoints = endpoints.map(|it| [cell_text(&it["name"]), cell_text(&it["running"])]);
+        let mut endpoints: Vec<[String; 2]> = endpoints.collect();
+        if endpoints.is_empty() {
+            endpoints.push([String::new(), String::new()]);
+        }
+        rows.extend(endpoints.iter().map(|own| [&cells[..], &own[..]].concat()));
+    }
+    print_table(&columns, &rows);
+    println!(
+        "ready endpoints elsewhere: {}",
+        response.body["ready_elsewhere"]
+    );
+    Ok(ExitStatus::Done)
+}
+
 fn find_view(what: &str) -> Result<&'static ListView> {
     match LIST_VIEWS.iter().find(|(name, _)| *name == what) {
         Some((_, view)) => Ok(view),
