serving, wire: cold endpoints and their state

An endpoint that has just started takes only few requests a second for a while. The wire carries a service's cold time and rate, what is left of an endpoint's cold time, and in a request for permits whether the sender takes the endpoint for cold.

The time left is relative, so each holder keeps an end by its own clock and sends on what is left then: a delay only lengthens the cold time. Absolute times were ruled out (clocks jump), as was keeping the time left in the registry of statuses, where it would differ with each heartbeat and make each of them a change to be told.

All fields are optional; an old leader that gets a request for a cold endpoint grants nothing, as it knows no limit of it.

--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -45,6 +45,8 @@
     /// Merges a status, unless it is older than the stored one or another
     /// endpoint has replaced the sender at its address.
     pub fn merge(&mut self, mut status: EndpointStatus) -> MergeOutcome {
+        // Time that is left ages; `ColdEndpoints` keeps the end.
+        status.cold_left_ms = None;
         if let Some(stored) = self.endpoints.get_mut(&status.id) {
             let is_joined = join_observations(stored, &mut status);
             if merge_order(&status) < merge_order(stored) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,19 +3,21 @@
 //! Purpose: control verifies a [`ServingConfig`](mulberrywell_wire::serving::ServingConfig)
 //! before it is put in force; gateways look up routes and keys in a
 //! [`ServingIndex`] of it. Both store the registered endpoints in an
-//! [`EndpointRegistry`], and the versions that began streams in an [`OriginTable`].
+//! [`EndpointRegistry`], those that are cold in [`ColdEndpoints`], and the versions that began streams in an [`OriginTable`].
 //!
 //! Guarantees: the verifier reports every fault with the item that has it; the
 //! version of a [`ServingIndex`] never decreases; an older status of an endpoint
 //! never replaces a newer one, and an endpoint that has gone does not return
 //! before it is restarted.
 
+mod cold_endpoints;
 mod config_verifier;
 mod endpoint_registry;
 mod origin_table;
 mod route_urgency;
 mod serving_index;
 
+pub use cold_endpoints::{ColdChange, ColdEndpoints, COLD_REPORT_MAX};
 pub use config_verifier::verify_config;
 pub use mulberrywell_settings::Finding;
 
