control: permits for cold endpoints

The leader grants permits for a cold endpoint from the buckets of the endpoints with a limit, at the lower of both rates; its own orders and queries take them as well. The bucket is kept by address where endpoints can be cold: a probe for the former start reaches the new one, and a second bucket would grant the rate twice.

If the gateway takes the endpoint for cold and the leader doesn't, the cold rate holds; if the leader doesn't know the start, it grants nothing.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -330,7 +330,7 @@
         self.subscribers.distribute(&self.state, &mut self.commands);
         let peers = self.peers.member_links();
         self.serving
-            .distribute(&self.state, &peers, &mut self.commands);
+            .distribute(now, &self.state, &peers, &mut self.commands);
         self.flush_commands(actions);
     }
 
--- a/crates/control/src/endpoint_permits.rs
+++ b/crates/control/src/endpoint_permits.rs
@@ -1,4 +1,5 @@
-//! Limits that endpoints name, and permits for requests to such endpoints.
+//! Limits that endpoints name, and permits for requests to such endpoints and to cold
+//! ones.
 //!
 //! Every instance records the limits that entries report, and tells them to all others.
 //! Only the leader grants permits, and only while its lease excludes any other leader.
@@ -57,8 +58,15 @@
         if !self.is_leader() || !self.has_lease(now) {
             return None;
         }
+        let start = (endpoint.id.clone(), endpoint.born_ms);
         let recorded = self.serving.limit(&endpoint.id, endpoint.born_ms);
-        let rate = recorded.or(endpoint.limit)?.milli_per_s;
+        let cold = self.serving.cold_rate(now, &start, request.cold);
+        let limit = recorded.or(endpoint.limit);
+        // Without the endpoint or its service's cold rate, nothing may be granted.
+        if cold.is_none() && (request.cold || limit.is_none()) {
+            return None;
+        }
+        let rate = lower_rate(limit.and_then(|limit| limit.milli_per_s), cold);
         let mut grant = PermitGrant {
             sequence: request.sequence,
             permits: request.permits,
@@ -66,7 +74,7 @@
         };
         // The limit may have ended.
         if let Some(rate) = rate {
-            let start = (endpoint.id.clone(), endpoint.born_ms);
+            let start = self.serving.permit_start(&start);
             let decision = self.permits.grant(now, &start, rate, request.permits)?;
             let retry_after_ms = decision.retry_after.as_millis();
             grant.permits = decision.granted;
@@ -81,8 +89,18 @@
         let Some(status) = self.serving.endpoints.get(endpoint) else {
             return true;
         };
-        let rate: Option<MilliRate> = status.limit.and_then(|limit| limit.milli_per_s);
         let start = (status.id.clone(), status.born_ms);
+        let limit: Option<MilliRate> = status.limit.and_then(|limit| limit.milli_per_s);
+        let rate = lower_rate(limit, self.serving.cold_rate(now, &start, false));
+        let start = self.serving.permit_start(&start);
         rate.is_none_or(|rate| self.permits.grant_order(now, &start, rate))
     }
 }
+
+/// Returns the lower of an endpoint's limit and its cold rate.
+fn lower_rate(limit: Option<MilliRate>, cold: Option<MilliRate>) -> Option<MilliRate> {
+    match (limit, cold) {
+        (Some(limit), Some(cold)) => Some(limit.min(cold)),
+        (limit, cold) => limit.or(cold),
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod client_frames;
 mod client_links;
 mod cluster_state;
+mod cold_endpoints;
 mod command_outcome;
 mod control_event;
 mod control_role;
--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -288,6 +288,9 @@
         for endpoint in std::mem::take(&mut demand.limits) {
             self.record_limit(&endpoint, actions);
         }
+        if demand.shares.iter().any(|share| share.requests > 0) {
+            self.serving.cold.record_traffic();
+        }
         if self.is_leader() {
             self.orders.record_demand(now, &demand);
             self.dispatch_orders(now, actions);
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -102,7 +102,16 @@
     ) {
         status.heard_by = self.peers.own().id;
         let text = describe_status(&status);
+        let left_ms = status.cold_left_ms;
+        let was_cold = self.serving.is_cold(now, &status.id);
+        let id = status.id.clone();
         let outcome = self.serving.apply_status(now, status);
+        let is_cold = self.serving.is_cold(now, &id);
+        if was_cold != is_cold {
+            let outcome = if is_cold { "cold" } else { "warm" };
+            let text = format!("endpoint {text} left_ms={left_ms:?} outcome={outcome}");
+            actions.push(RoleAction::Log(LogLevel::Info, text));
+        }
         if outcome != MergeOutcome::Same {
             let text = format!("endpoint {text} outcome={outcome:?}");
             actions.push(RoleAction::Log(LogLevel::Info, text));
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use mulberrywell_policy::PlacementChange;
 use mulberrywell_role::{LinkCommand, LinkId};
-use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
+use mulberrywell_serving::{ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, LimitedEndpoint,
     ServingAttach, ServingUpdate,
@@ -43,6 +43,8 @@
 pub struct ServingRegistry {
     /// All endpoints.
     pub endpoints: EndpointRegistry,
+    /// The cold ones of them.
+    pub(crate) cold: ColdEndpoints,
     /// When each endpoint that belongs to this instance sent its last
     /// heartbeat.
     last_heard: BTreeMap<EndpointId, Instant>,
@@ -50,9 +52,9 @@
     /// Control instances that have not yet been sent all endpoints.
     unsynced_peers: BTreeSet<LinkId>,
     /// Endpoints with changes that have not been sent to subscribers.
-    changed: BTreeSet<EndpointId>,
+    pub(crate) changed: BTreeSet<EndpointId>,
     /// The endpoints in `changed` whose change originates at this instance.
-    own_changed: BTreeSet<EndpointId>,
+    pub(crate) own_changed: BTreeSet<EndpointId>,
     /// Addresses of all control instances but the observers in the last update.
     controls: Vec<Bytes>,
 }
@@ -176,6 +178,7 @@
             }
         }
         let is_gone = status.phase() == EndpointPhase::Gone;
+        self.record_cold(now, &mut status);
         let is_routed = self.changes_routing(&status);
         let outcome = self.endpoints.merge(status);
         if outcome == MergeOutcome::Stale {
@@ -209,8 +212,9 @@
 
     /// Applies the endpoint statuses sent by another control instance.
     pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate) {
-        for status in update.endpoints {
+        for mut status in update.endpoints {
             let id = status.id.clone();
+            self.record_cold_of_peer(now, &mut status);
             let is_routed = self.changes_routing(&status);
             if self.endpoints.merge(status) == MergeOutcome::Changed {
                 if is_routed {
@@ -245,21 +249,24 @@
     /// Appends the updates for subscribers and other control instances.
     pub fn distribute(
         &mut self,
+        now: Instant,
         state: &ClusterState,
         peers: &[LinkId],
         commands: &mut Vec<LinkCommand>,
     ) {
-        self.send_to_peers(peers, commands);
-        self.send_to_subscribers(state, commands);
+        self.update_cold(state);
+        self.send_to_peers(now, peers, commands);
+        self.send_to_subscribers(now, state, commands);
         self.changed.clear();
         self.own_changed.clear();
     }
 
-    fn send_to_peers(&mut self, peers: &[LinkId], commands: &mut Vec<LinkCommand>) {
-        let changed = self.statuses(&self.own_changed);
+    fn send_to_peers(&mut self, now: Instant, peers: &[LinkId], commands: &mut Vec<LinkCommand>) {
+        let changed = self.statuses(now, &self.own_changed);
         for link in peers {
             let endpoints = if self.unsynced_peers.remove(link) {
-                self.endpoints.all().cloned().collect()
+                let all = self.endpoints.all();
+                all.map(|status| self.sent_status(now, status)).collect()
             } else {
                 changed.clone()
             };
@@ -273,8 +280,13 @@
         }
     }
 
-    fn send_to_subscribers(&mut self, state: &ClusterState, commands: &mut Vec<LinkCommand>) {
-        let changed = self.statuses(&self.changed);
+    fn send_to_subscribers(
+        &mut self,
+        now: Instant,
+        state: &ClusterState,
+        commands: &mut Vec<LinkCommand>,
+    ) {
+        let changed = self.statuses(now, &self.changed);
         let changed: Vec<EndpointStatus> = changed.iter().map(routing_status).collect();
         let version = state.serving_version();
         let controls: Vec<Bytes> = state
@@ -288,11 +300,19 @@
         let instances: BTreeSet<&Bytes> =
             self.subscribers.values().map(|it| &it.instance).collect();
         let entries = u32::try_from(instances.len()).unwrap_or(u32::MAX);
+        let is_new = |subscriber: &SubscriberRecord| !subscriber.has_all_endpoints;
+        let all: Vec<EndpointStatus> = if self.subscribers.values().any(is_new) {
+            let all = self.endpoints.all();
+            let all = all.map(|status| self.sent_status(now, status));
+            all.map(|status| routing_status(&status)).collect()
+        } else {
+            Vec::new()
+        };
         for (link, subscriber) in &mut self.subscribers {
             let endpoints = if subscriber.has_all_endpoints {
                 changed.clone()
             } else {
-                self.endpoints.all().map(routing_status).collect()
+                all.clone()
             };
             let put = state
                 .serving
@@ -317,9 +337,9 @@
         }
     }
 
-    fn statuses(&self, ids: &BTreeSet<EndpointId>) -> Vec<EndpointStatus> {
+    fn statuses(&self, now: Instant, ids: &BTreeSet<EndpointId>) -> Vec<EndpointStatus> {
         let known = ids.iter().filter_map(|id| self.endpoints.get(id));
-        known.cloned().collect()
+        known.map(|status| self.sent_status(now, status)).collect()
     }
 }
 
--- a/crates/control/tests/role_cases/permit_cases.rs
+++ b/crates/control/tests/role_cases/permit_cases.rs
@@ -52,6 +52,7 @@
         sequence: 3,
         endpoint: Some(endpoint),
         permits,
+        cold: false,
     };
     cluster.send(entry, FrameBody::PermitRequest(request));
     let frames = cluster.drain_frames(entry).into_iter();
