gateway, platform: cold endpoints need permits

Attempts, retries, resumptions and probes to an endpoint that is cold go the way of those to an endpoint with a limit.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -79,7 +79,7 @@
             return;
         }
         match endpoint {
-            Some(endpoint) if self.endpoints.rate_limit(&endpoint).is_some() => {
+            Some(endpoint) if self.endpoints.needs_permit(now, &endpoint) => {
                 self.await_permit(now, request, &endpoint, left, actions);
             }
             Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
@@ -108,7 +108,7 @@
     }
 
     /// Returns the endpoint for a call's next attempt. Without a link to the leader
-    /// there are no permits, so endpoints with a limit are passed over.
+    /// there are no permits, so endpoints that need one are passed over.
     fn choose_permitted(&mut self, now: Instant, request: RequestId) -> Option<EndpointId> {
         loop {
             let view = ChoiceView {
@@ -117,15 +117,15 @@
                 entries: self.rates.holders(),
             };
             let endpoint = choose_endpoint(now, view, self.calls.get(request)?)?;
-            let is_limited = self.endpoints.rate_limit(&endpoint).is_some();
-            if !is_limited || self.links.leader_link().is_some() {
+            let needs_permit = self.endpoints.needs_permit(now, &endpoint);
+            if !needs_permit || self.links.leader_link().is_some() {
                 return Some(endpoint);
             }
             self.deny_endpoint(now, &endpoint, PERMIT_UNAVAILABLE_RETRY);
         }
     }
 
-    /// Forwards a call to an endpoint; if that has a limit, the caller has a permit.
+    /// Forwards a call to an endpoint; if that needs a permit, the caller has one.
     pub(crate) fn forward_call(
         &mut self,
         now: Instant,
@@ -134,6 +134,8 @@
         left: Duration,
         actions: &mut Actions,
     ) {
+        self.endpoints.cold.record_traffic();
+        self.count_cold_request(now, endpoint, actions);
         let is_limited = self.endpoints.rate_limit(endpoint).is_some();
         let software = self.endpoints.software(endpoint).cloned();
         let exchange = self.calls.begin_exchange(request);
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -87,6 +87,8 @@
     pub closed_for: Option<Duration>,
     /// Requests a second that the endpoint accepts from all instances together.
     pub rate_limit: Option<MilliRate>,
+    /// Time for which the endpoint is cold.
+    pub cold_left: Option<Duration>,
 }
 
 /// Why the gateway refuses a request.
--- a/crates/gateway/src/endpoint_permits.rs
+++ b/crates/gateway/src/endpoint_permits.rs
@@ -1,6 +1,7 @@
 //! Limits that endpoints name in their responses, and permits for requests to them.
 //!
-//! Algorithm: everything that would reach an endpoint with a limit, whether a first
+//! Algorithm: everything that would reach an endpoint with a limit, or a cold one
+//! (`cold_endpoints`), whether a first
 //! attempt, a retry, a resumption or a probe, first needs a permit of the control
 //! leader. One request for permits at a time is open for each endpoint; it covers all
 //! calls that wait for it. Calls that get none go to other endpoints or are refused, and
@@ -271,6 +272,7 @@
                 limit: self.endpoints.limit(id),
             }),
             permits: request.permits,
+            cold: self.endpoints.is_cold(now, id),
         });
         self.commands.push(LinkCommand::Send { link, body });
     }
--- a/crates/gateway/src/endpoint_probes.rs
+++ b/crates/gateway/src/endpoint_probes.rs
@@ -89,18 +89,17 @@
         self.start_probe(now, &start, actions);
     }
 
-    /// Sends a probe, or asks for a permit if the endpoint has a limit. Without one,
+    /// Sends a probe, or asks for a permit if the endpoint needs one. Without it,
     /// nothing is known of the endpoint.
     fn start_probe(&mut self, now: Instant, start: &EndpointStart, actions: &mut Actions) {
-        let is_limited = self.endpoints.rate_limit(&start.0).is_some();
-        if !is_limited {
+        if !self.endpoints.needs_permit(now, &start.0) {
             self.send_probe(start, actions);
         } else if !self.await_probe_permit(now, start) {
             self.finish_probe(now, start, false, actions);
         }
     }
 
-    /// Sends a probe; if the endpoint has a limit, the caller has a permit.
+    /// Sends a probe; if the endpoint needs a permit, the caller has one.
     pub(crate) fn send_probe(&mut self, start: &EndpointStart, actions: &mut Actions) {
         let Some(probe) = self.probes.probes.get_mut(start) else {
             return;
@@ -162,6 +161,7 @@
                 {
                     let terms = self.codec.read_response_head(*status, headers);
                     self.record_probed_limit(&start, terms, actions);
+                    self.record_cold_response(now, &start, terms.cold_left, actions);
                 }
                 actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
                 self.finish_probe(now, &start, false, actions);
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use mulberrywell_limit::{EndpointStart, FailureShare, MilliRate};
 use mulberrywell_policy::{stable_hash, DurationEstimate, PrefixCache};
-use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
+use mulberrywell_serving::{ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointLoad, EndpointPhase, EndpointStatus, LimitedEndpoint, LoadShare,
 };
@@ -142,7 +142,8 @@
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    registry: EndpointRegistry,
+    pub(crate) registry: EndpointRegistry,
+    pub(crate) cold: ColdEndpoints,
     usages: BTreeMap<EndpointId, EndpointUsage>,
     /// Endpoints by service, without those that are gone.
     services: BTreeMap<Bytes, Vec<EndpointId>>,
@@ -175,6 +176,7 @@
 
     fn rebuild_index(&mut self) {
         self.services.clear();
+        self.cold.remove_gone(&self.registry);
         for status in self.registry.present() {
             let ids = self.services.entry(status.service.clone()).or_default();
             ids.push(status.id.clone());
@@ -193,7 +195,7 @@
         needs: EndpointNeeds<'a>,
     ) -> impl Iterator<Item = (&'a EndpointStatus, &'a EndpointUsage)> {
         self.fitting(now, needs)
-            .filter(move |(status, usage)| denied_until(now, status, usage).is_none())
+            .filter(move |(status, usage)| self.denied_until(now, status, usage).is_none())
     }
 
     /// Returns the endpoints that have what is needed and accept requests now, apart from
@@ -246,10 +248,29 @@
     /// and has none left now.
     pub fn next_permit(&self, now: Instant, needs: EndpointNeeds<'_>) -> Option<Instant> {
         let fitting = self.fitting(now, needs);
-        let denied = fitting.filter_map(|(status, usage)| denied_until(now, status, usage));
+        let denied = fitting.filter_map(|(status, usage)| self.denied_until(now, status, usage));
         denied.min()
     }
 
+    /// Returns until when no permit for an endpoint is to be had; none if one may be, or
+    /// if the endpoint needs none.
+    fn denied_until(
+        &self,
+        now: Instant,
+        status: &EndpointStatus,
+        usage: &EndpointUsage,
+    ) -> Option<Instant> {
+        let until = usage.denied_until.filter(|until| *until > now);
+        until.filter(|_| needs_permit(now, status, &self.cold))
+    }
+
+    /// Returns whether requests to an endpoint need a permit now: it has a limit or is
+    /// cold.
+    pub fn needs_permit(&self, now: Instant, id: &EndpointId) -> bool {
+        let status = self.registry.get(id);
+        status.is_some_and(|status| needs_permit(now, status, &self.cold))
+    }
+
     /// Returns the software version of an endpoint.
     pub fn software(&self, id: &EndpointId) -> Option<&Bytes> {
         Some(&self.registry.get(id)?.software)
@@ -351,11 +372,9 @@
     status.phase() == EndpointPhase::Ready && !status.leaving
 }
 
-/// Returns until when no permit for an endpoint is to be had; none if one may be, or if
-/// the endpoint has no limit.
-fn denied_until(now: Instant, status: &EndpointStatus, usage: &EndpointUsage) -> Option<Instant> {
-    status.limit?.milli_per_s?;
-    usage.denied_until.filter(|until| *until > now)
+fn needs_permit(now: Instant, status: &EndpointStatus, cold: &ColdEndpoints) -> bool {
+    let limit = status.limit.and_then(|limit| limit.milli_per_s);
+    limit.is_some() || cold.rate(now, status).is_some()
 }
 
 fn holds_model(status: &EndpointStatus, usage: &EndpointUsage, model: &ModelTerms) -> bool {
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -26,6 +26,10 @@
 pub const QUARANTINES: &str = "gateway.quarantines";
 /// Permits for endpoints with a limit that were asked for and not granted.
 pub const PERMITS_DENIED: &str = "gateway.permits_denied";
+/// Requests forwarded to cold endpoints.
+pub const COLD_REQUESTS: &str = "gateway.cold_requests";
+/// Endpoints taken for cold.
+pub const COLD_ENDPOINTS: &str = "gateway.cold_endpoints";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -249,6 +249,7 @@
                 let text = format!("configuration version={version} held={held} outcome=in_force");
                 actions.push(RoleAction::Log(LogLevel::Info, text));
                 self.rates.set_plans(now, self.index.config());
+                self.endpoints.set_cold_config(self.index.config());
                 self.remove_unrouted_times();
                 let limits = self.index.config().limits.unwrap_or_default();
                 actions.push(RoleAction::SetConnectionBounds(
@@ -268,6 +269,7 @@
                 status.silent,
                 status.limit.and_then(|limit| limit.milli_per_s),
             );
+            self.record_cold_status(now, &status, actions);
             if self.endpoints.merge(status) {
                 changed = true;
                 actions.push(RoleAction::Log(LogLevel::Info, text));
@@ -306,6 +308,7 @@
             self.demand.remove_expired(now);
             self.report_loads();
             self.expire_probes(now, actions);
+            self.report_cold_count(now, actions);
             self.report_prompts(now, true, actions);
             let in_flight = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::IN_WORK, in_flight);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod call_codec;
 mod call_table;
 mod caller_responses;
+mod cold_endpoints;
 mod control_links;
 mod demand_tracker;
 mod endpoint_choice;
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -62,6 +62,7 @@
             }
             ExchangeEvent::End { exchange, end } => {
                 if let Some(request) = self.calls.end_exchange(exchange) {
+                    self.suspect_cold(now, request, end, actions);
                     match end {
                         ExchangeEnd::Broken(_) => self.record_break(now, request, actions),
                         ExchangeEnd::Refused(_) => self.record_refusing(request),
@@ -93,6 +94,7 @@
         let terms = self.codec.read_response_head(head.status, &head.headers);
         self.record_closing(now, request, terms, actions);
         self.record_limit(request, terms, actions);
+        self.record_call_cold(now, request, terms, actions);
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
