--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -335,7 +335,7 @@
         let peers = self.peers.member_links();
         let evacuations = (&self.evacuations, self.clock_ms);
         self.serving
-            .distribute(&self.state, evacuations, &peers, &mut self.commands);
+            .distribute(now, &self.state, evacuations, &peers, &mut self.commands);
         self.flush_commands(actions);
     }
 
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -28,6 +28,10 @@
 pub const PERMITS_DENIED: &str = "gateway.permits_denied";
 /// Evacuated zones.
 pub const EVACUATED_ZONES: &str = "gateway.evacuated_zones";
+/// Requests forwarded to cold endpoints.
+pub const COLD_REQUESTS: &str = "gateway.cold_requests";
+/// Endpoints taken for cold.
+pub const COLD_ENDPOINTS: &str = "gateway.cold_endpoints";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
