tests, soak: evacuations with real processes

The soak has its endpoints in two zones and evacuates one after another for 8 s; a request that reaches the zone 5 s after the acknowledgement is a breach unless a gateway was suspended or cut off.

--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -11,9 +11,11 @@
     versioned_event, WorkerRun, DEFAULT_REQUEST_TOKENS, FIRST_VERSION, STREAM_EVENTS,
 };
 
-use crate::soak_cluster::{RATE_TOLERANCE, SECOND_VERSION};
+use crate::soak_cluster::{zone_of, RATE_TOLERANCE, SECOND_VERSION};
 use crate::soak_plan::SoakFault;
-use crate::soak_traffic::{CallKind, CallRecord, ReadRecord, VersionRecord, ACCOUNTS};
+use crate::soak_traffic::{
+    CallKind, CallRecord, EvacuationRecord, ReadRecord, VersionRecord, ACCOUNTS,
+};
 
 /// Statuses that guarantee that a request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -39,6 +41,10 @@
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_EXTRA: f64 = 5.0;
 
+/// Time after the acknowledgement of an evacuation's start from which nothing may reach
+/// the zone: the platform's `evac_ms`.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+
 /// Share by which an account may exceed its rate and burst: the platform's
 /// `quota_over`.
 const RATE_OVERRUN: f64 = 0.1;
@@ -77,6 +83,8 @@
     pub versions: Vec<VersionRecord>,
     /// Configuration versions that operators read back.
     pub reads: Vec<ReadRecord>,
+    /// Evacuations whose start was acknowledged.
+    pub evacuations: Vec<EvacuationRecord>,
     pub(crate) faults: Vec<TimedFault>,
 }
 
@@ -98,6 +106,21 @@
         faults.all(|fault| fault.fault.is_maintenance())
     }
 
+    /// Returns whether a gateway was suspended or out of contact with all control
+    /// instances between two instants, or shortly before.
+    fn has_lost_contact(&self, from: Instant, until: Instant) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|fault| {
+            let is_gateway = match &fault.fault {
+                SoakFault::Freeze(name) | SoakFault::Mute(name) | SoakFault::Deafen(name) => {
+                    name.starts_with("gateway")
+                }
+                _ => false,
+            };
+            is_gateway && fault.begin <= until && fault.end + FAULT_GAP >= from
+        })
+    }
+
     /// Returns whether connections to an endpoint were stalled in [`FAULT_GAP`] before an
     /// instant or in [`LIMIT_WINDOW`] after it, so that requests may arrive together.
     fn is_cut(&self, place: usize, from: Instant) -> bool {
@@ -119,6 +142,7 @@
         find_truncated_responses(records, &runs),
         find_rate_excess(records),
         find_limit_excess(records),
+        find_evacuation_breaches(records),
         find_stale_reads(records),
         find_config_rollbacks(records, &runs),
     ]
@@ -298,6 +322,34 @@
     breaches
 }
 
+/// Finds requests that reached an evacuated zone [`EVACUATION_TIME`] after the start was
+/// acknowledged, unless a gateway was out of contact in between.
+fn find_evacuation_breaches(records: &SoakRecords) -> Vec<SoakBreach> {
+    let mut breaches = Vec::new();
+    for evacuation in &records.evacuations {
+        let bound_from = evacuation.started + EVACUATION_TIME;
+        let arrivals = records.arrivals.iter().enumerate();
+        for (place, arrivals) in arrivals.filter(|(place, _)| zone_of(*place) == evacuation.zone) {
+            let breached = arrivals.iter().find(|at| {
+                let is_bound = **at >= bound_from;
+                is_bound
+                    && evacuation.end_sent.is_none_or(|end| **at < end)
+                    && !records.has_lost_contact(evacuation.started, **at)
+                    && !records.is_cut(place, **at)
+            });
+            if let Some(at) = breached {
+                let after = at.saturating_duration_since(evacuation.started);
+                let zone = evacuation.zone;
+                breaches.push(SoakBreach {
+                    promise: "request in an evacuated zone",
+                    detail: format!("w{place} in {zone}, {} ms after", after.as_millis()),
+                });
+            }
+        }
+    }
+    breaches
+}
+
 /// Finds reads that returned an older version than one acknowledged more than
 /// [`CONFIG_APPLY_TIME`] earlier.
 fn find_stale_reads(records: &SoakRecords) -> Vec<SoakBreach> {
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -20,6 +20,9 @@
 /// Software version of every second endpoint.
 pub(crate) const SECOND_VERSION: &str = "v2";
 
+/// Zones of the endpoints: each has endpoints of both software versions.
+pub(crate) const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+
 /// Time that a slow endpoint takes for a plain request.
 const SLOW_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
@@ -101,6 +104,7 @@
         }
         for (place, endpoint) in cluster.endpoints.iter().enumerate() {
             endpoint.set_delay(RESPONSE_DELAY);
+            endpoint.set_zone(zone_of(place));
             if place % 2 == 1 {
                 endpoint.set_version(SECOND_VERSION);
             }
@@ -335,6 +339,11 @@
     }
 }
 
+/// Returns the zone of an endpoint.
+pub(crate) fn zone_of(place: usize) -> &'static str {
+    ZONES[place / 2 % ZONES.len()]
+}
+
 fn free_ports(count: usize) -> Result<Vec<SocketAddr>> {
     (0..count).map(|_| free_port()).collect()
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -83,6 +83,7 @@
             .map(|caller| scope.spawn(move || traffic.run_caller(settings.seed, caller)));
         let mut threads: Vec<_> = callers.collect();
         threads.push(scope.spawn(|| traffic.run_operator(settings.seed)));
+        threads.push(scope.spawn(|| traffic.run_evacuations(settings.seed)));
         faults = execute_plan(&cluster, &plan)?;
         traffic.stop_traffic.store(true, Ordering::Relaxed);
         for thread in threads {
@@ -106,6 +107,7 @@
         arrivals: arrivals.collect(),
         versions: traffic.log.versions().clone(),
         reads: traffic.log.reads().clone(),
+        evacuations: traffic.log.evacuations().clone(),
         faults,
     };
     let mut breaches = find_breaches(&records);
--- a/crates/soak/src/soak_traffic.rs
+++ b/crates/soak/src/soak_traffic.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::soak_cluster::{SoakCluster, SECOND_VERSION, SERVICE};
+use crate::soak_cluster::{SoakCluster, SECOND_VERSION, SERVICE, ZONES};
 
 /// Maximum pause of a caller between two calls.
 const CALLER_PAUSE_MS: u64 = 60;
@@ -22,6 +22,22 @@
 /// Maximum pause of an operator between two changes.
 const OPERATOR_PAUSE_MS: u64 = 900;
 
+/// Minimum and maximum pause between two evacuations.
+const EVACUATION_PAUSE_MS: std::ops::Range<u64> = 500..3_000;
+
+/// Duration of an evacuation: the time after which it binds, and a window in which that
+/// is seen.
+const EVACUATION_MS: u64 = 8_000;
+
+/// Pause before a call that was not acknowledged is resent.
+const EVACUATION_RESEND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for which the end of an evacuation is resent, also after the traffic.
+const EVACUATION_END_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Changes the random sequence of the evacuations from that of the traffic.
+const EVACUATION_SEED: u64 = 0xe7_ac;
+
 /// Interval between two heartbeats of an endpoint.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -111,12 +127,24 @@
     pub version: u64,
 }
 
+/// An evacuation of a zone as observed by its operator.
+#[derive(Debug, Clone)]
+pub struct EvacuationRecord {
+    /// The zone.
+    pub zone: &'static str,
+    /// Time at which the start was acknowledged.
+    pub started: Instant,
+    /// Time at which the end was first sent.
+    pub end_sent: Option<Instant>,
+}
+
 /// Records of all traffic so far.
 #[derive(Debug, Default)]
 pub(crate) struct TrafficLog {
     calls: Mutex<Vec<CallRecord>>,
     versions: Mutex<Vec<VersionRecord>>,
     reads: Mutex<Vec<ReadRecord>>,
+    evacuations: Mutex<Vec<EvacuationRecord>>,
 }
 
 impl TrafficLog {
@@ -131,6 +159,10 @@
     pub(crate) fn reads(&self) -> MutexGuard<'_, Vec<ReadRecord>> {
         lock_mutex(&self.reads)
     }
+
+    pub(crate) fn evacuations(&self) -> MutexGuard<'_, Vec<EvacuationRecord>> {
+        lock_mutex(&self.evacuations)
+    }
 }
 
 /// State shared by all traffic threads.
@@ -254,6 +286,55 @@
         }
     }
 
+    /// Evacuates one zone after another and returns each to service, until traffic stops.
+    pub(crate) fn run_evacuations(&self, seed: u64) {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ EVACUATION_SEED);
+        let (operator, controls) = {
+            let cluster = lock_mutex(self.cluster);
+            (cluster.operator.clone(), cluster.control_count())
+        };
+        while self.is_active() {
+            self.pause(rng.random_range(EVACUATION_PAUSE_MS));
+            if !self.is_active() {
+                return;
+            }
+            let zone = ZONES[rng.random_range(0..ZONES.len())];
+            // Also a start that isn't acknowledged may be in force, so it is ended.
+            let mut resend = |is_start: bool, is_wanted: &dyn Fn() -> bool| {
+                let acknowledged = |place| operator.evacuate_at(place, zone, is_start);
+                while is_wanted() {
+                    if acknowledged(rng.random_range(0..controls)) {
+                        return Some(Instant::now());
+                    }
+                    thread::sleep(EVACUATION_RESEND_PAUSE);
+                }
+                None
+            };
+            if let Some(started) = resend(true, &|| self.is_active()) {
+                self.log.evacuations().push(EvacuationRecord {
+                    zone,
+                    started,
+                    end_sent: None,
+                });
+                self.pause(EVACUATION_MS);
+            }
+            let end_sent = Instant::now();
+            if let Some(record) = self.log.evacuations().last_mut() {
+                record.end_sent.get_or_insert(end_sent);
+            }
+            let give_up = end_sent + EVACUATION_END_TIMEOUT;
+            resend(false, &|| Instant::now() < give_up);
+        }
+    }
+
+    /// Waits, or until traffic stops.
+    fn pause(&self, pause_ms: u64) {
+        let end = Instant::now() + Duration::from_millis(pause_ms);
+        while self.is_active() && Instant::now() < end {
+            thread::sleep(EVACUATION_RESEND_PAUSE);
+        }
+    }
+
     /// Sends a version until it is acknowledged, at most three times.
     fn put_version(&self, operator: &FakeOperator, place: usize, version: u64) {
         let config = config(version);
