--- a/crates/mulberrywell/tests/session_operators.rs
+++ b/crates/mulberrywell/tests/session_operators.rs
@@ -91,3 +91,24 @@
     log.command(&small.cluster, &["key", "list"]);
     log.compare("operator_keys");
 }
+
+/// An operator can't evacuate a zone, see it or return it, or a resend changes it again.
+#[test]
+fn evacuation_started_shown_ended() {
+    let (small, ..) = session();
+    let operate = |args: &[&str]| small.cluster.operate_ok(args).unwrap();
+    let zone_state = || {
+        let shown = operate(&["evacuation", "status", "--json"]);
+        let shown: serde_json::Value = serde_json::from_str(&shown).unwrap();
+        shown["evacuations"][0]["state"].to_string()
+    };
+    let start = ["evacuation", "start", "zone-9", "--request-id", "first"];
+    operate(&start);
+    assert_eq!(zone_state(), "\"evacuated\"");
+    assert!(operate(&["evacuation", "status"]).contains("zone-9"));
+    operate(&["evacuation", "end", "zone-9"]);
+    operate(&start);
+    assert_eq!(zone_state(), "\"ended\"");
+    let audit = operate(&["audit"]);
+    assert!(audit.contains("start evacuation") && audit.contains("end evacuation"));
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -20,8 +20,9 @@
     for seed in first..first + runs {
         let report = run_soak(&settings(&matches, seed)?)?;
         println!(
-            "seed {seed}: {} faults, {} of {} calls served, {} breaches",
+            "seed {seed}: {} faults, {} evacuations, {} of {} calls served, {} breaches",
             report.faults.len(),
+            report.evacuations,
             report.served,
             report.calls,
             report.breaches.len()
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -50,6 +50,8 @@
     pub calls: usize,
     /// Number of calls that got a complete response with status 200.
     pub served: usize,
+    /// Number of evacuations whose start was acknowledged.
+    pub evacuations: usize,
     /// Breaches that the records prove.
     pub breaches: Vec<SoakBreach>,
 }
@@ -130,6 +132,7 @@
         faults: plan.faults,
         calls: records.calls.len(),
         served: served.count(),
+        evacuations: records.evacuations.len(),
         breaches,
     })
 }
