--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -288,12 +288,7 @@
         let changed = self.statuses(&self.changed);
         let changed: Vec<EndpointStatus> = changed.iter().map(routing_status).collect();
         let version = state.serving_version();
-        let controls: Vec<Bytes> = state
-            .members
-            .values()
-            .filter(|member| !member.observer)
-            .map(|member| member.address.clone())
-            .collect();
+        let controls = control_addresses(state);
         let controls_changed = self.controls != controls;
         self.controls.clone_from(&controls);
         let instances: BTreeSet<&Bytes> =
@@ -322,13 +317,13 @@
             subscriber.has_all_endpoints = true;
             subscriber.version = subscriber.version.max(version);
             subscriber.evacuations = position;
-            let list = evacuations.list(state, clock_ms);
+            let list = (!has_evacuations).then(|| evacuations.list(state, clock_ms));
             let update = ServingUpdate {
                 config: put.and_then(|put| put.config.clone()),
                 endpoints,
                 entries,
                 controls: controls.clone(),
-                evacuations: list.filter(|_| !has_evacuations),
+                evacuations: list.flatten(),
             };
             commands.push(update_command(*link, update));
         }
@@ -340,6 +335,12 @@
     }
 }
 
+/// Returns the addresses of all control instances but the observers.
+fn control_addresses(state: &ClusterState) -> Vec<Bytes> {
+    let members = state.members.values().filter(|member| !member.observer);
+    members.map(|member| member.address.clone()).collect()
+}
+
 /// Returns a status without what only the placement uses.
 fn routing_status(status: &EndpointStatus) -> EndpointStatus {
     EndpointStatus {
