--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -50,6 +50,8 @@
     pub calls: usize,
     /// Number of calls that got a complete response with status 200.
     pub served: usize,
+    /// Number of evacuations whose start was acknowledged.
+    pub evacuations: usize,
     /// Breaches that the records prove.
     pub breaches: Vec<SoakBreach>,
 }
@@ -83,6 +85,7 @@
             .map(|caller| scope.spawn(move || traffic.run_caller(settings.seed, caller)));
         let mut threads: Vec<_> = callers.collect();
         threads.push(scope.spawn(|| traffic.run_operator(settings.seed)));
+        threads.push(scope.spawn(|| traffic.run_evacuations(settings.seed)));
         faults = execute_plan(&cluster, &plan)?;
         traffic.stop_traffic.store(true, Ordering::Relaxed);
         for thread in threads {
@@ -106,6 +109,7 @@
         arrivals: arrivals.collect(),
         versions: traffic.log.versions().clone(),
         reads: traffic.log.reads().clone(),
+        evacuations: traffic.log.evacuations().clone(),
         faults,
     };
     let mut breaches = find_breaches(&records);
@@ -128,6 +132,7 @@
         faults: plan.faults,
         calls: records.calls.len(),
         served: served.count(),
+        evacuations: records.evacuations.len(),
         breaches,
     })
 }
