--- a/crates/control/tests/role_cases/permit_cases.rs
+++ b/crates/control/tests/role_cases/permit_cases.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use mulberrywell_control::ServingCall;
 use mulberrywell_wire::serving::{
-    EndpointLimit, EndpointStatus, LimitedEndpoint, PermitGrant, PermitRequest, ServingAttach,
-    ServingDemand,
+    EndpointLimit, EndpointStatus, LimitedEndpoint, PermitGrant, PermitRequest, PutServing,
+    ServingAttach, ServingConfig, ServingDemand, ServingService,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -47,13 +47,21 @@
     endpoint: LimitedEndpoint,
     permits: u32,
 ) -> PermitGrant {
-    cluster.drain_frames(entry);
     let request = PermitRequest {
         sequence: 3,
         endpoint: Some(endpoint),
         permits,
         cold: false,
     };
+    send_request(cluster, entry, request)
+}
+
+fn send_request(
+    cluster: &mut RoleCluster,
+    entry: &ClientLink,
+    request: PermitRequest,
+) -> PermitGrant {
+    cluster.drain_frames(entry);
     cluster.send(entry, FrameBody::PermitRequest(request));
     let frames = cluster.drain_frames(entry).into_iter();
     let mut grants = frames.filter_map(|frame| match frame {
@@ -170,3 +178,114 @@
     let grant = request_permits(&mut cluster, &entries[leader], limited(Some(1_100), 1), 50);
     assert_eq!(grant.permits, 50, "the limit has ended");
 }
+
+fn cold_cluster(cold_milli_per_s: u64) -> (RoleCluster, ClientLink) {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let config = ServingConfig {
+        version: 1,
+        services: vec![ServingService {
+            name: Bytes::from_static(b"s"),
+            cold_start_ms: 3_000,
+            cold_milli_per_s,
+            ..ServingService::default()
+        }],
+        ..ServingConfig::default()
+    };
+    let put = PutServing {
+        config: Some(config),
+        source: Bytes::from_static(b"text"),
+    };
+    cluster.call_serving(leader, ServingCall::Put(put));
+    let entry = attach(&mut cluster, leader);
+    (cluster, entry)
+}
+
+fn cold_heartbeat(born_ms: u64, sequence: u64, left_ms: u64) -> ServingCall {
+    let ServingCall::Heartbeat(mut status) = heartbeat(sequence) else {
+        unreachable!("a heartbeat");
+    };
+    status.born_ms = born_ms;
+    status.cold_left_ms = Some(left_ms);
+    ServingCall::Heartbeat(status)
+}
+
+fn request_cold(cluster: &mut RoleCluster, entry: &ClientLink, born_ms: u64) -> PermitGrant {
+    let mut endpoint = limited(None, 0);
+    endpoint.born_ms = born_ms;
+    endpoint.limit = None;
+    let request = PermitRequest {
+        sequence: 3,
+        endpoint: Some(endpoint),
+        permits: 20,
+        cold: true,
+    };
+    send_request(cluster, entry, request)
+}
+
+/// Guards against a second bucket for a restarted endpoint, and against permits for a
+/// start that the leader doesn't know.
+#[test]
+fn cold_permits_counted_by_address() {
+    let (mut cluster, entry) = cold_cluster(8_000);
+    let leader = cluster.leader().unwrap();
+    cluster.call_serving(leader, cold_heartbeat(5, 1, 0));
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(request_cold(&mut cluster, &entry, 5).permits, 2);
+    assert!(request_cold(&mut cluster, &entry, 6).unavailable);
+    cluster.call_serving(leader, cold_heartbeat(6, 1, 3_000));
+    assert_eq!(request_cold(&mut cluster, &entry, 6).permits, 0);
+    assert!(request_cold(&mut cluster, &entry, 5).unavailable);
+    cluster.run(Duration::from_secs(1));
+    assert_eq!(request_cold(&mut cluster, &entry, 6).permits, 2);
+}
+
+/// Guards against a service without a cold rate whose endpoints are told as cold, and
+/// against time left that is passed on as it came instead of as it is.
+#[rstest]
+#[case::no_rate(0, None)]
+#[case::rate(8_000, Some(2_000))]
+fn cold_time_told(#[case] rate: u64, #[case] left_ms: Option<u64>) {
+    let (mut cluster, _) = cold_cluster(rate);
+    let other = (cluster.leader().unwrap() + 1) % 3;
+    cluster.call_serving(other, cold_heartbeat(5, 1, 3_000));
+    cluster.run(Duration::from_secs(1));
+    let late = attach(&mut cluster, (other + 1) % 3);
+    cluster.run(Duration::from_millis(200));
+    let told = cold_times(&mut cluster, &late).last().copied();
+    match (told, left_ms) {
+        (Some(told), Some(left)) => assert!((left - 50..=left + 50).contains(&told), "{told}"),
+        (told, left) => assert_eq!(told, left),
+    }
+}
+
+/// Guards against a zone whose evacuation has ended that is told as warm by a heartbeat
+/// from before the end, and against one that no heartbeat makes warm again.
+#[test]
+fn cold_zone_until_next_heartbeat() {
+    let (mut cluster, entry) = cold_cluster(8_000);
+    let leader = cluster.leader().unwrap();
+    cluster.call_serving(leader, cold_heartbeat(5, 1, 0));
+    cluster.run(Duration::from_millis(500));
+    cluster.expect_cold_zone(&Bytes::new());
+    let mut told = Vec::new();
+    for sequence in 2..4 {
+        cluster.run(Duration::from_millis(100));
+        cluster.call_serving(leader, cold_heartbeat(5, sequence, 0));
+        told.push(cold_times(&mut cluster, &entry));
+        cluster.run(Duration::from_millis(200));
+    }
+    assert!(told[0].last() > Some(&4_000), "{told:?}");
+    assert_eq!(told[1].last(), Some(&0), "{told:?}");
+}
+
+/// Returns the cold times in the updates since the last call.
+fn cold_times(cluster: &mut RoleCluster, entry: &ClientLink) -> Vec<u64> {
+    let frames = cluster.drain_frames(entry).into_iter();
+    let updates = frames.filter_map(|frame| match frame {
+        FrameBody::ServingUpdate(update) => Some(update.endpoints),
+        _ => None,
+    });
+    let statuses = updates.flatten();
+    statuses.filter_map(|status| status.cold_left_ms).collect()
+}
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -185,6 +185,12 @@
         cluster
     }
 
+    pub fn expect_cold_zone(&mut self, zone: &Bytes) {
+        for role in &mut self.roles {
+            role.expect_cold_zone(self.now, zone);
+        }
+    }
+
     /// Kills all roles at once and starts them from their disks.
     pub fn restart_all(&mut self) {
         let count = self.roles.len();
