control, gateway: endpoints of a zone count as cold when its evacuation ends

An evacuated zone's endpoints may have become cold, which their next heartbeats tell. Until then control instances that apply the end, and gateways that learn of it, take them for cold, so that returning traffic is bound by permits from its first request. The time of an evacuation's end is not kept at gateways any more, as nothing else reads it.

--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -110,6 +110,11 @@
         let is_change = self.record_evacuation(now, &command, &outcome, actions);
         self.evacuations
             .record_applied(entry.term, entry.index, is_change);
+        if let (true, Some(Body::SetEvacuation(set))) = (is_change, &command.body) {
+            if !set.evacuated {
+                self.expect_cold_zone(now, &set.zone);
+            }
+        }
         if self.state.cluster != cluster {
             self.commands
                 .extend(self.peers.hello_commands(self.state.cluster));
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -302,6 +302,9 @@
                 },
             );
             actions.push(RoleAction::Log(LogLevel::Info, line));
+            if !change.is_evacuated {
+                self.expect_cold_zone(now, &change.zone);
+            }
         }
         let evacuated = self.endpoints.evacuations.len() as u64;
         let metric = RoleAction::Metric(MetricKind::Gauge, metrics::EVACUATED_ZONES, evacuated);
--- a/crates/gateway/src/zone_evacuations.rs
+++ b/crates/gateway/src/zone_evacuations.rs
@@ -30,8 +30,6 @@
     position: Option<(u64, u64, u64)>,
     /// Evacuated zones, with the end of their handover.
     zones: BTreeMap<Bytes, Instant>,
-    /// Zones whose evacuation has ended, and when.
-    ended: BTreeMap<Bytes, Instant>,
 }
 
 impl ZoneEvacuations {
@@ -44,15 +42,12 @@
             return Vec::new();
         }
         self.position = Some(position);
-        let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
         let mut before = std::mem::take(&mut self.zones);
         let mut changes = Vec::new();
         for item in &list.zones {
-            if let Some(ended) = item.ended_age_ms {
-                self.ended.insert(item.zone.clone(), ago(ended));
+            if item.ended_age_ms.is_some() {
                 continue;
             }
-            self.ended.remove(&item.zone);
             let left = HANDOVER_TIME.saturating_sub(Duration::from_millis(item.age_ms));
             let known = before.remove(&item.zone);
             let handover_end = known.unwrap_or(now + left);
@@ -65,7 +60,6 @@
             }
         }
         for zone in before.into_keys() {
-            self.ended.entry(zone.clone()).or_insert(now);
             changes.push(ZoneChange {
                 zone,
                 is_evacuated: false,
@@ -93,13 +87,4 @@
     pub fn len(&self) -> usize {
         self.zones.len()
     }
-
-    /// Returns when the evacuation of a zone ended, if it is not evacuated.
-    #[expect(
-        dead_code,
-        reason = "for the choice of cold endpoints, which treats returned ones as cold"
-    )]
-    pub fn ended_at(&self, zone: &Bytes) -> Option<Instant> {
-        self.ended.get(zone).copied()
-    }
 }
