Keep gateways' links open while control is partitioned

Cause: with six voters in two halves of three no half has a leader, and an instance that had none for 1.5 s closed all its clients' links at each tick. A gateway is linked to all instances already and could only dial the same one again, after 50 ms, as each link that opened ended its back-off: 5,160 links opened in 6 s by 24 gateways. Each loss of links cost the gateway its totals and divided its bucket.

* An instance without a leader closes only clients that have one link, and tells gateways (RateTotals.leaderless), which then report loads and demand to an instance that has one.
* A link that closes within 2 s of its dialing is a failure, so that redialing backs off whatever the cause, for entries, agents and members too.
An address that leaves and rejoins a list keeps its back-off.
* The number of attached gateways in an update no longer counts as the number heard while counters report one.
* At most one line a second for each address; metric gateway.links_opened.

Ruled out: that the lists alone make links flap.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -299,10 +299,12 @@
         );
     }
 
-    /// Closes the links of entries and agents, so that they connect to another
-    /// instance.
-    pub(crate) fn close_clients(&mut self, actions: &mut Actions) {
-        for link in self.clients.links() {
+    /// Closes the links that opened before `opened_before` of clients that have one
+    /// link only, so that they connect to another instance. A gateway is linked to all
+    /// instances already and would only dial this one again.
+    pub(crate) fn close_single_links(&mut self, opened_before: Instant, actions: &mut Actions) {
+        let links = self.clients.opened_before(opened_before);
+        for link in links.filter(|link| !self.rates.is_attached(*link)) {
             actions.push(RoleAction::Link(LinkCommand::Close { link }));
         }
     }
--- a/crates/control/src/client_links.rs
+++ b/crates/control/src/client_links.rs
@@ -1,6 +1,7 @@
 //! Links to entries and agents.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use bytes::Bytes;
 use mulberrywell_role::LinkId;
@@ -9,13 +10,20 @@
 /// All open links to entries and agents.
 #[derive(Debug, Default)]
 pub struct ClientLinks {
-    links: BTreeMap<LinkId, PeerIdentity>,
+    links: BTreeMap<LinkId, ClientLink>,
+}
+
+#[derive(Debug)]
+struct ClientLink {
+    peer: PeerIdentity,
+    opened_at: Instant,
 }
 
 impl ClientLinks {
     /// Adds a link.
-    pub fn insert(&mut self, link: LinkId, peer: PeerIdentity) {
-        self.links.insert(link, peer);
+    pub fn insert(&mut self, now: Instant, link: LinkId, peer: PeerIdentity) {
+        let opened_at = now;
+        self.links.insert(link, ClientLink { peer, opened_at });
     }
 
     /// Removes a link.
@@ -25,14 +33,14 @@
 
     /// Returns the name of the instance on a link.
     pub fn instance(&self, link: LinkId) -> Option<&Bytes> {
-        self.links.get(&link).map(|peer| &peer.instance)
+        self.links.get(&link).map(|client| &client.peer.instance)
     }
 
     /// Returns the name and incarnation of the process on a link, which
     /// identify one start of it.
     pub fn holder(&self, link: LinkId) -> Bytes {
-        let peer = self.links.get(&link);
-        peer.map_or_else(Bytes::new, |peer| {
+        let client = self.links.get(&link);
+        client.map_or_else(Bytes::new, |ClientLink { peer, .. }| {
             let mut holder = peer.instance.to_vec();
             holder.push(b':');
             holder.extend_from_slice(peer.incarnation.to_string().as_bytes());
@@ -40,8 +48,10 @@
         })
     }
 
-    /// Returns all links.
-    pub fn links(&self) -> impl Iterator<Item = LinkId> + '_ {
-        self.links.keys().copied()
+    /// Returns the links that opened before an instant.
+    pub fn opened_before(&self, instant: Instant) -> impl Iterator<Item = LinkId> + '_ {
+        let links = self.links.iter();
+        let older = links.filter(move |(_, client)| client.opened_at < instant);
+        older.map(|(link, _)| *link)
     }
 }
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -348,7 +348,7 @@
 
     fn handle_link_event(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
         match event {
-            LinkEvent::Opened { link, peer } => self.handle_opened(link, peer, actions),
+            LinkEvent::Opened { link, peer } => self.handle_opened(now, link, peer, actions),
             LinkEvent::Closed { link } => {
                 for requester in self.relays.remove_link(link) {
                     self.refuse_requester(requester, actions);
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -19,10 +19,14 @@
 /// Name of the operator whose key is in the settings.
 const FIRST_OPERATOR: &[u8] = b"first";
 
-/// Time without a leader after which the links of entries and agents are
+/// Time without a leader after which the links of clients that have one link only are
 /// closed.
 const LEADERLESS_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Age of a link before which it isn't closed for want of a leader: a gateway has told
+/// by then that it is one.
+const ATTACH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time after its start at which a seed names the founder of the cluster; longer
 /// than the differences between the starts of all instances.
 const FOUNDER_DELAY: Duration = Duration::from_secs(1);
@@ -35,6 +39,7 @@
 impl ControlRole {
     pub(crate) fn handle_opened(
         &mut self,
+        now: Instant,
         link: LinkId,
         peer: PeerIdentity,
         actions: &mut Actions,
@@ -43,7 +48,7 @@
             let hello = self.peers.insert_link(link, self.state.cluster);
             actions.push(RoleAction::Link(hello));
         } else {
-            self.clients.insert(link, peer);
+            self.clients.insert(now, link, peer);
         }
     }
 
@@ -121,6 +126,7 @@
         self.permits.remove_idle(now);
         let leads = self.is_leader() && self.has_lease(now);
         self.rates.set_leads(leads);
+        self.update_leaderless(now, actions);
         self.rates.broadcast(now, &mut self.commands);
         self.loads.broadcast(&mut self.commands);
         self.prompts.tick(now, &mut self.commands, actions);
@@ -133,20 +139,23 @@
                 send(link, FrameBody::MemberStatus(status.clone()), actions);
             }
         }
-        self.close_leaderless_clients(now, actions);
     }
 
-    /// Closes the links of entries and agents if this instance has neither led
-    /// nor been linked to a leader for [`LEADERLESS_TIMEOUT`], so that they
-    /// connect to another instance.
-    fn close_leaderless_clients(&mut self, now: Instant, actions: &mut Actions) {
+    /// If this instance has neither led nor been linked to a leader for
+    /// [`LEADERLESS_TIMEOUT`], closes the links of entries and agents, so that they
+    /// connect to another instance, and tells gateways.
+    fn update_leaderless(&mut self, now: Instant, actions: &mut Actions) {
         if self.is_leader() || self.leader_link().is_some() {
             self.leaderless_since = None;
-            return;
-        }
-        let since = *self.leaderless_since.get_or_insert(now);
-        if now.saturating_duration_since(since) >= LEADERLESS_TIMEOUT {
-            self.close_clients(actions);
+        } else {
+            self.leaderless_since.get_or_insert(now);
+        }
+        let since = self.leaderless_since;
+        let is_leaderless =
+            since.is_some_and(|at| now.saturating_duration_since(at) >= LEADERLESS_TIMEOUT);
+        self.rates.set_leaderless(is_leaderless);
+        if let (true, Some(opened_before)) = (is_leaderless, now.checked_sub(ATTACH_TIMEOUT)) {
+            self.close_single_links(opened_before, actions);
         }
     }
 
--- a/crates/control/src/rate_counter.rs
+++ b/crates/control/src/rate_counter.rs
@@ -34,6 +34,8 @@
     started: Instant,
     /// Whether this instance leads and issues permits.
     leads: bool,
+    /// Whether this instance has had no leader for some time.
+    leaderless: bool,
     counter: TotalCounter,
     /// Entries by instance: a restarted one is not a further holder.
     holders: HolderSet,
@@ -51,6 +53,7 @@
             epoch,
             started: now,
             leads: false,
+            leaderless: false,
             counter: TotalCounter::default(),
             holders: HolderSet::default(),
             links: BTreeMap::new(),
@@ -63,6 +66,17 @@
         self.leads = leads;
     }
 
+    /// Sets whether this instance has had no leader for some time, which all frames to
+    /// entries tell.
+    pub fn set_leaderless(&mut self, leaderless: bool) {
+        self.leaderless = leaderless;
+    }
+
+    /// Returns whether a link leads to an entry that was added.
+    pub fn is_attached(&self, link: LinkId) -> bool {
+        self.links.contains_key(&link)
+    }
+
     /// Adds a link to the entry `holder` of an instance.
     pub fn attach(&mut self, now: Instant, link: LinkId, instance: Bytes, holder: Bytes) {
         if self.links.contains_key(&link) {
@@ -167,6 +181,7 @@
             heard: count.heard,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             leads: self.leads,
+            leaderless: self.leaderless,
         };
         let body = FrameBody::RateTotals(frame);
         commands.push(LinkCommand::Send { link, body });
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -312,6 +312,8 @@
                 endpoints,
                 entries,
                 controls: controls.clone(),
+                controls_version: state.applied,
+                controls_cluster: state.cluster,
             };
             commands.push(update_command(*link, update));
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -26,6 +26,8 @@
 pub const QUARANTINES: &str = "gateway.quarantines";
 /// Permits for endpoints with a limit that were asked for and not granted.
 pub const PERMITS_DENIED: &str = "gateway.permits_denied";
+/// Links to control instances that opened.
+pub const LINKS_OPENED: &str = "gateway.links_opened";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{HolderCount, PromptGuard, RetryBudget};
+use mulberrywell_limit::{PromptGuard, RetryBudget};
 use mulberrywell_policy::ResponseTimes;
 use mulberrywell_role::{
     ConnectionBounds, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
@@ -26,6 +26,7 @@
 use crate::endpoint_table::EndpointTable;
 use crate::endpoint_wait::WAIT_INTERVAL;
 use crate::gateway_metrics as metrics;
+use crate::link_log::LinkLog;
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
 use crate::stream_origins::StreamOrigins;
@@ -42,10 +43,6 @@
 /// Budget units of one retry; the budget counts in hundredths.
 const RETRY_HUNDREDTHS: u32 = 100;
 
-/// Epoch under which the number of gateways in an update of the configuration is
-/// recorded; counters draw theirs at random.
-const UNCOUNTED_EPOCH: u64 = 0;
-
 /// Limits on callers' requests where the configuration sets none.
 const BOUNDS_DEFAULT: ConnectionBounds = ConnectionBounds {
     head_max: 16 * 1024,
@@ -96,6 +93,7 @@
     /// Retry budgets by service.
     pub(crate) budgets: BTreeMap<Bytes, RetryBudget>,
     pub(crate) links: ControlLinks,
+    link_log: LinkLog,
     pub(crate) demand: DemandTracker,
     /// Durations of responses by route.
     pub(crate) times: BTreeMap<Bytes, ResponseTimes>,
@@ -127,6 +125,7 @@
             rates: RateLimits::new(config.rate_tolerance, now),
             budgets: BTreeMap::new(),
             links: ControlLinks::new(&config.seeds, now),
+            link_log: LinkLog::default(),
             demand: DemandTracker::default(),
             times: BTreeMap::new(),
             prompts: PromptGuard::default(),
@@ -172,12 +171,15 @@
             LinkEvent::Opened { link, .. } => self.handle_opened(now, link, actions),
             LinkEvent::Closed { link } => self.handle_closed(now, link, actions),
             LinkEvent::Frame { link, body } => match body {
-                FrameBody::ServingUpdate(update) => self.handle_update(now, update, actions),
+                FrameBody::ServingUpdate(update) => self.handle_update(now, link, update, actions),
                 FrameBody::LoadShare(share) if self.links.primary_link() == Some(link) => {
                     self.endpoints.apply_load_share(share);
                 }
                 FrameBody::RateTotals(totals) => {
                     self.links.record_leads(link, totals.leads);
+                    if self.links.record_leaderless(link, totals.leaderless) {
+                        self.choose_primary();
+                    }
                     if self.rates.apply_totals(now, &totals) {
                         self.update_budgets();
                     }
@@ -197,8 +199,19 @@
 
     fn handle_opened(&mut self, now: Instant, link: LinkId, actions: &mut Actions) {
         self.links.handle_opened(now, link);
-        let text = format!("control link {link} opened");
-        actions.push(RoleAction::Log(LogLevel::Info, text));
+        actions.push(RoleAction::Metric(
+            MetricKind::Count,
+            metrics::LINKS_OPENED,
+            1,
+        ));
+        let address = self.links.address_of(link);
+        self.log_link(
+            now,
+            address,
+            LogLevel::Info,
+            format!("control link {link} opened"),
+            actions,
+        );
         let attach = ServingAttach {
             version: self.index.version(),
         };
@@ -215,13 +228,29 @@
 
     fn handle_closed(&mut self, now: Instant, link: LinkId, actions: &mut Actions) {
         self.prompts.remove_link(link);
+        let address = self.links.address_of(link);
         if self.links.handle_closed(now, link) {
             let text = format!("control link {link} closed");
-            actions.push(RoleAction::Log(LogLevel::Warn, text));
+            self.log_link(now, address, LogLevel::Warn, text, actions);
         }
         self.choose_primary();
     }
 
+    fn log_link(
+        &mut self,
+        now: Instant,
+        address: Option<SocketAddr>,
+        level: LogLevel,
+        text: String,
+        actions: &mut Actions,
+    ) {
+        let line = match address {
+            Some(address) => self.link_log.record(now, address, (level, text)),
+            None => Some((level, text)),
+        };
+        actions.extend(line.map(|(level, text)| RoleAction::Log(level, text)));
+    }
+
     /// Chooses the control instance to report loads and demand to: the one that
     /// all gateways report to, if its link is open. If it changed, all loads and limits
     /// are reported anew.
@@ -234,13 +263,16 @@
         }
     }
 
-    fn handle_update(&mut self, now: Instant, update: ServingUpdate, actions: &mut Actions) {
-        self.links.set_advertised(now, &update.controls);
-        if update.entries > 0 {
-            let count = HolderCount::all_heard(update.entries);
-            if self.rates.record_holders(now, UNCOUNTED_EPOCH, count) {
-                self.update_budgets();
-            }
+    fn handle_update(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        update: ServingUpdate,
+        actions: &mut Actions,
+    ) {
+        self.links.apply_advertised(now, link, &update);
+        if update.entries > 0 && self.rates.record_attached(now, update.entries) {
+            self.update_budgets();
         }
         if let Some(config) = update.config {
             let held = self.index.version();
@@ -304,6 +336,8 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             self.demand.remove_expired(now);
+            let lines = self.link_log.take_due(now).into_iter();
+            actions.extend(lines.map(|(level, text)| RoleAction::Log(level, text)));
             self.report_loads();
             self.expire_probes(now, actions);
             self.report_prompts(now, true, actions);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_role;
+mod link_log;
 mod prompt_guard;
 mod rate_limits;
 mod response_check;
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -22,6 +22,10 @@
 /// is in touch; well within `SILENT_TICKS_MAX` ticks of the counter.
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Epoch under which the number of gateways in an update of the configuration is
+/// recorded; counters draw theirs at random.
+const UNCOUNTED_EPOCH: u64 = 0;
+
 /// Assumed number of gateway instances until control reports it.
 const HOLDERS_DEFAULT: u32 = 8;
 
@@ -109,6 +113,21 @@
         is_changed
     }
 
+    /// Records the number of gateway instances with a link to a control instance, until
+    /// counters report how many they know and hear: a link may be open to an instance
+    /// that isn't heard, and divides the buckets each time the count falls again.
+    /// Returns whether the number of instances changed.
+    pub fn record_attached(&mut self, now: Instant, attached: u32) -> bool {
+        let mut counts = self
+            .counts
+            .iter()
+            .filter(|(epoch, _)| **epoch != UNCOUNTED_EPOCH);
+        if counts.any(|(_, (_, at))| now.saturating_duration_since(*at) < TOTALS_LIFETIME) {
+            return false;
+        }
+        self.record_holders(now, UNCOUNTED_EPOCH, HolderCount::all_heard(attached))
+    }
+
     /// Returns the number of gateway instances.
     pub fn holders(&self) -> u32 {
         self.holders.known
--- a/crates/role/src/dialer_set.rs
+++ b/crates/role/src/dialer_set.rs
@@ -2,8 +2,9 @@
 //!
 //! Algorithm: every address has its own [`SeedDialer`]; link ids are assigned in
 //! the order in which links are dialed. The dialer of an address that has left
-//! the set is removed once its link has closed, so that there are never two links
-//! to one address, however often the set changes.
+//! the set is removed once its link has closed and no failure is recent, so that
+//! there are never two links to one address and no address is dialed more often than
+//! its back-off allows, however often the set changes.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -36,8 +37,9 @@
     /// it closes.
     pub fn set_addresses(&mut self, now: Instant, addresses: &BTreeSet<SocketAddr>) {
         self.addresses.clone_from(addresses);
-        self.dialers
-            .retain(|address, dialer| addresses.contains(address) || dialer.has_link());
+        self.dialers.retain(|address, dialer| {
+            addresses.contains(address) || dialer.has_link() || dialer.is_backing_off(now)
+        });
         for address in addresses {
             self.dialers
                 .entry(*address)
@@ -47,12 +49,16 @@
 
     /// Returns when [`DialerSet::dial`] must be called next, if at all.
     pub fn deadline(&self) -> Option<Instant> {
-        self.dialers.values().filter_map(SeedDialer::deadline).min()
+        let wanted = self.dialers.iter();
+        let wanted = wanted.filter(|(address, _)| self.addresses.contains(address));
+        wanted.filter_map(|(_, dialer)| dialer.deadline()).min()
     }
 
     /// Appends a command for each link that is due to be dialed.
     pub fn dial(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
-        for dialer in self.dialers.values_mut() {
+        let addresses = &self.addresses;
+        let wanted = self.dialers.iter_mut();
+        for (_, dialer) in wanted.filter(|(address, _)| addresses.contains(address)) {
             let link = self.next_link;
             if let Some(address) = dialer.dial(now, link) {
                 self.next_link += 2;
@@ -70,9 +76,20 @@
 
     /// Handles the closing of a link.
     pub fn handle_closed(&mut self, now: Instant, link: LinkId) {
+        for dialer in self.dialers.values_mut() {
+            dialer.handle_closed(now, link);
+        }
         let addresses = &self.addresses;
-        self.dialers
-            .retain(|key, dialer| !dialer.handle_closed(now, link) || addresses.contains(key));
+        self.dialers.retain(|address, dialer| {
+            addresses.contains(address) || dialer.has_link() || dialer.is_backing_off(now)
+        });
+    }
+
+    /// Returns the address of an open or dialed link.
+    pub fn address_of(&self, link: LinkId) -> Option<SocketAddr> {
+        let mut dialers = self.dialers.iter();
+        let (address, _) = dialers.find(|(_, dialer)| dialer.link() == Some(link))?;
+        Some(*address)
     }
 
     /// Returns the open links, by address.
--- a/crates/role/src/seed_dialer.rs
+++ b/crates/role/src/seed_dialer.rs
@@ -2,7 +2,9 @@
 //!
 //! Algorithm: the addresses are tried in turn, from a start that differs between
 //! instances; the delay doubles after each round of failures over all addresses,
-//! up to [`DELAY_MAX`].
+//! up to [`DELAY_MAX`]. A link that opens and soon closes again is a failure too,
+//! since a peer that accepts links and closes them would otherwise be dialed at the
+//! shortest delay.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,6 +14,10 @@
 const DELAY_MIN: Duration = Duration::from_millis(50);
 const DELAY_MAX: Duration = Duration::from_secs(2);
 
+/// Time from the dialing to the closing of a link from which on it ends a series of
+/// failures.
+const STABLE_AFTER: Duration = Duration::from_secs(2);
+
 /// State of the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SeedState {
@@ -30,8 +36,11 @@
     addresses: Vec<SocketAddr>,
     /// Index of the address for the next attempt, modulo the number of addresses.
     next: usize,
-    /// Closed links and failed attempts since a link was last opened.
+    /// Failed attempts and links that closed within [`STABLE_AFTER`], since a link was
+    /// last open for longer.
     failures: u32,
+    /// When the current or last link was dialed.
+    dialed_at: Instant,
     state: SeedState,
 }
 
@@ -48,6 +57,7 @@
             addresses,
             next: start,
             failures: 0,
+            dialed_at: now,
             state: SeedState::Waiting(now),
         }
     }
@@ -65,9 +75,17 @@
         }
     }
 
+    /// Returns the link that is open or being dialed.
+    pub fn link(&self) -> Option<LinkId> {
+        match self.state {
+            SeedState::Dialing(link) | SeedState::Open(link) => Some(link),
+            SeedState::Waiting(_) => None,
+        }
+    }
+
     /// Returns whether a link is open or being dialed.
     pub fn has_link(&self) -> bool {
-        !matches!(self.state, SeedState::Waiting(_))
+        self.link().is_some()
     }
 
     /// Returns when [`SeedDialer::dial`] must be called next, if at all.
@@ -78,6 +96,12 @@
         }
     }
 
+    /// Returns whether a failure is recent, so that a dialer that replaced this one
+    /// would dial too early.
+    pub fn is_backing_off(&self, now: Instant) -> bool {
+        matches!(self.state, SeedState::Waiting(at) if self.failures > 0 && now < at + DELAY_MAX)
+    }
+
     /// Returns the address to dial as `link`, if an attempt is due.
     pub fn dial(&mut self, now: Instant, link: LinkId) -> Option<SocketAddr> {
         match self.state {
@@ -85,6 +109,7 @@
                 let address = self.addresses[self.next % self.addresses.len()];
                 self.next += 1;
                 self.state = SeedState::Dialing(link);
+                self.dialed_at = now;
                 Some(address)
             }
             _ => None,
@@ -96,7 +121,6 @@
         if self.state != SeedState::Dialing(link) {
             return false;
         }
-        self.failures = 0;
         self.state = SeedState::Open(link);
         true
     }
@@ -105,6 +129,10 @@
     pub fn handle_closed(&mut self, now: Instant, link: LinkId) -> bool {
         match self.state {
             SeedState::Dialing(own) | SeedState::Open(own) if own == link => {
+                let age = now.saturating_duration_since(self.dialed_at);
+                if self.open_link().is_some() && age >= STABLE_AFTER {
+                    self.failures = 0;
+                }
                 let round = self.failures / u32::try_from(self.addresses.len()).unwrap_or(1);
                 self.failures = self.failures.saturating_add(1);
                 let delay = DELAY_MIN * 2_u32.saturating_pow(round.min(6));
--- a/crates/role/tests/dialer_set.rs
+++ b/crates/role/tests/dialer_set.rs
@@ -79,3 +79,26 @@
     dialers.handle_opened(4);
     assert_eq!(dialers.open_links().collect::<Vec<_>>(), [(address(2), 4)]);
 }
+
+/// An address that leaves and joins the set at each of two halves' lists, and whose
+/// links fail or close at once, is dialed no more often than its back-off allows.
+#[rstest::rstest]
+fn set_addresses_flapping_backs_off(#[values(false, true)] opens: bool) {
+    let start = Instant::now();
+    let mut dialers = DialerSet::default();
+    let mut dials = 0;
+    for step in 0..2_000 {
+        let now = start + Duration::from_millis(10 * step);
+        for addresses in [BTreeSet::new(), BTreeSet::from([address(1)])] {
+            dialers.set_addresses(now, &addresses);
+        }
+        for (link, _) in dial_commands(&mut dialers, now) {
+            dials += 1;
+            if opens {
+                dialers.handle_opened(link);
+            }
+            dialers.handle_closed(now, link);
+        }
+    }
+    assert!((10..=16).contains(&dials), "{dials} in 20 s");
+}
