--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -340,6 +340,8 @@
                 entries,
                 controls: controls.clone(),
                 evacuations: list.flatten(),
+                controls_version: state.applied,
+                controls_cluster: state.cluster,
             };
             commands.push(update_command(*link, update));
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -32,6 +32,8 @@
 pub const COLD_REQUESTS: &str = "gateway.cold_requests";
 /// Endpoints taken for cold.
 pub const COLD_ENDPOINTS: &str = "gateway.cold_endpoints";
+/// Links to control instances that opened.
+pub const LINKS_OPENED: &str = "gateway.links_opened";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
