Measure the speed of engines and share it with the load reports

The choice of an engine uses one published speed for all engines, although one in four has half of it and others are slow for half a second at a time.

Gateways now track the slowness of an engine's steps and prefill against the published figures for the same batch, as quantiles in the logarithm. A low quantile of the step times ignores other prompts' prefill and short slow periods, which only lengthen single samples. A mean was ruled out: prefill of others, which lengthens half of the windows, moves it as much as a slow engine does. The weight of samples halves every 20 s, so that an engine without samples counts as published again.

Each gateway sees an engine only every few seconds, so the reports go to the control instance that collects the loads, which sends the weighted median to all. The message names the endpoint's start, so a restarted engine begins anew. Reports also count the memory that running requests need. Both are on only for services with deferrable routes. Nothing uses the speeds yet.

Tests: policy, gateway, control and platform pass.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -53,7 +53,7 @@
                 self.prompts.attach(now, link, &mut self.commands);
                 self.serving.attach(link, instance, &attach);
             }
-            FrameBody::LoadShare(report) => self.loads.record_report(link, report),
+            FrameBody::LoadShare(report) => self.loads.record_report(now, link, report),
             FrameBody::RateUse(report) => {
                 self.rates
                     .record_report(now, link, &report, &mut self.commands);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -45,6 +45,7 @@
 mod relay_table;
 mod serving_calls;
 mod serving_registry;
+mod speed_tracker;
 mod state_snapshot;
 mod state_summary;
 mod stream_registry;
--- a/crates/control/src/load_tracker.rs
+++ b/crates/control/src/load_tracker.rs
@@ -3,20 +3,25 @@
 //!
 //! Algorithm: entries report changes of their load. At an interval each entry
 //! receives the sums of all other entries, for the endpoints whose sums have
-//! changed. The load of an entry is removed when its link closes.
+//! changed. The load of an entry is removed when its link closes. The speeds that entries
+//! have measured are combined and sent along to all.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
 
 use bytes::Bytes;
 use mulberrywell_role::{LinkCommand, LinkId};
 use mulberrywell_wire::serving::{EndpointLoad, LoadShare};
 use mulberrywell_wire::FrameBody;
 
-/// Running requests and unprocessed prompt tokens.
+use crate::speed_tracker::SpeedTracker;
+
+/// Running requests, unprocessed prompt tokens and tokens of memory.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 struct LoadSum {
     running: u32,
     unread: u64,
+    held: u64,
 }
 
 /// Load reports of all entries.
@@ -27,15 +32,21 @@
     sums: BTreeMap<Bytes, LoadSum>,
     /// Endpoints whose sums have changed since the last broadcast.
     changed: BTreeSet<Bytes>,
+    speeds: SpeedTracker,
 }
 
 impl LoadTracker {
     /// Records an entry's report.
-    pub fn record_report(&mut self, link: LinkId, report: LoadShare) {
+    pub fn record_report(&mut self, now: Instant, link: LinkId, report: LoadShare) {
         for load in report.loads {
+            if let Some(speed) = &load.speed {
+                let endpoint = load.endpoint.clone();
+                self.speeds.record_report(now, link, endpoint, speed);
+            }
             let new = LoadSum {
                 running: load.running,
                 unread: load.unread,
+                held: load.held,
             };
             self.replace(link, load.endpoint, new);
         }
@@ -43,6 +54,7 @@
 
     /// Removes an entry's load.
     pub fn remove(&mut self, link: LinkId) {
+        self.speeds.remove(link);
         let loads = self.reports.remove(&link).unwrap_or_default();
         for (endpoint, old) in loads {
             self.update_sum(endpoint, old, LoadSum::default());
@@ -63,11 +75,15 @@
         let sum = self.sums.entry(endpoint.clone()).or_default();
         sum.running = sum.running - old.running + new.running;
         sum.unread = sum.unread - old.unread + new.unread;
+        sum.held = sum.held - old.held + new.held;
         self.changed.insert(endpoint);
     }
 
-    /// Appends a frame for each entry with the changed load of the others.
-    pub fn broadcast(&mut self, commands: &mut Vec<LinkCommand>) {
+    /// Appends a frame for each entry with the changed load of the others and the
+    /// combined speeds.
+    pub fn broadcast(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
+        let speeds = self.speeds.take_due(now);
+        self.changed.extend(speeds.keys().cloned());
         if self.changed.is_empty() {
             return;
         }
@@ -80,6 +96,8 @@
                     endpoint: endpoint.clone(),
                     running: sum.running - own.running,
                     unread: sum.unread - own.unread,
+                    speed: speeds.get(endpoint).copied(),
+                    held: sum.held - own.held,
                 }
             });
             let share = LoadShare {
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -122,7 +122,7 @@
         let leads = self.is_leader() && self.has_lease(now);
         self.rates.set_leads(leads);
         self.rates.broadcast(now, &mut self.commands);
-        self.loads.broadcast(&mut self.commands);
+        self.loads.broadcast(now, &mut self.commands);
         self.prompts.tick(now, &mut self.commands, actions);
         self.tick_endpoints(now, actions);
         if let Some(status) = self
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -7,9 +7,10 @@
 use mulberrywell_control::{ServingAnswer, ServingCall};
 use mulberrywell_policy::{OrderAnswer, OrderVerb};
 use mulberrywell_wire::serving::{
-    AccountUse, EndpointLimit, EndpointLoad, EndpointPhase, EndpointStatus, EngineModel,
-    EngineTraits, HeldModel, LeavingEndpoint, LimitedEndpoint, LoadShare, PutServing, RateUse,
-    ServingAttach, ServingConfig, ServingDemand, ServingService, ServingUpdate, WantedModel,
+    AccountUse, EndpointLimit, EndpointLoad, EndpointPhase, EndpointSpeed, EndpointStatus,
+    EngineModel, EngineTraits, HeldModel, LeavingEndpoint, LimitedEndpoint, LoadShare, PutServing,
+    RateUse, ServingAttach, ServingConfig, ServingDemand, ServingService, ServingUpdate,
+    WantedModel,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -585,6 +586,7 @@
             endpoint: Bytes::from_static(endpoint),
             running,
             unread,
+            ..EndpointLoad::default()
         }],
     })
 }
@@ -611,6 +613,57 @@
     assert_eq!(received, [Some((6, 600)), Some((5, 500)), Some((3, 300))]);
 }
 
+fn speed_report(born_ms: u64, step_milli: u32) -> FrameBody {
+    FrameBody::LoadShare(LoadShare {
+        loads: vec![EndpointLoad {
+            endpoint: Bytes::from_static(b"e"),
+            running: 1,
+            speed: Some(EndpointSpeed {
+                born_ms,
+                step_milli,
+                step_weight_milli: 2_000,
+                prefill_milli: step_milli,
+                prefill_weight_milli: 1_000,
+            }),
+            ..EndpointLoad::default()
+        }],
+    })
+}
+
+/// Returns the last combined speed that an entry received.
+fn received_speed(cluster: &mut RoleCluster, entry: &ClientLink) -> Option<EndpointSpeed> {
+    cluster.run(Duration::from_millis(800));
+    let frames = cluster.drain_frames(entry).into_iter();
+    let speeds = frames.filter_map(|frame| match frame {
+        FrameBody::LoadShare(share) => share.loads.last()?.speed,
+        _ => None,
+    });
+    speeds.last()
+}
+
+/// Guards against entries that each know only their own few measurements of an engine,
+/// and against measurements of an earlier start that outlive a restart.
+#[test]
+fn measured_speeds_combined() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [b"entry-0", b"entry-1", b"entry-2"].map(|name| cluster.attach(0, name));
+    for (entry, milli) in entries.iter().zip([900, 1_800, 6_000]) {
+        cluster.send(entry, speed_report(5, milli));
+    }
+    for entry in &entries {
+        let speed = received_speed(&mut cluster, entry).expect("a speed");
+        assert_eq!((speed.born_ms, speed.step_milli), (5, 1_800));
+        assert!(
+            (5_000..=6_000).contains(&speed.step_weight_milli),
+            "{speed:?}"
+        );
+    }
+    cluster.send(&entries[0], speed_report(6, 1_000));
+    cluster.send(&entries[1], speed_report(5, 1_800));
+    let speed = received_speed(&mut cluster, &entries[2]).expect("a speed");
+    assert_eq!((speed.born_ms, speed.step_milli), (6, 1_000));
+}
+
 #[test]
 fn load_closed_link_removed() {
     let mut cluster = RoleCluster::formed(3);
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -103,6 +103,7 @@
             is_limited: false,
             attempt_started: None,
             prefill_tokens: 0,
+            engine_work: None,
             reserved: 0,
             units: account.map_or(0, |account| charged_units(account, &terms)),
             response: PendingResponse::default(),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -16,6 +16,7 @@
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
 use crate::response_check::FailureCause;
+use crate::response_timing::begin_work;
 
 /// Timeout for opening a connection to an endpoint. Connections within a region
 /// take a few milliseconds; a lost SYN is retransmitted only after one second.
@@ -151,7 +152,11 @@
         usage.running += 1;
         usage.prefill_tokens += call.prefill_tokens;
         let service = self.index.service(&call.service);
+        call.engine_work = None;
         if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
+            if self.index.has_deferrable(&call.service) {
+                call.engine_work = Some(begin_work(usage, call, engine.tokens_per_event));
+            }
             let tokens_max = engine.cache_tokens / PREFIX_CACHE_DIVISOR;
             usage
                 .cache
@@ -334,8 +339,11 @@
         if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
             usage.running = usage.running.saturating_sub(1);
             usage.prefill_tokens = usage.prefill_tokens.saturating_sub(call.prefill_tokens);
+            let held = call.engine_work.map_or(0, |work| work.held_tokens);
+            usage.held_tokens = usage.held_tokens.saturating_sub(held);
         }
         call.prefill_tokens = 0;
+        call.engine_work = None;
     }
 
     /// Handles calls whose deadline or attempt timeout has expired.
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -126,6 +126,17 @@
     }
 }
 
+/// What an engine was to do when a call was forwarded to it.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineWork {
+    /// Prompt tokens awaiting prefill, those of the call included.
+    pub prefill_tokens: u64,
+    /// Tokens of memory that the call needs.
+    pub held_tokens: u64,
+    /// Output tokens of an event.
+    pub tokens_per_event: u32,
+}
+
 /// State of one call.
 #[derive(Debug)]
 pub struct CallRecord {
@@ -173,6 +184,9 @@
     pub attempt_started: Option<Instant>,
     /// Prompt tokens counted at that endpoint as awaiting prefill.
     pub prefill_tokens: u64,
+    /// What the current attempt's engine was to do when the call was forwarded; none
+    /// where speeds aren't measured.
+    pub engine_work: Option<EngineWork>,
     /// Units charged to the account's rate limit.
     pub reserved: u64,
     /// Units that the call costs.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -7,17 +7,23 @@
 
 use bytes::Bytes;
 use mulberrywell_limit::{EndpointStart, FailureShare, MilliRate};
-use mulberrywell_policy::{stable_hash, DurationEstimate, PrefixCache};
+use mulberrywell_policy::{stable_hash, BatchState, DurationEstimate, EnginePace, PrefixCache};
 use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
-    EndpointLimit, EndpointLoad, EndpointPhase, EndpointStatus, LimitedEndpoint, LoadShare,
+    EndpointLimit, EndpointLoad, EndpointPhase, EndpointSpeed, EndpointStatus, LimitedEndpoint,
+    LoadShare,
 };
 
 use crate::call_codec::ModelTerms;
+use crate::speed_reports::{read_speed, speed_message};
 
 /// Back-off after a failure, doubled with each consecutive one.
 const BACKOFF_MIN: Duration = Duration::from_millis(500);
 
+/// Interval at which the speed of one endpoint is reported at most. A gateway has a
+/// sample of an engine every few seconds.
+const PACE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Maximum back-off.
 const BACKOFF_MAX: Duration = Duration::from_secs(8);
 
@@ -50,9 +56,15 @@
     pub prefill_tokens: u64,
     /// Load from the other gateways, as last reported by control.
     pub others: OtherLoad,
-    /// Last load reported to control: running requests and tokens awaiting
-    /// prefill.
-    reported: (u32, u64),
+    /// Tokens of memory that this instance's requests need, where they are counted.
+    pub held_tokens: u64,
+    /// Last load reported to control: running requests, tokens awaiting prefill and
+    /// tokens of memory.
+    reported: (u32, u64, u64),
+    /// Measured speed, of an engine.
+    pub pace: EnginePace,
+    /// When the speed was last reported.
+    pace_reported: Option<Instant>,
     /// Estimate of the prompt parts in the endpoint's cache.
     pub cache: PrefixCache,
     /// Models and adapters that the endpoint reported as not resident in a
@@ -83,6 +95,8 @@
     /// Prompt tokens awaiting prefill: the uncached ones of requests without a
     /// first event.
     pub prefill_tokens: u64,
+    /// Tokens of memory that the requests need.
+    pub held_tokens: u64,
 }
 
 impl EndpointUsage {
@@ -133,6 +147,29 @@
         self.denied_until = Some(until);
     }
 
+    /// Returns the batch that all instances together have the endpoint run.
+    pub fn batch(&self, tokens_per_event: u32) -> BatchState {
+        BatchState {
+            running: self.running + self.others.running,
+            context_tokens: self.held_tokens + self.others.held_tokens,
+            tokens_per_event,
+        }
+    }
+
+    /// Returns the measured speed if it has changed and its report is due.
+    fn take_speed(&mut self, now: Instant) -> Option<EndpointSpeed> {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if self
+            .pace_reported
+            .is_some_and(|at| since(at) < PACE_REPORT_INTERVAL)
+        {
+            return None;
+        }
+        let report = self.pace.take_report(now)?;
+        self.pace_reported = Some(now);
+        Some(speed_message(self.born_ms, &report))
+    }
+
     /// Records that the endpoint does not have a model resident.
     pub fn record_missing(&mut self, model: ModelTerms) {
         self.missing.insert(model);
@@ -289,41 +326,51 @@
         closed.filter_map(|usage| usage.closed_until).min()
     }
 
-    /// Returns this gateway's loads that changed since the last report.
-    pub fn collect_load_changes(&mut self) -> LoadShare {
+    /// Returns this gateway's loads that changed since the last report, and measured
+    /// speeds that are due.
+    pub fn collect_load_changes(&mut self, now: Instant) -> LoadShare {
         let mut loads = Vec::new();
         for (id, usage) in &mut self.usages {
-            let load = (usage.running, usage.prefill_tokens);
-            if usage.reported != load {
+            let load = (usage.running, usage.prefill_tokens, usage.held_tokens);
+            let speed = usage.take_speed(now);
+            if usage.reported != load || speed.is_some() {
                 usage.reported = load;
                 loads.push(EndpointLoad {
                     endpoint: id.clone(),
                     running: usage.running,
                     unread: usage.prefill_tokens,
+                    speed,
+                    held: usage.held_tokens,
                 });
             }
         }
         LoadShare { loads }
     }
 
-    /// Applies the load of the other gateways.
-    pub fn apply_load_share(&mut self, share: LoadShare) {
+    /// Applies the load of the other gateways and the combined speeds.
+    pub fn apply_load_share(&mut self, now: Instant, share: LoadShare) {
         for load in share.loads {
             if let Some(usage) = self.usages.get_mut(&load.endpoint) {
                 usage.others = OtherLoad {
                     running: load.running,
                     prefill_tokens: load.unread,
+                    held_tokens: load.held,
                 };
+                let speed = load.speed.filter(|speed| speed.born_ms == usage.born_ms);
+                if let Some(speed) = speed {
+                    usage.pace.record_fleet(now, read_speed(&speed));
+                }
             }
         }
     }
 
-    /// Clears the load of the other gateways and marks all own loads as
+    /// Clears the load of the other gateways and marks all own loads and speeds as
     /// unreported.
     pub fn reset_loads(&mut self) {
         for usage in self.usages.values_mut() {
             usage.others = OtherLoad::default();
-            usage.reported = (0, 0);
+            usage.reported = (0, 0, 0);
+            usage.pace.mark_unreported();
         }
     }
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -174,7 +174,7 @@
             LinkEvent::Frame { link, body } => match body {
                 FrameBody::ServingUpdate(update) => self.handle_update(now, update, actions),
                 FrameBody::LoadShare(share) if self.links.primary_link() == Some(link) => {
-                    self.endpoints.apply_load_share(share);
+                    self.endpoints.apply_load_share(now, share);
                 }
                 FrameBody::RateTotals(totals) => {
                     self.links.record_leads(link, totals.leads);
@@ -304,7 +304,7 @@
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
             self.demand.remove_expired(now);
-            self.report_loads();
+            self.report_loads(now);
             self.expire_probes(now, actions);
             self.report_prompts(now, true, actions);
             let in_flight = self.calls.len() as u64;
@@ -329,11 +329,11 @@
     }
 
     /// Reports this gateway's load at endpoints to control.
-    fn report_loads(&mut self) {
+    fn report_loads(&mut self, now: Instant) {
         if self.links.primary_link().is_none() {
             return;
         }
-        let share = self.endpoints.collect_load_changes();
+        let share = self.endpoints.collect_load_changes(now);
         if !share.loads.is_empty() {
             self.commands
                 .extend(self.links.send_on_primary(FrameBody::LoadShare(share)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod response_flow;
 mod response_timing;
 mod shutdown;
+mod speed_reports;
 mod stream_origins;
 
 pub use call_codec::{
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -7,7 +7,8 @@
 use mulberrywell_serving::EndpointId;
 
 use crate::call_codec::CallCodec;
-use crate::call_table::CallRecord;
+use crate::call_table::{CallRecord, EngineWork};
+use crate::endpoint_table::EndpointUsage;
 use crate::gateway_role::GatewayRole;
 
 /// Shortest time over which the pace of a stream is measured; events that were
@@ -28,7 +29,14 @@
         let Some((since, first)) = call.pace_mark else {
             call.pace_mark = Some((now, event));
             let started = call.attempt_started.unwrap_or(now);
-            times.record_first_chunk(now.saturating_duration_since(started));
+            let elapsed = now.saturating_duration_since(started);
+            times.record_first_chunk(elapsed);
+            let usage = self.endpoints.usage_mut(&call.endpoint);
+            if let (Some(work), Some(usage)) = (call.engine_work, usage) {
+                let batch = usage.batch(work.tokens_per_event);
+                let pace = &mut usage.pace;
+                pace.record_first_event(now, batch, work.prefill_tokens, elapsed);
+            }
             return;
         };
         let elapsed = now.saturating_duration_since(since);
@@ -41,6 +49,10 @@
         times.record_pace(pace);
         if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
             usage.event_pace.record(pace);
+            if let Some(work) = call.engine_work {
+                let batch = usage.batch(work.tokens_per_event);
+                usage.pace.record_event(now, batch, pace);
+            }
         }
     }
 
@@ -118,6 +130,23 @@
     }
 }
 
+/// Counts the memory that a call needs at its endpoint, and returns what the endpoint is
+/// to do with it. The call's prefill must have been counted.
+pub(crate) fn begin_work(
+    usage: &mut EndpointUsage,
+    call: &CallRecord,
+    tokens_per_event: u32,
+) -> EngineWork {
+    let output = call.terms.tokens.map_or(0, |tokens| tokens.output);
+    let held_tokens = call.prefill_tokens.saturating_add(output);
+    usage.held_tokens = usage.held_tokens.saturating_add(held_tokens);
+    EngineWork {
+        prefill_tokens: usage.prefill_tokens + usage.others.prefill_tokens,
+        held_tokens,
+        tokens_per_event,
+    }
+}
+
 /// Returns the time since a call was first forwarded.
 fn running_time(now: Instant, call: &CallRecord) -> Duration {
     let since = call.first_forwarded.unwrap_or(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod endpoint_choice;
 mod engine_choice;
 mod engine_option;
+mod engine_pace;
 mod engine_state;
 mod fair_queue;
 mod load_pacer;
@@ -35,6 +36,10 @@
 pub use engine_choice::{
     first_event_ms, rendezvous_weight, EngineView, HOME_COUNT, PREFILL_TOKENS_PER_MS,
 };
+pub use engine_pace::{
+    combined_speed, published_event_ms, BatchState, EnginePace, EngineSpeed, SlownessReport,
+    SpeedReport, PREFILL_SAMPLE_MIN, PUBLISHED_PREFILL_RATE,
+};
 pub use fair_queue::{AccountName, FairQueue, PushOutcome, QueuedItem};
 pub use load_pacer::{store_burst, LoadPacer, PacerSettings};
 pub use placement_planner::{PlacementPlanner, PlacementSettings};
