Forecast first event and pause at an engine by its measured speed

An engine reads all waiting prompts in turns, a chunk of each between two steps, so a prompt waits for nearly all tokens that wait with it and the running streams pause for as long. The forecast therefore is one sum at the measured rate: two prompts of 9,190 tokens give a pause of 502 ms at the published rate, as was seen.

The terms of a choice are in milliseconds of the caller's wait: the first event, the risks that it or a pause is late, the loss of the streams that run there, and a price of fast engines for routes with loose objectives, so that these go to slow engines. A fixed set of slow engines for loose routes was ruled out: it idles when there is no such traffic.

The forecast is what admission will need: first event, pause, free memory and cached tokens. Nothing calls it yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod demand_types;
 mod endpoint_choice;
 mod engine_choice;
+mod engine_forecast;
 mod engine_option;
 mod engine_pace;
 mod engine_state;
@@ -36,6 +37,7 @@
 pub use engine_choice::{
     first_event_ms, rendezvous_weight, EngineView, HOME_COUNT, PREFILL_TOKENS_PER_MS,
 };
+pub use engine_forecast::{weigh_engine, ChoiceTerms, EngineForecast, EngineOption, RequestNeeds};
 pub use engine_pace::{
     combined_speed, published_event_ms, BatchState, EnginePace, EngineSpeed, SlownessReport,
     SpeedReport, PREFILL_SAMPLE_MIN, PUBLISHED_PREFILL_RATE,
