Choose engines by forecast out of a few drawn ones

For services with deferrable routes an engine is now chosen by the forecast at its measured speed. Thirty gateways with views that are 50 to 300 ms old would all choose the same best engine, so each request compares two engines of those that hold a part of its prompt and two of the others, drawn by a hash of its id (power of two choices), and draws more while the best risks a late response. Reservation at control was ruled out, since it costs a round trip per request; jitter alone was ruled out, since with an old view one idle engine still gets several times its share.

In the test with views of 300 ms, 18 engines, one in four of them slow, and 30 long prompts a second, the busiest engine gets less than 1.5 times its share by speed.

Choices for all other services are the same as before; a test replays 60 requests against the earlier function. The choice returns the forecast beside the endpoint. One line a second names the terms of a choice; metrics count risky choices and the forecast.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -81,7 +81,7 @@
         let service = split_service(&route.shares, hash).ok_or(RefusalReason::NoRoute)?;
         let has_rate = account.is_some_and(|account| account.rate > 0);
         let call = CallRecord {
-            route: RouteTerms::of(route),
+            route: RouteTerms::of(route, self.index.is_deferrable(route)),
             service: service.clone(),
             account: account.map(|account| account.name.clone()),
             priority: account
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,7 +11,7 @@
 use crate::call_codec::{CallCodec, ForwardTerms, RefusalReason};
 use crate::call_table::{CallRecord, CallStage, PendingResponse, RunState};
 use crate::caller_responses::text;
-use crate::endpoint_choice::{choose_endpoint, ChoiceView};
+use crate::endpoint_choice::{choose_endpoint, measured_traits, ChoiceView, EndpointChoice};
 use crate::endpoint_permits::{PERMIT_RETRY_MIN, PERMIT_UNAVAILABLE_RETRY};
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
@@ -71,7 +71,9 @@
         if !self.resolve_version(now, request, actions) {
             return;
         }
-        let endpoint = self.choose_permitted(now, request);
+        let choice = self.choose_permitted(now, request);
+        self.record_choice(now, request, choice.as_ref(), actions);
+        let endpoint = choice.map(|choice| choice.id);
         let Some(call) = self.calls.get(request) else {
             return;
         };
@@ -110,19 +112,20 @@
 
     /// Returns the endpoint for a call's next attempt. Without a link to the leader
     /// there are no permits, so endpoints with a limit are passed over.
-    fn choose_permitted(&mut self, now: Instant, request: RequestId) -> Option<EndpointId> {
+    fn choose_permitted(&mut self, now: Instant, request: RequestId) -> Option<EndpointChoice> {
         loop {
             let view = ChoiceView {
+                index: &self.index,
                 endpoints: &self.endpoints,
                 zone: &self.config.zone,
                 entries: self.rates.holders(),
             };
-            let endpoint = choose_endpoint(now, view, self.calls.get(request)?)?;
-            let is_limited = self.endpoints.rate_limit(&endpoint).is_some();
+            let choice = choose_endpoint(now, view, self.calls.get(request)?)?;
+            let is_limited = self.endpoints.rate_limit(&choice.id).is_some();
             if !is_limited || self.links.leader_link().is_some() {
-                return Some(endpoint);
+                return Some(choice);
             }
-            self.deny_endpoint(now, &endpoint, PERMIT_UNAVAILABLE_RETRY);
+            self.deny_endpoint(now, &choice.id, PERMIT_UNAVAILABLE_RETRY);
         }
     }
 
@@ -154,7 +157,7 @@
         let service = self.index.service(&call.service);
         call.engine_work = None;
         if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
-            if self.index.has_deferrable(&call.service) {
+            if measured_traits(&self.index, &call.service).is_some() {
                 call.engine_work = Some(begin_work(usage, call, engine.tokens_per_event));
             }
             let tokens_max = engine.cache_tokens / PREFIX_CACHE_DIVISOR;
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -30,13 +30,17 @@
     pub is_stream: bool,
     /// Latency objective.
     pub objective: Duration,
+    /// Longest pause between events that is in time; zero if the route names none.
+    pub pause: Duration,
+    /// Whether its calls can yield to urgent ones of the same service.
+    pub is_deferrable: bool,
     /// Maximum number of attempts of a call.
     pub max_attempts: u32,
 }
 
 impl RouteTerms {
     /// Extracts the properties of a route.
-    pub fn of(route: &ServingRoute) -> Self {
+    pub fn of(route: &ServingRoute, is_deferrable: bool) -> Self {
         let repeat = route.repeat();
         RouteTerms {
             name: route.name.clone(),
@@ -47,6 +51,8 @@
             },
             is_stream: repeat == RepeatRule::Stream,
             objective: Duration::from_millis(route.objective_ms),
+            pause: Duration::from_millis(route.pause_ms),
+            is_deferrable,
             max_attempts: route.max_attempts.max(1),
         }
     }
--- a/crates/gateway/src/endpoint_choice.rs
+++ b/crates/gateway/src/endpoint_choice.rs
@@ -3,16 +3,38 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use mulberrywell_policy::{first_event_ms, rendezvous_weight, EngineView, HOME_COUNT};
-use mulberrywell_serving::EndpointId;
-use mulberrywell_wire::serving::{EndpointStatus, ServiceShare};
+use mulberrywell_policy::{
+    first_event_ms, rendezvous_weight, ChoiceTerms, EngineForecast, EngineView, HOME_COUNT,
+};
+use mulberrywell_serving::{EndpointId, ServingIndex};
+use mulberrywell_wire::serving::{EndpointStatus, EngineTraits, ServiceShare};
 
 use crate::call_table::CallRecord;
 use crate::endpoint_table::{EndpointTable, EndpointUsage};
+use crate::measured_choice::choose_measured;
+
+/// An endpoint for a call's next attempt.
+#[derive(Debug, Clone)]
+pub struct EndpointChoice {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Terms of the choice, with what the caller can expect; none for a service whose
+    /// endpoints are chosen without measured speeds.
+    pub terms: Option<ChoiceTerms>,
+}
+
+impl EndpointChoice {
+    /// Returns what the caller can expect, if the speed of the endpoint is measured.
+    pub fn forecast(&self) -> Option<EngineForecast> {
+        self.terms.map(|terms| terms.forecast)
+    }
+}
 
 /// Inputs of the selection other than the call.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceView<'a> {
+    /// The configuration in force.
+    pub index: &'a ServingIndex,
     /// All endpoints.
     pub endpoints: &'a EndpointTable,
     /// Availability zone of this instance.
@@ -43,11 +65,20 @@
     now: Instant,
     view: ChoiceView<'_>,
     call: &CallRecord,
-) -> Option<EndpointId> {
+) -> Option<EndpointChoice> {
     let candidates = view.endpoints.candidates(now, call.needs());
+    let unmeasured = |id| EndpointChoice { id, terms: None };
     if call.terms.model.is_some() {
         let candidates: Vec<Candidate<'_>> = candidates.collect();
-        return choose_engine(now, view, call, &candidates);
+        let Some(traits) = measured_traits(view.index, &call.service) else {
+            return choose_engine(now, view, call, &candidates).map(unmeasured);
+        };
+        let homes = home_engines(call, &candidates);
+        let chosen = choose_measured(now, view, call, traits, &candidates, &homes);
+        return chosen.map(|(status, terms)| EndpointChoice {
+            id: status.id.clone(),
+            terms: Some(terms),
+        });
     }
     let best = candidates.min_by_key(|(status, usage)| {
         let slots = status.slots.div_ceil(view.entries.max(1)).max(1);
@@ -58,7 +89,17 @@
             usage.running,
         )
     });
-    best.map(|(status, _)| status.id.clone())
+    best.map(|(status, _)| unmeasured(status.id.clone()))
+}
+
+/// Returns what the engines of a service have in common, if they are chosen by their
+/// measured speeds.
+pub(crate) fn measured_traits<'a>(
+    index: &'a ServingIndex,
+    service: &Bytes,
+) -> Option<&'a EngineTraits> {
+    let traits = index.service(service)?.engine.as_ref();
+    traits.filter(|_| index.has_deferrable(service))
 }
 
 type Candidate<'a> = (&'a EndpointStatus, &'a EndpointUsage);
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -26,6 +26,10 @@
 pub const QUARANTINES: &str = "gateway.quarantines";
 /// Permits for endpoints with a limit that were asked for and not granted.
 pub const PERMITS_DENIED: &str = "gateway.permits_denied";
+/// Forecast time from forwarding a request to its first event.
+pub const FORECAST_FIRST: &str = "gateway.forecast_first_event_ms";
+/// Requests forwarded although their first event or a pause is likely to be late.
+pub const CHOICES_RISKY: &str = "gateway.choices_risky";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -109,6 +109,8 @@
     pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
+    /// When the terms of a choice were last logged.
+    pub(crate) choice_logged: Option<Instant>,
     next_tick: Instant,
     /// When waiting calls are next retried.
     next_retry: Instant,
@@ -136,6 +138,7 @@
             rate_waits: VecDeque::new(),
             shutdown: ShutdownState::default(),
             last_handled: now,
+            choice_logged: None,
             next_tick: now,
             next_retry: now,
             commands: Vec::new(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod engine_state;
 mod fair_queue;
 mod load_pacer;
+mod measured_choice;
 mod placement_moves;
 mod placement_planner;
 mod placement_types;
@@ -44,6 +45,7 @@
 };
 pub use fair_queue::{AccountName, FairQueue, PushOutcome, QueuedItem};
 pub use load_pacer::{store_burst, LoadPacer, PacerSettings};
+pub use measured_choice::{choose_drawn, DrawCandidate, WeighedEngine};
 pub use placement_planner::{PlacementPlanner, PlacementSettings};
 pub use placement_types::{
     DecisionKind, DecisionReason, DemandEstimate, EndpointName, EndpointReport, EndpointTarget,
