Weigh cached prompts for each request, and share what was sent where

A gateway knew only its own sends and assumed that two home engines hold every prefix, so shared parts were read again and a prefix requested once counted as cached.

Gateways now report the shared parts that they send and the tokens of what else they send. The control instance that collects the loads tells each gateway those of the others every 500 ms, each part once with its number of requests. Parts of less than 1,000 shared tokens aren't reported: they save less than 26 ms. The record of an engine holds at most 64 parts, a broadcast at most 4,096, and the demand 1,024 prefixes.

The value of a prompt is the time that cached tokens save at the engine's measured rate. Tokens that running requests, the prompt itself or what was sent since displace count as none. An engine that isn't a home pays a price for a new copy, and the number of homes follows the demand, from 2 to 16. Homes aren't assumed to hold anything.

Own sends only was ruled out: each of 30 gateways sees a thirtieth of a prefix's requests. The engines' event feed was ruled out: 12 waiting calls for each engine don't serve 30 gateways, so a control instance would have to relay it just as the sends are. Fetching cached parts from another engine is not used.

Tests: policy, gateway, control and the gateway sessions pass.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -43,6 +43,7 @@
 mod rate_counter;
 mod read_rounds;
 mod relay_table;
+mod send_tracker;
 mod serving_calls;
 mod serving_registry;
 mod speed_tracker;
--- a/crates/control/src/load_tracker.rs
+++ b/crates/control/src/load_tracker.rs
@@ -4,7 +4,8 @@
 //! Algorithm: entries report changes of their load. At an interval each entry
 //! receives the sums of all other entries, for the endpoints whose sums have
 //! changed. The load of an entry is removed when its link closes. The speeds that entries
-//! have measured are combined and sent along to all.
+//! have measured are combined and sent along to all, and each is told what prompts the
+//! others sent.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
@@ -14,6 +15,7 @@
 use mulberrywell_wire::serving::{EndpointLoad, LoadShare};
 use mulberrywell_wire::FrameBody;
 
+use crate::send_tracker::SendTracker;
 use crate::speed_tracker::SpeedTracker;
 
 /// Running requests, unprocessed prompt tokens and tokens of memory.
@@ -33,11 +35,17 @@
     /// Endpoints whose sums have changed since the last broadcast.
     changed: BTreeSet<Bytes>,
     speeds: SpeedTracker,
+    sends: SendTracker,
 }
 
 impl LoadTracker {
     /// Records an entry's report.
     pub fn record_report(&mut self, now: Instant, link: LinkId, report: LoadShare) {
+        for sends in report.sends {
+            self.sends.record_report(link, sends);
+        }
+        // An entry that has sent a prompt is told of others' as well.
+        self.reports.entry(link).or_default();
         for load in report.loads {
             if let Some(speed) = &load.speed {
                 let endpoint = load.endpoint.clone();
@@ -84,7 +92,8 @@
     pub fn broadcast(&mut self, now: Instant, commands: &mut Vec<LinkCommand>) {
         let speeds = self.speeds.take_due(now);
         self.changed.extend(speeds.keys().cloned());
-        if self.changed.is_empty() {
+        let sends = self.sends.take_due(now);
+        if self.changed.is_empty() && sends.is_empty() {
             return;
         }
         let changed = std::mem::take(&mut self.changed);
@@ -102,7 +111,11 @@
             });
             let share = LoadShare {
                 loads: loads.collect(),
+                sends: sends.of_others(*link),
             };
+            if share.loads.is_empty() && share.sends.is_empty() {
+                continue;
+            }
             let body = FrameBody::LoadShare(share);
             commands.push(LinkCommand::Send { link: *link, body });
         }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 use crate::call_codec::{CallCodec, ForwardTerms, RefusalReason};
 use crate::call_table::{CallRecord, CallStage, PendingResponse, RunState};
 use crate::caller_responses::text;
+use crate::choice_log::record_prompt_metrics;
 use crate::endpoint_choice::{choose_endpoint, measured_traits, ChoiceView, EndpointChoice};
 use crate::endpoint_permits::{PERMIT_RETRY_MIN, PERMIT_UNAVAILABLE_RETRY};
 use crate::gateway_metrics as metrics;
@@ -151,19 +152,21 @@
             return;
         };
         let prompt = call.terms.tokens.map_or(0, |tokens| tokens.prompt);
-        call.prefill_tokens = prompt.saturating_sub(usage.cache.cached_tokens(&call.chain));
         usage.running += 1;
-        usage.prefill_tokens += call.prefill_tokens;
-        let service = self.index.service(&call.service);
         call.engine_work = None;
-        if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
-            if measured_traits(&self.index, &call.service).is_some() {
-                call.engine_work = Some(begin_work(usage, call, engine.tokens_per_event));
+        if let Some(traits) = measured_traits(&self.index, &call.service) {
+            let kept = begin_work(now, usage, call, traits);
+            record_prompt_metrics(kept, prompt, actions);
+        } else {
+            call.prefill_tokens = prompt.saturating_sub(usage.cache.cached_tokens(&call.chain));
+            usage.prefill_tokens += call.prefill_tokens;
+            let service = self.index.service(&call.service);
+            if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
+                let tokens_max = engine.cache_tokens / PREFIX_CACHE_DIVISOR;
+                usage
+                    .cache
+                    .record_prompt(&call.chain, &call.terms.prefix, tokens_max);
             }
-            let tokens_max = engine.cache_tokens / PREFIX_CACHE_DIVISOR;
-            usage
-                .cache
-                .record_prompt(&call.chain, &call.terms.prefix, tokens_max);
         }
         if call.attempts > 0 {
             let metric = RoleAction::Metric(MetricKind::Count, metrics::HANDED_AGAIN, 1);
@@ -185,6 +188,9 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
+        if call.engine_work.is_some() {
+            self.endpoints.record_prefixes(now, call);
+        }
         let http = forwarded_request(&self.codec, call, left);
         actions.push(RoleAction::Metric(
             MetricKind::Count,
--- a/crates/gateway/src/choice_log.rs
+++ b/crates/gateway/src/choice_log.rs
@@ -50,7 +50,7 @@
         }
         let line = format!(
             "choice id={} route={} endpoint={} first_ms={first_event} late_ms={:.0} \
-             pause_ms={:.0} streams_ms={:.0} reserve_ms={:.0} expected_pause_ms={} kept={} free={}",
+             pause_ms={:.0} streams_ms={:.0} reserve_ms={:.0} copy_ms={:.0} expected_pause_ms={} kept={} free={}",
             text(&call.terms.id),
             text(&call.route.name),
             text(&choice.id),
@@ -58,6 +58,7 @@
             terms.pause_ms,
             terms.streams_ms,
             terms.reserve_ms,
+            terms.copy_ms,
             millis(forecast.pause),
             forecast.kept_tokens,
             forecast.free_tokens.unwrap_or_default(),
@@ -66,3 +67,12 @@
         actions.push(RoleAction::Log(LogLevel::Info, line));
     }
 }
+
+/// Counts the tokens of a forwarded prompt that its engine has probably cached, and the
+/// others.
+pub(crate) fn record_prompt_metrics(kept: u64, prompt: u64, actions: &mut Actions) {
+    let read = prompt.saturating_sub(kept);
+    for (name, tokens) in [(metrics::TOKENS_KEPT, kept), (metrics::TOKENS_READ, read)] {
+        actions.push(RoleAction::Metric(MetricKind::Count, name, tokens));
+    }
+}
--- a/crates/gateway/src/endpoint_choice.rs
+++ b/crates/gateway/src/endpoint_choice.rs
@@ -73,8 +73,7 @@
         let Some(traits) = measured_traits(view.index, &call.service) else {
             return choose_engine(now, view, call, &candidates).map(unmeasured);
         };
-        let homes = home_engines(call, &candidates);
-        let chosen = choose_measured(now, view, call, traits, &candidates, &homes);
+        let chosen = choose_measured(now, view, call, traits, &candidates);
         return chosen.map(|(status, terms)| EndpointChoice {
             id: status.id.clone(),
             terms: Some(terms),
@@ -102,7 +101,7 @@
     traits.filter(|_| index.has_deferrable(service))
 }
 
-type Candidate<'a> = (&'a EndpointStatus, &'a EndpointUsage);
+pub(crate) type Candidate<'a> = (&'a EndpointStatus, &'a EndpointUsage);
 
 fn choose_engine(
     now: Instant,
@@ -110,7 +109,7 @@
     call: &CallRecord,
     candidates: &[Candidate<'_>],
 ) -> Option<EndpointId> {
-    let homes = home_engines(call, candidates);
+    let homes = home_engines(call, candidates, HOME_COUNT);
     let prompt = call.terms.tokens.map_or(0, |tokens| tokens.prompt);
     let shared = shared_tokens(call);
     let mut best: Option<(bool, f64, &EndpointId)> = None;
@@ -141,7 +140,11 @@
 
 /// Returns the hashes of the home engines of the shared prompt parts: those with
 /// the highest rendezvous weights, which are assumed to have these parts cached.
-fn home_engines(call: &CallRecord, candidates: &[Candidate<'_>]) -> Vec<u64> {
+pub(crate) fn home_engines(
+    call: &CallRecord,
+    candidates: &[Candidate<'_>],
+    count: usize,
+) -> Vec<u64> {
     let Some(shared) = call.chain.iter().rev().nth(1) else {
         return Vec::new();
     };
@@ -152,12 +155,12 @@
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked
         .into_iter()
-        .take(HOME_COUNT)
+        .take(count)
         .map(|(_, hash)| hash)
         .collect()
 }
 
 /// Returns the tokens of the shared prompt parts.
-fn shared_tokens(call: &CallRecord) -> u64 {
+pub(crate) fn shared_tokens(call: &CallRecord) -> u64 {
     call.shared_parts().iter().map(|part| part.tokens).sum()
 }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -7,14 +7,18 @@
 
 use bytes::Bytes;
 use mulberrywell_limit::{EndpointStart, FailureShare, MilliRate};
-use mulberrywell_policy::{stable_hash, BatchState, DurationEstimate, EnginePace, PrefixCache};
+use mulberrywell_policy::{
+    stable_hash, BatchState, DurationEstimate, EnginePace, PrefixCache, PrefixDemand,
+};
 use mulberrywell_serving::{EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointLoad, EndpointPhase, EndpointSpeed, EndpointStatus, LimitedEndpoint,
-    LoadShare,
+    LoadShare, PromptSends,
 };
 
 use crate::call_codec::ModelTerms;
+use crate::call_table::CallRecord;
+use crate::prompt_sends::SentPrompts;
 use crate::speed_reports::{read_speed, speed_message};
 
 /// Back-off after a failure, doubled with each consecutive one.
@@ -24,6 +28,13 @@
 /// sample of an engine every few seconds.
 const PACE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the prompts that were sent are reported.
+const SENDS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of prompt parts that are recorded of one endpoint, so that 3,000
+/// endpoints take less than 20 MB.
+pub(crate) const CACHED_PARTS_MAX: usize = 64;
+
 /// Maximum back-off.
 const BACKOFF_MAX: Duration = Duration::from_secs(8);
 
@@ -67,6 +78,8 @@
     pace_reported: Option<Instant>,
     /// Estimate of the prompt parts in the endpoint's cache.
     pub cache: PrefixCache,
+    /// Prompts that were sent since the last report, where they are reported.
+    pub(crate) sends: SentPrompts,
     /// Models and adapters that the endpoint reported as not resident in a
     /// response; cleared by its next status.
     missing: BTreeSet<ModelTerms>,
@@ -183,6 +196,10 @@
     usages: BTreeMap<EndpointId, EndpointUsage>,
     /// Endpoints by service, without those that are gone.
     services: BTreeMap<Bytes, Vec<EndpointId>>,
+    /// Requests of all instances by prefix.
+    pub(crate) prefixes: PrefixDemand,
+    /// When prompts were last reported.
+    sends_reported: Option<Instant>,
 }
 
 impl EndpointTable {
@@ -344,12 +361,67 @@
                 });
             }
         }
-        LoadShare { loads }
+        let sends = self.take_due_sends(now);
+        LoadShare { loads, sends }
+    }
+
+    /// Returns the prompts that were sent since the last report, if one is due.
+    fn take_due_sends(&mut self, now: Instant) -> Vec<PromptSends> {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if self
+            .sends_reported
+            .is_some_and(|at| since(at) < SENDS_INTERVAL)
+        {
+            return Vec::new();
+        }
+        self.sends_reported = Some(now);
+        let usages = self
+            .usages
+            .iter_mut()
+            .filter(|(_, usage)| !usage.sends.is_empty());
+        let sends = usages.map(|(id, usage)| {
+            let sends = std::mem::take(&mut usage.sends);
+            PromptSends {
+                endpoint: id.clone(),
+                born_ms: usage.born_ms,
+                parts: sends.parts,
+                other_tokens: sends.other_tokens,
+            }
+        });
+        sends.collect()
+    }
+
+    /// Counts the shared parts of a call's prompt as requested once more.
+    pub(crate) fn record_prefixes(&mut self, now: Instant, call: &CallRecord) {
+        for (chain, _) in call.chain.iter().zip(call.shared_parts()) {
+            self.prefixes.record(now, *chain, 1);
+        }
+    }
+
+    /// Records the prompts that the other gateways sent to an endpoint with memory for a
+    /// number of tokens.
+    pub fn apply_sends(&mut self, now: Instant, sends: &PromptSends, memory_tokens: u64) {
+        for part in &sends.parts {
+            self.prefixes.record(now, part.chain, part.requests);
+        }
+        let usage = self.usages.get_mut(&sends.endpoint);
+        if let Some(usage) = usage.filter(|usage| usage.born_ms == sends.born_ms) {
+            usage.cache.record_other(sends.other_tokens);
+            for part in &sends.parts {
+                usage.cache.record_part(part.chain, u64::from(part.tokens));
+            }
+            usage.cache.trim(memory_tokens, CACHED_PARTS_MAX);
+        }
+    }
+
+    /// Returns the latest status of an endpoint.
+    pub fn status(&self, id: &EndpointId) -> Option<&EndpointStatus> {
+        self.registry.get(id)
     }
 
     /// Applies the load of the other gateways and the combined speeds.
-    pub fn apply_load_share(&mut self, now: Instant, share: LoadShare) {
-        for load in share.loads {
+    pub fn apply_load_share(&mut self, now: Instant, loads: Vec<EndpointLoad>) {
+        for load in loads {
             if let Some(usage) = self.usages.get_mut(&load.endpoint) {
                 usage.others = OtherLoad {
                     running: load.running,
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -30,6 +30,10 @@
 pub const FORECAST_FIRST: &str = "gateway.forecast_first_event_ms";
 /// Requests forwarded although their first event or a pause is likely to be late.
 pub const CHOICES_RISKY: &str = "gateway.choices_risky";
+/// Prompt tokens sent to an engine that has probably cached them.
+pub const TOKENS_KEPT: &str = "gateway.prompt_tokens_cached";
+/// Prompt tokens sent to an engine that must read them.
+pub const TOKENS_READ: &str = "gateway.prompt_tokens_read";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -12,7 +12,7 @@
     RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_serving::ServingIndex;
-use mulberrywell_wire::serving::{CallerLimits, ServingAttach, ServingUpdate};
+use mulberrywell_wire::serving::{CallerLimits, LoadShare, ServingAttach, ServingUpdate};
 use mulberrywell_wire::FrameBody;
 
 use crate::admission::RateWait;
@@ -21,6 +21,7 @@
 use crate::caller_responses::send_empty_response;
 use crate::control_links::ControlLinks;
 use crate::demand_tracker::DemandTracker;
+use crate::endpoint_choice::measured_traits;
 use crate::endpoint_permits::EndpointPermits;
 use crate::endpoint_probes::EndpointProbes;
 use crate::endpoint_table::EndpointTable;
@@ -177,7 +178,7 @@
             LinkEvent::Frame { link, body } => match body {
                 FrameBody::ServingUpdate(update) => self.handle_update(now, update, actions),
                 FrameBody::LoadShare(share) if self.links.primary_link() == Some(link) => {
-                    self.endpoints.apply_load_share(now, share);
+                    self.apply_load_share(now, share);
                 }
                 FrameBody::RateTotals(totals) => {
                     self.links.record_leads(link, totals.leads);
@@ -331,13 +332,25 @@
         }
     }
 
+    /// Applies what all other gateways have at endpoints and sent to them.
+    fn apply_load_share(&mut self, now: Instant, share: LoadShare) {
+        self.endpoints.apply_load_share(now, share.loads);
+        for sends in &share.sends {
+            let status = self.endpoints.status(&sends.endpoint);
+            let traits = status.and_then(|it| measured_traits(&self.index, &it.service));
+            if let Some(memory_tokens) = traits.map(|traits| traits.cache_tokens) {
+                self.endpoints.apply_sends(now, sends, memory_tokens);
+            }
+        }
+    }
+
     /// Reports this gateway's load at endpoints to control.
     fn report_loads(&mut self, now: Instant) {
         if self.links.primary_link().is_none() {
             return;
         }
         let share = self.endpoints.collect_load_changes(now);
-        if !share.loads.is_empty() {
+        if !share.loads.is_empty() || !share.sends.is_empty() {
             self.commands
                 .extend(self.links.send_on_primary(FrameBody::LoadShare(share)));
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod gateway_role;
 mod measured_choice;
 mod prompt_guard;
+mod prompt_sends;
 mod rate_limits;
 mod response_check;
 mod response_flow;
--- a/crates/gateway/src/measured_choice.rs
+++ b/crates/gateway/src/measured_choice.rs
@@ -3,16 +3,19 @@
 use std::time::Instant;
 
 use mulberrywell_policy::{
-    choose_drawn, stable_hash, weigh_engine, ChoiceTerms, DrawCandidate, EngineOption,
-    RequestNeeds, WeighedEngine,
+    choose_drawn, home_count, prompt_value, stable_hash, weigh_engine, ChoiceTerms, DrawCandidate,
+    EngineKind, EngineOption, PromptFit, PromptValue, RequestNeeds, WeighedEngine,
+    PUBLISHED_PREFILL_RATE, SHARED_TOKENS_MIN,
 };
 use mulberrywell_wire::serving::{EndpointStatus, EngineTraits};
 
 use crate::call_table::CallRecord;
-use crate::endpoint_choice::ChoiceView;
+use crate::endpoint_choice::{home_engines, shared_tokens, Candidate, ChoiceView};
 use crate::endpoint_table::EndpointUsage;
 
-type Candidate<'a> = (&'a EndpointStatus, &'a EndpointUsage);
+/// Part of the longest cached prefix that an engine must hold to be drawn as a holder.
+/// Engines that hold only the common first part would hide those that hold more.
+const HOLDER_SHARE: f64 = 0.75;
 
 /// Returns the engine for a call, with the terms of the choice.
 pub(crate) fn choose_measured<'a>(
@@ -21,7 +24,6 @@
     call: &CallRecord,
     traits: &EngineTraits,
     candidates: &[Candidate<'a>],
-    homes: &[u64],
 ) -> Option<(&'a EndpointStatus, ChoiceTerms)> {
     let needs = RequestNeeds {
         prompt_tokens: call.terms.tokens.map_or(0, |tokens| tokens.prompt),
@@ -29,23 +31,14 @@
         pause: call.route.pause,
         is_deferrable: call.route.is_deferrable,
     };
-    let shared: u64 = call.shared_parts().iter().map(|part| part.tokens).sum();
-    let cached = |usage: &EndpointUsage| {
-        let is_home = homes.contains(&usage.hash);
-        let assumed = if is_home { shared } else { 0 };
-        usage.cache.cached_tokens(&call.chain).max(assumed)
-    };
-    let drawn: Vec<DrawCandidate> = candidates
-        .iter()
-        .map(|(_, usage)| DrawCandidate {
-            hash: usage.hash,
-            is_holder: cached(usage) > 0,
-        })
-        .collect();
+    let homes = prefix_homes(now, view, call, candidates);
+    let drawn = draw_candidates(call, candidates, &homes);
     let seed = stable_hash(&[&call.terms.id, &call.attempts.to_be_bytes()]);
     let chosen = choose_drawn(seed, &drawn, |index| {
         let (status, usage) = candidates[index];
-        let option = engine_option(now, view, traits, candidates[index], cached(usage));
+        let is_home = homes.contains(&usage.hash);
+        let value = call_value(now, call, usage, traits, is_home);
+        let option = engine_option(now, view, traits, candidates[index], value);
         WeighedEngine {
             is_avoided: usage.is_avoided(now) || status.silent,
             terms: weigh_engine(&option, &needs),
@@ -54,12 +47,77 @@
     chosen.map(|(index, weighed)| (candidates[index].0, weighed.terms))
 }
 
+/// Returns the hashes of the engines to which the prompt's shared parts are sent first.
+fn prefix_homes(
+    now: Instant,
+    view: ChoiceView<'_>,
+    call: &CallRecord,
+    candidates: &[Candidate<'_>],
+) -> Vec<u64> {
+    let shared = shared_tokens(call);
+    let Some(prefix) = call.chain.iter().rev().nth(1) else {
+        return Vec::new();
+    };
+    if shared < SHARED_TOKENS_MIN {
+        return Vec::new();
+    }
+    let prompt = call.terms.tokens.map_or(0, |tokens| tokens.prompt);
+    let own_ms = prompt.saturating_sub(shared) as f64 / PUBLISHED_PREFILL_RATE;
+    let rate = view.endpoints.prefixes.per_second(now, *prefix);
+    home_engines(call, candidates, home_count(rate, own_ms))
+}
+
+fn draw_candidates(
+    call: &CallRecord,
+    candidates: &[Candidate<'_>],
+    homes: &[u64],
+) -> Vec<DrawCandidate> {
+    let cached: Vec<u64> = candidates
+        .iter()
+        .map(|(_, usage)| usage.cache.cached_tokens(&call.chain))
+        .collect();
+    let longest = cached.iter().copied().max().unwrap_or_default();
+    let least = ((longest as f64 * HOLDER_SHARE) as u64).max(SHARED_TOKENS_MIN);
+    let drawn = candidates.iter().zip(cached);
+    let kind = |usage: &EndpointUsage, cached: u64| match cached {
+        cached if cached >= least => EngineKind::Holder,
+        _ if homes.contains(&usage.hash) => EngineKind::Home,
+        _ => EngineKind::Other,
+    };
+    drawn
+        .map(|((_, usage), cached)| DrawCandidate {
+            hash: usage.hash,
+            kind: kind(usage, cached),
+        })
+        .collect()
+}
+
+/// Returns the value of what an engine has cached for a call.
+pub(crate) fn call_value(
+    now: Instant,
+    call: &CallRecord,
+    usage: &EndpointUsage,
+    traits: &EngineTraits,
+    is_home: bool,
+) -> PromptValue {
+    let fit = PromptFit {
+        chain: &call.chain,
+        prompt_tokens: call.terms.tokens.map_or(0, |tokens| tokens.prompt),
+        shared_tokens: shared_tokens(call),
+        memory_tokens: (traits.cache_tokens > 0).then_some(traits.cache_tokens),
+        held_tokens: usage.batch(traits.tokens_per_event).context_tokens,
+        is_home,
+        prefill_rate: usage.pace.speed(now).prefill_rate(),
+    };
+    prompt_value(&usage.cache, &fit)
+}
+
 fn engine_option(
     now: Instant,
     view: ChoiceView<'_>,
     traits: &EngineTraits,
     (status, usage): Candidate<'_>,
-    cached_tokens: u64,
+    value: PromptValue,
 ) -> EngineOption {
     let batch = usage.batch(traits.tokens_per_event);
     let free = traits.cache_tokens.saturating_sub(batch.context_tokens);
@@ -68,7 +126,8 @@
         batch,
         pending_tokens: usage.prefill_tokens + usage.others.prefill_tokens,
         slots: status.slots,
-        kept_tokens: cached_tokens,
+        kept_tokens: value.kept_tokens,
+        copy_ms: value.copy_ms,
         free_tokens: (traits.cache_tokens > 0).then_some(free),
         is_other_zone: status.zone != *view.zone,
     }
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -5,11 +5,13 @@
 use mulberrywell_policy::events_time;
 use mulberrywell_role::RequestId;
 use mulberrywell_serving::EndpointId;
+use mulberrywell_wire::serving::EngineTraits;
 
 use crate::call_codec::CallCodec;
 use crate::call_table::{CallRecord, EngineWork};
-use crate::endpoint_table::EndpointUsage;
+use crate::endpoint_table::{EndpointUsage, CACHED_PARTS_MAX};
 use crate::gateway_role::GatewayRole;
+use crate::measured_choice::call_value;
 
 /// Shortest time over which the pace of a stream is measured; events that were
 /// delayed on the way arrive together.
@@ -130,21 +132,34 @@
     }
 }
 
-/// Counts the memory that a call needs at its endpoint, and returns what the endpoint is
-/// to do with it. The call's prefill must have been counted.
+/// Counts the work of a call at its engine and records its prompt as sent there; returns
+/// the tokens of the prompt that the engine has probably cached.
 pub(crate) fn begin_work(
+    now: Instant,
     usage: &mut EndpointUsage,
-    call: &CallRecord,
-    tokens_per_event: u32,
-) -> EngineWork {
-    let output = call.terms.tokens.map_or(0, |tokens| tokens.output);
-    let held_tokens = call.prefill_tokens.saturating_add(output);
+    call: &mut CallRecord,
+    traits: &EngineTraits,
+) -> u64 {
+    let tokens = call.terms.tokens.unwrap_or_default();
+    let kept = call_value(now, call, usage, traits, false).kept_tokens;
+    call.prefill_tokens = tokens.prompt.saturating_sub(kept);
+    usage.prefill_tokens += call.prefill_tokens;
+    let held_tokens = call.prefill_tokens.saturating_add(tokens.output);
     usage.held_tokens = usage.held_tokens.saturating_add(held_tokens);
-    EngineWork {
+    call.engine_work = Some(EngineWork {
         prefill_tokens: usage.prefill_tokens + usage.others.prefill_tokens,
         held_tokens,
-        tokens_per_event,
-    }
+        tokens_per_event: traits.tokens_per_event,
+    });
+    let parts = &call.terms.prefix;
+    let named: u64 = parts.iter().map(|part| part.tokens).sum();
+    usage.cache.record_prompt(&call.chain, parts, u64::MAX);
+    usage
+        .cache
+        .record_other(tokens.prompt.saturating_sub(named));
+    usage.cache.trim(traits.cache_tokens, CACHED_PARTS_MAX);
+    usage.sends.record(call);
+    kept
 }
 
 /// Returns the time since a call was first forwarded.
--- a/crates/policy/src/engine_forecast.rs
+++ b/crates/policy/src/engine_forecast.rs
@@ -52,6 +52,8 @@
     pub slots: u32,
     /// Tokens of the prompt that the engine has cached and keeps.
     pub kept_tokens: u64,
+    /// Price of a new copy of the prompt's shared parts there.
+    pub copy_ms: f64,
     /// Tokens of memory that running requests leave; none if unknown.
     pub free_tokens: Option<u64>,
     /// The engine is in another availability zone.
@@ -97,6 +99,8 @@
     pub streams_ms: f64,
     /// Price of a fast engine for a request with a loose objective.
     pub reserve_ms: f64,
+    /// Price of a new copy of the prompt's shared parts.
+    pub copy_ms: f64,
     /// What the caller can expect.
     pub forecast: EngineForecast,
 }
@@ -104,7 +108,8 @@
 impl ChoiceTerms {
     /// Returns the sum of the terms.
     pub fn total_ms(&self) -> f64 {
-        self.first_event_ms + self.late_ms + self.pause_ms + self.streams_ms + self.reserve_ms
+        let risks_ms = self.late_ms + self.pause_ms + self.streams_ms;
+        self.first_event_ms + risks_ms + self.reserve_ms + self.copy_ms
     }
 
     /// Returns whether the request or the streams that run there risk being late.
@@ -147,6 +152,7 @@
         } else {
             0.0
         },
+        copy_ms: engine.copy_ms,
         forecast: EngineForecast {
             first_event: duration(first_event_ms),
             pause: duration(pause_ms),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,8 @@
 mod placement_types;
 mod placement_view;
 mod prefix_cache;
+mod prefix_demand;
+mod prompt_value;
 mod response_times;
 mod service_meter;
 mod stable_hash;
@@ -45,7 +47,7 @@
 };
 pub use fair_queue::{AccountName, FairQueue, PushOutcome, QueuedItem};
 pub use load_pacer::{store_burst, LoadPacer, PacerSettings};
-pub use measured_choice::{choose_drawn, DrawCandidate, WeighedEngine};
+pub use measured_choice::{choose_drawn, DrawCandidate, EngineKind, WeighedEngine};
 pub use placement_planner::{PlacementPlanner, PlacementSettings};
 pub use placement_types::{
     DecisionKind, DecisionReason, DemandEstimate, EndpointName, EndpointReport, EndpointTarget,
@@ -54,6 +56,8 @@
     TargetEntry,
 };
 pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart};
+pub use prefix_demand::PrefixDemand;
+pub use prompt_value::{home_count, prompt_value, PromptFit, PromptValue, SHARED_TOKENS_MIN};
 pub use response_times::{events_time, DurationEstimate, RecentMaximum, ResponseTimes};
 pub use service_meter::ServiceMeter;
 pub use stable_hash::{mix_bits, stable_hash};
--- a/crates/policy/src/measured_choice.rs
+++ b/crates/policy/src/measured_choice.rs
@@ -3,8 +3,8 @@
 //! Algorithm: power of two choices (Mitzenmacher, 1996). Many instances that see the
 //! same load with a delay and all choose the best engine would overload it, so each
 //! request compares only a few engines, drawn anew by a hash of its id: some of those
-//! that hold a part of its prompt, and some of the others. More are drawn while the best
-//! one risks a late response, until all are compared.
+//! that hold its prompt, some of the homes of its prefix, and some of the others. More
+//! are drawn while the best one risks a late response, until all are compared.
 
 use std::cmp::Reverse;
 
@@ -17,13 +17,27 @@
 /// Factor by which more engines are drawn while the best one risks a late response.
 const DRAW_GROWTH: usize = 2;
 
+/// What an engine is to a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineKind {
+    /// Holds as much of the prompt as any other, or nearly.
+    Holder,
+    /// A home of the prompt's prefix that doesn't hold it yet.
+    Home,
+    /// Any other.
+    Other,
+}
+
+/// Kinds in the order in which they are drawn.
+const KINDS: [EngineKind; 3] = [EngineKind::Holder, EngineKind::Home, EngineKind::Other];
+
 /// An engine that may be drawn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrawCandidate {
     /// Hash of the engine's name.
     pub hash: u64,
-    /// The engine holds a part of the prompt.
-    pub is_holder: bool,
+    /// What the engine is to the prompt.
+    pub kind: EngineKind,
 }
 
 /// The weight of an engine that was drawn.
@@ -52,21 +66,20 @@
     candidates: &[DrawCandidate],
     mut weigh: impl FnMut(usize) -> WeighedEngine,
 ) -> Option<(usize, WeighedEngine)> {
-    let (mut holders, mut others) = (Vec::new(), Vec::new());
-    for (index, candidate) in candidates.iter().enumerate() {
-        let drawn = (Reverse(rendezvous_weight(seed, candidate.hash)), index);
-        if candidate.is_holder {
-            holders.push(drawn);
-        } else {
-            others.push(drawn);
-        }
-    }
-    holders.sort_unstable();
-    others.sort_unstable();
+    let lists = KINDS.map(|kind| {
+        let all = candidates.iter().enumerate();
+        let of_kind = all.filter(|(_, candidate)| candidate.kind == kind);
+        let mut drawn: Vec<(Reverse<u64>, usize)> = of_kind
+            .map(|(index, it)| (Reverse(rendezvous_weight(seed, it.hash)), index))
+            .collect();
+        drawn.sort_unstable();
+        drawn
+    });
+    let longest = lists.iter().map(Vec::len).max().unwrap_or_default();
     let mut best: Option<(usize, WeighedEngine)> = None;
     let (mut from, mut to) = (0, DRAWS);
-    while from < holders.len().max(others.len()) {
-        for list in [&holders, &others] {
+    while from < longest {
+        for list in &lists {
             for (_, index) in list.iter().take(to).skip(from) {
                 let weighed = weigh(*index);
                 if best.is_none_or(|(_, best)| weighed.is_better(&best)) {
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -79,6 +79,51 @@
         }
     }
 
+    /// Returns the number of leading prompt tokens that are cached and stay so while the
+    /// endpoint has room for `room` cached tokens: the least recently used parts are
+    /// evicted first.
+    pub fn kept_tokens(&self, chain: &[u64], room: u64) -> u64 {
+        let (mut newer, mut oldest_kept) = (0_u64, None);
+        for (stamp, hash) in self.by_stamp.iter().rev() {
+            let part = self.parts.get(hash);
+            newer = newer.saturating_add(part.map_or(0, |part| part.tokens));
+            if newer > room {
+                break;
+            }
+            oldest_kept = Some(*stamp);
+        }
+        let Some(oldest) = oldest_kept else {
+            return 0;
+        };
+        let cached = chain.iter().map_while(|hash| self.parts.get(hash));
+        let kept = cached.take_while(|part| part.stamp >= oldest);
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Records that the endpoint has processed a part after those that it follows.
+    pub fn record_part(&mut self, hash: u64, tokens: u64) {
+        self.record_prompt(&[hash], &[PromptPart { id: hash, tokens }], u64::MAX);
+    }
+
+    /// Records tokens that displace cached parts and are not requested again.
+    pub fn record_other(&mut self, tokens: u64) {
+        if tokens > 0 {
+            self.record_part(mix_bits(self.next_stamp), tokens);
+        }
+    }
+
+    /// Evicts the least recently used parts beyond a number of tokens or of parts.
+    pub fn trim(&mut self, tokens_max: u64, parts_max: usize) {
+        while self.tokens > tokens_max || self.by_stamp.len() > parts_max {
+            let Some((_, hash)) = self.by_stamp.pop_first() else {
+                return;
+            };
+            if let Some(old) = self.parts.remove(&hash) {
+                self.tokens -= old.tokens;
+            }
+        }
+    }
+
     /// Removes all parts, as a restart of the endpoint does.
     pub fn clear(&mut self) {
         *self = PrefixCache::default();
--- a/crates/policy/tests/measured_choice.rs
+++ b/crates/policy/tests/measured_choice.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use mulberrywell_policy::{
-    choose_drawn, mix_bits, weigh_engine, BatchState, ChoiceTerms, DrawCandidate, EngineOption,
-    EngineSpeed, RequestNeeds, WeighedEngine,
+    choose_drawn, mix_bits, weigh_engine, BatchState, ChoiceTerms, DrawCandidate, EngineKind,
+    EngineOption, EngineSpeed, RequestNeeds, WeighedEngine,
 };
 
 const LONG: RequestNeeds = RequestNeeds {
@@ -36,6 +36,7 @@
         pending_tokens: 0,
         slots: 64,
         kept_tokens: 0,
+        copy_ms: 0.0,
         free_tokens: None,
         is_other_zone: false,
     }
@@ -47,7 +48,11 @@
         .enumerate()
         .map(|(index, engine)| DrawCandidate {
             hash: mix_bits(index as u64),
-            is_holder: engine.kept_tokens > 0,
+            kind: if engine.kept_tokens > 0 {
+                EngineKind::Holder
+            } else {
+                EngineKind::Other
+            },
         })
         .collect();
     let weigh = |index: usize| WeighedEngine {
