Choose plain endpoints by measured response time where speeds are measured

Endpoints of a plain service were chosen by this instance's own running requests, so a slow one got as many as the others.

For plain services with deferrable routes the choice now is by the response time in multiples of what the route's objective lets expect, which makes routes comparable, the slots in use and the zone, out of two drawn endpoints. The reports are those of the engines' speeds.

Plain services without deferrable routes are chosen as before.

Tests: policy 120, gateway sessions 205 and control 78 pass.

--- a/crates/gateway/src/endpoint_choice.rs
+++ b/crates/gateway/src/endpoint_choice.rs
@@ -11,7 +11,7 @@
 
 use crate::call_table::CallRecord;
 use crate::endpoint_table::{EndpointTable, EndpointUsage};
-use crate::measured_choice::choose_measured;
+use crate::measured_choice::{choose_by_response, choose_measured};
 
 /// An endpoint for a call's next attempt.
 #[derive(Debug, Clone)]
@@ -68,16 +68,21 @@
 ) -> Option<EndpointChoice> {
     let candidates = view.endpoints.candidates(now, call.needs());
     let unmeasured = |id| EndpointChoice { id, terms: None };
+    let measured = |(status, terms): (&EndpointStatus, ChoiceTerms)| EndpointChoice {
+        id: status.id.clone(),
+        terms: Some(terms),
+    };
     if call.terms.model.is_some() {
         let candidates: Vec<Candidate<'_>> = candidates.collect();
         let Some(traits) = measured_traits(view.index, &call.service) else {
             return choose_engine(now, view, call, &candidates).map(unmeasured);
         };
         let chosen = choose_measured(now, view, call, traits, &candidates);
-        return chosen.map(|(status, terms)| EndpointChoice {
-            id: status.id.clone(),
-            terms: Some(terms),
-        });
+        return chosen.map(measured);
+    }
+    if view.index.has_deferrable(&call.service) {
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
+        return choose_by_response(now, view, call, &candidates).map(measured);
     }
     let best = candidates.min_by_key(|(status, usage)| {
         let slots = status.slots.div_ceil(view.entries.max(1)).max(1);
--- a/crates/gateway/src/measured_choice.rs
+++ b/crates/gateway/src/measured_choice.rs
@@ -1,11 +1,11 @@
-//! Selection of an engine by its measured speed and load.
+//! Selection of an endpoint by its measured speed and load.
 
 use std::time::Instant;
 
 use mulberrywell_policy::{
-    choose_drawn, home_count, prompt_value, stable_hash, weigh_engine, ChoiceTerms, DrawCandidate,
-    EngineKind, EngineOption, PromptFit, PromptValue, RequestNeeds, WeighedEngine,
-    PUBLISHED_PREFILL_RATE, SHARED_TOKENS_MIN,
+    choose_drawn, home_count, prompt_value, response_slowness, stable_hash, weigh_engine,
+    weigh_response, ChoiceTerms, DrawCandidate, EngineKind, EngineOption, PlainOption, PromptFit,
+    PromptValue, RequestNeeds, WeighedEngine, PUBLISHED_PREFILL_RATE, SHARED_TOKENS_MIN,
 };
 use mulberrywell_wire::serving::{EndpointStatus, EngineTraits};
 
@@ -33,7 +33,7 @@
     };
     let homes = prefix_homes(now, view, call, candidates);
     let drawn = draw_candidates(call, candidates, &homes);
-    let seed = stable_hash(&[&call.terms.id, &call.attempts.to_be_bytes()]);
+    let seed = choice_seed(call);
     let chosen = choose_drawn(seed, &drawn, |index| {
         let (status, usage) = candidates[index];
         let is_home = homes.contains(&usage.hash);
@@ -47,6 +47,45 @@
     chosen.map(|(index, weighed)| (candidates[index].0, weighed.terms))
 }
 
+/// Returns the endpoint of a plain service for a call, with the terms of the choice.
+pub(crate) fn choose_by_response<'a>(
+    now: Instant,
+    view: ChoiceView<'_>,
+    call: &CallRecord,
+    candidates: &[Candidate<'a>],
+) -> Option<(&'a EndpointStatus, ChoiceTerms)> {
+    let drawn: Vec<DrawCandidate> = candidates
+        .iter()
+        .map(|(_, usage)| DrawCandidate {
+            hash: usage.hash,
+            kind: EngineKind::Other,
+        })
+        .collect();
+    let reports = candidates
+        .iter()
+        .map(|(_, usage)| usage.pace.step_report(now));
+    let slowness = response_slowness(&reports.collect::<Vec<_>>());
+    let chosen = choose_drawn(choice_seed(call), &drawn, |index| {
+        let (status, usage) = candidates[index];
+        let option = PlainOption {
+            slowness: slowness[index],
+            running: usage.running + usage.others.running,
+            slots: status.slots,
+            is_other_zone: status.zone != *view.zone,
+        };
+        WeighedEngine {
+            is_avoided: usage.is_avoided(now) || status.silent,
+            terms: weigh_response(&option, call.route.objective),
+        }
+    });
+    chosen.map(|(index, weighed)| (candidates[index].0, weighed.terms))
+}
+
+/// Returns the seed of the draws for a call's next attempt.
+fn choice_seed(call: &CallRecord) -> u64 {
+    stable_hash(&[&call.terms.id, &call.attempts.to_be_bytes()])
+}
+
 /// Returns the hashes of the engines to which the prompt's shared parts are sent first.
 fn prefix_homes(
     now: Instant,
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -66,6 +66,16 @@
         let elapsed = running_time(now, call);
         let times = self.times.entry(call.route.name.clone()).or_default();
         times.record_whole(now, elapsed);
+        let is_plain = call.terms.model.is_none() && !call.route.is_stream;
+        if is_plain && self.index.has_deferrable(&call.service) {
+            let started = call.attempt_started.unwrap_or(now);
+            let elapsed = now.saturating_duration_since(started);
+            if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
+                usage
+                    .pace
+                    .record_response(now, call.route.objective, elapsed);
+            }
+        }
     }
 
     /// Returns the time that a call can be expected to take from now on at an
--- a/crates/policy/src/engine_forecast.rs
+++ b/crates/policy/src/engine_forecast.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use crate::engine_pace::{BatchState, EngineSpeed};
+use crate::engine_pace::{BatchState, EngineSpeed, RESPONSES_PER_OBJECTIVE};
 
 /// Time that each request beyond the slots of a full engine adds.
 const QUEUED_REQUEST_MS: f64 = 60.0;
@@ -35,6 +35,10 @@
 /// to a fast one unless it is about 130 ms later.
 const RESERVE_SHARE: f64 = 0.04;
 
+/// Part of a response's time by which an endpoint with all slots in use is worse than a
+/// free one.
+const BUSY_SHARE: f64 = 0.2;
+
 /// Pause that streams of other requests are assumed to allow where the request's own
 /// route names none.
 const PAUSE_DEFAULT: Duration = Duration::from_millis(500);
@@ -162,6 +166,50 @@
     }
 }
 
+/// What is known of an endpoint of a plain service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlainOption {
+    /// Duration of a response in multiples of what its objective lets expect.
+    pub slowness: f64,
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// The endpoint is in another availability zone.
+    pub is_other_zone: bool,
+}
+
+/// Weighs an endpoint of a plain service for a request with an objective by its measured
+/// response time, which grows once all of its slots are in use.
+pub fn weigh_response(endpoint: &PlainOption, objective: Duration) -> ChoiceTerms {
+    let objective_ms = millis(objective);
+    let alone_ms = objective_ms / RESPONSES_PER_OBJECTIVE * endpoint.slowness;
+    let joined = f64::from(endpoint.running) + 1.0;
+    let rounds = joined / f64::from(endpoint.slots.max(1));
+    // Below the limit, a free endpoint is preferred to a busy one that is as fast.
+    let queueing_ms = alone_ms * ((rounds - 1.0).max(0.0) + BUSY_SHARE * rounds.min(1.0));
+    let zone_ms = if endpoint.is_other_zone {
+        OTHER_ZONE_MS
+    } else {
+        0.0
+    };
+    let response_ms = alone_ms + queueing_ms + zone_ms;
+    ChoiceTerms {
+        first_event_ms: response_ms,
+        late_ms: loss_ms(response_ms, objective_ms),
+        pause_ms: 0.0,
+        streams_ms: 0.0,
+        reserve_ms: 0.0,
+        copy_ms: 0.0,
+        forecast: EngineForecast {
+            first_event: duration(response_ms),
+            pause: Duration::ZERO,
+            free_tokens: None,
+            kept_tokens: 0,
+        },
+    }
+}
+
 /// Returns the loss of the streams that run at an engine by the prefill of a request.
 fn streams_loss_ms(engine: &EngineOption, pause: Duration, before_ms: f64, own_ms: f64) -> f64 {
     let limit = if pause.is_zero() {
--- a/crates/policy/src/engine_pace.rs
+++ b/crates/policy/src/engine_pace.rs
@@ -58,6 +58,9 @@
 /// Prompt tokens below which the time to the first event says little of the prefill.
 pub const PREFILL_SAMPLE_MIN: u64 = 1_500;
 
+/// Responses of a plain service that are expected to fit into the objective in sequence.
+pub(crate) const RESPONSES_PER_OBJECTIVE: f64 = 4.0;
+
 /// Slowness as one observer or all of them report it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SlownessReport {
@@ -86,10 +89,11 @@
 }
 
 impl SlownessReport {
-    /// Returns the report from thousandths of its ratio and its weight.
+    /// Returns the report from thousandths of its ratio and its weight; a ratio that no
+    /// samples give is replaced by the nearest that they may give.
     pub fn of_milli(ratio: u32, weight: u32) -> Self {
         SlownessReport {
-            ratio: f64::from(ratio) / 1_000.0,
+            ratio: (f64::from(ratio) / 1_000.0).clamp(RATIO_RANGE.0, RATIO_RANGE.1),
             weight: f64::from(weight) / 1_000.0,
         }
     }
@@ -253,6 +257,18 @@
         self.has_news = true;
     }
 
+    /// Records the time of a whole response of an endpoint of a plain service, whose route
+    /// has an objective. Such an endpoint has no published figures; a response is expected
+    /// to take a part of its route's objective.
+    pub fn record_response(&mut self, now: Instant, objective: Duration, elapsed: Duration) {
+        let expected_ms = millis(objective) / RESPONSES_PER_OBJECTIVE;
+        if expected_ms > 0.0 {
+            let ratio = millis(elapsed) / expected_ms;
+            self.step.record(now, ratio, STEP_QUANTILE);
+            self.has_news = true;
+        }
+    }
+
     /// Records the combined estimate of all observers.
     pub fn record_fleet(&mut self, now: Instant, report: SpeedReport) {
         self.fleet = Some((report, now));
@@ -261,13 +277,23 @@
     /// Returns the estimated speed. The own samples count alone as long as they weigh
     /// more than those of the whole fleet, as when its estimate no longer arrives.
     pub fn speed(&self, now: Instant) -> EngineSpeed {
+        self.known(now).speed()
+    }
+
+    /// Returns the slowness of the steps with the weight of its samples; for an endpoint of
+    /// a plain service, that of the responses.
+    pub fn step_report(&self, now: Instant) -> SlownessReport {
+        self.known(now).step
+    }
+
+    fn known(&self, now: Instant) -> SpeedReport {
         let own = self.report(now);
         let fleet = self
             .fleet
             .map(|(report, at)| report.aged(now.saturating_duration_since(at)));
         match fleet {
-            Some(fleet) if fleet.step.weight >= own.step.weight => fleet.speed(),
-            _ => own.speed(),
+            Some(fleet) if fleet.step.weight >= own.step.weight => fleet,
+            _ => own,
         }
     }
 
@@ -290,6 +316,18 @@
     }
 }
 
+/// Returns the slowness of each of several endpoints of a plain service: where it has few
+/// samples, it is drawn to the mean of all, so that a new endpoint counts as one of them.
+pub fn response_slowness(reports: &[SlownessReport]) -> Vec<f64> {
+    let weight: f64 = reports.iter().map(|it| it.weight).sum();
+    let logarithms = reports.iter().map(|it| it.weight * it.ratio.ln());
+    let mean = logarithms.sum::<f64>() / weight.max(1.0);
+    let slowness = reports
+        .iter()
+        .map(|it| shrunk(*it, mean, PRIOR_WEIGHT).exp());
+    slowness.collect()
+}
+
 /// Returns the combined estimate of several observers.
 pub fn combined_speed(reports: &[SpeedReport]) -> SpeedReport {
     SpeedReport {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,10 +40,13 @@
 pub use engine_choice::{
     first_event_ms, rendezvous_weight, EngineView, HOME_COUNT, PREFILL_TOKENS_PER_MS,
 };
-pub use engine_forecast::{weigh_engine, ChoiceTerms, EngineForecast, EngineOption, RequestNeeds};
+pub use engine_forecast::{
+    weigh_engine, weigh_response, ChoiceTerms, EngineForecast, EngineOption, PlainOption,
+    RequestNeeds,
+};
 pub use engine_pace::{
-    combined_speed, published_event_ms, BatchState, EnginePace, EngineSpeed, SlownessReport,
-    SpeedReport, PREFILL_SAMPLE_MIN, PUBLISHED_PREFILL_RATE,
+    combined_speed, published_event_ms, response_slowness, BatchState, EnginePace, EngineSpeed,
+    SlownessReport, SpeedReport, PREFILL_SAMPLE_MIN, PUBLISHED_PREFILL_RATE,
 };
 pub use fair_queue::{AccountName, FairQueue, PushOutcome, QueuedItem};
 pub use load_pacer::{store_burst, LoadPacer, PacerSettings};
