--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -128,7 +128,7 @@
         self.rates.set_leads(leads);
         self.update_leaderless(now, actions);
         self.rates.broadcast(now, &mut self.commands);
-        self.loads.broadcast(&mut self.commands);
+        self.loads.broadcast(now, &mut self.commands);
         self.prompts.tick(now, &mut self.commands, actions);
         self.tick_endpoints(now, actions);
         if let Some(status) = self
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -81,7 +81,7 @@
         let service = split_service(&route.shares, hash).ok_or(RefusalReason::NoRoute)?;
         let has_rate = account.is_some_and(|account| account.rate > 0);
         let call = CallRecord {
-            route: RouteTerms::of(route),
+            route: RouteTerms::of(route, self.index.is_deferrable(route)),
             service: service.clone(),
             account: account.map(|account| account.name.clone()),
             priority: account
@@ -103,6 +103,7 @@
             is_limited: false,
             attempt_started: None,
             prefill_tokens: 0,
+            engine_work: None,
             reserved: 0,
             units: account.map_or(0, |account| charged_units(account, &terms)),
             response: PendingResponse::default(),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,11 +11,13 @@
 use crate::call_codec::{CallCodec, ForwardTerms, RefusalReason};
 use crate::call_table::{CallRecord, CallStage, PendingResponse, RunState};
 use crate::caller_responses::text;
-use crate::endpoint_choice::{choose_endpoint, ChoiceView};
+use crate::choice_log::record_prompt_metrics;
+use crate::endpoint_choice::{choose_endpoint, measured_traits, ChoiceView, EndpointChoice};
 use crate::endpoint_permits::{PERMIT_RETRY_MIN, PERMIT_UNAVAILABLE_RETRY};
 use crate::gateway_metrics as metrics;
 use crate::gateway_role::{Actions, GatewayRole};
 use crate::response_check::FailureCause;
+use crate::response_timing::begin_work;
 
 /// Timeout for opening a connection to an endpoint. Connections within a region
 /// take a few milliseconds; a lost SYN is retransmitted only after one second.
@@ -70,7 +72,9 @@
         if !self.resolve_version(now, request, actions) {
             return;
         }
-        let endpoint = self.choose_permitted(now, request);
+        let choice = self.choose_permitted(now, request);
+        self.record_choice(now, request, choice.as_ref(), actions);
+        let endpoint = choice.map(|choice| choice.id);
         let Some(call) = self.calls.get(request) else {
             return;
         };
@@ -109,19 +113,20 @@
 
     /// Returns the endpoint for a call's next attempt. Without a link to the leader
     /// there are no permits, so endpoints that need one are passed over.
-    fn choose_permitted(&mut self, now: Instant, request: RequestId) -> Option<EndpointId> {
+    fn choose_permitted(&mut self, now: Instant, request: RequestId) -> Option<EndpointChoice> {
         loop {
             let view = ChoiceView {
+                index: &self.index,
                 endpoints: &self.endpoints,
                 zone: &self.config.zone,
                 entries: self.rates.holders(),
             };
-            let endpoint = choose_endpoint(now, view, self.calls.get(request)?)?;
-            let needs_permit = self.endpoints.needs_permit(now, &endpoint);
+            let choice = choose_endpoint(now, view, self.calls.get(request)?)?;
+            let needs_permit = self.endpoints.needs_permit(now, &choice.id);
             if !needs_permit || self.links.leader_link().is_some() {
-                return Some(endpoint);
+                return Some(choice);
             }
-            self.deny_endpoint(now, &endpoint, PERMIT_UNAVAILABLE_RETRY);
+            self.deny_endpoint(now, &choice.id, PERMIT_UNAVAILABLE_RETRY);
         }
     }
 
@@ -149,15 +154,21 @@
             return;
         };
         let prompt = call.terms.tokens.map_or(0, |tokens| tokens.prompt);
-        call.prefill_tokens = prompt.saturating_sub(usage.cache.cached_tokens(&call.chain));
         usage.running += 1;
-        usage.prefill_tokens += call.prefill_tokens;
-        let service = self.index.service(&call.service);
-        if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
-            let tokens_max = engine.cache_tokens / PREFIX_CACHE_DIVISOR;
-            usage
-                .cache
-                .record_prompt(&call.chain, &call.terms.prefix, tokens_max);
+        call.engine_work = None;
+        if let Some(traits) = measured_traits(&self.index, &call.service) {
+            let kept = begin_work(now, usage, call, traits);
+            record_prompt_metrics(kept, prompt, actions);
+        } else {
+            call.prefill_tokens = prompt.saturating_sub(usage.cache.cached_tokens(&call.chain));
+            usage.prefill_tokens += call.prefill_tokens;
+            let service = self.index.service(&call.service);
+            if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
+                let tokens_max = engine.cache_tokens / PREFIX_CACHE_DIVISOR;
+                usage
+                    .cache
+                    .record_prompt(&call.chain, &call.terms.prefix, tokens_max);
+            }
         }
         if call.attempts > 0 {
             let metric = RoleAction::Metric(MetricKind::Count, metrics::HANDED_AGAIN, 1);
@@ -179,6 +190,9 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
+        if call.engine_work.is_some() {
+            self.endpoints.record_prefixes(now, call);
+        }
         let http = forwarded_request(&self.codec, call, left);
         actions.push(RoleAction::Metric(
             MetricKind::Count,
@@ -336,8 +350,11 @@
         if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
             usage.running = usage.running.saturating_sub(1);
             usage.prefill_tokens = usage.prefill_tokens.saturating_sub(call.prefill_tokens);
+            let held = call.engine_work.map_or(0, |work| work.held_tokens);
+            usage.held_tokens = usage.held_tokens.saturating_sub(held);
         }
         call.prefill_tokens = 0;
+        call.engine_work = None;
     }
 
     /// Handles calls whose deadline or attempt timeout has expired.
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -30,13 +30,17 @@
     pub is_stream: bool,
     /// Latency objective.
     pub objective: Duration,
+    /// Longest pause between events that is in time; zero if the route names none.
+    pub pause: Duration,
+    /// Whether its calls can yield to urgent ones of the same service.
+    pub is_deferrable: bool,
     /// Maximum number of attempts of a call.
     pub max_attempts: u32,
 }
 
 impl RouteTerms {
     /// Extracts the properties of a route.
-    pub fn of(route: &ServingRoute) -> Self {
+    pub fn of(route: &ServingRoute, is_deferrable: bool) -> Self {
         let repeat = route.repeat();
         RouteTerms {
             name: route.name.clone(),
@@ -47,6 +51,8 @@
             },
             is_stream: repeat == RepeatRule::Stream,
             objective: Duration::from_millis(route.objective_ms),
+            pause: Duration::from_millis(route.pause_ms),
+            is_deferrable,
             max_attempts: route.max_attempts.max(1),
         }
     }
@@ -126,6 +132,17 @@
     }
 }
 
+/// What an engine was to do when a call was forwarded to it.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineWork {
+    /// Prompt tokens awaiting prefill, those of the call included.
+    pub prefill_tokens: u64,
+    /// Tokens of memory that the call needs.
+    pub held_tokens: u64,
+    /// Output tokens of an event.
+    pub tokens_per_event: u32,
+}
+
 /// State of one call.
 #[derive(Debug)]
 pub struct CallRecord {
@@ -173,6 +190,9 @@
     pub attempt_started: Option<Instant>,
     /// Prompt tokens counted at that endpoint as awaiting prefill.
     pub prefill_tokens: u64,
+    /// What the current attempt's engine was to do when the call was forwarded; none
+    /// where speeds aren't measured.
+    pub engine_work: Option<EngineWork>,
     /// Units charged to the account's rate limit.
     pub reserved: u64,
     /// Units that the call costs.
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -7,18 +7,35 @@
 
 use bytes::Bytes;
 use mulberrywell_limit::{EndpointStart, FailureShare, MilliRate};
-use mulberrywell_policy::{stable_hash, DurationEstimate, PrefixCache};
+use mulberrywell_policy::{
+    stable_hash, BatchState, DurationEstimate, EnginePace, PrefixCache, PrefixDemand,
+};
 use mulberrywell_serving::{ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
-    EndpointLimit, EndpointLoad, EndpointPhase, EndpointStatus, LimitedEndpoint, LoadShare,
+    EndpointLimit, EndpointLoad, EndpointPhase, EndpointSpeed, EndpointStatus, LimitedEndpoint,
+    LoadShare, PromptSends,
 };
 
 use crate::call_codec::ModelTerms;
+use crate::call_table::CallRecord;
+use crate::prompt_sends::SentPrompts;
+use crate::speed_reports::{read_speed, speed_message};
 use crate::zone_evacuations::ZoneEvacuations;
 
 /// Back-off after a failure, doubled with each consecutive one.
 const BACKOFF_MIN: Duration = Duration::from_millis(500);
 
+/// Interval at which the speed of one endpoint is reported at most. A gateway has a
+/// sample of an engine every few seconds.
+const PACE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval at which the prompts that were sent are reported.
+const SENDS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Maximum number of prompt parts that are recorded of one endpoint, so that 3,000
+/// endpoints take less than 20 MB.
+pub(crate) const CACHED_PARTS_MAX: usize = 64;
+
 /// Maximum back-off.
 const BACKOFF_MAX: Duration = Duration::from_secs(8);
 
@@ -51,11 +68,19 @@
     pub prefill_tokens: u64,
     /// Load from the other gateways, as last reported by control.
     pub others: OtherLoad,
-    /// Last load reported to control: running requests and tokens awaiting
-    /// prefill.
-    reported: (u32, u64),
+    /// Tokens of memory that this instance's requests need, where they are counted.
+    pub held_tokens: u64,
+    /// Last load reported to control: running requests, tokens awaiting prefill and
+    /// tokens of memory.
+    reported: (u32, u64, u64),
+    /// Measured speed, of an engine.
+    pub pace: EnginePace,
+    /// When the speed was last reported.
+    pace_reported: Option<Instant>,
     /// Estimate of the prompt parts in the endpoint's cache.
     pub cache: PrefixCache,
+    /// Prompts that were sent since the last report, where they are reported.
+    pub(crate) sends: SentPrompts,
     /// Models and adapters that the endpoint reported as not resident in a
     /// response; cleared by its next status.
     missing: BTreeSet<ModelTerms>,
@@ -84,6 +109,8 @@
     /// Prompt tokens awaiting prefill: the uncached ones of requests without a
     /// first event.
     pub prefill_tokens: u64,
+    /// Tokens of memory that the requests need.
+    pub held_tokens: u64,
 }
 
 impl EndpointUsage {
@@ -134,6 +161,29 @@
         self.denied_until = Some(until);
     }
 
+    /// Returns the batch that all instances together have the endpoint run.
+    pub fn batch(&self, tokens_per_event: u32) -> BatchState {
+        BatchState {
+            running: self.running + self.others.running,
+            context_tokens: self.held_tokens + self.others.held_tokens,
+            tokens_per_event,
+        }
+    }
+
+    /// Returns the measured speed if it has changed and its report is due.
+    fn take_speed(&mut self, now: Instant) -> Option<EndpointSpeed> {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if self
+            .pace_reported
+            .is_some_and(|at| since(at) < PACE_REPORT_INTERVAL)
+        {
+            return None;
+        }
+        let report = self.pace.take_report(now)?;
+        self.pace_reported = Some(now);
+        Some(speed_message(self.born_ms, &report))
+    }
+
     /// Records that the endpoint does not have a model resident.
     pub fn record_missing(&mut self, model: ModelTerms) {
         self.missing.insert(model);
@@ -150,6 +200,10 @@
     services: BTreeMap<Bytes, Vec<EndpointId>>,
     /// Zones whose endpoints get no requests.
     pub(crate) evacuations: ZoneEvacuations,
+    /// Requests of all instances by prefix.
+    pub(crate) prefixes: PrefixDemand,
+    /// When prompts were last reported.
+    sends_reported: Option<Instant>,
 }
 
 impl EndpointTable {
@@ -356,41 +410,106 @@
         closed.filter_map(|usage| usage.closed_until).min()
     }
 
-    /// Returns this gateway's loads that changed since the last report.
-    pub fn collect_load_changes(&mut self) -> LoadShare {
+    /// Returns this gateway's loads that changed since the last report, and measured
+    /// speeds that are due.
+    pub fn collect_load_changes(&mut self, now: Instant) -> LoadShare {
         let mut loads = Vec::new();
         for (id, usage) in &mut self.usages {
-            let load = (usage.running, usage.prefill_tokens);
-            if usage.reported != load {
+            let load = (usage.running, usage.prefill_tokens, usage.held_tokens);
+            let speed = usage.take_speed(now);
+            if usage.reported != load || speed.is_some() {
                 usage.reported = load;
                 loads.push(EndpointLoad {
                     endpoint: id.clone(),
                     running: usage.running,
                     unread: usage.prefill_tokens,
+                    speed,
+                    held: usage.held_tokens,
                 });
             }
         }
-        LoadShare { loads }
+        let sends = self.take_due_sends(now);
+        LoadShare { loads, sends }
+    }
+
+    /// Returns the prompts that were sent since the last report, if one is due.
+    fn take_due_sends(&mut self, now: Instant) -> Vec<PromptSends> {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if self
+            .sends_reported
+            .is_some_and(|at| since(at) < SENDS_INTERVAL)
+        {
+            return Vec::new();
+        }
+        self.sends_reported = Some(now);
+        let usages = self
+            .usages
+            .iter_mut()
+            .filter(|(_, usage)| !usage.sends.is_empty());
+        let sends = usages.map(|(id, usage)| {
+            let sends = std::mem::take(&mut usage.sends);
+            PromptSends {
+                endpoint: id.clone(),
+                born_ms: usage.born_ms,
+                parts: sends.parts,
+                other_tokens: sends.other_tokens,
+            }
+        });
+        sends.collect()
+    }
+
+    /// Counts the shared parts of a call's prompt as requested once more.
+    pub(crate) fn record_prefixes(&mut self, now: Instant, call: &CallRecord) {
+        for (chain, _) in call.chain.iter().zip(call.shared_parts()) {
+            self.prefixes.record(now, *chain, 1);
+        }
+    }
+
+    /// Records the prompts that the other gateways sent to an endpoint with memory for a
+    /// number of tokens.
+    pub fn apply_sends(&mut self, now: Instant, sends: &PromptSends, memory_tokens: u64) {
+        for part in &sends.parts {
+            self.prefixes.record(now, part.chain, part.requests);
+        }
+        let usage = self.usages.get_mut(&sends.endpoint);
+        if let Some(usage) = usage.filter(|usage| usage.born_ms == sends.born_ms) {
+            usage.cache.record_other(sends.other_tokens);
+            for part in &sends.parts {
+                usage.cache.record_part(part.chain, u64::from(part.tokens));
+            }
+            usage.cache.trim(memory_tokens, CACHED_PARTS_MAX);
+        }
+    }
+
+    /// Returns the latest status of an endpoint.
+    pub fn status(&self, id: &EndpointId) -> Option<&EndpointStatus> {
+        self.registry.get(id)
     }
 
-    /// Applies the load of the other gateways.
-    pub fn apply_load_share(&mut self, share: LoadShare) {
-        for load in share.loads {
+    /// Applies the load of the other gateways and the combined speeds.
+    pub fn apply_load_share(&mut self, now: Instant, loads: Vec<EndpointLoad>) {
+        for load in loads {
             if let Some(usage) = self.usages.get_mut(&load.endpoint) {
                 usage.others = OtherLoad {
                     running: load.running,
                     prefill_tokens: load.unread,
+                    held_tokens: load.held,
                 };
+                let speed = load.speed.filter(|speed| speed.born_ms == usage.born_ms);
+                if let Some(speed) = speed {
+                    usage.pace.record_fleet(now, read_speed(&speed));
+                }
             }
         }
     }
 
-    /// Clears the load of the other gateways and marks all own loads as
+    /// Clears the load of the other gateways and marks all own loads and speeds as
     /// unreported.
     pub fn reset_loads(&mut self) {
         for usage in self.usages.values_mut() {
             usage.others = OtherLoad::default();
-            usage.reported = (0, 0);
+            usage.reported = (0, 0, 0);
+            usage.pace.mark_unreported();
         }
     }
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -12,7 +12,9 @@
     RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_serving::ServingIndex;
-use mulberrywell_wire::serving::{CallerLimits, EvacuationList, ServingAttach, ServingUpdate};
+use mulberrywell_wire::serving::{
+    CallerLimits, EvacuationList, LoadShare, ServingAttach, ServingUpdate,
+};
 use mulberrywell_wire::FrameBody;
 
 use crate::admission::RateWait;
@@ -21,6 +23,7 @@
 use crate::caller_responses::{send_empty_response, text};
 use crate::control_links::ControlLinks;
 use crate::demand_tracker::DemandTracker;
+use crate::endpoint_choice::measured_traits;
 use crate::endpoint_permits::EndpointPermits;
 use crate::endpoint_probes::EndpointProbes;
 use crate::endpoint_table::EndpointTable;
@@ -107,6 +110,8 @@
     pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
+    /// When the terms of a choice were last logged.
+    pub(crate) choice_logged: Option<Instant>,
     next_tick: Instant,
     /// When waiting calls are next retried.
     next_retry: Instant,
@@ -135,6 +140,7 @@
             rate_waits: VecDeque::new(),
             shutdown: ShutdownState::default(),
             last_handled: now,
+            choice_logged: None,
             next_tick: now,
             next_retry: now,
             commands: Vec::new(),
@@ -173,7 +179,7 @@
             LinkEvent::Frame { link, body } => match body {
                 FrameBody::ServingUpdate(update) => self.handle_update(now, link, update, actions),
                 FrameBody::LoadShare(share) if self.links.primary_link() == Some(link) => {
-                    self.endpoints.apply_load_share(share);
+                    self.apply_load_share(now, share);
                 }
                 FrameBody::RateTotals(totals) => {
                     self.links.record_leads(link, totals.leads);
@@ -372,7 +378,7 @@
             self.demand.remove_expired(now);
             let lines = self.link_log.take_due(now).into_iter();
             actions.extend(lines.map(|(level, text)| RoleAction::Log(level, text)));
-            self.report_loads();
+            self.report_loads(now);
             self.expire_probes(now, actions);
             self.report_cold_count(now, actions);
             self.report_prompts(now, true, actions);
@@ -397,13 +403,25 @@
         }
     }
 
+    /// Applies what all other gateways have at endpoints and sent to them.
+    fn apply_load_share(&mut self, now: Instant, share: LoadShare) {
+        self.endpoints.apply_load_share(now, share.loads);
+        for sends in &share.sends {
+            let status = self.endpoints.status(&sends.endpoint);
+            let traits = status.and_then(|it| measured_traits(&self.index, &it.service));
+            if let Some(memory_tokens) = traits.map(|traits| traits.cache_tokens) {
+                self.endpoints.apply_sends(now, sends, memory_tokens);
+            }
+        }
+    }
+
     /// Reports this gateway's load at endpoints to control.
-    fn report_loads(&mut self) {
+    fn report_loads(&mut self, now: Instant) {
         if self.links.primary_link().is_none() {
             return;
         }
-        let share = self.endpoints.collect_load_changes();
-        if !share.loads.is_empty() {
+        let share = self.endpoints.collect_load_changes(now);
+        if !share.loads.is_empty() || !share.sends.is_empty() {
             self.commands
                 .extend(self.links.send_on_primary(FrameBody::LoadShare(share)));
         }
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -5,10 +5,13 @@
 use mulberrywell_policy::events_time;
 use mulberrywell_role::RequestId;
 use mulberrywell_serving::EndpointId;
+use mulberrywell_wire::serving::EngineTraits;
 
 use crate::call_codec::CallCodec;
-use crate::call_table::CallRecord;
+use crate::call_table::{CallRecord, EngineWork};
+use crate::endpoint_table::{EndpointUsage, CACHED_PARTS_MAX};
 use crate::gateway_role::GatewayRole;
+use crate::measured_choice::call_value;
 
 /// Shortest time over which the pace of a stream is measured; events that were
 /// delayed on the way arrive together.
@@ -28,7 +31,14 @@
         let Some((since, first)) = call.pace_mark else {
             call.pace_mark = Some((now, event));
             let started = call.attempt_started.unwrap_or(now);
-            times.record_first_chunk(now.saturating_duration_since(started));
+            let elapsed = now.saturating_duration_since(started);
+            times.record_first_chunk(elapsed);
+            let usage = self.endpoints.usage_mut(&call.endpoint);
+            if let (Some(work), Some(usage)) = (call.engine_work, usage) {
+                let batch = usage.batch(work.tokens_per_event);
+                let pace = &mut usage.pace;
+                pace.record_first_event(now, batch, work.prefill_tokens, elapsed);
+            }
             return;
         };
         let elapsed = now.saturating_duration_since(since);
@@ -41,6 +51,10 @@
         times.record_pace(pace);
         if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
             usage.event_pace.record(pace);
+            if let Some(work) = call.engine_work {
+                let batch = usage.batch(work.tokens_per_event);
+                usage.pace.record_event(now, batch, pace);
+            }
         }
     }
 
@@ -52,6 +66,16 @@
         let elapsed = running_time(now, call);
         let times = self.times.entry(call.route.name.clone()).or_default();
         times.record_whole(now, elapsed);
+        let is_plain = call.terms.model.is_none() && !call.route.is_stream;
+        if is_plain && self.index.has_deferrable(&call.service) {
+            let started = call.attempt_started.unwrap_or(now);
+            let elapsed = now.saturating_duration_since(started);
+            if let Some(usage) = self.endpoints.usage_mut(&call.endpoint) {
+                usage
+                    .pace
+                    .record_response(now, call.route.objective, elapsed);
+            }
+        }
     }
 
     /// Returns the time that a call can be expected to take from now on at an
@@ -118,6 +142,36 @@
     }
 }
 
+/// Counts the work of a call at its engine and records its prompt as sent there; returns
+/// the tokens of the prompt that the engine has probably cached.
+pub(crate) fn begin_work(
+    now: Instant,
+    usage: &mut EndpointUsage,
+    call: &mut CallRecord,
+    traits: &EngineTraits,
+) -> u64 {
+    let tokens = call.terms.tokens.unwrap_or_default();
+    let kept = call_value(now, call, usage, traits, false).kept_tokens;
+    call.prefill_tokens = tokens.prompt.saturating_sub(kept);
+    usage.prefill_tokens += call.prefill_tokens;
+    let held_tokens = call.prefill_tokens.saturating_add(tokens.output);
+    usage.held_tokens = usage.held_tokens.saturating_add(held_tokens);
+    call.engine_work = Some(EngineWork {
+        prefill_tokens: usage.prefill_tokens + usage.others.prefill_tokens,
+        held_tokens,
+        tokens_per_event: traits.tokens_per_event,
+    });
+    let parts = &call.terms.prefix;
+    let named: u64 = parts.iter().map(|part| part.tokens).sum();
+    usage.cache.record_prompt(&call.chain, parts, u64::MAX);
+    usage
+        .cache
+        .record_other(tokens.prompt.saturating_sub(named));
+    usage.cache.trim(traits.cache_tokens, CACHED_PARTS_MAX);
+    usage.sends.record(call);
+    kept
+}
+
 /// Returns the time since a call was first forwarded.
 fn running_time(now: Instant, call: &CallRecord) -> Duration {
     let since = call.first_forwarded.unwrap_or(now);
