gateway: deferrable calls wait for tokens of their account

A call over its account's rate was refused whatever its urgency, so batch work used up the tokens of urgent work, and was itself refused although its objective left it seconds to wait.

All units are still requested from SharedBucket, so the bound over the fleet is unchanged. Shares of the rate for each class were ruled out: they lose what one class doesn't use.

Services without deferrable routes take the same path as before.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -7,12 +7,12 @@
 use mulberrywell_limit::RateDecision;
 use mulberrywell_policy::{chain_hashes, stable_hash};
 use mulberrywell_role::{HttpRequest, MetricKind, RequestId, RoleAction};
-use mulberrywell_serving::KeyOwner;
+use mulberrywell_serving::{KeyOwner, ServingIndex};
 use mulberrywell_wire::serving::{RepeatRule, ServingAccount, ServingRoute};
 
 use crate::call_codec::{CallCodec, CallTerms, RefusalReason};
 use crate::call_table::{
-    CallRecord, CallStage, PendingResponse, RouteTerms, RunState, StreamVersion,
+    AdmissionClass, CallRecord, CallStage, PendingResponse, RouteTerms, RunState, StreamVersion,
 };
 use crate::endpoint_choice::split_service;
 use crate::event_splitter::EventSplitter;
@@ -80,13 +80,15 @@
         let hash = stable_hash(&[terms.resumes.as_ref().unwrap_or(&terms.id)]);
         let service = split_service(&route.shares, hash).ok_or(RefusalReason::NoRoute)?;
         let has_rate = account.is_some_and(|account| account.rate > 0);
+        let priority = account
+            .and_then(|account| account.priority)
+            .unwrap_or(route.priority);
         let call = CallRecord {
             route: RouteTerms::of(route),
             service: service.clone(),
             account: account.map(|account| account.name.clone()),
-            priority: account
-                .and_then(|account| account.priority)
-                .unwrap_or(route.priority),
+            priority,
+            class: admission_class(&self.index, route, service, priority),
             version: self.index.version(),
             chain: prompt_chain(&terms),
             started: now,
@@ -153,7 +155,29 @@
             self.start_attempt(now, request, actions);
             return;
         };
-        match self.rates.admit(now, &account, units) {
+        let is_deferrable = self
+            .calls
+            .get(request)
+            .is_some_and(|call| call.class.is_deferrable());
+        if is_deferrable {
+            self.admit_deferrable(now, request, &account, actions);
+            return;
+        }
+        let decision = self.rates.admit(now, &account, units);
+        self.apply_rate_decision(now, request, &account, decision, actions);
+    }
+
+    /// Forwards a call, refuses it, or keeps it until a total contains its units.
+    pub(crate) fn apply_rate_decision(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        account: &Bytes,
+        decision: RateDecision,
+        actions: &mut Actions,
+    ) {
+        let units = self.calls.get(request).map_or(0, |call| call.units);
+        match decision {
             RateDecision::Refused(delay) => {
                 let reason = RefusalReason::OverRate;
                 self.refuse_call(now, request, reason, Some(delay), actions);
@@ -166,7 +190,7 @@
                 self.reserve_units(request, units);
                 self.rate_waits.push_back(RateWait {
                     request,
-                    account,
+                    account: account.clone(),
                     mark,
                     units,
                     since: now,
@@ -191,6 +215,8 @@
             };
             if self.calls.get(wait.request).is_none() {
                 self.rates.end_wait(&wait.account, wait.units);
+                self.token_waits
+                    .end_confirmation(&wait.account, wait.request);
                 continue;
             }
             let decision = self
@@ -199,15 +225,25 @@
             let is_overdue = now.saturating_duration_since(wait.since) >= CONFIRM_TIMEOUT;
             if decision.is_some() || is_overdue {
                 self.rates.end_wait(&wait.account, wait.units);
+                self.token_waits
+                    .end_confirmation(&wait.account, wait.request);
             }
             match decision {
                 Some(RateDecision::Refused(delay)) => {
                     self.reserve_units(wait.request, 0);
+                    if self.requeue_deferrable(now, &wait) {
+                        continue;
+                    }
                     let reason = RefusalReason::OverRate;
                     self.refuse_call(now, wait.request, reason, Some(delay), actions);
                 }
                 Some(_) => self.start_attempt(now, wait.request, actions),
                 None if is_overdue => {
+                    if self.requeue_deferrable(now, &wait) {
+                        self.reserve_units(wait.request, 0);
+                        self.rates.refund(&wait.account, wait.units);
+                        continue;
+                    }
                     let reason = RefusalReason::OverRate;
                     self.refuse_call(now, wait.request, reason, Some(CONFIRM_TIMEOUT), actions);
                 }
@@ -228,11 +264,11 @@
 /// forwarded.
 #[derive(Debug)]
 pub(crate) struct RateWait {
-    request: RequestId,
-    account: Bytes,
+    pub(crate) request: RequestId,
+    pub(crate) account: Bytes,
     /// Units that this instance had admitted with the call.
     mark: u64,
-    units: u64,
+    pub(crate) units: u64,
     since: Instant,
 }
 
@@ -254,6 +290,23 @@
     }
 }
 
+/// Returns how a call is admitted. An account whose priority makes its calls more urgent
+/// than their route has no deferrable ones.
+fn admission_class(
+    index: &ServingIndex,
+    route: &ServingRoute,
+    service: &Bytes,
+    priority: u32,
+) -> AdmissionClass {
+    if !index.has_deferrable(service) {
+        AdmissionClass::Immediate
+    } else if index.is_deferrable(route) && priority >= route.priority {
+        AdmissionClass::Deferrable
+    } else {
+        AdmissionClass::Urgent
+    }
+}
+
 fn prompt_chain(terms: &CallTerms) -> Vec<u64> {
     let Some(model) = &terms.model else {
         return Vec::new();
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -52,6 +52,24 @@
     }
 }
 
+/// How a call is admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionClass {
+    /// At once; its service has no deferrable routes.
+    Immediate,
+    /// Before deferrable calls of its service.
+    Urgent,
+    /// Yields to urgent calls of its service.
+    Deferrable,
+}
+
+impl AdmissionClass {
+    /// Returns whether the call yields to urgent calls.
+    pub fn is_deferrable(self) -> bool {
+        self == AdmissionClass::Deferrable
+    }
+}
+
 /// Progress of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallStage {
@@ -141,6 +159,8 @@
     pub account: Option<Bytes>,
     /// Priority; 0 is the highest.
     pub priority: u32,
+    /// How the call is admitted.
+    pub class: AdmissionClass,
     /// Configuration version under which the call was admitted.
     pub version: u64,
     /// Chain hashes of the prompt.
--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -112,6 +112,9 @@
     fn finish_call(&mut self, request: RequestId, actions: &mut Actions) -> Option<CallRecord> {
         self.release_endpoint(request);
         let mut call = self.calls.remove(request)?;
+        if let Some(account) = call.account.as_ref().filter(|_| call.class.is_deferrable()) {
+            self.token_waits.remove(account, (call.priority, request));
+        }
         if let CallStage::Running(exchange) = call.stage {
             actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
             call.ran = RunState::Maybe;
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -28,6 +28,10 @@
 pub const PERMITS_DENIED: &str = "gateway.permits_denied";
 /// Requests in progress.
 pub const IN_WORK: &str = "gateway.in_work";
+/// Deferrable requests that wait for tokens of their account.
+pub const TOKEN_WAITING: &str = "gateway.waiting.tokens";
+/// Age of the one that has waited longest.
+pub const TOKEN_WAIT_OLDEST: &str = "gateway.oldest_wait_ms.tokens";
 
 /// Outcome and metric name of each refusal reason.
 const REFUSED: [(RefusalReason, &str, &str); 14] = [
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -29,6 +29,7 @@
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
 use crate::stream_origins::StreamOrigins;
+use crate::token_waits::TokenWaits;
 
 /// Listener for callers.
 pub const CALLER_LISTENER: ListenerId = 0;
@@ -106,6 +107,7 @@
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
+    pub(crate) token_waits: TokenWaits,
     pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
@@ -134,6 +136,7 @@
             permits: EndpointPermits::default(),
             streams: StreamOrigins::new(now),
             rate_waits: VecDeque::new(),
+            token_waits: TokenWaits::default(),
             shutdown: ShutdownState::default(),
             last_handled: now,
             next_tick: now,
@@ -300,6 +303,7 @@
         self.expire_permits(now, actions);
         self.expire_lookups(now, actions);
         self.confirm_waiting_calls(now, actions);
+        self.retry_token_waits(now, actions);
         self.links.dial(now, &mut self.commands);
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
@@ -307,6 +311,7 @@
             self.report_loads();
             self.expire_probes(now, actions);
             self.report_prompts(now, true, actions);
+            self.report_token_waits(now, actions);
             let in_flight = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::IN_WORK, in_flight);
             actions.push(metric);
@@ -379,6 +384,7 @@
             self.links.deadline(),
             self.rates.deadline(),
             self.confirmation_deadline(),
+            self.token_waits.deadline(),
             self.permits.deadline(),
             self.streams.deadline(),
             waiting,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod response_timing;
 mod shutdown;
 mod stream_origins;
+mod token_waits;
 
 pub use call_codec::{
     CallCodec, CallTerms, ForwardTerms, ModelTerms, RefusalReason, ResponseTerms, TokenTerms,
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -22,6 +22,14 @@
 /// is in touch; well within `SILENT_TICKS_MAX` ticks of the counter.
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Longest delay that is computed; the counts of a request may be as large as it likes.
+const DELAY_MAX_SECONDS: f64 = 3_600.0;
+
+/// Divisor of a bucket's capacity that gives the part that deferrable calls leave to urgent
+/// ones. A burst of urgent calls finds at least that much; deferrable calls get it as they
+/// age, so it is never lost.
+const RESERVE_DIVISOR: f64 = 4.0;
+
 /// Assumed number of gateway instances until control reports it.
 const HOLDERS_DEFAULT: u32 = 8;
 
@@ -33,6 +41,8 @@
     slack: u64,
     /// Buckets by account.
     buckets: BTreeMap<Bytes, SharedBucket>,
+    /// Plans of the buckets.
+    plans: BTreeMap<Bytes, BucketPlan>,
     /// Units last reported to control, by account.
     reported: BTreeMap<Bytes, UnitCount>,
     /// Gateway instances that each counter knows, by its epoch, and when it last
@@ -53,6 +63,7 @@
         RateLimits {
             slack: tolerance / SLACK_DIVISOR,
             buckets: BTreeMap::new(),
+            plans: BTreeMap::new(),
             reported: BTreeMap::new(),
             counts: BTreeMap::new(),
             holders: HolderCount::all_heard(HOLDERS_DEFAULT),
@@ -73,6 +84,7 @@
                 slack,
                 margin: slack,
             };
+            self.plans.insert(account.name.clone(), plan);
             let bucket = self.buckets.entry(account.name.clone());
             bucket
                 .or_insert_with(|| SharedBucket::new(plan, holders, now))
@@ -124,6 +136,50 @@
         decision
     }
 
+    /// Requests the units of a deferrable call, which leaves `reserve_part` of the reserve
+    /// to urgent calls.
+    pub fn admit_deferrable(
+        &mut self,
+        now: Instant,
+        account: &Bytes,
+        units: u64,
+        reserve_part: f64,
+    ) -> RateDecision {
+        if let Some(view) = self.view(now, account) {
+            let wanted = (units as f64).min(view.capacity);
+            let reserve = (view.capacity / RESERVE_DIVISOR).min(view.capacity - wanted);
+            let missing = wanted + reserve * reserve_part - view.level;
+            if missing > 0.0 {
+                return RateDecision::Refused(view.delay(missing));
+            }
+        }
+        self.admit(now, account, units)
+    }
+
+    /// Returns the time after which an account's bucket covers these units if nothing else
+    /// takes any.
+    pub fn delay(&mut self, now: Instant, account: &Bytes, units: u64) -> Duration {
+        let view = self.view(now, account);
+        view.map_or(Duration::ZERO, |view| view.delay(units as f64 - view.level))
+    }
+
+    /// Returns the state of an account's bucket as of now.
+    fn view(&mut self, now: Instant, account: &Bytes) -> Option<BucketView> {
+        let bucket = self.buckets.get_mut(account)?;
+        let plan = *self.plans.get(account)?;
+        // An unchanged plan only brings the level up to date.
+        bucket.set_plan(plan, now);
+        let divisor = match bucket.is_shared() {
+            true => 1.0,
+            false => f64::from(self.holders.known.max(1)),
+        };
+        Some(BucketView {
+            level: bucket.level() as f64,
+            capacity: plan.burst as f64 / divisor,
+            rate: plan.rate as f64 / divisor,
+        })
+    }
+
     /// Decides on a call whose units were charged up to `mark`; `None` while no
     /// total contains them. The units of a refused call are returned.
     pub fn confirm(
@@ -227,6 +283,22 @@
     }
 }
 
+/// State of a bucket; without recent totals, that of this instance's share.
+struct BucketView {
+    level: f64,
+    capacity: f64,
+    /// Units per second.
+    rate: f64,
+}
+
+impl BucketView {
+    /// Returns the time after which the bucket has `missing` units more.
+    fn delay(&self, missing: f64) -> Duration {
+        let seconds = missing.max(0.0) / self.rate.max(1.0);
+        Duration::from_secs_f64(seconds.min(DELAY_MAX_SECONDS))
+    }
+}
+
 fn shared_total(totals: &RateTotals, item: &AccountTotal) -> SharedTotal {
     SharedTotal {
         epoch: totals.epoch,
