policy, gateway: loose work yields to urgent work at engines

A gateway forwarded each call at once to the engine with the lowest estimate.

decide_admission now takes the decision before a call's first forward. A deferrable call waits while the work queued at its engine exceeds a limit that starts at a quarter of the urgent objective; it ages, and is forwarded in the last eighth of its objective whatever is queued. A call that can't be served by its deadline is rejected at once, with the time until the queue fits. A limit that grows without bound with age was tried and ruled out: the last 3 calls of a burst of 60 made urgent ones late. With the bound none is, and all 60 are in time (policy/tests/admission_decision.rs); forwarded at once, the same burst makes more than 10 urgent calls late.

The forecast is computed from the estimate by which engines are chosen now, with unknown memory, in one function that the measured forecast replaces. Services without deferrable routes don't reach the decision.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -89,6 +89,7 @@
             account: account.map(|account| account.name.clone()),
             priority,
             class: admission_class(&self.index, route, service, priority),
+            was_deferred: false,
             version: self.index.version(),
             chain: prompt_chain(&terms),
             started: now,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -78,6 +78,11 @@
             self.leave_call(now, request, actions);
             return;
         }
+        if let Some(endpoint) = &endpoint {
+            if self.withhold_call(now, request, endpoint, actions) {
+                return;
+            }
+        }
         match endpoint {
             Some(endpoint) if self.endpoints.rate_limit(&endpoint).is_some() => {
                 self.await_permit(now, request, &endpoint, left, actions);
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -108,6 +108,8 @@
     NoEndpoint,
     /// The endpoints that could run the request are at their limits; it has not run.
     AtLimit,
+    /// The engines have more work than the request's time allows; it has not run.
+    Overloaded,
     /// Nothing tells which software version began the stream that the caller takes up;
     /// the request has not run.
     OriginUnknown,
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -68,6 +68,15 @@
     pub fn is_deferrable(self) -> bool {
         self == AdmissionClass::Deferrable
     }
+
+    /// Returns the name for log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            AdmissionClass::Immediate => "immediate",
+            AdmissionClass::Urgent => "urgent",
+            AdmissionClass::Deferrable => "deferrable",
+        }
+    }
 }
 
 /// Progress of a call.
@@ -161,6 +170,8 @@
     pub priority: u32,
     /// How the call is admitted.
     pub class: AdmissionClass,
+    /// The call has yielded to urgent calls.
+    pub was_deferred: bool,
     /// Configuration version under which the call was admitted.
     pub version: u64,
     /// Chain hashes of the prompt.
@@ -376,6 +387,13 @@
         self.waiting.iter().copied().collect()
     }
 
+    /// Returns the records of the calls that wait for an endpoint.
+    pub fn waiting_calls(&self) -> impl Iterator<Item = &CallRecord> {
+        self.waiting
+            .iter()
+            .filter_map(|request| self.calls.get(request))
+    }
+
     /// Schedules a check of a call.
     pub fn set_timer(&mut self, at: Instant, request: RequestId) {
         self.timers.insert((at, request));
--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -50,6 +50,9 @@
         };
         let (word, metric) = metrics::refusal_names(reason);
         actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        if let Some(metric) = metrics::class_rejected(call.class, reason) {
+            actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        }
         let level = call
             .account
             .as_ref()
@@ -112,6 +115,7 @@
     fn finish_call(&mut self, request: RequestId, actions: &mut Actions) -> Option<CallRecord> {
         self.release_endpoint(request);
         let mut call = self.calls.remove(request)?;
+        self.deferred.remove(request);
         if let Some(account) = call.account.as_ref().filter(|_| call.class.is_deferrable()) {
             self.token_waits.remove(account, (call.priority, request));
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -1,6 +1,7 @@
 //! Names of the gateway's metrics.
 
 use crate::call_codec::RefusalReason;
+use crate::call_table::AdmissionClass;
 
 /// Requests received.
 pub const REQUESTS: &str = "gateway.requests";
@@ -32,9 +33,15 @@
 pub const TOKEN_WAITING: &str = "gateway.waiting.tokens";
 /// Age of the one that has waited longest.
 pub const TOKEN_WAIT_OLDEST: &str = "gateway.oldest_wait_ms.tokens";
+/// Deferrable requests that yielded to urgent ones at an engine.
+pub const DEFERRED: &str = "gateway.deferred";
+/// Those that wait now.
+pub const DEFERRED_WAITING: &str = "gateway.waiting.engine";
+/// Age of the one that arrived first.
+pub const DEFERRED_OLDEST: &str = "gateway.oldest_wait_ms.engine";
 
 /// Outcome and metric name of each refusal reason.
-const REFUSED: [(RefusalReason, &str, &str); 14] = [
+const REFUSED: [(RefusalReason, &str, &str); 15] = [
     (
         RefusalReason::Malformed,
         "malformed",
@@ -75,6 +82,11 @@
         "at_limit",
         "gateway.refused.at_limit",
     ),
+    (
+        RefusalReason::Overloaded,
+        "overloaded",
+        "gateway.refused.overloaded",
+    ),
     (
         RefusalReason::OriginUnknown,
         "origin_unknown",
@@ -111,3 +123,27 @@
         |(_, word, metric)| (word, metric),
     )
 }
+
+/// Returns the name of the count of a class's rejections for a reason; none for services
+/// without deferrable routes.
+pub fn class_rejected(class: AdmissionClass, reason: RefusalReason) -> Option<&'static str> {
+    let names = match class {
+        AdmissionClass::Immediate => return None,
+        AdmissionClass::Urgent => [
+            "gateway.rejected.urgent.rate",
+            "gateway.rejected.urgent.engine",
+            "gateway.rejected.urgent.other",
+        ],
+        AdmissionClass::Deferrable => [
+            "gateway.rejected.deferrable.rate",
+            "gateway.rejected.deferrable.engine",
+            "gateway.rejected.deferrable.other",
+        ],
+    };
+    let [rate, engine, other] = names;
+    Some(match reason {
+        RefusalReason::OverRate => rate,
+        RefusalReason::Overloaded | RefusalReason::NoEndpoint | RefusalReason::AtLimit => engine,
+        _ => other,
+    })
+}
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -20,6 +20,7 @@
 use crate::call_table::CallTable;
 use crate::caller_responses::send_empty_response;
 use crate::control_links::ControlLinks;
+use crate::deferred_calls::DeferredCalls;
 use crate::demand_tracker::DemandTracker;
 use crate::endpoint_permits::EndpointPermits;
 use crate::endpoint_probes::EndpointProbes;
@@ -108,6 +109,7 @@
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
     pub(crate) token_waits: TokenWaits,
+    pub(crate) deferred: DeferredCalls,
     pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
@@ -137,6 +139,7 @@
             streams: StreamOrigins::new(now),
             rate_waits: VecDeque::new(),
             token_waits: TokenWaits::default(),
+            deferred: DeferredCalls::default(),
             shutdown: ShutdownState::default(),
             last_handled: now,
             next_tick: now,
@@ -304,6 +307,7 @@
         self.expire_lookups(now, actions);
         self.confirm_waiting_calls(now, actions);
         self.retry_token_waits(now, actions);
+        self.retry_deferred_calls(now, actions);
         self.links.dial(now, &mut self.commands);
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
@@ -312,6 +316,7 @@
             self.expire_probes(now, actions);
             self.report_prompts(now, true, actions);
             self.report_token_waits(now, actions);
+            self.report_deferred_calls(now, actions);
             let in_flight = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::IN_WORK, in_flight);
             actions.push(metric);
@@ -385,6 +390,7 @@
             self.rates.deadline(),
             self.confirmation_deadline(),
             self.token_waits.deadline(),
+            self.deferred.deadline(),
             self.permits.deadline(),
             self.streams.deadline(),
             waiting,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod call_table;
 mod caller_responses;
 mod control_links;
+mod deferred_calls;
 mod demand_tracker;
 mod endpoint_choice;
 mod endpoint_permits;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! instants and seeds are arguments, so equal calls give equal results.
 
 mod adapter_orders;
+mod admission_decision;
 mod demand_estimate;
 mod demand_placement;
 mod demand_tracker;
@@ -23,6 +24,9 @@
 mod service_meter;
 mod stable_hash;
 
+pub use admission_decision::{
+    decide_admission, AdmissionOutcome, AdmissionRequest, EngineForecast,
+};
 pub use demand_estimate::{DemandEstimator, DemandSettings};
 pub use demand_placement::DemandPlacement;
 pub use demand_types::{
--- a/crates/serving/src/route_urgency.rs
+++ b/crates/serving/src/route_urgency.rs
@@ -49,6 +49,14 @@
         entries.any(|entry| self.is_deferrable_at(service, entry))
     }
 
+    /// Returns the tightest objective in milliseconds of the routes of a service that are
+    /// more urgent than a priority.
+    pub(crate) fn urgent_objective(&self, service: &Bytes, priority: u32) -> Option<u64> {
+        let entries = self.services.get(service).into_iter().flatten();
+        let urgent = entries.filter(|(other, _)| *other < priority);
+        urgent.map(|(_, objective)| *objective).min()
+    }
+
     fn is_deferrable_at(&self, service: &Bytes, (priority, objective): (u32, u64)) -> bool {
         let mut entries = self.services.get(service).into_iter().flatten();
         entries.any(|(other_priority, other_objective)| {
--- a/crates/serving/src/serving_index.rs
+++ b/crates/serving/src/serving_index.rs
@@ -123,4 +123,10 @@
     pub fn has_deferrable(&self, service: &Bytes) -> bool {
         self.urgency.has_deferrable(service)
     }
+
+    /// Returns the tightest objective in milliseconds of the routes of a service that are
+    /// more urgent than a priority.
+    pub fn urgent_objective(&self, service: &Bytes, priority: u32) -> Option<u64> {
+        self.urgency.urgent_objective(service, priority)
+    }
 }
