limit, gateway: times to return are spread over freed capacity

Callers that were rejected in one moment were all told the same time, so they returned together and most were rejected again. ReturnSchedule gives one after the other the next time at which tokens or engines become free for this gateway's callers. Random jitter was ruled out: it doesn't follow the rate at which capacity becomes free.

--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -50,6 +50,7 @@
         };
         let (word, metric) = metrics::refusal_names(reason);
         actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        let retry_after = self.spread_return(now, &call, reason, retry_after);
         if let Some(metric) = metrics::class_rejected(call.class, reason) {
             actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
         }
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{HolderCount, PromptGuard, RetryBudget};
+use mulberrywell_limit::{HolderCount, PromptGuard, RetryBudget, ReturnSchedule};
 use mulberrywell_policy::ResponseTimes;
 use mulberrywell_role::{
     ConnectionBounds, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
@@ -110,6 +110,7 @@
     pub(crate) rate_waits: VecDeque<RateWait>,
     pub(crate) token_waits: TokenWaits,
     pub(crate) deferred: DeferredCalls,
+    pub(crate) returns: ReturnSchedule,
     pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
@@ -140,6 +141,7 @@
             rate_waits: VecDeque::new(),
             token_waits: TokenWaits::default(),
             deferred: DeferredCalls::default(),
+            returns: ReturnSchedule::default(),
             shutdown: ShutdownState::default(),
             last_handled: now,
             next_tick: now,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod response_check;
 mod response_flow;
 mod response_timing;
+mod return_times;
 mod shutdown;
 mod stream_origins;
 mod token_waits;
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -163,6 +163,20 @@
         view.map_or(Duration::ZERO, |view| view.delay(units as f64 - view.level))
     }
 
+    /// Returns the time in which this instance's share of an account's rate yields these
+    /// units.
+    pub fn refill_time(&self, account: &Bytes, units: u64) -> Duration {
+        let Some(plan) = self.plans.get(account) else {
+            return Duration::ZERO;
+        };
+        let view = BucketView {
+            level: 0.0,
+            capacity: 0.0,
+            rate: plan.rate as f64 / f64::from(self.holders.known.max(1)),
+        };
+        view.delay(units as f64)
+    }
+
     /// Returns the state of an account's bucket as of now.
     fn view(&mut self, now: Instant, account: &Bytes) -> Option<BucketView> {
         let bucket = self.buckets.get_mut(account)?;
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -22,6 +22,7 @@
 mod prompt_guard;
 mod quarantine_table;
 mod retry_budget;
+mod return_schedule;
 mod shared_bucket;
 mod token_bucket;
 mod total_counter;
@@ -45,6 +46,7 @@
 pub use prompt_guard::{PromptGuard, SOUND_TIME};
 pub use quarantine_table::{PartSet, QuarantineTable};
 pub use retry_budget::RetryBudget;
+pub use return_schedule::ReturnSchedule;
 pub use shared_bucket::{BucketPlan, RateDecision, SharedBucket, SharedTotal, TOTALS_LIFETIME};
 pub use token_bucket::{AcquireOutcome, TokenBucket};
 pub use total_counter::{
