runtime: bound the memory held for callers and endpoints

A caller that doesn't read could have 8 MiB buffered, with no bound on the total: 20 of them were enough for an instance of 160 MB. With [gateway] memory_mb, half of the memory bounds all that is held. A response is not read from its endpoint while its caller has too much unread; a caller that reads nothing for 3 s is ended and named in the log.

Half of the bound is now divided evenly, and only the other half is shared by what is free.

Without the setting, nothing is paused or ended.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -194,6 +194,7 @@
             http,
             echoed_field: Some(self.codec.echoed_field(&call.terms.id)),
             connect_timeout: CONNECT_TIMEOUT,
+            reader: Some(request),
         }));
     }
 
--- a/crates/gateway/src/endpoint_probes.rs
+++ b/crates/gateway/src/endpoint_probes.rs
@@ -129,6 +129,7 @@
             },
             echoed_field: None,
             connect_timeout: PROBE_TIMEOUT,
+            reader: None,
         }));
     }
 
--- a/crates/role/src/endpoint_exchange.rs
+++ b/crates/role/src/endpoint_exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use mulberrywell_wire::request::HeaderField;
 
-use crate::HttpRequest;
+use crate::{HttpRequest, RequestId};
 
 /// Identifies an exchange within one process and one of its runs.
 pub type ExchangeId = u64;
@@ -28,6 +28,9 @@
         echoed_field: Option<HeaderField>,
         /// Timeout for establishing a new connection.
         connect_timeout: Duration,
+        /// The caller's request to which the response is forwarded: it may be read no
+        /// faster than that caller reads.
+        reader: Option<RequestId>,
     },
     /// Closes the exchange's connection; no event follows.
     Cancel {
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -11,6 +11,8 @@
 //! limited by the listener's bounds; a truncated response is never framed as a
 //! complete one.
 
+mod caller_backlog;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -28,10 +30,12 @@
 
 use crate::http_socket::{HttpSocket, ReadState};
 
+pub use caller_backlog::EndedCaller;
+
 /// Soft limit on the connections of all listeners together; beyond it, a new
 /// connection closes the one that has been idle for longest. Leaves some of the
 /// platform's usual 4,096 descriptors for endpoints.
-const CONNECTIONS_MAX: usize = 2_600;
+pub const CONNECTIONS_MAX: usize = 2_600;
 
 /// Response bytes that may be buffered for a slow caller before its connection
 /// is closed.
@@ -89,6 +93,10 @@
     resets_on_close: bool,
     /// Queued bytes that were not yet written when the timeouts were last checked.
     unwritten_len: usize,
+    /// When the caller last read a part of what is queued, or nothing was.
+    progress_at: Instant,
+    /// Length of the body of the request in flight.
+    request_len: usize,
 }
 
 struct ListenerRecord {
@@ -174,6 +182,8 @@
             is_head_request: false,
             resets_on_close: false,
             unwritten_len: 0,
+            progress_at: now,
+            request_len: 0,
         };
         self.connections.insert(id, connection);
         Ok(())
@@ -368,6 +378,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        connection.request_len = 0;
         if !connection.socket.input.is_empty() {
             // Reading may have stopped while the input was full.
             self.unread.insert(id);
@@ -420,6 +431,7 @@
                 connection.is_head_request = read.http.method == "HEAD";
                 self.requests.insert(request, id);
                 let http = read.http;
+                connection.request_len = http.body.len();
                 events.push((connection.listener, HttpEvent::Request { request, http }));
             }
             Ok(None) => {
@@ -451,6 +463,10 @@
 }
 
 impl CallerConnection {
+    fn held_bytes(&self) -> usize {
+        self.socket.output.len() + self.socket.input.len() + self.request_len
+    }
+
     /// Returns whether no more input is read until the response is complete.
     fn is_full(&self, bounds: ConnectionBounds) -> bool {
         let input_max = bounds.head_max + bounds.body_max;
@@ -462,6 +478,9 @@
         let unwritten_len = self.socket.output.len();
         let is_progress = unwritten_len < self.unwritten_len;
         self.unwritten_len = unwritten_len;
+        if is_progress || unwritten_len == 0 {
+            self.progress_at = now;
+        }
         if let CallerPhase::Idle(since) | CallerPhase::Lingering(since) = &mut self.phase {
             if is_progress {
                 *since = now;
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -26,7 +26,7 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::{MioPoll, Ready};
 
-use crate::http_socket::{HttpSocket, ReadState};
+use crate::http_socket::{HttpSocket, ReadState, TURN_LEN};
 
 /// Idle timeout of a connection whose endpoint announces none.
 const IDLE_DEFAULT: Duration = Duration::from_millis(800);
@@ -233,18 +233,33 @@
         !self.unread.is_empty()
     }
 
-    /// Reads the connections again that have more bytes than one turn reads.
-    pub fn read_again(
-        &mut self,
-        now: Instant,
-        scratch: &mut [u8],
-        events: &mut Vec<ExchangeEvent>,
-    ) {
-        for id in std::mem::take(&mut self.unread) {
-            self.handle_ready(now, id, scratch, events);
+    /// Removes and returns the connections that must be read again, as they have more
+    /// bytes than one turn reads.
+    pub fn take_unread(&mut self) -> BTreeSet<ConnectionId> {
+        std::mem::take(&mut self.unread)
+    }
+
+    /// Returns the exchange on a connection.
+    pub fn exchange_on(&self, id: ConnectionId) -> Option<ExchangeId> {
+        match self.connections.get(&id)?.state {
+            ConnectionState::Busy(exchange) => Some(exchange),
+            ConnectionState::Idle(_) => None,
+        }
+    }
+
+    /// Limits the bytes that one turn reads from a connection.
+    pub fn set_turn_max(&mut self, id: ConnectionId, len: usize) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.socket.turn_max = len.min(TURN_LEN);
         }
     }
 
+    /// Returns the bytes held for all endpoints: what is not yet written or parsed.
+    pub fn held_bytes(&self) -> usize {
+        let sockets = self.connections.values().map(|it| &it.socket);
+        sockets.map(|it| it.input.len() + it.output.len()).sum()
+    }
+
     /// Closes connections whose connect or idle timeout has expired.
     pub fn tick(&mut self, now: Instant, events: &mut Vec<ExchangeEvent>) {
         let mut connect_overdue = Vec::new();
--- a/crates/runtime/src/http_driver.rs
+++ b/crates/runtime/src/http_driver.rs
@@ -7,15 +7,21 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use mulberrywell_role::{ExchangeCommand, ExchangeEnd, ExchangeEvent, HttpEvent, ListenerId};
+use mulberrywell_role::{
+    ExchangeCommand, ExchangeEnd, ExchangeEvent, HttpEvent, ListenerId, RequestId, ResponsePart,
+};
 
-use crate::caller_table::{CallerEvents, CallerTable};
-use crate::exchange_table::{ExchangeStart, ExchangeTable};
+use crate::caller_table::{CallerEvents, CallerId, CallerTable, EndedCaller};
+use crate::exchange_table::{ConnectionId, ExchangeStart, ExchangeTable};
+use crate::held_memory::{HeldMemory, UNREAD_TIMEOUT};
 use crate::http_socket::READ_LEN;
 
 /// Interval at which the timeouts of connections are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Log lines for each sweep about callers that don't read.
+const ENDED_LINES_MAX: usize = 5;
+
 /// An event for the role.
 #[derive(Debug)]
 pub enum DriverEvent {
@@ -25,6 +31,17 @@
     Exchange(ExchangeEvent),
 }
 
+/// What a sweep found of the memory that is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryReport {
+    /// Bytes held for callers and endpoints.
+    pub held: u64,
+    /// Responses that are not read from their endpoints, as their callers don't read.
+    pub paused: u64,
+    /// Callers ended since the last report.
+    pub ended: u64,
+}
+
 /// HTTP connections and pending events of one role.
 pub struct HttpDriver {
     /// Connections of callers.
@@ -40,13 +57,19 @@
     /// Events of exchanges not yet collected; reused between reads.
     pub exchange_events: Vec<ExchangeEvent>,
     next_sweep: Instant,
+    memory: HeldMemory,
+    /// Callers ended since the last sweep, beyond those with a log line.
+    ended: Vec<EndedCaller>,
+    /// Set by each sweep with a bound.
+    memory_report: Option<MemoryReport>,
     /// Set once the role has a listener or has started an exchange.
     is_active: bool,
 }
 
 impl HttpDriver {
-    /// Creates a driver without connections.
-    pub fn new(now: Instant) -> Self {
+    /// Creates a driver without connections, which holds at most `memory_max` bytes for
+    /// callers and endpoints.
+    pub fn new(now: Instant, memory_max: Option<usize>) -> Self {
         HttpDriver {
             callers: CallerTable::default(),
             exchanges: ExchangeTable::default(),
@@ -55,6 +78,9 @@
             caller_events: Vec::new(),
             exchange_events: Vec::new(),
             next_sweep: now + SWEEP_INTERVAL,
+            memory: HeldMemory::new(memory_max),
+            ended: Vec::new(),
+            memory_report: None,
             is_active: false,
         }
     }
@@ -91,7 +117,12 @@
                 http,
                 echoed_field,
                 connect_timeout,
+                reader,
             } => {
+                self.memory.add(http.body.len());
+                if let Some(request) = reader {
+                    self.memory.insert_reader(exchange, request);
+                }
                 let start = ExchangeStart {
                     exchange,
                     address,
@@ -103,6 +134,7 @@
                 (!reused).then_some(start)
             }
             ExchangeCommand::Cancel { exchange } => {
+                self.memory.remove_reader(exchange);
                 self.exchanges.cancel(exchange);
                 None
             }
@@ -137,20 +169,140 @@
         let scratch = &mut self.scratch;
         self.callers
             .read_again(now, scratch, &mut self.caller_events);
-        self.exchanges
-            .read_again(now, scratch, &mut self.exchange_events);
+        for id in self.exchanges.take_unread() {
+            self.read_endpoint(now, id);
+        }
         if now < self.next_sweep {
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
         self.callers.tick(now, &mut self.caller_events);
         self.exchanges.tick(now, &mut self.exchange_events);
+        self.check_unread(now);
+    }
+
+    /// Handles a caller's connection that is ready to read or write.
+    pub fn read_caller(&mut self, now: Instant, id: CallerId) {
+        let events = &mut self.caller_events;
+        self.callers
+            .handle_ready(now, id, &mut self.scratch, events);
+        let request = self.callers.request_in_flight(id);
+        if let Some(paused) = request.and_then(|request| self.memory.paused_by(request)) {
+            self.read_endpoint(now, paused);
+        }
+    }
+
+    /// Handles a connection to an endpoint that is ready to read or write. It is not read
+    /// while its response's caller has too much unread.
+    pub fn read_endpoint(&mut self, now: Instant, id: ConnectionId) {
+        if self.memory.limit().is_some() {
+            let exchange = self.exchanges.exchange_on(id);
+            let request = exchange.and_then(|exchange| self.memory.reader(exchange));
+            let backlog = request.and_then(|request| self.callers.backlog(request));
+            let unread = backlog.map_or(0, |(unread, _)| unread);
+            let allowance = self.memory.read_allowance(unread);
+            if let Some(request) = request.filter(|_| allowance == 0) {
+                self.memory.pause(now, id, request);
+                return;
+            }
+            self.memory.resume(id);
+            self.exchanges.set_turn_max(id, allowance);
+        }
+        self.exchanges
+            .handle_ready(now, id, &mut self.scratch, &mut self.exchange_events);
+    }
+
+    /// Queues a part of a response.
+    pub fn respond(&mut self, now: Instant, request: RequestId, part: ResponsePart) {
+        if let ResponsePart::Data(data) = &part {
+            self.memory.add(data.len());
+        }
+        let events = &mut self.caller_events;
+        self.callers.queue_response_part(now, request, part, events);
+        if self.memory.needs_count() {
+            self.enforce_limit();
+        }
+    }
+
+    /// Returns the bytes held for callers and endpoints.
+    pub fn held_bytes(&self) -> usize {
+        self.callers.held_bytes() + self.exchanges.held_bytes()
+    }
+
+    /// Counts the bytes held, and ends callers until they are within the bound.
+    fn enforce_limit(&mut self) {
+        let Some(limit) = self.memory.limit() else {
+            return;
+        };
+        let mut held = self.held_bytes();
+        while held > limit {
+            let Some(ended) = self.callers.end_largest(&mut self.caller_events) else {
+                break;
+            };
+            held = held.saturating_sub(ended.held);
+            self.ended.push(ended);
+        }
+        self.memory.set_counted(held);
+    }
+
+    /// Reads the responses again whose callers have read, and ends the callers that have
+    /// read nothing for too long.
+    fn check_unread(&mut self, now: Instant) {
+        if self.memory.limit().is_none() {
+            return;
+        }
+        self.enforce_limit();
+        for (id, paused) in self.memory.paused() {
+            let Some((_, read_at)) = self.callers.backlog(paused.request) else {
+                self.memory.resume(id);
+                self.read_endpoint(now, id);
+                continue;
+            };
+            if now.saturating_duration_since(read_at.max(paused.since)) < UNREAD_TIMEOUT {
+                self.read_endpoint(now, id);
+                continue;
+            }
+            self.memory.resume(id);
+            let events = &mut self.caller_events;
+            self.ended
+                .extend(self.callers.end_request(paused.request, events));
+        }
+        self.memory_report = Some(MemoryReport {
+            held: self.held_bytes() as u64,
+            paused: self.memory.paused().len() as u64,
+            ended: self.ended.len() as u64,
+        });
+        self.log_ended();
+    }
+
+    /// Removes and returns the report of the last sweep.
+    pub fn take_memory_report(&mut self) -> Option<MemoryReport> {
+        self.memory_report.take()
+    }
+
+    fn log_ended(&mut self) {
+        let more = self.ended.len().saturating_sub(ENDED_LINES_MAX);
+        for ended in self.ended.drain(..).take(ENDED_LINES_MAX) {
+            spdlog::warn!(
+                "http: caller={} held={} outcome=ended cause=\"the caller doesn't read\"",
+                ended.address,
+                ended.held
+            );
+        }
+        if more > 0 {
+            spdlog::warn!("http: callers={more} outcome=ended cause=\"the callers don't read\"");
+        }
     }
 
     fn collect_events(&mut self) {
         let callers = self.caller_events.drain(..);
         self.events
             .extend(callers.map(|(listener, event)| DriverEvent::Http(listener, event)));
+        for event in &self.exchange_events {
+            if let ExchangeEvent::End { exchange, .. } = event {
+                self.memory.remove_reader(*exchange);
+            }
+        }
         let exchanges = self.exchange_events.drain(..);
         self.events.extend(exchanges.map(DriverEvent::Exchange));
     }
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -11,7 +11,7 @@
 pub const READ_LEN: usize = 64 * 1024;
 
 /// Bytes read from one connection before others are served.
-const TURN_LEN: usize = 256 * 1024;
+pub const TURN_LEN: usize = 256 * 1024;
 
 /// State of a connection's incoming side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     pub output: BytesMut,
     /// Set once any byte was written; cleared when an exchange starts.
     pub has_sent: bool,
+    /// Bytes read in one turn at most.
+    pub turn_max: usize,
     /// Set once the connection is established.
     is_connected: bool,
 }
@@ -54,6 +56,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             has_sent: false,
+            turn_max: TURN_LEN,
             is_connected,
         }
     }
@@ -96,8 +99,9 @@
         // The poll is edge-triggered, so a turn that ends before reading would
         // block must be followed by another.
         let mut turn_len = 0;
-        while turn_len < TURN_LEN {
-            match (&*self.source).read(scratch) {
+        while turn_len < self.turn_max {
+            let room = scratch.len().min(self.turn_max - turn_len);
+            match (&*self.source).read(&mut scratch[..room]) {
                 Ok(0) => return ReadState::Closed,
                 Ok(len) => {
                     self.input.extend_from_slice(&scratch[..len]);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,14 +9,15 @@
 //! [`link_table::LINK_TIMEOUT`]; a failure of one caller, link or endpoint
 //! affects only that one.
 
-mod caller_table;
+pub mod caller_table;
 mod descriptor_limit;
 mod engine_client;
 mod event_sender;
 pub mod exchange_table;
 mod front_proxy;
 pub mod head_check;
-mod http_driver;
+mod held_memory;
+pub mod http_driver;
 mod http_refusal;
 mod http_server;
 mod http_socket;
--- a/crates/runtime/src/process/agent_process.rs
+++ b/crates/runtime/src/process/agent_process.rs
@@ -49,6 +49,7 @@
             region: settings.instance.region.clone(),
         };
         let parts = HostParts {
+            memory_max: None,
             prefix: "agent",
             machine: AgentRole::new(config, Instant::now()),
             credentials,
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -122,6 +122,7 @@
             settings.serving_listen
         );
         let parts = HostParts {
+            memory_max: None,
             prefix: "control",
             machine: wrap(machine),
             credentials,
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -50,6 +50,7 @@
         };
         spdlog::info!("entry: listening for callers on {}", settings.caller_listen);
         let parts = HostParts {
+            memory_max: None,
             prefix: "entry",
             machine: EntryRole::new(config, Instant::now()),
             credentials,
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -16,6 +16,11 @@
 use crate::metric_output::MetricOutput;
 use crate::role_host::{ActionHandler, HostParts};
 
+/// Divisor of an instance's memory that gives what may be held for callers and endpoints.
+/// The rest is left for the process itself, spare capacity of buffers and responses that
+/// are buffered until they are complete.
+const BUFFER_DIVISOR: u64 = 2;
+
 /// Action handler of the gateway role, which has no actions of its own.
 pub struct GatewayHandler;
 
@@ -53,6 +58,7 @@
             settings.caller_listen
         );
         let parts = HostParts {
+            memory_max: settings.memory_mb.map(buffer_max),
             prefix: "gateway",
             machine: GatewayRole::new(config, codec, Instant::now()),
             credentials,
@@ -67,3 +73,8 @@
         Ok(self.spawn(parts))
     }
 }
+
+/// Returns the bytes that an instance with this memory may hold for callers and endpoints.
+fn buffer_max(memory_mb: u64) -> usize {
+    usize::try_from(memory_mb * 1024 * 1024 / BUFFER_DIVISOR).unwrap_or(usize::MAX)
+}
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use mulberrywell_role::{
-    ExchangeCommand, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, ResponsePart,
-    RoleAction, RoleEvent, RoleMachine,
+    ExchangeCommand, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
+    ResponsePart, RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_wire::LinkSide;
 use stakker::{fail, fwd_to, timer_min, Fwd, MinTimerKey, CX};
@@ -29,6 +29,13 @@
 /// Listener at which metrics are read.
 const METRIC_LISTENER: ListenerId = ListenerId::MAX;
 
+/// Bytes held for callers and endpoints.
+const HELD_BYTES: &str = "http.held_bytes";
+/// Responses that are not read from their endpoints, as their callers don't read.
+const PAUSED_RESPONSES: &str = "http.paused_responses";
+/// Callers whose connections were closed because they didn't read.
+const UNREAD_ENDED: &str = "http.unread_ended";
+
 /// Events handled from the threads' queue before sockets are served again.
 const BATCH_LEN: usize = 256;
 
@@ -55,6 +62,8 @@
     pub listener: Option<std::net::TcpListener>,
     /// The role's own HTTP listeners.
     pub http: Vec<(ListenerId, std::net::TcpListener)>,
+    /// Bytes that may be held for callers and endpoints; none without a bound.
+    pub memory_max: Option<usize>,
     /// Listener at which metrics are read as text.
     pub metric_listen: Option<std::net::TcpListener>,
     /// Builds the event that notifies the role of new seeds, if it has one.
@@ -102,7 +111,7 @@
             machine: parts.machine,
             handler: (parts.handler)(sender),
             links: LinkTable::new(parts.credentials, now),
-            driver: HttpDriver::new(now),
+            driver: HttpDriver::new(now, parts.memory_max),
             metrics: parts.metrics,
             seeds_event: parts.seeds_event,
             rx,
@@ -170,20 +179,12 @@
     }
 
     fn handle_caller_ready(&mut self, cx: CX![], id: CallerId, _: Ready) {
-        let driver = &mut self.driver;
-        let events = &mut driver.caller_events;
-        driver
-            .callers
-            .handle_ready(cx.now(), id, &mut driver.scratch, events);
+        self.driver.read_caller(cx.now(), id);
         self.process_events(cx);
     }
 
     fn handle_endpoint_ready(&mut self, cx: CX![], id: ConnectionId, _: Ready) {
-        let driver = &mut self.driver;
-        let events = &mut driver.exchange_events;
-        driver
-            .exchanges
-            .handle_ready(cx.now(), id, &mut driver.scratch, events);
+        self.driver.read_endpoint(cx.now(), id);
         self.process_events(cx);
     }
 
@@ -226,10 +227,7 @@
             length: Some(body.len() as u64),
         };
         for part in [head, ResponsePart::Data(body), ResponsePart::End] {
-            let events = &mut self.driver.caller_events;
-            self.driver
-                .callers
-                .queue_response_part(cx.now(), request, part, events);
+            self.driver.respond(cx.now(), request, part);
         }
     }
 
@@ -292,12 +290,23 @@
         self.links.tick(now, &mut self.scratch);
         self.link_events.extend(self.scratch.drain(..));
         self.driver.tick(now);
+        self.report_memory();
         if self.machine.deadline().is_some_and(|at| at <= now) {
             self.dispatch(cx, RoleEvent::Timer);
         }
         self.process_events(cx);
     }
 
+    fn report_memory(&mut self) {
+        let Some(report) = self.driver.take_memory_report() else {
+            return;
+        };
+        let metrics = &self.metrics;
+        metrics.report(MetricKind::Gauge, HELD_BYTES, report.held);
+        metrics.report(MetricKind::Gauge, PAUSED_RESPONSES, report.paused);
+        metrics.report(MetricKind::Count, UNREAD_ENDED, report.ended);
+    }
+
     fn dispatch(&mut self, cx: CX![], event: RoleEvent<M::Event>) {
         if let Some(preceding_event) = self.handler.preceding_event() {
             self.machine.handle(
@@ -366,10 +375,7 @@
                 RoleAction::Metric(kind, name, value) => self.metrics.report(kind, name, value),
                 RoleAction::Exchange(command) => self.handle_exchange_command(cx, command),
                 RoleAction::Respond(request, part) => {
-                    let events = &mut self.driver.caller_events;
-                    self.driver
-                        .callers
-                        .queue_response_part(cx.now(), request, part, events);
+                    self.driver.respond(cx.now(), request, part);
                 }
                 RoleAction::SetConnectionBounds(listener, bounds) => {
                     self.driver.callers.set_bounds(listener, bounds);
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -74,6 +74,9 @@
     /// Tokens that all instances together may admit beyond an account's rate
     /// and burst.
     pub rate_tolerance: u64,
+    /// Memory of the instance in MiB; callers' and endpoints' buffers are bounded by a part
+    /// of it if given.
+    pub memory_mb: Option<u64>,
 }
 
 /// Settings of the control role.
@@ -330,6 +333,7 @@
         rate_tolerance: table
             .thousandths("rate_tolerance_tokens", 0..=1 << 50)
             .map_or(0, |tolerance| tolerance / 1_000),
+        memory_mb: table.number("memory_mb", 16..=1 << 24),
     };
     table.report_unknown_fields();
     settings
