Merge admission by urgency with the choice by measured speed

The admission decision takes the forecast that the choice returns, so there is one EngineForecast and the estimate made for admission alone is gone.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -74,6 +74,7 @@
         }
         let choice = self.choose_permitted(now, request);
         self.record_choice(now, request, choice.as_ref(), actions);
+        let forecast = choice.as_ref().and_then(EndpointChoice::forecast);
         let endpoint = choice.map(|choice| choice.id);
         let Some(call) = self.calls.get(request) else {
             return;
@@ -82,6 +83,11 @@
             self.leave_call(now, request, actions);
             return;
         }
+        if let Some(forecast) = forecast {
+            if self.withhold_call(now, request, forecast, actions) {
+                return;
+            }
+        }
         match endpoint {
             Some(endpoint) if self.endpoints.needs_permit(now, &endpoint) => {
                 self.await_permit(now, request, &endpoint, left, actions);
@@ -205,6 +211,7 @@
             http,
             echoed_field: Some(self.codec.echoed_field(&call.terms.id)),
             connect_timeout: CONNECT_TIMEOUT,
+            reader: Some(request),
         }));
     }
 
--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -50,6 +50,10 @@
         };
         let (word, metric) = metrics::refusal_names(reason);
         actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        let retry_after = self.spread_return(now, &call, reason, retry_after);
+        if let Some(metric) = metrics::class_rejected(call.class, reason) {
+            actions.push(RoleAction::Metric(MetricKind::Count, metric, 1));
+        }
         let level = call
             .account
             .as_ref()
@@ -112,6 +116,10 @@
     fn finish_call(&mut self, request: RequestId, actions: &mut Actions) -> Option<CallRecord> {
         self.release_endpoint(request);
         let mut call = self.calls.remove(request)?;
+        self.deferred.remove(request);
+        if let Some(account) = call.account.as_ref().filter(|_| call.class.is_deferrable()) {
+            self.token_waits.remove(account, (call.priority, request));
+        }
         if let CallStage::Running(exchange) = call.stage {
             actions.push(RoleAction::Exchange(ExchangeCommand::Cancel { exchange }));
             call.ran = RunState::Maybe;
--- a/crates/gateway/src/endpoint_probes.rs
+++ b/crates/gateway/src/endpoint_probes.rs
@@ -132,6 +132,7 @@
             },
             echoed_field: None,
             connect_timeout: PROBE_TIMEOUT,
+            reader: None,
         }));
     }
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{PromptGuard, RetryBudget};
+use mulberrywell_limit::{PromptGuard, RetryBudget, ReturnSchedule};
 use mulberrywell_policy::ResponseTimes;
 use mulberrywell_role::{
     ConnectionBounds, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
@@ -22,6 +22,7 @@
 use crate::call_table::CallTable;
 use crate::caller_responses::{send_empty_response, text};
 use crate::control_links::ControlLinks;
+use crate::deferred_calls::DeferredCalls;
 use crate::demand_tracker::DemandTracker;
 use crate::endpoint_choice::measured_traits;
 use crate::endpoint_permits::EndpointPermits;
@@ -33,6 +34,7 @@
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
 use crate::stream_origins::StreamOrigins;
+use crate::token_waits::TokenWaits;
 
 /// Listener for callers.
 pub const CALLER_LISTENER: ListenerId = 0;
@@ -107,6 +109,9 @@
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
     pub(crate) rate_waits: VecDeque<RateWait>,
+    pub(crate) token_waits: TokenWaits,
+    pub(crate) deferred: DeferredCalls,
+    pub(crate) returns: ReturnSchedule,
     pub(crate) shutdown: ShutdownState,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
@@ -138,6 +143,9 @@
             permits: EndpointPermits::default(),
             streams: StreamOrigins::new(now),
             rate_waits: VecDeque::new(),
+            token_waits: TokenWaits::default(),
+            deferred: DeferredCalls::default(),
+            returns: ReturnSchedule::default(),
             shutdown: ShutdownState::default(),
             last_handled: now,
             choice_logged: None,
@@ -372,6 +380,8 @@
         self.expire_permits(now, actions);
         self.expire_lookups(now, actions);
         self.confirm_waiting_calls(now, actions);
+        self.retry_token_waits(now, actions);
+        self.retry_deferred_calls(now, actions);
         self.links.dial(now, &mut self.commands);
         if self.next_tick <= now {
             self.next_tick = now + TICK_INTERVAL;
@@ -382,6 +392,8 @@
             self.expire_probes(now, actions);
             self.report_cold_count(now, actions);
             self.report_prompts(now, true, actions);
+            self.report_token_waits(now, actions);
+            self.report_deferred_calls(now, actions);
             let in_flight = self.calls.len() as u64;
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::IN_WORK, in_flight);
             actions.push(metric);
@@ -466,6 +478,8 @@
             self.links.deadline(),
             self.rates.deadline(),
             self.confirmation_deadline(),
+            self.token_waits.deadline(),
+            self.deferred.deadline(),
             self.permits.deadline(),
             self.streams.deadline(),
             waiting,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod choice_log;
 mod cold_endpoints;
 mod control_links;
+mod deferred_calls;
 mod demand_tracker;
 mod endpoint_choice;
 mod endpoint_permits;
@@ -40,9 +41,11 @@
 mod response_check;
 mod response_flow;
 mod response_timing;
+mod return_times;
 mod shutdown;
 mod speed_reports;
 mod stream_origins;
+mod token_waits;
 mod zone_evacuations;
 
 pub use call_codec::{
--- a/crates/policy/src/engine_forecast.rs
+++ b/crates/policy/src/engine_forecast.rs
@@ -78,7 +78,7 @@
 }
 
 /// What a request can expect at an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EngineForecast {
     /// Time to the first event.
     pub first_event: Duration,
