Bound the draws for risky choices, and the prefill estimate

A long prompt that isn't cached has some risk at any engine with streams, so nearly every such request compared all engines, and all instances found the same least busy one. A risk up to 100 ms is now tolerated, and a higher one leads to eight engines of each kind at most; only while the best is to be avoided are all compared. A burst at 40 busy engines gives none more than the 8 in 40 that the draws allow.

The prefill's slowness stays within a factor of two of the steps', which depend on the same accelerator.

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -137,12 +137,22 @@
 pub struct EngineWork {
     /// Prompt tokens awaiting prefill, those of the call included.
     pub prefill_tokens: u64,
+    /// The part of them that is the call's.
+    pub own_tokens: u64,
     /// Tokens of memory that the call needs.
     pub held_tokens: u64,
     /// Output tokens of an event.
     pub tokens_per_event: u32,
 }
 
+impl EngineWork {
+    /// Returns whether at least half of the tokens are the call's. The others are known
+    /// with a delay, so that the time to the first event says little of the engine.
+    pub fn is_mostly_own(&self) -> bool {
+        self.own_tokens >= self.prefill_tokens / 2
+    }
+}
+
 /// State of one call.
 #[derive(Debug)]
 pub struct CallRecord {
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -34,7 +34,8 @@
             let elapsed = now.saturating_duration_since(started);
             times.record_first_chunk(elapsed);
             let usage = self.endpoints.usage_mut(&call.endpoint);
-            if let (Some(work), Some(usage)) = (call.engine_work, usage) {
+            let work = call.engine_work.filter(EngineWork::is_mostly_own);
+            if let (Some(work), Some(usage)) = (work, usage) {
                 let batch = usage.batch(work.tokens_per_event);
                 let pace = &mut usage.pace;
                 pace.record_first_event(now, batch, work.prefill_tokens, elapsed);
@@ -158,6 +159,7 @@
     usage.held_tokens = usage.held_tokens.saturating_add(held_tokens);
     call.engine_work = Some(EngineWork {
         prefill_tokens: usage.prefill_tokens + usage.others.prefill_tokens,
+        own_tokens: call.prefill_tokens,
         held_tokens,
         tokens_per_event: traits.tokens_per_event,
     });
--- a/crates/policy/src/engine_forecast.rs
+++ b/crates/policy/src/engine_forecast.rs
@@ -22,6 +22,10 @@
 /// Part of a limit from which on there is a risk of exceeding it.
 const RISK_BEGIN: f64 = 0.5;
 
+/// Risk up to which an engine is chosen without a look at others. A long prompt that isn't
+/// cached has a risk of about 30 ms at an idle engine with two streams.
+const RISK_TOLERATED_MS: f64 = 100.0;
+
 /// Increase of the risk for each further multiple of the limit, so that of two engines
 /// that are late the less late one is preferred.
 const BEYOND_SLOPE: f64 = 0.5;
@@ -116,9 +120,9 @@
         self.first_event_ms + risks_ms + self.reserve_ms + self.copy_ms
     }
 
-    /// Returns whether the request or the streams that run there risk being late.
+    /// Returns whether the request or the streams that run there probably are late.
     pub fn is_risky(&self) -> bool {
-        self.late_ms + self.pause_ms + self.streams_ms > 0.0
+        self.late_ms + self.pause_ms + self.streams_ms > RISK_TOLERATED_MS
     }
 }
 
--- a/crates/policy/src/engine_pace.rs
+++ b/crates/policy/src/engine_pace.rs
@@ -55,6 +55,10 @@
 /// same accelerator, and steps are observed more often and with less error.
 const STEP_PRIOR_WEIGHT: f64 = 8.0;
 
+/// Largest difference between the logarithms of both slownesses, a factor of two. Prompts
+/// of other instances and wrong hints of cached parts distort the prefill's samples.
+const PREFILL_SPREAD: f64 = std::f64::consts::LN_2;
+
 /// Prompt tokens below which the time to the first event says little of the prefill.
 pub const PREFILL_SAMPLE_MIN: u64 = 1_500;
 
@@ -119,6 +123,7 @@
     pub fn speed(&self) -> EngineSpeed {
         let step = shrunk(self.step, 0.0, PRIOR_WEIGHT);
         let prefill = shrunk(self.prefill, step, STEP_PRIOR_WEIGHT);
+        let prefill = prefill.clamp(step - PREFILL_SPREAD, step + PREFILL_SPREAD);
         EngineSpeed {
             step_slowness: step.exp(),
             prefill_slowness: prefill.exp(),
--- a/crates/policy/src/measured_choice.rs
+++ b/crates/policy/src/measured_choice.rs
@@ -4,7 +4,9 @@
 //! same load with a delay and all choose the best engine would overload it, so each
 //! request compares only a few engines, drawn anew by a hash of its id: some of those
 //! that hold its prompt, some of the homes of its prefix, and some of the others. More
-//! are drawn while the best one risks a late response, until all are compared.
+//! are drawn while the best one risks a late response, up to a bound: when most engines
+//! are busy, all instances would find the same best one. All are drawn while the best is
+//! to be avoided.
 
 use std::cmp::Reverse;
 
@@ -17,6 +19,9 @@
 /// Factor by which more engines are drawn while the best one risks a late response.
 const DRAW_GROWTH: usize = 2;
 
+/// Engines of each kind that are drawn at most because of a risk.
+const RISKY_DRAWS_MAX: usize = 8;
+
 /// What an engine is to a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EngineKind {
@@ -54,8 +59,9 @@
         (self.is_avoided, self.terms.total_ms()) < (other.is_avoided, other.terms.total_ms())
     }
 
-    fn is_good(&self) -> bool {
-        !self.is_avoided && !self.terms.is_risky()
+    /// Returns whether no more engines need to be drawn after a number of them.
+    fn is_enough(&self, drawn: usize) -> bool {
+        !self.is_avoided && (drawn >= RISKY_DRAWS_MAX || !self.terms.is_risky())
     }
 }
 
@@ -87,7 +93,7 @@
                 }
             }
         }
-        if best.is_some_and(|(_, best)| best.is_good()) {
+        if best.is_some_and(|(_, best)| best.is_enough(to)) {
             break;
         }
         (from, to) = (to, to * DRAW_GROWTH);
--- a/crates/policy/tests/engine_pace.rs
+++ b/crates/policy/tests/engine_pace.rs
@@ -104,6 +104,21 @@
     assert!(found > 1.7, "{found}");
 }
 
+/// Guards against prompts of other gateways that make an engine seem many times slower
+/// than its steps.
+#[test]
+fn prefill_near_steps() {
+    let now = Instant::now();
+    let mut pace = EnginePace::default();
+    for _ in 0..30 {
+        let event = published_event_ms(BATCH) / 1_000.0;
+        pace.record_event(now, BATCH, Duration::from_secs_f64(event));
+        pace.record_first_event(now, BATCH, 2_000, Duration::from_millis(900));
+    }
+    let found = pace.speed(now).prefill_slowness;
+    assert!((1.9..2.1).contains(&found), "{found}");
+}
+
 #[test]
 fn first_event_counts_tokens_ahead() {
     let now = Instant::now();
--- a/crates/policy/tests/measured_choice.rs
+++ b/crates/policy/tests/measured_choice.rs
@@ -156,6 +156,43 @@
     assert!(fleet.late * 20 < total, "{} of {total} late", fleet.late);
 }
 
+/// Guards against gateways that all find the same least busy engine when all are busy.
+#[test]
+fn busy_engines_share_burst() {
+    let mut engines = vec![engine(1.0); 40];
+    for (index, engine) in engines.iter_mut().enumerate() {
+        engine.pending_tokens = 20_000 + index as u64 * 100;
+    }
+    let mut requests = vec![0_u32; engines.len()];
+    for seed in 0..400 {
+        requests[choose(mix_bits(seed), &engines, &LONG).0] += 1;
+    }
+    let busiest = requests.iter().max().unwrap();
+    assert!(
+        *busiest <= 110,
+        "{requests:?}: more than 8 of 40 draws give"
+    );
+}
+
+/// Guards against an engine in back-off that is chosen while others are ready.
+#[test]
+fn avoided_engines_last() {
+    let candidates: Vec<DrawCandidate> = (0..40)
+        .map(|index| DrawCandidate {
+            hash: mix_bits(index),
+            kind: EngineKind::Other,
+        })
+        .collect();
+    for seed in 0..20 {
+        let weigh = |index: usize| WeighedEngine {
+            is_avoided: index != 7,
+            terms: weigh_engine(&engine(1.0), &LONG),
+        };
+        let (index, _) = choose_drawn(seed, &candidates, weigh).expect("a choice");
+        assert_eq!(index, 7);
+    }
+}
+
 /// Guards against requests that keep to the engines that hold their prompt while these
 /// have more to do than the prefill saves.
 #[test]
