--- a/crates/control/tests/role_cases/main.rs
+++ b/crates/control/tests/role_cases/main.rs
@@ -1,5 +1,6 @@
 //! The control role in virtual time: clusters of roles linked in memory.
 
+mod load_cases;
 mod observer_cases;
 mod permit_cases;
 mod prompt_cases;
