soak: each zone has endpoints without limits

The zones were halves of the endpoints, and only the first half names limits, so that the evacuation of the other zone left limited endpoints alone.

--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -20,7 +20,8 @@
 /// Software version of every second endpoint.
 pub(crate) const SECOND_VERSION: &str = "v2";
 
-/// Zones of the endpoints: each has endpoints of both software versions.
+/// Zones of the endpoints. Each has endpoints of both software versions, and some that
+/// name no limits.
 pub(crate) const ZONES: [&str; 2] = ["zone-a", "zone-b"];
 
 /// Time that a slow endpoint takes for a plain request.
@@ -341,7 +342,7 @@
 
 /// Returns the zone of an endpoint.
 pub(crate) fn zone_of(place: usize) -> &'static str {
-    ZONES[place / 2 % ZONES.len()]
+    ZONES[place.div_ceil(2) % ZONES.len()]
 }
 
 fn free_ports(count: usize) -> Result<Vec<SocketAddr>> {
