--- a/crates/mulberrywell/tests/common/serving_deployment.rs
+++ b/crates/mulberrywell/tests/common/serving_deployment.rs
@@ -140,6 +140,7 @@
             rate: 0,
             burst: 0,
         }],
+        cold_per_s: 0.0,
     }
 }
 
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -13,7 +13,7 @@
 
 use crate::soak_cluster::{RATE_TOLERANCE, SECOND_VERSION};
 use crate::soak_plan::SoakFault;
-use crate::soak_traffic::{CallKind, CallRecord, ReadRecord, VersionRecord, ACCOUNTS};
+use crate::soak_traffic::{CallKind, CallRecord, ReadRecord, VersionRecord, ACCOUNTS, COLD_PER_S};
 
 /// Statuses that guarantee that a request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -39,6 +39,15 @@
 const LIMIT_FACTOR: f64 = 1.5;
 const LIMIT_EXTRA: f64 = 5.0;
 
+/// Factor by which a cold endpoint's rate may be exceeded in a second, and requests beyond
+/// that: the platform's `cold_over` and `cold_slack`.
+const COLD_FACTOR: f64 = 1.5;
+const COLD_EXTRA: f64 = 5.0;
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time after which all know that an endpoint is cold: its heartbeat and a margin.
+const COLD_TOLD_TIME: Duration = Duration::from_millis(1_200);
+
 /// Share by which an account may exceed its rate and burst: the platform's
 /// `quota_over`.
 const RATE_OVERRUN: f64 = 0.1;
@@ -107,6 +116,14 @@
             is_same && cut.begin <= from + LIMIT_WINDOW && cut.end + FAULT_GAP >= from
         })
     }
+
+    /// Returns whether a gateway may not have been told of a report, in [`FAULT_GAP`]
+    /// before or during a time.
+    fn is_report_hidden(&self, from: Instant, until: Instant) -> bool {
+        let near = |fault: &&TimedFault| fault.begin <= until && fault.end + FAULT_GAP >= from;
+        let mut faults = self.faults.iter().filter(near);
+        faults.any(|fault| fault.fault.hides_reports())
+    }
 }
 
 /// Checks all guarantees.
@@ -119,6 +136,7 @@
         find_truncated_responses(records, &runs),
         find_rate_excess(records),
         find_limit_excess(records),
+        find_cold_excess(records),
         find_stale_reads(records),
         find_config_rollbacks(records, &runs),
     ]
@@ -298,6 +316,42 @@
     breaches
 }
 
+/// Finds seconds in which a cold endpoint got too much, unless a gateway may not have been
+/// told.
+fn find_cold_excess(records: &SoakRecords) -> Vec<SoakBreach> {
+    let mut breaches = Vec::new();
+    for cold in &records.faults {
+        let SoakFault::EndpointCold(place) = cold.fault else {
+            continue;
+        };
+        let told = cold.begin + COLD_TOLD_TIME;
+        let arrivals = records.arrivals.get(place).into_iter().flatten();
+        let bound: Vec<Instant> = arrivals
+            .filter(|at| (told..cold.end).contains(at))
+            .copied()
+            .collect();
+        let windows = bound.iter().filter(|from| {
+            let until = **from + COLD_WINDOW;
+            !records.is_cut(place, **from) && !records.is_report_hidden(cold.begin, until)
+        });
+        let counts = windows.map(|from| {
+            let counted = bound
+                .iter()
+                .filter(|at| (*from..*from + COLD_WINDOW).contains(at));
+            counted.count()
+        });
+        let most = counts.max().unwrap_or(0);
+        let allowed = COLD_FACTOR * COLD_PER_S + COLD_EXTRA;
+        if most as f64 > allowed {
+            breaches.push(SoakBreach {
+                promise: "cold endpoint got too much",
+                detail: format!("w{place} got {most} requests in a second, allowed {allowed:.0}"),
+            });
+        }
+    }
+    breaches
+}
+
 /// Finds reads that returned an older version than one acknowledged more than
 /// [`CONFIG_APPLY_TIME`] earlier.
 fn find_stale_reads(records: &SoakRecords) -> Vec<SoakBreach> {
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -23,6 +23,9 @@
 /// Time that a slow endpoint takes for a plain request.
 const SLOW_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
+/// Time that a cold endpoint reports at first; the fault ends before.
+const COLD_TIME_MAX: Duration = Duration::from_secs(10);
+
 /// Time that an endpoint normally takes for a plain request.
 const RESPONSE_DELAY: Duration = Duration::from_millis(15);
 
@@ -237,6 +240,7 @@
             SoakFault::EndpointLimits(place, limit) => {
                 self.endpoints[*place].set_rate_limit(Some(limit));
             }
+            SoakFault::EndpointCold(place) => self.endpoints[*place].set_cold(Some(COLD_TIME_MAX)),
         }
         Ok(())
     }
@@ -285,6 +289,7 @@
             SoakFault::EndpointSlow(place) => self.endpoints[*place].set_delay(RESPONSE_DELAY),
             SoakFault::EndpointCut(place) => self.endpoint_proxies[*place].heal(),
             SoakFault::EndpointLimits(place, _) => self.endpoints[*place].set_rate_limit(None),
+            SoakFault::EndpointCold(place) => self.endpoints[*place].set_cold(None),
         }
         Ok(())
     }
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -6,7 +6,7 @@
 //! loses its data only after the first has had time to catch up. A deployment of
 //! three control instances is designed to tolerate exactly this. Limits that
 //! endpoints name are drawn by themselves and may overlap any fault; half of the
-//! endpoints name none.
+//! endpoints name none. Of the others, some become cold.
 
 use std::fmt;
 use std::time::Duration;
@@ -39,6 +39,15 @@
 /// Changes the random sequence of the limits from that of the faults.
 const LIMIT_SEED: u64 = 0x11_31_75;
 
+/// Duration of a cold time, in milliseconds; longer than the time until all know it.
+const COLD_DURATION_MS: u64 = 6_000;
+
+/// Maximum time between two cold times of any endpoint, in milliseconds.
+const COLD_PAUSE_MAX_MS: u64 = 6_000;
+
+/// Changes the random sequence of the cold times from that of the faults.
+const COLD_SEED: u64 = 0xc0_1d;
+
 /// A fault to inject.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SoakFault {
@@ -81,15 +90,32 @@
     EndpointReset(usize),
     /// An endpoint names a limit in requests a second.
     EndpointLimits(usize, &'static str),
+    /// An endpoint is cold.
+    EndpointCold(usize),
 }
 
 impl SoakFault {
-    /// Returns whether the fault is planned maintenance or a limit, during which no
-    /// request may be interrupted.
+    /// Returns whether the fault is planned maintenance, a limit or a cold time, during
+    /// which no request may be interrupted.
     pub fn is_maintenance(&self) -> bool {
         matches!(
             self,
-            SoakFault::Terminate(_) | SoakFault::Hangup(_) | SoakFault::EndpointLimits(..)
+            SoakFault::Terminate(_)
+                | SoakFault::Hangup(_)
+                | SoakFault::EndpointLimits(..)
+                | SoakFault::EndpointCold(_)
+        )
+    }
+
+    /// Returns whether gateways may not be told what endpoints report.
+    pub fn hides_reports(&self) -> bool {
+        matches!(
+            self,
+            SoakFault::Freeze(_)
+                | SoakFault::KillControls
+                | SoakFault::Isolate(_)
+                | SoakFault::Mute(_)
+                | SoakFault::Deafen(_)
         )
     }
 }
@@ -134,6 +160,7 @@
             let end = begin + fault_duration;
             if end >= duration {
                 faults.extend(draw_limits(seed, duration, size));
+                faults.extend(draw_cold_times(seed, duration, size));
                 faults.sort_by_key(|planned| planned.begin);
                 return SoakPlan { faults };
             }
@@ -183,6 +210,24 @@
     }
 }
 
+/// Draws the cold times of a run for the second half of the endpoints, one after another.
+fn draw_cold_times(seed: u64, duration: Duration, size: ClusterSize) -> Vec<PlannedFault> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ COLD_SEED);
+    let places = size.endpoints.div_ceil(2)..size.endpoints;
+    let mut cold_times = Vec::new();
+    let mut end = Duration::ZERO;
+    while !places.is_empty() {
+        let begin = end + Duration::from_millis(rng.random_range(0..COLD_PAUSE_MAX_MS));
+        end = begin + Duration::from_millis(COLD_DURATION_MS);
+        if end >= duration {
+            break;
+        }
+        let fault = SoakFault::EndpointCold(rng.random_range(places.clone()));
+        cold_times.push(PlannedFault { begin, end, fault });
+    }
+    cold_times
+}
+
 fn draw_fault(rng: &mut Pcg64Mcg, size: ClusterSize) -> SoakFault {
     let control = format!("control-{}", rng.random_range(0..size.controls));
     let gateway = format!("gateway-{}", rng.random_range(0..size.gateways));
@@ -239,6 +284,7 @@
         | SoakFault::EndpointSlow(place)
         | SoakFault::EndpointCut(place)
         | SoakFault::EndpointReset(place)
+        | SoakFault::EndpointCold(place)
         | SoakFault::EndpointLimits(place, _) => vec![format!("endpoint-{place}")],
     }
 }
--- a/crates/soak/src/soak_traffic.rs
+++ b/crates/soak/src/soak_traffic.rs
@@ -19,6 +19,9 @@
 /// Maximum pause of a caller between two calls.
 const CALLER_PAUSE_MS: u64 = 60;
 
+/// Requests a second that a cold endpoint takes, as the platform's example has it.
+pub(crate) const COLD_PER_S: f64 = 8.0;
+
 /// Maximum pause of an operator between two changes.
 const OPERATOR_PAUSE_MS: u64 = 900;
 
@@ -371,6 +374,7 @@
         version,
         service: SERVICE.to_owned(),
         accounts: accounts.into(),
+        cold_per_s: COLD_PER_S,
     }
 }
 
