--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -27,6 +27,9 @@
 /// Time that a slow endpoint takes for a plain request.
 const SLOW_RESPONSE_DELAY: Duration = Duration::from_millis(700);
 
+/// Time that a cold endpoint reports at first; the fault ends before.
+const COLD_TIME_MAX: Duration = Duration::from_secs(10);
+
 /// Time that an endpoint normally takes for a plain request.
 const RESPONSE_DELAY: Duration = Duration::from_millis(15);
 
@@ -242,6 +245,7 @@
             SoakFault::EndpointLimits(place, limit) => {
                 self.endpoints[*place].set_rate_limit(Some(limit));
             }
+            SoakFault::EndpointCold(place) => self.endpoints[*place].set_cold(Some(COLD_TIME_MAX)),
         }
         Ok(())
     }
@@ -290,6 +294,7 @@
             SoakFault::EndpointSlow(place) => self.endpoints[*place].set_delay(RESPONSE_DELAY),
             SoakFault::EndpointCut(place) => self.endpoint_proxies[*place].heal(),
             SoakFault::EndpointLimits(place, _) => self.endpoints[*place].set_rate_limit(None),
+            SoakFault::EndpointCold(place) => self.endpoints[*place].set_cold(None),
         }
         Ok(())
     }
