--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -12,6 +12,7 @@
 //! complete one.
 
 mod caller_backlog;
+mod caller_timeouts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -45,10 +46,6 @@
 /// before its socket is closed.
 const LINGER_MAX: Duration = Duration::from_secs(1);
 
-/// Time without progress allowed while a response is written to a slow caller. A socket
-/// takes more bytes only once a good part of its buffer is sent.
-const WRITE_STALL_MAX: Duration = Duration::from_secs(3);
-
 const POLL_PRIORITY: u32 = 10;
 
 /// Id of a connection; never reused.
@@ -314,66 +311,6 @@
         self.dirty = dirty;
     }
 
-    /// Returns whether bytes are queued that are not yet written.
-    pub fn has_output(&self) -> bool {
-        let mut connections = self.connections.values();
-        connections.any(|connection| !connection.socket.output.is_empty())
-    }
-
-    /// Applies the timeouts of all connections.
-    pub fn tick(&mut self, now: Instant, events: &mut CallerEvents) {
-        let mut overdue = Vec::new();
-        for (id, connection) in &mut self.connections {
-            connection.record_progress(now);
-            let Some(record) = self.listeners.get(&connection.listener) else {
-                continue;
-            };
-            let is_written = connection.socket.output.is_empty();
-            let (since, limit) = match connection.phase {
-                CallerPhase::Idle(since) if !record.closing => (since, record.bounds.idle_timeout),
-                CallerPhase::Reading(since) => (since, record.bounds.head_timeout),
-                CallerPhase::Idle(since) | CallerPhase::Lingering(since) if is_written => {
-                    (since, LINGER_MAX)
-                }
-                CallerPhase::Idle(since) | CallerPhase::Lingering(since) => {
-                    (since, WRITE_STALL_MAX)
-                }
-                CallerPhase::Processing(_) => continue,
-            };
-            if now.saturating_duration_since(since) >= limit {
-                overdue.push(*id);
-            }
-        }
-        for id in overdue {
-            self.expire(now, id, events);
-        }
-    }
-
-    fn expire(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return;
-        };
-        if matches!(connection.phase, CallerPhase::Reading(_)) {
-            connection.refuse(now, 408);
-            self.dirty.push(id);
-        } else {
-            self.close(id, events);
-        }
-    }
-
-    fn evict_idle(&mut self) {
-        let idle = self
-            .connections
-            .iter()
-            .filter_map(|(id, connection)| match connection.phase {
-                CallerPhase::Idle(since) => Some((since, *id)),
-                _ => None,
-            });
-        if let Some((_, id)) = idle.min() {
-            self.connections.remove(&id);
-        }
-    }
-
     fn finish_response(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
--- a/crates/runtime/src/caller_table/caller_backlog.rs
+++ b/crates/runtime/src/caller_table/caller_backlog.rs
@@ -16,6 +16,12 @@
 }
 
 impl CallerTable {
+    /// Returns whether bytes are queued that are not yet written.
+    pub fn has_output(&self) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|connection| !connection.socket.output.is_empty())
+    }
+
     /// Returns the bytes held for all callers: what is not yet written or parsed, and the
     /// bodies of requests in flight.
     pub fn held_bytes(&self) -> usize {
--- /dev/null
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -0,0 +1,66 @@
+//! Timeouts of callers' connections.
+
+use std::time::{Duration, Instant};
+
+use super::{CallerEvents, CallerId, CallerPhase, CallerTable, LINGER_MAX};
+
+/// Time without progress allowed while a response is written to a slow caller. A socket
+/// takes more bytes only once a good part of its buffer is sent.
+const WRITE_STALL_MAX: Duration = Duration::from_secs(3);
+
+impl CallerTable {
+    /// Applies the timeouts of all connections.
+    pub fn tick(&mut self, now: Instant, events: &mut CallerEvents) {
+        let mut overdue = Vec::new();
+        for (id, connection) in &mut self.connections {
+            connection.record_progress(now);
+            let Some(record) = self.listeners.get(&connection.listener) else {
+                continue;
+            };
+            let is_written = connection.socket.output.is_empty();
+            let (since, limit) = match connection.phase {
+                CallerPhase::Idle(since) if !record.closing => (since, record.bounds.idle_timeout),
+                CallerPhase::Reading(since) => (since, record.bounds.head_timeout),
+                CallerPhase::Idle(since) | CallerPhase::Lingering(since) if is_written => {
+                    (since, LINGER_MAX)
+                }
+                CallerPhase::Idle(since) | CallerPhase::Lingering(since) => {
+                    (since, WRITE_STALL_MAX)
+                }
+                CallerPhase::Processing(_) => continue,
+            };
+            if now.saturating_duration_since(since) >= limit {
+                overdue.push(*id);
+            }
+        }
+        for id in overdue {
+            self.expire(now, id, events);
+        }
+    }
+
+    fn expire(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if matches!(connection.phase, CallerPhase::Reading(_)) {
+            connection.refuse(now, 408);
+            self.dirty.push(id);
+        } else {
+            self.close(id, events);
+        }
+    }
+
+    /// Closes the connection that has been idle for longest.
+    pub(super) fn evict_idle(&mut self) {
+        let idle = self
+            .connections
+            .iter()
+            .filter_map(|(id, connection)| match connection.phase {
+                CallerPhase::Idle(since) => Some((since, *id)),
+                _ => None,
+            });
+        if let Some((_, id)) = idle.min() {
+            self.connections.remove(&id);
+        }
+    }
+}
