gateway: batch calls keep tokens for urgent ones until the end of their wait

With 24 gateways, urgent calls at half of an account's rate and a batch at the whole of it, 6 of 65 urgent calls were refused. Two causes: the reserve shrank evenly to nothing, so an old backlog spent the bucket down to 0; and gateways with totals of up to 100 ms of age charged the same tokens at once. A reserve of half until the last tenth of the wait alone left 5 of 65 refused.

The reserve now shrinks to four fifths and ends in the last tenth of the wait, and tries are spread over 50 ms for each gateway.

--- a/crates/gateway/src/token_waits.rs
+++ b/crates/gateway/src/token_waits.rs
@@ -2,15 +2,14 @@
 //!
 //! Algorithm: the calls of an account are queued by priority and arrival, and only the
 //! first one is tried, so that a large call isn't overtaken by small ones for ever. It
-//! leaves a part of the bucket to urgent calls; that part shrinks to nothing while the
-//! call ages. A call whose wait ends is refused.
+//! leaves a part of the bucket to urgent calls until the last part of its wait. A call whose wait ends is refused.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use mulberrywell_limit::RateDecision;
-use mulberrywell_policy::mix_bits;
+use mulberrywell_policy::{mix_bits, stable_hash};
 use mulberrywell_role::{MetricKind, RequestId, RoleAction};
 
 use crate::admission::RateWait;
@@ -32,9 +31,22 @@
 /// number, a call is refused as an urgent one is.
 const WAITING_MAX: usize = 1_000;
 
+/// Least part of the reserve for urgent calls that a call leaves alone until the last part of
+/// its wait. With a reserve that shrank evenly to nothing, a batch at the whole of an
+/// account's rate took the tokens of a tenth of the urgent calls beside it.
+const RESERVE_MIN_PART: f64 = 0.8;
+
+/// Part of the wait at whose end a call takes the last tokens.
+const FINAL_PART: f64 = 0.1;
+
 /// Interval at which waiting calls are tried.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time by which the next try of an account's calls is delayed for each gateway instance, at
+/// most. Totals are up to 100 ms old, so instances that try at the same moment take the same
+/// tokens, and those of urgent calls with them.
+const TRY_SPREAD: Duration = Duration::from_millis(50);
+
 /// Time after which a call is tried again whose units were charged and returned, because
 /// several instances charged the same tokens at once. It is spread up to three times that,
 /// so that they don't meet again.
@@ -55,6 +67,8 @@
     confirming: Option<RequestId>,
     /// When the first call is next tried; none if at once.
     next_try: Option<Instant>,
+    /// Tries so far, from which the times of further ones are spread.
+    tries: u64,
 }
 
 /// All calls that wait for tokens.
@@ -228,6 +242,13 @@
             let reserve = reserve_part(now, wait);
             let decision = self.rates.admit_deferrable(now, account, units, reserve);
             if matches!(decision, RateDecision::Refused(_)) {
+                waits.tries += 1;
+                let call = self.calls.get(key.1);
+                let id = call.map_or(0, |call| stable_hash(&[&call.terms.id]));
+                let hash = mix_bits(key.1 ^ mix_bits(waits.tries) ^ id);
+                let part = hash % u64::from(self.rates.holders());
+                let spread = TRY_SPREAD * u32::try_from(part).unwrap_or(0);
+                waits.next_try = Some(now + spread);
                 return;
             }
             waits.waiting.remove(&key);
@@ -253,5 +274,9 @@
 fn reserve_part(now: Instant, wait: &TokenWait) -> f64 {
     let total = wait.end.saturating_duration_since(wait.since);
     let left = wait.end.saturating_duration_since(now);
-    left.as_secs_f64() / total.as_secs_f64().max(f64::EPSILON)
+    let left_part = left.as_secs_f64() / total.as_secs_f64().max(f64::EPSILON);
+    if left_part < FINAL_PART {
+        return 0.0;
+    }
+    left_part.max(RESERVE_MIN_PART)
 }
