policy: loose work isn't rejected for its bound on output

The time to complete a response was taken as the longest expected pause for each event that the output bound allows. Only the time to the first event is known, so only that rejects.

--- a/crates/policy/src/admission_decision.rs
+++ b/crates/policy/src/admission_decision.rs
@@ -5,15 +5,13 @@
 //! limit, so that an urgent request that comes next still finds the engine in time. The
 //! limit starts at a part of the urgent objective and grows as the time is used up in which
 //! the request can wait. In the last part of that time it is forwarded whatever is queued,
-//! so no request starves. A deferrable request that can't be completed by its deadline is
+//! so no request starves. A deferrable request that can't begin before its deadline is
 //! rejected.
 
 use std::time::Duration;
 
 use crate::engine_forecast::EngineForecast;
 
-use crate::engine_choice::PREFILL_TOKENS_PER_MS;
-
 /// Divisor of the urgent objective that gives the work that may be queued at an engine when
 /// a new deferrable request is forwarded to it. The rest is left for the urgent request's
 /// own reading, for requests that other instances forward meanwhile, and for views that are
@@ -28,10 +26,7 @@
 /// Divisor of a request's objective that gives the time for which it no longer yields.
 const FINAL_DIVISOR: u32 = 8;
 
-/// Tokens in an event of the published engines.
-const EVENT_TOKENS: u64 = 5;
-
-/// Time before the deadline by which a deferrable response is to be complete.
+/// Time before the deadline by which a deferrable response is to have begun.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
 
 /// Shortest wait; the known state of engines changes hardly in less.
@@ -121,21 +116,17 @@
 impl AdmissionRequest {
     /// Returns the time for which work of others is queued at the engine.
     fn backlog(&self) -> Duration {
-        let unread = self.prompt_tokens.saturating_sub(self.forecast.kept_tokens);
-        let reading = Duration::from_secs_f64(unread as f64 / PREFILL_TOKENS_PER_MS / 1_000.0);
-        self.forecast.first_event.saturating_sub(reading)
+        let forecast = &self.forecast;
+        forecast.first_event.saturating_sub(forecast.own_prefill)
     }
 
     /// Returns for how long the request can wait and still meet its objective, or, if that
-    /// is missed, its deadline; none if it can't be completed by its deadline.
+    /// is missed, begin before its deadline; none if it can't. How long the response takes
+    /// then isn't known: a request only bounds its output.
     fn slack(&self) -> Option<Duration> {
         let first_event = self.forecast.first_event;
-        let events = u32::try_from(self.output_tokens.div_ceil(EVENT_TOKENS)).unwrap_or(u32::MAX);
-        let writing = self.forecast.pause.saturating_mul(events);
-        let needed = first_event.saturating_add(writing);
-        let to_deadline = self
-            .left
-            .checked_sub(needed.saturating_add(DEADLINE_MARGIN))?;
+        let begun = first_event.saturating_add(DEADLINE_MARGIN);
+        let to_deadline = self.left.checked_sub(begun)?;
         let objective_left = self.objective.saturating_sub(self.age);
         let to_objective = objective_left.checked_sub(first_event);
         Some(to_objective.map_or(to_deadline, |slack| slack.min(to_deadline)))
--- a/crates/policy/src/engine_forecast.rs
+++ b/crates/policy/src/engine_forecast.rs
@@ -86,6 +86,8 @@
 pub struct EngineForecast {
     /// Time to the first event.
     pub first_event: Duration,
+    /// Part of it in which the request's own prompt is prefilled.
+    pub own_prefill: Duration,
     /// Longest pause between events.
     pub pause: Duration,
     /// Tokens of memory that running requests leave; none if unknown.
@@ -163,6 +165,7 @@
         copy_ms: engine.copy_ms,
         forecast: EngineForecast {
             first_event: duration(first_event_ms),
+            own_prefill: duration(own_ms),
             pause: duration(pause_ms),
             free_tokens: engine.free_tokens,
             kept_tokens: engine.kept_tokens.min(needs.prompt_tokens),
@@ -207,6 +210,7 @@
         copy_ms: 0.0,
         forecast: EngineForecast {
             first_event: duration(response_ms),
+            own_prefill: Duration::ZERO,
             pause: Duration::ZERO,
             free_tokens: None,
             kept_tokens: 0,
--- a/crates/policy/tests/admission_decision.rs
+++ b/crates/policy/tests/admission_decision.rs
@@ -28,6 +28,7 @@
         urgent_ahead: 0,
         forecast: EngineForecast {
             first_event: backlog + READING,
+            own_prefill: READING,
             pause: ms(20),
             ..EngineForecast::default()
         },
@@ -62,6 +63,16 @@
     assert_eq!(outcome, AdmissionOutcome::Reject(ms(12_800)));
 }
 
+/// Guards against rejecting a request for its bound on output: at a long expected pause for
+/// each event that the bound allows, it would end after its deadline.
+#[test]
+fn deferrable_large_output_bound_kept() {
+    let mut request = deferrable(ms(0), ms(100));
+    request.output_tokens = 800;
+    request.forecast.pause = ms(500);
+    assert_eq!(decide_admission(&request), AdmissionOutcome::Forward);
+}
+
 /// Guards against loose work that takes the memory which an urgent request needs next.
 #[rstest]
 #[case::young_without_spare(ms(0), 4_000, true)]
