Rebuild a gateway's endpoint index only when it changes

Cause: each changed status rebuilt the index of all endpoints, so that the cost of an update grew with the fleet. A rebuild is needed only if the endpoint's service, address, start or presence changes, or while endpoints that are gone still have state; these cases rebuild as before.

--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -146,6 +146,17 @@
     usages: BTreeMap<EndpointId, EndpointUsage>,
     /// Endpoints by service, without those that are gone.
     services: BTreeMap<Bytes, Vec<EndpointId>>,
+    /// Whether endpoints that are gone still have requests, so that their state is
+    /// removed by a later rebuild.
+    has_ended: bool,
+}
+
+/// What of a status decides on its place in the index, and on that of another endpoint
+/// at its address.
+fn index_key(status: &EndpointStatus) -> (Bytes, Bytes, u64, bool) {
+    let is_gone = status.phase() == EndpointPhase::Gone;
+    let (service, address) = (status.service.clone(), status.address.clone());
+    (service, address, status.born_ms, is_gone)
 }
 
 impl EndpointTable {
@@ -156,6 +167,7 @@
         let address = std::str::from_utf8(&status.address);
         let address = address.ok().and_then(|text| text.parse().ok());
         let born_ms = status.born_ms;
+        let key_before = self.registry.get(&id).map(index_key);
         if self.registry.merge(status) != MergeOutcome::Changed {
             return false;
         }
@@ -169,7 +181,12 @@
         }
         usage.address = address;
         usage.missing.clear();
-        self.rebuild_index();
+        // A rebuild walks over all endpoints; most statuses change none of this.
+        let key = self.registry.get(&id).map(index_key);
+        let is_gone = key.as_ref().is_none_or(|(_, _, _, is_gone)| *is_gone);
+        if self.has_ended || is_gone || key != key_before {
+            self.rebuild_index();
+        }
         true
     }
 
@@ -180,10 +197,14 @@
             ids.push(status.id.clone());
         }
         let registry = &self.registry;
+        let mut has_ended = false;
         self.usages.retain(|id, usage| {
             let status = registry.get(id);
-            usage.running > 0 || status.is_some_and(|it| it.phase() != EndpointPhase::Gone)
+            let is_present = status.is_some_and(|it| it.phase() != EndpointPhase::Gone);
+            has_ended |= !is_present && usage.running > 0;
+            usage.running > 0 || is_present
         });
+        self.has_ended = has_ended;
     }
 
     /// Returns the endpoints that have what is needed and accept requests now.
