gateway: a stop logs what it accepts, with the time that it expects

A stream cut at the end of a planned stop could not be traced: its line doesn't tell whether the estimate at its acceptance was wrong or its endpoint turned slow afterwards. A call that is forwarded in a stop is logged with its expected time, the time left and the pace of its endpoint, and a cut with the events that were still allowed and the pace at the end. One line for each call that a stop forwards; no change of behaviour.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -92,7 +92,10 @@
             Some(endpoint) if self.endpoints.needs_permit(now, &endpoint) => {
                 self.await_permit(now, request, &endpoint, left, actions);
             }
-            Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
+            Some(endpoint) => {
+                self.log_accepted(now, request, &endpoint, actions);
+                self.forward_call(now, request, &endpoint, left, actions);
+            }
             None => self.await_endpoint(now, request, actions),
         }
     }
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -112,14 +112,15 @@
         time.map_or(Duration::ZERO, |(left, pace)| events_time(left, pace))
     }
 
-    fn endpoint_pace(&self, endpoint: Option<&EndpointId>) -> Option<Duration> {
+    /// Returns the upper estimate of the time between events at an endpoint.
+    pub(crate) fn endpoint_pace(&self, endpoint: Option<&EndpointId>) -> Option<Duration> {
         let usage = self.endpoints.usage(endpoint?)?;
         usage.event_pace.upper_pace()
     }
 
     /// Returns the events of a stream that its caller may still receive; none if the
     /// request doesn't limit its output.
-    fn events_left(&self, call: &CallRecord) -> Option<u64> {
+    pub(crate) fn events_left(&self, call: &CallRecord) -> Option<u64> {
         let limit = call.terms.tokens.map(|tokens| tokens.output);
         let limit = limit.filter(|tokens| *tokens > 0)?;
         let service = self.index.service(&call.service);
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -86,6 +86,33 @@
         }
     }
 
+    /// Logs what a call that is forwarded in a shutdown can be expected to take.
+    pub(crate) fn log_accepted(
+        &self,
+        now: Instant,
+        request: RequestId,
+        endpoint: &EndpointId,
+        actions: &mut Actions,
+    ) {
+        let (Some(since), Some(call)) = (self.shutdown.since, self.calls.get(request)) else {
+            return;
+        };
+        let elapsed = now.saturating_duration_since(since);
+        let expected = self.expected_time(now, call, Some(endpoint));
+        let line = format!(
+            "shutdown id={} elapsed_ms={} left_ms={} expected_ms={} pace_ms={} events_max={} \
+             endpoint={} outcome=accepted",
+            text(&call.terms.id),
+            millis(elapsed),
+            millis(self.config.shutdown_limit.saturating_sub(elapsed)),
+            known_millis(expected),
+            known_millis(self.endpoint_pace(Some(endpoint))),
+            self.events_left(call).unwrap_or_default(),
+            text(endpoint),
+        );
+        actions.push(RoleAction::Log(LogLevel::Info, line));
+    }
+
     /// Ends a call that can't end before the shutdown does; another instance may
     /// serve it.
     pub(crate) fn leave_call(&mut self, now: Instant, request: RequestId, actions: &mut Actions) {
@@ -138,11 +165,16 @@
             return;
         };
         let line = format!(
-            "shutdown id={} age_ms={} elapsed_ms={} event={} outcome=cut",
+            "shutdown id={} age_ms={} elapsed_ms={} event={} events_max={} attempts={} \
+             pace_ms={} endpoint={} outcome=cut",
             text(&call.terms.id),
             millis(now.saturating_duration_since(call.started)),
             millis(now.saturating_duration_since(since)),
             call.events.last_event().unwrap_or_default(),
+            self.events_left(call).unwrap_or_default(),
+            call.attempts,
+            known_millis(self.endpoint_pace(Some(&call.endpoint))),
+            text(&call.endpoint),
         );
         actions.push(RoleAction::Log(LogLevel::Warn, line));
         self.end_unserved(now, request, RefusalReason::TimedOut, actions);
@@ -161,3 +193,11 @@
         instants.into_iter().find(|at| *at > self.last_handled)
     }
 }
+
+/// Formats a duration in milliseconds for a log line.
+fn known_millis(duration: Option<Duration>) -> String {
+    duration.map_or_else(
+        || "unknown".to_owned(),
+        |duration| millis(duration).to_string(),
+    )
+}
