runtime: a request that has arrived keeps its idle connection open

Callers got neither an answer nor a refusal for a request that had arrived on a kept connection just as its idle timeout expired: the timeouts are checked on the timer, which may come before the poll tells of the bytes, and the connection was closed with the request unread.

An expired idle connection on which bytes have arrived is left to the poll, as connections to endpoints are before their reuse. tick_arrived_request_kept failed before: the request was never read.

--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{CallerEvents, CallerId, CallerPhase, CallerTable, LINGER_MAX};
+use super::{CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, LINGER_MAX};
 
 /// Time without progress allowed while a response is written to a slow caller. A socket
 /// takes more bytes only once a good part of its buffer is sent.
@@ -42,6 +42,9 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        if connection.has_arrived() {
+            return;
+        }
         if matches!(connection.phase, CallerPhase::Reading(_)) {
             connection.refuse(now, 408);
             self.dirty.push(id);
@@ -52,15 +55,26 @@
 
     /// Closes the connection that has been idle for longest.
     pub(super) fn evict_idle(&mut self) {
-        let idle = self
-            .connections
-            .iter()
-            .filter_map(|(id, connection)| match connection.phase {
-                CallerPhase::Idle(since) => Some((since, *id)),
-                _ => None,
-            });
-        if let Some((_, id)) = idle.min() {
-            self.connections.remove(&id);
+        let connections = self.connections.iter();
+        let idle = connections.filter_map(|(id, connection)| match connection.phase {
+            CallerPhase::Idle(since) => Some((since, *id)),
+            _ => None,
+        });
+        let mut idle: Vec<(Instant, CallerId)> = idle.collect();
+        idle.sort_unstable();
+        let mut ids = idle.into_iter().map(|(_, id)| id);
+        let connections = &mut self.connections;
+        let unused = ids.find(|id| connections.get(id).is_some_and(|it| !it.has_arrived()));
+        if let Some(id) = unused {
+            connections.remove(&id);
         }
     }
 }
+
+impl CallerConnection {
+    /// Returns whether a request has begun to arrive on an idle connection and is not yet
+    /// read, which the poll will tell.
+    fn has_arrived(&self) -> bool {
+        matches!(self.phase, CallerPhase::Idle(_)) && self.socket.has_unread()
+    }
+}
--- /dev/null
+++ b/crates/runtime/tests/idle_callers.rs
@@ -0,0 +1,103 @@
+//! Callers' connections between requests: when they are closed.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use mulberrywell_role::{HttpEvent, RequestId, ResponsePart};
+use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT};
+use stakker::Fwd;
+use stakker_mio::mio::net::TcpListener;
+use stakker_mio::MioPoll;
+
+use common::run_with_poll;
+
+const LISTENER: u8 = 0;
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// One caller whose connection has carried a request, and is idle.
+struct IdleCaller {
+    table: CallerTable,
+    now: Instant,
+    id: CallerId,
+    stream: TcpStream,
+}
+
+impl IdleCaller {
+    fn connect(poll: &MioPoll) -> Self {
+        let now = Instant::now();
+        let mut table = CallerTable::default();
+        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        table
+            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
+            .unwrap();
+        let stream = TcpStream::connect(address).unwrap();
+        let (id, accepted) = loop {
+            if let Some(accepted) = table.accept(LISTENER) {
+                break accepted;
+            }
+        };
+        table
+            .attach(poll, now, LISTENER, id, accepted, Fwd::new(|_| {}))
+            .unwrap();
+        let mut caller = IdleCaller {
+            table,
+            now,
+            id,
+            stream,
+        };
+        caller.send_request();
+        let request = caller.read_request().expect("a request");
+        let mut events = Vec::new();
+        let head = ResponsePart::Head {
+            status: 200,
+            headers: Vec::new(),
+            length: Some(0),
+        };
+        for part in [head, ResponsePart::End] {
+            let table = &mut caller.table;
+            table.queue_response_part(now, request, part, &mut events);
+        }
+        caller.table.flush(&mut events);
+        assert!(events.is_empty());
+        caller
+    }
+
+    /// Sends a request and waits until it has arrived.
+    fn send_request(&mut self) {
+        self.stream.write_all(REQUEST).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    fn read_request(&mut self) -> Option<RequestId> {
+        let mut events = Vec::new();
+        let table = &mut self.table;
+        table.handle_ready(self.now, self.id, &mut [0; 1_024], &mut events);
+        events.into_iter().find_map(|(_, event)| match event {
+            HttpEvent::Request { request, .. } => Some(request),
+            HttpEvent::Disconnected { .. } => None,
+        })
+    }
+
+    fn pass(&mut self, duration: Duration) {
+        self.now += duration;
+        let mut events = Vec::new();
+        self.table.tick(self.now, &mut events);
+        assert!(events.is_empty());
+    }
+}
+
+/// Guards against a request that has arrived on an idle connection and is dropped unread, as
+/// the idle timeout expires before the connection is read.
+#[test]
+fn tick_arrived_request_kept() {
+    run_with_poll(|poll| {
+        let mut caller = IdleCaller::connect(poll);
+        caller.send_request();
+        caller.pass(BOUNDS_DEFAULT.idle_timeout);
+        assert!(caller.read_request().is_some());
+    });
+}
