runtime: a lowered idle timeout spares connections that are idle already

A new configuration with a shorter idle timeout closed at once every connection that had been idle for longer, while its caller still went by the timeout before: a request sent on it met the close. A connection now keeps the timeout in force when it became idle, if that is the longer one; a raised timeout applies at once, as before.

--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -77,6 +77,9 @@
     listener: ListenerId,
     reader: RequestReader,
     phase: CallerPhase,
+    /// Idle timeout in force when the connection was last in use: the one that its caller
+    /// may still go by.
+    idle_timeout: Duration,
     /// The connection closes after the current response.
     close_after: bool,
     /// The caller supports chunked transfer coding.
@@ -173,6 +176,7 @@
             listener,
             reader: RequestReader::default(),
             phase: CallerPhase::Idle(now),
+            idle_timeout: Duration::ZERO,
             close_after: false,
             allows_chunks: true,
             chunked: false,
@@ -183,6 +187,7 @@
             request_len: 0,
         };
         self.connections.insert(id, connection);
+        self.begin_idle(now, id);
         Ok(())
     }
 
@@ -331,7 +336,7 @@
             }
             return;
         }
-        connection.phase = CallerPhase::Idle(now);
+        self.begin_idle(now, id);
         self.read_requests(now, id, events);
     }
 
--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use super::{CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, LINGER_MAX};
+use super::{
+    CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, BOUNDS_DEFAULT, LINGER_MAX,
+};
 
 /// Time without progress allowed while a response is written to a slow caller. A socket
 /// takes more bytes only once a good part of its buffer is sent.
@@ -19,7 +21,10 @@
             };
             let is_written = connection.socket.output.is_empty();
             let (since, limit) = match connection.phase {
-                CallerPhase::Idle(since) if !record.closing => (since, record.bounds.idle_timeout),
+                CallerPhase::Idle(since) if !record.closing => {
+                    let limit = record.bounds.idle_timeout.max(connection.idle_timeout);
+                    (since, limit)
+                }
                 CallerPhase::Reading(since) => (since, record.bounds.head_timeout),
                 CallerPhase::Idle(since) | CallerPhase::Lingering(since) if is_written => {
                     (since, LINGER_MAX)
@@ -53,6 +58,16 @@
         }
     }
 
+    /// Starts the idle time of a connection whose response is complete.
+    pub(super) fn begin_idle(&mut self, now: Instant, id: CallerId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.phase = CallerPhase::Idle(now);
+            let record = self.listeners.get(&connection.listener);
+            let bounds = record.map_or(BOUNDS_DEFAULT, |record| record.bounds);
+            connection.idle_timeout = bounds.idle_timeout;
+        }
+    }
+
     /// Closes the connection that has been idle for longest.
     pub(super) fn evict_idle(&mut self) {
         let connections = self.connections.iter();
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -6,8 +6,9 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use mulberrywell_role::{HttpEvent, RequestId, ResponsePart};
+use mulberrywell_role::{ConnectionBounds, HttpEvent, RequestId, ResponsePart};
 use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT};
+use rstest::rstest;
 use stakker::Fwd;
 use stakker_mio::mio::net::TcpListener;
 use stakker_mio::MioPoll;
@@ -88,6 +89,14 @@
         self.table.tick(self.now, &mut events);
         assert!(events.is_empty());
     }
+
+    fn set_idle_timeout(&mut self, idle_timeout: Duration) {
+        let bounds = ConnectionBounds {
+            idle_timeout,
+            ..BOUNDS_DEFAULT
+        };
+        self.table.set_bounds(LISTENER, bounds);
+    }
 }
 
 /// Guards against a request that has arrived on an idle connection and is dropped unread, as
@@ -101,3 +110,30 @@
         assert!(caller.read_request().is_some());
     });
 }
+
+/// Guards against connections that a change of the idle timeout closes at once, while their
+/// callers still reuse them by the timeout before; each keeps the longer one.
+#[rstest]
+#[case::lowered(15, 5, 14, true)]
+#[case::lowered_expired(15, 5, 15, false)]
+#[case::raised(15, 30, 29, true)]
+#[case::raised_expired(15, 30, 30, false)]
+fn set_bounds_idle_connection_kept(
+    #[case] before_s: u64,
+    #[case] after_s: u64,
+    #[case] idle_s: u64,
+    #[case] is_kept: bool,
+) {
+    let [before, after, idle] = [before_s, after_s, idle_s].map(Duration::from_secs);
+    assert_eq!(before, BOUNDS_DEFAULT.idle_timeout);
+    run_with_poll(move |poll| {
+        let mut caller = IdleCaller::connect(poll);
+        caller.pass(Duration::from_secs(1));
+        caller.set_idle_timeout(after);
+        caller.pass(idle - Duration::from_secs(1));
+        // Fails on a closed connection.
+        let _ = caller.stream.write_all(REQUEST);
+        std::thread::sleep(Duration::from_millis(20));
+        assert_eq!(caller.read_request().is_some(), is_kept);
+    });
+}
