Send no request id twice on one connection to an endpoint

A worker that wrote an earlier refusal once more on a kept connection made callers see "not run, try again" (503) for a request that ran; with two workers the request ran at both, as the gateway took the copy for a refusal of the attempt and forwarded the request to the next worker.

Cause: the echoed request id is the only mark that tells a late copy from the response that is awaited. A caller that sends a refused request again under its id got the same kept connection, so that the earlier refusal named the id of the request in flight. A call can also meet it by itself: an endpoint that answers 421 because another one has replaced it at its address is not the one that is tried next, but the connection is the same.

An exchange now takes the most recently used idle connection that has not carried its id. If all idle ones have, the least recently used one is closed and a new one opened, so that a caller that repeats one id doesn't add to the number of connections. The ids are kept as hashes; a connection ends after 512 exchanges, so that none is forgotten.

Evidence: refusal_copy_not_believed (three processes of control, a gateway, two stand-in workers that write refusals once more before the run, after it and in one write with the response) failed in all three cases on the code before: 503 where the workers ran the request. refused_id_sent_on_other_connection, refusing_connection_kept_for_other_ids, repeated_id_replaces_connection and connection_ended_after_many_exchanges failed as well: 503 for 200, a connection reused for an id that it had carried, 10,000 exchanges on one connection.

Ruled out: `tried` doesn't prevent it, as it names endpoints within one call and neither addresses nor connections. Closing each connection after a refusal would cost a connection for each refused request, when workers are full.

--- a/crates/mulberrywell/tests/second_copies.rs
+++ b/crates/mulberrywell/tests/second_copies.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::serving_deployment::{ServingDeployment, KEY};
-use mulberrywell_platform_testkit::{FakeCaller, FakeRequest};
+use common::serving_deployment::{call, ServingDeployment, KEY};
+use mulberrywell_platform_testkit::{FakeCaller, FakeRequest, FakeWorker, RefusalCopies};
 use mulberrywell_testkit::wait_until;
 use rstest::rstest;
 
@@ -136,3 +136,55 @@
         assert!(endpoint.reused.load(Ordering::Relaxed) >= 30);
     }
 }
+
+fn once_request(id: &str) -> FakeRequest<'_> {
+    FakeRequest {
+        id,
+        key: KEY,
+        path: "/once/x",
+        body: "body",
+        timeout: Duration::from_secs(4),
+        resumes: None,
+    }
+}
+
+/// Guards against "not run, try again" for a request that runs, and against its second run
+/// at another worker, where workers write earlier refusals once more and callers send a
+/// refused request again under its id.
+#[rstest]
+#[case::before_run(RefusalCopies::BeforeRun)]
+#[case::after_run(RefusalCopies::AfterRun)]
+#[case::with_response(RefusalCopies::WithResponse)]
+fn refusal_copy_not_believed(#[case] copies: RefusalCopies) {
+    let deployment = ServingDeployment::spawn();
+    let workers = [deployment.worker.clone(), FakeWorker::spawn("w2").unwrap()];
+    let heartbeat = workers[1].heartbeat("s1", "ready", 1);
+    assert!(deployment.operator.send_heartbeat("w2", &heartbeat));
+    workers[0].set_shedding(true);
+    wait_until("the second worker gets requests", || {
+        call(deployment.callers, "/once/x", KEY).unwrap();
+        !workers[1].runs().is_empty()
+    })
+    .unwrap();
+    let caller = FakeCaller::new(deployment.callers, Duration::from_secs(5));
+    let status = |id: &str| caller.call(&once_request(id)).unwrap().status;
+    let set_shedding = |is_shedding| {
+        for worker in &workers {
+            worker.set_shedding(is_shedding);
+            worker.set_refusal_copies(copies);
+        }
+    };
+    for round in 0..10 {
+        let (first, second) = (format!("a{round}"), format!("b{round}"));
+        set_shedding(true);
+        assert_eq!(status(&first), 503);
+        set_shedding(false);
+        for id in [&second, &first] {
+            assert_eq!(status(id), 200, "{id}");
+            let runs = workers.iter().flat_map(|worker| worker.runs());
+            assert_eq!(runs.filter(|run| run.id == **id).count(), 1, "{id}");
+        }
+    }
+    let copies: u64 = workers.iter().map(|worker| worker.copies()).sum();
+    assert!(copies >= 10, "{copies} copies");
+}
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -7,13 +7,15 @@
 //! when the request was written completely, the response is complete and no
 //! bytes followed it; bytes received between exchanges close it; a cancelled
 //! exchange closes its connection; an interrupted response is never reported as
-//! complete.
+//! complete; no value of the echoed field is sent twice on one connection, so that it
+//! tells a response from late copies of all earlier ones.
 //!
 //! Algorithm: the most recently used connection is reused first, so that
 //! surplus ones reach their idle timeout. A connection is closed before the
 //! endpoint's own idle timeout, which its responses announce.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -45,6 +47,10 @@
 /// interval between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Exchanges that one connection carries at most. The ids of all of them are remembered:
+/// 4 KiB of hashes for so many, at the price of a new connection for each 512 requests.
+const EXCHANGES_MAX: usize = 512;
+
 const POLL_PRIORITY: u32 = 10;
 
 /// Id of a connection; never reused.
@@ -67,6 +73,9 @@
     connect_deadline: Option<Instant>,
     /// A header field that the endpoint echoes in the current response.
     echoed_field: Option<HeaderField>,
+    /// Hashes of the echoed values of all requests sent on this connection. Two values
+    /// with one hash only cost a new connection.
+    sent_ids: BTreeSet<u64>,
     /// The current request is a HEAD request.
     is_head_request: bool,
     /// The response being received belongs to an earlier request and is
@@ -106,9 +115,10 @@
 }
 
 impl ExchangeTable {
-    /// Starts an exchange on an idle connection; false when there is none.
+    /// Starts an exchange on an idle connection; false when there is none on which the
+    /// response can be told from copies of earlier ones.
     pub fn reuse(&mut self, start: &ExchangeStart, events: &mut Vec<ExchangeEvent>) -> bool {
-        let Some(id) = self.pop_idle(start.address) else {
+        let Some(id) = self.pop_idle(start) else {
             return false;
         };
         let Some(connection) = self.connections.get_mut(&id) else {
@@ -157,6 +167,7 @@
             state: ConnectionState::Busy(start.exchange),
             connect_deadline: Some(now + start.connect_timeout),
             echoed_field: None,
+            sent_ids: BTreeSet::new(),
             is_head_request: false,
             skipping: false,
             close_after: false,
@@ -346,7 +357,12 @@
         let has_leftover_bytes = !connection.socket.input.is_empty()
             || !connection.socket.output.is_empty()
             || self.unread.contains(&id);
-        if connection.close_after || has_leftover_bytes || connection.idle_timeout.is_zero() {
+        let is_used_up = connection.sent_ids.len() >= EXCHANGES_MAX;
+        if connection.close_after
+            || has_leftover_bytes
+            || is_used_up
+            || connection.idle_timeout.is_zero()
+        {
             self.connections.remove(&id);
             return;
         }
@@ -386,16 +402,27 @@
         events.push(ExchangeEvent::End { exchange, end });
     }
 
-    /// Removes and returns the most recently used idle connection of an endpoint;
-    /// closes those before it on which bytes or an end have arrived.
-    fn pop_idle(&mut self, address: SocketAddr) -> Option<ConnectionId> {
-        let idle_ids = self.idle_connections.get_mut(&address)?;
-        while let Some(id) = idle_ids.pop() {
+    /// Removes and returns the most recently used idle connection of an endpoint that
+    /// has not carried the exchange's id; closes those on which bytes or an end have
+    /// arrived.
+    fn pop_idle(&mut self, start: &ExchangeStart) -> Option<ConnectionId> {
+        let idle_ids = self.idle_connections.get_mut(&start.address)?;
+        let sent_id = start.echoed_field.as_ref().map(id_hash);
+        for place in (0..idle_ids.len()).rev() {
+            let id = idle_ids[place];
             let connection = self.connections.get(&id);
-            if connection.is_some_and(|connection| !connection.socket.has_unread()) {
+            let Some(connection) = connection.filter(|it| !it.socket.has_unread()) else {
+                idle_ids.remove(place);
+                self.connections.remove(&id);
+                continue;
+            };
+            if sent_id.is_none_or(|sent_id| !connection.sent_ids.contains(&sent_id)) {
+                idle_ids.remove(place);
                 return Some(id);
             }
-            self.connections.remove(&id);
+        }
+        if !idle_ids.is_empty() {
+            self.connections.remove(&idle_ids.remove(0));
         }
         None
     }
@@ -414,6 +441,8 @@
         let http = &start.http;
         self.state = ConnectionState::Busy(start.exchange);
         self.echoed_field = start.echoed_field.clone();
+        self.sent_ids
+            .extend(self.echoed_field.as_ref().map(id_hash));
         self.is_head_request = http.method == "HEAD";
         self.skipping = false;
         self.idle_timeout = IDLE_DEFAULT;
@@ -434,6 +463,13 @@
     }
 }
 
+/// Returns the hash under which the id of a request is remembered.
+fn id_hash(echoed: &HeaderField) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    echoed.value.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn head_event(exchange: ExchangeId, head: ResponseHead) -> ExchangeEvent {
     ExchangeEvent::Head {
         exchange,
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use mulberrywell_role::{ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest};
 use mulberrywell_runtime::exchange_table::{ConnectionId, ExchangeStart, ExchangeTable};
+use mulberrywell_wire::request::HeaderField;
 use rstest::rstest;
 use socket2::SockRef;
 use stakker::{Fwd, Stakker};
@@ -98,14 +99,30 @@
         }
     }
 
+    /// Returns a request with an id.
+    fn start_request(&self, exchange: ExchangeId, id: &'static str) -> ExchangeStart {
+        let field = HeaderField {
+            name: Bytes::from_static(b"Request-Id"),
+            value: Bytes::from_static(id.as_bytes()),
+        };
+        let mut start = self.start(exchange, 0);
+        start.http.headers.push(field.clone());
+        start.echoed_field = Some(field);
+        start
+    }
+
     /// Starts an exchange on a new connection; returns the connection and the
     /// endpoint's side of it, which has received the start of the request.
     fn open(&mut self, exchange: ExchangeId, body_len: usize) -> (ConnectionId, TcpStream) {
-        let id = self.table.next_connection_id();
         let start = self.start(exchange, body_len);
+        self.open_for(&start)
+    }
+
+    fn open_for(&mut self, start: &ExchangeStart) -> (ConnectionId, TcpStream) {
+        let id = self.table.next_connection_id();
         let now = Instant::now();
         self.table
-            .open(self.poll, now, id, &start, Fwd::new(|_| {}))
+            .open(self.poll, now, id, start, Fwd::new(|_| {}))
             .unwrap();
         let (mut endpoint, _) = self.listener.accept().unwrap();
         self.handle_ready(id);
@@ -120,17 +137,39 @@
             .handle_ready(now, id, &mut scratch, &mut self.events);
     }
 
+    /// Opens a connection that has carried a request and its refusal, and is kept.
+    fn open_refused(&mut self, id: &'static str) -> (ConnectionId, TcpStream) {
+        let start = self.start_request(1, id);
+        let (connection, mut endpoint) = self.open_for(&start);
+        endpoint.write_all(refusal(id).as_bytes()).unwrap();
+        assert_eq!(self.finish_head(connection), (503, ExchangeEnd::Complete));
+        (connection, endpoint)
+    }
+
     /// Advances an exchange to its end; returns the body and how the exchange ended.
     fn finish(&mut self, id: ConnectionId) -> (Vec<u8>, ExchangeEnd) {
+        let (_, body, end) = self.finish_response(id);
+        (body, end)
+    }
+
+    /// Advances an exchange to its end; returns the status, 0 without a response, and
+    /// how the exchange ended.
+    fn finish_head(&mut self, id: ConnectionId) -> (u16, ExchangeEnd) {
+        let (status, _, end) = self.finish_response(id);
+        (status, end)
+    }
+
+    fn finish_response(&mut self, id: ConnectionId) -> (u16, Vec<u8>, ExchangeEnd) {
         let deadline = Instant::now() + EVENT_TIMEOUT;
         let mut body = Vec::new();
+        let mut status = 0;
         while Instant::now() < deadline {
             self.handle_ready(id);
             for event in self.events.drain(..) {
                 match event {
-                    ExchangeEvent::Head { .. } => {}
+                    ExchangeEvent::Head { status: head, .. } => status = head,
                     ExchangeEvent::Data { data, .. } => body.extend_from_slice(&data),
-                    ExchangeEvent::End { end, .. } => return (body, end),
+                    ExchangeEvent::End { end, .. } => return (status, body, end),
                 }
             }
         }
@@ -204,3 +243,93 @@
         assert_eq!(reused, is_reused);
     });
 }
+
+/// Returns a refusal that echoes an id.
+fn refusal(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+/// Returns the response to a request that ran.
+fn response(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nab")
+}
+
+/// Guards against an earlier refusal, sent once more, that answers a second attempt with
+/// the same id: only an attempt on another connection can tell it.
+#[test]
+fn refused_id_sent_on_other_connection() {
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let (first, mut endpoint) = harness.open_refused("r1");
+        let again = harness.start_request(2, "r1");
+        let reused = harness.table.reuse(&again, &mut harness.events);
+        let (second, mut runner) = match reused {
+            true => (first, endpoint.try_clone().unwrap()),
+            false => harness.open_for(&again),
+        };
+        // The endpoint writes the refusal once more, to a connection that may be closed,
+        // and runs the second attempt.
+        let _ = endpoint.write_all(refusal("r1").as_bytes());
+        runner.write_all(response("r1").as_bytes()).unwrap();
+        assert_eq!(harness.finish_head(second), (200, ExchangeEnd::Complete));
+    });
+}
+
+/// Guards against the loss of a kept connection to an id that it has carried, where
+/// another connection can take the request.
+#[test]
+fn refusing_connection_kept_for_other_ids() {
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let (first, mut refusing) = harness.open_refused("r1");
+        let (second, mut endpoint) = harness.open_refused("r2");
+        for (id, endpoint, on) in [("r2", &mut refusing, first), ("r1", &mut endpoint, second)] {
+            let start = harness.start_request(3, id);
+            assert!(harness.table.reuse(&start, &mut harness.events));
+            endpoint.write_all(response(id).as_bytes()).unwrap();
+            assert_eq!(harness.finish_head(on), (200, ExchangeEnd::Complete));
+        }
+    });
+}
+
+/// Guards against a growing number of connections where callers use one id for all
+/// requests.
+#[test]
+fn repeated_id_replaces_connection() {
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let (_, mut endpoint) = harness.open_refused("r1");
+        let again = harness.start_request(2, "r1");
+        assert!(!harness.table.reuse(&again, &mut harness.events));
+        endpoint.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        let mut rest = Vec::new();
+        endpoint.read_to_end(&mut rest).unwrap();
+        let other = harness.start_request(3, "r2");
+        assert!(!harness.table.reuse(&other, &mut harness.events));
+    });
+}
+
+/// Guards against a connection whose memory of ids grows without bound, or forgets the
+/// first ones.
+#[test]
+fn connection_ended_after_many_exchanges() {
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open_refused("r0");
+        let mut carried = 1;
+        while carried < 10_000 {
+            let name: &'static str = format!("r{carried}").leak();
+            let start = harness.start_request(1 + carried, name);
+            if !harness.table.reuse(&start, &mut harness.events) {
+                break;
+            }
+            endpoint.write_all(response(name).as_bytes()).unwrap();
+            assert_eq!(harness.finish_head(id), (200, ExchangeEnd::Complete));
+            carried += 1;
+        }
+        assert_eq!(carried, 512);
+    });
+}
