Believe "not run" only of a response that is certainly the attempt's

A refusal that names no request, written on a kept connection before the response that was awaited, made a caller see "not run, try again" (503) for a request that ran, or the request ran at a second worker. The same bytes answered orders, queries for reports, health checks and requests without an id, which have no id that their responses could echo.

Cause: a response was dropped only if it had the echoed field with another value. One without the field, or with two of which the first was the current one, was taken for the current request's, whatever the connection had carried.

Each head now says whether it is confirmed: it echoes the request's id and no other, or the connection has carried no other request. The gateway takes a refusal that isn't confirmed for one without proof: 502, or another attempt if the request may run twice. What such a response says of its endpoint (Retry-After, Server-Leaving, Server-Limit, a missing model) isn't applied, as it may be out of date.

An exchange whose response nothing tells apart has a connection of its own: one without an id (orders, reports, health checks, requests without an id), one whose endpoint doesn't echo ids, and HEAD, whose responses are framed otherwise. Endpoints that echo ids keep their connections as before; those that echo none are still believed, at a new connection for each request.

Evidence: refusal_copy_without_id_not_believed (three processes of control, a gateway, two stand-in workers) failed on the code before: 503 for a request that ran.

kept_connection_reused now sends ids, as a connection whose endpoint echoes none isn't kept; what it checks is unchanged.

Ruled out: closing the connection at each response without an id only, as the request is then already on its way; passing over such responses, as an endpoint that refuses without an id would let its callers wait for their deadline.

--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -91,6 +91,19 @@
     pub cold_left: Option<Duration>,
 }
 
+impl ResponseTerms {
+    /// Returns what holds if the response may belong to an earlier request: that it states
+    /// that the request has not run proves nothing.
+    pub fn without_proof(self) -> Self {
+        ResponseTerms {
+            not_run: false,
+            run_unconfirmed: self.run_unconfirmed || self.not_run,
+            misdirected: false,
+            ..self
+        }
+    }
+}
+
 /// Why the gateway refuses a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalReason {
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -49,10 +49,12 @@
                 status,
                 headers,
                 is_delimited,
+                is_confirmed,
             } => {
                 if let Some(request) = self.calls.request_of_exchange(exchange) {
                     let head = BufferedHead { status, headers };
-                    self.handle_head(now, request, head, is_delimited, actions);
+                    let terms = self.read_terms(now, request, &head, is_confirmed, actions);
+                    self.handle_head(request, head, terms, is_delimited);
                 }
             }
             ExchangeEvent::Data { exchange, data } => {
@@ -83,18 +85,33 @@
         }
     }
 
-    fn handle_head(
+    /// Reads what a response says, and records what it says of its endpoint. One that may
+    /// belong to an earlier request is out of date if it does.
+    fn read_terms(
         &mut self,
         now: Instant,
         request: RequestId,
-        mut head: BufferedHead,
-        is_delimited: bool,
+        head: &BufferedHead,
+        is_confirmed: bool,
         actions: &mut Actions,
-    ) {
+    ) -> ResponseTerms {
         let terms = self.codec.read_response_head(head.status, &head.headers);
+        if !is_confirmed {
+            return terms.without_proof();
+        }
         self.record_closing(now, request, terms, actions);
         self.record_limit(request, terms, actions);
         self.record_call_cold(now, request, terms, actions);
+        terms
+    }
+
+    fn handle_head(
+        &mut self,
+        request: RequestId,
+        mut head: BufferedHead,
+        terms: ResponseTerms,
+        is_delimited: bool,
+    ) {
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
--- a/crates/mulberrywell/tests/second_copies.rs
+++ b/crates/mulberrywell/tests/second_copies.rs
@@ -148,14 +148,9 @@
     }
 }
 
-/// Guards against "not run, try again" for a request that runs, and against its second run
-/// at another worker, where workers write earlier refusals once more and callers send a
-/// refused request again under its id.
-#[rstest]
-#[case::before_run(RefusalCopies::BeforeRun)]
-#[case::after_run(RefusalCopies::AfterRun)]
-#[case::with_response(RefusalCopies::WithResponse)]
-fn refusal_copy_not_believed(#[case] copies: RefusalCopies) {
+/// Starts a deployment whose gateway has sent requests to both of its workers; the first
+/// refuses requests.
+fn spawn_two_workers() -> (ServingDeployment, [FakeWorker; 2]) {
     let deployment = ServingDeployment::spawn();
     let workers = [deployment.worker.clone(), FakeWorker::spawn("w2").unwrap()];
     let heartbeat = workers[1].heartbeat("s1", "ready", 1);
@@ -166,6 +161,18 @@
         !workers[1].runs().is_empty()
     })
     .unwrap();
+    (deployment, workers)
+}
+
+/// Guards against "not run, try again" for a request that runs, and against its second run
+/// at another worker, where workers write earlier refusals once more and callers send a
+/// refused request again under its id.
+#[rstest]
+#[case::before_run(RefusalCopies::BeforeRun)]
+#[case::after_run(RefusalCopies::AfterRun)]
+#[case::with_response(RefusalCopies::WithResponse)]
+fn refusal_copy_not_believed(#[case] copies: RefusalCopies) {
+    let (deployment, workers) = spawn_two_workers();
     let caller = FakeCaller::new(deployment.callers, Duration::from_secs(5));
     let status = |id: &str| caller.call(&once_request(id)).unwrap().status;
     let set_shedding = |is_shedding| {
@@ -188,3 +195,25 @@
     let copies: u64 = workers.iter().map(|worker| worker.copies()).sum();
     assert!(copies >= 10, "{copies} copies");
 }
+
+/// Guards against "not run, try again" for a request that runs, and against its second run
+/// at another worker, where nothing tells whose refusal it is.
+#[test]
+fn refusal_copy_without_id_not_believed() {
+    let (deployment, workers) = spawn_two_workers();
+    let caller = FakeCaller::new(deployment.callers, Duration::from_secs(5));
+    let status = |id: &str| caller.call(&once_request(id)).unwrap().status;
+    for worker in &workers {
+        worker.set_shedding(true);
+        worker.set_refusal_copies(RefusalCopies::WithoutIds);
+    }
+    assert_eq!(status("a"), 503);
+    for worker in &workers {
+        worker.set_shedding(false);
+    }
+    assert_eq!(status("b"), 502, "it may have run");
+    let runs = workers.iter().flat_map(|worker| worker.runs());
+    assert_eq!(runs.filter(|run| run.id == "b").count(), 1);
+    let copies: u64 = workers.iter().map(|worker| worker.copies()).sum();
+    assert!(copies >= 1);
+}
--- a/crates/role/src/endpoint_exchange.rs
+++ b/crates/role/src/endpoint_exchange.rs
@@ -24,7 +24,8 @@
         /// The request.
         http: HttpRequest,
         /// A request field that the endpoint echoes: a response that contains it
-        /// with another value belongs to an earlier request and is dropped.
+        /// with another value belongs to an earlier request and is dropped. Without
+        /// one, or with an empty value, the exchange has a connection of its own.
         echoed_field: Option<HeaderField>,
         /// Timeout for establishing a new connection.
         connect_timeout: Duration,
@@ -66,6 +67,10 @@
         /// The body has a length or chunks. Otherwise it ends with the connection,
         /// which doesn't show whether the body is complete.
         is_delimited: bool,
+        /// The response certainly answers this exchange's request: it echoes the
+        /// request's field, or the connection has carried no other request. Any other
+        /// response may belong to an earlier request.
+        is_confirmed: bool,
     },
     /// A part of the body was received.
     Data {
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -4,11 +4,12 @@
 //! role, all on the process's poll and without a thread for each exchange.
 //!
 //! Guarantees: a connection carries one exchange at a time; it is reused only
-//! when the request was written completely, the response is complete and no
-//! bytes followed it; bytes received between exchanges close it; a cancelled
+//! when the request was written completely, the response is complete and echoes the
+//! request's id, and no bytes followed it; bytes received between exchanges close it; a cancelled
 //! exchange closes its connection; an interrupted response is never reported as
 //! complete; no value of the echoed field is sent twice on one connection, so that it
-//! tells a response from late copies of all earlier ones.
+//! tells a response from late copies of all earlier ones; an exchange without such a
+//! value has a connection of its own.
 //!
 //! Algorithm: the most recently used connection is reused first, so that
 //! surplus ones reach their idle timeout. A connection is closed before the
@@ -87,6 +88,17 @@
     idle_timeout: Duration,
 }
 
+/// What a response says of the request that it answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResponseOwner {
+    /// It echoes the id of the current request.
+    Current,
+    /// It echoes another id.
+    Other,
+    /// It echoes no id, or the current one and another.
+    Unnamed,
+}
+
 /// All connections to endpoints.
 #[derive(Default)]
 pub struct ExchangeTable {
@@ -118,7 +130,8 @@
     /// Starts an exchange on an idle connection; false when there is none on which the
     /// response can be told from copies of earlier ones.
     pub fn reuse(&mut self, start: &ExchangeStart, events: &mut Vec<ExchangeEvent>) -> bool {
-        let Some(id) = self.pop_idle(start) else {
+        let sent_id = request_hash(start);
+        let Some(id) = sent_id.and_then(|sent_id| self.pop_idle(start.address, sent_id)) else {
             return false;
         };
         let Some(connection) = self.connections.get_mut(&id) else {
@@ -318,9 +331,9 @@
             {
                 Ok(None) => return,
                 Ok(Some(ResponseInput::Head(head))) => {
-                    connection.handle_head(&head);
+                    let is_confirmed = connection.handle_head(&head);
                     if !connection.skipping {
-                        events.push(head_event(exchange, head));
+                        events.push(head_event(exchange, head, is_confirmed));
                     }
                 }
                 Ok(Some(ResponseInput::Data(data))) => {
@@ -405,9 +418,8 @@
     /// Removes and returns the most recently used idle connection of an endpoint that
     /// has not carried the exchange's id; closes those on which bytes or an end have
     /// arrived.
-    fn pop_idle(&mut self, start: &ExchangeStart) -> Option<ConnectionId> {
-        let idle_ids = self.idle_connections.get_mut(&start.address)?;
-        let sent_id = start.echoed_field.as_ref().map(id_hash);
+    fn pop_idle(&mut self, address: SocketAddr, sent_id: u64) -> Option<ConnectionId> {
+        let idle_ids = self.idle_connections.get_mut(&address)?;
         for place in (0..idle_ids.len()).rev() {
             let id = idle_ids[place];
             let connection = self.connections.get(&id);
@@ -416,7 +428,7 @@
                 self.connections.remove(&id);
                 continue;
             };
-            if sent_id.is_none_or(|sent_id| !connection.sent_ids.contains(&sent_id)) {
+            if !connection.sent_ids.contains(&sent_id) {
                 idle_ids.remove(place);
                 return Some(id);
             }
@@ -441,8 +453,9 @@
         let http = &start.http;
         self.state = ConnectionState::Busy(start.exchange);
         self.echoed_field = start.echoed_field.clone();
-        self.sent_ids
-            .extend(self.echoed_field.as_ref().map(id_hash));
+        let sent_id = request_hash(start);
+        self.sent_ids.extend(sent_id);
+        self.close_after = sent_id.is_none();
         self.is_head_request = http.method == "HEAD";
         self.skipping = false;
         self.idle_timeout = IDLE_DEFAULT;
@@ -451,31 +464,59 @@
         write_request(&http.method, &http.path, &http.headers, &http.body, output);
     }
 
-    fn handle_head(&mut self, head: &ResponseHead) {
-        self.close_after = head.closes_connection;
-        self.skipping = self.echoed_field.as_ref().is_some_and(|echoed| {
-            let name = std::str::from_utf8(&echoed.name).unwrap_or_default();
-            header_value(&head.headers, name).is_some_and(|value| *value != echoed.value)
-        });
+    /// Handles a head; returns whether it certainly belongs to the current exchange.
+    fn handle_head(&mut self, head: &ResponseHead) -> bool {
+        let owner = self.owner_of(&head.headers);
+        self.skipping = owner == ResponseOwner::Other;
+        self.close_after |= head.closes_connection;
+        if self.skipping {
+            return false;
+        }
+        // The endpoint may not echo ids, so that a copy of this response could not be told
+        // from a later one.
+        self.close_after |= owner == ResponseOwner::Unnamed;
         if let Some(idle_timeout) = keep_alive_timeout(&head.headers) {
             self.idle_timeout = idle_timeout;
         }
+        owner == ResponseOwner::Current || self.sent_ids.len() <= 1
+    }
+
+    fn owner_of(&self, headers: &[HeaderField]) -> ResponseOwner {
+        let echoed = self.echoed_field.as_ref();
+        let Some(echoed) = echoed.filter(|echoed| !echoed.value.is_empty()) else {
+            return ResponseOwner::Unnamed;
+        };
+        let fields = headers
+            .iter()
+            .filter(|field| field.name.eq_ignore_ascii_case(&echoed.name));
+        let own = fields.clone().filter(|field| field.value == echoed.value);
+        match (own.count(), fields.count()) {
+            (0, 0) => ResponseOwner::Unnamed,
+            (0, _) => ResponseOwner::Other,
+            (own, all) if own == all => ResponseOwner::Current,
+            _ => ResponseOwner::Unnamed,
+        }
     }
 }
 
-/// Returns the hash under which the id of a request is remembered.
-fn id_hash(echoed: &HeaderField) -> u64 {
+/// Returns the hash under which the id of a request is remembered; none if its response
+/// can't be told from others on its connection. The length of a response to HEAD is that
+/// of no body, so that one that belongs to another request would be read wrongly.
+fn request_hash(start: &ExchangeStart) -> Option<u64> {
+    let echoed = start.echoed_field.as_ref();
+    let echoed = echoed.filter(|it| !it.value.is_empty() && start.http.method != "HEAD")?;
     let mut hasher = DefaultHasher::new();
     echoed.value.hash(&mut hasher);
-    hasher.finish()
+    Some(hasher.finish())
 }
 
-fn head_event(exchange: ExchangeId, head: ResponseHead) -> ExchangeEvent {
+fn head_event(exchange: ExchangeId, head: ResponseHead, is_confirmed: bool) -> ExchangeEvent {
     ExchangeEvent::Head {
         exchange,
         status: head.status,
         headers: head.headers,
         is_delimited: head.framing != BodyFraming::UntilClose,
+        is_confirmed,
     }
 }
 
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -32,8 +32,6 @@
 
 const READ_LEN: usize = 64 * 1024;
 
-const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
-
 type TestBody = Box<dyn FnOnce(&MioPoll) + Send>;
 
 /// Runs a test on the thread of the process's only [`Stakker`].
@@ -69,6 +67,8 @@
     listener: TcpListener,
     /// Events so far.
     events: Vec<ExchangeEvent>,
+    /// Whether the response of the exchange that ended last certainly was its own.
+    is_confirmed: bool,
 }
 
 impl<'a> TableHarness<'a> {
@@ -81,6 +81,7 @@
             table: ExchangeTable::default(),
             listener,
             events: Vec::new(),
+            is_confirmed: false,
         }
     }
 
@@ -167,7 +168,14 @@
             self.handle_ready(id);
             for event in self.events.drain(..) {
                 match event {
-                    ExchangeEvent::Head { status: head, .. } => status = head,
+                    ExchangeEvent::Head {
+                        status: head,
+                        is_confirmed,
+                        ..
+                    } => {
+                        status = head;
+                        self.is_confirmed = is_confirmed;
+                    }
                     ExchangeEvent::Data { data, .. } => body.extend_from_slice(&data),
                     ExchangeEvent::End { end, .. } => return (status, body, end),
                 }
@@ -229,16 +237,18 @@
 fn kept_connection_reused(#[case] idle_event: IdleEvent, #[case] is_reused: bool) {
     run_with_poll(move |poll| {
         let mut harness = TableHarness::new(poll);
-        let (id, mut endpoint) = harness.open(1, 0);
-        endpoint.write_all(RESPONSE).unwrap();
+        let start = harness.start_request(1, "r1");
+        let (id, mut endpoint) = harness.open_for(&start);
+        let response = response("r1").into_bytes();
+        endpoint.write_all(&response).unwrap();
         assert_eq!(harness.finish(id), (b"ab".to_vec(), ExchangeEnd::Complete));
         match idle_event {
             IdleEvent::Nothing => {}
-            IdleEvent::ExtraResponse => endpoint.write_all(RESPONSE).unwrap(),
+            IdleEvent::ExtraResponse => endpoint.write_all(&response).unwrap(),
             IdleEvent::Close => endpoint.shutdown(Shutdown::Write).unwrap(),
         }
         thread::sleep(ARRIVAL_DELAY);
-        let start = harness.start(2, 0);
+        let start = harness.start_request(2, "r2");
         let reused = harness.table.reuse(&start, &mut harness.events);
         assert_eq!(reused, is_reused);
     });
@@ -333,3 +343,64 @@
         assert_eq!(carried, 512);
     });
 }
+
+/// Guards against a refusal that counts as the current request's although nothing in it
+/// says so.
+#[rstest]
+#[case::same_id("Request-Id: r2\r\n", true)]
+#[case::other_case_of_name("request-ID: r2\r\n", true)]
+#[case::same_id_twice("Request-Id: r2\r\nRequest-Id: r2\r\n", true)]
+#[case::no_id("", false)]
+#[case::other_id_first("Request-Id: r1\r\nRequest-Id: r2\r\n", false)]
+#[case::other_id_last("Request-Id: r2\r\nRequest-Id: r1\r\n", false)]
+fn refusal_on_kept_connection_confirmed(#[case] fields: &str, #[case] is_confirmed: bool) {
+    let fields = fields.to_owned();
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open_refused("r1");
+        let start = harness.start_request(2, "r2");
+        assert!(harness.table.reuse(&start, &mut harness.events));
+        let refusal = refusal("r2").replace("Request-Id: r2\r\n", &fields);
+        endpoint.write_all(refusal.as_bytes()).unwrap();
+        assert_eq!(harness.finish_head(id), (503, ExchangeEnd::Complete));
+        assert_eq!(harness.is_confirmed, is_confirmed);
+        let next = harness.start_request(3, "r3");
+        let is_kept = harness.table.reuse(&next, &mut harness.events);
+        assert_eq!(is_kept, is_confirmed);
+    });
+}
+
+/// Guards against the response to one request without an echoed id that answers the next
+/// one: an order, a query, a health check, a request without an id, one whose endpoint
+/// echoes none, and HEAD, whose responses are framed otherwise.
+#[rstest]
+#[case::no_id(None, "GET")]
+#[case::empty_id(Some(""), "GET")]
+#[case::head(Some("r1"), "HEAD")]
+#[case::id_not_echoed(Some("r1"), "GET")]
+fn exchange_without_echo_alone_on_connection(
+    #[case] id: Option<&'static str>,
+    #[case] method: &'static str,
+) {
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (_, _kept) = harness.open_refused("r0");
+        let mut start = harness.start_request(2, id.unwrap_or_default());
+        start.http.method = Bytes::from_static(method.as_bytes());
+        if id.is_none() {
+            start.echoed_field = None;
+        }
+        let is_echoed = method == "HEAD";
+        if id != Some("r1") || is_echoed {
+            assert!(!harness.table.reuse(&start, &mut harness.events));
+        }
+        let (own, mut endpoint) = harness.open_for(&start);
+        let echo = if is_echoed { "Request-Id: r1\r\n" } else { "" };
+        let text = format!("HTTP/1.1 503 Full\r\n{echo}Content-Length: 0\r\n\r\n");
+        endpoint.write_all(text.as_bytes()).unwrap();
+        assert_eq!(harness.finish_head(own), (503, ExchangeEnd::Complete));
+        assert!(harness.is_confirmed, "no other request was sent there");
+        endpoint.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        endpoint.read_to_end(&mut Vec::new()).unwrap();
+    });
+}
