Take nothing that an endpoint sends before the request for its response

An endpoint that wrote a refusal on a new connection before it had received a byte had that refusal taken for the response to the request, which was written behind it and could run.

Cause: a connection that became ready was read before the request was written, and what had come was parsed after the write.

An exchange of which no byte was written ends as not sent when bytes or an end have come; the request then goes to another endpoint. On a kept connection the same was done already, when it is chosen.

Evidence: bytes_before_request_end_connection failed on the code before (503 instead of no response).

slow_readers: the test's endpoint sent its response before the request was written; the request is now written first. What the test checks is unchanged.

--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -218,6 +218,12 @@
                 return;
             }
         }
+        // What the endpoint sends before the request belongs to none.
+        if connection.awaits_writing() && connection.socket.has_unread() {
+            let reason = "the endpoint sent bytes before the request, or closed";
+            self.fail_exchange(id, reason, events);
+            return;
+        }
         let read_state = connection.socket.transfer(scratch);
         if read_state == ReadState::Unread {
             self.unread.insert(id);
@@ -464,6 +470,11 @@
         write_request(&http.method, &http.path, &http.headers, &http.body, output);
     }
 
+    /// Returns whether no byte of the current request was written yet.
+    fn awaits_writing(&self) -> bool {
+        matches!(self.state, ConnectionState::Busy(_)) && !self.socket.has_sent
+    }
+
     /// Handles a head; returns whether it certainly belongs to the current exchange.
     fn handle_head(&mut self, head: &ResponseHead) -> bool {
         let owner = self.owner_of(&head.headers);
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -404,3 +404,159 @@
         endpoint.read_to_end(&mut Vec::new()).unwrap();
     });
 }
+
+/// How an endpoint writes an earlier refusal once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopyForm {
+    /// As it was.
+    Plain,
+    /// With a body in chunks.
+    Chunked,
+    /// Behind an interim head.
+    Interim,
+    /// With the shortest idle timeout.
+    ShortIdle,
+    /// With the announcement that the connection closes.
+    Closing,
+    /// With a body that ends with the connection.
+    UntilClose,
+}
+
+impl CopyForm {
+    fn text(self) -> String {
+        let plain = refusal("r1");
+        let with = |field: &str| plain.replace("Content-Length: 0", field);
+        match self {
+            CopyForm::Plain => plain,
+            CopyForm::Chunked => with("Transfer-Encoding: chunked") + "2\r\nno\r\n0\r\n\r\n",
+            CopyForm::Interim => format!("HTTP/1.1 100 Continue\r\n\r\n{plain}"),
+            CopyForm::ShortIdle => with("Content-Length: 0\r\nKeep-Alive: timeout=0"),
+            CopyForm::Closing => with("Content-Length: 0\r\nConnection: close"),
+            CopyForm::UntilClose => with("X-Own: 1"),
+        }
+    }
+}
+
+/// How the bytes of a copy and of the response behind it arrive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopyArrival {
+    Together,
+    /// The copy in two parts, the response after it.
+    Split,
+    /// The response in two parts, the first with the copy.
+    SplitResponse,
+}
+
+/// Guards against an earlier refusal that is taken for the current response, or that
+/// changes what becomes of its connection.
+#[rstest]
+fn late_copy_skipped(
+    #[values(
+        CopyForm::Plain,
+        CopyForm::Chunked,
+        CopyForm::Interim,
+        CopyForm::ShortIdle,
+        CopyForm::Closing
+    )]
+    form: CopyForm,
+    #[values(CopyArrival::Together, CopyArrival::Split, CopyArrival::SplitResponse)]
+    arrival: CopyArrival,
+) {
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open_refused("r1");
+        let start = harness.start_request(2, "r2");
+        assert!(harness.table.reuse(&start, &mut harness.events));
+        let copy_len = form.text().len();
+        let bytes = form.text() + &response("r2");
+        let first_len = match arrival {
+            CopyArrival::Together => bytes.len(),
+            CopyArrival::Split => copy_len - 20,
+            CopyArrival::SplitResponse => copy_len + 20,
+        };
+        for part in [&bytes[..first_len], &bytes[first_len..]] {
+            endpoint.write_all(part.as_bytes()).unwrap();
+            if first_len < bytes.len() {
+                thread::sleep(ARRIVAL_DELAY);
+                harness.handle_ready(id);
+            }
+        }
+        let (status, body, end) = harness.finish_response(id);
+        assert_eq!((status, body.as_slice()), (200, &b"ab"[..]));
+        assert_eq!(end, ExchangeEnd::Complete);
+        assert!(harness.is_confirmed);
+        let next = harness.start_request(3, "r3");
+        let is_kept = harness.table.reuse(&next, &mut harness.events);
+        assert_eq!(is_kept, form != CopyForm::Closing);
+    });
+}
+
+/// Guards against an earlier refusal that ends the current exchange as complete when the
+/// connection ends behind it.
+#[rstest]
+fn late_copy_without_response_broken(
+    #[values(CopyForm::Plain, CopyForm::Closing, CopyForm::UntilClose)] form: CopyForm,
+) {
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open_refused("r1");
+        let start = harness.start_request(2, "r2");
+        assert!(harness.table.reuse(&start, &mut harness.events));
+        endpoint.write_all(form.text().as_bytes()).unwrap();
+        thread::sleep(ARRIVAL_DELAY);
+        harness.handle_ready(id);
+        assert!(harness.events.is_empty(), "the exchange goes on");
+        endpoint.shutdown(Shutdown::Write).unwrap();
+        let (status, end) = harness.finish_head(id);
+        assert_eq!(status, 0);
+        assert!(matches!(end, ExchangeEnd::Broken(_)), "{end:?}");
+    });
+}
+
+/// Guards against an earlier refusal that ends an exchange whose body is being sent, and
+/// against the reuse of its connection after its own refusal.
+#[test]
+fn late_copy_amid_body_skipped() {
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open_refused("r1");
+        let mut start = harness.start_request(2, "r2");
+        start.http.body = Bytes::from(vec![b'x'; LONG_BODY_LEN]);
+        assert!(harness.table.reuse(&start, &mut harness.events));
+        endpoint.write_all(refusal("r1").as_bytes()).unwrap();
+        thread::sleep(ARRIVAL_DELAY);
+        harness.handle_ready(id);
+        assert!(harness.events.is_empty(), "the exchange goes on");
+        endpoint.write_all(refusal("r2").as_bytes()).unwrap();
+        assert_eq!(harness.finish_head(id), (503, ExchangeEnd::Complete));
+        assert!(harness.is_confirmed);
+        let next = harness.start_request(3, "r3");
+        assert!(!harness.table.reuse(&next, &mut harness.events));
+    });
+}
+
+/// Guards against a refusal that is believed although it was written before the request,
+/// which then reaches the endpoint.
+#[test]
+fn bytes_before_request_end_connection() {
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let start = harness.start_request(1, "r1");
+        let id = harness.table.next_connection_id();
+        let ready = Fwd::new(|_| {});
+        harness
+            .table
+            .open(poll, Instant::now(), id, &start, ready)
+            .unwrap();
+        let (mut endpoint, _) = harness.listener.accept().unwrap();
+        endpoint.write_all(refusal("r1").as_bytes()).unwrap();
+        thread::sleep(ARRIVAL_DELAY);
+        let (status, end) = harness.finish_head(id);
+        assert_eq!(status, 0);
+        assert!(matches!(end, ExchangeEnd::NotSent(_)), "{end:?}");
+        let mut received = Vec::new();
+        // The connection is reset, as it was closed with unread bytes.
+        let _ = endpoint.read_to_end(&mut received);
+        assert_eq!(received, b"");
+    });
+}
--- a/crates/runtime/tests/slow_readers.rs
+++ b/crates/runtime/tests/slow_readers.rs
@@ -156,6 +156,8 @@
             .unwrap();
         let (endpoint, _) = self.endpoint_listener.accept().unwrap();
         endpoint.set_nonblocking(true).unwrap();
+        // The endpoint responds once the request is written.
+        self.driver.read_endpoint(self.now, id);
         self.endpoints.push((endpoint, 0));
         self.endpoint_ids.push(id);
     }
