Give each call of an agent to its endpoint a connection of its own

An endpoint that sent a response once more, late, on a kept connection made a caller get the response to an earlier request, of another caller too, as its own. Orders to engines and queries of their state use the same connections.

Cause: the agent's HTTP client kept connections, and the responses of endpoints name no request that they could be compared with.

The client keeps no connection any more. An agent's endpoint is on the same machine, and the agent's slots bound the calls, so that connections to it are neither scarce nor slow to make.

Evidence: second_copy_of_service_not_delivered (control, an entry and an agent as processes, an endpoint that writes the response before once more in front of each) failed on the code before: "order 0" for "order 1".

Ruled out: the client's own check of idle connections, which finds only what came before the next request; the request id that agents send, as the interface of endpoints has no echo of it.

--- a/crates/mulberrywell/tests/second_copies.rs
+++ b/crates/mulberrywell/tests/second_copies.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use common::serving_deployment::{call, ServingDeployment, KEY};
+use common::{binaries, GRANTS, PLANS};
 use mulberrywell_platform_testkit::{FakeCaller, FakeRequest, FakeWorker, RefusalCopies};
-use mulberrywell_testkit::wait_until;
+use mulberrywell_testkit::{wait_until, AgentPlan, ClusterPlan, HttpCaller, ProcessCluster};
 use rstest::rstest;
 
 /// When the second copy of a response is sent.
@@ -75,6 +76,16 @@
 
 /// Reads a request; returns its id.
 fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let (head, _) = read_head_and_body(stream)?;
+    field(&head, "Request-Id")
+}
+
+/// Reads a request; returns its body.
+fn read_body(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    read_head_and_body(stream).map(|(_, body)| body)
+}
+
+fn read_head_and_body(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let mut buf = Vec::new();
     let mut byte = [0];
     while !buf.ends_with(b"\r\n\r\n") {
@@ -84,15 +95,16 @@
         buf.push(byte[0]);
     }
     let head = String::from_utf8(buf).ok()?;
-    let field = |name: &str| {
-        let mut fields = head.lines().filter_map(|line| line.split_once(':'));
-        let (_, value) = fields.find(|(known, _)| known.eq_ignore_ascii_case(name))?;
-        Some(value.trim().to_owned())
-    };
-    let len: usize = field("Content-Length").map_or(0, |len| len.parse().unwrap());
+    let len: usize = field(&head, "Content-Length").map_or(0, |len| len.parse().unwrap());
     let mut body = vec![0; len];
     stream.read_exact(&mut body).ok()?;
-    field("Request-Id")
+    Some((head, body))
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    let mut fields = head.lines().filter_map(|line| line.split_once(':'));
+    let (_, value) = fields.find(|(known, _)| known.eq_ignore_ascii_case(name))?;
+    Some(value.trim().to_owned())
 }
 
 /// No caller gets the response to another request, and an endpoint that sends
@@ -217,3 +229,54 @@
     let copies: u64 = workers.iter().map(|worker| worker.copies()).sum();
     assert!(copies >= 1);
 }
+
+/// Serves a connection of an agent: the body of each request is returned, behind a copy of
+/// the response before.
+fn serve_agent(mut stream: TcpStream) {
+    let mut before = Vec::new();
+    while let Some(request) = read_body(&mut stream) {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+            request.len()
+        );
+        let response = [head.as_bytes(), &request].concat();
+        if stream
+            .write_all(&[&before[..], &response].concat())
+            .is_err()
+        {
+            return;
+        }
+        before = response;
+    }
+}
+
+/// Guards against the response to an earlier request of an agent's endpoint, sent once
+/// more, that reaches another caller: the endpoint's responses name no request.
+#[test]
+fn second_copy_of_service_not_delivered() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve_agent(stream));
+        }
+    });
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        agents: vec![AgentPlan::service("payments", address)],
+        ..ClusterPlan::default()
+    };
+    let cluster = ProcessCluster::spawn(&binaries(), &plan).unwrap();
+    cluster.apply(PLANS, GRANTS).unwrap();
+    cluster.wait_ready(1).unwrap();
+    let key = cluster.create_key("medellin", "m1").unwrap();
+    let caller = HttpCaller::new(cluster.callers[0], Some(&key));
+    for number in 0..20 {
+        let body = format!("order {number}");
+        let response = caller
+            .call("POST", "/services/payments/orders", &[], &body)
+            .unwrap();
+        assert_eq!((response.status, response.body), (200, body));
+    }
+}
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -1,7 +1,9 @@
 //! HTTP client for the endpoint of an agent, on the same machine.
 //!
 //! Each forwarded request runs on its own thread, because the HTTP client
-//! blocks; the agent's slots limit their number. The engine's interface is:
+//! blocks; the agent's slots limit their number. Each call has a connection of its own,
+//! as responses name no request: a late copy of an earlier one could not be told from
+//! the response that is awaited. The engine's interface is:
 //!
 //! * inference: the caller's method, path and body, with `X-Request-Id`,
 //!   `X-Priority`, `X-Deadline-Ms` and `X-Resume-Events`;
@@ -81,14 +83,13 @@
         address: SocketAddr,
         is_engine: bool,
         incarnation: u64,
-        slots: usize,
         events: EventSender<AgentEvent>,
     ) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(CALL_TIMEOUT))
-            .max_idle_connections(slots)
-            .max_idle_connections_per_host(slots)
+            .max_idle_connections(0)
+            .max_idle_connections_per_host(0)
             .max_redirects(0)
             .build();
         let connector = DefaultConnector::default().chain(ResetConnector);
--- a/crates/runtime/src/process/agent_process.rs
+++ b/crates/runtime/src/process/agent_process.rs
@@ -63,7 +63,6 @@
                     endpoint.address,
                     endpoint.kind == EndpointKind::Engine,
                     incarnation,
-                    endpoint.slots as usize,
                     events,
                 ),
             }),
