Bound what an endpoint says of itself, and divide updates into frames

Seen: a call to control may have 8 MiB, and all of it could be one name. Three heartbeats with such a zone, service or version made an update of more than the 20 MiB of a frame: a debug build ends at the assertion in `encode_frame`; otherwise the receiver closes the link, and again each time that it is told all endpoints anew. The versions of a service are put into the replicated log in one command as well, which then can be sent to no member and is still in the log after a restart. Cause: nothing bounded a status where it is decoded, and all statuses were sent in one frame however many there are. The text of a wrong value was logged and returned whole. Ruled out: nesting of 100,000 levels in known and unknown fields, numbers too large or negative, NaN, ports out of range, scoped addresses, line ends in names, unknown services and states: with each of these the sound endpoints serve all requests, also after the gateway was told all anew and after the control instances were restarted. Fix: `verify_status` refuses ids and names of more than 256 bytes and statuses of more than 64 KiB where a heartbeat is decoded, where another instance tells of it, and where an engine's report changes its models. Updates are divided into frames of at most 4 MiB of statuses, so that their number doesn't matter either.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -56,6 +56,7 @@
 mod stream_registry;
 mod subscriber_table;
 mod update_builder;
+mod update_frames;
 
 pub use audit_trail::{AuditEntry, AuditTrail};
 pub use change_history::{ChangeHistory, ItemRef};
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -13,16 +13,18 @@
 use bytes::Bytes;
 use mulberrywell_policy::PlacementChange;
 use mulberrywell_role::{LinkCommand, LinkId};
-use mulberrywell_serving::{ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome};
+use mulberrywell_serving::{
+    verify_status, ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome,
+};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, LimitedEndpoint,
     ServingAttach, ServingUpdate,
 };
-use mulberrywell_wire::FrameBody;
 
 use crate::cluster_state::ClusterState;
 use crate::evacuation_view::{EvacuationView, ListPosition};
 use crate::order_dispatcher::apply_change;
+use crate::update_frames::push_update;
 
 /// Time without heartbeats after which an endpoint is marked silent: three
 /// heartbeats of the platform's usual 1.2 s plus a margin for late ones.
@@ -96,7 +98,8 @@
         }
     }
 
-    /// Records the models and adapters that an endpoint has loaded.
+    /// Records the models and adapters that an endpoint has loaded, unless their names
+    /// exceed what a status may hold.
     pub fn record_models(
         &mut self,
         endpoint: &EndpointId,
@@ -114,11 +117,16 @@
             }
         });
         let held: Vec<HeldModel> = held.collect();
-        if status.models != held {
-            status.models = held;
-            self.changed.insert(endpoint.clone());
-            self.own_changed.insert(endpoint.clone());
+        if status.models == held {
+            return;
+        }
+        let former = std::mem::replace(&mut status.models, held);
+        if verify_status(status).is_err() {
+            status.models = former;
+            return;
         }
+        self.changed.insert(endpoint.clone());
+        self.own_changed.insert(endpoint.clone());
     }
 
     /// Records that an endpoint announced in a response that it is leaving.
@@ -216,7 +224,9 @@
 
     /// Applies the endpoint statuses sent by another control instance.
     pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate) {
-        for mut status in update.endpoints {
+        // Instances of an earlier version may tell of endpoints that this one refuses.
+        let statuses = update.endpoints.into_iter();
+        for mut status in statuses.filter(|status| verify_status(status).is_ok()) {
             let id = status.id.clone();
             self.record_cold_of_peer(now, &mut status);
             let is_routed = self.changes_routing(&status);
@@ -281,7 +291,7 @@
                     endpoints,
                     ..ServingUpdate::default()
                 };
-                commands.push(update_command(*link, update));
+                push_update(*link, update, commands);
             }
         }
     }
@@ -343,7 +353,7 @@
                 controls_version: state.applied,
                 controls_cluster: state.cluster,
             };
-            commands.push(update_command(*link, update));
+            push_update(*link, update, commands);
         }
     }
 
@@ -367,8 +377,3 @@
         ..status.clone()
     }
 }
-
-fn update_command(link: LinkId, update: ServingUpdate) -> LinkCommand {
-    let body = FrameBody::ServingUpdate(update);
-    LinkCommand::Send { link, body }
-}
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -19,7 +19,7 @@
 };
 use mulberrywell_settings::{ControlSettings, ServeSettings};
 use mulberrywell_wire::request::HeaderField;
-use mulberrywell_wire::{may_send, FrameBody, PeerIdentity, PeerRole};
+use mulberrywell_wire::{encode_frame, may_send, FrameBody, PeerIdentity, PeerRole};
 
 const STEP: Duration = Duration::from_millis(10);
 const LIMIT: Duration = Duration::from_secs(20);
@@ -95,7 +95,7 @@
     /// Creates a cluster in which only the first of `count` roles runs; it
     /// reaches none of the others.
     pub fn unlinked(count: usize) -> Self {
-        let mut cluster = Self::opened(count);
+        let mut cluster = Self::opened_with(count, &[]);
         for idx in 1..count {
             cluster.freeze(idx);
         }
@@ -118,10 +118,6 @@
         Self::opened_with(count, &[entry])
     }
 
-    fn opened(count: usize) -> Self {
-        Self::opened_with(count, &[])
-    }
-
     fn opened_with(count: usize, entries: &[LogEntry]) -> Self {
         let now = Instant::now();
         let roles = (0..count).map(|idx| open_role(idx, count, entries, now));
@@ -150,7 +146,7 @@
 
     /// Creates roles and runs them until all are voters.
     pub fn formed(count: usize) -> Self {
-        let mut cluster = Self::opened(count);
+        let mut cluster = Self::opened_with(count, &[]);
         let now = cluster.now;
         let voters = |answer: &Answer| answer.body.matches("\"role\":\"voter\"").count();
         loop {
@@ -170,7 +166,7 @@
     /// Creates roles of which all may found a cluster and dial `seeds`, and runs them
     /// for 6 s. The `true` ones have no disk.
     pub fn founded(observers: &[bool], seeds: &[usize]) -> Self {
-        let mut cluster = Self::opened(observers.len());
+        let mut cluster = Self::opened_with(observers.len(), &[]);
         let seeds: Vec<SocketAddr> = seeds.iter().map(|idx| address_of(*idx)).collect();
         for (idx, is_observer) in observers.iter().enumerate() {
             let mut settings = control_settings(true);
@@ -241,9 +237,8 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        let running = (0..self.roles.len()).filter(|idx| !self.frozen.contains(idx));
-        let mut leaders = running.filter(|idx| self.roles[*idx].is_leader());
-        leaders.next()
+        let mut running = (0..self.roles.len()).filter(|idx| !self.frozen.contains(idx));
+        running.find(|idx| self.roles[*idx].is_leader())
     }
 
     /// Suspends a role; its links stay open and its events are queued.
@@ -482,6 +477,10 @@
             LinkCommand::Send { link, body } => {
                 let near = LinkEnd { idx, link };
                 assert!(may_send(PeerRole::Control, &body), "{body:?}");
+                if matches!(body, FrameBody::ServingUpdate(_) | FrameBody::Consensus(_)) {
+                    // Fails if the frame is too long.
+                    encode_frame(&body.clone().into(), &mut Vec::new());
+                }
                 if let Some(frames) = self.frames.get_mut(&near) {
                     frames.push(body);
                 } else if let Some(far) = self.links.get(&near).copied() {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod origin_table;
 mod route_urgency;
 mod serving_index;
+mod status_verifier;
 
 pub use cold_endpoints::{ColdChange, ColdEndpoints, COLD_REPORT_MAX};
 pub use config_verifier::verify_config;
@@ -24,3 +25,4 @@
 pub use endpoint_registry::{EndpointId, EndpointRegistry, MergeOutcome};
 pub use origin_table::{OriginTable, ServiceVersion, StreamKey, ORIGINS_MAX};
 pub use serving_index::{KeyOwner, RouteMatch, ServingIndex};
+pub use status_verifier::{verify_status, StatusFault};
