--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -72,7 +72,10 @@
             FrameBody::ReportBatch(batch) => self.handle_report_batch(now, batch),
             FrameBody::MemberStatus(status) => self.status.insert(status),
             FrameBody::OrderBatch(batch) => self.send_local_orders(batch, actions),
-            FrameBody::ServingUpdate(update) => self.serving.apply_peer_update(now, update),
+            FrameBody::ServingUpdate(update) => {
+                let latest_start = self.latest_start();
+                self.serving.apply_peer_update(now, update, latest_start);
+            }
             FrameBody::ServingForward(call) => self.handle_serving_forward(link, call, actions),
             FrameBody::ServingReply(reply) => self.handle_serving_reply(reply, actions),
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -24,6 +24,10 @@
 use crate::proposal_table::{CallOrigin, ProposalWaiter};
 use crate::relay_table::RelayRequester;
 
+/// Time by which an endpoint's clock may be ahead of this instance's, in milliseconds. A
+/// day, as a clock that shows local time as UTC is up to 14 hours ahead.
+const CLOCK_LEAD_MAX_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// A decoded and verified call.
 #[derive(Debug, Clone)]
 pub enum ServingCall {
@@ -100,6 +104,14 @@
             ServingCall::Heartbeat(_) | ServingCall::Leave { .. } if self.is_isolated() => {
                 reply(request, ServingAnswer::Unavailable, actions);
             }
+            ServingCall::Heartbeat(EndpointStatus { born_ms, .. })
+            | ServingCall::Leave { born_ms, .. }
+                if born_ms > self.latest_start() =>
+            {
+                let text = format!("endpoint born={born_ms} outcome=refused cause=late_start");
+                actions.push(RoleAction::Log(LogLevel::Warn, text));
+                reply(request, ServingAnswer::Refused, actions);
+            }
             ServingCall::Heartbeat(status) => {
                 self.handle_heartbeat(now, status, actions);
                 reply(request, ServingAnswer::Accepted, actions);
@@ -111,6 +123,16 @@
         }
     }
 
+    /// Returns the latest start, in milliseconds since the Unix epoch, that an endpoint
+    /// may state. The record of a later one would outlast all statuses of the endpoint.
+    pub(crate) fn latest_start(&self) -> u64 {
+        match self.clock_ms {
+            // The clock isn't known.
+            0 => u64::MAX,
+            clock_ms => clock_ms.saturating_add(CLOCK_LEAD_MAX_MS),
+        }
+    }
+
     /// Returns whether this instance is an observer that reaches no other instance
     /// with a disk.
     fn is_isolated(&self) -> bool {
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -222,11 +222,14 @@
         })
     }
 
-    /// Applies the endpoint statuses sent by another control instance.
-    pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate) {
+    /// Applies the endpoint statuses sent by another control instance, without those of a
+    /// start after `latest_start`.
+    pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate, latest_start: u64) {
         // Instances of an earlier version may tell of endpoints that this one refuses.
-        let statuses = update.endpoints.into_iter();
-        for mut status in statuses.filter(|status| verify_status(status).is_ok()) {
+        let is_valid = |status: &EndpointStatus| {
+            status.born_ms <= latest_start && verify_status(status).is_ok()
+        };
+        for mut status in update.endpoints.into_iter().filter(is_valid) {
             let id = status.id.clone();
             self.record_cold_of_peer(now, &mut status);
             let is_routed = self.changes_routing(&status);
