A record whose sequence its endpoint never reaches recovers

Seen: one heartbeat under a sound endpoint's id and start with a sequence of u64::MAX or 2^53-1 replaced its state, address or service until the endpoint's next restart. All its own heartbeats were older and ignored, and the record was kept and relayed by each control instance. Cause: the statuses of one start are ordered by a number that the sender chooses. Evidence: `record_with_high_sequence_recovers` (three cases); without the change, requests went to the other endpoint only, 24 s after the entry as well. Ruled out: a bound on sequences. The platform states none, and one that a writer stays below by little would spoil the record all the same. A single late heartbeat, and old heartbeats that keep coming at one instance while others hear newer ones, change nothing (`record_with_old_heartbeats_kept`; without the comparison with the record's sequence it fails with two requests to the old address). Fix: where an instance hears only lower sequences of a start for the time after which an endpoint is silent, they rise, and the record's doesn't change, the heartbeats get the record's sequence; the statuses of one sequence replace each other as they arrive. An endpoint that has gone stays so. Until then, some 5 to 8 s, the record is as the other writer left it.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,7 @@
 mod operator_api;
 mod operator_calls;
 mod order_dispatcher;
+mod outrun_endpoints;
 mod peer_frames;
 mod peer_links;
 mod placement_task;
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -24,6 +24,7 @@
 use crate::cluster_state::ClusterState;
 use crate::evacuation_view::{EvacuationView, ListPosition};
 use crate::order_dispatcher::apply_change;
+use crate::outrun_endpoints::OutrunEndpoints;
 use crate::update_frames::push_update;
 
 /// Time without heartbeats after which an endpoint is marked silent: three
@@ -53,6 +54,8 @@
     /// When each endpoint that belongs to this instance sent its last
     /// heartbeat.
     last_heard: BTreeMap<EndpointId, Instant>,
+    /// Endpoints that send lower sequences than their records have.
+    outrun: OutrunEndpoints,
     subscribers: BTreeMap<LinkId, SubscriberRecord>,
     /// Control instances that have not yet been sent all endpoints.
     unsynced_peers: BTreeSet<LinkId>,
@@ -181,7 +184,9 @@
     /// Applies a status received from an endpoint.
     pub fn apply_status(&mut self, now: Instant, mut status: EndpointStatus) -> MergeOutcome {
         let id = status.id.clone();
-        if let Some(known) = self.endpoints.get(&id) {
+        let known = self.endpoints.get(&id);
+        self.outrun.adjust(now, known, &mut status, SILENT_AFTER);
+        if let Some(known) = known {
             if known.born_ms == status.born_ms {
                 status.leaving = known.leaving;
                 status.limit = known.limit;
@@ -248,6 +253,8 @@
 
     /// Marks endpoints whose heartbeats have stopped as silent.
     pub fn tick(&mut self, now: Instant) {
+        let endpoints = &self.endpoints;
+        self.outrun.retain(|id| endpoints.get(id).is_some());
         let silent = self
             .last_heard
             .iter()
