Sums of a configuration's and a report's largest numbers saturate

Seen: loads a second, weights or load times of 1e300 in a configuration, or a report whose `sequence` is u64::MAX, ended the leading instance in a debug build, and its successors; the configuration is in the log, so that a restart ended them again. In a build without overflow checks the sums wrap: an engine that is full counts as empty. Two requests without a token count, at `plain_tokens` of 1e300, did the same to a gateway, or made its count of admitted tokens fall. Cause: a float that is too large becomes u64::MAX where a configuration is decoded, and the placement and the accounts' buckets added and multiplied such numbers. Evidence: `large_configuration_applied` (loads, weights, adapters, load_times, plain_tokens) and `large_report_handled` (sequence) failed with "attempt to multiply with overflow" or "attempt to add with overflow". Ruled out: timeouts, goals, cold times, caches, limits of callers, rates and bursts of u64::MAX or 1e300, and reports with 50,000 models or a name of 8 MB (other cases of both). Fix: the sums saturate where they are made, as a log may hold such a configuration already; a request that states no tokens is charged 2^32 at most, as one that states them is.

--- a/crates/control/src/engine_reports.rs
+++ b/crates/control/src/engine_reports.rs
@@ -19,7 +19,7 @@
 
 /// Returns the limits of a service's weight store.
 pub(crate) fn pacer_settings(traits: &EngineTraits) -> PacerSettings {
-    let loads_per_minute = traits.store_loads_milli * 60 / 1_000;
+    let loads_per_minute = traits.store_loads_milli.saturating_mul(60) / 1_000;
     let burst = store_burst(loads_per_minute);
     PacerSettings {
         store_loads_per_minute: loads_per_minute,
@@ -33,8 +33,9 @@
 /// law: the rate times the mean duration of a load.
 fn concurrent_loads(traits: &EngineTraits) -> u32 {
     let count = traits.models.len().max(1) as u64;
-    let total_ms: u64 = traits.models.iter().map(|model| model.store_load_ms).sum();
-    let loads = traits.store_loads_milli * (total_ms / count) / 1_000_000;
+    let load_times = traits.models.iter().map(|model| model.store_load_ms);
+    let total_ms = load_times.fold(0, u64::saturating_add);
+    let loads = traits.store_loads_milli.saturating_mul(total_ms / count) / 1_000_000;
     u32::try_from(loads).unwrap_or(u32::MAX)
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -32,6 +32,10 @@
 /// the round trip to control.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Most tokens of a request that states none, whatever the configuration says; sums of
+/// many can be represented.
+const PLAIN_TOKENS_MAX: u64 = 1 << 32;
+
 impl<C: CallCodec> GatewayRole<C> {
     pub(crate) fn handle_call(
         &mut self,
@@ -326,7 +330,7 @@
     if !account.counts_tokens {
         return 1;
     }
-    terms
-        .tokens
-        .map_or(account.plain_tokens, |tokens| tokens.prompt + tokens.output)
+    let plain = account.plain_tokens.min(PLAIN_TOKENS_MAX);
+    let stated = terms.tokens.map(|tokens| tokens.prompt + tokens.output);
+    stated.unwrap_or(plain)
 }
--- a/crates/policy/src/engine_option.rs
+++ b/crates/policy/src/engine_option.rs
@@ -134,10 +134,10 @@
     pub(crate) fn free_mb(&self, state: &EngineState) -> u64 {
         let weight = |model: &ModelName| self.spec_of(model).map_or(0, |spec| spec.weight_mb);
         let adapter = |model: &ModelName| self.spec_of(model).map_or(0, |spec| spec.adapter_mb);
-        let held = state.report.models.iter();
-        let held: u64 = held
-            .map(|(model, adapters)| weight(model) + adapters.len() as u64 * adapter(model))
-            .sum();
+        let held = state.report.models.iter().map(|(model, adapters)| {
+            let adapters = (adapters.len() as u64).saturating_mul(adapter(model));
+            weight(model).saturating_add(adapters)
+        });
         let unlisted = |order: &&PlacementOrder| !state.holds(&order.model, &order.adapter);
         let loads = state.loads().filter(unlisted).map(|order| {
             if order.adapter.is_empty() {
@@ -146,9 +146,8 @@
                 adapter(&order.model)
             }
         });
-        self.spec
-            .memory_mb
-            .saturating_sub(held + loads.sum::<u64>())
+        let used = held.chain(loads).fold(0, u64::saturating_add);
+        self.spec.memory_mb.saturating_sub(used)
     }
 }
 
--- a/crates/policy/src/engine_state.rs
+++ b/crates/policy/src/engine_state.rs
@@ -197,7 +197,7 @@
     }
 
     pub(crate) fn record_accepted_order(&mut self) {
-        self.accepted_orders = self.accepted_orders.map(|orders| orders + 1);
+        self.accepted_orders = self.accepted_orders.map(|orders| orders.saturating_add(1));
     }
 
     /// Marks the number of accepted orders as uncertain and schedules an inventory
