--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,7 @@
 mod operator_api;
 mod operator_calls;
 mod order_dispatcher;
+mod outrun_endpoints;
 mod peer_frames;
 mod peer_links;
 mod placement_task;
@@ -56,6 +57,7 @@
 mod stream_registry;
 mod subscriber_table;
 mod update_builder;
+mod update_frames;
 
 pub use audit_trail::{AuditEntry, AuditTrail};
 pub use change_history::{ChangeHistory, ItemRef};
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -13,16 +13,19 @@
 use bytes::Bytes;
 use mulberrywell_policy::PlacementChange;
 use mulberrywell_role::{LinkCommand, LinkId};
-use mulberrywell_serving::{ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome};
+use mulberrywell_serving::{
+    verify_status, ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome,
+};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, LimitedEndpoint,
     ServingAttach, ServingUpdate,
 };
-use mulberrywell_wire::FrameBody;
 
 use crate::cluster_state::ClusterState;
 use crate::evacuation_view::{EvacuationView, ListPosition};
 use crate::order_dispatcher::apply_change;
+use crate::outrun_endpoints::OutrunEndpoints;
+use crate::update_frames::push_update;
 
 /// Time without heartbeats after which an endpoint is marked silent: three
 /// heartbeats of the platform's usual 1.2 s plus a margin for late ones.
@@ -51,6 +54,8 @@
     /// When each endpoint that belongs to this instance sent its last
     /// heartbeat.
     last_heard: BTreeMap<EndpointId, Instant>,
+    /// Endpoints that send lower sequences than their records have.
+    outrun: OutrunEndpoints,
     subscribers: BTreeMap<LinkId, SubscriberRecord>,
     /// Control instances that have not yet been sent all endpoints.
     unsynced_peers: BTreeSet<LinkId>,
@@ -96,7 +101,8 @@
         }
     }
 
-    /// Records the models and adapters that an endpoint has loaded.
+    /// Records the models and adapters that an endpoint has loaded, unless their names
+    /// exceed what a status may hold.
     pub fn record_models(
         &mut self,
         endpoint: &EndpointId,
@@ -114,11 +120,16 @@
             }
         });
         let held: Vec<HeldModel> = held.collect();
-        if status.models != held {
-            status.models = held;
-            self.changed.insert(endpoint.clone());
-            self.own_changed.insert(endpoint.clone());
+        if status.models == held {
+            return;
+        }
+        let former = std::mem::replace(&mut status.models, held);
+        if verify_status(status).is_err() {
+            status.models = former;
+            return;
         }
+        self.changed.insert(endpoint.clone());
+        self.own_changed.insert(endpoint.clone());
     }
 
     /// Records that an endpoint announced in a response that it is leaving.
@@ -173,7 +184,9 @@
     /// Applies a status received from an endpoint.
     pub fn apply_status(&mut self, now: Instant, mut status: EndpointStatus) -> MergeOutcome {
         let id = status.id.clone();
-        if let Some(known) = self.endpoints.get(&id) {
+        let known = self.endpoints.get(&id);
+        self.outrun.adjust(now, known, &mut status, SILENT_AFTER);
+        if let Some(known) = known {
             if known.born_ms == status.born_ms {
                 status.leaving = known.leaving;
                 status.limit = known.limit;
@@ -214,9 +227,14 @@
         })
     }
 
-    /// Applies the endpoint statuses sent by another control instance.
-    pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate) {
-        for mut status in update.endpoints {
+    /// Applies the endpoint statuses sent by another control instance, without those of a
+    /// start after `latest_start`.
+    pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate, latest_start: u64) {
+        // Instances of an earlier version may tell of endpoints that this one refuses.
+        let is_valid = |status: &EndpointStatus| {
+            status.born_ms <= latest_start && verify_status(status).is_ok()
+        };
+        for mut status in update.endpoints.into_iter().filter(is_valid) {
             let id = status.id.clone();
             self.record_cold_of_peer(now, &mut status);
             let is_routed = self.changes_routing(&status);
@@ -235,6 +253,8 @@
 
     /// Marks endpoints whose heartbeats have stopped as silent.
     pub fn tick(&mut self, now: Instant) {
+        let endpoints = &self.endpoints;
+        self.outrun.retain(|id| endpoints.get(id).is_some());
         let silent = self
             .last_heard
             .iter()
@@ -281,7 +301,7 @@
                     endpoints,
                     ..ServingUpdate::default()
                 };
-                commands.push(update_command(*link, update));
+                push_update(*link, update, commands);
             }
         }
     }
@@ -343,7 +363,7 @@
                 controls_version: state.applied,
                 controls_cluster: state.cluster,
             };
-            commands.push(update_command(*link, update));
+            push_update(*link, update, commands);
         }
     }
 
@@ -367,8 +387,3 @@
         ..status.clone()
     }
 }
-
-fn update_command(link: LinkId, update: ServingUpdate) -> LinkCommand {
-    let body = FrameBody::ServingUpdate(update);
-    LinkCommand::Send { link, body }
-}
