tests: one poll for the runtime's tests, an unused import removed

The tests of callers' idle connections and of exchanges share the thread with the process's only poll; the copy of it is removed. The unused import made the linter fail. No test changes what it checks.

--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -1,10 +1,9 @@
 //! Exchanges with an endpoint whose connections end or go on unexpectedly.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
-use std::sync::mpsc::{channel, Sender};
-use std::sync::OnceLock;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,10 +13,11 @@
 use mulberrywell_wire::request::HeaderField;
 use rstest::rstest;
 use socket2::SockRef;
-use stakker::{Fwd, Stakker};
-use stakker_mio::mio::{Events, Poll};
+use stakker::Fwd;
 use stakker_mio::MioPoll;
 
+use common::run_with_poll;
+
 /// Timeout for an exchange to advance.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -32,34 +32,6 @@
 
 const READ_LEN: usize = 64 * 1024;
 
-type TestBody = Box<dyn FnOnce(&MioPoll) + Send>;
-
-/// Runs a test on the thread of the process's only [`Stakker`].
-fn run_with_poll(body: impl FnOnce(&MioPoll) + Send + 'static) {
-    static BODIES: OnceLock<Sender<TestBody>> = OnceLock::new();
-    let bodies = BODIES.get_or_init(|| {
-        let (tx, rx) = channel::<TestBody>();
-        thread::spawn(move || {
-            let mut stakker = Stakker::new(Instant::now());
-            let poll = Poll::new().unwrap();
-            let poll = MioPoll::new(&mut stakker, poll, Events::with_capacity(16), 0).unwrap();
-            for body in rx {
-                body(&poll);
-            }
-        });
-        tx
-    });
-    let (tx, rx) = channel();
-    let body = move |poll: &MioPoll| {
-        let result = catch_unwind(AssertUnwindSafe(|| body(poll)));
-        tx.send(result).unwrap();
-    };
-    bodies.send(Box::new(body)).unwrap();
-    if let Err(panic) = rx.recv().unwrap() {
-        resume_unwind(panic);
-    }
-}
-
 /// An exchange table and the endpoint that it connects to.
 struct TableHarness<'a> {
     poll: &'a MioPoll,
