control: let the leader confirm the only version of a service

The same answer came from an instance that was cut off from the others or had stood still while the version joined; there the majority that a gateway needs had to be made up of several such instances.

Cause: an instance answered from the log as far as it had applied it, and from the heartbeats that it had heard itself. That a majority has stored an entry doesn't mean that a majority has applied it, so a majority of such answers proves nothing.

Now an instance that would name an only version relays the query to the leader, which answers after a read that a quorum has confirmed. Recorded origins are still answered at once by whoever has them. Gateways are unchanged: they need the answers of a majority as before, also from older control instances. While an older instance leads, no only version is named by newer ones.

Before the change these tests failed: only_version_of_snapshot_not_named (all three instances named v1 while v2 was in the log), only_version_of_cut_off_not_named (both cases), only_version_before_suspension_not_named and only_version_of_suspended_leader_not_named.

Ruled out: counting only instances of the advertised list, as each of them may have restarted.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -22,6 +22,7 @@
 use crate::proposal_table::{CallOrigin, FrameOrigin, ProposalWaiter};
 use crate::relay_table::RelayRequester;
 use crate::serving_calls::refuse_call;
+use crate::stream_queries::unknown_answer;
 
 /// A frame to be answered by a leader that a quorum has confirmed.
 #[derive(Debug)]
@@ -68,12 +69,7 @@
                 self.handle_permit_request(now, link, &request, actions);
             }
             FrameBody::StreamReport(report) => self.streams.record_report(now, &report),
-            FrameBody::StreamQuery(query) => {
-                let answer = self
-                    .streams
-                    .answer(&query, &self.serving.endpoints, &self.state);
-                send(link, FrameBody::StreamAnswer(answer), actions);
-            }
+            FrameBody::StreamQuery(query) => self.handle_stream_query(now, link, query, actions),
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
             FrameBody::StateReport(report) => self.handle_state_report(now, report),
             FrameBody::DemandReport(report) => {
@@ -136,7 +132,7 @@
 
     /// Queues a frame for a confirmed read if this instance is the leader;
     /// otherwise relays it to the leader, or refuses it if no leader is linked.
-    fn route_client(&mut self, now: Instant, task: ClientTask, actions: &mut Actions) {
+    pub(crate) fn route_client(&mut self, now: Instant, task: ClientTask, actions: &mut Actions) {
         if self.is_leader() {
             self.reads.push(ReadTask::Client(task));
             return;
@@ -212,6 +208,9 @@
                 reply(task.origin, FrameBody::ReturnAck(ack), actions);
             }
             FrameBody::TokenRefund(refund) => self.leases.refund(now, task.holder, &refund),
+            FrameBody::StreamQuery(query) => {
+                self.execute_stream_query(task.origin, &query, actions);
+            }
             _ => {}
         }
     }
@@ -365,6 +364,7 @@
             unavailable: true,
             ..LeaseGrant::default()
         })),
+        FrameBody::StreamQuery(query) => Some(FrameBody::StreamAnswer(unknown_answer(query))),
         _ => None,
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -53,6 +53,7 @@
 mod speed_tracker;
 mod state_snapshot;
 mod state_summary;
+mod stream_queries;
 mod stream_registry;
 mod subscriber_table;
 mod update_builder;
--- a/crates/control/src/stream_registry.rs
+++ b/crates/control/src/stream_registry.rs
@@ -11,8 +11,8 @@
 //!
 //! Guarantees: a recorded origin is a fact, whoever tells it. An instance names the only
 //! version of a service if neither the log as far as it knows it nor a heartbeat within
-//! [`SOFTWARE_LIFETIME`] named another; as an instance may lag behind, entries rely on
-//! a majority for that.
+//! [`SOFTWARE_LIFETIME`] named another. As an instance may lag behind, `stream_queries`
+//! lets a leader that a quorum has confirmed name it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
