gateway: begin streams only at versions that are in the log

While control was partitioned, streams that had begun at a version that just joined went on at the version before: the new endpoint's heartbeats reached an instance that was cut off from the majority, which announced it to the gateways that it still reached. They began streams there. When such a stream broke and was taken up at a gateway that reached the other instances, these had no record of it, knew of the version before only, and it went on there. Without a partition the same was possible for the time from the first heartbeat to the commit of the version.

Cause: a majority that knows only one version proves that no stream began at another only if streams begin at versions that a majority has stored. Endpoints got streams from their first heartbeat on, whether the log had their version or not.

Updates from control now carry the versions of each service in the log (an optional field; sent when it has changed). A gateway begins streams only at endpoints with one of them; of two lists that of the later entry holds. A new version gets its first stream once it is committed, and none on the side of a partition without a majority. Known versions are used there as before, and so are all versions by routes without streams. Without a list, as control instances of older versions send none, nothing changes.

--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -16,7 +16,7 @@
 use mulberrywell_serving::{ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome};
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, LimitedEndpoint,
-    ServingAttach, ServingUpdate,
+    ServiceSoftware, ServingAttach, ServingUpdate,
 };
 use mulberrywell_wire::FrameBody;
 
@@ -39,6 +39,8 @@
     has_all_endpoints: bool,
     /// Position of the list of evacuations.
     evacuations: Option<ListPosition>,
+    /// Number of the list of software versions; 0 before the first one.
+    software: u64,
 }
 
 /// The endpoints and their subscribers.
@@ -60,6 +62,9 @@
     pub(crate) own_changed: BTreeSet<EndpointId>,
     /// Addresses of all control instances but the observers in the last update.
     controls: Vec<Bytes>,
+    /// Software versions of each service in the log, as in the last list, and how often
+    /// they have changed.
+    software: (BTreeMap<Bytes, BTreeSet<Bytes>>, u64),
 }
 
 impl ServingRegistry {
@@ -70,6 +75,7 @@
             version: attach.version,
             has_all_endpoints: false,
             evacuations: None,
+            software: 0,
         };
         self.subscribers.insert(link, record);
     }
@@ -299,6 +305,7 @@
         let controls = control_addresses(state);
         let controls_changed = self.controls != controls;
         self.controls.clone_from(&controls);
+        let (software, software_number) = self.update_software(state);
         let instances: BTreeSet<&Bytes> =
             self.subscribers.values().map(|it| &it.instance).collect();
         let entries = u32::try_from(instances.len()).unwrap_or(u32::MAX);
@@ -322,8 +329,10 @@
                 .filter(|_| subscriber.version < version);
             let position = evacuations.position();
             let has_evacuations = subscriber.evacuations == position;
+            let has_software = subscriber.software == software_number;
             let is_current = put.is_none()
                 && has_evacuations
+                && has_software
                 && endpoints.is_empty()
                 && subscriber.has_all_endpoints
                 && !controls_changed;
@@ -333,6 +342,7 @@
             subscriber.has_all_endpoints = true;
             subscriber.version = subscriber.version.max(version);
             subscriber.evacuations = position;
+            subscriber.software = software_number;
             let list = (!has_evacuations).then(|| evacuations.list(state, clock_ms));
             let update = ServingUpdate {
                 config: put.and_then(|put| put.config.clone()),
@@ -342,11 +352,30 @@
                 evacuations: list.flatten(),
                 controls_version: state.applied,
                 controls_cluster: state.cluster,
+                software: match has_software {
+                    true => Vec::new(),
+                    false => software.clone(),
+                },
             };
             commands.push(update_command(*link, update));
         }
     }
 
+    /// Returns the software versions of all services in the log, and the number of this
+    /// list.
+    fn update_software(&mut self, state: &ClusterState) -> (Vec<ServiceSoftware>, u64) {
+        let (known, number) = &mut self.software;
+        if *known != state.software {
+            known.clone_from(&state.software);
+            *number += 1;
+        }
+        let services = known.iter().map(|(service, versions)| ServiceSoftware {
+            service: service.clone(),
+            versions: versions.iter().cloned().collect(),
+        });
+        (services.collect(), *number)
+    }
+
     fn statuses(&self, now: Instant, ids: &BTreeSet<EndpointId>) -> Vec<EndpointStatus> {
         let known = ids.iter().filter_map(|id| self.endpoints.get(id));
         known.map(|status| self.sent_status(now, status)).collect()
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -289,6 +289,7 @@
                 StreamVersion::Bound(software) => Some(software),
                 StreamVersion::Any | StreamVersion::Unresolved => None,
             },
+            begins_stream: self.route.is_stream,
             tried: &self.tried,
         }
     }
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -90,12 +90,17 @@
         self.update_dialers(now);
     }
 
-    /// Returns whether a list from a link replaces the one that is known. A list of
-    /// another cluster does only once no instance of the known one is linked.
+    /// Returns whether a list from a link replaces the one that is known.
     fn is_newer(&mut self, link: LinkId, version: (u64, u64)) -> bool {
-        let (known_cluster, known_index) = self.list_version;
+        self.clusters.insert(link, version.0);
+        self.replaces(self.list_version, version)
+    }
+
+    /// Returns whether a list of one cluster and index replaces a known one. A list of
+    /// another cluster does only once no instance of the known one is linked.
+    pub fn replaces(&self, known: (u64, u64), version: (u64, u64)) -> bool {
+        let (known_cluster, known_index) = known;
         let (cluster, index) = version;
-        self.clusters.insert(link, cluster);
         if cluster == known_cluster {
             // Lists without an index replace each other, as there is no order in them.
             return index > known_index || (index == 0 && known_index == 0);
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -18,6 +18,7 @@
 
 use crate::call_codec::ModelTerms;
 use crate::call_table::CallRecord;
+use crate::known_versions::KnownVersions;
 use crate::prompt_sends::SentPrompts;
 use crate::speed_reports::{read_speed, speed_message};
 use crate::zone_evacuations::ZoneEvacuations;
@@ -48,6 +49,8 @@
     pub model: Option<&'a ModelTerms>,
     /// Version of its software; none if any will do.
     pub software: Option<&'a Bytes>,
+    /// Whether the attempt may begin a stream, which binds the call to the version.
+    pub begins_stream: bool,
     /// Endpoints that are excluded.
     pub tried: &'a [EndpointId],
 }
@@ -200,6 +203,8 @@
     services: BTreeMap<Bytes, Vec<EndpointId>>,
     /// Zones whose endpoints get no requests.
     pub(crate) evacuations: ZoneEvacuations,
+    /// The software versions at which streams may begin.
+    pub(crate) versions: KnownVersions,
     /// Requests of all instances by prefix.
     pub(crate) prefixes: PrefixDemand,
     /// When prompts were last reported.
@@ -294,7 +299,7 @@
             !is_evacuated
                 && accepts_requests(now, status, usage)
                 && needs.model.is_none_or(holds_model)
-                && needs.software.is_none_or(|it| status.software == *it)
+                && self.has_version(status, needs)
                 && !needs.tried.contains(&status.id)
         })
     }
@@ -309,10 +314,19 @@
             !self.evacuations.contains(&status.zone)
                 && accepts_requests(now, status, usage)
                 && holds_model(status, usage, model)
-                && needs.software.is_none_or(|it| status.software == *it)
+                && self.has_version(status, needs)
         })
     }
 
+    /// Returns whether an endpoint has a software version that an attempt may go to.
+    fn has_version(&self, status: &EndpointStatus, needs: EndpointNeeds<'_>) -> bool {
+        let is_known = || self.versions.contains(&status.service, &status.software);
+        match needs.software {
+            Some(software) => status.software == *software,
+            None => !needs.begins_stream || is_known(),
+        }
+    }
+
     /// Returns whether only evacuated zones have endpoints of a service that serve.
     pub fn is_evacuated(&self, now: Instant, service: &Bytes) -> bool {
         let serving = self.listed(service);
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -287,6 +287,11 @@
         self.links.apply_advertised(now, link, &update);
         let list = update.evacuations.as_ref();
         let mut changed = list.is_some_and(|list| self.apply_evacuations(now, list, actions));
+        let version = (update.controls_cluster, update.controls_version);
+        let versions = &mut self.endpoints.versions;
+        if !update.software.is_empty() && self.links.replaces(versions.list_version(), version) {
+            changed |= versions.apply(version, update.software);
+        }
         if update.entries > 0 && self.rates.record_attached(now, update.entries) {
             self.update_budgets();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_role;
+mod known_versions;
 mod link_log;
 mod measured_choice;
 mod prompt_guard;
