gateway: dispute streams of an endpoint restarted with another version

A gateway that stood still for some seconds, or was cut off from control, could join two versions if an endpoint had meanwhile started again in place, under its id at its address, with another version. The gateway forwarded to it what it took for the version before: a stream that began there was recorded with that version, and went on at it when its caller took it up at another gateway; a stream that was taken up got events of the other version after those that its caller had.

Cause: the version of a call's endpoint is that of the gateway's table when it forwards the call. Neither the request nor the response names the version, so the endpoint can't refuse the request and the gateway doesn't notice. After a suspension the requests of callers may be handled before the updates of control that came earlier.

When control tells of a later start with another version, the gateway now looks at what it forwarded to the former start and still runs. A run that continues a stream and has brought no event is cancelled. A stream that has brought events, or brings its first one later, is disputed: it isn't resumed within the response, and is reported with both versions, which control treats as none. A restart with the same version changes nothing.

begun_at_restarted_engine and taken_up_at_restarted_engine in version_partition failed before: the stream of v2 was resumed at v1, and the event of v2 reached the caller. Those of the same names in gateway_sessions fail without the change too. Each part was taken out once: without the cancellation, the check at the first event, the dispute of running streams, the report, or the bar to resumptions the tests fail, and the cases with the same version fail if the versions aren't compared.

Ruled out: refusing all streams of an endpoint that was restarted, as those that broke when the former start ended are known by their version.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -102,6 +102,7 @@
             version_bound: initial_bound(route, &terms),
             endpoint: bytes::Bytes::new(),
             endpoint_software: bytes::Bytes::new(),
+            is_version_unsure: false,
             endpoint_born_ms: 0,
             is_limited: false,
             attempt_started: None,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -185,6 +185,7 @@
         call.endpoint = endpoint.clone();
         call.endpoint_born_ms = usage.born_ms();
         call.endpoint_software = software.unwrap_or_default();
+        call.is_version_unsure = false;
         call.is_limited = is_limited;
         call.attempt_started = Some(now);
         call.response = PendingResponse::default();
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -103,6 +103,8 @@
     Unresolved,
     /// The one that began the stream.
     Bound(Bytes),
+    /// None: one of two versions brought its events.
+    Disputed,
 }
 
 /// Whether an endpoint may have run a call.
@@ -225,6 +227,8 @@
     pub endpoint_born_ms: u64,
     /// Software version of that endpoint.
     pub endpoint_software: Bytes,
+    /// That endpoint has started again with another version during the attempt.
+    pub is_version_unsure: bool,
     /// The endpoint of the current attempt had a limit when the call was forwarded.
     pub is_limited: bool,
     /// When the current attempt was forwarded.
@@ -287,7 +291,7 @@
             model: self.terms.model.as_ref(),
             software: match &self.version_bound {
                 StreamVersion::Bound(software) => Some(software),
-                StreamVersion::Any | StreamVersion::Unresolved => None,
+                StreamVersion::Any | StreamVersion::Unresolved | StreamVersion::Disputed => None,
             },
             begins_stream: self.route.is_stream,
             tried: &self.tried,
@@ -297,7 +301,9 @@
     /// Returns whether a further attempt can continue the response that the caller
     /// has received so far.
     pub fn can_continue(&self) -> bool {
-        let is_resumable = self.route.is_stream && self.route.is_idempotent;
+        let is_resumable = self.route.is_stream
+            && self.route.is_idempotent
+            && self.version_bound != StreamVersion::Disputed;
         !self.head_sent || (is_resumable && self.events.resume_position().is_some())
     }
 
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -13,7 +13,7 @@
 };
 use mulberrywell_serving::ServingIndex;
 use mulberrywell_wire::serving::{
-    CallerLimits, EvacuationList, LoadShare, ServingAttach, ServingUpdate,
+    CallerLimits, EndpointStatus, EvacuationList, LoadShare, ServingAttach, ServingUpdate,
 };
 use mulberrywell_wire::FrameBody;
 
@@ -312,26 +312,44 @@
             }
         }
         for status in update.endpoints {
-            let text = format!(
-                "endpoint id={} born={} sequence={} phase={:?} silent={} limit_milli={:?}",
-                String::from_utf8_lossy(&status.id),
-                status.born_ms,
-                status.sequence,
-                status.phase(),
-                status.silent,
-                status.limit.and_then(|limit| limit.milli_per_s),
-            );
-            self.record_cold_status(now, &status, actions);
-            if self.endpoints.merge(status) {
-                changed = true;
-                actions.push(RoleAction::Log(LogLevel::Info, text));
-            }
+            changed |= self.merge_status(now, status, actions);
         }
         if changed {
             self.retry_waiting_calls(now, actions);
         }
     }
 
+    /// Merges an endpoint's status; returns whether it changed anything.
+    fn merge_status(
+        &mut self,
+        now: Instant,
+        status: EndpointStatus,
+        actions: &mut Actions,
+    ) -> bool {
+        let text = format!(
+            "endpoint id={} born={} sequence={} phase={:?} silent={} limit_milli={:?}",
+            String::from_utf8_lossy(&status.id),
+            status.born_ms,
+            status.sequence,
+            status.phase(),
+            status.silent,
+            status.limit.and_then(|limit| limit.milli_per_s),
+        );
+        self.record_cold_status(now, &status, actions);
+        let known = self.endpoints.status(&status.id);
+        let replaced = known
+            .filter(|known| known.born_ms < status.born_ms && known.software != status.software);
+        let replaced = replaced.map(|known| (known.id.clone(), known.born_ms));
+        if !self.endpoints.merge(status) {
+            return false;
+        }
+        actions.push(RoleAction::Log(LogLevel::Info, text));
+        if let Some((id, born_ms)) = replaced {
+            self.handle_version_change(now, &id, born_ms, actions);
+        }
+        true
+    }
+
     /// Applies a list of evacuated zones; returns whether it changed anything.
     fn apply_evacuations(
         &mut self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod control_links;
 mod deferred_calls;
 mod demand_tracker;
+mod disputed_streams;
 mod endpoint_choice;
 mod endpoint_permits;
 mod endpoint_probes;
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -201,7 +201,7 @@
                 send_head(request, head, None, actions);
             }
         }
-        self.bind_begun_stream(now, request);
+        self.bind_begun_stream(now, request, actions);
         actions.push(RoleAction::Respond(request, ResponsePart::Data(events)));
     }
 
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -66,6 +66,8 @@
     begun: OriginTable<Instant>,
     /// Streams of `begun` that were not reported yet.
     unreported: Vec<StreamKey>,
+    /// Further origins of streams that were not reported yet.
+    disputed: Vec<StreamOrigin>,
     next_report: Instant,
     lookups: BTreeMap<u64, OriginLookup>,
     last_sequence: u64,
@@ -77,6 +79,7 @@
         StreamOrigins {
             begun: OriginTable::default(),
             unreported: Vec::new(),
+            disputed: Vec::new(),
             next_report: now,
             lookups: BTreeMap::new(),
             last_sequence: 0,
@@ -86,22 +89,33 @@
     fn report_of(&self, now: Instant, streams: impl Iterator<Item = StreamKey>) -> StreamReport {
         let origins = streams.filter_map(|stream| {
             let (origin, expires) = self.begun.entry(stream)?;
-            let lifetime = expires.saturating_duration_since(now).as_millis();
-            Some(StreamOrigin {
-                stream,
-                service: origin.service.clone(),
-                software: origin.software.clone(),
-                lifetime_ms: u64::try_from(lifetime).unwrap_or(u64::MAX),
-            })
+            Some(reported_origin(now, stream, origin.clone(), expires))
         });
         StreamReport {
             origins: origins.collect(),
         }
     }
 
+    /// Records one of two origins of a stream.
+    pub fn record_disputed(
+        &mut self,
+        now: Instant,
+        stream: StreamKey,
+        origin: ServiceVersion,
+        expires: Instant,
+    ) {
+        self.begun.insert(stream, &origin, expires);
+        self.disputed
+            .push(reported_origin(now, stream, origin, expires));
+    }
+
+    fn has_report(&self) -> bool {
+        !self.unreported.is_empty() || !self.disputed.is_empty()
+    }
+
     /// Returns when a report or the end of a lookup is due.
     pub fn deadline(&self) -> Option<Instant> {
-        let report = (!self.unreported.is_empty()).then_some(self.next_report);
+        let report = self.has_report().then_some(self.next_report);
         let lookups = self.lookups.values().map(|lookup| lookup.since);
         let lookup = lookups.min().map(|since| since + LOOKUP_TIMEOUT);
         report.into_iter().chain(lookup).min()
@@ -109,19 +123,50 @@
 }
 
 /// Returns the key under which the origin of a request's stream is recorded.
-fn stream_key(id: &Bytes) -> StreamKey {
+pub(crate) fn stream_key(id: &Bytes) -> StreamKey {
     stable_hash(&[id]).max(1)
 }
 
+/// Returns until when the origin of a call's stream is kept.
+pub(crate) fn stream_expiry(call: &CallRecord) -> Instant {
+    let timeout = call.terms.timeout.map(|timeout| call.started + timeout);
+    let deadline = timeout.map_or(call.deadline, |at| at.max(call.deadline));
+    deadline + LIFETIME_MARGIN
+}
+
+fn reported_origin(
+    now: Instant,
+    stream: StreamKey,
+    origin: ServiceVersion,
+    expires: Instant,
+) -> StreamOrigin {
+    let lifetime = expires.saturating_duration_since(now).as_millis();
+    StreamOrigin {
+        stream,
+        service: origin.service,
+        software: origin.software,
+        lifetime_ms: u64::try_from(lifetime).unwrap_or(u64::MAX),
+    }
+}
+
 impl<C: CallCodec> GatewayRole<C> {
     /// Binds a call to the version whose first event it forwards.
-    pub(crate) fn bind_begun_stream(&mut self, now: Instant, request: RequestId) {
+    pub(crate) fn bind_begun_stream(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        actions: &mut Actions,
+    ) {
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
         if call.version_bound != StreamVersion::Any {
             return;
         }
+        if call.is_version_unsure {
+            self.dispute_stream(now, request, actions);
+            return;
+        }
         let software = call.endpoint_software.clone();
         call.version_bound = StreamVersion::Bound(software.clone());
         if call.terms.id.is_empty() {
@@ -132,9 +177,7 @@
             service: call.service.clone(),
             software,
         };
-        let timeout = call.terms.timeout.map(|timeout| call.started + timeout);
-        let deadline = timeout.map_or(call.deadline, |at| at.max(call.deadline));
-        let expires = deadline + LIFETIME_MARGIN;
+        let expires = stream_expiry(call);
         self.streams.begun.remove_expired(now);
         if self.streams.begun.insert(stream, &origin, expires) {
             self.streams.unreported.push(stream);
@@ -144,12 +187,13 @@
     /// Reports the streams that were begun since the last report to every control
     /// instance.
     pub(crate) fn report_streams(&mut self, now: Instant) {
-        if self.streams.unreported.is_empty() || now < self.streams.next_report {
+        if !self.streams.has_report() || now < self.streams.next_report {
             return;
         }
         self.streams.next_report = now + REPORT_INTERVAL;
         let streams = std::mem::take(&mut self.streams.unreported);
-        let report = self.streams.report_of(now, streams.into_iter());
+        let mut report = self.streams.report_of(now, streams.into_iter());
+        report.origins.append(&mut self.streams.disputed);
         for link in self.links.open_links() {
             let body = FrameBody::StreamReport(report.clone());
             self.commands.push(LinkCommand::Send { link, body });
