gateway: don't resume streams by a record that has expired

A gateway went by its own record of a stream for as long as it began no other one, even after the time for which the record is kept: expired records were removed only with the next stream that began there, or with a new link to control. At a gateway that had stood still or was idle, a caller whose request id had meanwhile begun another stream elsewhere could get its rest from the version of the old one.

Now expired records are removed before one is looked up, so that control is asked. taken_up_after_own_record_expired failed before: no query was sent.

Two tests of what was looked at beside it pass before as well: position_without_stream_needs_version (Last-Event-Id without Resumes) fails if only Resumes makes the version needed, and taken_up_only_version_of_reached (half of the instances reached) fails if the gateway counts only the instances that it asked.

Not covered, as the design now says: an id that names another stream while the record of the first one is kept.

--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -226,6 +226,7 @@
             return true;
         }
         let stream = call.terms.resumes.as_ref().map_or(0, stream_key);
+        self.streams.begun.remove_expired(now);
         if let Some(origin) = self.streams.begun.get(stream).cloned() {
             return self.bind_stream(now, request, &origin, "own", actions);
         }
