Tests: entries out of date don't reach another incarnation

An entry that is out of date could resume a stream at an endpoint that has started again with another software version under its name. It can't: an attempt names the incarnation of the endpoint that the entry knows, and the agent, whose settings name the version, refuses one for another incarnation as not run. No test covered either half.

start_of_other_incarnation_refused fails in both cases if the agent doesn't compare the incarnation; stream_resumed_at_own_version, which now checks the incarnation of the resumption, fails in all cases if the entry names none.

--- a/crates/agent/tests/agent_role.rs
+++ b/crates/agent/tests/agent_role.rs
@@ -630,6 +630,25 @@
     assert_eq!(harness.pop_runs().len(), 1);
 }
 
+/// Guards against an entry out of date that resumes a stream at an endpoint that has
+/// started again, maybe with another software version.
+#[rstest]
+#[case::former(INCARNATION - 1)]
+#[case::later(INCARNATION + 1)]
+fn start_of_other_incarnation_refused(#[case] incarnation: u64) {
+    let mut harness = AgentHarness::new(&["payroll"]);
+    let start = AttemptStart {
+        endpoint_incarnation: incarnation,
+        resume_events: 2,
+        ..attempt(1)
+    };
+    harness.send_frame(ENTRY, FrameBody::AttemptStart(start));
+    assert!(harness.pop_runs().is_empty());
+    let refused = harness.pop_refusals(ENTRY).pop().unwrap();
+    assert_eq!(refused.reason(), RefusalReason::WrongIncarnation);
+    assert_eq!(refused.ran(), Ran::No);
+}
+
 #[test]
 fn start_deadline_unreachable() {
     let mut harness = AgentHarness::new(&["payroll"]);
--- a/crates/entry/tests/request_attempts.rs
+++ b/crates/entry/tests/request_attempts.rs
@@ -118,9 +118,11 @@
         entry.part(link, start.id, 0, sent);
     }
     entry.close_link(link);
-    let (next, _) = entry.last_start();
+    let (next, start) = entry.last_start();
     assert_eq!(entry.starts().len(), 2);
     assert_eq!(entry.port_of(next) != first_port, goes_elsewhere);
+    // An agent of another incarnation, whose version may be another, refuses it.
+    assert_eq!(start.endpoint_incarnation, 1);
 }
 
 #[test]
