--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use super::{CallerEvents, CallerId, CallerPhase, CallerTable, LINGER_MAX};
+use super::{
+    CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, BOUNDS_DEFAULT, LINGER_MAX,
+};
 
 /// Time without progress allowed while a response is written to a slow caller. A socket
 /// takes more bytes only once a good part of its buffer is sent.
@@ -19,7 +21,10 @@
             };
             let is_written = connection.socket.output.is_empty();
             let (since, limit) = match connection.phase {
-                CallerPhase::Idle(since) if !record.closing => (since, record.bounds.idle_timeout),
+                CallerPhase::Idle(since) if !record.closing => {
+                    let limit = record.bounds.idle_timeout.max(connection.idle_timeout);
+                    (since, limit)
+                }
                 CallerPhase::Reading(since) => (since, record.bounds.head_timeout),
                 CallerPhase::Idle(since) | CallerPhase::Lingering(since) if is_written => {
                     (since, LINGER_MAX)
@@ -42,6 +47,9 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        if connection.has_arrived() {
+            return;
+        }
         if matches!(connection.phase, CallerPhase::Reading(_)) {
             connection.refuse(now, 408);
             self.dirty.push(id);
@@ -50,17 +58,38 @@
         }
     }
 
+    /// Starts the idle time of a connection whose response is complete.
+    pub(super) fn begin_idle(&mut self, now: Instant, id: CallerId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.phase = CallerPhase::Idle(now);
+            let record = self.listeners.get(&connection.listener);
+            let bounds = record.map_or(BOUNDS_DEFAULT, |record| record.bounds);
+            connection.idle_timeout = bounds.idle_timeout;
+        }
+    }
+
     /// Closes the connection that has been idle for longest.
     pub(super) fn evict_idle(&mut self) {
-        let idle = self
-            .connections
-            .iter()
-            .filter_map(|(id, connection)| match connection.phase {
-                CallerPhase::Idle(since) => Some((since, *id)),
-                _ => None,
-            });
-        if let Some((_, id)) = idle.min() {
-            self.connections.remove(&id);
+        let connections = self.connections.iter();
+        let idle = connections.filter_map(|(id, connection)| match connection.phase {
+            CallerPhase::Idle(since) => Some((since, *id)),
+            _ => None,
+        });
+        let mut idle: Vec<(Instant, CallerId)> = idle.collect();
+        idle.sort_unstable();
+        let mut ids = idle.into_iter().map(|(_, id)| id);
+        let connections = &mut self.connections;
+        let unused = ids.find(|id| connections.get(id).is_some_and(|it| !it.has_arrived()));
+        if let Some(id) = unused {
+            connections.remove(&id);
         }
     }
 }
+
+impl CallerConnection {
+    /// Returns whether a request has begun to arrive on an idle connection and is not yet
+    /// read, which the poll will tell.
+    fn has_arrived(&self) -> bool {
+        matches!(self.phase, CallerPhase::Idle(_)) && self.socket.has_unread()
+    }
+}
