--- a/crates/control/src/update_frames.rs
+++ b/crates/control/src/update_frames.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 /// Bytes of statuses in one frame. A longer frame than the limit closes its link, and a
-/// configuration of up to 8 MiB may be in the same one.
+/// configuration of up to 4 MiB may be in the same one.
 const STATUSES_BYTES_MAX: usize = 4 * 1024 * 1024;
 
 /// Appends the commands that send an update; statuses that don't fit into its first frame
