runtime: a request whose rest has arrived isn't refused as too slow

A caller whose whole request had arrived got 408 if the timeout for its head expired before the connection was read: the check for unread bytes held for idle connections only. It now holds for those that read a request too; lengths stay bounded by the limits on heads and bodies. tick_arrived_rest_of_request_kept failed before.

--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -87,9 +87,10 @@
 }
 
 impl CallerConnection {
-    /// Returns whether a request has begun to arrive on an idle connection and is not yet
-    /// read, which the poll will tell.
+    /// Returns whether a request, or the rest of one, has arrived and is not yet read, which
+    /// the poll will tell.
     fn has_arrived(&self) -> bool {
-        matches!(self.phase, CallerPhase::Idle(_)) && self.socket.has_unread()
+        let awaits_request = matches!(self.phase, CallerPhase::Idle(_) | CallerPhase::Reading(_));
+        awaits_request && self.socket.has_unread()
     }
 }
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -137,3 +137,20 @@
         assert_eq!(caller.read_request().is_some(), is_kept);
     });
 }
+
+/// Guards against a request that has arrived whole and is refused as too slow, as the
+/// timeout of its head expires before the connection is read.
+#[test]
+fn tick_arrived_rest_of_request_kept() {
+    run_with_poll(|poll| {
+        let mut caller = IdleCaller::connect(poll);
+        let (first, rest) = REQUEST.split_at(10);
+        caller.stream.write_all(first).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+        assert!(caller.read_request().is_none());
+        caller.stream.write_all(rest).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+        caller.pass(BOUNDS_DEFAULT.head_timeout);
+        assert!(caller.read_request().is_some());
+    });
+}
