runtime: room for a new connection is made without cutting a response

At the limit on connections a new one closed the one idle for longest; a connection counts as idle once the end of its response is queued, so that a caller that was still reading got a truncated response. Connections with unwritten bytes are passed over now. At most eight are asked for unread bytes for each new one, as asking each of 2,600 took seconds in a burst; the limit is a soft one.

attach_at_limit_keeps_unwritten_response failed before. The test of a request whose rest has arrived sends without delay: its second write could wait for an acknowledgement, and the test failed with the mend as without.

--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -6,6 +6,9 @@
     CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, BOUNDS_DEFAULT, LINGER_MAX,
 };
 
+/// Connections that are asked for unread bytes to make room for one new connection.
+const EVICTION_TRIES_MAX: usize = 8;
+
 /// Time without progress allowed while a response is written to a slow caller. A socket
 /// takes more bytes only once a good part of its buffer is sent.
 const WRITE_STALL_MAX: Duration = Duration::from_secs(3);
@@ -72,12 +75,12 @@
     pub(super) fn evict_idle(&mut self) {
         let connections = self.connections.iter();
         let idle = connections.filter_map(|(id, connection)| match connection.phase {
-            CallerPhase::Idle(since) => Some((since, *id)),
+            CallerPhase::Idle(since) if connection.socket.output.is_empty() => Some((since, *id)),
             _ => None,
         });
         let mut idle: Vec<(Instant, CallerId)> = idle.collect();
         idle.sort_unstable();
-        let mut ids = idle.into_iter().map(|(_, id)| id);
+        let mut ids = idle.into_iter().map(|(_, id)| id).take(EVICTION_TRIES_MAX);
         let connections = &mut self.connections;
         let unused = ids.find(|id| connections.get(id).is_some_and(|it| !it.has_arrived()));
         if let Some(id) = unused {
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_role::{ConnectionBounds, HttpEvent, RequestId, ResponsePart};
-use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT};
+use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT, CONNECTIONS_MAX};
 use rstest::rstest;
 use stakker::Fwd;
 use stakker_mio::mio::net::TcpListener;
@@ -36,6 +36,7 @@
             .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
             .unwrap();
         let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
         let (id, accepted) = loop {
             if let Some(accepted) = table.accept(LISTENER) {
                 break accepted;
@@ -144,7 +145,7 @@
 fn tick_arrived_rest_of_request_kept() {
     run_with_poll(|poll| {
         let mut caller = IdleCaller::connect(poll);
-        let (first, rest) = REQUEST.split_at(10);
+        let (first, rest) = REQUEST.split_at(20);
         caller.stream.write_all(first).unwrap();
         std::thread::sleep(Duration::from_millis(20));
         assert!(caller.read_request().is_none());
@@ -154,3 +155,49 @@
         assert!(caller.read_request().is_some());
     });
 }
+
+/// Guards against a response that is cut to make room for a new connection: the role has
+/// queued all of it, and its caller is still reading.
+#[test]
+fn attach_at_limit_keeps_unwritten_response() {
+    run_with_poll(|poll| {
+        let mut caller = IdleCaller::connect(poll);
+        caller.send_request();
+        let request = caller.read_request().expect("a request");
+        let now = caller.now;
+        let body = vec![b'y'; 7_000_000];
+        let head = ResponsePart::Head {
+            status: 200,
+            headers: Vec::new(),
+            length: Some(body.len() as u64),
+        };
+        let data = ResponsePart::Data(bytes::Bytes::from(body));
+        let mut events = Vec::new();
+        for part in [head, data, ResponsePart::End] {
+            let table = &mut caller.table;
+            table.queue_response_part(now, request, part, &mut events);
+        }
+        caller.table.flush(&mut events);
+        assert!(caller.table.has_output(), "the sockets hold all of it");
+        let other = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = other.local_addr().unwrap();
+        let table = &mut caller.table;
+        table
+            .listen(poll, LISTENER + 1, other, Fwd::new(|_| {}))
+            .unwrap();
+        let later = now + Duration::from_millis(100);
+        let mut others = Vec::new();
+        for _ in 0..CONNECTIONS_MAX {
+            others.push(TcpStream::connect(address).unwrap());
+            let (id, accepted) = loop {
+                if let Some(accepted) = table.accept(LISTENER + 1) {
+                    break accepted;
+                }
+            };
+            table
+                .attach(poll, later, LISTENER + 1, id, accepted, Fwd::new(|_| {}))
+                .unwrap();
+        }
+        assert!(table.has_output(), "the response was cut");
+    });
+}
