runtime: a stopped process waits for connections that callers may still use

Callers got neither an answer nor a refusal for a whole request that they sent on a kept connection in the last moments of a planned stop. A gateway finishes up to 100 ms after its last call, and the process ended as soon as nothing was left to write. The connection of a stream whose head went out before SIGTERM doesn't announce its end; it was to be kept for a second after its last response, but ended with the process 43 ms later.

The end of a finished role now waits until no connection that drains is open: those without traffic close after a second, requests on them are refused with a time to come back and announce the end, and the end that the role names, before the platform's kill, still holds. Of serving_shutdown_connection_of_last_stream_kept the case after_the_last_call failed before, the other one shows that the stop as such isn't the cause.

--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -230,3 +230,37 @@
     assert!(processes.is_running("gateway"), "the stop ended early");
     assert!(processes.wait("gateway").unwrap());
 }
+
+/// Guards against a planned stop that ends the process while callers may still send on idle
+/// connections: the last stream's head did not announce the end, so that its connection is
+/// kept for a second.
+#[rstest]
+#[case::before_the_process_may_end(10)]
+#[case::after_the_last_call(25)]
+fn serving_shutdown_connection_of_last_stream_kept(#[case] events: u64) {
+    let mut deployment = ServingDeployment::spawn();
+    deployment.worker.set_stream_events(events);
+    let mut caller = RawCaller::connect(deployment.callers).unwrap();
+    let request = |path: &str, id: &str| {
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 9000\r\n\
+             Credential: {KEY}\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\nbody"
+        )
+    };
+    assert!(caller.send(request("/stream/x", "r1").as_bytes()));
+    let begun = caller.read_until(Duration::from_secs(2), |bytes| !bytes.is_empty());
+    assert!(!begun.text().contains("Connection: close"));
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    let rest = caller.read_until(Duration::from_secs(9), |bytes| {
+        bytes.ends_with(b"0\r\n\r\n")
+    });
+    assert!(rest.text().ends_with("0\r\n\r\n"), "{}", rest.text());
+    std::thread::sleep(Duration::from_millis(300));
+    let sent = caller.send(request("/once/x", "r2").as_bytes());
+    let answer = caller.read_to_end(Duration::from_secs(2)).text();
+    assert!(
+        sent && answer.starts_with("HTTP/1.1 "),
+        "sent={sent}: {answer}"
+    );
+}
--- a/crates/runtime/src/caller_table/caller_backlog.rs
+++ b/crates/runtime/src/caller_table/caller_backlog.rs
@@ -22,6 +22,16 @@
         connections.any(|connection| !connection.socket.output.is_empty())
     }
 
+    /// Returns whether connections are open that close after their next responses, or once
+    /// they have been idle for long enough.
+    pub fn is_draining(&self) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|connection| {
+            let record = self.listeners.get(&connection.listener);
+            record.is_some_and(|record| record.closing)
+        })
+    }
+
     /// Returns the bytes held for all callers: what is not yet written or parsed, and the
     /// bodies of requests in flight.
     pub fn held_bytes(&self) -> usize {
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -355,12 +355,14 @@
         timer_min!(&mut self.timer, at, [cx], handle_timer());
     }
 
-    /// Ends the shutdown of a machine that has finished, once nothing is left to write.
+    /// Ends the shutdown of a machine that has finished, once nothing is left to write and
+    /// no caller can send a request any more on a connection that is still open.
     fn check_finished(&mut self, now: Instant) {
         let Some(at) = self.finish_by else {
             return;
         };
-        if at <= now || !self.driver.callers.has_output() {
+        let callers = &self.driver.callers;
+        if at <= now || !(callers.has_output() || callers.is_draining()) {
             self.finish_by = None;
             self.finished.fwd(());
         }
