runtime: responses are written before callers are ended for their memory

Where the bodies of requests in flight alone exceeded the bound on memory, each response was dropped before its first write: its bytes were counted as unread, and the caller with the most of them, who had read all there was, was ended.

--- a/crates/runtime/src/http_driver.rs
+++ b/crates/runtime/src/http_driver.rs
@@ -235,6 +235,11 @@
             return;
         };
         let mut held = self.held_bytes();
+        if held > limit {
+            // What was queued just now may be read at once.
+            self.callers.flush(&mut self.caller_events);
+            held = self.held_bytes();
+        }
         while held > limit {
             let Some(ended) = self.callers.end_largest(&mut self.caller_events) else {
                 break;
