runtime: connections that wait to be accepted outlast the end of accepting

A planned stop closes its listener 1.5 s before its limit; the kernel then reset the connections in the accept queue, with whole requests on them.

--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -102,6 +102,8 @@
 struct ListenerRecord {
     /// None once no further connections are accepted.
     source: Option<MioSource<TcpListener>>,
+    /// The listener closes once no connection waits to be accepted.
+    is_stopping: bool,
     bounds: ConnectionBounds,
     /// Connections close after their current responses.
     closing: bool,
@@ -138,6 +140,7 @@
         let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, ready)?;
         let record = ListenerRecord {
             source: Some(source),
+            is_stopping: false,
             bounds: BOUNDS_DEFAULT,
             closing: false,
         };
@@ -147,7 +150,13 @@
 
     /// Accepts the next pending connection of a listener.
     pub fn accept(&mut self, id: ListenerId) -> Option<(CallerId, TcpStream)> {
-        let (stream, _) = self.listeners.get(&id)?.source.as_ref()?.accept().ok()?;
+        let record = self.listeners.get_mut(&id)?;
+        let Ok((stream, _)) = record.source.as_ref()?.accept() else {
+            if record.is_stopping {
+                record.source = None;
+            }
+            return None;
+        };
         self.next_id += 1;
         Some((self.next_id, stream))
     }
@@ -198,10 +207,11 @@
         }
     }
 
-    /// Closes a listener; its connections stay open.
+    /// Closes a listener once [`CallerTable::accept`] finds no further connection, as those
+    /// that wait to be accepted would be reset; its connections stay open.
     pub fn stop_accepting(&mut self, listener: ListenerId) {
         if let Some(record) = self.listeners.get_mut(&listener) {
-            record.source = None;
+            record.is_stopping = true;
         }
     }
 
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -156,13 +156,17 @@
     ) -> std::io::Result<()> {
         listener.set_nonblocking(true)?;
         self.driver.activate();
-        let ready = fwd_to!([cx], accept_callers(id) as (Ready));
+        let ready = fwd_to!([cx], handle_accept_ready(id) as (Ready));
         let poll = cx.anymap_get::<MioPoll>();
         let listener = TcpListener::from_std(listener);
         self.driver.callers.listen(&poll, id, listener, ready)
     }
 
-    fn accept_callers(&mut self, cx: CX![], listener: ListenerId, _: Ready) {
+    fn handle_accept_ready(&mut self, cx: CX![], listener: ListenerId, _: Ready) {
+        self.accept_callers(cx, listener);
+    }
+
+    fn accept_callers(&mut self, cx: CX![], listener: ListenerId) {
         while let Some((id, stream)) = self.driver.callers.accept(listener) {
             let ready = fwd_to!([cx], handle_caller_ready(id) as (Ready));
             let poll = cx.anymap_get::<MioPoll>();
@@ -385,7 +389,10 @@
                 RoleAction::DrainConnections(listener) => {
                     self.driver.callers.drain_connections(cx.now(), listener);
                 }
-                RoleAction::StopAccepting(listener) => self.driver.callers.stop_accepting(listener),
+                RoleAction::StopAccepting(listener) => {
+                    self.driver.callers.stop_accepting(listener);
+                    self.accept_callers(cx, listener);
+                }
                 RoleAction::Finished => self.finished.fwd(()),
                 RoleAction::FinishedBy(at) => self.finish_by = Some(at),
                 RoleAction::RoleSpecific(action) => self.handler.perform(action),
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -264,3 +264,27 @@
         assert!(received.starts_with(b"HTTP/1.1 200"));
     });
 }
+
+/// Guards against a request that has arrived on a connection which is not yet accepted when
+/// the listener closes, as the timer that closes it may come before the poll tells of the
+/// connection.
+#[test]
+fn stop_accepting_pending_request_kept() {
+    run_with_poll(|poll| {
+        let mut table = CallerTable::default();
+        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        table
+            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
+            .unwrap();
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+        table.stop_accepting(LISTENER);
+        std::thread::sleep(Duration::from_millis(20));
+        stream.set_nonblocking(true).unwrap();
+        let read = std::io::Read::read(&mut stream, &mut [0; 16]);
+        let kind = read.map_err(|err| err.kind());
+        assert_eq!(kind, Err(std::io::ErrorKind::WouldBlock));
+    });
+}
