--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -92,10 +92,7 @@
             Some(endpoint) if self.endpoints.needs_permit(now, &endpoint) => {
                 self.await_permit(now, request, &endpoint, left, actions);
             }
-            Some(endpoint) => {
-                self.log_accepted(now, request, &endpoint, actions);
-                self.forward_call(now, request, &endpoint, left, actions);
-            }
+            Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
             None => self.await_endpoint(now, request, actions),
         }
     }
@@ -148,6 +145,7 @@
         left: Duration,
         actions: &mut Actions,
     ) {
+        self.log_accepted(now, request, endpoint, actions);
         self.endpoints.cold.record_traffic();
         self.count_cold_request(now, endpoint, actions);
         let is_limited = self.endpoints.rate_limit(endpoint).is_some();
