--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -444,3 +444,27 @@
     let runs = |engine: &FakeEngine| engine.records().count_with("reload");
     assert_eq!(twin.engines.iter().map(runs).sum::<usize>(), 6);
 }
+
+/// Guards against a refusal that takes the place of the rest of the response before it: the
+/// refused bytes were sent behind a request that is answered.
+#[test]
+fn refused_pipelined_bytes_keep_response_before() {
+    let twin = twin_cluster(Duration::from_millis(5));
+    let requests = format!(
+        "GET /v1/models HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {}\r\n\r\n\
+         BAD\r\n\r\n",
+        twin.gold_key
+    );
+    let mut cut = Vec::new();
+    for _ in 0..50 {
+        let mut caller = RawCaller::connect(twin.cluster.callers[0]).unwrap();
+        assert!(caller.send(requests.as_bytes()));
+        let text = caller.read_to_end(Duration::from_secs(5)).text();
+        let is_answered = text.starts_with("HTTP/1.1 200");
+        let is_whole = text.contains("}HTTP/1.1 400");
+        if !is_answered || !is_whole {
+            cut.push(text);
+        }
+    }
+    assert!(cut.is_empty(), "{} of 50 cut, first: {}", cut.len(), cut[0]);
+}
