Gateway: tell contents apart by their prompts

Beside a prompt part that crashed engines, callers got 503 for ten minutes on all sound requests: `crashing_part_kept_from_engines` showed "8 crashes, 0 late requests; 0 of 66 sound requests served".

The prompt is stated in the header Prompt-Prefix alone, so that crashing and sound requests with the same body had the same content. It was at every engine that the part crashed. While all engines are down no response clears it, and a chain of three crashes quarantined it.

The content includes the ids of all prompt parts now. A repeat has the same ones, so that it is still recognised.

content_of_prompt_reported failed before in its cases other_shared_part and other_last_part (the contents were the same).

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -258,13 +258,17 @@
 
 impl CallRecord {
     /// Returns a hash of what a request has in common with its repeats: method, host,
-    /// path, account and body.
+    /// path, account, body and prompt. A caller may state the prompt in a header alone,
+    /// so that requests with the same body are no repeats.
     pub fn content_hash(&self) -> u64 {
         let account = self.account.as_deref().unwrap_or_default();
         let http = &self.http;
         let parts = [&http.method, &self.terms.host, &http.path];
         let [method, host, path] = parts.map(|part| part.as_ref());
-        stable_hash(&[method, host, path, account, &http.body])
+        let prompt = self.terms.prefix.iter();
+        let prompt: Vec<[u8; 8]> = prompt.map(|part| part.id.to_be_bytes()).collect();
+        let prompt = prompt.concat();
+        stable_hash(&[method, host, path, account, &http.body, &prompt])
     }
 
     /// Returns what may crash endpoints: the shared parts of the prompt, and the
