Crash ledger: keep what sound requests share out of quarantine

Beside a prompt part that crashes all engines within a second, callers of sound requests got 503 for ten minutes: a content or a part that many sound requests share was quarantined in place of the crashing one.

Cause: what many requests share is at most crashes. While all engines are down, no response clears it. The ledger compared a content with other contents only, so that a chain of three was enough for one that is repeated all the time; and a part only with parts in all of its incidents, so that one incident without the crashing request (its report lost, or so late that the request seems to come after the crash) was enough.

What responses have lasted on needs a chain of five now, and isn't quarantined while a part without any response is in half of its incidents. A part without any response gives way to one that has more incidents.

--- a/crates/limit/src/crash_incident.rs
+++ b/crates/limit/src/crash_incident.rs
@@ -48,6 +48,9 @@
     pub at: Instant,
     /// Requests that were forwarded before the incident.
     pub requests: Vec<SuspectRequest>,
+    /// Requests that seem to have been forwarded after the incident. Times are reckoned
+    /// from the arrival of a report, so that this may be wrong if the report is late.
+    late_requests: Vec<SuspectRequest>,
     /// One of the requests has a part or a content that is quarantined by itself.
     pub is_explained: bool,
 }
@@ -60,14 +63,20 @@
             born_ms,
             at,
             requests: Vec::new(),
+            late_requests: Vec::new(),
             is_explained: false,
         }
     }
 
-    /// Adds a request, unless the endpoint had broken off before it was forwarded.
+    /// Adds a request. It is no suspect if the endpoint had broken off before it was
+    /// forwarded.
     pub fn push(&mut self, request: SuspectRequest) {
-        if request.forwarded <= self.at && self.requests.len() < REQUESTS_MAX {
-            self.requests.push(request);
+        let requests = match request.forwarded <= self.at {
+            true => &mut self.requests,
+            false => &mut self.late_requests,
+        };
+        if requests.len() < REQUESTS_MAX {
+            requests.push(request);
         }
     }
 
@@ -81,6 +90,12 @@
         self.requests.iter().flat_map(|it| it.parts.iter().copied())
     }
 
+    /// Returns the shared parts of the requests that are no suspects.
+    pub fn late_parts(&self) -> impl Iterator<Item = PartId> + '_ {
+        let requests = self.late_requests.iter();
+        requests.flat_map(|it| it.parts.iter().copied())
+    }
+
     /// Returns the known contents of all requests.
     pub fn contents(&self) -> impl Iterator<Item = PartId> + '_ {
         let contents = self.requests.iter().map(|it| it.content);
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -23,6 +23,9 @@
 //! lasted if others have none, are quarantined together: only requests with all of them
 //! are refused, and a part that turns out to be sound is taken out. Incidents with
 //! something that is quarantined by itself are explained and count for nothing else.
+//!
+//! A part or a content on which responses have lasted needs [`PROVEN_CHAIN_MIN`]
+//! incidents, and no part without any response in half of them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -32,9 +35,14 @@
 use crate::crash_incident::{find_chain, CrashIncident, PartId, SuspectRequest};
 use crate::quarantine_table::{PartSet, QuarantineTable};
 
-/// Incidents in a chain that quarantine a content or a part.
+/// Incidents in a chain that quarantine a content or a part on which no response has ever
+/// lasted.
 const CHAIN_MIN: usize = 3;
 
+/// Incidents in a chain that quarantine a content or a part on which responses have
+/// lasted. It may be in three by chance, where reports of what causes them are lost.
+const PROVEN_CHAIN_MIN: usize = 5;
+
 /// Incidents in a chain that do if no response has ever lasted: endpoints that crash at
 /// about the same time form no longer chain. A part needs [`UNPROVEN_INCIDENTS_MIN`]
 /// incidents then, a content [`CHAIN_MIN`], as other requests don't have it by chance.
@@ -54,6 +62,10 @@
 /// Incidents of a part that don't have the content which most of them have.
 const OTHER_CONTENTS_MIN: usize = 2;
 
+/// Incidents from which on a part on which no response has ever lasted is a rival of one
+/// that many requests share, if these are at least half of that one's incidents.
+const RIVAL_INCIDENTS_MIN: usize = 2;
+
 /// Time in which failures at one endpoint belong to the same incident.
 const INCIDENT_SPAN: Duration = Duration::from_secs(1);
 
@@ -226,7 +238,8 @@
             }
             let first = incidents.first()?;
             let mut others = first.contents().filter(|other| *other != content);
-            let has_rival = others.any(|other| self.explains(other, &incidents));
+            let has_rival = others.any(|other| self.explains(other, &incidents))
+                || self.has_rival_part(content, &incidents);
             (!has_rival).then(|| (PartSet::from([content]), incidents.len()))
         })
     }
@@ -246,7 +259,7 @@
             let settled_at = self.chain_end(part, &incidents, UNPROVEN_INCIDENTS_MIN)?;
             let mut parts = self.rivals(part, &incidents);
             let has_more = |rival: &PartId| self.incidents_of(now, *rival).len() > incidents.len();
-            if parts.iter().any(has_more) {
+            if parts.iter().any(has_more) || self.has_unproven_rival(part, &incidents) {
                 return None;
             }
             if !parts.is_empty() && now.saturating_duration_since(settled_at) < TIE_TIME {
@@ -278,6 +291,7 @@
             let incidents = incidents.filter(|it| self.is_suspect(*content, it));
             let incidents: Vec<&CrashIncident> = incidents.collect();
             self.chain_end(*content, &incidents, CHAIN_MIN).is_some()
+                && !self.has_rival_part(*content, &incidents)
         });
         contents
     }
@@ -302,7 +316,7 @@
     }
 
     /// Returns when the incidents of a part or a content had formed a chain that is long
-    /// enough. `unproven_min` incidents do with a shorter one if no response has ever
+    /// enough: a longer one if responses have lasted on it. `unproven_min` incidents do with a shorter one if no response has ever
     /// lasted on it.
     fn chain_end(
         &self,
@@ -312,9 +326,14 @@
     ) -> Option<Instant> {
         let chain = find_chain(subject, incidents);
         let is_unproven = !self.sound.contains_key(&subject);
+        let chain_min = if is_unproven {
+            CHAIN_MIN
+        } else {
+            PROVEN_CHAIN_MIN
+        };
         let last = incidents.get(unproven_min - 1);
         let last = last.filter(|_| is_unproven && chain.len() >= UNPROVEN_CHAIN_MIN);
-        let ends = [chain.get(CHAIN_MIN - 1).copied(), last.map(|last| last.at)];
+        let ends = [chain.get(chain_min - 1).copied(), last.map(|last| last.at)];
         ends.into_iter().flatten().min()
     }
 
@@ -341,6 +360,40 @@
         all.all(|incident| self.is_suspect(subject, incident))
     }
 
+    /// Returns whether a part explains the incidents of a content better. A content on
+    /// which no response has ever lasted goes before all parts, as it refuses less.
+    fn has_rival_part(&self, content: PartId, incidents: &[&CrashIncident]) -> bool {
+        self.sound.contains_key(&content) && self.has_unproven_rival(content, incidents)
+    }
+
+    /// Returns whether a part on which no response has ever lasted was in half of these
+    /// incidents of another part or content. If none has lasted on that one either, the
+    /// part must have more incidents.
+    ///
+    /// A part or a content that many requests share is at most crashes, and no response
+    /// clears it while all endpoints are down; a part without any response is in several
+    /// crashes only if it causes them. A request may be missing from an incident, as
+    /// its report is lost, or seem to come after it, as the report is late.
+    fn has_unproven_rival(&self, subject: PartId, incidents: &[&CrashIncident]) -> bool {
+        let is_unproven = |part: &PartId| !self.sound.contains_key(part);
+        let counts = count_parts(incidents.iter().copied());
+        let count_min = RIVAL_INCIDENTS_MIN.max(incidents.len() / 2);
+        let rivals = counts
+            .into_iter()
+            .filter(|(part, count)| *part != subject && *count >= count_min && is_unproven(part));
+        let mut rivals = rivals.map(|(part, _)| part).peekable();
+        if rivals.peek().is_none() || !is_unproven(&subject) {
+            return rivals.peek().is_some();
+        }
+        let unexplained = self.incidents.iter().filter(|it| !it.is_explained);
+        let totals = count_parts(unexplained);
+        rivals.any(|part| {
+            totals
+                .get(&part)
+                .is_some_and(|total| *total > incidents.len())
+        })
+    }
+
     /// Returns the other parts that may have caused all of these incidents.
     fn rivals(&self, part: PartId, incidents: &[&CrashIncident]) -> PartSet {
         let Some(first) = incidents.first() else {
@@ -352,3 +405,15 @@
             .collect()
     }
 }
+
+/// Returns in how many incidents each part was, in requests that seem to be late too.
+fn count_parts<'a>(incidents: impl Iterator<Item = &'a CrashIncident>) -> BTreeMap<PartId, usize> {
+    let mut counts = BTreeMap::new();
+    for incident in incidents {
+        let parts: PartSet = incident.parts().chain(incident.late_parts()).collect();
+        for part in parts {
+            *counts.entry(part).or_default() += 1;
+        }
+    }
+    counts
+}
--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -13,6 +13,11 @@
 /// Content of the repeated request that crashes engines.
 pub const CRASHING_CONTENT: PartId = 0xbeef;
 
+/// Content that many sound requests share, such as a question that callers repeat, and
+/// the subject of these.
+pub const POPULAR_CONTENT: PartId = 0xcafe;
+const POPULAR_SUBJECT: u64 = 0;
+
 /// Times that an eager caller sends a request again that was broken off.
 const EAGER_REPEATS: u32 = 3;
 
@@ -52,6 +57,14 @@
     pub eager_share: f64,
     /// Probability that a request is broken off though its engine is up.
     pub broken_share: f64,
+    /// Gateways, each of which reports the requests that it forwarded.
+    pub gateways: usize,
+    /// Probability that a sound request has [`POPULAR_CONTENT`].
+    pub popular_share: f64,
+    /// Longest time that a report takes to arrive.
+    pub delay_max: Duration,
+    /// Probability that a gateway's report of a crash is lost.
+    pub lost_share: f64,
     /// Interval at which a third of the engines crash for another reason.
     pub outage_interval: Option<Duration>,
 }
@@ -64,6 +77,7 @@
     /// Times that it is sent again if it is broken off.
     repeats_left: u32,
     parts: Vec<PartId>,
+    gateway: usize,
     engine: usize,
     forwarded: Instant,
     begins: Instant,
@@ -71,9 +85,31 @@
     is_reported: bool,
 }
 
+/// A report under way to the ledger, which reckons all of its times from its arrival.
+#[derive(Debug)]
+struct DelayedReport {
+    delay: Duration,
+    sent: Instant,
+    content: ReportContent,
+}
+
+#[derive(Debug)]
+enum ReportContent {
+    Crash {
+        engine: usize,
+        born: u64,
+        requests: Vec<SuspectRequest>,
+    },
+    Sound {
+        subject: PartId,
+        begun: Instant,
+    },
+}
+
 /// What a run of a fleet showed.
 #[derive(Debug, Default)]
 pub struct FleetOutcome {
+    pub crashes: usize,
     pub quarantined: Vec<PartSet>,
     /// Sound requests that were refused.
     pub refused_sound: usize,
@@ -85,6 +121,10 @@
 pub struct CrashFleet {
     plan: FleetPlan,
     rng: StdRng,
+    /// Draws what the plans without delays and popular contents don't need, so that
+    /// these stay the same for a seed.
+    report_rng: StdRng,
+    reports: Vec<DelayedReport>,
     started: Instant,
     now: Instant,
     ledger: CrashLedger,
@@ -105,6 +145,8 @@
         let mut fleet = CrashFleet {
             plan,
             rng: StdRng::seed_from_u64(seed),
+            report_rng: StdRng::seed_from_u64(!seed),
+            reports: Vec::new(),
             started: now,
             now,
             ledger: CrashLedger::default(),
@@ -122,6 +164,7 @@
             fleet.now += STEP;
             fleet.add_requests();
             fleet.advance_requests();
+            fleet.deliver_reports();
             if next_outage.is_some_and(|at| at <= fleet.now) {
                 next_outage = plan.outage_interval.map(|interval| fleet.now + interval);
                 for engine in (0..plan.engines).step_by(3) {
@@ -133,6 +176,7 @@
                 fleet.tick();
             }
         }
+        fleet.outcome.crashes = fleet.crashes.len();
         fleet.outcome
     }
 
@@ -147,7 +191,11 @@
         let per_step = STEP.as_secs_f64();
         if self.rng.random_bool(self.plan.sound_rate * per_step) {
             let subject = self.draw_subject();
-            self.add_request(subject, false);
+            if self.report_rng.random_bool(self.plan.popular_share) {
+                self.forward(POPULAR_SUBJECT, POPULAR_CONTENT, false, 0);
+            } else {
+                self.add_request(subject, false);
+            }
         }
         let is_warm = self.now >= self.started + WARM_TIME;
         if is_warm && self.rng.random_bool(self.plan.crashing_rate * per_step) {
@@ -207,7 +255,9 @@
         if last.is_some_and(|last| self.now > *last + FORWARD_LIMIT) {
             self.outcome.late += 1;
         }
+        let gateway = self.report_rng.random_range(0..self.plan.gateways);
         self.running.push(RunningRequest {
+            gateway,
             content,
             crashes,
             repeats_left,
@@ -235,15 +285,19 @@
                 self.crash(engine);
             }
         }
+        let mut sound = Vec::new();
         for request in &mut self.running {
             let has_lasted = request.begins + SOUND_TIME <= self.now || request.ends <= self.now;
             if has_lasted && !request.is_reported {
                 request.is_reported = true;
-                for subject in request.parts.iter().chain([&request.content]) {
-                    self.ledger.record_sound(*subject, request.begins);
-                }
+                let begun = request.begins;
+                let subjects = request.parts.iter().chain([&request.content]);
+                sound.extend(subjects.map(|subject| (*subject, begun)));
             }
         }
+        for (subject, begun) in sound {
+            self.send_report(ReportContent::Sound { subject, begun });
+        }
         self.break_requests();
         let now = self.now;
         self.running.retain(|request| request.ends > now);
@@ -257,16 +311,21 @@
             if request.is_reported || !self.rng.random_bool(self.plan.broken_share) {
                 continue;
             }
-            self.report(&request);
+            self.report(request.engine, &[request]);
         }
     }
 
     fn crash(&mut self, engine: usize) {
         let running = self.running.iter().filter(|it| it.engine == engine);
         let broken: Vec<RunningRequest> = running.cloned().collect();
-        for request in &broken {
-            if !request.is_reported {
-                self.report(request);
+        let mut suspects = broken.clone();
+        suspects.retain(|request| !request.is_reported);
+        for gateway in 0..self.plan.gateways {
+            let of_gateway = suspects.iter().filter(|it| it.gateway == gateway);
+            let of_gateway: Vec<RunningRequest> = of_gateway.cloned().collect();
+            let is_lost = self.report_rng.random_bool(self.plan.lost_share);
+            if !of_gateway.is_empty() && !is_lost {
+                self.report(engine, &of_gateway);
             }
         }
         self.running.retain(|it| it.engine != engine);
@@ -278,14 +337,57 @@
         }
     }
 
-    fn report(&mut self, request: &RunningRequest) {
-        let suspect = SuspectRequest {
+    /// Reports requests that one gateway forwarded and an engine broke off.
+    fn report(&mut self, engine: usize, requests: &[RunningRequest]) {
+        let requests = requests.iter().map(|request| SuspectRequest {
             content: request.content,
             parts: request.parts.iter().copied().collect(),
             forwarded: request.forwarded,
-        };
-        let endpoint = Bytes::from(request.engine.to_string());
-        let born = self.born[request.engine];
-        self.ledger.record_crash(self.now, &endpoint, born, suspect);
+        });
+        self.send_report(ReportContent::Crash {
+            engine,
+            born: self.born[engine],
+            requests: requests.collect(),
+        });
+    }
+
+    fn send_report(&mut self, content: ReportContent) {
+        let delay = self.report_rng.random_range(0.0..=1.0);
+        self.reports.push(DelayedReport {
+            delay: self.plan.delay_max.mul_f64(delay),
+            sent: self.now,
+            content,
+        });
+        if self.plan.delay_max.is_zero() {
+            self.deliver_reports();
+        }
+    }
+
+    fn deliver_reports(&mut self) {
+        let now = self.now;
+        let reports = std::mem::take(&mut self.reports).into_iter();
+        let (due, left): (Vec<_>, Vec<_>) =
+            reports.partition(|report| report.sent + report.delay <= now);
+        self.reports = left;
+        for report in due {
+            let DelayedReport { delay, sent, .. } = report;
+            match report.content {
+                ReportContent::Sound { subject, begun } => {
+                    self.ledger.record_sound(subject, begun + delay);
+                }
+                ReportContent::Crash {
+                    engine,
+                    born,
+                    requests,
+                } => {
+                    let endpoint = Bytes::from(engine.to_string());
+                    for mut request in requests {
+                        request.forwarded += delay;
+                        self.ledger
+                            .record_crash(sent + delay, &endpoint, born, request);
+                    }
+                }
+            }
+        }
     }
 }
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -246,6 +246,58 @@
     assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
 }
 
+/// Guards against a quarantine of a content that sound requests share, as it was at all
+/// engines that a part of other requests crashed.
+#[test]
+fn tick_shared_content_goes_after_rare_part() {
+    let mut script = LedgerScript::new();
+    script.ledger.record_sound(REPEATED, script.now);
+    script.ledger.record_sound(FIRST, script.now);
+    script.advance(SETTLED);
+    for _ in 0..6 {
+        script.crash(&[FIRST, CULPRIT], RUNNING);
+        script.crashes -= 1;
+        script.crash_content(REPEATED, &[FIRST], RUNNING);
+        script.advance(SETTLED);
+    }
+    script.advance(Duration::from_secs(2));
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    assert_eq!(script.quarantined(), []);
+}
+
+/// Guards against a quarantine of a part that sound requests share, where the request
+/// that crashed one of the endpoints is missing from the reports.
+#[test]
+fn tick_shared_part_goes_after_rare_part() {
+    let mut script = LedgerScript::new();
+    script.crash(&[CULPRIT], RUNNING);
+    script.advance(SETTLED);
+    script.ledger.record_sound(FIRST, script.now);
+    for parts in [&[FIRST][..], &[FIRST, CULPRIT], &[FIRST, CULPRIT]] {
+        script.advance(SETTLED);
+        script.crash(parts, RUNNING);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
+/// A part on which responses have lasted is quarantined, if no other one is at its
+/// crashes.
+#[test]
+fn tick_once_sound_part_quarantined() {
+    let mut script = LedgerScript::new();
+    script.ledger.record_sound(FIRST, script.now);
+    script.ledger.record_sound(CULPRIT, script.now);
+    for _ in 0..5 {
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+        script.crash(&[FIRST, CULPRIT], RUNNING);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
 #[test]
 fn tick_quarantine_ends() {
     let mut script = LedgerScript::new();
@@ -268,6 +320,10 @@
     one_content: false,
     eager_share: 0.0,
     broken_share: 0.0,
+    gateways: 1,
+    popular_share: 0.0,
+    delay_max: Duration::ZERO,
+    lost_share: 0.0,
     outage_interval: None,
 };
 
@@ -370,3 +426,75 @@
         assert_eq!(outcome.quarantined, [], "seed {seed}");
     }
 }
+
+/// A fleet of the size of `crashing_part_kept_from_engines`: all engines crash within a
+/// second, so that no response lasts meanwhile.
+const SMALL_PLAN: FleetPlan = FleetPlan {
+    engines: 8,
+    sound_rate: 20.0,
+    gateways: 3,
+    popular_share: 0.5,
+    ..PLAN
+};
+
+/// Number of seeds of the fleets whose reports are late or lost; `CRASH_FLEET_SEEDS`
+/// sets another one.
+const LATE_REPORT_SEEDS: u64 = 30;
+
+fn late_report_seeds() -> u64 {
+    let seeds = std::env::var("CRASH_FLEET_SEEDS").ok();
+    seeds.map_or(LATE_REPORT_SEEDS, |seeds| seeds.parse().expect("a number"))
+}
+
+/// Guards against a quarantine of a sound content or part that many requests share, as
+/// it was at all the engines that a part of rare requests crashed.
+#[rstest]
+#[case::prompt(SMALL_PLAN)]
+#[case::all_popular(FleetPlan { popular_share: 1.0, ..SMALL_PLAN })]
+#[case::late_reports(FleetPlan { delay_max: Duration::from_millis(200), ..SMALL_PLAN })]
+#[case::very_late_reports(FleetPlan { delay_max: Duration::from_millis(400), ..SMALL_PLAN })]
+#[case::lost_reports(FleetPlan { lost_share: 0.1, ..SMALL_PLAN })]
+#[case::late_and_lost_reports(FleetPlan {
+    delay_max: Duration::from_millis(200),
+    lost_share: 0.1,
+    ..SMALL_PLAN
+})]
+#[case::many_gateways(FleetPlan {
+    engines: 30,
+    sound_rate: 80.0,
+    gateways: 50,
+    delay_max: Duration::from_millis(200),
+    lost_share: 0.1,
+    ..SMALL_PLAN
+})]
+#[case::own_contents(FleetPlan {
+    popular_share: 0.0,
+    delay_max: Duration::from_millis(200),
+    lost_share: 0.1,
+    ..SMALL_PLAN
+})]
+#[case::beside_broken_requests(FleetPlan {
+    broken_share: 0.05,
+    delay_max: Duration::from_millis(200),
+    ..SMALL_PLAN
+})]
+fn fleet_shared_subjects_kept(#[case] plan: FleetPlan) {
+    let outcomes = (0..late_report_seeds()).map(|seed| {
+        let outcome = CrashFleet::run(plan, seed, Duration::from_secs(20));
+        (seed, outcome)
+    });
+    let mut wrong = Vec::new();
+    let (mut crashes, mut late) = (0, 0);
+    for (seed, outcome) in outcomes {
+        crashes += outcome.crashes;
+        late += outcome.late;
+        if outcome.refused_sound > 0 {
+            wrong.push((seed, outcome.quarantined));
+        }
+    }
+    println!(
+        "{crashes} crashes and {late} late requests; {} wrong",
+        wrong.len()
+    );
+    assert!(wrong.is_empty(), "{wrong:x?}");
+}
