--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -19,10 +19,11 @@
 //! for no part.
 //!
 //! A suspected part is quarantined if no other part is in all of its incidents, and no
-//! content of its requests in all but one. Parts that stay equal for [`TIE_TIME`], less those on which a response has ever
-//! lasted if others have none, are quarantined together: only requests with all of them
-//! are refused, and a part that turns out to be sound is taken out. Incidents with
-//! something that is quarantined by itself are explained and count for nothing else.
+//! content of its requests in all but one. Parts that stay equal for [`TIE_TIME`], less
+//! those on which a response has ever lasted if others have none, are quarantined
+//! together: only requests with all of them are refused, and a part that turns out to be
+//! sound is taken out. Incidents with something that is quarantined by itself are
+//! explained and count for nothing else.
 //!
 //! A part or a content on which responses have lasted needs [`PROVEN_CHAIN_MIN`]
 //! incidents, and no part without any response in half of them.
@@ -316,8 +317,8 @@
     }
 
     /// Returns when the incidents of a part or a content had formed a chain that is long
-    /// enough: a longer one if responses have lasted on it. `unproven_min` incidents do with a shorter one if no response has ever
-    /// lasted on it.
+    /// enough: a longer one if responses have lasted on it. If none ever has,
+    /// `unproven_min` incidents do with a shorter one.
     fn chain_end(
         &self,
         subject: PartId,
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -5,9 +5,9 @@
 //!
 //! Guarantees: a connection carries one exchange at a time; it is reused only
 //! when the request was written completely, the response is complete and echoes the
-//! request's id, and no bytes followed it; bytes received between exchanges close it; a cancelled
-//! exchange closes its connection; an interrupted response is never reported as
-//! complete; no value of the echoed field is sent twice on one connection, so that it
+//! request's id, and no bytes followed it; bytes received between exchanges close it; a
+//! cancelled exchange closes its connection; an interrupted response is never reported
+//! as complete; no value of the echoed field is sent twice on one connection, so that it
 //! tells a response from late copies of all earlier ones; an exchange without such a
 //! value has a connection of its own.
 //!
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,7 +3,8 @@
 //! Purpose: control verifies a [`ServingConfig`](mulberrywell_wire::serving::ServingConfig)
 //! before it is put in force; gateways look up routes and keys in a
 //! [`ServingIndex`] of it. Both store the registered endpoints in an
-//! [`EndpointRegistry`], those that are cold in [`ColdEndpoints`], and the versions that began streams in an [`OriginTable`].
+//! [`EndpointRegistry`], those that are cold in [`ColdEndpoints`], and the versions that
+//! began streams in an [`OriginTable`].
 //!
 //! Guarantees: the verifier reports every fault with the item that has it; the
 //! version of a [`ServingIndex`] never decreases; an older status of an endpoint
