--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -103,6 +103,8 @@
     Unresolved,
     /// The one that began the stream.
     Bound(Bytes),
+    /// None: one of two versions brought its events.
+    Disputed,
 }
 
 /// Whether an endpoint may have run a call.
@@ -225,6 +227,8 @@
     pub endpoint_born_ms: u64,
     /// Software version of that endpoint.
     pub endpoint_software: Bytes,
+    /// That endpoint has started again with another version during the attempt.
+    pub is_version_unsure: bool,
     /// The endpoint of the current attempt had a limit when the call was forwarded.
     pub is_limited: bool,
     /// When the current attempt was forwarded.
@@ -258,13 +262,17 @@
 
 impl CallRecord {
     /// Returns a hash of what a request has in common with its repeats: method, host,
-    /// path, account and body.
+    /// path, account, body and prompt. A caller may state the prompt in a header alone,
+    /// so that requests with the same body are no repeats.
     pub fn content_hash(&self) -> u64 {
         let account = self.account.as_deref().unwrap_or_default();
         let http = &self.http;
         let parts = [&http.method, &self.terms.host, &http.path];
         let [method, host, path] = parts.map(|part| part.as_ref());
-        stable_hash(&[method, host, path, account, &http.body])
+        let prompt = self.terms.prefix.iter();
+        let prompt: Vec<[u8; 8]> = prompt.map(|part| part.id.to_be_bytes()).collect();
+        let prompt = prompt.concat();
+        stable_hash(&[method, host, path, account, &http.body, &prompt])
     }
 
     /// Returns what may crash endpoints: the shared parts of the prompt, and the
@@ -287,8 +295,9 @@
             model: self.terms.model.as_ref(),
             software: match &self.version_bound {
                 StreamVersion::Bound(software) => Some(software),
-                StreamVersion::Any | StreamVersion::Unresolved => None,
+                StreamVersion::Any | StreamVersion::Unresolved | StreamVersion::Disputed => None,
             },
+            begins_stream: self.route.is_stream,
             tried: &self.tried,
         }
     }
@@ -296,7 +305,9 @@
     /// Returns whether a further attempt can continue the response that the caller
     /// has received so far.
     pub fn can_continue(&self) -> bool {
-        let is_resumable = self.route.is_stream && self.route.is_idempotent;
+        let is_resumable = self.route.is_stream
+            && self.route.is_idempotent
+            && self.version_bound != StreamVersion::Disputed;
         !self.head_sent || (is_resumable && self.events.resume_position().is_some())
     }
 
--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -6,6 +6,9 @@
     CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, BOUNDS_DEFAULT, LINGER_MAX,
 };
 
+/// Connections that are asked for unread bytes to make room for one new connection.
+const EVICTION_TRIES_MAX: usize = 8;
+
 /// Time without progress allowed while a response is written to a slow caller. A socket
 /// takes more bytes only once a good part of its buffer is sent.
 const WRITE_STALL_MAX: Duration = Duration::from_secs(3);
@@ -72,12 +75,12 @@
     pub(super) fn evict_idle(&mut self) {
         let connections = self.connections.iter();
         let idle = connections.filter_map(|(id, connection)| match connection.phase {
-            CallerPhase::Idle(since) => Some((since, *id)),
+            CallerPhase::Idle(since) if connection.socket.output.is_empty() => Some((since, *id)),
             _ => None,
         });
         let mut idle: Vec<(Instant, CallerId)> = idle.collect();
         idle.sort_unstable();
-        let mut ids = idle.into_iter().map(|(_, id)| id);
+        let mut ids = idle.into_iter().map(|(_, id)| id).take(EVICTION_TRIES_MAX);
         let connections = &mut self.connections;
         let unused = ids.find(|id| connections.get(id).is_some_and(|it| !it.has_arrived()));
         if let Some(id) = unused {
@@ -87,9 +90,10 @@
 }
 
 impl CallerConnection {
-    /// Returns whether a request has begun to arrive on an idle connection and is not yet
-    /// read, which the poll will tell.
+    /// Returns whether a request, or the rest of one, has arrived and is not yet read, which
+    /// the poll will tell.
     fn has_arrived(&self) -> bool {
-        matches!(self.phase, CallerPhase::Idle(_)) && self.socket.has_unread()
+        let awaits_request = matches!(self.phase, CallerPhase::Idle(_) | CallerPhase::Reading(_));
+        awaits_request && self.socket.has_unread()
     }
 }
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -156,13 +156,17 @@
     ) -> std::io::Result<()> {
         listener.set_nonblocking(true)?;
         self.driver.activate();
-        let ready = fwd_to!([cx], accept_callers(id) as (Ready));
+        let ready = fwd_to!([cx], handle_accept_ready(id) as (Ready));
         let poll = cx.anymap_get::<MioPoll>();
         let listener = TcpListener::from_std(listener);
         self.driver.callers.listen(&poll, id, listener, ready)
     }
 
-    fn accept_callers(&mut self, cx: CX![], listener: ListenerId, _: Ready) {
+    fn handle_accept_ready(&mut self, cx: CX![], listener: ListenerId, _: Ready) {
+        self.accept_callers(cx, listener);
+    }
+
+    fn accept_callers(&mut self, cx: CX![], listener: ListenerId) {
         while let Some((id, stream)) = self.driver.callers.accept(listener) {
             let ready = fwd_to!([cx], handle_caller_ready(id) as (Ready));
             let poll = cx.anymap_get::<MioPoll>();
@@ -355,12 +359,14 @@
         timer_min!(&mut self.timer, at, [cx], handle_timer());
     }
 
-    /// Ends the shutdown of a machine that has finished, once nothing is left to write.
+    /// Ends the shutdown of a machine that has finished, once nothing is left to write and
+    /// no caller can send a request any more on a connection that is still open.
     fn check_finished(&mut self, now: Instant) {
         let Some(at) = self.finish_by else {
             return;
         };
-        if at <= now || !self.driver.callers.has_output() {
+        let callers = &self.driver.callers;
+        if at <= now || !(callers.has_output() || callers.is_draining()) {
             self.finish_by = None;
             self.finished.fwd(());
         }
@@ -383,7 +389,10 @@
                 RoleAction::DrainConnections(listener) => {
                     self.driver.callers.drain_connections(cx.now(), listener);
                 }
-                RoleAction::StopAccepting(listener) => self.driver.callers.stop_accepting(listener),
+                RoleAction::StopAccepting(listener) => {
+                    self.driver.callers.stop_accepting(listener);
+                    self.accept_callers(cx, listener);
+                }
                 RoleAction::Finished => self.finished.fwd(()),
                 RoleAction::FinishedBy(at) => self.finish_by = Some(at),
                 RoleAction::RoleSpecific(action) => self.handler.perform(action),
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_role::{ConnectionBounds, HttpEvent, RequestId, ResponsePart};
-use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT};
+use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT, CONNECTIONS_MAX};
+use mulberrywell_runtime::http_driver::{DriverEvent, HttpDriver};
 use rstest::rstest;
 use stakker::Fwd;
 use stakker_mio::mio::net::TcpListener;
@@ -36,6 +37,7 @@
             .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
             .unwrap();
         let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
         let (id, accepted) = loop {
             if let Some(accepted) = table.accept(LISTENER) {
                 break accepted;
@@ -137,3 +139,152 @@
         assert_eq!(caller.read_request().is_some(), is_kept);
     });
 }
+
+/// Guards against a request that has arrived whole and is refused as too slow, as the
+/// timeout of its head expires before the connection is read.
+#[test]
+fn tick_arrived_rest_of_request_kept() {
+    run_with_poll(|poll| {
+        let mut caller = IdleCaller::connect(poll);
+        let (first, rest) = REQUEST.split_at(20);
+        caller.stream.write_all(first).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+        assert!(caller.read_request().is_none());
+        caller.stream.write_all(rest).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+        caller.pass(BOUNDS_DEFAULT.head_timeout);
+        assert!(caller.read_request().is_some());
+    });
+}
+
+/// Guards against a response that is cut to make room for a new connection: the role has
+/// queued all of it, and its caller is still reading.
+#[test]
+fn attach_at_limit_keeps_unwritten_response() {
+    run_with_poll(|poll| {
+        let mut caller = IdleCaller::connect(poll);
+        caller.send_request();
+        let request = caller.read_request().expect("a request");
+        let now = caller.now;
+        let body = vec![b'y'; 7_000_000];
+        let head = ResponsePart::Head {
+            status: 200,
+            headers: Vec::new(),
+            length: Some(body.len() as u64),
+        };
+        let data = ResponsePart::Data(bytes::Bytes::from(body));
+        let mut events = Vec::new();
+        for part in [head, data, ResponsePart::End] {
+            let table = &mut caller.table;
+            table.queue_response_part(now, request, part, &mut events);
+        }
+        caller.table.flush(&mut events);
+        assert!(caller.table.has_output(), "the sockets hold all of it");
+        let other = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = other.local_addr().unwrap();
+        let table = &mut caller.table;
+        table
+            .listen(poll, LISTENER + 1, other, Fwd::new(|_| {}))
+            .unwrap();
+        let later = now + Duration::from_millis(100);
+        let mut others = Vec::new();
+        for _ in 0..CONNECTIONS_MAX {
+            others.push(TcpStream::connect(address).unwrap());
+            let (id, accepted) = loop {
+                if let Some(accepted) = table.accept(LISTENER + 1) {
+                    break accepted;
+                }
+            };
+            table
+                .attach(poll, later, LISTENER + 1, id, accepted, Fwd::new(|_| {}))
+                .unwrap();
+        }
+        assert!(table.has_output(), "the response was cut");
+    });
+}
+
+/// Guards against responses that are dropped before their first write, as the bodies of
+/// requests in flight alone exceed the bound on memory: their callers have read all there was.
+#[rstest]
+#[case::above_bound(64 * 1024)]
+#[case::within_bound(1024 * 1024)]
+fn respond_request_bodies_above_bound_answered(#[case] bound: usize) {
+    run_with_poll(move |poll| {
+        let now = Instant::now();
+        let mut driver = HttpDriver::new(now, Some(bound));
+        driver.activate();
+        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let callers = &mut driver.callers;
+        callers
+            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
+            .unwrap();
+        let mut streams = Vec::new();
+        let mut requests = Vec::new();
+        for _ in 0..3 {
+            let mut stream = TcpStream::connect(address).unwrap();
+            let head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 32768\r\n\r\n";
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(&[b'x'; 32_768]).unwrap();
+            std::thread::sleep(Duration::from_millis(20));
+            let (id, accepted) = loop {
+                if let Some(accepted) = driver.callers.accept(LISTENER) {
+                    break accepted;
+                }
+            };
+            let callers = &mut driver.callers;
+            callers
+                .attach(poll, now, LISTENER, id, accepted, Fwd::new(|_| {}))
+                .unwrap();
+            driver.read_caller(now, id);
+            while let Some(event) = driver.pop_event() {
+                if let DriverEvent::Http(_, HttpEvent::Request { request, .. }) = event {
+                    requests.push(request);
+                }
+            }
+            streams.push(stream);
+        }
+        assert_eq!(requests.len(), 3);
+        let data = bytes::Bytes::from(vec![b'y'; 2_048]);
+        let head = ResponsePart::Head {
+            status: 200,
+            headers: Vec::new(),
+            length: Some(2_048),
+        };
+        for part in [head, ResponsePart::Data(data), ResponsePart::End] {
+            driver.respond(now, requests[0], part);
+        }
+        driver.flush();
+        let stream = &mut streams[0];
+        stream
+            .set_read_timeout(Some(Duration::from_millis(500)))
+            .unwrap();
+        let mut received = vec![0; 2_048];
+        std::io::Read::read_exact(stream, &mut received).expect("a response");
+        assert!(received.starts_with(b"HTTP/1.1 200"));
+    });
+}
+
+/// Guards against a request that has arrived on a connection which is not yet accepted when
+/// the listener closes, as the timer that closes it may come before the poll tells of the
+/// connection.
+#[test]
+fn stop_accepting_pending_request_kept() {
+    run_with_poll(|poll| {
+        let mut table = CallerTable::default();
+        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        table
+            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
+            .unwrap();
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        std::thread::sleep(Duration::from_millis(20));
+        table.stop_accepting(LISTENER);
+        std::thread::sleep(Duration::from_millis(20));
+        stream.set_nonblocking(true).unwrap();
+        let read = std::io::Read::read(&mut stream, &mut [0; 16]);
+        let kind = read.map_err(|err| err.kind());
+        assert_eq!(kind, Err(std::io::ErrorKind::WouldBlock));
+    });
+}
