gateway: the line of a cut has what was expected and when events began

It now has the age of the attempt, the time to the first event and the time that was expected when the attempt was forwarded in the stop. No logic is changed.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -110,6 +110,7 @@
             endpoint_born_ms: 0,
             is_limited: false,
             attempt_started: None,
+            expected: None,
             prefill_tokens: 0,
             engine_work: None,
             reserved: 0,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -145,7 +145,7 @@
         left: Duration,
         actions: &mut Actions,
     ) {
-        self.log_accepted(now, request, endpoint, actions);
+        self.record_accepted(now, request, endpoint, actions);
         self.endpoints.cold.record_traffic();
         self.count_cold_request(now, endpoint, actions);
         let is_limited = self.endpoints.rate_limit(endpoint).is_some();
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -233,6 +233,9 @@
     pub is_limited: bool,
     /// When the current attempt was forwarded.
     pub attempt_started: Option<Instant>,
+    /// Time that the current attempt was expected to take, if it was forwarded in a
+    /// shutdown and enough was known.
+    pub expected: Option<Duration>,
     /// Prompt tokens counted at that endpoint as awaiting prefill.
     pub prefill_tokens: u64,
     /// What the current attempt's engine was to do when the call was forwarded; none
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -86,9 +86,10 @@
         }
     }
 
-    /// Logs what a call that is forwarded in a shutdown can be expected to take.
-    pub(crate) fn log_accepted(
-        &self,
+    /// Records and logs what a call that is forwarded in a shutdown can be expected to
+    /// take.
+    pub(crate) fn record_accepted(
+        &mut self,
         now: Instant,
         request: RequestId,
         endpoint: &EndpointId,
@@ -111,6 +112,9 @@
             text(endpoint),
         );
         actions.push(RoleAction::Log(LogLevel::Info, line));
+        if let Some(call) = self.calls.get_mut(request) {
+            call.expected = expected;
+        }
     }
 
     /// Ends a call that can't end before the shutdown does; another instance may
@@ -164,12 +168,17 @@
         let Some(call) = self.calls.get(request) else {
             return;
         };
+        let started = call.attempt_started.unwrap_or(call.started);
+        let first = call.response.first_event;
         let line = format!(
-            "shutdown id={} age_ms={} elapsed_ms={} event={} events_max={} attempts={} \
-             pace_ms={} endpoint={} outcome=cut",
+            "shutdown id={} age_ms={} elapsed_ms={} attempt_ms={} first_ms={} expected_ms={} \
+             event={} events_max={} attempts={} pace_ms={} endpoint={} outcome=cut",
             text(&call.terms.id),
             millis(now.saturating_duration_since(call.started)),
             millis(now.saturating_duration_since(since)),
+            millis(now.saturating_duration_since(started)),
+            known_millis(first.map(|at| at.saturating_duration_since(started))),
+            known_millis(call.expected),
             call.events.last_event().unwrap_or_default(),
             self.events_left(call).unwrap_or_default(),
             call.attempts,
