gateway: streams that outlast a planned stop go on at other engines

What callers saw: a stream that a stopping instance had accepted, before SIGTERM or 0.72 s after it, was cut at the end of the stop, 7.8 s after SIGTERM, with its engine still sending.

Cause: the end of a stream is estimated once, when it is accepted, and the estimate is taken for a bound. Engines that get long prompts send the events of all their streams many times as slowly, or let new ones wait for seconds; nothing compared that with what the stop had expected. Class: an expectation is formed once and not compared with what happens.

While it stops, a gateway estimates the rest of each stream anew at each tick, and a stream that would outlast the stop goes on where its rest is shorter: from a copy of its memory, which is asked for while the run goes on and so reserves room first, or, where engines copy none, as a resumption within the route's attempts.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -115,6 +115,8 @@
             engine_work: None,
             reserved: 0,
             units: account.map_or(0, |account| charged_units(account, &terms)),
+            move_after: None,
+            copy: None,
             response: PendingResponse::default(),
             events: EventSplitter::resuming_after(terms.last_event),
             head_sent: false,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -249,6 +249,7 @@
         if failure == AttemptFailure::NotSent {
             call.attempts -= 1;
         }
+        call.copy = None;
         call.events.end_run();
         call.tried.push(call.endpoint.clone());
         let misdirected = call.response.misdirected;
@@ -296,6 +297,15 @@
         if failure == AttemptFailure::Broken && self.is_suspected(call) {
             return false;
         }
+        self.charge_retry(request, actions)
+    }
+
+    /// Charges the retry budget for a call that goes to a further endpoint; returns
+    /// whether there is enough.
+    pub(crate) fn charge_retry(&mut self, request: RequestId, actions: &mut Actions) -> bool {
+        let Some(call) = self.calls.get(request) else {
+            return false;
+        };
         let budget = self.budgets.get_mut(&call.service);
         let is_acquired = budget.is_some_and(|budget| budget.acquire_retry());
         if !is_acquired {
@@ -439,6 +449,7 @@
             .model
             .as_ref()
             .map(|_| u8::try_from(call.priority.min(9)).unwrap_or(9)),
+        copy: call.copy.as_ref(),
     };
     HttpRequest {
         method: call.http.method.clone(),
--- a/crates/gateway/src/call_codec.rs
+++ b/crates/gateway/src/call_codec.rs
@@ -1,6 +1,7 @@
 //! The request properties that the gateway uses, and the interface that encodes
 //! them as header fields.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -65,6 +66,50 @@
     pub last_event: Option<u64>,
     /// Priority from 0 (highest) to 9; none for a plain service.
     pub priority: Option<u8>,
+    /// Copy of the run's memory that the endpoint goes on from.
+    pub copy: Option<&'a MemoryCopy>,
+}
+
+/// A copy of a run's memory, from which an engine goes on with the run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemoryCopy {
+    /// Address of the engine that ran the request before.
+    pub source: SocketAddr,
+    /// Name of the copy there.
+    pub handle: Bytes,
+}
+
+/// A request to an engine to copy the memory of a run.
+#[derive(Debug, Clone, Copy)]
+pub struct CopyTerms<'a> {
+    /// The engine that runs the request.
+    pub endpoint: &'a Bytes,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Id of the request.
+    pub id: &'a Bytes,
+    /// Address of the engine that gets the copy.
+    pub target: SocketAddr,
+    /// The run stops before the rest of its memory is copied.
+    pub stops_run: bool,
+}
+
+/// An engine's response to a request to copy the memory of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CopyResponse {
+    /// The memory is copied.
+    Copied {
+        /// Name of the copy.
+        handle: Bytes,
+    },
+    /// There is no such run; it has ended.
+    NoRun,
+    /// The memory isn't copied. If the run was to stop, it has, and the engine keeps its
+    /// memory under the name of the copy.
+    Refused {
+        /// Name of the copy, if the engine has one.
+        handle: Option<Bytes>,
+    },
 }
 
 /// Properties read from the head of an endpoint's response.
@@ -159,6 +204,15 @@
     /// to the caller.
     fn response_fields(&self, headers: Vec<HeaderField>) -> Vec<HeaderField>;
 
+    /// Returns the request for a copy of a run's memory.
+    fn copy_request(&self, terms: &CopyTerms<'_>) -> HttpRequest;
+
+    /// Returns the request that frees a copy, or its beginning, at both engines.
+    fn free_request(&self, endpoint: &Bytes, copy: &MemoryCopy) -> HttpRequest;
+
+    /// Parses the response to a request for a copy.
+    fn read_copy_response(&self, status: u16, body: &[u8]) -> CopyResponse;
+
     /// Returns the status and header fields of a refusal.
     fn refusal(
         &self,
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -12,7 +12,7 @@
 use mulberrywell_wire::request::HeaderField;
 use mulberrywell_wire::serving::{RepeatRule, ServingRoute};
 
-use crate::call_codec::CallTerms;
+use crate::call_codec::{CallTerms, MemoryCopy};
 use crate::endpoint_table::EndpointNeeds;
 use crate::event_splitter::EventSplitter;
 
@@ -148,6 +148,8 @@
     pub continues_stream: bool,
     /// When the first piece was forwarded.
     pub first_event: Option<Instant>,
+    /// Position of the first event.
+    pub first_position: u64,
     /// The response has shown that the prompt doesn't crash its endpoint.
     pub has_lasted: bool,
     /// Body received so far, for a response that is buffered.
@@ -245,6 +247,10 @@
     pub reserved: u64,
     /// Units that the call costs.
     pub units: u64,
+    /// Until then, the stream isn't moved.
+    pub move_after: Option<Instant>,
+    /// Copy of the run's memory that the current attempt goes on from.
+    pub copy: Option<MemoryCopy>,
     /// Response of the current attempt.
     pub response: PendingResponse,
     /// Splitter of the response's event stream.
--- a/crates/gateway/src/caller_responses.rs
+++ b/crates/gateway/src/caller_responses.rs
@@ -117,6 +117,7 @@
         self.release_endpoint(request);
         let mut call = self.calls.remove(request)?;
         self.deferred.remove(request);
+        self.end_copy(request, actions);
         if let Some(account) = call.account.as_ref().filter(|_| call.class.is_deferrable()) {
             self.token_waits.remove(account, (call.priority, request));
         }
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -31,6 +31,7 @@
 use crate::endpoint_wait::WAIT_INTERVAL;
 use crate::gateway_metrics as metrics;
 use crate::link_log::LinkLog;
+use crate::memory_copies::MemoryCopies;
 use crate::rate_limits::RateLimits;
 use crate::shutdown::ShutdownState;
 use crate::stream_origins::StreamOrigins;
@@ -113,6 +114,7 @@
     pub(crate) deferred: DeferredCalls,
     pub(crate) returns: ReturnSchedule,
     pub(crate) shutdown: ShutdownState,
+    pub(crate) copies: MemoryCopies,
     /// Instant of the last event.
     pub(crate) last_handled: Instant,
     /// When the terms of a choice were last logged.
@@ -147,6 +149,7 @@
             deferred: DeferredCalls::default(),
             returns: ReturnSchedule::default(),
             shutdown: ShutdownState::default(),
+            copies: MemoryCopies::default(),
             last_handled: now,
             choice_logged: None,
             next_tick: now,
@@ -402,6 +405,7 @@
         self.handle_due_calls(now, actions);
         self.expire_permits(now, actions);
         self.expire_lookups(now, actions);
+        self.expire_copies(now, actions);
         self.confirm_waiting_calls(now, actions);
         self.retry_token_waits(now, actions);
         self.retry_deferred_calls(now, actions);
@@ -413,6 +417,7 @@
             actions.extend(lines.map(|(level, text)| RoleAction::Log(level, text)));
             self.report_loads(now);
             self.expire_probes(now, actions);
+            self.move_slow_streams(now, actions);
             self.report_cold_count(now, actions);
             self.report_prompts(now, true, actions);
             self.report_token_waits(now, actions);
@@ -505,6 +510,7 @@
             self.deferred.deadline(),
             self.permits.deadline(),
             self.streams.deadline(),
+            self.copies.deadline(),
             waiting,
             self.shutdown_deadline(),
             Some(self.next_tick),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod known_versions;
 mod link_log;
 mod measured_choice;
+mod memory_copies;
 mod prompt_guard;
 mod prompt_sends;
 mod rate_limits;
@@ -46,12 +47,14 @@
 mod return_times;
 mod shutdown;
 mod speed_reports;
+mod stream_moves;
 mod stream_origins;
 mod token_waits;
 mod zone_evacuations;
 
 pub use call_codec::{
-    CallCodec, CallTerms, ForwardTerms, ModelTerms, RefusalReason, ResponseTerms, TokenTerms,
+    CallCodec, CallTerms, CopyResponse, CopyTerms, ForwardTerms, MemoryCopy, ModelTerms,
+    RefusalReason, ResponseTerms, TokenTerms,
 };
 pub use event_splitter::EventSplitter;
 pub use gateway_role::{
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -40,7 +40,7 @@
         event: ExchangeEvent,
         actions: &mut Actions,
     ) {
-        if self.handle_probe(now, &event, actions) {
+        if self.handle_probe(now, &event, actions) || self.handle_copy(now, &event, actions) {
             return;
         }
         match event {
@@ -64,6 +64,9 @@
             }
             ExchangeEvent::End { exchange, end } => {
                 if let Some(request) = self.calls.end_exchange(exchange) {
+                    if self.hold_end(now, request, end, actions) {
+                        return;
+                    }
                     self.suspect_cold(now, request, end, actions);
                     match end {
                         ExchangeEnd::Broken(_) => self.record_break(now, request, actions),
@@ -274,6 +277,7 @@
         end: ExchangeEnd,
         actions: &mut Actions,
     ) {
+        self.end_copy(request, actions);
         self.release_endpoint(request);
         let Some(call) = self.calls.get_mut(request) else {
             return;
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use mulberrywell_policy::events_time;
+use mulberrywell_policy::{events_time, PREFILL_TOKENS_PER_MS};
 use mulberrywell_role::RequestId;
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::serving::EngineTraits;
@@ -30,6 +30,7 @@
         let times = self.times.entry(call.route.name.clone()).or_default();
         let Some((since, first)) = call.pace_mark else {
             call.pace_mark = Some((now, event));
+            call.response.first_position = event;
             let started = call.attempt_started.unwrap_or(now);
             let elapsed = now.saturating_duration_since(started);
             times.record_first_chunk(elapsed);
@@ -175,6 +176,25 @@
     kept
 }
 
+/// Returns the tokens of a call's prompt.
+pub(crate) fn prompt_tokens(call: &CallRecord) -> u64 {
+    call.terms.tokens.map_or(0, |tokens| tokens.prompt)
+}
+
+/// Returns the time in which an engine reads the prompts that were sent to it.
+pub(crate) fn backlog_time(usage: &EndpointUsage) -> Duration {
+    let tokens = usage
+        .prefill_tokens
+        .saturating_add(usage.others.prefill_tokens);
+    prefill_time(tokens)
+}
+
+/// Returns the time in which an engine reads a number of tokens.
+pub(crate) fn prefill_time(tokens: u64) -> Duration {
+    let seconds = tokens as f64 / PREFILL_TOKENS_PER_MS / 1_000.0;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
 /// Returns the time since a call was first forwarded.
 fn running_time(now: Instant, call: &CallRecord) -> Duration {
     let since = call.first_forwarded.unwrap_or(now);
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -189,6 +189,12 @@
         self.end_unserved(now, request, RefusalReason::TimedOut, actions);
     }
 
+    /// Returns when the shutdown ends the calls that remain; none if there is none.
+    pub(crate) fn shutdown_end(&self) -> Option<Instant> {
+        let since = self.shutdown.since.filter(|_| !self.shutdown.finished)?;
+        Some(since + self.config.shutdown_limit)
+    }
+
     /// Returns when the shutdown next advances.
     pub(crate) fn shutdown_deadline(&self) -> Option<Instant> {
         let since = self.shutdown.since.filter(|_| !self.shutdown.finished)?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod response_times;
 mod service_meter;
 mod stable_hash;
+mod stream_rest;
 
 pub use admission_decision::{decide_admission, AdmissionOutcome, AdmissionRequest};
 pub use demand_estimate::{DemandEstimator, DemandSettings};
@@ -66,3 +67,4 @@
 pub use response_times::{events_time, DurationEstimate, RecentMaximum, ResponseTimes};
 pub use service_meter::ServiceMeter;
 pub use stable_hash::{mix_bits, stable_hash};
+pub use stream_rest::{observed_pace, should_move, MoveKind, StreamRest};
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -55,6 +55,11 @@
         self.above(PACE_DEVIATIONS)
     }
 
+    /// Returns the mean; none without a sample.
+    pub fn mean(&self) -> Option<Duration> {
+        self.above(0.0)
+    }
+
     fn above(&self, deviations: f64) -> Option<Duration> {
         let (mean, deviation) = self.averages?;
         Some(Duration::from_secs_f64(mean + deviations * deviation))
@@ -132,6 +137,17 @@
         self.whole.record(now, elapsed);
     }
 
+    /// Returns an upper estimate of the time from forwarding to the first chunk; none if
+    /// nothing is known.
+    pub fn first_chunk(&self) -> Option<Duration> {
+        self.first_chunk.upper()
+    }
+
+    /// Returns the estimate of the time from one event to the next.
+    pub fn event_pace(&self) -> &DurationEstimate {
+        &self.event_pace
+    }
+
     /// Returns the longest time that a response took; none if none is known.
     pub fn longest(&self) -> Option<Duration> {
         self.whole.get()
