gateway: a planned stop counts the prompts that wait at an engine

The time to the first event was estimated for the whole route, so that a stop accepted streams for an engine whose queue of prompts alone takes longer than what is left. Callers saw them cut.

The prompt tokens at the engine, of all instances, and the call's own now give a least time to the first event. shutdown_stream_behind_long_prompts_refused failed before: the stream was forwarded behind 400,000 tokens, 10 s of reading, with 7.5 s left.

--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -91,7 +91,11 @@
         let times = self.times.get(&call.route.name)?;
         if call.route.is_stream {
             if let Some(left) = self.events_left(call) {
-                return times.stream_time(left, self.endpoint_pace(endpoint));
+                let pace = self.endpoint_pace(endpoint);
+                let time = times.stream_time(left, pace)?;
+                let wait = self.endpoint_wait(call, endpoint);
+                let first = times.first_chunk().unwrap_or_default();
+                return Some(time.saturating_add(wait.saturating_sub(first)));
             }
         }
         // Calls in progress will last longer than they have so far, so that their age
@@ -119,6 +123,17 @@
         usage.event_pace.upper_pace()
     }
 
+    /// Returns the time until an endpoint has read the prompts that were sent before a
+    /// call's, and that one; zero if it isn't known which endpoint it will be.
+    fn endpoint_wait(&self, call: &CallRecord, endpoint: Option<&EndpointId>) -> Duration {
+        let usage = endpoint.and_then(|id| self.endpoints.usage(id));
+        usage.map_or(Duration::ZERO, |usage| {
+            let uncached =
+                prompt_tokens(call).saturating_sub(usage.cache.cached_tokens(&call.chain));
+            backlog_time(usage).saturating_add(prefill_time(uncached))
+        })
+    }
+
     /// Returns the events of a stream that its caller may still receive; none if the
     /// request doesn't limit its output.
     pub(crate) fn events_left(&self, call: &CallRecord) -> Option<u64> {
