gateway: a stream that can't move is accepted by a firmer estimate in a planned stop

In a slow phase of the engine they don't; a stream that can go on elsewhere leaves it, another is cut.

A stream that no other endpoint could go on with, or may by its route, is now estimated with the four deviations that single durations have. Case not_resumable of shutdown_uneven_pace_long_stream failed before; case resumable, which is accepted, passes before and after.

--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use mulberrywell_policy::{events_time, PREFILL_TOKENS_PER_MS};
+use mulberrywell_policy::{events_time, DurationEstimate, ResponseTimes, PREFILL_TOKENS_PER_MS};
 use mulberrywell_role::RequestId;
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::serving::EngineTraits;
@@ -91,7 +91,12 @@
         let times = self.times.get(&call.route.name)?;
         if call.route.is_stream {
             if let Some(left) = self.events_left(call) {
-                let pace = self.endpoint_pace(endpoint);
+                let estimate = self.pace_estimate(endpoint, times);
+                // A slow phase of the endpoint lasts for a stream that can't move.
+                let pace = match self.can_move(now, call, endpoint) {
+                    true => estimate.upper_pace(),
+                    false => estimate.upper(),
+                };
                 let time = times.stream_time(left, pace)?;
                 let wait = self.endpoint_wait(call, endpoint);
                 let first = times.first_chunk().unwrap_or_default();
@@ -117,6 +122,19 @@
         time.map_or(Duration::ZERO, |(left, pace)| events_time(left, pace))
     }
 
+    /// Returns the estimate of the time between events at an endpoint, or at all of a route
+    /// if nothing is known of it.
+    fn pace_estimate<'a>(
+        &'a self,
+        endpoint: Option<&EndpointId>,
+        times: &'a ResponseTimes,
+    ) -> &'a DurationEstimate {
+        let usage = endpoint.and_then(|id| self.endpoints.usage(id));
+        let measured = usage.map(|usage| &usage.event_pace);
+        let measured = measured.filter(|pace| pace.mean().is_some());
+        measured.unwrap_or_else(|| times.event_pace())
+    }
+
     /// Returns the upper estimate of the time between events at an endpoint.
     pub(crate) fn endpoint_pace(&self, endpoint: Option<&EndpointId>) -> Option<Duration> {
         let usage = self.endpoints.usage(endpoint?)?;
--- a/crates/gateway/src/stream_moves.rs
+++ b/crates/gateway/src/stream_moves.rs
@@ -72,6 +72,25 @@
         })
     }
 
+    /// Returns whether a stream can go on elsewhere than at an endpoint that it is to be
+    /// forwarded to, or at the one that will be chosen.
+    pub(crate) fn can_move(
+        &self,
+        now: Instant,
+        call: &CallRecord,
+        endpoint: Option<&EndpointId>,
+    ) -> bool {
+        let may_resume = call.route.is_idempotent && call.attempts + 1 < call.route.max_attempts;
+        if !may_resume && !self.copies_memory(call) {
+            return false;
+        }
+        let others = self.endpoints.candidates(now, call.needs());
+        let mut others = others.filter(|(status, _)| Some(&status.id) != endpoint);
+        // Which endpoint will be chosen isn't known.
+        let least = if endpoint.is_some() { 0 } else { 1 };
+        others.nth(least).is_some()
+    }
+
     fn copies_memory(&self, call: &CallRecord) -> bool {
         let service = self.index.service(&call.service);
         let traits = service.and_then(|service| service.engine.as_ref());
