gateway: text of an error is no rest of a stream that has begun

Callers would see an error's text, or a whole head in it, behind the events of their stream, and the stream ended as complete with it.

Cause: where the endpoint of a resumption responded with 200 and a body with length or chunks that has text and a blank line but no event, the text counted as blocks without data. Such blocks are held back until the first event and were forwarded with it, or with the end.

Before its first event, a run that resumes a stream may bring comments, blank lines and fields that the format knows. With other text it is broken off, and one that ends with fields but no event is broken, so that the stream goes on elsewhere or is aborted.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -4,13 +4,18 @@
 //! resumes the stream repeats no event of the runs before it. What remains at the end
 //! of a run is a truncated event if it has a field. Blocks without data, such as
 //! comments, are held back until the run's first event, so that a run without one can
-//! be replaced. Lines end with a newline, or with a return and a newline.
+//! be replaced. A run that resumes the stream brings no text of its own before its first
+//! event, such as an error's: only comments and known fields. Lines end with a newline,
+//! or with a return and a newline.
 
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event in bytes.
 const EVENT_MAX: usize = 1024 * 1024;
 
+/// Names of the fields that the format knows.
+const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
 /// Splitter state of one stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -36,6 +41,8 @@
     TooLong,
     /// Events that the caller has received come again.
     Repeated,
+    /// A run that resumes the stream begins with text that is no event.
+    Foreign,
 }
 
 impl EventSplitter {
@@ -73,6 +80,13 @@
         lines(&self.partial[self.held..]).any(is_field)
     }
 
+    /// Returns whether the current run resumes the stream and has brought fields, but no
+    /// event that they belong to.
+    pub fn has_fields_only(&self) -> bool {
+        let is_resumption = self.resumed_after.is_some();
+        is_resumption && !self.has_event && lines(&self.partial).any(is_field)
+    }
+
     /// Returns what remains of a stream that is complete.
     pub fn take_rest(&mut self) -> Bytes {
         self.held = 0;
@@ -93,7 +107,8 @@
     /// Appends bytes and returns the events that they complete.
     ///
     /// # Errors
-    /// Fails when an event is longer than the limit, or was returned in an earlier run.
+    /// Fails when an event is longer than the limit, or was returned in an earlier run, and
+    /// when a run that resumes the stream begins with text that is no event.
     pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
         let start = std::mem::replace(&mut self.searched, self.partial.len());
@@ -105,6 +120,10 @@
             {
                 return Err(EventError::Repeated);
             }
+            let is_begin = self.resumed_after.is_some() && !self.has_event;
+            if is_begin && begins_with_text(blocks) {
+                return Err(EventError::Foreign);
+            }
             if self.has_event || has_data(blocks) {
                 return Ok(Some(self.split_events(end)));
             }
@@ -168,6 +187,24 @@
     lines(blocks).any(is_data)
 }
 
+/// Returns whether a block before the first event has a line that is neither a comment
+/// nor a known field.
+fn begins_with_text(blocks: &[u8]) -> bool {
+    let mut has_text = false;
+    for line in lines(blocks).take_while(|line| !is_data(line)) {
+        if line.is_empty() && has_text {
+            return true;
+        }
+        has_text |= is_field(line) && !is_known_field(line);
+    }
+    false
+}
+
+fn is_known_field(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next();
+    name.is_some_and(|name| FIELD_NAMES.contains(&name))
+}
+
 /// Returns whether a line is a field, or the beginning of one.
 fn is_field(line: &[u8]) -> bool {
     line.first().is_some_and(|byte| *byte != b':')
