gateway: a stream cut inside an event isn't complete without it

Callers would see a stream that ends as complete before an event that its first endpoint had begun to send.

Cause: an empty rest with length or chunks counts as the true end of a resumed stream, as the break may have come behind the last event. A break inside an event shows that one more exists, but the splitter discarded the bytes and with them that knowledge.

The cases that break between events, or inside a comment, still end as complete.

The splitter now remembers a break inside an event until a run returns an event; a run that ends without one is broken, so that the stream goes on elsewhere or is aborted.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -32,6 +32,8 @@
     has_event: bool,
     /// Id of the last event that the runs before the current one have returned.
     resumed_after: Option<u64>,
+    /// A run broke off inside an event, and no run has returned one since.
+    awaits_event: bool,
 }
 
 /// Why a stream can't be forwarded any further.
@@ -70,6 +72,12 @@
         }
     }
 
+    /// Returns whether a run before the current one broke off inside an event that is
+    /// still to come, so that the stream isn't complete.
+    pub fn awaits_event(&self) -> bool {
+        self.awaits_event
+    }
+
     /// Returns whether the current run has returned an event.
     pub fn has_event(&self) -> bool {
         self.has_event
@@ -97,6 +105,7 @@
     /// Ends a run and discards its incomplete event. The next run must continue after
     /// the events returned so far.
     pub fn end_run(&mut self) {
+        self.awaits_event |= self.has_partial_event();
         self.partial.clear();
         self.held = 0;
         self.searched = 0;
@@ -140,6 +149,7 @@
         self.held = 0;
         self.searched = self.partial.len();
         self.has_event = true;
+        self.awaits_event = false;
         if let Some(last) = last_position(&events) {
             self.last_event = last;
         }
--- a/crates/gateway/src/response_check.rs
+++ b/crates/gateway/src/response_check.rs
@@ -40,6 +40,10 @@
         ExchangeEnd::Complete if response.is_stream && call.events.has_fields_only() => {
             (AttemptFailure::Broken, "the resumption has no event")
         }
+        ExchangeEnd::Complete if response.is_stream && call.events.awaits_event() => (
+            AttemptFailure::Broken,
+            "the stream ended before the event at which it had broken off",
+        ),
         // Only the events show whether a stream without length and chunks is complete.
         ExchangeEnd::Complete
             if response.is_stream && !response.is_delimited && !call.events.has_event() =>
