entry: only a plain event stream is the rest of a stream that has begun

Callers would see the body of another kind of response behind their events: one with a Content-Encoding, or one whose type only begins like that of streams. A whole encoded stream was also held back as an event without an end, begun anew at each endpoint and then cut.

Cause: a response counted as a stream if its type began with text/event-stream, byte for byte, whatever its encoding.

The type is now compared as a media type, without parameters and case, as the gateway does, and an encoded body is no stream: it is forwarded as it is and not continued, and as a resumption it is refused.

--- a/crates/entry/src/attempt_responses.rs
+++ b/crates/entry/src/attempt_responses.rs
@@ -15,6 +15,9 @@
 /// Media type of event streams.
 const EVENT_TYPE: &[u8] = b"text/event-stream";
 
+/// Encoding of a body that is not encoded.
+const PLAIN_ENCODING: &[u8] = b"identity";
+
 impl EntryRole {
     pub(crate) fn handle_head(
         &mut self,
@@ -285,8 +288,14 @@
     }
 }
 
+/// Returns whether the body is a stream of events, whatever the parameters of its type.
+/// The events of an encoded body can't be told apart.
 fn is_event_stream(head: &AttemptHead) -> bool {
-    header_value(&head.headers, "content-type").is_some_and(|kind| kind.starts_with(EVENT_TYPE))
+    let content_type = header_value(&head.headers, "content-type");
+    let media_type = content_type.and_then(|kind| kind.split(|byte| *byte == b';').next());
+    let encoding = header_value(&head.headers, "content-encoding");
+    media_type.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(EVENT_TYPE))
+        && encoding.is_none_or(|name| name.trim_ascii().eq_ignore_ascii_case(PLAIN_ENCODING))
 }
 
 fn send_part(call: &CallRecord, part: ResponsePart, actions: &mut Actions) {
