entry: text without data is no event of a stream

Callers would see an error's text behind the events of their stream, which ended as complete with it, or before the events of the next endpoint. Where an engine sends comments while it works, they would miss as many events after a resumption.

Cause: each block between blank lines counted as an event, whether or not it has data. So text with status 200 and the type of streams was delivered as the rest of a stream, and X-Resume-Events had comments in its sum.

Only blocks with data count. Text before an attempt's first event is held back until the event; in an attempt that resumes a stream it ends the attempt, so that the stream goes on elsewhere or is aborted. The blocks before such an attempt's first event, comments for example, are held back too, and dropped if there is none.

--- a/crates/entry/tests/refused_resumptions.rs
+++ b/crates/entry/tests/refused_resumptions.rs
@@ -137,6 +137,25 @@
     assert_eq!(entry.starts().len(), 1);
 }
 
+/// Guards against an error without an error's status: its text was taken for an event,
+/// and the stream ended as complete with it.
+#[rstest]
+#[case::plain_text("upstream failed\n\n")]
+#[case::two_lines("error\nupstream failed\n\n")]
+#[case::json("{\"error\":\"upstream failed\"}\n\n")]
+#[case::head("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n")]
+#[case::behind_comment(": ok\n\nupstream failed\n\n")]
+#[case::before_event("upstream failed\n\ndata: b\n\n")]
+#[case::without_blank_line("upstream failed\n")]
+fn error_text_aborted(#[case] body: &str, #[values(1, 7, 100)] piece_len: usize) {
+    let mut entry = ScriptedEntry::ready();
+    let request = start_resumption(&mut entry, "");
+    let pieces = body.as_bytes().chunks(piece_len);
+    let pieces: Vec<&str> = pieces.map(|it| std::str::from_utf8(it).unwrap()).collect();
+    respond_to_all(&mut entry, request, 200, &[STREAM_TYPE], &pieces);
+    assert_aborted_after(&entry, request, EVENT_A);
+}
+
 /// What a sound stream may have before its next event, and lines of an event that the
 /// entry doesn't know, are no error.
 #[rstest]
@@ -156,11 +175,58 @@
     assert_eq!(view.ended, Some(true));
 }
 
+/// Guards against events that a resumption skips, as comments or blocks without data
+/// counted as events.
+#[rstest]
+#[case::comment(": wait\n\n")]
+#[case::fields_without_data("event: start\nretry: 10\n\n")]
+fn resumption_counts_only_events(#[case] block: &str) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    entry.head(link, start.id, STREAM);
+    let sent = [block, EVENT_A, block].concat();
+    entry.part(link, start.id, 0, &sent);
+    entry.close_link(link);
+    assert_eq!(entry.last_start().1.resume_events, 1);
+    respond(&mut entry, 200, &[STREAM_TYPE], &[EVENT_B]);
+    let view = entry.caller_view(request);
+    assert_eq!(view.body, [&sent, EVENT_B].concat());
+    assert_eq!(view.ended, Some(true));
+}
+
+/// Guards against an error's text before a stream that begins at a further endpoint.
+/// Text before the first event of an uninterrupted stream is the endpoint's own.
+#[rstest]
+#[case::broken_off(true)]
+#[case::uninterrupted(false)]
+fn text_before_first_event(#[case] is_broken: bool) {
+    let mut entry = ScriptedEntry::ready();
+    let request = entry.send_chat(10, true, &[]);
+    let (link, start) = entry.last_start();
+    let text = "upstream failed\n\n";
+    entry.head(link, start.id, STREAM);
+    entry.part(link, start.id, 0, text);
+    if is_broken {
+        entry.close_link(link);
+        assert_eq!(entry.last_start().1.resume_events, 0);
+        respond(&mut entry, 200, &[STREAM_TYPE], &[EVENT_A]);
+    } else {
+        entry.part(link, start.id, text.len() as u64, EVENT_A);
+        entry.end(link, start.id, (text.len() + EVENT_A.len()) as u64, 1);
+    }
+    let view = entry.caller_view(request);
+    let before = if is_broken { "" } else { text };
+    assert_eq!(view.body, [before, EVENT_A].concat());
+    assert_eq!(view.ended, Some(true));
+}
+
 /// Guards against an error that ends a stream that a further endpoint can continue, and
 /// against a rest of the error that stays behind for it.
 #[rstest]
 #[case::error(500, &[STREAM_TYPE], "failed\n\n")]
 #[case::misdirected(421, &[], "")]
+#[case::error_text(200, &[STREAM_TYPE], "upstream failed\n\n")]
 #[case::truncated_event(200, &[STREAM_TYPE], "data: c")]
 fn stream_continued_after_error(
     #[case] status: u32,
