entry: a stream cut inside an event isn't complete without it

Callers would see a stream that ends as complete before an event that its first engine had begun to send, if the next one had nothing to add.

Cause: an empty rest counts as the true end of a resumed stream, as the break may have come behind the last event. A break inside an event shows that one more exists, but that was discarded with the event's bytes.

The stream now remembers a break inside an event until an attempt brings an event; an attempt that ends without one is truncated, so that the stream goes on elsewhere or is aborted.

--- a/crates/entry/src/event_stream.rs
+++ b/crates/entry/src/event_stream.rs
@@ -34,6 +34,8 @@
     last_byte: u8,
     /// Whether the current attempt has brought an event.
     has_event: bool,
+    /// An attempt broke off inside an event, and no attempt has brought one since.
+    awaits_event: bool,
     delivered: u64,
     done: bool,
 }
@@ -58,6 +60,7 @@
                     if lines(block).any(is_data) {
                         is_held = false;
                         self.has_event = true;
+                        self.awaits_event = false;
                         self.delivered += 1;
                         self.done |= is_last_event(block);
                     } else if !self.has_event {
@@ -79,13 +82,16 @@
     }
 
     /// Returns whether a response that ends here is truncated: it ends inside an
-    /// event or before the first one of the stream.
+    /// event, before the first one of the stream or before the one at which an earlier
+    /// attempt broke off.
     pub fn is_truncated(&self) -> bool {
-        !self.done && (self.partial.len() > self.held || self.delivered == 0)
+        let is_inside_event = self.partial.len() > self.held;
+        !self.done && (is_inside_event || self.delivered == 0 || self.awaits_event)
     }
 
     /// Discards a partial event left by a failed attempt.
     pub fn discard_partial(&mut self) {
+        self.awaits_event |= lines(&self.partial[self.held..]).any(is_field);
         self.partial.clear();
         self.held = 0;
         self.has_event = false;
@@ -117,6 +123,11 @@
     line.split(|byte| *byte == b':').next().unwrap_or(line)
 }
 
+/// Returns whether a line is a field, or the beginning of one.
+fn is_field(line: &[u8]) -> bool {
+    !field_name(line).is_empty()
+}
+
 fn is_data(line: &[u8]) -> bool {
     field_name(line) == b"data"
 }
--- a/crates/entry/tests/refused_resumptions.rs
+++ b/crates/entry/tests/refused_resumptions.rs
@@ -175,6 +175,26 @@
     assert_eq!(view.ended, Some(true));
 }
 
+/// Guards against a stream that ends as complete without the event at which it broke
+/// off. After a break between two events, an empty rest is the true end.
+#[rstest]
+#[case::inside_event("data: b", false)]
+#[case::at_field_name("d", false)]
+#[case::between_events("", true)]
+#[case::inside_comment(": wai", true)]
+fn empty_resumption_after_break(
+    #[case] truncated: &str,
+    #[case] is_complete: bool,
+    #[values("", ": ok\n\n", "\n\n")] body: &str,
+) {
+    let mut entry = ScriptedEntry::ready();
+    let request = start_resumption(&mut entry, truncated);
+    respond_to_all(&mut entry, request, 200, &[STREAM_TYPE], &[body]);
+    let view = entry.caller_view(request);
+    assert_eq!(view.ended, Some(is_complete), "{}", view.body);
+    assert_eq!(view.body.trim_end(), EVENT_A.trim_end());
+}
+
 /// Guards against events that a resumption skips, as comments or blocks without data
 /// counted as events.
 #[rstest]
@@ -228,6 +248,7 @@
 #[case::misdirected(421, &[], "")]
 #[case::error_text(200, &[STREAM_TYPE], "upstream failed\n\n")]
 #[case::truncated_event(200, &[STREAM_TYPE], "data: c")]
+#[case::empty(200, &[STREAM_TYPE], "")]
 fn stream_continued_after_error(
     #[case] status: u32,
     #[case] fields: &[(&str, &str)],
