gateway: a head among the events of a stream breaks it off

Callers would see a whole head in the middle of their stream, where the endpoint of the stream broke off and wrote an error's response into the body that had begun.

Cause: behind the first event of a run, blocks without data are forwarded as they are, and the lines of a head and the blank line after it are such a block. Chunks show bytes like that; a length or the end of the connection doesn't.

A line that begins as a status line does belongs to no event, so that the run counts as broken off there, and the stream goes on elsewhere or is aborted. Other text behind an event is still forwarded: it can't be told from fields that the gateway doesn't know. response_flow.rs has one line more, the cause of the new error.

--- a/crates/gateway/src/event_splitter.rs
+++ b/crates/gateway/src/event_splitter.rs
@@ -16,6 +16,9 @@
 /// Names of the fields that the format knows.
 const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
+/// Begin of the first line of a response's head.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+
 /// Splitter state of one stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -45,6 +48,8 @@
     Repeated,
     /// A run that resumes the stream begins with text that is no event.
     Foreign,
+    /// The head of a response stands among the events.
+    SecondHead,
 }
 
 impl EventSplitter {
@@ -116,8 +121,9 @@
     /// Appends bytes and returns the events that they complete.
     ///
     /// # Errors
-    /// Fails when an event is longer than the limit, or was returned in an earlier run, and
-    /// when a run that resumes the stream begins with text that is no event.
+    /// Fails when an event is longer than the limit, or was returned in an earlier run,
+    /// when a run that resumes the stream begins with text that is no event, and when a
+    /// head stands among the events.
     pub fn feed(&mut self, data: &Bytes) -> Result<Option<Bytes>, EventError> {
         self.partial.extend_from_slice(data);
         let start = std::mem::replace(&mut self.searched, self.partial.len());
@@ -134,6 +140,9 @@
                 return Err(EventError::Foreign);
             }
             if self.has_event || has_data(blocks) {
+                if lines(blocks).any(is_status_line) {
+                    return Err(EventError::SecondHead);
+                }
                 return Ok(Some(self.split_events(end)));
             }
             self.held = end;
@@ -215,6 +224,11 @@
     name.is_some_and(|name| FIELD_NAMES.contains(&name))
 }
 
+/// Returns whether a line begins the head of a response. No field has such a name.
+fn is_status_line(line: &[u8]) -> bool {
+    line.starts_with(STATUS_LINE_START)
+}
+
 /// Returns whether a line is a field, or the beginning of one.
 fn is_field(line: &[u8]) -> bool {
     line.first().is_some_and(|byte| *byte != b':')
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -191,6 +191,7 @@
                 let cause = match error {
                     EventError::TooLong => "an event is too long",
                     EventError::Repeated => "the stream began anew",
+                    EventError::SecondHead => "the stream has a head among its events",
                     EventError::Foreign => "the resumption began with text that is no event",
                 };
                 self.calls.end_exchange(exchange);
