entry: a head among the events of a stream breaks it off

Callers would see a whole head in the middle of their stream, where the endpoint of the stream broke off and wrote an error's response into the body that had begun.

Cause: behind the first event of an attempt, blocks without data are forwarded as they are, and the lines of a head and the blank line after it are such a block.

A block without data that begins as a status line does ends the attempt's events: those before it are delivered and counted, and the attempt is truncated, so that the stream goes on elsewhere or is aborted.

--- a/crates/entry/src/event_stream.rs
+++ b/crates/entry/src/event_stream.rs
@@ -7,7 +7,8 @@
 //!
 //! Before the first event of an attempt, blocks of text that is neither a comment nor
 //! a known field, such as an error's, are held back until the event. Where the attempt
-//! resumes the stream, such text ends it, and all blocks are held back.
+//! resumes the stream, such text ends it, and all blocks are held back. The head of a
+//! response among the events ends the attempt too.
 
 use bytes::{Bytes, BytesMut};
 
@@ -17,6 +18,9 @@
 /// Maximum size of an event in bytes.
 const EVENT_MAX: usize = 1024 * 1024;
 
+/// Begin of the first line of a response's head; no field has such a name.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+
 /// Names of the fields that the format knows.
 const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
@@ -34,6 +38,8 @@
     last_byte: u8,
     /// Whether the current attempt has brought an event.
     has_event: bool,
+    /// A head stands behind the events of the current attempt, which has no more of them.
+    has_head: bool,
     /// An attempt broke off inside an event, and no attempt has brought one since.
     awaits_event: bool,
     delivered: u64,
@@ -42,9 +48,12 @@
 
 impl EventStream {
     /// Appends bytes and returns the events that they complete; none when an
-    /// event is too long, or the attempt resumes the stream with text that is no
-    /// event.
+    /// event is too long, the attempt resumes the stream with text that is no event,
+    /// or a head has come before.
     pub fn push(&mut self, data: &Bytes) -> Option<Bytes> {
+        if self.has_head {
+            return None;
+        }
         let mut cursor = self.partial.len();
         self.partial.extend_from_slice(data);
         let mut end = self.held;
@@ -70,6 +79,9 @@
                             return None;
                         }
                         is_held |= is_resumption || has_text;
+                    } else if block.starts_with(STATUS_LINE_START) {
+                        self.has_head = true;
+                        break;
                     }
                     end = cursor + 1;
                 }
@@ -95,6 +107,7 @@
         self.partial.clear();
         self.held = 0;
         self.has_event = false;
+        self.has_head = false;
         self.last_byte = 0;
     }
 
--- a/crates/entry/tests/refused_resumptions.rs
+++ b/crates/entry/tests/refused_resumptions.rs
@@ -307,3 +307,37 @@
     assert_eq!(view.ended, Some(true));
     assert_eq!(entry.starts().len(), 1);
 }
+
+/// Guards against a whole head behind the events of a stream: what stands before the
+/// endpoint broke off and wrote its error into the body.
+#[rstest]
+#[case::first_attempt(false)]
+#[case::resumption(true)]
+fn head_behind_event_dropped(
+    #[case] is_resumption: bool,
+    #[values(1, 7, 15, 200)] piece_len: usize,
+) {
+    let mut entry = ScriptedEntry::ready();
+    let (request, event) = match is_resumption {
+        true => (start_resumption(&mut entry, ""), EVENT_B),
+        false => (entry.send_chat(10, true, &[]), EVENT_A),
+    };
+    let attempts = entry.starts().len();
+    let body = [
+        event,
+        "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 8\r\n\r\nfailed\n\n",
+    ]
+    .concat();
+    let pieces = body.as_bytes().chunks(piece_len);
+    let pieces: Vec<&str> = pieces.map(|it| std::str::from_utf8(it).unwrap()).collect();
+    respond(&mut entry, 200, &[STREAM_TYPE], &pieces);
+    let (_, start) = entry.last_start();
+    assert_eq!(entry.starts().len(), attempts + 1);
+    assert_eq!(start.resume_events, attempts as u64);
+    let rest = "data: [DONE]\n\n";
+    respond(&mut entry, 200, &[STREAM_TYPE], &[rest]);
+    let view = entry.caller_view(request);
+    let before = if is_resumption { EVENT_A } else { "" };
+    assert_eq!(view.body, [before, event, rest].concat());
+    assert_eq!(view.ended, Some(true));
+}
