runtime: a refusal of pipelined bytes follows the response before it

Callers of an entry that send bytes behind a request would see the refusal of those bytes in place of the response to the request, or behind its head: a whole error in the middle of another response, or instead of it.

Cause: the front proxy enters its phase for the next head once the role's response is written to the HTTP library's connection. Where the next bytes are already there and are refused, it dropped that connection with whatever it had not yet read of the response, and appended the refusal.

The refusal now waits: the proxy ends its sending side to the library, forwards what is left, and writes the refusal once the library has ended the connection, which it does behind the response. If the connection fails instead, the caller's is reset. Refusals of a request whose body is being read, and those without a connection to the library, are written at once as before.

--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -132,6 +132,8 @@
     upstream_ended: bool,
     /// Requests that are not passed to a role yet are refused.
     refuses_unread: bool,
+    /// Refusal of the bytes behind a request, to be written behind its response.
+    refusal: Option<HttpRefusal>,
     /// Requests that were passed to a role and are not yet answered.
     requests: BTreeSet<RequestId>,
     /// Start of the current phase.
@@ -158,6 +160,7 @@
             resets_on_drop: false,
             upstream_ended: false,
             refuses_unread: false,
+            refusal: None,
             requests: BTreeSet::new(),
             phase_since: now,
             last_progress: now,
@@ -239,6 +242,19 @@
         }
     }
 
+    /// Sends an error response behind the one before, of which the upstream server may
+    /// still hold a part, and closes.
+    fn refuse_next(&mut self, now: Instant, refusal: HttpRefusal) {
+        if self.upstream.is_none() || self.upstream_ended {
+            self.refuse(now, refusal);
+            return;
+        }
+        // The end of the upstream connection follows the rest of the response.
+        self.shut_down_upstream();
+        self.refusal = Some(refusal);
+        self.enter(ProxyPhase::Closing, now);
+    }
+
     /// Sends an error response in place of the upstream server's and closes.
     pub fn refuse(&mut self, now: Instant, refusal: HttpRefusal) {
         self.shut_down_upstream();
@@ -278,7 +294,7 @@
         let without_progress = now.saturating_duration_since(self.last_progress);
         match self.phase {
             ProxyPhase::Head if !self.inbound.is_empty() && time_in_phase >= stall_timeout => {
-                self.refuse(now, TOO_SLOW);
+                self.refuse_next(now, TOO_SLOW);
             }
             ProxyPhase::Head if self.upstream.is_none() && time_in_phase >= stall_timeout => {
                 return ProxyStep::Ended;
@@ -351,7 +367,7 @@
             return ProxyStep::Wait;
         }
         if self.refuses_unread {
-            self.refuse(now, SHUTTING_DOWN);
+            self.refuse_next(now, SHUTTING_DOWN);
             return ProxyStep::Wait;
         }
         let found = self.scan.advance(&self.inbound);
@@ -382,7 +398,7 @@
                 }
             }
             Err(error) => {
-                self.refuse(now, head_refusal(error));
+                self.refuse_next(now, head_refusal(error));
                 ProxyStep::Wait
             }
         }
@@ -482,6 +498,13 @@
     }
 
     fn read_upstream(&mut self, scratch: &mut [u8]) -> MoveOutcome {
+        if self.upstream_ended && self.outbound.is_empty() {
+            let Some(refusal) = self.refusal.take() else {
+                return MoveOutcome::Idle;
+            };
+            self.outbound.extend_from_slice(&refusal.bytes());
+            return MoveOutcome::Moved;
+        }
         let Some(upstream) = self.upstream.as_mut() else {
             return MoveOutcome::Idle;
         };
@@ -494,6 +517,10 @@
                 MoveOutcome::Moved
             }
             ReadOutcome::Blocked => MoveOutcome::Idle,
+            ReadOutcome::Failed if self.refusal.take().is_some() => {
+                // The response before the refusal may be truncated.
+                MoveOutcome::Failed
+            }
             ReadOutcome::End | ReadOutcome::Failed => {
                 self.upstream_ended = true;
                 MoveOutcome::Moved
