agent: a closed connection without a body isn't the rest of a stream

Callers would see a stream that ends as complete where it had broken off between two events, if the next endpoint answered 200 and closed the connection.

Cause: a body without length and chunks ends with its connection. The agent reported such a response as whole, and the entry takes an empty rest of a stream for its true end, as the break may have come behind the last event.

Evidence: the process test now also breaks streams off between events.

The response to a resumption that has neither length nor chunks and no byte is now reported as not whole, so that the stream goes on elsewhere or is aborted. Other responses, and an empty rest with length or chunks, are unchanged.

--- a/crates/agent/src/agent_role/engine_events.rs
+++ b/crates/agent/src/agent_role/engine_events.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_role::{LinkCommand, LogLevel, RoleAction};
+use mulberrywell_role::{header_value, LinkCommand, LogLevel, RoleAction};
 use mulberrywell_wire::request::{
     AttemptEnd, AttemptHead, AttemptPart, HeaderField, Ran, RefusalReason,
 };
@@ -14,6 +14,9 @@
 use crate::attempt_scheduler::RunningAttempt;
 use crate::{AgentEvent, EngineState, RunId};
 
+/// Fields of a response that state where its body ends.
+const FRAMING_FIELDS: [&str; 2] = ["Content-Length", "Transfer-Encoding"];
+
 impl AgentRole {
     pub(super) fn handle_engine_event(
         &mut self,
@@ -49,6 +52,8 @@
         actions: &mut Actions,
     ) {
         self.send_reply(run, actions, |running| {
+            let is_framing = |name: &&str| header_value(&headers, name).is_some();
+            running.is_delimited = FRAMING_FIELDS.iter().any(is_framing);
             FrameBody::AttemptHead(AttemptHead {
                 id: Some(running.id),
                 status: u32::from(status),
@@ -75,7 +80,7 @@
             FrameBody::AttemptEnd(AttemptEnd {
                 id: Some(running.id),
                 length: running.sent_bytes,
-                whole: true,
+                whole: running.is_whole(),
                 ran: Ran::Yes.into(),
                 tokens: running.counter.tokens(),
             })
--- a/crates/agent/src/attempt_scheduler.rs
+++ b/crates/agent/src/attempt_scheduler.rs
@@ -44,6 +44,10 @@
     pub id: AttemptId,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// The attempt resumes a stream.
+    pub is_resumption: bool,
+    /// The response has a length or chunks; otherwise it ends with its connection.
+    pub is_delimited: bool,
     /// Bytes of the response body sent to the entry.
     pub sent_bytes: u64,
     /// The entry cancelled the attempt.
@@ -59,6 +63,14 @@
     started: Instant,
 }
 
+impl RunningAttempt {
+    /// Returns whether a response that ends here is complete. The end of a connection
+    /// that brought nothing doesn't show that a stream to be resumed has nothing left.
+    pub fn is_whole(&self) -> bool {
+        self.is_delimited || !self.is_resumption || self.sent_bytes > 0
+    }
+}
+
 /// Refusal of an attempt that was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueRefusal {
@@ -286,6 +298,8 @@
                 link: waiting.link,
                 id: waiting.start.id.unwrap_or_default(),
                 idempotent: waiting.start.idempotent,
+                is_resumption: waiting.start.resume_events > 0,
+                is_delimited: false,
                 sent_bytes: 0,
                 cancelled: false,
                 counter: TokenCounter::new(waiting.start.stream),
--- a/crates/mulberrywell/tests/refused_resumptions.rs
+++ b/crates/mulberrywell/tests/refused_resumptions.rs
@@ -15,6 +15,7 @@
 use mulberrywell_testkit::{
     spawn_server, wait_until, AgentPlan, ClusterPlan, ProcessCluster, RawCaller, RawEnd,
 };
+use rstest::rstest;
 
 /// Timeout for a response to end.
 const END_TIMEOUT: Duration = Duration::from_secs(8);
@@ -29,6 +30,9 @@
 /// budget.
 const SOUND_CALLS: usize = 6;
 
+/// Name of the form that is the true end of a stream which breaks off between events.
+const EMPTY_FORM: &str = "empty";
+
 const EVENT_1: &str = "id: 1\ndata: a\n\n";
 
 /// What endpoints send in response to resumptions, in pieces separated by `|`; then they
@@ -111,7 +115,7 @@
          \r\n8\r\nfailed\n\n\r\n0\r\n\r\n",
     ),
     (
-        "empty",
+        EMPTY_FORM,
         "HTTP/1.1 200 OK\r\nIDContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
     ),
     (
@@ -124,9 +128,16 @@
 /// Resumptions that endpoints have received for each form.
 type FormCounts = Arc<[AtomicUsize; ERROR_FORMS.len()]>;
 
-/// Serves streams that are reset inside their second event; the resumptions of a request
+/// Where a stream breaks off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BreakPoint {
+    InsideEvent,
+    BetweenEvents,
+}
+
+/// Serves streams that are reset behind their first event; the resumptions of a request
 /// whose query is the index of a form get that form.
-fn spawn_breaking_endpoint(counts: &FormCounts) -> SocketAddr {
+fn spawn_breaking_endpoint(counts: &FormCounts, point: BreakPoint) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let counts = counts.clone();
@@ -159,7 +170,11 @@
             "HTTP/1.1 200 OK\r\n{id}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
         ));
-        stream.write_chunk(&format!("{EVENT_1}id: 2\nda"));
+        let truncated = match point {
+            BreakPoint::InsideEvent => "id: 2\nda",
+            BreakPoint::BetweenEvents => "",
+        };
+        stream.write_chunk(&format!("{EVENT_1}{truncated}"));
         thread::sleep(ARRIVAL_DELAY);
         stream.reset_on_close().unwrap();
         false
@@ -184,10 +199,14 @@
 fn find_wrong_forms(
     callers: SocketAddr,
     counts: &FormCounts,
+    point: BreakPoint,
     request_of: impl Fn(&str) -> String,
 ) -> Vec<(&'static str, String)> {
     let mut wrong = Vec::new();
     for (form, (name, _)) in ERROR_FORMS.iter().enumerate() {
+        if point == BreakPoint::BetweenEvents && *name == EMPTY_FORM {
+            continue;
+        }
         for number in 0.. {
             for _ in 0..SOUND_CALLS {
                 await_endpoint(callers, &request_of(""));
@@ -214,15 +233,17 @@
 
 /// Guards against an error's bytes in the middle of a stream of a gateway, and against
 /// a stream that looks complete with it.
-#[test]
-fn gateway_resumption_errors_cut() {
+#[rstest]
+#[case::inside_event(BreakPoint::InsideEvent)]
+#[case::between_events(BreakPoint::BetweenEvents)]
+fn gateway_resumption_errors_cut(#[case] point: BreakPoint) {
     let deployment = ServingDeployment::spawn();
     let worker = &deployment.worker;
     let draining = worker.heartbeat("s1", "draining", 2);
     assert!(deployment.operator.send_heartbeat("w1", &draining));
     let counts = FormCounts::new([const { AtomicUsize::new(0) }; ERROR_FORMS.len()]);
     for name in ["w2", "w3"] {
-        let address = spawn_breaking_endpoint(&counts);
+        let address = spawn_breaking_endpoint(&counts, point);
         let ready = worker.heartbeat_at(address, "s1", "ready", 1);
         assert!(deployment.operator.send_heartbeat(name, &ready));
     }
@@ -235,17 +256,19 @@
         )
     };
     await_endpoint(deployment.callers, &request_of(""));
-    let wrong = find_wrong_forms(deployment.callers, &counts, request_of);
+    let wrong = find_wrong_forms(deployment.callers, &counts, point, request_of);
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
 /// Guards against an error's bytes in the middle of a stream of an entry, and against a
 /// stream that looks complete with it.
-#[test]
-fn entry_resumption_errors_cut() {
+#[rstest]
+#[case::inside_event(BreakPoint::InsideEvent)]
+#[case::between_events(BreakPoint::BetweenEvents)]
+fn entry_resumption_errors_cut(#[case] point: BreakPoint) {
     let counts = FormCounts::new([const { AtomicUsize::new(0) }; ERROR_FORMS.len()]);
     let agents = (0..2).map(|idx| {
-        let mut agent = AgentPlan::service("payments", spawn_breaking_endpoint(&counts));
+        let mut agent = AgentPlan::service("payments", spawn_breaking_endpoint(&counts, point));
         agent.name = format!("payments-{idx}");
         agent
     });
@@ -265,6 +288,6 @@
              Authorization: Bearer {key}\r\nConnection: close\r\n\r\n"
         )
     };
-    let wrong = find_wrong_forms(cluster.callers[0], &counts, request_of);
+    let wrong = find_wrong_forms(cluster.callers[0], &counts, point, request_of);
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
