runtime: no refusal in the middle of a response that its caller reads slowly

Callers of an entry that send a request behind another one, and read the response to the first slowly, would see a whole refusal inside that response; as the response has chunks or a length, its head and text look like a part of the body.

Cause: while the body of the next request is read, the front proxy may still hold a part of the response before, as the caller doesn't accept it. If that body stalls, or the entry ends its shutdown, the proxy dropped the rest of the response and appended the refusal (408 or 503).

Where a part of a response is left, a stalled body now ends the connection with a reset, as a stalled response does, and the end of a shutdown refuses nothing: the rest of the response is written as long as the process runs. The next request is then cut without an answer; it has not reached the role.

--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -237,7 +237,8 @@
     /// Refuses the request that is being read, if any, and further ones.
     pub fn refuse_unread(&mut self, now: Instant) {
         self.refuses_unread = true;
-        if matches!(self.phase, ProxyPhase::Body(_)) && self.requests.is_empty() {
+        // A refusal would stand in the middle of a response that is still to be written.
+        if matches!(self.phase, ProxyPhase::Body(_)) && !self.has_pending_response() {
             self.refuse(now, SHUTTING_DOWN);
         }
     }
@@ -304,6 +305,10 @@
                 if without_progress >= stall_timeout
                     || time_in_phase >= stall_timeout * BODY_STALL_FACTOR =>
             {
+                if self.has_pending_response() {
+                    // A refusal would stand in the middle of the response before.
+                    return ProxyStep::Ended;
+                }
                 self.refuse(now, TOO_SLOW);
             }
             ProxyPhase::Response
