gateway: calls that wait for tokens leave a planned stop in time

Callers see: a deferrable call that waits for tokens of its account when its gateway is stopped, or that arrives in the stop, is held for up to three quarters of its objective and then refused with 429, though from early in the wait on it can't be forwarded any more: another instance could have served it.

Cause: whether a call fits into the stop was asked on its arrival, without the wait, and again when its tokens came; nothing asked in between.

Those that don't fit are refused as other calls are in a stop: 503, not run, with a short time to come back.

--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -413,6 +413,7 @@
             actions.extend(lines.map(|(level, text)| RoleAction::Log(level, text)));
             self.report_loads(now);
             self.expire_probes(now, actions);
+            self.leave_token_waits(now, actions);
             self.report_cold_count(now, actions);
             self.report_prompts(now, true, actions);
             self.report_token_waits(now, actions);
--- a/crates/gateway/src/token_waits.rs
+++ b/crates/gateway/src/token_waits.rs
@@ -2,7 +2,9 @@
 //!
 //! Algorithm: the calls of an account are queued by priority and arrival, and only the
 //! first one is tried, so that a large call isn't overtaken by small ones for ever. It
-//! leaves a part of the bucket to urgent calls until the last part of its wait. A call whose wait ends is refused.
+//! leaves a part of the bucket to urgent calls until the last part of its wait. A call
+//! whose wait ends is refused, and in a shutdown also one that can no longer be forwarded
+//! in time.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -83,6 +85,12 @@
         self.accounts.values().map(|it| it.waiting.len()).sum()
     }
 
+    /// Returns the waiting calls.
+    fn requests(&self) -> Vec<RequestId> {
+        let waits = self.accounts.values().flat_map(|it| it.waiting.keys());
+        waits.map(|(_, request)| *request).collect()
+    }
+
     /// Returns the age of the call that has waited longest.
     pub(crate) fn oldest_wait(&self, now: Instant) -> Duration {
         let waits = self.accounts.values().flat_map(|it| it.waiting.values());
@@ -167,6 +175,10 @@
             self.refuse_call(now, request, RefusalReason::OverRate, Some(delay), actions);
             return;
         }
+        if !self.fits_shutdown(now + delay, call, None) {
+            self.leave_call(now, request, actions);
+            return;
+        }
         self.calls.park(request);
         self.token_waits.push(now, account, key, wait);
         self.try_token_waits(now, account, actions);
@@ -218,6 +230,20 @@
         self.token_waits.next_retry = is_waiting.then_some(now + RETRY_INTERVAL);
     }
 
+    /// Ends the waiting calls that can no longer end before a shutdown does; another
+    /// instance may serve them.
+    pub(crate) fn leave_token_waits(&mut self, now: Instant, actions: &mut Actions) {
+        if !self.shutdown.has_begun() {
+            return;
+        }
+        for request in self.token_waits.requests() {
+            let call = self.calls.get(request);
+            if call.is_some_and(|call| !self.fits_shutdown(now, call, None)) {
+                self.leave_call(now, request, actions);
+            }
+        }
+    }
+
     /// Reports how many calls wait for tokens, and for how long.
     pub(crate) fn report_token_waits(&self, now: Instant, actions: &mut Actions) {
         let oldest = millis(self.token_waits.oldest_wait(now));
