control: a stop answers the calls that were read

Callers see: a configuration that is put, a read or an operator's call at an instance that gets SIGTERM at that moment ends without an answer; the connection closes. Without a disturbance each such call is open for the time of a round trip to the leader and a write of a quorum, and up to 4 s if the leader doesn't answer.

Cause: a follower finished its shutdown at once, a leader as soon as another one led, whatever calls were still forwarded, unconfirmed or proposed; new ones were taken to the end. RoleAction::Finished ends the process at the next turn of the loop, so that large answers were cut too, and those that operators' threads had not yet written.

Fix: the role finishes when the leadership is transferred and no call of an operator is open, 100 ms after the last answer to one, and after 1 s (the limit of the transfer so far) at the latest; what is open then is answered as unconfirmed. Calls that arrive in the stop are refused at once, so that the number of open ones only falls. Entries' frames are not waited for: they come all the time, and entries repeat them on another link.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -32,6 +32,7 @@
 use crate::client_links::ClientLinks;
 use crate::cluster_state::ClusterState;
 use crate::control_event::{ControlAction, ControlEvent};
+use crate::control_shutdown::ShutdownState;
 use crate::endpoint_chart::EndpointChart;
 use crate::endpoint_monitor::EndpointMonitor;
 use crate::evacuation_view::EvacuationView;
@@ -61,9 +62,6 @@
 /// suspended: more than twice the interval of its periodic work.
 const STALL_THRESHOLD: Duration = Duration::from_millis(250);
 
-/// Time limit for the leadership transfer during a graceful shutdown.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Configuration of the role.
 #[derive(Debug, Clone)]
 pub struct ControlConfig {
@@ -149,9 +147,7 @@
     next_tick: Instant,
     /// Milliseconds since the Unix epoch.
     pub(crate) clock_ms: u64,
-    /// When a graceful shutdown in progress ends at the latest.
-    shutdown_deadline: Option<Instant>,
-    finished: bool,
+    pub(crate) shutdown: ShutdownState,
     /// Reused for commands from the link tables.
     pub(crate) commands: Vec<LinkCommand>,
 }
@@ -237,8 +233,7 @@
             last_tick: now,
             next_tick: now,
             clock_ms: 0,
-            shutdown_deadline: None,
-            finished: false,
+            shutdown: ShutdownState::default(),
             commands: Vec::new(),
         })
     }
@@ -394,32 +389,6 @@
             self.tick(now, actions);
             self.last_tick = now;
         }
-        if self.shutdown_deadline.is_some_and(|end| end <= now) {
-            self.finish(actions);
-        }
-    }
-
-    fn shut_down(&mut self, now: Instant, actions: &mut Actions) {
-        self.shutdown_deadline = Some(now + TRANSFER_TIMEOUT);
-        if self.is_leader() && self.membership.voters().count() > 1 {
-            self.enqueue(NodeInput::Transfer { to: None });
-        } else {
-            self.finish(actions);
-        }
-    }
-
-    /// Finishes a graceful shutdown after the leadership has been transferred.
-    pub(crate) fn finish_if_stopping(&mut self, actions: &mut Actions) {
-        if self.shutdown_deadline.is_some() {
-            self.finish(actions);
-        }
-    }
-
-    fn finish(&mut self, actions: &mut Actions) {
-        if !self.finished {
-            self.finished = true;
-            actions.push(RoleAction::Finished);
-        }
     }
 }
 
@@ -439,7 +408,7 @@
         match event {
             RoleEvent::Link(event) => self.handle_link_event(now, event, actions),
             RoleEvent::Timer => self.handle_timer(now, actions),
-            RoleEvent::Shutdown => self.shut_down(now, actions),
+            RoleEvent::Shutdown => self.begin_shutdown(now),
             // Both arrive decoded, as events of the control role.
             RoleEvent::Exchange(_) | RoleEvent::Http(..) => {}
             RoleEvent::RoleSpecific(event) => match event {
@@ -476,6 +445,7 @@
             },
         }
         self.process_inputs(now, actions);
+        self.check_shutdown(now, actions);
     }
 
     fn deadline(&self) -> Option<Instant> {
@@ -484,7 +454,7 @@
             self.peers.deadline(),
             self.relays.deadline(),
             self.orders.deadline(),
-            self.shutdown_deadline.filter(|_| !self.finished),
+            self.shutdown.deadline(self.last_event),
             Some(self.next_tick),
         ]
         .into_iter()
--- /dev/null
+++ b/crates/control/src/control_shutdown.rs
@@ -0,0 +1,104 @@
+//! Graceful shutdown: hands the leadership over and answers the calls that were read.
+//!
+//! Guarantees: each call to the operator API or the serving interface that was passed to
+//! the role before the shutdown is answered, as unconfirmed if the leader or a quorum
+//! doesn't decide it in time. Later ones are refused at once, as another instance can
+//! answer them. Entries and agents repeat their frames on another link.
+
+use std::time::{Duration, Instant};
+
+use mulberrywell_consensus::NodeInput;
+use mulberrywell_role::RoleAction;
+
+use crate::control_event::ControlAction;
+use crate::control_role::{Actions, ControlRole, ReadTask};
+
+/// Time limit for the leadership transfer and for the answers that are awaited.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time for writing answers: to operators by their threads, to others by the host.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+/// Progress of a shutdown.
+#[derive(Debug, Default)]
+pub(crate) struct ShutdownState {
+    /// When a shutdown that has begun ends at the latest.
+    deadline: Option<Instant>,
+    /// When an operator was last sent an answer.
+    last_answer: Option<Instant>,
+    finished: bool,
+}
+
+impl ShutdownState {
+    /// Returns whether a shutdown has begun.
+    pub fn has_begun(&self) -> bool {
+        self.deadline.is_some()
+    }
+
+    /// Returns when a shutdown next advances.
+    pub fn deadline(&self, now: Instant) -> Option<Instant> {
+        let end = self.deadline.filter(|_| !self.finished)?;
+        let flushed = self.last_answer.map(|at| at + FLUSH_TIME);
+        Some(flushed.filter(|at| *at > now).map_or(end, |at| at.min(end)))
+    }
+}
+
+impl ControlRole {
+    pub(crate) fn begin_shutdown(&mut self, now: Instant) {
+        if self.shutdown.has_begun() {
+            return;
+        }
+        self.shutdown.deadline = Some(now + SHUTDOWN_LIMIT);
+        if self.must_transfer() {
+            self.enqueue(NodeInput::Transfer { to: None });
+        }
+    }
+
+    /// Records the answers to operators among an event's actions, and finishes a shutdown
+    /// once the leadership is transferred and all answers are sent.
+    pub(crate) fn check_shutdown(&mut self, now: Instant, actions: &mut Actions) {
+        let is_answer = |action: &RoleAction<ControlAction>| {
+            matches!(action, RoleAction::RoleSpecific(ControlAction::Respond(..)))
+        };
+        if actions.iter().any(is_answer) {
+            self.shutdown.last_answer = Some(now);
+        }
+        let Some(end) = self.shutdown.deadline.filter(|_| !self.shutdown.finished) else {
+            return;
+        };
+        let is_flushed = |at: Instant| at + FLUSH_TIME <= now;
+        let is_written = self.shutdown.last_answer.is_none_or(is_flushed);
+        let is_done = is_written && !self.must_transfer() && !self.has_calls();
+        if now >= end {
+            self.fail_calls(actions);
+        }
+        if is_done || now >= end {
+            self.shutdown.finished = true;
+            actions.push(RoleAction::FinishedBy(now + FLUSH_TIME));
+        }
+    }
+
+    /// Returns whether another voter can take the leadership over.
+    fn must_transfer(&self) -> bool {
+        self.is_leader() && self.membership.voters().count() > 1
+    }
+
+    /// Returns whether calls wait for an answer.
+    fn has_calls(&self) -> bool {
+        let is_call = |task: &ReadTask| !matches!(task, ReadTask::Client(_));
+        self.relays.has_calls() || self.proposals.has_calls() || self.reads.tasks().any(is_call)
+    }
+
+    /// Answers all calls and frames whose outcome isn't known.
+    fn fail_calls(&mut self, actions: &mut Actions) {
+        for requester in self.relays.clear() {
+            self.refuse_requester(requester, actions);
+        }
+        for task in self.reads.clear() {
+            self.fail_task(task, actions);
+        }
+        for waiter in self.proposals.clear() {
+            self.fail_waiter(waiter, actions);
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod command_outcome;
 mod control_event;
 mod control_role;
+mod control_shutdown;
 mod dedup_table;
 mod endpoint_change;
 mod endpoint_chart;
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -181,7 +181,7 @@
     }
 
     /// Notifies a waiter that its command is not known to be committed.
-    fn fail_waiter(&mut self, waiter: ProposalWaiter, actions: &mut Actions) {
+    pub(crate) fn fail_waiter(&mut self, waiter: ProposalWaiter, actions: &mut Actions) {
         match waiter {
             ProposalWaiter::Operator(origin) => self.answer_unavailable(origin, actions),
             ProposalWaiter::Claim(origin, request) => {
@@ -223,11 +223,15 @@
 
     fn fail_read(&mut self, read: ReadId, actions: &mut Actions) {
         for task in self.reads.fail(read) {
-            match task {
-                ReadTask::Operator(task) => self.answer_unavailable(task.origin, actions),
-                ReadTask::Client(task) => refuse_client(task.origin, &task.frame, actions),
-                ReadTask::Serving(task) => refuse_call(task.origin, actions),
-            }
+            self.fail_task(task, actions);
+        }
+    }
+
+    pub(crate) fn fail_task(&mut self, task: ReadTask, actions: &mut Actions) {
+        match task {
+            ReadTask::Operator(task) => self.answer_unavailable(task.origin, actions),
+            ReadTask::Client(task) => refuse_client(task.origin, &task.frame, actions),
+            ReadTask::Serving(task) => refuse_call(task.origin, actions),
         }
     }
 
@@ -262,7 +266,6 @@
             self.leases.become_follower();
             self.orders.become_follower();
             self.permits.stop();
-            self.finish_if_stopping(actions);
         }
     }
 }
--- a/crates/control/src/operator_calls.rs
+++ b/crates/control/src/operator_calls.rs
@@ -52,6 +52,10 @@
             send_answer(request, &invalid_key(), actions);
             return;
         };
+        if self.shutdown.has_begun() {
+            send_answer(request, &no_leader(), actions);
+            return;
+        }
         let mut call = Forward {
             sequence: 0,
             method: http.method,
--- a/crates/control/src/proposal_table.rs
+++ b/crates/control/src/proposal_table.rs
@@ -77,6 +77,22 @@
         self.waiters.remove(&proposal)
     }
 
+    /// Returns whether a call awaits the outcome of a proposal.
+    pub fn has_calls(&self) -> bool {
+        let mut waiters = self.waiters.values();
+        waiters.any(|waiter| {
+            matches!(
+                waiter,
+                ProposalWaiter::Operator(_) | ProposalWaiter::Serving(_)
+            )
+        })
+    }
+
+    /// Removes all proposals; returns their waiters.
+    pub fn clear(&mut self) -> Vec<ProposalWaiter> {
+        std::mem::take(&mut self.waiters).into_values().collect()
+    }
+
     /// Returns whether a membership change is in progress.
     pub fn has_membership_change(&self) -> bool {
         let mut waiters = self.waiters.values();
--- a/crates/control/src/read_rounds.rs
+++ b/crates/control/src/read_rounds.rs
@@ -69,6 +69,23 @@
         failed.map_or_else(Vec::new, |round| round.tasks)
     }
 
+    /// Returns the tasks that were not executed yet.
+    pub fn tasks(&self) -> impl Iterator<Item = &T> {
+        let running = self.running.iter().flat_map(|round| &round.tasks);
+        let confirmed = self.confirmed.values().flatten();
+        self.waiting.iter().chain(running).chain(confirmed)
+    }
+
+    /// Removes and returns all tasks.
+    pub fn clear(&mut self) -> Vec<T> {
+        let mut tasks = std::mem::take(&mut self.waiting);
+        let running = self.running.take().into_iter();
+        tasks.extend(running.flat_map(|round| round.tasks));
+        let confirmed = std::mem::take(&mut self.confirmed);
+        tasks.extend(confirmed.into_values().flatten());
+        tasks
+    }
+
     /// Removes and returns the confirmed tasks that can run at an applied
     /// index.
     pub fn pop_ready(&mut self, applied: LogIndex) -> Vec<T> {
--- a/crates/control/src/relay_table.rs
+++ b/crates/control/src/relay_table.rs
@@ -101,6 +101,12 @@
         self.remove_where(|_| true)
     }
 
+    /// Returns whether a call is without an answer, not counting frames.
+    pub fn has_calls(&self) -> bool {
+        let mut relays = self.relays.values();
+        relays.any(|relay| !matches!(relay.requester, RelayRequester::Client { .. }))
+    }
+
     /// Returns when [`RelayTable::expire`] is due next.
     pub fn deadline(&self) -> Option<Instant> {
         self.relays.values().next().map(|relay| relay.expires)
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -184,6 +184,10 @@
         change: ServingChange,
         actions: &mut Actions,
     ) {
+        if self.shutdown.has_begun() {
+            reply(request, ServingAnswer::Unavailable, actions);
+            return;
+        }
         if self.is_leader() {
             let origin = CallOrigin::Local(request);
             self.reads
--- a/crates/control/tests/role_cases/main.rs
+++ b/crates/control/tests/role_cases/main.rs
@@ -7,6 +7,7 @@
 mod prompt_cases;
 mod role_cluster;
 mod serving_cases;
+mod shutdown_cases;
 mod stream_cases;
 
 use std::time::Duration;
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -59,6 +59,8 @@
     disks: Vec<RoleDisk>,
     now: Instant,
     frozen: BTreeSet<usize>,
+    /// Roles that have finished their shutdown.
+    finished: BTreeSet<usize>,
     /// Roles whose dials fail and that can't be dialed.
     isolated: BTreeSet<usize>,
     /// Events queued for each role.
@@ -116,6 +118,7 @@
             disks: vec![disk; count],
             now,
             frozen: BTreeSet::new(),
+            finished: BTreeSet::new(),
             isolated: BTreeSet::new(),
             events: (0..count).map(|_| VecDeque::new()).collect(),
             links: BTreeMap::new(),
@@ -249,12 +252,38 @@
         self.events[idx].push_back(RoleEvent::RoleSpecific(event));
     }
 
-    /// Makes a serving call and runs until it is answered.
-    pub fn call_serving(&mut self, idx: usize, call: ServingCall) -> ServingAnswer {
+    /// Begins the graceful shutdown of a role.
+    pub fn shut_down(&mut self, idx: usize) {
+        self.handle(idx, RoleEvent::Shutdown);
+    }
+
+    pub fn is_finished(&self, idx: usize) -> bool {
+        self.finished.contains(&idx)
+    }
+
+    /// Makes a serving call; returns its request.
+    pub fn begin_serving(&mut self, idx: usize, call: ServingCall) -> u64 {
         let request = self.next_request;
         self.next_request += 1;
         let event = ControlEvent::Serving { request, call };
         self.handle(idx, RoleEvent::RoleSpecific(event));
+        request
+    }
+
+    /// Returns the answer to a serving call, if it has one.
+    pub fn reply(&self, idx: usize, request: u64) -> Option<&ServingAnswer> {
+        self.replies.get(&(idx, request))
+    }
+
+    /// Returns the status of the complete answer to an operator's call; 0 if it has none.
+    pub fn operator_status(&self, request: u64) -> u16 {
+        let answer = self.answers.get(&request).filter(|answer| answer.ended);
+        answer.map_or(0, |answer| answer.status)
+    }
+
+    /// Makes a serving call and runs until it is answered.
+    pub fn call_serving(&mut self, idx: usize, call: ServingCall) -> ServingAnswer {
+        let request = self.begin_serving(idx, call);
         let start = self.now;
         loop {
             if let Some(answer) = self.replies.remove(&(idx, request)) {
@@ -350,7 +379,8 @@
         self.answers.get(&request).cloned().unwrap_or_default()
     }
 
-    fn request(&mut self, idx: usize, method: &'static str, path: &str, body: &str) -> u64 {
+    /// Makes an operator's call; returns its request.
+    pub fn request(&mut self, idx: usize, method: &'static str, path: &str, body: &str) -> u64 {
         let request = self.next_request;
         self.next_request += 1;
         let key = [b"Bearer ", OPERATOR_KEY].concat();
@@ -399,6 +429,11 @@
             match action {
                 RoleAction::Link(command) => self.command(idx, command),
                 RoleAction::RoleSpecific(action) => self.perform(idx, action),
+                // The process exits once the actions of the event are carried out.
+                RoleAction::Finished | RoleAction::FinishedBy(_) => {
+                    self.finished.insert(idx);
+                    self.freeze(idx);
+                }
                 _ => {}
             }
         }
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -16,7 +16,7 @@
 
 use crate::role_cluster::{ClientLink, RoleCluster};
 
-fn put(version: u64) -> ServingCall {
+pub fn put(version: u64) -> ServingCall {
     ServingCall::Put(PutServing {
         config: Some(ServingConfig {
             version,
