runtime: a finished role accepts no further callers

Callers see: when a gateway has nothing left to do in its stop, requests on new connections are refused up to the stop's limit, 7.9 s after SIGTERM, and those that come when the process ends are reset without an answer, though they were sent whole. None of them was passed on.

Cause: a listener was closed only 1.5 s before the limit, and not at all once the role had finished. Each new connection is kept for up to a second after its last response, so that new ones kept the process running; at its end the connections that waited to be accepted were reset, as were those accepted just now.

Fix: when the role has finished, its listeners for callers accept what waits and are closed, so that a further connection is refused by the kernel, and the process ends when the open ones are closed.

--- a/crates/mulberrywell/tests/serving_shutdown.rs
+++ b/crates/mulberrywell/tests/serving_shutdown.rs
@@ -238,3 +238,48 @@
     let served = served.filter(|age| **age > Duration::from_secs(1)).count();
     assert!(served > 50, "{served} requests ran in the stop");
 }
+
+/// Guards against requests on new connections that are reset without an answer when a stop
+/// has nothing left to do: the process ends beside connections that wait to be accepted or
+/// were accepted just now, and new ones keep it running to its limit.
+#[test]
+fn late_connections_answered_or_not_accepted() {
+    let mut deployment = ServingDeployment::spawn();
+    let callers = deployment.callers;
+    let log = OutcomeLog::default();
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    let begun = Instant::now();
+    let threads: Vec<_> = (0..8)
+        .map(|_| {
+            let log = log.clone();
+            spawn(move || {
+                while let Ok(mut caller) = RawCaller::connect(callers) {
+                    send_once(&mut caller, &log, "new");
+                    sleep(Duration::from_millis(20));
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    let refused_age = begun.elapsed();
+    wait_until("the gateway exits", || !processes.is_running("gateway")).unwrap();
+    let outcomes = log.outcomes.lock().unwrap();
+    let unanswered = outcomes
+        .iter()
+        .filter(|(_, it)| it.starts_with("unanswered"));
+    let unanswered: Vec<_> = unanswered.collect();
+    assert!(
+        unanswered.is_empty(),
+        "{}: {unanswered:#?}",
+        unanswered.len()
+    );
+    // The load balancer needs up to 2.5 s to take the instance out.
+    let is_in_time = (2_400..4_000).contains(&refused_age.as_millis());
+    assert!(
+        is_in_time,
+        "connections were accepted until {refused_age:?}"
+    );
+}
--- a/crates/runtime/src/caller_table/caller_backlog.rs
+++ b/crates/runtime/src/caller_table/caller_backlog.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use mulberrywell_role::RequestId;
+use mulberrywell_role::{ListenerId, RequestId};
 
 use super::{CallerEvents, CallerId, CallerPhase, CallerTable};
 
@@ -32,6 +32,12 @@
         })
     }
 
+    /// Returns the listeners whose connections close after their next responses.
+    pub fn draining_listeners(&self) -> Vec<ListenerId> {
+        let draining = self.listeners.iter().filter(|(_, record)| record.closing);
+        draining.map(|(listener, _)| *listener).collect()
+    }
+
     /// Returns the bytes held for all callers: what is not yet written or parsed, and the
     /// bodies of requests in flight.
     pub fn held_bytes(&self) -> usize {
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    fn stop_accepting(&mut self, cx: CX![], listener: ListenerId) {
+        self.driver.callers.stop_accepting(listener);
+        self.accept_callers(cx, listener);
+    }
+
     fn handle_caller_ready(&mut self, cx: CX![], id: CallerId, _: Ready) {
         self.driver.read_caller(cx.now(), id);
         self.process_events(cx);
@@ -389,12 +394,15 @@
                 RoleAction::DrainConnections(listener) => {
                     self.driver.callers.drain_connections(cx.now(), listener);
                 }
-                RoleAction::StopAccepting(listener) => {
-                    self.driver.callers.stop_accepting(listener);
-                    self.accept_callers(cx, listener);
-                }
+                RoleAction::StopAccepting(listener) => self.stop_accepting(cx, listener),
                 RoleAction::Finished => self.finished.fwd(()),
-                RoleAction::FinishedBy(at) => self.finish_by = Some(at),
+                RoleAction::FinishedBy(at) => {
+                    self.finish_by = Some(at);
+                    // The end of the process would reset connections that wait to be accepted.
+                    for listener in self.driver.callers.draining_listeners() {
+                        self.stop_accepting(cx, listener);
+                    }
+                }
                 RoleAction::RoleSpecific(action) => self.handler.perform(action),
             }
         }
