runtime: requests that still arrive when a stop ends are refused

Callers see: a request whose body still comes when the gateway's process ends gets no answer; the connection closes. The caller can't tell that the request was not run.

Cause: at the end of a stop the process exits whatever its connections have received; only whole requests were given to the role, which refuses them.

Fix: in the last 100 ms of a role's shutdown, connections of listeners that drain and that have a part of a request get 503 with Retry-After and are read on until the process ends. Bytes that have arrived and are not yet read come first, as they may complete the request.

--- a/crates/mulberrywell/tests/serving_shutdown.rs
+++ b/crates/mulberrywell/tests/serving_shutdown.rs
@@ -283,3 +283,26 @@
         "connections were accepted until {refused_age:?}"
     );
 }
+
+/// Guards against a connection that closes without an answer when the stop ends, though a
+/// part of a request has come on it: its caller can't tell that the request was not run.
+#[test]
+fn late_upload_refused_at_the_end() {
+    let mut deployment = ServingDeployment::spawn();
+    let callers = deployment.callers;
+    deployment.worker.set_stream_events(STREAM_EVENTS);
+    let first = begin_stream(callers, "stream-0");
+    let processes = &mut deployment.processes;
+    processes.signal("gateway", Signal::SIGTERM).unwrap();
+    sleep(SECOND_STREAM_AGE);
+    let second = begin_stream(callers, "stream-1");
+    sleep(Duration::from_millis(3_500));
+    let mut caller = RawCaller::connect(callers).unwrap();
+    let whole = request("/once/x", "upload");
+    assert!(caller.send(whole.strip_suffix("dy").unwrap().as_bytes()));
+    let response = caller.read_to_end(CALLER_TIMEOUT);
+    assert_eq!(response.status(), 503, "{}", response.text());
+    assert!(response.text().contains("Retry-After: "));
+    wait_until("the gateway exits", || !processes.is_running("gateway")).unwrap();
+    drop([first, second]);
+}
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -12,15 +12,14 @@
 //! complete one.
 
 mod caller_backlog;
+mod caller_refusals;
 mod caller_timeouts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use mulberrywell_http1::{
-    write_chunk, write_last_chunk, write_response_head, HeadError, RequestError, RequestLimits,
-    RequestReader,
+    write_chunk, write_last_chunk, write_response_head, RequestLimits, RequestReader,
 };
 use mulberrywell_role::{ConnectionBounds, HttpEvent, ListenerId, RequestId, ResponsePart};
 use socket2::SockRef;
@@ -31,6 +30,8 @@
 
 use crate::http_socket::{HttpSocket, ReadState};
 
+use caller_refusals::refusal_status;
+
 pub use caller_backlog::EndedCaller;
 
 /// Soft limit on the connections of all listeners together; beyond it, a new
@@ -397,7 +398,7 @@
                 }
             }
             Err(error) => {
-                connection.refuse(now, refusal_status(error));
+                connection.refuse(now, refusal_status(error), &[]);
                 self.dirty.push(id);
             }
         }
@@ -493,19 +494,4 @@
         // A failed socket needs no reset.
         let _ = SockRef::from(self.socket.stream()).set_linger(resets.then_some(Duration::ZERO));
     }
-
-    /// Sends an error response to invalid input and stops reading requests.
-    fn refuse(&mut self, now: Instant, status: u16) {
-        self.phase = CallerPhase::Lingering(now);
-        self.socket.input = BytesMut::new();
-        write_response_head(status, &[], Some(0), true, true, &mut self.socket.output);
-    }
-}
-
-fn refusal_status(error: RequestError) -> u16 {
-    match error {
-        RequestError::Head(HeadError::TooLong) => 431,
-        RequestError::BodyTooLong => 413,
-        RequestError::Head(_) | RequestError::BadBody => 400,
-    }
 }
--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -54,7 +54,7 @@
             return;
         }
         if matches!(connection.phase, CallerPhase::Reading(_)) {
-            connection.refuse(now, 408);
+            connection.refuse(now, 408, &[]);
             self.dirty.push(id);
         } else {
             self.close(id, events);
@@ -92,7 +92,7 @@
 impl CallerConnection {
     /// Returns whether a request, or the rest of one, has arrived and is not yet read, which
     /// the poll will tell.
-    fn has_arrived(&self) -> bool {
+    pub(super) fn has_arrived(&self) -> bool {
         let awaits_request = matches!(self.phase, CallerPhase::Idle(_) | CallerPhase::Reading(_));
         awaits_request && self.socket.has_unread()
     }
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -39,6 +39,10 @@
 /// Events handled from the threads' queue before sockets are served again.
 const BATCH_LEN: usize = 256;
 
+/// Time before the end of a shutdown at which requests that have not arrived completely are
+/// refused; their callers receive the refusals in it.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// Carries out the actions specific to one role.
 pub trait ActionHandler<M: RoleMachine> {
     /// Carries out one action; must not block.
@@ -351,8 +355,10 @@
             }
         }
         self.check_finished(cx.now());
+        let refusal = self.finish_by.and_then(|at| at.checked_sub(REFUSAL_TIME));
         let deadlines = [
             self.finish_by,
+            refusal.filter(|at| *at > cx.now()),
             Some(self.links.deadline()),
             self.machine.deadline(),
             self.driver.deadline(cx.now()),
@@ -370,6 +376,10 @@
         let Some(at) = self.finish_by else {
             return;
         };
+        if at <= now + REFUSAL_TIME {
+            self.driver.callers.refuse_incomplete(now);
+            self.driver.flush();
+        }
         let callers = &self.driver.callers;
         if at <= now || !(callers.has_output() || callers.is_draining()) {
             self.finish_by = None;
