--- a/crates/mulberrywell/tests/serving_path.rs
+++ b/crates/mulberrywell/tests/serving_path.rs
@@ -220,6 +220,7 @@
         Signal::SIGTERM,
         Signal::SIGHUP,
         Signal::SIGTERM,
+        Signal::SIGINT,
         Signal::SIGHUP,
     ] {
         processes.signal("gateway", signal).unwrap();
