entry: a stop takes only requests that end before the process is killed

Callers see: an entry that is stopped takes requests in its grace period whatever their deadline (a minute by default, an hour at most) and passes them on, orders that must not be repeated among them; if its supervisor kills it sooner than the last one ends, their connections close without an answer.

Cause: an entry waits for its longest call and had no setting for the time at which it is killed.

Fix: shutdown_kill_ms in [entry], none by default, is the time from SIGTERM to the kill. In a stop a request whose deadline comes later than 1 s before it is refused as not run, and at that time those that wait are refused and those that run end with 502, whose header tells that they may have run. The second is left for writing answers and for returning tokens and outcomes. Without the setting nothing changes.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -81,11 +81,13 @@
             }
             CallerRoute::Completion => {
                 let call = self.completion_call(now, draft)?;
+                self.check_shutdown_limit(&call)?;
                 self.check_quarantine(now, &call)?;
                 self.start_call(now, call, actions)?;
             }
             CallerRoute::Service { name, path } => {
                 let call = self.service_call(now, draft, name, path)?;
+                self.check_shutdown_limit(&call)?;
                 self.check_quarantine(now, &call)?;
                 self.start_call(now, call, actions)?;
             }
@@ -93,6 +95,14 @@
         Ok(())
     }
 
+    /// Refuses a call that may last longer than a shutdown in progress.
+    fn check_shutdown_limit(&self, call: &CallRecord) -> Result<(), CallerRefusal> {
+        if self.shutdown_end().is_some_and(|end| call.deadline > end) {
+            return Err(CallerRefusal::from(CallerError::ShuttingDown).retry_after(RETRY_DELAY));
+        }
+        Ok(())
+    }
+
     fn completion_call(
         &mut self,
         now: Instant,
--- a/crates/entry/src/entry_role.rs
+++ b/crates/entry/src/entry_role.rs
@@ -27,7 +27,7 @@
 use crate::config_link::ConfigLink;
 use crate::demand_counter::DemandCounter;
 use crate::endpoint_pool::EndpointPool;
-use crate::http_response::CallerError;
+use crate::http_response::{CallerError, CallerRefusal};
 use crate::prompt_guard::LostLinks;
 
 /// Default retry delay sent to callers.
@@ -168,14 +168,32 @@
     }
 
     fn grace_end(&self) -> Option<Instant> {
-        self.draining
-            .map(|since| since + self.config.settings.shutdown_grace)
+        let end = self.draining? + self.config.settings.shutdown_grace;
+        Some(self.shutdown_end().map_or(end, |limit| limit.min(end)))
+    }
+
+    /// Returns when a shutdown ends the remaining calls; none without a limit.
+    pub(crate) fn shutdown_end(&self) -> Option<Instant> {
+        let limit = self.config.settings.shutdown_limit?;
+        self.draining.map(|since| since + limit)
+    }
+
+    /// Ends the calls that a shutdown can't wait for, as the process would be killed
+    /// before they are answered.
+    fn end_remaining_calls(&mut self, now: Instant, actions: &mut Actions) {
+        if self.shutdown_end().is_none_or(|end| now < end) {
+            return;
+        }
+        for sequence in self.calls.matching(|_| true) {
+            let refusal = CallerRefusal::from(CallerError::ShuttingDown).retry_after(RETRY_DELAY);
+            self.cancel_with_refusal(now, sequence, refusal, actions);
+        }
     }
 
     /// Returns when a shutdown no longer waits for outcomes of the ended calls.
     fn outcome_end(&self) -> Option<Instant> {
-        self.grace_end()
-            .map(|end| end.max(self.last_call_end) + OUTCOME_TIMEOUT)
+        let end = self.grace_end()?.max(self.last_call_end) + OUTCOME_TIMEOUT;
+        Some(self.shutdown_end().map_or(end, |limit| limit.min(end)))
     }
 
     fn handle_link(&mut self, now: Instant, event: LinkEvent, actions: &mut Actions) {
@@ -384,6 +402,7 @@
             self.last_response = now;
         }
         self.report_prompts(now, actions);
+        self.end_remaining_calls(now, actions);
         self.check_drained(now, actions);
         self.process_lease_events(now, actions);
     }
@@ -411,6 +430,7 @@
             grace,
             flushed.filter(|at| *at > self.last_handled),
             outcomes.filter(|at| *at > self.last_handled),
+            self.shutdown_end().filter(|at| *at > self.last_handled),
             fresh,
         ]
         .into_iter()
--- a/crates/entry/tests/scripted/mod.rs
+++ b/crates/entry/tests/scripted/mod.rs
@@ -166,6 +166,11 @@
 impl ScriptedEntry {
     /// Starts an entry and sends it the configuration.
     pub fn ready() -> Self {
+        Self::with_limit(None)
+    }
+
+    /// Starts a ready entry whose shutdown ends the remaining calls after `limit`.
+    pub fn with_limit(limit: Option<Duration>) -> Self {
         let now = Instant::now();
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let config = EntryConfig {
@@ -177,6 +182,7 @@
                 config_max_age: Duration::from_secs(5),
                 default_deadline: Duration::from_secs(60),
                 shutdown_grace: Duration::from_secs(2),
+                shutdown_limit: limit,
                 default_output: 100,
             },
             seeds: vec![address(CONTROL_PORT)],
--- a/crates/mulberrywell/tests/settings_start.rs
+++ b/crates/mulberrywell/tests/settings_start.rs
@@ -66,6 +66,22 @@
     assert_eq!(agent.status.code(), Some(3));
 }
 
+/// Guards against a kill time of an entry that is ignored, or that leaves no time for the
+/// last answers.
+#[rstest]
+#[case::long_enough(2_000, false)]
+#[case::too_short(1_999, true)]
+fn entry_kill_time_checked(#[case] kill_ms: u64, #[case] is_finding: bool) {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = folder.path().join("kill.toml");
+    let entry = format!("[entry]\nshutdown_kill_ms = {kill_ms}\n");
+    fs::write(&settings, BAD_SETTINGS.replace("[entry]\n", &entry)).unwrap();
+    let output = run(&binaries().serve, &["check", &settings.to_string_lossy()]);
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(text.contains("shutdown_kill_ms"), is_finding, "{text}");
+    assert_eq!(text.lines().count(), 3 + usize::from(is_finding), "{text}");
+}
+
 #[rstest]
 #[case::no_arguments(&[], 2)]
 #[case::unknown_command(&["frobnicate"], 2)]
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -52,6 +52,9 @@
     /// Time for which an instance that shuts down reports that it is not ready
     /// before it stops listening.
     pub shutdown_grace: Duration,
+    /// Time after which a shutdown ends the remaining requests; none if nothing kills the
+    /// process.
+    pub shutdown_limit: Option<Duration>,
     /// Output tokens assumed for a request that sets no limit.
     pub default_output: u64,
 }
@@ -302,6 +305,10 @@
 /// receive their last answers in it.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time between the end of the last requests of an entry and the kill of its process; the
+/// answers are written, and outcomes and tokens are returned in it.
+const ENTRY_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// Default of `shutdown_grace_s`, the time until the process is killed, in
 /// milliseconds.
 const SHUTDOWN_GRACE_MS: u64 = 8_000;
@@ -348,6 +355,9 @@
         config_max_age: table.millis("freshness_ms", 500..=MINUTE_MS, 5_000),
         default_deadline: table.millis("default_deadline_ms", 100..=60 * MINUTE_MS, 60_000),
         shutdown_grace: table.millis("shutdown_grace_ms", 0..=10 * MINUTE_MS, 2_000),
+        shutdown_limit: table
+            .number("shutdown_kill_ms", 2_000..=2 * 60 * MINUTE_MS)
+            .map(|kill_ms| Duration::from_millis(kill_ms) - ENTRY_MARGIN),
         default_output: table.number("default_output", 1..=1_000_000).unwrap_or(256),
     };
     table.report_unknown_fields();
