--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -418,6 +418,7 @@
             self.report_loads(now);
             self.expire_probes(now, actions);
             self.move_slow_streams(now, actions);
+            self.leave_token_waits(now, actions);
             self.report_cold_count(now, actions);
             self.report_prompts(now, true, actions);
             self.report_token_waits(now, actions);
