gateway: late in a planned stop only what must end in it runs, if it may run once only

Report of other operators: requests that came late in the grace were taken and passed on, and cut at its end, among them some that may not be repeated. Here such a request was passed on if the longest run seen lately fit, or for a new route if 1.5 s were left. When this one run was slow, its caller got a 504 for a request that ran, or, with a body of over 256 KiB that had begun, a connection that ends.

After the first third of a stop such a request is refused as not run, unless its own deadline comes before the end; few come once the load balancer has noticed the stop. shutdown_late::late_slow_once_request_not_cut (3 cases) and serving_shutdown::late_once_requests_answered_or_not_run (late_runs_slow) failed before.

--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -75,6 +75,12 @@
         if call.deadline <= end {
             return true;
         }
+        // One run may last far longer than those before it, and this request has only that
+        // one. Few come once the load balancer has noticed the shutdown.
+        let is_late = now >= since + limit / UNKNOWN_STREAM_DIVISOR;
+        if is_late && !call.route.is_stream && !call.route.is_idempotent {
+            return false;
+        }
         let left = end.saturating_duration_since(now);
         match self.expected_time(now, call, endpoint) {
             Some(time) => time <= left,
