tests: responses that endpoints break off inside their heads

Other operators report a 200 with an empty or short body, framed as whole, for a response whose head was broken off.

The agent's client and its event queue become public modules, as the exchange table is, so that tests reach them.

--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -103,11 +103,19 @@
 }
 
 fn read_responses(text: &[u8], closed: bool) -> Result<(Vec<u16>, Vec<u8>, usize), HeadError> {
+    read_parts(text, 1, closed)
+}
+
+fn read_parts(
+    text: &[u8],
+    part_len: usize,
+    closed: bool,
+) -> Result<(Vec<u16>, Vec<u8>, usize), HeadError> {
     let mut reader = ResponseReader::default();
     let mut buf = BytesMut::new();
     let (mut statuses, mut data, mut ends) = (Vec::new(), Vec::new(), 0);
-    for byte in text {
-        buf.extend_from_slice(&[*byte]);
+    for part in text.chunks(part_len) {
+        buf.extend_from_slice(part);
         while let Some(input) = reader.next_input(&mut buf, false)? {
             match input {
                 ResponseInput::Head(head) => statuses.push(head.status),
@@ -145,6 +153,43 @@
     assert_eq!(ends, 0);
 }
 
+/// Guards against a response whose connection ends anywhere before its last byte, and that
+/// has a head before its blank line or counts as complete.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 12\r\n\r\nwhole answer")]
+#[case::empty("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: r1\r\n\r\n")]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n10\r\n\
+     0123456789abcdef\r\n0\r\n\r\n"
+)]
+#[case::trailer(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nName: 0\r\n\r\n"
+)]
+#[case::line_feeds("HTTP/1.1 200 OK\nRequest-Id: r1\nContent-Length: 2\n\r\nab")]
+#[case::no_content("HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n\r\n")]
+#[case::interim(
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n\
+     HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+)]
+#[case::refusal("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno")]
+fn response_prefix_not_complete(#[case] text: &str, #[values(1, 7, READ_LEN)] part_len: usize) {
+    let final_head = text.rfind("HTTP/1.").unwrap();
+    let head_end = ["\r\n\r\n", "\n\r\n"]
+        .iter()
+        .filter_map(|end| Some(final_head + text[final_head..].find(end)? + end.len()))
+        .min()
+        .unwrap();
+    for len in 0..text.len() {
+        let prefix = &text.as_bytes()[..len];
+        let (statuses, data, ends) = read_parts(prefix, part_len, true).unwrap();
+        assert_eq!(statuses.len(), usize::from(len >= head_end), "{len} bytes");
+        assert!(len >= head_end || data.is_empty(), "{len} bytes");
+        assert_eq!(ends, 0, "{len} bytes");
+    }
+    let (_, _, ends) = read_parts(text.as_bytes(), part_len, false).unwrap();
+    assert_eq!(ends, 1);
+}
+
 /// Reads a response whose first part is followed by `repeated` without end, and returns
 /// the error that ends it.
 fn read_endless(first: &[u8], repeated: &[u8]) -> HeadError {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,8 +11,8 @@
 
 pub mod caller_table;
 mod descriptor_limit;
-mod engine_client;
-mod event_sender;
+pub mod engine_client;
+pub mod event_sender;
 pub mod exchange_table;
 mod front_proxy;
 pub mod head_check;
