runtime: an agent takes no interim head for a response

Callers of an entry got "101 Switching Protocols" with "Mulberrywell-Ran: yes" and an empty body, framed as whole, when an agent's endpoint sent a 101 head, whatever followed it. The gateway passes over such a head as over other interim ones.

Cause: the agent's HTTP client consumes interim heads except for 101, which it returns as a response without body, and RunTask::perform forwarded any status.

The request was never asked to switch protocols, so the endpoint broke the exchange: the attempt fails as broken off after it was sent. It is repeated elsewhere if it may be, else answered 502 ("unknown").

--- a/crates/mulberrywell/tests/truncated_responses.rs
+++ b/crates/mulberrywell/tests/truncated_responses.rs
@@ -440,3 +440,16 @@
         }
     }
 }
+
+/// Guards against an interim head that callers get as the response.
+#[rstest]
+fn entry_switched_protocol_not_forwarded(
+    #[values(CloseKind::Fin, CloseKind::Reset)] close: CloseKind,
+) {
+    let mut service = TruncatedService::spawn(close, usize::MAX);
+    for (method, expected) in [("POST", (502, 1)), ("GET", (200, 2))] {
+        let text = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+        let (_, response, arrivals) = service.call(method, text);
+        assert_eq!((response.status, arrivals), expected, "{response:?}");
+    }
+}
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -211,6 +211,10 @@
             return unsent(run);
         }
         let response = match self.send(request) {
+            // The client returns a 101, which is not the response that is awaited.
+            Ok(response) if response.status().is_informational() => {
+                return self.failed(FailureCause::Broken);
+            }
             Ok(response) => response,
             Err(None) => return unsent(run),
             Err(Some(cause)) => return self.failed(cause),
--- a/crates/runtime/tests/endpoint_client.rs
+++ b/crates/runtime/tests/endpoint_client.rs
@@ -162,6 +162,8 @@
         "HTTP/1.1 302 Found\r\nLocation: /other\r\n",
         "HTTP/1.0 200 OK\r\n",
         "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n",
         "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n"
     )]
     text: &str,
