runtime: an agent refuses responses whose coding its client ignores

Callers of an entry got a 200, framed as whole, whose body was a truncated one with chunk sizes inside ("a\r\nshort" for ten bytes of which five came), when an agent's endpoint sent its chunks in HTTP/1.0 or under a transfer coding other than chunked and then closed.

Cause: the agent's HTTP client ignores transfer codings that it doesn't know, and all of them in HTTP/1.0, and then reads the body until the close, which counts as its end. Chunked after another coding is decoded, but the other coding is lost on the way to the caller. The gateway decodes chunks in both versions and refuses other codings.

Such a response (RFC 9112, section 6.1: faulty framing in HTTP/1.0) now fails the attempt as broken off after it was sent, before its head is forwarded, so that the request is repeated elsewhere if it may be, else answered 502. Chunked in HTTP/1.1 is read as before (chunked_body_complete).

--- a/crates/mulberrywell/tests/truncated_responses.rs
+++ b/crates/mulberrywell/tests/truncated_responses.rs
@@ -453,3 +453,22 @@
         assert_eq!((response.status, arrivals), expected, "{response:?}");
     }
 }
+
+/// Guards against a truncated body that reaches callers as a whole one, with its framing
+/// inside, as the agent's client does not decode it.
+#[rstest]
+fn entry_undecoded_body_not_success(
+    #[values(
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun"
+    )]
+    head: &str,
+    #[values("a\r\nshort", "5\r\nshort\r\n0\r\n\r\n")] body: &str,
+) {
+    let mut service = TruncatedService::spawn(CloseKind::Fin, usize::MAX);
+    let text = format!("{head}\r\n\r\n{body}");
+    for (method, expected) in [("POST", (502, 1)), ("GET", (200, 2))] {
+        let (_, response, arrivals) = service.call(method, &text);
+        assert_eq!((response.status, arrivals), expected, "{response:?}");
+    }
+}
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -27,7 +27,8 @@
 };
 use mulberrywell_wire::request::HeaderField;
 use serde_json::{json, Value};
-use ureq::http::{Request, Response};
+use ureq::http::header::TRANSFER_ENCODING;
+use ureq::http::{Request, Response, Version};
 use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::{Connector, DefaultConnector};
 use ureq::{Agent, Body};
@@ -211,10 +212,7 @@
             return unsent(run);
         }
         let response = match self.send(request) {
-            // The client returns a 101, which is not the response that is awaited.
-            Ok(response) if response.status().is_informational() => {
-                return self.failed(FailureCause::Broken);
-            }
+            Ok(response) if !is_readable(&response) => return self.failed(FailureCause::Broken),
             Ok(response) => response,
             Err(None) => return unsent(run),
             Err(Some(cause)) => return self.failed(cause),
@@ -328,6 +326,21 @@
     }
 }
 
+/// Returns whether the client reads a response as its sender wrote it.
+///
+/// The client returns a 101, which is not the response that is awaited. It ignores a
+/// transfer coding other than chunked, and any in HTTP/1.0 (RFC 9112, section 6.1): the
+/// coded bytes until the close would pass for the body, however early they end.
+fn is_readable(response: &Response<Body>) -> bool {
+    let is_final = !response.status().is_informational();
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    let is_decoded = codings.next().is_none_or(|coding| {
+        let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        is_chunked && codings.next().is_none() && response.version() == Version::HTTP_11
+    });
+    is_final && is_decoded
+}
+
 /// Returns whether an error is certain to have occurred before the first byte
 /// was sent.
 fn is_unsent(err: &ureq::Error) -> bool {
--- a/crates/runtime/tests/endpoint_client.rs
+++ b/crates/runtime/tests/endpoint_client.rs
@@ -203,6 +203,48 @@
     }
 }
 
+/// Guards against a coded body, whole or truncated, that counts as complete although the
+/// client does not decode it.
+#[rstest]
+fn undecoded_body_failed(
+    #[values(
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"
+    )]
+    head: &str,
+    #[values("", "5", "a\r\nshort", "5\r\nshort\r\n0\r\n\r\n")] body: &str,
+    #[values(1, usize::MAX)] part_len: usize,
+    #[values(CloseKind::Fin, CloseKind::Reset)] close: CloseKind,
+) {
+    let outcome = forward(&format!("{head}\r\n{body}"), part_len, close);
+    let expected = ForwardOutcome {
+        was_sent: true,
+        ..ForwardOutcome::default()
+    };
+    assert_eq!(outcome, expected);
+}
+
+/// Coded bodies that the client decodes still count as complete.
+#[rstest]
+#[case::lower_case("transfer-encoding: chunked")]
+#[case::mixed_case("Transfer-Encoding: Chunked")]
+#[case::spaces("Transfer-Encoding:  chunked ")]
+fn chunked_body_complete(#[case] field: &str, #[values(1, usize::MAX)] part_len: usize) {
+    let text = format!("HTTP/1.1 200 OK\r\n{field}\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    let outcome = forward(&text, part_len, CloseKind::Fin);
+    let expected = ForwardOutcome {
+        status: 200,
+        body: b"whole".to_vec(),
+        is_complete: true,
+        was_sent: false,
+    };
+    assert_eq!(outcome, expected);
+}
+
 /// A body without length and chunks is complete when its connection is closed, and broken
 /// off when it is reset.
 #[rstest]
