runtime: a refusal follows the response before it

Callers of an entry that sent malformed bytes behind a request lost the request's response: they got its head without the body, or nothing of it, and then the refusal of the bytes behind it, which a client reads as the answer to the request, though it ran.

Cause: ProxyConnection::refuse dropped the connection to the HTTP server library. Between requests the library has written the whole response, but the proxy has read only what the caller took; the rest was lost with the socket.

Between requests, the proxy now closes only its sending side to the library, as at the end of any connection that closes, forwards the rest of the response, and writes the refusal once the library has closed. If that connection fails, the caller's is reset, since the response before may be incomplete. While a request is being received, a refusal takes the place of the library's answer as before.

--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -130,6 +130,8 @@
     resets_on_drop: bool,
     /// Set once the upstream server has closed its sending side.
     upstream_ended: bool,
+    /// Refusal to write once the upstream server has ended the response before it.
+    refusal: Option<HttpRefusal>,
     /// Requests that are not passed to a role yet are refused.
     refuses_unread: bool,
     /// Requests that were passed to a role and are not yet answered.
@@ -157,6 +159,7 @@
             caller_ended: false,
             resets_on_drop: false,
             upstream_ended: false,
+            refusal: None,
             refuses_unread: false,
             requests: BTreeSet::new(),
             phase_since: now,
@@ -240,11 +243,18 @@
     }
 
     /// Sends an error response in place of the upstream server's and closes.
+    ///
+    /// Between requests, the end of the response before it may not be read yet: the
+    /// refusal follows once the upstream server has closed its sending side.
     pub fn refuse(&mut self, now: Instant, refusal: HttpRefusal) {
         self.shut_down_upstream();
-        self.upstream = None;
-        self.upstream_ended = true;
-        self.outbound.extend_from_slice(&refusal.bytes());
+        if self.phase == ProxyPhase::Head && self.upstream.is_some() && !self.upstream_ended {
+            self.refusal = Some(refusal);
+        } else {
+            self.upstream = None;
+            self.upstream_ended = true;
+            self.outbound.extend_from_slice(&refusal.bytes());
+        }
         self.enter(ProxyPhase::Closing, now);
     }
 
@@ -494,8 +504,19 @@
                 MoveOutcome::Moved
             }
             ReadOutcome::Blocked => MoveOutcome::Idle,
-            ReadOutcome::End | ReadOutcome::Failed => {
+            ReadOutcome::End => {
+                self.upstream_ended = true;
+                if let Some(refusal) = self.refusal.take() {
+                    self.outbound.extend_from_slice(&refusal.bytes());
+                }
+                MoveOutcome::Moved
+            }
+            ReadOutcome::Failed => {
                 self.upstream_ended = true;
+                if self.refusal.take().is_some() {
+                    // The refusal would become a part of the response before it.
+                    self.close = CloseMode::Reset;
+                }
                 MoveOutcome::Moved
             }
         }
