runtime: an entry closes after a response without length and chunks

HTTP/1.0 callers of an entry that sent malformed bytes behind a request got the refusal of these bytes inside the response's body: such a response ends with its connection, so the body was the endpoint's with a "400 Bad Request" behind it, framed as whole.

Cause: the response was reported to the front proxy as one after which the connection stays open, so the proxy read the next head and refused it. Only the library's own close ended the connection, and that may come later.

The writer knows when only the end of the connection ends a response; such a response is now reported as the last one. The proxy then forwards the rest, closes, and discards what else the caller has sent.

--- a/crates/mulberrywell/tests/request_promises.rs
+++ b/crates/mulberrywell/tests/request_promises.rs
@@ -468,3 +468,32 @@
     }
     assert!(cut.is_empty(), "{} of 50 cut, first: {}", cut.len(), cut[0]);
 }
+
+/// Guards against a refusal that becomes the end of the response before it, which the end
+/// of the connection delimits.
+#[test]
+fn refused_pipelined_bytes_not_in_undelimited_body() {
+    let twin = twin_cluster(Duration::from_millis(5));
+    let mut wrong = Vec::new();
+    for _ in 0..20 {
+        let requests = format!(
+            "GET {ORDERS} HTTP/1.0\r\nHost: entry\r\nAuthorization: Bearer {}\r\n\r\n\
+             BAD\r\n\r\n",
+            twin.gold_key
+        );
+        let mut caller = RawCaller::connect(twin.cluster.callers[0]).unwrap();
+        assert!(caller.send(requests.as_bytes()));
+        let response = caller.read_to_end(Duration::from_secs(5));
+        let text = response.text();
+        let is_answered = text.starts_with("HTTP/1.1 201") && response.end == RawEnd::Closed;
+        if !is_answered || text.contains("HTTP/1.1 400") {
+            wrong.push(text);
+        }
+    }
+    assert!(
+        wrong.is_empty(),
+        "{} of 20 wrong, first: {}",
+        wrong.len(),
+        wrong[0]
+    );
+}
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -298,10 +298,12 @@
         let mut writer = HttpWriter::new(request.into_writer(), allows_chunks, bodyless);
         let is_complete = write_response(&mut writer, &parts);
         lock(&self.senders).remove(&id);
-        let close = if is_complete {
-            CloseMode::KeepAlive
-        } else {
+        let close = if !is_complete {
             CloseMode::Reset
+        } else if writer.is_undelimited() {
+            CloseMode::Close
+        } else {
+            CloseMode::KeepAlive
         };
         self.proxy.notify_finished(port, Some(id), close);
         drop(writer);
--- a/crates/runtime/src/http_writer.rs
+++ b/crates/runtime/src/http_writer.rs
@@ -58,6 +58,8 @@
     state: WriterState<W>,
     /// False for HTTP/1.0 callers: closing the connection then ends the body.
     allows_chunks: bool,
+    /// Only the end of the connection ends the body.
+    is_undelimited: bool,
     /// Set for a HEAD request, whose response has no body.
     bodyless: bool,
 }
@@ -68,6 +70,7 @@
         HttpWriter {
             state: WriterState::Idle(writer),
             allows_chunks,
+            is_undelimited: false,
             bodyless,
         }
     }
@@ -90,6 +93,11 @@
         }
     }
 
+    /// Returns whether only the end of the connection ends the response.
+    pub fn is_undelimited(&self) -> bool {
+        self.is_undelimited
+    }
+
     fn write_head(
         &mut self,
         status: u16,
@@ -114,7 +122,10 @@
             Some(length) => write!(head, "Content-Length: {length}\r\n")?,
             None if bodyless => {}
             None if self.allows_chunks => head.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
-            None => head.extend_from_slice(b"Connection: close\r\n"),
+            None => {
+                self.is_undelimited = true;
+                head.extend_from_slice(b"Connection: close\r\n");
+            }
         }
         head.extend_from_slice(b"\r\n");
         writer.write_all(&head)?;
