gateway: a run that may have stopped isn't taken for a whole response

What callers would see: a stream without length and chunks that ends as complete in the middle, in a planned stop, when the request to stop its run reached the engine but its response was lost or took longer than 400 ms.

Cause: such a copy was given up as if the run went on, which it may not. The close of the run's connection, which came after that, then looked like the end of a whole response.

An attempt now records that its engine was asked to stop it, until the engine answers that there is no such run. While that holds, a close without length and chunks is a break. This also covers the ends that wait for the engine's response, which had a rule of their own.

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -142,6 +142,9 @@
     pub run_unconfirmed: bool,
     /// The call reached the wrong endpoint, or one without the model.
     pub misdirected: bool,
+    /// The endpoint was asked to stop the run, and hasn't answered that it had ended
+    /// before.
+    pub may_be_stopped: bool,
     /// The body is a stream of events.
     pub is_stream: bool,
     /// The body can continue a stream of events that has begun.
--- a/crates/gateway/src/memory_copies.rs
+++ b/crates/gateway/src/memory_copies.rs
@@ -203,6 +203,10 @@
             return;
         };
         if copy.stage != CopyStage::Reserving {
+            let call = self.calls.get_mut(request);
+            if let Some(call) = call.filter(|_| response == CopyResponse::NoRun) {
+                call.response.may_be_stopped = false;
+            }
             copy.stage = CopyStage::Stopped(response);
             copy.deadline = now + COPY_TIMEOUT;
             self.finish_copy(now, request, actions);
@@ -214,6 +218,9 @@
         };
         copy.handle = Some(handle);
         if self.charge_retry(request, actions) {
+            if let Some(call) = self.calls.get_mut(request) {
+                call.response.may_be_stopped = true;
+            }
             self.request_copy(now, request, CopyStage::Stopping, actions);
         } else {
             self.drop_copy(now, request, actions);
@@ -276,18 +283,10 @@
             }
             return;
         };
-        let stopped = self.copies.copies.remove(&request);
+        self.copies.copies.remove(&request);
         match copy {
             Some(copy) => self.go_on_from(now, request, &place, copy, actions),
-            None => {
-                let is_unknown =
-                    stopped.is_some_and(|it| it.stage != CopyStage::Stopped(CopyResponse::NoRun));
-                let end = match run_end {
-                    ExchangeEnd::Complete if is_unknown => ExchangeEnd::Broken("the run stopped"),
-                    end => end,
-                };
-                self.handle_end(now, request, end, actions);
-            }
+            None => self.handle_end(now, request, run_end, actions),
         }
     }
 
--- a/crates/gateway/src/response_check.rs
+++ b/crates/gateway/src/response_check.rs
@@ -46,6 +46,10 @@
                 "the stream ended before its first event",
             )
         }
+        // A run that has stopped closes its connection as one does that is complete.
+        ExchangeEnd::Complete if response.may_be_stopped && !response.is_delimited => {
+            (AttemptFailure::Broken, "the run may have stopped")
+        }
         ExchangeEnd::Complete => return Ok(()),
     };
     Err(FailureCause { failure, text })
