gateway: an unreachable engine with a copy takes no attempt from a stream's count

What workers would see: a stream whose copy could not be used, as the connection to its engine failed, was run once more than its route's attempts allow, and without a charge to the retry budget.

Cause: an attempt that goes on from a copy has the number of the run before it. As it was not sent, that number was taken back, though the run before it was sent.

Evidence: copy_not_sent_attempts_kept failed before; a third run was forwarded on a route with two attempts.

The number is no longer taken back for such an attempt.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -246,10 +246,11 @@
         if failure == AttemptFailure::Broken {
             call.ran = RunState::Maybe;
         }
-        if failure == AttemptFailure::NotSent {
+        // An attempt that goes on from a copy counts as the run before it, which was sent.
+        let from_copy = call.copy.take().is_some();
+        if failure == AttemptFailure::NotSent && !from_copy {
             call.attempts -= 1;
         }
-        call.copy = None;
         call.events.end_run();
         call.tried.push(call.endpoint.clone());
         let misdirected = call.response.misdirected;
