gateway: a copy isn't used at an engine that no longer accepts requests

What workers would see: a request after they had begun to drain, or were evacuated, or one without a permit at a limited or cold engine, up to 1.2 s after the gateway had learned of it; it came from a stream that went on from a copy.

Cause: the other engine is chosen when the copy is asked for, and only its address was compared when the stream went on; a source that was to take the stream back likewise.

Evidence: both cases of copy_at_draining_engine_not_used failed before; the stream was sent to the engine that drained.

Whether an engine accepts requests without a permit is now asked when the stream goes on. A stopped run's own engine keeps the memory, so that it takes the place of the other one; if neither accepts, the attempt has broken off.

--- a/crates/gateway/src/memory_copies.rs
+++ b/crates/gateway/src/memory_copies.rs
@@ -269,10 +269,12 @@
         let CopyStage::Stopped(response) = copy.stage.clone() else {
             return;
         };
-        let (place, handle) = match response {
-            CopyResponse::Copied { handle } => (copy.target.clone(), Some(handle)),
-            CopyResponse::Refused { handle } => (copy.source.clone(), handle),
-            CopyResponse::NoRun => (copy.source.clone(), None),
+        let (places, handle) = match response {
+            CopyResponse::Copied { handle } => {
+                (vec![copy.target.clone(), copy.source.clone()], Some(handle))
+            }
+            CopyResponse::Refused { handle } => (vec![copy.source.clone()], handle),
+            CopyResponse::NoRun => (Vec::new(), None),
         };
         let source = copy.source.1;
         let copy = handle.map(|handle| MemoryCopy { source, handle });
@@ -285,27 +287,26 @@
         };
         self.copies.copies.remove(&request);
         match copy {
-            Some(copy) => self.go_on_from(now, request, &place, copy, actions),
+            Some(copy) => self.go_on_from(now, request, &places, copy, actions),
             None => self.handle_end(now, request, run_end, actions),
         }
     }
 
-    /// Forwards a call to an engine that goes on from a copy.
+    /// Forwards a call to the first of the engines with a copy that may get it.
     fn go_on_from(
         &mut self,
         now: Instant,
         request: RequestId,
-        place: &(EndpointId, SocketAddr),
+        places: &[(EndpointId, SocketAddr)],
         copy: MemoryCopy,
         actions: &mut Actions,
     ) {
-        let (endpoint, address) = place;
-        let known = self.endpoints.usage(endpoint);
-        if known.and_then(|usage| usage.address) != Some(*address) {
-            let end = ExchangeEnd::Broken("the engine of the copy is gone");
+        let mut places = places.iter();
+        let Some((endpoint, _)) = places.find(|place| self.accepts_copy(now, place)) else {
+            let end = ExchangeEnd::Broken("no engine of the copy accepts it");
             self.handle_end(now, request, end, actions);
             return;
-        }
+        };
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
@@ -319,6 +320,17 @@
         self.forward_call(now, request, endpoint, left, actions);
     }
 
+    /// Returns whether an engine may get a request that goes on from a copy. It may have
+    /// been restarted elsewhere, drained, evacuated or limited since the copy was asked for.
+    fn accepts_copy(&self, now: Instant, (endpoint, address): &(EndpointId, SocketAddr)) -> bool {
+        self.endpoints.usage(endpoint).is_some_and(|usage| {
+            let start = (endpoint.clone(), usage.born_ms());
+            usage.address == Some(*address)
+                && self.endpoints.accepts_requests(now, &start)
+                && !self.endpoints.needs_permit(now, endpoint)
+        })
+    }
+
     /// Ends copies whose responses, or the ends of whose runs, don't come in time.
     pub(crate) fn expire_copies(&mut self, now: Instant, actions: &mut Actions) {
         let copies = self.copies.copies.iter();
