gateway: the rest of a stream that can't be resumed is counted from its last event

What engines would see: copies, stops and moves of streams that would have ended in time, in a planned stop, on routes whose streams can't be resumed.

Cause: the events that are left of such a stream were all that its output limit allows, however many had been forwarded. That was right when only streams to be accepted were estimated, which have brought none; the rest of a running stream is estimated now as well.

Events that were forwarded in this call are now subtracted; a position that the caller names on such a route still isn't.

--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -162,11 +162,11 @@
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
         let events = limit.div_ceil(u64::from(tokens_per_event));
         // A stream that can't be resumed comes as a whole, whatever position its caller
-        // names.
-        let position = call
-            .events
-            .last_event()
-            .filter(|_| call.route.is_idempotent);
+        // names; what has been forwarded of it doesn't come again.
+        let position = match call.route.is_idempotent {
+            true => call.events.last_event(),
+            false => call.events.resume_position(),
+        };
         Some(events.saturating_sub(position.unwrap_or_default()))
     }
 
