gateway: an engine that crashes while a run is to stop counts as crashed

What operators would see: a request that crashes its engine isn't counted at that crash, and the engine, which may have restarted, isn't taken for cold, if it crashed while the gateway waited for the response to a request to stop the run.

Cause: the end of such a run was kept until that response, and what it says of the engine was dropped, as a run that was stopped on purpose ends alike.

Evidence: case both_broken of broken_copy_engine_probed failed before; the engine was not probed. Case stopped passes before and after.

If the request to stop has failed on its connection as well, the end of the run is recorded as any other is. The probe that this starts tells a crash from a broken connection.

--- a/crates/gateway/src/memory_copies.rs
+++ b/crates/gateway/src/memory_copies.rs
@@ -54,6 +54,8 @@
     exchange: ExchangeId,
     /// Whether that request is under way.
     is_open: bool,
+    /// Whether that request has failed: its engine may have crashed.
+    has_failed: bool,
     status: u16,
     body: BytesMut,
     deadline: Instant,
@@ -115,6 +117,7 @@
             stage: CopyStage::Reserving,
             exchange: 0,
             is_open: false,
+            has_failed: false,
             status: 0,
             body: BytesMut::new(),
             deadline: now + COPY_TIMEOUT,
@@ -182,6 +185,7 @@
             }
             ExchangeEvent::End { end, .. } => {
                 copy.is_open = false;
+                copy.has_failed = matches!(end, ExchangeEnd::Broken(_) | ExchangeEnd::Refused(_));
                 let response = match end {
                     ExchangeEnd::Complete => self.codec.read_copy_response(copy.status, &copy.body),
                     _ => CopyResponse::Refused { handle: None },
@@ -277,18 +281,25 @@
             CopyResponse::NoRun => (Vec::new(), None),
         };
         let source = copy.source.1;
-        let copy = handle.map(|handle| MemoryCopy { source, handle });
-        let Some(run_end) = self.copies.copies[&request].run_end else {
+        let memory = handle.map(|handle| MemoryCopy { source, handle });
+        let Some(run_end) = copy.run_end else {
             // Without a copy the run has not stopped.
-            if copy.is_none() {
+            if memory.is_none() {
                 self.drop_copy(now, request, actions);
             }
             return;
         };
+        let has_failed = copy.has_failed;
         self.copies.copies.remove(&request);
-        match copy {
-            Some(copy) => self.go_on_from(now, request, &places, copy, actions),
-            None => self.handle_end(now, request, run_end, actions),
+        match memory {
+            Some(memory) => self.go_on_from(now, request, &places, memory, actions),
+            None => {
+                // A run that was stopped on purpose ends like one whose engine crashed.
+                if has_failed {
+                    self.record_end(now, request, run_end, actions);
+                }
+                self.handle_end(now, request, run_end, actions);
+            }
         }
     }
 
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -67,18 +67,29 @@
                     if self.hold_end(now, request, end, actions) {
                         return;
                     }
-                    self.suspect_cold(now, request, end, actions);
-                    match end {
-                        ExchangeEnd::Broken(_) => self.record_break(now, request, actions),
-                        ExchangeEnd::Refused(_) => self.record_refusing(request),
-                        ExchangeEnd::Complete | ExchangeEnd::NotSent(_) => {}
-                    }
+                    self.record_end(now, request, end, actions);
                     self.handle_end(now, request, end, actions);
                 }
             }
         }
     }
 
+    /// Records what the end of a call's exchange says of its endpoint.
+    pub(crate) fn record_end(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        end: ExchangeEnd,
+        actions: &mut Actions,
+    ) {
+        self.suspect_cold(now, request, end, actions);
+        match end {
+            ExchangeEnd::Broken(_) => self.record_break(now, request, actions),
+            ExchangeEnd::Refused(_) => self.record_refusing(request),
+            ExchangeEnd::Complete | ExchangeEnd::NotSent(_) => {}
+        }
+    }
+
     /// Records that the endpoint of a call refused the connection: it has probably
     /// crashed, long before its heartbeats count as missing.
     fn record_refusing(&mut self, request: RequestId) {
