gateway: the prompt of a stream that goes on from a copy doesn't wait to be read

What callers would see: the engines that streams of a stopping gateway move to look busy with prompts that they don't read, to all gateways, so that other requests go elsewhere or are refused by a stop. The first event, which comes within milliseconds, made them look faster at reading prompts than they are; that measure is shared as well, and it shortened the wait that counts as usual on the route.

Cause: a stream that goes on from a copy was counted as one that starts anew.

Evidence: copied_prompt_not_waiting failed before; 10 unread tokens were reported for the engine with the copy. The measured speed and the usual wait have no test of their own.

Such a stream now has no tokens to read. Its prompt still counts as memory that it holds, and its first event isn't measured.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -167,7 +167,11 @@
             let kept = begin_work(now, usage, call, traits);
             record_prompt_metrics(kept, prompt, actions);
         } else {
-            call.prefill_tokens = prompt.saturating_sub(usage.cache.cached_tokens(&call.chain));
+            let cached = match call.copy {
+                Some(_) => prompt,
+                None => usage.cache.cached_tokens(&call.chain),
+            };
+            call.prefill_tokens = prompt.saturating_sub(cached);
             usage.prefill_tokens += call.prefill_tokens;
             let service = self.index.service(&call.service);
             if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
--- a/crates/gateway/src/response_timing.rs
+++ b/crates/gateway/src/response_timing.rs
@@ -33,6 +33,10 @@
             call.response.first_position = event;
             let started = call.attempt_started.unwrap_or(now);
             let elapsed = now.saturating_duration_since(started);
+            if call.copy.is_some() {
+                // No prompt was read, so that this says nothing of other streams.
+                return;
+            }
             times.record_first_chunk(elapsed);
             let usage = self.endpoints.usage_mut(&call.endpoint);
             let work = call.engine_work.filter(EngineWork::is_mostly_own);
@@ -187,10 +191,19 @@
     traits: &EngineTraits,
 ) -> u64 {
     let tokens = call.terms.tokens.unwrap_or_default();
-    let kept = call_value(now, call, usage, traits, false).kept_tokens;
+    let kept = match call.copy {
+        // The engine has the whole prompt in the copy.
+        Some(_) => tokens.prompt,
+        None => call_value(now, call, usage, traits, false).kept_tokens,
+    };
     call.prefill_tokens = tokens.prompt.saturating_sub(kept);
     usage.prefill_tokens += call.prefill_tokens;
-    let held_tokens = call.prefill_tokens.saturating_add(tokens.output);
+    // A copy shares no memory with other requests, also if the engine has cached the prompt.
+    let stored_tokens = match call.copy {
+        Some(_) => tokens.prompt,
+        None => call.prefill_tokens,
+    };
+    let held_tokens = stored_tokens.saturating_add(tokens.output);
     usage.held_tokens = usage.held_tokens.saturating_add(held_tokens);
     call.engine_work = Some(EngineWork {
         prefill_tokens: usage.prefill_tokens + usage.others.prefill_tokens,
