gateway: a stream whose prompt is quarantined isn't moved to a further engine

What callers would see: further engines that crash, with all their streams, in a planned stop, as a stream whose content or prompt is quarantined or at several crashes goes on there.

Cause: a move from a copy asks neither for quarantines nor for suspects, as a retry does. Streams that have begun when a quarantine comes aren't cancelled, so that they could move.

Evidence: quarantined_stream_stays failed before; a copy was asked for.

Such streams stay where they are until they end or the stop does.

--- a/crates/gateway/src/stream_moves.rs
+++ b/crates/gateway/src/stream_moves.rs
@@ -51,6 +51,10 @@
         if is_bounded || is_paused || self.copies.contains(request) {
             return None;
         }
+        // What may crash engines isn't brought to a further one.
+        if self.quarantine_end(now, call).is_some() || self.is_suspected(call) {
+            return None;
+        }
         let kind = self.move_kind(call)?;
         let left = end.saturating_duration_since(now);
         let here = self.rest_here(now, call)?;
