gateway: a stream of an unmeasured route that waits too long in a planned stop moves as well

What callers would see: a stream that a planned stop accepts in its first third, without an estimate, and that is cut at the end of the stop though it waits at a busy engine and another one could have ended it.

Cause: without a measured time to the first event on its route, a stream's wait counted as usual however long it was.

Evidence: shutdown_unknown_stream_waiting_ends_elsewhere failed before; the caller got no event by the end of the stop, and the request was forwarded to one engine only.

The wait is now compared with the route's latency objective if no time is measured; the pace is that of the endpoints, which other routes have shown.

--- a/crates/gateway/src/stream_moves.rs
+++ b/crates/gateway/src/stream_moves.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use mulberrywell_policy::{observed_pace, should_move, MoveKind, StreamRest};
+use mulberrywell_policy::{observed_pace, should_move, MoveKind, ResponseTimes, StreamRest};
 use mulberrywell_role::{ExchangeCommand, RequestId, RoleAction};
 use mulberrywell_serving::EndpointId;
 
@@ -127,14 +127,15 @@
         let mean = usage.event_pace.mean();
         let Some(first) = call.response.first_event else {
             let waited = now.saturating_duration_since(call.attempt_started?);
-            let times = self.times.get(&call.route.name)?;
-            let is_usual = times
-                .first_chunk()
-                .is_none_or(|first_chunk| waited <= first_chunk);
+            let times = self.times.get(&call.route.name);
+            let first_chunk = times.and_then(ResponseTimes::first_chunk);
+            // The first event of a route of which nothing is known is late as it is for its
+            // caller.
+            let is_usual = waited <= first_chunk.unwrap_or(call.route.objective);
             // What has waited for some time may wait as long again.
             return (!is_usual).then_some(StreamRest {
                 events,
-                pace: mean.or_else(|| times.event_pace().mean())?,
+                pace: mean.or_else(|| times?.event_pace().mean())?,
                 delay: waited.max(backlog_time(usage)),
             });
         };
