gateway: no copy of a stream's memory is asked for without a retry in the budget

What engines would see: in a planned stop, the memory of two streams was copied every 0.3 s and freed at once, as each move was given up for want of a retry.

Cause: a move is charged to the retry budget only after the copy that reserves room, and a spent budget isn't filled by streams that run.

Evidence: spent_budget_copies_not_asked_for failed before; 30 copies were asked for while the budget allowed 6 moves.

A move is now planned only if the budget has a retry. It is still charged after the copy, so that a refused copy costs none.

--- a/crates/gateway/src/stream_moves.rs
+++ b/crates/gateway/src/stream_moves.rs
@@ -9,6 +9,7 @@
 
 use std::time::{Duration, Instant};
 
+use mulberrywell_limit::RetryBudget;
 use mulberrywell_policy::{observed_pace, should_move, MoveKind, ResponseTimes, StreamRest};
 use mulberrywell_role::{ExchangeCommand, RequestId, RoleAction};
 use mulberrywell_serving::EndpointId;
@@ -55,6 +56,13 @@
         if self.quarantine_end(now, call).is_some() || self.is_suspected(call) {
             return None;
         }
+        if !self
+            .budgets
+            .get(&call.service)
+            .is_some_and(RetryBudget::has_retry)
+        {
+            return None;
+        }
         let kind = self.move_kind(call)?;
         let left = end.saturating_duration_since(now);
         let here = self.rest_here(now, call)?;
--- a/crates/limit/src/retry_budget.rs
+++ b/crates/limit/src/retry_budget.rs
@@ -59,6 +59,11 @@
         self.balance = (self.balance + self.earned).min(self.balance_max);
     }
 
+    /// Returns whether the balance allows a retry.
+    pub fn has_retry(&self) -> bool {
+        self.balance >= COST_PER_RETRY
+    }
+
     /// Subtracts one retry if the balance allows it; returns whether it does.
     pub fn acquire_retry(&mut self) -> bool {
         let remaining = self.balance.checked_sub(COST_PER_RETRY);
