gateway: a disputed stream doesn't go on at another engine from a copy

What callers would see: a stream whose events are joined from two software versions, in a planned stop beside a rollout, if workers accept a copy of another version.

Cause: a stream that may have events of either version isn't moved, but one that became so while its memory was copied was: the other engine had been chosen by the version that the stream was bound to before.

Evidence: case disputed of copied_stream_version_kept failed before; the stream was sent to the other engine. Case same_version passes before and after.

Such a stream now goes on at the engine that ran it only.

--- a/crates/gateway/src/memory_copies.rs
+++ b/crates/gateway/src/memory_copies.rs
@@ -18,7 +18,7 @@
 use mulberrywell_serving::EndpointId;
 
 use crate::call_codec::{CallCodec, CopyResponse, CopyTerms, MemoryCopy};
-use crate::call_table::{CallRecord, CallStage};
+use crate::call_table::{CallRecord, CallStage, StreamVersion};
 use crate::caller_responses::text;
 use crate::gateway_role::{Actions, GatewayRole};
 
@@ -312,8 +312,14 @@
         copy: MemoryCopy,
         actions: &mut Actions,
     ) {
+        // Another engine was chosen by a version that the run may not have.
+        let call = self.calls.get(request);
+        let is_disputed = call.is_some_and(|it| it.version_bound == StreamVersion::Disputed);
         let mut places = places.iter();
-        let Some((endpoint, _)) = places.find(|place| self.accepts_copy(now, place)) else {
+        let place = places.find(|place| {
+            self.accepts_copy(now, place) && (!is_disputed || place.1 == copy.source)
+        });
+        let Some((endpoint, _)) = place else {
             let end = ExchangeEnd::Broken("no engine of the copy accepts it");
             self.handle_end(now, request, end, actions);
             return;
