--- a/crates/gateway/src/memory_copies.rs
+++ b/crates/gateway/src/memory_copies.rs
@@ -18,7 +18,7 @@
 use mulberrywell_serving::EndpointId;
 
 use crate::call_codec::{CallCodec, CopyResponse, CopyTerms, MemoryCopy};
-use crate::call_table::{CallRecord, CallStage};
+use crate::call_table::{CallRecord, CallStage, StreamVersion};
 use crate::caller_responses::text;
 use crate::gateway_role::{Actions, GatewayRole};
 
@@ -54,6 +54,8 @@
     exchange: ExchangeId,
     /// Whether that request is under way.
     is_open: bool,
+    /// Whether that request has failed: its engine may have crashed.
+    has_failed: bool,
     status: u16,
     body: BytesMut,
     deadline: Instant,
@@ -115,6 +117,7 @@
             stage: CopyStage::Reserving,
             exchange: 0,
             is_open: false,
+            has_failed: false,
             status: 0,
             body: BytesMut::new(),
             deadline: now + COPY_TIMEOUT,
@@ -182,6 +185,7 @@
             }
             ExchangeEvent::End { end, .. } => {
                 copy.is_open = false;
+                copy.has_failed = matches!(end, ExchangeEnd::Broken(_) | ExchangeEnd::Refused(_));
                 let response = match end {
                     ExchangeEnd::Complete => self.codec.read_copy_response(copy.status, &copy.body),
                     _ => CopyResponse::Refused { handle: None },
@@ -203,6 +207,10 @@
             return;
         };
         if copy.stage != CopyStage::Reserving {
+            let call = self.calls.get_mut(request);
+            if let Some(call) = call.filter(|_| response == CopyResponse::NoRun) {
+                call.response.may_be_stopped = false;
+            }
             copy.stage = CopyStage::Stopped(response);
             copy.deadline = now + COPY_TIMEOUT;
             self.finish_copy(now, request, actions);
@@ -214,6 +222,9 @@
         };
         copy.handle = Some(handle);
         if self.charge_retry(request, actions) {
+            if let Some(call) = self.calls.get_mut(request) {
+                call.response.may_be_stopped = true;
+            }
             self.request_copy(now, request, CopyStage::Stopping, actions);
         } else {
             self.drop_copy(now, request, actions);
@@ -262,51 +273,57 @@
         let CopyStage::Stopped(response) = copy.stage.clone() else {
             return;
         };
-        let (place, handle) = match response {
-            CopyResponse::Copied { handle } => (copy.target.clone(), Some(handle)),
-            CopyResponse::Refused { handle } => (copy.source.clone(), handle),
-            CopyResponse::NoRun => (copy.source.clone(), None),
+        let (places, handle) = match response {
+            CopyResponse::Copied { handle } => {
+                (vec![copy.target.clone(), copy.source.clone()], Some(handle))
+            }
+            CopyResponse::Refused { handle } => (vec![copy.source.clone()], handle),
+            CopyResponse::NoRun => (Vec::new(), None),
         };
         let source = copy.source.1;
-        let copy = handle.map(|handle| MemoryCopy { source, handle });
-        let Some(run_end) = self.copies.copies[&request].run_end else {
+        let memory = handle.map(|handle| MemoryCopy { source, handle });
+        let Some(run_end) = copy.run_end else {
             // Without a copy the run has not stopped.
-            if copy.is_none() {
+            if memory.is_none() {
                 self.drop_copy(now, request, actions);
             }
             return;
         };
-        let stopped = self.copies.copies.remove(&request);
-        match copy {
-            Some(copy) => self.go_on_from(now, request, &place, copy, actions),
+        let has_failed = copy.has_failed;
+        self.copies.copies.remove(&request);
+        match memory {
+            Some(memory) => self.go_on_from(now, request, &places, memory, actions),
             None => {
-                let is_unknown =
-                    stopped.is_some_and(|it| it.stage != CopyStage::Stopped(CopyResponse::NoRun));
-                let end = match run_end {
-                    ExchangeEnd::Complete if is_unknown => ExchangeEnd::Broken("the run stopped"),
-                    end => end,
-                };
-                self.handle_end(now, request, end, actions);
+                // A run that was stopped on purpose ends like one whose engine crashed.
+                if has_failed {
+                    self.record_end(now, request, run_end, actions);
+                }
+                self.handle_end(now, request, run_end, actions);
             }
         }
     }
 
-    /// Forwards a call to an engine that goes on from a copy.
+    /// Forwards a call to the first of the engines with a copy that may get it.
     fn go_on_from(
         &mut self,
         now: Instant,
         request: RequestId,
-        place: &(EndpointId, SocketAddr),
+        places: &[(EndpointId, SocketAddr)],
         copy: MemoryCopy,
         actions: &mut Actions,
     ) {
-        let (endpoint, address) = place;
-        let known = self.endpoints.usage(endpoint);
-        if known.and_then(|usage| usage.address) != Some(*address) {
-            let end = ExchangeEnd::Broken("the engine of the copy is gone");
+        // Another engine was chosen by a version that the run may not have.
+        let call = self.calls.get(request);
+        let is_disputed = call.is_some_and(|it| it.version_bound == StreamVersion::Disputed);
+        let mut places = places.iter();
+        let place = places.find(|place| {
+            self.accepts_copy(now, place) && (!is_disputed || place.1 == copy.source)
+        });
+        let Some((endpoint, _)) = place else {
+            let end = ExchangeEnd::Broken("no engine of the copy accepts it");
             self.handle_end(now, request, end, actions);
             return;
-        }
+        };
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
@@ -320,6 +337,17 @@
         self.forward_call(now, request, endpoint, left, actions);
     }
 
+    /// Returns whether an engine may get a request that goes on from a copy. It may have
+    /// been restarted elsewhere, drained, evacuated or limited since the copy was asked for.
+    fn accepts_copy(&self, now: Instant, (endpoint, address): &(EndpointId, SocketAddr)) -> bool {
+        self.endpoints.usage(endpoint).is_some_and(|usage| {
+            let start = (endpoint.clone(), usage.born_ms());
+            usage.address == Some(*address)
+                && self.endpoints.accepts_requests(now, &start)
+                && !self.endpoints.needs_permit(now, endpoint)
+        })
+    }
+
     /// Ends copies whose responses, or the ends of whose runs, don't come in time.
     pub(crate) fn expire_copies(&mut self, now: Instant, actions: &mut Actions) {
         let copies = self.copies.copies.iter();
