http1: the chunks of one read are one piece of the body

Callers would see: while an endpoint sends a body in very small chunks, all other calls of the gateway wait for seconds and run into their deadlines, the more so on a busy machine.

Cause: each chunk was a piece of its own, and each piece an event of the role with actions, metrics, and the memory's and the timer's upkeep. One turn reads up to 256 KiB of a connection, which is 43,690 chunks of one byte, so the peer chose how many events a turn has. In a profile of case_5 before the change 80% of the gateway's time is below RoleHost::process_events and 9% in the decoder. The buffer is not moved per chunk.

The decoder now joins the data of all chunks in the buffer into one piece, so that a read yields one piece however the peer divides it; data in one chunk is still not copied. Bytes that violate the framing stay in the buffer, and their error follows the data before them, as it did. Requests in chunks had no event per chunk; they use the same decoder.

--- a/crates/http1/src/body_framing.rs
+++ b/crates/http1/src/body_framing.rs
@@ -72,27 +72,56 @@
     /// Removes the next piece of the body from `buf`; none when more bytes are
     /// needed or the body is complete.
     ///
+    /// The data of all chunks in `buf` is one piece, so that the pieces handed on are as
+    /// many as the reads and not as many as the chunks, whose number the peer chooses.
+    /// Data that is in one chunk is not copied.
+    ///
     /// # Errors
-    /// Fails when the bytes violate the framing.
+    /// Fails when the bytes violate the framing; what precedes them is returned first.
     pub fn next_piece(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
+        let len = self.next_data_len(buf)?;
+        if len == 0 {
+            return Ok(None);
+        }
+        let first = buf.split_to(len).freeze();
+        let mut len = self.len_behind_piece(buf);
+        if len == 0 {
+            return Ok(Some(first));
+        }
+        let mut joined = BytesMut::from(&first[..]);
+        while len > 0 {
+            joined.extend_from_slice(&buf[..len]);
+            buf.advance(len);
+            len = self.len_behind_piece(buf);
+        }
+        Ok(Some(joined.freeze()))
+    }
+
+    /// Returns the length of the data that follows a piece. An error leaves its bytes in
+    /// `buf`, so that the next piece fails with it.
+    fn len_behind_piece(&mut self, buf: &mut BytesMut) -> usize {
+        self.next_data_len(buf).unwrap_or(0)
+    }
+
+    /// Removes the framing before the next data from `buf`; returns the length of that
+    /// data, which counts as read. It is 0 when more bytes are needed or the body is
+    /// complete.
+    fn next_data_len(&mut self, buf: &mut BytesMut) -> Result<usize, BodyError> {
         loop {
             match self.state {
-                DecoderState::Done => return Ok(None),
-                DecoderState::UntilClose => {
-                    let piece = buf.split().freeze();
-                    return Ok((!piece.is_empty()).then_some(piece));
-                }
+                DecoderState::Done => return Ok(0),
+                DecoderState::UntilClose => return Ok(buf.len()),
                 DecoderState::Plain(left) | DecoderState::ChunkData(left) => {
-                    return Ok(self.read_body_bytes(left, buf));
+                    return Ok(self.count_body_bytes(left, buf.len()));
                 }
                 DecoderState::ChunkSize => {
                     if !self.read_chunk_size(buf)? {
-                        return Ok(None);
+                        return Ok(0);
                     }
                 }
                 DecoderState::ChunkEnd => {
                     if buf.len() < 2 {
-                        return Ok(None);
+                        return Ok(0);
                     }
                     if &buf[..2] != b"\r\n" {
                         return Err(BodyError);
@@ -102,18 +131,17 @@
                 }
                 DecoderState::Trailer(left) => {
                     if !self.read_trailer_line(left, buf)? {
-                        return Ok(None);
+                        return Ok(0);
                     }
                 }
             }
         }
     }
 
-    fn read_body_bytes(&mut self, left: u64, buf: &mut BytesMut) -> Option<Bytes> {
-        let len = usize::try_from(left).unwrap_or(usize::MAX).min(buf.len());
-        if len == 0 {
-            return None;
-        }
+    /// Counts the body bytes among `available` ones, of `left` that the body or chunk
+    /// still has.
+    fn count_body_bytes(&mut self, left: u64, available: usize) -> usize {
+        let len = usize::try_from(left).unwrap_or(usize::MAX).min(available);
         let rest = left - len as u64;
         self.state = match (self.state, rest) {
             (DecoderState::Plain(_), 0) => DecoderState::Done,
@@ -121,7 +149,7 @@
             (_, 0) => DecoderState::ChunkEnd,
             (_, rest) => DecoderState::ChunkData(rest),
         };
-        Some(buf.split_to(len).freeze())
+        len
     }
 
     fn read_chunk_size(&mut self, buf: &mut BytesMut) -> Result<bool, BodyError> {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,7 +11,8 @@
 //! part of that message.
 //!
 //! Algorithm: `httparse` parses heads and chunk sizes; head fields and body
-//! pieces are slices of the read buffer and are not copied.
+//! pieces are slices of the read buffer and are not copied, except that the data
+//! of several chunks in the buffer is joined into one piece.
 
 mod body_framing;
 mod head_fields;
