runtime: a turn reads 64 KiB of a connection instead of 256

Callers would see: beside endpoints that send bodies in one-byte chunks, other calls wait for the decoding of up to 256 KiB for each such connection, several times in a call.

--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -10,8 +10,9 @@
 /// Bytes of one read.
 pub const READ_LEN: usize = 64 * 1024;
 
-/// Bytes read from one connection before others are served.
-pub const TURN_LEN: usize = 256 * 1024;
+/// Bytes read from one connection before others are served. An endpoint that divides a
+/// body into one-byte chunks makes each of them costly.
+pub const TURN_LEN: usize = READ_LEN;
 
 /// State of a connection's incoming side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
