--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -82,6 +82,14 @@
             let _ = fs::remove_dir_all(temporary);
             std::process::exit(NOT_RUN);
         });
+        // A stand-in that fails ends what it has started, too.
+        let (failing, temporary) = (children.clone(), folder.clone());
+        std::panic::set_hook(Box::new(move |info| {
+            eprintln!("{info}");
+            end_all(&failing);
+            let _ = fs::remove_dir_all(&temporary);
+            std::process::exit(NOT_RUN);
+        }));
         let line = match has_trouble() {
             true => "with the disruption",
             false => "TROUBLE=0: without the disruption",
--- a/review/standins/storms.rs
+++ b/review/standins/storms.rs
@@ -140,6 +140,7 @@
     for machine in MACHINES {
         run.kill(&format!("control-{machine}"));
     }
+    let _ = fs::remove_dir_all(&run.folder);
     std::process::exit(kit::NOT_RUN);
 }
 
