--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -42,9 +42,28 @@
 const ROUTES: u64 = 3;
 const SUBJECTS: u64 = 30;
 
+/// Where the crashing part stands in a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartPlace {
+    /// Beside the route's part and the subject.
+    Third,
+    /// In place of the subject.
+    Subject,
+    /// In place of the route's part.
+    First,
+}
+
 /// Load and faults of a fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct FleetPlan {
+    pub place: PartPlace,
+    /// The crashing part or content was served soundly before.
+    pub proven: bool,
+    /// Engines that serve at a time; others take over from those that crash. All of them
+    /// if 0.
+    pub holders: usize,
+    /// Time that an engine needs before its first response after it took over.
+    pub cold_time: Duration,
     pub engines: usize,
     /// Requests a second: sound ones, and ones that crash engines.
     pub sound_rate: f64,
@@ -71,6 +90,7 @@
 
 #[derive(Debug, Clone)]
 struct RunningRequest {
+    subject: u64,
     /// Only repeats have the same.
     content: PartId,
     crashes: bool,
@@ -130,6 +150,8 @@
     ledger: CrashLedger,
     /// When each engine is up again.
     up_at: Vec<Instant>,
+    /// Engines that serve, with the time from which on they respond.
+    holders: Vec<(usize, Instant)>,
     /// Number of starts of each engine.
     born: Vec<u64>,
     running: Vec<RunningRequest>,
@@ -151,6 +173,7 @@
             now,
             ledger: CrashLedger::default(),
             up_at: vec![now; plan.engines],
+            holders: (0..plan.holders).map(|engine| (engine, now)).collect(),
             born: vec![1; plan.engines],
             running: Vec::new(),
             crashes: Vec::new(),
@@ -197,8 +220,8 @@
                 self.add_request(subject, false);
             }
         }
-        let is_warm = self.now >= self.started + WARM_TIME;
-        if is_warm && self.rng.random_bool(self.plan.crashing_rate * per_step) {
+        let is_sent = self.plan.proven || self.has_turned();
+        if is_sent && self.rng.random_bool(self.plan.crashing_rate * per_step) {
             let subject = match self.plan.one_subject {
                 true => SUBJECTS - 1,
                 false => self.draw_subject(),
@@ -207,6 +230,52 @@
         }
     }
 
+    /// Returns whether the part or the content crashes engines by now.
+    fn has_turned(&self) -> bool {
+        self.now >= self.started + WARM_TIME
+    }
+
+    /// Returns the shared parts of a request's prompt.
+    fn prompt_parts(&self, subject: u64, crashes: bool) -> Vec<PartId> {
+        let (first, second) = (subject % ROUTES, 100 + subject);
+        match self.plan.place {
+            _ if !crashes || self.plan.one_content => vec![first, second],
+            PartPlace::Third => vec![first, second, CRASHING_PART],
+            PartPlace::Subject => vec![first, CRASHING_PART],
+            PartPlace::First => vec![CRASHING_PART, second],
+        }
+    }
+
+    /// Returns the engines to which requests can be forwarded.
+    fn candidates(&self) -> Vec<usize> {
+        let engines = (0..self.plan.engines).filter(|engine| self.up_at[*engine] <= self.now);
+        let is_holder =
+            |engine: &usize| self.plan.holders == 0 || self.responds_at(*engine).is_some();
+        engines.filter(is_holder).collect()
+    }
+
+    /// Returns the time from which on a holder responds.
+    fn responds_at(&self, engine: usize) -> Option<Instant> {
+        let holder = self.holders.iter().find(|(holder, _)| *holder == engine);
+        holder.map(|(_, at)| *at)
+    }
+
+    /// Lets the next engine that is up take over from one that crashed.
+    fn replace_holder(&mut self, engine: usize) {
+        let Some(index) = self
+            .holders
+            .iter()
+            .position(|(holder, _)| *holder == engine)
+        else {
+            return;
+        };
+        let after = (1..self.plan.engines).map(|step| (engine + step) % self.plan.engines);
+        let mut free = after.filter(|next| self.responds_at(*next).is_none());
+        let next = free.find(|next| self.up_at[*next] <= self.now);
+        let ready = self.now + self.plan.cold_time;
+        self.holders[index] = (next.unwrap_or(engine), ready);
+    }
+
     /// Draws a subject; low ones are popular.
     fn draw_subject(&mut self) -> u64 {
         let draw: f64 = self.rng.random();
@@ -221,25 +290,22 @@
 
     /// Forwards a request to some engine that is up.
     fn forward(&mut self, subject: u64, content: PartId, crashes: bool, repeats_left: u32) {
-        let engines = (0..self.plan.engines).filter(|engine| self.up_at[*engine] <= self.now);
-        let engines: Vec<usize> = engines.collect();
+        let engines = self.candidates();
         if engines.is_empty() {
             return;
         }
         let engine = engines[self.rng.random_range(0..engines.len())];
         let load = self.running.iter().filter(|it| it.engine == engine).count() as u64;
         let wait = Duration::from_millis(5 + 20 * load);
-        let begins = self.now + wait;
+        let ready = self.responds_at(engine).unwrap_or(self.now);
+        let begins = self.now.max(ready) + wait;
         let lasts = Duration::from_millis(self.rng.random_range(300..2_500));
         self.requests += 1;
         let content = match crashes && self.plan.one_content {
             true => CRASHING_CONTENT,
             false => content,
         };
-        let mut parts = vec![subject % ROUTES, 100 + subject];
-        if crashes && !self.plan.one_content {
-            parts.push(CRASHING_PART);
-        }
+        let parts = self.prompt_parts(subject, crashes);
         let subjects = [&parts[..], &[content]].concat();
         if self
             .ledger
@@ -257,6 +323,7 @@
         }
         let gateway = self.report_rng.random_range(0..self.plan.gateways);
         self.running.push(RunningRequest {
+            subject,
             gateway,
             content,
             crashes,
@@ -275,7 +342,7 @@
         let due: Vec<usize> = self
             .running
             .iter()
-            .filter(|it| it.crashes)
+            .filter(|it| it.crashes && self.has_turned() && !it.is_reported)
             .filter(|it| it.begins + crash_delay <= self.now)
             .map(|it| it.engine)
             .collect();
@@ -331,8 +398,9 @@
         self.running.retain(|it| it.engine != engine);
         self.up_at[engine] = self.now + RESTART_TIME;
         self.born[engine] += 1;
+        self.replace_holder(engine);
         for request in broken.iter().filter(|it| it.repeats_left > 0) {
-            let subject = request.parts[1] - 100;
+            let subject = request.subject;
             self.forward(subject, request.content, false, request.repeats_left - 1);
         }
     }
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use crash_fleet::{CrashFleet, FleetPlan};
+use crash_fleet::{CrashFleet, FleetPlan, PartPlace};
 use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest};
 use rstest::rstest;
 
@@ -313,6 +313,10 @@
 }
 
 const PLAN: FleetPlan = FleetPlan {
+    place: PartPlace::Third,
+    proven: false,
+    holders: 0,
+    cold_time: Duration::ZERO,
     engines: 18,
     sound_rate: 50.0,
     crashing_rate: 8.0,
