Guard: requests of a suspect go to endpoints one at a time, with trials

Control tells gateways which parts and contents are restricted: a part without any response after one crash, any other after two, a content with two copies in crashes. Their requests need a trial, which the leader grants to one request of a suspect at a time, and to one at each endpoint, so that its crash tells of this request alone. A response that lasts ends the restriction. Chains of three do for what was sound before if two trials crashed; where most crashes are without a subject it needs five.

Ruled out: a shorter chain alone (the wave comes before it), local limits in each gateway (eight gateways, eight copies a wave).

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -13,7 +13,7 @@
 use mulberrywell_wire::config::{ConfirmAnswer, ConfirmQuery};
 use mulberrywell_wire::operate::{Relay, RelayAnswer};
 use mulberrywell_wire::rate::LeaseGrant;
-use mulberrywell_wire::serving::PromptReport;
+use mulberrywell_wire::serving::{PromptReport, TrialEnd, TrialGrant, TrialRequest};
 use mulberrywell_wire::{FrameBody, PeerFrame};
 use prost::Message;
 
@@ -68,6 +68,10 @@
             FrameBody::PermitRequest(request) => {
                 self.handle_permit_request(now, link, &request, actions);
             }
+            FrameBody::TrialRequest(request) => {
+                self.handle_trial_request(now, link, request, actions);
+            }
+            FrameBody::TrialEnd(end) => self.handle_trial_end(now, link, end, actions),
             FrameBody::StreamReport(report) => self.streams.record_report(now, &report),
             FrameBody::StreamQuery(query) => self.handle_stream_query(now, link, query, actions),
             FrameBody::ServingDemand(demand) => self.handle_serving_demand(now, demand, actions),
@@ -94,6 +98,50 @@
         }
     }
 
+    /// Answers a request for a trial as the leader, or passes it on to the leader.
+    fn handle_trial_request(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        request: TrialRequest,
+        actions: &mut Actions,
+    ) {
+        let holder = self.clients.holder(link);
+        if self.is_leader() && self.has_lease(now) {
+            let grant = self.prompts.grant_trial(now, holder, &request);
+            send(link, FrameBody::TrialGrant(grant), actions);
+            return;
+        }
+        let task = ClientTask {
+            origin: FrameOrigin::Local(link),
+            holder,
+            frame: FrameBody::TrialRequest(request),
+        };
+        self.route_client(now, task, actions);
+    }
+
+    /// Ends a trial, or tells the leader of its end.
+    fn handle_trial_end(
+        &mut self,
+        now: Instant,
+        link: LinkId,
+        end: TrialEnd,
+        actions: &mut Actions,
+    ) {
+        let holder = self.clients.holder(link);
+        if self.is_leader() {
+            self.prompts.end_trial(now, holder, end);
+        } else if let Some(leader) = self.leader_link() {
+            let frame = PeerFrame::from(FrameBody::TrialEnd(end));
+            let relay = Relay {
+                sequence: 0,
+                frame: Bytes::from(frame.encode_to_vec()),
+                holder,
+            };
+            send(leader, FrameBody::Relay(relay), actions);
+        }
+    }
+
     /// Relays an entry's report to the other instances: an entry links to one instance
     /// only, whereas a gateway reports to all.
     fn relay_prompt_report(&self, report: PromptReport, actions: &mut Actions) {
@@ -117,6 +165,7 @@
         match frame.body {
             Some(FrameBody::Announce(announce)) => self.handle_relayed_announce(now, announce),
             Some(FrameBody::PromptReport(report)) => self.prompts.record_report(now, report),
+            Some(FrameBody::TrialEnd(end)) => self.prompts.end_trial(now, relay.holder, end),
             Some(frame) => {
                 let sequence = relay.sequence;
                 let task = ClientTask {
@@ -208,6 +257,10 @@
                 reply(task.origin, FrameBody::ReturnAck(ack), actions);
             }
             FrameBody::TokenRefund(refund) => self.leases.refund(now, task.holder, &refund),
+            FrameBody::TrialRequest(request) => {
+                let grant = self.prompts.grant_trial(now, task.holder, &request);
+                reply(task.origin, FrameBody::TrialGrant(grant), actions);
+            }
             FrameBody::StreamQuery(query) => {
                 self.execute_stream_query(task.origin, &query, actions);
             }
@@ -364,6 +417,11 @@
             unavailable: true,
             ..LeaseGrant::default()
         })),
+        FrameBody::TrialRequest(request) => Some(FrameBody::TrialGrant(TrialGrant {
+            sequence: request.sequence,
+            unavailable: true,
+            ..TrialGrant::default()
+        })),
         FrameBody::StreamQuery(query) => Some(FrameBody::StreamAnswer(unknown_answer(query))),
         _ => None,
     }
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -358,7 +358,8 @@
                     self.serving.detach(link);
                     self.rates.remove(now, link);
                     self.loads.remove(link);
-                    self.prompts.remove(link);
+                    let holder = self.clients.holder(link);
+                    self.prompts.remove(now, link, &holder);
                     self.monitor.remove_link(link);
                     self.clients.remove(link);
                 }
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -258,6 +258,7 @@
             self.monitor.restart_observation(now);
             self.orders.become_leader(now);
             self.permits.start(now);
+            self.prompts.clear_trials();
             self.absent_since.clear();
         }
         if was_leader && !self.is_leader() {
--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -10,9 +10,12 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest};
+use bytes::Bytes;
+use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest, TrialTable};
 use mulberrywell_role::{LinkCommand, LinkId, LogLevel, RoleAction};
-use mulberrywell_wire::serving::{PromptNotice, PromptQuarantine, PromptReport};
+use mulberrywell_wire::serving::{
+    PromptNotice, PromptQuarantine, PromptReport, TrialEnd, TrialGrant, TrialRequest,
+};
 use mulberrywell_wire::FrameBody;
 
 use crate::control_role::Actions;
@@ -21,24 +24,61 @@
 #[derive(Debug, Default)]
 pub struct PromptMonitor {
     ledger: CrashLedger,
+    /// Trials that this instance granted as the leader.
+    trials: TrialTable,
     links: BTreeSet<LinkId>,
     /// What the gateways were last told.
     watched: BTreeSet<PartId>,
     quarantined: BTreeSet<PartSet>,
+    restricted: BTreeSet<PartId>,
 }
 
 impl PromptMonitor {
     /// Adds the link of a gateway or an entry and tells it what the others were told.
     pub fn attach(&mut self, now: Instant, link: LinkId, commands: &mut Vec<LinkCommand>) {
         self.links.insert(link);
-        if !self.watched.is_empty() || !self.quarantined.is_empty() {
+        let has_news = [&self.watched, &self.restricted]
+            .iter()
+            .any(|it| !it.is_empty());
+        if has_news || !self.quarantined.is_empty() {
             commands.push(self.notice(now, link));
         }
     }
 
-    /// Removes a link.
-    pub fn remove(&mut self, link: LinkId) {
+    /// Removes the link of a process.
+    pub fn remove(&mut self, now: Instant, link: LinkId, holder: &Bytes) {
         self.links.remove(&link);
+        self.trials.remove_holder(now, holder);
+    }
+
+    /// Grants a trial as the leader, or denies it. What isn't restricted any more needs
+    /// none.
+    pub fn grant_trial(
+        &mut self,
+        now: Instant,
+        holder: Bytes,
+        request: &TrialRequest,
+    ) -> TrialGrant {
+        let mut subjects = self.ledger.restricted(now);
+        subjects.retain(|subject| request.subjects.contains(subject));
+        let id = (holder, request.sequence);
+        let granted =
+            subjects.is_empty() || self.trials.grant(now, id, &request.endpoint, subjects);
+        TrialGrant {
+            sequence: request.sequence,
+            granted,
+            unavailable: false,
+        }
+    }
+
+    /// Ends a trial that this instance granted.
+    pub fn end_trial(&mut self, now: Instant, holder: Bytes, end: TrialEnd) {
+        self.trials.end(now, &(holder, end.sequence), end.broken);
+    }
+
+    /// Forgets all trials, as another instance leads.
+    pub fn clear_trials(&mut self) {
+        self.trials.clear();
     }
 
     /// Records a report.
@@ -52,6 +92,7 @@
                 content: crash.content,
                 parts: crash.parts.into_iter().collect(),
                 forwarded: instant(crash.running_ms),
+                is_trial: crash.trial,
             };
             let at = instant(crash.age_ms);
             self.ledger
@@ -81,10 +122,24 @@
         let watched = self.ledger.suspects();
         let quarantines = self.ledger.quarantines().iter();
         let quarantined: BTreeSet<PartSet> = quarantines.map(|(parts, _)| parts.clone()).collect();
-        if watched == self.watched && quarantined == self.quarantined {
+        let restricted = self.ledger.restricted(now);
+        self.trials.tick(now);
+        let is_known = watched == self.watched && restricted == self.restricted;
+        if is_known && quarantined == self.quarantined {
             return;
         }
+        if restricted != self.restricted {
+            let text = format!(
+                "restrict subjects={} first={} outcome=changed",
+                restricted.len(),
+                restricted
+                    .first()
+                    .map_or(String::new(), |it| format!("{it:x}")),
+            );
+            actions.push(RoleAction::Log(LogLevel::Info, text));
+        }
         self.watched = watched;
+        self.restricted = restricted;
         self.quarantined = quarantined;
         for link in &self.links {
             commands.push(self.notice(now, *link));
@@ -103,6 +158,7 @@
         let notice = PromptNotice {
             watched: self.watched.iter().copied().collect(),
             quarantines: quarantines.collect(),
+            restricted: self.restricted.iter().copied().collect(),
         };
         let body = FrameBody::PromptNotice(notice);
         LinkCommand::Send { link, body }
--- a/crates/control/tests/role_cases/prompt_cases.rs
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use mulberrywell_wire::config::Subscribe;
 use mulberrywell_wire::serving::{
-    PromptCrash, PromptNotice, PromptQuarantine, PromptReport, ServingAttach, SoundPart,
+    PromptCrash, PromptNotice, PromptQuarantine, PromptReport, ServingAttach, SoundPart, TrialEnd,
+    TrialGrant, TrialRequest,
 };
 use mulberrywell_wire::FrameBody;
 
@@ -27,6 +28,7 @@
             running_ms: 50,
             age_ms: 5,
             content: u64::from(endpoint.as_bytes()[1]),
+            ..PromptCrash::default()
         }],
         ..PromptReport::default()
     })
@@ -42,6 +44,7 @@
             running_ms: 50,
             age_ms: 5,
             content,
+            ..PromptCrash::default()
         }],
         ..PromptReport::default()
     })
@@ -204,3 +207,65 @@
     let left_ms = notices[0].quarantines[0].left_ms;
     assert!((59_000..=60_000).contains(&left_ms), "{left_ms}");
 }
+
+fn trial_request(sequence: u64, endpoint: &'static str) -> FrameBody {
+    FrameBody::TrialRequest(TrialRequest {
+        sequence,
+        endpoint: Bytes::from_static(endpoint.as_bytes()),
+        subjects: vec![REPEATED],
+    })
+}
+
+fn grants(frames: &[FrameBody]) -> Vec<TrialGrant> {
+    let grants = frames.iter().filter_map(|frame| match frame {
+        FrameBody::TrialGrant(grant) => Some(*grant),
+        _ => None,
+    });
+    grants.collect()
+}
+
+/// Guards against repeats of a request that crashed endpoints that are forwarded by
+/// several processes at a time, by whichever instance they ask.
+#[test]
+fn trials_of_all_processes_granted_in_turn() {
+    let mut cluster = RoleCluster::formed(3);
+    let links = [(0, b"entry-0"), (1, b"entry-1"), (2, b"entry-2")];
+    let entries = links.map(|(idx, name)| cluster.attach(idx, name));
+    for entry in &entries {
+        cluster.send(entry, FrameBody::ServingAttach(ServingAttach::default()));
+        cluster.send(entry, plain_crash("e1", REPEATED));
+        // As a gateway does, each reports to all instances.
+        for idx in 0..3 {
+            let link = cluster.attach(idx, b"reporter");
+            cluster.send(&link, plain_crash("e1", REPEATED));
+        }
+    }
+    cluster.run(Duration::from_millis(300));
+    for entry in &entries {
+        let frames = cluster.drain_frames(entry);
+        assert_eq!(notices(&frames).last().unwrap().restricted, [REPEATED]);
+        cluster.send(entry, trial_request(1, "e2"));
+    }
+    cluster.run(Duration::from_millis(100));
+    let answers = |cluster: &mut RoleCluster| {
+        let frames = entries.iter().map(|entry| cluster.drain_frames(entry));
+        let frames: Vec<Vec<FrameBody>> = frames.collect();
+        frames.iter().map(|it| grants(it)).collect::<Vec<_>>()
+    };
+    let first = answers(&mut cluster);
+    assert!(first.iter().all(|grants| grants.len() == 1), "{first:?}");
+    let granted = first.iter().position(|grants| grants[0].granted);
+    let granted = granted.expect("a granted trial");
+    let count = first.iter().filter(|grants| grants[0].granted).count();
+    assert_eq!(count, 1, "one at a time");
+    let end = TrialEnd {
+        sequence: 1,
+        broken: false,
+    };
+    cluster.send(&entries[granted], FrameBody::TrialEnd(end));
+    cluster.run(Duration::from_millis(100));
+    let next = (granted + 1) % entries.len();
+    cluster.send(&entries[next], trial_request(2, "e2"));
+    cluster.run(Duration::from_millis(100));
+    assert!(answers(&mut cluster)[next][0].granted);
+}
--- a/crates/entry/src/prompt_guard.rs
+++ b/crates/entry/src/prompt_guard.rs
@@ -77,6 +77,7 @@
             content: self.content_hash(),
             parts: Default::default(),
             forwarded: attempt.started,
+            is_trial: false,
         })
     }
 }
--- a/crates/entry/tests/repeated_requests.rs
+++ b/crates/entry/tests/repeated_requests.rs
@@ -81,7 +81,7 @@
 fn watch(entry: &mut ScriptedEntry, watched: &[u64]) {
     entry.control(FrameBody::PromptNotice(PromptNotice {
         watched: watched.to_vec(),
-        quarantines: Vec::new(),
+        ..PromptNotice::default()
     }));
 }
 
@@ -91,8 +91,8 @@
         left_ms: QUARANTINE_MS,
     };
     entry.control(FrameBody::PromptNotice(PromptNotice {
-        watched: Vec::new(),
         quarantines: vec![quarantine],
+        ..PromptNotice::default()
     }));
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -12,7 +12,8 @@
 
 use crate::call_codec::{CallCodec, CallTerms, RefusalReason};
 use crate::call_table::{
-    AdmissionClass, CallRecord, CallStage, PendingResponse, RouteTerms, RunState, StreamVersion,
+    AdmissionClass, CallRecord, CallStage, CallTrial, PendingResponse, RouteTerms, RunState,
+    StreamVersion,
 };
 use crate::endpoint_choice::split_service;
 use crate::event_splitter::EventSplitter;
@@ -113,6 +114,8 @@
             expected: None,
             prefill_tokens: 0,
             engine_work: None,
+            trial: CallTrial::None,
+            trial_wanted: None,
             reserved: 0,
             units: account.map_or(0, |account| charged_units(account, &terms)),
             move_after: None,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -9,7 +9,7 @@
 use mulberrywell_serving::EndpointId;
 
 use crate::call_codec::{CallCodec, ForwardTerms, RefusalReason};
-use crate::call_table::{CallRecord, CallStage, PendingResponse, RunState};
+use crate::call_table::{CallRecord, CallStage, CallTrial, PendingResponse, RunState};
 use crate::caller_responses::text;
 use crate::choice_log::record_prompt_metrics;
 use crate::endpoint_choice::{choose_endpoint, measured_traits, ChoiceView, EndpointChoice};
@@ -85,6 +85,12 @@
         }
         if let Some(forecast) = forecast {
             if self.withhold_call(now, request, forecast, actions) {
+                self.end_trial(request, false);
+                return;
+            }
+        }
+        if let Some(endpoint) = &endpoint {
+            if self.await_trial(now, request, endpoint, actions) {
                 return;
             }
         }
@@ -93,7 +99,10 @@
                 self.await_permit(now, request, &endpoint, left, actions);
             }
             Some(endpoint) => self.forward_call(now, request, &endpoint, left, actions),
-            None => self.await_endpoint(now, request, actions),
+            None => {
+                self.end_trial(request, false);
+                self.await_endpoint(now, request, actions);
+            }
         }
     }
 
@@ -299,7 +308,8 @@
         if !allowed || call.attempts == 0 {
             return allowed;
         }
-        if failure == AttemptFailure::Broken && self.is_suspected(call) {
+        let may_crash = call.trial == CallTrial::Broken || self.is_suspected(call);
+        if failure == AttemptFailure::Broken && may_crash {
             return false;
         }
         self.charge_retry(request, actions)
@@ -365,6 +375,7 @@
 
     /// Removes a call from the load counts of its endpoint.
     pub(crate) fn release_endpoint(&mut self, request: RequestId) {
+        self.end_trial(request, false);
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -116,6 +116,29 @@
     Maybe,
 }
 
+/// Identifies a trial among those of this gateway.
+pub type TrialSequence = u64;
+
+/// State of a call's trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallTrial {
+    /// The call has no trial.
+    None,
+    /// The leader has granted one.
+    Granted(TrialSequence),
+    /// There was no leader to ask.
+    Local,
+    /// The endpoint broke it off.
+    Broken,
+}
+
+impl CallTrial {
+    /// Returns whether the call has a trial that has not ended.
+    pub fn is_open(self) -> bool {
+        matches!(self, CallTrial::Granted(_) | CallTrial::Local)
+    }
+}
+
 /// A response head that is buffered until the body shows whether the response
 /// is valid.
 #[derive(Debug, Clone)]
@@ -246,6 +269,10 @@
     /// What the current attempt's engine was to do when the call was forwarded; none
     /// where speeds aren't measured.
     pub engine_work: Option<EngineWork>,
+    /// The trial that lets the call go to an endpoint although it may crash it.
+    pub trial: CallTrial,
+    /// Since when the call has needed a trial.
+    pub trial_wanted: Option<Instant>,
     /// Units charged to the account's rate limit.
     pub reserved: u64,
     /// Units that the call costs.
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -22,6 +22,7 @@
 use crate::call_table::CallTable;
 use crate::caller_responses::{send_empty_response, text};
 use crate::control_links::ControlLinks;
+use crate::crash_trials::CrashTrials;
 use crate::deferred_calls::DeferredCalls;
 use crate::demand_tracker::DemandTracker;
 use crate::endpoint_choice::measured_traits;
@@ -106,6 +107,7 @@
     pub(crate) prompts: PromptGuard,
     pub(crate) probes: EndpointProbes,
     pub(crate) permits: EndpointPermits,
+    pub(crate) trials: CrashTrials,
     pub(crate) streams: StreamOrigins,
     /// Calls whose units a total must contain before they are forwarded, in order
     /// of arrival.
@@ -143,6 +145,7 @@
             prompts: PromptGuard::default(),
             probes: EndpointProbes::default(),
             permits: EndpointPermits::default(),
+            trials: CrashTrials::default(),
             streams: StreamOrigins::new(now),
             rate_waits: VecDeque::new(),
             token_waits: TokenWaits::default(),
@@ -206,6 +209,7 @@
                     self.handle_stream_answer(now, link, answer, actions);
                 }
                 FrameBody::PermitGrant(grant) => self.handle_permit_grant(now, &grant, actions),
+                FrameBody::TrialGrant(grant) => self.handle_trial_grant(now, grant, actions),
                 FrameBody::PromptNotice(notice) => {
                     self.handle_prompt_notice(now, link, notice, actions);
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod choice_log;
 mod cold_endpoints;
 mod control_links;
+mod crash_trials;
 mod deferred_calls;
 mod demand_tracker;
 mod disputed_streams;
--- a/crates/gateway/src/prompt_guard.rs
+++ b/crates/gateway/src/prompt_guard.rs
@@ -113,7 +113,12 @@
         let has_lasted = is_complete || now.saturating_duration_since(begun) >= SOUND_TIME;
         if has_lasted && !call.response.has_lasted {
             call.response.has_lasted = true;
+            let has_trial = call.trial.is_open();
             self.prompts.record_sound(&call.subjects(), begun);
+            if has_trial {
+                self.send_prompt_report(now);
+                self.end_trial(request, false);
+            }
         }
     }
 
@@ -128,6 +133,11 @@
             let metric = RoleAction::Metric(MetricKind::Gauge, metrics::QUARANTINES, count);
             actions.push(metric);
         }
+        self.expire_trials(now);
+        self.send_prompt_report(now);
+    }
+
+    fn send_prompt_report(&mut self, now: Instant) {
         if let Some(report) = self.prompts.take_report(now) {
             for link in self.links.open_links() {
                 let body = FrameBody::PromptReport(report.clone());
@@ -149,5 +159,6 @@
         content: call.content_hash(),
         parts: call.shared_parts().iter().map(|part| part.id).collect(),
         forwarded: call.attempt_started?,
+        is_trial: call.trial.is_open(),
     })
 }
--- a/crates/gateway/src/response_flow.rs
+++ b/crates/gateway/src/response_flow.rs
@@ -84,7 +84,10 @@
     ) {
         self.suspect_cold(now, request, end, actions);
         match end {
-            ExchangeEnd::Broken(_) => self.record_break(now, request, actions),
+            ExchangeEnd::Broken(_) => {
+                self.record_break(now, request, actions);
+                self.end_trial(request, true);
+            }
             ExchangeEnd::Refused(_) => self.record_refusing(request),
             ExchangeEnd::Complete | ExchangeEnd::NotSent(_) => {}
         }
--- a/crates/limit/src/crash_incident.rs
+++ b/crates/limit/src/crash_incident.rs
@@ -26,6 +26,9 @@
     pub parts: PartSet,
     /// When it was forwarded.
     pub forwarded: Instant,
+    /// It was the only request of its suspects at any endpoint, and the only one with
+    /// suspects at its own.
+    pub is_trial: bool,
 }
 
 impl SuspectRequest {
@@ -34,7 +37,7 @@
         self.parts.iter().copied().chain([self.content])
     }
 
-    fn has(&self, subject: PartId) -> bool {
+    pub(crate) fn has(&self, subject: PartId) -> bool {
         self.content == subject || self.parts.contains(&subject)
     }
 }
@@ -102,6 +105,12 @@
         contents.filter(|content| *content != 0)
     }
 
+    /// Returns whether a request with a part or a content was a trial.
+    pub fn has_trial(&self, subject: PartId) -> bool {
+        let mut trials = self.requests.iter().filter(|it| it.is_trial);
+        trials.any(|it| it.has(subject))
+    }
+
     /// Returns when the latest request with a part or a content was forwarded.
     pub fn forwarded(&self, subject: PartId) -> Option<Instant> {
         let requests = self.requests.iter().filter(|it| it.has(subject));
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -41,9 +41,14 @@
 const CHAIN_MIN: usize = 3;
 
 /// Incidents in a chain that quarantine a content or a part on which responses have
-/// lasted. It may be in three by chance, where reports of what causes them are lost.
+/// lasted. It may be in three by chance, where reports of what causes them are lost, or
+/// where most of the crashes have another cause.
 const PROVEN_CHAIN_MIN: usize = 5;
 
+/// Incidents under a trial from which on [`CHAIN_MIN`] do for what responses have lasted
+/// on: a trial is the only request with suspects at its endpoint.
+const TRIED_INCIDENTS_MIN: usize = 2;
+
 /// Incidents in a chain that do if no response has ever lasted: endpoints that crash at
 /// about the same time form no longer chain. A part needs [`UNPROVEN_INCIDENTS_MIN`]
 /// incidents then, a content [`CHAIN_MIN`], as other requests don't have it by chance.
@@ -76,9 +81,22 @@
 /// Time after which parts that explain the same incidents are quarantined together.
 const TIE_TIME: Duration = Duration::from_secs(1);
 
-/// Duration of a quarantine.
+/// Duration of the first quarantine, and of one that a crash after it began anew.
+const FIRST_QUARANTINE_TIME: Duration = Duration::from_secs(30);
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
+/// Incidents from which on a part is restricted although responses have lasted on it; one
+/// crash has many such parts, and none of them crashes endpoints in most cases.
+const RESTRICTED_INCIDENTS_MIN: usize = 2;
+
+/// Requests with a content in crashes from which on it is restricted. One request has a
+/// content of its own in most cases.
+const RESTRICTED_COPIES_MIN: usize = 2;
+
+/// Time after an incident in which gateways report the responses that lasted on its parts
+/// before.
+const HISTORY_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum number of incidents.
 const INCIDENTS_MAX: usize = 128;
 
@@ -93,6 +111,9 @@
     /// When the latest response that lasted was begun on a part or a content.
     sound: BTreeMap<PartId, Instant>,
     quarantines: QuarantineTable,
+    /// What was quarantined and has not been shown to be sound or to crash endpoints
+    /// since the quarantine ended, at this instant.
+    released: BTreeMap<PartSet, Instant>,
 }
 
 impl CrashLedger {
@@ -158,21 +179,87 @@
     /// Quarantines what explains the incidents; returns the new quarantines with the
     /// number of their incidents.
     pub fn tick(&mut self, now: Instant) -> Vec<(PartSet, usize)> {
-        self.quarantines.remove_expired(now);
+        self.release_quarantines(now);
         self.incidents
             .retain(|incident| now.saturating_duration_since(incident.at) < INCIDENT_LIFETIME);
         self.narrow_quarantines();
-        let mut found = Vec::new();
+        let mut found = self.renew_quarantines(now);
         loop {
             let culprits = self.find_content(now).or_else(|| self.find_parts(now));
             let Some((parts, incidents)) = culprits else {
                 return found;
             };
-            self.record_quarantine(parts.clone(), now + QUARANTINE_TIME);
+            self.record_quarantine(parts.clone(), now + FIRST_QUARANTINE_TIME);
             found.push((parts, incidents));
         }
     }
 
+    /// Ends the quarantines that are due; what they held is restricted until a response on
+    /// it lasts.
+    fn release_quarantines(&mut self, now: Instant) {
+        let ended = self.quarantines.iter().filter(|(_, until)| *until <= now);
+        let ended: Vec<PartSet> = ended.map(|(parts, _)| parts.clone()).collect();
+        self.quarantines.remove_expired(now);
+        self.released
+            .extend(ended.into_iter().map(|parts| (parts, now)));
+        let sound = &self.sound;
+        self.released.retain(|parts, released| {
+            let is_sound = |part| sound.get(part).is_some_and(|begun| begun >= released);
+            !parts.iter().any(is_sound)
+        });
+    }
+
+    /// Quarantines again what was at a crash after its quarantine had ended.
+    fn renew_quarantines(&mut self, now: Instant) -> Vec<(PartSet, usize)> {
+        let released = self.released.iter();
+        let crashed = released.filter(|(parts, released)| {
+            let mut incidents = self.incidents.iter();
+            incidents.any(|incident| {
+                let is_settled = now.saturating_duration_since(incident.at) >= SETTLE_TIME;
+                let mut requests = incident.requests.iter();
+                let has_parts = requests.any(|it| parts.iter().all(|part| it.has(*part)));
+                incident.at > **released && !incident.is_explained && is_settled && has_parts
+            })
+        });
+        let crashed: Vec<PartSet> = crashed.map(|(parts, _)| parts.clone()).collect();
+        for parts in &crashed {
+            self.released.remove(parts);
+            self.record_quarantine(parts.clone(), now + QUARANTINE_TIME);
+        }
+        crashed.into_iter().map(|parts| (parts, 1)).collect()
+    }
+
+    /// Returns the parts and contents of which few requests may be at endpoints at a time,
+    /// until a response on them lasts: those that crashes may be due to, and those whose
+    /// quarantine ends.
+    pub fn restricted(&self, now: Instant) -> BTreeSet<PartId> {
+        let mut incidents: BTreeMap<PartId, usize> = BTreeMap::new();
+        let mut copies: BTreeMap<PartId, usize> = BTreeMap::new();
+        let mut fresh = BTreeSet::new();
+        for incident in self.incidents.iter().filter(|it| !it.is_explained) {
+            let is_known = now.saturating_duration_since(incident.at) >= HISTORY_TIME;
+            let parts: PartSet = incident.parts().collect();
+            for part in parts
+                .into_iter()
+                .filter(|it| self.is_suspect(*it, incident))
+            {
+                *incidents.entry(part).or_default() += 1;
+                if is_known && !self.sound.contains_key(&part) {
+                    fresh.insert(part);
+                }
+            }
+            let contents = incident.contents();
+            for content in contents.filter(|it| self.is_suspect(*it, incident)) {
+                *copies.entry(content).or_default() += 1;
+            }
+        }
+        let parts = at_least(incidents, RESTRICTED_INCIDENTS_MIN);
+        let contents = at_least(copies, RESTRICTED_COPIES_MIN);
+        let held = self.quarantines.iter().map(|(parts, _)| parts);
+        let held = held.chain(self.released.keys()).flatten().copied();
+        parts.chain(contents).chain(fresh).chain(held).collect()
+    }
+
     /// Takes the parts on which a response was begun since, and lasted, out of
     /// quarantines of several parts.
     fn narrow_quarantines(&mut self) {
@@ -217,8 +304,7 @@
                 *counts.entry(subject).or_default() += 1;
             }
         }
-        let repeated = counts.into_iter().filter(|(_, count)| *count >= min);
-        repeated.map(|(subject, _)| subject).collect()
+        at_least(counts, min).collect()
     }
 
     /// Returns the quarantines.
@@ -317,7 +403,8 @@
     }
 
     /// Returns when the incidents of a part or a content had formed a chain that is long
-    /// enough: a longer one if responses have lasted on it. If none ever has,
+    /// enough: a longer one if responses have lasted on it and trials haven't crashed, or
+    /// if most incidents of that time are without it. If no response ever has,
     /// `unproven_min` incidents do with a shorter one.
     fn chain_end(
         &self,
@@ -327,10 +414,11 @@
     ) -> Option<Instant> {
         let chain = find_chain(subject, incidents);
         let is_unproven = !self.sound.contains_key(&subject);
-        let chain_min = if is_unproven {
-            CHAIN_MIN
-        } else {
-            PROVEN_CHAIN_MIN
+        let trials = incidents.iter().filter(|it| it.has_trial(subject));
+        let is_tried = trials.count() >= TRIED_INCIDENTS_MIN;
+        let chain_min = match self.is_most_frequent(incidents) && (is_unproven || is_tried) {
+            true => CHAIN_MIN,
+            false => PROVEN_CHAIN_MIN,
         };
         let last = incidents.get(unproven_min - 1);
         let last = last.filter(|_| is_unproven && chain.len() >= UNPROVEN_CHAIN_MIN);
@@ -338,6 +426,18 @@
         ends.into_iter().flatten().min()
     }
 
+    /// Returns whether these are at least half of the unexplained incidents of their time.
+    /// Among many crashes of other causes a subject is in several by chance.
+    fn is_most_frequent(&self, incidents: &[&CrashIncident]) -> bool {
+        let (Some(first), Some(last)) = (incidents.first(), incidents.last()) else {
+            return false;
+        };
+        let span = first.at..=last.at;
+        let all = self.incidents.iter();
+        let all = all.filter(|it| !it.is_explained && span.contains(&it.at));
+        2 * incidents.len() >= all.count()
+    }
+
     /// Returns the settled incidents that a part or a content may have caused.
     fn incidents_of(&self, now: Instant, subject: PartId) -> Vec<&CrashIncident> {
         let incidents = self.incidents.iter().filter(|incident| {
@@ -418,3 +518,9 @@
     }
     counts
 }
+
+/// Returns the subjects with a count of at least `min`.
+fn at_least(counts: BTreeMap<PartId, usize>, min: usize) -> impl Iterator<Item = PartId> {
+    let counts = counts.into_iter().filter(move |(_, count)| *count >= min);
+    counts.map(|(subject, _)| subject)
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -26,6 +26,7 @@
 mod shared_bucket;
 mod token_bucket;
 mod total_counter;
+mod trial_table;
 mod wait_queue;
 
 pub use account_ledger::LEASE_LIFETIME;
@@ -53,3 +54,4 @@
     HolderCount, HolderReport, HolderSet, TotalCounter, UnitCount, HOLDER_LIFETIME,
     SILENT_TICKS_MAX,
 };
+pub use trial_table::{TrialId, TrialTable, TRIAL_PAUSE, TRIAL_RETRY};
--- a/crates/limit/src/prompt_guard.rs
+++ b/crates/limit/src/prompt_guard.rs
@@ -32,8 +32,10 @@
     quarantines: QuarantineTable,
     /// When the latest lasting response on each part was begun.
     sound: BTreeMap<PartId, Instant>,
-    /// Parts that each control instance watches.
+    /// Parts and contents that each control instance watches.
     watched: BTreeMap<LinkId, BTreeSet<PartId>>,
+    /// Those of which requests need a trial.
+    restricted: BTreeMap<LinkId, BTreeSet<PartId>>,
     /// Crashes that have not been reported.
     crashes: Vec<PromptCrash>,
     /// Watched parts with a lasting response that has not been reported.
@@ -67,6 +69,26 @@
         self.watched.values().any(|watched| watched.contains(&part))
     }
 
+    /// Returns whether responses that last on a part or a content are reported.
+    fn is_reported(&self, subject: PartId) -> bool {
+        self.is_watched(subject) || !self.restricted(&[subject]).is_empty()
+    }
+
+    /// Returns those of these parts and contents of which requests need a trial.
+    pub fn restricted(&self, subjects: &[PartId]) -> PartSet {
+        let is_restricted = |subject: &&PartId| {
+            let mut restricted = self.restricted.values();
+            restricted.any(|known| known.contains(*subject))
+        };
+        subjects.iter().filter(is_restricted).copied().collect()
+    }
+
+    /// Returns whether any request needs a trial.
+    pub fn has_restricted(&self) -> bool {
+        let mut restricted = self.restricted.values();
+        restricted.any(|known| !known.is_empty())
+    }
+
     /// Returns whether there is something to report.
     pub fn has_report(&self) -> bool {
         self.has_crashes() || !self.unreported.is_empty()
@@ -95,6 +117,7 @@
                 content: request.content,
                 parts: request.parts.into_iter().collect(),
                 age_ms: since(broken_at),
+                trial: request.is_trial,
             }));
     }
 
@@ -103,7 +126,7 @@
         for subject in subjects {
             let known = self.sound.entry(*subject).or_insert(begun);
             *known = (*known).max(begun);
-            if self.is_watched(*subject) {
+            if self.is_reported(*subject) {
                 self.unreported.insert(*subject);
             }
         }
@@ -123,13 +146,16 @@
         notice: PromptNotice,
     ) -> Vec<PartSet> {
         let watched: BTreeSet<PartId> = notice.watched.into_iter().collect();
-        let known = watched.iter().filter(|part| self.sound.contains_key(part));
+        let restricted: BTreeSet<PartId> = notice.restricted.into_iter().collect();
+        let known = watched.union(&restricted);
+        let known = known.filter(|part| self.sound.contains_key(part));
         let known: Vec<PartId> = known
-            .filter(|part| !self.is_watched(**part))
+            .filter(|part| !self.is_reported(**part))
             .copied()
             .collect();
         self.unreported.extend(known);
         self.watched.insert(link, watched);
+        self.restricted.insert(link, restricted);
         let mut added = Vec::new();
         for quarantine in notice.quarantines {
             let parts: PartSet = quarantine.parts.into_iter().collect();
@@ -144,6 +170,7 @@
     /// Removes a link to a control instance.
     pub fn remove_link(&mut self, link: LinkId) {
         self.watched.remove(&link);
+        self.restricted.remove(&link);
     }
 
     /// Returns the quarantines, for a control instance that may not know them.
--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -1,10 +1,13 @@
 //! Engines that a prompt part or a repeated request crashes, between sound requests, in
 //! virtual time.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest};
+use mulberrywell_limit::{
+    CrashLedger, PartId, PartSet, SuspectRequest, TrialId, TrialTable, TRIAL_RETRY,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -38,6 +41,9 @@
 /// Time before the first request with the crashing part.
 const WARM_TIME: Duration = Duration::from_secs(5);
 
+/// Time for which a request waits for a trial, as in the gateway.
+const TRIAL_WAIT: Duration = Duration::from_millis(1_500);
+
 const RESTART_TIME: Duration = Duration::from_secs(3);
 const ROUTES: u64 = 3;
 const SUBJECTS: u64 = 30;
@@ -103,6 +109,18 @@
     begins: Instant,
     ends: Instant,
     is_reported: bool,
+    trial: Option<TrialId>,
+}
+
+/// A request that waits for a trial.
+#[derive(Debug)]
+struct WaitingRequest {
+    subject: u64,
+    content: PartId,
+    crashes: bool,
+    repeats_left: u32,
+    since: Instant,
+    retry_at: Instant,
 }
 
 /// A report under way to the ledger, which reckons all of its times from its arrival.
@@ -133,6 +151,8 @@
     pub quarantined: Vec<PartSet>,
     /// Sound requests that were refused.
     pub refused_sound: usize,
+    /// Sound requests that waited in vain for a trial.
+    pub held_sound: usize,
     /// Requests that crash engines and were forwarded later than [`FORWARD_LIMIT`] after
     /// the last crash that is allowed.
     pub late: usize,
@@ -148,6 +168,11 @@
     started: Instant,
     now: Instant,
     ledger: CrashLedger,
+    trials: TrialTable,
+    trials_asked: u64,
+    /// What the gateways were told to ask for.
+    restricted: BTreeSet<PartId>,
+    waiting: Vec<WaitingRequest>,
     /// When each engine is up again.
     up_at: Vec<Instant>,
     /// Engines that serve, with the time from which on they respond.
@@ -172,6 +197,10 @@
             started: now,
             now,
             ledger: CrashLedger::default(),
+            trials: TrialTable::default(),
+            trials_asked: 0,
+            restricted: BTreeSet::new(),
+            waiting: Vec::new(),
             up_at: vec![now; plan.engines],
             holders: (0..plan.holders).map(|engine| (engine, now)).collect(),
             born: vec![1; plan.engines],
@@ -186,6 +215,7 @@
         while fleet.now < end {
             fleet.now += STEP;
             fleet.add_requests();
+            fleet.retry_waiting();
             fleet.advance_requests();
             fleet.deliver_reports();
             if next_outage.is_some_and(|at| at <= fleet.now) {
@@ -208,6 +238,52 @@
         self.outcome
             .quarantined
             .extend(found.map(|(parts, _)| parts));
+        self.trials.tick(self.now);
+        self.restricted = self.ledger.restricted(self.now);
+    }
+
+    /// Asks for a trial if a request needs one; returns whether it can be forwarded.
+    fn acquire_trial(&mut self, engine: usize, subjects: &[PartId]) -> (bool, Option<TrialId>) {
+        if !subjects.iter().any(|it| self.restricted.contains(it)) {
+            return (true, None);
+        }
+        let restricted = self.ledger.restricted(self.now);
+        let subjects = subjects
+            .iter()
+            .copied()
+            .filter(|it| restricted.contains(it));
+        self.trials_asked += 1;
+        let id = (Bytes::new(), self.trials_asked);
+        let endpoint = Bytes::from(engine.to_string());
+        let subjects: PartSet = subjects.collect();
+        if subjects.is_empty() {
+            return (true, None);
+        }
+        match self.trials.grant(self.now, id.clone(), &endpoint, subjects) {
+            true => (true, Some(id)),
+            false => (false, None),
+        }
+    }
+
+    /// Forwards the requests that wait for a trial and get it.
+    fn retry_waiting(&mut self) {
+        let now = self.now;
+        let waiting = std::mem::take(&mut self.waiting).into_iter();
+        let (due, left): (Vec<_>, Vec<_>) = waiting.partition(|it| it.retry_at <= now);
+        self.waiting = left;
+        for it in due {
+            if now >= it.since + TRIAL_WAIT {
+                self.outcome.held_sound += usize::from(!it.crashes);
+                continue;
+            }
+            self.forward_since(
+                it.since,
+                it.subject,
+                it.content,
+                it.crashes,
+                it.repeats_left,
+            );
+        }
     }
 
     fn add_requests(&mut self) {
@@ -288,8 +364,21 @@
         self.forward(subject, OWN_CONTENTS + self.requests, crashes, repeats);
     }
 
-    /// Forwards a request to some engine that is up.
+    /// Forwards a new request.
     fn forward(&mut self, subject: u64, content: PartId, crashes: bool, repeats_left: u32) {
+        self.requests += 1;
+        self.forward_since(self.now, subject, content, crashes, repeats_left);
+    }
+
+    /// Forwards a request to some engine that is up, or lets it wait for a trial.
+    fn forward_since(
+        &mut self,
+        since: Instant,
+        subject: u64,
+        content: PartId,
+        crashes: bool,
+        repeats_left: u32,
+    ) {
         let engines = self.candidates();
         if engines.is_empty() {
             return;
@@ -300,7 +389,6 @@
         let ready = self.responds_at(engine).unwrap_or(self.now);
         let begins = self.now.max(ready) + wait;
         let lasts = Duration::from_millis(self.rng.random_range(300..2_500));
-        self.requests += 1;
         let content = match crashes && self.plan.one_content {
             true => CRASHING_CONTENT,
             false => content,
@@ -316,6 +404,18 @@
             self.outcome.refused_sound += usize::from(!crashes);
             return;
         }
+        let (is_granted, trial) = self.acquire_trial(engine, &subjects);
+        if !is_granted {
+            self.waiting.push(WaitingRequest {
+                subject,
+                content,
+                crashes,
+                repeats_left,
+                since,
+                retry_at: self.now + TRIAL_RETRY,
+            });
+            return;
+        }
         let allowed = if self.plan.one_content { 3 } else { 5 };
         let last = self.crashes.get(allowed - 1).filter(|_| crashes);
         if last.is_some_and(|last| self.now > *last + FORWARD_LIMIT) {
@@ -334,6 +434,7 @@
             begins,
             ends: begins + lasts,
             is_reported: false,
+            trial,
         });
     }
 
@@ -357,6 +458,9 @@
             let has_lasted = request.begins + SOUND_TIME <= self.now || request.ends <= self.now;
             if has_lasted && !request.is_reported {
                 request.is_reported = true;
+                if let Some(trial) = request.trial.take() {
+                    self.trials.end(self.now, &trial, false);
+                }
                 let begun = request.begins;
                 let subjects = request.parts.iter().chain([&request.content]);
                 sound.extend(subjects.map(|subject| (*subject, begun)));
@@ -385,6 +489,9 @@
     fn crash(&mut self, engine: usize) {
         let running = self.running.iter().filter(|it| it.engine == engine);
         let broken: Vec<RunningRequest> = running.cloned().collect();
+        for trial in broken.iter().filter_map(|it| it.trial.as_ref()) {
+            self.trials.end(self.now, trial, true);
+        }
         let mut suspects = broken.clone();
         suspects.retain(|request| !request.is_reported);
         for gateway in 0..self.plan.gateways {
@@ -411,6 +518,7 @@
             content: request.content,
             parts: request.parts.iter().copied().collect(),
             forwarded: request.forwarded,
+            is_trial: request.trial.is_some(),
         });
         self.send_report(ReportContent::Crash {
             engine,
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -59,6 +59,7 @@
             content,
             parts: parts.iter().copied().collect(),
             forwarded: self.now - running,
+            is_trial: false,
         };
         let endpoint = Bytes::from(format!("e{}", self.crashes));
         self.ledger.record_crash(self.now, &endpoint, 1, request);
@@ -312,6 +313,149 @@
     assert_eq!(script.ledger.quarantines().iter().count(), 0);
 }
 
+impl LedgerScript {
+    /// Another endpoint crashes under a trial of a request with a content of its own.
+    fn crash_trial(&mut self, parts: &[PartId], running: Duration) {
+        self.crashes += 1;
+        self.contents += 1;
+        let request = SuspectRequest {
+            content: OWN_CONTENTS + self.contents,
+            parts: parts.iter().copied().collect(),
+            forwarded: self.now - running,
+            is_trial: true,
+        };
+        let endpoint = Bytes::from(format!("e{}", self.crashes));
+        self.ledger.record_crash(self.now, &endpoint, 1, request);
+    }
+
+    fn restricted(&self) -> Vec<PartId> {
+        self.ledger.restricted(self.now).into_iter().collect()
+    }
+
+    /// Lets what is quarantined be released.
+    fn end_quarantine(&mut self, duration: Duration) {
+        self.advance(duration);
+        assert_eq!(self.quarantined(), []);
+        assert_eq!(self.ledger.quarantines().iter().count(), 0);
+    }
+}
+
+/// A part on which responses have lasted is found after fewer crashes if two trials of it
+/// crashed.
+#[test]
+fn tick_once_sound_part_quarantined_after_trials() {
+    let mut script = LedgerScript::new();
+    script.ledger.record_sound(FIRST, script.now);
+    script.ledger.record_sound(CULPRIT, script.now);
+    script.advance(SETTLED);
+    script.crash(&[FIRST, CULPRIT], RUNNING);
+    for _ in 0..2 {
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+        script.ledger.record_sound(FIRST, script.now);
+        script.crash_trial(&[FIRST, CULPRIT], RUNNING);
+    }
+    script.advance(SETTLED);
+    script.ledger.record_sound(FIRST, script.now);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
+/// Guards against a quarantine of a rare part that is in three of many crashes of other
+/// causes.
+#[test]
+fn tick_part_among_many_crashes_not_quarantined() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        for _ in 0..3 {
+            script.crash(&[FIRST], RUNNING);
+            script.advance(SETTLED);
+            script.ledger.record_sound(FIRST, script.now);
+        }
+        script.crash(&[FIRST, SUBJECT], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(FIRST, script.now);
+        assert_eq!(script.quarantined(), []);
+    }
+}
+
+/// A part without any response is restricted after one crash, once gateways had time to
+/// tell of earlier responses; one on which some lasted only after the second crash.
+#[test]
+fn restricted_parts_of_crashes() {
+    let mut script = LedgerScript::new();
+    script.ledger.record_sound(FIRST, script.now);
+    script.advance(SETTLED);
+    script.crash(&[FIRST, CULPRIT], RUNNING);
+    assert_eq!(script.restricted(), []);
+    script.advance(SETTLED);
+    assert_eq!(script.restricted(), [CULPRIT]);
+    script.crash(&[FIRST, CULPRIT], RUNNING);
+    assert_eq!(script.restricted(), [FIRST, CULPRIT]);
+    script.ledger.record_sound(FIRST, script.now);
+    assert_eq!(script.restricted(), [CULPRIT]);
+}
+
+/// Guards against copies of a request that gather at the next endpoint, although a crash
+/// broke off several of them.
+#[test]
+fn restricted_content_with_two_copies() {
+    let mut script = LedgerScript::new();
+    script.crash_content(REPEATED, &[], RUNNING);
+    assert_eq!(script.restricted(), []);
+    script.crashes -= 1;
+    script.crash_content(REPEATED, &[], RUNNING);
+    assert_eq!(script.restricted(), [REPEATED]);
+    script.advance(SETTLED);
+    script.ledger.record_sound(REPEATED, script.now);
+    assert_eq!(script.restricted(), []);
+}
+
+const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+
+fn quarantined_script() -> LedgerScript {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash(&[FIRST, CULPRIT], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    script
+}
+
+/// Guards against a part quarantined in error whose requests are refused for ten minutes:
+/// one request decides when the first quarantine ends.
+#[test]
+fn released_part_cleared_by_response() {
+    let mut script = quarantined_script();
+    assert_eq!(script.restricted(), [CULPRIT], "gateways know it in time");
+    script.end_quarantine(FIRST_QUARANTINE);
+    assert_eq!(script.restricted(), [CULPRIT]);
+    script.ledger.record_sound(CULPRIT, script.now);
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), []);
+    assert_eq!(script.restricted(), []);
+}
+
+#[test]
+fn released_part_quarantined_by_next_crash() {
+    let mut script = quarantined_script();
+    script.end_quarantine(FIRST_QUARANTINE);
+    script.advance(SETTLED);
+    script.crash_trial(&[FIRST, CULPRIT], RUNNING);
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    script.advance(Duration::from_secs(590));
+    script.quarantined();
+    assert_eq!(script.ledger.quarantines().iter().count(), 1);
+    script.end_quarantine(Duration::from_secs(20));
+    assert_eq!(
+        script.restricted(),
+        [CULPRIT],
+        "one request at a time again"
+    );
+}
+
 const PLAN: FleetPlan = FleetPlan {
     place: PartPlace::Third,
     proven: false,
@@ -345,6 +489,8 @@
 #[case::few_engines(FleetPlan { engines: 6, sound_rate: 20.0, ..PLAN })]
 #[case::beside_broken_requests(FleetPlan { broken_share: 0.05, ..PLAN })]
 #[case::beside_outages(FleetPlan { outage_interval: Some(Duration::from_secs(2)), ..PLAN })]
+#[case::as_subject(FleetPlan { place: PartPlace::Subject, ..PLAN })]
+#[case::as_first_part(FleetPlan { place: PartPlace::First, ..PLAN })]
 fn fleet_crashing_part_found(#[case] plan: FleetPlan) {
     for seed in 0..FLEET_SEEDS {
         let outcome = CrashFleet::run(plan, seed, Duration::from_secs(40));
--- a/crates/limit/tests/crash_waves.rs
+++ b/crates/limit/tests/crash_waves.rs
@@ -53,7 +53,11 @@
 fn loads(plan: FleetPlan) -> Vec<FleetPlan> {
     let rates = CRASHING_RATES.into_iter();
     let loads = rates.flat_map(|crashing_rate| {
-        OUTAGES.map(|outage_interval| FleetPlan {
+        // No model that is loaded anew after each outage is ever served.
+        let outages = OUTAGES
+            .into_iter()
+            .filter(move |it| plan.holders == 0 || it.is_none());
+        outages.map(move |outage_interval| FleetPlan {
             crashing_rate,
             outage_interval,
             ..plan
@@ -62,6 +66,16 @@
     loads.collect()
 }
 
+/// Returns a fleet whose model is at one engine, and is loaded at the next one after a
+/// crash.
+fn moving_model() -> FleetPlan {
+    FleetPlan {
+        holders: 1,
+        cold_time: Duration::from_secs(3),
+        ..fleet(6)
+    }
+}
+
 /// Returns the forms in which a prompt part crashes engines.
 fn part_forms(plan: FleetPlan) -> Vec<FleetPlan> {
     let places = [PartPlace::Third, PartPlace::Subject, PartPlace::First];
@@ -101,6 +115,7 @@
     wrong: usize,
     first_wrong: Option<String>,
     refused_sound: usize,
+    held_sound: usize,
 }
 
 impl WaveCount {
@@ -119,6 +134,7 @@
         self.runs += 1;
         self.crashes += outcome.crashes;
         self.refused_sound += outcome.refused_sound;
+        self.held_sound += outcome.held_sound;
         let text = || format!("seed {seed} of {plan:?}: {outcome:x?}");
         if outcome.late > LATE_MAX {
             self.late += 1;
@@ -143,21 +159,13 @@
 #[case::fresh_content_12(content_forms(fleet(12)))]
 #[case::proven_content_3(content_forms(FleetPlan { proven: true, ..fleet(3) }))]
 #[case::proven_content_12(content_forms(FleetPlan { proven: true, ..fleet(12) }))]
-#[case::moving_model_part(part_forms(FleetPlan {
-    holders: 1,
-    cold_time: Duration::from_secs(3),
-    ..fleet(6)
-}))]
-#[case::moving_model_content(content_forms(FleetPlan {
-    holders: 1,
-    cold_time: Duration::from_secs(3),
-    ..fleet(6)
-}))]
+#[case::moving_model_part(part_forms(moving_model()))]
+#[case::moving_model_content(content_forms(moving_model()))]
 fn fleet_waves_bounded(#[case] forms: Vec<FleetPlan>) {
     let count = WaveCount::run(&forms);
     println!(
-        "{} runs, {} crashes, {} late; {} wrong, {} sound requests refused",
-        count.runs, count.crashes, count.late, count.wrong, count.refused_sound,
+        "{} runs, {} crashes, {} late; {} wrong, {} sound requests refused, {} held",
+        count.runs, count.crashes, count.late, count.wrong, count.refused_sound, count.held_sound,
     );
     assert_eq!(count.late, 0, "{:?}", count.first_late);
     assert_eq!(count.wrong, 0, "{:?}", count.first_wrong);
--- a/crates/wire/src/frame_sender.rs
+++ b/crates/wire/src/frame_sender.rs
@@ -23,6 +23,8 @@
         | FrameBody::RateUse(_)
         | FrameBody::PromptReport(_)
         | FrameBody::PermitRequest(_)
+        | FrameBody::TrialRequest(_)
+        | FrameBody::TrialEnd(_)
         | FrameBody::StreamReport(_)
         | FrameBody::StreamQuery(_)
         | FrameBody::ClaimRequest(_) => Some(PeerRole::Entry),
@@ -49,6 +51,7 @@
         | FrameBody::RateTotals(_)
         | FrameBody::PromptNotice(_)
         | FrameBody::PermitGrant(_)
+        | FrameBody::TrialGrant(_)
         | FrameBody::StreamAnswer(_) => Some(PeerRole::Control),
         _ => None,
     }
