Entry: one request of a restricted content at an endpoint at a time

The entries' path had the same fault as the gateways': between two crashes nothing limits the copies of a suspected request. An entry sends one at a time now, refuses others with 503 and a second, and retries none.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -83,12 +83,14 @@
                 let call = self.completion_call(now, draft)?;
                 self.check_shutdown_limit(&call)?;
                 self.check_quarantine(now, &call)?;
+                self.check_restriction(&call)?;
                 self.start_call(now, call, actions)?;
             }
             CallerRoute::Service { name, path } => {
                 let call = self.service_call(now, draft, name, path)?;
                 self.check_shutdown_limit(&call)?;
                 self.check_quarantine(now, &call)?;
+                self.check_restriction(&call)?;
                 self.start_call(now, call, actions)?;
             }
         }
--- a/crates/entry/src/prompt_guard.rs
+++ b/crates/entry/src/prompt_guard.rs
@@ -4,7 +4,8 @@
 //! the contents that control watches on which responses last, to its control instance.
 //! Control finds the content that the crashes have in common and quarantines it. A
 //! request of a quarantine is refused at once; one that an endpoint has not begun to
-//! respond to is cancelled. A watched content is not retried after a failure.
+//! respond to is cancelled. A watched or restricted content is not retried after a
+//! failure, and an entry sends one request of a restricted content at a time.
 //!
 //! An agent tells that its endpoint crashed. One that ended with its endpoint can't:
 //! then a later incarnation of the endpoint shows the crash.
@@ -27,6 +28,10 @@
 /// Minimum time between two reports of sound contents.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Retry delay sent while another call with the same restricted content is at an
+/// endpoint: a response that lasts ends the restriction.
+const RESTRICTED_RETRY: Duration = Duration::from_secs(1);
+
 /// Time in which a later incarnation shows that an endpoint crashed.
 const RESTART_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -101,12 +106,34 @@
         }
     }
 
+    /// Returns the refusal of a call whose content may crash endpoints, while another one
+    /// with the same content is at an endpoint.
+    pub(crate) fn check_restriction(&self, call: &CallRecord) -> Result<(), CallerRefusal> {
+        if !self.prompts.has_restricted() {
+            return Ok(());
+        }
+        let content = call.content_hash();
+        let is_restricted = !self.prompts.restricted(&[content]).is_empty();
+        let is_running = |other: &CallRecord| {
+            let attempt = other.attempt.as_ref();
+            attempt.is_some_and(|it| !it.has_lasted) && other.content_hash() == content
+        };
+        if is_restricted && !self.calls.matching(is_running).is_empty() {
+            return Err(CallerRefusal::from(CallerError::Quarantined).retry_after(RESTRICTED_RETRY));
+        }
+        Ok(())
+    }
+
     /// Returns whether requests with a call's content were at several crashes that
     /// nothing explains yet.
     pub(crate) fn is_suspected(&self, sequence: CallSequence) -> bool {
         let call = self.calls.get(sequence);
-        let call = call.filter(|_| self.prompts.is_watching());
-        call.is_some_and(|call| self.prompts.is_watched(call.content_hash()))
+        let call = call.filter(|_| self.prompts.is_watching() || self.prompts.has_restricted());
+        call.is_some_and(|call| {
+            let content = call.content_hash();
+            let is_restricted = !self.prompts.restricted(&[content]).is_empty();
+            is_restricted || self.prompts.is_watched(content)
+        })
     }
 
     /// Records that the endpoint of a call's attempt crashed.
--- a/crates/entry/tests/repeated_requests.rs
+++ b/crates/entry/tests/repeated_requests.rs
@@ -289,3 +289,40 @@
     assert_eq!(told.quarantines.len(), 1);
     assert_eq!(told.quarantines[0].parts, [content]);
 }
+
+fn restrict(entry: &mut ScriptedEntry, restricted: &[u64]) {
+    entry.control(FrameBody::PromptNotice(PromptNotice {
+        restricted: restricted.to_vec(),
+        ..PromptNotice::default()
+    }));
+}
+
+/// Guards against copies of a request that gather at the endpoints before there are
+/// enough crashes for a quarantine.
+#[test]
+fn restricted_content_sent_one_at_a_time() {
+    let mut entry = entry_with_three();
+    let content = crashing_content(&mut entry);
+    entry.advance(1_000);
+    restrict(&mut entry, &[content]);
+    let first = send_ticket(&mut entry, CRASHING);
+    let starts = entry.starts().len();
+    let second = send_ticket(&mut entry, CRASHING);
+    let view = entry.caller_view(second);
+    assert_eq!((view.status, view.ran().as_str()), (503, "no"));
+    assert_eq!(view.header("Retry-After"), "1");
+    assert_eq!(entry.starts().len(), starts);
+    send_ticket(&mut entry, NEIGHBOUR);
+    assert_eq!(entry.starts().len(), starts + 1, "others go on");
+    entry.respond_to_last("sound");
+    let neighbours = entry.starts().len();
+    entry.advance(1_000);
+    let (link, start) = entry.starts().swap_remove(starts - 1);
+    entry.crash(link, start.id);
+    assert_eq!(
+        entry.starts().len(),
+        neighbours,
+        "a broken one is not retried"
+    );
+    assert_eq!(entry.caller_view(first).status, 502);
+}
