--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -10,10 +10,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::serving_deployment::{ServingDeployment, KEY};
+use common::serving_deployment::{config, ServingDeployment, KEY};
 use mulberrywell_platform_testkit::{FakeCaller, FakeRequest, FakeWorker};
 use mulberrywell_testkit::{read_usage, wait_until};
 use rstest::rstest;
+use serde_json::json;
 
 /// Memory limit of a machine that runs a gateway, in KiB.
 const MEMORY_MAX_KIB: u64 = 160 * 1024;
@@ -30,6 +31,9 @@
 /// Number of calls to the endless endpoint that run at the same time.
 const ENDLESS_CALLS: usize = 3;
 
+/// Number of calls to the endless endpoint that a caller starts without reading.
+const MANY_CALLS: usize = 60;
+
 /// Number of calls to the other endpoint.
 const OTHER_CALLS: usize = 20;
 
@@ -81,6 +85,39 @@
         }
     }
 
+    /// Starts an endpoint that closes the connection of each `POST`, and answers any other
+    /// request, such as one for its health, as [`EndlessEndpoint::spawn`] does.
+    fn spawn_breaking(first: String, repeated: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (started, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let counters = (started.clone(), closed.clone());
+        let rest = repeated.repeat(WRITE_LEN / repeated.len());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (started, closed) = counters.clone();
+                let (first, rest) = (first.clone(), rest.clone());
+                thread::spawn(move || {
+                    let mut method = [0; 4];
+                    if stream.read_exact(&mut method).is_err() || method == *b"POST" {
+                        return;
+                    }
+                    started.fetch_add(1, Ordering::Relaxed);
+                    let mut open = stream.write_all(first.as_bytes()).is_ok();
+                    while open {
+                        open = stream.write_all(rest.as_bytes()).is_ok();
+                    }
+                    closed.fetch_add(1, Ordering::Relaxed);
+                });
+            }
+        });
+        EndlessEndpoint {
+            address,
+            started,
+            closed,
+        }
+    }
+
     fn started(&self) -> usize {
         self.started.load(Ordering::Relaxed)
     }
@@ -279,3 +316,100 @@
     }
     check_memory(&deployment);
 }
+
+/// Many requests at one faulty endpoint, whose callers read nothing, leave memory to the
+/// others.
+#[rstest]
+#[case::head(format!("{ENDLESS_HEAD}Name: "), "a")]
+#[case::body(format!("{ENDLESS_HEAD}Request-Id: <id>\r\n\r\n"), "a")]
+#[case::chunks(
+    format!("{ENDLESS_HEAD}Request-Id: <id>\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    "1\r\na\r\n"
+)]
+fn endless_bytes_of_many_calls(#[case] first: String, #[case] repeated: &str) {
+    let endless = EndlessDeployment::spawn(EndlessEndpoint::spawn(first, repeated));
+    let callers = endless.start_calls(MANY_CALLS);
+    let started = Instant::now();
+    endless.replace_endpoint();
+    for number in 0..OTHER_CALLS {
+        let status = call_other(endless.deployment.callers);
+        assert_eq!(status, Some(200), "call {number}");
+    }
+    endless.wait_closed((ENDLESS_TIMEOUT + CLOSE_LIMIT).saturating_sub(started.elapsed()));
+    check_memory(&endless.deployment);
+    drop(callers);
+}
+
+/// Answers without end to requests for an endpoint's health are closed in time.
+#[rstest]
+#[case::head(format!("{ENDLESS_HEAD}Name: "), "a")]
+#[case::fields(ENDLESS_HEAD.to_owned(), "Name: value\r\n")]
+#[case::body(format!("{ENDLESS_HEAD}\r\n"), "a")]
+#[case::garbage(String::new(), "\u{0}\u{1}garbage")]
+fn endless_health_answer(#[case] first: String, #[case] repeated: &str) {
+    let endless = EndlessDeployment::spawn(EndlessEndpoint::spawn_breaking(first, repeated));
+    let callers = endless.start_calls(1);
+    endless.wait_closed(CLOSE_LIMIT);
+    endless.replace_endpoint();
+    check_memory(&endless.deployment);
+    drop(callers);
+}
+
+/// Adds a service whose engines are asked for reports, as control loads models at them.
+fn put_placed_service(deployment: &ServingDeployment) {
+    let mut manifest = config(2).manifest();
+    let services = manifest["services"].as_array_mut().unwrap();
+    services.push(json!({"name": "e", "max_conns": 10, "engine": {
+        "slots": 8, "kv_cache_tokens": 1000, "weights_mb": 100.0, "adapter_slots": 2,
+        "loads_per_s": 10.0, "models": [{"name": "m", "weights_mb": 10.0, "load_time_s": 0.1,
+            "adapters": 1, "adapter_mb": 1.0, "warm_s": 0.1, "disk_s": 0.1}]
+    }}));
+    let body = manifest.to_string();
+    wait_until("the service is known", || {
+        let operator = &deployment.operator;
+        let response = operator.call_instance(0, "POST", "/api/config/put", &body);
+        response.is_some_and(|(status, _)| status == 200)
+    })
+    .unwrap();
+}
+
+/// Guards against a control instance that keeps all bytes of an engine's report that has
+/// no end.
+#[rstest]
+#[case::head(format!("{ENDLESS_HEAD}Name: "), "a")]
+#[case::body(format!("{ENDLESS_HEAD}Content-Type: application/json\r\n\r\n"), " ")]
+#[case::chunks(format!("{ENDLESS_HEAD}Transfer-Encoding: chunked\r\n\r\n"), "1\r\n \r\n")]
+#[case::trailer(
+    format!("{ENDLESS_HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n"),
+    "Name: value\r\n"
+)]
+fn endless_report(#[case] first: String, #[case] repeated: &str) {
+    let deployment = ServingDeployment::spawn();
+    put_placed_service(&deployment);
+    let endpoint = EndlessEndpoint::spawn_breaking(first, repeated);
+    let engine = FakeWorker::spawn("engine").unwrap();
+    engine.set_model("m");
+    let heartbeat = engine.heartbeat_at(endpoint.address, "e", "ready", 1);
+    assert!(deployment.operator.send_heartbeat("engine", &heartbeat));
+    wait_until("the engine is asked for a report", || {
+        endpoint.started() > 0
+    })
+    .unwrap();
+    let started = Instant::now();
+    for sequence in 2.. {
+        let heartbeat = engine.heartbeat_at(endpoint.address, "e", "ready", sequence);
+        assert!(deployment.operator.send_heartbeat("engine", &heartbeat));
+        thread::sleep(Duration::from_millis(200));
+        if started.elapsed() > ENDLESS_TIMEOUT {
+            break;
+        }
+    }
+    for place in 0..3 {
+        let id = deployment
+            .processes
+            .id(&format!("control-{place}"))
+            .unwrap();
+        let peak_kib = read_usage(id).unwrap().resident_peak_kib;
+        assert!(peak_kib < MEMORY_MAX_KIB, "control-{place}: {peak_kib} KiB");
+    }
+}
