--- a/crates/consensus/tests/suite/main.rs
+++ b/crates/consensus/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the consensus core and its storage.
 
 mod election;
+mod full_disks;
 mod membership;
 mod random_schedule;
 mod read_index;
