--- a/crates/mulberrywell/tests/crashing_prompts.rs
+++ b/crates/mulberrywell/tests/crashing_prompts.rs
@@ -1,5 +1,5 @@
 //! Requests that share a prompt part under which engines crash, with real processes:
-//! two gateways, three control instances and eight engines that restart.
+//! two gateways, three control instances and engines that restart.
 
 mod common;
 
@@ -11,9 +11,11 @@
 use common::serving_deployment::KEY;
 use common::worker_fleet::{count_served, SoundResult, WorkerFleet};
 use mulberrywell_testkit::HttpCaller;
+use rstest::rstest;
 
 const GATEWAYS: usize = 2;
 const ENGINES: usize = 8;
+const FEW_ENGINES: usize = 3;
 const MODEL: &str = "m";
 const CRASHING_PART: &str = "dead";
 
@@ -34,11 +36,11 @@
 /// Requests with the part that may reach engines after [`CONTACT_TIME`].
 const LATE_REQUESTS_MAX: usize = 3;
 
-fn spawn_fleet() -> WorkerFleet {
-    let fleet = WorkerFleet::spawn_engines(GATEWAYS, ENGINES, MODEL);
-    for engine in &fleet.workers {
-        engine.set_crashing_part(CRASHING_PART);
-    }
+/// Time for which a part that crashes engines later is served before.
+const SOUND_TIME: Duration = Duration::from_secs(4);
+
+fn spawn_fleet(engines: usize) -> WorkerFleet {
+    let fleet = WorkerFleet::spawn_engines(GATEWAYS, engines, MODEL);
     fleet.wait_ready(|gateway| send(gateway, "first", "aa:100,11:20"));
     fleet
 }
@@ -88,13 +90,26 @@
 /// Guards against a prompt part that crashes one engine after the other, because its
 /// requests go on being forwarded; sound requests with the same key and first part must
 /// be served meanwhile.
-#[test]
-fn crashing_part_kept_from_engines() {
-    let mut fleet = spawn_fleet();
+#[rstest]
+#[case::fresh(ENGINES, false)]
+#[case::fresh_few_engines(FEW_ENGINES, false)]
+#[case::served_before(ENGINES, true)]
+#[case::served_before_few_engines(FEW_ENGINES, true)]
+fn crashing_part_kept_from_engines(#[case] engines: usize, #[case] is_proven: bool) {
+    let mut fleet = spawn_fleet(engines);
     let results = send_sound_requests(&mut fleet);
     thread::sleep(Duration::from_millis(1_500));
+    if is_proven {
+        send_crashing_requests(&mut fleet);
+        thread::sleep(SOUND_TIME);
+    }
+    for engine in &fleet.workers {
+        engine.set_crashing_part(CRASHING_PART);
+    }
     let started = Instant::now();
-    send_crashing_requests(&mut fleet);
+    if !is_proven {
+        send_crashing_requests(&mut fleet);
+    }
     thread::sleep(RECOVERY_TIME + Duration::from_millis(4_500));
     fleet.stop();
     let crashes = fleet.crashes();
