--- a/crates/gateway/src/crash_trials.rs
+++ b/crates/gateway/src/crash_trials.rs
@@ -84,12 +84,20 @@
         if !self.prompts.has_restricted() || call.trial.is_open() {
             return false;
         }
+        let id = call.terms.id.clone();
         let subjects = call.subjects();
         let restricted = self.prompts.restricted(&subjects);
         if restricted.is_empty() {
             return false;
         }
         if self.has_waited_for_trial(now, request) {
+            let line = format!(
+                "trial id={} endpoint={} subjects={} outcome=expired",
+                text(&id),
+                text(endpoint),
+                subjects_text(&restricted),
+            );
+            actions.push(RoleAction::Log(LogLevel::Info, line));
             self.end_unserved(now, request, RefusalReason::NoEndpoint, actions);
             return true;
         }
@@ -106,7 +114,8 @@
         }
     }
 
-    /// Returns whether a call has waited as long for a trial as it may.
+    /// Records that a call needs a trial; returns whether it has waited as long for one as
+    /// it may.
     fn has_waited_for_trial(&mut self, now: Instant, request: RequestId) -> bool {
         let Some(call) = self.calls.get_mut(request) else {
             return true;
