Trials at endpoints with a limit, and in a stop; fewer searches for suspects

Found by reading the change: a suspected call whose endpoint needs a permit gave its trial back, asked again and was refused after 1.5 s, so that nothing restricted is served where all endpoints are cold or limited; and a granted call was forwarded in a stop that it doesn't fit. The leader finds what is restricted at most every 20 ms, as many gateways may ask at once.

--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -20,6 +20,10 @@
 
 use crate::control_role::Actions;
 
+/// Time for which the restricted subjects are kept for further requests for trials; many
+/// may come at once.
+const RESTRICTED_LIFETIME: Duration = Duration::from_millis(20);
+
 /// The ledger of this instance and the gateways and entries that follow it.
 #[derive(Debug, Default)]
 pub struct PromptMonitor {
@@ -31,6 +35,8 @@
     watched: BTreeSet<PartId>,
     quarantined: BTreeSet<PartSet>,
     restricted: BTreeSet<PartId>,
+    /// What was restricted when a trial was last asked for, and when that was found.
+    found: Option<(Instant, BTreeSet<PartId>)>,
 }
 
 impl PromptMonitor {
@@ -59,8 +65,13 @@
         holder: Bytes,
         request: &TrialRequest,
     ) -> TrialGrant {
-        let mut subjects = self.ledger.restricted(now);
-        subjects.retain(|subject| request.subjects.contains(subject));
+        let found = self.found.take();
+        let found =
+            found.filter(|(at, _)| now.saturating_duration_since(*at) < RESTRICTED_LIFETIME);
+        let (at, restricted) = found.unwrap_or_else(|| (now, self.ledger.restricted(now)));
+        let subjects = request.subjects.iter().copied();
+        let subjects: PartSet = subjects.filter(|it| restricted.contains(it)).collect();
+        self.found = Some((at, restricted));
         let id = (holder, request.sequence);
         let granted =
             subjects.is_empty() || self.trials.grant(now, id, &request.endpoint, subjects);
--- a/crates/gateway/src/crash_trials.rs
+++ b/crates/gateway/src/crash_trials.rs
@@ -194,35 +194,40 @@
             call.trial = CallTrial::Granted(grant.sequence);
         }
         self.begin_trial(now, &asked, actions);
-        let call = self.calls.get(asked.request);
-        if !call.is_some_and(|call| matches!(call.stage, CallStage::Running(_))) {
-            self.end_trial(asked.request, false);
-        }
     }
 
-    /// Forwards a call to the endpoint of its trial.
+    /// Forwards a call to the endpoint of its trial, once it has the permit that the
+    /// endpoint may need.
     fn begin_trial(&mut self, now: Instant, asked: &AskedTrial, actions: &mut Actions) {
         let request = asked.request;
         let Some(left) = self.check_attempt(now, request, actions) else {
             return;
         };
+        let Some(call) = self.calls.get(request) else {
+            return;
+        };
         let (endpoint, _) = &asked.start;
-        let needs_permit = self.endpoints.needs_permit(now, endpoint);
-        if needs_permit || !self.endpoints.accepts_requests(now, &asked.start) {
+        if !self.fits_shutdown(now, call, Some(endpoint)) {
+            self.leave_call(now, request, actions);
+            return;
+        }
+        if !self.endpoints.accepts_requests(now, &asked.start) {
             self.end_trial(request, false);
             self.calls.wait_for_endpoint(request);
             return;
         }
-        if let Some(call) = self.calls.get(request) {
-            let line = format!(
-                "trial id={} endpoint={} subjects={} outcome=granted",
-                text(&call.terms.id),
-                text(endpoint),
-                subjects_text(&asked.subjects),
-            );
-            actions.push(RoleAction::Log(LogLevel::Info, line));
+        let line = format!(
+            "trial id={} endpoint={} subjects={} outcome=granted",
+            text(&call.terms.id),
+            text(endpoint),
+            subjects_text(&asked.subjects),
+        );
+        actions.push(RoleAction::Log(LogLevel::Info, line));
+        if self.endpoints.needs_permit(now, endpoint) {
+            self.await_permit(now, request, endpoint, left, actions);
+        } else {
+            self.forward_call(now, request, endpoint, left, actions);
         }
-        self.forward_call(now, request, endpoint, left, actions);
     }
 
     fn deny_trial(&mut self, now: Instant, asked: &AskedTrial) {
