--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -151,6 +151,8 @@
     pub quarantined: Vec<PartSet>,
     /// Sound requests that were refused.
     pub refused_sound: usize,
+    /// Sound requests whose response lasted.
+    pub served_sound: usize,
     /// Sound requests that waited in vain for a trial.
     pub held_sound: usize,
     /// Requests that crash engines and were forwarded later than [`FORWARD_LIMIT`] after
@@ -458,6 +460,7 @@
             let has_lasted = request.begins + SOUND_TIME <= self.now || request.ends <= self.now;
             if has_lasted && !request.is_reported {
                 request.is_reported = true;
+                self.outcome.served_sound += usize::from(!request.crashes);
                 if let Some(trial) = request.trial.take() {
                     self.trials.end(self.now, &trial, false);
                 }
--- a/crates/limit/tests/crash_waves.rs
+++ b/crates/limit/tests/crash_waves.rs
@@ -115,6 +115,7 @@
     wrong: usize,
     first_wrong: Option<String>,
     refused_sound: usize,
+    served_sound: usize,
     held_sound: usize,
 }
 
@@ -134,6 +135,7 @@
         self.runs += 1;
         self.crashes += outcome.crashes;
         self.refused_sound += outcome.refused_sound;
+        self.served_sound += outcome.served_sound;
         self.held_sound += outcome.held_sound;
         let text = || format!("seed {seed} of {plan:?}: {outcome:x?}");
         if outcome.late > LATE_MAX {
@@ -164,8 +166,14 @@
 fn fleet_waves_bounded(#[case] forms: Vec<FleetPlan>) {
     let count = WaveCount::run(&forms);
     println!(
-        "{} runs, {} crashes, {} late; {} wrong, {} sound requests refused, {} held",
-        count.runs, count.crashes, count.late, count.wrong, count.refused_sound, count.held_sound,
+        "{} runs, {} crashes, {} late; {} wrong, {} sound requests refused, {} served, {} held",
+        count.runs,
+        count.crashes,
+        count.late,
+        count.wrong,
+        count.refused_sound,
+        count.served_sound,
+        count.held_sound,
     );
     assert_eq!(count.late, 0, "{:?}", count.first_late);
     assert_eq!(count.wrong, 0, "{:?}", count.first_wrong);
