--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -26,7 +26,10 @@
 //! explained and count for nothing else.
 //!
 //! A part or a content on which responses have lasted needs [`PROVEN_CHAIN_MIN`]
-//! incidents, and no part without any response in half of them.
+//! incidents, unless trials crashed, and no part without any response in half of them.
+//!
+//! What is suspected is restricted until then, and what was quarantined afterwards: see
+//! `suspect_restriction`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -56,7 +59,7 @@
 const UNPROVEN_INCIDENTS_MIN: usize = 5;
 
 /// Time in which the reports of one incident arrive from all gateways.
-const SETTLE_TIME: Duration = Duration::from_millis(200);
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(200);
 
 /// Time after a content's chain of incidents in which gateways report that a response on
 /// it has lasted: a notice to them and a report, each at the next tick.
@@ -83,19 +86,7 @@
 
 /// Duration of the first quarantine, and of one that a crash after it began anew.
 const FIRST_QUARANTINE_TIME: Duration = Duration::from_secs(30);
-const QUARANTINE_TIME: Duration = Duration::from_secs(600);
-
-/// Incidents from which on a part is restricted although responses have lasted on it; one
-/// crash has many such parts, and none of them crashes endpoints in most cases.
-const RESTRICTED_INCIDENTS_MIN: usize = 2;
-
-/// Requests with a content in crashes from which on it is restricted. One request has a
-/// content of its own in most cases.
-const RESTRICTED_COPIES_MIN: usize = 2;
-
-/// Time after an incident in which gateways report the responses that lasted on its parts
-/// before.
-const HISTORY_TIME: Duration = Duration::from_millis(300);
+pub(crate) const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
 /// Maximum number of incidents.
 const INCIDENTS_MAX: usize = 128;
@@ -107,13 +98,13 @@
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     /// In order of their first reports.
-    incidents: Vec<CrashIncident>,
+    pub(crate) incidents: Vec<CrashIncident>,
     /// When the latest response that lasted was begun on a part or a content.
-    sound: BTreeMap<PartId, Instant>,
-    quarantines: QuarantineTable,
+    pub(crate) sound: BTreeMap<PartId, Instant>,
+    pub(crate) quarantines: QuarantineTable,
     /// What was quarantined and has not been shown to be sound or to crash endpoints
     /// since the quarantine ended, at this instant.
-    released: BTreeMap<PartSet, Instant>,
+    pub(crate) released: BTreeMap<PartSet, Instant>,
 }
 
 impl CrashLedger {
@@ -194,72 +185,6 @@
         }
     }
 
-    /// Ends the quarantines that are due; what they held is restricted until a response on
-    /// it lasts.
-    fn release_quarantines(&mut self, now: Instant) {
-        let ended = self.quarantines.iter().filter(|(_, until)| *until <= now);
-        let ended: Vec<PartSet> = ended.map(|(parts, _)| parts.clone()).collect();
-        self.quarantines.remove_expired(now);
-        self.released
-            .extend(ended.into_iter().map(|parts| (parts, now)));
-        let sound = &self.sound;
-        self.released.retain(|parts, released| {
-            let is_sound = |part| sound.get(part).is_some_and(|begun| begun >= released);
-            !parts.iter().any(is_sound)
-        });
-    }
-
-    /// Quarantines again what was at a crash after its quarantine had ended.
-    fn renew_quarantines(&mut self, now: Instant) -> Vec<(PartSet, usize)> {
-        let released = self.released.iter();
-        let crashed = released.filter(|(parts, released)| {
-            let mut incidents = self.incidents.iter();
-            incidents.any(|incident| {
-                let is_settled = now.saturating_duration_since(incident.at) >= SETTLE_TIME;
-                let mut requests = incident.requests.iter();
-                let has_parts = requests.any(|it| parts.iter().all(|part| it.has(*part)));
-                incident.at > **released && !incident.is_explained && is_settled && has_parts
-            })
-        });
-        let crashed: Vec<PartSet> = crashed.map(|(parts, _)| parts.clone()).collect();
-        for parts in &crashed {
-            self.released.remove(parts);
-            self.record_quarantine(parts.clone(), now + QUARANTINE_TIME);
-        }
-        crashed.into_iter().map(|parts| (parts, 1)).collect()
-    }
-
-    /// Returns the parts and contents of which few requests may be at endpoints at a time,
-    /// until a response on them lasts: those that crashes may be due to, and those whose
-    /// quarantine ends.
-    pub fn restricted(&self, now: Instant) -> BTreeSet<PartId> {
-        let mut incidents: BTreeMap<PartId, usize> = BTreeMap::new();
-        let mut copies: BTreeMap<PartId, usize> = BTreeMap::new();
-        let mut fresh = BTreeSet::new();
-        for incident in self.incidents.iter().filter(|it| !it.is_explained) {
-            let is_known = now.saturating_duration_since(incident.at) >= HISTORY_TIME;
-            let parts: PartSet = incident.parts().collect();
-            for part in parts
-                .into_iter()
-                .filter(|it| self.is_suspect(*it, incident))
-            {
-                *incidents.entry(part).or_default() += 1;
-                if is_known && !self.sound.contains_key(&part) {
-                    fresh.insert(part);
-                }
-            }
-            let contents = incident.contents();
-            for content in contents.filter(|it| self.is_suspect(*it, incident)) {
-                *copies.entry(content).or_default() += 1;
-            }
-        }
-        let parts = at_least(incidents, RESTRICTED_INCIDENTS_MIN);
-        let contents = at_least(copies, RESTRICTED_COPIES_MIN);
-        let held = self.quarantines.iter().map(|(parts, _)| parts);
-        let held = held.chain(self.released.keys()).flatten().copied();
-        parts.chain(contents).chain(fresh).chain(held).collect()
-    }
-
     /// Takes the parts on which a response was begun since, and lasted, out of
     /// quarantines of several parts.
     fn narrow_quarantines(&mut self) {
@@ -449,7 +374,7 @@
         incidents
     }
 
-    fn is_suspect(&self, subject: PartId, incident: &CrashIncident) -> bool {
+    pub(crate) fn is_suspect(&self, subject: PartId, incident: &CrashIncident) -> bool {
         let sound = self.sound.get(&subject);
         let is_cleared = sound.is_some_and(|at| *at >= incident.at);
         !incident.is_explained && !is_cleared && incident.has(subject)
@@ -520,7 +445,10 @@
 }
 
 /// Returns the subjects with a count of at least `min`.
-fn at_least(counts: BTreeMap<PartId, usize>, min: usize) -> impl Iterator<Item = PartId> {
+pub(crate) fn at_least(
+    counts: BTreeMap<PartId, usize>,
+    min: usize,
+) -> impl Iterator<Item = PartId> {
     let counts = counts.into_iter().filter(move |(_, count)| *count >= min);
     counts.map(|(subject, _)| subject)
 }
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -24,6 +24,7 @@
 mod retry_budget;
 mod return_schedule;
 mod shared_bucket;
+mod suspect_restriction;
 mod token_bucket;
 mod total_counter;
 mod trial_table;
