limit: forget released suspects that no request has for ten minutes

Found by reading the change: what was quarantined and never requested again stayed restricted for good, so that the ledger and each notice grew with every quarantine. released_part_without_requests_forgotten failed before (the part was still restricted).

--- a/crates/limit/src/suspect_restriction.rs
+++ b/crates/limit/src/suspect_restriction.rs
@@ -27,6 +27,10 @@
 /// before.
 const HISTORY_TIME: Duration = Duration::from_millis(300);
 
+/// Time after the end of a quarantine for which a trial is needed; what no request has in
+/// that time is forgotten.
+const RELEASED_LIFETIME: Duration = Duration::from_secs(600);
+
 impl CrashLedger {
     /// Ends the quarantines that are due; what they held is restricted until a response on
     /// it lasts.
@@ -39,7 +43,8 @@
         let sound = &self.sound;
         self.released.retain(|parts, released| {
             let is_sound = |part| sound.get(part).is_some_and(|begun| begun >= released);
-            !parts.iter().any(is_sound)
+            let is_recent = now.saturating_duration_since(*released) < RELEASED_LIFETIME;
+            is_recent && !parts.iter().any(is_sound)
         });
     }
 
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -437,6 +437,19 @@
     assert_eq!(script.restricted(), []);
 }
 
+/// Guards against suspects that are kept for good after their last request.
+#[test]
+fn released_part_without_requests_forgotten() {
+    let mut script = quarantined_script();
+    script.end_quarantine(FIRST_QUARANTINE);
+    script.advance(Duration::from_secs(599));
+    assert_eq!(script.quarantined(), []);
+    assert_eq!(script.restricted(), [CULPRIT]);
+    script.advance(Duration::from_secs(2));
+    assert_eq!(script.quarantined(), []);
+    assert_eq!(script.restricted(), []);
+}
+
 #[test]
 fn released_part_quarantined_by_next_crash() {
     let mut script = quarantined_script();
