--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -208,19 +208,15 @@
 
 /// Sends a request to an endpoint that answers; returns the status.
 fn call_other(callers: SocketAddr) -> Option<u16> {
-    call_within(callers, OTHER_TIMEOUT)
-}
-
-fn call_within(callers: SocketAddr, timeout: Duration) -> Option<u16> {
     let request = FakeRequest {
         id: "other",
         key: KEY,
         path: "/once/x",
         body: "body",
-        timeout,
+        timeout: OTHER_TIMEOUT,
         resumes: None,
     };
-    let response = FakeCaller::new(callers, timeout).call(&request);
+    let response = FakeCaller::new(callers, OTHER_TIMEOUT).call(&request);
     response.map(|response| response.status)
 }
 
@@ -331,7 +327,7 @@
     let started = Instant::now();
     endless.replace_endpoint();
     for number in 0..OTHER_CALLS {
-        let status = call_within(endless.deployment.callers, ENDLESS_TIMEOUT);
+        let status = call_other(endless.deployment.callers);
         assert_eq!(status, Some(200), "call {number}");
     }
     endless.wait_closed((ENDLESS_TIMEOUT + CLOSE_LIMIT).saturating_sub(started.elapsed()));
