--- a/crates/limit/tests/crash_waves.rs
+++ b/crates/limit/tests/crash_waves.rs
@@ -49,6 +49,12 @@
     }
 }
 
+/// Keeps the forms with outages, or those without.
+fn with_outages(mut forms: Vec<FleetPlan>, has_outages: bool) -> Vec<FleetPlan> {
+    forms.retain(|form| form.outage_interval.is_some() == has_outages);
+    forms
+}
+
 /// Returns a fleet at each rate of crashing requests, with and without outages.
 fn loads(plan: FleetPlan) -> Vec<FleetPlan> {
     let rates = CRASHING_RATES.into_iter();
@@ -157,8 +163,9 @@
 #[case::fresh_content_12(content_forms(fleet(12)))]
 #[case::proven_content_3(content_forms(FleetPlan { proven: true, ..fleet(3) }))]
 #[case::proven_content_12(content_forms(FleetPlan { proven: true, ..fleet(12) }))]
-#[case::moving_model_part(part_forms(moving_model()))]
+#[case::moving_model_part(with_outages(part_forms(moving_model()), false))]
 #[case::moving_model_content(content_forms(moving_model()))]
+#[case::moving_part_outages(with_outages(part_forms(moving_model()), true))]
 fn fleet_waves_bounded(#[case] forms: Vec<FleetPlan>) {
     let count = WaveCount::run(&forms);
     println!(
