--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -158,10 +158,14 @@
     /// Starts calls until `count` of them have reached the endless endpoint; returns
     /// the callers' connections.
     fn start_calls(&self, count: usize) -> Vec<TcpStream> {
+        self.start_calls_to("/once/x", count)
+    }
+
+    fn start_calls_to(&self, path: &str, count: usize) -> Vec<TcpStream> {
         let mut streams = Vec::new();
         wait_until("requests reach the endless endpoint", || {
             if self.endpoint.started() < count {
-                streams.push(send_request(self.deployment.callers));
+                streams.push(send_request(self.deployment.callers, path));
             }
             thread::sleep(Duration::from_millis(50));
             self.endpoint.started() >= count
@@ -195,10 +199,10 @@
 }
 
 /// Sends a request and returns the caller's connection.
-fn send_request(callers: SocketAddr) -> TcpStream {
+fn send_request(callers: SocketAddr, path: &str) -> TcpStream {
     let mut stream = TcpStream::connect(callers).unwrap();
     let request = format!(
-        "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\n\
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\n\
          Deadline-Ms: {}\r\nCredential: {KEY}\r\nContent-Length: 4\r\n\r\nbody",
         ENDLESS_TIMEOUT.as_millis()
     );
@@ -289,7 +293,7 @@
 fn endless_bytes_behind_request() {
     let deployment = ServingDeployment::spawn();
     deployment.worker.set_delay(ENDLESS_TIMEOUT / 2);
-    let mut stream = send_request(deployment.callers);
+    let mut stream = send_request(deployment.callers, "/once/x");
     let writer = thread::spawn(move || {
         let rest = vec![b'a'; WRITE_LEN];
         while stream.write_all(&rest).is_ok() {}
@@ -335,6 +339,22 @@
     drop(callers);
 }
 
+/// An event of a stream that has no end is not kept, also of many streams at a time.
+#[rstest]
+#[case::few_streams(ENDLESS_CALLS)]
+#[case::many_streams(MANY_CALLS)]
+fn endless_event(#[case] count: usize) {
+    let memory = format!("memory_mb = {}\n", MEMORY_MAX_KIB / 1024);
+    let deployment = ServingDeployment::spawn_bounded(&memory);
+    let head = format!("{ENDLESS_HEAD}Request-Id: <id>\r\nContent-Type: text/event-stream");
+    let endpoint = EndlessEndpoint::spawn(format!("{head}\r\n\r\nid: 1\ndata: "), "a");
+    let endless = EndlessDeployment::spawn_beside(deployment, endpoint);
+    let callers = endless.start_calls_to("/stream/x", count);
+    endless.wait_closed(ENDLESS_TIMEOUT + CLOSE_LIMIT);
+    check_memory(&endless.deployment);
+    drop(callers);
+}
+
 /// Answers without end to requests for an endpoint's health are closed in time.
 #[rstest]
 #[case::head(format!("{ENDLESS_HEAD}Name: "), "a")]
