Ledger: watch the parts of requests that came after a crash, as they count

Cause: a part that many requests share gives way to a part without any response that is in half of its incidents (has_unproven_rival). That count includes the requests forwarded after a crash; what gateways are asked to report on (suspects) didn't. A sound part that was in late requests only, four of a wave here, was never asked about and blocked the quarantine until the incidents were more than twice as many. Class: evidence that is counted but not collected.

All other counts of the ledger use what is watched or restricted, which gateways report on.

--- a/crates/limit/src/crash_incident.rs
+++ b/crates/limit/src/crash_incident.rs
@@ -88,15 +88,16 @@
         self.requests.iter().any(|it| it.has(subject))
     }
 
-    /// Returns the shared parts of all requests.
+    /// Returns the shared parts of the requests that may have caused it.
     pub fn parts(&self) -> impl Iterator<Item = PartId> + '_ {
         self.requests.iter().flat_map(|it| it.parts.iter().copied())
     }
 
-    /// Returns the shared parts of the requests that are no suspects.
-    pub fn late_parts(&self) -> impl Iterator<Item = PartId> + '_ {
+    /// Returns the shared parts of all requests, of those that are no suspects too.
+    pub fn all_parts(&self) -> impl Iterator<Item = PartId> + '_ {
         let requests = self.late_requests.iter();
-        requests.flat_map(|it| it.parts.iter().copied())
+        let late_parts = requests.flat_map(|it| it.parts.iter().copied());
+        self.parts().chain(late_parts)
     }
 
     /// Returns the known contents of all requests.
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -209,11 +209,12 @@
     }
 
     /// Returns the parts and contents whose sound responses matter: the parts of
-    /// unexplained incidents, and the contents of several.
+    /// unexplained incidents, of requests that seem to be late too, and the contents of
+    /// several.
     pub fn suspects(&self) -> BTreeSet<PartId> {
         let mut suspects = self.repeated(WATCHED_INCIDENTS_MIN, |it| it.contents().collect());
         let unexplained = self.incidents.iter().filter(|it| !it.is_explained);
-        suspects.extend(unexplained.flat_map(CrashIncident::parts));
+        suspects.extend(unexplained.flat_map(CrashIncident::all_parts));
         suspects
     }
 
@@ -436,7 +437,7 @@
 fn count_parts<'a>(incidents: impl Iterator<Item = &'a CrashIncident>) -> BTreeMap<PartId, usize> {
     let mut counts = BTreeMap::new();
     for incident in incidents {
-        let parts: PartSet = incident.parts().chain(incident.late_parts()).collect();
+        let parts: PartSet = incident.all_parts().collect();
         for part in parts {
             *counts.entry(part).or_default() += 1;
         }
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -356,6 +356,34 @@
     assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
 }
 
+/// Guards against crashes without a quarantine, because a part that is only in requests
+/// forwarded after them is taken for one without any response: gateways report the
+/// responses on what is watched.
+#[test]
+fn suspects_request_after_crash_watched() {
+    let mut script = LedgerScript::new();
+    let served = script.now;
+    script.advance(SETTLED);
+    for _ in 0..4 {
+        script.crash(&[FIRST, CULPRIT], RUNNING);
+        script.crashes -= 1;
+        script.now += Duration::from_millis(5);
+        script.crash(&[FIRST, SUBJECT], Duration::from_millis(2));
+    }
+    let suspects = script.ledger.suspects();
+    let watched = [FIRST, SUBJECT, CULPRIT].into_iter();
+    for part in watched.filter(|part| suspects.contains(part)) {
+        script.ledger.record_sound(part, served);
+    }
+    for _ in 0..2 {
+        script.advance(SETTLED);
+        script.crash_trial(&[FIRST, CULPRIT], RUNNING);
+    }
+    script.advance(SETTLED);
+    script.ledger.record_sound(FIRST, script.now);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
 /// Guards against a quarantine of a rare part that is in three of many crashes of other
 /// causes.
 #[test]
