Gateway: tell the end of a trial on the link of its grant

Cause: leader_link is none while the leader tells that its lease has lapsed. The end of a trial was dropped then, as the next leader would know nothing of it; but the same instance may hold on to its leadership, and keeps the trial open for its lifetime of 60 s. All requests of its suspects are denied meanwhile, at all gateways.

Why this works: frames on a link keep their order and Send drops them once it is closed; an instance ends the trials of a process whose link closes, and forgets all when it becomes leader.

Looked for elsewhere: permits and leases aren't told ends on leader_link (permits are used up, leases run out).

--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use mulberrywell_limit::PartId;
 use mulberrywell_policy::{stable_hash, PromptPart};
-use mulberrywell_role::{ExchangeId, HttpRequest, RequestId};
+use mulberrywell_role::{ExchangeId, HttpRequest, LinkId, RequestId};
 use mulberrywell_serving::EndpointId;
 use mulberrywell_wire::request::HeaderField;
 use mulberrywell_wire::serving::{RepeatRule, ServingRoute};
@@ -124,8 +124,8 @@
 pub enum CallTrial {
     /// The call has no trial.
     None,
-    /// The leader has granted one.
-    Granted(TrialSequence),
+    /// The leader has granted one; the answer came on this link, on which its end is told.
+    Granted(LinkId, TrialSequence),
     /// There was no leader to ask.
     Local,
     /// The endpoint broke it off.
@@ -135,7 +135,7 @@
 impl CallTrial {
     /// Returns whether the call has a trial that has not ended.
     pub fn is_open(self) -> bool {
-        matches!(self, CallTrial::Granted(_) | CallTrial::Local)
+        matches!(self, CallTrial::Granted(..) | CallTrial::Local)
     }
 }
 
--- a/crates/gateway/src/crash_trials.rs
+++ b/crates/gateway/src/crash_trials.rs
@@ -176,13 +176,14 @@
     pub(crate) fn handle_trial_grant(
         &mut self,
         now: Instant,
+        link: LinkId,
         grant: TrialGrant,
         actions: &mut Actions,
     ) {
         let asked = self.trials.asked.remove(&grant.sequence);
         let Some(asked) = asked.filter(|asked| self.awaits_trial(asked.request)) else {
             if grant.granted {
-                self.send_trial_end(grant.sequence, false);
+                self.send_trial_end(link, grant.sequence, false);
             }
             return;
         };
@@ -191,7 +192,7 @@
             return;
         }
         if let Some(call) = self.calls.get_mut(asked.request) {
-            call.trial = CallTrial::Granted(grant.sequence);
+            call.trial = CallTrial::Granted(link, grant.sequence);
         }
         self.begin_trial(now, &asked, actions);
     }
@@ -253,17 +254,17 @@
             true => CallTrial::Broken,
             false => CallTrial::None,
         };
-        if let CallTrial::Granted(sequence) = std::mem::replace(&mut call.trial, ended) {
-            self.send_trial_end(sequence, is_broken);
+        if let CallTrial::Granted(link, sequence) = std::mem::replace(&mut call.trial, ended) {
+            self.send_trial_end(link, sequence, is_broken);
         }
     }
 
-    fn send_trial_end(&mut self, sequence: TrialSequence, broken: bool) {
-        // Without a leader, the next one knows nothing of the trial.
-        if let Some(link) = self.links.leader_link() {
-            let body = FrameBody::TrialEnd(TrialEnd { sequence, broken });
-            self.commands.push(LinkCommand::Send { link, body });
-        }
+    /// Tells the instance that granted a trial of its end, whether or not that one leads at
+    /// the moment: a trial that it takes for open holds up all calls of its suspects. Once
+    /// the link is closed, the instance has ended the trial.
+    fn send_trial_end(&mut self, link: LinkId, sequence: TrialSequence, broken: bool) {
+        let body = FrameBody::TrialEnd(TrialEnd { sequence, broken });
+        self.commands.push(LinkCommand::Send { link, body });
     }
 
     /// Lets the calls wait whose trials the leader has neither granted nor denied in time.
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -209,7 +209,9 @@
                     self.handle_stream_answer(now, link, answer, actions);
                 }
                 FrameBody::PermitGrant(grant) => self.handle_permit_grant(now, &grant, actions),
-                FrameBody::TrialGrant(grant) => self.handle_trial_grant(now, grant, actions),
+                FrameBody::TrialGrant(grant) => {
+                    self.handle_trial_grant(now, link, grant, actions);
+                }
                 FrameBody::PromptNotice(notice) => {
                     self.handle_prompt_notice(now, link, notice, actions);
                 }
