Tests: crowds of callers that don't behave, at each port of each process

Each test starts the system's processes on loopback, sends a crowd, and checks that the process lives, that resident memory and unread bytes together, and descriptors, stay under a bound, and that one ordinary request is answered beside the crowd and after it. No times, no share of served requests. Crowd and bounds are fixed: 40 callers at a gateway with memory_mb = 64, 100 callers and the users' machine of 160 MiB where no memory is told, 600 connections (entries: 100) where the process may open 300 descriptors.

--- /dev/null
+++ b/crates/mulberrywell/tests/caller_crowds/control_crowds.rs
@@ -0,0 +1,59 @@
+//! Crowds at the port of a control instance for workers and operators.
+
+use mulberrywell_testkit::wait_until;
+use rstest::rstest;
+
+use crate::common::serving_deployment::{config, ServingDeployment};
+use crate::crowd::{Crowd, CrowdForm, UsageSampler};
+use crate::{
+    run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, LOW_DESCRIPTORS_CROWD,
+    MACHINE_KIB,
+};
+
+const HEAD: &str = "POST /api/config/put HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n";
+
+/// Starts to sample the first control instance.
+fn sample_control(deployment: &ServingDeployment) -> UsageSampler {
+    let id = deployment.processes.id("control-0").unwrap();
+    UsageSampler::spawn(id, &[deployment.operator.address(0)])
+}
+
+/// Fails unless the first control instance takes a configuration.
+fn check_put(deployment: &ServingDeployment, version: u64) {
+    wait_until("a configuration is accepted", || {
+        deployment.operator.put_at(0, &config(version))
+    })
+    .unwrap();
+}
+
+/// Guards against bodies that a control instance holds without a bound.
+#[rstest]
+#[case::chunks_short(CrowdForm::ChunksShort(64 * 1024))]
+#[case::length_short(CrowdForm::LengthShort)]
+#[case::endless_chunks(CrowdForm::EndlessChunks)]
+fn control_untold_memory_bounded(#[case] form: CrowdForm) {
+    let _alone = run_alone();
+    let deployment = ServingDeployment::spawn();
+    let sampler = sample_control(&deployment);
+    let crowd = Crowd::send(deployment.operator.address(0), CROWD, &[form], HEAD);
+    check_put(&deployment, 2);
+    drop(crowd);
+    check_put(&deployment, 3);
+    sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
+}
+
+/// Guards against a control instance that runs out of descriptors and never accepts again.
+#[rstest]
+#[case::half_heads(CrowdForm::HalfHead)]
+#[case::silent(CrowdForm::Silent)]
+fn control_low_descriptors_accepts(#[case] form: CrowdForm) {
+    let _alone = run_alone();
+    let deployment = ServingDeployment::spawn_limited(LOW_DESCRIPTORS);
+    let sampler = sample_control(&deployment);
+    let address = deployment.operator.address(0);
+    let crowd = Crowd::send(address, LOW_DESCRIPTORS_CROWD, &[form], HEAD);
+    check_put(&deployment, 2);
+    drop(crowd);
+    check_put(&deployment, 3);
+    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
+}
--- /dev/null
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -0,0 +1,110 @@
+//! Crowds at an entry's port for callers and at the operators' port.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::time::Duration;
+
+use mulberrywell_testkit::{BinaryPaths, ClusterPlan, HttpCaller};
+use rstest::rstest;
+use tempfile::TempDir;
+
+use crate::common::{binaries, cluster_of, small_cluster, SmallCluster};
+use crate::crowd::{Crowd, CrowdForm, UsageSampler, BODY_MAX};
+use crate::{run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, MACHINE_KIB};
+
+/// Time in which an ordinary request is answered at the latest.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+fn sample_process(small: &SmallCluster, name: &str, address: SocketAddr) -> UsageSampler {
+    UsageSampler::spawn(small.cluster.id(name).unwrap(), &[address])
+}
+
+fn check_chat(small: &SmallCluster) {
+    let caller = HttpCaller::with_timeout(
+        small.cluster.callers[0],
+        Some(&small.gold_key),
+        ANSWER_TIMEOUT,
+    );
+    let response = caller.chat("payroll", "x", 2, true).unwrap();
+    assert_eq!(response.status, 200, "{}", response.body);
+}
+
+/// Returns the head of a caller's request.
+fn request_head(small: &SmallCluster) -> String {
+    let key = &small.gold_key;
+    format!("POST /services/payments/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n")
+}
+
+/// Guards against bodies that an entry's threads hold without a bound.
+#[rstest]
+#[case::chunks_short(CrowdForm::ChunksShort(64 * 1024))]
+#[case::small_chunks(CrowdForm::SmallChunks(BODY_MAX / 8, 4))]
+#[case::length_short(CrowdForm::LengthShort)]
+#[case::endless_chunks(CrowdForm::EndlessChunks)]
+#[case::half_heads(CrowdForm::HalfHead)]
+#[case::long_heads(CrowdForm::LongHead)]
+#[case::whole(CrowdForm::Whole)]
+fn entry_untold_memory_bounded(#[case] form: CrowdForm) {
+    let _alone = run_alone();
+    let small = small_cluster(1, 1);
+    let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "entry-0", address);
+    let crowd = Crowd::send(address, CROWD, &[form], &request_head(&small));
+    check_chat(&small);
+    drop(crowd);
+    check_chat(&small);
+    sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
+}
+
+/// Guards against an entry that serves nobody else while a crowd has all connections that
+/// its descriptors allow.
+#[rstest]
+#[case::half_heads(CrowdForm::HalfHead)]
+#[case::silent(CrowdForm::Silent)]
+#[case::length_short(CrowdForm::LengthShort)]
+fn entry_low_descriptors_serves(#[case] form: CrowdForm) {
+    let _alone = run_alone();
+    let folder = TempDir::new().unwrap();
+    let paths = BinaryPaths {
+        serve: folder.path().join("serve"),
+        ..binaries()
+    };
+    let binary = binaries().serve;
+    let text = format!(
+        "#!/bin/sh\nulimit -n {LOW_DESCRIPTORS} && exec {} \"$@\"\n",
+        binary.display()
+    );
+    fs::write(&paths.serve, text).unwrap();
+    fs::set_permissions(&paths.serve, fs::Permissions::from_mode(0o755)).unwrap();
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 1,
+        ..ClusterPlan::default()
+    };
+    let small = cluster_of(plan, &paths);
+    let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "entry-0", address);
+    let crowd = Crowd::send(address, CROWD, &[form], &request_head(&small));
+    check_chat(&small);
+    drop(crowd);
+    check_chat(&small);
+    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
+}
+
+/// Guards against bodies that the threads of the operators' port hold without a bound.
+#[rstest]
+#[case::chunks_short(CrowdForm::ChunksShort(64 * 1024))]
+#[case::length_short(CrowdForm::LengthShort)]
+fn operators_port_untold_memory_bounded(#[case] form: CrowdForm) {
+    let _alone = run_alone();
+    let small = small_cluster(1, 1);
+    let address = small.cluster.operators[0];
+    let sampler = sample_process(&small, "control-0", address);
+    let head = "POST /v1/config HTTP/1.1\r\nHost: h\r\n";
+    let crowd = Crowd::send(address, CROWD, &[form], head);
+    small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
+    drop(crowd);
+    small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
+    sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
+}
--- /dev/null
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -0,0 +1,47 @@
+//! Crowds of callers that don't behave, at each port of each process.
+//!
+//! The tests check what doesn't depend on the machine's speed: that the process lives, that
+//! its memory and descriptors stay under a bound, and that an ordinary request is answered.
+//! They run one at a time, as each measures a process under load.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod control_crowds;
+mod crowd;
+mod entry_crowds;
+mod gateway_crowds;
+mod mixed_crowds;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Memory of a machine of the users, in KiB; a process that isn't told its memory stays
+/// below it.
+const MACHINE_KIB: u64 = 160 * 1024;
+
+/// Callers of a crowd against a process that isn't told its memory.
+const CROWD: usize = 100;
+
+/// `memory_mb` of a process in the tests that set it.
+const LOW_MEMORY_MB: u64 = 64;
+
+/// Callers of a crowd against a process with [`LOW_MEMORY_MB`].
+const LOW_MEMORY_CROWD: usize = 40;
+
+/// Descriptors that a process may open in the tests that limit them.
+const LOW_DESCRIPTORS: u64 = 300;
+
+/// Callers of a crowd against a process with [`LOW_DESCRIPTORS`].
+const LOW_DESCRIPTORS_CROWD: usize = 600;
+
+/// Descriptors that a process with [`LOW_DESCRIPTORS`] keeps for others than callers.
+const DESCRIPTORS_KEPT: u64 = 32;
+
+/// Descriptors that a crowd of bodies may never make a process use.
+const DESCRIPTORS_MAX: u64 = 1_000;
+
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// Waits until no other test of this file runs.
+fn run_alone() -> MutexGuard<'static, ()> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/mulberrywell/tests/common/mod.rs
+++ b/crates/mulberrywell/tests/common/mod.rs
@@ -113,14 +113,19 @@
 
 /// Starts the cluster of a plan, with one engine and one service, and waits
 /// until it is ready.
-pub fn planned_cluster(mut plan: ClusterPlan) -> SmallCluster {
+pub fn planned_cluster(plan: ClusterPlan) -> SmallCluster {
+    cluster_of(plan, &binaries())
+}
+
+/// Starts the cluster of a plan from these binaries.
+pub fn cluster_of(mut plan: ClusterPlan, paths: &BinaryPaths) -> SmallCluster {
     let engine = FakeEngine::spawn(engine_config()).expect("a fake engine starts");
     let service = FakeService::spawn().expect("a fake service starts");
     plan.agents = vec![
         AgentPlan::engine("engine-0", "asistente", engine.address()),
         AgentPlan::service("payments", service.address()),
     ];
-    let cluster = ProcessCluster::spawn(&binaries(), &plan).expect("the processes start");
+    let cluster = ProcessCluster::spawn(paths, &plan).expect("the processes start");
     cluster
         .apply(PLANS, GRANTS)
         .expect("the lists are accepted");
--- a/crates/mulberrywell/tests/common/serving_deployment.rs
+++ b/crates/mulberrywell/tests/common/serving_deployment.rs
@@ -2,6 +2,7 @@
 //! processes.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use mulberrywell_platform_testkit::{
@@ -34,14 +35,31 @@
 
     /// Starts a deployment whose first gateway has further settings, such as its memory.
     pub fn spawn_bounded(gateway_settings: &str) -> Self {
+        Self::spawn_with(gateway_settings, None)
+    }
+
+    /// Starts a deployment whose processes may open so many descriptors.
+    pub fn spawn_limited(descriptors: u64) -> Self {
+        Self::spawn_with("", Some(descriptors))
+    }
+
+    fn spawn_with(gateway_settings: &str, descriptors: Option<u64>) -> Self {
         let ports = |count: usize| -> Vec<SocketAddr> {
             (0..count).map(|_| free_port().unwrap()).collect()
         };
         let (seeds, serving) = (ports(3), ports(3));
         let gateway = GatewayAddresses::find_free();
         let mut processes = ProcessSet::open().unwrap();
-        let settings = gateway_settings;
-        start_gateway(&mut processes, "gateway", &seeds, gateway, settings);
+        let table = gateway_table(gateway, gateway_settings);
+        let listen = free_port().unwrap();
+        start_process(
+            &mut processes,
+            "gateway",
+            listen,
+            &seeds,
+            &table,
+            descriptors,
+        );
         for place in 0..3 {
             let table = format!(
                 "[control]\nserving_listen = \"{}\"\ndata_folder = \"{}\"\nbootstrap = true\n\
@@ -50,7 +68,8 @@
                 processes.path(&format!("data-{place}")).display()
             );
             let name = format!("control-{place}");
-            start_process(&mut processes, &name, seeds[place], &seeds, &table);
+            let listen = seeds[place];
+            start_process(&mut processes, &name, listen, &seeds, &table, descriptors);
         }
         let deployment = ServingDeployment {
             processes,
@@ -82,7 +101,10 @@
     /// Starts a further gateway; returns its address for callers once it is ready.
     pub fn add_gateway(&mut self, name: &str) -> SocketAddr {
         let gateway = GatewayAddresses::find_free();
-        start_gateway(&mut self.processes, name, &self.seeds, gateway, "");
+        let table = gateway_table(gateway, "");
+        let listen = free_port().unwrap();
+        let processes = &mut self.processes;
+        start_process(processes, name, listen, &self.seeds, &table, None);
         self.further_gateways.push(gateway);
         gateway.wait_ready();
         gateway.callers
@@ -118,23 +140,16 @@
     response.is_ok_and(|response| response.status == 200)
 }
 
-fn start_gateway(
-    processes: &mut ProcessSet,
-    name: &str,
-    seeds: &[SocketAddr],
-    gateway: GatewayAddresses,
-    settings: &str,
-) {
+fn gateway_table(gateway: GatewayAddresses, settings: &str) -> String {
     let GatewayAddresses {
         callers,
         ready,
         metrics,
     } = gateway;
-    let table = format!(
+    format!(
         "[gateway]\ncaller_listen = \"{callers}\"\nready_listen = \"{ready}\"\n{settings}\
          [metrics]\nlisten = \"{metrics}\"\n"
-    );
-    start_process(processes, name, free_port().unwrap(), seeds, &table);
+    )
 }
 
 pub fn config(version: u64) -> FakeConfig {
@@ -169,6 +184,7 @@
     listen: SocketAddr,
     seeds: &[SocketAddr],
     tables: &str,
+    descriptors: Option<u64>,
 ) {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     let text = format!(
@@ -177,5 +193,12 @@
         seeds.join(", ")
     );
     let binary = binaries().serve;
-    processes.start(name, &binary, &["serve"], &text).unwrap();
+    let Some(descriptors) = descriptors else {
+        processes.start(name, &binary, &["serve"], &text).unwrap();
+        return;
+    };
+    let command = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+    let args = ["-c", &command, binary.to_str().unwrap(), "serve"];
+    let shell = Path::new("/bin/sh");
+    processes.start(name, shell, &args, &text).unwrap();
 }
