http1: read heads in linear time, and bodies with little spare memory

Callers saw other requests wait while heads of 16 KB arrived byte by byte: each byte led to a parse of the head from its first byte. A head is now parsed when an empty line has arrived, when it is too long, or when it has doubled since it was last found valid, so that garbage is still refused early.

A body that grew by doubling took up to twice its length, and the pieces of small chunks were joined in a buffer of their own before they were copied.

Ruled out: an incremental parser of our own, as httparse has none and its checks stay.

--- a/crates/http1/src/body_framing.rs
+++ b/crates/http1/src/body_framing.rs
@@ -106,7 +106,7 @@
     /// Removes the framing before the next data from `buf`; returns the length of that
     /// data, which counts as read. It is 0 when more bytes are needed or the body is
     /// complete.
-    fn next_data_len(&mut self, buf: &mut BytesMut) -> Result<usize, BodyError> {
+    pub(crate) fn next_data_len(&mut self, buf: &mut BytesMut) -> Result<usize, BodyError> {
         loop {
             match self.state {
                 DecoderState::Done => return Ok(0),
--- a/crates/http1/src/request_reader.rs
+++ b/crates/http1/src/request_reader.rs
@@ -1,6 +1,10 @@
 //! Reader that buffers a caller's requests until they are complete.
+//!
+//! Guarantees: a body takes at most a quarter more memory than it has bytes, or the length
+//! that its head states; the time to read a head or body is linear in its length, however
+//! its bytes are divided.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use mulberrywell_role::HttpRequest;
 use mulberrywell_wire::request::HeaderField;
 
@@ -9,6 +13,12 @@
     fields_as_slices, framing_from_headers, list_has_token, HeadError, FIELDS_MAX,
 };
 
+/// Length of the longest end of a head: the end of a line and an empty line.
+const HEAD_END_LEN: usize = 3;
+
+/// Divisor of the length of a body that gives the spare memory taken with it.
+const SPARE_DIVISOR: usize = 4;
+
 /// Size limits of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestLimits {
@@ -38,6 +48,8 @@
     pub closes_connection: bool,
     /// The caller accepts a chunked response: it speaks HTTP/1.1.
     pub allows_chunks: bool,
+    /// Length of the head in bytes.
+    pub head_len: usize,
 }
 
 /// A request whose body is incomplete.
@@ -45,8 +57,10 @@
 struct PartialRequest {
     request: ReadRequest,
     decoder: BodyDecoder,
+    /// Length of the body, if the head states it.
+    length: Option<usize>,
     /// Body bytes received so far, without their framing.
-    pieces: BytesMut,
+    pieces: Vec<u8>,
 }
 
 /// Reads the requests on one connection.
@@ -54,6 +68,10 @@
 pub struct RequestReader {
     /// Set while a body is incomplete.
     partial: Option<PartialRequest>,
+    /// Bytes of an incomplete head in which its end was looked for.
+    scanned: usize,
+    /// Bytes of an incomplete head that were parsed, and are valid.
+    parsed: usize,
     /// The caller expects an interim response 100 before it sends its body.
     expects_continue: bool,
 }
@@ -64,6 +82,15 @@
         self.partial.is_some()
     }
 
+    /// Returns the memory in bytes that the incomplete body has or will take; a body whose
+    /// length is not stated takes more as it arrives.
+    pub fn reserved_len(&self) -> usize {
+        self.partial.as_ref().map_or(0, |partial| {
+            let stated = partial.length.unwrap_or(0);
+            partial.pieces.capacity().max(stated)
+        })
+    }
+
     /// Returns whether the caller expects an interim response 100; true once
     /// per request.
     pub fn pop_expect_continue(&mut self) -> bool {
@@ -86,27 +113,15 @@
         let Some(partial) = &mut self.partial else {
             return Ok(None);
         };
-        while let Some(piece) = partial
-            .decoder
-            .next_piece(buf)
-            .map_err(|_| RequestError::BadBody)?
-        {
-            if partial.pieces.len() + piece.len() > limits.body_max {
-                return Err(RequestError::BodyTooLong);
-            }
-            if partial.decoder.is_done() && partial.pieces.is_empty() {
-                partial.request.http.body = piece;
-            } else {
-                partial.pieces.extend_from_slice(&piece);
-            }
-        }
+        partial.read_body(buf, limits.body_max)?;
         if !partial.decoder.is_done() {
             return Ok(None);
         }
         let done = self.partial.take();
         Ok(done.map(|mut partial| {
             if !partial.pieces.is_empty() {
-                partial.request.http.body = partial.pieces.freeze();
+                partial.pieces.shrink_to_fit();
+                partial.request.http.body = Bytes::from(partial.pieces);
             }
             partial.request
         }))
@@ -117,6 +132,9 @@
         buf: &mut BytesMut,
         limits: RequestLimits,
     ) -> Result<bool, RequestError> {
+        if !self.is_parse_due(buf, limits.head_max) {
+            return Ok(false);
+        }
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
         let mut parsed = httparse::Request::new(&mut fields);
         let status = parsed
@@ -124,9 +142,13 @@
             .map_err(|_| RequestError::Head(HeadError::Malformed))?;
         let len = match status {
             httparse::Status::Complete(len) if len <= limits.head_max => len,
-            httparse::Status::Partial if buf.len() <= limits.head_max => return Ok(false),
+            httparse::Status::Partial if buf.len() <= limits.head_max => {
+                self.parsed = buf.len();
+                return Ok(false);
+            }
             _ => return Err(RequestError::Head(HeadError::TooLong)),
         };
+        (self.scanned, self.parsed) = (0, 0);
         let head = buf.split_to(len).freeze();
         let (http, minor) = parse_head(&head).map_err(RequestError::Head)?;
         let framing = framing_from_headers(&http.headers).map_err(RequestError::Head)?;
@@ -142,12 +164,63 @@
                 http,
                 closes_connection,
                 allows_chunks: minor > 0,
+                head_len: len,
             },
             decoder: BodyDecoder::new(framing),
-            pieces: BytesMut::new(),
+            length: match framing {
+                BodyFraming::Length(len) => usize::try_from(len).ok(),
+                BodyFraming::Chunked | BodyFraming::UntilClose => None,
+            },
+            pieces: Vec::new(),
         });
         Ok(true)
     }
+
+    /// Returns whether a head must be parsed: it may be complete, is too long, or is twice
+    /// as long as when it was last found valid. Parsing it for each byte that arrives would
+    /// take time that grows with the square of its length.
+    fn is_parse_due(&mut self, buf: &[u8], head_max: usize) -> bool {
+        let unscanned = &buf[self.scanned.saturating_sub(HEAD_END_LEN - 1).min(buf.len())..];
+        self.scanned = buf.len();
+        let mut line_ends = unscanned.windows(2).zip(1..);
+        let has_end = line_ends.any(|(pair, idx)| {
+            pair == b"\n\n" || (pair == b"\n\r" && unscanned.get(idx + 1) == Some(&b'\n'))
+        });
+        has_end || buf.len() > head_max || buf.len() >= 2 * self.parsed
+    }
+}
+
+impl PartialRequest {
+    /// Moves the body bytes in `buf` to the body.
+    fn read_body(&mut self, buf: &mut BytesMut, body_max: usize) -> Result<(), RequestError> {
+        loop {
+            let next_len = self.decoder.next_data_len(buf);
+            let len = next_len.map_err(|_| RequestError::BadBody)?;
+            if len == 0 {
+                return Ok(());
+            }
+            if self.pieces.len() + len > body_max {
+                return Err(RequestError::BodyTooLong);
+            }
+            if self.pieces.is_empty() && self.length == Some(len) {
+                self.request.http.body = buf.split_to(len).freeze();
+                return Ok(());
+            }
+            self.reserve_body(len);
+            self.pieces.extend_from_slice(&buf[..len]);
+            buf.advance(len);
+        }
+    }
+
+    /// Makes room for `len` more bytes.
+    fn reserve_body(&mut self, len: usize) {
+        let needed = self.pieces.len() + len;
+        if needed > self.pieces.capacity() {
+            let target = self.length.unwrap_or(needed + needed / SPARE_DIVISOR);
+            let additional = target.max(needed) - self.pieces.len();
+            self.pieces.reserve_exact(additional);
+        }
+    }
 }
 
 /// Parses a complete head; also returns the minor version of HTTP/1.
