--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -22,6 +22,6 @@
 
 pub use body_framing::{BodyDecoder, BodyError, BodyFraming};
 pub use head_fields::{header_number, list_has_token, HeadError};
-pub use message_writer::{write_chunk, write_last_chunk, write_request, write_response_head};
+pub use message_writer::{write_chunk, write_last_chunk, write_request_head, write_response_head};
 pub use request_reader::{ReadRequest, RequestError, RequestLimits, RequestReader};
 pub use response_reader::{ResponseHead, ResponseInput, ResponseReader};
--- a/crates/http1/src/message_writer.rs
+++ b/crates/http1/src/message_writer.rs
@@ -26,24 +26,23 @@
 /// Fields that this module writes itself and drops from the given headers.
 const FRAMING_FIELDS: [&str; 2] = ["Content-Length", "Transfer-Encoding"];
 
-/// Appends a request; `Content-Length` is left out for a GET without a body.
-pub fn write_request(
+/// Appends the head of a request; `Content-Length` is left out for a GET without a body.
+pub fn write_request_head(
     method: &Bytes,
     path: &Bytes,
     headers: &[HeaderField],
-    body: &Bytes,
+    body_len: usize,
     out: &mut BytesMut,
 ) {
-    out.reserve(256 + body.len());
+    out.reserve(256);
     for part in [method.as_ref(), b" ", path.as_ref(), b" HTTP/1.1\r\n"] {
         out.extend_from_slice(part);
     }
     write_fields(headers, out);
-    if !body.is_empty() || method != "GET" {
-        write_length(body.len() as u64, out);
+    if body_len > 0 || method != "GET" {
+        write_length(body_len as u64, out);
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
 }
 
 /// Appends the head of a response.
--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -11,7 +11,10 @@
 
 use crate::common::{binaries, cluster_of, small_cluster, SmallCluster};
 use crate::crowd::{Crowd, CrowdForm, UsageSampler, BODY_MAX};
-use crate::{run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, MACHINE_KIB};
+use crate::{
+    run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, LOW_DESCRIPTORS_CROWD,
+    MACHINE_KIB,
+};
 
 /// Time in which an ordinary request is answered at the latest.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -65,6 +68,36 @@
 #[case::length_short(CrowdForm::LengthShort)]
 fn entry_low_descriptors_serves(#[case] form: CrowdForm) {
     let _alone = run_alone();
+    let (small, _folder) = spawn_low_descriptors(1);
+    let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "entry-0", address);
+    let crowd = Crowd::send(address, CROWD, &[form], &request_head(&small));
+    check_chat(&small);
+    drop(crowd);
+    check_chat(&small);
+    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
+}
+
+/// Guards against a crowd at one port that shuts another port of the same process.
+#[rstest]
+#[case::half_heads(CrowdForm::HalfHead)]
+#[case::length_short(CrowdForm::LengthShort)]
+fn entry_crowd_leaves_operators_port(#[case] form: CrowdForm) {
+    let _alone = run_alone();
+    let (small, _folder) = spawn_low_descriptors(0);
+    let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "control-0", address);
+    let head = request_head(&small);
+    let crowd = Crowd::send(address, LOW_DESCRIPTORS_CROWD, &[form], &head);
+    small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
+    drop(crowd);
+    small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
+    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
+}
+
+/// Starts a cluster with one control instance and so many entries, whose processes have
+/// [`LOW_DESCRIPTORS`]; without an entry the control instance is one too.
+fn spawn_low_descriptors(entries: usize) -> (SmallCluster, TempDir) {
     let folder = TempDir::new().unwrap();
     let paths = BinaryPaths {
         serve: folder.path().join("serve"),
@@ -79,17 +112,10 @@
     fs::set_permissions(&paths.serve, fs::Permissions::from_mode(0o755)).unwrap();
     let plan = ClusterPlan {
         controls: 1,
-        entries: 1,
+        entries,
         ..ClusterPlan::default()
     };
-    let small = cluster_of(plan, &paths);
-    let address = small.cluster.callers[0];
-    let sampler = sample_process(&small, "entry-0", address);
-    let crowd = Crowd::send(address, CROWD, &[form], &request_head(&small));
-    check_chat(&small);
-    drop(crowd);
-    check_chat(&small);
-    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
+    (cluster_of(plan, &paths), folder)
 }
 
 /// Guards against bodies that the threads of the operators' port hold without a bound.
--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -203,7 +203,7 @@
 
 /// Sends a request on an open connection; returns the status of its response, which is read
 /// whole.
-fn call_on(stream: &mut TcpStream) -> u16 {
+pub fn call_on(stream: &mut TcpStream) -> u16 {
     let request = request_head("/once/x") + "Content-Length: 4\r\n\r\nbody";
     stream.write_all(request.as_bytes()).expect("is open");
     read_status(stream)
--- a/crates/mulberrywell/tests/caller_crowds/main.rs
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -4,6 +4,7 @@
 //! its memory and descriptors stay under a bound, and that an ordinary request is answered.
 //! They run one at a time, as each measures a process under load.
 
+mod calm_costs;
 #[path = "../common/mod.rs"]
 mod common;
 mod control_crowds;
--- a/crates/mulberrywell/tests/endless_bytes.rs
+++ b/crates/mulberrywell/tests/endless_bytes.rs
@@ -22,6 +22,12 @@
 /// Timeout of the calls to the endless endpoint, as sent with the requests.
 const ENDLESS_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Timeout of a call that outlasts [`UNREAD_LIMIT`]; the route's own is 5 s.
+const LONG_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Time for which a caller may read nothing of a response.
+const UNREAD_LIMIT: Duration = Duration::from_secs(3);
+
 /// Timeout of the calls to the other endpoint, as sent with the requests.
 const OTHER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -200,11 +206,15 @@
 
 /// Sends a request and returns the caller's connection.
 fn send_request(callers: SocketAddr, path: &str) -> TcpStream {
+    send_request_for(callers, path, ENDLESS_TIMEOUT)
+}
+
+fn send_request_for(callers: SocketAddr, path: &str, timeout: Duration) -> TcpStream {
     let mut stream = TcpStream::connect(callers).unwrap();
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: endless\r\n\
          Deadline-Ms: {}\r\nCredential: {KEY}\r\nContent-Length: 4\r\n\r\nbody",
-        ENDLESS_TIMEOUT.as_millis()
+        timeout.as_millis()
     );
     stream.write_all(request.as_bytes()).unwrap();
     stream
@@ -277,13 +287,23 @@
     check_memory(&endless.deployment);
 }
 
-/// The exchange of a caller that is closed because it reads nothing ends with it.
+/// The exchange of a caller that is closed because it reads nothing ends with it, before
+/// the timeout of the call ends both.
 #[test]
 fn unread_body_ends_exchange() {
     let first = format!("{ENDLESS_HEAD}Request-Id: <id>\r\n\r\n");
     let endless = EndlessDeployment::spawn(EndlessEndpoint::spawn(first, "a"));
-    let callers = endless.start_calls(1);
-    endless.wait_closed(ENDLESS_TIMEOUT / 2);
+    let mut callers = Vec::new();
+    wait_until("a request reaches the endless endpoint", || {
+        if endless.endpoint.started() == 0 {
+            let callers_address = endless.deployment.callers;
+            callers.push(send_request_for(callers_address, "/once/x", LONG_TIMEOUT));
+        }
+        thread::sleep(Duration::from_millis(50));
+        endless.endpoint.started() > 0
+    })
+    .unwrap();
+    endless.wait_closed(UNREAD_LIMIT + CLOSE_LIMIT);
     check_memory(&endless.deployment);
     drop(callers);
 }
--- /dev/null
+++ b/crates/runtime/src/caller_budget.rs
@@ -0,0 +1,300 @@
+//! The budget of what a process holds for its callers.
+//!
+//! Purpose: bounds the memory and the descriptors that callers of all ports of a process can
+//! take, whatever they send, so that the rest is left for the process's own connections,
+//! links and files.
+//!
+//! Guarantees: memory for a request is taken before its bytes are read; the last part of the
+//! memory is taken only for small requests, so that these never wait for large ones; what a
+//! [`CallerCharge`] holds is free again when it is dropped.
+//!
+//! The ports of one process run on several threads, so that the budget is shared and counts
+//! with atomic operations. docs/design/caller-budget.md says what was weighed.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberrywell_settings::CallerSettings;
+
+/// Divisor of the memory that gives the part which only small requests may take.
+const SMALL_PART_DIVISOR: usize = 4;
+
+/// Divisor of the free memory that gives the unread bytes allowed to one caller.
+const FREE_DIVISOR: usize = 8;
+
+/// Connections that each port may have, and descriptors beyond the limit for them.
+const PORT_RESERVE: usize = 16;
+
+/// Time without received bytes after which an incomplete request may be refused to make
+/// room for another one.
+pub const STALL_MIN: Duration = Duration::from_millis(100);
+
+/// Interval between two searches for an incomplete request to refuse, after one in vain.
+pub const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Limits of a budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Bytes that may be held.
+    pub memory: usize,
+    /// Descriptors that callers' connections may use.
+    pub descriptors: usize,
+    /// Length in bytes up to which a request is small.
+    pub small_request: usize,
+    /// Bytes that are read behind a request in flight.
+    pub read_ahead: usize,
+}
+
+impl CallerLimits {
+    /// Returns the limits that the settings specify; callers use two thirds of a process's
+    /// descriptors at most.
+    pub fn from_settings(settings: &CallerSettings, descriptor_limit: usize) -> Self {
+        CallerLimits {
+            memory: settings.memory,
+            descriptors: settings.descriptors.min(descriptor_limit / 3 * 2),
+            small_request: settings.small_request,
+            read_ahead: settings.read_ahead,
+        }
+    }
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self::from_settings(&CallerSettings::default(), usize::MAX)
+    }
+}
+
+/// What was refused or closed because of a limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RefusalCounts {
+    /// Requests refused for lack of memory.
+    pub requests: u64,
+    /// Connections refused for lack of descriptors.
+    pub connections: u64,
+    /// Connections without a request in flight that were closed to make room.
+    pub closed: u64,
+    /// Connections closed because of the unread bytes held for them.
+    pub ended: u64,
+    /// Failures to accept a connection.
+    pub accept_failures: u64,
+}
+
+impl RefusalCounts {
+    /// Adds other counts.
+    pub fn add(&mut self, other: RefusalCounts) {
+        self.requests += other.requests;
+        self.connections += other.connections;
+        self.closed += other.closed;
+        self.ended += other.ended;
+        self.accept_failures += other.accept_failures;
+    }
+}
+
+#[derive(Debug, Default)]
+struct RefusalCounters {
+    requests: AtomicU64,
+    connections: AtomicU64,
+    closed: AtomicU64,
+    ended: AtomicU64,
+    accept_failures: AtomicU64,
+}
+
+#[derive(Debug)]
+struct SharedBudget {
+    limits: CallerLimits,
+    /// Bytes held; above the limit only by what is held for requests in flight.
+    held: AtomicUsize,
+    /// Descriptors used; above the limit only by what ports with few connections use.
+    descriptors: AtomicUsize,
+    counters: RefusalCounters,
+}
+
+/// Handle of the budget of a process.
+#[derive(Debug, Clone)]
+pub struct CallerBudget {
+    shared: Arc<SharedBudget>,
+}
+
+impl Default for CallerBudget {
+    fn default() -> Self {
+        Self::open(CallerLimits::default())
+    }
+}
+
+impl CallerBudget {
+    /// Opens a budget.
+    pub fn open(limits: CallerLimits) -> Self {
+        CallerBudget {
+            shared: Arc::new(SharedBudget {
+                limits,
+                held: AtomicUsize::new(0),
+                descriptors: AtomicUsize::new(0),
+                counters: RefusalCounters::default(),
+            }),
+        }
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.shared.limits
+    }
+
+    /// Returns the bytes held.
+    pub fn held(&self) -> usize {
+        self.shared.held.load(Ordering::Relaxed)
+    }
+
+    /// Returns the descriptors that callers' connections use.
+    pub fn descriptors(&self) -> usize {
+        self.shared.descriptors.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether more is held than allowed.
+    pub fn is_over(&self) -> bool {
+        self.held() > self.shared.limits.memory
+    }
+
+    /// Returns the bytes of a response that may be held for one caller which doesn't read;
+    /// the less is free, the fewer.
+    pub fn unread_share(&self, most: usize) -> usize {
+        let free = self.shared.limits.memory.saturating_sub(self.held());
+        most.min(free / FREE_DIVISOR)
+            .max(self.shared.limits.small_request)
+    }
+
+    /// Returns whether a request with a body of this many bytes can be held at all.
+    pub fn can_hold(&self, body_len: usize) -> bool {
+        body_len <= self.shared.limits.memory
+    }
+
+    /// Takes the descriptors of a new connection at a port with `open` connections; none
+    /// when all are in use. A port with few connections may exceed the limit, so that a
+    /// crowd at another port, whose connections it can't close, doesn't shut it.
+    pub fn connect(&self, open: usize, descriptors: usize) -> Option<CallerCharge> {
+        let reserve = match open < PORT_RESERVE {
+            true => PORT_RESERVE,
+            false => 0,
+        };
+        let limit = self.shared.limits.descriptors + reserve;
+        let used = &self.shared.descriptors;
+        let taken = used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
+            (used + descriptors <= limit).then_some(used + descriptors)
+        });
+        taken.is_ok().then(|| CallerCharge {
+            budget: self.clone(),
+            held: 0,
+            descriptors,
+        })
+    }
+
+    /// Returns a charge without descriptors.
+    pub fn charge(&self) -> CallerCharge {
+        CallerCharge {
+            budget: self.clone(),
+            held: 0,
+            descriptors: 0,
+        }
+    }
+
+    /// Counts what was refused or closed.
+    pub fn count(&self, counts: RefusalCounts) {
+        let counters = &self.shared.counters;
+        let pairs = [
+            (&counters.requests, counts.requests),
+            (&counters.connections, counts.connections),
+            (&counters.closed, counts.closed),
+            (&counters.ended, counts.ended),
+            (&counters.accept_failures, counts.accept_failures),
+        ];
+        for (counter, count) in pairs {
+            if count > 0 {
+                counter.fetch_add(count, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Removes and returns what was counted.
+    pub fn take_counts(&self) -> RefusalCounts {
+        let counters = &self.shared.counters;
+        let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
+        RefusalCounts {
+            requests: take(&counters.requests),
+            connections: take(&counters.connections),
+            closed: take(&counters.closed),
+            ended: take(&counters.ended),
+            accept_failures: take(&counters.accept_failures),
+        }
+    }
+}
+
+/// What is held for one connection.
+#[derive(Debug)]
+pub struct CallerCharge {
+    budget: CallerBudget,
+    /// Bytes; part of the budget's sum.
+    held: usize,
+    /// Descriptors; part of the budget's sum.
+    descriptors: usize,
+}
+
+impl CallerCharge {
+    /// Returns the bytes held.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Takes `len` more bytes for a request that needs `request_len` bytes; false when they
+    /// are not free.
+    pub fn take(&mut self, len: usize, request_len: usize) -> bool {
+        let limits = &self.budget.shared.limits;
+        let large_part = limits.memory - limits.memory / SMALL_PART_DIVISOR;
+        // A request that is larger than the part for large ones may have all.
+        let bound = if request_len <= limits.small_request || request_len > large_part {
+            limits.memory
+        } else {
+            large_part
+        };
+        let sum = &self.budget.shared.held;
+        let taken = sum.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |held| {
+            let held = held.checked_add(len)?;
+            (held <= bound).then_some(held)
+        });
+        if taken.is_ok() {
+            self.held += len;
+        }
+        taken.is_ok()
+    }
+
+    /// Sets the bytes held, also beyond the limit.
+    pub fn set(&mut self, held: usize) {
+        let sum = &self.budget.shared.held;
+        if held > self.held {
+            sum.fetch_add(held - self.held, Ordering::Relaxed);
+        } else if held < self.held {
+            sum.fetch_sub(self.held - held, Ordering::Relaxed);
+        }
+        self.held = held;
+    }
+
+    /// Uses so many descriptors from now on, at a port with `open` connections; false when
+    /// they are not free.
+    pub fn use_descriptors(&mut self, open: usize, descriptors: usize) -> bool {
+        let more = descriptors.saturating_sub(self.descriptors);
+        match self.budget.connect(open, more) {
+            Some(mut charge) => {
+                self.descriptors += std::mem::take(&mut charge.descriptors);
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+impl Drop for CallerCharge {
+    fn drop(&mut self) {
+        self.set(0);
+        let used = &self.budget.shared.descriptors;
+        used.fetch_sub(self.descriptors, Ordering::Relaxed);
+    }
+}
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -5,22 +5,22 @@
 //! connection.
 //!
 //! Guarantees: a connection has at most one request in flight, and pipelined
-//! requests wait in its buffer; beyond the length of one request they are not
-//! read; a connection that ends while its request is in flight is reported at
-//! once, unless bytes before its end are not read; durations and lengths are
+//! requests wait in its buffer, beyond a limit unread; a connection that ends while its
+//! request is in flight is reported at once; durations and lengths are
 //! limited by the listener's bounds; a truncated response is never framed as a
-//! complete one.
+//! complete one; what is held for callers is in the process's budget, memory for a
+//! request before its bytes are read.
 
+mod caller_accepts;
 mod caller_backlog;
+mod caller_reads;
 mod caller_refusals;
 mod caller_timeouts;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use mulberrywell_http1::{
-    write_chunk, write_last_chunk, write_response_head, RequestLimits, RequestReader,
-};
+use mulberrywell_http1::{write_chunk, write_last_chunk, write_response_head, RequestReader};
 use mulberrywell_role::{ConnectionBounds, HttpEvent, ListenerId, RequestId, ResponsePart};
 use socket2::SockRef;
 use stakker::Fwd;
@@ -28,17 +28,14 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::{MioPoll, MioSource, Ready};
 
-use crate::http_socket::{HttpSocket, ReadState};
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts};
+use crate::http_socket::{HttpSocket, RECEIVE_BUFFER};
 
-use caller_refusals::refusal_status;
+use caller_accepts::CloseRank;
+use caller_reads::ReadQueues;
 
 pub use caller_backlog::EndedCaller;
 
-/// Soft limit on the connections of all listeners together; beyond it, a new
-/// connection closes the one that has been idle for longest. Leaves some of the
-/// platform's usual 4,096 descriptors for endpoints.
-pub const CONNECTIONS_MAX: usize = 2_600;
-
 /// Response bytes that may be buffered for a slow caller before its connection
 /// is closed.
 const RESPONSE_BUFFER_MAX: usize = 8 * 1024 * 1024;
@@ -47,8 +44,17 @@
 /// before its socket is closed.
 const LINGER_MAX: Duration = Duration::from_secs(1);
 
+/// Lowest status of a response that is no success.
+const ERROR_STATUS: u16 = 400;
+
+/// Longest framing of a chunk in bytes.
+const CHUNK_FRAME_MAX: usize = 20;
+
 const POLL_PRIORITY: u32 = 10;
 
+/// Memory in bytes of a connection without its buffers.
+const CONNECTION_MEMORY: usize = 1_024;
+
 /// Id of a connection; never reused.
 pub type CallerId = u64;
 
@@ -96,13 +102,27 @@
     unwritten_len: usize,
     /// When the caller last read a part of what is queued, or nothing was.
     progress_at: Instant,
-    /// Length of the body of the request in flight.
+    /// Length of the head and body of the request in flight.
     request_len: usize,
+    /// Bytes received of the request that is being read.
+    received_len: usize,
+    /// When bytes were received last.
+    received_at: Instant,
+    /// The caller has had a successful response, so that it is known to behave.
+    is_proven: bool,
+    /// Bytes behind the request in flight are left in the socket.
+    is_paused: bool,
+    /// The connection waits in one of the read queues.
+    is_queued: bool,
+    /// What is held for the caller, as in the budget.
+    charge: CallerCharge,
 }
 
 struct ListenerRecord {
     /// None once no further connections are accepted.
     source: Option<MioSource<TcpListener>>,
+    /// When connections that may wait are accepted, as the poll doesn't tell of them again.
+    accept_at: Option<Instant>,
     /// The listener closes once no connection waits to be accepted.
     is_stopping: bool,
     bounds: ConnectionBounds,
@@ -120,13 +140,26 @@
     /// Connections with queued bytes that are not yet written.
     dirty: Vec<CallerId>,
     /// Connections that may have more bytes than their last turn read.
-    unread: BTreeSet<CallerId>,
+    unread: ReadQueues,
+    /// Connections that may be closed to make room, in order.
+    closable: VecDeque<(CloseRank, CallerId)>,
+    /// When a request to refuse was last searched for in vain.
+    searched_at: Option<Instant>,
+    budget: CallerBudget,
 }
 
 /// Events for the role.
 pub type CallerEvents = Vec<(ListenerId, HttpEvent)>;
 
 impl CallerTable {
+    /// Creates a table without connections with a process's budget.
+    pub fn new(budget: CallerBudget) -> Self {
+        CallerTable {
+            budget,
+            ..CallerTable::default()
+        }
+    }
+
     /// Starts accepting connections of a listener.
     ///
     /// # Errors
@@ -141,6 +174,7 @@
         let source = poll.add(listener, Interest::READABLE, POLL_PRIORITY, ready)?;
         let record = ListenerRecord {
             source: Some(source),
+            accept_at: None,
             is_stopping: false,
             bounds: BOUNDS_DEFAULT,
             closing: false,
@@ -149,20 +183,8 @@
         Ok(())
     }
 
-    /// Accepts the next pending connection of a listener.
-    pub fn accept(&mut self, id: ListenerId) -> Option<(CallerId, TcpStream)> {
-        let record = self.listeners.get_mut(&id)?;
-        let Ok((stream, _)) = record.source.as_ref()?.accept() else {
-            if record.is_stopping {
-                record.source = None;
-            }
-            return None;
-        };
-        self.next_id += 1;
-        Some((self.next_id, stream))
-    }
-
-    /// Adds an accepted connection.
+    /// Adds an accepted connection, or refuses it when callers use all descriptors that
+    /// they may and none of them can be closed.
     ///
     /// # Errors
     /// Fails when the connection can't be polled.
@@ -176,9 +198,10 @@
         ready: Fwd<Ready>,
     ) -> std::io::Result<()> {
         SockRef::from(&stream).set_tcp_nodelay(true)?;
-        if self.connections.len() >= CONNECTIONS_MAX {
-            self.evict_idle();
-        }
+        let Some(charge) = self.admit(now) else {
+            self.refuse_connection(id, &stream);
+            return Ok(());
+        };
         let interest = Interest::READABLE | Interest::WRITABLE;
         let source = poll.add(stream, interest, POLL_PRIORITY, ready)?;
         let connection = CallerConnection {
@@ -195,9 +218,16 @@
             unwritten_len: 0,
             progress_at: now,
             request_len: 0,
+            received_len: 0,
+            received_at: now,
+            is_proven: false,
+            is_paused: false,
+            is_queued: false,
+            charge,
         };
         self.connections.insert(id, connection);
         self.begin_idle(now, id);
+        self.settle(id);
         Ok(())
     }
 
@@ -232,50 +262,6 @@
         }
     }
 
-    /// Handles a connection that is ready to read or write.
-    pub fn handle_ready(
-        &mut self,
-        now: Instant,
-        id: CallerId,
-        scratch: &mut [u8],
-        events: &mut CallerEvents,
-    ) {
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return;
-        };
-        let record = self.listeners.get(&connection.listener);
-        let read_state = if record.is_some_and(|record| connection.is_full(record.bounds)) {
-            ReadState::Open
-        } else {
-            connection.socket.read(scratch)
-        };
-        if read_state == ReadState::Unread {
-            self.unread.insert(id);
-        } else {
-            self.unread.remove(&id);
-        }
-        if matches!(connection.phase, CallerPhase::Lingering(_)) {
-            connection.socket.input.clear();
-        }
-        if !read_state.is_open() || !connection.flush() {
-            self.close(id, events);
-            return;
-        }
-        self.read_requests(now, id, events);
-    }
-
-    /// Returns whether a connection must be read again.
-    pub fn has_unread(&self) -> bool {
-        !self.unread.is_empty()
-    }
-
-    /// Reads the connections again that have more bytes than one turn reads.
-    pub fn read_again(&mut self, now: Instant, scratch: &mut [u8], events: &mut CallerEvents) {
-        for id in std::mem::take(&mut self.unread) {
-            self.handle_ready(now, id, scratch, events);
-        }
-    }
-
     /// Queues a part of a response; the connection of a caller that stops
     /// reading is closed once too much is buffered.
     pub fn queue_response_part(
@@ -310,6 +296,7 @@
             self.requests.remove(&request);
             self.finish_response(now, id, events);
         }
+        self.settle(id);
     }
 
     /// Writes the queued bytes.
@@ -323,6 +310,7 @@
             if !connection.flush() {
                 self.close(id, events);
             }
+            self.settle(id);
         }
         self.dirty = dirty;
     }
@@ -332,9 +320,9 @@
             return;
         };
         connection.request_len = 0;
-        if !connection.socket.input.is_empty() {
-            // Reading may have stopped while the input was full.
-            self.unread.insert(id);
+        connection.received_len = connection.socket.input.len();
+        if std::mem::take(&mut connection.is_paused) {
+            self.unread.push(id, connection, self.budget.limits());
         }
         if connection.close_after {
             connection.phase = CallerPhase::Lingering(now);
@@ -351,59 +339,6 @@
         self.read_requests(now, id, events);
     }
 
-    fn read_requests(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return;
-        };
-        let Some(record) = self.listeners.get(&connection.listener) else {
-            return;
-        };
-        if !matches!(
-            connection.phase,
-            CallerPhase::Idle(_) | CallerPhase::Reading(_)
-        ) {
-            return;
-        }
-        if connection.socket.input.is_empty() && !connection.reader.is_open() {
-            return;
-        }
-        let limits = RequestLimits {
-            head_max: record.bounds.head_max,
-            body_max: record.bounds.body_max,
-        };
-        match connection
-            .reader
-            .next_request(&mut connection.socket.input, limits)
-        {
-            Ok(Some(read)) => {
-                self.next_id += 1;
-                let request = self.next_id;
-                connection.phase = CallerPhase::Processing(request);
-                connection.close_after = read.closes_connection;
-                connection.allows_chunks = read.allows_chunks;
-                connection.is_head_request = read.http.method == "HEAD";
-                self.requests.insert(request, id);
-                let http = read.http;
-                connection.request_len = http.body.len();
-                events.push((connection.listener, HttpEvent::Request { request, http }));
-            }
-            Ok(None) => {
-                if connection.reader.pop_expect_continue() {
-                    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
-                    connection.socket.output.extend_from_slice(interim);
-                    self.dirty.push(id);
-                }
-                if let CallerPhase::Idle(_) = connection.phase {
-                    connection.phase = CallerPhase::Reading(now);
-                }
-            }
-            Err(error) => {
-                connection.refuse(now, refusal_status(error), &[]);
-                self.dirty.push(id);
-            }
-        }
-    }
-
     fn close(&mut self, id: CallerId, events: &mut CallerEvents) {
         let Some(connection) = self.connections.remove(&id) else {
             return;
@@ -416,16 +351,6 @@
 }
 
 impl CallerConnection {
-    fn held_bytes(&self) -> usize {
-        self.socket.output.len() + self.socket.input.len() + self.request_len
-    }
-
-    /// Returns whether no more input is read until the response is complete.
-    fn is_full(&self, bounds: ConnectionBounds) -> bool {
-        let input_max = bounds.head_max + bounds.body_max;
-        matches!(self.phase, CallerPhase::Processing(_)) && self.socket.input.len() >= input_max
-    }
-
     /// Extends the wait of a connection whose caller still receives a response.
     fn record_progress(&mut self, now: Instant) {
         let unwritten_len = self.socket.output.len();
@@ -454,6 +379,7 @@
                     self.close_after = true;
                     self.set_reset_on_close(!self.is_head_request);
                 }
+                self.is_proven |= status < ERROR_STATUS;
                 let output = &mut self.socket.output;
                 write_response_head(
                     status,
@@ -465,8 +391,13 @@
                 );
             }
             ResponsePart::Data(_) if self.is_head_request => {}
-            ResponsePart::Data(buf) if self.chunked => write_chunk(&buf, &mut self.socket.output),
-            ResponsePart::Data(buf) => self.socket.output.extend_from_slice(&buf),
+            ResponsePart::Data(buf) => {
+                self.socket.reserve_output(buf.len() + CHUNK_FRAME_MAX);
+                match self.chunked {
+                    true => write_chunk(&buf, &mut self.socket.output),
+                    false => self.socket.output.extend_from_slice(&buf),
+                }
+            }
             ResponsePart::End if self.chunked && !self.is_head_request => {
                 write_last_chunk(&mut self.socket.output);
             }
--- a/crates/runtime/src/caller_table/caller_backlog.rs
+++ b/crates/runtime/src/caller_table/caller_backlog.rs
@@ -4,7 +4,7 @@
 
 use mulberrywell_role::{ListenerId, RequestId};
 
-use super::{CallerEvents, CallerId, CallerPhase, CallerTable};
+use super::{CallerEvents, CallerId, CallerPhase, CallerTable, RefusalCounts, RECEIVE_BUFFER};
 
 /// A caller's connection that was closed because of the memory held for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,13 +38,6 @@
         draining.map(|(listener, _)| *listener).collect()
     }
 
-    /// Returns the bytes held for all callers: what is not yet written or parsed, and the
-    /// bodies of requests in flight.
-    pub fn held_bytes(&self) -> usize {
-        let connections = self.connections.values();
-        connections.map(|it| it.held_bytes()).sum()
-    }
-
     /// Returns the bytes that a request's caller has not read, and when it last read any;
     /// none if it has gone.
     pub fn backlog(&self, request: RequestId) -> Option<(usize, Instant)> {
@@ -60,6 +53,14 @@
         }
     }
 
+    /// Closes a connection whose caller has gone, if bytes behind its request are not read,
+    /// so that reading doesn't tell.
+    pub fn close_paused(&mut self, id: CallerId, events: &mut CallerEvents) {
+        if self.connections.get(&id).is_some_and(|it| it.is_paused) {
+            self.close(id, events);
+        }
+    }
+
     /// Closes the connection of a request whose caller doesn't read.
     pub fn end_request(
         &mut self,
@@ -70,19 +71,34 @@
         self.end_caller(id, events)
     }
 
-    /// Closes the connection for which most unread bytes are held or, if there are none,
-    /// the one with the largest incomplete request.
-    pub fn end_largest(&mut self, events: &mut CallerEvents) -> Option<EndedCaller> {
+    /// Closes the connection for which most unread bytes of responses are held; if there are
+    /// none, refuses the largest incomplete request, or closes the connection with most
+    /// bytes behind the request in flight, and adds it to `ended`. Returns whether there was
+    /// one.
+    pub fn end_largest(
+        &mut self,
+        now: Instant,
+        events: &mut CallerEvents,
+        ended: &mut Vec<EndedCaller>,
+    ) -> bool {
         let connections = self.connections.iter();
         let sizes = connections.map(|(id, connection)| {
             let input = match connection.phase {
-                CallerPhase::Processing(_) => 0,
-                _ => connection.socket.input.len(),
+                CallerPhase::Reading(_) => connection.charge.held(),
+                CallerPhase::Processing(_) if connection.is_paused => RECEIVE_BUFFER,
+                _ => 0,
             };
             ((connection.socket.output.len(), input), *id)
         });
-        let (size, id) = sizes.max()?;
-        (size > (0, 0)).then(|| self.end_caller(id, events))?
+        let Some(((output, _), id)) = sizes.max().filter(|(size, _)| *size > (0, 0)) else {
+            return false;
+        };
+        let phase = self.connections.get(&id).map(|it| it.phase);
+        match phase {
+            Some(CallerPhase::Reading(_)) if output == 0 => self.refuse_request(now, id),
+            _ => ended.extend(self.end_caller(id, events)),
+        }
+        true
     }
 
     fn end_caller(&mut self, id: CallerId, events: &mut CallerEvents) -> Option<EndedCaller> {
@@ -90,9 +106,14 @@
         let address = connection.socket.stream().peer_addr();
         let ended = EndedCaller {
             address: address.map(|it| it.to_string()).unwrap_or_default(),
-            held: connection.held_bytes(),
+            held: connection.charge.held(),
         };
         self.close(id, events);
+        let counts = RefusalCounts {
+            ended: 1,
+            ..RefusalCounts::default()
+        };
+        self.budget.count(counts);
         Some(ended)
     }
 }
--- a/crates/runtime/src/caller_table/caller_refusals.rs
+++ b/crates/runtime/src/caller_table/caller_refusals.rs
@@ -2,30 +2,26 @@
 
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
-use mulberrywell_http1::{write_response_head, HeadError, RequestError};
+use bytes::Bytes;
+use mulberrywell_http1::{write_response_head, HeadError, RequestError, RequestReader};
 use mulberrywell_wire::request::HeaderField;
 
-use super::{CallerConnection, CallerPhase, CallerTable};
+use super::{CallerConnection, CallerId, CallerPhase, CallerTable};
 
-/// Seconds after which a caller should send a request again that has not arrived before
-/// the process ends.
-const RETRY_AFTER: &[u8] = b"1";
+/// Seconds after which callers should send requests again that were not read; they are
+/// divided among these, so that they don't return all at once.
+const RETRY_AFTER: [&[u8]; 2] = [b"1", b"2"];
 
 impl CallerTable {
     /// Refuses the requests that have not arrived completely on connections that are to
     /// close, as the process ends.
     pub fn refuse_incomplete(&mut self, now: Instant) {
-        let retry_after = [HeaderField {
-            name: Bytes::from_static(b"Retry-After"),
-            value: Bytes::from_static(RETRY_AFTER),
-        }];
         for (id, connection) in &mut self.connections {
             let record = self.listeners.get(&connection.listener);
             let is_reading = matches!(connection.phase, CallerPhase::Reading(_));
             // What has arrived and is not yet read may complete the request.
             if is_reading && record.is_some_and(|it| it.closing) && !connection.has_arrived() {
-                connection.refuse(now, 503, &retry_after);
+                connection.refuse(now, 503, &retry_after(*id));
                 self.dirty.push(*id);
             }
         }
@@ -36,9 +32,12 @@
     /// Sends an error response to invalid or incomplete input and stops reading requests.
     pub(super) fn refuse(&mut self, now: Instant, status: u16, headers: &[HeaderField]) {
         self.phase = CallerPhase::Lingering(now);
-        self.socket.input = BytesMut::new();
+        self.socket.clear_input();
+        self.reader = RequestReader::default();
         let output = &mut self.socket.output;
         write_response_head(status, headers, Some(0), true, true, output);
+        let memory = self.memory();
+        self.charge.set(memory);
     }
 }
 
@@ -50,3 +49,12 @@
         RequestError::Head(_) | RequestError::BadBody => 400,
     }
 }
+
+/// Returns the field that tells a connection's caller when to send its request again.
+pub(super) fn retry_after(id: CallerId) -> [HeaderField; 1] {
+    let place = usize::try_from(id).unwrap_or(0) % RETRY_AFTER.len();
+    [HeaderField {
+        name: Bytes::from_static(b"Retry-After"),
+        value: Bytes::from_static(RETRY_AFTER[place]),
+    }]
+}
--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -6,13 +6,14 @@
     CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, BOUNDS_DEFAULT, LINGER_MAX,
 };
 
-/// Connections that are asked for unread bytes to make room for one new connection.
-const EVICTION_TRIES_MAX: usize = 8;
-
 /// Time without progress allowed while a response is written to a slow caller. A socket
 /// takes more bytes only once a good part of its buffer is sent.
 const WRITE_STALL_MAX: Duration = Duration::from_secs(3);
 
+/// Multiple of a request's timeout after which its connection is not read any further,
+/// whatever has arrived.
+const OVERDUE_FACTOR: u32 = 2;
+
 impl CallerTable {
     /// Applies the timeouts of all connections.
     pub fn tick(&mut self, now: Instant, events: &mut CallerEvents) {
@@ -37,23 +38,27 @@
                 }
                 CallerPhase::Processing(_) => continue,
             };
-            if now.saturating_duration_since(since) >= limit {
-                overdue.push(*id);
+            let duration = now.saturating_duration_since(since);
+            if duration >= limit {
+                overdue.push((*id, duration >= limit * OVERDUE_FACTOR));
             }
         }
-        for id in overdue {
-            self.expire(now, id, events);
+        for (id, is_final) in overdue {
+            self.expire(now, id, is_final, events);
         }
     }
 
-    fn expire(&mut self, now: Instant, id: CallerId, events: &mut CallerEvents) {
+    /// Ends a connection that is overdue. One on which bytes have arrived is read first,
+    /// unless it is overdue for good: its caller may send without end.
+    fn expire(&mut self, now: Instant, id: CallerId, is_final: bool, events: &mut CallerEvents) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        if connection.has_arrived() {
+        let is_reading = matches!(connection.phase, CallerPhase::Reading(_));
+        if connection.has_arrived() && !(is_reading && is_final) {
             return;
         }
-        if matches!(connection.phase, CallerPhase::Reading(_)) {
+        if is_reading {
             connection.refuse(now, 408, &[]);
             self.dirty.push(id);
         } else {
@@ -70,30 +75,12 @@
             connection.idle_timeout = bounds.idle_timeout;
         }
     }
-
-    /// Closes the connection that has been idle for longest.
-    pub(super) fn evict_idle(&mut self) {
-        let connections = self.connections.iter();
-        let idle = connections.filter_map(|(id, connection)| match connection.phase {
-            CallerPhase::Idle(since) if connection.socket.output.is_empty() => Some((since, *id)),
-            _ => None,
-        });
-        let mut idle: Vec<(Instant, CallerId)> = idle.collect();
-        idle.sort_unstable();
-        let mut ids = idle.into_iter().map(|(_, id)| id).take(EVICTION_TRIES_MAX);
-        let connections = &mut self.connections;
-        let unused = ids.find(|id| connections.get(id).is_some_and(|it| !it.has_arrived()));
-        if let Some(id) = unused {
-            connections.remove(&id);
-        }
-    }
 }
 
 impl CallerConnection {
     /// Returns whether a request, or the rest of one, has arrived and is not yet read, which
     /// the poll will tell.
     pub(super) fn has_arrived(&self) -> bool {
-        let awaits_request = matches!(self.phase, CallerPhase::Idle(_) | CallerPhase::Reading(_));
-        awaits_request && self.socket.has_unread()
+        self.awaits_request() && self.socket.has_unread()
     }
 }
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -20,7 +20,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use mulberrywell_http1::{write_request, BodyFraming, ResponseHead, ResponseInput, ResponseReader};
+use mulberrywell_http1::{
+    write_request_head, BodyFraming, ResponseHead, ResponseInput, ResponseReader,
+};
 use mulberrywell_role::{header_value, ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest};
 use mulberrywell_wire::request::HeaderField;
 use socket2::{SockRef, TcpKeepalive};
@@ -240,6 +242,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        connection.socket.release_input();
         if read_state.is_open() {
             return;
         }
@@ -284,10 +287,10 @@
         }
     }
 
-    /// Returns the bytes held for all endpoints: what is not yet written or parsed.
+    /// Returns the bytes of memory that the buffers of all connections take.
     pub fn held_bytes(&self) -> usize {
         let sockets = self.connections.values().map(|it| &it.socket);
-        sockets.map(|it| it.input.len() + it.output.len()).sum()
+        sockets.map(HttpSocket::held_bytes).sum()
     }
 
     /// Closes connections whose connect or idle timeout has expired.
@@ -374,7 +377,7 @@
             return;
         };
         let has_leftover_bytes = !connection.socket.input.is_empty()
-            || !connection.socket.output.is_empty()
+            || connection.socket.unwritten_len() > 0
             || self.unread.contains(&id);
         let is_used_up = connection.sent_ids.len() >= EXCHANGES_MAX;
         if connection.close_after
@@ -466,8 +469,10 @@
         self.skipping = false;
         self.idle_timeout = IDLE_DEFAULT;
         self.socket.has_sent = false;
+        let body_len = http.body.len();
         let output = &mut self.socket.output;
-        write_request(&http.method, &http.path, &http.headers, &http.body, output);
+        write_request_head(&http.method, &http.path, &http.headers, body_len, output);
+        self.socket.queue_body(&http.body);
     }
 
     /// Returns whether no byte of the current request was written yet.
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -33,6 +33,7 @@
 use mulberrywell_role::RequestId;
 use socket2::SockRef;
 
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts, SEARCH_INTERVAL, STALL_MIN};
 use crate::http_refusal::OVERLOADED;
 use crate::proxy_connection::{
     CloseMode, ConnectionLimits, ProxyConnection, ProxySide, ProxyStep, SocketReady, READ_LEN,
@@ -86,6 +87,7 @@
         port: u16,
         request: Option<RequestId>,
         close: CloseMode,
+        is_success: bool,
     },
     RefuseUnread,
 }
@@ -108,6 +110,7 @@
         listener: std::net::TcpListener,
         upstream: SocketAddr,
         limits: ProxyLimits,
+        budget: CallerBudget,
         notify_disconnect: F,
     ) -> Result<Self> {
         listener.set_nonblocking(true)?;
@@ -122,6 +125,7 @@
             listener,
             upstream,
             limits,
+            budget,
             notify_disconnect,
             rx,
             connections: BTreeMap::new(),
@@ -129,6 +133,8 @@
             start_tracker: StartTracker::default(),
             next_id: 0,
             accept_resume_at: None,
+            pending: Vec::new(),
+            searched_at: None,
             refuses_unread: false,
             scratch: vec![0; READ_LEN],
         };
@@ -148,13 +154,20 @@
         self.send(ProxyCommand::Started { port, request });
     }
 
-    /// Notifies that nothing more of a response will be written; must be called
-    /// before the library's writer is dropped.
-    pub fn notify_finished(&self, port: u16, request: Option<RequestId>, close: CloseMode) {
+    /// Notifies that nothing more of a response will be written, and whether it was a
+    /// success; must be called before the library's writer is dropped.
+    pub fn notify_finished(
+        &self,
+        port: u16,
+        request: Option<RequestId>,
+        close: CloseMode,
+        is_success: bool,
+    ) {
         self.send(ProxyCommand::Finished {
             port,
             request,
             close,
+            is_success,
         });
     }
 
@@ -176,6 +189,7 @@
     listener: TcpListener,
     upstream: SocketAddr,
     limits: ProxyLimits,
+    budget: CallerBudget,
     notify_disconnect: F,
     rx: Receiver<ProxyCommand>,
     /// At most `limits.max_connections`.
@@ -186,6 +200,10 @@
     next_id: ConnectionId,
     /// When accepting resumes; set while it is paused.
     accept_resume_at: Option<Instant>,
+    /// Connections whose last turn ended before their transfers did.
+    pending: Vec<ConnectionId>,
+    /// When a request to refuse was last searched for in vain.
+    searched_at: Option<Instant>,
     /// Requests that are not passed to a role yet are refused.
     refuses_unread: bool,
     /// Reused between reads.
@@ -203,7 +221,10 @@
                 .deadline()
                 .unwrap_or(sweep_at)
                 .min(sweep_at);
-            let wait = (!idle).then(|| until.saturating_duration_since(Instant::now()));
+            let wait = match self.pending.is_empty() {
+                true => (!idle).then(|| until.saturating_duration_since(Instant::now())),
+                false => Some(Duration::ZERO),
+            };
             match self.poll.poll(&mut events, wait) {
                 Ok(()) => {}
                 Err(err) if err.kind() == ErrorKind::Interrupted => continue,
@@ -217,6 +238,9 @@
             for event in &events {
                 self.handle_event(now, event);
             }
+            for id in std::mem::take(&mut self.pending) {
+                self.advance(now, id);
+            }
             self.open_empty_connections(now);
             if now >= sweep_at {
                 self.sweep(now);
@@ -246,8 +270,12 @@
                     port,
                     request,
                     close,
+                    is_success,
                 } => {
                     if let Some((id, connection)) = self.connection_at_port(port) {
+                        if is_success {
+                            connection.record_success();
+                        }
                         connection.finish_request(now, request, close);
                         self.start_tracker.remove(id);
                         self.advance(now, id);
@@ -299,8 +327,12 @@
                 Ok((caller, _)) => self.add_connection(now, caller),
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
                 Err(err) if is_connection_error(&err) => {}
-                Err(err) => {
-                    spdlog::warn!("http: can't accept a connection: {}", err);
+                Err(_) => {
+                    let counts = RefusalCounts {
+                        accept_failures: 1,
+                        ..RefusalCounts::default()
+                    };
+                    self.budget.count(counts);
                     self.accept_resume_at = Some(now + ACCEPT_RETRY_DELAY);
                     return;
                 }
@@ -309,12 +341,17 @@
     }
 
     fn add_connection(&mut self, now: Instant, mut caller: TcpStream) {
-        if self.connections.len() >= self.limits.max_connections && !self.evict_idle() {
+        let Some(charge) = self.admit() else {
             // If the socket does not accept the bytes at once, it is closed
             // without a response.
             let _ = caller.write(&OVERLOADED.bytes());
+            let counts = RefusalCounts {
+                connections: 1,
+                ..RefusalCounts::default()
+            };
+            self.budget.count(counts);
             return;
-        }
+        };
         let id = self.next_id;
         self.next_id += 1;
         // If these options can't be set, the connection is slower or uses more
@@ -327,37 +364,115 @@
         if registry.register(&mut caller, token, interest).is_err() {
             return;
         }
-        let mut connection = ProxyConnection::new(caller, self.limits.connection, now);
+        let mut connection = ProxyConnection::new(caller, self.limits.connection, now, charge);
         if self.refuses_unread {
             connection.refuse_unread(now);
         }
         self.connections.insert(id, connection);
     }
 
-    /// Closes the connection that has been idle for longest.
-    fn evict_idle(&mut self) -> bool {
-        let idle = self.connections.iter();
-        let idle = idle.filter_map(|(id, connection)| Some((connection.idle_since()?, *id)));
-        match idle.min() {
-            Some((_, id)) => {
-                self.remove_connection(id);
-                true
-            }
-            None => false,
+    /// Takes the descriptor of a new connection; closes another one if that is necessary
+    /// and possible.
+    fn admit(&mut self) -> Option<CallerCharge> {
+        if self.connections.len() >= self.limits.max_connections && !self.close_one(None) {
+            return None;
+        }
+        if let Some(charge) = self.budget.connect(self.connections.len(), 1) {
+            return Some(charge);
         }
+        self.close_one(None);
+        self.budget.connect(self.connections.len(), 1)
+    }
+
+    /// Closes the connection without a request in flight that is closed first, other than
+    /// `except`.
+    fn close_one(&mut self, except: Option<ConnectionId>) -> bool {
+        let connections = self.connections.iter();
+        let others = connections.filter(|(id, _)| Some(**id) != except);
+        let ranked = others.filter_map(|(id, connection)| Some((connection.close_rank()?, *id)));
+        let Some((_, id)) = ranked.min() else {
+            return false;
+        };
+        self.remove_connection(id);
+        let counts = RefusalCounts {
+            closed: 1,
+            ..RefusalCounts::default()
+        };
+        self.budget.count(counts);
+        true
     }
 
     fn advance(&mut self, now: Instant, id: ConnectionId) {
         while let Some(connection) = self.connections.get_mut(&id) {
             match connection.advance(now, &mut self.scratch) {
                 ProxyStep::Wait => return,
+                ProxyStep::Again => return self.pending.push(id),
                 ProxyStep::Ended => return self.remove_connection(id),
                 ProxyStep::OpenUpstream => self.open_upstream(now, id),
+                ProxyStep::TakeMemory(len) => {
+                    if !self.take_memory(now, id, len) {
+                        self.refuse_request(now, id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes memory for a connection's request; refuses other requests that have stalled
+    /// while it is not free.
+    fn take_memory(&mut self, now: Instant, id: ConnectionId, len: usize) -> bool {
+        loop {
+            let Some(connection) = self.connections.get_mut(&id) else {
+                return false;
+            };
+            if connection.take_memory(len) {
+                return true;
             }
+            let Some(stalled) = self.find_stalled(now, id) else {
+                return false;
+            };
+            self.refuse_request(now, stalled);
+            // The refusal is written when its socket is polled next.
+            self.pending.push(stalled);
+        }
+    }
+
+    /// Returns the connection whose stalled incomplete request holds most for longest.
+    fn find_stalled(&mut self, now: Instant, except: ConnectionId) -> Option<ConnectionId> {
+        if self
+            .searched_at
+            .is_some_and(|at| now < at + SEARCH_INTERVAL)
+        {
+            return None;
+        }
+        let connections = self.connections.iter().filter(|(id, _)| **id != except);
+        let weights = connections
+            .filter_map(|(id, connection)| Some((connection.stalled_weight(now, STALL_MIN)?, *id)));
+        let found = weights.max().map(|(_, id)| id);
+        self.searched_at = found.is_none().then_some(now);
+        found
+    }
+
+    /// Refuses a connection's request for lack of memory or descriptors.
+    fn refuse_request(&mut self, now: Instant, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let counts = RefusalCounts {
+            requests: 1,
+            ..RefusalCounts::default()
+        };
+        self.budget.count(counts);
+        if connection.refuse_request(now, OVERLOADED) == ProxyStep::Ended {
+            self.remove_connection(id);
         }
     }
 
     fn open_upstream(&mut self, now: Instant, id: ConnectionId) {
+        if !self.take_descriptors(id) {
+            self.refuse_request(now, id);
+            return;
+        }
         let opened = TcpStream::connect(self.upstream).and_then(|mut upstream| {
             let token = token_of(id, ProxySide::Upstream);
             let interest = Interest::READABLE | Interest::WRITABLE;
@@ -386,6 +501,23 @@
         }
     }
 
+    /// Takes the descriptors of a connection that is opened to the upstream server; closes
+    /// others while they are not free.
+    fn take_descriptors(&mut self, id: ConnectionId) -> bool {
+        loop {
+            let open = self.connections.len();
+            let Some(connection) = self.connections.get_mut(&id) else {
+                return false;
+            };
+            if connection.take_descriptors(open) {
+                return true;
+            }
+            if !self.close_one(Some(id)) {
+                return false;
+            }
+        }
+    }
+
     fn remove_connection(&mut self, id: ConnectionId) {
         let Some(mut connection) = self.connections.remove(&id) else {
             return;
--- a/crates/runtime/src/held_memory.rs
+++ b/crates/runtime/src/held_memory.rs
@@ -1,29 +1,30 @@
-//! The bound on the memory that an instance holds for callers and endpoints.
+//! The part of the budget's memory that responses may take.
 //!
 //! Algorithm: a response is read from its endpoint only while the caller's unread part is
 //! below a limit. Half of the bound is divided evenly among all callers that may connect; of
 //! the other half, a caller gets a part of what is free (dynamic thresholds, Choudhury and
 //! Hahne, 1998). So any number of callers that don't read leave memory to those that do.
-//! The bytes held are counted at intervals and whenever enough were added since.
+//! What is held is counted by the process's budget.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use mulberrywell_role::{ExchangeId, RequestId};
 
-use crate::caller_table::CONNECTIONS_MAX;
+use crate::caller_budget::{CallerBudget, CallerCharge};
 use crate::exchange_table::ConnectionId;
 
 /// Divisor of the free part of the second half that gives the unread bytes allowed to one
 /// caller.
 const FREE_DIVISOR: usize = 16;
 
+/// Divisor of each caller's part of the first half that gives what is left for the
+/// connection itself and for spare capacity.
+const OVERHEAD_DIVISOR: usize = 4;
+
 /// Unread bytes allowed to one caller however much memory is free.
 const UNREAD_MAX: usize = 1024 * 1024;
 
-/// Divisor of the bound that gives the bytes added after which all are counted again.
-const RECOUNT_DIVISOR: usize = 64;
-
 /// Time for which a caller may read nothing while its response is not read from the
 /// endpoint. Endpoints cut off a response that remains unread for some seconds.
 pub const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -38,70 +39,76 @@
 }
 
 /// State of the bound.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct HeldMemory {
-    /// Bytes that may be held; none without a bound.
-    limit: Option<usize>,
-    /// Bytes held when they were last counted.
-    counted: usize,
-    /// Bytes added since.
-    added: usize,
+    budget: CallerBudget,
     /// Requests by the exchanges whose responses are forwarded to them.
     readers: BTreeMap<ExchangeId, RequestId>,
     paused: BTreeMap<ConnectionId, PausedRead>,
     /// Connections in `paused` by request.
     paused_requests: BTreeMap<RequestId, ConnectionId>,
+    /// Bytes of responses by request that the role has received and not yet passed on, as
+    /// it does once they are complete.
+    in_role: BTreeMap<RequestId, usize>,
+    /// Holds the sum of `in_role` in the budget.
+    role_charge: CallerCharge,
 }
 
 impl HeldMemory {
-    /// Returns a bound of `limit` bytes.
-    pub fn new(limit: Option<usize>) -> Self {
+    /// Returns a bound by a budget.
+    pub fn new(budget: CallerBudget) -> Self {
         HeldMemory {
-            limit,
-            ..HeldMemory::default()
+            role_charge: budget.charge(),
+            in_role: BTreeMap::new(),
+            budget,
+            readers: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            paused_requests: BTreeMap::new(),
         }
     }
 
-    /// Returns the bound.
-    pub fn limit(&self) -> Option<usize> {
-        self.limit
-    }
-
-    /// Records bytes that are held from now on.
-    pub fn add(&mut self, len: usize) {
-        self.added = self.added.saturating_add(len);
-    }
-
-    /// Records the bytes held.
-    pub fn set_counted(&mut self, held: usize) {
-        self.counted = held;
-        self.added = 0;
-    }
-
-    /// Returns whether the bytes held must be counted again.
-    pub fn needs_count(&self) -> bool {
-        self.limit.is_some_and(|limit| {
-            self.added > limit / RECOUNT_DIVISOR || self.counted + self.added > limit
-        })
-    }
-
     /// Returns how many bytes more of a response may be read whose caller has not read
     /// `backlog` bytes.
     pub fn read_allowance(&self, backlog: usize) -> usize {
-        let Some(limit) = self.limit else {
-            return usize::MAX;
-        };
-        let half = limit / 2;
-        let held = self.counted.saturating_add(self.added);
-        let shared = half.saturating_sub(held) / FREE_DIVISOR;
-        let unread_max = shared.min(UNREAD_MAX).max(half / CONNECTIONS_MAX);
+        let limits = self.budget.limits();
+        let half = limits.memory / 2;
+        let shared = half.saturating_sub(self.budget.held()) / FREE_DIVISOR;
+        let each = half / limits.descriptors.max(1);
+        let unread_max = shared.min(UNREAD_MAX).max(each - each / OVERHEAD_DIVISOR);
         unread_max.saturating_sub(backlog)
     }
 
     /// Records that an exchange's response is forwarded to a request's caller.
     pub fn insert_reader(&mut self, exchange: ExchangeId, request: RequestId) {
-        if self.limit.is_some() {
-            self.readers.insert(exchange, request);
+        self.readers.insert(exchange, request);
+        self.in_role.entry(request).or_insert(0);
+    }
+
+    /// Records bytes of a response that the role receives.
+    pub fn record_received(&mut self, exchange: ExchangeId, len: usize) {
+        let request = self.readers.get(&exchange);
+        if let Some(held) = request.and_then(|request| self.in_role.get_mut(request)) {
+            *held += len;
+            let sum = self.role_charge.held() + len;
+            self.role_charge.set(sum);
+        }
+    }
+
+    /// Records bytes of a response that the role passes on.
+    pub fn record_responded(&mut self, request: RequestId, len: usize) {
+        if let Some(held) = self.in_role.get_mut(&request) {
+            let passed = len.min(*held);
+            *held -= passed;
+            let sum = self.role_charge.held() - passed;
+            self.role_charge.set(sum);
+        }
+    }
+
+    /// Removes a request whose response has ended.
+    pub fn remove_request(&mut self, request: RequestId) {
+        if let Some(held) = self.in_role.remove(&request) {
+            let sum = self.role_charge.held() - held;
+            self.role_charge.set(sum);
         }
     }
 
--- a/crates/runtime/src/http_driver.rs
+++ b/crates/runtime/src/http_driver.rs
@@ -11,6 +11,7 @@
     ExchangeCommand, ExchangeEnd, ExchangeEvent, HttpEvent, ListenerId, RequestId, ResponsePart,
 };
 
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts};
 use crate::caller_table::{CallerEvents, CallerId, CallerTable, EndedCaller};
 use crate::exchange_table::{ConnectionId, ExchangeStart, ExchangeTable};
 use crate::held_memory::{HeldMemory, UNREAD_TIMEOUT};
@@ -31,15 +32,17 @@
     Exchange(ExchangeEvent),
 }
 
-/// What a sweep found of the memory that is held.
+/// What a sweep found of the budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MemoryReport {
+pub struct BudgetReport {
     /// Bytes held for callers and endpoints.
     pub held: u64,
+    /// Descriptors that callers' connections use.
+    pub descriptors: u64,
     /// Responses that are not read from their endpoints, as their callers don't read.
     pub paused: u64,
-    /// Callers ended since the last report.
-    pub ended: u64,
+    /// What was refused or closed since the last report.
+    pub counts: RefusalCounts,
 }
 
 /// HTTP connections and pending events of one role.
@@ -58,29 +61,33 @@
     pub exchange_events: Vec<ExchangeEvent>,
     next_sweep: Instant,
     memory: HeldMemory,
+    budget: CallerBudget,
+    /// What the connections to endpoints hold.
+    endpoint_charge: CallerCharge,
     /// Callers ended since the last sweep, beyond those with a log line.
     ended: Vec<EndedCaller>,
-    /// Set by each sweep with a bound.
-    memory_report: Option<MemoryReport>,
+    /// Set by each sweep.
+    report: Option<BudgetReport>,
     /// Set once the role has a listener or has started an exchange.
     is_active: bool,
 }
 
 impl HttpDriver {
-    /// Creates a driver without connections, which holds at most `memory_max` bytes for
-    /// callers and endpoints.
-    pub fn new(now: Instant, memory_max: Option<usize>) -> Self {
+    /// Creates a driver without connections with a process's budget.
+    pub fn new(now: Instant, budget: CallerBudget) -> Self {
         HttpDriver {
-            callers: CallerTable::default(),
+            callers: CallerTable::new(budget.clone()),
             exchanges: ExchangeTable::default(),
             events: VecDeque::new(),
             scratch: Vec::new(),
             caller_events: Vec::new(),
             exchange_events: Vec::new(),
             next_sweep: now + SWEEP_INTERVAL,
-            memory: HeldMemory::new(memory_max),
+            memory: HeldMemory::new(budget.clone()),
+            endpoint_charge: budget.charge(),
+            budget,
             ended: Vec::new(),
-            memory_report: None,
+            report: None,
             is_active: false,
         }
     }
@@ -119,7 +126,8 @@
                 connect_timeout,
                 reader,
             } => {
-                self.memory.add(http.body.len());
+                // The end of a caller that has gone is on its way to the role.
+                let reader = reader.filter(|it| self.callers.backlog(*it).is_some());
                 if let Some(request) = reader {
                     self.memory.insert_reader(exchange, request);
                 }
@@ -160,7 +168,8 @@
         let read = has_unread.then_some(now);
         let connect = self.exchanges.deadline();
         let sweep = self.is_active.then_some(self.next_sweep);
-        [read, connect, sweep].into_iter().flatten().min()
+        let accept = self.callers.accept_deadline();
+        [read, connect, sweep, accept].into_iter().flatten().min()
     }
 
     /// Reads connections again where that is due, and applies the timeouts of all
@@ -192,71 +201,63 @@
         }
     }
 
+    /// Handles the end of a caller's bytes, if those before it are not read.
+    pub fn close_paused(&mut self, id: CallerId) {
+        self.callers.close_paused(id, &mut self.caller_events);
+    }
+
     /// Handles a connection to an endpoint that is ready to read or write. It is not read
     /// while its response's caller has too much unread.
     pub fn read_endpoint(&mut self, now: Instant, id: ConnectionId) {
-        if self.memory.limit().is_some() {
-            let exchange = self.exchanges.exchange_on(id);
-            let request = exchange.and_then(|exchange| self.memory.reader(exchange));
-            let backlog = request.and_then(|request| self.callers.backlog(request));
-            let unread = backlog.map_or(0, |(unread, _)| unread);
-            let allowance = self.memory.read_allowance(unread);
-            if let Some(request) = request.filter(|_| allowance == 0) {
-                self.memory.pause(now, id, request);
-                return;
-            }
-            self.memory.resume(id);
-            self.exchanges.set_turn_max(id, allowance);
+        let exchange = self.exchanges.exchange_on(id);
+        let request = exchange.and_then(|exchange| self.memory.reader(exchange));
+        let backlog = request.and_then(|request| self.callers.backlog(request));
+        let unread = backlog.map_or(0, |(unread, _)| unread);
+        let allowance = self.memory.read_allowance(unread);
+        if let Some(request) = request.filter(|_| allowance == 0) {
+            self.memory.pause(now, id, request);
+            return;
         }
+        self.memory.resume(id);
+        self.exchanges.set_turn_max(id, allowance);
         self.exchanges
             .handle_ready(now, id, &mut self.scratch, &mut self.exchange_events);
     }
 
     /// Queues a part of a response.
     pub fn respond(&mut self, now: Instant, request: RequestId, part: ResponsePart) {
-        if let ResponsePart::Data(data) = &part {
-            self.memory.add(data.len());
+        match &part {
+            ResponsePart::Data(data) => self.memory.record_responded(request, data.len()),
+            ResponsePart::End | ResponsePart::Abort => self.memory.remove_request(request),
+            ResponsePart::Head { .. } => {}
         }
         let events = &mut self.caller_events;
         self.callers.queue_response_part(now, request, part, events);
-        if self.memory.needs_count() {
-            self.enforce_limit();
+        if self.budget.is_over() {
+            self.enforce_limit(now);
         }
     }
 
     /// Returns the bytes held for callers and endpoints.
     pub fn held_bytes(&self) -> usize {
-        self.callers.held_bytes() + self.exchanges.held_bytes()
+        self.budget.held()
     }
 
-    /// Counts the bytes held, and ends callers until they are within the bound.
-    fn enforce_limit(&mut self) {
-        let Some(limit) = self.memory.limit() else {
-            return;
-        };
-        let mut held = self.held_bytes();
-        if held > limit {
+    /// Ends callers until what is held is within the bound.
+    fn enforce_limit(&mut self, now: Instant) {
+        self.endpoint_charge.set(self.exchanges.held_bytes());
+        if self.budget.is_over() {
             // What was queued just now may be read at once.
             self.callers.flush(&mut self.caller_events);
-            held = self.held_bytes();
         }
-        while held > limit {
-            let Some(ended) = self.callers.end_largest(&mut self.caller_events) else {
-                break;
-            };
-            held = held.saturating_sub(ended.held);
-            self.ended.push(ended);
-        }
-        self.memory.set_counted(held);
+        let (events, ended) = (&mut self.caller_events, &mut self.ended);
+        while self.budget.is_over() && self.callers.end_largest(now, events, ended) {}
     }
 
     /// Reads the responses again whose callers have read, and ends the callers that have
     /// read nothing for too long.
     fn check_unread(&mut self, now: Instant) {
-        if self.memory.limit().is_none() {
-            return;
-        }
-        self.enforce_limit();
+        self.enforce_limit(now);
         for (id, paused) in self.memory.paused() {
             let Some((_, read_at)) = self.callers.backlog(paused.request) else {
                 self.memory.resume(id);
@@ -272,17 +273,18 @@
             self.ended
                 .extend(self.callers.end_request(paused.request, events));
         }
-        self.memory_report = Some(MemoryReport {
-            held: self.held_bytes() as u64,
+        self.report = Some(BudgetReport {
+            held: self.budget.held() as u64,
+            descriptors: self.budget.descriptors() as u64,
             paused: self.memory.paused().len() as u64,
-            ended: self.ended.len() as u64,
+            counts: self.budget.take_counts(),
         });
         self.log_ended();
     }
 
     /// Removes and returns the report of the last sweep.
-    pub fn take_memory_report(&mut self) -> Option<MemoryReport> {
-        self.memory_report.take()
+    pub fn take_report(&mut self) -> Option<BudgetReport> {
+        self.report.take()
     }
 
     fn log_ended(&mut self) {
@@ -300,12 +302,21 @@
     }
 
     fn collect_events(&mut self) {
+        for (_, event) in &self.caller_events {
+            if let HttpEvent::Disconnected { request } = event {
+                self.memory.remove_request(*request);
+            }
+        }
         let callers = self.caller_events.drain(..);
         self.events
             .extend(callers.map(|(listener, event)| DriverEvent::Http(listener, event)));
         for event in &self.exchange_events {
-            if let ExchangeEvent::End { exchange, .. } = event {
-                self.memory.remove_reader(*exchange);
+            match event {
+                ExchangeEvent::Head { .. } => {}
+                ExchangeEvent::Data { exchange, data } => {
+                    self.memory.record_received(*exchange, data.len());
+                }
+                ExchangeEvent::End { exchange, .. } => self.memory.remove_reader(*exchange),
             }
         }
         let exchanges = self.exchange_events.drain(..);
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -7,10 +7,9 @@
 //! to the role and writes the parts of the response as they arrive.
 
 use std::collections::BTreeMap;
-use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -22,12 +21,14 @@
 use socket2::SockRef;
 use tiny_http::{Method, Request, Server};
 
-use crate::descriptor_limit::raise_descriptor_limit;
+use crate::body_segments::{SegmentPool, SegmentedBody, SEGMENT_LEN};
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts};
 use crate::event_sender::EventSender;
 use crate::front_proxy::{FrontProxy, ProxyLimits, SEND_BUFFER};
-use crate::http_refusal::{HttpRefusal, BAD_BODY, BODY_TOO_LARGE, OVERLOADED};
+use crate::http_refusal::{HttpRefusal, BAD_BODY, OVERLOADED};
+use crate::http_socket::RECEIVE_BUFFER_SET;
 use crate::http_writer::HttpWriter;
-use crate::proxy_connection::{CloseMode, ConnectionLimits};
+use crate::proxy_connection::{CloseMode, ConnectionLimits, BODY_COPIES};
 
 /// Response parts that may be queued for a slow caller before its connection is
 /// closed.
@@ -40,15 +41,13 @@
 /// Connections allowed for each request that may be in flight.
 const CONNECTIONS_PER_REQUEST: usize = 4;
 
-/// Divisor of the descriptor limit that gives the maximum number of
-/// connections. A connection uses up to three descriptors; the rest is left for
-/// links, files and endpoints.
-const DESCRIPTORS_PER_CONNECTION: usize = 6;
-
 /// Length in bytes up to which the library reads a body before it returns the
 /// request.
 const PREREAD_BODY_MAX: usize = 1_024;
 
+/// Lowest status of a response that is no success.
+const ERROR_STATUS: u16 = 400;
+
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -62,40 +61,66 @@
 /// response.
 pub const STALL_TIMEOUT_DEFAULT: Duration = Duration::from_secs(10);
 
+/// What is queued for one caller.
+struct QueuedParts {
+    parts: usize,
+    bytes: usize,
+    /// Holds the queued bytes in the budget.
+    charge: CallerCharge,
+}
+
+impl QueuedParts {
+    fn count(&mut self, parts: usize, bytes: usize) {
+        (self.parts, self.bytes) = (parts, bytes);
+        self.charge.set(bytes);
+    }
+}
+
 /// Sends the parts of a response to the thread of its request.
 struct PartSender {
-    tx: SyncSender<ResponsePart>,
-    /// Bytes queued in the channel.
-    queued_bytes: Arc<AtomicUsize>,
+    tx: Sender<ResponsePart>,
+    queued: Arc<Mutex<QueuedParts>>,
+    budget: CallerBudget,
 }
 
 /// Receiving end of a [`PartSender`].
 struct PartReceiver {
     rx: Receiver<ResponsePart>,
-    queued_bytes: Arc<AtomicUsize>,
+    queued: Arc<Mutex<QueuedParts>>,
 }
 
 impl PartSender {
-    fn open() -> (Self, PartReceiver) {
-        let (tx, rx) = sync_channel(PARTS_MAX);
-        let queued_bytes = Arc::new(AtomicUsize::new(0));
+    fn open(budget: &CallerBudget) -> (Self, PartReceiver) {
+        // A bounded channel would allocate all its slots at once.
+        let (tx, rx) = channel();
+        let queued = Arc::new(Mutex::new(QueuedParts {
+            parts: 0,
+            bytes: 0,
+            charge: budget.charge(),
+        }));
         let sender = PartSender {
             tx,
-            queued_bytes: queued_bytes.clone(),
+            queued: queued.clone(),
+            budget: budget.clone(),
         };
-        (sender, PartReceiver { rx, queued_bytes })
+        (sender, PartReceiver { rx, queued })
     }
 
-    /// Queues a part; false when the queue is full or the thread has ended.
+    /// Queues a part; false when too much is queued or the thread has ended.
     fn send(&self, part: ResponsePart) -> bool {
-        let len = data_len(&part);
-        if self.queued_bytes.fetch_add(len, Ordering::Relaxed) + len > QUEUED_BYTES_MAX {
+        let mut queued = lock(&self.queued);
+        let bytes = queued.bytes + data_len(&part);
+        if queued.parts >= PARTS_MAX || bytes > self.budget.unread_share(QUEUED_BYTES_MAX) {
+            let counts = RefusalCounts {
+                ended: 1,
+                ..RefusalCounts::default()
+            };
+            self.budget.count(counts);
             return false;
         }
-        match self.tx.try_send(part) {
-            Ok(()) => true,
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
-        }
+        let parts = queued.parts + 1;
+        queued.count(parts, bytes);
+        self.tx.send(part).is_ok()
     }
 }
 
@@ -103,8 +128,9 @@
     /// Waits for the next part; none when the sender was dropped.
     fn next(&self) -> Option<ResponsePart> {
         let part = self.rx.recv().ok()?;
-        self.queued_bytes
-            .fetch_sub(data_len(&part), Ordering::Relaxed);
+        let mut queued = lock(&self.queued);
+        let (parts, bytes) = (queued.parts - 1, queued.bytes - data_len(&part));
+        queued.count(parts, bytes);
         Some(part)
     }
 }
@@ -128,6 +154,9 @@
 struct ServerState<E> {
     limits: ServerLimits,
     proxy: FrontProxy,
+    budget: CallerBudget,
+    /// Segments of the bodies that are being read.
+    pool: Arc<SegmentPool>,
     senders: PartSenders,
     events: EventSender<E>,
     wrap: fn(HttpEvent) -> E,
@@ -145,10 +174,12 @@
     pub fn spawn<E: Send + 'static>(
         listener: TcpListener,
         limits: ServerLimits,
+        budget: CallerBudget,
         events: EventSender<E>,
         wrap: fn(HttpEvent) -> E,
     ) -> Result<Self> {
-        Self::spawn_with_stall_timeout(listener, limits, STALL_TIMEOUT_DEFAULT, events, wrap)
+        let stall_timeout = STALL_TIMEOUT_DEFAULT;
+        Self::spawn_with_stall_timeout(listener, limits, stall_timeout, budget, events, wrap)
     }
 
     /// Serves requests with `stall_timeout` in place of the default.
@@ -160,6 +191,7 @@
         listener: TcpListener,
         limits: ServerLimits,
         stall_timeout: Duration,
+        budget: CallerBudget,
         events: EventSender<E>,
         wrap: fn(HttpEvent) -> E,
     ) -> Result<Self> {
@@ -175,11 +207,14 @@
             listener,
             upstream,
             proxy_limits(limits, stall_timeout),
+            budget.clone(),
             notify_disconnect,
         )?;
         let shared = Arc::new(ServerState {
             limits,
             proxy: proxy.clone(),
+            pool: SegmentPool::open(budget.limits().memory / BODY_COPIES),
+            budget,
             senders: senders.clone(),
             events,
             wrap,
@@ -213,9 +248,8 @@
 
 fn proxy_limits(limits: ServerLimits, stall_timeout: Duration) -> ProxyLimits {
     let wanted = limits.max_requests.saturating_mul(CONNECTIONS_PER_REQUEST);
-    let possible = raise_descriptor_limit() / DESCRIPTORS_PER_CONNECTION;
     ProxyLimits {
-        max_connections: wanted.min(possible),
+        max_connections: wanted,
         connection: ConnectionLimits {
             max_body: limits.max_body as u64,
             stall_timeout,
@@ -238,7 +272,11 @@
 /// # Errors
 /// Fails when the address can't be bound.
 pub fn bind_http(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|err| anyhow!("can't listen on {address}: {err}"))
+    let listener =
+        TcpListener::bind(address).map_err(|err| anyhow!("can't listen on {address}: {err}"))?;
+    // Accepted connections inherit the size, which bounds what arrives before it is read.
+    SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_SET)?;
+    Ok(listener)
 }
 
 fn accept_requests<E: Send + 'static>(server: &Server, shared: &Arc<ServerState<E>>) {
@@ -279,24 +317,25 @@
         {
             self.proxy.notify_reading(port);
         }
-        let http = match read_request(&mut request, self.limits.max_body) {
+        let http = match read_request(&mut request, self.limits.max_body, &self.pool) {
             Ok(http) => http,
             Err(refusal) => return self.refuse(request, refusal),
         };
         let allows_chunks = *request.http_version() >= tiny_http::HTTPVersion(1, 1);
         let bodyless = *request.method() == Method::Head;
         let id = self.next_request.fetch_add(1, Ordering::Relaxed);
-        let (sender, parts) = PartSender::open();
+        let (sender, parts) = PartSender::open(&self.budget);
         lock(&self.senders).insert(id, sender);
         self.proxy.notify_started(port, id);
         let event = (self.wrap)(HttpEvent::Request { request: id, http });
         if self.events.try_send(event).is_err() {
             lock(&self.senders).remove(&id);
-            self.proxy.notify_finished(port, Some(id), CloseMode::Close);
+            let close = CloseMode::Close;
+            self.proxy.notify_finished(port, Some(id), close, false);
             return self.refuse(request, OVERLOADED);
         }
         let mut writer = HttpWriter::new(request.into_writer(), allows_chunks, bodyless);
-        let is_complete = write_response(&mut writer, &parts);
+        let (is_complete, is_success) = write_response(&mut writer, &parts);
         lock(&self.senders).remove(&id);
         let close = if !is_complete {
             CloseMode::Reset
@@ -305,7 +344,8 @@
         } else {
             CloseMode::KeepAlive
         };
-        self.proxy.notify_finished(port, Some(id), close);
+        self.proxy
+            .notify_finished(port, Some(id), close, is_success);
         drop(writer);
         if !is_complete {
             let disconnected = HttpEvent::Disconnected { request: id };
@@ -320,7 +360,8 @@
         let bodyless = *request.method() == Method::Head;
         // The library reads the rest of the body before it responds; the proxy
         // ends the body by closing its sending side.
-        self.proxy.notify_finished(port, None, CloseMode::Close);
+        let close = CloseMode::Close;
+        self.proxy.notify_finished(port, None, close, false);
         let mut writer = HttpWriter::new(request.into_writer(), true, bodyless);
         for part in refusal.parts() {
             if writer.write(part).is_err() {
@@ -335,32 +376,50 @@
     request.remote_addr().map_or(0, SocketAddr::port)
 }
 
-/// Writes the parts of a response; false when it was not written completely.
-fn write_response<W: std::io::Write>(writer: &mut HttpWriter<W>, parts: &PartReceiver) -> bool {
+/// Writes the parts of a response; returns whether it was written completely, and whether
+/// its status is one of success.
+fn write_response<W: std::io::Write>(
+    writer: &mut HttpWriter<W>,
+    parts: &PartReceiver,
+) -> (bool, bool) {
+    let mut is_success = false;
     loop {
         // The sender was dropped before the end: the caller hung up or was too
         // slow.
         let part = parts.next().unwrap_or(ResponsePart::Abort);
+        if let ResponsePart::Head { status, .. } = part {
+            is_success = status < ERROR_STATUS;
+        }
         match writer.write(part) {
-            Ok(true) => return true,
+            Ok(true) => return (true, is_success),
             Ok(false) => {}
-            Err(_) => return false,
+            Err(_) => return (false, is_success),
         }
     }
 }
 
-fn read_request(request: &mut Request, max_body: usize) -> Result<HttpRequest, HttpRefusal> {
-    let mut body = Vec::with_capacity(request.body_length().unwrap_or(0).min(max_body));
-    let read = request
-        .as_reader()
-        .take(max_body as u64 + 1)
-        .read_to_end(&mut body);
-    if read.is_err() || request.body_length().is_some_and(|len| body.len() < len) {
-        return Err(BAD_BODY);
-    }
-    if body.len() > max_body {
-        return Err(BODY_TOO_LARGE);
-    }
+fn read_request(
+    request: &mut Request,
+    max_body: usize,
+    pool: &Arc<SegmentPool>,
+) -> Result<HttpRequest, HttpRefusal> {
+    let stated_len = request.body_length();
+    let body = match stated_len {
+        Some(len) if len <= SEGMENT_LEN => {
+            let mut body = vec![0; len];
+            let read = request.as_reader().read_exact(&mut body);
+            read.map_err(|_| BAD_BODY)?;
+            Bytes::from(body)
+        }
+        _ => {
+            let mut body = SegmentedBody::new(pool.clone());
+            body.read_all(request.as_reader(), max_body)?;
+            if stated_len.is_some_and(|len| body.len() < len) {
+                return Err(BAD_BODY);
+            }
+            body.to_bytes()
+        }
+    };
     let headers = request.headers().iter().map(|header| HeaderField {
         name: Bytes::copy_from_slice(header.field.as_str().as_str().as_bytes()),
         value: Bytes::copy_from_slice(header.value.as_str().as_bytes()),
@@ -369,10 +428,10 @@
         method: Bytes::from(request.method().as_str().to_owned()),
         path: Bytes::from(request.url().to_owned()),
         headers: headers.collect(),
-        body: Bytes::from(body),
+        body,
     })
 }
 
-fn lock(senders: &PartSenders) -> std::sync::MutexGuard<'_, BTreeMap<RequestId, PartSender>> {
-    senders.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -3,7 +3,7 @@
 
 use std::io::{Error, ErrorKind, Read, Write};
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::MioSource;
 
@@ -14,6 +14,22 @@
 /// body into one-byte chunks makes each of them costly.
 pub const TURN_LEN: usize = READ_LEN;
 
+/// Length up to which a buffer grows by the library's rule, which may double it.
+const SMALL_BUFFER: usize = 4 * 1024;
+
+/// Divisor of a larger buffer's length that gives its spare capacity.
+const SPARE_DIVISOR: usize = 4;
+
+/// Bodies up to this length are copied behind their head, which saves a write.
+const COPIED_BODY_MAX: usize = 16 * 1024;
+
+/// Size in bytes of the socket buffer for what callers send, as it is set; the system
+/// doubles it.
+pub const RECEIVE_BUFFER_SET: usize = 32 * 1024;
+
+/// Bytes that the socket of a connection which is not read may hold.
+pub const RECEIVE_BUFFER: usize = 2 * RECEIVE_BUFFER_SET;
+
 /// State of a connection's incoming side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadState {
@@ -41,6 +57,12 @@
     pub input: BytesMut,
     /// Bytes queued for writing.
     pub output: BytesMut,
+    /// Body to write behind `output`; shared with the request that it belongs to.
+    body: Bytes,
+    /// Memory of `input`, of which its capacity shows only what is not yet consumed.
+    input_memory: usize,
+    /// Memory of `output`.
+    output_memory: usize,
     /// Set once any byte was written; cleared when an exchange starts.
     pub has_sent: bool,
     /// Bytes read in one turn at most.
@@ -56,6 +78,9 @@
             source,
             input: BytesMut::new(),
             output: BytesMut::new(),
+            body: Bytes::new(),
+            input_memory: 0,
+            output_memory: 0,
             has_sent: false,
             turn_max: TURN_LEN,
             is_connected,
@@ -67,6 +92,54 @@
         &self.source
     }
 
+    /// Returns the bytes of memory that the buffers take.
+    pub fn held_bytes(&self) -> usize {
+        let input = self.input_memory.max(self.input.capacity());
+        let output = self.output_memory.max(self.output.capacity());
+        input + output
+    }
+
+    /// Returns the number of bytes queued for writing.
+    pub fn unwritten_len(&self) -> usize {
+        self.output.len() + self.body.len()
+    }
+
+    /// Queues a body behind `output`; nothing may be queued before it is written.
+    pub fn queue_body(&mut self, body: &Bytes) {
+        if body.len() <= COPIED_BODY_MAX {
+            self.reserve_output(body.len());
+            self.output.extend_from_slice(body);
+        } else {
+            self.body = body.clone();
+        }
+    }
+
+    /// Makes room for `len` more bytes in `output`.
+    pub fn reserve_output(&mut self, len: usize) {
+        reserve_buffer(&mut self.output, &mut self.output_memory, len);
+    }
+
+    /// Frees the memory of a large input whose bytes are consumed.
+    pub fn release_input(&mut self) {
+        release_buffer(&mut self.input, &mut self.input_memory);
+    }
+
+    /// Gives up an input whose bytes are all consumed, and returns its memory: a request
+    /// that was read from it may still keep it.
+    pub fn detach_input(&mut self) -> usize {
+        if !self.input.is_empty() {
+            return 0;
+        }
+        self.input = BytesMut::new();
+        std::mem::take(&mut self.input_memory)
+    }
+
+    /// Discards what was received.
+    pub fn clear_input(&mut self) {
+        self.input.clear();
+        self.release_input();
+    }
+
     /// Returns whether the connection is established.
     ///
     /// # Errors
@@ -105,6 +178,7 @@
             match (&*self.source).read(&mut scratch[..room]) {
                 Ok(0) => return ReadState::Closed,
                 Ok(len) => {
+                    reserve_buffer(&mut self.input, &mut self.input_memory, len);
                     self.input.extend_from_slice(&scratch[..len]);
                     turn_len += len;
                 }
@@ -142,11 +216,15 @@
     }
 
     fn write_queued(&mut self) -> Result<(), Error> {
-        while !self.output.is_empty() {
-            match (&*self.source).write(&self.output) {
+        while self.unwritten_len() > 0 {
+            let next = match self.output.is_empty() {
+                true => &self.body[..],
+                false => &self.output[..],
+            };
+            match (&*self.source).write(next) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(len) => {
-                    self.output.advance(len);
+                    self.advance_written(len);
                     self.has_sent = true;
                 }
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
@@ -156,4 +234,42 @@
         }
         Ok(())
     }
+
+    fn advance_written(&mut self, len: usize) {
+        if !self.output.is_empty() {
+            self.output.advance(len);
+            release_buffer(&mut self.output, &mut self.output_memory);
+            return;
+        }
+        self.body.advance(len);
+        if self.body.is_empty() {
+            // An empty rest would keep the memory of the whole body.
+            self.body = Bytes::new();
+        }
+    }
+}
+
+/// Makes room for `len` more bytes in a buffer whose memory is `memory`.
+fn reserve_buffer(buf: &mut BytesMut, memory: &mut usize, len: usize) {
+    if buf.capacity() - buf.len() >= len {
+        return;
+    }
+    let needed = buf.len() + len;
+    if needed <= SMALL_BUFFER {
+        buf.reserve(len);
+        *memory = buf.capacity();
+        return;
+    }
+    let mut grown = BytesMut::with_capacity(needed + needed / SPARE_DIVISOR);
+    grown.extend_from_slice(buf);
+    *memory = grown.capacity();
+    *buf = grown;
+}
+
+/// Frees the memory of a large buffer that is empty.
+fn release_buffer(buf: &mut BytesMut, memory: &mut usize) {
+    if buf.is_empty() && *memory > SMALL_BUFFER {
+        *buf = BytesMut::new();
+        *memory = 0;
+    }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,6 +9,9 @@
 //! [`link_table::LINK_TIMEOUT`]; a failure of one caller, link or endpoint
 //! affects only that one.
 
+mod body_segments;
+mod budget_log;
+pub mod caller_budget;
 pub mod caller_table;
 mod descriptor_limit;
 pub mod engine_client;
--- a/crates/runtime/src/link_table.rs
+++ b/crates/runtime/src/link_table.rs
@@ -1,6 +1,7 @@
 //! The links of one role: listening, dialing, pings and timeouts.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -39,6 +40,8 @@
     credentials: LinkCredentials,
     listener: Option<MioSource<TcpListener>>,
     sockets: BTreeMap<LinkId, LinkSocket>,
+    /// A connection could not be accepted, of which the poll doesn't tell again.
+    accepts_again: bool,
     /// Id of the next accepted link; odd and increasing.
     next_accepted: LinkId,
     /// Links with queued frames that are not yet written.
@@ -54,6 +57,7 @@
         LinkTable {
             credentials,
             listener: None,
+            accepts_again: false,
             sockets: BTreeMap::new(),
             next_accepted: 1,
             dirty: Vec::new(),
@@ -78,10 +82,23 @@
         Ok(())
     }
 
+    /// Returns whether pending connections must be accepted, as an attempt failed.
+    pub fn accepts_again(&self) -> bool {
+        self.accepts_again
+    }
+
     /// Accepts the next pending connection.
     pub fn accept(&mut self) -> Option<(LinkId, TcpStream)> {
+        self.accepts_again = false;
         loop {
-            let (stream, _) = self.listener.as_ref()?.accept().ok()?;
+            let stream = match self.listener.as_ref()?.accept() {
+                Ok((stream, _)) => stream,
+                Err(err) => {
+                    // Descriptors may be free later.
+                    self.accepts_again = err.kind() != ErrorKind::WouldBlock;
+                    return None;
+                }
+            };
             if self.sockets.len() >= ACCEPTED_MAX {
                 drop(stream);
                 continue;
--- a/crates/runtime/src/process/agent_process.rs
+++ b/crates/runtime/src/process/agent_process.rs
@@ -7,6 +7,7 @@
 use mulberrywell_settings::{AgentSettings, EndpointKind};
 
 use super::{bind_links, ProcessLoop, RunningRole};
+use crate::caller_budget::CallerBudget;
 use crate::engine_client::{EndpointClient, HttpEndpoint};
 use crate::link_table::LinkCredentials;
 use crate::metric_output::MetricOutput;
@@ -49,7 +50,8 @@
             region: settings.instance.region.clone(),
         };
         let parts = HostParts {
-            memory_max: None,
+            // An agent has no callers; its links are those of other processes.
+            budget: CallerBudget::default(),
             prefix: "agent",
             machine: AgentRole::new(config, Instant::now()),
             credentials,
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -10,14 +10,13 @@
 use mulberrywell_consensus::{MemberId, RecoveredState};
 use mulberrywell_control::{ControlAction, ControlConfig, ControlEvent, ControlRole};
 use mulberrywell_role::{ListenerId, RoleMachine};
-use mulberrywell_settings::{ControlSettings, InstanceSettings};
+use mulberrywell_settings::ControlSettings;
 
-use super::{bind_links, ProcessLoop, RunningRole};
+use super::{bind_links, ProcessLoop, ProcessParts, RunningRole};
+use crate::caller_budget::CallerBudget;
 use crate::event_sender::EventSender;
 use crate::http_server::{bind_http, HttpServer, ServerLimits};
-use crate::link_table::LinkCredentials;
 use crate::log_writer::{LogFolder, LogSink};
-use crate::metric_output::MetricOutput;
 use crate::role_host::{ActionHandler, HostParts};
 
 /// Listener of endpoints and of the serving configuration's operator.
@@ -75,18 +74,18 @@
 
 impl ProcessLoop {
     /// Starts the control role.
-    pub fn spawn_control<M>(
+    pub(crate) fn spawn_control<M>(
         &mut self,
-        instance: &InstanceSettings,
+        process: ProcessParts<'_>,
         settings: &ControlSettings,
-        credentials: LinkCredentials,
-        metrics: MetricOutput,
         metric_listen: Option<SocketAddr>,
         wrap: impl FnOnce(ControlRole) -> M,
     ) -> Result<RunningRole>
     where
         M: RoleMachine<Event = ControlEvent, Action = ControlAction> + 'static,
     {
+        let instance = process.instance;
+        let budget = process.budget.clone();
         let operators = settings.operator_listen.map(bind_http).transpose()?;
         let serving = settings.serving_listen.map(bind_http).transpose()?;
         let links = bind_links(instance)?;
@@ -122,10 +121,10 @@
             settings.serving_listen
         );
         let parts = HostParts {
-            memory_max: None,
+            budget: process.budget,
             prefix: "control",
             machine: wrap(machine),
-            credentials,
+            credentials: process.credentials,
             listener: Some(links),
             http: serving
                 .map(|it| (SERVING_LISTENER, it))
@@ -133,9 +132,9 @@
                 .collect(),
             metric_listen: metric_listen.map(bind_http).transpose()?,
             seeds_event: Some(ControlEvent::Seeds),
-            metrics,
+            metrics: process.metrics,
             handler: Box::new(move |events| {
-                open_control_handler(log, operators, &events).unwrap_or_else(|err| {
+                open_control_handler(log, operators, &budget, &events).unwrap_or_else(|err| {
                     spdlog::critical!("control: {:#}", err);
                     std::process::abort();
                 })
@@ -176,6 +175,7 @@
 fn open_control_handler(
     log: Option<LogFolder>,
     operators: Option<TcpListener>,
+    budget: &CallerBudget,
     events: &EventSender<ControlEvent>,
 ) -> Result<ControlHandler> {
     let limits = ServerLimits {
@@ -186,8 +186,10 @@
         Some(folder) => LogSink::Disk(folder.spawn(events.clone())?),
         None => LogSink::Memory(events.clone()),
     };
-    let server = operators
-        .map(|listener| HttpServer::spawn(listener, limits, events.clone(), ControlEvent::Http));
+    let server = operators.map(|listener| {
+        let (budget, events) = (budget.clone(), events.clone());
+        HttpServer::spawn(listener, limits, budget, events, ControlEvent::Http)
+    });
     let server = server.transpose()?;
     Ok(ControlHandler { server, log })
 }
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -4,12 +4,10 @@
 
 use anyhow::Result;
 use mulberrywell_entry::{EntryAction, EntryConfig, EntryRole};
-use mulberrywell_settings::{EntrySettings, InstanceSettings};
+use mulberrywell_settings::EntrySettings;
 
-use super::{ProcessLoop, RunningRole};
+use super::{ProcessLoop, ProcessParts, RunningRole};
 use crate::http_server::{bind_http, HttpServer, ServerLimits};
-use crate::link_table::LinkCredentials;
-use crate::metric_output::MetricOutput;
 use crate::role_host::{ActionHandler, HostParts};
 
 /// Action handler of the entry role.
@@ -29,13 +27,13 @@
 
 impl ProcessLoop {
     /// Starts the entry role.
-    pub fn spawn_entry(
+    pub(crate) fn spawn_entry(
         &mut self,
-        instance: &InstanceSettings,
+        process: ProcessParts<'_>,
         settings: &EntrySettings,
-        credentials: LinkCredentials,
-        metrics: MetricOutput,
     ) -> Result<RunningRole> {
+        let instance = process.instance;
+        let budget = process.budget.clone();
         let listener = bind_http(settings.caller_listen)?;
         let limits = ServerLimits {
             max_requests: settings.max_requests,
@@ -45,25 +43,26 @@
         let config = EntryConfig {
             settings: settings.clone(),
             seeds: instance.seeds.clone(),
-            incarnation: credentials.identity.incarnation,
+            incarnation: process.credentials.identity.incarnation,
             zone: instance.zone.clone(),
         };
         spdlog::info!("entry: listening for callers on {}", settings.caller_listen);
         let parts = HostParts {
-            memory_max: None,
+            budget: process.budget,
             prefix: "entry",
             machine: EntryRole::new(config, Instant::now()),
-            credentials,
+            credentials: process.credentials,
             listener: None,
             http: Vec::new(),
             metric_listen: None,
             seeds_event: None,
-            metrics,
+            metrics: process.metrics,
             handler: Box::new(move |events| EntryHandler {
                 server: HttpServer::spawn_with_stall_timeout(
                     listener,
                     limits,
                     stall_timeout,
+                    budget,
                     events,
                     |event| event,
                 )
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -7,20 +7,12 @@
 use mulberrywell_gateway::{
     CallCodec, GatewayConfig, GatewayEvent, GatewayRole, CALLER_LISTENER, READINESS_LISTENER,
 };
-use mulberrywell_settings::{GatewaySettings, InstanceSettings};
+use mulberrywell_settings::GatewaySettings;
 
-use super::{ProcessLoop, RunningRole};
-use crate::descriptor_limit::raise_descriptor_limit;
+use super::{ProcessLoop, ProcessParts, RunningRole};
 use crate::http_server::bind_http;
-use crate::link_table::LinkCredentials;
-use crate::metric_output::MetricOutput;
 use crate::role_host::{ActionHandler, HostParts};
 
-/// Divisor of an instance's memory that gives what may be held for callers and endpoints.
-/// The rest is left for the process itself, spare capacity of buffers and responses that
-/// are buffered until they are complete.
-const BUFFER_DIVISOR: u64 = 2;
-
 /// Action handler of the gateway role, which has no actions of its own.
 pub struct GatewayHandler;
 
@@ -30,16 +22,14 @@
 
 impl ProcessLoop {
     /// Starts the gateway role.
-    pub fn spawn_gateway<C: CallCodec + 'static>(
+    pub(crate) fn spawn_gateway<C: CallCodec + 'static>(
         &mut self,
-        instance: &InstanceSettings,
+        process: ProcessParts<'_>,
         settings: &GatewaySettings,
-        credentials: LinkCredentials,
-        metrics: MetricOutput,
         metric_listen: Option<SocketAddr>,
         codec: C,
     ) -> Result<RunningRole> {
-        raise_descriptor_limit();
+        let instance = process.instance;
         let listeners = vec![
             (CALLER_LISTENER, bind_http(settings.caller_listen)?),
             (READINESS_LISTENER, bind_http(settings.ready_listen)?),
@@ -58,14 +48,14 @@
             settings.caller_listen
         );
         let parts = HostParts {
-            memory_max: settings.memory_mb.map(buffer_max),
+            budget: process.budget,
             prefix: "gateway",
             machine: GatewayRole::new(config, codec, Instant::now()),
-            credentials,
+            credentials: process.credentials,
             listener: None,
             http: listeners,
             metric_listen: metric_listen.map(bind_http).transpose()?,
-            metrics,
+            metrics: process.metrics,
             handler: Box::new(|_| GatewayHandler),
             seeds_event: Some(GatewayEvent::Seeds),
             finished: self.finished_fwd(),
@@ -73,8 +63,3 @@
         Ok(self.spawn(parts))
     }
 }
-
-/// Returns the bytes that an instance with this memory may hold for callers and endpoints.
-fn buffer_max(memory_mb: u64) -> usize {
-    usize::try_from(memory_mb * 1024 * 1024 / BUFFER_DIVISOR).unwrap_or(usize::MAX)
-}
--- a/crates/runtime/src/process/mod.rs
+++ b/crates/runtime/src/process/mod.rs
@@ -28,6 +28,8 @@
 
 pub use self::serving_interface::ServingInterface;
 use self::settings_watch::SettingsWatch;
+use crate::caller_budget::{CallerBudget, CallerLimits};
+use crate::descriptor_limit::raise_descriptor_limit;
 use crate::link_table::LinkCredentials;
 use crate::metric_output::MetricOutput;
 use crate::role_host::{ActionHandler, HostParts, RoleHost};
@@ -50,6 +52,8 @@
     let mut process = ProcessLoop::open()?;
     let secret = read_secret(settings.instance.secret_file.as_deref())?;
     let metrics = MetricOutput::open(&settings.metrics)?;
+    let limits = CallerLimits::from_settings(&settings.callers, raise_descriptor_limit());
+    let budget = CallerBudget::open(limits);
     // One listener serves the metrics of all roles.
     let mut metric_listen = settings.metrics.listen;
     let gateway = match &settings.gateway {
@@ -58,8 +62,14 @@
             let listen = metric_listen.take();
             let metrics = metrics.clone();
             let instance = &settings.instance;
+            let parts = ProcessParts {
+                instance,
+                credentials,
+                metrics,
+                budget: budget.clone(),
+            };
             let codec = interface.codec();
-            Some(process.spawn_gateway(instance, gateway, credentials, metrics, listen, codec)?)
+            Some(process.spawn_gateway(parts, gateway, listen, codec)?)
         }
         None => None,
     };
@@ -69,15 +79,27 @@
             let metrics = metrics.clone();
             let listen = metric_listen.take();
             let instance = &settings.instance;
+            let parts = ProcessParts {
+                instance,
+                credentials,
+                metrics,
+                budget: budget.clone(),
+            };
             let wrap = |role| interface.wrap_control(role);
-            Some(process.spawn_control(instance, control, credentials, metrics, listen, wrap)?)
+            Some(process.spawn_control(parts, control, listen, wrap)?)
         }
         None => None,
     };
     let entry = match &settings.entry {
         Some(entry) => {
             let credentials = credentials(&settings.instance, PeerRole::Entry, &secret);
-            Some(process.spawn_entry(&settings.instance, entry, credentials, metrics)?)
+            let parts = ProcessParts {
+                instance: &settings.instance,
+                credentials,
+                metrics,
+                budget,
+            };
+            Some(process.spawn_entry(parts, entry)?)
         }
         None => None,
     };
@@ -100,6 +122,18 @@
     process.run(&[role], None)
 }
 
+/// What the roles of a process share.
+pub(crate) struct ProcessParts<'a> {
+    /// Settings of the instance.
+    pub(crate) instance: &'a InstanceSettings,
+    /// Credentials of the role on its links.
+    pub(crate) credentials: LinkCredentials,
+    /// Output of metrics.
+    pub(crate) metrics: MetricOutput,
+    /// Account of what is held for callers.
+    pub(crate) budget: CallerBudget,
+}
+
 /// Starts a role's graceful shutdown; owns the role's actor.
 type ShutdownCall = Box<dyn Fn()>;
 
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -6,7 +6,8 @@
 //! for a head and never takes bytes of one request as part of another. Response
 //! bytes are forwarded as they arrive. At most one read is buffered in each
 //! direction; while one side accepts no data, further bytes stay in the socket
-//! buffers of the other side.
+//! buffers of the other side. Memory for a body is taken from the process's budget
+//! before the body is read: for all of it where its length is known, else for each read.
 
 use std::collections::BTreeSet;
 use std::net::{Shutdown, SocketAddr};
@@ -16,6 +17,7 @@
 use mulberrywell_role::RequestId;
 use socket2::SockRef;
 
+use crate::caller_budget::CallerCharge;
 use crate::head_check::{allows_chunks, check_head, BodyLength, HeadError, HeadScan, HEAD_MAX};
 use crate::http_refusal::{
     HttpRefusal, AMBIGUOUS_LENGTH, BAD_REQUEST, BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_UPGRADE,
@@ -38,6 +40,23 @@
 /// within this multiple of the stall timeout.
 const BODY_STALL_FACTOR: u32 = 6;
 
+/// Transfers in one turn of a connection before others are served.
+const TURN_MOVES: usize = 16;
+
+/// Memory in bytes of a connection without its request.
+const CONNECTION_MEMORY: usize = 2 * 1024;
+
+/// Memory in bytes of the upstream server's threads and buffers for one connection.
+const UPSTREAM_MEMORY: usize = 32 * 1024;
+
+/// Copies of a body that exist at the same time: in segments and in one piece, then in one
+/// piece and in a frame to an agent.
+pub const BODY_COPIES: usize = 2;
+
+/// Descriptors of a connection that is open to the upstream server: both sides, and the
+/// upstream server's own.
+pub const PROXIED_DESCRIPTORS: usize = 3;
+
 /// What happens to a connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CloseMode {
@@ -92,6 +111,10 @@
 pub enum ProxyStep {
     /// Wait until a socket is ready.
     Wait,
+    /// Further transfers are possible once other connections have had their turns.
+    Again,
+    /// So many more bytes of memory are required for the request.
+    TakeMemory(usize),
     /// A head is complete: a connection to the upstream server is required.
     OpenUpstream,
     /// The connection has ended and must be dropped.
@@ -140,11 +163,27 @@
     phase_since: Instant,
     /// Time of the last transfer in either direction.
     last_progress: Instant,
+    /// Stated length of the body of the current request; none if it is chunked.
+    body_len: Option<usize>,
+    /// Bytes of the current request received behind its head.
+    received_len: usize,
+    /// Bytes of the current request were forwarded.
+    is_forwarded: bool,
+    /// The caller has had a successful response, so that it is known to behave.
+    is_proven: bool,
+    /// What is held for the caller, as in the budget.
+    charge: CallerCharge,
 }
 
 impl ProxyConnection {
     /// Creates the state of an accepted connection.
-    pub fn new(caller: TcpStream, limits: ConnectionLimits, now: Instant) -> Self {
+    pub fn new(
+        caller: TcpStream,
+        limits: ConnectionLimits,
+        now: Instant,
+        mut charge: CallerCharge,
+    ) -> Self {
+        charge.set(CONNECTION_MEMORY);
         ProxyConnection {
             caller,
             upstream: None,
@@ -164,6 +203,11 @@
             requests: BTreeSet::new(),
             phase_since: now,
             last_progress: now,
+            body_len: None,
+            received_len: 0,
+            is_forwarded: false,
+            is_proven: false,
+            charge,
         }
     }
 
@@ -187,10 +231,47 @@
         self.requests.iter().copied()
     }
 
-    /// Returns since when the connection has had no request in flight, or none
-    /// if it has one.
-    pub fn idle_since(&self) -> Option<Instant> {
-        (self.phase == ProxyPhase::Head).then_some(self.phase_since)
+    /// Returns in which order connections without a request in flight are closed to make
+    /// room: those whose callers are not known to behave, then those that have been idle for
+    /// longest; none with a request in flight.
+    pub fn close_rank(&self) -> Option<(bool, Instant)> {
+        (self.phase == ProxyPhase::Head).then_some((self.is_proven, self.phase_since))
+    }
+
+    /// Returns how much is held for an incomplete request times how long, if no byte of it
+    /// was received for `stall_min` and it can be refused.
+    pub fn stalled_weight(&self, now: Instant, stall_min: Duration) -> Option<u128> {
+        let is_stalled = now.saturating_duration_since(self.last_progress) >= stall_min;
+        let age = now.saturating_duration_since(self.phase_since);
+        let is_reading = matches!(self.phase, ProxyPhase::Body(_));
+        let is_refusable = is_reading && is_stalled && !self.has_pending_response();
+        is_refusable.then_some(self.charge.held() as u128 * age.as_millis())
+    }
+
+    /// Takes memory that [`ProxyStep::TakeMemory`] requires; false when it is not free.
+    pub fn take_memory(&mut self, len: usize) -> bool {
+        let request_len = self.body_len.unwrap_or(self.received_len);
+        self.charge.take(len, request_len)
+    }
+
+    /// Takes the descriptors that [`ProxyStep::OpenUpstream`] requires, beside `open`
+    /// connections; false when they are not free.
+    pub fn take_descriptors(&mut self, open: usize) -> bool {
+        self.charge.use_descriptors(open, PROXIED_DESCRIPTORS)
+    }
+
+    /// Refuses the request that is being read; closes the connection if a response before
+    /// it is still to be written.
+    pub fn refuse_request(&mut self, now: Instant, refusal: HttpRefusal) -> ProxyStep {
+        if !self.is_forwarded {
+            self.refuse_next(now, refusal);
+        } else if self.has_pending_response() {
+            // A refusal would stand in the middle of the response before.
+            return ProxyStep::Ended;
+        } else {
+            self.refuse(now, refusal);
+        }
+        ProxyStep::Wait
     }
 
     /// Sets the connection that [`ProxyStep::OpenUpstream`] requires.
@@ -217,6 +298,11 @@
         }
     }
 
+    /// Records that the caller has had a successful response.
+    pub fn record_success(&mut self) {
+        self.is_proven = true;
+    }
+
     /// Records that a response was written completely or abandoned.
     pub fn finish_request(&mut self, now: Instant, request: Option<RequestId>, close: CloseMode) {
         if let Some(request) = request {
@@ -261,16 +347,22 @@
         self.shut_down_upstream();
         self.upstream = None;
         self.upstream_ended = true;
+        self.inbound = Vec::new();
+        self.charge.set(CONNECTION_MEMORY);
         self.outbound.extend_from_slice(&refusal.bytes());
         self.enter(ProxyPhase::Closing, now);
     }
 
     /// Transfers bytes in both directions until no socket makes progress.
     pub fn advance(&mut self, now: Instant, scratch: &mut [u8]) -> ProxyStep {
-        loop {
-            let step = self.handle_head(now);
-            if step != ProxyStep::Wait {
-                return step;
+        for _ in 0..TURN_MOVES {
+            self.handle_head(now);
+            let more = self.required_memory().saturating_sub(self.charge.held());
+            if more > 0 {
+                return ProxyStep::TakeMemory(more);
+            }
+            if matches!(self.phase, ProxyPhase::Body(_)) && self.upstream.is_none() {
+                return ProxyStep::OpenUpstream;
             }
             let outcomes = [
                 self.read_caller(now, scratch),
@@ -286,6 +378,18 @@
             }
             self.last_progress = now;
         }
+        ProxyStep::Again
+    }
+
+    /// Returns the memory that the current request takes, with the next read of its body.
+    fn required_memory(&self) -> usize {
+        if !matches!(self.phase, ProxyPhase::Body(_)) {
+            return 0;
+        }
+        let max_body = usize::try_from(self.limits.max_body).unwrap_or(usize::MAX);
+        let body_len = self.body_len.unwrap_or(self.received_len + READ_LEN);
+        // The upstream server stops reading beyond the limit, whatever the chunks' framing.
+        CONNECTION_MEMORY + UPSTREAM_MEMORY + BODY_COPIES * body_len.min(max_body)
     }
 
     /// Applies the timeouts of the current phase.
@@ -352,6 +456,13 @@
     }
 
     fn enter(&mut self, phase: ProxyPhase, now: Instant) {
+        if phase == ProxyPhase::Head {
+            let upstream = match self.upstream {
+                Some(_) => UPSTREAM_MEMORY,
+                None => 0,
+            };
+            self.charge.set(CONNECTION_MEMORY + upstream);
+        }
         self.phase = phase;
         self.phase_since = now;
         self.last_progress = now;
@@ -367,13 +478,13 @@
     }
 
     /// Validates the head once the caller's bytes contain a complete one.
-    fn handle_head(&mut self, now: Instant) -> ProxyStep {
+    fn handle_head(&mut self, now: Instant) {
         if self.phase != ProxyPhase::Head || self.inbound.is_empty() {
-            return ProxyStep::Wait;
+            return;
         }
         if self.refuses_unread {
             self.refuse_next(now, SHUTTING_DOWN);
-            return ProxyStep::Wait;
+            return;
         }
         let found = self.scan.advance(&self.inbound);
         let checked = found.and_then(|end| match end {
@@ -384,7 +495,7 @@
             None => Ok(None),
         });
         match checked {
-            Ok(None) => ProxyStep::Wait,
+            Ok(None) => {}
             Ok(Some((end, body))) => {
                 if body == BodyLength::Chunked {
                     // Only the upstream server parses the chunks, so the start
@@ -395,17 +506,16 @@
                     BodyLength::Known(len) => BodyLength::Known(len + end as u64),
                     BodyLength::Chunked => BodyLength::Chunked,
                 };
+                self.body_len = match body {
+                    BodyLength::Known(len) => usize::try_from(len).ok(),
+                    BodyLength::Chunked => None,
+                };
+                self.received_len = self.inbound.len() - end;
+                self.is_forwarded = false;
                 self.set_reset_on_drop(!allows_chunks(&self.inbound[..end]));
                 self.enter(ProxyPhase::Body(remaining), now);
-                match self.upstream {
-                    Some(_) => ProxyStep::Wait,
-                    None => ProxyStep::OpenUpstream,
-                }
-            }
-            Err(error) => {
-                self.refuse_next(now, head_refusal(error));
-                ProxyStep::Wait
             }
+            Err(error) => self.refuse_next(now, head_refusal(error)),
         }
     }
 
@@ -444,6 +554,7 @@
         match self.phase {
             ProxyPhase::Closing | ProxyPhase::Lingering => return MoveOutcome::Moved,
             ProxyPhase::Head if self.inbound.is_empty() => self.phase_since = now,
+            ProxyPhase::Body(_) => self.received_len += data.len(),
             _ => {}
         }
         self.inbound.extend_from_slice(data);
@@ -492,6 +603,7 @@
                 return MoveOutcome::Moved;
             }
         };
+        self.is_forwarded = true;
         match remaining {
             BodyLength::Known(rest) if rest <= len as u64 => self.enter(ProxyPhase::Response, now),
             BodyLength::Known(rest) => {
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -11,14 +11,16 @@
 
 use bytes::Bytes;
 use mulberrywell_role::{
-    ExchangeCommand, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, MetricKind,
-    ResponsePart, RoleAction, RoleEvent, RoleMachine,
+    ExchangeCommand, HttpEvent, LinkCommand, LinkEvent, LinkId, ListenerId, LogLevel, ResponsePart,
+    RoleAction, RoleEvent, RoleMachine,
 };
 use mulberrywell_wire::LinkSide;
 use stakker::{fail, fwd_to, timer_min, Fwd, MinTimerKey, CX};
 use stakker_mio::mio::net::{TcpListener, TcpStream};
 use stakker_mio::{MioPoll, Ready};
 
+use crate::budget_log::BudgetLog;
+use crate::caller_budget::CallerBudget;
 use crate::caller_table::CallerId;
 use crate::event_sender::EventSender;
 use crate::exchange_table::ConnectionId;
@@ -29,12 +31,8 @@
 /// Listener at which metrics are read.
 const METRIC_LISTENER: ListenerId = ListenerId::MAX;
 
-/// Bytes held for callers and endpoints.
-const HELD_BYTES: &str = "http.held_bytes";
-/// Responses that are not read from their endpoints, as their callers don't read.
-const PAUSED_RESPONSES: &str = "http.paused_responses";
-/// Callers whose connections were closed because they didn't read.
-const UNREAD_ENDED: &str = "http.unread_ended";
+/// Connections accepted from one listener before others are served.
+const ACCEPTS_MAX: usize = 64;
 
 /// Events handled from the threads' queue before sockets are served again.
 const BATCH_LEN: usize = 256;
@@ -66,8 +64,8 @@
     pub listener: Option<std::net::TcpListener>,
     /// The role's own HTTP listeners.
     pub http: Vec<(ListenerId, std::net::TcpListener)>,
-    /// Bytes that may be held for callers and endpoints; none without a bound.
-    pub memory_max: Option<usize>,
+    /// The process's budget of what is held for callers.
+    pub budget: CallerBudget,
     /// Listener at which metrics are read as text.
     pub metric_listen: Option<std::net::TcpListener>,
     /// Builds the event that notifies the role of new seeds, if it has one.
@@ -88,6 +86,7 @@
     links: LinkTable,
     driver: HttpDriver,
     metrics: MetricOutput,
+    budget_log: BudgetLog,
     seeds_event: Option<fn(Vec<std::net::SocketAddr>) -> M::Event>,
     rx: Receiver<M::Event>,
     wake: Fwd<()>,
@@ -115,8 +114,9 @@
             machine: parts.machine,
             handler: (parts.handler)(sender),
             links: LinkTable::new(parts.credentials, now),
-            driver: HttpDriver::new(now, parts.memory_max),
+            driver: HttpDriver::new(now, parts.budget),
             metrics: parts.metrics,
+            budget_log: BudgetLog::default(),
             seeds_event: parts.seeds_event,
             rx,
             wake,
@@ -171,7 +171,11 @@
     }
 
     fn accept_callers(&mut self, cx: CX![], listener: ListenerId) {
-        while let Some((id, stream)) = self.driver.callers.accept(listener) {
+        for _ in 0..ACCEPTS_MAX {
+            let accepted = self.driver.callers.accept(cx.now(), listener);
+            let Some((id, stream)) = accepted else {
+                return;
+            };
             let ready = fwd_to!([cx], handle_caller_ready(id) as (Ready));
             let poll = cx.anymap_get::<MioPoll>();
             let callers = &mut self.driver.callers;
@@ -184,6 +188,7 @@
                 );
             }
         }
+        self.driver.callers.defer_accepts(cx.now(), listener);
     }
 
     fn stop_accepting(&mut self, cx: CX![], listener: ListenerId) {
@@ -191,8 +196,15 @@
         self.accept_callers(cx, listener);
     }
 
-    fn handle_caller_ready(&mut self, cx: CX![], id: CallerId, _: Ready) {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "signature required by `fwd_to!`"
+    )]
+    fn handle_caller_ready(&mut self, cx: CX![], id: CallerId, ready: Ready) {
         self.driver.read_caller(cx.now(), id);
+        if ready.is_read_closed() {
+            self.driver.close_paused(id);
+        }
         self.process_events(cx);
     }
 
@@ -252,6 +264,10 @@
     }
 
     fn accept_links(&mut self, cx: CX![], _: Ready) {
+        self.accept_pending_links(cx);
+    }
+
+    fn accept_pending_links(&mut self, cx: CX![]) {
         while let Some((link, stream)) = self.links.accept() {
             if let Err(err) = self.attach_link(cx, link, stream, LinkSide::Listener) {
                 spdlog::warn!("{}: can't accept a link: {}", self.prefix, err);
@@ -302,24 +318,22 @@
         let now = cx.now();
         self.links.tick(now, &mut self.scratch);
         self.link_events.extend(self.scratch.drain(..));
+        if self.links.accepts_again() {
+            self.accept_pending_links(cx);
+        }
+        for listener in self.driver.callers.take_listeners_due(now) {
+            self.accept_callers(cx, listener);
+        }
         self.driver.tick(now);
-        self.report_memory();
+        if let Some(report) = self.driver.take_report() {
+            self.budget_log.report(now, &report, &self.metrics);
+        }
         if self.machine.deadline().is_some_and(|at| at <= now) {
             self.dispatch(cx, RoleEvent::Timer);
         }
         self.process_events(cx);
     }
 
-    fn report_memory(&mut self) {
-        let Some(report) = self.driver.take_memory_report() else {
-            return;
-        };
-        let metrics = &self.metrics;
-        metrics.report(MetricKind::Gauge, HELD_BYTES, report.held);
-        metrics.report(MetricKind::Gauge, PAUSED_RESPONSES, report.paused);
-        metrics.report(MetricKind::Count, UNREAD_ENDED, report.ended);
-    }
-
     fn dispatch(&mut self, cx: CX![], event: RoleEvent<M::Event>) {
         if let Some(preceding_event) = self.handler.preceding_event() {
             self.machine.handle(
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use mulberrywell_role::{ConnectionBounds, HttpEvent, RequestId, ResponsePart};
-use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT, CONNECTIONS_MAX};
-use mulberrywell_runtime::http_driver::{DriverEvent, HttpDriver};
+use mulberrywell_runtime::caller_budget::CallerLimits;
+use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT};
 use rstest::rstest;
 use stakker::Fwd;
 use stakker_mio::mio::net::TcpListener;
@@ -39,7 +39,7 @@
         let stream = TcpStream::connect(address).unwrap();
         stream.set_nodelay(true).unwrap();
         let (id, accepted) = loop {
-            if let Some(accepted) = table.accept(LISTENER) {
+            if let Some(accepted) = table.accept(Instant::now(), LISTENER) {
                 break accepted;
             }
         };
@@ -188,10 +188,10 @@
             .unwrap();
         let later = now + Duration::from_millis(100);
         let mut others = Vec::new();
-        for _ in 0..CONNECTIONS_MAX {
+        for _ in 0..CallerLimits::default().descriptors {
             others.push(TcpStream::connect(address).unwrap());
             let (id, accepted) = loop {
-                if let Some(accepted) = table.accept(LISTENER + 1) {
+                if let Some(accepted) = table.accept(Instant::now(), LISTENER + 1) {
                     break accepted;
                 }
             };
@@ -203,68 +203,6 @@
     });
 }
 
-/// Guards against responses that are dropped before their first write, as the bodies of
-/// requests in flight alone exceed the bound on memory: their callers have read all there was.
-#[rstest]
-#[case::above_bound(64 * 1024)]
-#[case::within_bound(1024 * 1024)]
-fn respond_request_bodies_above_bound_answered(#[case] bound: usize) {
-    run_with_poll(move |poll| {
-        let now = Instant::now();
-        let mut driver = HttpDriver::new(now, Some(bound));
-        driver.activate();
-        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        let callers = &mut driver.callers;
-        callers
-            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
-            .unwrap();
-        let mut streams = Vec::new();
-        let mut requests = Vec::new();
-        for _ in 0..3 {
-            let mut stream = TcpStream::connect(address).unwrap();
-            let head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 32768\r\n\r\n";
-            stream.write_all(head.as_bytes()).unwrap();
-            stream.write_all(&[b'x'; 32_768]).unwrap();
-            std::thread::sleep(Duration::from_millis(20));
-            let (id, accepted) = loop {
-                if let Some(accepted) = driver.callers.accept(LISTENER) {
-                    break accepted;
-                }
-            };
-            let callers = &mut driver.callers;
-            callers
-                .attach(poll, now, LISTENER, id, accepted, Fwd::new(|_| {}))
-                .unwrap();
-            driver.read_caller(now, id);
-            while let Some(event) = driver.pop_event() {
-                if let DriverEvent::Http(_, HttpEvent::Request { request, .. }) = event {
-                    requests.push(request);
-                }
-            }
-            streams.push(stream);
-        }
-        assert_eq!(requests.len(), 3);
-        let data = bytes::Bytes::from(vec![b'y'; 2_048]);
-        let head = ResponsePart::Head {
-            status: 200,
-            headers: Vec::new(),
-            length: Some(2_048),
-        };
-        for part in [head, ResponsePart::Data(data), ResponsePart::End] {
-            driver.respond(now, requests[0], part);
-        }
-        driver.flush();
-        let stream = &mut streams[0];
-        stream
-            .set_read_timeout(Some(Duration::from_millis(500)))
-            .unwrap();
-        let mut received = vec![0; 2_048];
-        std::io::Read::read_exact(stream, &mut received).expect("a response");
-        assert!(received.starts_with(b"HTTP/1.1 200"));
-    });
-}
-
 /// Guards against a request that has arrived on a connection which is not yet accepted when
 /// the listener closes, as the timer that closes it may come before the poll tells of the
 /// connection.
--- a/crates/runtime/tests/slow_readers.rs
+++ b/crates/runtime/tests/slow_readers.rs
@@ -9,6 +9,7 @@
 use mulberrywell_role::{
     ExchangeCommand, ExchangeEvent, ExchangeId, HttpEvent, HttpRequest, RequestId, ResponsePart,
 };
+use mulberrywell_runtime::caller_budget::{CallerBudget, CallerLimits};
 use mulberrywell_runtime::caller_table::CallerId;
 use mulberrywell_runtime::exchange_table::ConnectionId;
 use mulberrywell_runtime::http_driver::{DriverEvent, HttpDriver};
@@ -43,9 +44,13 @@
 }
 
 impl DriverHarness {
-    fn new(poll: MioPoll, limit: Option<usize>) -> Self {
+    fn new(poll: MioPoll, limit: usize) -> Self {
         let now = Instant::now();
-        let mut driver = HttpDriver::new(now, limit);
+        let budget = CallerBudget::open(CallerLimits {
+            memory: limit,
+            ..CallerLimits::default()
+        });
+        let mut driver = HttpDriver::new(now, budget);
         driver.activate();
         DriverHarness {
             poll,
@@ -82,7 +87,7 @@
                 .unwrap();
             self.callers.push(caller);
             let (id, stream) = loop {
-                if let Some(accepted) = self.driver.callers.accept(0) {
+                if let Some(accepted) = self.driver.callers.accept(self.now, 0) {
                     break accepted;
                 }
             };
@@ -236,7 +241,7 @@
 /// process has one poll.
 #[test]
 fn slow_readers_leave_memory_to_others() {
-    let mut harness = DriverHarness::new(poll(), Some(LIMIT));
+    let mut harness = DriverHarness::new(poll(), LIMIT);
     harness.connect(2_001);
     let mut received = 0;
     for _ in 0..40 {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -20,7 +20,7 @@
 pub use grant_list::GrantList;
 pub use plan_list::PlanList;
 pub use process_settings::{
-    AgentSettings, ControlSettings, EndpointKind, EndpointSettings, EntrySettings, GatewaySettings,
-    InstanceSettings, LogSettings, MetricSettings, ServeSettings,
+    AgentSettings, CallerSettings, ControlSettings, EndpointKind, EndpointSettings, EntrySettings,
+    GatewaySettings, InstanceSettings, LogSettings, MetricSettings, ServeSettings,
 };
 pub use table_reader::TableReader;
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -77,11 +78,37 @@
     /// Tokens that all instances together may admit beyond an account's rate
     /// and burst.
     pub rate_tolerance: u64,
-    /// Memory of the instance in MiB; callers' and endpoints' buffers are bounded by a part
-    /// of it if given.
+    /// Memory of the instance in MiB, for settings without `[callers] memory_mb`.
     pub memory_mb: Option<u64>,
 }
 
+/// Limits on what a process holds for callers of all its ports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerSettings {
+    /// Bytes that may be held; the rest of the machine's memory is left for the process
+    /// itself and for responses that are buffered until they are complete.
+    pub memory: usize,
+    /// Descriptors that callers' connections may use, if the process has half as many more.
+    pub descriptors: usize,
+    /// Length in bytes up to which a request is small; a part of the memory is kept for
+    /// small requests.
+    pub small_request: usize,
+    /// Bytes that are read behind a request in flight.
+    pub read_ahead: usize,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        let machine_memory = usize::try_from(MEMORY_MB * 1024 * 1024).unwrap_or(usize::MAX);
+        CallerSettings {
+            memory: machine_memory / HELD_DIVISOR,
+            descriptors: 2_600,
+            small_request: 64 * 1024,
+            read_ahead: 16 * 1024,
+        }
+    }
+}
+
 /// Settings of the control role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlSettings {
@@ -140,6 +167,8 @@
 pub struct ServeSettings {
     /// Settings that all processes have in common.
     pub instance: InstanceSettings,
+    /// Limits on what is held for callers.
+    pub callers: CallerSettings,
     /// Set when the instance has the entry role.
     pub entry: Option<EntrySettings>,
     /// Set when the instance has the gateway role.
@@ -221,6 +250,8 @@
             let entry = root.table("entry").map(read_entry);
             let gateway = root.table("gateway").map(read_gateway);
             let control = root.table("control").map(read_control);
+            let gateway_memory_mb = gateway.as_ref().and_then(|it| it.memory_mb);
+            let callers = read_callers(root.table("callers"), gateway_memory_mb);
             if entry.is_none() && gateway.is_none() && control.is_none() {
                 root.report("one of the tables `entry`, `gateway` and `control` must be there");
             }
@@ -228,6 +259,7 @@
             root.report_unknown_fields();
             ServeSettings {
                 instance,
+                callers,
                 entry,
                 gateway,
                 control,
@@ -319,6 +351,45 @@
     grace.saturating_sub(SHUTDOWN_MARGIN)
 }
 
+/// Memory in MiB of the machine of a process that is not told it.
+const MEMORY_MB: u64 = 160;
+
+/// Divisor of the machine's memory that gives the default of what is held for callers.
+const HELD_DIVISOR: usize = 2;
+
+/// Values of `memory_mb`.
+const MEMORY_RANGE_MB: RangeInclusive<u64> = 16..=1 << 24;
+
+fn read_callers(table: Option<TableReader<'_>>, gateway_memory_mb: Option<u64>) -> CallerSettings {
+    let default = CallerSettings::default();
+    let bytes = |kib: u64| usize::try_from(kib * 1024).unwrap_or(usize::MAX);
+    let held_by = |memory_mb: u64| bytes(memory_mb * 1024) / HELD_DIVISOR;
+    let held = gateway_memory_mb.map_or(default.memory, held_by);
+    let Some(mut table) = table else {
+        return CallerSettings {
+            memory: held,
+            ..default
+        };
+    };
+    let memory_mb = table.number("memory_mb", MEMORY_RANGE_MB);
+    let held_kib = table.number("held_kib", 8_192..=1 << 34);
+    let settings = CallerSettings {
+        memory: held_kib.map_or(memory_mb.map_or(held, held_by), bytes),
+        descriptors: usize_or(
+            table.number("descriptors", 16..=1 << 24),
+            default.descriptors,
+        ),
+        small_request: table
+            .number("small_request_kib", 16..=4_096)
+            .map_or(default.small_request, bytes),
+        read_ahead: table
+            .number("read_ahead_kib", 1..=4_096)
+            .map_or(default.read_ahead, bytes),
+    };
+    table.report_unknown_fields();
+    settings
+}
+
 fn read_gateway(mut table: TableReader<'_>) -> GatewaySettings {
     let settings = GatewaySettings {
         caller_listen: table.required_address("caller_listen"),
@@ -340,7 +411,7 @@
         rate_tolerance: table
             .thousandths("rate_tolerance_tokens", 0..=1 << 50)
             .map_or(0, |tolerance| tolerance / 1_000),
-        memory_mb: table.number("memory_mb", 16..=1 << 24),
+        memory_mb: table.number("memory_mb", MEMORY_RANGE_MB),
     };
     table.report_unknown_fields();
     settings
