Entry, operators' port: a chunked body that is cut off never runs

A caller that sent a part of a chunked body and stopped got 408 and Mulberrywell-Ran: no, and the request ran with the part that had arrived: an order that the caller then repeats is run twice.

Cause: the HTTP library doesn't tell a chunked body that is cut off, as the proxy drops its connection to the library, from one that is complete. Ruled out: the proxy parsing the chunks, which the library does already.

Proxy and thread now settle under one lock whether a request starts (OpenPorts): a request that the proxy refuses, or whose caller has hung up, closes its port before the socket, and never reaches a role; one that has started is not refused. A body is put together in one piece only once it starts, so that refused ones no longer take twice their memory.

--- a/crates/runtime/src/body_segments.rs
+++ b/crates/runtime/src/body_segments.rs
@@ -109,7 +109,7 @@
     }
 
     /// Returns the body in one piece.
-    pub fn to_bytes(&self) -> Bytes {
+    fn to_bytes(&self) -> Bytes {
         let mut body = Vec::with_capacity(self.len);
         for segment in &self.segments {
             let rest = self.len - body.len();
@@ -119,6 +119,25 @@
     }
 }
 
+/// A body that was read to its end.
+#[derive(Debug)]
+pub enum ReadBody {
+    /// In one piece.
+    Whole(Bytes),
+    /// In segments.
+    Segmented(SegmentedBody),
+}
+
+impl ReadBody {
+    /// Returns the body in one piece.
+    pub fn into_bytes(self) -> Bytes {
+        match self {
+            ReadBody::Whole(body) => body,
+            ReadBody::Segmented(body) => body.to_bytes(),
+        }
+    }
+}
+
 impl Drop for SegmentedBody {
     fn drop(&mut self) {
         let pool = self.pool.clone();
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -35,8 +35,10 @@
 
 use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts, SEARCH_INTERVAL, STALL_MIN};
 use crate::http_refusal::OVERLOADED;
+use crate::open_ports::OpenPorts;
 use crate::proxy_connection::{
-    CloseMode, ConnectionLimits, ProxyConnection, ProxySide, ProxyStep, SocketReady, READ_LEN,
+    CloseMode, ConnectionLimits, ProxyConnection, ProxySide, ProxyStep, SocketReady,
+    UpstreamSocket, READ_LEN,
 };
 use crate::start_tracker::StartTracker;
 
@@ -95,6 +97,7 @@
 /// Handle by which request threads notify a running proxy.
 #[derive(Clone)]
 pub struct FrontProxy {
+    open_ports: OpenPorts,
     tx: SyncSender<ProxyCommand>,
     waker: Arc<Waker>,
 }
@@ -120,7 +123,9 @@
         registry.register(&mut listener, LISTENER, Interest::READABLE)?;
         let waker = Arc::new(Waker::new(registry, WAKER)?);
         let (tx, rx) = sync_channel(COMMANDS_MAX);
+        let open_ports = OpenPorts::default();
         let proxy = ProxyLoop {
+            open_ports: open_ports.clone(),
             poll,
             listener,
             upstream,
@@ -141,7 +146,11 @@
         thread::Builder::new()
             .name("front proxy".to_owned())
             .spawn(move || proxy.run())?;
-        Ok(FrontProxy { tx, waker })
+        Ok(FrontProxy {
+            open_ports,
+            tx,
+            waker,
+        })
     }
 
     /// Notifies that the library has started a request and is reading its body.
@@ -149,6 +158,12 @@
         self.send(ProxyCommand::Reading { port });
     }
 
+    /// Starts the request of the connection at `port`, whose body has been read; false when
+    /// it was refused or its caller has hung up, so that its body may be cut off.
+    pub fn start_request(&self, port: u16) -> bool {
+        self.open_ports.start_request(port)
+    }
+
     /// Notifies that a request of the connection at `port` is passed to a role.
     pub fn notify_started(&self, port: u16, request: RequestId) {
         self.send(ProxyCommand::Started { port, request });
@@ -185,6 +200,7 @@
 
 /// State of the proxy thread.
 struct ProxyLoop<F> {
+    open_ports: OpenPorts,
     poll: Poll,
     listener: TcpListener,
     upstream: SocketAddr,
@@ -487,7 +503,10 @@
         };
         match opened {
             Ok((port, upstream)) => {
-                connection.set_upstream(upstream);
+                connection.set_upstream(UpstreamSocket {
+                    port: self.open_ports.open(port),
+                    socket: upstream,
+                });
                 self.ports.insert(port, id);
                 self.start_tracker.insert(id, now);
             }
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -21,7 +21,7 @@
 use socket2::SockRef;
 use tiny_http::{Method, Request, Server};
 
-use crate::body_segments::{SegmentPool, SegmentedBody, SEGMENT_LEN};
+use crate::body_segments::{ReadBody, SegmentPool, SegmentedBody, SEGMENT_LEN};
 use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts};
 use crate::event_sender::EventSender;
 use crate::front_proxy::{FrontProxy, ProxyLimits, SEND_BUFFER};
@@ -317,10 +317,12 @@
         {
             self.proxy.notify_reading(port);
         }
-        let http = match read_request(&mut request, self.limits.max_body, &self.pool) {
-            Ok(http) => http,
+        let body = match read_body(&mut request, self.limits.max_body, &self.pool) {
+            Ok(body) if self.proxy.start_request(port) => body.into_bytes(),
+            Ok(_) => return self.refuse(request, BAD_BODY),
             Err(refusal) => return self.refuse(request, refusal),
         };
+        let http = http_request(&request, body);
         let allows_chunks = *request.http_version() >= tiny_http::HTTPVersion(1, 1);
         let bodyless = *request.method() == Method::Head;
         let id = self.next_request.fetch_add(1, Ordering::Relaxed);
@@ -398,38 +400,38 @@
     }
 }
 
-fn read_request(
+/// Reads a body, which may be cut off if it is chunked.
+fn read_body(
     request: &mut Request,
     max_body: usize,
     pool: &Arc<SegmentPool>,
-) -> Result<HttpRequest, HttpRefusal> {
+) -> Result<ReadBody, HttpRefusal> {
     let stated_len = request.body_length();
-    let body = match stated_len {
-        Some(len) if len <= SEGMENT_LEN => {
-            let mut body = vec![0; len];
-            let read = request.as_reader().read_exact(&mut body);
-            read.map_err(|_| BAD_BODY)?;
-            Bytes::from(body)
-        }
-        _ => {
-            let mut body = SegmentedBody::new(pool.clone());
-            body.read_all(request.as_reader(), max_body)?;
-            if stated_len.is_some_and(|len| body.len() < len) {
-                return Err(BAD_BODY);
-            }
-            body.to_bytes()
-        }
-    };
+    if let Some(len) = stated_len.filter(|len| *len <= SEGMENT_LEN) {
+        let mut body = vec![0; len];
+        let read = request.as_reader().read_exact(&mut body);
+        read.map_err(|_| BAD_BODY)?;
+        return Ok(ReadBody::Whole(Bytes::from(body)));
+    }
+    let mut body = SegmentedBody::new(pool.clone());
+    body.read_all(request.as_reader(), max_body)?;
+    if stated_len.is_some_and(|len| body.len() < len) {
+        return Err(BAD_BODY);
+    }
+    Ok(ReadBody::Segmented(body))
+}
+
+fn http_request(request: &Request, body: Bytes) -> HttpRequest {
     let headers = request.headers().iter().map(|header| HeaderField {
         name: Bytes::copy_from_slice(header.field.as_str().as_str().as_bytes()),
         value: Bytes::copy_from_slice(header.value.as_str().as_bytes()),
     });
-    Ok(HttpRequest {
+    HttpRequest {
         method: Bytes::from(request.method().as_str().to_owned()),
         path: Bytes::from(request.url().to_owned()),
         headers: headers.collect(),
         body,
-    })
+    }
 }
 
 fn lock<T>(shared: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -31,6 +31,7 @@
 mod log_writer;
 mod metric_output;
 mod metric_text;
+mod open_ports;
 mod process;
 mod proxy_connection;
 mod proxy_io;
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -23,6 +23,7 @@
     HttpRefusal, AMBIGUOUS_LENGTH, BAD_REQUEST, BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_UPGRADE,
     SHUTTING_DOWN, TOO_SLOW,
 };
+use crate::open_ports::OpenPort;
 use crate::proxy_io::{read_some, write_some, ReadOutcome, WriteOutcome};
 
 /// Size in bytes of one read, and limit of the bytes buffered in each
@@ -130,11 +131,20 @@
     pub stall_timeout: Duration,
 }
 
+/// A connection to the upstream server.
+#[derive(Debug)]
+pub struct UpstreamSocket {
+    /// Requests on this connection may start; dropped before the socket.
+    pub port: OpenPort,
+    /// The socket.
+    pub socket: TcpStream,
+}
+
 /// A proxied connection of one caller.
 #[derive(Debug)]
 pub struct ProxyConnection {
     caller: TcpStream,
-    upstream: Option<TcpStream>,
+    upstream: Option<UpstreamSocket>,
     limits: ConnectionLimits,
     phase: ProxyPhase,
     scan: HeadScan,
@@ -218,12 +228,12 @@
 
     /// Returns the socket to the upstream server.
     pub fn upstream_mut(&mut self) -> Option<&mut TcpStream> {
-        self.upstream.as_mut()
+        self.upstream.as_mut().map(|upstream| &mut upstream.socket)
     }
 
     /// Returns the local address of the socket to the upstream server.
     pub fn upstream_address(&self) -> Option<SocketAddr> {
-        self.upstream.as_ref()?.local_addr().ok()
+        self.upstream.as_ref()?.socket.local_addr().ok()
     }
 
     /// Returns the requests that are not yet answered.
@@ -260,22 +270,28 @@
         self.charge.use_descriptors(open, PROXIED_DESCRIPTORS)
     }
 
-    /// Refuses the request that is being read; closes the connection if a response before
-    /// it is still to be written.
+    /// Refuses the request that is being read, unless it has started; closes the connection
+    /// if a response before it is still to be written.
     pub fn refuse_request(&mut self, now: Instant, refusal: HttpRefusal) -> ProxyStep {
         if !self.is_forwarded {
             self.refuse_next(now, refusal);
         } else if self.has_pending_response() {
             // A refusal would stand in the middle of the response before.
             return ProxyStep::Ended;
-        } else {
+        } else if self.abandon_request() {
             self.refuse(now, refusal);
         }
         ProxyStep::Wait
     }
 
+    /// Makes sure that the request that is being read never starts; false when it has.
+    fn abandon_request(&self) -> bool {
+        let upstream = self.upstream.as_ref();
+        upstream.is_none_or(|upstream| upstream.port.abandon_request())
+    }
+
     /// Sets the connection that [`ProxyStep::OpenUpstream`] requires.
-    pub fn set_upstream(&mut self, upstream: TcpStream) {
+    pub fn set_upstream(&mut self, upstream: UpstreamSocket) {
         self.upstream = Some(upstream);
     }
 
@@ -308,6 +324,9 @@
         if let Some(request) = request {
             self.requests.remove(&request);
         }
+        if let Some(upstream) = &self.upstream {
+            upstream.port.finish_request();
+        }
         if close != CloseMode::KeepAlive {
             self.close = close;
         }
@@ -324,7 +343,8 @@
     pub fn refuse_unread(&mut self, now: Instant) {
         self.refuses_unread = true;
         // A refusal would stand in the middle of a response that is still to be written.
-        if matches!(self.phase, ProxyPhase::Body(_)) && !self.has_pending_response() {
+        let is_reading = matches!(self.phase, ProxyPhase::Body(_));
+        if is_reading && !self.has_pending_response() && self.abandon_request() {
             self.refuse(now, SHUTTING_DOWN);
         }
     }
@@ -413,7 +433,9 @@
                     // A refusal would stand in the middle of the response before.
                     return ProxyStep::Ended;
                 }
-                self.refuse(now, TOO_SLOW);
+                if self.abandon_request() {
+                    self.refuse(now, TOO_SLOW);
+                }
             }
             ProxyPhase::Response
                 if !self.outbound.is_empty() && without_progress >= stall_timeout =>
@@ -473,7 +495,7 @@
     fn shut_down_upstream(&mut self) {
         if let Some(upstream) = &self.upstream {
             // The upstream server may have closed the connection already.
-            let _ = upstream.shutdown(Shutdown::Write);
+            let _ = upstream.socket.shutdown(Shutdown::Write);
         }
     }
 
@@ -592,7 +614,8 @@
             BodyLength::Chunked => usize::MAX,
         };
         let limit = limit.min(self.inbound.len());
-        let outcome = write_some(upstream, &mut self.upstream_ready, &mut self.inbound, limit);
+        let socket = &mut upstream.socket;
+        let outcome = write_some(socket, &mut self.upstream_ready, &mut self.inbound, limit);
         let len = match outcome {
             WriteOutcome::Written(len) => len,
             WriteOutcome::Blocked => return MoveOutcome::Idle,
@@ -628,7 +651,7 @@
         if !self.upstream_ready.read || !self.outbound.is_empty() || self.upstream_ended {
             return MoveOutcome::Idle;
         }
-        match read_some(upstream, &mut self.upstream_ready, scratch) {
+        match read_some(&mut upstream.socket, &mut self.upstream_ready, scratch) {
             ReadOutcome::Data(len) => {
                 self.outbound.extend_from_slice(&scratch[..len]);
                 MoveOutcome::Moved
