--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -33,6 +33,10 @@
 /// Interval between two searches for an incomplete request to refuse, after one in vain.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Divisor of the bytes wanted that gives the least that a request must hold to be refused
+/// for them, so that many small ones don't go for one large.
+pub const VICTIM_DIVISOR: usize = 64;
+
 /// Limits of a budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -19,7 +19,7 @@
     CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalCounts,
     CONNECTION_MEMORY, RECEIVE_BUFFER,
 };
-use crate::caller_budget::{CallerLimits, SEARCH_INTERVAL, STALL_MIN};
+use crate::caller_budget::{CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR};
 use crate::http_socket::{ReadState, TURN_LEN};
 
 /// Bytes that one turn reads while other connections wait for theirs.
@@ -239,15 +239,21 @@
             if connection.charge.take(len, request_len) {
                 return true;
             }
-            let Some(stalled) = self.find_stalled(now, id) else {
+            let Some(stalled) = self.find_stalled(now, id, len / VICTIM_DIVISOR) else {
                 return false;
             };
             self.refuse_request(now, stalled);
         }
     }
 
-    /// Returns the stalled incomplete request that holds most for longest.
-    fn find_stalled(&mut self, now: Instant, except: CallerId) -> Option<CallerId> {
+    /// Returns the stalled incomplete request that holds most for longest, of those that hold
+    /// at least `held_min` bytes.
+    fn find_stalled(
+        &mut self,
+        now: Instant,
+        except: CallerId,
+        held_min: usize,
+    ) -> Option<CallerId> {
         if self
             .searched_at
             .is_some_and(|at| now < at + SEARCH_INTERVAL)
@@ -263,7 +269,8 @@
             let age = now.saturating_duration_since(since).as_millis();
             let weight = connection.charge.held() as u128 * age;
             // One that waits for its turn has not stalled.
-            (silence >= STALL_MIN && !connection.is_queued).then_some((weight, *id))
+            let is_stalled = silence >= STALL_MIN && !connection.is_queued;
+            (is_stalled && connection.charge.held() >= held_min).then_some((weight, *id))
         });
         let found = weights.max().map(|(_, id)| id);
         self.searched_at = found.is_none().then_some(now);
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -33,7 +33,9 @@
 use mulberrywell_role::RequestId;
 use socket2::SockRef;
 
-use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts, SEARCH_INTERVAL, STALL_MIN};
+use crate::caller_budget::{
+    CallerBudget, CallerCharge, RefusalCounts, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
+};
 use crate::http_refusal::OVERLOADED;
 use crate::open_ports::OpenPorts;
 use crate::proxy_connection::{
@@ -444,7 +446,7 @@
             if connection.take_memory(len) {
                 return true;
             }
-            let Some(stalled) = self.find_stalled(now, id) else {
+            let Some(stalled) = self.find_stalled(now, id, len / VICTIM_DIVISOR) else {
                 return false;
             };
             self.refuse_request(now, stalled);
@@ -453,8 +455,14 @@
         }
     }
 
-    /// Returns the connection whose stalled incomplete request holds most for longest.
-    fn find_stalled(&mut self, now: Instant, except: ConnectionId) -> Option<ConnectionId> {
+    /// Returns the connection whose stalled incomplete request holds most for longest, of
+    /// those that hold at least `held_min` bytes.
+    fn find_stalled(
+        &mut self,
+        now: Instant,
+        except: ConnectionId,
+        held_min: usize,
+    ) -> Option<ConnectionId> {
         if self
             .searched_at
             .is_some_and(|at| now < at + SEARCH_INTERVAL)
@@ -462,7 +470,8 @@
             return None;
         }
         let connections = self.connections.iter().filter(|(id, _)| **id != except);
-        let weights = connections
+        let holders = connections.filter(|(_, it)| it.held_bytes() >= held_min);
+        let weights = holders
             .filter_map(|(id, connection)| Some((connection.stalled_weight(now, STALL_MIN)?, *id)));
         let found = weights.max().map(|(_, id)| id);
         self.searched_at = found.is_none().then_some(now);
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -248,6 +248,11 @@
         (self.phase == ProxyPhase::Head).then_some((self.is_proven, self.phase_since))
     }
 
+    /// Returns the bytes held for the caller.
+    pub fn held_bytes(&self) -> usize {
+        self.charge.held()
+    }
+
     /// Returns how much is held for an incomplete request times how long, if no byte of it
     /// was received for `stall_min` and it can be refused.
     pub fn stalled_weight(&self, now: Instant, stall_min: Duration) -> Option<u128> {
--- a/crates/runtime/tests/caller_memory.rs
+++ b/crates/runtime/tests/caller_memory.rs
@@ -78,6 +78,10 @@
     /// Connects a caller that sends `text`, which is read; returns its place.
     fn send(&mut self, text: &[u8]) -> usize {
         let mut stream = TcpStream::connect(self.address).unwrap();
+        // The sockets' buffers hold all of it, as it is not read before it is written.
+        socket2::SockRef::from(&stream)
+            .set_send_buffer_size(1024 * 1024)
+            .unwrap();
         stream.write_all(text).unwrap();
         std::thread::sleep(ARRIVAL_TIME);
         let callers = &mut self.driver.callers;
@@ -246,6 +250,32 @@
     });
 }
 
+/// Guards against large bodies that are read one after the other to their ends while small
+/// requests wait: one pass reads a limited part, and a small request is read at once.
+#[test]
+fn tick_large_bodies_read_in_passes() {
+    run_with_poll(|poll| {
+        const LARGE_LEN: usize = 256 * 1024;
+        const PASS_MAX: usize = 256 * 1024;
+        let mut bounded = BoundedDriver::with_memory(poll, 64 * 1024 * 1024);
+        for _ in 0..8 {
+            let text = [head(LARGE_LEN).as_bytes(), &vec![b'x'; LARGE_LEN]].concat();
+            bounded.send(&text);
+        }
+        assert_eq!(bounded.requests.len(), 0, "more than a turn was read");
+        bounded.send(SMALL_REQUEST);
+        assert_eq!(bounded.requests.len(), 1);
+        let mut passes = 0;
+        while bounded.requests.len() < 9 {
+            bounded.pass(Duration::from_millis(1));
+            passes += 1;
+            assert!(passes < 1_000, "{} requests", bounded.requests.len());
+        }
+        let rest = 8 * (LARGE_LEN - 64 * 1024);
+        assert!(passes >= rest / PASS_MAX, "{passes} passes");
+    });
+}
+
 /// Guards against the memory of a request that stays taken after its connection's end.
 #[test]
 fn close_frees_memory() {
