runtime: refusals are counted by kind; a test of counters and log line

A refusal has a kind now, and counters, metrics and the log line go by it; nothing else changes. gateway_refusals_reported shows that an operator sees refusals in the metrics and in a line that doesn't grow with each of them.

--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -255,3 +255,30 @@
         .sampler
         .check(LOW_MEMORY_MB * 1_024, DESCRIPTORS_MAX);
 }
+
+/// Guards against refusals that an operator can't see, and against a log that grows with
+/// each of them.
+#[test]
+fn gateway_refusals_reported() {
+    let _alone = run_alone();
+    let gateway = SampledGateway::spawn(&format!("memory_mb = {LOW_MEMORY_MB}\n"));
+    let deployment = &gateway.deployment;
+    let head = request_head("/once/x");
+    let forms = [CrowdForm::LengthShort];
+    let crowd = Crowd::send(deployment.callers, 2 * LOW_MEMORY_CROWD, &forms, &head);
+    let refused = || {
+        let caller = HttpCaller::with_timeout(deployment.metrics, None, ANSWER_TIMEOUT);
+        let text = caller.call("GET", "/metrics", &[], "").unwrap().body;
+        let line = text
+            .lines()
+            .find(|line| line.contains("http_requests_refused"));
+        let count = line.and_then(|line| line.rsplit(' ').next());
+        count.and_then(|count| count.parse::<usize>().ok())
+    };
+    wait_until("refusals are counted", || refused() > Some(0)).unwrap();
+    let line = "cause=\"limits on callers\"";
+    let lines = || deployment.processes.log("gateway").matches(line).count();
+    wait_until("a line is written", || lines() > 0).unwrap();
+    assert!(lines() < refused().unwrap());
+    drop(crowd);
+}
--- a/crates/runtime/src/budget_log.rs
+++ b/crates/runtime/src/budget_log.rs
@@ -4,7 +4,7 @@
 
 use mulberrywell_role::MetricKind;
 
-use crate::caller_budget::RefusalCounts;
+use crate::caller_budget::{RefusalCounts, RefusalKind};
 use crate::http_driver::BudgetReport;
 use crate::metric_output::MetricOutput;
 
@@ -17,16 +17,14 @@
 const CALLER_DESCRIPTORS: &str = "http.caller_descriptors";
 /// Responses that are not read from their endpoints, as their callers don't read.
 const PAUSED_RESPONSES: &str = "http.paused_responses";
-/// Connections closed because of the unread bytes held for their callers.
-const UNREAD_ENDED: &str = "http.unread_ended";
-/// Requests refused for lack of memory.
-const REQUESTS_REFUSED: &str = "http.requests_refused";
-/// Connections refused for lack of descriptors.
-const CONNECTIONS_REFUSED: &str = "http.connections_refused";
-/// Connections closed to make room for others.
-const CONNECTIONS_CLOSED: &str = "http.connections_closed";
-/// Failures to accept a connection.
-const ACCEPT_FAILURES: &str = "http.accept_failures";
+/// Counters of refusals.
+const REFUSALS: [(RefusalKind, &str); 5] = [
+    (RefusalKind::Request, "http.requests_refused"),
+    (RefusalKind::Connection, "http.connections_refused"),
+    (RefusalKind::Closed, "http.connections_closed"),
+    (RefusalKind::Ended, "http.unread_ended"),
+    (RefusalKind::AcceptFailure, "http.accept_failures"),
+];
 
 /// Reports what the budget has refused or closed.
 #[derive(Debug, Default)]
@@ -44,14 +42,8 @@
         metrics.report(MetricKind::Gauge, HELD_BYTES, report.held);
         metrics.report(MetricKind::Gauge, CALLER_DESCRIPTORS, report.descriptors);
         metrics.report(MetricKind::Gauge, PAUSED_RESPONSES, report.paused);
-        for (name, count) in [
-            (UNREAD_ENDED, counts.ended),
-            (REQUESTS_REFUSED, counts.requests),
-            (CONNECTIONS_REFUSED, counts.connections),
-            (CONNECTIONS_CLOSED, counts.closed),
-            (ACCEPT_FAILURES, counts.accept_failures),
-        ] {
-            metrics.report(MetricKind::Count, name, count);
+        for (kind, name) in REFUSALS {
+            metrics.report(MetricKind::Count, name, counts.get(kind));
         }
         self.counts.add(counts);
         let is_due = self.last_line.is_none_or(|at| now >= at + LOG_INTERVAL);
@@ -69,11 +61,11 @@
              cause=\"limits on callers\"",
             report.held,
             report.descriptors,
-            counts.requests,
-            counts.connections,
-            counts.closed,
-            counts.ended,
-            counts.accept_failures
+            counts.get(RefusalKind::Request),
+            counts.get(RefusalKind::Connection),
+            counts.get(RefusalKind::Closed),
+            counts.get(RefusalKind::Ended),
+            counts.get(RefusalKind::AcceptFailure)
         );
     }
 }
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -69,41 +69,44 @@
     }
 }
 
-/// What was refused or closed because of a limit.
+/// What a limit leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalKind {
+    /// A request was refused for lack of memory or descriptors.
+    Request,
+    /// A new connection was refused for lack of descriptors.
+    Connection,
+    /// A connection without a request in flight was closed to make room.
+    Closed,
+    /// A connection was closed because of the unread bytes held for its caller.
+    Ended,
+    /// A connection could not be accepted.
+    AcceptFailure,
+}
+
+/// Number of kinds.
+const KINDS: usize = 5;
+
+/// How often limits have led to each [`RefusalKind`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RefusalCounts {
-    /// Requests refused for lack of memory.
-    pub requests: u64,
-    /// Connections refused for lack of descriptors.
-    pub connections: u64,
-    /// Connections without a request in flight that were closed to make room.
-    pub closed: u64,
-    /// Connections closed because of the unread bytes held for them.
-    pub ended: u64,
-    /// Failures to accept a connection.
-    pub accept_failures: u64,
+    counts: [u64; KINDS],
 }
 
 impl RefusalCounts {
+    /// Returns the count of one kind.
+    pub fn get(&self, kind: RefusalKind) -> u64 {
+        self.counts[kind as usize]
+    }
+
     /// Adds other counts.
     pub fn add(&mut self, other: RefusalCounts) {
-        self.requests += other.requests;
-        self.connections += other.connections;
-        self.closed += other.closed;
-        self.ended += other.ended;
-        self.accept_failures += other.accept_failures;
+        for (count, more) in self.counts.iter_mut().zip(other.counts) {
+            *count += more;
+        }
     }
 }
 
-#[derive(Debug, Default)]
-struct RefusalCounters {
-    requests: AtomicU64,
-    connections: AtomicU64,
-    closed: AtomicU64,
-    ended: AtomicU64,
-    accept_failures: AtomicU64,
-}
-
 #[derive(Debug)]
 struct SharedBudget {
     limits: CallerLimits,
@@ -111,7 +114,8 @@
     held: AtomicUsize,
     /// Descriptors used; above the limit only by what ports with few connections use.
     descriptors: AtomicUsize,
-    counters: RefusalCounters,
+    /// Refusals by kind since they were last taken.
+    counters: [AtomicU64; KINDS],
 }
 
 /// Handle of the budget of a process.
@@ -134,7 +138,7 @@
                 limits,
                 held: AtomicUsize::new(0),
                 descriptors: AtomicUsize::new(0),
-                counters: RefusalCounters::default(),
+                counters: Default::default(),
             }),
         }
     }
@@ -201,34 +205,18 @@
         }
     }
 
-    /// Counts what was refused or closed.
-    pub fn count(&self, counts: RefusalCounts) {
-        let counters = &self.shared.counters;
-        let pairs = [
-            (&counters.requests, counts.requests),
-            (&counters.connections, counts.connections),
-            (&counters.closed, counts.closed),
-            (&counters.ended, counts.ended),
-            (&counters.accept_failures, counts.accept_failures),
-        ];
-        for (counter, count) in pairs {
-            if count > 0 {
-                counter.fetch_add(count, Ordering::Relaxed);
-            }
-        }
+    /// Counts a refusal.
+    pub fn count(&self, kind: RefusalKind) {
+        self.shared.counters[kind as usize].fetch_add(1, Ordering::Relaxed);
     }
 
     /// Removes and returns what was counted.
     pub fn take_counts(&self) -> RefusalCounts {
-        let counters = &self.shared.counters;
-        let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
-        RefusalCounts {
-            requests: take(&counters.requests),
-            connections: take(&counters.connections),
-            closed: take(&counters.closed),
-            ended: take(&counters.ended),
-            accept_failures: take(&counters.accept_failures),
+        let mut counts = RefusalCounts::default();
+        for (count, counter) in counts.counts.iter_mut().zip(&self.shared.counters) {
+            *count = counter.swap(0, Ordering::Relaxed);
         }
+        counts
     }
 }
 
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -28,7 +28,7 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::{MioPoll, MioSource, Ready};
 
-use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts};
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalKind};
 use crate::http_socket::{HttpSocket, RECEIVE_BUFFER};
 
 use caller_accepts::CloseRank;
--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -15,7 +15,7 @@
 use stakker_mio::mio::net::TcpStream;
 
 use super::caller_refusals::retry_after;
-use super::{CallerCharge, CallerConnection, CallerId, CallerPhase, CallerTable, RefusalCounts};
+use super::{CallerCharge, CallerConnection, CallerId, CallerPhase, CallerTable, RefusalKind};
 
 /// Delay after a connection could not be accepted, as for lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -60,11 +60,7 @@
                 Err(_) => {
                     // The poll tells only of further connections, which a full queue keeps out.
                     record.accept_at = Some(now + ACCEPT_RETRY_DELAY);
-                    let counts = RefusalCounts {
-                        accept_failures: 1,
-                        ..RefusalCounts::default()
-                    };
-                    self.budget.count(counts);
+                    self.budget.count(RefusalKind::AcceptFailure);
                     return None;
                 }
             }
@@ -111,11 +107,7 @@
         write_response_head(503, &retry_after(id), Some(0), true, true, &mut output);
         // The connection closes in any case.
         let _ = stream.write(&output);
-        let counts = RefusalCounts {
-            connections: 1,
-            ..RefusalCounts::default()
-        };
-        self.budget.count(counts);
+        self.budget.count(RefusalKind::Connection);
     }
 
     /// Closes the connection that may be closed soonest, if there is one.
@@ -143,11 +135,7 @@
                 connection.flush();
             }
             self.connections.remove(&id);
-            let counts = RefusalCounts {
-                closed: 1,
-                ..RefusalCounts::default()
-            };
-            self.budget.count(counts);
+            self.budget.count(RefusalKind::Closed);
             return true;
         }
         false
--- a/crates/runtime/src/caller_table/caller_backlog.rs
+++ b/crates/runtime/src/caller_table/caller_backlog.rs
@@ -4,7 +4,7 @@
 
 use mulberrywell_role::{ListenerId, RequestId};
 
-use super::{CallerEvents, CallerId, CallerPhase, CallerTable, RefusalCounts, RECEIVE_BUFFER};
+use super::{CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind, RECEIVE_BUFFER};
 
 /// A caller's connection that was closed because of the memory held for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -109,11 +109,7 @@
             held: connection.charge.held(),
         };
         self.close(id, events);
-        let counts = RefusalCounts {
-            ended: 1,
-            ..RefusalCounts::default()
-        };
-        self.budget.count(counts);
+        self.budget.count(RefusalKind::Ended);
         Some(ended)
     }
 }
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -16,7 +16,7 @@
 
 use super::caller_refusals::{refusal_status, retry_after};
 use super::{
-    CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalCounts,
+    CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind,
     CONNECTION_MEMORY, RECEIVE_BUFFER,
 };
 use crate::caller_budget::{CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR};
@@ -303,11 +303,7 @@
         self.unread.push(id, connection, self.budget.limits());
         self.dirty.push(id);
         self.settle(id);
-        let counts = RefusalCounts {
-            requests: 1,
-            ..RefusalCounts::default()
-        };
-        self.budget.count(counts);
+        self.budget.count(RefusalKind::Request);
     }
 
     /// Counts what is held for a connection now.
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -34,7 +34,7 @@
 use socket2::SockRef;
 
 use crate::caller_budget::{
-    CallerBudget, CallerCharge, RefusalCounts, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
+    CallerBudget, CallerCharge, RefusalKind, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
 };
 use crate::http_refusal::OVERLOADED;
 use crate::open_ports::OpenPorts;
@@ -346,11 +346,7 @@
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
                 Err(err) if is_connection_error(&err) => {}
                 Err(_) => {
-                    let counts = RefusalCounts {
-                        accept_failures: 1,
-                        ..RefusalCounts::default()
-                    };
-                    self.budget.count(counts);
+                    self.budget.count(RefusalKind::AcceptFailure);
                     self.accept_resume_at = Some(now + ACCEPT_RETRY_DELAY);
                     return;
                 }
@@ -363,11 +359,7 @@
             // If the socket does not accept the bytes at once, it is closed
             // without a response.
             let _ = caller.write(&OVERLOADED.bytes());
-            let counts = RefusalCounts {
-                connections: 1,
-                ..RefusalCounts::default()
-            };
-            self.budget.count(counts);
+            self.budget.count(RefusalKind::Connection);
             return;
         };
         let id = self.next_id;
@@ -412,11 +404,7 @@
             return false;
         };
         self.remove_connection(id);
-        let counts = RefusalCounts {
-            closed: 1,
-            ..RefusalCounts::default()
-        };
-        self.budget.count(counts);
+        self.budget.count(RefusalKind::Closed);
         true
     }
 
@@ -483,11 +471,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let counts = RefusalCounts {
-            requests: 1,
-            ..RefusalCounts::default()
-        };
-        self.budget.count(counts);
+        self.budget.count(RefusalKind::Request);
         if connection.refuse_request(now, OVERLOADED) == ProxyStep::Ended {
             self.remove_connection(id);
         }
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -22,7 +22,7 @@
 use tiny_http::{Method, Request, Server};
 
 use crate::body_segments::{ReadBody, SegmentPool, SegmentedBody, SEGMENT_LEN};
-use crate::caller_budget::{CallerBudget, CallerCharge, RefusalCounts};
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalKind};
 use crate::event_sender::EventSender;
 use crate::front_proxy::{FrontProxy, ProxyLimits, SEND_BUFFER};
 use crate::http_refusal::{HttpRefusal, BAD_BODY, OVERLOADED};
@@ -111,11 +111,7 @@
         let mut queued = lock(&self.queued);
         let bytes = queued.bytes + data_len(&part);
         if queued.parts >= PARTS_MAX || bytes > self.budget.unread_share(QUEUED_BYTES_MAX) {
-            let counts = RefusalCounts {
-                ended: 1,
-                ..RefusalCounts::default()
-            };
-            self.budget.count(counts);
+            self.budget.count(RefusalKind::Ended);
             return false;
         }
         let parts = queued.parts + 1;
