--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -18,6 +18,8 @@
 //! therefore the proxy opens empty connections while the library has not
 //! started a forwarded request ([`crate::start_tracker`]).
 
+mod proxy_admission;
+
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
@@ -33,9 +35,7 @@
 use mulberrywell_role::RequestId;
 use socket2::SockRef;
 
-use crate::caller_budget::{
-    CallerBudget, CallerCharge, RefusalKind, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
-};
+use crate::caller_budget::{CallerBudget, RefusalKind};
 use crate::http_refusal::OVERLOADED;
 use crate::open_ports::OpenPorts;
 use crate::proxy_connection::{
@@ -381,33 +381,6 @@
         self.connections.insert(id, connection);
     }
 
-    /// Takes the descriptor of a new connection; closes another one if that is necessary
-    /// and possible.
-    fn admit(&mut self) -> Option<CallerCharge> {
-        if self.connections.len() >= self.limits.max_connections && !self.close_one(None) {
-            return None;
-        }
-        if let Some(charge) = self.budget.connect(self.connections.len(), 1) {
-            return Some(charge);
-        }
-        self.close_one(None);
-        self.budget.connect(self.connections.len(), 1)
-    }
-
-    /// Closes the connection without a request in flight that is closed first, other than
-    /// `except`.
-    fn close_one(&mut self, except: Option<ConnectionId>) -> bool {
-        let connections = self.connections.iter();
-        let others = connections.filter(|(id, _)| Some(**id) != except);
-        let ranked = others.filter_map(|(id, connection)| Some((connection.close_rank()?, *id)));
-        let Some((_, id)) = ranked.min() else {
-            return false;
-        };
-        self.remove_connection(id);
-        self.budget.count(RefusalKind::Closed);
-        true
-    }
-
     fn advance(&mut self, now: Instant, id: ConnectionId) {
         while let Some(connection) = self.connections.get_mut(&id) {
             match connection.advance(now, &mut self.scratch) {
@@ -424,59 +397,6 @@
         }
     }
 
-    /// Takes memory for a connection's request; refuses other requests that have stalled
-    /// while it is not free.
-    fn take_memory(&mut self, now: Instant, id: ConnectionId, len: usize) -> bool {
-        loop {
-            let Some(connection) = self.connections.get_mut(&id) else {
-                return false;
-            };
-            if connection.take_memory(len) {
-                return true;
-            }
-            let Some(stalled) = self.find_stalled(now, id, len / VICTIM_DIVISOR) else {
-                return false;
-            };
-            self.refuse_request(now, stalled);
-            // The refusal is written when its socket is polled next.
-            self.pending.push(stalled);
-        }
-    }
-
-    /// Returns the connection whose stalled incomplete request holds most for longest, of
-    /// those that hold at least `held_min` bytes.
-    fn find_stalled(
-        &mut self,
-        now: Instant,
-        except: ConnectionId,
-        held_min: usize,
-    ) -> Option<ConnectionId> {
-        if self
-            .searched_at
-            .is_some_and(|at| now < at + SEARCH_INTERVAL)
-        {
-            return None;
-        }
-        let connections = self.connections.iter().filter(|(id, _)| **id != except);
-        let holders = connections.filter(|(_, it)| it.held_bytes() >= held_min);
-        let weights = holders
-            .filter_map(|(id, connection)| Some((connection.stalled_weight(now, STALL_MIN)?, *id)));
-        let found = weights.max().map(|(_, id)| id);
-        self.searched_at = found.is_none().then_some(now);
-        found
-    }
-
-    /// Refuses a connection's request for lack of memory or descriptors.
-    fn refuse_request(&mut self, now: Instant, id: ConnectionId) {
-        let Some(connection) = self.connections.get_mut(&id) else {
-            return;
-        };
-        self.budget.count(RefusalKind::Request);
-        if connection.refuse_request(now, OVERLOADED) == ProxyStep::Ended {
-            self.remove_connection(id);
-        }
-    }
-
     fn open_upstream(&mut self, now: Instant, id: ConnectionId) {
         if !self.take_descriptors(id) {
             self.refuse_request(now, id);
@@ -513,23 +433,6 @@
         }
     }
 
-    /// Takes the descriptors of a connection that is opened to the upstream server; closes
-    /// others while they are not free.
-    fn take_descriptors(&mut self, id: ConnectionId) -> bool {
-        loop {
-            let open = self.connections.len();
-            let Some(connection) = self.connections.get_mut(&id) else {
-                return false;
-            };
-            if connection.take_descriptors(open) {
-                return true;
-            }
-            if !self.close_one(Some(id)) {
-                return false;
-            }
-        }
-    }
-
     fn remove_connection(&mut self, id: ConnectionId) {
         let Some(mut connection) = self.connections.remove(&id) else {
             return;
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -9,6 +9,9 @@
 //! buffers of the other side. Memory for a body is taken from the process's budget
 //! before the body is read: for all of it where its length is known, else for each read.
 
+mod proxy_charges;
+mod proxy_transfers;
+
 use std::collections::BTreeSet;
 use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
@@ -18,13 +21,13 @@
 use socket2::SockRef;
 
 use crate::caller_budget::CallerCharge;
-use crate::head_check::{allows_chunks, check_head, BodyLength, HeadError, HeadScan, HEAD_MAX};
+use crate::head_check::{allows_chunks, check_head, BodyLength, HeadError, HeadScan};
 use crate::http_refusal::{
     HttpRefusal, AMBIGUOUS_LENGTH, BAD_REQUEST, BODY_TOO_LARGE, HEAD_TOO_LARGE, NO_UPGRADE,
     SHUTTING_DOWN, TOO_SLOW,
 };
 use crate::open_ports::OpenPort;
-use crate::proxy_io::{read_some, write_some, ReadOutcome, WriteOutcome};
+use crate::proxy_io::WriteOutcome;
 
 /// Size in bytes of one read, and limit of the bytes buffered in each
 /// direction.
@@ -241,60 +244,6 @@
         self.requests.iter().copied()
     }
 
-    /// Returns in which order connections without a request in flight are closed to make
-    /// room: those whose callers are not known to behave, then those that have been idle for
-    /// longest; none with a request in flight.
-    pub fn close_rank(&self) -> Option<(bool, Instant)> {
-        (self.phase == ProxyPhase::Head).then_some((self.is_proven, self.phase_since))
-    }
-
-    /// Returns the bytes held for the caller.
-    pub fn held_bytes(&self) -> usize {
-        self.charge.held()
-    }
-
-    /// Returns how much is held for an incomplete request times how long, if no byte of it
-    /// was received for `stall_min` and it can be refused.
-    pub fn stalled_weight(&self, now: Instant, stall_min: Duration) -> Option<u128> {
-        let is_stalled = now.saturating_duration_since(self.last_progress) >= stall_min;
-        let age = now.saturating_duration_since(self.phase_since);
-        let is_reading = matches!(self.phase, ProxyPhase::Body(_));
-        let is_refusable = is_reading && is_stalled && !self.has_pending_response();
-        is_refusable.then_some(self.charge.held() as u128 * age.as_millis())
-    }
-
-    /// Takes memory that [`ProxyStep::TakeMemory`] requires; false when it is not free.
-    pub fn take_memory(&mut self, len: usize) -> bool {
-        let request_len = self.body_len.unwrap_or(self.received_len);
-        self.charge.take(len, request_len)
-    }
-
-    /// Takes the descriptors that [`ProxyStep::OpenUpstream`] requires, beside `open`
-    /// connections; false when they are not free.
-    pub fn take_descriptors(&mut self, open: usize) -> bool {
-        self.charge.use_descriptors(open, PROXIED_DESCRIPTORS)
-    }
-
-    /// Refuses the request that is being read, unless it has started; closes the connection
-    /// if a response before it is still to be written.
-    pub fn refuse_request(&mut self, now: Instant, refusal: HttpRefusal) -> ProxyStep {
-        if !self.is_forwarded {
-            self.refuse_next(now, refusal);
-        } else if self.has_pending_response() {
-            // A refusal would stand in the middle of the response before.
-            return ProxyStep::Ended;
-        } else if self.abandon_request() {
-            self.refuse(now, refusal);
-        }
-        ProxyStep::Wait
-    }
-
-    /// Makes sure that the request that is being read never starts; false when it has.
-    fn abandon_request(&self) -> bool {
-        let upstream = self.upstream.as_ref();
-        upstream.is_none_or(|upstream| upstream.port.abandon_request())
-    }
-
     /// Sets the connection that [`ProxyStep::OpenUpstream`] requires.
     pub fn set_upstream(&mut self, upstream: UpstreamSocket) {
         self.upstream = Some(upstream);
@@ -344,40 +293,6 @@
         }
     }
 
-    /// Refuses the request that is being read, if any, and further ones.
-    pub fn refuse_unread(&mut self, now: Instant) {
-        self.refuses_unread = true;
-        // A refusal would stand in the middle of a response that is still to be written.
-        let is_reading = matches!(self.phase, ProxyPhase::Body(_));
-        if is_reading && !self.has_pending_response() && self.abandon_request() {
-            self.refuse(now, SHUTTING_DOWN);
-        }
-    }
-
-    /// Sends an error response behind the one before, of which the upstream server may
-    /// still hold a part, and closes.
-    fn refuse_next(&mut self, now: Instant, refusal: HttpRefusal) {
-        if self.upstream.is_none() || self.upstream_ended {
-            self.refuse(now, refusal);
-            return;
-        }
-        // The end of the upstream connection follows the rest of the response.
-        self.shut_down_upstream();
-        self.refusal = Some(refusal);
-        self.enter(ProxyPhase::Closing, now);
-    }
-
-    /// Sends an error response in place of the upstream server's and closes.
-    pub fn refuse(&mut self, now: Instant, refusal: HttpRefusal) {
-        self.shut_down_upstream();
-        self.upstream = None;
-        self.upstream_ended = true;
-        self.inbound = Vec::new();
-        self.charge.set(CONNECTION_MEMORY);
-        self.outbound.extend_from_slice(&refusal.bytes());
-        self.enter(ProxyPhase::Closing, now);
-    }
-
     /// Transfers bytes in both directions until no socket makes progress.
     pub fn advance(&mut self, now: Instant, scratch: &mut [u8]) -> ProxyStep {
         for _ in 0..TURN_MOVES {
@@ -406,17 +321,6 @@
         ProxyStep::Again
     }
 
-    /// Returns the memory that the current request takes, with the next read of its body.
-    fn required_memory(&self) -> usize {
-        if !matches!(self.phase, ProxyPhase::Body(_)) {
-            return 0;
-        }
-        let max_body = usize::try_from(self.limits.max_body).unwrap_or(usize::MAX);
-        let body_len = self.body_len.unwrap_or(self.received_len + READ_LEN);
-        // The upstream server stops reading beyond the limit, whatever the chunks' framing.
-        CONNECTION_MEMORY + UPSTREAM_MEMORY + BODY_COPIES * body_len.min(max_body)
-    }
-
     /// Applies the timeouts of the current phase.
     pub fn expire(&mut self, now: Instant) -> ProxyStep {
         let stall_timeout = self.limits.stall_timeout;
@@ -546,147 +450,6 @@
         }
     }
 
-    fn read_caller(&mut self, now: Instant, scratch: &mut [u8]) -> MoveOutcome {
-        if !self.caller_ready.read || self.caller_ended {
-            return MoveOutcome::Idle;
-        }
-        let read_limit = self.caller_read_limit(scratch.len());
-        if read_limit == 0 {
-            return match self.caller_ready.closed && self.phase == ProxyPhase::Response {
-                true => MoveOutcome::Failed,
-                false => MoveOutcome::Idle,
-            };
-        }
-        let buf = &mut scratch[..read_limit];
-        match read_some(&mut self.caller, &mut self.caller_ready, buf) {
-            ReadOutcome::Data(len) => self.handle_caller_data(now, &scratch[..len]),
-            ReadOutcome::Blocked => MoveOutcome::Idle,
-            ReadOutcome::Failed => MoveOutcome::Failed,
-            ReadOutcome::End => self.handle_caller_end(now),
-        }
-    }
-
-    /// Returns how many bytes may be read from the caller now.
-    fn caller_read_limit(&self, buffer_len: usize) -> usize {
-        match self.phase {
-            ProxyPhase::Head | ProxyPhase::Response => {
-                HEAD_MAX.saturating_sub(self.inbound.len()).min(buffer_len)
-            }
-            ProxyPhase::Body(_) if !self.inbound.is_empty() => 0,
-            ProxyPhase::Body(_) | ProxyPhase::Closing | ProxyPhase::Lingering => buffer_len,
-        }
-    }
-
-    fn handle_caller_data(&mut self, now: Instant, data: &[u8]) -> MoveOutcome {
-        match self.phase {
-            ProxyPhase::Closing | ProxyPhase::Lingering => return MoveOutcome::Moved,
-            ProxyPhase::Head if self.inbound.is_empty() => self.phase_since = now,
-            ProxyPhase::Body(_) => self.received_len += data.len(),
-            _ => {}
-        }
-        self.inbound.extend_from_slice(data);
-        MoveOutcome::Moved
-    }
-
-    /// Handles the end of the caller's stream: the caller has hung up, unless
-    /// only response bytes remain to be written.
-    fn handle_caller_end(&mut self, now: Instant) -> MoveOutcome {
-        let has_pending_response = match self.phase {
-            ProxyPhase::Head => !self.outbound.is_empty(),
-            ProxyPhase::Closing => true,
-            ProxyPhase::Body(_) | ProxyPhase::Response | ProxyPhase::Lingering => false,
-        };
-        if !has_pending_response {
-            return MoveOutcome::Failed;
-        }
-        self.caller_ended = true;
-        if self.phase == ProxyPhase::Head {
-            self.shut_down_upstream();
-            self.enter(ProxyPhase::Closing, now);
-        }
-        MoveOutcome::Moved
-    }
-
-    fn write_upstream(&mut self, now: Instant) -> MoveOutcome {
-        let ProxyPhase::Body(remaining) = self.phase else {
-            return MoveOutcome::Idle;
-        };
-        let Some(upstream) = self.upstream.as_mut().filter(|_| self.upstream_ready.write) else {
-            return MoveOutcome::Idle;
-        };
-        let limit = match remaining {
-            BodyLength::Known(len) => usize::try_from(len).unwrap_or(usize::MAX),
-            BodyLength::Chunked => usize::MAX,
-        };
-        let limit = limit.min(self.inbound.len());
-        let socket = &mut upstream.socket;
-        let outcome = write_some(socket, &mut self.upstream_ready, &mut self.inbound, limit);
-        let len = match outcome {
-            WriteOutcome::Written(len) => len,
-            WriteOutcome::Blocked => return MoveOutcome::Idle,
-            WriteOutcome::Failed => {
-                // The upstream server has responded and closed before it
-                // received the complete request.
-                self.enter(ProxyPhase::Closing, now);
-                return MoveOutcome::Moved;
-            }
-        };
-        self.is_forwarded = true;
-        match remaining {
-            BodyLength::Known(rest) if rest <= len as u64 => self.enter(ProxyPhase::Response, now),
-            BodyLength::Known(rest) => {
-                self.phase = ProxyPhase::Body(BodyLength::Known(rest - len as u64));
-            }
-            BodyLength::Chunked => {}
-        }
-        MoveOutcome::Moved
-    }
-
-    fn read_upstream(&mut self, scratch: &mut [u8]) -> MoveOutcome {
-        if self.upstream_ended && self.outbound.is_empty() {
-            let Some(refusal) = self.refusal.take() else {
-                return MoveOutcome::Idle;
-            };
-            self.outbound.extend_from_slice(&refusal.bytes());
-            return MoveOutcome::Moved;
-        }
-        let Some(upstream) = self.upstream.as_mut() else {
-            return MoveOutcome::Idle;
-        };
-        if !self.upstream_ready.read || !self.outbound.is_empty() || self.upstream_ended {
-            return MoveOutcome::Idle;
-        }
-        match read_some(&mut upstream.socket, &mut self.upstream_ready, scratch) {
-            ReadOutcome::Data(len) => {
-                self.outbound.extend_from_slice(&scratch[..len]);
-                MoveOutcome::Moved
-            }
-            ReadOutcome::Blocked => MoveOutcome::Idle,
-            ReadOutcome::Failed if self.refusal.take().is_some() => {
-                // The response before the refusal may be truncated.
-                MoveOutcome::Failed
-            }
-            ReadOutcome::End | ReadOutcome::Failed => {
-                self.upstream_ended = true;
-                MoveOutcome::Moved
-            }
-        }
-    }
-
-    fn write_caller(&mut self) -> MoveOutcome {
-        if !self.caller_ready.write {
-            return MoveOutcome::Idle;
-        }
-        let limit = self.outbound.len();
-        write_some(
-            &mut self.caller,
-            &mut self.caller_ready,
-            &mut self.outbound,
-            limit,
-        )
-        .into()
-    }
-
     /// Ends the connection once the upstream server has closed and all bytes
     /// have been written to the caller.
     fn finish_close(&mut self, now: Instant) -> ProxyStep {
