--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -1,9 +1,9 @@
 //! Crowds at an entry's port for callers and at the operators' port.
 
 use std::fs;
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
-use std::time::Duration;
 
 use mulberrywell_testkit::{BinaryPaths, ClusterPlan, HttpCaller};
 use rstest::rstest;
@@ -11,14 +11,12 @@
 
 use crate::common::{binaries, cluster_of, small_cluster, SmallCluster};
 use crate::crowd::{Crowd, CrowdForm, UsageSampler, BODY_MAX};
+use crate::gateway_crowds::{read_status, ANSWER_TIMEOUT};
 use crate::{
     run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, LOW_DESCRIPTORS_CROWD,
     MACHINE_KIB,
 };
 
-/// Time in which an ordinary request is answered at the latest.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
-
 fn sample_process(small: &SmallCluster, name: &str, address: SocketAddr) -> UsageSampler {
     UsageSampler::spawn(small.cluster.id(name).unwrap(), &[address])
 }
@@ -78,6 +76,25 @@
     sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
 }
 
+/// Guards against idle callers of an entry that behave and are closed for a crowd.
+#[test]
+fn entry_low_descriptors_keeps_idle() {
+    const REQUEST: &[u8] = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+    let _alone = run_alone();
+    let (small, _folder) = spawn_low_descriptors(1);
+    let address = small.cluster.callers[0];
+    let mut idle = TcpStream::connect(address).unwrap();
+    idle.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+    idle.write_all(REQUEST).unwrap();
+    assert_eq!(read_status(&mut idle), 200);
+    let forms = [CrowdForm::Silent, CrowdForm::HalfHead];
+    let head = request_head(&small);
+    let crowd = Crowd::send(address, LOW_DESCRIPTORS_CROWD, &forms, &head);
+    idle.write_all(REQUEST).expect("is open");
+    assert_eq!(read_status(&mut idle), 200);
+    drop(crowd);
+}
+
 /// Guards against a crowd at one port that shuts another port of the same process.
 #[rstest]
 #[case::half_heads(CrowdForm::HalfHead)]
--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -19,7 +19,7 @@
 const ENDPOINT_DELAY: Duration = Duration::from_secs(2);
 
 /// Time in which an ordinary request is answered at the latest.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A deployment whose gateway is sampled.
 pub struct SampledGateway {
@@ -210,7 +210,7 @@
 }
 
 /// Reads a response with a length; returns its status.
-fn read_status(stream: &mut TcpStream) -> u16 {
+pub fn read_status(stream: &mut TcpStream) -> u16 {
     let mut text = Vec::new();
     let mut byte = [0];
     while !text.ends_with(b"\r\n\r\n") {
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -154,7 +154,7 @@
     close: CloseMode,
     caller_ready: SocketReady,
     upstream_ready: SocketReady,
-    /// Bytes received from the caller; at most [`HEAD_MAX`] or one read.
+    /// Bytes received from the caller; at most [`HEAD_MAX`](crate::head_check::HEAD_MAX) or one read.
     inbound: Vec<u8>,
     /// Bytes to write to the caller; at most one read or one error response.
     outbound: Vec<u8>,
