Proxy: a request that has started is no candidate for a refusal

Found while reading: a search for room, or the refusal of the request that asks, could meet a request whose thread has started it and whose command is not yet read. It can't be refused, the search found it again, and the proxy's thread went round without end; an entry would serve nobody. The search now gives up, and the connection waits for the command. A refusal behind a response before it also frees the memory that was taken for the body.

--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -389,8 +389,8 @@
                 ProxyStep::Ended => return self.remove_connection(id),
                 ProxyStep::OpenUpstream => self.open_upstream(now, id),
                 ProxyStep::TakeMemory(len) => {
-                    if !self.take_memory(now, id, len) {
-                        self.refuse_request(now, id);
+                    if !self.take_memory(now, id, len) && !self.refuse_request(now, id) {
+                        return;
                     }
                 }
             }
--- a/crates/runtime/src/front_proxy/proxy_admission.rs
+++ b/crates/runtime/src/front_proxy/proxy_admission.rs
@@ -51,8 +51,10 @@
             let Some(stalled) = self.find_stalled(now, id, len / VICTIM_DIVISOR) else {
                 return false;
             };
-            self.refuse_request(now, stalled);
-            // The refusal is written when its socket is polled next.
+            if !self.refuse_request(now, stalled) {
+                return false;
+            }
+            // The refusal is written in the next turn.
             self.pending.push(stalled);
         }
     }
@@ -80,15 +82,20 @@
         found
     }
 
-    /// Refuses a connection's request for lack of memory or descriptors.
-    pub(super) fn refuse_request(&mut self, now: Instant, id: ConnectionId) {
+    /// Refuses a connection's request for lack of memory or descriptors; false when it has
+    /// started, of which a command is on its way.
+    pub(super) fn refuse_request(&mut self, now: Instant, id: ConnectionId) -> bool {
         let Some(connection) = self.connections.get_mut(&id) else {
-            return;
+            return false;
+        };
+        let Some(step) = connection.refuse_request(now, OVERLOADED) else {
+            return false;
         };
         self.budget.count(RefusalKind::Request);
-        if connection.refuse_request(now, OVERLOADED) == ProxyStep::Ended {
+        if step == ProxyStep::Ended {
             self.remove_connection(id);
         }
+        true
     }
 
     /// Takes the descriptors of a connection that is opened to the upstream server; closes
--- a/crates/runtime/src/proxy_connection/proxy_charges.rs
+++ b/crates/runtime/src/proxy_connection/proxy_charges.rs
@@ -44,18 +44,22 @@
         self.charge.use_descriptors(open, PROXIED_DESCRIPTORS)
     }
 
-    /// Refuses the request that is being read, unless it has started; closes the connection
+    /// Refuses the request that is being read; none if it has started. The connection ends
     /// if a response before it is still to be written.
-    pub fn refuse_request(&mut self, now: Instant, refusal: HttpRefusal) -> ProxyStep {
+    pub fn refuse_request(&mut self, now: Instant, refusal: HttpRefusal) -> Option<ProxyStep> {
         if !self.is_forwarded {
             self.refuse_next(now, refusal);
-        } else if self.has_pending_response() {
+            return Some(ProxyStep::Wait);
+        }
+        if self.has_pending_response() {
             // A refusal would stand in the middle of the response before.
-            return ProxyStep::Ended;
-        } else if self.abandon_request() {
-            self.refuse(now, refusal);
+            return Some(ProxyStep::Ended);
         }
-        ProxyStep::Wait
+        if !self.abandon_request() {
+            return None;
+        }
+        self.refuse(now, refusal);
+        Some(ProxyStep::Wait)
     }
 
     /// Makes sure that the request that is being read never starts; false when it has.
@@ -84,6 +88,8 @@
         // The end of the upstream connection follows the rest of the response.
         self.shut_down_upstream();
         self.refusal = Some(refusal);
+        self.inbound = Vec::new();
+        self.charge.set(CONNECTION_MEMORY + UPSTREAM_MEMORY);
         self.enter(ProxyPhase::Closing, now);
     }
 
