runtime: bound what arrives of responses that callers don't read

A gateway stops reading a response whose caller doesn't read. The system had enlarged the socket's buffer by then, as the response was read fast before: up to the kernel's limit, 32 MiB here, for each such response, which no account of the process shows. The platform counts what has arrived and isn't read.

Connections to endpoints now have a buffer of 16 KiB, which the system doubles. It is set before the request is sent, so that no byte comes into a larger window.

Evidence: unread_response_bounded fails before (392,898 bytes on loopback, of 131,072) and passes now.

--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -56,6 +56,12 @@
 
 const POLL_PRIORITY: u32 = 10;
 
+/// Size in bytes of the socket buffer for responses, as it is set; the system doubles it.
+const RECEIVE_BUFFER: usize = 16 * 1024;
+
+/// Bytes of a response that may have arrived and are not read.
+pub const ARRIVED_MAX: usize = 2 * RECEIVE_BUFFER;
+
 /// Id of a connection; never reused.
 pub type ConnectionId = u64;
 
@@ -168,6 +174,8 @@
         let stream = TcpStream::connect(start.address)?;
         let socket = SockRef::from(&stream);
         socket.set_tcp_nodelay(true)?;
+        // The endpoint sends nothing before the request, so that no larger window is known.
+        socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
         socket.set_tcp_user_timeout(Some(UNACKED_MAX))?;
         let probes = TcpKeepalive::new()
             .with_time(PROBE_INTERVAL)
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -9,7 +9,9 @@
 
 use bytes::Bytes;
 use mulberrywell_role::{ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest};
-use mulberrywell_runtime::exchange_table::{ConnectionId, ExchangeStart, ExchangeTable};
+use mulberrywell_runtime::exchange_table::{
+    ConnectionId, ExchangeStart, ExchangeTable, ARRIVED_MAX,
+};
 use mulberrywell_wire::request::HeaderField;
 use rstest::rstest;
 use socket2::SockRef;
@@ -532,3 +534,40 @@
         assert_eq!(received, b"");
     });
 }
+
+/// Guards against a socket buffer that the system has enlarged while a response was read
+/// fast, and that fills once its caller doesn't read any more.
+#[test]
+fn unread_response_bounded() {
+    const WRITE_LEN: usize = 64 * 1024;
+    const SEND_BUFFER: usize = 16 * 1024;
+    const READ_ROUNDS: usize = 500;
+    run_with_poll(|poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open(1, 0);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY_LEN}\r\n\r\n");
+        endpoint.write_all(head.as_bytes()).unwrap();
+        let socket = SockRef::from(&endpoint);
+        socket.set_send_buffer_size(SEND_BUFFER).unwrap();
+        endpoint.set_nonblocking(true).unwrap();
+        let mut write_all = || {
+            let mut total = 0;
+            while let Ok(len) = endpoint.write(&[b'x'; WRITE_LEN]) {
+                total += len;
+            }
+            total
+        };
+        for _ in 0..READ_ROUNDS {
+            write_all();
+            harness.handle_ready(id);
+            harness.events.clear();
+        }
+        let mut unread = 0;
+        for _ in 0..10 {
+            unread += write_all();
+            thread::sleep(ARRIVAL_DELAY);
+        }
+        let bound = ARRIVED_MAX + 2 * SEND_BUFFER + WRITE_LEN;
+        assert!(unread <= bound, "{unread} bytes, of {bound}");
+    });
+}
