runtime: a crowd at one port makes room there first

Callers that behave and were idle were closed for a crowd at the port for readiness checks: a caller with one success counts as one that behaves, a readiness check succeeds without a key, and of those the one went that had been silent for longest.

Of connections that may be closed alike, one of the port with most connections now goes first, so that each port's crowd pushes out itself.

Evidence: gateway_low_descriptors_keeps_idle_beside_probes (600 checks beside one idle caller, 300 descriptors) fails before (the idle caller's connection is closed) and passes now. Ruled out: a success counts at callers' ports only, as checks and metrics are read by connections that should be kept as well.

--- a/crates/mulberrywell/tests/caller_crowds/crowd.rs
+++ b/crates/mulberrywell/tests/caller_crowds/crowd.rs
@@ -1,7 +1,7 @@
 //! Crowds of callers that don't behave, and what a process holds for them.
 
 use std::fs;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -47,6 +47,8 @@
     BytesBehind,
     /// A complete request at the limit.
     Whole,
+    /// A complete request without a body, whose response is read.
+    Answered,
 }
 
 impl CrowdForm {
@@ -104,6 +106,11 @@
                 stream.write_all(head.as_bytes())?;
                 write_repeated(stream, b"a", BODY_MAX)
             }
+            CrowdForm::Answered => {
+                stream.write_all(format!("{head}\r\n").as_bytes())?;
+                stream.set_read_timeout(Some(SEND_TIMEOUT))?;
+                stream.read(&mut [0; 1_024]).map(drop)
+            }
         }
     }
 }
--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -201,6 +201,23 @@
     drop(crowd);
 }
 
+/// Guards against idle callers that behave and are closed for a crowd at another port, which
+/// has had successful responses there.
+#[test]
+fn gateway_low_descriptors_keeps_idle_beside_probes() {
+    let _alone = run_alone();
+    let gateway = SampledGateway::spawn_low_descriptors();
+    let deployment = &gateway.deployment;
+    let mut idle = TcpStream::connect(deployment.callers).unwrap();
+    idle.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+    assert_eq!(call_on(&mut idle), 200);
+    let head = "GET /ready HTTP/1.1\r\nHost: h\r\n";
+    let forms = [CrowdForm::Answered];
+    let crowd = Crowd::send(deployment.ready, LOW_DESCRIPTORS_CROWD, &forms, head);
+    assert_eq!(call_on(&mut idle), 200);
+    drop(crowd);
+}
+
 /// Sends a request on an open connection; returns the status of its response, which is read
 /// whole.
 pub fn call_on(stream: &mut TcpStream) -> u16 {
@@ -237,23 +254,29 @@
     let mut stream = TcpStream::connect(gateway.deployment.callers).unwrap();
     stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
     let head = request_head("/once/x").replace("4000", "20000");
+    send_at_limit(&mut stream, &head, chunk_len);
+    assert_eq!(read_status(&mut stream), 200);
+    gateway
+        .sampler
+        .check(LOW_MEMORY_MB * 1_024, DESCRIPTORS_MAX);
+}
+
+/// Sends a complete request with the longest body, in chunks of this many bytes or with a
+/// length.
+pub fn send_at_limit(stream: &mut TcpStream, head: &str, chunk_len: Option<usize>) {
     match chunk_len {
         Some(len) => {
             let head = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
             stream.write_all(head.as_bytes()).unwrap();
-            write_repeated(&mut stream, &chunk_of(len, ""), BODY_MAX / len).unwrap();
+            write_repeated(stream, &chunk_of(len, ""), BODY_MAX / len).unwrap();
             stream.write_all(b"0\r\n\r\n").unwrap();
         }
         None => {
             let head = format!("{head}Content-Length: {BODY_MAX}\r\n\r\n");
             stream.write_all(head.as_bytes()).unwrap();
-            write_repeated(&mut stream, b"a", BODY_MAX).unwrap();
+            write_repeated(stream, b"a", BODY_MAX).unwrap();
         }
     }
-    assert_eq!(read_status(&mut stream), 200);
-    gateway
-        .sampler
-        .check(LOW_MEMORY_MB * 1_024, DESCRIPTORS_MAX);
 }
 
 /// Guards against refusals that an operator can't see, and against a log that grows with
--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -2,10 +2,13 @@
 //!
 //! Algorithm: when callers use all descriptors that they may, a connection that is about to
 //! close makes room first, then one whose caller has had no successful response, then one
-//! whose request has stalled, then an idle one; of each kind the one that has been silent
-//! for longest. So a crowd makes room for itself before idle callers that behave. If there
-//! is none, the new connection is refused.
+//! whose request has stalled, then an idle one; of each kind one of the listener with most
+//! connections, and of these the one that has been silent for longest. So a crowd makes room
+//! for itself before idle callers that behave. If there is none, the new connection is
+//! refused.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::io::{ErrorKind, Write};
 use std::time::{Duration, Instant};
 
@@ -142,11 +145,16 @@
     }
 
     fn find_closable(&mut self, now: Instant) {
+        let mut open_counts: BTreeMap<ListenerId, usize> = BTreeMap::new();
+        for connection in self.connections.values() {
+            *open_counts.entry(connection.listener).or_default() += 1;
+        }
         let connections = self.connections.iter();
         let ranked = connections.filter_map(|(id, connection)| {
             let silence = now.saturating_duration_since(connection.received_at);
             let rank = connection.close_rank(now)?;
-            Some((rank, std::cmp::Reverse(silence), *id))
+            let open_count = open_counts.get(&connection.listener).copied();
+            Some((rank, Reverse(open_count), Reverse(silence), *id))
         });
         let mut ranked: Vec<_> = ranked.collect();
         if ranked.len() > CLOSABLE_MAX {
@@ -162,7 +170,7 @@
         let same_rank = ranked
             .into_iter()
             .filter(|(rank, ..)| Some(*rank) == first_rank);
-        self.closable = same_rank.map(|(rank, _, id)| (rank, id)).collect();
+        self.closable = same_rank.map(|(rank, .., id)| (rank, id)).collect();
     }
 }
 
