runtime: memory for what arrives while a process can't read

A process that is suspended, or has no processor time, doesn't read; meanwhile the sockets of all its callers fill, 64 KiB each with 2,600 connections: more than a front has, uncounted. The platform counts it and ends the process.

A machine's memory now has three parts: 16 MiB for the process, what is held, and the rest for sockets, from which the number of connections follows: 2,600 as before on 260 MiB, 2,048 where no memory is told, 512 on 64. The buffer of a caller's socket is a setting (receive_kib), 16 KiB where it was 32, so that fronts keep their connections.

Ruled out: taking the sockets from what is held, which leaves less for requests; asking each socket how much has arrived, which tells when it is too late.

--- a/crates/mulberrywell/tests/caller_crowds/main.rs
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -4,6 +4,7 @@
 //! its memory and descriptors stay under a bound, and that an ordinary request is answered.
 //! They run one at a time, as each measures a process under load.
 
+mod arrival_crowds;
 mod calm_costs;
 #[path = "../common/mod.rs"]
 mod common;
@@ -28,6 +29,10 @@
 /// Callers of a crowd against a process with [`LOW_MEMORY_MB`].
 const LOW_MEMORY_CROWD: usize = 40;
 
+/// Callers of a crowd whose bytes arrive at a process with [`LOW_MEMORY_MB`] while it can't
+/// read.
+const ARRIVAL_CROWD: usize = 1_000;
+
 /// Descriptors that a process may open in the tests that limit them.
 const LOW_DESCRIPTORS: u64 = 300;
 
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -26,6 +26,9 @@
 /// Connections that each port may have, and descriptors beyond the limit for them.
 const PORT_RESERVE: usize = 16;
 
+/// Connections of callers that a process allows however little memory it is told.
+const CONNECTIONS_MIN: usize = 64;
+
 /// Time without received bytes after which an incomplete request may be refused to make
 /// room for another one.
 pub const STALL_MIN: Duration = Duration::from_millis(100);
@@ -48,19 +51,34 @@
     pub small_request: usize,
     /// Bytes that are read behind a request in flight.
     pub read_ahead: usize,
+    /// Size in bytes of the socket buffer for what a caller sends, as it is set; the system
+    /// doubles it.
+    pub receive_buffer: usize,
 }
 
 impl CallerLimits {
-    /// Returns the limits that the settings specify; callers use two thirds of a process's
-    /// descriptors at most.
+    /// Returns the limits that the settings specify. Callers use two thirds of a process's
+    /// descriptors at most, and no more than may all have their sockets full of bytes that
+    /// the process has had no time to read.
     pub fn from_settings(settings: &CallerSettings, descriptor_limit: usize) -> Self {
-        CallerLimits {
+        let limits = CallerLimits {
             memory: settings.memory,
             descriptors: settings.descriptors.min(descriptor_limit / 3 * 2),
             small_request: settings.small_request,
             read_ahead: settings.read_ahead,
+            receive_buffer: settings.receive_buffer,
+        };
+        let arrivals = settings.arrived_memory / limits.arrived_max();
+        CallerLimits {
+            descriptors: limits.descriptors.min(arrivals.max(CONNECTIONS_MIN)),
+            ..limits
         }
     }
+
+    /// Returns the bytes that may have arrived on one connection and are not read.
+    pub fn arrived_max(&self) -> usize {
+        self.receive_buffer * 2
+    }
 }
 
 impl Default for CallerLimits {
@@ -231,6 +249,11 @@
 }
 
 impl CallerCharge {
+    /// Returns the limits of the budget.
+    pub fn limits(&self) -> &CallerLimits {
+        self.budget.limits()
+    }
+
     /// Returns the bytes held.
     pub fn held(&self) -> usize {
         self.held
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -29,7 +29,7 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::caller_budget::{CallerBudget, CallerCharge, RefusalKind};
-use crate::http_socket::{HttpSocket, RECEIVE_BUFFER};
+use crate::http_socket::HttpSocket;
 
 use caller_accepts::CloseRank;
 use caller_reads::ReadQueues;
--- a/crates/runtime/src/caller_table/caller_backlog.rs
+++ b/crates/runtime/src/caller_table/caller_backlog.rs
@@ -4,7 +4,7 @@
 
 use mulberrywell_role::{ListenerId, RequestId};
 
-use super::{CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind, RECEIVE_BUFFER};
+use super::{CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind};
 
 /// A caller's connection that was closed because of the memory held for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -81,11 +81,12 @@
         events: &mut CallerEvents,
         ended: &mut Vec<EndedCaller>,
     ) -> bool {
+        let arrived_max = self.budget.limits().arrived_max();
         let connections = self.connections.iter();
         let sizes = connections.map(|(id, connection)| {
             let input = match connection.phase {
                 CallerPhase::Reading(_) => connection.charge.held(),
-                CallerPhase::Processing(_) if connection.is_paused => RECEIVE_BUFFER,
+                CallerPhase::Processing(_) if connection.is_paused => arrived_max,
                 _ => 0,
             };
             ((connection.socket.output.len(), input), *id)
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -17,7 +17,7 @@
 use super::caller_refusals::{refusal_status, retry_after};
 use super::{
     CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind,
-    CONNECTION_MEMORY, RECEIVE_BUFFER,
+    CONNECTION_MEMORY,
 };
 use crate::caller_budget::{CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR};
 use crate::http_socket::{ReadState, TURN_LEN};
@@ -321,7 +321,7 @@
     pub(super) fn memory(&self) -> usize {
         let is_waiting = self.is_queued && self.awaits_request();
         let unread = match self.is_paused || is_waiting {
-            true => RECEIVE_BUFFER,
+            true => self.charge.limits().arrived_max(),
             false => 0,
         };
         let body = self.request_len + self.reader.reserved_len();
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -26,7 +26,6 @@
 use crate::event_sender::EventSender;
 use crate::front_proxy::{FrontProxy, ProxyLimits, SEND_BUFFER};
 use crate::http_refusal::{HttpRefusal, BAD_BODY, OVERLOADED};
-use crate::http_socket::RECEIVE_BUFFER_SET;
 use crate::http_writer::HttpWriter;
 use crate::proxy_connection::{CloseMode, ConnectionLimits, BODY_COPIES};
 
@@ -263,15 +262,16 @@
     Ok(listener)
 }
 
-/// Binds a listener for HTTP.
+/// Binds a listener for HTTP, whose connections have socket buffers of the budget's size.
 ///
 /// # Errors
 /// Fails when the address can't be bound.
-pub fn bind_http(address: SocketAddr) -> Result<TcpListener> {
+pub fn bind_http(address: SocketAddr, budget: &CallerBudget) -> Result<TcpListener> {
     let listener =
         TcpListener::bind(address).map_err(|err| anyhow!("can't listen on {address}: {err}"))?;
     // Accepted connections inherit the size, which bounds what arrives before it is read.
-    SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_SET)?;
+    let receive_buffer = budget.limits().receive_buffer;
+    SockRef::from(&listener).set_recv_buffer_size(receive_buffer)?;
     Ok(listener)
 }
 
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -23,13 +23,6 @@
 /// Bodies up to this length are copied behind their head, which saves a write.
 const COPIED_BODY_MAX: usize = 16 * 1024;
 
-/// Size in bytes of the socket buffer for what callers send, as it is set; the system
-/// doubles it.
-pub const RECEIVE_BUFFER_SET: usize = 32 * 1024;
-
-/// Bytes that the socket of a connection which is not read may hold.
-pub const RECEIVE_BUFFER: usize = 2 * RECEIVE_BUFFER_SET;
-
 /// State of a connection's incoming side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadState {
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -86,8 +86,9 @@
     {
         let instance = process.instance;
         let budget = process.budget.clone();
-        let operators = settings.operator_listen.map(bind_http).transpose()?;
-        let serving = settings.serving_listen.map(bind_http).transpose()?;
+        let bind = |address| bind_http(address, &budget);
+        let operators = settings.operator_listen.map(bind).transpose()?;
+        let serving = settings.serving_listen.map(bind).transpose()?;
         let links = bind_links(instance)?;
         let operator_key = match &settings.operator_key_file {
             Some(file) => fs::read(file)
@@ -130,7 +131,7 @@
                 .map(|it| (SERVING_LISTENER, it))
                 .into_iter()
                 .collect(),
-            metric_listen: metric_listen.map(bind_http).transpose()?,
+            metric_listen: metric_listen.map(bind).transpose()?,
             seeds_event: Some(ControlEvent::Seeds),
             metrics: process.metrics,
             handler: Box::new(move |events| {
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -34,7 +34,7 @@
     ) -> Result<RunningRole> {
         let instance = process.instance;
         let budget = process.budget.clone();
-        let listener = bind_http(settings.caller_listen)?;
+        let listener = bind_http(settings.caller_listen, &budget)?;
         let limits = ServerLimits {
             max_requests: settings.max_requests,
             max_body: settings.max_body,
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -30,9 +30,11 @@
         codec: C,
     ) -> Result<RunningRole> {
         let instance = process.instance;
+        let budget = process.budget.clone();
+        let bind = |address| bind_http(address, &budget);
         let listeners = vec![
-            (CALLER_LISTENER, bind_http(settings.caller_listen)?),
-            (READINESS_LISTENER, bind_http(settings.ready_listen)?),
+            (CALLER_LISTENER, bind(settings.caller_listen)?),
+            (READINESS_LISTENER, bind(settings.ready_listen)?),
         ];
         let config = GatewayConfig {
             zone: instance.zone.clone(),
@@ -54,7 +56,7 @@
             credentials: process.credentials,
             listener: None,
             http: listeners,
-            metric_listen: metric_listen.map(bind_http).transpose()?,
+            metric_listen: metric_listen.map(bind).transpose()?,
             metrics: process.metrics,
             handler: Box::new(|_| GatewayHandler),
             seeds_event: Some(GatewayEvent::Seeds),
--- a/crates/runtime/tests/caller_memory.rs
+++ b/crates/runtime/tests/caller_memory.rs
@@ -11,6 +11,7 @@
 use mulberrywell_runtime::caller_budget::{CallerBudget, CallerLimits};
 use mulberrywell_runtime::caller_table::CallerId;
 use mulberrywell_runtime::http_driver::{DriverEvent, HttpDriver};
+use mulberrywell_settings::ServeSettings;
 use rstest::rstest;
 use stakker::Fwd;
 use stakker_mio::mio::net::TcpListener;
@@ -208,6 +209,32 @@
     });
 }
 
+/// Guards against more connections than the machine has memory for, should bytes arrive on
+/// all of them while the process can't read, and against fewer than usual where it has.
+#[rstest]
+#[case::low("memory_mb = 64", 64, 512)]
+#[case::untold("", 160, 2_048)]
+#[case::front("memory_mb = 260", 260, 2_600)]
+#[case::far_callers("memory_mb = 260\nreceive_kib = 64", 260, 912)]
+#[case::more_held("memory_mb = 160\nheld_kib = 131072", 160, 512)]
+fn limits_connections_fit_machine(
+    #[case] table: &str,
+    #[case] machine_mb: usize,
+    #[case] connections: usize,
+) {
+    let text = format!(
+        "[instance]\nname = \"g\"\nzone = \"z\"\nregion = \"r\"\nlisten = \"127.0.0.1:1\"\n\
+         seeds = [\"127.0.0.1:2\"]\ntrusted_network = true\n\
+         [gateway]\ncaller_listen = \"127.0.0.1:3\"\nready_listen = \"127.0.0.1:4\"\n\
+         [callers]\n{table}\n"
+    );
+    let settings = ServeSettings::parse("settings.toml", &text).unwrap();
+    let limits = CallerLimits::from_settings(&settings.callers, 4_100);
+    assert_eq!(limits.descriptors, connections);
+    let all = limits.memory + limits.descriptors * limits.arrived_max();
+    assert!(all <= (machine_mb - 16) * 1024 * 1024, "{all}");
+}
+
 /// Guards against a body that is counted as it arrives: its stated length is taken at once,
 /// and the refusal comes before the body is sent.
 #[test]
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -95,20 +95,34 @@
     pub small_request: usize,
     /// Bytes that are read behind a request in flight.
     pub read_ahead: usize,
+    /// Size in bytes of the socket buffer for what a caller sends; the system doubles it.
+    pub receive_buffer: usize,
+    /// Bytes that may have arrived on all connections and are not read.
+    pub arrived_memory: usize,
 }
 
-impl Default for CallerSettings {
-    fn default() -> Self {
-        let machine_memory = usize::try_from(MEMORY_MB * 1024 * 1024).unwrap_or(usize::MAX);
+impl CallerSettings {
+    /// Returns the defaults on a machine with so many MiB of memory.
+    fn for_machine(memory_mb: u64) -> Self {
+        let machine_memory = bytes_of_kib(memory_mb * 1024);
+        let memory = machine_memory / HELD_DIVISOR;
         CallerSettings {
-            memory: machine_memory / HELD_DIVISOR,
+            memory,
             descriptors: 2_600,
             small_request: 64 * 1024,
             read_ahead: 16 * 1024,
+            receive_buffer: 16 * 1024,
+            arrived_memory: (machine_memory - memory).saturating_sub(PROCESS_MEMORY),
         }
     }
 }
 
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self::for_machine(MEMORY_MB)
+    }
+}
+
 /// Settings of the control role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlSettings {
@@ -357,37 +371,38 @@
 /// Divisor of the machine's memory that gives the default of what is held for callers.
 const HELD_DIVISOR: usize = 2;
 
+/// Memory in bytes that is left for the process itself.
+const PROCESS_MEMORY: usize = 16 * 1024 * 1024;
+
 /// Values of `memory_mb`.
 const MEMORY_RANGE_MB: RangeInclusive<u64> = 16..=1 << 24;
 
 fn read_callers(table: Option<TableReader<'_>>, gateway_memory_mb: Option<u64>) -> CallerSettings {
-    let default = CallerSettings::default();
-    let bytes = |kib: u64| usize::try_from(kib * 1024).unwrap_or(usize::MAX);
-    let held_by = |memory_mb: u64| bytes(memory_mb * 1024) / HELD_DIVISOR;
-    let held = gateway_memory_mb.map_or(default.memory, held_by);
+    let gateway_memory_mb = gateway_memory_mb.unwrap_or(MEMORY_MB);
     let Some(mut table) = table else {
-        return CallerSettings {
-            memory: held,
-            ..default
-        };
+        return CallerSettings::for_machine(gateway_memory_mb);
     };
     let memory_mb = table.number("memory_mb", MEMORY_RANGE_MB);
-    let held_kib = table.number("held_kib", 8_192..=1 << 34);
-    let settings = CallerSettings {
-        memory: held_kib.map_or(memory_mb.map_or(held, held_by), bytes),
-        descriptors: usize_or(
-            table.number("descriptors", 16..=1 << 24),
-            default.descriptors,
-        ),
-        small_request: table
-            .number("small_request_kib", 16..=4_096)
-            .map_or(default.small_request, bytes),
-        read_ahead: table
-            .number("read_ahead_kib", 1..=4_096)
-            .map_or(default.read_ahead, bytes),
-    };
+    let default = CallerSettings::for_machine(memory_mb.unwrap_or(gateway_memory_mb));
+    let mut kib = |name, range, default| table.number(name, range).map_or(default, bytes_of_kib);
+    let memory = kib("held_kib", 8_192..=1 << 34, default.memory);
+    let small_request = kib("small_request_kib", 16..=4_096, default.small_request);
+    let read_ahead = kib("read_ahead_kib", 1..=4_096, default.read_ahead);
+    let receive_buffer = kib("receive_kib", 4..=4_096, default.receive_buffer);
+    let descriptors = table.number("descriptors", 16..=1 << 24);
     table.report_unknown_fields();
-    settings
+    CallerSettings {
+        memory,
+        descriptors: usize_or(descriptors, default.descriptors),
+        small_request,
+        read_ahead,
+        receive_buffer,
+        arrived_memory: (default.memory + default.arrived_memory).saturating_sub(memory),
+    }
+}
+
+fn bytes_of_kib(kib: u64) -> usize {
+    usize::try_from(kib * 1024).unwrap_or(usize::MAX)
 }
 
 fn read_gateway(mut table: TableReader<'_>) -> GatewaySettings {
--- a/crates/settings/tests/finding_files.rs
+++ b/crates/settings/tests/finding_files.rs
@@ -42,6 +42,11 @@
     compare("gateway", serve_findings);
 }
 
+#[test]
+fn findings_of_callers() {
+    compare("callers", serve_findings);
+}
+
 #[test]
 fn findings_beside_syntax_error() {
     compare("syntax", serve_findings);
