Tests: an entry's request at the limits, and its refusals in the log

A body of 4 MiB in one-byte chunks and with a length is served by an entry beside nothing else; a crowd's refusals are told in a bounded number of lines.

--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -5,13 +5,13 @@
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 
-use mulberrywell_testkit::{BinaryPaths, ClusterPlan, HttpCaller};
+use mulberrywell_testkit::{wait_until, BinaryPaths, ClusterPlan, HttpCaller};
 use rstest::rstest;
 use tempfile::TempDir;
 
 use crate::common::{binaries, cluster_of, small_cluster, SmallCluster};
 use crate::crowd::{Crowd, CrowdForm, UsageSampler, BODY_MAX};
-use crate::gateway_crowds::{read_status, ANSWER_TIMEOUT};
+use crate::gateway_crowds::{read_status, send_at_limit, ANSWER_TIMEOUT};
 use crate::{
     run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, LOW_DESCRIPTORS_CROWD,
     MACHINE_KIB,
@@ -58,6 +58,41 @@
     sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
 }
 
+/// Guards against refusals of an entry that an operator can't see, and against a log that
+/// grows with each of them.
+#[test]
+fn entry_refusals_reported() {
+    let _alone = run_alone();
+    let small = small_cluster(1, 1);
+    let address = small.cluster.callers[0];
+    let forms = [CrowdForm::LengthShort];
+    let crowd = Crowd::send(address, CROWD, &forms, &request_head(&small));
+    let lines = || {
+        let log = small.cluster.log("entry-0");
+        log.matches("cause=\"limits on callers\"").count()
+    };
+    wait_until("a line is written", || lines() > 0).unwrap();
+    assert!(lines() < CROWD / 2);
+    drop(crowd);
+}
+
+/// Guards against limits that a single request within an entry's meets.
+#[rstest]
+#[case::one_byte_chunks(Some(1))]
+#[case::length(None)]
+fn entry_request_at_limit_served(#[case] chunk_len: Option<usize>) {
+    let _alone = run_alone();
+    let small = small_cluster(1, 1);
+    let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "entry-0", address);
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+    let head = request_head(&small);
+    send_at_limit(&mut stream, &head, chunk_len);
+    assert_eq!(read_status(&mut stream), 201);
+    sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
+}
+
 /// Guards against an entry that serves nobody else while a crowd has all connections that
 /// its descriptors allow.
 #[rstest]
