--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -67,6 +67,19 @@
     assert_eq!(verify_config(&faulty).expect_err("a finding").len(), 1);
 }
 
+/// Guards against findings that repeat a long name, or one fault, without a bound.
+#[test]
+fn verify_config_findings_bounded() {
+    let mut faulty = config();
+    faulty.accounts[0].name = Bytes::from("n".repeat(1024 * 1024));
+    faulty.accounts[0].keys = vec![bytes("k"); 10_000];
+    let findings = verify_config(&faulty).expect_err("findings");
+    let len: usize = findings.iter().map(|finding| finding.text.len()).sum();
+    assert!(len < 64 * 1024, "{len} bytes");
+    let last = findings.last().expect("a finding");
+    assert!(last.text.contains("further"), "{}", last.text);
+}
+
 #[rstest]
 #[case::short_prefix("/a/x", Some("a"))]
 #[case::long_prefix("/a/b/x", Some("b"))]
