runtime: memory for decoding bodies is taken before they are decoded

What callers saw: a process of control ended by its memory under few valid requests. A body of 4 MiB with many short values takes many times as much once a role has decoded it, of which the budget counted only the body.

Ruled out: a limit on the number of values, as one that large configurations don't meet allows several bodies at once too much; decoding in pieces, as the libraries decode a body whole.

Listeners whose role decodes bodies say so. What a body takes at most follows from its objects and values, is taken from the budget before the role gets the request, and given back with the response; the request is refused with 503, or 413 if it can never fit. Gateways and entries forward bodies, and don't count.

--- a/crates/mulberrywell/tests/caller_crowds/control_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/control_crowds.rs
@@ -13,13 +13,13 @@
 const HEAD: &str = "POST /api/config/put HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n";
 
 /// Starts to sample the first control instance.
-fn sample_control(deployment: &ServingDeployment) -> UsageSampler {
+pub fn sample_control(deployment: &ServingDeployment) -> UsageSampler {
     let id = deployment.processes.id("control-0").unwrap();
     UsageSampler::spawn(id, &[deployment.operator.address(0)])
 }
 
 /// Fails unless the first control instance takes a configuration.
-fn check_put(deployment: &ServingDeployment, version: u64) {
+pub fn check_put(deployment: &ServingDeployment, version: u64) {
     wait_until("a configuration is accepted", || {
         deployment.operator.put_at(0, &config(version))
     })
--- a/crates/mulberrywell/tests/caller_crowds/crowd.rs
+++ b/crates/mulberrywell/tests/caller_crowds/crowd.rs
@@ -10,6 +10,8 @@
 
 use mulberrywell_testkit::read_usage;
 
+use crate::gateway_crowds::ANSWER_TIMEOUT;
+
 /// Longest body of a request, as the configurations of these tests set it.
 pub const BODY_MAX: usize = 4 * 1024 * 1024;
 
@@ -49,6 +51,27 @@
     Whole,
     /// A complete request without a body, whose response is read.
     Answered,
+    /// A complete request with a body of about this many bytes, of as many equal items as
+    /// they hold, and whose response is awaited.
+    Items(ItemBody, usize),
+}
+
+/// A body with a list of equal items.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ItemBody {
+    pub before: &'static str,
+    pub item: &'static str,
+    pub after: &'static str,
+}
+
+impl ItemBody {
+    /// Returns the body, of `len` bytes at most; commas are between items.
+    pub fn text(self, len: usize) -> String {
+        let room = len - self.before.len() - self.after.len();
+        let count = (room + 1) / (self.item.len() + 1);
+        let items = vec![self.item; count].join(",");
+        [self.before, &items, self.after].concat()
+    }
 }
 
 impl CrowdForm {
@@ -111,6 +134,14 @@
                 stream.set_read_timeout(Some(SEND_TIMEOUT))?;
                 stream.read(&mut [0; 1_024]).map(drop)
             }
+            CrowdForm::Items(body, len) => {
+                let body = body.text(len);
+                let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
+                stream.write_all(head.as_bytes())?;
+                stream.write_all(body.as_bytes())?;
+                stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+                stream.read(&mut [0; 1_024]).map(drop)
+            }
         }
     }
 }
@@ -210,6 +241,7 @@
         let usage = read_usage(self.id).expect("the process lives");
         let unread_kib = self.unread_max.load(Ordering::Relaxed) / 1_024;
         let used_kib = usage.resident_peak_kib + unread_kib;
+        println!("{used_kib} of {memory_max_kib} KiB, {unread_kib} of them not read");
         assert!(
             used_kib < memory_max_kib,
             "{} KiB resident and {unread_kib} KiB not read, of {memory_max_kib} KiB",
--- a/crates/mulberrywell/tests/caller_crowds/main.rs
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -10,6 +10,7 @@
 mod common;
 mod control_crowds;
 mod crowd;
+mod decoded_crowds;
 mod entry_crowds;
 mod gateway_crowds;
 mod mixed_crowds;
@@ -33,6 +34,9 @@
 /// read.
 const ARRIVAL_CROWD: usize = 1_000;
 
+/// Callers of a crowd whose bodies a process with [`LOW_MEMORY_MB`] decodes.
+const DECODED_CROWD: usize = 8;
+
 /// Descriptors that a process may open in the tests that limit them.
 const LOW_DESCRIPTORS: u64 = 300;
 
--- a/crates/mulberrywell/tests/common/serving_deployment.rs
+++ b/crates/mulberrywell/tests/common/serving_deployment.rs
@@ -25,7 +25,18 @@
     /// Gateways that were added.
     pub further_gateways: Vec<GatewayAddresses>,
     /// Link addresses of the control instances.
-    seeds: Vec<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// What a deployment has beside the usual settings.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DeploymentSettings<'a> {
+    /// Settings of the first gateway: the rest of its table, then further tables.
+    pub gateway: &'a str,
+    /// Further tables of the first control instance.
+    pub control: &'a str,
+    /// Descriptors that each process may open.
+    pub descriptors: Option<u64>,
 }
 
 impl ServingDeployment {
@@ -35,22 +46,30 @@
 
     /// Starts a deployment whose first gateway has further settings, such as its memory.
     pub fn spawn_bounded(gateway_settings: &str) -> Self {
-        Self::spawn_with(gateway_settings, None)
+        Self::spawn_with(DeploymentSettings {
+            gateway: gateway_settings,
+            ..DeploymentSettings::default()
+        })
     }
 
     /// Starts a deployment whose processes may open so many descriptors.
     pub fn spawn_limited(descriptors: u64) -> Self {
-        Self::spawn_with("", Some(descriptors))
+        Self::spawn_with(DeploymentSettings {
+            descriptors: Some(descriptors),
+            ..DeploymentSettings::default()
+        })
     }
 
-    fn spawn_with(gateway_settings: &str, descriptors: Option<u64>) -> Self {
+    /// Starts a deployment with further settings.
+    pub fn spawn_with(settings: DeploymentSettings<'_>) -> Self {
+        let descriptors = settings.descriptors;
         let ports = |count: usize| -> Vec<SocketAddr> {
             (0..count).map(|_| free_port().unwrap()).collect()
         };
         let (seeds, serving) = (ports(3), ports(3));
         let gateway = GatewayAddresses::find_free();
         let mut processes = ProcessSet::open().unwrap();
-        let table = gateway_table(gateway, gateway_settings);
+        let table = gateway_table(gateway, settings.gateway);
         let listen = free_port().unwrap();
         start_process(
             &mut processes,
@@ -61,9 +80,10 @@
             descriptors,
         );
         for place in 0..3 {
+            let further = if place == 0 { settings.control } else { "" };
             let table = format!(
                 "[control]\nserving_listen = \"{}\"\ndata_folder = \"{}\"\nbootstrap = true\n\
-                 first_seed_founds = true\nopen_membership = true\n",
+                 first_seed_founds = true\nopen_membership = true\n{further}",
                 serving[place],
                 processes.path(&format!("data-{place}")).display()
             );
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -40,6 +40,23 @@
 /// for them, so that many small ones don't go for one large.
 pub const VICTIM_DIVISOR: usize = 64;
 
+/// Memory in bytes that a role takes at most to decode an object of a JSON body with its
+/// fields' names, and any other value.
+const DECODED_OBJECT: usize = 512;
+const DECODED_VALUE: usize = 96;
+
+/// Returns the memory that a role takes at most to decode a JSON body, in addition to the
+/// body: many short values take more than their text.
+pub fn decoded_memory(body: &[u8]) -> usize {
+    let values = body.iter().map(|byte| match byte {
+        b'{' => DECODED_OBJECT,
+        // Lists in a text field separate their values in the same way, or by lines.
+        b'[' | b',' | b'=' => DECODED_VALUE,
+        _ => 0,
+    });
+    values.sum()
+}
+
 /// Limits of a budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -189,9 +206,9 @@
             .max(self.shared.limits.small_request)
     }
 
-    /// Returns whether a request with a body of this many bytes can be held at all.
-    pub fn can_hold(&self, body_len: usize) -> bool {
-        body_len <= self.shared.limits.memory
+    /// Returns whether a request that needs this many bytes can be held at all.
+    pub fn can_hold(&self, request_len: usize) -> bool {
+        request_len <= self.shared.limits.memory
     }
 
     /// Takes the descriptors of a new connection at a port with `open` connections; none
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -58,6 +58,15 @@
 /// Id of a connection; never reused.
 pub type CallerId = u64;
 
+/// What a role does with the bodies of a listener's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyUse {
+    /// They are forwarded, or not used.
+    Forwarded,
+    /// They are decoded, so that memory is taken for their values, too.
+    Decoded,
+}
+
 /// Bounds in force until the role sets others.
 pub const BOUNDS_DEFAULT: ConnectionBounds = ConnectionBounds {
     head_max: 16 * 1024,
@@ -128,6 +137,7 @@
     bounds: ConnectionBounds,
     /// Connections close after their current responses.
     closing: bool,
+    body_use: BodyUse,
 }
 
 /// All connections of callers to one role.
@@ -178,6 +188,7 @@
             is_stopping: false,
             bounds: BOUNDS_DEFAULT,
             closing: false,
+            body_use: BodyUse::Forwarded,
         };
         self.listeners.insert(id, record);
         Ok(())
@@ -231,6 +242,14 @@
         Ok(())
     }
 
+    /// Sets what becomes of the bodies of a listener's requests; unless set, they are
+    /// forwarded.
+    pub fn set_body_use(&mut self, listener: ListenerId, body_use: BodyUse) {
+        if let Some(record) = self.listeners.get_mut(&listener) {
+            record.body_use = body_use;
+        }
+    }
+
     /// Sets the bounds of a listener's connections.
     pub fn set_bounds(&mut self, listener: ListenerId, bounds: ConnectionBounds) {
         if let Some(record) = self.listeners.get_mut(&listener) {
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -16,10 +16,12 @@
 
 use super::caller_refusals::{refusal_status, retry_after};
 use super::{
-    CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind,
+    BodyUse, CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind,
     CONNECTION_MEMORY,
 };
-use crate::caller_budget::{CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR};
+use crate::caller_budget::{
+    decoded_memory, CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
+};
 use crate::http_socket::{ReadState, TURN_LEN};
 
 /// Bytes that one turn reads while other connections wait for theirs.
@@ -182,6 +184,16 @@
         let input = &mut connection.socket.input;
         match connection.reader.next_request(input, limits) {
             Ok(Some(read)) => {
+                let decoded = match record.body_use {
+                    BodyUse::Decoded => decoded_memory(&read.http.body),
+                    BodyUse::Forwarded => 0,
+                };
+                if !self.take_decoded(now, id, decoded) {
+                    return;
+                }
+                let Some(connection) = self.connections.get_mut(&id) else {
+                    return;
+                };
                 self.next_id += 1;
                 let request = self.next_id;
                 connection.phase = CallerPhase::Processing(request);
@@ -192,7 +204,7 @@
                 self.requests.insert(request, id);
                 let input_memory = connection.socket.detach_input();
                 let len = read.head_len + read.http.body.len();
-                connection.request_len = len.max(input_memory);
+                connection.request_len = len.max(input_memory) + decoded;
                 let http = read.http;
                 events.push((connection.listener, HttpEvent::Request { request, http }));
             }
@@ -228,14 +240,35 @@
         }
     }
 
+    /// Takes the memory for decoding a complete request, or refuses it.
+    fn take_decoded(&mut self, now: Instant, id: CallerId, decoded: usize) -> bool {
+        if decoded == 0 || self.take_room_for(now, id, decoded, decoded) {
+            return true;
+        }
+        self.refuse_request_of(now, id, decoded);
+        false
+    }
+
     /// Takes `len` bytes for a connection's request; refuses other requests that have
     /// stalled while they are not free.
     fn take_room(&mut self, now: Instant, id: CallerId, len: usize) -> bool {
+        let connection = self.connections.get(&id);
+        let request_len = connection.map_or(0, CallerConnection::request_memory);
+        self.take_room_for(now, id, len, request_len)
+    }
+
+    /// Takes `len` of the `request_len` bytes that a request needs.
+    fn take_room_for(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        len: usize,
+        request_len: usize,
+    ) -> bool {
         loop {
             let Some(connection) = self.connections.get_mut(&id) else {
                 return false;
             };
-            let request_len = connection.request_memory();
             if connection.charge.take(len, request_len) {
                 return true;
             }
@@ -290,11 +323,17 @@
 
     /// Refuses an incomplete request for lack of memory.
     pub(super) fn refuse_request(&mut self, now: Instant, id: CallerId) {
+        let connection = self.connections.get(&id);
+        let body_len = connection.map_or(0, |it| it.reader.reserved_len());
+        self.refuse_request_of(now, id, body_len);
+    }
+
+    /// Refuses a request that needs this many bytes for lack of memory.
+    fn refuse_request_of(&mut self, now: Instant, id: CallerId, request_len: usize) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let body_len = connection.reader.reserved_len();
-        if self.budget.can_hold(body_len) {
+        if self.budget.can_hold(request_len) {
             connection.refuse(now, 503, &retry_after(id));
         } else {
             connection.refuse(now, 413, &[]);
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -22,10 +22,11 @@
 use tiny_http::{Method, Request, Server};
 
 use crate::body_segments::{ReadBody, SegmentPool, SegmentedBody, SEGMENT_LEN};
-use crate::caller_budget::{CallerBudget, CallerCharge, RefusalKind};
+use crate::caller_budget::{decoded_memory, CallerBudget, CallerCharge, RefusalKind};
+use crate::caller_table::BodyUse;
 use crate::event_sender::EventSender;
 use crate::front_proxy::{FrontProxy, ProxyLimits, SEND_BUFFER};
-use crate::http_refusal::{HttpRefusal, BAD_BODY, OVERLOADED};
+use crate::http_refusal::{HttpRefusal, BAD_BODY, BODY_TOO_LARGE, OVERLOADED};
 use crate::http_writer::HttpWriter;
 use crate::proxy_connection::{CloseMode, ConnectionLimits, BODY_COPIES};
 
@@ -54,6 +55,8 @@
     pub max_requests: usize,
     /// Maximum length of a body in bytes.
     pub max_body: usize,
+    /// What becomes of the bodies.
+    pub body_use: BodyUse,
 }
 
 /// Default timeout for a complete head, and for progress of a body or a
@@ -318,6 +321,11 @@
             Ok(_) => return self.refuse(request, BAD_BODY),
             Err(refusal) => return self.refuse(request, refusal),
         };
+        // Holds the memory until the response is written.
+        let _decoded = match self.take_decoded(&body) {
+            Ok(charge) => charge,
+            Err(refusal) => return self.refuse(request, refusal),
+        };
         let http = http_request(&request, body);
         let allows_chunks = *request.http_version() >= tiny_http::HTTPVersion(1, 1);
         let bodyless = *request.method() == Method::Head;
@@ -351,6 +359,23 @@
         }
     }
 
+    /// Takes the memory for decoding a body, in addition to the body's own.
+    fn take_decoded(&self, body: &[u8]) -> Result<CallerCharge, HttpRefusal> {
+        let mut charge = self.budget.charge();
+        let decoded = match self.limits.body_use {
+            BodyUse::Decoded => decoded_memory(body),
+            BodyUse::Forwarded => 0,
+        };
+        if decoded == 0 || charge.take(decoded, decoded) {
+            return Ok(charge);
+        }
+        self.budget.count(RefusalKind::Request);
+        match self.budget.can_hold(decoded) {
+            true => Err(OVERLOADED),
+            false => Err(BODY_TOO_LARGE),
+        }
+    }
+
     /// Sends an error response to a request that is not passed to the role, and
     /// closes the connection.
     fn refuse(&self, request: Request, refusal: HttpRefusal) {
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -10,6 +10,7 @@
 use mulberrywell_settings::GatewaySettings;
 
 use super::{ProcessLoop, ProcessParts, RunningRole};
+use crate::caller_table::BodyUse;
 use crate::http_server::bind_http;
 use crate::role_host::{ActionHandler, HostParts};
 
@@ -32,10 +33,14 @@
         let instance = process.instance;
         let budget = process.budget.clone();
         let bind = |address| bind_http(address, &budget);
-        let listeners = vec![
-            (CALLER_LISTENER, bind(settings.caller_listen)?),
-            (READINESS_LISTENER, bind(settings.ready_listen)?),
+        let listeners = [
+            (CALLER_LISTENER, settings.caller_listen),
+            (READINESS_LISTENER, settings.ready_listen),
         ];
+        let listeners = listeners
+            .into_iter()
+            .map(|(id, address)| Ok((id, BodyUse::Forwarded, bind(address)?)))
+            .collect::<Result<Vec<_>>>()?;
         let config = GatewayConfig {
             zone: instance.zone.clone(),
             seeds: instance.seeds.clone(),
