Platform: tell 64 parts of a prompt apart at most

Ruled out: counting them in the budget, which knows no prompts; ignoring the parts beyond a limit, as two requests that differ there only would count as repeats of one content.

Parts beyond the 64th are joined with the last one: their tokens still count, their names still tell requests apart.

--- a/crates/mulberrywell/tests/caller_crowds/crowd.rs
+++ b/crates/mulberrywell/tests/caller_crowds/crowd.rs
@@ -51,6 +51,8 @@
     Whole,
     /// A complete request without a body, whose response is read.
     Answered,
+    /// A complete request with a short body.
+    Short,
     /// A complete request with a body of about this many bytes, of as many equal items as
     /// they hold, and whose response is awaited.
     Items(ItemBody, usize),
@@ -134,6 +136,9 @@
                 stream.set_read_timeout(Some(SEND_TIMEOUT))?;
                 stream.read(&mut [0; 1_024]).map(drop)
             }
+            CrowdForm::Short => {
+                stream.write_all(format!("{head}Content-Length: 4\r\n\r\nbody").as_bytes())
+            }
             CrowdForm::Items(body, len) => {
                 let body = body.text(len);
                 let head = format!("{head}Content-Length: {}\r\n\r\n", body.len());
--- a/crates/mulberrywell/tests/caller_crowds/decoded_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/decoded_crowds.rs
@@ -1,6 +1,7 @@
 //! Crowds whose requests take more memory once they are decoded than they have bytes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use mulberrywell_testkit::HttpCaller;
 use rstest::rstest;
@@ -8,8 +9,11 @@
 use crate::common::serving_deployment::{DeploymentSettings, ServingDeployment};
 use crate::control_crowds::{check_put, sample_control};
 use crate::crowd::{Crowd, CrowdForm, ItemBody, BODY_MAX};
-use crate::gateway_crowds::ANSWER_TIMEOUT;
-use crate::{run_alone, DECODED_CROWD, LOW_MEMORY_MB, MACHINE_KIB};
+use crate::gateway_crowds::{request_head, SampledGateway, ANSWER_TIMEOUT};
+use crate::{run_alone, DECODED_CROWD, LOW_MEMORY_MB, MACHINE_KIB, PARTS_CROWD};
+
+/// Time for which the endpoint works at a request of a crowd.
+const ENDPOINT_DELAY: Duration = Duration::from_secs(2);
 
 /// Descriptors that a process beside such a crowd uses at most.
 const DESCRIPTORS_MAX: u64 = 1_500;
@@ -145,3 +149,24 @@
     let response = caller.call("POST", CONFIG, &[], body).expect("a response");
     response.status
 }
+
+/// Guards against short requests in flight that list more parts of a prompt than any other.
+#[test]
+fn gateway_prompt_parts_bounded() {
+    const PARTS_LEN: usize = 15_000;
+    let _alone = run_alone();
+    let settings = format!("[callers]\nmemory_mb = {LOW_MEMORY_MB}\nreceive_kib = 4\n");
+    let gateway = SampledGateway::spawn(&settings);
+    let deployment = &gateway.deployment;
+    deployment.worker.set_delay(ENDPOINT_DELAY);
+    let parts = ":1,".repeat(PARTS_LEN / 3);
+    let head = format!("{}Prompt-Prefix: {parts}:1\r\n", request_head("/once/x"));
+    let callers = deployment.callers;
+    let crowd = Crowd::send(callers, PARTS_CROWD, &[CrowdForm::Short], &head);
+    deployment.worker.set_delay(Duration::ZERO);
+    gateway.check_ordinary("beside the crowd");
+    drop(crowd);
+    gateway
+        .sampler
+        .check(LOW_MEMORY_MB * 1_024, DESCRIPTORS_MAX);
+}
--- a/crates/mulberrywell/tests/caller_crowds/main.rs
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -37,6 +37,10 @@
 /// Callers of a crowd whose bodies a process with [`LOW_MEMORY_MB`] decodes.
 const DECODED_CROWD: usize = 8;
 
+/// Callers of a crowd whose requests have long heads and wait in a process with
+/// [`LOW_MEMORY_MB`].
+const PARTS_CROWD: usize = 500;
+
 /// Descriptors that a process may open in the tests that limit them.
 const LOW_DESCRIPTORS: u64 = 300;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -61,7 +61,7 @@
     PlacementInput, PlacementModel, PlacementOutput, PlacementState, ResidencePhase, SoftwareName,
     TargetEntry,
 };
-pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart};
+pub use prefix_cache::{chain_hashes, PrefixCache, PromptPart, PROMPT_PARTS_MAX};
 pub use prefix_demand::PrefixDemand;
 pub use prompt_value::{home_count, prompt_value, PromptFit, PromptValue, SHARED_TOKENS_MIN};
 pub use response_times::{events_time, DurationEstimate, RecentMaximum, ResponseTimes};
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::stable_hash::mix_bits;
+use crate::stable_hash::{mix_bits, stable_hash};
 
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +18,20 @@
     pub tokens: u64,
 }
 
+/// Parts of a prompt that are told apart, so that a request takes little memory and time
+/// however many its caller lists.
+pub const PROMPT_PARTS_MAX: usize = 64;
+
+impl PromptPart {
+    /// Returns this part and the one behind it as one part.
+    pub fn joined(self, next: PromptPart) -> PromptPart {
+        PromptPart {
+            id: stable_hash(&[&self.id.to_be_bytes(), &next.id.to_be_bytes()]),
+            tokens: self.tokens.saturating_add(next.tokens),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CachedPart {
     tokens: u64,
