runtime: connections that may be links count as callers' until they are

What callers saw: 600 connections to the port for links of a control instance that may open 300 descriptors took all of them: settings could not be read, and no port accepted until the crowd was closed for its silence. 1,000 connections with half a first frame took 113 to 129 MB of a machine of 64 MB: each had a buffer of 64 KiB. They were bounded in number (8,192) only.

Ruled out: a lower bound for each role, which hundreds of machines that start at once meet; a smaller receive buffer, which a link inherits and keeps.

A connection takes a descriptor and 72 KiB, its buffers and what may have arrived, from the process's budget, until its handshake is complete; then it counts among the descriptors that are kept for links.

--- a/crates/mulberrywell/tests/caller_crowds/crowd.rs
+++ b/crates/mulberrywell/tests/caller_crowds/crowd.rs
@@ -21,6 +21,9 @@
 /// Interval at which a process is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Longest frame of a link before the peer has shown who it is.
+const HANDSHAKE_FRAME_MAX: usize = 4 * 1024;
+
 /// Bytes that a caller writes at a time.
 const WRITE_LEN: usize = 64 * 1024;
 
@@ -56,6 +59,8 @@
     /// A complete request with a body of about this many bytes, of as many equal items as
     /// they hold, and whose response is awaited.
     Items(ItemBody, usize),
+    /// The first frame of a link, one byte short of the longest.
+    FramePart,
 }
 
 /// A body with a list of equal items.
@@ -147,6 +152,11 @@
                 stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
                 stream.read(&mut [0; 1_024]).map(drop)
             }
+            CrowdForm::FramePart => {
+                let len = u32::try_from(HANDSHAKE_FRAME_MAX).unwrap_or(u32::MAX);
+                stream.write_all(&len.to_be_bytes())?;
+                write_repeated(stream, b"\n", HANDSHAKE_FRAME_MAX - 1)
+            }
         }
     }
 }
--- a/crates/mulberrywell/tests/caller_crowds/main.rs
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -13,6 +13,7 @@
 mod decoded_crowds;
 mod entry_crowds;
 mod gateway_crowds;
+mod link_crowds;
 mod mixed_crowds;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -41,6 +42,9 @@
 /// [`LOW_MEMORY_MB`].
 const PARTS_CROWD: usize = 500;
 
+/// Connections of a crowd to the port for links of a process with [`LOW_MEMORY_MB`].
+const LINK_CROWD: usize = 1_000;
+
 /// Descriptors that a process may open in the tests that limit them.
 const LOW_DESCRIPTORS: u64 = 300;
 
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -231,6 +231,19 @@
         })
     }
 
+    /// Takes the descriptor and the memory of a connection of which it is not known yet
+    /// whether it belongs to another process of the system; none when they are not free. A
+    /// port with few of them may exceed both limits, so that such processes can connect
+    /// whatever callers hold.
+    pub fn connect_unknown(&self, open: usize, memory: usize) -> Option<CallerCharge> {
+        let mut charge = self.connect(open, 1)?;
+        if open < PORT_RESERVE {
+            charge.set(memory);
+            return Some(charge);
+        }
+        charge.take(memory, 0).then_some(charge)
+    }
+
     /// Returns a charge without descriptors.
     pub fn charge(&self) -> CallerCharge {
         CallerCharge {
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -34,6 +34,7 @@
 use caller_accepts::CloseRank;
 use caller_reads::ReadQueues;
 
+pub(crate) use caller_accepts::is_connection_error;
 pub use caller_backlog::EndedCaller;
 
 /// Response bytes that may be buffered for a slow caller before its connection
--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -196,7 +196,7 @@
 
 /// Returns whether an error of `accept` concerns only the connection that was to be
 /// accepted.
-fn is_connection_error(kind: ErrorKind) -> bool {
+pub(crate) fn is_connection_error(kind: ErrorKind) -> bool {
     matches!(
         kind,
         ErrorKind::Interrupted | ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -36,6 +36,7 @@
 use socket2::SockRef;
 
 use crate::caller_budget::{CallerBudget, RefusalKind};
+use crate::caller_table::is_connection_error;
 use crate::http_refusal::OVERLOADED;
 use crate::open_ports::OpenPorts;
 use crate::proxy_connection::{
@@ -344,7 +345,7 @@
             match self.listener.accept() {
                 Ok((caller, _)) => self.add_connection(now, caller),
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
-                Err(err) if is_connection_error(&err) => {}
+                Err(err) if is_connection_error(err.kind()) => {}
                 Err(_) => {
                     self.budget.count(RefusalKind::AcceptFailure);
                     self.accept_resume_at = Some(now + ACCEPT_RETRY_DELAY);
@@ -495,15 +496,6 @@
     }
 }
 
-/// Returns whether an error of `accept` concerns only the connection that was
-/// to be accepted.
-fn is_connection_error(err: &std::io::Error) -> bool {
-    matches!(
-        err.kind(),
-        ErrorKind::Interrupted | ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset
-    )
-}
-
 fn token_of(id: ConnectionId, side: ProxySide) -> Token {
     Token(FIRST_CONNECTION_TOKEN + 2 * id + side as usize)
 }
--- a/crates/runtime/src/link_socket.rs
+++ b/crates/runtime/src/link_socket.rs
@@ -19,6 +19,9 @@
 /// Size in bytes of one read.
 const READ_LEN: usize = 64 * 1024;
 
+/// Size in bytes of one read during the handshake.
+const HANDSHAKE_READ_LEN: usize = HANDSHAKE_LIMIT;
+
 /// Input received on a socket.
 #[derive(Debug)]
 pub enum SocketInput {
@@ -114,7 +117,11 @@
     /// Fails when the connection ended or failed, or received an invalid frame.
     pub fn read(&mut self, now: Instant, inputs: &mut Vec<SocketInput>) -> Result<(), SocketError> {
         loop {
-            match self.buf.read(READ_LEN) {
+            let read_len = match self.is_open() {
+                true => READ_LEN,
+                false => HANDSHAKE_READ_LEN,
+            };
+            match self.buf.read(read_len) {
                 ReadStatus::NewData => {
                     self.last_received = now;
                     self.codec.feed(&self.buf.inp[self.buf.rd..self.buf.wr]);
--- a/crates/runtime/src/link_table.rs
+++ b/crates/runtime/src/link_table.rs
@@ -1,4 +1,8 @@
 //! The links of one role: listening, dialing, pings and timeouts.
+//!
+//! Guarantees: an accepted connection counts as a caller's in the process's budget until its
+//! handshake is complete; when the budget is used up, the connection makes room that has
+//! been without a complete handshake for longest.
 
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
@@ -13,6 +17,8 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::{MioPoll, MioSource, Ready};
 
+use crate::caller_budget::{CallerBudget, CallerCharge, RefusalKind};
+use crate::caller_table::is_connection_error;
 use crate::link_socket::{LinkSocket, SocketError, SocketInput};
 
 /// Interval of pings on an open link.
@@ -24,6 +30,13 @@
 /// Limit on the links of a role; beyond it, incoming links are rejected.
 const ACCEPTED_MAX: usize = 8_192;
 
+/// Memory in bytes of an accepted connection until its handshake is complete: its buffers,
+/// and what may have arrived and is not read.
+const HANDSHAKE_MEMORY: usize = 72 * 1024;
+
+/// Delay after a connection could not be accepted, as for lack of descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 const POLL_PRIORITY: u32 = 10;
 
 /// Identity and secret of the process.
@@ -40,8 +53,11 @@
     credentials: LinkCredentials,
     listener: Option<MioSource<TcpListener>>,
     sockets: BTreeMap<LinkId, LinkSocket>,
-    /// A connection could not be accepted, of which the poll doesn't tell again.
-    accepts_again: bool,
+    /// What accepted connections hold whose handshakes are not complete.
+    handshakes: BTreeMap<LinkId, CallerCharge>,
+    budget: CallerBudget,
+    /// When connections that may wait are accepted, as the poll doesn't tell of them again.
+    accept_at: Option<Instant>,
     /// Id of the next accepted link; odd and increasing.
     next_accepted: LinkId,
     /// Links with queued frames that are not yet written.
@@ -52,13 +68,15 @@
 }
 
 impl LinkTable {
-    /// Creates a table without links.
-    pub fn new(credentials: LinkCredentials, now: Instant) -> Self {
+    /// Creates a table without links with a process's budget.
+    pub fn new(credentials: LinkCredentials, budget: CallerBudget, now: Instant) -> Self {
         LinkTable {
             credentials,
             listener: None,
-            accepts_again: false,
+            accept_at: None,
             sockets: BTreeMap::new(),
+            handshakes: BTreeMap::new(),
+            budget,
             next_accepted: 1,
             dirty: Vec::new(),
             next_ping: now + PING_INTERVAL,
@@ -82,33 +100,64 @@
         Ok(())
     }
 
-    /// Returns whether pending connections must be accepted, as an attempt failed.
-    pub fn accepts_again(&self) -> bool {
-        self.accepts_again
+    /// Returns whether pending connections must be accepted now; true once.
+    pub fn take_accept_due(&mut self, now: Instant) -> bool {
+        let is_due = self.accept_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.accept_at = None;
+        }
+        is_due
+    }
+
+    /// Lets other connections be served before the next ones are accepted.
+    pub fn defer_accepts(&mut self, now: Instant) {
+        self.accept_at = Some(now);
     }
 
     /// Accepts the next pending connection.
-    pub fn accept(&mut self) -> Option<(LinkId, TcpStream)> {
-        self.accepts_again = false;
+    pub fn accept(&mut self, now: Instant) -> Option<(LinkId, TcpStream)> {
         loop {
             let stream = match self.listener.as_ref()?.accept() {
                 Ok((stream, _)) => stream,
-                Err(err) => {
-                    // Descriptors may be free later.
-                    self.accepts_again = err.kind() != ErrorKind::WouldBlock;
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return None,
+                Err(err) if is_connection_error(err.kind()) => continue,
+                Err(_) => {
+                    self.accept_at = Some(now + ACCEPT_RETRY_DELAY);
+                    self.budget.count(RefusalKind::AcceptFailure);
                     return None;
                 }
             };
-            if self.sockets.len() >= ACCEPTED_MAX {
+            let charge = match self.sockets.len() < ACCEPTED_MAX {
+                true => self.admit(),
+                false => None,
+            };
+            let Some(charge) = charge else {
                 drop(stream);
+                self.budget.count(RefusalKind::Connection);
                 continue;
-            }
+            };
             let link = self.next_accepted;
             self.next_accepted += 2;
+            self.handshakes.insert(link, charge);
             return Some((link, stream));
         }
     }
 
+    /// Takes what a new connection holds; closes those without a complete handshake that
+    /// were accepted first while it is not free.
+    fn admit(&mut self) -> Option<CallerCharge> {
+        loop {
+            let open = self.handshakes.len();
+            let charge = self.budget.connect_unknown(open, HANDSHAKE_MEMORY);
+            if charge.is_some() {
+                return charge;
+            }
+            let (link, _) = self.handshakes.pop_first()?;
+            self.sockets.remove(&link);
+            self.budget.count(RefusalKind::Closed);
+        }
+    }
+
     /// Starts the handshake on a connection.
     ///
     /// # Errors
@@ -156,6 +205,7 @@
 
     /// Closes a link.
     pub fn close(&mut self, link: LinkId, events: &mut Vec<LinkEvent>) {
+        self.handshakes.remove(&link);
         if self.sockets.remove(&link).is_some() {
             events.push(LinkEvent::Closed { link });
         }
@@ -181,7 +231,10 @@
         }
         for input in self.inputs.drain(..) {
             events.push(match input {
-                SocketInput::Opened(peer) => LinkEvent::Opened { link, peer },
+                SocketInput::Opened(peer) => {
+                    self.handshakes.remove(&link);
+                    LinkEvent::Opened { link, peer }
+                }
                 SocketInput::Frame(body) => LinkEvent::Frame { link, body },
             });
         }
@@ -204,9 +257,10 @@
         self.dirty = dirty;
     }
 
-    /// Returns when [`LinkTable::tick`] must be called next.
+    /// Returns when [`LinkTable::tick`] must be called next, or pending connections accepted.
     pub fn deadline(&self) -> Instant {
-        self.next_ping
+        self.accept_at
+            .map_or(self.next_ping, |at| at.min(self.next_ping))
     }
 
     /// Sends pings on open links and closes those whose timeout has expired.
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -113,7 +113,7 @@
             prefix: parts.prefix,
             machine: parts.machine,
             handler: (parts.handler)(sender),
-            links: LinkTable::new(parts.credentials, now),
+            links: LinkTable::new(parts.credentials, parts.budget.clone(), now),
             driver: HttpDriver::new(now, parts.budget),
             metrics: parts.metrics,
             budget_log: BudgetLog::default(),
@@ -270,11 +270,16 @@
     }
 
     fn accept_pending_links(&mut self, cx: CX![]) {
-        while let Some((link, stream)) = self.links.accept() {
+        for _ in 0..ACCEPTS_MAX {
+            let Some((link, stream)) = self.links.accept(cx.now()) else {
+                return;
+            };
             if let Err(err) = self.attach_link(cx, link, stream, LinkSide::Listener) {
                 spdlog::warn!("{}: can't accept a link: {}", self.prefix, err);
+                self.links.close(link, &mut self.scratch);
             }
         }
+        self.links.defer_accepts(cx.now());
     }
 
     fn attach_link(
@@ -320,7 +325,7 @@
         let now = cx.now();
         self.links.tick(now, &mut self.scratch);
         self.link_events.extend(self.scratch.drain(..));
-        if self.links.accepts_again() {
+        if self.links.take_accept_due(now) {
             self.accept_pending_links(cx);
         }
         for listener in self.driver.callers.take_listeners_due(now) {
