runtime: count what a request holds beside its body

What callers saw: nothing yet; the budget counted less than was held, so that its bound was none. Of an incomplete request the head was not counted, which kept the buffer of all that had arrived with it, some 40 KiB. A request in flight was counted with its bytes; its fields, its record at the role and its exchange took 5 KiB more (500 in flight: 6.7 KiB resident and 1.3 KiB counted each, debug build), and its endpoint's socket may hold 32 KiB that have arrived and aren't read, which the platform counts.

Evidence: read_incomplete_head_counted and read_request_in_flight_counts_arrivals fail without the change.

A head whose body is incomplete is copied, and counted with its fields; a request takes 40 KiB beside its bytes until its response is complete, from when its head was read. What a caller may leave unread follows from what the requests of all connections leave of the memory, at least 4 KiB. Connections to endpoints keep no empty input buffers.

--- a/crates/http1/src/request_reader.rs
+++ b/crates/http1/src/request_reader.rs
@@ -16,6 +16,9 @@
 /// Length of the longest end of a head: the end of a line and an empty line.
 const HEAD_END_LEN: usize = 3;
 
+/// Memory in bytes of one field of a head, beside its text.
+const FIELD_MEMORY: usize = std::mem::size_of::<HeaderField>();
+
 /// Divisor of the length of a body that gives the spare memory taken with it.
 const SPARE_DIVISOR: usize = 4;
 
@@ -52,6 +55,13 @@
     pub head_len: usize,
 }
 
+impl ReadRequest {
+    /// Returns the memory in bytes of the head.
+    pub fn head_memory(&self) -> usize {
+        self.head_len + self.http.headers.len() * FIELD_MEMORY
+    }
+}
+
 /// A request whose body is incomplete.
 #[derive(Debug)]
 struct PartialRequest {
@@ -91,6 +101,12 @@
         })
     }
 
+    /// Returns the memory in bytes of the head whose body is incomplete.
+    pub fn head_memory(&self) -> usize {
+        let partial = self.partial.as_ref();
+        partial.map_or(0, |partial| partial.request.head_memory())
+    }
+
     /// Returns whether the caller expects an interim response 100; true once
     /// per request.
     pub fn pop_expect_continue(&mut self) -> bool {
@@ -150,12 +166,17 @@
         };
         (self.scanned, self.parsed) = (0, 0);
         let head = buf.split_to(len).freeze();
-        let (http, minor) = parse_head(&head).map_err(RequestError::Head)?;
+        let (mut http, minor) = parse_head(&head).map_err(RequestError::Head)?;
         let framing = framing_from_headers(&http.headers).map_err(RequestError::Head)?;
         let framing = framing.unwrap_or(BodyFraming::Length(0));
         if matches!(framing, BodyFraming::Length(len) if len > limits.body_max as u64) {
             return Err(RequestError::BodyTooLong);
         }
+        if !matches!(framing, BodyFraming::Length(len) if len <= buf.len() as u64) {
+            // A slice would keep the memory of all that arrived with the head until the
+            // body is complete.
+            (http, _) = parse_head(&Bytes::copy_from_slice(&head)).map_err(RequestError::Head)?;
+        }
         self.expects_continue = list_has_token(&http.headers, "Expect", "100-continue");
         let closes_connection = list_has_token(&http.headers, "Connection", "close")
             || (minor == 0 && !list_has_token(&http.headers, "Connection", "keep-alive"));
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -29,6 +29,7 @@
 use stakker_mio::{MioPoll, MioSource, Ready};
 
 use crate::caller_budget::{CallerBudget, CallerCharge, RefusalKind};
+use crate::exchange_table::ARRIVED_MAX;
 use crate::http_socket::HttpSocket;
 
 use caller_accepts::CloseRank;
@@ -54,7 +55,12 @@
 const POLL_PRIORITY: u32 = 10;
 
 /// Memory in bytes of a connection without its buffers.
-const CONNECTION_MEMORY: usize = 1_024;
+pub const CONNECTION_MEMORY: usize = 1_024;
+
+/// Memory in bytes that a request takes until its response is complete, in addition to its
+/// bytes: what its role and the exchange with an endpoint keep, and what may have arrived of
+/// the response and is not read.
+pub const REQUEST_MEMORY: usize = 8 * 1024 + ARRIVED_MAX;
 
 /// Id of a connection; never reused.
 pub type CallerId = u64;
@@ -112,7 +118,7 @@
     unwritten_len: usize,
     /// When the caller last read a part of what is queued, or nothing was.
     progress_at: Instant,
-    /// Length of the head and body of the request in flight.
+    /// Memory of the request in flight: its head and body, and its decoded values.
     request_len: usize,
     /// Bytes received of the request that is being read.
     received_len: usize,
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -11,13 +11,13 @@
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use mulberrywell_http1::RequestLimits;
+use mulberrywell_http1::{ReadRequest, RequestLimits};
 use mulberrywell_role::HttpEvent;
 
 use super::caller_refusals::{refusal_status, retry_after};
 use super::{
     BodyUse, CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind,
-    CONNECTION_MEMORY,
+    CONNECTION_MEMORY, REQUEST_MEMORY,
 };
 use crate::caller_budget::{
     decoded_memory, CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
@@ -184,29 +184,8 @@
         let input = &mut connection.socket.input;
         match connection.reader.next_request(input, limits) {
             Ok(Some(read)) => {
-                let decoded = match record.body_use {
-                    BodyUse::Decoded => decoded_memory(&read.http.body),
-                    BodyUse::Forwarded => 0,
-                };
-                if !self.take_decoded(now, id, decoded) {
-                    return;
-                }
-                let Some(connection) = self.connections.get_mut(&id) else {
-                    return;
-                };
-                self.next_id += 1;
-                let request = self.next_id;
-                connection.phase = CallerPhase::Processing(request);
-                connection.close_after = read.closes_connection;
-                connection.allows_chunks = read.allows_chunks;
-                connection.is_head_request = read.http.method == "HEAD";
-                connection.received_len = 0;
-                self.requests.insert(request, id);
-                let input_memory = connection.socket.detach_input();
-                let len = read.head_len + read.http.body.len();
-                connection.request_len = len.max(input_memory) + decoded;
-                let http = read.http;
-                events.push((connection.listener, HttpEvent::Request { request, http }));
+                let body_use = record.body_use;
+                self.begin_request(now, id, read, body_use, events);
             }
             Ok(None) => self.await_rest(now, id),
             Err(error) => {
@@ -216,6 +195,47 @@
         }
     }
 
+    /// Passes a complete request to the role, or refuses it if the memory is not free that
+    /// it takes beside its bytes.
+    fn begin_request(
+        &mut self,
+        now: Instant,
+        id: CallerId,
+        read: ReadRequest,
+        body_use: BodyUse,
+        events: &mut CallerEvents,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let decoded = match body_use {
+            BodyUse::Decoded => decoded_memory(&read.http.body),
+            BodyUse::Forwarded => 0,
+        };
+        let received = read.head_memory() + read.http.body.len();
+        connection.request_len = received.max(connection.socket.detach_input()) + decoded;
+        let needed = connection.memory() + REQUEST_MEMORY;
+        let more = needed.saturating_sub(connection.charge.held());
+        let request_len = connection.received_len.max(decoded);
+        if !self.take_room_for(now, id, more, request_len) {
+            self.refuse_request_of(now, id, needed);
+            return;
+        }
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        self.next_id += 1;
+        let request = self.next_id;
+        connection.phase = CallerPhase::Processing(request);
+        connection.close_after = read.closes_connection;
+        connection.allows_chunks = read.allows_chunks;
+        connection.is_head_request = read.http.method == "HEAD";
+        connection.received_len = 0;
+        self.requests.insert(request, id);
+        let http = read.http;
+        events.push((connection.listener, HttpEvent::Request { request, http }));
+    }
+
     /// Takes the memory for the rest of a request that is not complete, or refuses it.
     fn await_rest(&mut self, now: Instant, id: CallerId) {
         let Some(connection) = self.connections.get_mut(&id) else {
@@ -240,15 +260,6 @@
         }
     }
 
-    /// Takes the memory for decoding a complete request, or refuses it.
-    fn take_decoded(&mut self, now: Instant, id: CallerId, decoded: usize) -> bool {
-        if decoded == 0 || self.take_room_for(now, id, decoded, decoded) {
-            return true;
-        }
-        self.refuse_request_of(now, id, decoded);
-        false
-    }
-
     /// Takes `len` bytes for a connection's request; refuses other requests that have
     /// stalled while they are not free.
     fn take_room(&mut self, now: Instant, id: CallerId, len: usize) -> bool {
@@ -363,8 +374,13 @@
             true => self.charge.limits().arrived_max(),
             false => 0,
         };
-        let body = self.request_len + self.reader.reserved_len();
-        CONNECTION_MEMORY + self.socket.held_bytes() + body + unread
+        let is_request = self.reader.is_open() || matches!(self.phase, CallerPhase::Processing(_));
+        let reader = self.reader.head_memory() + self.reader.reserved_len();
+        let request = match is_request {
+            true => REQUEST_MEMORY + self.request_len + reader,
+            false => self.request_len,
+        };
+        CONNECTION_MEMORY + self.socket.held_bytes() + request + unread
     }
 
     /// Returns the memory in bytes that the request being read takes.
--- a/crates/runtime/src/caller_table/caller_refusals.rs
+++ b/crates/runtime/src/caller_table/caller_refusals.rs
@@ -34,6 +34,7 @@
         self.phase = CallerPhase::Lingering(now);
         self.socket.clear_input();
         self.reader = RequestReader::default();
+        self.request_len = 0;
         let output = &mut self.socket.output;
         write_response_head(status, headers, Some(0), true, true, output);
         let memory = self.memory();
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -250,7 +250,8 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        connection.socket.release_input();
+        // The next part of the response may be long in coming.
+        connection.socket.detach_input();
         if read_state.is_open() {
             return;
         }
--- a/crates/runtime/src/held_memory.rs
+++ b/crates/runtime/src/held_memory.rs
@@ -1,9 +1,10 @@
 //! The part of the budget's memory that responses may take.
 //!
 //! Algorithm: a response is read from its endpoint only while the caller's unread part is
-//! below a limit. Half of the bound is divided evenly among all callers that may connect; of
-//! the other half, a caller gets a part of what is free (dynamic thresholds, Choudhury and
-//! Hahne, 1998). So any number of callers that don't read leave memory to those that do.
+//! below a limit. What the requests of all callers that may connect leave of the bound is
+//! divided evenly among these; while less than half of the bound is held, a caller gets a
+//! part of what is free of it (dynamic thresholds, Choudhury and Hahne, 1998). So any number
+//! of callers that don't read leave memory to those that do.
 //! What is held is counted by the process's budget.
 
 use std::collections::BTreeMap;
@@ -12,15 +13,18 @@
 use mulberrywell_role::{ExchangeId, RequestId};
 
 use crate::caller_budget::{CallerBudget, CallerCharge};
+use crate::caller_table::{CONNECTION_MEMORY, REQUEST_MEMORY};
 use crate::exchange_table::ConnectionId;
 
-/// Divisor of the free part of the second half that gives the unread bytes allowed to one
-/// caller.
+/// Divisor of the free part of one half that gives the unread bytes allowed to one caller.
 const FREE_DIVISOR: usize = 16;
 
-/// Divisor of each caller's part of the first half that gives what is left for the
-/// connection itself and for spare capacity.
-const OVERHEAD_DIVISOR: usize = 4;
+/// Divisor of each caller's part that gives what is left for spare capacity.
+const OVERHEAD_DIVISOR: usize = 3;
+
+/// Unread bytes allowed to one caller however little memory is free, so that each response
+/// proceeds.
+const UNREAD_MIN: usize = 4 * 1024;
 
 /// Unread bytes allowed to one caller however much memory is free.
 const UNREAD_MAX: usize = 1024 * 1024;
@@ -73,9 +77,10 @@
         let limits = self.budget.limits();
         let half = limits.memory / 2;
         let shared = half.saturating_sub(self.budget.held()) / FREE_DIVISOR;
-        let each = half / limits.descriptors.max(1);
-        let unread_max = shared.min(UNREAD_MAX).max(each - each / OVERHEAD_DIVISOR);
-        unread_max.saturating_sub(backlog)
+        let each = limits.memory / limits.descriptors.max(1);
+        let each = each.saturating_sub(CONNECTION_MEMORY + REQUEST_MEMORY);
+        let each = (each - each / OVERHEAD_DIVISOR).max(UNREAD_MIN);
+        shared.min(UNREAD_MAX).max(each).saturating_sub(backlog)
     }
 
     /// Records that an exchange's response is forwarded to a request's caller.
