runtime: a crowd that behaves takes no idle callers' places, nor all descriptors

What callers saw: an idle caller that behaves was closed for a crowd whose callers have each had one successful response, as with a key or at a health check, since the one went that had been idle for longest. The same crowd used all descriptors: two thirds for its connections, and the rest for those to endpoints, so that nothing was accepted and files could not be opened. At an entry the server library ended for lack of a descriptor for a connection that it had accepted; it keeps those of a closed connection for a while, and two of its own for each, of which one was counted.

Ruled out: closing the longest idle of one address only, as callers behind one proxy share it; counting the library's descriptors alone, as it gives them back later than it ends a connection.

Idle callers that behave are closed only while they are more than half of the connections allowed; of the address with most connections, the one goes that has had the fewest successful responses and was opened last. A request that is forwarded takes a descriptor of its own from four fifths of the process's (kept_descriptors); when none is free an idle connection is closed, or the request refused. Connections to the library give theirs back once it has closed its side, and are opened only while the process really has four.

--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -112,22 +112,25 @@
 }
 
 /// Guards against idle callers of an entry that behave and are closed for a crowd.
-#[test]
-fn entry_low_descriptors_keeps_idle() {
+#[rstest]
+#[case::silent(&[CrowdForm::Silent, CrowdForm::HalfHead], None)]
+#[case::answered(&[CrowdForm::Answered], Some("GET /healthz HTTP/1.1\r\nHost: h\r\n"))]
+fn entry_low_descriptors_keeps_idle(#[case] forms: &[CrowdForm], #[case] head: Option<&str>) {
     const REQUEST: &[u8] = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
     let _alone = run_alone();
     let (small, _folder) = spawn_low_descriptors(1);
     let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "entry-0", address);
     let mut idle = TcpStream::connect(address).unwrap();
     idle.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
     idle.write_all(REQUEST).unwrap();
     assert_eq!(read_status(&mut idle), 200);
-    let forms = [CrowdForm::Silent, CrowdForm::HalfHead];
-    let head = request_head(&small);
-    let crowd = Crowd::send(address, LOW_DESCRIPTORS_CROWD, &forms, &head);
+    let head = head.map_or_else(|| request_head(&small), str::to_owned);
+    let crowd = Crowd::send(address, LOW_DESCRIPTORS_CROWD, forms, &head);
     idle.write_all(REQUEST).expect("is open");
     assert_eq!(read_status(&mut idle), 200);
     drop(crowd);
+    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
 }
 
 /// Guards against a crowd at one port that shuts another port of the same process.
--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Fails unless a process with [`LOW_DESCRIPTORS`] has kept within its limits.
+    pub fn check_low_descriptors(&self) {
+        let kept = LOW_DESCRIPTORS - DESCRIPTORS_KEPT;
+        self.sampler.check(MACHINE_KIB, kept);
+    }
+
     /// Fails unless an ordinary request is answered.
     pub fn check_ordinary(&self, what: &str) {
         let response = self.deployment.call("/once/x", KEY);
@@ -180,14 +186,14 @@
     check_probe(deployment.ready, "/ready");
     drop(crowd);
     gateway.check_ordinary("after the crowd");
-    let kept = LOW_DESCRIPTORS - DESCRIPTORS_KEPT;
-    gateway.sampler.check(MACHINE_KIB, kept);
+    gateway.check_low_descriptors();
 }
 
 /// Guards against idle callers that behave and are closed for a crowd.
 #[rstest]
 #[case::half_heads(CrowdForm::HalfHead)]
 #[case::silent(CrowdForm::Silent)]
+#[case::answered(CrowdForm::Answered)]
 fn gateway_low_descriptors_keeps_idle(#[case] form: CrowdForm) {
     let _alone = run_alone();
     let gateway = SampledGateway::spawn_low_descriptors();
@@ -199,6 +205,7 @@
     let crowd = Crowd::send(deployment.callers, LOW_DESCRIPTORS_CROWD, &[form], &head);
     assert_eq!(call_on(&mut idle), 200);
     drop(crowd);
+    gateway.check_low_descriptors();
 }
 
 /// Guards against idle callers that behave and are closed for a crowd at another port, which
@@ -216,6 +223,7 @@
     let crowd = Crowd::send(deployment.ready, LOW_DESCRIPTORS_CROWD, &forms, head);
     assert_eq!(call_on(&mut idle), 200);
     drop(crowd);
+    gateway.check_low_descriptors();
 }
 
 /// Sends a request on an open connection; returns the status of its response, which is read
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -26,6 +26,14 @@
 /// Connections that each port may have, and descriptors beyond the limit for them.
 const PORT_RESERVE: usize = 16;
 
+/// Divisor of the connections allowed that gives the idle ones of callers that behave which
+/// are not closed to make room.
+pub const IDLE_DIVISOR: usize = 2;
+
+/// Divisor of a process's descriptors that gives those which callers and their requests
+/// can't use.
+const KEPT_DIVISOR: usize = 5;
+
 /// Connections of callers that a process allows however little memory it is told.
 const CONNECTIONS_MIN: usize = 64;
 
@@ -64,6 +72,9 @@
     pub memory: usize,
     /// Descriptors that callers' connections may use.
     pub descriptors: usize,
+    /// Descriptors that callers' connections and those that forward their requests may use
+    /// together.
+    pub all_descriptors: usize,
     /// Length in bytes up to which a request is small.
     pub small_request: usize,
     /// Bytes that are read behind a request in flight.
@@ -76,11 +87,16 @@
 impl CallerLimits {
     /// Returns the limits that the settings specify. Callers use two thirds of a process's
     /// descriptors at most, and no more than may all have their sockets full of bytes that
-    /// the process has had no time to read.
+    /// the process has had no time to read. A fifth of the descriptors is kept for links,
+    /// files and checks of endpoints, unless the settings say how many.
     pub fn from_settings(settings: &CallerSettings, descriptor_limit: usize) -> Self {
+        let kept = settings
+            .kept_descriptors
+            .unwrap_or(descriptor_limit / KEPT_DIVISOR);
         let limits = CallerLimits {
             memory: settings.memory,
             descriptors: settings.descriptors.min(descriptor_limit / 3 * 2),
+            all_descriptors: descriptor_limit.saturating_sub(kept),
             small_request: settings.small_request,
             read_ahead: settings.read_ahead,
             receive_buffer: settings.receive_buffer,
@@ -149,6 +165,8 @@
     held: AtomicUsize,
     /// Descriptors used; above the limit only by what ports with few connections use.
     descriptors: AtomicUsize,
+    /// Requests that are forwarded, each with a descriptor of its own.
+    exchanges: AtomicUsize,
     /// Refusals by kind since they were last taken.
     counters: [AtomicU64; KINDS],
 }
@@ -173,6 +191,7 @@
                 limits,
                 held: AtomicUsize::new(0),
                 descriptors: AtomicUsize::new(0),
+                exchanges: AtomicUsize::new(0),
                 counters: Default::default(),
             }),
         }
@@ -211,6 +230,12 @@
         request_len <= self.shared.limits.memory
     }
 
+    /// Returns whether callers' connections and so many to endpoints use all descriptors that
+    /// they may.
+    pub fn is_short_of_descriptors(&self, endpoint_connections: usize) -> bool {
+        self.descriptors() + endpoint_connections >= self.shared.limits.all_descriptors
+    }
+
     /// Takes the descriptors of a new connection at a port with `open` connections; none
     /// when all are in use. A port with few connections may exceed the limit, so that a
     /// crowd at another port, whose connections it can't close, doesn't shut it.
@@ -219,7 +244,10 @@
             true => PORT_RESERVE,
             false => 0,
         };
-        let limit = self.shared.limits.descriptors + reserve;
+        let limits = &self.shared.limits;
+        let exchanges = self.shared.exchanges.load(Ordering::Relaxed);
+        let unused = limits.all_descriptors.saturating_sub(exchanges);
+        let limit = limits.descriptors.min(unused) + reserve;
         let used = &self.shared.descriptors;
         let taken = used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
             (used + descriptors <= limit).then_some(used + descriptors)
@@ -228,6 +256,7 @@
             budget: self.clone(),
             held: 0,
             descriptors,
+            has_exchange: false,
         })
     }
 
@@ -250,6 +279,7 @@
             budget: self.clone(),
             held: 0,
             descriptors: 0,
+            has_exchange: false,
         }
     }
 
@@ -276,6 +306,8 @@
     held: usize,
     /// Descriptors; part of the budget's sum.
     descriptors: usize,
+    /// A request is forwarded on a connection that counts in the budget.
+    has_exchange: bool,
 }
 
 impl CallerCharge {
@@ -334,11 +366,46 @@
             None => false,
         }
     }
+
+    /// Gives one descriptor back.
+    pub fn release_descriptor(&mut self) {
+        if self.descriptors > 0 {
+            self.descriptors -= 1;
+            let used = &self.budget.shared.descriptors;
+            used.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes the descriptor of the connection that forwards the caller's request; false when
+    /// it is not free.
+    pub fn take_exchange(&mut self) -> bool {
+        if self.has_exchange {
+            return true;
+        }
+        let shared = &self.budget.shared;
+        let used = shared.descriptors.load(Ordering::Relaxed);
+        let limit = shared.limits.all_descriptors;
+        let exchanges = &shared.exchanges;
+        let taken = exchanges.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |exchanges| {
+            (used + exchanges < limit).then_some(exchanges + 1)
+        });
+        self.has_exchange = taken.is_ok();
+        self.has_exchange
+    }
+
+    /// Gives the descriptor of the connection back that has forwarded the caller's request.
+    pub fn release_exchange(&mut self) {
+        if std::mem::take(&mut self.has_exchange) {
+            let exchanges = &self.budget.shared.exchanges;
+            exchanges.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
 }
 
 impl Drop for CallerCharge {
     fn drop(&mut self) {
         self.set(0);
+        self.release_exchange();
         let used = &self.budget.shared.descriptors;
         used.fetch_sub(self.descriptors, Ordering::Relaxed);
     }
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -18,6 +18,7 @@
 mod caller_timeouts;
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
 use mulberrywell_http1::{write_chunk, write_last_chunk, write_response_head, RequestReader};
@@ -65,13 +66,15 @@
 /// Id of a connection; never reused.
 pub type CallerId = u64;
 
-/// What a role does with the bodies of a listener's requests.
+/// What a role does with the requests of a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BodyUse {
-    /// They are forwarded, or not used.
-    Forwarded,
-    /// They are decoded, so that memory is taken for their values, too.
+pub enum RequestUse {
+    /// It answers them, and doesn't use their bodies.
+    Answered,
+    /// It decodes their bodies, so that memory is taken for their values, too.
     Decoded,
+    /// It forwards them, so that a descriptor is taken for the connection to an endpoint.
+    Forwarded,
 }
 
 /// Bounds in force until the role sets others.
@@ -98,6 +101,8 @@
 struct CallerConnection {
     socket: HttpSocket,
     listener: ListenerId,
+    /// Address that the caller connects from.
+    source: IpAddr,
     reader: RequestReader,
     phase: CallerPhase,
     /// Idle timeout in force when the connection was last in use: the one that its caller
@@ -124,8 +129,8 @@
     received_len: usize,
     /// When bytes were received last.
     received_at: Instant,
-    /// The caller has had a successful response, so that it is known to behave.
-    is_proven: bool,
+    /// Successful responses that the caller has had; one with any is known to behave.
+    successes: u32,
     /// Bytes behind the request in flight are left in the socket.
     is_paused: bool,
     /// The connection waits in one of the read queues.
@@ -144,7 +149,7 @@
     bounds: ConnectionBounds,
     /// Connections close after their current responses.
     closing: bool,
-    body_use: BodyUse,
+    request_use: RequestUse,
 }
 
 /// All connections of callers to one role.
@@ -195,7 +200,7 @@
             is_stopping: false,
             bounds: BOUNDS_DEFAULT,
             closing: false,
-            body_use: BodyUse::Forwarded,
+            request_use: RequestUse::Forwarded,
         };
         self.listeners.insert(id, record);
         Ok(())
@@ -220,11 +225,14 @@
             self.refuse_connection(id, &stream);
             return Ok(());
         };
+        let address = stream.peer_addr();
         let interest = Interest::READABLE | Interest::WRITABLE;
         let source = poll.add(stream, interest, POLL_PRIORITY, ready)?;
         let connection = CallerConnection {
             socket: HttpSocket::new(source, true),
             listener,
+            // A caller that has gone already has no address.
+            source: address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |it| it.ip()),
             reader: RequestReader::default(),
             phase: CallerPhase::Idle(now),
             idle_timeout: Duration::ZERO,
@@ -238,7 +246,7 @@
             request_len: 0,
             received_len: 0,
             received_at: now,
-            is_proven: false,
+            successes: 0,
             is_paused: false,
             is_queued: false,
             charge,
@@ -249,11 +257,10 @@
         Ok(())
     }
 
-    /// Sets what becomes of the bodies of a listener's requests; unless set, they are
-    /// forwarded.
-    pub fn set_body_use(&mut self, listener: ListenerId, body_use: BodyUse) {
+    /// Sets what the role does with a listener's requests; unless set, it forwards them.
+    pub fn set_request_use(&mut self, listener: ListenerId, request_use: RequestUse) {
         if let Some(record) = self.listeners.get_mut(&listener) {
-            record.body_use = body_use;
+            record.request_use = request_use;
         }
     }
 
@@ -346,6 +353,7 @@
             return;
         };
         connection.request_len = 0;
+        connection.charge.release_exchange();
         connection.received_len = connection.socket.input.len();
         if std::mem::take(&mut connection.is_paused) {
             self.unread.push(id, connection, self.budget.limits());
@@ -405,7 +413,9 @@
                     self.close_after = true;
                     self.set_reset_on_close(!self.is_head_request);
                 }
-                self.is_proven |= status < ERROR_STATUS;
+                if status < ERROR_STATUS {
+                    self.successes = self.successes.saturating_add(1);
+                }
                 let output = &mut self.socket.output;
                 write_response_head(
                     status,
--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -3,13 +3,17 @@
 //! Algorithm: when callers use all descriptors that they may, a connection that is about to
 //! close makes room first, then one whose caller has had no successful response, then one
 //! whose request has stalled, then an idle one; of each kind one of the listener with most
-//! connections, and of these the one that has been silent for longest. So a crowd makes room
-//! for itself before idle callers that behave. If there is none, the new connection is
-//! refused.
+//! connections, and of these one of the address with most. Of these the one goes that has
+//! been silent for longest, or, of idle ones whose callers behave, that has had the fewest
+//! successful responses and was opened last: a crowd that behaves comes after ordinary
+//! callers; idle ones are closed only while they are more than half of the connections that
+//! are allowed. So a crowd makes room for itself before others. If there is none, the new
+//! connection is refused.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Write};
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -19,6 +23,7 @@
 
 use super::caller_refusals::retry_after;
 use super::{CallerCharge, CallerConnection, CallerId, CallerPhase, CallerTable, RefusalKind};
+use crate::caller_budget::IDLE_DIVISOR;
 
 /// Delay after a connection could not be accepted, as for lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -113,13 +118,13 @@
         self.budget.count(RefusalKind::Connection);
     }
 
-    /// Closes the connection that may be closed soonest, if there is one.
-    fn close_one(&mut self, now: Instant) {
+    /// Closes the connection that may be closed soonest; false if there is none.
+    pub(super) fn close_one(&mut self, now: Instant) -> bool {
         if self.close_found(now) {
-            return;
+            return true;
         }
         self.find_closable(now);
-        self.close_found(now);
+        self.close_found(now)
     }
 
     /// Closes the first connection that was found and may still be closed.
@@ -145,18 +150,36 @@
     }
 
     fn find_closable(&mut self, now: Instant) {
-        let mut open_counts: BTreeMap<ListenerId, usize> = BTreeMap::new();
+        let mut listener_counts: BTreeMap<ListenerId, usize> = BTreeMap::new();
+        let mut source_counts: BTreeMap<(ListenerId, IpAddr), usize> = BTreeMap::new();
         for connection in self.connections.values() {
-            *open_counts.entry(connection.listener).or_default() += 1;
+            let listener = connection.listener;
+            *listener_counts.entry(listener).or_default() += 1;
+            let source = (listener, connection.source);
+            *source_counts.entry(source).or_default() += 1;
         }
         let connections = self.connections.iter();
         let ranked = connections.filter_map(|(id, connection)| {
-            let silence = now.saturating_duration_since(connection.received_at);
             let rank = connection.close_rank(now)?;
-            let open_count = open_counts.get(&connection.listener).copied();
-            Some((rank, Reverse(open_count), Reverse(silence), *id))
+            let listener = connection.listener;
+            let listener_count = listener_counts.get(&listener).copied();
+            let source_count = source_counts.get(&(listener, connection.source)).copied();
+            let silence = now.saturating_duration_since(connection.received_at);
+            let order = match rank {
+                CloseRank::Idle => (connection.successes, Reverse(Duration::ZERO), !*id),
+                _ => (0, Reverse(silence), *id),
+            };
+            let counts = (Reverse(listener_count), Reverse(source_count));
+            Some((rank, counts, order, *id))
         });
         let mut ranked: Vec<_> = ranked.collect();
+        let idle = ranked
+            .iter()
+            .filter(|(rank, ..)| *rank == CloseRank::Idle)
+            .count();
+        if idle <= self.budget.limits().descriptors / IDLE_DIVISOR {
+            ranked.retain(|(rank, ..)| *rank != CloseRank::Idle);
+        }
         if ranked.len() > CLOSABLE_MAX {
             ranked.select_nth_unstable(CLOSABLE_MAX);
             ranked.truncate(CLOSABLE_MAX);
@@ -181,7 +204,7 @@
         match self.phase {
             CallerPhase::Lingering(_) => Some(CloseRank::Ended).filter(|_| is_written),
             CallerPhase::Idle(_) if !is_written => None,
-            CallerPhase::Idle(_) | CallerPhase::Reading(_) if !self.is_proven => {
+            CallerPhase::Idle(_) | CallerPhase::Reading(_) if self.successes == 0 => {
                 Some(CloseRank::Unproven)
             }
             CallerPhase::Idle(_) => Some(CloseRank::Idle),
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -16,7 +16,7 @@
 
 use super::caller_refusals::{refusal_status, retry_after};
 use super::{
-    BodyUse, CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind,
+    CallerConnection, CallerEvents, CallerId, CallerPhase, CallerTable, RefusalKind, RequestUse,
     CONNECTION_MEMORY, REQUEST_MEMORY,
 };
 use crate::caller_budget::{
@@ -184,8 +184,8 @@
         let input = &mut connection.socket.input;
         match connection.reader.next_request(input, limits) {
             Ok(Some(read)) => {
-                let body_use = record.body_use;
-                self.begin_request(now, id, read, body_use, events);
+                let request_use = record.request_use;
+                self.begin_request(now, id, read, request_use, events);
             }
             Ok(None) => self.await_rest(now, id),
             Err(error) => {
@@ -195,38 +195,40 @@
         }
     }
 
-    /// Passes a complete request to the role, or refuses it if the memory is not free that
-    /// it takes beside its bytes.
+    /// Passes a complete request to the role, or refuses it if what it takes beside its
+    /// bytes is not free.
     fn begin_request(
         &mut self,
         now: Instant,
         id: CallerId,
         read: ReadRequest,
-        body_use: BodyUse,
+        request_use: RequestUse,
         events: &mut CallerEvents,
     ) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        let decoded = match body_use {
-            BodyUse::Decoded => decoded_memory(&read.http.body),
-            BodyUse::Forwarded => 0,
+        let decoded = match request_use {
+            RequestUse::Decoded => decoded_memory(&read.http.body),
+            RequestUse::Answered | RequestUse::Forwarded => 0,
         };
+        self.next_id += 1;
+        let request = self.next_id;
+        connection.phase = CallerPhase::Processing(request);
         let received = read.head_memory() + read.http.body.len();
         connection.request_len = received.max(connection.socket.detach_input()) + decoded;
-        let needed = connection.memory() + REQUEST_MEMORY;
+        let needed = connection.memory();
         let more = needed.saturating_sub(connection.charge.held());
         let request_len = connection.received_len.max(decoded);
-        if !self.take_room_for(now, id, more, request_len) {
+        let is_admitted = self.take_room_for(now, id, more, request_len)
+            && (request_use != RequestUse::Forwarded || self.take_exchange(now, id));
+        if !is_admitted {
             self.refuse_request_of(now, id, needed);
             return;
         }
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        self.next_id += 1;
-        let request = self.next_id;
-        connection.phase = CallerPhase::Processing(request);
         connection.close_after = read.closes_connection;
         connection.allows_chunks = read.allows_chunks;
         connection.is_head_request = read.http.method == "HEAD";
@@ -236,6 +238,22 @@
         events.push((connection.listener, HttpEvent::Request { request, http }));
     }
 
+    /// Takes the descriptor of the connection that forwards a request; closes connections of
+    /// other callers while it is not free.
+    fn take_exchange(&mut self, now: Instant, id: CallerId) -> bool {
+        loop {
+            let Some(connection) = self.connections.get_mut(&id) else {
+                return false;
+            };
+            if connection.charge.take_exchange() {
+                return true;
+            }
+            if !self.close_one(now) {
+                return false;
+            }
+        }
+    }
+
     /// Takes the memory for the rest of a request that is not complete, or refuses it.
     fn await_rest(&mut self, now: Instant, id: CallerId) {
         let Some(connection) = self.connections.get_mut(&id) else {
--- a/crates/runtime/src/descriptor_limit.rs
+++ b/crates/runtime/src/descriptor_limit.rs
@@ -1,4 +1,6 @@
-//! The process's limit on open file descriptors.
+//! The process's limit on open file descriptors, and how many are open.
+
+use std::fs;
 
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 
@@ -16,3 +18,11 @@
     };
     usize::try_from(limit).unwrap_or(usize::MAX)
 }
+
+/// Returns how many descriptors the process has open, with those of libraries; none if the
+/// system doesn't tell.
+pub fn open_descriptors() -> Option<usize> {
+    let entries = fs::read_dir("/proc/self/fd").ok()?;
+    // One of them is that of the folder itself.
+    Some(entries.count().saturating_sub(1))
+}
--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -153,6 +153,23 @@
         true
     }
 
+    /// Returns the number of connections, busy or idle.
+    pub fn open_count(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Closes the idle connection whose timeout expires first, if there is one.
+    pub fn close_idle(&mut self) {
+        let connections = self.connections.iter();
+        let idle = connections.filter_map(|(id, connection)| match connection.state {
+            ConnectionState::Idle(until) => Some((until, *id)),
+            ConnectionState::Busy(_) => None,
+        });
+        if let Some((_, id)) = idle.min() {
+            self.remove_idle(id);
+        }
+    }
+
     /// Allocates the id of the next connection.
     pub fn next_connection_id(&mut self) -> ConnectionId {
         self.next_id += 1;
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -18,6 +18,7 @@
 //! therefore the proxy opens empty connections while the library has not
 //! started a forwarded request ([`crate::start_tracker`]).
 
+mod closing_upstreams;
 mod proxy_admission;
 
 use std::collections::BTreeMap;
@@ -45,6 +46,9 @@
 };
 use crate::start_tracker::StartTracker;
 
+use closing_upstreams::ClosingUpstreams;
+use proxy_admission::Admission;
+
 /// Size in bytes of the socket buffer for responses to one caller.
 pub const SEND_BUFFER: usize = 128 * 1024;
 
@@ -137,6 +141,8 @@
             notify_disconnect,
             rx,
             connections: BTreeMap::new(),
+            closing: ClosingUpstreams::default(),
+            waiting: Vec::new(),
             ports: BTreeMap::new(),
             start_tracker: StartTracker::default(),
             next_id: 0,
@@ -213,6 +219,10 @@
     rx: Receiver<ProxyCommand>,
     /// At most `limits.max_connections`.
     connections: BTreeMap<ConnectionId, ProxyConnection>,
+    /// Connections to the library whose callers' are closed.
+    closing: ClosingUpstreams,
+    /// Connections that wait for descriptors of closing ones.
+    waiting: Vec<ConnectionId>,
     /// Connections by their local port towards the library.
     ports: BTreeMap<u16, ConnectionId>,
     start_tracker: StartTracker,
@@ -234,7 +244,9 @@
         let mut events = Events::with_capacity(EVENTS_LEN);
         let mut sweep_at = Instant::now();
         loop {
-            let idle = self.connections.is_empty() && self.accept_resume_at.is_none();
+            let idle = self.connections.is_empty()
+                && self.closing.len() == 0
+                && self.accept_resume_at.is_none();
             let until = self
                 .start_tracker
                 .deadline()
@@ -335,6 +347,8 @@
                     };
                     connection.record_ready(side, ready);
                     self.advance(now, id);
+                } else if self.closing.handle_ready(id, &mut self.scratch) {
+                    self.pending.append(&mut self.waiting);
                 }
             }
         }
@@ -356,7 +370,7 @@
     }
 
     fn add_connection(&mut self, now: Instant, mut caller: TcpStream) {
-        let Some(charge) = self.admit() else {
+        let Some(charge) = self.admit(now) else {
             // If the socket does not accept the bytes at once, it is closed
             // without a response.
             let _ = caller.write(&OVERLOADED.bytes());
@@ -387,8 +401,14 @@
             match connection.advance(now, &mut self.scratch) {
                 ProxyStep::Wait => return,
                 ProxyStep::Again => return self.pending.push(id),
-                ProxyStep::Ended => return self.remove_connection(id),
-                ProxyStep::OpenUpstream => self.open_upstream(now, id),
+                ProxyStep::Ended => return self.remove_connection(now, id),
+                ProxyStep::OpenUpstream => match self.take_descriptors(now, id) {
+                    Admission::Admitted => self.open_upstream(now, id),
+                    Admission::Later => return self.await_descriptors(id),
+                    Admission::Refused => {
+                        self.refuse_request(now, id);
+                    }
+                },
                 ProxyStep::TakeMemory(len) => {
                     if !self.take_memory(now, id, len) && !self.refuse_request(now, id) {
                         return;
@@ -398,11 +418,13 @@
         }
     }
 
-    fn open_upstream(&mut self, now: Instant, id: ConnectionId) {
-        if !self.take_descriptors(id) {
-            self.refuse_request(now, id);
-            return;
+    fn await_descriptors(&mut self, id: ConnectionId) {
+        if !self.waiting.contains(&id) {
+            self.waiting.push(id);
         }
+    }
+
+    fn open_upstream(&mut self, now: Instant, id: ConnectionId) {
         let opened = TcpStream::connect(self.upstream).and_then(|mut upstream| {
             let token = token_of(id, ProxySide::Upstream);
             let interest = Interest::READABLE | Interest::WRITABLE;
@@ -434,7 +456,7 @@
         }
     }
 
-    fn remove_connection(&mut self, id: ConnectionId) {
+    fn remove_connection(&mut self, now: Instant, id: ConnectionId) {
         let Some(mut connection) = self.connections.remove(&id) else {
             return;
         };
@@ -453,8 +475,10 @@
         }
         // The poll removes a dropped socket by itself.
         let _ = self.poll.registry().deregister(connection.caller_mut());
-        if let Some(upstream) = connection.upstream_mut() {
-            let _ = self.poll.registry().deregister(upstream);
+        if let Some((upstream, charge)) = connection.into_upstream() {
+            self.closing.insert(now, id, upstream, charge);
+            // The upstream server may have closed its side already.
+            self.closing.handle_ready(id, &mut self.scratch);
         }
     }
 
@@ -462,6 +486,9 @@
     /// stuck in the library's queue.
     fn open_empty_connections(&mut self, now: Instant) {
         for _ in 0..self.start_tracker.reschedule_due(now) {
+            if !self.has_descriptors() {
+                return;
+            }
             if let Err(err) = TcpStream::connect(self.upstream) {
                 spdlog::debug!(
                     "http: can't open an empty connection to the server library: {}",
@@ -488,8 +515,10 @@
             }
         }
         for id in ended {
-            self.remove_connection(id);
+            self.remove_connection(now, id);
         }
+        self.closing.expire(now);
+        self.pending.append(&mut self.waiting);
         for id in remaining {
             self.advance(now, id);
         }
--- a/crates/runtime/src/front_proxy/proxy_admission.rs
+++ b/crates/runtime/src/front_proxy/proxy_admission.rs
@@ -1,39 +1,61 @@
 //! What the proxy does when memory or descriptors for callers are short: which connections
 //! it closes, and which requests it refuses.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use mulberrywell_role::RequestId;
 
 use super::{ConnectionId, ProxyLoop};
-use crate::caller_budget::{CallerCharge, RefusalKind, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR};
+use crate::caller_budget::{
+    CallerCharge, RefusalKind, IDLE_DIVISOR, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
+};
+use crate::descriptor_limit::open_descriptors;
 use crate::http_refusal::OVERLOADED;
-use crate::proxy_connection::ProxyStep;
+use crate::proxy_connection::{ProxyRank, ProxyStep, PROXIED_DESCRIPTORS};
+
+/// Whether a connection to the upstream server may be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// Its descriptors are taken.
+    Admitted,
+    /// They are free once the upstream server has closed other connections.
+    Later,
+    /// They are not free.
+    Refused,
+}
 
 impl<F: Fn(RequestId)> ProxyLoop<F> {
     /// Takes the descriptor of a new connection; closes another one if that is necessary
     /// and possible.
-    pub(super) fn admit(&mut self) -> Option<CallerCharge> {
-        if self.connections.len() >= self.limits.max_connections && !self.close_one(None) {
+    pub(super) fn admit(&mut self, now: Instant) -> Option<CallerCharge> {
+        if self.connections.len() >= self.limits.max_connections && !self.close_one(now, None) {
             return None;
         }
         if let Some(charge) = self.budget.connect(self.connections.len(), 1) {
             return Some(charge);
         }
-        self.close_one(None);
+        self.close_one(now, None);
         self.budget.connect(self.connections.len(), 1)
     }
 
     /// Closes the connection without a request in flight that is closed first, other than
-    /// `except`.
-    pub(super) fn close_one(&mut self, except: Option<ConnectionId>) -> bool {
+    /// `except`; false if there is none. Idle connections of callers that behave are closed
+    /// only while they are more than half of those that are allowed.
+    pub(super) fn close_one(&mut self, now: Instant, except: Option<ConnectionId>) -> bool {
         let connections = self.connections.iter();
-        let others = connections.filter(|(id, _)| Some(**id) != except);
-        let ranked = others.filter_map(|(id, connection)| Some((connection.close_rank()?, *id)));
-        let Some((_, id)) = ranked.min() else {
+        let ranked = connections.filter_map(|(id, it)| Some((it.close_rank()?, Reverse(*id))));
+        let ranked: Vec<(ProxyRank, Reverse<ConnectionId>)> = ranked.collect();
+        let proven = ranked.iter().filter(|(rank, _)| rank.is_proven()).count();
+        let allowed = self.budget.limits().descriptors / PROXIED_DESCRIPTORS;
+        let keeps_proven = proven <= allowed.min(self.limits.max_connections) / IDLE_DIVISOR;
+        let closable = ranked.into_iter().filter(|(rank, Reverse(id))| {
+            Some(*id) != except && !(keeps_proven && rank.is_proven())
+        });
+        let Some((_, Reverse(id))) = closable.min() else {
             return false;
         };
-        self.remove_connection(id);
+        self.remove_connection(now, id);
         self.budget.count(RefusalKind::Closed);
         true
     }
@@ -93,25 +115,48 @@
         };
         self.budget.count(RefusalKind::Request);
         if step == ProxyStep::Ended {
-            self.remove_connection(id);
+            self.remove_connection(now, id);
         }
         true
     }
 
     /// Takes the descriptors of a connection that is opened to the upstream server; closes
     /// others while they are not free.
-    pub(super) fn take_descriptors(&mut self, id: ConnectionId) -> bool {
+    pub(super) fn take_descriptors(&mut self, now: Instant, id: ConnectionId) -> Admission {
         loop {
             let open = self.connections.len();
             let Some(connection) = self.connections.get_mut(&id) else {
-                return false;
+                return Admission::Refused;
             };
             if connection.take_descriptors(open) {
-                return true;
+                return match self.has_descriptors() {
+                    true => Admission::Admitted,
+                    false => Admission::Later,
+                };
             }
-            if !self.close_one(Some(id)) {
-                return false;
+            // One that closes gives back as many as are wanted.
+            if self.waiting.len() < self.closing.len() {
+                return Admission::Later;
             }
+            if !self.close_one(now, Some(id)) {
+                return match self.closing.len() {
+                    0 => Admission::Refused,
+                    _ => Admission::Later,
+                };
+            }
+        }
+    }
+
+    /// Returns whether the upstream server has descriptors for a further connection. It
+    /// keeps those of a connection for some time after its end, and would itself end if it
+    /// had none.
+    pub(super) fn has_descriptors(&self) -> bool {
+        let limits = self.budget.limits();
+        if self.budget.descriptors() < limits.descriptors / 2 {
+            return true;
         }
+        // Those that wait to be accepted don't have all of theirs yet.
+        let wanted = (self.start_tracker.waiting_count() + 1) * PROXIED_DESCRIPTORS;
+        open_descriptors().is_none_or(|open| open + wanted <= limits.all_descriptors)
     }
 }
--- a/crates/runtime/src/http_driver.rs
+++ b/crates/runtime/src/http_driver.rs
@@ -138,8 +138,16 @@
                     echoed_field,
                     connect_timeout,
                 };
-                let reused = self.exchanges.reuse(&start, &mut self.exchange_events);
-                (!reused).then_some(start)
+                if self.exchanges.reuse(&start, &mut self.exchange_events) {
+                    return None;
+                }
+                if self
+                    .budget
+                    .is_short_of_descriptors(self.exchanges.open_count())
+                {
+                    self.exchanges.close_idle();
+                }
+                Some(start)
             }
             ExchangeCommand::Cancel { exchange } => {
                 self.memory.remove_reader(exchange);
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -23,7 +23,7 @@
 
 use crate::body_segments::{ReadBody, SegmentPool, SegmentedBody, SEGMENT_LEN};
 use crate::caller_budget::{decoded_memory, CallerBudget, CallerCharge, RefusalKind};
-use crate::caller_table::BodyUse;
+use crate::caller_table::RequestUse;
 use crate::event_sender::EventSender;
 use crate::front_proxy::{FrontProxy, ProxyLimits, SEND_BUFFER};
 use crate::http_refusal::{HttpRefusal, BAD_BODY, BODY_TOO_LARGE, OVERLOADED};
@@ -55,8 +55,8 @@
     pub max_requests: usize,
     /// Maximum length of a body in bytes.
     pub max_body: usize,
-    /// What becomes of the bodies.
-    pub body_use: BodyUse,
+    /// What the role does with the requests.
+    pub request_use: RequestUse,
 }
 
 /// Default timeout for a complete head, and for progress of a body or a
@@ -362,9 +362,9 @@
     /// Takes the memory for decoding a body, in addition to the body's own.
     fn take_decoded(&self, body: &[u8]) -> Result<CallerCharge, HttpRefusal> {
         let mut charge = self.budget.charge();
-        let decoded = match self.limits.body_use {
-            BodyUse::Decoded => decoded_memory(body),
-            BodyUse::Forwarded => 0,
+        let decoded = match self.limits.request_use {
+            RequestUse::Decoded => decoded_memory(body),
+            RequestUse::Answered | RequestUse::Forwarded => 0,
         };
         if decoded == 0 || charge.take(decoded, decoded) {
             return Ok(charge);
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -14,7 +14,7 @@
 
 use super::{bind_links, ProcessLoop, ProcessParts, RunningRole};
 use crate::caller_budget::CallerBudget;
-use crate::caller_table::BodyUse;
+use crate::caller_table::RequestUse;
 use crate::event_sender::EventSender;
 use crate::http_server::{bind_http, HttpServer, ServerLimits};
 use crate::log_writer::{LogFolder, LogSink};
@@ -129,7 +129,7 @@
             credentials: process.credentials,
             listener: Some(links),
             http: serving
-                .map(|it| (SERVING_LISTENER, BodyUse::Decoded, it))
+                .map(|it| (SERVING_LISTENER, RequestUse::Decoded, it))
                 .into_iter()
                 .collect(),
             metric_listen: metric_listen.map(bind).transpose()?,
@@ -183,7 +183,7 @@
     let limits = ServerLimits {
         max_requests: OPERATOR_REQUESTS_MAX,
         max_body: OPERATOR_BODY_MAX,
-        body_use: BodyUse::Decoded,
+        request_use: RequestUse::Decoded,
     };
     let log = match log {
         Some(folder) => LogSink::Disk(folder.spawn(events.clone())?),
--- a/crates/runtime/src/process/entry_process.rs
+++ b/crates/runtime/src/process/entry_process.rs
@@ -7,7 +7,7 @@
 use mulberrywell_settings::EntrySettings;
 
 use super::{ProcessLoop, ProcessParts, RunningRole};
-use crate::caller_table::BodyUse;
+use crate::caller_table::RequestUse;
 use crate::http_server::{bind_http, HttpServer, ServerLimits};
 use crate::role_host::{ActionHandler, HostParts};
 
@@ -39,7 +39,7 @@
         let limits = ServerLimits {
             max_requests: settings.max_requests,
             max_body: settings.max_body,
-            body_use: BodyUse::Forwarded,
+            request_use: RequestUse::Forwarded,
         };
         let stall_timeout = settings.caller_stall_timeout;
         let config = EntryConfig {
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -10,7 +10,7 @@
 use mulberrywell_settings::GatewaySettings;
 
 use super::{ProcessLoop, ProcessParts, RunningRole};
-use crate::caller_table::BodyUse;
+use crate::caller_table::RequestUse;
 use crate::http_server::bind_http;
 use crate::role_host::{ActionHandler, HostParts};
 
@@ -34,12 +34,20 @@
         let budget = process.budget.clone();
         let bind = |address| bind_http(address, &budget);
         let listeners = [
-            (CALLER_LISTENER, settings.caller_listen),
-            (READINESS_LISTENER, settings.ready_listen),
+            (
+                CALLER_LISTENER,
+                RequestUse::Forwarded,
+                settings.caller_listen,
+            ),
+            (
+                READINESS_LISTENER,
+                RequestUse::Answered,
+                settings.ready_listen,
+            ),
         ];
         let listeners = listeners
             .into_iter()
-            .map(|(id, address)| Ok((id, BodyUse::Forwarded, bind(address)?)))
+            .map(|(id, request_use, address)| Ok((id, request_use, bind(address)?)))
             .collect::<Result<Vec<_>>>()?;
         let config = GatewayConfig {
             zone: instance.zone.clone(),
--- a/crates/runtime/src/proxy_connection.rs
+++ b/crates/runtime/src/proxy_connection.rs
@@ -12,6 +12,8 @@
 mod proxy_charges;
 mod proxy_transfers;
 
+pub use proxy_charges::ProxyRank;
+
 use std::collections::BTreeSet;
 use std::net::{Shutdown, SocketAddr};
 use std::time::{Duration, Instant};
@@ -58,8 +60,8 @@
 pub const BODY_COPIES: usize = 2;
 
 /// Descriptors of a connection that is open to the upstream server: both sides, and the
-/// upstream server's own.
-pub const PROXIED_DESCRIPTORS: usize = 3;
+/// two of the upstream server.
+pub const PROXIED_DESCRIPTORS: usize = 4;
 
 /// What happens to a connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -182,8 +184,8 @@
     received_len: usize,
     /// Bytes of the current request were forwarded.
     is_forwarded: bool,
-    /// The caller has had a successful response, so that it is known to behave.
-    is_proven: bool,
+    /// Successful responses that the caller has had; one with any is known to behave.
+    successes: u32,
     /// What is held for the caller, as in the budget.
     charge: CallerCharge,
 }
@@ -219,7 +221,7 @@
             body_len: None,
             received_len: 0,
             is_forwarded: false,
-            is_proven: false,
+            successes: 0,
             charge,
         }
     }
@@ -229,9 +231,13 @@
         &mut self.caller
     }
 
-    /// Returns the socket to the upstream server.
-    pub fn upstream_mut(&mut self) -> Option<&mut TcpStream> {
-        self.upstream.as_mut().map(|upstream| &mut upstream.socket)
+    /// Closes the caller's side; returns the socket to the upstream server, and what is
+    /// held until that has closed its side.
+    pub fn into_upstream(mut self) -> Option<(TcpStream, CallerCharge)> {
+        let upstream = self.upstream?;
+        self.charge.release_descriptor();
+        self.charge.set(UPSTREAM_MEMORY);
+        Some((upstream.socket, self.charge))
     }
 
     /// Returns the local address of the socket to the upstream server.
@@ -270,7 +276,7 @@
 
     /// Records that the caller has had a successful response.
     pub fn record_success(&mut self) {
-        self.is_proven = true;
+        self.successes = self.successes.saturating_add(1);
     }
 
     /// Records that a response was written completely or abandoned.
--- a/crates/runtime/src/proxy_connection/proxy_charges.rs
+++ b/crates/runtime/src/proxy_connection/proxy_charges.rs
@@ -9,12 +9,32 @@
 };
 use crate::http_refusal::{HttpRefusal, SHUTTING_DOWN};
 
+/// How readily a connection is closed to make room; the lowest goes first, and of equal
+/// ones the one that was opened last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProxyRank {
+    /// Successful responses that its caller has had.
+    pub successes: u32,
+    /// Since when it is idle, if its caller is not known to behave.
+    pub idle_since: Option<Instant>,
+}
+
+impl ProxyRank {
+    /// Returns whether the caller is known to behave.
+    pub fn is_proven(&self) -> bool {
+        self.successes > 0
+    }
+}
+
 impl ProxyConnection {
-    /// Returns in which order connections without a request in flight are closed to make
-    /// room: those whose callers are not known to behave, then those that have been idle for
-    /// longest; none with a request in flight.
-    pub fn close_rank(&self) -> Option<(bool, Instant)> {
-        (self.phase == ProxyPhase::Head).then_some((self.is_proven, self.phase_since))
+    /// Returns in which order connections are closed to make room; none with a request in
+    /// flight.
+    pub fn close_rank(&self) -> Option<ProxyRank> {
+        let rank = ProxyRank {
+            successes: self.successes,
+            idle_since: (self.successes == 0).then_some(self.phase_since),
+        };
+        (self.phase == ProxyPhase::Head).then_some(rank)
     }
 
     /// Returns the bytes held for the caller.
--- a/crates/runtime/src/role_host.rs
+++ b/crates/runtime/src/role_host.rs
@@ -21,7 +21,7 @@
 
 use crate::budget_log::BudgetLog;
 use crate::caller_budget::CallerBudget;
-use crate::caller_table::{BodyUse, CallerId};
+use crate::caller_table::{CallerId, RequestUse};
 use crate::event_sender::EventSender;
 use crate::exchange_table::ConnectionId;
 use crate::http_driver::{DriverEvent, HttpDriver};
@@ -62,8 +62,8 @@
     pub credentials: LinkCredentials,
     /// Listener for links, if the role accepts links.
     pub listener: Option<std::net::TcpListener>,
-    /// The role's own HTTP listeners, and what becomes of the bodies of their requests.
-    pub http: Vec<(ListenerId, BodyUse, std::net::TcpListener)>,
+    /// The role's own HTTP listeners, and what it does with their requests.
+    pub http: Vec<(ListenerId, RequestUse, std::net::TcpListener)>,
     /// The process's budget of what is held for callers.
     pub budget: CallerBudget,
     /// Listener at which metrics are read as text.
@@ -134,13 +134,13 @@
             }
         }
         let metric_listen = parts.metric_listen.into_iter();
-        let metric_listen = metric_listen.map(|it| (METRIC_LISTENER, BodyUse::Forwarded, it));
-        for (id, body_use, listener) in parts.http.into_iter().chain(metric_listen) {
+        let metric_listen = metric_listen.map(|it| (METRIC_LISTENER, RequestUse::Answered, it));
+        for (id, request_use, listener) in parts.http.into_iter().chain(metric_listen) {
             if let Err(err) = host.listen_http(cx, id, listener) {
                 fail!(cx, "{}: can't listen for callers: {}", host.prefix, err);
                 return None;
             }
-            host.driver.callers.set_body_use(id, body_use);
+            host.driver.callers.set_request_use(id, request_use);
         }
         host.handle_timer(cx);
         Some(host)
--- a/crates/runtime/src/start_tracker.rs
+++ b/crates/runtime/src/start_tracker.rs
@@ -45,6 +45,11 @@
         self.entries.remove(&id);
     }
 
+    /// Returns the number of waiting connections.
+    pub fn waiting_count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Returns when the next empty connection is due.
     pub fn deadline(&self) -> Option<Instant> {
         self.entries.values().map(|entry| entry.due).min()
--- a/crates/runtime/tests/caller_memory.rs
+++ b/crates/runtime/tests/caller_memory.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use mulberrywell_role::{HttpEvent, RequestId, ResponsePart};
 use mulberrywell_runtime::caller_budget::{CallerBudget, CallerLimits};
-use mulberrywell_runtime::caller_table::{BodyUse, CallerId};
+use mulberrywell_runtime::caller_table::{CallerId, RequestUse};
 use mulberrywell_runtime::http_driver::{DriverEvent, HttpDriver};
 use mulberrywell_settings::ServeSettings;
 use rstest::rstest;
@@ -78,7 +78,28 @@
 
     /// Connects a caller that sends `text`, which is read; returns its place.
     fn send(&mut self, text: &[u8]) -> usize {
-        let mut stream = TcpStream::connect(self.address).unwrap();
+        let stream = TcpStream::connect(self.address).unwrap();
+        self.send_on(stream, text)
+    }
+
+    /// Connects a caller from another address, and serves its request.
+    fn call_from(&mut self, source: [u8; 4]) -> usize {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from((source, 0)).into()).unwrap();
+        socket.connect(&self.address.into()).unwrap();
+        let place = self.send_on(socket.into(), SMALL_REQUEST);
+        self.answer(place);
+        place
+    }
+
+    /// Answers the last request.
+    fn answer(&mut self, place: usize) {
+        self.respond(*self.requests.last().expect("a request"), Bytes::new());
+        self.receive(place, 12);
+    }
+
+    fn send_on(&mut self, mut stream: TcpStream, text: &[u8]) -> usize {
         // The sockets' buffers hold all of it, as it is not read before it is written.
         socket2::SockRef::from(&stream)
             .set_send_buffer_size(1024 * 1024)
@@ -292,7 +313,7 @@
     run_with_poll(move |poll| {
         let mut bounded = BoundedDriver::with_memory(poll, 8 * 1024 * 1024);
         let callers = &mut bounded.driver.callers;
-        callers.set_body_use(LISTENER, BodyUse::Decoded);
+        callers.set_request_use(LISTENER, RequestUse::Decoded);
         bounded.send(head(4 * 1024 * 1024).as_bytes());
         let body = "{},".repeat(items);
         let place = bounded.send((head(body.len()) + &body).as_bytes());
@@ -401,6 +422,35 @@
     });
 }
 
+/// Guards against an ordinary idle caller that is closed for a crowd from one address whose
+/// callers behave, and have had as many responses.
+#[test]
+fn attach_crowd_of_one_source_makes_room() {
+    run_with_poll(|poll| {
+        let limits = CallerLimits {
+            descriptors: 3,
+            ..CallerLimits::default()
+        };
+        let mut bounded = BoundedDriver::listen(poll, limits);
+        let ordinary = bounded.send(SMALL_REQUEST);
+        bounded.answer(ordinary);
+        for _ in 0..2 * PORT_RESERVE {
+            bounded.now += Duration::from_millis(1);
+            let place = bounded.call_from([127, 0, 0, 2]);
+            bounded.streams[place].write_all(SMALL_REQUEST).unwrap();
+            std::thread::sleep(ARRIVAL_TIME);
+            bounded.read(place);
+            bounded.answer(place);
+        }
+        assert!(bounded.budget.descriptors() <= 3 + PORT_RESERVE);
+        bounded.streams[ordinary].write_all(SMALL_REQUEST).unwrap();
+        let requests = bounded.requests.len();
+        std::thread::sleep(ARRIVAL_TIME);
+        bounded.read(ordinary);
+        assert_eq!(bounded.requests.len(), requests + 1);
+    });
+}
+
 /// Guards against a request in flight that is closed to make room for a new connection,
 /// which is refused and told when to come back.
 #[test]
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -90,6 +90,9 @@
     pub memory: usize,
     /// Descriptors that callers' connections may use, if the process has half as many more.
     pub descriptors: usize,
+    /// Descriptors that neither callers' connections nor those that forward their requests
+    /// use; none for a part of the process's.
+    pub kept_descriptors: Option<usize>,
     /// Length in bytes up to which a request is small; a part of the memory is kept for
     /// small requests.
     pub small_request: usize,
@@ -110,6 +113,7 @@
         CallerSettings {
             memory,
             descriptors: 2_600,
+            kept_descriptors: None,
             small_request: 64 * 1024,
             read_ahead: 16 * 1024,
             receive_buffer: 16 * 1024,
@@ -395,10 +399,12 @@
     let read_ahead = kib("read_ahead_kib", 1..=4_096, default.read_ahead);
     let receive_buffer = kib("receive_kib", 4..=4_096, default.receive_buffer);
     let descriptors = table.number("descriptors", 16..=1 << 24);
+    let kept_descriptors = table.number("kept_descriptors", 16..=1 << 24);
     table.report_unknown_fields();
     CallerSettings {
         memory,
         descriptors: usize_or(descriptors, default.descriptors),
+        kept_descriptors: kept_descriptors.and_then(|kept| usize::try_from(kept).ok()),
         small_request,
         read_ahead,
         receive_buffer,
