runtime: a port makes room for what another port of the process wants

What callers saw: large requests at one port of a process got 503 until the stalled bodies of a crowd at another port timed out, as a port refuses stalled requests of its own only.

Ruled out: one table of all connections, as the loop and the library's proxies run on threads of their own.

A port that can't take memory, and has no stalled request, tells the budget how much it wants; each port looks for it when it checks its timeouts, and refuses stalled requests until it is free, for two seconds, after which the caller has come back.

A search for a connection to close that was in vain isn't repeated within 20 ms, so that a crowd's connections don't cost a search each.

--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -154,6 +154,36 @@
     sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
 }
 
+/// Guards against a crowd at one port whose stalled bodies keep all memory for large
+/// requests from another port of the same process.
+#[test]
+fn entry_crowd_leaves_operators_memory() {
+    const BODY_LEN: usize = BODY_MAX;
+    let _alone = run_alone();
+    let plan = ClusterPlan {
+        controls: 1,
+        entries: 0,
+        entry_extra: "caller_stall_ms = 600000".to_owned(),
+        ..ClusterPlan::default()
+    };
+    let small = cluster_of(plan, &binaries());
+    let sampler = sample_process(&small, "control-0");
+    let forms = [CrowdForm::LengthShort];
+    let head = request_head(&small);
+    let crowd = Crowd::send(small.cluster.callers[0], CROWD, &forms, &head);
+    wait_until("a large request is read", || {
+        let operators = small.cluster.operators[0];
+        let caller = HttpCaller::with_timeout(operators, None, ANSWER_TIMEOUT);
+        let body = "a".repeat(BODY_LEN);
+        let response = caller.call("POST", "/v1/config", &[], &body);
+        // It has no operator key.
+        response.is_ok_and(|response| response.status == 401)
+    })
+    .unwrap();
+    drop(crowd);
+    sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
+}
+
 /// Starts a cluster with one control instance and so many entries, whose processes have
 /// [`LOW_DESCRIPTORS`]; without an entry the control instance is one too.
 fn spawn_low_descriptors(entries: usize) -> (SmallCluster, TempDir) {
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -13,7 +13,7 @@
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mulberrywell_settings::CallerSettings;
 
@@ -41,9 +41,14 @@
 /// room for another one.
 pub const STALL_MIN: Duration = Duration::from_millis(100);
 
-/// Interval between two searches for an incomplete request to refuse, after one in vain.
+/// Interval between two searches for a connection to close, or for an incomplete request to
+/// refuse, after one in vain.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time in milliseconds for which a port makes room for what another one could not take;
+/// its caller comes back after about as long.
+const WANTED_MS: u64 = 2_000;
+
 /// Divisor of the bytes wanted that gives the least that a request must hold to be refused
 /// for them, so that many small ones don't go for one large.
 pub const VICTIM_DIVISOR: usize = 64;
@@ -167,6 +172,10 @@
     descriptors: AtomicUsize,
     /// Requests that are forwarded, each with a descriptor of its own.
     exchanges: AtomicUsize,
+    /// Bytes that a port could not take last, and when, in milliseconds from `opened`.
+    wanted: AtomicUsize,
+    wanted_ms: AtomicU64,
+    opened: Instant,
     /// Refusals by kind since they were last taken.
     counters: [AtomicU64; KINDS],
 }
@@ -192,6 +201,9 @@
                 held: AtomicUsize::new(0),
                 descriptors: AtomicUsize::new(0),
                 exchanges: AtomicUsize::new(0),
+                wanted: AtomicUsize::new(0),
+                wanted_ms: AtomicU64::new(0),
+                opened: Instant::now(),
                 counters: Default::default(),
             }),
         }
@@ -230,6 +242,31 @@
         request_len <= self.shared.limits.memory
     }
 
+    /// Asks all ports to make room: a port could not take so many bytes, and has no stalled
+    /// request of its own to refuse.
+    pub fn want(&self, now: Instant, len: usize) {
+        self.shared.wanted.store(len, Ordering::Relaxed);
+        let now_ms = self.millis(now);
+        self.shared.wanted_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes that a port has lately not been able to take, while they are not
+    /// free.
+    pub fn wanted(&self, now: Instant) -> Option<usize> {
+        let wanted = self.shared.wanted.load(Ordering::Relaxed);
+        let wanted_ms = self.shared.wanted_ms.load(Ordering::Relaxed);
+        let is_late = self.millis(now) >= wanted_ms + WANTED_MS;
+        let memory = self.shared.limits.memory;
+        let large_part = memory - memory / SMALL_PART_DIVISOR;
+        let is_free = self.held() + wanted <= large_part;
+        (wanted > 0 && !is_late && !is_free).then_some(wanted)
+    }
+
+    fn millis(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.shared.opened);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns whether callers' connections and so many to endpoints use all descriptors that
     /// they may.
     pub fn is_short_of_descriptors(&self, endpoint_connections: usize) -> bool {
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -301,19 +301,31 @@
             if connection.charge.take(len, request_len) {
                 return true;
             }
-            let Some(stalled) = self.find_stalled(now, id, len / VICTIM_DIVISOR) else {
+            let Some(stalled) = self.find_stalled(now, Some(id), len / VICTIM_DIVISOR) else {
+                self.budget.want(now, len);
                 return false;
             };
             self.refuse_request(now, stalled);
         }
     }
 
+    /// Refuses requests that have stalled while another port of the process wants what they
+    /// hold.
+    pub(super) fn make_room(&mut self, now: Instant) {
+        while let Some(wanted) = self.budget.wanted(now) {
+            let Some(stalled) = self.find_stalled(now, None, wanted / VICTIM_DIVISOR) else {
+                return;
+            };
+            self.refuse_request(now, stalled);
+        }
+    }
+
     /// Returns the stalled incomplete request that holds most for longest, of those that hold
     /// at least `held_min` bytes.
     fn find_stalled(
         &mut self,
         now: Instant,
-        except: CallerId,
+        except: Option<CallerId>,
         held_min: usize,
     ) -> Option<CallerId> {
         if self
@@ -322,7 +334,8 @@
         {
             return None;
         }
-        let connections = self.connections.iter().filter(|(id, _)| **id != except);
+        let connections = self.connections.iter();
+        let connections = connections.filter(|(id, _)| Some(**id) != except);
         let weights = connections.filter_map(|(id, connection)| {
             let CallerPhase::Reading(since) = connection.phase else {
                 return None;
--- a/crates/runtime/src/caller_table/caller_timeouts.rs
+++ b/crates/runtime/src/caller_table/caller_timeouts.rs
@@ -15,7 +15,7 @@
 const OVERDUE_FACTOR: u32 = 2;
 
 impl CallerTable {
-    /// Applies the timeouts of all connections.
+    /// Applies the timeouts of all connections, and makes room for other ports.
     pub fn tick(&mut self, now: Instant, events: &mut CallerEvents) {
         let mut overdue = Vec::new();
         for (id, connection) in &mut self.connections {
@@ -46,6 +46,7 @@
         for (id, is_final) in overdue {
             self.expire(now, id, is_final, events);
         }
+        self.make_room(now);
     }
 
     /// Ends a connection that is overdue. One on which bytes have arrived is read first,
--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -518,6 +518,7 @@
             self.remove_connection(now, id);
         }
         self.closing.expire(now);
+        self.make_room(now);
         self.pending.append(&mut self.waiting);
         for id in remaining {
             self.advance(now, id);
--- a/crates/runtime/src/front_proxy/proxy_admission.rs
+++ b/crates/runtime/src/front_proxy/proxy_admission.rs
@@ -70,7 +70,8 @@
             if connection.take_memory(len) {
                 return true;
             }
-            let Some(stalled) = self.find_stalled(now, id, len / VICTIM_DIVISOR) else {
+            let Some(stalled) = self.find_stalled(now, Some(id), len / VICTIM_DIVISOR) else {
+                self.budget.want(now, len);
                 return false;
             };
             if !self.refuse_request(now, stalled) {
@@ -81,12 +82,26 @@
         }
     }
 
+    /// Refuses requests that have stalled while another port of the process wants what they
+    /// hold.
+    pub(super) fn make_room(&mut self, now: Instant) {
+        while let Some(wanted) = self.budget.wanted(now) {
+            let Some(stalled) = self.find_stalled(now, None, wanted / VICTIM_DIVISOR) else {
+                return;
+            };
+            if !self.refuse_request(now, stalled) {
+                return;
+            }
+            self.pending.push(stalled);
+        }
+    }
+
     /// Returns the connection whose stalled incomplete request holds most for longest, of
     /// those that hold at least `held_min` bytes.
     pub(super) fn find_stalled(
         &mut self,
         now: Instant,
-        except: ConnectionId,
+        except: Option<ConnectionId>,
         held_min: usize,
     ) -> Option<ConnectionId> {
         if self
@@ -95,7 +110,8 @@
         {
             return None;
         }
-        let connections = self.connections.iter().filter(|(id, _)| **id != except);
+        let connections = self.connections.iter();
+        let connections = connections.filter(|(id, _)| Some(**id) != except);
         let holders = connections.filter(|(_, it)| it.held_bytes() >= held_min);
         let weights = holders
             .filter_map(|(id, connection)| Some((connection.stalled_weight(now, STALL_MIN)?, *id)));
