serving: bound the statuses of endpoints

What callers saw: anyone who reaches control's port for workers can claim to be any number of endpoints, whose statuses of up to 64 KiB of names all instances kept without a bound, silent ones for good, and 4,096 of endpoints that have gone with all names.

Ruled out: only services of the configuration, as workers may come before it; forgetting silent endpoints after a time, which would drop real ones that are cut off though there is room.

All statuses take a sixteenth of the machine's memory at most ([callers] status_kib). Beyond it the largest status of a silent endpoint is forgotten; it is registered again when its heartbeats come back. If none is silent a heartbeat that needs more gets 503 and Retry-After, counted as serving.statuses_refused, with one line a second. Of endpoints that have gone no models are kept.

--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -119,6 +119,8 @@
     pub(crate) clients: ClientLinks,
     pub(crate) subscribers: SubscriberTable,
     pub(crate) serving: ServingRegistry,
+    /// When a line last told of a status for which there was no memory.
+    pub(crate) refused_status_logged: Option<Instant>,
     pub(crate) evacuations: EvacuationView,
     pub(crate) orders: OrderDispatcher,
     /// Permits for requests to endpoints with a limit, of the leader.
@@ -153,6 +155,11 @@
 }
 
 impl ControlRole {
+    /// Sets the memory in bytes that the statuses of endpoints may take.
+    pub fn set_status_memory(&mut self, memory: usize) {
+        self.serving.endpoints.set_memory_max(memory);
+    }
+
     /// Creates the role from its recovered data.
     ///
     /// # Errors
@@ -212,6 +219,7 @@
             clients: ClientLinks::default(),
             subscribers: SubscriberTable::default(),
             serving: ServingRegistry::default(),
+            refused_status_logged: None,
             evacuations,
             orders: OrderDispatcher::default(),
             permits: PermitIssuer::default(),
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -7,10 +7,10 @@
 //! reports this immediately. A status sent by an endpoint is handled by the
 //! instance that receives it, which forwards it to all others.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_role::{LogLevel, RequestId, RoleAction};
+use mulberrywell_role::{LogLevel, MetricKind, RequestId, RoleAction};
 use mulberrywell_serving::{EndpointId, MergeOutcome};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::serving::{
@@ -28,6 +28,12 @@
 /// day, as a clock that shows local time as UTC is up to 14 hours ahead.
 const CLOCK_LEAD_MAX_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// Statuses of endpoints for which there was no memory.
+const STATUSES_REFUSED: &str = "serving.statuses_refused";
+
+/// Interval between log lines about them.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A decoded and verified call.
 #[derive(Debug, Clone)]
 pub enum ServingCall {
@@ -113,12 +119,12 @@
                 reply(request, ServingAnswer::Refused, actions);
             }
             ServingCall::Heartbeat(status) => {
-                self.handle_heartbeat(now, status, actions);
-                reply(request, ServingAnswer::Accepted, actions);
+                let outcome = self.handle_heartbeat(now, status, actions);
+                reply(request, status_answer(outcome), actions);
             }
             ServingCall::Leave { id, born_ms } => {
-                self.handle_leave(now, &id, born_ms, actions);
-                reply(request, ServingAnswer::Accepted, actions);
+                let outcome = self.handle_leave(now, &id, born_ms, actions);
+                reply(request, status_answer(outcome), actions);
             }
         }
     }
@@ -144,13 +150,17 @@
         now: Instant,
         mut status: EndpointStatus,
         actions: &mut Actions,
-    ) {
+    ) -> MergeOutcome {
         status.heard_by = self.peers.own().id;
         let text = describe_status(&status);
         let left_ms = status.cold_left_ms;
         let was_cold = self.serving.is_cold(now, &status.id);
         let id = status.id.clone();
         let outcome = self.serving.apply_status(now, status);
+        if outcome == MergeOutcome::Full {
+            self.report_refused_status(now, &text, actions);
+            return outcome;
+        }
         let is_cold = self.serving.is_cold(now, &id);
         if was_cold != is_cold {
             let outcome = if is_cold { "cold" } else { "warm" };
@@ -161,9 +171,29 @@
             let text = format!("endpoint {text} outcome={outcome:?}");
             actions.push(RoleAction::Log(LogLevel::Info, text));
         }
+        outcome
+    }
+
+    /// Reports a status for which there is no memory; one line a second tells of one of them.
+    fn report_refused_status(&mut self, now: Instant, text: &str, actions: &mut Actions) {
+        actions.push(RoleAction::Metric(MetricKind::Count, STATUSES_REFUSED, 1));
+        let is_due = self
+            .refused_status_logged
+            .is_none_or(|at| now >= at + REFUSAL_LOG_INTERVAL);
+        if is_due {
+            self.refused_status_logged = Some(now);
+            let line = format!("endpoint {text} outcome=refused cause=\"limit on statuses\"");
+            actions.push(RoleAction::Log(LogLevel::Warn, line));
+        }
     }
 
-    fn handle_leave(&mut self, now: Instant, id: &EndpointId, born_ms: u64, actions: &mut Actions) {
+    fn handle_leave(
+        &mut self,
+        now: Instant,
+        id: &EndpointId,
+        born_ms: u64,
+        actions: &mut Actions,
+    ) -> MergeOutcome {
         let known = self.serving.endpoints.get(id).cloned().unwrap_or_default();
         let status = EndpointStatus {
             id: id.clone(),
@@ -171,7 +201,7 @@
             phase: EndpointPhase::Gone.into(),
             ..known
         };
-        self.handle_heartbeat(now, status, actions);
+        self.handle_heartbeat(now, status, actions)
     }
 
     /// Queues a call for a confirmed read if this instance is the leader;
@@ -339,6 +369,14 @@
     )));
 }
 
+/// Returns the answer to an endpoint whose status was merged.
+fn status_answer(outcome: MergeOutcome) -> ServingAnswer {
+    match outcome {
+        MergeOutcome::Full => ServingAnswer::Unavailable,
+        MergeOutcome::Stale | MergeOutcome::Same | MergeOutcome::Changed => ServingAnswer::Accepted,
+    }
+}
+
 fn describe_status(status: &EndpointStatus) -> String {
     format!(
         "id={} service={} address={} born={} sequence={} phase={:?} models={}",
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -204,7 +204,8 @@
         self.record_cold(now, &mut status);
         let is_routed = self.changes_routing(&status);
         let outcome = self.endpoints.merge(status);
-        if outcome == MergeOutcome::Stale {
+        self.remove_forgotten();
+        if matches!(outcome, MergeOutcome::Stale | MergeOutcome::Full) {
             return outcome;
         }
         if is_gone {
@@ -221,6 +222,15 @@
         outcome
     }
 
+    /// Removes what is kept of endpoints that were forgotten for lack of memory.
+    fn remove_forgotten(&mut self) {
+        for id in self.endpoints.take_forgotten() {
+            self.last_heard.remove(&id);
+            self.changed.remove(&id);
+            self.own_changed.remove(&id);
+        }
+    }
+
     /// Returns whether a status differs from the known one in more than what only
     /// the placement uses.
     fn changes_routing(&self, status: &EndpointStatus) -> bool {
@@ -244,7 +254,9 @@
             let id = status.id.clone();
             self.record_cold_of_peer(now, &mut status);
             let is_routed = self.changes_routing(&status);
-            if self.endpoints.merge(status) == MergeOutcome::Changed {
+            let outcome = self.endpoints.merge(status);
+            self.remove_forgotten();
+            if outcome == MergeOutcome::Changed {
                 if is_routed {
                     self.changed.insert(id.clone());
                 }
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -231,7 +231,11 @@
         let address = address.ok().and_then(|text| text.parse().ok());
         let born_ms = status.born_ms;
         let key_before = self.registry.get(&id).map(index_key);
-        if self.registry.merge(status) != MergeOutcome::Changed {
+        let outcome = self.registry.merge(status);
+        if !self.registry.take_forgotten().is_empty() {
+            self.rebuild_index();
+        }
+        if outcome != MergeOutcome::Changed {
             return false;
         }
         let usage = self.usages.entry(id.clone()).or_default();
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -129,6 +129,11 @@
 }
 
 impl<C: CallCodec> GatewayRole<C> {
+    /// Sets the memory in bytes that the statuses of endpoints may take.
+    pub fn set_status_memory(&mut self, memory: usize) {
+        self.endpoints.registry.set_memory_max(memory);
+    }
+
     /// Creates a role without a configuration.
     pub fn new(config: GatewayConfig, codec: C, now: Instant) -> Self {
         GatewayRole {
--- a/crates/mulberrywell/tests/caller_crowds/main.rs
+++ b/crates/mulberrywell/tests/caller_crowds/main.rs
@@ -15,6 +15,7 @@
 mod gateway_crowds;
 mod link_crowds;
 mod mixed_crowds;
+mod status_crowds;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -39,6 +40,9 @@
 /// [`LOW_MEMORY_MB`].
 const RESPONSE_CROWD: usize = 480;
 
+/// Endpoints that a crowd claims to be, at a process with [`LOW_MEMORY_MB`].
+const STATUS_CROWD: usize = 1_500;
+
 /// Callers of a crowd whose bodies a process with [`LOW_MEMORY_MB`] decodes.
 const DECODED_CROWD: usize = 8;
 
--- a/crates/runtime/src/process/control_process.rs
+++ b/crates/runtime/src/process/control_process.rs
@@ -113,10 +113,12 @@
             }
             None => (None, new_observer()),
         };
-        let machine = ControlRole::open(config, recovered, Instant::now()).map_err(|findings| {
-            let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
-            anyhow!("the control role can't start: {}", texts.join("; "))
-        })?;
+        let mut machine =
+            ControlRole::open(config, recovered, Instant::now()).map_err(|findings| {
+                let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+                anyhow!("the control role can't start: {}", texts.join("; "))
+            })?;
+        machine.set_status_memory(process.status_memory);
         spdlog::info!(
             "control: listening for operators on {:?} and for endpoints on {:?}",
             settings.operator_listen,
--- a/crates/runtime/src/process/gateway_process.rs
+++ b/crates/runtime/src/process/gateway_process.rs
@@ -62,10 +62,12 @@
             "gateway: listening for callers on {}",
             settings.caller_listen
         );
+        let mut machine = GatewayRole::new(config, codec, Instant::now());
+        machine.set_status_memory(process.status_memory);
         let parts = HostParts {
             budget: process.budget,
             prefix: "gateway",
-            machine: GatewayRole::new(config, codec, Instant::now()),
+            machine,
             credentials: process.credentials,
             listener: None,
             http: listeners,
--- a/crates/runtime/src/process/mod.rs
+++ b/crates/runtime/src/process/mod.rs
@@ -67,6 +67,7 @@
                 credentials,
                 metrics,
                 budget: budget.clone(),
+                status_memory: settings.callers.status_memory,
             };
             let codec = interface.codec();
             Some(process.spawn_gateway(parts, gateway, listen, codec)?)
@@ -84,6 +85,7 @@
                 credentials,
                 metrics,
                 budget: budget.clone(),
+                status_memory: settings.callers.status_memory,
             };
             let wrap = |role| interface.wrap_control(role);
             Some(process.spawn_control(parts, control, listen, wrap)?)
@@ -98,6 +100,7 @@
                 credentials,
                 metrics,
                 budget,
+                status_memory: settings.callers.status_memory,
             };
             Some(process.spawn_entry(parts, entry)?)
         }
@@ -132,6 +135,8 @@
     pub(crate) metrics: MetricOutput,
     /// Account of what is held for callers.
     pub(crate) budget: CallerBudget,
+    /// Memory in bytes that the statuses of endpoints may take.
+    pub(crate) status_memory: usize,
 }
 
 /// Starts a role's graceful shutdown; owns the role's actor.
--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -7,6 +7,11 @@
 //! What responses told of an endpoint's start is merged by itself, as it isn't
 //! ordered by the endpoint's sequence: leaving is final, and of two limits the one
 //! with the higher revision holds.
+//!
+//! Anyone can claim to be an endpoint, so that the memory of all statuses has a bound. When
+//! it is reached, silent endpoints are forgotten, those with the largest statuses first; if
+//! there are none, a status that needs more memory is refused. Of endpoints that have gone
+//! the names of models are not kept.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -14,12 +19,24 @@
 use bytes::Bytes;
 use mulberrywell_wire::serving::{EndpointLimit, EndpointPhase, EndpointStatus, LimitedEndpoint};
 
+use crate::status_verifier::names;
+
 /// Identifier that an endpoint chooses for itself.
 pub type EndpointId = Bytes;
 
 /// Maximum number of endpoints that have gone and are retained.
 const GONE_MAX: usize = 4_096;
 
+/// Memory in bytes that the statuses may take, unless another bound is set.
+pub const STATUS_MEMORY_DEFAULT: usize = 16 * 1024 * 1024;
+
+/// Memory in bytes of a status without its names, with what is kept of the endpoint
+/// elsewhere.
+const STATUS_MEMORY: usize = 1_024;
+
+/// Memory in bytes of a name beside its text.
+const NAME_MEMORY: usize = 64;
+
 /// Result of merging a status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MergeOutcome {
@@ -29,24 +46,61 @@
     Same,
     /// It is stored and differs from the status before.
     Changed,
+    /// There is no memory for it.
+    Full,
 }
 
 /// The registered endpoints.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Clone)]
 pub struct EndpointRegistry {
     endpoints: BTreeMap<EndpointId, EndpointStatus>,
+    /// Memory of each status when it was merged.
+    sizes: BTreeMap<EndpointId, usize>,
+    /// Sum of `sizes`.
+    memory: usize,
+    /// Bound of `memory`.
+    memory_max: usize,
+    /// Endpoints that were forgotten for lack of memory, until they are taken.
+    forgotten: Vec<EndpointId>,
     /// Endpoint with the latest start at each address.
     addresses: BTreeMap<Bytes, EndpointId>,
     /// Endpoints that have gone, oldest first.
     gone: Vec<EndpointId>,
 }
 
+impl Default for EndpointRegistry {
+    fn default() -> Self {
+        EndpointRegistry {
+            endpoints: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            memory: 0,
+            memory_max: STATUS_MEMORY_DEFAULT,
+            forgotten: Vec::new(),
+            addresses: BTreeMap::new(),
+            gone: Vec::new(),
+        }
+    }
+}
+
 impl EndpointRegistry {
+    /// Sets the memory in bytes that the statuses may take.
+    pub fn set_memory_max(&mut self, memory_max: usize) {
+        self.memory_max = memory_max;
+    }
+
+    /// Removes and returns the endpoints that were forgotten.
+    pub fn take_forgotten(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.forgotten)
+    }
+
     /// Merges a status, unless it is older than the stored one or another
     /// endpoint has replaced the sender at its address.
     pub fn merge(&mut self, mut status: EndpointStatus) -> MergeOutcome {
         // Time that is left ages; `ColdEndpoints` keeps the end.
         status.cold_left_ms = None;
+        if status.phase() == EndpointPhase::Gone {
+            shed_names(&mut status);
+        }
         if let Some(stored) = self.endpoints.get_mut(&status.id) {
             let is_joined = join_observations(stored, &mut status);
             if merge_order(&status) < merge_order(stored) {
@@ -69,9 +123,13 @@
             Some(stored) if has_same_content(stored, &status) => MergeOutcome::Same,
             _ => MergeOutcome::Changed,
         };
+        if !self.make_room(&status) {
+            return MergeOutcome::Full;
+        }
         self.update_address(&status);
         let id = status.id.clone();
         let is_gone = status.phase() == EndpointPhase::Gone;
+        self.set_size(&id, Some(status_memory(&status)));
         self.endpoints.insert(id.clone(), status);
         if is_gone && outcome == MergeOutcome::Changed {
             self.record_gone(id);
@@ -114,6 +172,46 @@
             .filter(|status| status.phase() != EndpointPhase::Gone)
     }
 
+    /// Forgets silent endpoints until there is memory for a status; false if there is none.
+    fn make_room(&mut self, status: &EndpointStatus) -> bool {
+        let more = status_memory(status).saturating_sub(self.size(&status.id));
+        while self.memory + more > self.memory_max {
+            let others = self.present().filter(|it| it.silent && it.id != status.id);
+            let largest = others.max_by_key(|it| self.size(&it.id));
+            let Some(id) = largest.map(|it| it.id.clone()) else {
+                // What takes no more than before is never refused.
+                return more == 0;
+            };
+            self.forget(&id);
+        }
+        true
+    }
+
+    fn forget(&mut self, id: &EndpointId) {
+        let Some(status) = self.endpoints.remove(id) else {
+            return;
+        };
+        self.set_size(id, None);
+        if self.addresses.get(&status.address) == Some(id) {
+            self.addresses.remove(&status.address);
+        }
+        self.forgotten.push(id.clone());
+    }
+
+    fn size(&self, id: &EndpointId) -> usize {
+        self.sizes.get(id).copied().unwrap_or(0)
+    }
+
+    /// Sets the memory of a status; none if it is removed.
+    fn set_size(&mut self, id: &EndpointId, size: Option<usize>) {
+        let before = match size {
+            Some(size) => self.sizes.insert(id.clone(), size),
+            None => self.sizes.remove(id),
+        };
+        self.memory += size.unwrap_or(0);
+        self.memory -= before.unwrap_or(0);
+    }
+
     /// Returns whether another endpoint with a later start is at the address.
     fn is_replaced(&self, status: &EndpointStatus) -> bool {
         let owner = self.addresses.get(&status.address);
@@ -138,6 +236,9 @@
         if let Some(stored) = self.endpoints.get_mut(&owner) {
             if stored.phase() != EndpointPhase::Gone {
                 stored.set_phase(EndpointPhase::Gone);
+                shed_names(stored);
+                let size = status_memory(stored);
+                self.set_size(&owner, Some(size));
                 self.record_gone(owner);
             }
         }
@@ -148,10 +249,25 @@
         if self.gone.len() > GONE_MAX {
             let oldest = self.gone.remove(0);
             self.endpoints.remove(&oldest);
+            self.set_size(&oldest, None);
         }
     }
 }
 
+/// Removes what only a present endpoint has.
+fn shed_names(status: &mut EndpointStatus) {
+    status.models = Vec::new();
+    status.closing = Vec::new();
+    status.in_memory = Vec::new();
+    status.on_disk = Vec::new();
+}
+
+/// Returns the memory in bytes that a status takes.
+fn status_memory(status: &EndpointStatus) -> usize {
+    let names = names(status).map(|name| NAME_MEMORY + name.len());
+    STATUS_MEMORY + names.sum::<usize>()
+}
+
 /// Joins what responses told of one start in both statuses; returns whether it is new
 /// in the stored one.
 fn join_observations(stored: &mut EndpointStatus, status: &mut EndpointStatus) -> bool {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,7 +23,7 @@
 pub use config_verifier::verify_config;
 pub use mulberrywell_settings::Finding;
 
-pub use endpoint_registry::{EndpointId, EndpointRegistry, MergeOutcome};
+pub use endpoint_registry::{EndpointId, EndpointRegistry, MergeOutcome, STATUS_MEMORY_DEFAULT};
 pub use origin_table::{OriginTable, ServiceVersion, StreamKey, ORIGINS_MAX};
 pub use serving_index::{KeyOwner, RouteMatch, ServingIndex};
 pub use status_verifier::{verify_status, StatusFault};
--- a/crates/serving/src/status_verifier.rs
+++ b/crates/serving/src/status_verifier.rs
@@ -70,7 +70,8 @@
     Ok(())
 }
 
-fn names(status: &EndpointStatus) -> impl Iterator<Item = &Bytes> {
+/// Returns all names in a status.
+pub(crate) fn names(status: &EndpointStatus) -> impl Iterator<Item = &Bytes> {
     let EndpointStatus {
         id,
         service,
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -279,3 +279,54 @@
     assert_eq!(origins.len(), ORIGINS_MAX);
     assert!(!origins.contains(499) && origins.contains(500));
 }
+
+fn named_status(id: &str, names: usize) -> EndpointStatus {
+    let mut status = status(id, 5, 1, EndpointPhase::Ready);
+    status.address = bytes(&format!("10.9.0.1:{}", id.len()));
+    status.in_memory = vec![bytes("model"); names];
+    status
+}
+
+/// Guards against statuses without a bound, and against a full registry that refuses an
+/// endpoint while silent ones take its memory; the largest of them is forgotten.
+#[test]
+fn merge_full_refused_unless_silent() {
+    let mut registry = EndpointRegistry::default();
+    registry.set_memory_max(64 * 1024);
+    assert_eq!(
+        registry.merge(named_status("a", 100)),
+        MergeOutcome::Changed
+    );
+    assert_eq!(
+        registry.merge(named_status("bb", 600)),
+        MergeOutcome::Changed
+    );
+    assert_eq!(registry.merge(named_status("ccc", 600)), MergeOutcome::Full);
+    assert!(registry.get(&bytes("ccc")).is_none());
+    for id in ["a", "bb"] {
+        registry.get_mut(&bytes(id)).expect("is stored").silent = true;
+    }
+    assert_eq!(
+        registry.merge(named_status("ccc", 600)),
+        MergeOutcome::Changed
+    );
+    assert_eq!(registry.take_forgotten(), [bytes("bb")]);
+    assert!(registry.get(&bytes("a")).is_some());
+}
+
+/// Guards against endpoints that have gone and keep the memory of their statuses.
+#[test]
+fn merge_gone_frees_memory() {
+    let mut registry = EndpointRegistry::default();
+    registry.set_memory_max(64 * 1024);
+    let mut status = named_status("a", 600);
+    assert_eq!(registry.merge(status.clone()), MergeOutcome::Changed);
+    status.set_phase(EndpointPhase::Gone);
+    assert_eq!(registry.merge(status), MergeOutcome::Changed);
+    let gone = registry.get(&bytes("a")).expect("is stored");
+    assert!(gone.in_memory.is_empty());
+    assert_eq!(
+        registry.merge(named_status("bb", 600)),
+        MergeOutcome::Changed
+    );
+}
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -102,6 +102,8 @@
     pub receive_buffer: usize,
     /// Bytes that may have arrived on all connections and are not read.
     pub arrived_memory: usize,
+    /// Bytes that the statuses of endpoints may take, which anyone can send.
+    pub status_memory: usize,
 }
 
 impl CallerSettings {
@@ -118,6 +120,7 @@
             read_ahead: 16 * 1024,
             receive_buffer: 16 * 1024,
             arrived_memory: rest.saturating_sub(PROCESS_MEMORY),
+            status_memory: machine_memory / STATUS_DIVISOR,
         }
     }
 }
@@ -383,6 +386,10 @@
 /// it beyond the buffers' own.
 const SPARE_DIVISOR: usize = 8;
 
+/// Divisor of the machine's memory that gives the default of what statuses of endpoints may
+/// take.
+const STATUS_DIVISOR: usize = 16;
+
 /// Values of `memory_mb`.
 const MEMORY_RANGE_MB: RangeInclusive<u64> = 16..=1 << 24;
 
@@ -397,6 +404,7 @@
     let memory = kib("held_kib", 8_192..=1 << 34, default.memory);
     let small_request = kib("small_request_kib", 16..=4_096, default.small_request);
     let read_ahead = kib("read_ahead_kib", 1..=4_096, default.read_ahead);
+    let status_memory = kib("status_kib", 256..=1 << 34, default.status_memory);
     let receive_buffer = kib("receive_kib", 4..=4_096, default.receive_buffer);
     let descriptors = table.number("descriptors", 16..=1 << 24);
     let kept_descriptors = table.number("kept_descriptors", 16..=1 << 24);
@@ -409,6 +417,7 @@
         read_ahead,
         receive_buffer,
         arrived_memory: (default.memory + default.arrived_memory).saturating_sub(memory),
+        status_memory,
     }
 }
 
