--- a/crates/mulberrywell/tests/caller_crowds/arrival_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/arrival_crowds.rs
@@ -38,14 +38,7 @@
     for stream in &mut crowd {
         send_some(stream, &head);
     }
-    thread::sleep(ARRIVAL_TIME);
-    deployment.processes.resume("gateway").unwrap();
-    gateway.check_ordinary("beside the crowd");
-    drop(crowd);
-    gateway.check_ordinary("after the crowd");
-    gateway
-        .sampler
-        .check(LOW_MEMORY_MB * 1_024, ARRIVAL_DESCRIPTORS_MAX);
+    check_arrivals(&gateway, crowd);
 }
 
 /// Guards against responses that arrive for callers which don't read, while the process is
@@ -81,8 +74,13 @@
     let forms = [CrowdForm::BytesBehind];
     let crowd = Crowd::send(deployment.callers, RESPONSE_CROWD, &forms, &head);
     deployment.processes.suspend("gateway").unwrap();
+    check_arrivals(&gateway, crowd);
+}
+
+/// Lets bytes arrive at a suspended gateway, then checks it beside the crowd and after it.
+fn check_arrivals<C>(gateway: &SampledGateway, crowd: C) {
     thread::sleep(ARRIVAL_TIME);
-    deployment.processes.resume("gateway").unwrap();
+    gateway.deployment.processes.resume("gateway").unwrap();
     gateway.check_ordinary("beside the crowd");
     drop(crowd);
     gateway.check_ordinary("after the crowd");
--- a/crates/settings/src/process_settings.rs
+++ b/crates/settings/src/process_settings.rs
@@ -388,7 +388,7 @@
 
 /// Divisor of the machine's memory that gives the default of what statuses of endpoints may
 /// take.
-const STATUS_DIVISOR: usize = 16;
+const STATUS_DIVISOR: usize = 32;
 
 /// Values of `memory_mb`.
 const MEMORY_RANGE_MB: RangeInclusive<u64> = 16..=1 << 24;
