--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -45,9 +45,9 @@
 /// refuse, after one in vain.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time in milliseconds for which a port makes room for what another one could not take;
-/// its caller comes back after about as long.
-const WANTED_MS: u64 = 2_000;
+/// Time for which a port makes room for what another one could not take; its caller comes
+/// back after about as long.
+const WANTED_TIME: Duration = Duration::from_secs(2);
 
 /// Divisor of the bytes wanted that gives the least that a request must hold to be refused
 /// for them, so that many small ones don't go for one large.
@@ -245,26 +245,23 @@
     /// Asks all ports to make room: a port could not take so many bytes, and has no stalled
     /// request of its own to refuse.
     pub fn want(&self, now: Instant, len: usize) {
-        self.shared.wanted.store(len, Ordering::Relaxed);
-        let now_ms = self.millis(now);
-        self.shared.wanted_ms.store(now_ms, Ordering::Relaxed);
+        let shared = &self.shared;
+        let since = now.saturating_duration_since(shared.opened).as_millis();
+        let wanted_ms = u64::try_from(since).unwrap_or(u64::MAX);
+        shared.wanted.store(len, Ordering::Relaxed);
+        shared.wanted_ms.store(wanted_ms, Ordering::Relaxed);
     }
 
     /// Returns the bytes that a port has lately not been able to take, while they are not
     /// free.
     pub fn wanted(&self, now: Instant) -> Option<usize> {
-        let wanted = self.shared.wanted.load(Ordering::Relaxed);
-        let wanted_ms = self.shared.wanted_ms.load(Ordering::Relaxed);
-        let is_late = self.millis(now) >= wanted_ms + WANTED_MS;
-        let memory = self.shared.limits.memory;
-        let large_part = memory - memory / SMALL_PART_DIVISOR;
-        let is_free = self.held() + wanted <= large_part;
-        (wanted > 0 && !is_late && !is_free).then_some(wanted)
-    }
-
-    fn millis(&self, now: Instant) -> u64 {
-        let elapsed = now.saturating_duration_since(self.shared.opened);
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        let shared = &self.shared;
+        let wanted = shared.wanted.load(Ordering::Relaxed);
+        let wanted_ms = shared.wanted_ms.load(Ordering::Relaxed);
+        let wanted_at = shared.opened + Duration::from_millis(wanted_ms);
+        let memory = shared.limits.memory;
+        let is_free = self.held() + wanted <= memory - memory / SMALL_PART_DIVISOR;
+        (wanted > 0 && now < wanted_at + WANTED_TIME && !is_free).then_some(wanted)
     }
 
     /// Returns whether callers' connections and so many to endpoints use all descriptors that
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -370,7 +370,7 @@
         self.refuse_request_of(now, id, body_len);
     }
 
-    /// Refuses a request that needs this many bytes for lack of memory.
+    /// Refuses a request that needs this many bytes for lack of memory or descriptors.
     fn refuse_request_of(&mut self, now: Instant, id: CallerId, request_len: usize) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
