--- a/crates/mulberrywell/tests/caller_crowds/mixed_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/mixed_crowds.rs
@@ -1,5 +1,6 @@
 //! Crowds of unlike forms, in waves, across a change of limits and during a planned stop.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -9,11 +10,16 @@
 use crate::common::serving_deployment::{call, KEY};
 use crate::crowd::{Crowd, CrowdForm, BODY_MAX};
 use crate::gateway_crowds::{put_limits, request_head, SampledGateway};
-use crate::{run_alone, DESCRIPTORS_MAX, LOW_MEMORY_CROWD, LOW_MEMORY_MB};
+use crate::{run_alone, CROWD, DESCRIPTORS_MAX, LOW_MEMORY_CROWD, LOW_MEMORY_MB, MACHINE_KIB};
 
 /// Time for which the endpoint works at a request.
 const ENDPOINT_DELAY: Duration = Duration::from_secs(2);
 
+/// Period in which a process gets a part of a core, and the part: 0.19, as a machine of the
+/// users has it.
+const CORE_PERIOD: Duration = Duration::from_millis(100);
+const CORE_SHARE: Duration = Duration::from_millis(19);
+
 /// Waves of a crowd.
 const WAVES: usize = 5;
 
@@ -91,6 +97,36 @@
     check_bounds(&gateway);
 }
 
+/// Guards against turns so long that ordinary requests aren't answered by a process that
+/// has a small part of a core, and against bytes that arrive while it has none.
+#[test]
+fn gateway_part_of_core_serves() {
+    let _alone = run_alone();
+    let gateway = SampledGateway::spawn("");
+    let deployment = &gateway.deployment;
+    let head = request_head("/once/x");
+    let is_done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while !is_done.load(Ordering::Relaxed) {
+                deployment.processes.suspend("gateway").unwrap();
+                thread::sleep(CORE_PERIOD - CORE_SHARE);
+                deployment.processes.resume("gateway").unwrap();
+                thread::sleep(CORE_SHARE);
+            }
+        });
+        let crowd = Crowd::send(deployment.callers, CROWD, &FORMS, &head);
+        wait_until("an ordinary request is answered beside the crowd", || {
+            call(deployment.callers, "/once/x", KEY).is_some_and(|it| it.status == 200)
+        })
+        .unwrap();
+        drop(crowd);
+        is_done.store(true, Ordering::Relaxed);
+    });
+    gateway.check_ordinary("after the crowd");
+    gateway.sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
+}
+
 /// Guards against a planned stop that a crowd holds up, or that cuts an ordinary request.
 #[test]
 fn gateway_stop_beside_crowd() {
