--- a/crates/runtime/src/front_proxy.rs
+++ b/crates/runtime/src/front_proxy.rs
@@ -8,7 +8,8 @@
 //!
 //! Guarantees: the number of connections, their buffers and their durations are
 //! bounded; at the limit, a connection without a request in flight is closed in
-//! favour of a new one; requests of a caller that hung up are reported at once;
+//! favour of a new one, an idle one of a caller that behaves only while such ones
+//! are more than half; requests of a caller that hung up are reported at once;
 //! bytes that did not pass through the proxy never start a request.
 //!
 //! Algorithm: one thread polls all sockets. The library listens on loopback and
