runtime: a crowd's requests in flight don't shut readiness and metrics

What callers saw: readiness checks got 503 while 600 valid requests of a crowd with a key waited at a slow endpoint, or small ones had taken all memory, so that a front that serves would be taken out.

Cause: a port with fewer than 16 connections may exceed the limit on descriptors by 16, but the connections of all ports of a role were counted; and no memory was kept for what a role answers by itself.

Ruled out: a connection kept for each port, as several checks may come at once.

Connections are counted for each listener. At a port whose requests the role answers by itself, with 16 connections or fewer, small requests may exceed the limit on memory, by 2 MiB a port at most.

--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::os::unix::fs::PermissionsExt;
+use std::thread;
 use std::time::Instant;
 
 use mulberrywell_testkit::{wait_until, BinaryPaths, ClusterPlan, HttpCaller};
@@ -15,7 +16,7 @@
 use crate::gateway_crowds::{read_status, send_at_limit, ANSWER_TIMEOUT};
 use crate::{
     run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, LOW_DESCRIPTORS_CROWD,
-    MACHINE_KIB,
+    LOW_MEMORY_CROWD, LOW_MEMORY_MB, MACHINE_KIB,
 };
 
 fn sample_process(small: &SmallCluster, name: &str) -> UsageSampler {
@@ -223,3 +224,34 @@
     small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
     sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
 }
+
+/// Guards against calls of operators that the leader holds for other control instances,
+/// which forward them before their keys are checked.
+#[test]
+fn operators_ports_together_bounded() {
+    let _alone = run_alone();
+    let plan = ClusterPlan {
+        controls: 3,
+        entries: 1,
+        control_extra: format!("[callers]\nmemory_mb = {LOW_MEMORY_MB}\n"),
+        ..ClusterPlan::default()
+    };
+    let small = cluster_of(plan, &binaries());
+    let samplers: Vec<UsageSampler> = ["control-0", "control-1", "control-2"]
+        .iter()
+        .map(|name| sample_process(&small, name))
+        .collect();
+    let head = "POST /v1/config HTTP/1.1\r\nHost: h\r\n";
+    thread::scope(|scope| {
+        for address in &small.cluster.operators {
+            scope.spawn(|| {
+                let forms = [CrowdForm::Whole];
+                drop(Crowd::send(*address, LOW_MEMORY_CROWD, &forms, head));
+            });
+        }
+    });
+    small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
+    for sampler in &samplers {
+        sampler.check(LOW_MEMORY_MB * 1_024, DESCRIPTORS_MAX);
+    }
+}
--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use serde_json::{json, Value};
 
-use crate::common::serving_deployment::{config, ServingDeployment, KEY};
+use crate::common::serving_deployment::{call, config, ServingDeployment, KEY};
 use crate::crowd::{chunk_of, write_repeated, Crowd, CrowdForm, UsageSampler, BODY_MAX};
 use crate::{
     run_alone, CROWD, DESCRIPTORS_KEPT, DESCRIPTORS_MAX, LOW_DESCRIPTORS, LOW_DESCRIPTORS_CROWD,
@@ -188,6 +188,46 @@
     gateway.check_low_descriptors();
 }
 
+/// Guards against requests of a crowd at a slow endpoint that use all descriptors: of the
+/// callers' connections, of those to endpoints, or of both.
+#[test]
+fn gateway_low_descriptors_serves_beside_slow_endpoint() {
+    let _alone = run_alone();
+    let gateway = SampledGateway::spawn_low_descriptors();
+    let deployment = &gateway.deployment;
+    deployment.worker.set_delay(ENDPOINT_DELAY);
+    let head = request_head("/once/x");
+    let forms = [CrowdForm::Short];
+    let crowd = Crowd::send(deployment.callers, LOW_DESCRIPTORS_CROWD, &forms, &head);
+    check_probe(deployment.ready, "/ready");
+    wait_until("an ordinary request is answered", || {
+        call(deployment.callers, "/once/x", KEY).is_some_and(|it| it.status == 200)
+    })
+    .unwrap();
+    drop(crowd);
+    gateway.check_low_descriptors();
+}
+
+/// Guards against small requests of a crowd at a slow endpoint that use all memory, so that
+/// readiness checks are refused.
+#[test]
+fn gateway_low_memory_answers_probes_beside_slow_endpoint() {
+    let _alone = run_alone();
+    let settings = format!("[callers]\nmemory_mb = {LOW_MEMORY_MB}\nheld_kib = 8192\n");
+    let gateway = SampledGateway::spawn(&settings);
+    let deployment = &gateway.deployment;
+    deployment.worker.set_delay(ENDPOINT_DELAY);
+    let head = request_head("/once/x");
+    let forms = [CrowdForm::Short];
+    let crowd = Crowd::send(deployment.callers, LOW_DESCRIPTORS_CROWD, &forms, &head);
+    check_probe(deployment.ready, "/ready");
+    check_probe(deployment.metrics, "/metrics");
+    drop(crowd);
+    gateway
+        .sampler
+        .check(LOW_MEMORY_MB * 1_024, 2 * DESCRIPTORS_MAX);
+}
+
 /// Guards against idle callers that behave and are closed for a crowd.
 #[rstest]
 #[case::half_heads(CrowdForm::HalfHead)]
--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -24,7 +24,7 @@
 const FREE_DIVISOR: usize = 8;
 
 /// Connections that each port may have, and descriptors beyond the limit for them.
-const PORT_RESERVE: usize = 16;
+pub const PORT_RESERVE: usize = 16;
 
 /// Divisor of the connections allowed that gives the idle ones of callers that behave which
 /// are not closed to make room.
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -150,6 +150,8 @@
     /// Connections close after their current responses.
     closing: bool,
     request_use: RequestUse,
+    /// Connections that are open.
+    open_count: usize,
 }
 
 /// All connections of callers to one role.
@@ -203,6 +205,7 @@
             bounds: BOUNDS_DEFAULT,
             closing: false,
             request_use: RequestUse::Forwarded,
+            open_count: 0,
         };
         self.listeners.insert(id, record);
         Ok(())
@@ -223,7 +226,7 @@
         ready: Fwd<Ready>,
     ) -> std::io::Result<()> {
         SockRef::from(&stream).set_tcp_nodelay(true)?;
-        let Some(charge) = self.admit(now) else {
+        let Some(charge) = self.admit(now, listener) else {
             self.refuse_connection(id, &stream);
             return Ok(());
         };
@@ -254,6 +257,9 @@
             charge,
         };
         self.connections.insert(id, connection);
+        if let Some(record) = self.listeners.get_mut(&listener) {
+            record.open_count += 1;
+        }
         self.begin_idle(now, id);
         self.settle(id);
         Ok(())
@@ -319,7 +325,7 @@
         let ended = matches!(part, ResponsePart::End);
         if !connection.write_part(part) {
             self.requests.remove(&request);
-            self.connections.remove(&id);
+            self.remove(id);
             return;
         }
         if connection.socket.output.len() > RESPONSE_BUFFER_MAX {
@@ -376,7 +382,7 @@
     }
 
     fn close(&mut self, id: CallerId, events: &mut CallerEvents) {
-        let Some(connection) = self.connections.remove(&id) else {
+        let Some(connection) = self.remove(id) else {
             return;
         };
         if let CallerPhase::Processing(request) = connection.phase {
--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -98,14 +98,29 @@
         self.listeners.values().filter_map(|it| it.accept_at).min()
     }
 
-    /// Takes the descriptor of a new connection; closes another one if that is necessary
-    /// and possible.
-    pub(super) fn admit(&mut self, now: Instant) -> Option<CallerCharge> {
-        if let Some(charge) = self.budget.connect(self.connections.len(), 1) {
+    /// Takes the descriptor of a listener's new connection; closes another one if that is
+    /// necessary and possible.
+    pub(super) fn admit(&mut self, now: Instant, listener: ListenerId) -> Option<CallerCharge> {
+        if let Some(charge) = self.budget.connect(self.open_count(listener), 1) {
             return Some(charge);
         }
         self.close_one(now);
-        self.budget.connect(self.connections.len(), 1)
+        self.budget.connect(self.open_count(listener), 1)
+    }
+
+    /// Returns the number of a listener's connections.
+    fn open_count(&self, listener: ListenerId) -> usize {
+        let record = self.listeners.get(&listener);
+        record.map_or(0, |record| record.open_count)
+    }
+
+    /// Removes a connection.
+    pub(super) fn remove(&mut self, id: CallerId) -> Option<CallerConnection> {
+        let connection = self.connections.remove(&id)?;
+        if let Some(record) = self.listeners.get_mut(&connection.listener) {
+            record.open_count -= 1;
+        }
+        Some(connection)
     }
 
     /// Tells the caller of a connection that is not taken to come back; it is closed
@@ -148,7 +163,7 @@
                 // What the socket doesn't take at once is lost with the connection.
                 connection.flush();
             }
-            self.connections.remove(&id);
+            self.remove(id);
             self.budget.count(RefusalKind::Closed);
             return true;
         }
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -20,7 +20,7 @@
     CONNECTION_MEMORY, REQUEST_MEMORY,
 };
 use crate::caller_budget::{
-    decoded_memory, CallerLimits, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
+    decoded_memory, CallerLimits, PORT_RESERVE, SEARCH_INTERVAL, STALL_MIN, VICTIM_DIVISOR,
 };
 use crate::http_socket::{ReadState, TURN_LEN};
 
@@ -301,6 +301,9 @@
             if connection.charge.take(len, request_len) {
                 return true;
             }
+            if self.take_reserve(id, len, request_len) {
+                return true;
+            }
             let Some(stalled) = self.find_stalled(now, Some(id), len / VICTIM_DIVISOR) else {
                 self.budget.want(now, len);
                 return false;
@@ -309,6 +312,24 @@
         }
     }
 
+    /// Takes memory beyond the limit for a small request that the role answers by itself, at
+    /// a port with few connections, so that a crowd at another port doesn't shut it.
+    fn take_reserve(&mut self, id: CallerId, len: usize, request_len: usize) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return false;
+        };
+        let record = self.listeners.get(&connection.listener);
+        let has_reserve = record.is_some_and(|record| {
+            record.request_use == RequestUse::Answered && record.open_count <= PORT_RESERVE
+        });
+        let is_taken = has_reserve && request_len <= connection.charge.limits().small_request;
+        if is_taken {
+            let held = connection.charge.held();
+            connection.charge.set(held + len);
+        }
+        is_taken
+    }
+
     /// Refuses requests that have stalled while another port of the process wants what they
     /// hold.
     pub(super) fn make_room(&mut self, now: Instant) {
