runtime: a request that holds all it needs goes on

What callers saw: a large request whose body had arrived whole could be refused, when small ones had taken more than the three quarters that are for large ones: it asked for nothing more, and was told that nothing is free.

Evidence: take_nothing_beyond_large_part; not seen in a crowd.

--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -358,6 +358,10 @@
     /// Takes `len` more bytes for a request that needs `request_len` bytes; false when they
     /// are not free.
     pub fn take(&mut self, len: usize, request_len: usize) -> bool {
+        if len == 0 {
+            // A request that holds all it needs goes on, whatever others have taken since.
+            return true;
+        }
         let limits = &self.budget.shared.limits;
         let large_part = limits.memory - limits.memory / SMALL_PART_DIVISOR;
         // A request that is larger than the part for large ones may have all.
--- a/crates/runtime/tests/caller_memory.rs
+++ b/crates/runtime/tests/caller_memory.rs
@@ -270,6 +270,23 @@
     });
 }
 
+/// Guards against a request that has all it needs and is refused, as small requests have
+/// taken a part of the memory that is not for large ones.
+#[test]
+fn take_nothing_beyond_large_part() {
+    let limits = CallerLimits {
+        memory: 8 * 1024 * 1024,
+        ..CallerLimits::default()
+    };
+    let budget = CallerBudget::open(limits);
+    let mut large = budget.charge();
+    assert!(large.take(5 * 1024 * 1024, 5 * 1024 * 1024));
+    let mut small = budget.charge();
+    while small.take(64 * 1024, 64 * 1024) {}
+    assert!(!large.take(1, 5 * 1024 * 1024));
+    assert!(large.take(0, 5 * 1024 * 1024));
+}
+
 /// Guards against the head of an incomplete request that is held and not counted.
 #[test]
 fn read_incomplete_head_counted() {
