runtime: search for a connection to close each time again

Cause: a search that is in vain wasn't repeated within 20 ms ("a port makes room for what another port of the process wants"). It is in vain while the requests of all connections have arrived and aren't read; they are read a moment later, when the next connections come. Log: connections_refused=401, connections_closed=0.

Ruled out, a trial: accepting no further connections until those that were just accepted have been read.

--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -41,8 +41,7 @@
 /// room for another one.
 pub const STALL_MIN: Duration = Duration::from_millis(100);
 
-/// Interval between two searches for a connection to close, or for an incomplete request to
-/// refuse, after one in vain.
+/// Interval between two searches for an incomplete request to refuse, after one in vain.
 pub const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time for which a port makes room for what another one could not take; its caller comes
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -167,8 +167,6 @@
     unread: ReadQueues,
     /// Connections that may be closed to make room, in order.
     closable: VecDeque<(CloseRank, CallerId)>,
-    /// When a connection to close was last searched for in vain.
-    close_searched_at: Option<Instant>,
     /// When a request to refuse was last searched for in vain.
     searched_at: Option<Instant>,
     budget: CallerBudget,
--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -23,7 +23,7 @@
 
 use super::caller_refusals::retry_after;
 use super::{CallerCharge, CallerConnection, CallerId, CallerPhase, CallerTable, RefusalKind};
-use crate::caller_budget::{IDLE_DIVISOR, SEARCH_INTERVAL};
+use crate::caller_budget::IDLE_DIVISOR;
 
 /// Delay after a connection could not be accepted, as for lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -138,14 +138,8 @@
         if self.close_found(now) {
             return true;
         }
-        let vain_at = self.close_searched_at;
-        if vain_at.is_some_and(|at| now < at + SEARCH_INTERVAL) {
-            return false;
-        }
         self.find_closable(now);
-        let is_closed = self.close_found(now);
-        self.close_searched_at = (!is_closed).then_some(now);
-        is_closed
+        self.close_found(now)
     }
 
     /// Closes the first connection that was found and may still be closed.
