Tests, docs: crowds check process, memory and descriptors everywhere

The tests of refusals in the log, of the crowd at links and of a large configuration check memory, descriptors or an ordinary answer, too.

--- a/crates/mulberrywell/tests/caller_crowds/crowd.rs
+++ b/crates/mulberrywell/tests/caller_crowds/crowd.rs
@@ -26,6 +26,10 @@
 /// Longest frame of a link before the peer has shown who it is.
 const HANDSHAKE_FRAME_MAX: usize = 4 * 1024;
 
+/// States in the system's table of connections.
+const ESTABLISHED: &str = "01";
+const LISTEN: &str = "0A";
+
 /// Bytes that a caller writes at a time.
 const WRITE_LEN: usize = 64 * 1024;
 
@@ -224,7 +228,8 @@
 pub struct UsageSampler {
     id: u32,
     is_done: Arc<AtomicBool>,
-    /// Largest number of bytes that had arrived on connections and were not read.
+    /// Largest number of bytes that had arrived on connections, accepted or not, and were
+    /// not read.
     unread_max: Arc<AtomicU64>,
     /// Largest number of open descriptors.
     descriptors_max: Arc<AtomicU64>,
@@ -285,21 +290,44 @@
     }
 }
 
-/// Returns the bytes in the receive queues of a process's sockets.
+/// Returns the bytes in the receive queues of a process's sockets, and of connections that
+/// it has not accepted yet.
 fn unread_bytes(descriptors: &[PathBuf]) -> u64 {
     let names = descriptors.iter().filter_map(|path| path.to_str());
     let sockets = names.filter_map(|name| name.strip_prefix("socket:[")?.strip_suffix(']'));
     let sockets: BTreeSet<&str> = sockets.collect();
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let rows = table.lines().skip(1).map(str::split_whitespace);
-    let queues = rows.filter_map(|mut fields| {
-        let is_established = fields.nth(3)? == "01";
+    let rows: Vec<SocketRow<'_>> = table.lines().skip(1).filter_map(SocketRow::parse).collect();
+    let is_own = |row: &&SocketRow<'_>| sockets.contains(row.socket);
+    let listeners = rows.iter().filter(is_own).filter(|row| row.state == LISTEN);
+    let listeners: BTreeSet<&str> = listeners.map(|row| row.local).collect();
+    let open = rows.iter().filter(|row| row.state == ESTABLISHED);
+    let counted = open.filter(|row| is_own(row) || listeners.contains(row.local));
+    counted.map(|row| row.unread).sum()
+}
+
+/// One row of the system's table of connections.
+struct SocketRow<'a> {
+    local: &'a str,
+    state: &'a str,
+    unread: u64,
+    /// 0 while the connection is not accepted.
+    socket: &'a str,
+}
+
+impl<'a> SocketRow<'a> {
+    fn parse(text: &'a str) -> Option<Self> {
+        let mut fields = text.split_whitespace();
+        let local = fields.nth(1)?;
+        let state = fields.nth(1)?;
         let (_, unread) = fields.next()?.split_once(':')?;
-        let unread = u64::from_str_radix(unread, 16).ok()?;
-        let socket = fields.nth(4)?;
-        (is_established && sockets.contains(socket)).then_some(unread)
-    });
-    queues.sum()
+        Some(SocketRow {
+            local,
+            state,
+            unread: u64::from_str_radix(unread, 16).ok()?,
+            socket: fields.nth(4)?,
+        })
+    }
 }
 
 /// Returns what a process's open descriptors refer to.
--- a/crates/mulberrywell/tests/caller_crowds/decoded_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/decoded_crowds.rs
@@ -147,6 +147,7 @@
     body.pop();
     body.push_str("]}");
     assert_eq!(send_config(deployment.operator.address(0), &body), 200);
+    check_put(&deployment, 3);
     sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
 }
 
--- a/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/entry_crowds.rs
@@ -67,6 +67,7 @@
     let _alone = run_alone();
     let small = small_cluster(1, 1);
     let address = small.cluster.callers[0];
+    let sampler = sample_process(&small, "entry-0");
     let forms = [CrowdForm::LengthShort];
     let began = Instant::now();
     let crowd = Crowd::send(address, CROWD, &forms, &request_head(&small));
@@ -78,7 +79,9 @@
     // One a second, and the first one.
     let written = lines();
     assert!(written <= usize::try_from(began.elapsed().as_secs()).unwrap() + 1);
+    check_chat(&small);
     drop(crowd);
+    sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
 }
 
 /// Guards against limits that a single request within an entry's meets.
@@ -181,6 +184,7 @@
         response.is_ok_and(|response| response.status == 401)
     })
     .unwrap();
+    small.cluster.operate_ok(&["show", "endpoints"]).unwrap();
     drop(crowd);
     sampler.check(MACHINE_KIB, DESCRIPTORS_MAX);
 }
--- a/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/gateway_crowds.rs
@@ -350,5 +350,9 @@
     let lines = || deployment.processes.log("gateway").matches(line).count();
     wait_until("a line is written", || lines() > 0).unwrap();
     assert!(lines() < refused().unwrap());
+    gateway.check_ordinary("beside the crowd");
     drop(crowd);
+    gateway
+        .sampler
+        .check(LOW_MEMORY_MB * 1_024, DESCRIPTORS_MAX);
 }
--- a/crates/mulberrywell/tests/caller_crowds/link_crowds.rs
+++ b/crates/mulberrywell/tests/caller_crowds/link_crowds.rs
@@ -52,6 +52,7 @@
 fn link_port_crowd_keeps_deployment() {
     let _alone = run_alone();
     let mut deployment = ServingDeployment::spawn_limited(LOW_DESCRIPTORS);
+    let sampler = sample_control(&deployment);
     let forms = [CrowdForm::Silent, CrowdForm::FramePart];
     let crowds: Vec<Crowd> = deployment
         .seeds
@@ -62,4 +63,5 @@
     let response = call(callers, "/once/x", KEY);
     assert_eq!(response.expect("an answer").status, 200);
     drop(crowds);
+    sampler.check(MACHINE_KIB, LOW_DESCRIPTORS - DESCRIPTORS_KEPT);
 }
--- a/crates/serving/src/config_verifier.rs
+++ b/crates/serving/src/config_verifier.rs
@@ -1,4 +1,4 @@
-//! Verifies a serving configuration and reports all of its faults.
+//! Verifies a serving configuration and reports its faults, the first ones in words.
 
 use std::collections::BTreeSet;
 
