serving: keep a restarted endpoint when old ones are forgotten

What callers saw: nothing yet. Of the endpoints that have gone 4,096 are retained; the one that went first was removed by its id, also if it had restarted under the same id and served. Found while reading the bound on statuses, which forgets such endpoints sooner.

An endpoint is forgotten only if it has not come back.

--- a/crates/runtime/src/caller_budget.rs
+++ b/crates/runtime/src/caller_budget.rs
@@ -62,7 +62,7 @@
 pub fn decoded_memory(body: &[u8]) -> usize {
     let values = body.iter().map(|byte| match byte {
         b'{' => DECODED_OBJECT,
-        // Lists in a text field separate their values in the same way, or by lines.
+        // A text may hold lists of its own, whose fields are assigned or separated so.
         b'[' | b',' | b'=' => DECODED_VALUE,
         _ => 0,
     });
--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -248,8 +248,13 @@
         self.gone.push(id);
         if self.gone.len() > GONE_MAX {
             let oldest = self.gone.remove(0);
-            self.endpoints.remove(&oldest);
-            self.set_size(&oldest, None);
+            // One that has restarted since is present, or has gone again.
+            let stored = self.endpoints.get(&oldest);
+            let is_gone = stored.is_some_and(|stored| stored.phase() == EndpointPhase::Gone);
+            if is_gone && !self.gone.contains(&oldest) {
+                self.endpoints.remove(&oldest);
+                self.set_size(&oldest, None);
+            }
         }
     }
 }
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -330,3 +330,24 @@
         MergeOutcome::Changed
     );
 }
+
+fn gone_status(id: &str) -> EndpointStatus {
+    let mut gone = status(id, 5, 1, EndpointPhase::Gone);
+    gone.address = Bytes::new();
+    gone
+}
+
+/// Guards against a restarted endpoint that is removed with those that have gone.
+#[test]
+fn merge_many_gone_keeps_restarted() {
+    const MORE_THAN_RETAINED: usize = 5_000;
+    let mut registry = EndpointRegistry::default();
+    assert_eq!(registry.merge(gone_status("a")), MergeOutcome::Changed);
+    let restarted = status("a", 6, 1, EndpointPhase::Ready);
+    assert_eq!(registry.merge(restarted), MergeOutcome::Changed);
+    for number in 0..MORE_THAN_RETAINED {
+        registry.merge(gone_status(&format!("gone-{number}")));
+    }
+    let kept = registry.get(&bytes("a")).expect("is stored");
+    assert_eq!(kept.phase(), EndpointPhase::Ready);
+}
