serving: endpoints that have gone don't keep out others

What callers saw: nothing yet; after some 3,500 endpoints had left, over months or by calls of anyone, no further endpoint was accepted at a control instance of 160 MB: what is kept of each that has gone, up to 4,096, took all memory for statuses, of which only silent ones were forgotten.

Evidence: merge_full_forgets_oldest_gone (Full where Changed is asked for).

Ruled out: no limit for those that have gone, as anyone can let endpoints leave that never were.

The oldest that have gone are forgotten first, but for the last 256, then silent endpoints, then the rest of those that have gone.

--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -9,12 +9,13 @@
 //! with the higher revision holds.
 //!
 //! Anyone can claim to be an endpoint, so that the memory of all statuses has a bound. When
-//! it is reached, silent endpoints are forgotten, those with the largest statuses first; if
-//! there are none, a status that needs more memory is refused. Of endpoints that have gone
-//! the names of models are not kept.
+//! it is reached, endpoints that have gone are forgotten, the oldest first, but for the last
+//! ones; then silent endpoints, those with the largest statuses first; then the last ones
+//! that have gone. If there are none, a status that needs more memory is refused. Of
+//! endpoints that have gone the names of models are not kept.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
 use mulberrywell_wire::serving::{EndpointLimit, EndpointPhase, EndpointStatus, LimitedEndpoint};
@@ -27,6 +28,10 @@
 /// Maximum number of endpoints that have gone and are retained.
 const GONE_MAX: usize = 4_096;
 
+/// Endpoints that have gone and are retained while silent ones can be forgotten: their late
+/// heartbeats may still be on their way.
+const GONE_MIN: usize = 256;
+
 /// Memory in bytes that the statuses may take, unless another bound is set.
 pub const STATUS_MEMORY_DEFAULT: usize = 16 * 1024 * 1024;
 
@@ -65,7 +70,7 @@
     /// Endpoint with the latest start at each address.
     addresses: BTreeMap<Bytes, EndpointId>,
     /// Endpoints that have gone, oldest first.
-    gone: Vec<EndpointId>,
+    gone: VecDeque<EndpointId>,
 }
 
 impl Default for EndpointRegistry {
@@ -77,7 +82,7 @@
             memory_max: STATUS_MEMORY_DEFAULT,
             forgotten: Vec::new(),
             addresses: BTreeMap::new(),
-            gone: Vec::new(),
+            gone: VecDeque::new(),
         }
     }
 }
@@ -172,16 +177,41 @@
             .filter(|status| status.phase() != EndpointPhase::Gone)
     }
 
-    /// Forgets silent endpoints until there is memory for a status; false if there is none.
+    /// Forgets endpoints until there is memory for a status; false if there is none.
     fn make_room(&mut self, status: &EndpointStatus) -> bool {
         let more = status_memory(status).saturating_sub(self.size(&status.id));
         while self.memory + more > self.memory_max {
-            let others = self.present().filter(|it| it.silent && it.id != status.id);
-            let largest = others.max_by_key(|it| self.size(&it.id));
-            let Some(id) = largest.map(|it| it.id.clone()) else {
+            let is_forgotten = (self.gone.len() > GONE_MIN && self.forget_gone())
+                || self.forget_silent(&status.id)
+                || self.forget_gone();
+            if !is_forgotten {
                 // What takes no more than before is never refused.
                 return more == 0;
-            };
+            }
+        }
+        true
+    }
+
+    /// Forgets the silent endpoint with the largest status, other than `except`.
+    fn forget_silent(&mut self, except: &EndpointId) -> bool {
+        let silent = self.present().filter(|it| it.silent && it.id != *except);
+        let largest = silent.max_by_key(|it| self.size(&it.id));
+        let Some(id) = largest.map(|it| it.id.clone()) else {
+            return false;
+        };
+        self.forget(&id);
+        true
+    }
+
+    /// Forgets the endpoint that has gone first; false if none has.
+    fn forget_gone(&mut self) -> bool {
+        let Some(id) = self.gone.pop_front() else {
+            return false;
+        };
+        // One that has restarted since is present, or has gone again.
+        let stored = self.endpoints.get(&id);
+        let is_gone = stored.is_some_and(|stored| stored.phase() == EndpointPhase::Gone);
+        if is_gone && !self.gone.contains(&id) {
             self.forget(&id);
         }
         true
@@ -245,16 +275,9 @@
     }
 
     fn record_gone(&mut self, id: EndpointId) {
-        self.gone.push(id);
+        self.gone.push_back(id);
         if self.gone.len() > GONE_MAX {
-            let oldest = self.gone.remove(0);
-            // One that has restarted since is present, or has gone again.
-            let stored = self.endpoints.get(&oldest);
-            let is_gone = stored.is_some_and(|stored| stored.phase() == EndpointPhase::Gone);
-            if is_gone && !self.gone.contains(&oldest) {
-                self.endpoints.remove(&oldest);
-                self.set_size(&oldest, None);
-            }
+            self.forget_gone();
         }
     }
 }
--- a/crates/serving/tests/serving.rs
+++ b/crates/serving/tests/serving.rs
@@ -337,6 +337,24 @@
     gone
 }
 
+/// Guards against endpoints that have gone and keep out others once they have all memory,
+/// and against a late heartbeat that adds one of them again.
+#[test]
+fn merge_full_forgets_oldest_gone() {
+    let mut registry = EndpointRegistry::default();
+    registry.set_memory_max(64 * 1024);
+    for number in 0..200 {
+        let gone = gone_status(&format!("gone-{number}"));
+        assert_eq!(registry.merge(gone), MergeOutcome::Changed);
+    }
+    assert_eq!(
+        registry.merge(named_status("a", 100)),
+        MergeOutcome::Changed
+    );
+    let late = status("gone-199", 5, 2, EndpointPhase::Ready);
+    assert_eq!(registry.merge(late), MergeOutcome::Stale);
+}
+
 /// Guards against a restarted endpoint that is removed with those that have gone.
 #[test]
 fn merge_many_gone_keeps_restarted() {
