runtime: a body whose length is taken is read to its end

What callers saw: while the part for large requests was full, a body whose whole length had been taken could be refused at its next turn, as each turn took what it might read in addition; newcomers were refused at their heads, and those before them in the middle.

Evidence: read_stated_length_goes_on_beside_full_memory fails without the change.

Ruled out: a reserve for turns, as what a turn reads of such a body goes into memory that is taken already.

--- a/crates/http1/src/request_reader.rs
+++ b/crates/http1/src/request_reader.rs
@@ -101,6 +101,13 @@
         })
     }
 
+    /// Returns how many bytes of the incomplete body are still to come, if its head states
+    /// its length.
+    pub fn remaining_len(&self) -> Option<usize> {
+        let partial = self.partial.as_ref()?;
+        Some(partial.length?.saturating_sub(partial.pieces.len()))
+    }
+
     /// Returns the memory in bytes of the head whose body is incomplete.
     pub fn head_memory(&self) -> usize {
         let partial = self.partial.as_ref();
--- a/crates/runtime/src/caller_table.rs
+++ b/crates/runtime/src/caller_table.rs
@@ -127,6 +127,8 @@
     request_len: usize,
     /// Bytes received of the request that is being read.
     received_len: usize,
+    /// All memory is taken that the request being read takes.
+    is_reserved: bool,
     /// When bytes were received last.
     received_at: Instant,
     /// Successful responses that the caller has had; one with any is known to behave.
@@ -248,6 +250,7 @@
             progress_at: now,
             request_len: 0,
             received_len: 0,
+            is_reserved: false,
             received_at: now,
             successes: 0,
             is_paused: false,
--- a/crates/runtime/src/caller_table/caller_reads.rs
+++ b/crates/runtime/src/caller_table/caller_reads.rs
@@ -136,6 +136,11 @@
         let turn_max = match connection.phase {
             CallerPhase::Processing(_) => read_ahead.saturating_sub(connection.socket.input.len()),
             CallerPhase::Lingering(_) => turn_max,
+            // Of what this turn reads nothing stays but the body.
+            CallerPhase::Reading(_) if connection.is_reserved => {
+                let remaining = connection.reader.remaining_len();
+                turn_max.min(remaining.unwrap_or(turn_max))
+            }
             CallerPhase::Idle(_) | CallerPhase::Reading(_) => {
                 if !self.take_room(now, id, turn_max) {
                     self.refuse_turn(now, id);
@@ -233,6 +238,7 @@
         connection.allows_chunks = read.allows_chunks;
         connection.is_head_request = read.http.method == "HEAD";
         connection.received_len = 0;
+        connection.is_reserved = false;
         self.requests.insert(request, id);
         let http = read.http;
         events.push((connection.listener, HttpEvent::Request { request, http }));
@@ -264,13 +270,14 @@
         if let CallerPhase::Idle(_) = connection.phase {
             connection.phase = CallerPhase::Reading(now);
         }
-        if !self.take_room(now, id, more) {
+        if !connection.is_reserved && !self.take_room(now, id, more) {
             self.refuse_turn(now, id);
             return;
         }
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        connection.is_reserved = connection.reader.remaining_len().is_some();
         if connection.reader.pop_expect_continue() {
             let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
             connection.socket.output.extend_from_slice(interim);
--- a/crates/runtime/src/caller_table/caller_refusals.rs
+++ b/crates/runtime/src/caller_table/caller_refusals.rs
@@ -35,6 +35,7 @@
         self.socket.clear_input();
         self.reader = RequestReader::default();
         self.request_len = 0;
+        self.is_reserved = false;
         self.charge.release_exchange();
         let output = &mut self.socket.output;
         write_response_head(status, headers, Some(0), true, true, output);
--- a/crates/runtime/tests/caller_memory.rs
+++ b/crates/runtime/tests/caller_memory.rs
@@ -287,6 +287,36 @@
     assert!(large.take(0, 5 * 1024 * 1024));
 }
 
+/// Guards against a body that is refused while it is read, though its length was taken, as
+/// later requests have taken the rest of the memory.
+#[test]
+fn read_stated_length_goes_on_beside_full_memory() {
+    const LEN: usize = 128 * 1024;
+    const FIRST_LEN: usize = 32 * 1024;
+    run_with_poll(|poll| {
+        let mut bounded = BoundedDriver::with_memory(poll, 8 * 1024 * 1024);
+        let first = [head(LEN).as_bytes(), &[b'x'; FIRST_LEN]].concat();
+        let place = bounded.send(&first);
+        let mut later = 2 * 1024 * 1024;
+        while later >= 1024 {
+            let other = bounded.send(head(later).as_bytes());
+            if !bounded.is_open(other) {
+                later /= 2;
+            }
+        }
+        for _ in 0..(LEN - FIRST_LEN) / FIRST_LEN {
+            bounded.streams[place].set_nonblocking(false).unwrap();
+            bounded.streams[place]
+                .write_all(&[b'x'; FIRST_LEN])
+                .unwrap();
+            std::thread::sleep(ARRIVAL_TIME);
+            bounded.read(place);
+            bounded.pass(Duration::from_millis(1));
+        }
+        assert_eq!(bounded.requests.len(), 1);
+    });
+}
+
 /// Guards against the head of an incomplete request that is held and not counted.
 #[test]
 fn read_incomplete_head_counted() {
