control: log how many incidents of a quarantined subject others explain

It now has explained=, the incidents with the same subjects that count for nothing as something else is quarantined for them. Nothing is decided differently.

Test: tick_incidents_of_earlier_quarantine_counted.

--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -122,11 +122,14 @@
     /// Quarantines the parts that explain the crashes, and tells the gateways what has
     /// changed.
     pub fn tick(&mut self, now: Instant, commands: &mut Vec<LinkCommand>, actions: &mut Actions) {
-        for (parts, incidents) in self.ledger.tick(now) {
-            let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+        for found in self.ledger.tick(now) {
+            let parts = found.parts.iter().map(|part| format!("{part:x}"));
+            let parts: Vec<String> = parts.collect();
             let text = format!(
-                "quarantine parts={} incidents={incidents} outcome=begun",
-                parts.join(",")
+                "quarantine parts={} incidents={} explained={} outcome=begun",
+                parts.join(","),
+                found.incidents,
+                found.explained,
             );
             actions.push(RoleAction::Log(LogLevel::Warn, text));
         }
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -94,6 +94,17 @@
 /// Maximum number of parts and contents whose responses are recorded.
 const SOUND_MAX: usize = 4_096;
 
+/// What the ledger has quarantined, and what for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineFinding {
+    /// What is quarantined.
+    pub parts: PartSet,
+    /// Incidents that it explains.
+    pub incidents: usize,
+    /// Incidents with it that earlier quarantines explain.
+    pub explained: usize,
+}
+
 /// Crashes of endpoints, and what is quarantined for them.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
@@ -167,9 +178,8 @@
         self.quarantines.insert(parts, until);
     }
 
-    /// Quarantines what explains the incidents; returns the new quarantines with the
-    /// number of their incidents.
-    pub fn tick(&mut self, now: Instant) -> Vec<(PartSet, usize)> {
+    /// Quarantines what explains the incidents; returns the new quarantines.
+    pub fn tick(&mut self, now: Instant) -> Vec<QuarantineFinding> {
         self.release_quarantines(now);
         self.incidents
             .retain(|incident| now.saturating_duration_since(incident.at) < INCIDENT_LIFETIME);
@@ -180,11 +190,23 @@
             let Some((parts, incidents)) = culprits else {
                 return found;
             };
+            let explained = self.explained_incidents(&parts);
             self.record_quarantine(parts.clone(), now + FIRST_QUARANTINE_TIME);
-            found.push((parts, incidents));
+            found.push(QuarantineFinding {
+                parts,
+                incidents,
+                explained,
+            });
         }
     }
 
+    /// Returns the number of explained incidents that have all of these subjects.
+    pub(crate) fn explained_incidents(&self, subjects: &PartSet) -> usize {
+        let explained = self.incidents.iter().filter(|it| it.is_explained);
+        let with_all = explained.filter(|it| subjects.iter().all(|subject| it.has(*subject)));
+        with_all.count()
+    }
+
     /// Takes the parts on which a response was begun since, and lasted, out of
     /// quarantines of several parts.
     fn narrow_quarantines(&mut self) {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -33,7 +33,7 @@
 pub use account_ledger::LEASE_LIFETIME;
 pub use circuit_breaker::CircuitBreaker;
 pub use crash_incident::{PartId, SuspectRequest};
-pub use crash_ledger::CrashLedger;
+pub use crash_ledger::{CrashLedger, QuarantineFinding};
 pub use demand_meter::DemandMeter;
 pub use failure_share::FailureShare;
 pub use lease_client::{LeaseClient, ANSWER_TIMEOUT, UNAVAILABLE_RETRY};
--- a/crates/limit/src/suspect_restriction.rs
+++ b/crates/limit/src/suspect_restriction.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crate::crash_incident::PartId;
-use crate::crash_ledger::{at_least, CrashLedger, QUARANTINE_TIME, SETTLE_TIME};
+use crate::crash_ledger::{at_least, CrashLedger, QuarantineFinding, QUARANTINE_TIME, SETTLE_TIME};
 use crate::quarantine_table::PartSet;
 
 /// Incidents from which on a part is restricted although responses have lasted on it; one
@@ -49,7 +49,7 @@
     }
 
     /// Quarantines again what was at a crash after its quarantine had ended.
-    pub(crate) fn renew_quarantines(&mut self, now: Instant) -> Vec<(PartSet, usize)> {
+    pub(crate) fn renew_quarantines(&mut self, now: Instant) -> Vec<QuarantineFinding> {
         let released = self.released.iter();
         let crashed = released.filter(|(parts, released)| {
             let mut incidents = self.incidents.iter();
@@ -61,11 +61,18 @@
             })
         });
         let crashed: Vec<PartSet> = crashed.map(|(parts, _)| parts.clone()).collect();
-        for parts in &crashed {
-            self.released.remove(parts);
+        let mut found = Vec::new();
+        for parts in crashed {
+            let explained = self.explained_incidents(&parts);
+            self.released.remove(&parts);
             self.record_quarantine(parts.clone(), now + QUARANTINE_TIME);
+            found.push(QuarantineFinding {
+                parts,
+                incidents: 1,
+                explained,
+            });
         }
-        crashed.into_iter().map(|parts| (parts, 1)).collect()
+        found
     }
 
     /// Returns the parts and contents of which few requests may be at endpoints at a time,
--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -239,7 +239,7 @@
         let found = self.ledger.tick(self.now).into_iter();
         self.outcome
             .quarantined
-            .extend(found.map(|(parts, _)| parts));
+            .extend(found.map(|found| found.parts));
         self.trials.tick(self.now);
         self.restricted = self.ledger.restricted(self.now);
     }
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_limit::{CrashLedger, PartId, PartSet, SuspectRequest};
+use mulberrywell_limit::{CrashLedger, PartId, PartSet, QuarantineFinding, SuspectRequest};
 
 const FIRST: PartId = 1;
 const SUBJECT: PartId = 2;
@@ -63,12 +63,34 @@
 
     fn quarantined(&mut self) -> Vec<PartSet> {
         let found = self.ledger.tick(self.now);
-        found.into_iter().map(|(parts, _)| parts).collect()
+        found.into_iter().map(|found| found.parts).collect()
     }
 }
 
 const RUNNING: Duration = Duration::from_millis(50);
 
+#[test]
+fn tick_incidents_of_earlier_quarantine_counted() {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash(&[CULPRIT], RUNNING);
+        script.advance(SETTLED);
+    }
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    script.crash(&[SUBJECT, CULPRIT], RUNNING);
+    script.advance(SETTLED);
+    for _ in 0..3 {
+        script.crash(&[SUBJECT], RUNNING);
+        script.advance(SETTLED);
+    }
+    let found = QuarantineFinding {
+        parts: PartSet::from([SUBJECT]),
+        incidents: 3,
+        explained: 1,
+    };
+    assert_eq!(script.ledger.tick(script.now), [found]);
+}
+
 #[test]
 fn tick_part_in_every_crash_quarantined() {
     let mut script = LedgerScript::new();
