limit, mulberrywell: tests of a crashing part whose requests are repeated, failing

No test had callers who repeat a request with a crashing part, or gateways that retry it: each request was new and had one attempt.

--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -24,6 +24,12 @@
 /// Times that an eager caller sends a request again that was broken off.
 const EAGER_REPEATS: u32 = 3;
 
+/// Times that a request with the crashing part is sent again, by its gateway or its caller.
+const CRASHING_REPEATS: u32 = 3;
+
+/// Pause before a caller repeats a request with the crashing part.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+
 /// Lower bound of the other requests' contents.
 const OWN_CONTENTS: PartId = 1_000_000;
 
@@ -80,6 +86,8 @@
     pub one_content: bool,
     /// Probability that a sound request is repeated at once when it was broken off.
     pub eager_share: f64,
+    /// Requests with the crashing part that are broken off are sent again.
+    pub repeats_crashing: bool,
     /// Probability that a request is broken off though its engine is up.
     pub broken_share: f64,
     /// Gateways, each of which reports the requests that it forwarded.
@@ -123,6 +131,15 @@
     retry_at: Instant,
 }
 
+/// A request with the crashing part that its caller sends again.
+#[derive(Debug)]
+struct RepeatedRequest {
+    subject: u64,
+    content: PartId,
+    repeats_left: u32,
+    at: Instant,
+}
+
 /// A report under way to the ledger, which reckons all of its times from its arrival.
 #[derive(Debug)]
 struct DelayedReport {
@@ -175,6 +192,7 @@
     /// What the gateways were told to ask for.
     restricted: BTreeSet<PartId>,
     waiting: Vec<WaitingRequest>,
+    repeats: Vec<RepeatedRequest>,
     /// When each engine is up again.
     up_at: Vec<Instant>,
     /// Engines that serve, with the time from which on they respond.
@@ -203,6 +221,7 @@
             trials_asked: 0,
             restricted: BTreeSet::new(),
             waiting: Vec::new(),
+            repeats: Vec::new(),
             up_at: vec![now; plan.engines],
             holders: (0..plan.holders).map(|engine| (engine, now)).collect(),
             born: vec![1; plan.engines],
@@ -218,6 +237,7 @@
             fleet.now += STEP;
             fleet.add_requests();
             fleet.retry_waiting();
+            fleet.send_repeats();
             fleet.advance_requests();
             fleet.deliver_reports();
             if next_outage.is_some_and(|at| at <= fleet.now) {
@@ -288,6 +308,17 @@
         }
     }
 
+    /// Sends the requests again whose callers have waited.
+    fn send_repeats(&mut self) {
+        let now = self.now;
+        let repeats = std::mem::take(&mut self.repeats).into_iter();
+        let (due, left): (Vec<_>, Vec<_>) = repeats.partition(|it| it.at <= now);
+        self.repeats = left;
+        for it in due {
+            self.forward(it.subject, it.content, true, it.repeats_left);
+        }
+    }
+
     fn add_requests(&mut self) {
         let per_step = STEP.as_secs_f64();
         if self.rng.random_bool(self.plan.sound_rate * per_step) {
@@ -362,7 +393,11 @@
 
     fn add_request(&mut self, subject: u64, crashes: bool) {
         let is_eager = !crashes && self.rng.random_bool(self.plan.eager_share);
-        let repeats = if is_eager { EAGER_REPEATS } else { 0 };
+        let repeats = match (is_eager, crashes && self.plan.repeats_crashing) {
+            (true, _) => EAGER_REPEATS,
+            (_, true) => CRASHING_REPEATS,
+            _ => 0,
+        };
         self.forward(subject, OWN_CONTENTS + self.requests, crashes, repeats);
     }
 
@@ -510,11 +545,28 @@
         self.born[engine] += 1;
         self.replace_holder(engine);
         for request in broken.iter().filter(|it| it.repeats_left > 0) {
-            let subject = request.subject;
-            self.forward(subject, request.content, false, request.repeats_left - 1);
+            self.repeat(request);
         }
     }
 
+    /// Sends a request again that was broken off: at once, or after a pause if it has the
+    /// crashing part and its gateway doesn't retry it.
+    fn repeat(&mut self, request: &RunningRequest) {
+        let (subject, content) = (request.subject, request.content);
+        let repeats_left = request.repeats_left - 1;
+        let is_watched = self.ledger.suspects().contains(&content);
+        if !request.crashes || !(is_watched || request.trial.is_some()) {
+            self.forward(subject, content, request.crashes, repeats_left);
+            return;
+        }
+        self.repeats.push(RepeatedRequest {
+            subject,
+            content,
+            repeats_left,
+            at: self.now + REPEAT_PAUSE,
+        });
+    }
+
     /// Reports requests that one gateway forwarded and an engine broke off.
     fn report(&mut self, engine: usize, requests: &[RunningRequest]) {
         let requests = requests.iter().map(|request| SuspectRequest {
--- a/crates/limit/tests/crash_fleets.rs
+++ b/crates/limit/tests/crash_fleets.rs
@@ -19,6 +19,7 @@
     one_subject: false,
     one_content: false,
     eager_share: 0.0,
+    repeats_crashing: false,
     broken_share: 0.0,
     gateways: 1,
     popular_share: 0.0,
--- a/crates/limit/tests/crash_waves.rs
+++ b/crates/limit/tests/crash_waves.rs
@@ -40,6 +40,7 @@
         one_subject: false,
         one_content: false,
         eager_share: 0.0,
+        repeats_crashing: false,
         broken_share: 0.0,
         gateways: 8,
         popular_share: 0.0,
@@ -78,6 +79,16 @@
     }
 }
 
+/// Returns a fleet in which a part that was served before crashes engines, and its
+/// requests are sent again.
+fn repeated_proven(engines: usize) -> FleetPlan {
+    FleetPlan {
+        proven: true,
+        repeats_crashing: true,
+        ..fleet(engines)
+    }
+}
+
 /// Returns the forms in which a prompt part crashes engines.
 fn part_forms(plan: FleetPlan) -> Vec<FleetPlan> {
     let places = [PartPlace::Third, PartPlace::Subject, PartPlace::First];
@@ -166,6 +177,10 @@
 #[case::moving_model_part(with_outages(part_forms(moving_model()), false))]
 #[case::moving_model_content(content_forms(moving_model()))]
 #[case::moving_part_outages(with_outages(part_forms(moving_model()), true))]
+#[case::repeated_part_4(part_forms(FleetPlan { repeats_crashing: true, ..fleet(4) }))]
+#[case::repeated_part_18(part_forms(FleetPlan { repeats_crashing: true, ..fleet(18) }))]
+#[case::repeated_proven_part_4(part_forms(repeated_proven(4)))]
+#[case::repeated_proven_part_18(part_forms(repeated_proven(18)))]
 fn fleet_waves_bounded(#[case] forms: Vec<FleetPlan>) {
     let count = WaveCount::run(&forms);
     println!(
--- a/crates/mulberrywell/tests/common/worker_fleet.rs
+++ b/crates/mulberrywell/tests/common/worker_fleet.rs
@@ -182,6 +182,17 @@
         values.collect()
     }
 
+    /// Returns the lines that control instances logged of quarantines which they began.
+    pub fn quarantine_lines(&self) -> Vec<String> {
+        let names = (0..self.deployment.operator.instances()).map(|it| format!("control-{it}"));
+        let logs = names.map(|name| self.deployment.processes.log(&name));
+        let lines = logs.flat_map(|log| {
+            let lines = log.lines().filter(|line| line.contains("outcome=begun"));
+            lines.map(str::to_owned).collect::<Vec<String>>()
+        });
+        lines.collect()
+    }
+
     /// Stops the callers, waits for their calls to end, and stops the heartbeats.
     pub fn stop(&mut self) {
         self.callers.stop();
--- a/crates/mulberrywell/tests/crashing_prompts.rs
+++ b/crates/mulberrywell/tests/crashing_prompts.rs
@@ -1,5 +1,5 @@
 //! Requests that share a prompt part under which engines crash, with real processes:
-//! two gateways, three control instances and engines that restart.
+//! gateways, three control instances and engines that restart.
 
 mod common;
 
@@ -16,6 +16,23 @@
 const GATEWAYS: usize = 2;
 const ENGINES: usize = 8;
 const FEW_ENGINES: usize = 3;
+
+/// Gateways and engines of a deployment of the users' size.
+const SITE_GATEWAYS: usize = 7;
+const SITE_ENGINES: usize = 18;
+
+/// Time from the head of a response to the crash of its engine.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
+/// Time from a crash until an engine of that deployment is back.
+const SITE_RESTART_TIME: Duration = Duration::from_millis(3_000);
+
+/// Times that a caller sends a request again that has failed, and the pause before.
+const REPEATS: usize = 2;
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for which requests with the part are sent.
+const SITE_TIME: Duration = Duration::from_secs(22);
 const MODEL: &str = "m";
 const CRASHING_PART: &str = "dead";
 
@@ -43,8 +60,8 @@
 /// Time for which a part that crashes engines later is served before.
 const SOUND_TIME: Duration = Duration::from_secs(4);
 
-fn spawn_fleet(engines: usize) -> WorkerFleet {
-    let fleet = WorkerFleet::spawn_engines(GATEWAYS, engines, MODEL);
+fn spawn_fleet(gateways: usize, engines: usize) -> WorkerFleet {
+    let fleet = WorkerFleet::spawn_engines(gateways, engines, MODEL);
     fleet.wait_ready(|gateway| send(gateway, "first", "aa:100,11:20"));
     fleet
 }
@@ -59,6 +76,25 @@
     });
 }
 
+/// Sends requests with the crashing part to the gateways in turn, `pause` apart, until the
+/// fleet stops. Their callers send each again, with a new id, when it has failed.
+fn send_repeated_requests(fleet: &mut WorkerFleet, pause: Duration) {
+    let gateways = u32::try_from(SITE_GATEWAYS).expect("a small number");
+    fleet.spawn_callers(gateways * pause, move |call| {
+        let (number, sequence) = (call.number, call.sequence);
+        let turn = u32::try_from(number).expect("a small number");
+        thread::sleep(turn * pause);
+        let prefix = format!("aa:100,{CRASHING_PART}:50,c{number}{sequence:x}:20");
+        for repeat in 0..=REPEATS {
+            let id = format!("crash-{number}-{sequence}-{repeat}");
+            if send(call.gateway, &id, &prefix) {
+                return;
+            }
+            thread::sleep(REPEAT_PAUSE);
+        }
+    });
+}
+
 /// Sends sound requests with the same key and first part to each gateway until the
 /// fleet stops.
 fn send_sound_requests(fleet: &mut WorkerFleet) -> Arc<Mutex<Vec<SoundResult>>> {
@@ -100,7 +136,7 @@
 #[case::served_before(ENGINES, true)]
 #[case::served_before_few_engines(FEW_ENGINES, true)]
 fn crashing_part_kept_from_engines(#[case] engines: usize, #[case] is_proven: bool) {
-    let mut fleet = spawn_fleet(engines);
+    let mut fleet = spawn_fleet(GATEWAYS, engines);
     let results = send_sound_requests(&mut fleet);
     thread::sleep(Duration::from_millis(1_500));
     if is_proven {
@@ -116,10 +152,42 @@
     }
     thread::sleep(RECOVERY_TIME + OBSERVED_TIME);
     fleet.stop();
+    assert_part_kept(&fleet, &results, started);
+}
+
+/// Guards against crashes of one engine after the other where callers repeat each request
+/// with the crashing part: each repeated request was quarantined by itself, and its crashes
+/// counted for the part no longer.
+#[rstest]
+#[case::rare(Duration::from_millis(1_500))]
+#[case::seldom(Duration::from_millis(800))]
+#[case::frequent(Duration::from_millis(200))]
+fn crashing_part_of_repeated_requests_kept(#[case] pause: Duration) {
+    let mut fleet = spawn_fleet(SITE_GATEWAYS, SITE_ENGINES);
+    let results = send_sound_requests(&mut fleet);
+    thread::sleep(Duration::from_millis(1_500));
+    for engine in &fleet.workers {
+        engine.set_stream_crash_delay(CRASH_DELAY);
+        engine.set_restart_time(SITE_RESTART_TIME);
+        engine.set_crashing_part(CRASHING_PART);
+    }
+    let started = Instant::now();
+    send_repeated_requests(&mut fleet, pause);
+    thread::sleep(SITE_TIME);
+    fleet.stop();
+    assert_part_kept(&fleet, &results, started);
+}
+
+/// Checks that few requests with the part reached engines once it was known, and that
+/// sound ones were served.
+fn assert_part_kept(fleet: &WorkerFleet, results: &Mutex<Vec<SoundResult>>, started: Instant) {
     let crashes = fleet.crashes();
     let last_counted = fleet.last_crash_of(CRASHES_ALLOWED).expect("a crash");
     let late = fleet.crashing_runs_after(last_counted + CONTACT_TIME);
-    let (served, total) = count_served(&results, last_counted + RECOVERY_TIME);
+    let (served, total) = count_served(results, last_counted + RECOVERY_TIME);
+    for line in fleet.quarantine_lines() {
+        println!("{line}");
+    }
     println!(
         "{} crashes, the fifth or last after {:?}; {late} late requests; {served} of {total} sound \
          requests served",
