limit: crashes of a quarantined request still count for its prompt parts

Cause: an incident with a content that is quarantined by itself counted for nothing else. A request that its gateway retries and its caller repeats crashes three engines by itself, so that it is quarantined as the cause; the part lost these incidents, both as evidence and for its restriction, and the next request with it began anew.

Now such an incident counts for no other content, but for the parts of the quarantined request, and these stay restricted until a response on them lasts. What ran beside it counts no more than before. A part still needs two incidents without the content that most of them have.

--- a/crates/limit/src/crash_incident.rs
+++ b/crates/limit/src/crash_incident.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::quarantine_table::PartSet;
+use crate::quarantine_table::{PartSet, QuarantineTable};
 
 /// Identifies a part of a prompt, or the content of a request.
 pub type PartId = u64;
@@ -17,6 +17,13 @@
 /// Maximum number of requests of one incident.
 const REQUESTS_MAX: usize = 256;
 
+/// What of a request endpoints may crash under.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SubjectKind {
+    Content,
+    Part,
+}
+
 /// A request that an endpoint broke off.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectRequest {
@@ -32,11 +39,6 @@
 }
 
 impl SuspectRequest {
-    /// Returns the shared parts and the content.
-    pub(crate) fn subjects(&self) -> impl Iterator<Item = PartId> + '_ {
-        self.parts.iter().copied().chain([self.content])
-    }
-
     pub(crate) fn has(&self, subject: PartId) -> bool {
         self.content == subject || self.parts.contains(&subject)
     }
@@ -54,8 +56,11 @@
     /// Requests that seem to have been forwarded after the incident. Times are reckoned
     /// from the arrival of a report, so that this may be wrong if the report is late.
     late_requests: Vec<SuspectRequest>,
-    /// One of the requests has a part or a content that is quarantined by itself.
-    pub is_explained: bool,
+    /// One of the requests has a part that is quarantined by itself.
+    is_explained: bool,
+    /// Contents of the requests that are quarantined by themselves. Their requests caused
+    /// the incident, by their contents or by a part of their prompts.
+    explained_contents: PartSet,
 }
 
 impl CrashIncident {
@@ -68,6 +73,7 @@
             requests: Vec::new(),
             late_requests: Vec::new(),
             is_explained: false,
+            explained_contents: PartSet::new(),
         }
     }
 
@@ -83,38 +89,76 @@
         }
     }
 
-    /// Returns whether a request has a part or a content.
+    /// Records which of the requests' subjects are quarantined by themselves.
+    pub fn record_quarantines(&mut self, quarantines: &QuarantineTable) {
+        for request in self.requests.iter().chain(&self.late_requests) {
+            let mut parts = request.parts.iter();
+            self.is_explained |= parts.any(|part| quarantines.has_single(*part));
+            if quarantines.has_single(request.content) {
+                self.explained_contents.insert(request.content);
+            }
+        }
+    }
+
+    /// Returns whether a quarantined part or content explains it.
+    pub fn is_explained(&self) -> bool {
+        self.is_explained || !self.explained_contents.is_empty()
+    }
+
+    /// Returns whether it counts for subjects of a kind. A quarantined content explains
+    /// it for other contents only, as a part of its requests' prompts may have caused it.
+    pub fn is_open(&self, kind: SubjectKind) -> bool {
+        match kind {
+            SubjectKind::Content => !self.is_explained(),
+            SubjectKind::Part => !self.is_explained,
+        }
+    }
+
+    /// Returns the requests that may have caused it.
+    pub fn suspects(&self) -> impl Iterator<Item = &SuspectRequest> + '_ {
+        let contents = &self.explained_contents;
+        let requests = self.requests.iter().filter(|_| !self.is_explained);
+        requests.filter(move |it| contents.is_empty() || contents.contains(&it.content))
+    }
+
+    /// Returns whether a request that may have caused it has a part or a content.
     pub fn has(&self, subject: PartId) -> bool {
+        self.suspects().any(|it| it.has(subject))
+    }
+
+    /// Returns whether any request has a part or a content.
+    pub fn involves(&self, subject: PartId) -> bool {
         self.requests.iter().any(|it| it.has(subject))
     }
 
     /// Returns the shared parts of the requests that may have caused it.
     pub fn parts(&self) -> impl Iterator<Item = PartId> + '_ {
-        self.requests.iter().flat_map(|it| it.parts.iter().copied())
+        self.suspects().flat_map(|it| it.parts.iter().copied())
     }
 
-    /// Returns the shared parts of all requests, of those that are no suspects too.
+    /// Returns the shared parts of those requests and of the ones that seem to be late.
     pub fn all_parts(&self) -> impl Iterator<Item = PartId> + '_ {
         let requests = self.late_requests.iter();
+        let requests = requests.filter(|_| !self.is_explained());
         let late_parts = requests.flat_map(|it| it.parts.iter().copied());
         self.parts().chain(late_parts)
     }
 
-    /// Returns the known contents of all requests.
+    /// Returns the known contents of the requests that may have caused it.
     pub fn contents(&self) -> impl Iterator<Item = PartId> + '_ {
-        let contents = self.requests.iter().map(|it| it.content);
+        let contents = self.suspects().map(|it| it.content);
         contents.filter(|content| *content != 0)
     }
 
     /// Returns whether a request with a part or a content was a trial.
     pub fn has_trial(&self, subject: PartId) -> bool {
-        let mut trials = self.requests.iter().filter(|it| it.is_trial);
+        let mut trials = self.suspects().filter(|it| it.is_trial);
         trials.any(|it| it.has(subject))
     }
 
     /// Returns when the latest request with a part or a content was forwarded.
     pub fn forwarded(&self, subject: PartId) -> Option<Instant> {
-        let requests = self.requests.iter().filter(|it| it.has(subject));
+        let requests = self.suspects().filter(|it| it.has(subject));
         requests.map(|it| it.forwarded).max()
     }
 }
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -22,8 +22,9 @@
 //! content of its requests in all but one. Parts that stay equal for [`TIE_TIME`], less
 //! those on which a response has ever lasted if others have none, are quarantined
 //! together: only requests with all of them are refused, and a part that turns out to be
-//! sound is taken out. Incidents with something that is quarantined by itself are
-//! explained and count for nothing else.
+//! sound is taken out. Incidents with a part that is quarantined by itself are explained
+//! and count for nothing else. Those with such a content count for no other content, but
+//! for the parts of its requests: one of them may crash endpoints under any content.
 //!
 //! A part or a content on which responses have lasted needs [`PROVEN_CHAIN_MIN`]
 //! incidents, unless trials crashed, and no part without any response in half of them.
@@ -36,7 +37,7 @@
 
 use bytes::Bytes;
 
-use crate::crash_incident::{find_chain, CrashIncident, PartId, SuspectRequest};
+use crate::crash_incident::{find_chain, CrashIncident, PartId, SubjectKind, SuspectRequest};
 use crate::quarantine_table::{PartSet, QuarantineTable};
 
 /// Incidents in a chain that quarantine a content or a part on which no response has ever
@@ -127,33 +128,27 @@
         born_ms: u64,
         request: SuspectRequest,
     ) {
-        let quarantines = &self.quarantines;
-        let is_explained = request.subjects().any(|it| quarantines.has_single(it));
-        let incident = self.open_incident(now, endpoint, born_ms);
-        incident.is_explained |= is_explained;
+        let index = self.open_incident(now, endpoint, born_ms);
+        let incident = &mut self.incidents[index];
         incident.push(request);
+        incident.record_quarantines(&self.quarantines);
     }
 
-    fn open_incident(
-        &mut self,
-        now: Instant,
-        endpoint: &Bytes,
-        born_ms: u64,
-    ) -> &mut CrashIncident {
+    /// Returns the index of the incident of an endpoint, which may be new.
+    fn open_incident(&mut self, now: Instant, endpoint: &Bytes, born_ms: u64) -> usize {
         let found = self.incidents.iter().position(|incident| {
             incident.endpoint == *endpoint
                 && incident.born_ms == born_ms
                 && now.saturating_duration_since(incident.at) < INCIDENT_SPAN
         });
-        let index = found.unwrap_or_else(|| {
+        found.unwrap_or_else(|| {
             if self.incidents.len() >= INCIDENTS_MAX {
                 self.incidents.remove(0);
             }
             let incident = CrashIncident::new(endpoint.clone(), born_ms, now);
             self.incidents.push(incident);
             self.incidents.len() - 1
-        });
-        &mut self.incidents[index]
+        })
     }
 
     /// Records that a response was begun on a part or a content at an instant and
@@ -170,12 +165,10 @@
 
     /// Quarantines parts, or a content.
     pub fn record_quarantine(&mut self, parts: PartSet, until: Instant) {
-        if let (1, Some(part)) = (parts.len(), parts.first()) {
-            for incident in &mut self.incidents {
-                incident.is_explained |= incident.has(*part);
-            }
-        }
         self.quarantines.insert(parts, until);
+        for incident in &mut self.incidents {
+            incident.record_quarantines(&self.quarantines);
+        }
     }
 
     /// Quarantines what explains the incidents; returns the new quarantines.
@@ -202,8 +195,8 @@
 
     /// Returns the number of explained incidents that have all of these subjects.
     pub(crate) fn explained_incidents(&self, subjects: &PartSet) -> usize {
-        let explained = self.incidents.iter().filter(|it| it.is_explained);
-        let with_all = explained.filter(|it| subjects.iter().all(|subject| it.has(*subject)));
+        let explained = self.incidents.iter().filter(|it| it.is_explained());
+        let with_all = explained.filter(|it| subjects.iter().all(|subject| it.involves(*subject)));
         with_all.count()
     }
 
@@ -230,25 +223,23 @@
         }
     }
 
-    /// Returns the parts and contents whose sound responses matter: the parts of
-    /// unexplained incidents, of requests that seem to be late too, and the contents of
-    /// several.
+    /// Returns the parts and contents whose sound responses matter: the parts that may have
+    /// caused incidents, of requests that seem to be late too, and the contents of several.
     pub fn suspects(&self) -> BTreeSet<PartId> {
-        let mut suspects = self.repeated(WATCHED_INCIDENTS_MIN, |it| it.contents().collect());
-        let unexplained = self.incidents.iter().filter(|it| !it.is_explained);
-        suspects.extend(unexplained.flat_map(CrashIncident::all_parts));
+        let mut suspects = self.repeated(SubjectKind::Content, WATCHED_INCIDENTS_MIN);
+        suspects.extend(self.incidents.iter().flat_map(CrashIncident::all_parts));
         suspects
     }
 
-    /// Returns the subjects of at least `min` unexplained incidents.
-    fn repeated(
-        &self,
-        min: usize,
-        subjects: impl Fn(&CrashIncident) -> PartSet,
-    ) -> BTreeSet<PartId> {
+    /// Returns the subjects of a kind of at least `min` incidents that count for them.
+    fn repeated(&self, kind: SubjectKind, min: usize) -> BTreeSet<PartId> {
         let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
-        for incident in self.incidents.iter().filter(|it| !it.is_explained) {
-            for subject in subjects(incident) {
+        for incident in self.incidents.iter().filter(|it| it.is_open(kind)) {
+            let subjects: PartSet = match kind {
+                SubjectKind::Content => incident.contents().collect(),
+                SubjectKind::Part => incident.parts().collect(),
+            };
+            for subject in subjects {
                 *counts.entry(subject).or_default() += 1;
             }
         }
@@ -263,10 +254,10 @@
     /// Returns a content that alone explains a chain of incidents, and the number of
     /// these.
     fn find_content(&self, now: Instant) -> Option<(PartSet, usize)> {
-        let contents = self.repeated(CHAIN_MIN, |it| it.contents().collect());
+        let contents = self.repeated(SubjectKind::Content, CHAIN_MIN);
         contents.into_iter().find_map(|content| {
             let incidents = self.incidents_of(now, content);
-            let chain_end = self.chain_end(content, &incidents, CHAIN_MIN)?;
+            let chain_end = self.chain_end(SubjectKind::Content, content, &incidents)?;
             let is_settled = now.saturating_duration_since(chain_end) >= CONTENT_SETTLE_TIME;
             if !is_settled || self.quarantines.has_single(content) {
                 return None;
@@ -287,11 +278,11 @@
             let mut contents = incident.contents();
             !contents.any(|content| suspected.contains(&content))
         };
-        let parts = self.repeated(CHAIN_MIN, |it| it.parts().collect());
+        let parts = self.repeated(SubjectKind::Part, CHAIN_MIN);
         parts.into_iter().find_map(|part| {
             let mut incidents = self.incidents_of(now, part);
             incidents.retain(is_open);
-            let settled_at = self.chain_end(part, &incidents, UNPROVEN_INCIDENTS_MIN)?;
+            let settled_at = self.chain_end(SubjectKind::Part, part, &incidents)?;
             let mut parts = self.rivals(part, &incidents);
             let has_more = |rival: &PartId| self.incidents_of(now, *rival).len() > incidents.len();
             if parts.iter().any(has_more) || self.has_unproven_rival(part, &incidents) {
@@ -320,12 +311,13 @@
     /// Returns the contents whose incidents form a chain, whether or not they are told
     /// apart yet.
     fn suspected_contents(&self) -> PartSet {
-        let mut contents = self.repeated(CHAIN_MIN, |it| it.contents().collect());
+        let mut contents = self.repeated(SubjectKind::Content, CHAIN_MIN);
         contents.retain(|content| {
             let incidents = self.incidents.iter();
             let incidents = incidents.filter(|it| self.is_suspect(*content, it));
             let incidents: Vec<&CrashIncident> = incidents.collect();
-            self.chain_end(*content, &incidents, CHAIN_MIN).is_some()
+            self.chain_end(SubjectKind::Content, *content, &incidents)
+                .is_some()
                 && !self.has_rival_part(*content, &incidents)
         });
         contents
@@ -336,10 +328,7 @@
     fn has_other_contents(&self, part: PartId, incidents: &[&CrashIncident]) -> bool {
         let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
         for incident in incidents {
-            let requests = incident
-                .requests
-                .iter()
-                .filter(|it| it.parts.contains(&part));
+            let requests = incident.suspects().filter(|it| it.parts.contains(&part));
             let contents: PartSet = requests.map(|it| it.content).collect();
             let known = contents.into_iter().filter(|content| *content != 0);
             for content in known.filter(|content| self.is_suspect(*content, incident)) {
@@ -352,37 +341,42 @@
 
     /// Returns when the incidents of a part or a content had formed a chain that is long
     /// enough: a longer one if responses have lasted on it and trials haven't crashed, or
-    /// if most incidents of that time are without it. If no response ever has,
-    /// `unproven_min` incidents do with a shorter one.
+    /// if most incidents of that time are without it. If no response ever has, a shorter
+    /// one does, of enough incidents.
     fn chain_end(
         &self,
+        kind: SubjectKind,
         subject: PartId,
         incidents: &[&CrashIncident],
-        unproven_min: usize,
     ) -> Option<Instant> {
         let chain = find_chain(subject, incidents);
         let is_unproven = !self.sound.contains_key(&subject);
         let trials = incidents.iter().filter(|it| it.has_trial(subject));
         let is_tried = trials.count() >= TRIED_INCIDENTS_MIN;
-        let chain_min = match self.is_most_frequent(incidents) && (is_unproven || is_tried) {
+        let chain_min = match self.is_most_frequent(kind, incidents) && (is_unproven || is_tried) {
             true => CHAIN_MIN,
             false => PROVEN_CHAIN_MIN,
         };
+        let unproven_min = match kind {
+            SubjectKind::Content => CHAIN_MIN,
+            SubjectKind::Part => UNPROVEN_INCIDENTS_MIN,
+        };
         let last = incidents.get(unproven_min - 1);
         let last = last.filter(|_| is_unproven && chain.len() >= UNPROVEN_CHAIN_MIN);
         let ends = [chain.get(chain_min - 1).copied(), last.map(|last| last.at)];
         ends.into_iter().flatten().min()
     }
 
-    /// Returns whether these are at least half of the unexplained incidents of their time.
-    /// Among many crashes of other causes a subject is in several by chance.
-    fn is_most_frequent(&self, incidents: &[&CrashIncident]) -> bool {
+    /// Returns whether these are at least half of the incidents of their time that count for
+    /// subjects of a kind. Among many crashes of other causes a subject is in several by
+    /// chance.
+    fn is_most_frequent(&self, kind: SubjectKind, incidents: &[&CrashIncident]) -> bool {
         let (Some(first), Some(last)) = (incidents.first(), incidents.last()) else {
             return false;
         };
         let span = first.at..=last.at;
         let all = self.incidents.iter();
-        let all = all.filter(|it| !it.is_explained && span.contains(&it.at));
+        let all = all.filter(|it| it.is_open(kind) && span.contains(&it.at));
         2 * incidents.len() >= all.count()
     }
 
@@ -400,7 +394,7 @@
     pub(crate) fn is_suspect(&self, subject: PartId, incident: &CrashIncident) -> bool {
         let sound = self.sound.get(&subject);
         let is_cleared = sound.is_some_and(|at| *at >= incident.at);
-        !incident.is_explained && !is_cleared && incident.has(subject)
+        !is_cleared && incident.has(subject)
     }
 
     /// Returns whether a part or a content may have caused all of these incidents.
@@ -434,8 +428,7 @@
         if rivals.peek().is_none() || !is_unproven(&subject) {
             return rivals.peek().is_some();
         }
-        let unexplained = self.incidents.iter().filter(|it| !it.is_explained);
-        let totals = count_parts(unexplained);
+        let totals = count_parts(self.incidents.iter());
         rivals.any(|part| {
             totals
                 .get(&part)
--- a/crates/limit/src/suspect_restriction.rs
+++ b/crates/limit/src/suspect_restriction.rs
@@ -55,9 +55,9 @@
             let mut incidents = self.incidents.iter();
             incidents.any(|incident| {
                 let is_settled = now.saturating_duration_since(incident.at) >= SETTLE_TIME;
-                let mut requests = incident.requests.iter();
+                let mut requests = incident.suspects();
                 let has_parts = requests.any(|it| parts.iter().all(|part| it.has(*part)));
-                incident.at > **released && !incident.is_explained && is_settled && has_parts
+                incident.at > **released && is_settled && has_parts
             })
         });
         let crashed: Vec<PartSet> = crashed.map(|(parts, _)| parts.clone()).collect();
@@ -82,7 +82,7 @@
         let mut incidents: BTreeMap<PartId, usize> = BTreeMap::new();
         let mut copies: BTreeMap<PartId, usize> = BTreeMap::new();
         let mut fresh = BTreeSet::new();
-        for incident in self.incidents.iter().filter(|it| !it.is_explained) {
+        for incident in &self.incidents {
             let is_known = now.saturating_duration_since(incident.at) >= HISTORY_TIME;
             let parts: PartSet = incident.parts().collect();
             for part in parts
@@ -94,6 +94,9 @@
                     fresh.insert(part);
                 }
             }
+            if incident.is_explained() {
+                continue;
+            }
             let contents = incident.contents();
             for content in contents.filter(|it| self.is_suspect(*it, incident)) {
                 *copies.entry(content).or_default() += 1;
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -265,6 +265,62 @@
     assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
 }
 
+/// A ledger that has quarantined a repeated request, and took its part for sound.
+fn quarantined_content_script() -> LedgerScript {
+    let mut script = LedgerScript::new();
+    for _ in 0..3 {
+        script.crash_content(REPEATED, &[FIRST, CULPRIT], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([REPEATED])]);
+    script
+}
+
+/// Guards against a crashing part that is never found, as each of its requests is repeated
+/// until it is quarantined by itself.
+#[test]
+fn tick_part_of_quarantined_content_quarantined() {
+    let mut script = quarantined_content_script();
+    for _ in 0..2 {
+        assert_eq!(script.quarantined(), []);
+        script.crash_content(NEIGHBOUR, &[FIRST, CULPRIT], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
+/// Guards against waves of requests with a crashing part after one of them is quarantined.
+#[test]
+fn restricted_part_of_quarantined_content() {
+    let mut script = quarantined_content_script();
+    assert_eq!(script.restricted(), [CULPRIT, REPEATED]);
+    script.ledger.record_sound(CULPRIT, script.now);
+    assert_eq!(script.restricted(), [REPEATED]);
+}
+
+/// Guards against a quarantine of parts that were in crashes beside a repeated request only.
+#[test]
+fn tick_parts_beside_quarantined_content_kept() {
+    let mut script = LedgerScript::new();
+    for _ in 0..4 {
+        script.crash_content(REPEATED, &[FIRST], RUNNING);
+        script.crashes -= 1;
+        script.crash(&[SUBJECT], RUNNING);
+        script.advance(SETTLED);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([REPEATED])]);
+    for _ in 0..2 {
+        script.crash(&[SUBJECT], RUNNING);
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+    }
+}
+
 /// Guards against a quarantine of a content that sound requests share, as it was at all
 /// engines that a part of other requests crashed.
 #[test]
