limit: evidence for a part is not held back while contents are judged

That a part needs two incidents without the content that most of them have already keeps the parts of a repeated request, so the second rule goes (suspected_contents).

Test, failing before: tick_part_of_suspected_contents_quarantined.

--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -15,8 +15,7 @@
 //! [`CHAIN_MIN`], where each request was forwarded after the incident before.
 //!
 //! A suspected content is quarantined if no other one is in all of its incidents: its
-//! neighbours at one endpoint are not those at the next. Until then its incidents count
-//! for no part.
+//! neighbours at one endpoint are not those at the next.
 //!
 //! A suspected part is quarantined if no other part is in all of its incidents, and no
 //! content of its requests in all but one. Parts that stay equal for [`TIE_TIME`], less
@@ -273,15 +272,9 @@
     /// Returns parts that together explain a chain of incidents, and the number of
     /// these.
     fn find_parts(&self, now: Instant) -> Option<(PartSet, usize)> {
-        let suspected = self.suspected_contents();
-        let is_open = |incident: &&CrashIncident| {
-            let mut contents = incident.contents();
-            !contents.any(|content| suspected.contains(&content))
-        };
         let parts = self.repeated(SubjectKind::Part, CHAIN_MIN);
         parts.into_iter().find_map(|part| {
-            let mut incidents = self.incidents_of(now, part);
-            incidents.retain(is_open);
+            let incidents = self.incidents_of(now, part);
             let settled_at = self.chain_end(SubjectKind::Part, part, &incidents)?;
             let mut parts = self.rivals(part, &incidents);
             let has_more = |rival: &PartId| self.incidents_of(now, *rival).len() > incidents.len();
@@ -301,28 +294,13 @@
             {
                 return None;
             }
-            let mut requests = incidents.iter().flat_map(|it| &it.requests);
+            let mut requests = incidents.iter().flat_map(|it| it.suspects());
             let is_one_request = requests.any(|it| parts.is_subset(&it.parts));
             let is_new = !self.quarantines.covers(&parts);
             (is_one_request && is_new).then_some((parts, incidents.len()))
         })
     }
 
-    /// Returns the contents whose incidents form a chain, whether or not they are told
-    /// apart yet.
-    fn suspected_contents(&self) -> PartSet {
-        let mut contents = self.repeated(SubjectKind::Content, CHAIN_MIN);
-        contents.retain(|content| {
-            let incidents = self.incidents.iter();
-            let incidents = incidents.filter(|it| self.is_suspect(*content, it));
-            let incidents: Vec<&CrashIncident> = incidents.collect();
-            self.chain_end(SubjectKind::Content, *content, &incidents)
-                .is_some()
-                && !self.has_rival_part(*content, &incidents)
-        });
-        contents
-    }
-
     /// Returns whether requests with a part were in enough of these incidents under other
     /// contents than the one that most of them have.
     fn has_other_contents(&self, part: PartId, incidents: &[&CrashIncident]) -> bool {
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -292,6 +292,20 @@
     assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
 }
 
+/// Guards against further crashes under a part while its repeated requests are judged: their
+/// crashes counted for the part only afterwards.
+#[test]
+fn tick_part_of_suspected_contents_quarantined() {
+    let mut script = LedgerScript::new();
+    for content in [NEIGHBOUR, REPEATED, NEIGHBOUR, REPEATED, REPEATED] {
+        script.advance(Duration::from_millis(100));
+        script.crash_content(content, &[FIRST, CULPRIT], RUNNING);
+        script.ledger.record_sound(FIRST, script.now);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
 /// Guards against waves of requests with a crashing part after one of them is quarantined.
 #[test]
 fn restricted_part_of_quarantined_content() {
