limit: a part that two trials crashed without is no rival

Cause: a part without any response is a rival of the crashing one if it was in half of its incidents. A request with a rare part, repeated while all engines go down within a second, makes its part such a rival, though trials of other requests crash afterwards. Seen by printing what find_parts weighs: five incidents, a chain of three, two trials, no equal part, one rival.

A trial is the only request with suspects at its endpoint, so that what crashes under two trials without the rival has another cause.

Test, failing before: tick_once_sound_part_quarantined_beside_repeated_request.

--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -393,16 +393,24 @@
     ///
     /// A part or a content that many requests share is at most crashes, and no response
     /// clears it while all endpoints are down; a part without any response is in several
-    /// crashes only if it causes them. A request may be missing from an incident, as
-    /// its report is lost, or seem to come after it, as the report is late.
+    /// crashes only if it causes them, or if one request is repeated: what crashed under
+    /// trials without the part has another cause. A request may be missing from an incident,
+    /// as its report is lost, or seem to come after it, as the report is late.
     fn has_unproven_rival(&self, subject: PartId, incidents: &[&CrashIncident]) -> bool {
         let is_unproven = |part: &PartId| !self.sound.contains_key(part);
+        let trials = incidents.iter().filter(|it| it.has_trial(subject));
+        let trials: Vec<PartSet> = trials.map(|it| it.all_parts().collect()).collect();
+        let is_tried_without = |part: &PartId| {
+            let others = trials.iter().filter(|parts| !parts.contains(part));
+            others.count() >= TRIED_INCIDENTS_MIN
+        };
         let counts = count_parts(incidents.iter().copied());
         let count_min = RIVAL_INCIDENTS_MIN.max(incidents.len() / 2);
         let rivals = counts
             .into_iter()
             .filter(|(part, count)| *part != subject && *count >= count_min && is_unproven(part));
-        let mut rivals = rivals.map(|(part, _)| part).peekable();
+        let rivals = rivals.map(|(part, _)| part);
+        let mut rivals = rivals.filter(|part| !is_tried_without(part)).peekable();
         if rivals.peek().is_none() || !is_unproven(&subject) {
             return rivals.peek().is_some();
         }
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -448,6 +448,25 @@
     assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
 }
 
+/// Guards against further crashes under a part on which responses have lasted, because a
+/// request with a rarer part was repeated through the first ones.
+#[test]
+fn tick_once_sound_part_quarantined_beside_repeated_request() {
+    let mut script = LedgerScript::new();
+    script.ledger.record_sound(CULPRIT, script.now);
+    for _ in 0..3 {
+        script.advance(Duration::from_millis(5));
+        script.crash_content(REPEATED, &[SUBJECT, CULPRIT], RUNNING);
+    }
+    for _ in 0..2 {
+        script.advance(SETTLED);
+        assert_eq!(script.quarantined(), []);
+        script.crash_trial(&[CULPRIT], RUNNING);
+    }
+    script.advance(SETTLED);
+    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+}
+
 /// Guards against crashes without a quarantine, because a part that is only in requests
 /// forwarded after them is taken for one without any response: gateways report the
 /// responses on what is watched.
