--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -123,6 +123,7 @@
     /// changed.
     pub fn tick(&mut self, now: Instant, commands: &mut Vec<LinkCommand>, actions: &mut Actions) {
         for found in self.ledger.tick(now) {
+            self.trials.end_pauses(&found.parts);
             let parts = found.parts.iter().map(|part| format!("{part:x}"));
             let parts: Vec<String> = parts.collect();
             let text = format!(
--- a/crates/limit/src/trial_table.rs
+++ b/crates/limit/src/trial_table.rs
@@ -7,15 +7,14 @@
 //!
 //! Guarantees: no two trials of a subject, and none at one endpoint, are open at a time,
 //! unless the leader changes, so that a crash tells the suspects of one request.
-//! After one that was broken off, the next begins after [`TRIAL_PAUSE`], so that the
-//! crash has been reported and judged by then.
+//! After one that was broken off, the next begins after [`TRIAL_PAUSE`], or once a
+//! quarantine explains it, so that the crash has been reported and judged by then.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
-use crate::crash_incident::PartId;
 use crate::quarantine_table::PartSet;
 
 /// Time from a crash under a suspect to its next trial. It covers the report of the
@@ -43,8 +42,8 @@
 #[derive(Debug, Default)]
 pub struct TrialTable {
     trials: BTreeMap<TrialId, OpenTrial>,
-    /// When a trial of each subject was last broken off.
-    broken: BTreeMap<PartId, Instant>,
+    /// Subjects of trials that were broken off, and when.
+    broken: Vec<(PartSet, Instant)>,
 }
 
 impl TrialTable {
@@ -59,9 +58,9 @@
         let mut open = self.trials.values();
         let is_open =
             open.any(|trial| trial.endpoint == *endpoint || !trial.subjects.is_disjoint(&subjects));
-        let is_paused = subjects.iter().any(|subject| {
-            let broken = self.broken.get(subject);
-            broken.is_some_and(|at| now.saturating_duration_since(*at) < TRIAL_PAUSE)
+        let is_paused = self.broken.iter().any(|(broken, at)| {
+            let is_recent = now.saturating_duration_since(*at) < TRIAL_PAUSE;
+            is_recent && !broken.is_disjoint(&subjects)
         });
         if is_open || is_paused {
             return false;
@@ -81,8 +80,7 @@
             return;
         };
         if is_broken {
-            let subjects = trial.subjects.into_iter();
-            self.broken.extend(subjects.map(|subject| (subject, now)));
+            self.broken.push((trial.subjects, now));
         }
     }
 
@@ -95,6 +93,13 @@
         }
     }
 
+    /// Ends the pauses after trials whose crash a quarantine explains: other subjects of
+    /// their requests needn't wait any longer.
+    pub fn end_pauses(&mut self, quarantined: &PartSet) {
+        self.broken
+            .retain(|(subjects, _)| !quarantined.is_subset(subjects));
+    }
+
     /// Forgets all trials, as another instance leads.
     pub fn clear(&mut self) {
         self.trials.clear();
@@ -111,6 +116,6 @@
             self.end(now, &id, true);
         }
         self.broken
-            .retain(|_, at| now.saturating_duration_since(*at) < TRIAL_PAUSE);
+            .retain(|(_, at)| now.saturating_duration_since(*at) < TRIAL_PAUSE);
     }
 }
--- a/crates/limit/tests/crash_fleet/mod.rs
+++ b/crates/limit/tests/crash_fleet/mod.rs
@@ -256,7 +256,11 @@
     }
 
     fn tick(&mut self) {
-        let found = self.ledger.tick(self.now).into_iter();
+        let found = self.ledger.tick(self.now);
+        for quarantine in &found {
+            self.trials.end_pauses(&quarantine.parts);
+        }
+        let found = found.into_iter();
         self.outcome
             .quarantined
             .extend(found.map(|found| found.parts));
--- a/crates/limit/tests/trial_table.rs
+++ b/crates/limit/tests/trial_table.rs
@@ -55,6 +55,21 @@
     assert!(grant(&mut table, now + TRIAL_PAUSE, 4, "e2", &[1]));
 }
 
+/// Guards against sound requests that wait for a trial of a part although a quarantine of
+/// something else explains its last crash.
+#[rstest]
+#[case::explained(&[1], true)]
+#[case::explained_together(&[1, 2], true)]
+#[case::other(&[3], false)]
+#[case::partly(&[1, 3], false)]
+fn end_pauses_of_crash(#[case] quarantined: &[u64], #[case] granted: bool) {
+    let (mut table, now) = (TrialTable::default(), Instant::now());
+    assert!(grant(&mut table, now, 1, "e1", &[1, 2]));
+    table.end(now, &id(1), true);
+    table.end_pauses(&quarantined.iter().copied().collect());
+    assert_eq!(grant(&mut table, now, 2, "e2", &[2]), granted);
+}
+
 /// Guards against a suspect that is refused for good as the end of its trial was lost.
 #[test]
 fn grant_after_forgotten_trial() {
