gateway, control: only the one request of a suspect counts as a trial

A crash under a trial is strong evidence: with two, a part on which responses have lasted needs a chain of three instead of five. A request counted as a trial also where the leader granted it as nothing of it was restricted any more, and where there was no leader to ask, so that every gateway forwards one.

The grant says now that no trial is needed. Such a request and one without a leader are forwarded as before, but are no trials. An older leader doesn't say so; its grants are taken as before.

--- a/crates/control/src/prompt_monitor.rs
+++ b/crates/control/src/prompt_monitor.rs
@@ -73,12 +73,13 @@
         let subjects: PartSet = subjects.filter(|it| restricted.contains(it)).collect();
         self.found = Some((at, restricted));
         let id = (holder, request.sequence);
-        let granted =
-            subjects.is_empty() || self.trials.grant(now, id, &request.endpoint, subjects);
+        let unneeded = subjects.is_empty();
+        let granted = unneeded || self.trials.grant(now, id, &request.endpoint, subjects);
         TrialGrant {
             sequence: request.sequence,
             granted,
             unavailable: false,
+            unneeded,
         }
     }
 
--- a/crates/control/tests/role_cases/prompt_cases.rs
+++ b/crates/control/tests/role_cases/prompt_cases.rs
@@ -269,3 +269,19 @@
     cluster.run(Duration::from_millis(100));
     assert!(answers(&mut cluster)[next][0].granted);
 }
+
+/// A request that the leader doesn't restrict needs no trial, and others aren't held up by it.
+#[test]
+fn trial_of_unrestricted_request_unneeded() {
+    let mut cluster = RoleCluster::formed(3);
+    let entries = [(0, b"entry-0"), (1, b"entry-1")].map(|(idx, name)| cluster.attach(idx, name));
+    for entry in &entries {
+        cluster.send(entry, FrameBody::ServingAttach(ServingAttach::default()));
+        cluster.send(entry, trial_request(1, "e2"));
+    }
+    cluster.run(Duration::from_millis(100));
+    for entry in &entries {
+        let grants = grants(&cluster.drain_frames(entry));
+        assert!(grants[0].granted && grants[0].unneeded, "{grants:?}");
+    }
+}
--- a/crates/gateway/src/call_table.rs
+++ b/crates/gateway/src/call_table.rs
@@ -126,8 +126,9 @@
     None,
     /// The leader has granted one; the answer came on this link, on which its end is told.
     Granted(LinkId, TrialSequence),
-    /// There was no leader to ask.
-    Local,
+    /// There was no leader to ask, or it restricts nothing of the call. Other gateways may
+    /// forward calls of the same suspects.
+    Shared,
     /// The endpoint broke it off.
     Broken,
 }
@@ -135,7 +136,12 @@
 impl CallTrial {
     /// Returns whether the call has a trial that has not ended.
     pub fn is_open(self) -> bool {
-        matches!(self, CallTrial::Granted(..) | CallTrial::Local)
+        matches!(self, CallTrial::Granted(..) | CallTrial::Shared)
+    }
+
+    /// Returns whether no other call of the same suspects is at any endpoint.
+    pub fn is_exclusive(self) -> bool {
+        matches!(self, CallTrial::Granted(..))
     }
 }
 
--- a/crates/gateway/src/crash_trials.rs
+++ b/crates/gateway/src/crash_trials.rs
@@ -167,7 +167,7 @@
             return false;
         }
         if let Some(call) = self.calls.get_mut(request) {
-            call.trial = CallTrial::Local;
+            call.trial = CallTrial::Shared;
         }
         true
     }
@@ -182,7 +182,7 @@
     ) {
         let asked = self.trials.asked.remove(&grant.sequence);
         let Some(asked) = asked.filter(|asked| self.awaits_trial(asked.request)) else {
-            if grant.granted {
+            if grant.granted && !grant.unneeded {
                 self.send_trial_end(link, grant.sequence, false);
             }
             return;
@@ -192,7 +192,10 @@
             return;
         }
         if let Some(call) = self.calls.get_mut(asked.request) {
-            call.trial = CallTrial::Granted(link, grant.sequence);
+            call.trial = match grant.unneeded {
+                true => CallTrial::Shared,
+                false => CallTrial::Granted(link, grant.sequence),
+            };
         }
         self.begin_trial(now, &asked, actions);
     }
--- a/crates/gateway/src/prompt_guard.rs
+++ b/crates/gateway/src/prompt_guard.rs
@@ -159,6 +159,6 @@
         content: call.content_hash(),
         parts: call.shared_parts().iter().map(|part| part.id).collect(),
         forwarded: call.attempt_started?,
-        is_trial: call.trial.is_open(),
+        is_trial: call.trial.is_exclusive(),
     })
 }
