runtime: a success whose request wasn't read to its end isn't complete

Cause: an endpoint that closes before the upload arrives ends its stream in an orderly way and resets the connection only at the first byte that comes.

Now such a body of a success is complete only if the request is written whole and no reset has followed the end. A refusal is as before: an endpoint may refuse a long request before it has read it.

Tests: unframed_body_early_end::closed expected a complete response, with the reason that an endpoint may respond before it has read a long body; that is what let the part through. It now expects a broken one, and the reason is kept by refusal_closed (413). unframed_body_of_written_request is new. On the code before, closed and unread fail.

--- a/crates/runtime/src/exchange_table.rs
+++ b/crates/runtime/src/exchange_table.rs
@@ -90,6 +90,8 @@
     /// The response being received belongs to an earlier request and is
     /// discarded.
     skipping: bool,
+    /// The status of the current response is one of success.
+    has_succeeded: bool,
     /// The connection closes after the current response.
     close_after: bool,
     /// Idle timeout that the current response allows.
@@ -210,6 +212,7 @@
             sent_ids: BTreeSet::new(),
             is_head_request: false,
             skipping: false,
+            has_succeeded: false,
             close_after: false,
             idle_timeout: IDLE_DEFAULT,
         };
@@ -276,8 +279,8 @@
             self.remove_idle(id);
             return;
         };
-        let is_complete = read_state == ReadState::Closed && connection.reader.end_of_stream();
-        if is_complete && !connection.skipping {
+        let is_complete = read_state == ReadState::Closed && connection.end_response();
+        if is_complete {
             self.connections.remove(&id);
             self.exchanges.remove(&exchange);
             let end = ExchangeEnd::Complete;
@@ -493,6 +496,7 @@
         self.close_after = sent_id.is_none();
         self.is_head_request = http.method == "HEAD";
         self.skipping = false;
+        self.has_succeeded = false;
         self.idle_timeout = IDLE_DEFAULT;
         self.socket.has_sent = false;
         let body_len = http.body.len();
@@ -501,6 +505,18 @@
         self.socket.queue_body(&http.body);
     }
 
+    /// Handles an orderly close of the connection; returns whether it completed the
+    /// current response.
+    ///
+    /// An endpoint that closes with unread bytes resets the connection, though its close may
+    /// arrive before they do. So a success whose request the endpoint can't have read to its
+    /// end may have been broken off. The head of a refusal says all that matters.
+    fn end_response(&mut self) -> bool {
+        let is_complete = self.reader.end_of_stream() && !self.skipping;
+        let is_received = self.socket.unwritten_len() == 0 && !self.socket.take_failed();
+        is_complete && (is_received || !self.has_succeeded)
+    }
+
     /// Returns whether no byte of the current request was written yet.
     fn awaits_writing(&self) -> bool {
         matches!(self.state, ConnectionState::Busy(_)) && !self.socket.has_sent
@@ -514,6 +530,7 @@
         if self.skipping {
             return false;
         }
+        self.has_succeeded = (200..300).contains(&head.status);
         // The endpoint may not echo ids, so that a copy of this response could not be told
         // from a later one.
         self.close_after |= owner == ResponseOwner::Unnamed;
--- a/crates/runtime/src/http_socket.rs
+++ b/crates/runtime/src/http_socket.rs
@@ -154,6 +154,12 @@
         }
     }
 
+    /// Returns whether the connection failed since this was last asked. A reset that follows
+    /// the end of the peer's stream shows nowhere else.
+    pub fn take_failed(&mut self) -> bool {
+        !matches!(self.source.take_error(), Ok(None))
+    }
+
     /// Returns whether bytes, an end or an error have arrived that are not yet
     /// read.
     pub fn has_unread(&self) -> bool {
@@ -196,7 +202,7 @@
         match self.write_queued() {
             Ok(()) => ReadState::Open,
             // The peer had closed its sending side when it refused the bytes, so
-            // that all it sent can still be read.
+            // that all it sent can still be read; a refusal may be among it.
             Err(err) if err.kind() == ErrorKind::BrokenPipe => self.read(scratch),
             Err(_) => ReadState::Failed,
         }
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -27,6 +27,9 @@
 /// Length in bytes of a request body that the buffers of a connection don't hold.
 const LONG_BODY_LEN: usize = 64 * 1024 * 1024;
 
+/// Length in bytes of a request body that the buffers of a connection hold.
+const SHORT_BODY_LEN: usize = 8 * 1024;
+
 /// Size in bytes of the endpoint's receive buffers.
 const RECEIVE_BUFFER: usize = 64 * 1024;
 
@@ -158,9 +161,11 @@
     }
 }
 
-/// How an endpoint ends a connection whose request it has not read.
+/// How an endpoint ends a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EndpointEnd {
+    /// By closing it.
+    Closed,
     /// By a reset.
     Reset,
     /// By closing its sending side, and then by a reset.
@@ -168,23 +173,34 @@
 }
 
 fn end_connection(endpoint: TcpStream, end: EndpointEnd) {
-    if end == EndpointEnd::ClosedThenReset {
+    if end != EndpointEnd::Reset {
         endpoint.shutdown(Shutdown::Write).unwrap();
     }
+    if end == EndpointEnd::Closed {
+        return;
+    }
     let socket = SockRef::from(&endpoint);
     socket.set_linger(Some(Duration::ZERO)).unwrap();
     drop(endpoint);
 }
 
-/// A reset while the request was being written made a truncated body complete.
+/// Guards against a truncated body that counts as complete, because the endpoint ended the
+/// connection while the request was being written. What it refuses it needn't read.
 #[rstest]
-#[case::reset(EndpointEnd::Reset, false)]
-#[case::closed(EndpointEnd::ClosedThenReset, true)]
-fn unframed_body_early_end(#[case] end: EndpointEnd, #[case] is_complete: bool) {
+#[case::reset("200 OK", EndpointEnd::Reset, false)]
+#[case::closed("200 OK", EndpointEnd::ClosedThenReset, false)]
+#[case::refusal_reset("413 Too Large", EndpointEnd::Reset, false)]
+#[case::refusal_closed("413 Too Large", EndpointEnd::ClosedThenReset, true)]
+fn unframed_body_early_end(
+    #[case] status: &str,
+    #[case] end: EndpointEnd,
+    #[case] is_complete: bool,
+) {
+    let head = format!("HTTP/1.1 {status}\r\n\r\nhalf");
     run_with_poll(move |poll| {
         let mut harness = TableHarness::new(poll);
         let (id, mut endpoint) = harness.open(1, LONG_BODY_LEN);
-        endpoint.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").unwrap();
+        endpoint.write_all(head.as_bytes()).unwrap();
         end_connection(endpoint, end);
         let (body, exchange_end) = harness.finish(id);
         assert_eq!(body, b"half");
@@ -193,6 +209,32 @@
     });
 }
 
+/// Guards against a truncated body that counts as complete, because the reset of unread
+/// bytes came after the end of the stream.
+#[rstest]
+#[case::read(true)]
+#[case::unread(false)]
+fn unframed_body_of_written_request(#[case] is_read: bool) {
+    run_with_poll(move |poll| {
+        let mut harness = TableHarness::new(poll);
+        let (id, mut endpoint) = harness.open(1, SHORT_BODY_LEN);
+        if is_read {
+            endpoint.set_read_timeout(Some(ARRIVAL_DELAY)).unwrap();
+            while endpoint.read(&mut [0; READ_LEN]).is_ok() {}
+        }
+        endpoint.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").unwrap();
+        let end = match is_read {
+            true => EndpointEnd::Closed,
+            false => EndpointEnd::ClosedThenReset,
+        };
+        end_connection(endpoint, end);
+        thread::sleep(ARRIVAL_DELAY);
+        let (body, exchange_end) = harness.finish(id);
+        assert_eq!(body, b"half");
+        assert_eq!(exchange_end == ExchangeEnd::Complete, is_read);
+    });
+}
+
 /// What an endpoint does on a connection between two exchanges.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum IdleEvent {
