http1, runtime: a status outside 100 to 599 is no response

Statuses of 600 and above were passed on as they were, at both doors (RFC 9110, section 15: a status is within 100 to 599).

Such a head is malformed now, alone, behind an interim head and on a kept connection: 502, or a retry where the request may be repeated. The agent's client treats it as a broken response.

Tests, failing before: response_invalid_status_refused (10 of 10 cases), gateway_invalid_status_not_forwarded and entry_invalid_status_not_forwarded (600 and 999, 4 of 8 cases each).

--- a/crates/http1/src/response_reader.rs
+++ b/crates/http1/src/response_reader.rs
@@ -1,5 +1,7 @@
 //! Incremental parser for an endpoint's responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Bytes, BytesMut};
 use mulberrywell_wire::request::HeaderField;
 
@@ -11,10 +13,13 @@
 /// Longest head of a response in bytes, including the interim heads before it.
 const HEAD_MAX: usize = 64 * 1024;
 
+/// Statuses that a response may have (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Head of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
-    /// HTTP status; 200 or more.
+    /// HTTP status; 200 to 599.
     pub status: u16,
     /// In the order received.
     pub headers: Vec<HeaderField>,
@@ -126,6 +131,9 @@
     let (Some(status), Some(minor)) = (parsed.code, parsed.version) else {
         return Err(HeadError::Malformed);
     };
+    if !STATUSES.contains(&status) {
+        return Err(HeadError::Malformed);
+    }
     let headers = fields_as_slices(head, parsed.headers);
     let framing = if is_head_request || status < 200 || status == 204 || status == 304 {
         BodyFraming::Length(0)
--- a/crates/http1/tests/messages.rs
+++ b/crates/http1/tests/messages.rs
@@ -211,6 +211,19 @@
     panic!("the response is still being read");
 }
 
+/// Guards against a status that no response has (RFC 9110, section 15) and that callers get
+/// as one, or that passes for an interim head.
+#[rstest]
+fn response_invalid_status_refused(
+    #[values("000", "001", "099", "600", "999")] status: &str,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] interim: &str,
+) {
+    let valid = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    let text = format!("{interim}HTTP/1.1 {status} Status\r\nContent-Length: 0\r\n\r\n{valid}");
+    let error = read_responses(text.as_bytes(), true).expect_err("no valid status");
+    assert_eq!(error, HeadError::Malformed);
+}
+
 /// Interim heads without end overflowed the stack when one read contained many.
 #[test]
 fn response_endless_interim_heads_refused() {
--- a/crates/mulberrywell/tests/truncated_responses.rs
+++ b/crates/mulberrywell/tests/truncated_responses.rs
@@ -441,6 +441,47 @@
     }
 }
 
+/// Guards against a response with a status that no response has, on kept connections and
+/// behind an interim head.
+#[rstest]
+fn gateway_invalid_status_not_forwarded(
+    #[values("000", "099", "600", "999")] status: &str,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] interim: &str,
+) {
+    let mut gateway = TruncatedGateway::spawn(CloseKind::Fin, usize::MAX);
+    gateway.set_truncated(invalid_response(status, interim));
+    // The retry budget grows with each request.
+    for _ in 0..10 {
+        gateway.call_whole();
+    }
+    for (path, expected) in [("/once/x", (502, 1)), ("/safe/x", (200, 2))] {
+        let (_, response, arrivals) = gateway.call(path);
+        assert_eq!((response.status, arrivals), expected, "{response:?}");
+    }
+    assert!(gateway.plan.lock().unwrap().reused > 0);
+}
+
+fn invalid_response(status: &str, interim: &str) -> String {
+    format!(
+        "{interim}HTTP/1.1 {status} Status\r\nRequest-Id: ID\r\nServer-Signature: s1\r\n\
+         Content-Length: 5\r\n\r\nwrong"
+    )
+}
+
+/// Guards against a response with a status that no response has.
+#[rstest]
+fn entry_invalid_status_not_forwarded(
+    #[values("000", "099", "600", "999")] status: &str,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] interim: &str,
+) {
+    let mut service = TruncatedService::spawn(CloseKind::Fin, usize::MAX);
+    let text = invalid_response(status, interim);
+    for (method, expected) in [("POST", (502, 1)), ("GET", (200, 2))] {
+        let (_, response, arrivals) = service.call(method, &text);
+        assert_eq!((response.status, arrivals), expected, "{response:?}");
+    }
+}
+
 /// Guards against an interim head that callers get as the response.
 #[rstest]
 fn entry_switched_protocol_not_forwarded(
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -48,6 +49,9 @@
 /// Timeout for one order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Statuses of a response that isn't an interim one.
+const STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Size in bytes of one read of a response.
 const READ_LEN: usize = 16 * 1024;
 
@@ -328,11 +332,12 @@
 
 /// Returns whether the client reads a response as its sender wrote it.
 ///
-/// The client returns a 101, which is not the response that is awaited. It ignores a
+/// The client returns a 101, which is not the response that is awaited, and statuses that no
+/// response has (RFC 9110, section 15). It ignores a
 /// transfer coding other than chunked, and any in HTTP/1.0 (RFC 9112, section 6.1): the
 /// coded bytes until the close would pass for the body, however early they end.
 fn is_readable(response: &Response<Body>) -> bool {
-    let is_final = !response.status().is_informational();
+    let is_final = STATUSES.contains(&response.status().as_u16());
     let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
     let is_decoded = codings.next().is_none_or(|coding| {
         let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
