--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -101,7 +101,7 @@
     pub parts: PartSet,
     /// Incidents that it explains.
     pub incidents: usize,
-    /// Incidents with it that earlier quarantines explain.
+    /// Incidents with it that don't count, as earlier quarantines explain them.
     pub explained: usize,
 }
 
@@ -192,11 +192,14 @@
         }
     }
 
-    /// Returns the number of explained incidents that have all of these subjects.
+    /// Returns the number of incidents with all of these subjects that count for none of them,
+    /// as an earlier quarantine explains them.
     pub(crate) fn explained_incidents(&self, subjects: &PartSet) -> usize {
-        let explained = self.incidents.iter().filter(|it| it.is_explained());
-        let with_all = explained.filter(|it| subjects.iter().all(|subject| it.involves(*subject)));
-        with_all.count()
+        let explained = self.incidents.iter().filter(|incident| {
+            let mut subjects = subjects.iter();
+            subjects.all(|it| incident.involves(*it) && !incident.has(*it))
+        });
+        explained.count()
     }
 
     /// Takes the parts on which a response was begun since, and lasted, out of
--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -289,7 +289,12 @@
         script.advance(SETTLED);
         script.ledger.record_sound(FIRST, script.now);
     }
-    assert_eq!(script.quarantined(), [PartSet::from([CULPRIT])]);
+    let found = QuarantineFinding {
+        parts: PartSet::from([CULPRIT]),
+        incidents: 5,
+        explained: 0,
+    };
+    assert_eq!(script.ledger.tick(script.now), [found]);
 }
 
 /// Guards against further crashes under a part while its repeated requests are judged: their
