--- a/crates/mulberrywell/tests/crashing_prompts.rs
+++ b/crates/mulberrywell/tests/crashing_prompts.rs
@@ -10,7 +10,7 @@
 
 use common::serving_deployment::KEY;
 use common::worker_fleet::{count_served, SoundResult, WorkerFleet};
-use mulberrywell_testkit::HttpCaller;
+use mulberrywell_testkit::{HttpCaller, ProcessSet};
 use rstest::rstest;
 
 const GATEWAYS: usize = 2;
@@ -178,6 +178,69 @@
     assert_part_kept(&fleet, &results, started);
 }
 
+/// What happens to the system's processes while requests with the part are sent.
+#[derive(Debug, Clone, Copy)]
+enum ProcessTrouble {
+    /// Each control instance is killed and started again, in turn.
+    ControlRestarts,
+    /// Each control instance stands still for a time, in turn, so that leaders change.
+    ControlStalls,
+    /// Each further gateway is killed and started again, in turn.
+    GatewayRestarts,
+}
+
+/// Pause before each process in turn, and the time for which one stands still.
+const TROUBLE_PAUSE: Duration = Duration::from_millis(1_000);
+const STALL_TIME: Duration = Duration::from_millis(2_500);
+
+impl ProcessTrouble {
+    fn apply(self, processes: &mut ProcessSet) {
+        let (kind, numbers) = match self {
+            ProcessTrouble::ControlRestarts | ProcessTrouble::ControlStalls => ("control", 0..3),
+            ProcessTrouble::GatewayRestarts => ("gateway", 2..SITE_GATEWAYS + 1),
+        };
+        for name in numbers.map(|number| format!("{kind}-{number}")) {
+            thread::sleep(TROUBLE_PAUSE);
+            if let ProcessTrouble::ControlStalls = self {
+                processes.suspend(&name).unwrap();
+                thread::sleep(STALL_TIME);
+                processes.resume(&name).unwrap();
+            } else {
+                processes.kill(&name).unwrap();
+                processes.restart(&name).unwrap();
+            }
+        }
+    }
+}
+
+/// Guards against crashes of one engine after the other while control instances or
+/// gateways restart, or leaders change.
+#[rstest]
+fn crashing_part_kept_through_trouble(
+    #[values(
+        ProcessTrouble::ControlRestarts,
+        ProcessTrouble::ControlStalls,
+        ProcessTrouble::GatewayRestarts
+    )]
+    trouble: ProcessTrouble,
+    #[values(Duration::from_millis(1_500), Duration::from_millis(500))] pause: Duration,
+) {
+    let mut fleet = spawn_fleet(SITE_GATEWAYS, SITE_ENGINES);
+    let results = send_sound_requests(&mut fleet);
+    thread::sleep(Duration::from_millis(1_500));
+    for engine in &fleet.workers {
+        engine.set_stream_crash_delay(CRASH_DELAY);
+        engine.set_restart_time(SITE_RESTART_TIME);
+        engine.set_crashing_part(CRASHING_PART);
+    }
+    let started = Instant::now();
+    send_repeated_requests(&mut fleet, pause);
+    trouble.apply(&mut fleet.deployment.processes);
+    thread::sleep(SITE_TIME.saturating_sub(started.elapsed()));
+    fleet.stop();
+    assert_part_kept(&fleet, &results, started);
+}
+
 /// Checks that few requests with the part reached engines once it was known, and that
 /// sound ones were served.
 fn assert_part_kept(fleet: &WorkerFleet, results: &Mutex<Vec<SoundResult>>, started: Instant) {
