runtime: a reset behind the end of a response breaks it off at an agent too

Cause: the connection's buffers take an upload of 3 MB, so that no write fails, and the client reads the orderly end; the reset behind it shows in the socket's error only, which the client's own transport doesn't hand out. A trial that failed the end of a body after a failed write didn't help for that reason.

--- a/crates/mulberrywell/tests/truncated_responses.rs
+++ b/crates/mulberrywell/tests/truncated_responses.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -61,6 +61,8 @@
 enum CloseKind {
     Fin,
     Reset,
+    /// By closing its sending side, and then by a reset.
+    FinThenReset,
 }
 
 /// What the endpoints do.
@@ -68,7 +70,7 @@
 struct EndpointPlan {
     /// Response to the first arrival of the next target.
     truncated: String,
-    is_reset: bool,
+    close: Option<CloseKind>,
     /// Bytes written at once.
     part_len: usize,
     /// Arrivals of each target.
@@ -85,7 +87,7 @@
 
 fn shared_plan(close: CloseKind, part_len: usize) -> SharedPlan {
     Arc::new(Mutex::new(EndpointPlan {
-        is_reset: close == CloseKind::Reset,
+        close: Some(close),
         part_len,
         ..EndpointPlan::default()
     }))
@@ -120,7 +122,7 @@
     stream.set_nodelay(true).unwrap();
     let mut carried = 0;
     while let Some(head) = read_head(&mut stream) {
-        let (truncated, is_reset, part_len) = {
+        let (truncated, close, part_len) = {
             let mut plan = plan.lock().unwrap();
             let is_whole = !head.target.contains('?') || plan.whole_targets.contains(&head.target);
             if head.target == "/orders" {
@@ -131,10 +133,10 @@
             let is_first = *arrivals == 1 && !is_whole;
             plan.reused += usize::from(is_first && carried > 0);
             let truncated = is_first.then(|| plan.truncated.replace("ID", &head.id));
-            (truncated, plan.is_reset, plan.part_len)
+            (truncated, plan.close, plan.part_len)
         };
         // A connection that is closed with unread bytes is reset.
-        let is_unread = is_reset && truncated.is_some();
+        let is_unread = close != Some(CloseKind::Fin) && truncated.is_some();
         let rest_len = HEAD_REST.len() + head.body_len;
         if !is_unread && stream.read_exact(&mut vec![0; rest_len]).is_err() {
             return;
@@ -146,6 +148,10 @@
                 return;
             }
         }
+        if is_last && close == Some(CloseKind::FinThenReset) {
+            // Fails only if the connection is already closed.
+            let _ = stream.shutdown(Shutdown::Write);
+        }
         if is_last {
             return;
         }
@@ -237,11 +243,15 @@
     }
 
     fn call_target(&mut self, target: String) -> (String, HttpResponse, usize) {
+        self.send_body(target, "body")
+    }
+
+    fn send_body(&mut self, target: String, body: &str) -> (String, HttpResponse, usize) {
         let request = FakeRequest {
             id: &format!("r{}", self.requests),
             key: KEY,
             path: &target,
-            body: "body",
+            body,
             timeout: RESPONSE_TIMEOUT,
             resumes: None,
         };
@@ -389,11 +399,15 @@
     /// Calls a new target, the first response to which is truncated; returns the endpoint's
     /// target, the response and how often the target arrived.
     fn call(&mut self, method: &str, text: &str) -> (String, HttpResponse, usize) {
+        let body = if method == "POST" { "body" } else { "" };
+        self.send_body(method, text, body)
+    }
+
+    fn send_body(&mut self, method: &str, text: &str, body: &str) -> (String, HttpResponse, usize) {
         self.requests += 1;
         text.clone_into(&mut self.plan.lock().unwrap().truncated);
         let target = format!("/orders?n={}", self.requests);
         let path = format!("/services/payments{target}");
-        let body = if method == "POST" { "body" } else { "" };
         let headers = [("Mulberrywell-Deadline-Ms", "3000")];
         let response = self.caller.call(method, &path, &headers, body).unwrap();
         let arrivals = self.plan.lock().unwrap().arrivals.get(&target).copied();
@@ -441,6 +455,46 @@
     }
 }
 
+/// Length in bytes of an upload that the buffers of its connections don't hold.
+const UPLOAD_LEN: usize = 3_000_000;
+
+const UPLOADS: usize = 20;
+
+/// Guards against part of a body that reaches the caller of an upload as a whole one, as the
+/// endpoint responded without a length and ended the connection before it had read the upload.
+#[rstest]
+fn gateway_upload_unread_not_success(
+    #[values(CloseKind::Reset, CloseKind::FinThenReset)] close: CloseKind,
+    #[values("", "short")] body: &str,
+) {
+    let mut gateway = TruncatedGateway::spawn(close, usize::MAX);
+    gateway.set_truncated(format!("{FIELDS}\r\n{body}"));
+    let upload = "x".repeat(UPLOAD_LEN);
+    for _ in 0..UPLOADS {
+        gateway.call_whole();
+        gateway.requests += 1;
+        let target = format!("/once/x?n={}", gateway.requests);
+        let (_, response, _) = gateway.send_body(target, &upload);
+        assert!(!response.complete || response.status == 502, "{response:?}");
+    }
+}
+
+/// Guards against the same at an entry.
+#[rstest]
+fn entry_upload_unread_not_success(
+    #[values(CloseKind::Reset, CloseKind::FinThenReset)] close: CloseKind,
+    #[values("", "short")] body: &str,
+) {
+    let mut service = TruncatedService::spawn(close, usize::MAX);
+    let text = format!("{FIELDS}\r\n{body}");
+    let upload = "x".repeat(UPLOAD_LEN);
+    for _ in 0..UPLOADS {
+        service.call_whole();
+        let (_, response, _) = service.send_body("POST", &text, &upload);
+        assert!(!response.complete || response.status == 502, "{response:?}");
+    }
+}
+
 /// Guards against a response with a status that no response has, on kept connections and
 /// behind an interim head.
 #[rstest]
--- a/crates/runtime/src/engine_client.rs
+++ b/crates/runtime/src/engine_client.rs
@@ -31,11 +31,10 @@
 use ureq::http::header::TRANSFER_ENCODING;
 use ureq::http::{Request, Response, Version};
 use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::{Connector, DefaultConnector};
 use ureq::{Agent, Body};
 
+use crate::endpoint_connector::EndpointConnector;
 use crate::event_sender::EventSender;
-use crate::reset_connector::ResetConnector;
 
 /// Timeout for state and cancel calls and for connecting.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -97,13 +96,12 @@
             .max_idle_connections_per_host(0)
             .max_redirects(0)
             .build();
-        let connector = DefaultConnector::default().chain(ResetConnector);
         HttpEndpoint {
             base: format!("http://{address}"),
             address,
             incarnation,
             is_engine,
-            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
+            agent: Agent::with_parts(config, EndpointConnector, DefaultResolver::default()),
             events,
             cancel_flags: CancelFlags::default(),
         }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod caller_budget;
 pub mod caller_table;
 mod descriptor_limit;
+mod endpoint_connector;
 pub mod engine_client;
 pub mod event_sender;
 pub mod exchange_table;
@@ -35,7 +36,6 @@
 mod process;
 mod proxy_connection;
 mod proxy_io;
-mod reset_connector;
 mod role_host;
 mod start_tracker;
 
