runtime: a signal doesn't end a call to an agent's endpoint

My own regression in: the transport that replaced the client's own gave up when a signal interrupted its read, which the client's repeats; a read with a timeout is not restarted by the system. A reload (SIGHUP) whose signal a call's thread handles would have ended the call with 502.

--- a/crates/runtime/src/endpoint_connector.rs
+++ b/crates/runtime/src/endpoint_connector.rs
@@ -48,9 +48,14 @@
     /// Reads into the client's buffer; returns the number of bytes, 0 at an orderly end that
     /// no reset has followed.
     fn read_input(&mut self) -> IoResult<usize> {
-        let len = self.stream.read(self.buffers.input_append_buf())?;
-        if len > 0 {
-            return Ok(len);
+        loop {
+            match self.stream.read(self.buffers.input_append_buf()) {
+                Ok(0) => break,
+                Ok(len) => return Ok(len),
+                // A read with a timeout is not restarted after a signal.
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(err) => return Err(err),
+            }
         }
         match self.stream.take_error()? {
             Some(err) => Err(err),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod caller_budget;
 pub mod caller_table;
 mod descriptor_limit;
-mod endpoint_connector;
+pub mod endpoint_connector;
 pub mod engine_client;
 pub mod event_sender;
 pub mod exchange_table;
