--- a/crates/limit/src/crash_incident.rs
+++ b/crates/limit/src/crash_incident.rs
@@ -57,10 +57,10 @@
     /// from the arrival of a report, so that this may be wrong if the report is late.
     late_requests: Vec<SuspectRequest>,
     /// One of the requests has a part that is quarantined by itself.
-    is_explained: bool,
+    has_quarantined_part: bool,
     /// Contents of the requests that are quarantined by themselves. Their requests caused
     /// the incident, by their contents or by a part of their prompts.
-    explained_contents: PartSet,
+    quarantined_contents: PartSet,
 }
 
 impl CrashIncident {
@@ -72,8 +72,8 @@
             at,
             requests: Vec::new(),
             late_requests: Vec::new(),
-            is_explained: false,
-            explained_contents: PartSet::new(),
+            has_quarantined_part: false,
+            quarantined_contents: PartSet::new(),
         }
     }
 
@@ -93,16 +93,16 @@
     pub fn record_quarantines(&mut self, quarantines: &QuarantineTable) {
         for request in self.requests.iter().chain(&self.late_requests) {
             let mut parts = request.parts.iter();
-            self.is_explained |= parts.any(|part| quarantines.has_single(*part));
+            self.has_quarantined_part |= parts.any(|part| quarantines.has_single(*part));
             if quarantines.has_single(request.content) {
-                self.explained_contents.insert(request.content);
+                self.quarantined_contents.insert(request.content);
             }
         }
     }
 
     /// Returns whether a quarantined part or content explains it.
     pub fn is_explained(&self) -> bool {
-        self.is_explained || !self.explained_contents.is_empty()
+        self.has_quarantined_part || !self.quarantined_contents.is_empty()
     }
 
     /// Returns whether it counts for subjects of a kind. A quarantined content explains
@@ -110,14 +110,14 @@
     pub fn is_open(&self, kind: SubjectKind) -> bool {
         match kind {
             SubjectKind::Content => !self.is_explained(),
-            SubjectKind::Part => !self.is_explained,
+            SubjectKind::Part => !self.has_quarantined_part,
         }
     }
 
     /// Returns the requests that may have caused it.
     pub fn suspects(&self) -> impl Iterator<Item = &SuspectRequest> + '_ {
-        let contents = &self.explained_contents;
-        let requests = self.requests.iter().filter(|_| !self.is_explained);
+        let contents = &self.quarantined_contents;
+        let requests = self.requests.iter().filter(|_| !self.has_quarantined_part);
         requests.filter(move |it| contents.is_empty() || contents.contains(&it.content))
     }
 
--- a/crates/limit/src/crash_ledger.rs
+++ b/crates/limit/src/crash_ledger.rs
@@ -26,7 +26,8 @@
 //! for the parts of its requests: one of them may crash endpoints under any content.
 //!
 //! A part or a content on which responses have lasted needs [`PROVEN_CHAIN_MIN`]
-//! incidents, unless trials crashed, and no part without any response in half of them.
+//! incidents, unless trials crashed, and no part without any response in half of them that
+//! may have caused the crashes under trials too.
 //!
 //! What is suspected is restricted until then, and what was quarantined afterwards: see
 //! `suspect_restriction`.
