--- a/crates/limit/tests/crash_ledger.rs
+++ b/crates/limit/tests/crash_ledger.rs
@@ -1,73 +1,12 @@
 //! Which prompt part the ledger finds in crashes.
 
-use std::time::{Duration, Instant};
+mod ledger_script;
 
-use bytes::Bytes;
-use mulberrywell_limit::{CrashLedger, PartId, PartSet, QuarantineFinding, SuspectRequest};
+use std::time::Duration;
 
-const FIRST: PartId = 1;
-const SUBJECT: PartId = 2;
-const CULPRIT: PartId = 3;
+use mulberrywell_limit::{PartSet, QuarantineFinding};
 
-/// Contents of requests that come again.
-const REPEATED: PartId = 10;
-const NEIGHBOUR: PartId = 11;
-
-/// Contents above this one come once.
-const OWN_CONTENTS: PartId = 1_000;
-
-/// Longer than the time in which reports of one incident arrive.
-const SETTLED: Duration = Duration::from_millis(300);
-
-/// A ledger and its virtual time.
-struct LedgerScript {
-    ledger: CrashLedger,
-    now: Instant,
-    crashes: u64,
-    contents: u64,
-}
-
-impl LedgerScript {
-    fn new() -> Self {
-        LedgerScript {
-            ledger: CrashLedger::default(),
-            now: Instant::now(),
-            crashes: 0,
-            contents: 0,
-        }
-    }
-
-    fn advance(&mut self, duration: Duration) {
-        self.now += duration;
-    }
-
-    /// Another endpoint crashes under a request forwarded `running` ago, which has a
-    /// content of its own.
-    fn crash(&mut self, parts: &[PartId], running: Duration) {
-        self.contents += 1;
-        self.crash_content(OWN_CONTENTS + self.contents, parts, running);
-    }
-
-    /// Another endpoint crashes under a request with a content.
-    fn crash_content(&mut self, content: PartId, parts: &[PartId], running: Duration) {
-        self.crashes += 1;
-        let request = SuspectRequest {
-            content,
-            parts: parts.iter().copied().collect(),
-            forwarded: self.now - running,
-            is_trial: false,
-        };
-        let endpoint = Bytes::from(format!("e{}", self.crashes));
-        self.ledger.record_crash(self.now, &endpoint, 1, request);
-    }
-
-    fn quarantined(&mut self) -> Vec<PartSet> {
-        let found = self.ledger.tick(self.now);
-        found.into_iter().map(|found| found.parts).collect()
-    }
-}
-
-const RUNNING: Duration = Duration::from_millis(50);
+use ledger_script::{LedgerScript, CULPRIT, FIRST, NEIGHBOUR, REPEATED, RUNNING, SETTLED, SUBJECT};
 
 #[test]
 fn tick_incidents_of_earlier_quarantine_counted() {
@@ -406,33 +345,6 @@
     assert_eq!(script.ledger.quarantines().iter().count(), 0);
 }
 
-impl LedgerScript {
-    /// Another endpoint crashes under a trial of a request with a content of its own.
-    fn crash_trial(&mut self, parts: &[PartId], running: Duration) {
-        self.crashes += 1;
-        self.contents += 1;
-        let request = SuspectRequest {
-            content: OWN_CONTENTS + self.contents,
-            parts: parts.iter().copied().collect(),
-            forwarded: self.now - running,
-            is_trial: true,
-        };
-        let endpoint = Bytes::from(format!("e{}", self.crashes));
-        self.ledger.record_crash(self.now, &endpoint, 1, request);
-    }
-
-    fn restricted(&self) -> Vec<PartId> {
-        self.ledger.restricted(self.now).into_iter().collect()
-    }
-
-    /// Lets what is quarantined be released.
-    fn end_quarantine(&mut self, duration: Duration) {
-        self.advance(duration);
-        assert_eq!(self.quarantined(), []);
-        assert_eq!(self.ledger.quarantines().iter().count(), 0);
-    }
-}
-
 /// A part on which responses have lasted is found after fewer crashes if two trials of it
 /// crashed.
 #[test]
--- a/crates/runtime/tests/exchange_table.rs
+++ b/crates/runtime/tests/exchange_table.rs
@@ -1,25 +1,21 @@
 //! Exchanges with an endpoint whose connections end or go on unexpectedly.
 
 mod common;
+mod table_harness;
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mulberrywell_role::{ExchangeEnd, ExchangeEvent, ExchangeId, HttpRequest};
-use mulberrywell_runtime::exchange_table::{ConnectionId, ExchangeStart, ExchangeTable};
-use mulberrywell_wire::request::HeaderField;
+use mulberrywell_role::ExchangeEnd;
 use rstest::rstest;
 use socket2::SockRef;
 use stakker::Fwd;
-use stakker_mio::MioPoll;
 
 use common::run_with_poll;
-
-/// Timeout for an exchange to advance.
-const EVENT_TIMEOUT: Duration = Duration::from_secs(5);
+use table_harness::{refusal, TableHarness, EVENT_TIMEOUT, READ_LEN};
 
 /// Time in which what an endpoint sends arrives.
 const ARRIVAL_DELAY: Duration = Duration::from_millis(50);
@@ -30,137 +26,6 @@
 /// Length in bytes of a request body that the buffers of a connection hold.
 const SHORT_BODY_LEN: usize = 8 * 1024;
 
-/// Size in bytes of the endpoint's receive buffers.
-const RECEIVE_BUFFER: usize = 64 * 1024;
-
-const READ_LEN: usize = 64 * 1024;
-
-/// An exchange table and the endpoint that it connects to.
-struct TableHarness<'a> {
-    poll: &'a MioPoll,
-    table: ExchangeTable,
-    listener: TcpListener,
-    /// Events so far.
-    events: Vec<ExchangeEvent>,
-    /// Whether the response of the exchange that ended last certainly was its own.
-    is_confirmed: bool,
-}
-
-impl<'a> TableHarness<'a> {
-    fn new(poll: &'a MioPoll) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let socket = SockRef::from(&listener);
-        socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
-        TableHarness {
-            poll,
-            table: ExchangeTable::default(),
-            listener,
-            events: Vec::new(),
-            is_confirmed: false,
-        }
-    }
-
-    fn start(&self, exchange: ExchangeId, body_len: usize) -> ExchangeStart {
-        ExchangeStart {
-            exchange,
-            address: self.listener.local_addr().unwrap(),
-            http: HttpRequest {
-                method: Bytes::from_static(b"POST"),
-                path: Bytes::from_static(b"/"),
-                headers: Vec::new(),
-                body: Bytes::from(vec![b'x'; body_len]),
-            },
-            echoed_field: None,
-            connect_timeout: EVENT_TIMEOUT,
-        }
-    }
-
-    /// Returns a request with an id.
-    fn start_request(&self, exchange: ExchangeId, id: &'static str) -> ExchangeStart {
-        let field = HeaderField {
-            name: Bytes::from_static(b"Request-Id"),
-            value: Bytes::from_static(id.as_bytes()),
-        };
-        let mut start = self.start(exchange, 0);
-        start.http.headers.push(field.clone());
-        start.echoed_field = Some(field);
-        start
-    }
-
-    /// Starts an exchange on a new connection; returns the connection and the
-    /// endpoint's side of it, which has received the start of the request.
-    fn open(&mut self, exchange: ExchangeId, body_len: usize) -> (ConnectionId, TcpStream) {
-        let start = self.start(exchange, body_len);
-        self.open_for(&start)
-    }
-
-    fn open_for(&mut self, start: &ExchangeStart) -> (ConnectionId, TcpStream) {
-        let id = self.table.next_connection_id();
-        let now = Instant::now();
-        self.table
-            .open(self.poll, now, id, start, Fwd::new(|_| {}))
-            .unwrap();
-        let (mut endpoint, _) = self.listener.accept().unwrap();
-        self.handle_ready(id);
-        endpoint.read_exact(&mut [0]).unwrap();
-        (id, endpoint)
-    }
-
-    fn handle_ready(&mut self, id: ConnectionId) {
-        let mut scratch = vec![0; READ_LEN];
-        let now = Instant::now();
-        self.table
-            .handle_ready(now, id, &mut scratch, &mut self.events);
-    }
-
-    /// Opens a connection that has carried a request and its refusal, and is kept.
-    fn open_refused(&mut self, id: &'static str) -> (ConnectionId, TcpStream) {
-        let start = self.start_request(1, id);
-        let (connection, mut endpoint) = self.open_for(&start);
-        endpoint.write_all(refusal(id).as_bytes()).unwrap();
-        assert_eq!(self.finish_head(connection), (503, ExchangeEnd::Complete));
-        (connection, endpoint)
-    }
-
-    /// Advances an exchange to its end; returns the body and how the exchange ended.
-    fn finish(&mut self, id: ConnectionId) -> (Vec<u8>, ExchangeEnd) {
-        let (_, body, end) = self.finish_response(id);
-        (body, end)
-    }
-
-    /// Advances an exchange to its end; returns the status, 0 without a response, and
-    /// how the exchange ended.
-    fn finish_head(&mut self, id: ConnectionId) -> (u16, ExchangeEnd) {
-        let (status, _, end) = self.finish_response(id);
-        (status, end)
-    }
-
-    fn finish_response(&mut self, id: ConnectionId) -> (u16, Vec<u8>, ExchangeEnd) {
-        let deadline = Instant::now() + EVENT_TIMEOUT;
-        let mut body = Vec::new();
-        let mut status = 0;
-        while Instant::now() < deadline {
-            self.handle_ready(id);
-            for event in self.events.drain(..) {
-                match event {
-                    ExchangeEvent::Head {
-                        status: head,
-                        is_confirmed,
-                        ..
-                    } => {
-                        status = head;
-                        self.is_confirmed = is_confirmed;
-                    }
-                    ExchangeEvent::Data { data, .. } => body.extend_from_slice(&data),
-                    ExchangeEvent::Full { .. } => unreachable!("the driver's event"),
-                    ExchangeEvent::End { end, .. } => return (status, body, end),
-                }
-            }
-        }
-        panic!("the exchange has not ended");
-    }
-}
-
 /// How an endpoint ends a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EndpointEnd {
@@ -269,14 +134,6 @@
     });
 }
 
-/// Returns a refusal that echoes an id.
-fn refusal(id: &str) -> String {
-    format!(
-        "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
-         Content-Length: 0\r\n\r\n"
-    )
-}
-
 /// Returns the response to a request that ran.
 fn response(id: &str) -> String {
     format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nab")
