--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -84,6 +84,8 @@
     pub ips: Vec<Ipv4Addr>,
     pub processes: Vec<Process>,
     pub memory_mb: u64,
+    /// Machines with a disk.
+    pub disks: Vec<usize>,
     founded: bool,
 }
 
@@ -110,6 +112,7 @@
             ips,
             processes: Vec::new(),
             memory_mb,
+            disks: vec![0, 1, 2],
             founded: false,
         })
     }
@@ -164,8 +167,8 @@
         match process.role {
             Role::Control => {
                 text += &format!("[control]\nserving_listen = \"{ip}:{CONTROL_PORT}\"\n");
-                if machine < 3 {
-                    let data = self.folder.join(format!("data-{}", machine + 1));
+                if self.disks.contains(&machine) {
+                    let data = self.data_folder(machine);
                     text += &format!("data_folder = \"{}\"\n", data.display());
                 } else {
                     text += "observer = true\n";
@@ -192,6 +195,11 @@
         fs::write(&process.settings, text).expect("settings can be written");
     }
 
+    /// Folder that stands for a machine's disk.
+    pub fn data_folder(&self, machine: usize) -> PathBuf {
+        self.folder.join(format!("data-{}", machine + 1))
+    }
+
     /// Starts a process, or starts it again after its end.
     pub fn spawn(&mut self, index: usize) {
         let process = &mut self.processes[index];
