--- a/review/kit-3/kit.rs
+++ b/review/kit-3/kit.rs
@@ -118,6 +118,8 @@
     pub seeds: Vec<String>,
     pub record: Record,
     pub grace_s: u64,
+    /// Name for the record, where a case has several.
+    pub label: String,
     starts: u64,
 }
 
@@ -126,8 +128,12 @@
 const CONTROL_PORT: u16 = 8229;
 const LINK_PORT: u16 = 7600;
 
+/// Addresses that this program has taken.
+static NETS: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
 /// Returns the first three numbers of loopback addresses that nobody uses now.
 pub fn free_net() -> String {
+    let mut taken = NETS.lock().unwrap();
     let mut seed = unix_ms() ^ (u64::from(std::process::id()) << 20);
     for _ in 0..200 {
         seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
@@ -137,7 +143,8 @@
             let mut ports = ports.iter();
             ports.all(|port| TcpListener::bind(format!("{net}.{host}:{port}")).is_ok())
         });
-        if is_free {
+        if is_free && !taken.contains(&net) {
+            taken.push(net.clone());
             return net;
         }
     }
@@ -148,7 +155,7 @@
 impl Deployment {
     /// Prepares `controls` machines with both roles and `gateways` with the gateway alone.
     pub fn new(record: &Record, net: &str, controls: usize, gateways: usize) -> Self {
-        let folder = std::env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), unix_ms()));
+        let folder = std::env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), net));
         fs::create_dir_all(&folder).unwrap();
         let mut machines = Vec::new();
         for idx in 0..controls + gateways {
@@ -170,6 +177,7 @@
             seeds,
             record: record.clone(),
             grace_s: 8,
+            label: String::new(),
             starts: 0,
         }
     }
@@ -349,10 +357,15 @@
         self.end(status)
     }
 
-    fn end(&mut self, status: i32) -> ! {
+    /// Ends all processes and removes their files.
+    pub fn clear(&mut self) {
         let idxs: Vec<usize> = (0..self.machines.len()).collect();
         self.kill_machines(&idxs);
         let _ = fs::remove_dir_all(&self.folder);
+    }
+
+    fn end(&mut self, status: i32) -> ! {
+        self.clear();
         std::process::exit(status);
     }
 }
