serving: an entry for a service that isn't named takes nothing from a worker

Cause: at one address only the endpoint with the latest start is present, and under one id the status with the latest start or the highest sequence holds, whatever service it names; control and each gateway merge so. Ruled out: the workers' health or connections, as no request is sent.

Mend: an entry for a service that the configuration in force doesn't name takes no id and no address of a named one; it is kept aside, within the memory bound of all statuses and forgotten first, and counts from the moment at which a configuration names its service. A worker whose service is dropped stays registered, but holds its address against nobody and gives back what it took from other services.

Test changed: observer_relays_calls put a configuration without services and expected the status of an endpoint of service "s" at a gateway; its configuration names "s" now.

--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -194,7 +194,8 @@
         born_ms: u64,
         actions: &mut Actions,
     ) -> MergeOutcome {
-        let known = self.serving.endpoints.get(id).cloned().unwrap_or_default();
+        let known = self.serving.endpoints.known(id).cloned();
+        let known = known.unwrap_or_default();
         let status = EndpointStatus {
             id: id.clone(),
             born_ms: if born_ms == 0 { known.born_ms } else { born_ms },
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -14,7 +14,7 @@
 use mulberrywell_policy::PlacementChange;
 use mulberrywell_role::{LinkCommand, LinkId};
 use mulberrywell_serving::{
-    verify_status, ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome,
+    verify_status, ColdEndpoints, EndpointId, EndpointRegistry, MergeOutcome, UnnamedKey,
 };
 use mulberrywell_wire::serving::{
     EndpointLimit, EndpointPhase, EndpointStatus, HeldModel, LeavingEndpoint, LimitedEndpoint,
@@ -56,6 +56,10 @@
     /// When each endpoint that belongs to this instance sent its last
     /// heartbeat.
     last_heard: BTreeMap<EndpointId, Instant>,
+    /// The same of each status that is kept aside.
+    unnamed_heard: BTreeMap<UnnamedKey, Instant>,
+    /// Version of the configuration whose services are set.
+    services_version: u64,
     /// Endpoints that send lower sequences than their records have.
     outrun: OutrunEndpoints,
     subscribers: BTreeMap<LinkId, SubscriberRecord>,
@@ -190,7 +194,12 @@
     /// Applies a status received from an endpoint.
     pub fn apply_status(&mut self, now: Instant, mut status: EndpointStatus) -> MergeOutcome {
         let id = status.id.clone();
+        let is_gone = status.phase() == EndpointPhase::Gone;
         let known = self.endpoints.get(&id);
+        let is_registered = known.is_some_and(|known| known.service == status.service);
+        if !is_gone && !is_registered && !self.endpoints.is_named(&status.service) {
+            return self.keep_aside(now, status);
+        }
         self.outrun.adjust(now, known, &mut status, SILENT_AFTER);
         if let Some(known) = known {
             if known.born_ms == status.born_ms {
@@ -200,11 +209,13 @@
                 status.closing = known.closing.iter().filter(held).cloned().collect();
             }
         }
-        let is_gone = status.phase() == EndpointPhase::Gone;
         self.record_cold(now, &mut status);
         let is_routed = self.changes_routing(&status);
         let outcome = self.endpoints.merge(status);
         self.remove_forgotten();
+        if self.endpoints.is_displaced(&id) {
+            self.last_heard.insert(id.clone(), now);
+        }
         if matches!(outcome, MergeOutcome::Stale | MergeOutcome::Full) {
             return outcome;
         }
@@ -222,6 +233,48 @@
         outcome
     }
 
+    /// Keeps the status of an endpoint aside whose service no configuration names yet.
+    fn keep_aside(&mut self, now: Instant, status: EndpointStatus) -> MergeOutcome {
+        let key = (status.id.clone(), status.service.clone());
+        let outcome = self.endpoints.merge(status);
+        if matches!(outcome, MergeOutcome::Same | MergeOutcome::Changed) {
+            self.unnamed_heard.insert(key, now);
+        }
+        outcome
+    }
+
+    /// Sets the services of the configuration in force. The statuses that were kept aside
+    /// for a service that it names count from now on.
+    fn update_services(&mut self, state: &ClusterState) {
+        let put = state.serving.as_ref();
+        let Some(config) = put.and_then(|put| put.config.as_ref()) else {
+            return;
+        };
+        if config.version == self.services_version {
+            return;
+        }
+        self.services_version = config.version;
+        let names = config.services.iter().map(|service| service.name.clone());
+        let change = self.endpoints.set_services(names.collect());
+        self.remove_forgotten();
+        for (id, service) in change.demoted {
+            if let Some(heard) = self.last_heard.remove(&id) {
+                self.unnamed_heard.insert((id, service), heard);
+            }
+        }
+        for id in change.promoted.into_iter().chain(change.restored) {
+            let service = self.endpoints.get(&id).map(|it| it.service.clone());
+            let key = (id, service.unwrap_or_default());
+            let heard = self.unnamed_heard.remove(&key);
+            let (id, _) = key;
+            self.changed.insert(id.clone());
+            if let Some(heard) = heard {
+                self.last_heard.insert(id.clone(), heard);
+                self.own_changed.insert(id);
+            }
+        }
+    }
+
     /// Removes what is kept of endpoints that were forgotten for lack of memory.
     fn remove_forgotten(&mut self) {
         for id in self.endpoints.take_forgotten() {
@@ -269,14 +322,23 @@
             .all(|last_heard| *last_heard <= now));
     }
 
-    /// Marks endpoints whose heartbeats have stopped as silent.
+    /// Marks endpoints whose heartbeats have stopped as silent, and forgets them if they are
+    /// kept aside.
     pub fn tick(&mut self, now: Instant) {
+        let is_silent = |heard: Instant| now.saturating_duration_since(heard) >= SILENT_AFTER;
+        let unnamed = self.unnamed_heard.iter();
+        let silent = unnamed.filter(|(_, heard)| is_silent(**heard));
+        let silent: Vec<UnnamedKey> = silent.map(|(key, _)| key.clone()).collect();
+        for key in silent {
+            self.unnamed_heard.remove(&key);
+            self.endpoints.forget_unnamed(&key);
+        }
         let endpoints = &self.endpoints;
         self.outrun.retain(|id| endpoints.get(id).is_some());
         let silent = self
             .last_heard
             .iter()
-            .filter(|(_, last_heard)| now.saturating_duration_since(**last_heard) >= SILENT_AFTER);
+            .filter(|(_, last_heard)| is_silent(**last_heard));
         let silent: Vec<EndpointId> = silent.map(|(id, _)| id.clone()).collect();
         for id in silent {
             self.last_heard.remove(&id);
@@ -298,6 +360,7 @@
         peers: &[LinkId],
         commands: &mut Vec<LinkCommand>,
     ) {
+        self.update_services(state);
         self.update_cold(state);
         self.send_to_peers(now, peers, commands);
         self.send_to_subscribers(now, state, evacuations, commands);
@@ -410,6 +473,7 @@
 
     fn statuses(&self, now: Instant, ids: &BTreeSet<EndpointId>) -> Vec<EndpointStatus> {
         let known = ids.iter().filter_map(|id| self.endpoints.get(id));
+        let known = known.filter(|status| !self.endpoints.is_displaced(&status.id));
         known.map(|status| self.sent_status(now, status)).collect()
     }
 }
--- a/crates/control/tests/role_cases/observer_cases.rs
+++ b/crates/control/tests/role_cases/observer_cases.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use mulberrywell_control::{ServingAnswer, ServingCall};
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, PutServing, ServingAttach, ServingConfig, ServingUpdate,
+    EndpointPhase, EndpointStatus, PutServing, ServingAttach, ServingConfig, ServingService,
+    ServingUpdate,
 };
 use mulberrywell_wire::FrameBody;
 use rstest::rstest;
@@ -16,6 +17,10 @@
     ServingCall::Put(PutServing {
         config: Some(ServingConfig {
             version,
+            services: vec![ServingService {
+                name: Bytes::from_static(b"s"),
+                ..ServingService::default()
+            }],
             ..ServingConfig::default()
         }),
         source: Bytes::from(format!("version {version}")),
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -19,6 +19,7 @@
 use crate::call_codec::ModelTerms;
 use crate::call_table::CallRecord;
 use crate::known_versions::KnownVersions;
+use crate::named_services::parse_address;
 use crate::prompt_sends::SentPrompts;
 use crate::speed_reports::{read_speed, speed_message};
 use crate::zone_evacuations::ZoneEvacuations;
@@ -227,37 +228,47 @@
     /// anything.
     pub fn merge(&mut self, status: EndpointStatus) -> bool {
         let id = status.id.clone();
-        let address = std::str::from_utf8(&status.address);
-        let address = address.ok().and_then(|text| text.parse().ok());
+        let address = parse_address(&status);
         let born_ms = status.born_ms;
         let key_before = self.registry.get(&id).map(index_key);
+        let is_gone = status.phase() == EndpointPhase::Gone;
+        let is_aside = !is_gone && !self.registry.is_named(&status.service);
         let outcome = self.registry.merge(status);
         if !self.registry.take_forgotten().is_empty() {
             self.rebuild_index();
         }
-        if outcome != MergeOutcome::Changed {
+        if outcome != MergeOutcome::Changed || (is_aside && key_before.is_none()) {
             return false;
         }
+        self.update_usage(&id, born_ms, address);
+        // A rebuild walks over all endpoints; most statuses change none of this.
+        let key = self.registry.get(&id).map(index_key);
+        let is_gone = key.as_ref().is_none_or(|(_, _, _, is_gone)| *is_gone);
+        if self.has_ended || is_gone || key != key_before {
+            self.rebuild_index();
+        }
+        true
+    }
+
+    pub(crate) fn update_usage(
+        &mut self,
+        id: &EndpointId,
+        born_ms: u64,
+        address: Option<SocketAddr>,
+    ) {
         let usage = self.usages.entry(id.clone()).or_default();
         if usage.born_ms != born_ms {
             *usage = EndpointUsage {
-                hash: stable_hash(&[&id]),
+                hash: stable_hash(&[id]),
                 born_ms,
                 ..EndpointUsage::default()
             };
         }
         usage.address = address;
         usage.missing.clear();
-        // A rebuild walks over all endpoints; most statuses change none of this.
-        let key = self.registry.get(&id).map(index_key);
-        let is_gone = key.as_ref().is_none_or(|(_, _, _, is_gone)| *is_gone);
-        if self.has_ended || is_gone || key != key_before {
-            self.rebuild_index();
-        }
-        true
     }
 
-    fn rebuild_index(&mut self) {
+    pub(crate) fn rebuild_index(&mut self) {
         self.services.clear();
         self.cold.remove_gone(&self.registry);
         for status in self.registry.present() {
--- a/crates/gateway/src/gateway_role.rs
+++ b/crates/gateway/src/gateway_role.rs
@@ -317,6 +317,9 @@
                 actions.push(RoleAction::Log(LogLevel::Info, text));
                 self.rates.set_plans(now, self.index.config());
                 self.endpoints.set_cold_config(self.index.config());
+                let services = self.index.config().services.iter();
+                let names = services.map(|service| service.name.clone());
+                changed |= self.endpoints.set_services(names.collect());
                 self.remove_unrouted_times();
                 let limits = self.index.config().limits.unwrap_or_default();
                 actions.push(RoleAction::SetConnectionBounds(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod link_log;
 mod measured_choice;
 mod memory_copies;
+mod named_services;
 mod prompt_guard;
 mod prompt_sends;
 mod rate_limits;
--- a/crates/mulberrywell/tests/odd_entries.rs
+++ b/crates/mulberrywell/tests/odd_entries.rs
@@ -7,9 +7,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::serving_deployment::{call, KEY};
+use common::serving_deployment::{call, config, ServingDeployment, KEY};
 use common::worker_fleet::{count_served, SoundResult, WorkerFleet};
+use mulberrywell_platform_testkit::{FakeConfig, FakeWorker};
 use mulberrywell_testkit::{raw_exchange, wait_until};
+use rstest::rstest;
 use serde_json::json;
 
 const PROCESSES: [&str; 5] = [
@@ -212,3 +214,53 @@
     let (served, all) = count_served(&results, Instant::now() - Duration::from_secs(120));
     assert_eq!(served, all, "requests served at any time");
 }
+
+/// Guards against heartbeats of another writer, for a service that no configuration names,
+/// that take the address or the id of a sound worker: its service is never served again.
+#[rstest]
+#[case::own_id("odd", 1, 2_000)]
+#[case::own_id_much_later("odd", 1, 1_700_000_000_000)]
+#[case::worker_id_later_start("w1", 1, 2_000)]
+#[case::worker_id_later_sequence("w1", 1_000_000, 1_000)]
+fn unnamed_service_takes_nothing(#[case] id: &str, #[case] sequence: u64, #[case] born: u64) {
+    let deployment = ServingDeployment::spawn();
+    let worker = &deployment.worker;
+    let mut body = with_field("service", "\"unheard_of\"");
+    let text = String::from_utf8(std::mem::take(&mut body)).unwrap();
+    let mut foreign: serde_json::Value = serde_json::from_str(&text).unwrap();
+    foreign["address"] = json!(worker.address().to_string());
+    foreign["state"] = json!("ready");
+    foreign["sequence"] = json!(sequence);
+    foreign["born"] = json!(born);
+    for _ in 0..3 {
+        deployment.operator.send_heartbeat(id, &foreign.to_string());
+    }
+    for sequence in 2..6 {
+        let heartbeat = worker.heartbeat("s1", "ready", sequence);
+        assert!(deployment.operator.send_heartbeat("w1", &heartbeat));
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(deployment.call("/safe/1", KEY).status, 200);
+    }
+}
+
+/// Guards against a worker that announces itself before its service is named, and doesn't
+/// count as soon as it is.
+#[test]
+fn worker_before_its_service_served() {
+    let deployment = ServingDeployment::spawn();
+    let early = FakeWorker::spawn("w2").unwrap();
+    let heartbeat = early.heartbeat("s2", "ready", 1);
+    assert!(deployment.operator.send_heartbeat("w2", &heartbeat));
+    thread::sleep(Duration::from_millis(500));
+    let next = FakeConfig {
+        service: "s2".to_owned(),
+        ..config(2)
+    };
+    wait_until("the configuration is accepted", || {
+        deployment.operator.put(&next)
+    })
+    .unwrap();
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(deployment.call("/safe/1", KEY).status, 200);
+    assert!(!early.runs().is_empty());
+}
--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -4,23 +4,31 @@
 //! has gone, then by its own sequence number. At one address only the endpoint
 //! with the latest start is present; any other has gone. Endpoints that have
 //! gone stay in the registry, so that a late heartbeat does not add them again.
+//! A status for a service that the configuration in force doesn't name takes no id and no
+//! address from an endpoint of a service that it names. It is kept aside, one for each id
+//! and service, until a configuration names the service. An endpoint whose service is no
+//! longer named stays registered, as requests may still need it, but holds its id and its
+//! address against no other, and gives back the addresses that it took from endpoints of
+//! other services. Before the first configuration every service counts as named.
+//!
 //! What responses told of an endpoint's start is merged by itself, as it isn't
 //! ordered by the endpoint's sequence: leaving is final, and of two limits the one
 //! with the higher revision holds.
 //!
 //! Anyone can claim to be an endpoint, so that the memory of all statuses has a bound. When
-//! it is reached, endpoints that have gone are forgotten, the oldest first, but for the last
-//! ones; then silent endpoints, those with the largest statuses first; then the last ones
+//! it is reached, statuses that are kept aside are forgotten first, then endpoints that have
+//! gone, the oldest first, but for the last ones; then silent endpoints, those with the largest statuses first; then the last ones
 //! that have gone. If there are none, a status that needs more memory is refused. Of
 //! endpoints that have gone the names of models are not kept.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use mulberrywell_wire::serving::{EndpointLimit, EndpointPhase, EndpointStatus, LimitedEndpoint};
 
 use crate::status_verifier::names;
+use crate::unnamed_statuses::UnnamedStatuses;
 
 /// Identifier that an endpoint chooses for itself.
 pub type EndpointId = Bytes;
@@ -42,6 +50,9 @@
 /// Memory in bytes of a name beside its text.
 const NAME_MEMORY: usize = 64;
 
+/// Endpoints that are kept while another one, of another service, has their address.
+const DISPLACED_MAX: usize = 256;
+
 /// Result of merging a status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MergeOutcome {
@@ -55,15 +66,50 @@
     Full,
 }
 
+/// An endpoint whose address an endpoint of another service has taken.
+#[derive(Debug, Clone)]
+struct DisplacedEndpoint {
+    by: EndpointId,
+    /// Its latest status; never gone.
+    status: EndpointStatus,
+}
+
+/// Key of a status that is kept aside: an id and a service.
+pub type UnnamedKey = (EndpointId, Bytes);
+
+/// What a change of the named services did.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ServiceChange {
+    /// Endpoints that had taken addresses and were set aside.
+    pub demoted: Vec<UnnamedKey>,
+    /// Endpoints that count from now on.
+    pub promoted: Vec<EndpointId>,
+    /// Endpoints that have their addresses again.
+    pub restored: Vec<EndpointId>,
+}
+
+impl ServiceChange {
+    /// Returns whether the endpoints that count are the same as before.
+    pub fn is_empty(&self) -> bool {
+        self.demoted.is_empty() && self.promoted.is_empty() && self.restored.is_empty()
+    }
+}
+
 /// The registered endpoints.
 #[derive(Debug, Clone)]
 pub struct EndpointRegistry {
+    /// Services that the configuration in force names; none before the first one.
+    services: Option<BTreeSet<Bytes>>,
+    /// Statuses that are kept aside; none of a service that is named.
+    unnamed: UnnamedStatuses,
+    /// Their records in `endpoints` are gone, with the same start.
+    displaced: BTreeMap<EndpointId, DisplacedEndpoint>,
     endpoints: BTreeMap<EndpointId, EndpointStatus>,
     /// Memory of each status when it was merged.
     sizes: BTreeMap<EndpointId, usize>,
-    /// Sum of `sizes`.
+    /// Sum of `sizes`, without the statuses that are kept aside.
     memory: usize,
-    /// Bound of `memory`.
+    /// Bound of the memory of all statuses.
     memory_max: usize,
     /// Endpoints that were forgotten for lack of memory, until they are taken.
     forgotten: Vec<EndpointId>,
@@ -76,6 +122,9 @@
 impl Default for EndpointRegistry {
     fn default() -> Self {
         EndpointRegistry {
+            services: None,
+            unnamed: UnnamedStatuses::default(),
+            displaced: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             sizes: BTreeMap::new(),
             memory: 0,
@@ -105,7 +154,14 @@
         status.cold_left_ms = None;
         if status.phase() == EndpointPhase::Gone {
             shed_names(&mut status);
+            self.unnamed.remove_ended(&status);
+            self.end_displaced(&status);
+        } else if !self.is_named(&status.service) && !self.is_registered(&status) {
+            return self.keep_unnamed(status);
+        } else if self.update_displaced(&status) {
+            return MergeOutcome::Stale;
         }
+        self.withdraw_other_service(&status);
         if let Some(stored) = self.endpoints.get_mut(&status.id) {
             let is_joined = join_observations(stored, &mut status);
             if merge_order(&status) < merge_order(stored) {
@@ -131,6 +187,7 @@
         if !self.make_room(&status) {
             return MergeOutcome::Full;
         }
+        self.keep_other_service(&status);
         self.update_address(&status);
         let id = status.id.clone();
         let is_gone = status.phase() == EndpointPhase::Gone;
@@ -142,6 +199,75 @@
         outcome
     }
 
+    /// Returns whether the configuration in force names a service.
+    pub fn is_named(&self, service: &Bytes) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
+    }
+
+    /// Sets the services that the configuration in force names.
+    pub fn set_services(&mut self, services: BTreeSet<Bytes>) -> ServiceChange {
+        let mut change = ServiceChange::default();
+        if self.services.as_ref() == Some(&services) {
+            return change;
+        }
+        self.services = Some(services);
+        let takers = self.displaced.values().map(|it| it.by.clone());
+        let takers: BTreeSet<EndpointId> = takers.collect();
+        for id in takers {
+            let taker = self.endpoints.get(&id);
+            if taker.is_some_and(|it| !self.is_named(&it.service)) {
+                change.demoted.extend(self.set_aside(&id));
+                self.restore_displaced(|it| it.by == id, &mut change.restored);
+            }
+        }
+        // What was taken from an endpoint while its service wasn't named.
+        let starts: BTreeMap<EndpointId, u64> = self
+            .present()
+            .map(|it| (it.id.clone(), it.born_ms))
+            .collect();
+        let services = self.services.clone().unwrap_or_default();
+        let is_later = |it: &DisplacedEndpoint| {
+            services.contains(&it.status.service)
+                && starts
+                    .get(&it.by)
+                    .is_some_and(|start| *start < it.status.born_ms)
+        };
+        self.restore_displaced(is_later, &mut change.restored);
+        let mut statuses = self.unnamed.take_named(&services);
+        statuses.extend(self.take_without_address());
+        // The one with the latest start keeps an address.
+        statuses.sort_by_key(merge_order);
+        for status in statuses {
+            let id = status.id.clone();
+            if self.merge(status) == MergeOutcome::Changed {
+                change.promoted.push(id);
+            }
+        }
+        change
+    }
+
+    /// Removes and returns the endpoints of named services whose addresses aren't theirs.
+    fn take_without_address(&mut self) -> Vec<EndpointStatus> {
+        let without = self.present().filter(|it| {
+            self.is_named(&it.service)
+                && !it.address.is_empty()
+                && self.addresses.get(&it.address) != Some(&it.id)
+        });
+        let ids: Vec<EndpointId> = without.map(|it| it.id.clone()).collect();
+        ids.iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Returns the latest status of an endpoint, or the one that is kept aside.
+    pub fn known(&self, id: &EndpointId) -> Option<&EndpointStatus> {
+        self.get(id).or_else(|| self.unnamed.latest(id))
+    }
+
+    /// Forgets a status that is kept aside.
+    pub fn forget_unnamed(&mut self, key: &UnnamedKey) {
+        self.unnamed.remove(key);
+    }
+
     /// Returns the latest status of an endpoint.
     pub fn get(&self, id: &EndpointId) -> Option<&EndpointStatus> {
         self.endpoints.get(id)
@@ -150,7 +276,15 @@
     /// Returns the latest status of an endpoint for setting the fields that the
     /// endpoint does not report itself.
     pub fn get_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointStatus> {
-        self.endpoints.get_mut(id)
+        match self.displaced.get_mut(id) {
+            Some(displaced) => Some(&mut displaced.status),
+            None => self.endpoints.get_mut(id),
+        }
+    }
+
+    /// Returns whether another endpoint has an endpoint's address, which it may have again.
+    pub fn is_displaced(&self, id: &EndpointId) -> bool {
+        self.displaced.contains_key(id)
     }
 
     /// Records a limit that responses named; returns whether it is new.
@@ -166,9 +300,11 @@
         is_newer
     }
 
-    /// Returns all endpoints, including those that have gone.
+    /// Returns all endpoints, including those that have gone, but none that may have its
+    /// address again.
     pub fn all(&self) -> impl Iterator<Item = &EndpointStatus> {
-        self.endpoints.values()
+        let all = self.endpoints.values();
+        all.filter(|status| !self.is_displaced(&status.id))
     }
 
     /// Returns the endpoints that have not gone.
@@ -180,8 +316,9 @@
     /// Forgets endpoints until there is memory for a status; false if there is none.
     fn make_room(&mut self, status: &EndpointStatus) -> bool {
         let more = status_memory(status).saturating_sub(self.size(&status.id));
-        while self.memory + more > self.memory_max {
-            let is_forgotten = (self.gone.len() > GONE_MIN && self.forget_gone())
+        while self.memory + self.unnamed.memory() + more > self.memory_max {
+            let is_forgotten = self.unnamed.forget_oldest()
+                || (self.gone.len() > GONE_MIN && self.forget_gone())
                 || self.forget_silent(&status.id)
                 || self.forget_gone();
             if !is_forgotten {
@@ -218,14 +355,121 @@
     }
 
     fn forget(&mut self, id: &EndpointId) {
-        let Some(status) = self.endpoints.remove(id) else {
-            return;
-        };
+        if self.remove(id).is_some() {
+            self.forgotten.push(id.clone());
+        }
+    }
+
+    fn remove(&mut self, id: &EndpointId) -> Option<EndpointStatus> {
+        let status = self.endpoints.remove(id)?;
         self.set_size(id, None);
+        self.displaced.remove(id);
         if self.addresses.get(&status.address) == Some(id) {
             self.addresses.remove(&status.address);
         }
-        self.forgotten.push(id.clone());
+        Some(status)
+    }
+
+    /// Keeps a status aside; its service isn't named.
+    fn keep_unnamed(&mut self, status: EndpointStatus) -> MergeOutcome {
+        let ended = self.endpoints.get(&status.id);
+        let has_ended = ended.is_some_and(|stored| {
+            stored.phase() == EndpointPhase::Gone
+                && stored.born_ms >= status.born_ms
+                && !self.is_displaced(&status.id)
+        });
+        if has_ended {
+            return MergeOutcome::Stale;
+        }
+        let size = status_memory(&status);
+        let memory_max = self.memory_max.saturating_sub(self.memory);
+        self.unnamed.merge(status, size, memory_max)
+    }
+
+    /// Returns whether an endpoint of the status' id and service is registered.
+    fn is_registered(&self, status: &EndpointStatus) -> bool {
+        let stored = self.endpoints.get(&status.id);
+        stored.is_some_and(|stored| stored.service == status.service)
+    }
+
+    /// Removes an endpoint, and keeps its status aside.
+    fn set_aside(&mut self, id: &EndpointId) -> Option<UnnamedKey> {
+        let status = self.remove(id)?;
+        let key = (id.clone(), status.service.clone());
+        self.keep_unnamed(status);
+        Some(key)
+    }
+
+    /// Sets the endpoint of the same id aside if its service isn't named and that of the
+    /// status is.
+    fn withdraw_other_service(&mut self, status: &EndpointStatus) {
+        let stored = self.endpoints.get(&status.id);
+        let is_withdrawn = stored.is_some_and(|stored| {
+            stored.phase() != EndpointPhase::Gone
+                && !self.is_named(&stored.service)
+                && self.is_named(&status.service)
+        });
+        if is_withdrawn {
+            self.set_aside(&status.id);
+        }
+    }
+
+    /// Keeps the status of the same id for another service, until a configuration tells
+    /// which one it names.
+    fn keep_other_service(&mut self, status: &EndpointStatus) {
+        let stored = self.endpoints.get(&status.id);
+        let other = stored.filter(|stored| {
+            stored.service != status.service && stored.phase() != EndpointPhase::Gone
+        });
+        if let Some(other) = other.filter(|_| self.services.is_none()) {
+            self.keep_unnamed(other.clone());
+        }
+    }
+
+    /// Updates the status of an endpoint whose address another one has taken; returns
+    /// whether it is one.
+    fn update_displaced(&mut self, status: &EndpointStatus) -> bool {
+        let Some(displaced) = self.displaced.get_mut(&status.id) else {
+            return false;
+        };
+        let known = &mut displaced.status;
+        if status.born_ms > known.born_ms {
+            // It has started again.
+            self.displaced.remove(&status.id);
+            return false;
+        }
+        let is_newer = merge_order(status) > merge_order(known);
+        if is_newer && status.address == known.address {
+            *known = status.clone();
+        }
+        true
+    }
+
+    /// Removes an endpoint whose address another one has taken, and that has gone.
+    fn end_displaced(&mut self, status: &EndpointStatus) {
+        let known = self.displaced.get(&status.id);
+        if known.is_some_and(|known| known.status.born_ms <= status.born_ms) {
+            self.displaced.remove(&status.id);
+        }
+    }
+
+    /// Gives some of the endpoints whose addresses were taken their addresses back.
+    fn restore_displaced(
+        &mut self,
+        is_restored: impl Fn(&DisplacedEndpoint) -> bool,
+        restored: &mut Vec<EndpointId>,
+    ) {
+        let displaced = self.displaced.iter().filter(|(_, it)| is_restored(it));
+        let ids: Vec<EndpointId> = displaced.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let Some(displaced) = self.displaced.remove(&id) else {
+                continue;
+            };
+            self.remove(&id);
+            if self.merge(displaced.status) == MergeOutcome::Changed {
+                restored.push(id);
+            }
+        }
     }
 
     fn size(&self, id: &EndpointId) -> usize {
@@ -248,13 +492,16 @@
         let owner = owner.filter(|id| **id != status.id);
         let stored = owner.and_then(|id| self.endpoints.get(id));
         stored.is_some_and(|stored| {
-            stored.phase() != EndpointPhase::Gone && stored.born_ms > status.born_ms
+            stored.phase() != EndpointPhase::Gone
+                && stored.born_ms > status.born_ms
+                && self.is_named(&stored.service)
         })
     }
 
     /// Assigns the address to the endpoint; any other endpoint there has gone.
     fn update_address(&mut self, status: &EndpointStatus) {
-        if status.phase() == EndpointPhase::Gone || status.address.is_empty() {
+        let is_gone = status.phase() == EndpointPhase::Gone;
+        if is_gone || status.address.is_empty() || !self.is_named(&status.service) {
             return;
         }
         let owner = self
@@ -265,6 +512,13 @@
         };
         if let Some(stored) = self.endpoints.get_mut(&owner) {
             if stored.phase() != EndpointPhase::Gone {
+                if stored.service != status.service && self.displaced.len() < DISPLACED_MAX {
+                    let displaced = DisplacedEndpoint {
+                        by: status.id.clone(),
+                        status: stored.clone(),
+                    };
+                    self.displaced.insert(owner.clone(), displaced);
+                }
                 stored.set_phase(EndpointPhase::Gone);
                 shed_names(stored);
                 let size = status_memory(stored);
@@ -324,13 +578,13 @@
 }
 
 /// Returns the key that orders the statuses of one endpoint.
-fn merge_order(status: &EndpointStatus) -> (u64, bool, u64) {
+pub(crate) fn merge_order(status: &EndpointStatus) -> (u64, bool, u64) {
     let is_gone = status.phase() == EndpointPhase::Gone;
     (status.born_ms, is_gone, status.sequence)
 }
 
 /// Returns whether two statuses differ at most in their sequence.
-fn has_same_content(stored: &EndpointStatus, status: &EndpointStatus) -> bool {
+pub(crate) fn has_same_content(stored: &EndpointStatus, status: &EndpointStatus) -> bool {
     let mut stored = stored.clone();
     stored.sequence = status.sequence;
     stored == *status
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,12 +18,15 @@
 mod route_urgency;
 mod serving_index;
 mod status_verifier;
+mod unnamed_statuses;
 
 pub use cold_endpoints::{ColdChange, ColdEndpoints, COLD_REPORT_MAX};
 pub use config_verifier::verify_config;
 pub use mulberrywell_settings::Finding;
 
-pub use endpoint_registry::{EndpointId, EndpointRegistry, MergeOutcome, STATUS_MEMORY_DEFAULT};
+pub use endpoint_registry::{
+    EndpointId, EndpointRegistry, MergeOutcome, ServiceChange, UnnamedKey, STATUS_MEMORY_DEFAULT,
+};
 pub use origin_table::{OriginTable, ServiceVersion, StreamKey, ORIGINS_MAX};
 pub use serving_index::{KeyOwner, RouteMatch, ServingIndex};
 pub use status_verifier::{verify_status, StatusFault};
