control: that a worker drains or has left is committed before it is confirmed

The gateways send the worker requests again until it exits; some are cut.

Cause: control confirmed what only its memory held; after the start the late heartbeat is the first word of a new worker. Ruled out: gateways that remember it (killed as well, the same).

Mend: such a call is in force at once, as before, and confirmed when a record of the id, the start and, for `draining`, the service and sequence is committed. A heartbeat with a lower order is late at each instance. Without a leader the call is answered with 503.

RoleDisk::compact (test support) may compact a disk twice.

--- a/crates/control/src/client_frames.rs
+++ b/crates/control/src/client_frames.rs
@@ -224,7 +224,7 @@
     pub(crate) fn refuse_requester(&mut self, requester: RelayRequester, actions: &mut Actions) {
         match requester {
             RelayRequester::Operator(request) => self.answer_leader_lost(request, actions),
-            RelayRequester::Serving(request) | RelayRequester::Evacuation(request) => {
+            RelayRequester::Serving(request) | RelayRequester::ServingChange(request) => {
                 refuse_call(CallOrigin::Local(request), actions);
             }
             RelayRequester::Client { link, frame } => {
--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -24,6 +24,7 @@
 use crate::claim_table::ClaimTable;
 use crate::command_outcome::{CommandOutcome, EditConflict};
 use crate::dedup_table::DedupTable;
+use crate::ended_endpoints::EndedEndpoints;
 use crate::endpoint_chart::EndpointChart;
 use crate::evacuation_table::EvacuationTable;
 use crate::state_summary::{action_name, is_audited, text};
@@ -94,6 +95,8 @@
     pub software: BTreeMap<Bytes, BTreeSet<Bytes>>,
     /// Evacuations of availability zones.
     pub evacuations: EvacuationTable,
+    /// Endpoints that drain or have gone.
+    pub ended: EndedEndpoints,
     /// Claims of idempotency keys.
     pub claims: ClaimTable,
     /// The audit trail.
@@ -136,6 +139,7 @@
             streams: OriginTable::default(),
             software: BTreeMap::new(),
             evacuations: EvacuationTable::default(),
+            ended: EndedEndpoints::default(),
             claims: ClaimTable::default(),
             audit: AuditTrail::default(),
             requests: DedupTable::default(),
@@ -217,6 +221,10 @@
             Body::PutStreams(put) => Ok(self.put_streams(put)),
             Body::PutSoftware(put) => Ok(self.put_software(put)),
             Body::SetEvacuation(set) => self.set_evacuation(set),
+            Body::EndEndpoint(ended) => {
+                self.ended.insert(ended);
+                Ok(self.version)
+            }
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,7 @@
 mod control_role;
 mod control_shutdown;
 mod dedup_table;
+mod ended_endpoints;
 mod endpoint_change;
 mod endpoint_chart;
 mod endpoint_frames;
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -163,6 +163,7 @@
             }
             Some(Body::GrantBlock(grant)) => self.leases.apply_blocks(now, grant),
             Some(Body::PutStreams(put)) => self.streams.record_saved(put),
+            Some(Body::EndEndpoint(ended)) => self.apply_ended(ended),
             _ => {}
         }
     }
@@ -214,6 +215,9 @@
                 self.commands
                     .extend(self.peers.hello_commands(self.state.cluster));
                 self.leases = LeaseIssuer::restore(now, &self.state);
+                for ended in self.state.ended.to_records() {
+                    self.apply_ended(&ended);
+                }
             }
             Err(err) => {
                 let text = format!("failed to decode snapshot: {err}");
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -74,7 +74,9 @@
             FrameBody::OrderBatch(batch) => self.send_local_orders(batch, actions),
             FrameBody::ServingUpdate(update) => {
                 let latest_start = self.latest_start();
-                self.serving.apply_peer_update(now, update, latest_start);
+                let ended = &self.state.ended;
+                self.serving
+                    .apply_peer_update(now, update, latest_start, ended);
             }
             FrameBody::ServingForward(call) => self.handle_serving_forward(link, call, actions),
             FrameBody::ServingReply(reply) => self.handle_serving_reply(reply, actions),
--- a/crates/control/src/relay_table.rs
+++ b/crates/control/src/relay_table.rs
@@ -23,8 +23,8 @@
     Operator(RequestId),
     /// A caller of the serving interface.
     Serving(RequestId),
-    /// An operator that starts or ends an evacuation.
-    Evacuation(RequestId),
+    /// A caller whose change a leader of an earlier version takes for a read.
+    ServingChange(RequestId),
     /// An entry or agent; the frame is stored to build a refusal.
     Client {
         /// Its link.
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -5,7 +5,8 @@
 //! committed. A read returns the newest configuration that was acknowledged
 //! before it. An instance that can't get a confirmed answer from the leader
 //! reports this immediately. A status sent by an endpoint is handled by the
-//! instance that receives it, which forwards it to all others.
+//! instance that receives it, which forwards it to all others. That an endpoint drains or
+//! has left is in force at once, and confirmed when it is committed.
 
 use std::time::{Duration, Instant};
 
@@ -14,13 +15,15 @@
 use mulberrywell_serving::{EndpointId, MergeOutcome};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::serving::{
-    EndpointPhase, EndpointStatus, PutServing, ServingForward, ServingReply, SetEvacuation,
+    EndedEndpoint, EndpointPhase, EndpointStatus, PutServing, ServingForward, ServingReply,
+    SetEvacuation,
 };
 use mulberrywell_wire::FrameBody;
 
 use crate::command_outcome::{CommandOutcome, EditConflict};
 use crate::control_event::ControlAction;
 use crate::control_role::{send, Actions, ControlRole, ReadTask};
+use crate::ended_endpoints::ended_by;
 use crate::proposal_table::{CallOrigin, ProposalWaiter};
 use crate::relay_table::RelayRequester;
 
@@ -86,6 +89,7 @@
     Read,
     Put(PutServing),
     Evacuate(SetEvacuation),
+    End(EndedEndpoint),
 }
 
 impl ControlRole {
@@ -119,12 +123,11 @@
                 reply(request, ServingAnswer::Refused, actions);
             }
             ServingCall::Heartbeat(status) => {
-                let outcome = self.handle_heartbeat(now, status, actions);
-                reply(request, status_answer(outcome), actions);
+                self.handle_status(now, request, status, actions);
             }
             ServingCall::Leave { id, born_ms } => {
-                let outcome = self.handle_leave(now, &id, born_ms, actions);
-                reply(request, status_answer(outcome), actions);
+                let status = self.gone_status(&id, born_ms);
+                self.handle_status(now, request, status, actions);
             }
         }
     }
@@ -145,12 +148,52 @@
         self.peers.own().observer && !self.peers.has_durable_peer()
     }
 
+    /// Merges a status and answers the endpoint.
+    fn handle_status(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        status: EndpointStatus,
+        actions: &mut Actions,
+    ) {
+        let ended = ended_by(&status);
+        let outcome = self.handle_heartbeat(now, status, actions);
+        let ended = ended.filter(|ended| !self.state.ended.contains(ended));
+        match ended.filter(|_| outcome != MergeOutcome::Full) {
+            Some(ended) => self.route_call(now, request, ServingChange::End(ended), actions),
+            None => reply(request, status_answer(outcome), actions),
+        }
+    }
+
+    /// Applies the record of an endpoint that drains or has gone to its status.
+    pub(crate) fn apply_ended(&mut self, ended: &EndedEndpoint) {
+        let known = self.serving.endpoints.known(&ended.id);
+        let late = known.filter(|known| {
+            let is_present = known.phase() != EndpointPhase::Gone;
+            is_present && self.state.ended.is_late(known)
+        });
+        let Some(mut status) = late.cloned() else {
+            return;
+        };
+        status.born_ms = ended.born_ms;
+        if ended.gone {
+            status.set_phase(EndpointPhase::Gone);
+        } else {
+            status.sequence = ended.sequence;
+            status.set_phase(EndpointPhase::Draining);
+        }
+        self.serving.apply_record(status);
+    }
+
     fn handle_heartbeat(
         &mut self,
         now: Instant,
         mut status: EndpointStatus,
         actions: &mut Actions,
     ) -> MergeOutcome {
+        if self.state.ended.is_late(&status) {
+            return MergeOutcome::Stale;
+        }
         status.heard_by = self.peers.own().id;
         let text = describe_status(&status);
         let left_ms = status.cold_left_ms;
@@ -187,22 +230,16 @@
         }
     }
 
-    fn handle_leave(
-        &mut self,
-        now: Instant,
-        id: &EndpointId,
-        born_ms: u64,
-        actions: &mut Actions,
-    ) -> MergeOutcome {
+    /// Returns the status of an endpoint that has left.
+    fn gone_status(&self, id: &EndpointId, born_ms: u64) -> EndpointStatus {
         let known = self.serving.endpoints.known(id).cloned();
         let known = known.unwrap_or_default();
-        let status = EndpointStatus {
+        EndpointStatus {
             id: id.clone(),
             born_ms: if born_ms == 0 { known.born_ms } else { born_ms },
             phase: EndpointPhase::Gone.into(),
             ..known
-        };
-        self.handle_heartbeat(now, status, actions)
+        }
     }
 
     /// Queues a call for a confirmed read if this instance is the leader;
@@ -230,7 +267,9 @@
             return;
         };
         let requester = match change {
-            ServingChange::Evacuate(_) => RelayRequester::Evacuation(request),
+            ServingChange::Evacuate(_) | ServingChange::End(_) => {
+                RelayRequester::ServingChange(request)
+            }
             _ => RelayRequester::Serving(request),
         };
         match self.relays.insert(now, leader, requester) {
@@ -243,6 +282,7 @@
                     ServingChange::Read => {}
                     ServingChange::Put(put) => call.put = Some(put),
                     ServingChange::Evacuate(set) => call.evacuation = Some(set),
+                    ServingChange::End(ended) => call.ended = Some(ended),
                 }
                 send(leader, FrameBody::ServingForward(call), actions);
             }
@@ -259,10 +299,11 @@
         let sequence = call.sequence;
         let origin = CallOrigin::Forwarded { link, sequence };
         if self.is_leader() {
-            let change = match (call.evacuation, call.put) {
-                (Some(set), _) => ServingChange::Evacuate(set),
-                (None, Some(put)) => ServingChange::Put(put),
-                (None, None) => ServingChange::Read,
+            let change = match (call.evacuation, call.ended, call.put) {
+                (Some(set), _, _) => ServingChange::Evacuate(set),
+                (None, Some(ended), _) => ServingChange::End(ended),
+                (None, None, Some(put)) => ServingChange::Put(put),
+                (None, None, None) => ServingChange::Read,
             };
             self.reads
                 .push(ReadTask::Serving(ServingTask { origin, change }));
@@ -273,9 +314,9 @@
 
     pub(crate) fn handle_serving_reply(&mut self, answer: ServingReply, actions: &mut Actions) {
         let requester = self.relays.remove(answer.sequence);
-        let (request, is_evacuation) = match requester {
+        let (request, is_change) = match requester {
             Some(RelayRequester::Serving(request)) => (request, false),
-            Some(RelayRequester::Evacuation(request)) => (request, true),
+            Some(RelayRequester::ServingChange(request)) => (request, true),
             _ => return,
         };
         let answer = match (answer.confirmed, answer.source) {
@@ -283,7 +324,7 @@
             (false, _) => ServingAnswer::Unavailable,
             (true, source) if source.is_empty() => ServingAnswer::Accepted,
             // A leader of an older version takes the call for a read.
-            (true, _) if is_evacuation => ServingAnswer::Unavailable,
+            (true, _) if is_change => ServingAnswer::Unavailable,
             (true, source) => ServingAnswer::Source(Some(source)),
         };
         reply(request, answer, actions);
@@ -304,6 +345,15 @@
                 self.execute_evacuation(task.origin, set, actions);
                 return;
             }
+            ServingChange::End(ended) => {
+                if self.state.ended.contains(&ended) {
+                    accept_call(task.origin, actions);
+                } else {
+                    let waiter = ProposalWaiter::Serving(task.origin);
+                    self.propose(Body::EndEndpoint(ended), waiter);
+                }
+                return;
+            }
         };
         let version = put.config.as_ref().map_or(0, |config| config.version);
         if version <= held {
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::cluster_state::ClusterState;
+use crate::ended_endpoints::EndedEndpoints;
 use crate::evacuation_view::{EvacuationView, ListPosition};
 use crate::order_dispatcher::apply_change;
 use crate::outrun_endpoints::OutrunEndpoints;
@@ -296,12 +297,20 @@
         })
     }
 
-    /// Applies the endpoint statuses sent by another control instance, without those of a
-    /// start after `latest_start`.
-    pub fn apply_peer_update(&mut self, now: Instant, update: ServingUpdate, latest_start: u64) {
+    /// Applies the endpoint statuses sent by another control instance, without late ones and
+    /// those of a start after `latest_start`.
+    pub fn apply_peer_update(
+        &mut self,
+        now: Instant,
+        update: ServingUpdate,
+        latest_start: u64,
+        ended: &EndedEndpoints,
+    ) {
         // Instances of an earlier version may tell of endpoints that this one refuses.
         let is_valid = |status: &EndpointStatus| {
-            status.born_ms <= latest_start && verify_status(status).is_ok()
+            status.born_ms <= latest_start
+                && !ended.is_late(status)
+                && verify_status(status).is_ok()
         };
         for mut status in update.endpoints.into_iter().filter(is_valid) {
             let id = status.id.clone();
@@ -322,6 +331,18 @@
             .all(|last_heard| *last_heard <= now));
     }
 
+    /// Applies a status that follows from the replicated state, which all instances have.
+    pub(crate) fn apply_record(&mut self, status: EndpointStatus) {
+        let id = status.id.clone();
+        if status.phase() == EndpointPhase::Gone {
+            self.last_heard.remove(&id);
+        }
+        if self.endpoints.merge(status) == MergeOutcome::Changed {
+            self.changed.insert(id);
+        }
+        self.remove_forgotten();
+    }
+
     /// Marks endpoints whose heartbeats have stopped as silent, and forgets them if they are
     /// kept aside.
     pub fn tick(&mut self, now: Instant) {
--- a/crates/control/src/state_snapshot.rs
+++ b/crates/control/src/state_snapshot.rs
@@ -20,6 +20,7 @@
 use crate::claim_table::ClaimTable;
 use crate::cluster_state::{ClusterState, EndpointRecord};
 use crate::dedup_table::DedupTable;
+use crate::ended_endpoints::EndedEndpoints;
 use crate::endpoint_chart::EndpointChart;
 use crate::evacuation_table::EvacuationTable;
 
@@ -53,6 +54,7 @@
             streams: stream_records(&self.streams),
             software: software_records(&self.software),
             evacuations: self.evacuations.to_records(),
+            ended: self.ended.to_records(),
         };
         Bytes::from(snapshot.encode_to_vec())
     }
@@ -104,6 +106,7 @@
                 .map(|record| (record.service, record.versions.into_iter().collect()))
                 .collect(),
             evacuations: EvacuationTable::from_records(snapshot.evacuations),
+            ended: EndedEndpoints::from_records(snapshot.ended),
             claims: ClaimTable::from_records(snapshot.claims),
             audit: AuditTrail::from_records(snapshot.audit),
             requests: DedupTable::from_records(snapshot.results),
--- a/crates/control/src/state_summary.rs
+++ b/crates/control/src/state_summary.rs
@@ -105,12 +105,17 @@
 }
 
 /// Returns whether a command is recorded in the audit trail; internal commands
-/// for tokens and claims are not.
+/// for tokens, claims and ended endpoints are not.
 pub fn is_audited(command: &LogCommand) -> bool {
     !matches!(
         command.body,
-        Some(Body::GrantBlock(_) | Body::PutClaim(_) | Body::PutOutcome(_) | Body::PutStreams(_))
-            | None
+        Some(
+            Body::GrantBlock(_)
+                | Body::PutClaim(_)
+                | Body::PutOutcome(_)
+                | Body::PutStreams(_)
+                | Body::EndEndpoint(_)
+        ) | None
     )
 }
 
@@ -136,6 +141,7 @@
         Some(Body::PutSoftware(_)) => "put software",
         Some(Body::SetEvacuation(set)) if set.evacuated => "start evacuation",
         Some(Body::SetEvacuation(_)) => "end evacuation",
+        Some(Body::EndEndpoint(_)) => "end endpoint",
         None => "nothing",
     }
 }
--- a/crates/control/tests/role_cases/main.rs
+++ b/crates/control/tests/role_cases/main.rs
@@ -1,6 +1,7 @@
 //! The control role in virtual time: clusters of roles linked in memory.
 
 mod absence_cases;
+mod ended_cases;
 mod evacuation_cases;
 mod load_cases;
 mod observer_cases;
--- a/crates/control/tests/role_cases/role_disk.rs
+++ b/crates/control/tests/role_cases/role_disk.rs
@@ -38,10 +38,17 @@
             Some(EntryPayload::Membership(membership)) => Some(membership.clone()),
             _ => None,
         });
+        let before = self.snapshot.as_ref().map(|image| image.meta.clone());
+        let last = memberships.last();
+        let Some(last_entry) = replaced.clone().next_back() else {
+            return;
+        };
         let meta = SnapshotMeta {
             index: applied,
-            term: replaced.clone().next_back().expect("an entry").term,
-            membership: memberships.last().expect("a membership"),
+            term: last_entry.term,
+            membership: last
+                .or(before.map(|meta| meta.membership))
+                .expect("a membership"),
         };
         self.snapshot = Some(SnapshotImage { meta, data });
         self.entries.retain(|entry| entry.index > applied);
