--- a/crates/mulberrywell/tests/soak_seeds.rs
+++ b/crates/mulberrywell/tests/soak_seeds.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::binaries;
-use mulberrywell_soak::{run_soak, ClusterSize, SoakSettings};
+use mulberrywell_soak::{run_soak, ClusterSize, PlanKind, SoakSettings};
 use rstest::rstest;
 
 const DEFAULT_SIZE: ClusterSize = ClusterSize {
@@ -16,8 +16,13 @@
 };
 
 fn run_seed(seed: u64, seconds: u64, size: ClusterSize, callers: u64) {
+    run_plan(PlanKind::Faults, seed, seconds, size, callers);
+}
+
+fn run_plan(plan: PlanKind, seed: u64, seconds: u64, size: ClusterSize, callers: u64) {
     let settings = SoakSettings {
         binary: binaries().serve,
+        plan,
         seed,
         duration: Duration::from_secs(seconds),
         size,
@@ -56,6 +61,19 @@
     run_seed(seed, 28, size, 8);
 }
 
+/// Control instances are removed for good beside others that are away or replaced, and
+/// endpoints leave before all control instances are killed.
+#[rstest]
+#[case::three(775_000, 3)]
+#[case::five(775_100, 5)]
+fn soak_departures(#[case] seed: u64, #[case] controls: usize) {
+    let size = ClusterSize {
+        controls,
+        ..DEFAULT_SIZE
+    };
+    run_plan(PlanKind::Departures, seed, 30, size, 8);
+}
+
 /// Guards the rate limit with many gateways at about 60 times an account's rate.
 /// Each gateway admitted requests on the basis of the other gateways' reports
 /// without a limit on what no report contained yet, and a gateway that was cut off
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod soak_checks;
 mod soak_cluster;
+mod soak_departures;
 mod soak_plan;
 mod soak_run;
 mod soak_traffic;
@@ -23,5 +24,5 @@
 pub use soak_checks::{find_breaches, SoakBreach, SoakRecords};
 pub use soak_cluster::{ClusterSize, SoakCluster};
 pub use soak_plan::{PlannedFault, SoakFault, SoakPlan};
-pub use soak_run::{run_soak, SoakReport, SoakSettings};
+pub use soak_run::{run_soak, PlanKind, SoakReport, SoakSettings};
 pub use soak_traffic::{CallKind, CallRecord, ReadRecord, VersionRecord};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use clap::{value_parser, Arg, ArgMatches, Command};
-use mulberrywell_soak::{run_soak, ClusterSize, SoakSettings};
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use mulberrywell_soak::{run_soak, ClusterSize, PlanKind, SoakSettings};
 
 fn main() -> Result<ExitCode> {
     let matches = command().get_matches();
@@ -63,6 +63,12 @@
         .arg(number("gateways", "3", "Gateways to start"))
         .arg(number("endpoints", "4", "Endpoints to start"))
         .arg(number("callers", "8", "Number of concurrent callers"))
+        .arg(
+            Arg::new("departures")
+                .long("departures")
+                .action(ArgAction::SetTrue)
+                .help("Lets instances and endpoints depart instead of the usual faults"),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
@@ -86,6 +92,10 @@
     };
     Ok(SoakSettings {
         binary,
+        plan: match matches.get_flag("departures") {
+            true => PlanKind::Departures,
+            false => PlanKind::Faults,
+        },
         seed,
         duration: Duration::from_secs(number("seconds")),
         size: ClusterSize {
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -11,7 +11,7 @@
     versioned_event, WorkerRun, DEFAULT_REQUEST_TOKENS, FIRST_VERSION, STREAM_EVENTS,
 };
 
-use crate::soak_cluster::{zone_of, RATE_TOLERANCE, SECOND_VERSION};
+use crate::soak_cluster::{zone_of, LeaveRecord, RATE_TOLERANCE, SECOND_VERSION};
 use crate::soak_plan::SoakFault;
 use crate::soak_traffic::{
     CallKind, CallRecord, EvacuationRecord, ReadRecord, VersionRecord, ACCOUNTS, COLD_PER_S,
@@ -45,6 +45,10 @@
 /// the zone: the platform's `evac_ms`.
 const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
+/// Time after the acknowledgement of a leave call from which nothing may reach the
+/// endpoint: the platform's `drain_ms`.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Factor by which a cold endpoint's rate may be exceeded in a second, and requests beyond
 /// that: the platform's `cold_over` and `cold_slack`.
 const COLD_FACTOR: f64 = 1.5;
@@ -94,6 +98,8 @@
     pub reads: Vec<ReadRecord>,
     /// Evacuations whose start was acknowledged.
     pub evacuations: Vec<EvacuationRecord>,
+    /// Endpoints that left.
+    pub leaves: Vec<LeaveRecord>,
     pub(crate) faults: Vec<TimedFault>,
 }
 
@@ -161,6 +167,7 @@
         find_limit_excess(records),
         find_evacuation_breaches(records),
         find_cold_excess(records),
+        find_leave_breaches(records),
         find_stale_reads(records),
         find_config_rollbacks(records, &runs),
     ]
@@ -187,6 +194,29 @@
     breaches
 }
 
+/// Finds requests that reached an endpoint after its leave call was acknowledged.
+fn find_leave_breaches(records: &SoakRecords) -> Vec<SoakBreach> {
+    let mut breaches = Vec::new();
+    for leave in &records.leaves {
+        let (Some(confirmed), Some(arrivals)) =
+            (leave.confirmed, records.arrivals.get(leave.place))
+        else {
+            continue;
+        };
+        let is_away = |at: &&Instant| leave.ended.is_none_or(|ended| **at < ended);
+        let late = arrivals.iter().filter(is_away);
+        let mut late = late.filter(|at| **at >= confirmed + DRAIN_TIME);
+        let first = late.find(|at| !records.is_report_hidden(**at, **at));
+        if let Some(at) = first {
+            breaches.push(SoakBreach {
+                promise: "request after a confirmed leave",
+                detail: format!("w{}, {:?} after it", leave.place, *at - confirmed),
+            });
+        }
+    }
+    breaches
+}
+
 /// Finds responses that belong to another call or are truncated without notice,
 /// duplicated, out of order or of two software versions.
 fn find_wrong_responses(records: &SoakRecords) -> Vec<SoakBreach> {
--- a/crates/soak/src/soak_cluster.rs
+++ b/crates/soak/src/soak_cluster.rs
@@ -6,18 +6,21 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
 use mulberrywell_platform_testkit::{FakeOperator, FakeWorker};
 use mulberrywell_testkit::{free_port, wait_until, FaultProxy, FlowFault, ProcessSet, ProxyFlow};
 use nix::sys::signal::Signal;
 
-use crate::soak_plan::SoakFault;
+use crate::soak_plan::{losses_max, SoakFault};
 
 /// Service that all endpoints provide.
 pub(crate) const SERVICE: &str = "s1";
 
+/// A service that no configuration names.
+const FOREIGN_SERVICE: &str = "unheard_of";
+
 /// Software version of every second endpoint.
 pub(crate) const SECOND_VERSION: &str = "v2";
 
@@ -73,6 +76,21 @@
     serving: SocketAddr,
 }
 
+/// An endpoint that leaves.
+#[derive(Debug, Clone)]
+pub struct LeaveRecord {
+    /// Index of the endpoint.
+    pub place: usize,
+    /// Time at which the leave call was acknowledged, if it was.
+    pub confirmed: Option<Instant>,
+    /// Time at which the endpoint started again, if it has.
+    pub ended: Option<Instant>,
+    /// Start of the endpoint that leaves.
+    pub(crate) born_ms: usize,
+    /// Its last heartbeat, which arrives late.
+    pub(crate) late: String,
+}
+
 /// A cluster of running processes behind proxies.
 #[derive(Debug)]
 pub struct SoakCluster {
@@ -86,6 +104,12 @@
     /// Link addresses of the control instances that newly started processes know.
     seeds: Vec<SocketAddr>,
     seed: u64,
+    /// Control instances that may lose their data at once.
+    losses_max: usize,
+    /// Latest heartbeat of each endpoint.
+    pub(crate) heartbeats: BTreeMap<usize, String>,
+    /// Endpoints that have left so far.
+    pub(crate) leaves: Vec<LeaveRecord>,
     /// Proxies in front of each endpoint.
     endpoint_proxies: Vec<FaultProxy>,
     pub(crate) endpoints: Vec<FakeWorker>,
@@ -112,6 +136,9 @@
             replaced: Vec::new(),
             seeds: Vec::new(),
             seed,
+            losses_max: losses_max(size.controls),
+            heartbeats: BTreeMap::new(),
+            leaves: Vec::new(),
             endpoint_proxies: endpoint_proxies.collect::<Result<_>>()?,
             endpoints,
             gateways: Vec::new(),
@@ -166,10 +193,11 @@
         let table = format!(
             "advertise = \"{}\"\n[control]\nserving_listen = \"{}\"\n\
              data_folder = \"{}\"\nbootstrap = {bootstrap}\nfirst_seed_founds = true\n\
-             open_membership = true\n",
+             open_membership = true\nlosses_max = {}\n",
             control.link_proxy.address(),
             control.serving,
-            self.data_path(&control.process).display()
+            self.data_path(&control.process).display(),
+            self.losses_max
         );
         self.start(&control.process, listen, &table)
     }
@@ -194,18 +222,24 @@
     /// Deletes the data of the instance at a place, which is killed or has terminated; its
     /// successor takes the place.
     fn finish_replacement(&mut self, name: &str, is_killed: bool) -> Result<()> {
+        let old = self.take_place(name)?;
+        if is_killed {
+            self.processes.kill(&old)?;
+        } else {
+            let exited_cleanly = self.processes.wait(&old)?;
+            anyhow::ensure!(exited_cleanly, "{old} did not exit cleanly");
+        }
+        std::fs::remove_dir_all(self.data_path(&old))?;
+        Ok(())
+    }
+
+    /// Lets the successor take the place of an instance; returns this one's process.
+    fn take_place(&mut self, name: &str) -> Result<String> {
         let place = parse_place(name)?;
         let successor = self.successors.remove(&place);
         let successor = successor.context("the instance has no successor")?;
         let seed = successor.link_proxy.address();
         let old = std::mem::replace(&mut self.controls[place], successor);
-        if is_killed {
-            self.processes.kill(&old.process)?;
-        } else {
-            let exited_cleanly = self.processes.wait(&old.process)?;
-            anyhow::ensure!(exited_cleanly, "{} did not exit cleanly", old.process);
-        }
-        std::fs::remove_dir_all(self.data_path(&old.process))?;
         // Seeds take effect at the next start or SIGHUP.
         let known = self.seeds[place].to_string();
         self.seeds[place] = seed;
@@ -213,9 +247,42 @@
             let replaced = |text: &str| text.replace(&known, &seed.to_string());
             self.processes.edit_settings(&process, replaced)?;
         }
-        self.replaced.push(old.process);
+        self.replaced.push(old.process.clone());
         self.update_operator();
-        Ok(())
+        Ok(old.process)
+    }
+
+    /// Returns whether an endpoint has left, or is about to.
+    pub(crate) fn has_left(&self, place: usize) -> bool {
+        let mut leaves = self.leaves.iter();
+        leaves.any(|leave| leave.place == place && leave.ended.is_none())
+    }
+
+    fn begin_leave(&mut self, place: usize) {
+        let late = self.heartbeats.get(&place);
+        self.leaves.push(LeaveRecord {
+            place,
+            confirmed: None,
+            ended: None,
+            born_ms: self.endpoints[place].born_ms(),
+            late: late.cloned().unwrap_or_default(),
+        });
+    }
+
+    /// Starts an endpoint again that has left.
+    fn end_leave(&mut self, place: usize) {
+        let mut leaves = self.leaves.iter_mut();
+        if let Some(leave) = leaves.rfind(|leave| leave.place == place) {
+            leave.ended = Some(Instant::now());
+        }
+        self.endpoints[place].crash(Duration::ZERO);
+    }
+
+    /// Returns the body of a heartbeat of another writer, for a service that no
+    /// configuration names, with the address of an endpoint.
+    pub(crate) fn foreign_heartbeat(&self, place: usize, sequence: u64) -> String {
+        let address = self.endpoint_proxies[place].address();
+        self.endpoints[place].heartbeat_at(address, FOREIGN_SERVICE, "ready", sequence)
     }
 
     fn spawn_gateway(&mut self, place: usize) -> Result<()> {
@@ -321,6 +388,10 @@
                 self.kill(name)?;
                 std::fs::remove_dir_all(self.data_path(&self.process_of(name)))?;
             }
+            SoakFault::Remove(name) => {
+                self.kill(name)?;
+                std::fs::remove_dir_all(self.data_path(&self.process_of(name)))?;
+            }
             SoakFault::HideData(name) => {
                 let data = self.data_path(&self.process_of(name));
                 std::fs::rename(&data, hidden_path(&data))?;
@@ -361,6 +432,7 @@
                 self.endpoints[*place].set_rate_limit(Some(limit));
             }
             SoakFault::EndpointCold(place) => self.endpoints[*place].set_cold(Some(COLD_TIME_MAX)),
+            SoakFault::EndpointLeaves(place) => self.begin_leave(*place),
         }
         Ok(())
     }
@@ -413,6 +485,10 @@
             SoakFault::Freeze(name) => self.processes.resume(&self.process_of(name))?,
             SoakFault::Replace(name) => self.finish_replacement(name, false)?,
             SoakFault::ReplaceKilled(name) => self.finish_replacement(name, true)?,
+            SoakFault::Remove(name) => {
+                self.start_successor(name)?;
+                self.take_place(name)?;
+            }
             SoakFault::Hangup(_) | SoakFault::EndpointReset(_) => {}
             SoakFault::KillControls => {
                 for place in 0..self.controls.len() {
@@ -436,6 +512,7 @@
             SoakFault::EndpointCut(place) => self.endpoint_proxies[*place].heal(),
             SoakFault::EndpointLimits(place, _) => self.endpoints[*place].set_rate_limit(None),
             SoakFault::EndpointCold(place) => self.endpoints[*place].set_cold(None),
+            SoakFault::EndpointLeaves(place) => self.end_leave(*place),
         }
         Ok(())
     }
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -27,7 +27,7 @@
 
 /// Time from a restart with an empty data folder until another control instance
 /// may lose its data: the platform's limit for catching up.
-const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+pub(crate) const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 
 /// Maximum time from the end of a replaced instance to the loss of another one's data,
 /// in milliseconds.
@@ -39,6 +39,15 @@
 /// Number of control instances from which on two may lose their data at once.
 const TWO_LOSSES_MIN: usize = 5;
 
+/// Returns how many of a number of control instances may lose their data at once.
+pub(crate) fn losses_max(controls: usize) -> usize {
+    if controls < TWO_LOSSES_MIN {
+        1
+    } else {
+        2
+    }
+}
+
 /// Changes the random sequence of the replacements from that of the faults.
 const REPLACEMENT_SEED: u64 = 0x5e_c0_4d;
 
@@ -82,6 +91,9 @@
     Replace(String),
     /// The same, and the old instance is killed.
     ReplaceKilled(String),
+    /// A control instance is killed and its data is lost with the machine; when the fault
+    /// ends, another one takes its place at another address.
+    Remove(String),
     /// A control instance cannot create files because its data folder is moved away.
     HideData(String),
     /// All control instances are killed together.
@@ -113,6 +125,9 @@
     EndpointLimits(usize, &'static str),
     /// An endpoint is cold.
     EndpointCold(usize),
+    /// An endpoint leaves, while its last heartbeat arrives late again and again; when the
+    /// fault ends, it starts again.
+    EndpointLeaves(usize),
 }
 
 impl SoakFault {
@@ -230,9 +245,8 @@
             true => SoakFault::Replace(name),
             false => SoakFault::ReplaceKilled(name),
         };
-        let losses_max = if size.controls < TWO_LOSSES_MIN { 1 } else { 2 };
         let losses = rng
-            .random_range(0..=losses_max)
+            .random_range(0..=losses_max(size.controls))
             .max(rng.random_range(0..=1));
         let loss_begin = end + Duration::from_millis(rng.random_range(0..LOSS_DELAY_MAX_MS));
         let loss_time = rng.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1);
@@ -349,6 +363,7 @@
 fn fault_targets(fault: &SoakFault, size: ClusterSize) -> Vec<String> {
     match fault {
         SoakFault::Kill(name)
+        | SoakFault::Remove(name)
         | SoakFault::Terminate(name)
         | SoakFault::Freeze(name)
         | SoakFault::Hangup(name)
@@ -371,6 +386,7 @@
         | SoakFault::EndpointCut(place)
         | SoakFault::EndpointReset(place)
         | SoakFault::EndpointCold(place)
+        | SoakFault::EndpointLeaves(place)
         | SoakFault::EndpointLimits(place, _) => vec![format!("endpoint-{place}")],
     }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -13,6 +13,7 @@
 
 use crate::soak_checks::{find_breaches, SoakBreach, SoakRecords, TimedFault};
 use crate::soak_cluster::{ClusterSize, SoakCluster};
+use crate::soak_departures;
 use crate::soak_plan::{PlannedFault, SoakPlan};
 use crate::soak_traffic::{config, lock_mutex, send_call, CallKind, SoakTraffic, TrafficLog};
 
@@ -26,11 +27,22 @@
 /// Timeout of each call that checks whether the deployment has recovered.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Which faults a run has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlanKind {
+    /// Faults of all kinds that end again, and planned replacements.
+    Faults,
+    /// Instances and endpoints that depart, beside others that are away or killed.
+    Departures,
+}
+
 /// Parameters of a run.
 #[derive(Debug, Clone)]
 pub struct SoakSettings {
     /// Path of the `mulberrywell` binary.
     pub binary: PathBuf,
+    /// Which faults the run has.
+    pub plan: PlanKind,
     /// Seed of the fault schedule and the traffic.
     pub seed: u64,
     /// Duration of fault injection.
@@ -64,7 +76,12 @@
 /// # Errors
 /// Fails if a process can't be started or signalled. Breaches are not errors.
 pub fn run_soak(settings: &SoakSettings) -> Result<SoakReport> {
-    let plan = SoakPlan::draw(settings.seed, settings.duration, settings.size);
+    let plan = match settings.plan {
+        PlanKind::Faults => SoakPlan::draw(settings.seed, settings.duration, settings.size),
+        PlanKind::Departures => {
+            soak_departures::draw(settings.seed, settings.duration, settings.size)
+        }
+    };
     let cluster = SoakCluster::spawn(&settings.binary, settings.size, settings.seed)?;
     let cluster = Mutex::new(cluster);
     let traffic = SoakTraffic {
@@ -113,6 +130,7 @@
         versions: traffic.log.versions().clone(),
         reads: traffic.log.reads().clone(),
         evacuations: traffic.log.evacuations().clone(),
+        leaves: cluster.leaves.clone(),
         faults,
     };
     let mut breaches = find_breaches(&records);
--- a/crates/soak/src/soak_traffic.rs
+++ b/crates/soak/src/soak_traffic.rs
@@ -44,6 +44,12 @@
 /// Interval between two heartbeats of an endpoint.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Number of heartbeats after which another writer sends some.
+const FOREIGN_HEARTBEATS: u64 = 4;
+
+/// Number by which the sequences of another writer are ahead.
+const FOREIGN_LEAD: u64 = 1_000_000;
+
 /// Timeout that a caller sends with each request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -387,19 +393,67 @@
 
     fn send_heartbeats(&self, sequence: u64) {
         let (operator, heartbeats) = {
-            let cluster = lock_mutex(self.cluster);
+            let mut cluster = lock_mutex(self.cluster);
             let places = 0..cluster.endpoints.len();
-            let heartbeats = places.map(|place| {
-                let id = cluster.endpoints[place].id().to_owned();
-                (id, cluster.heartbeat(place, sequence))
-            });
-            (cluster.operator.clone(), heartbeats.collect::<Vec<_>>())
+            let present = places.filter(|place| !cluster.has_left(*place));
+            let present: Vec<usize> = present.collect();
+            let mut heartbeats = Vec::new();
+            for place in present {
+                let body = cluster.heartbeat(place, sequence);
+                cluster.heartbeats.insert(place, body.clone());
+                heartbeats.push((cluster.endpoints[place].id().to_owned(), body));
+            }
+            heartbeats.extend(foreign_heartbeats(&cluster, sequence));
+            (cluster.operator.clone(), heartbeats)
         };
         for (id, body) in heartbeats {
             // A heartbeat that no instance acknowledges is superseded by the next one.
             operator.send_heartbeat(&id, &body);
         }
+        self.send_leaves(&operator);
+    }
+
+    /// Sends the leave calls that aren't confirmed, and the late heartbeats of the endpoints
+    /// that have left.
+    fn send_leaves(&self, operator: &FakeOperator) {
+        let leaves = lock_mutex(self.cluster).leaves.clone();
+        for (number, leave) in leaves.iter().enumerate() {
+            if leave.ended.is_some() {
+                continue;
+            }
+            let id = format!("w{}", leave.place);
+            if leave.confirmed.is_some() {
+                operator.send_heartbeat(&id, &leave.late);
+                continue;
+            }
+            let path = format!("/api/instances/{id}/leave");
+            let confirms = |place| {
+                let body = format!("{{\"born\":{}}}", leave.born_ms);
+                let answer = operator.call_instance(place, "POST", &path, &body);
+                answer.is_some_and(|(status, _)| status == 200)
+            };
+            if (0..operator.instances()).any(confirms) {
+                lock_mutex(self.cluster).leaves[number].confirmed = Some(Instant::now());
+            }
+        }
+    }
+}
+
+/// Returns heartbeats of another writer at the address of one of the endpoints, under an id
+/// of its own and under the endpoint's.
+fn foreign_heartbeats(cluster: &SoakCluster, sequence: u64) -> Vec<(String, String)> {
+    if sequence % FOREIGN_HEARTBEATS != 0 {
+        return Vec::new();
     }
+    let turn = usize::try_from(sequence / FOREIGN_HEARTBEATS).unwrap_or(0);
+    let place = turn % cluster.endpoints.len();
+    let ids = [
+        format!("odd-{place}"),
+        cluster.endpoints[place].id().to_owned(),
+    ];
+    let sequence = sequence + FOREIGN_LEAD;
+    let body = cluster.foreign_heartbeat(place, sequence);
+    ids.map(|id| (id, body.clone())).into()
 }
 
 /// Sends a call. The caller of this function fills in the gateway and its
