--- a/crates/control/src/ended_endpoints.rs
+++ b/crates/control/src/ended_endpoints.rs
@@ -63,6 +63,12 @@
         known.is_some_and(|(order, _)| *order >= order_of(ended))
     }
 
+    /// Returns whether a record of the same start, or of a later one, is known.
+    pub fn contains_start(&self, ended: &EndedEndpoint) -> bool {
+        let known = self.records.get(&key_of(ended));
+        known.is_some_and(|((born_ms, ..), _)| *born_ms >= ended.born_ms)
+    }
+
     /// Returns whether a status was sent before its endpoint drained or left.
     pub fn is_late(&self, status: &EndpointStatus) -> bool {
         let is_gone = status.phase() == EndpointPhase::Gone;
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -156,9 +156,18 @@
         status: EndpointStatus,
         actions: &mut Actions,
     ) {
-        let ended = ended_by(&status);
+        let mut ended = ended_by(&status);
+        // Each further heartbeat of an endpoint that drains has a higher sequence.
+        let known = self.serving.endpoints.known(&status.id);
+        let was_draining = known.is_some_and(|known| {
+            known.born_ms == status.born_ms && known.phase() == EndpointPhase::Draining
+        });
+        ended = ended.filter(|ended| {
+            let records = &self.state.ended;
+            let is_repeated = was_draining && !ended.gone && records.contains_start(ended);
+            !is_repeated && !records.contains(ended)
+        });
         let outcome = self.handle_heartbeat(now, status, actions);
-        let ended = ended.filter(|ended| !self.state.ended.contains(ended));
         match ended.filter(|_| outcome != MergeOutcome::Full) {
             Some(ended) => self.route_call(now, request, ServingChange::End(ended), actions),
             None => reply(request, status_answer(outcome), actions),
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -196,11 +196,10 @@
     pub fn apply_status(&mut self, now: Instant, mut status: EndpointStatus) -> MergeOutcome {
         let id = status.id.clone();
         let is_gone = status.phase() == EndpointPhase::Gone;
-        let known = self.endpoints.get(&id);
-        let is_registered = known.is_some_and(|known| known.service == status.service);
-        if !is_gone && !is_registered && !self.endpoints.is_named(&status.service) {
+        if self.endpoints.is_aside(&status) {
             return self.keep_aside(now, status);
         }
+        let known = self.endpoints.get(&id);
         self.outrun.adjust(now, known, &mut status, SILENT_AFTER);
         if let Some(known) = known {
             if known.born_ms == status.born_ms {
@@ -313,6 +312,10 @@
                 && verify_status(status).is_ok()
         };
         for mut status in update.endpoints.into_iter().filter(is_valid) {
+            if self.endpoints.is_aside(&status) {
+                self.endpoints.merge(status);
+                continue;
+            }
             let id = status.id.clone();
             self.record_cold_of_peer(now, &mut status);
             let is_routed = self.changes_routing(&status);
--- a/crates/control/tests/role_cases/ended_cases.rs
+++ b/crates/control/tests/role_cases/ended_cases.rs
@@ -92,6 +92,28 @@
     assert_eq!(phase, Some(EndpointPhase::Ready));
 }
 
+/// Guards against a log entry for each heartbeat of an endpoint that drains; one that was ready
+/// again meanwhile gets another one.
+#[test]
+fn ended_recorded_once() {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    cluster.call_serving(leader, heartbeat(1, EndpointPhase::Ready));
+    let mut applied = Vec::new();
+    for (sequence, phase) in [
+        (2, EndpointPhase::Draining),
+        (3, EndpointPhase::Draining),
+        (4, EndpointPhase::Ready),
+        (5, EndpointPhase::Draining),
+    ] {
+        let answer = cluster.call_serving(leader, heartbeat(sequence, phase));
+        assert_eq!(answer, ServingAnswer::Accepted);
+        applied.push(cluster.applied(leader));
+    }
+    let added: Vec<u64> = applied.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(added, [0, 0, 1]);
+}
+
 /// Guards against a late heartbeat that arrives before a leader is elected again, and counts
 /// for good.
 #[test]
--- a/crates/control/tests/role_cases/role_machines.rs
+++ b/crates/control/tests/role_cases/role_machines.rs
@@ -85,6 +85,11 @@
         self.disks[idx].clone()
     }
 
+    /// Returns the last log entry that a role has applied.
+    pub fn applied(&self, idx: usize) -> u64 {
+        self.roles[idx].state().applied
+    }
+
     /// Returns whether the role of a machine runs.
     pub fn is_running(&self, idx: usize) -> bool {
         !self.frozen.contains(&idx)
--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -231,13 +231,12 @@
         let address = parse_address(&status);
         let born_ms = status.born_ms;
         let key_before = self.registry.get(&id).map(index_key);
-        let is_gone = status.phase() == EndpointPhase::Gone;
-        let is_aside = !is_gone && !self.registry.is_named(&status.service);
+        let is_aside = self.registry.is_aside(&status);
         let outcome = self.registry.merge(status);
         if !self.registry.take_forgotten().is_empty() {
             self.rebuild_index();
         }
-        if outcome != MergeOutcome::Changed || (is_aside && key_before.is_none()) {
+        if outcome != MergeOutcome::Changed || is_aside {
             return false;
         }
         self.update_usage(&id, born_ms, address);
--- a/crates/serving/src/endpoint_registry.rs
+++ b/crates/serving/src/endpoint_registry.rs
@@ -17,7 +17,8 @@
 //!
 //! Anyone can claim to be an endpoint, so that the memory of all statuses has a bound. When
 //! it is reached, statuses that are kept aside are forgotten first, then endpoints that have
-//! gone, the oldest first, but for the last ones; then silent endpoints, those with the largest statuses first; then the last ones
+//! gone, the oldest first, but for the last ones; then silent endpoints, those with the
+//! largest statuses first; then the last ones
 //! that have gone. If there are none, a status that needs more memory is refused. Of
 //! endpoints that have gone the names of models are not kept.
 
@@ -156,7 +157,7 @@
             shed_names(&mut status);
             self.unnamed.remove_ended(&status);
             self.end_displaced(&status);
-        } else if !self.is_named(&status.service) && !self.is_registered(&status) {
+        } else if self.is_aside(&status) {
             return self.keep_unnamed(status);
         } else if self.update_displaced(&status) {
             return MergeOutcome::Stale;
@@ -205,6 +206,15 @@
         services.is_none_or(|services| services.contains(service))
     }
 
+    /// Returns whether a status is kept aside: its service isn't named, and no endpoint of
+    /// its id and service is registered.
+    pub fn is_aside(&self, status: &EndpointStatus) -> bool {
+        let stored = self.endpoints.get(&status.id);
+        let is_registered = stored.is_some_and(|stored| stored.service == status.service);
+        let is_gone = status.phase() == EndpointPhase::Gone;
+        !is_gone && !is_registered && !self.is_named(&status.service)
+    }
+
     /// Sets the services that the configuration in force names.
     pub fn set_services(&mut self, services: BTreeSet<Bytes>) -> ServiceChange {
         let mut change = ServiceChange::default();
@@ -258,9 +268,12 @@
         ids.iter().filter_map(|id| self.remove(id)).collect()
     }
 
-    /// Returns the latest status of an endpoint, or the one that is kept aside.
+    /// Returns the latest status of an endpoint, also of one that may have its address
+    /// again, or the one that is kept aside.
     pub fn known(&self, id: &EndpointId) -> Option<&EndpointStatus> {
-        self.get(id).or_else(|| self.unnamed.latest(id))
+        let displaced = self.displaced.get(id).map(|it| &it.status);
+        let registered = displaced.or_else(|| self.get(id));
+        registered.or_else(|| self.unnamed.latest(id))
     }
 
     /// Forgets a status that is kept aside.
@@ -386,12 +399,6 @@
         self.unnamed.merge(status, size, memory_max)
     }
 
-    /// Returns whether an endpoint of the status' id and service is registered.
-    fn is_registered(&self, status: &EndpointStatus) -> bool {
-        let stored = self.endpoints.get(&status.id);
-        stored.is_some_and(|stored| stored.service == status.service)
-    }
-
     /// Removes an endpoint, and keeps its status aside.
     fn set_aside(&mut self, id: &EndpointId) -> Option<UnnamedKey> {
         let status = self.remove(id)?;
--- a/crates/serving/tests/unnamed_services.rs
+++ b/crates/serving/tests/unnamed_services.rs
@@ -118,6 +118,22 @@
     assert_eq!(present(&registry), [(bytes("b"), bytes("x"))]);
 }
 
+/// Guards against an endpoint that left while another one had its address, and that is back
+/// with the address.
+#[test]
+fn set_services_dropped_gone_stays_gone() {
+    let mut registry = EndpointRegistry::default();
+    set_services(&mut registry, &["s", "x"]);
+    registry.merge(status("a", "s", ADDRESS, (5, 1)));
+    registry.merge(status("b", "x", ADDRESS, (9, 1)));
+    let known = registry.known(&bytes("a")).unwrap().clone();
+    registry.merge(with_phase(known, EndpointPhase::Gone));
+    set_services(&mut registry, &["s"]);
+    assert!(present(&registry).iter().all(|(_, service)| service != "s"));
+    registry.merge(status("a", "s", ADDRESS, (5, 2)));
+    assert!(present(&registry).iter().all(|(_, service)| service != "s"));
+}
+
 /// An endpoint whose service isn't named any more stays registered, and counts at once when
 /// it is named again.
 #[test]
