--- a/crates/serving/src/unnamed_statuses.rs
+++ b/crates/serving/src/unnamed_statuses.rs
@@ -2,8 +2,8 @@
 //!
 //! A worker may announce itself before the configuration that names its service, or stay
 //! while one drops its service and a later one names it again. Anyone may also send such
-//! statuses, so that they are kept one for each id and service, and the oldest are forgotten
-//! where memory is short.
+//! statuses, so that they are kept one for each id and service, further ones are refused
+//! where memory is short, and the oldest are forgotten for endpoints of named services.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -53,12 +53,13 @@
         if stored.is_some_and(|stored| merge_order(&status) < merge_order(&stored.status)) {
             return MergeOutcome::Stale;
         }
-        if size > memory_max {
+        let before = stored.map_or(0, |stored| stored.size);
+        // What takes no more than before is never refused.
+        if size > before && self.memory - before + size > memory_max {
             return MergeOutcome::Full;
         }
         let is_same = stored.is_some_and(|stored| has_same_content(&stored.status, &status));
         self.remove(&key);
-        while self.memory + size > memory_max && self.forget_oldest() {}
         let position = self.next_position;
         self.next_position += 1;
         self.oldest.insert(position, key.clone());
