control: a `draining` of another writer doesn't keep a sound worker out for good

Callers saw: after a `draining` of another writer under a sound worker's id and start, with a sequence that the worker never reaches, the worker got no request until it started again.

Cause: a status below the record was refused before the rule for sequences that another writer stated (outrun_endpoints) could see it. The record's sequence counts in that rule now, and a worker that is heard again has the record withdrawn through the log, if it is still the one that it saw.

A second cause, seen with the first one mended: after the loss of all instances the records were applied to the statuses one by one, so that the first one hid a worker for 4.5 s though the next one withdrew it. They are applied once what was committed is read.

--- a/crates/control/src/cluster_state.rs
+++ b/crates/control/src/cluster_state.rs
@@ -222,7 +222,7 @@
             Body::PutSoftware(put) => Ok(self.put_software(put)),
             Body::SetEvacuation(set) => self.set_evacuation(set),
             Body::EndEndpoint(ended) => {
-                self.ended.insert(ended);
+                self.ended.apply(ended);
                 Ok(self.version)
             }
         }
--- a/crates/control/src/control_role.rs
+++ b/crates/control/src/control_role.rs
@@ -25,6 +25,7 @@
 use mulberrywell_settings::{ControlSettings, Finding, FindingList};
 use mulberrywell_wire::command::log_command::Body;
 use mulberrywell_wire::command::{LogCommand, MemberItem};
+use mulberrywell_wire::serving::EndedEndpoint;
 use mulberrywell_wire::FrameBody;
 use prost::Message;
 
@@ -132,6 +133,9 @@
     pub(crate) serving: ServingRegistry,
     /// When a line last told of a status for which there was no memory.
     pub(crate) refused_status_logged: Option<Instant>,
+    /// Records of endpoints that drain or have gone, applied to the state since the statuses
+    /// were updated.
+    pub(crate) ended_unapplied: Vec<EndedEndpoint>,
     pub(crate) evacuations: EvacuationView,
     pub(crate) orders: OrderDispatcher,
     /// Permits for requests to endpoints with a limit, of the leader.
@@ -233,6 +237,7 @@
             subscribers: SubscriberTable::default(),
             serving: ServingRegistry::default(),
             refused_status_logged: None,
+            ended_unapplied: Vec::new(),
             evacuations,
             orders: OrderDispatcher::default(),
             permits: PermitIssuer::default(),
@@ -358,6 +363,7 @@
                 self.execute_task(now, task, actions);
             }
         }
+        self.apply_ended();
         self.subscribers.distribute(&self.state, &mut self.commands);
         let peers = self.peers.member_links();
         let evacuations = (&self.evacuations, self.clock_ms);
--- a/crates/control/src/ended_endpoints.rs
+++ b/crates/control/src/ended_endpoints.rs
@@ -7,7 +7,8 @@
 //!
 //! Records are ordered as statuses are: by the start, then by whether the endpoint has gone,
 //! then by the sequence. A status with a lower order is late. The oldest records are dropped
-//! where there are more than [`ENDED_MAX`].
+//! where there are more than [`ENDED_MAX`]. A record whose sequence another writer stated is
+//! withdrawn when the endpoint itself is heard (`outrun_endpoints`).
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -57,6 +58,46 @@
         }
     }
 
+    /// Applies a change from the log.
+    pub fn apply(&mut self, ended: &EndedEndpoint) {
+        if !ended.withdrawn {
+            self.insert(ended);
+        } else if self.contains_withdrawn(ended) {
+            let key = key_of(ended);
+            if let Some((_, position)) = self.records.remove(&key) {
+                self.oldest.remove(&(position, key));
+            }
+        }
+    }
+
+    /// Returns whether a change from the log would have no effect.
+    pub fn is_applied(&self, ended: &EndedEndpoint) -> bool {
+        match ended.withdrawn {
+            true => !self.contains_withdrawn(ended),
+            false => self.contains(ended),
+        }
+    }
+
+    /// Returns the sequence by which an endpoint of the same id, service and start drains.
+    pub fn draining_sequence(&self, status: &EndpointStatus) -> Option<u64> {
+        let key = (status.id.clone(), status.service.clone());
+        let ((born_ms, gone, sequence), _) = self.records.get(&key)?;
+        (*born_ms == status.born_ms && !gone).then_some(*sequence)
+    }
+
+    /// Returns whether a record of an endpoint that drains is known, or of one that has gone.
+    pub fn contains_id(&self, id: &EndpointId) -> bool {
+        let from = (id.clone(), Bytes::new());
+        let mut known = self.records.range(from..);
+        known.next().is_some_and(|((known, _), _)| known == id)
+    }
+
+    /// Returns whether a record that is withdrawn is known as it was then.
+    fn contains_withdrawn(&self, ended: &EndedEndpoint) -> bool {
+        let known = self.records.get(&key_of(ended));
+        known.is_some_and(|(order, _)| *order == order_of(ended))
+    }
+
     /// Returns whether a record, or a later one of its endpoint, is known.
     pub fn contains(&self, ended: &EndedEndpoint) -> bool {
         let known = self.records.get(&key_of(ended));
@@ -94,6 +135,7 @@
                 born_ms: *born_ms,
                 sequence: *sequence,
                 gone: *gone,
+                withdrawn: false,
             })
         });
         known.collect()
@@ -138,5 +180,6 @@
         born_ms: status.born_ms,
         sequence: if gone { 0 } else { status.sequence },
         gone,
+        withdrawn: false,
     })
 }
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -163,7 +163,7 @@
             }
             Some(Body::GrantBlock(grant)) => self.leases.apply_blocks(now, grant),
             Some(Body::PutStreams(put)) => self.streams.record_saved(put),
-            Some(Body::EndEndpoint(ended)) => self.apply_ended(ended),
+            Some(Body::EndEndpoint(ended)) => self.ended_unapplied.push(ended.clone()),
             _ => {}
         }
     }
@@ -215,9 +215,7 @@
                 self.commands
                     .extend(self.peers.hello_commands(self.state.cluster));
                 self.leases = LeaseIssuer::restore(now, &self.state);
-                for ended in self.state.ended.to_records() {
-                    self.apply_ended(&ended);
-                }
+                self.ended_unapplied = self.state.ended.to_records();
             }
             Err(err) => {
                 let text = format!("failed to decode snapshot: {err}");
--- a/crates/control/src/outrun_endpoints.rs
+++ b/crates/control/src/outrun_endpoints.rs
@@ -5,13 +5,14 @@
 //! hears of a start for some time has sequences below the record's, and they rise while
 //! the record's doesn't, the endpoint itself is heard; its heartbeats then get the
 //! record's sequence, so that all instances and gateways take them for newer. A heartbeat
-//! that is late begins no such run, as the next one in time ends it.
+//! that is late begins no such run, as the next one in time ends it. Of an endpoint that
+//! drained the record in the log counts as well.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use mulberrywell_serving::EndpointId;
-use mulberrywell_wire::serving::{EndpointPhase, EndpointStatus};
+use mulberrywell_wire::serving::EndpointStatus;
 
 /// Heartbeats of one start below the record's sequence.
 #[derive(Debug)]
@@ -31,41 +32,36 @@
 }
 
 impl OutrunEndpoints {
-    /// Gives a status the sequence of the record if the endpoint has sent lower ones for
-    /// `run_time`.
+    /// Gives a status the sequence of its start's record, `known`, if the endpoint has sent
+    /// lower ones for `run_time`.
     pub(crate) fn adjust(
         &mut self,
         now: Instant,
-        known: Option<&EndpointStatus>,
+        known: Option<u64>,
         status: &mut EndpointStatus,
         run_time: Duration,
     ) {
-        let known = known.filter(|known| {
-            known.born_ms == status.born_ms
-                && known.phase() != EndpointPhase::Gone
-                && known.sequence > status.sequence
-        });
-        let Some(known) = known else {
+        let Some(known) = known.filter(|known| *known > status.sequence) else {
             self.starts.remove(&status.id);
             return;
         };
         let run = self.starts.entry(status.id.clone());
         let run = run.or_insert(OutrunStart {
-            born_ms: known.born_ms,
-            known: known.sequence,
+            born_ms: status.born_ms,
+            known,
             latest: status.sequence,
             since: now,
         });
-        if (run.born_ms, run.known) != (known.born_ms, known.sequence) {
-            run.born_ms = known.born_ms;
-            run.known = known.sequence;
+        if (run.born_ms, run.known) != (status.born_ms, known) {
+            run.born_ms = status.born_ms;
+            run.known = known;
             run.since = now;
         } else if status.sequence < run.latest {
             return;
         }
         run.latest = status.sequence;
         if now.saturating_duration_since(run.since) >= run_time {
-            status.sequence = known.sequence;
+            status.sequence = known;
         }
     }
 
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -137,7 +137,7 @@
                 self.propose(command, ProposalWaiter::Streams);
             }
         }
-        self.serving.tick(now);
+        self.serving.tick(now, &self.state.ended);
         self.permits.remove_idle(now);
         let leads = self.is_leader() && self.has_lease(now);
         self.rates.set_leads(leads);
--- a/crates/control/src/serving_calls.rs
+++ b/crates/control/src/serving_calls.rs
@@ -167,31 +167,56 @@
             let is_repeated = was_draining && !ended.gone && records.contains_start(ended);
             !is_repeated && !records.contains(ended)
         });
+        let withdrawn = self.withdrawn_record(&status);
         let outcome = self.handle_heartbeat(now, status, actions);
+        if matches!(outcome, MergeOutcome::Same | MergeOutcome::Changed) {
+            ended = ended.or(withdrawn);
+        }
         match ended.filter(|_| outcome != MergeOutcome::Full) {
             Some(ended) => self.route_call(now, request, ServingChange::End(ended), actions),
             None => reply(request, status_answer(outcome), actions),
         }
     }
 
-    /// Applies the record of an endpoint that drains or has gone to its status.
-    pub(crate) fn apply_ended(&mut self, ended: &EndedEndpoint) {
-        let known = self.serving.endpoints.known(&ended.id);
-        let late = known.filter(|known| {
-            let is_present = known.phase() != EndpointPhase::Gone;
-            is_present && self.state.ended.is_late(known)
-        });
-        let Some(mut status) = late.cloned() else {
-            return;
-        };
-        status.born_ms = ended.born_ms;
-        if ended.gone {
-            status.set_phase(EndpointPhase::Gone);
-        } else {
-            status.sequence = ended.sequence;
-            status.set_phase(EndpointPhase::Draining);
+    /// Returns the withdrawal of the record by which an endpoint drains, for a status that
+    /// has a lower sequence and isn't draining. Such a status counts only if the endpoint
+    /// itself is heard.
+    fn withdrawn_record(&self, status: &EndpointStatus) -> Option<EndedEndpoint> {
+        let sequence = self.state.ended.draining_sequence(status)?;
+        let is_outrun = sequence > status.sequence && ended_by(status).is_none();
+        is_outrun.then(|| EndedEndpoint {
+            id: status.id.clone(),
+            service: status.service.clone(),
+            born_ms: status.born_ms,
+            sequence,
+            gone: false,
+            withdrawn: true,
+        })
+    }
+
+    /// Applies the records that were read from the log to the statuses. Only then is it known
+    /// which of them were withdrawn.
+    pub(crate) fn apply_ended(&mut self) {
+        for ended in std::mem::take(&mut self.ended_unapplied) {
+            let known = self.serving.endpoints.known(&ended.id);
+            let records = &self.state.ended;
+            let late = known.filter(|known| {
+                let is_present = known.phase() != EndpointPhase::Gone;
+                let is_same = ended.gone || known.service == ended.service;
+                is_present && is_same && records.contains(&ended) && records.is_late(known)
+            });
+            let Some(mut status) = late.cloned() else {
+                continue;
+            };
+            status.born_ms = ended.born_ms;
+            if ended.gone {
+                status.set_phase(EndpointPhase::Gone);
+            } else {
+                status.sequence = ended.sequence;
+                status.set_phase(EndpointPhase::Draining);
+            }
+            self.serving.apply_record(status);
         }
-        self.serving.apply_record(status);
     }
 
     fn handle_heartbeat(
@@ -200,15 +225,13 @@
         mut status: EndpointStatus,
         actions: &mut Actions,
     ) -> MergeOutcome {
-        if self.state.ended.is_late(&status) {
-            return MergeOutcome::Stale;
-        }
         status.heard_by = self.peers.own().id;
         let text = describe_status(&status);
         let left_ms = status.cold_left_ms;
         let was_cold = self.serving.is_cold(now, &status.id);
         let id = status.id.clone();
-        let outcome = self.serving.apply_status(now, status);
+        let records = &self.state.ended;
+        let outcome = self.serving.apply_status(now, status, records);
         if outcome == MergeOutcome::Full {
             self.report_refused_status(now, &text, actions);
             return outcome;
@@ -355,7 +378,7 @@
                 return;
             }
             ServingChange::End(ended) => {
-                if self.state.ended.contains(&ended) {
+                if self.state.ended.is_applied(&ended) {
                     accept_call(task.origin, actions);
                 } else {
                     let waiter = ProposalWaiter::Serving(task.origin);
--- a/crates/control/src/serving_registry.rs
+++ b/crates/control/src/serving_registry.rs
@@ -192,15 +192,28 @@
         }
     }
 
-    /// Applies a status received from an endpoint.
-    pub fn apply_status(&mut self, now: Instant, mut status: EndpointStatus) -> MergeOutcome {
+    /// Applies a status received from an endpoint, unless it was sent before its endpoint
+    /// `ended`.
+    pub fn apply_status(
+        &mut self,
+        now: Instant,
+        mut status: EndpointStatus,
+        ended: &EndedEndpoints,
+    ) -> MergeOutcome {
         let id = status.id.clone();
         let is_gone = status.phase() == EndpointPhase::Gone;
-        if self.endpoints.is_aside(&status) {
+        let is_aside = self.endpoints.is_aside(&status);
+        if !is_aside {
+            let sequence = self.known_sequence(&status, ended);
+            self.outrun.adjust(now, sequence, &mut status, SILENT_AFTER);
+        }
+        if ended.is_late(&status) {
+            return MergeOutcome::Stale;
+        }
+        if is_aside {
             return self.keep_aside(now, status);
         }
         let known = self.endpoints.get(&id);
-        self.outrun.adjust(now, known, &mut status, SILENT_AFTER);
         if let Some(known) = known {
             if known.born_ms == status.born_ms {
                 status.leaving = known.leaving;
@@ -233,6 +246,15 @@
         outcome
     }
 
+    /// Returns the highest sequence that is recorded of a status's start; none if it has gone.
+    fn known_sequence(&self, status: &EndpointStatus, ended: &EndedEndpoints) -> Option<u64> {
+        let known = self.endpoints.get(&status.id).filter(|known| {
+            known.born_ms == status.born_ms && known.phase() != EndpointPhase::Gone
+        });
+        let sequence = known.map(|known| known.sequence);
+        sequence.max(ended.draining_sequence(status))
+    }
+
     /// Keeps the status of an endpoint aside whose service no configuration names yet.
     fn keep_aside(&mut self, now: Instant, status: EndpointStatus) -> MergeOutcome {
         let key = (status.id.clone(), status.service.clone());
@@ -348,7 +370,7 @@
 
     /// Marks endpoints whose heartbeats have stopped as silent, and forgets them if they are
     /// kept aside.
-    pub fn tick(&mut self, now: Instant) {
+    pub fn tick(&mut self, now: Instant, ended: &EndedEndpoints) {
         let is_silent = |heard: Instant| now.saturating_duration_since(heard) >= SILENT_AFTER;
         let unnamed = self.unnamed_heard.iter();
         let silent = unnamed.filter(|(_, heard)| is_silent(**heard));
@@ -358,7 +380,8 @@
             self.endpoints.forget_unnamed(&key);
         }
         let endpoints = &self.endpoints;
-        self.outrun.retain(|id| endpoints.get(id).is_some());
+        self.outrun
+            .retain(|id| endpoints.get(id).is_some() || ended.contains_id(id));
         let silent = self
             .last_heard
             .iter()
--- a/crates/control/tests/role_cases/ended_cases.rs
+++ b/crates/control/tests/role_cases/ended_cases.rs
@@ -114,6 +114,60 @@
     assert_eq!(added, [0, 0, 1]);
 }
 
+/// Guards against a `draining` of another writer whose sequence the endpoint never reaches, and
+/// that keeps it out for good: it counts again once it alone is heard, also after a restart,
+/// and what it says afterwards is kept.
+#[rstest]
+#[case::highest(u64::MAX)]
+#[case::ahead(1_000)]
+fn foreign_draining_withdrawn(
+    #[case] foreign: u64,
+    #[values(false, true)] is_restarted_first: bool,
+    #[values(false, true)] is_at_leader: bool,
+) {
+    let mut cluster = RoleCluster::formed(3);
+    let leader = cluster.leader().unwrap();
+    let idx = match is_at_leader {
+        true => leader,
+        false => (leader + 1) % 3,
+    };
+    let mut sequence = 1;
+    let mut call = |cluster: &mut RoleCluster, phase| {
+        sequence += 1;
+        let answer = cluster.call_serving(idx, heartbeat(sequence, phase));
+        assert_eq!(answer, ServingAnswer::Accepted);
+    };
+    call(&mut cluster, EndpointPhase::Ready);
+    cluster.call_serving((idx + 1) % 3, heartbeat(foreign, EndpointPhase::Draining));
+    if is_restarted_first {
+        cluster.restart_all();
+        cluster.run(Duration::from_secs(3));
+    }
+    for _ in 0..6 {
+        call(&mut cluster, EndpointPhase::Ready);
+        cluster.run(Duration::from_millis(1_200));
+    }
+    for restarts in 0..2 {
+        if restarts > 0 {
+            cluster.restart_all();
+            // Before a leader is elected no record is known to be in force.
+            assert_eq!(cluster.leader(), None);
+            call(&mut cluster, EndpointPhase::Ready);
+            cluster.run(Duration::from_secs(3));
+        }
+        for idx in 0..3 {
+            let phase = phase_at_gateway(&mut cluster, idx);
+            assert_eq!(phase, Some(EndpointPhase::Ready), "{restarts} restarts");
+        }
+    }
+    call(&mut cluster, EndpointPhase::Draining);
+    cluster.restart_all();
+    cluster.run(Duration::from_secs(3));
+    cluster.call_serving(idx, heartbeat(sequence - 1, EndpointPhase::Ready));
+    let phase = phase_at_gateway(&mut cluster, idx);
+    assert_ne!(phase, Some(EndpointPhase::Ready));
+}
+
 /// Guards against a late heartbeat that arrives before a leader is elected again, and counts
 /// for good.
 #[test]
