gateway: an endpoint's usage is updated from its stored status

The table took start and address apart at two places before it merged a status. No change of what callers see: a status that changes the table is the one that is stored, and one that only adds observations has the same start.

--- a/crates/gateway/src/endpoint_table.rs
+++ b/crates/gateway/src/endpoint_table.rs
@@ -228,8 +228,6 @@
     /// anything.
     pub fn merge(&mut self, status: EndpointStatus) -> bool {
         let id = status.id.clone();
-        let address = parse_address(&status);
-        let born_ms = status.born_ms;
         let key_before = self.registry.get(&id).map(index_key);
         let is_aside = self.registry.is_aside(&status);
         let outcome = self.registry.merge(status);
@@ -239,7 +237,7 @@
         if outcome != MergeOutcome::Changed || is_aside {
             return false;
         }
-        self.update_usage(&id, born_ms, address);
+        self.update_usage(&id);
         // A rebuild walks over all endpoints; most statuses change none of this.
         let key = self.registry.get(&id).map(index_key);
         let is_gone = key.as_ref().is_none_or(|(_, _, _, is_gone)| *is_gone);
@@ -249,21 +247,20 @@
         true
     }
 
-    pub(crate) fn update_usage(
-        &mut self,
-        id: &EndpointId,
-        born_ms: u64,
-        address: Option<SocketAddr>,
-    ) {
+    /// Updates the usage of an endpoint whose status has changed.
+    pub(crate) fn update_usage(&mut self, id: &EndpointId) {
+        let Some(status) = self.registry.get(id) else {
+            return;
+        };
         let usage = self.usages.entry(id.clone()).or_default();
-        if usage.born_ms != born_ms {
+        if usage.born_ms != status.born_ms {
             *usage = EndpointUsage {
                 hash: stable_hash(&[id]),
-                born_ms,
+                born_ms: status.born_ms,
                 ..EndpointUsage::default()
             };
         }
-        usage.address = address;
+        usage.address = parse_address(status);
         usage.missing.clear();
     }
 
--- a/crates/gateway/src/named_services.rs
+++ b/crates/gateway/src/named_services.rs
@@ -17,10 +17,7 @@
             return false;
         }
         for id in change.promoted.iter().chain(&change.restored) {
-            let status = self.registry.get(id);
-            if let Some((born_ms, address)) = status.map(|it| (it.born_ms, parse_address(it))) {
-                self.update_usage(id, born_ms, address);
-            }
+            self.update_usage(id);
         }
         self.rebuild_index();
         true
