soak: a step that takes long delays the later ones, so that the plan's gaps are kept

The successor of control-1 listened at 48.241, the old one had ended by 49.4, control-0 was asked to end at 48.249 and the successor's disk was lost at 50.17: 1.9 s after its start, where the plan has 6.9 s and a lost disk may follow a successor only once it had 4 s to catch up. control-2 was away for 8 s instead of 1.6 s. Three voters of three machines are asked to bear one lost disk, and lost two of four.

The time that a step takes no longer counts for the later ones, so that what the plan asks for is what its text says.

Ruled out: the pause after an end without notice; the members were removed in time, and the loss came before the restarted one was admitted.

--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -167,9 +167,11 @@
     }
 }
 
-/// Injects and clears all faults of the plan at their times.
+/// Injects and clears all faults of the plan at their times. A step that takes long, as a
+/// process stops, delays all later ones: the times between them bound what the deployment is
+/// asked to bear.
 fn execute_plan(cluster: &Mutex<SoakCluster>, plan: &SoakPlan) -> Result<Vec<TimedFault>> {
-    let started = Instant::now();
+    let mut started = Instant::now();
     let mut steps = Vec::new();
     for (idx, fault) in plan.faults.iter().enumerate() {
         steps.push((fault.begin, false, idx));
@@ -199,6 +201,7 @@
                 fault: fault.clone(),
             });
         }
+        started += begin.elapsed();
     }
     Ok(injected.into_iter().flatten().collect())
 }
