testkit: a settings file is replaced, not rewritten, while processes may start

In 13 more plays the message didn't come, but one instance (control-2.3) had exited with status 3 and the message that its settings had no tables: two instances are replaced at once, and the second one's seeds were written into the first one's file while it started. The file is renamed into place now.

Ruled out: SIGHUP at the end of a process (the harness sends none here), the limit of a shutdown (it ends with status 0).

--- a/crates/testkit/src/process_set.rs
+++ b/crates/testkit/src/process_set.rs
@@ -166,7 +166,10 @@
     /// Fails if the file can't be read or written.
     pub fn edit_settings(&self, name: &str, edit: impl FnOnce(&str) -> String) -> Result<()> {
         let path = &self.slot(name)?.settings;
-        fs::write(path, edit(&fs::read_to_string(path)?))?;
+        // A process that starts meanwhile reads either the old file or the new one.
+        let edited = path.with_extension("edited");
+        fs::write(&edited, edit(&fs::read_to_string(path)?))?;
+        fs::rename(&edited, path)?;
         Ok(())
     }
 
