runtime: a port with few connections keeps the new ones beside a crowd

Callers saw a connection that is closed without a response.

Cause: at the limit on descriptors a caller's new connection closes one that had no successful response, of any port. Where all others are in flight that is the probe's, accepted a moment ago, whose request is still on its way.

A port with up to four connections now keeps those that have been silent for less than a second. Four of the 16 descriptors beyond the limit, as all ports share them; and only while they are new, so that silent connections still make room.

attach_beside_crowd_keeps_new_connection: three of four cases fail before, all pass now.

--- a/crates/runtime/src/caller_table/caller_accepts.rs
+++ b/crates/runtime/src/caller_table/caller_accepts.rs
@@ -7,8 +7,10 @@
 //! been silent for longest, or, of idle ones whose callers behave, that has had the fewest
 //! successful responses and was opened last: a crowd that behaves comes after ordinary
 //! callers; idle ones are closed only while they are more than half of the connections that
-//! are allowed. So a crowd makes room for itself before others. If there is none, the new
-//! connection is refused.
+//! are allowed. So a crowd makes room for itself before others. A listener with few connections
+//! keeps those whose requests may still be on their way, as a crowd at another one, all of it
+//! in flight, would otherwise close each of them. If there is none, the new connection is
+//! refused.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -23,7 +25,7 @@
 
 use super::caller_refusals::retry_after;
 use super::{CallerCharge, CallerConnection, CallerId, CallerPhase, CallerTable, RefusalKind};
-use crate::caller_budget::IDLE_DIVISOR;
+use crate::caller_budget::{IDLE_DIVISOR, PORT_RESERVE};
 
 /// Delay after a connection could not be accepted, as for lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -31,6 +33,10 @@
 /// Time without received bytes after which an incomplete request has stalled.
 const STALLED_MIN: Duration = Duration::from_secs(1);
 
+/// Connections of a listener up to which it keeps the new ones. Below the number that may
+/// exceed the limit, so that such connections don't shut other ports.
+const NEW_KEPT: usize = PORT_RESERVE / 4;
+
 /// Connections found at a time that may be closed to make room.
 const CLOSABLE_MAX: usize = 64;
 
@@ -145,11 +151,13 @@
     /// Closes the first connection that was found and may still be closed.
     fn close_found(&mut self, now: Instant) -> bool {
         while let Some((rank, id)) = self.closable.pop_front() {
+            let found = self.connections.get(&id);
+            let rank_now = found.and_then(|it| self.close_rank(now, it));
             let Some(connection) = self.connections.get_mut(&id) else {
                 continue;
             };
             // A request that has arrived is served, or refused by its own reading.
-            if connection.close_rank(now) != Some(rank) || connection.has_arrived() {
+            if rank_now != Some(rank) || connection.has_arrived() {
                 continue;
             }
             if matches!(connection.phase, CallerPhase::Reading(_)) {
@@ -164,6 +172,14 @@
         false
     }
 
+    /// Returns how readily one of the connections is closed to make room; none if it can't be.
+    fn close_rank(&self, now: Instant, connection: &CallerConnection) -> Option<CloseRank> {
+        let rank = connection.close_rank(now)?;
+        let is_new = rank == CloseRank::Unproven && connection.silence(now) < STALLED_MIN;
+        let is_kept = is_new && self.open_count(connection.listener) <= NEW_KEPT;
+        (!is_kept).then_some(rank)
+    }
+
     fn find_closable(&mut self, now: Instant) {
         let mut listener_counts: BTreeMap<ListenerId, usize> = BTreeMap::new();
         let mut source_counts: BTreeMap<(ListenerId, IpAddr), usize> = BTreeMap::new();
@@ -175,11 +191,11 @@
         }
         let connections = self.connections.iter();
         let ranked = connections.filter_map(|(id, connection)| {
-            let rank = connection.close_rank(now)?;
+            let rank = self.close_rank(now, connection)?;
             let listener = connection.listener;
             let listener_count = listener_counts.get(&listener).copied();
             let source_count = source_counts.get(&(listener, connection.source)).copied();
-            let silence = now.saturating_duration_since(connection.received_at);
+            let silence = connection.silence(now);
             let order = match rank {
                 CloseRank::Idle => (connection.successes, Reverse(Duration::ZERO), !*id),
                 _ => (0, Reverse(silence), *id),
@@ -213,6 +229,11 @@
 }
 
 impl CallerConnection {
+    /// Returns how long nothing has been received.
+    fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.received_at)
+    }
+
     /// Returns how readily the connection is closed to make room; none if it can't be.
     fn close_rank(&self, now: Instant) -> Option<CloseRank> {
         let is_written = self.socket.output.is_empty();
@@ -224,8 +245,7 @@
             }
             CallerPhase::Idle(_) => Some(CloseRank::Idle),
             CallerPhase::Reading(_) => {
-                let silence = now.saturating_duration_since(self.received_at);
-                (silence >= STALLED_MIN).then_some(CloseRank::Stalled)
+                (self.silence(now) >= STALLED_MIN).then_some(CloseRank::Stalled)
             }
             CallerPhase::Processing(_) => None,
         }
--- a/crates/runtime/tests/idle_callers.rs
+++ b/crates/runtime/tests/idle_callers.rs
@@ -3,11 +3,11 @@
 mod common;
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use mulberrywell_role::{ConnectionBounds, HttpEvent, RequestId, ResponsePart};
-use mulberrywell_runtime::caller_budget::CallerLimits;
+use mulberrywell_role::{ConnectionBounds, HttpEvent, ListenerId, RequestId, ResponsePart};
+use mulberrywell_runtime::caller_budget::{CallerBudget, CallerLimits};
 use mulberrywell_runtime::caller_table::{CallerId, CallerTable, BOUNDS_DEFAULT};
 use rstest::rstest;
 use stakker::Fwd;
@@ -16,7 +16,10 @@
 
 use common::run_with_poll;
 
-const LISTENER: u8 = 0;
+const LISTENER: ListenerId = 0;
+/// Callers of a crowd; more than a listener may have beyond the limit.
+const CROWD: usize = 20;
+
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// One caller whose connection has carried a request, and is idle.
@@ -27,25 +30,51 @@
     stream: TcpStream,
 }
 
+/// Adds a listener to a table.
+fn listen(poll: &MioPoll, table: &mut CallerTable, id: ListenerId) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    table.listen(poll, id, listener, Fwd::new(|_| {})).unwrap();
+    address
+}
+
+/// Opens a connection to a listener of a table and adds it.
+fn connect(
+    poll: &MioPoll,
+    table: &mut CallerTable,
+    now: Instant,
+    listener: ListenerId,
+    address: SocketAddr,
+) -> (CallerId, TcpStream) {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    let (id, accepted) = loop {
+        if let Some(accepted) = table.accept(now, listener) {
+            break accepted;
+        }
+    };
+    table
+        .attach(poll, now, listener, id, accepted, Fwd::new(|_| {}))
+        .unwrap();
+    (id, stream)
+}
+
+/// Returns the request that has arrived on a connection.
+fn read_request(table: &mut CallerTable, now: Instant, id: CallerId) -> Option<RequestId> {
+    let mut events = Vec::new();
+    table.handle_ready(now, id, &mut [0; 1_024], &mut events);
+    events.into_iter().find_map(|(_, event)| match event {
+        HttpEvent::Request { request, .. } => Some(request),
+        HttpEvent::Disconnected { .. } => None,
+    })
+}
+
 impl IdleCaller {
     fn connect(poll: &MioPoll) -> Self {
         let now = Instant::now();
         let mut table = CallerTable::default();
-        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        table
-            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
-            .unwrap();
-        let stream = TcpStream::connect(address).unwrap();
-        stream.set_nodelay(true).unwrap();
-        let (id, accepted) = loop {
-            if let Some(accepted) = table.accept(Instant::now(), LISTENER) {
-                break accepted;
-            }
-        };
-        table
-            .attach(poll, now, LISTENER, id, accepted, Fwd::new(|_| {}))
-            .unwrap();
+        let address = listen(poll, &mut table, LISTENER);
+        let (id, stream) = connect(poll, &mut table, now, LISTENER, address);
         let mut caller = IdleCaller {
             table,
             now,
@@ -76,13 +105,7 @@
     }
 
     fn read_request(&mut self) -> Option<RequestId> {
-        let mut events = Vec::new();
-        let table = &mut self.table;
-        table.handle_ready(self.now, self.id, &mut [0; 1_024], &mut events);
-        events.into_iter().find_map(|(_, event)| match event {
-            HttpEvent::Request { request, .. } => Some(request),
-            HttpEvent::Disconnected { .. } => None,
-        })
+        read_request(&mut self.table, self.now, self.id)
     }
 
     fn pass(&mut self, duration: Duration) {
@@ -180,29 +203,65 @@
         }
         caller.table.flush(&mut events);
         assert!(caller.table.has_output(), "the sockets hold all of it");
-        let other = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = other.local_addr().unwrap();
         let table = &mut caller.table;
-        table
-            .listen(poll, LISTENER + 1, other, Fwd::new(|_| {}))
-            .unwrap();
+        let address = listen(poll, table, LISTENER + 1);
         let later = now + Duration::from_millis(100);
         let mut others = Vec::new();
         for _ in 0..CallerLimits::default().descriptors {
-            others.push(TcpStream::connect(address).unwrap());
-            let (id, accepted) = loop {
-                if let Some(accepted) = table.accept(Instant::now(), LISTENER + 1) {
-                    break accepted;
-                }
-            };
-            table
-                .attach(poll, later, LISTENER + 1, id, accepted, Fwd::new(|_| {}))
-                .unwrap();
+            others.push(connect(poll, table, later, LISTENER + 1, address));
         }
         assert!(table.has_output(), "the response was cut");
     });
 }
 
+/// Guards against a new connection at one listener, such as a readiness check's, that is closed
+/// before its request arrives, as a crowd at another listener is in flight and comes further;
+/// one that stays silent, or one of many, makes room.
+#[rstest]
+#[case::new(1, 100, 1)]
+#[case::silent(1, 1_000, 0)]
+#[case::few(4, 100, 4)]
+#[case::many(5, 100, 4)]
+fn attach_beside_crowd_keeps_new_connection(
+    #[case] connections: usize,
+    #[case] silence_ms: u64,
+    #[case] kept: usize,
+) {
+    run_with_poll(move |poll| {
+        let mut now = Instant::now();
+        let limits = CallerLimits {
+            descriptors: CROWD + connections,
+            ..CallerLimits::default()
+        };
+        let mut table = CallerTable::new(CallerBudget::open(limits));
+        let crowded = listen(poll, &mut table, LISTENER);
+        let address = listen(poll, &mut table, LISTENER + 1);
+        let mut crowd = Vec::new();
+        for _ in 0..CROWD {
+            let (id, mut stream) = connect(poll, &mut table, now, LISTENER, crowded);
+            stream.write_all(REQUEST).unwrap();
+            std::thread::sleep(Duration::from_millis(2));
+            assert!(read_request(&mut table, now, id).is_some());
+            crowd.push(stream);
+        }
+        let mut others: Vec<_> = (0..connections)
+            .map(|_| connect(poll, &mut table, now, LISTENER + 1, address))
+            .collect();
+        now += Duration::from_millis(silence_ms);
+        for _ in 0..CROWD {
+            crowd.push(connect(poll, &mut table, now, LISTENER, crowded).1);
+        }
+        for (_, stream) in &mut others {
+            // Fails on a closed connection.
+            let _ = stream.write_all(REQUEST);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+        let ids = others.iter().map(|(id, _)| *id);
+        let served = ids.filter(|id| read_request(&mut table, now, *id).is_some());
+        assert_eq!(served.count(), kept);
+    });
+}
+
 /// Guards against a request that has arrived on a connection which is not yet accepted when
 /// the listener closes, as the timer that closes it may come before the poll tells of the
 /// connection.
@@ -210,11 +269,7 @@
 fn stop_accepting_pending_request_kept() {
     run_with_poll(|poll| {
         let mut table = CallerTable::default();
-        let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        table
-            .listen(poll, LISTENER, listener, Fwd::new(|_| {}))
-            .unwrap();
+        let address = listen(poll, &mut table, LISTENER);
         let mut stream = TcpStream::connect(address).unwrap();
         stream.write_all(REQUEST).unwrap();
         std::thread::sleep(Duration::from_millis(20));
