runtime: a request that waits for the proxy itself isn't refused as stalled

Callers saw 503 `overloaded` for an ordinary small request to an entry beside a crowd of long incomplete uploads, 0.4 to 2.5 s after it was sent whole.

Cause: when memory is short, the front proxy refuses the incomplete request that has had no transfer for 100 ms and weighs most. The small request's bytes were all in the proxy's hands and waited for its connection to the library; the crowd's bytes came all the time, so that it was the only one that seemed to have stalled.

Not seen in the lines: a refusal for its own memory, for descriptors, by the library's server.

--- a/crates/runtime/src/proxy_connection/proxy_charges.rs
+++ b/crates/runtime/src/proxy_connection/proxy_charges.rs
@@ -43,9 +43,12 @@
     }
 
     /// Returns how much is held for an incomplete request times how long, if no byte of it
-    /// was received for `stall_min` and it can be refused.
+    /// was received for `stall_min` and it can be refused. One whose bytes wait for this
+    /// process, to be read or to be forwarded, has not stalled.
     pub fn stalled_weight(&self, now: Instant, stall_min: Duration) -> Option<u128> {
-        let is_stalled = now.saturating_duration_since(self.last_progress) >= stall_min;
+        let awaits_process = self.caller_ready.read || !self.inbound.is_empty();
+        let silence = now.saturating_duration_since(self.last_progress);
+        let is_stalled = silence >= stall_min && !awaits_process;
         let age = now.saturating_duration_since(self.phase_since);
         let is_reading = matches!(self.phase, ProxyPhase::Body(_));
         let is_refusable = is_reading && is_stalled && !self.has_pending_response();
