--- a/crates/control/src/control_shutdown.rs
+++ b/crates/control/src/control_shutdown.rs
@@ -3,7 +3,10 @@
 //! Guarantees: each call to the operator API or the serving interface that was passed to
 //! the role before the shutdown is answered, as unconfirmed if the leader or a quorum
 //! doesn't decide it in time. Later ones are refused at once, as another instance can
-//! answer them. Entries and agents repeat their frames on another link.
+//! answer them. Entries and agents repeat their frames on another link. The leadership is
+//! handed over only when no order waits for its answer, and a lone leader ends only then: one
+//! that is still on its way would arrive after the next election, from which the leader counts
+//! its pause.
 //!
 //! With open membership, an instance stays until it is no voter any more if the others can
 //! spare it, or will be able to within [`REMOVAL_LIMIT`]: it may be removed for good, and
@@ -18,7 +21,8 @@
 use crate::control_event::ControlAction;
 use crate::control_role::{Actions, ControlRole, ReadTask};
 
-/// Time limit for the leadership transfer and for the answers that are awaited.
+/// Time limit for the leadership transfer and for the answers that are awaited, from when no
+/// order waits for its answer.
 const SHUTDOWN_LIMIT: Duration = Duration::from_secs(1);
 
 /// Time limit for the removal from the voters, within which an instance that is away may
@@ -60,23 +64,36 @@
         if self.shutdown.has_begun() {
             return;
         }
-        self.shutdown.deadline = Some(now + SHUTDOWN_LIMIT);
+        let orders_end = self.orders.answer_deadline().unwrap_or(now);
+        self.shutdown.deadline = Some(now.max(orders_end) + SHUTDOWN_LIMIT);
         self.shutdown.removal_deadline = Some(now + REMOVAL_LIMIT);
         let hellos = self.peers.set_leaving(self.state.cluster);
         self.commands.extend(hellos);
-        self.leave_leadership();
+        self.leave_leadership(now);
     }
 
     /// Hands the leadership over in a shutdown. An instance that still votes may become
     /// leader meanwhile.
-    pub(crate) fn leave_leadership(&mut self) {
-        if self.shutdown.has_begun() && self.must_transfer() && !self.node.is_transferring() {
+    pub(crate) fn leave_leadership(&mut self, now: Instant) {
+        if self.shutdown.has_begun() {
+            self.transfer_leadership(now);
+        }
+    }
+
+    /// Sends no further orders, and hands the leadership over unless an order waits for its
+    /// answer. To be repeated until another instance leads.
+    pub(crate) fn transfer_leadership(&mut self, now: Instant) {
+        if !self.must_transfer() || self.node.is_transferring() {
+            return;
+        }
+        self.orders.pause(now);
+        if self.orders.answer_deadline().is_none() {
             self.enqueue(NodeInput::Transfer { to: None });
         }
     }
 
     /// Records the answers to operators among an event's actions, and finishes a shutdown
-    /// once the leadership is transferred and all answers are sent.
+    /// once the leadership is transferred and all answers are sent and received.
     pub(crate) fn check_shutdown(&mut self, now: Instant, actions: &mut Actions) {
         let is_answer = |action: &RoleAction<ControlAction>| {
             matches!(action, RoleAction::RoleSpecific(ControlAction::Respond(..)))
@@ -89,7 +106,8 @@
         };
         let is_flushed = |at: Instant| at + FLUSH_TIME <= now;
         let is_written = self.shutdown.last_answer.is_none_or(is_flushed);
-        let is_done = is_written && !self.must_transfer() && !self.has_calls();
+        let awaits_order = self.orders.answer_deadline().is_some();
+        let is_done = is_written && !self.must_transfer() && !self.has_calls() && !awaits_order;
         if now >= end {
             self.fail_calls(actions);
         }
--- a/crates/control/src/node_outputs.rs
+++ b/crates/control/src/node_outputs.rs
@@ -274,7 +274,9 @@
             let text = format!("lost leadership; term {term}");
             actions.push(RoleAction::Log(LogLevel::Info, text));
             self.leases.become_follower();
-            self.orders.become_follower();
+            let abandoned = self.orders.become_follower().into_iter();
+            let abandoned = abandoned.map(ControlAction::AbandonOrder);
+            actions.extend(abandoned.map(RoleAction::RoleSpecific));
             self.permits.stop();
         }
     }
--- a/crates/control/src/order_dispatcher.rs
+++ b/crates/control/src/order_dispatcher.rs
@@ -5,7 +5,8 @@
 //!
 //! Guarantees: a leader sends orders only while its lease excludes any other
 //! leader, and not before [`LEADER_CHANGE_DELAY`] has passed since the last
-//! order of any earlier leader. Its term is its fencing token. An engine whose
+//! order of any earlier leader; so it hands the leadership over only when none of its
+//! orders waits for an answer. Its term is its fencing token. An engine whose
 //! number of accepted orders is uncertain receives no orders until its
 //! inventory has reported the number. Orders and queries count towards the limit
 //! of their engine; an order that exceeds it waits for [`DEFER_MAX`] at most.
@@ -49,6 +50,10 @@
 /// Time after which the answer to an order is treated as unknown.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a leader that is about to hand the leadership over sends no orders; longer
+/// than the interval at which it tries again.
+const TRANSFER_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time for which an order waits for its engine's limit before it counts as refused.
 const DEFER_MAX: Duration = Duration::from_secs(3);
 
@@ -96,6 +101,8 @@
     services: BTreeMap<Bytes, DemandPlacement>,
     /// When this leader may start to send orders; `None` on a follower.
     orders_allowed_from: Option<Instant>,
+    /// Until when no orders are sent, as the leadership is about to be handed over.
+    paused_until: Option<Instant>,
     next_plan: Option<Instant>,
     /// When the last plan was made.
     last_plan: Option<Instant>,
@@ -117,16 +124,33 @@
         self.deferred.clear();
         self.sent.clear();
         self.orders_allowed_from = Some(now + LEADER_CHANGE_DELAY);
+        self.paused_until = None;
         self.next_plan = Some(now + LEADER_CHANGE_DELAY);
     }
 
-    /// Stops sending orders and drops the pending ones.
-    pub fn become_follower(&mut self) {
+    /// Stops sending orders, drops the pending ones and returns those without an answer.
+    pub fn become_follower(&mut self) -> Vec<EngineOrder> {
         self.orders_allowed_from = None;
         self.next_plan = None;
         self.loading.clear();
         self.deferred.clear();
-        self.sent.clear();
+        let sent = std::mem::take(&mut self.sent).into_iter();
+        sent.map(|(_, order)| order).collect()
+    }
+
+    /// Sends no orders for [`TRANSFER_PAUSE`].
+    pub fn pause(&mut self, now: Instant) {
+        self.paused_until = Some(now + TRANSFER_PAUSE);
+    }
+
+    fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns when the answer to each order that was sent is known or has timed out; none
+    /// if no order waits for its answer.
+    pub fn answer_deadline(&self) -> Option<Instant> {
+        self.sent.last().map(|(at, _)| *at + ANSWER_TIMEOUT)
     }
 
     /// Returns when [`OrderDispatcher::plan`], [`OrderDispatcher::pop_due`] or
@@ -308,6 +332,12 @@
         }
     }
 
+    /// Returns whether the leadership is handed over, or is about to be.
+    fn is_handing_over(&self, now: Instant) -> bool {
+        let is_leaving = self.shutdown.has_begun() || self.orders.is_paused(now);
+        is_leaving || self.node.is_transferring()
+    }
+
     /// Sends the orders that are due.
     pub(crate) fn dispatch_orders(&mut self, now: Instant, actions: &mut Actions) {
         if !self.is_leader() || self.applied_term != self.term {
@@ -322,7 +352,8 @@
             )));
             self.apply_order_answer(now, &order, OrderAnswer::Unknown, actions);
         }
-        if !self.has_lease(now) {
+        self.leave_leadership(now);
+        if !self.has_lease(now) || self.is_handing_over(now) {
             self.orders.defer_plan(now);
             return;
         }
--- a/crates/control/src/peer_frames.rs
+++ b/crates/control/src/peer_frames.rs
@@ -125,7 +125,7 @@
         }
         self.found_cluster(now, actions);
         self.update_defunct(actions);
-        self.leave_leadership();
+        self.leave_leadership(now);
         if self.is_leader() {
             self.update_membership(now);
             self.propose_blocks(now);
@@ -315,7 +315,7 @@
                     let proposal = self.proposals.insert(ProposalWaiter::Membership);
                     self.enqueue(NodeInput::ChangeMembership { proposal, change });
                 }
-                MemberStep::Transfer => self.enqueue(NodeInput::Transfer { to: None }),
+                MemberStep::Transfer => self.transfer_leadership(now),
             }
         }
     }
--- a/crates/control/tests/role_cases/role_cluster.rs
+++ b/crates/control/tests/role_cases/role_cluster.rs
@@ -80,6 +80,8 @@
     pub orders: Vec<EngineOrder>,
     /// When each order was sent.
     pub order_times: Vec<Instant>,
+    /// Orders whose answers are awaited no more.
+    pub abandoned: Vec<EngineOrder>,
     /// Losses at the same time that machines are set for.
     losses_max: u32,
     /// Inventory that every engine reports.
@@ -134,6 +136,7 @@
             replies: BTreeMap::new(),
             orders: Vec::new(),
             order_times: Vec::new(),
+            abandoned: Vec::new(),
             losses_max: 1,
             inventory: EngineInventory::default(),
             next_link: 1,
@@ -464,7 +467,10 @@
                 self.order_times.push(self.now);
                 return;
             }
-            ControlAction::AbandonOrder(_) => return,
+            ControlAction::AbandonOrder(order) => {
+                self.abandoned.push(order);
+                return;
+            }
             ControlAction::QueryInventory(query) => {
                 let inventory = Some(self.inventory.clone());
                 let event = ControlEvent::InventoryRead { query, inventory };
--- a/crates/control/tests/role_cases/serving_cases.rs
+++ b/crates/control/tests/role_cases/serving_cases.rs
@@ -168,7 +168,7 @@
 }
 
 /// A deployment with one model and its adapters.
-fn engine_config() -> ServingCall {
+pub fn engine_config() -> ServingCall {
     models_config(&[b"m"])
 }
 
@@ -295,7 +295,7 @@
     assert!((orders_min..=orders_max).contains(&count), "{count} orders");
 }
 
-fn engine_heartbeat() -> ServingCall {
+pub fn engine_heartbeat() -> ServingCall {
     let ServingCall::Heartbeat(mut status) = heartbeat(1, EndpointPhase::Ready) else {
         unreachable!("a heartbeat");
     };
@@ -414,7 +414,7 @@
 }
 
 /// Waits between the orders of two leaders: the platform's `lease_ms`.
-const ORDER_LEASE: Duration = Duration::from_secs(3);
+pub const ORDER_LEASE: Duration = Duration::from_secs(3);
 
 /// Orders of a new leader carry a higher fencing token, its term, and come no
 /// sooner than the lease after the last one of the leader before it.
